Scaffold: types shared by all parts, settings, checks

The first commit fixes the interfaces that several modules build on: clock, verdict, errors, records, tables, actions, platform protocols.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements; each module is a command."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragetiller/agent/claims.py
@@ -0,0 +1,72 @@
+"""What the agent asks before it runs a keyed call that may not be repeated."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class StoredAnswer:
+    """A finished answer, kept for replay byte for byte."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class KeyedCall:
+    """A call that carries an idempotency key."""
+
+    customer: str
+    group: str
+    key: str
+    fingerprint: str  # SHA-256 of method, path and body
+    request_id: str
+    attempt: int
+
+
+class ClaimKeeper(Protocol):
+    """Decides whether a keyed call may run here."""
+
+    async def claim(self, call: KeyedCall) -> StoredAnswer | None:
+        """
+        Claim the key, or replay its answer.
+
+        :return: the kept answer, or None when the call now runs exactly once
+        :raises BoragetillerError: with the honest verdict when the call must not run
+        """
+        ...
+
+    async def finish(self, call: KeyedCall, answer: StoredAnswer | None) -> None:
+        """
+        Note the end of a claimed call.
+
+        :param answer: the answer, None when the call may have run and its answer is lost
+        """
+        ...
+
+
+class MemoryClaimKeeper:
+    """Claims kept by one agent only; they end with its process."""
+
+    def __init__(self) -> None:
+        """Start with no claims."""
+        self._answers: dict[tuple[str, str, str], StoredAnswer | None] = {}
+
+    async def claim(self, call: KeyedCall) -> StoredAnswer | None:
+        """See :class:`ClaimKeeper`."""
+        name = (call.customer, call.group, call.key)
+        if name in self._answers:
+            return self._answers[name]
+        self._answers[name] = None
+        return None
+
+    async def finish(self, call: KeyedCall, answer: StoredAnswer | None) -> None:
+        """See :class:`ClaimKeeper`."""
+        self._answers[(call.customer, call.group, call.key)] = answer
+
+
+__all__ = ["ClaimKeeper", "KeyedCall", "MemoryClaimKeeper", "StoredAnswer"]
--- /dev/null
+++ b/src/boragetiller/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragetiller/clock.py
@@ -0,0 +1,45 @@
+"""The clock: monotonic time in milliseconds, real or set by a test."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """A source of monotonic time."""
+
+    def now_ms(self) -> int:
+        """:return: monotonic time in milliseconds"""
+        ...
+
+
+class SystemClock:
+    """Monotonic time of this host."""
+
+    def now_ms(self) -> int:
+        """:return: monotonic time in milliseconds"""
+        return time.monotonic_ns() // 1_000_000
+
+
+class ManualClock:
+    """A clock that moves only when told to."""
+
+    def __init__(self, start_ms: int = 0) -> None:
+        """:param start_ms: first reading in milliseconds"""
+        self._now_ms = start_ms
+
+    def now_ms(self) -> int:
+        """:return: time in milliseconds"""
+        return self._now_ms
+
+    def advance(self, step_ms: int) -> None:
+        """
+        Move the clock forward.
+
+        :param step_ms: step in milliseconds
+        """
+        self._now_ms += step_ms
+
+
+__all__ = ["Clock", "ManualClock", "SystemClock"]
--- /dev/null
+++ b/src/boragetiller/control/__init__.py
@@ -0,0 +1,3 @@
+"""The control exchange between routers and agents."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragetiller/errors.py
@@ -0,0 +1,233 @@
+"""Errors with a stable code, a verdict and an HTTP status."""
+
+from __future__ import annotations
+
+from boragetiller.verdict import Verdict
+
+
+class BoragetillerError(Exception):
+    """Base of every error that a caller, an operator or a peer may see."""
+
+    code = "internal"
+    verdict = Verdict.MAY_HAVE_RUN
+    http_status = 500
+    retryable = False  # whether another attempt by the router may help
+
+    def __init__(
+        self, message: str = "", *, verdict: Verdict | None = None, retry_after_s: int | None = None
+    ) -> None:
+        """
+        Build the error.
+
+        :param message: text for people; the class docstring when empty
+        :param verdict: replaces the verdict of the class
+        :param retry_after_s: delay in seconds that a caller should keep before another try
+        """
+        super().__init__(message or (self.__doc__ or "").strip().splitlines()[0])
+        self.verdict = verdict or type(self).verdict
+        self.retry_after_s = retry_after_s
+
+
+class NotRunError(BoragetillerError):
+    """The request was refused before any byte reached a backend server."""
+
+    code = "not_run"
+    verdict = Verdict.NOT_RUN
+    http_status = 503
+
+
+class InvalidRequest(NotRunError):
+    """The request is malformed."""
+
+    code = "invalid_request"
+    http_status = 400
+
+
+class RequestTooLarge(NotRunError):
+    """The request body is larger than the limit."""
+
+    code = "request_too_large"
+    http_status = 413
+
+
+class RequestTimeout(NotRunError):
+    """The request body did not arrive within the limit."""
+
+    code = "request_timeout"
+    http_status = 408
+
+
+class NotFound(NotRunError):
+    """No such route, model or group."""
+
+    code = "not_found"
+    http_status = 404
+
+
+class Unauthorized(NotRunError):
+    """The bearer key is missing or unknown."""
+
+    code = "unauthorized"
+    http_status = 401
+
+
+class Forbidden(NotRunError):
+    """The customer may not use this request class."""
+
+    code = "forbidden"
+    http_status = 403
+
+
+class NotReady(NotRunError):
+    """This process has no configuration yet or is stopping."""
+
+    code = "not_ready"
+
+
+class Draining(NotRunError):
+    """This process is stopping and takes no new work."""
+
+    code = "draining"
+    retryable = True
+
+
+class NoBackend(NotRunError):
+    """No backend server of the group takes work now."""
+
+    code = "no_backend"
+
+
+class Overloaded(NotRunError):
+    """The request cannot be served in time at the present load."""
+
+    code = "overloaded"
+    http_status = 429
+    retryable = True
+
+
+class RateLimited(NotRunError):
+    """The customer is over its rate or concurrency limit."""
+
+    code = "rate_limited"
+    http_status = 429
+
+
+class StaleAttempt(NotRunError):
+    """A later attempt of the request is already known."""
+
+    code = "stale_attempt"
+    http_status = 409
+    verdict = Verdict.MAY_HAVE_RUN
+
+
+class NotOwner(NotRunError):
+    """This agent does not own the shard of the idempotency key."""
+
+    code = "not_owner"
+    http_status = 421
+    retryable = True
+
+
+class KeyReused(NotRunError):
+    """The idempotency key was used before with another body."""
+
+    code = "key_reused"
+    http_status = 422
+
+
+class Quarantined(NotRunError):
+    """The same body crashed backend servers before and is refused."""
+
+    code = "quarantined"
+    http_status = 422
+
+
+class BackendUnreachable(NotRunError):
+    """No connection to the backend server could be made."""
+
+    code = "backend_unreachable"
+    http_status = 502
+    retryable = True
+
+
+class BackendLost(BoragetillerError):
+    """The connection to the backend server broke after the request was sent."""
+
+    code = "backend_lost"
+    http_status = 502
+    retryable = True
+
+
+class BackendTimeout(BoragetillerError):
+    """The backend server accepted the request and sent no answer in time."""
+
+    code = "backend_timeout"
+    http_status = 504
+    retryable = True
+
+
+class AnswerNotKept(BoragetillerError):
+    """The keyed request ran and its answer is no longer kept."""
+
+    code = "answer_not_kept"
+    verdict = Verdict.RAN
+    http_status = 409
+
+
+class OutcomeUnknown(BoragetillerError):
+    """Whether the keyed request ran cannot be told."""
+
+    code = "outcome_unknown"
+    http_status = 409
+
+
+class SettingsInvalid(BoragetillerError):
+    """A settings file or record is not valid."""
+
+    code = "settings_invalid"
+    verdict = Verdict.NOT_RUN
+    http_status = 400
+
+
+class StoreUnavailable(BoragetillerError):
+    """The platform's store did not answer; a write may have taken effect."""
+
+    code = "store_unavailable"
+    http_status = 503
+
+
+class RevisionConflict(BoragetillerError):
+    """The stored value has another revision than the writer expected."""
+
+    code = "revision_conflict"
+    verdict = Verdict.NOT_RUN
+    http_status = 409
+
+
+__all__ = [
+    "AnswerNotKept",
+    "BackendLost",
+    "BackendTimeout",
+    "BackendUnreachable",
+    "BoragetillerError",
+    "Draining",
+    "Forbidden",
+    "InvalidRequest",
+    "KeyReused",
+    "NoBackend",
+    "NotFound",
+    "NotOwner",
+    "NotReady",
+    "NotRunError",
+    "OutcomeUnknown",
+    "Overloaded",
+    "Quarantined",
+    "RateLimited",
+    "RequestTimeout",
+    "RequestTooLarge",
+    "RevisionConflict",
+    "SettingsInvalid",
+    "StaleAttempt",
+    "StoreUnavailable",
+    "Unauthorized",
+]
--- /dev/null
+++ b/src/boragetiller/events.py
@@ -0,0 +1,48 @@
+"""Numbered log events; docs/EVENTS.md is the catalogue."""
+
+from __future__ import annotations
+
+import sys
+from enum import Enum
+
+from loguru import logger
+
+
+class Event(Enum):
+    """Every event that a process can log, by number."""
+
+    PROCESS_STARTED = 100
+    PROCESS_STOPPING = 101
+    PROCESS_STOPPED = 102
+    REQUEST_REFUSED = 200
+    REQUEST_PLACED = 201
+    REQUEST_RETRIED = 202
+    REQUEST_RESUMED = 203
+    REQUEST_FINISHED = 204
+    REQUEST_FAILED = 205
+    REQUEST_CANCELLED = 206
+
+
+def log_event(event: Event, **fields: object) -> None:
+    """
+    Log one event with its fields.
+
+    :param event: what happened
+    :param fields: details; durations carry their unit as suffix
+    """
+    text = " ".join(f"{name}={value}" for name, value in fields.items())
+    logger.bind(event=event.value, **fields).info("{} {} {}", event.value, event.name.lower(), text)
+
+
+def configure_logging(level: str = "INFO", *, json_lines: bool = False) -> None:
+    """
+    Send log lines to standard error.
+
+    :param level: lowest level that is written
+    :param json_lines: write one JSON object a line
+    """
+    logger.remove()
+    logger.add(sys.stderr, level=level, serialize=json_lines, format="{time} {level} {message}")
+
+
+__all__ = ["Event", "configure_logging", "log_event"]
--- /dev/null
+++ b/src/boragetiller/records/__init__.py
@@ -0,0 +1,3 @@
+"""Operator records: kinds, schema versions, merge and validation."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragetiller/records/model.py
@@ -0,0 +1,55 @@
+"""The records that operators write, as the newest schema version has them."""
+
+from __future__ import annotations
+
+import attrs
+from attrs import validators
+
+from boragetiller.settings import BackendKind
+
+LOWEST_TIER = 3
+_POSITIVE = validators.gt(0)
+
+
+@attrs.frozen(kw_only=True)
+class Customer:
+    """Who calls; keys are stored as SHA-256 in hex."""
+
+    name: str
+    key_hashes: tuple[str, ...] = ()
+    classes: tuple[str, ...] = ()
+    weight: float = attrs.field(default=1.0, validator=validators.gt(0.0))
+    max_concurrent: int = attrs.field(default=1_000, validator=_POSITIVE)
+    requests_per_s: float = attrs.field(default=1_000.0, validator=validators.gt(0.0))
+
+
+@attrs.frozen(kw_only=True)
+class RequestClass:
+    """A kind of request; tier 0 goes first."""
+
+    name: str
+    group: str
+    tier: int = attrs.field(default=1, validator=[validators.ge(0), validators.le(LOWEST_TIER)])
+    protected: bool = False
+    idempotent: bool = True
+    first_token_target_ms: int = attrs.field(default=680, validator=_POSITIVE)
+    between_tokens_target_ms: int = attrs.field(default=45, validator=_POSITIVE)
+    deadline_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
+    weight: float = attrs.field(default=1.0, validator=validators.gt(0.0))
+
+
+@attrs.frozen(kw_only=True)
+class BackendGroup:
+    """Backend servers that serve the same thing; members are host names of their agents."""
+
+    name: str
+    kind: BackendKind = BackendKind.ENGINE
+    members: tuple[str, ...] = ()
+    models: tuple[str, ...] = ()
+    repeatable_methods: tuple[str, ...] = ("GET", "HEAD")
+    shards: int = attrs.field(default=16, validator=_POSITIVE)
+
+
+Record = Customer | RequestClass | BackendGroup
+
+__all__ = ["LOWEST_TIER", "BackendGroup", "Customer", "Record", "RequestClass"]
--- /dev/null
+++ b/src/boragetiller/router/__init__.py
@@ -0,0 +1,3 @@
+"""The router role: callers' HTTP, placement, relay and retries."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragetiller/settings.py
@@ -0,0 +1,193 @@
+"""Settings of a process, read from one YAML file."""
+
+from __future__ import annotations
+
+from enum import Enum
+from pathlib import Path
+
+import attrs
+from attrs import validators
+
+from boragetiller.errors import SettingsInvalid
+from boragetiller.structure import structure_yaml
+
+MAX_PORT = 65_535
+
+
+class Role(Enum):
+    """What a process does."""
+
+    ROUTER = "router"
+    AGENT = "agent"
+
+
+class BackendKind(Enum):
+    """What stands behind an agent."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+_PORT = validators.and_(validators.ge(0), validators.le(MAX_PORT))
+_POSITIVE = validators.gt(0)
+
+
+@attrs.frozen(kw_only=True)
+class TlsSettings:
+    """Certificate, key and authority, as PEM files."""
+
+    certificate: str
+    key: str
+    authority: str | None = None
+
+
+@attrs.frozen(kw_only=True)
+class ListenSettings:
+    """Where a server listens; port 0 takes a free one."""
+
+    address: str = "127.0.0.1"
+    port: int = attrs.field(default=0, validator=_PORT)
+    tls: TlsSettings | None = None
+
+
+@attrs.frozen(kw_only=True)
+class OperatorSettings:
+    """The operators' port and its bearer key."""
+
+    address: str = "127.0.0.1"
+    port: int = attrs.field(default=0, validator=_PORT)
+    key: str = attrs.field(repr=False)
+
+
+@attrs.frozen(kw_only=True)
+class ControlSettings:
+    """The control exchange between the system's own processes."""
+
+    address: str = "127.0.0.1"
+    port: int = attrs.field(default=0, validator=_PORT)
+    key: str = attrs.field(repr=False)
+    heartbeat_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+    suspect_after_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
+    max_frame_bytes: int = attrs.field(default=2_000_000, validator=_POSITIVE)
+
+
+@attrs.frozen(kw_only=True)
+class PlatformSettings:
+    """Base URLs of the platform's services."""
+
+    store_url: str
+    host_list_url: str
+    weight_store_url: str | None = None
+    timeout_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+    host_list_interval_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+
+
+@attrs.frozen(kw_only=True)
+class StatsdSettings:
+    """Where counters and timings are sent."""
+
+    address: str
+    port: int = attrs.field(default=8125, validator=_PORT)
+
+
+@attrs.frozen(kw_only=True)
+class LimitSettings:
+    """Limits on what a caller may send."""
+
+    max_body_bytes: int = attrs.field(default=4_000_000, validator=_POSITIVE)
+    max_header_bytes: int = attrs.field(default=32_768, validator=_POSITIVE)
+    body_timeout_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
+
+
+@attrs.frozen(kw_only=True)
+class PlacementSettings:
+    """How a router places requests on agents."""
+
+    subset_size: int = attrs.field(default=24, validator=_POSITIVE)
+    choices: int = attrs.field(default=2, validator=_POSITIVE)
+    connect_timeout_ms: int = attrs.field(default=500, validator=_POSITIVE)
+    attempt_timeout_ms: int = attrs.field(default=120_000, validator=_POSITIVE)
+    max_attempts: int = attrs.field(default=4, validator=_POSITIVE)
+    retry_base_ms: int = attrs.field(default=20, validator=_POSITIVE)
+    retry_max_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+
+
+@attrs.frozen(kw_only=True)
+class AdmissionSettings:
+    """How an agent admits, orders and limits work."""
+
+    max_running: int = attrs.field(default=8, validator=_POSITIVE)
+    max_queued: int = attrs.field(default=1_000, validator=_POSITIVE)
+
+
+@attrs.frozen(kw_only=True)
+class BackendSettings:
+    """The backend server that an agent stands beside."""
+
+    name: str
+    group: str
+    kind: BackendKind
+    url: str
+    order_key: str | None = attrs.field(default=None, repr=False)
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """Everything that one process is told."""
+
+    role: Role
+    name: str
+    failure_domain: str
+    region: str = "default"
+    listen: ListenSettings = ListenSettings()
+    control: ControlSettings
+    operator: OperatorSettings
+    platform: PlatformSettings
+    statsd: StatsdSettings | None = None
+    limits: LimitSettings = LimitSettings()
+    placement: PlacementSettings = PlacementSettings()
+    admission: AdmissionSettings = AdmissionSettings()
+    backend: BackendSettings | None = None
+    seed: int | None = None
+    tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
+    drain_timeout_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
+    log_level: str = "INFO"
+    log_json: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """:raises ValueError: when an agent names no backend server"""
+        if self.role is Role.AGENT and self.backend is None:
+            raise ValueError("backend: required for role agent")
+
+
+def load_settings(path: str) -> Settings:
+    """
+    Read the settings of a process.
+
+    :param path: YAML file
+    :return: checked settings
+    :raises SettingsInvalid: when the file is missing or does not fit
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsInvalid(f"{path}: {error}") from error
+    return structure_yaml(text, Settings, source=path)
+
+
+__all__ = [
+    "AdmissionSettings",
+    "BackendKind",
+    "BackendSettings",
+    "ControlSettings",
+    "LimitSettings",
+    "ListenSettings",
+    "OperatorSettings",
+    "PlacementSettings",
+    "PlatformSettings",
+    "Role",
+    "Settings",
+    "StatsdSettings",
+    "TlsSettings",
+    "load_settings",
+]
--- /dev/null
+++ b/src/boragetiller/structure.py
@@ -0,0 +1,151 @@
+"""Turn YAML text into attrs objects, with path, line and allowed values in each error."""
+
+from __future__ import annotations
+
+import types
+import typing
+from enum import Enum
+from typing import Any, TypeVar
+
+import attrs
+import yaml
+
+from boragetiller.errors import SettingsInvalid
+
+T = TypeVar("T")
+
+
+def structure_yaml(text: str, target: type[T], *, source: str = "input") -> T:
+    """
+    Parse YAML text and check it against an attrs class.
+
+    :param text: YAML document
+    :param target: attrs class that the document must match; unknown keys are errors
+    :param source: name of the input for error texts
+    :return: the object
+    :raises SettingsInvalid: naming the path, the line and what is allowed there
+    """
+    return structure_node(compose_yaml(text, source=source), target, source=source, path="")
+
+
+def compose_yaml(text: str, *, source: str) -> yaml.Node:
+    """
+    Parse YAML text into nodes that know their lines.
+
+    :param text: YAML document
+    :param source: name of the input for error texts
+    :return: the root node
+    :raises SettingsInvalid: when the text is no YAML or empty
+    """
+    try:
+        node = yaml.compose(text, Loader=yaml.SafeLoader)
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        message = f"{source}: not YAML: {str(error)[:200]}"
+        raise SettingsInvalid(message) from error
+    if node is None:
+        raise SettingsInvalid(f"{source}: empty")
+    return node
+
+
+def structure_node(node: yaml.Node, target: Any, *, source: str, path: str) -> Any:
+    """
+    Check one YAML node against a type.
+
+    :param node: the node
+    :param target: attrs class, enum, scalar, tuple[X, ...], dict[str, X] or X | None
+    :param source: name of the input for error texts
+    :param path: dotted path of the node
+    :return: the value
+    :raises SettingsInvalid: when the node does not fit
+    """
+    if attrs.has(target):
+        return _structure_class(node, target, source, path)
+    origin = typing.get_origin(target)
+    if origin in (typing.Union, types.UnionType):
+        return _structure_optional(node, target, source, path)
+    if origin is tuple:
+        return _structure_sequence(node, target, source, path)
+    if origin is dict:
+        return _structure_mapping(node, target, source, path)
+    if isinstance(target, type) and issubclass(target, Enum):
+        return _structure_enum(node, target, source, path)
+    return _structure_scalar(node, target, source, path)
+
+
+def _fail(node: yaml.Node, source: str, path: str, problem: str) -> typing.NoReturn:
+    line = node.start_mark.line + 1
+    raise SettingsInvalid(f"{source}:{line}: {path or 'document'}: {problem}")
+
+
+def _structure_class(node: yaml.Node, target: Any, source: str, path: str) -> Any:
+    if not isinstance(node, yaml.MappingNode):
+        _fail(node, source, path, "must be a mapping")
+    attrs.resolve_types(target)
+    fields = {field.name: field for field in attrs.fields(target) if field.init}
+    values: dict[str, Any] = {}
+    for key_node, value_node in node.value:
+        name = key_node.value
+        if name not in fields:
+            _fail(key_node, source, f"{path}{name}", f"unknown key; allowed: {', '.join(fields)}")
+        if name in values:
+            _fail(key_node, source, f"{path}{name}", "key given twice")
+        field_type = fields[name].type
+        values[name] = structure_node(value_node, field_type, source=source, path=f"{path}{name}.")
+    missing = [n for n, f in fields.items() if f.default is attrs.NOTHING and n not in values]
+    if missing:
+        _fail(node, source, path, f"missing keys: {', '.join(missing)}")
+    try:
+        return target(**values)
+    except (ValueError, TypeError) as error:
+        _fail(node, source, path, str(error.args[0] if error.args else error))
+
+
+def _structure_optional(node: yaml.Node, target: Any, source: str, path: str) -> Any:
+    members = [member for member in typing.get_args(target) if member is not type(None)]
+    if node.tag == "tag:yaml.org,2002:null":
+        return None
+    return structure_node(node, members[0], source=source, path=path)
+
+
+def _structure_sequence(node: yaml.Node, target: Any, source: str, path: str) -> Any:
+    if not isinstance(node, yaml.SequenceNode):
+        _fail(node, source, path, "must be a list")
+    member = typing.get_args(target)[0]
+    return tuple(
+        structure_node(item, member, source=source, path=f"{path}{index}.")
+        for index, item in enumerate(node.value)
+    )
+
+
+def _structure_mapping(node: yaml.Node, target: Any, source: str, path: str) -> Any:
+    if not isinstance(node, yaml.MappingNode):
+        _fail(node, source, path, "must be a mapping")
+    member = typing.get_args(target)[1]
+    return {
+        key.value: structure_node(value, member, source=source, path=f"{path}{key.value}.")
+        for key, value in node.value
+    }
+
+
+def _structure_enum(node: yaml.Node, target: type[Enum], source: str, path: str) -> Enum:
+    allowed = [str(member.value) for member in target]
+    if not isinstance(node, yaml.ScalarNode) or node.value not in allowed:
+        _fail(node, source, path, f"allowed: {', '.join(allowed)}")
+    return next(member for member in target if str(member.value) == node.value)
+
+
+def _structure_scalar(node: yaml.Node, target: Any, source: str, path: str) -> Any:
+    if not isinstance(node, yaml.ScalarNode):
+        _fail(node, source, path, f"must be of type {target.__name__}")
+    try:
+        value = yaml.SafeLoader("").construct_object(node)
+    except (yaml.YAMLError, ValueError):
+        _fail(node, source, path, f"must be of type {target.__name__}")
+    if target is float and type(value) is int:
+        value = float(value)
+    if type(value) is not target:
+        _fail(node, source, path, f"must be of type {target.__name__}")
+    return value
+
+
+__all__ = ["compose_yaml", "structure_node", "structure_yaml"]
--- /dev/null
+++ b/src/boragetiller/tables/__init__.py
@@ -0,0 +1,3 @@
+"""Entities that the systems run over."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragetiller/tables/actions.py
@@ -0,0 +1,37 @@
+"""Actions that systems return and adapters carry out."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from boragetiller.errors import BoragetillerError
+
+
+@attrs.frozen
+class StartWork:
+    """Send the request to the backend server now."""
+
+    request_id: str
+
+
+@attrs.frozen
+class RefuseWork:
+    """Answer a queued request with an error; it never ran."""
+
+    request_id: str
+    error: BoragetillerError
+
+
+@attrs.frozen
+class PreemptWork:
+    """Cancel a running request at the engine; the router resumes it elsewhere or later."""
+
+    request_id: str
+
+
+Action = StartWork | RefuseWork | PreemptWork
+
+__all__ = ["Action", "PreemptWork", "RefuseWork", "StartWork"]
--- /dev/null
+++ b/src/boragetiller/tables/agents.py
@@ -0,0 +1,61 @@
+"""What a router knows of the agents it may place work on."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.define(kw_only=True)
+class LoadReport:
+    """Load as an agent last told it; arrays are indexed by tier."""
+
+    received_ms: int
+    running: int = 0
+    max_running: int = 1
+    queued: tuple[int, ...] = (0, 0, 0, 0)
+    service_ms: float = 0.0  # mean time of one request in a slot
+    first_token_ms: float = 0.0  # recent mean time from start to first token
+
+
+@attrs.define(kw_only=True)
+class AgentEntry:
+    """One agent and the backend server behind it."""
+
+    name: str
+    group: str
+    address: str
+    data_port: int
+    control_port: int = 0
+    failure_domain: str = ""
+    region: str = "default"
+    incarnation: int = 0
+    draining: bool = False
+    leaving: bool = False
+    suspected: bool = False
+    in_flight: int = 0  # own requests of this router, not yet finished
+    load: LoadReport | None = None
+
+    def accepts_work(self) -> bool:
+        """:return: whether new work may be sent there"""
+        return not (self.draining or self.leaving or self.suspected)
+
+
+@attrs.define
+class AgentTable:
+    """Agents by name."""
+
+    entries: dict[str, AgentEntry] = attrs.Factory(dict)
+
+    def of_group(self, group: str) -> list[AgentEntry]:
+        """
+        List the agents of one group.
+
+        :param group: name of the backend group
+        :return: the entries in a stable order
+        """
+        return [
+            self.entries[name] for name in sorted(self.entries) if self.entries[name].group == group
+        ]
+
+
+__all__ = ["AgentEntry", "AgentTable", "LoadReport"]
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""Tests; the layout mirrors the source tree."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/agent/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of boragetiller.agent."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/check_docs.py
@@ -0,0 +1,36 @@
+"""Check that links between the pages resolve and that the pages name real modules."""
+
+from __future__ import annotations
+
+import re
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
+
+
+def main() -> int:
+    """
+    Check every page.
+
+    :return: process exit code
+    """
+    problems = [problem for page in _pages() for problem in _broken_links(page)]
+    for problem in problems:
+        print(problem)
+    print(f"{len(_pages())} pages, {len(problems)} problems")
+    return 1 if problems else 0
+
+
+def _pages() -> list[Path]:
+    return [*sorted(ROOT.glob("*.md")), *sorted((ROOT / "docs").rglob("*.md"))]
+
+
+def _broken_links(page: Path) -> list[str]:
+    targets = LINK.findall(page.read_text(encoding="utf-8"))
+    return [f"{page.name}: {target}" for target in targets if not (page.parent / target).exists()]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of boragetiller.cli."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/control/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of boragetiller.control."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of boragetiller.platform."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/records/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of boragetiller.records."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/router/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of boragetiller.router."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/standin/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of boragetiller.standin."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/systems/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of boragetiller.systems."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/tables/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of boragetiller.tables."""
+
+from __future__ import annotations
