Add router and agent over HTTP: frames, attempts, retries, verdicts

The first version of the path from caller to backend server. The agent always streams from an engine and the router assembles whole answers, so that a broken one can be resumed.

--- /dev/null
+++ b/src/boragetiller/agent/backend.py
@@ -0,0 +1,131 @@
+"""The agent's HTTP client to its backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from boragetiller.errors import (
+    BackendFailed,
+    BackendLost,
+    BackendTimeout,
+    BackendUnreachable,
+    BoragetillerError,
+)
+from boragetiller.relay.frames import Head
+from boragetiller.settings import BackendKind
+from boragetiller.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from boragetiller.relay.attempt import Attempt
+    from boragetiller.settings import BackendSettings
+
+EVENT_END = b"\n\n"
+STREAM_END = b"data: [DONE]"
+MAX_EVENT_BYTES = 1_000_000
+
+
+class BackendAnswer:
+    """An answer that is being read from the backend server."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        """:param response: open response"""
+        self._response = response
+        self.head = Head(response.status, response.headers.get("Content-Type", ""))
+
+    @property
+    def is_event_stream(self) -> bool:
+        """:return: whether the answer is a stream of server-sent events"""
+        return self.head.content_type.startswith("text/event-stream")
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """
+        Read the body.
+
+        :return: whole server-sent events, several in one chunk when they came together; raw
+            bytes for any other content type
+        :raises BackendLost: the answer ended before its end marker
+        """
+        if not self.is_event_stream:
+            async for chunk in self._response.content.iter_any():
+                yield chunk
+            return
+        rest = b""
+        ended = False
+        async for chunk in self._response.content.iter_any():
+            events, separator, rest = (rest + chunk).rpartition(EVENT_END)
+            if len(rest) > MAX_EVENT_BYTES:
+                raise BackendLost("event too large")
+            if separator:
+                ended = ended or STREAM_END in events
+                yield events + separator
+        if not ended:
+            raise BackendLost("the answer ended before its end marker")
+
+
+class BackendClient:
+    """Sends attempts to one backend server."""
+
+    def __init__(self, settings: BackendSettings) -> None:
+        """:param settings: URL, kind and timeouts"""
+        self._settings = settings
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        repeats = self._settings.kind is BackendKind.SERVICE  # a pooled connection may resend
+        connector = aiohttp.TCPConnector(limit=0, force_close=repeats)
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=self._settings.connect_timeout_ms / 1_000,
+            sock_read=self._settings.silence_timeout_ms / 1_000,
+        )
+        self._session = aiohttp.ClientSession(
+            connector=connector, timeout=timeout, auto_decompress=False
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    @asynccontextmanager
+    async def send(self, attempt: Attempt, body: bytes) -> AsyncIterator[BackendAnswer]:
+        """
+        Send an attempt and read its answer inside the context.
+
+        :param attempt: the attempt
+        :param body: request body
+        :return: the answer
+        :raises BoragetillerError: with the verdict that holds at the point of failure
+        """
+        assert self._session is not None
+        headers = {"X-Request-Id": attempt.request_id, "Content-Type": attempt.content_type}
+        if attempt.key:
+            headers["Idempotency-Key"] = attempt.key
+        url = self._settings.url + attempt.path
+        try:
+            async with self._session.request(
+                attempt.method, url, data=body, headers=headers, allow_redirects=False
+            ) as response:
+                if self._settings.kind is BackendKind.ENGINE and response.status >= 500:
+                    raise BackendFailed(f"engine answered {response.status}")
+                yield BackendAnswer(response)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise _backend_error(error) from error
+
+
+def _backend_error(error: BaseException) -> BoragetillerError:
+    if isinstance(error, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)):
+        return BackendUnreachable(verdict=Verdict.NOT_RUN)
+    if isinstance(error, (TimeoutError, asyncio.TimeoutError)):
+        return BackendTimeout()
+    return BackendLost(type(error).__name__)
+
+
+__all__ = ["BackendAnswer", "BackendClient"]
--- /dev/null
+++ b/src/boragetiller/agent/process.py
@@ -0,0 +1,112 @@
+"""The agent process: all parts of the role, started and closed together."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from boragetiller.agent.backend import BackendClient
+from boragetiller.agent.claims import MemoryClaimKeeper
+from boragetiller.agent.gate import Gate
+from boragetiller.agent.server import AttemptServer
+from boragetiller.clock import SystemClock
+from boragetiller.events import Event, log_event
+from boragetiller.http_server import HttpServer
+from boragetiller.metrics import Metrics
+from boragetiller.operator_app import operator_app
+from boragetiller.process import new_incarnation, new_metrics, wait_until_idle
+
+if TYPE_CHECKING:
+    from boragetiller.clock import Clock
+    from boragetiller.platform.clients import PlatformClients
+    from boragetiller.settings import Settings
+
+
+class AgentProcess:
+    """One agent beside one backend server."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: PlatformClients,
+        *,
+        clock: Clock | None = None,
+        metrics: Metrics | None = None,
+    ) -> None:
+        """
+        Prepare the parts.
+
+        :param settings: settings of the process, with a backend server
+        :param platform: clients of the platform's services
+        :param clock: monotonic time
+        :param metrics: counters
+        """
+        assert settings.backend is not None
+        self.settings = settings
+        self.platform = platform
+        self.clock = clock or SystemClock()
+        self.metrics = metrics or new_metrics(settings)
+        self.incarnation = new_incarnation()
+        self.gate = Gate(settings.admission, self.clock, self.metrics)
+        self.backend = BackendClient(settings.backend)
+        self.claims = MemoryClaimKeeper()
+        self.server = AttemptServer(
+            settings,
+            self.gate,
+            self.backend,
+            self.claims,
+            self.clock,
+            self.metrics,
+            self.incarnation,
+        )
+        self.data = HttpServer(
+            self.server.routes(),
+            settings.listen.address,
+            settings.listen.port,
+            limits=settings.limits,
+            tls=settings.listen.tls,
+        )
+        self.operator = HttpServer(
+            operator_app(settings.operator, self.metrics),
+            settings.operator.address,
+            settings.operator.port,
+            limits=settings.limits,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen and begin to take work."""
+        await self.backend.start()
+        await self.data.start()
+        await self.operator.start()
+        self._tasks = [
+            asyncio.create_task(self._run_ticks()),
+            asyncio.create_task(self._run_keepalives()),
+        ]
+        log_event(Event.PROCESS_STARTED, role="agent", name=self.settings.name)
+
+    async def close(self) -> None:
+        """Refuse new work, finish what is in progress, then stop."""
+        log_event(Event.PROCESS_STOPPING, role="agent", name=self.settings.name)
+        self.server.draining = True
+        await wait_until_idle(lambda: self.server.in_progress, self.settings.drain_timeout_ms)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.data.close()
+        await self.operator.close()
+        await self.backend.close()
+        log_event(Event.PROCESS_STOPPED, role="agent", name=self.settings.name)
+
+    async def _run_ticks(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.tick_ms / 1_000)
+            self.gate.tick()
+
+    async def _run_keepalives(self) -> None:
+        while True:
+            await asyncio.sleep(self.settings.keepalive_ms / 1_000)
+            await self.server.send_keepalives()
+
+
+__all__ = ["AgentProcess"]
--- /dev/null
+++ b/src/boragetiller/agent/server.py
@@ -0,0 +1,158 @@
+"""The agent's data path: attempts from routers in, frames out."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from boragetiller.agent.attempts import AttemptTable
+from boragetiller.agent.runner import AttemptRunner
+from boragetiller.agent.stream import FrameStream
+from boragetiller.errors import BoragetillerError, Draining, Unauthorized
+from boragetiller.events import Event, log_event
+from boragetiller.relay.attempt import (
+    ATTEMPT_HEADER,
+    ATTEMPT_PATH,
+    WITHDRAW_PATH,
+    Attempt,
+    data_path_token,
+    parse_attempt,
+)
+
+if TYPE_CHECKING:
+    from boragetiller.agent.backend import BackendClient
+    from boragetiller.agent.claims import ClaimKeeper
+    from boragetiller.agent.gate import Gate
+    from boragetiller.clock import Clock
+    from boragetiller.metrics import Metrics
+    from boragetiller.settings import Settings
+
+FRAMES_CONTENT_TYPE = "application/x-boragetiller-frames"
+
+
+class AttemptServer:
+    """Handles the attempts that routers send."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        gate: Gate,
+        backend: BackendClient,
+        claims: ClaimKeeper,
+        clock: Clock,
+        metrics: Metrics,
+        incarnation: int,
+    ) -> None:
+        """
+        Put the parts together.
+
+        :param settings: settings of the process
+        :param gate: admission
+        :param backend: client to the backend server
+        :param claims: decides on keyed calls
+        :param clock: monotonic time
+        :param metrics: counters
+        :param incarnation: number of this start of the process
+        """
+        self._settings = settings
+        self._metrics = metrics
+        self._incarnation = incarnation
+        self._token = "Bearer " + data_path_token(settings.control.key)
+        self._attempts = AttemptTable()
+        self._runner = AttemptRunner(settings, gate, backend, claims, self._attempts, clock)
+        self._streams: set[FrameStream] = set()
+        self.draining = False
+
+    @property
+    def in_progress(self) -> int:
+        """:return: number of attempts that have not ended"""
+        return len(self._streams) + self._runner.detached
+
+    def routes(self) -> web.Application:
+        """:return: the application of the data port"""
+        app = web.Application(client_max_size=self._settings.limits.max_body_bytes)
+        app.router.add_post(ATTEMPT_PATH, self.handle_attempt)
+        app.router.add_post(WITHDRAW_PATH, self.handle_withdraw)
+        return app
+
+    async def handle_attempt(self, request: web.Request) -> web.StreamResponse:
+        """
+        Run one attempt.
+
+        :param request: attempt header and the body for the backend server
+        :return: a stream of frames
+        """
+        self._authorize(request)
+        attempt = parse_attempt(request.headers.get(ATTEMPT_HEADER, ""))
+        body = await request.read()
+        response = web.StreamResponse(headers={"Content-Type": FRAMES_CONTENT_TYPE})
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        stream = FrameStream(response, attempt.number)
+        self._streams.add(stream)
+        try:
+            await self._run(attempt, body, stream)
+        finally:
+            self._streams.discard(stream)
+        with suppress(ConnectionError):
+            await response.write_eof()
+        return response
+
+    async def handle_withdraw(self, request: web.Request) -> web.Response:
+        """
+        Withdraw an attempt whose connection broke.
+
+        :param request: request id, attempt number and the incarnation that was addressed
+        :return: the verdict of the request at this agent
+        """
+        self._authorize(request)
+        fields = await request.json()
+        known = int(fields["incarnation"]) == self._incarnation
+        verdict = self._attempts.withdraw(str(fields["request_id"]), int(fields["number"]))
+        return web.json_response({"verdict": verdict.value, "known": known})
+
+    async def send_keepalives(self) -> None:
+        """Write a keepalive frame to each stream that was silent for a while."""
+        for stream in list(self._streams):
+            with suppress(ConnectionError):
+                await stream.keepalive()
+
+    async def _run(self, attempt: Attempt, body: bytes, stream: FrameStream) -> None:
+        try:
+            if self.draining:
+                raise Draining
+            await self._runner.run(attempt, body, stream)
+            await stream.end()
+            log_event(Event.REQUEST_FINISHED, request_id=attempt.request_id, n=attempt.number)
+        except BoragetillerError as error:
+            self._count_failure(attempt, error)
+            with suppress(ConnectionError):
+                await stream.fail(error)
+        except ConnectionError:
+            log_event(Event.REQUEST_CANCELLED, request_id=attempt.request_id, n=attempt.number)
+        except asyncio.CancelledError:
+            log_event(Event.REQUEST_CANCELLED, request_id=attempt.request_id, n=attempt.number)
+            raise
+
+    def _count_failure(self, attempt: Attempt, error: BoragetillerError) -> None:
+        self._metrics.increment(f"agent.failed.{error.code}")
+        log_event(
+            Event.REQUEST_FAILED,
+            request_id=attempt.request_id,
+            n=attempt.number,
+            code=error.code,
+            verdict=error.verdict.value,
+        )
+
+    def _authorize(self, request: web.Request) -> None:
+        given = request.headers.get("Authorization", "")
+        if not hmac.compare_digest(given.encode(), self._token.encode()):
+            self._metrics.increment("agent.refused.unauthorized")
+            raise web.HTTPUnauthorized(text=Unauthorized.code)
+
+
+__all__ = ["FRAMES_CONTENT_TYPE", "AttemptServer"]
--- a/src/boragetiller/errors.py
+++ b/src/boragetiller/errors.py
@@ -14,7 +14,12 @@
     retryable = False  # whether another attempt by the router may help
 
     def __init__(
-        self, message: str = "", *, verdict: Verdict | None = None, retry_after_s: int | None = None
+        self,
+        message: str = "",
+        *,
+        verdict: Verdict | None = None,
+        retry_after_s: int | None = None,
+        owner: str | None = None,
     ) -> None:
         """
         Build the error.
@@ -22,10 +27,12 @@
         :param message: text for people; the class docstring when empty
         :param verdict: replaces the verdict of the class
         :param retry_after_s: delay in seconds that a caller should keep before another try
+        :param owner: agent that should be asked instead
         """
         super().__init__(message or (self.__doc__ or "").strip().splitlines()[0])
         self.verdict = verdict or type(self).verdict
         self.retry_after_s = retry_after_s
+        self.owner = owner
 
 
 class NotRunError(BoragetillerError):
@@ -166,6 +173,46 @@
     retryable = True
 
 
+class Preempted(BoragetillerError):
+    """The request was stopped at the engine to make room for a higher tier."""
+
+    code = "preempted"
+    http_status = 503
+    retryable = True
+
+
+class AgentUnreachable(NotRunError):
+    """No connection to the agent could be made."""
+
+    code = "agent_unreachable"
+    http_status = 502
+    retryable = True
+
+
+class AgentLost(BoragetillerError):
+    """The connection to the agent broke or fell silent after the request was sent."""
+
+    code = "agent_lost"
+    http_status = 502
+    retryable = True
+
+
+class BackendFailed(BoragetillerError):
+    """The backend server answered with a server error."""
+
+    code = "backend_failed"
+    http_status = 502
+    retryable = True
+
+
+class ProtocolError(BoragetillerError):
+    """A peer of the system sent something malformed."""
+
+    code = "protocol_error"
+    http_status = 502
+    retryable = True
+
+
 class AnswerNotKept(BoragetillerError):
     """The keyed request ran and its answer is no longer kept."""
 
@@ -204,7 +251,42 @@
     http_status = 409
 
 
+def error_from_code(
+    code: str,
+    message: str,
+    *,
+    verdict: Verdict,
+    retry_after_s: int | None = None,
+    owner: str | None = None,
+) -> BoragetillerError:
+    """
+    Rebuild an error that a peer reported.
+
+    :param code: code of the error class; an unknown one gives the base class
+    :param message: text for people
+    :param verdict: verdict as the peer told it
+    :param retry_after_s: delay in seconds before another try
+    :param owner: agent that should be asked instead
+    :return: the error
+    """
+    error_class = _classes_by_code(BoragetillerError).get(code, BoragetillerError)
+    return error_class(message, verdict=verdict, retry_after_s=retry_after_s, owner=owner)
+
+
+def _classes_by_code(base: type[BoragetillerError]) -> dict[str, type[BoragetillerError]]:
+    found = {base.code: base}
+    for subclass in base.__subclasses__():
+        found |= _classes_by_code(subclass)
+    return found
+
+
 __all__ = [
+    "AgentLost",
+    "AgentUnreachable",
+    "BackendFailed",
+    "Preempted",
+    "ProtocolError",
+    "error_from_code",
     "AnswerNotKept",
     "BackendLost",
     "BackendTimeout",
--- /dev/null
+++ b/src/boragetiller/http_server.py
@@ -0,0 +1,83 @@
+"""Start and stop an aiohttp server on settings."""
+
+from __future__ import annotations
+
+import ssl
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from boragetiller.settings import LimitSettings, TlsSettings
+
+SHUTDOWN_TIMEOUT_S = 5.0
+
+
+class HttpServer:
+    """One listening socket and its application."""
+
+    def __init__(
+        self,
+        app: web.Application,
+        address: str,
+        port: int,
+        *,
+        limits: LimitSettings,
+        tls: TlsSettings | None = None,
+    ) -> None:
+        """
+        Prepare the server.
+
+        :param app: routes
+        :param address: IP number
+        :param port: TCP port, 0 for a free one
+        :param limits: header limit
+        :param tls: certificate and key, None for plain TCP
+        """
+        self.address = address
+        self.port = port
+        self._tls = tls
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+            max_field_size=limits.max_header_bytes,
+            max_line_size=limits.max_header_bytes,
+        )
+
+    async def start(self) -> None:
+        """Listen; :attr:`port` then holds the real port."""
+        await self._runner.setup()
+        context = server_tls_context(self._tls) if self._tls else None
+        site = web.TCPSite(self._runner, self.address, self.port, ssl_context=context)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+
+    async def close(self) -> None:
+        """Stop listening and close idle connections."""
+        await self._runner.cleanup()
+
+    @property
+    def base_url(self) -> str:
+        """:return: URL without a path"""
+        scheme = "https" if self._tls else "http"
+        return f"{scheme}://{self.address}:{self.port}"
+
+
+def server_tls_context(tls: TlsSettings) -> ssl.SSLContext:
+    """
+    Build the server side of TLS; an authority makes client certificates required.
+
+    :param tls: PEM files
+    :return: the context
+    """
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.load_cert_chain(tls.certificate, tls.key)
+    if tls.authority is not None:
+        context.load_verify_locations(tls.authority)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+__all__ = ["HttpServer", "server_tls_context"]
--- /dev/null
+++ b/src/boragetiller/platform/clients.py
@@ -0,0 +1,53 @@
+"""The platform's services that a process uses, opened and closed together."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.platform.http_hosts import HttpHostList
+from boragetiller.platform.http_store import HttpStore
+from boragetiller.platform.http_weights import HttpWeightStore
+
+if TYPE_CHECKING:
+    from boragetiller.platform.hosts import HostList
+    from boragetiller.platform.store import Store
+    from boragetiller.platform.weights import WeightStore
+    from boragetiller.settings import PlatformSettings
+
+
+@attrs.frozen
+class PlatformClients:
+    """Clients of store, host list and weight store."""
+
+    store: Store
+    hosts: HostList
+    weights: WeightStore | None = None
+
+    async def close(self) -> None:
+        """Close every client."""
+        await self.store.close()
+        await self.hosts.close()
+        if self.weights is not None:
+            await self.weights.close()
+
+
+async def open_http_clients(settings: PlatformSettings) -> PlatformClients:
+    """
+    Open the HTTP clients.
+
+    :param settings: base URLs and time-out
+    :return: started clients
+    """
+    store = HttpStore(settings)
+    hosts = HttpHostList(settings)
+    weights = HttpWeightStore(settings) if settings.weight_store_url else None
+    await store.start()
+    await hosts.start()
+    if weights is not None:
+        await weights.start()
+    return PlatformClients(store, hosts, weights)
+
+
+__all__ = ["PlatformClients", "open_http_clients"]
--- /dev/null
+++ b/src/boragetiller/process.py
@@ -0,0 +1,53 @@
+"""What both roles share around start and stop."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from boragetiller.metrics import Metrics
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from boragetiller.settings import Settings
+
+IDLE_CHECK_MS = 10
+
+
+def new_incarnation() -> int:
+    """:return: a number that differs for each start of a process, from the wall clock in µs"""
+    return time.time_ns() // 1_000
+
+
+def new_metrics(settings: Settings) -> Metrics:
+    """
+    Build the counters of a process.
+
+    :param settings: statsd address, if any
+    :return: the counters
+    """
+    if settings.statsd is None:
+        return Metrics()
+    prefix = f"boragetiller.{settings.role.value}.{settings.name}"
+    return Metrics(settings.statsd.address, settings.statsd.port, prefix)
+
+
+async def wait_until_idle(in_progress: Callable[[], int], timeout_ms: int) -> bool:
+    """
+    Wait until nothing is in progress.
+
+    :param in_progress: counts what has not ended
+    :param timeout_ms: longest wait in milliseconds
+    :return: whether nothing was left
+    """
+    rounds = max(1, timeout_ms // IDLE_CHECK_MS)
+    for _ in range(rounds):
+        if in_progress() == 0:
+            return True
+        await asyncio.sleep(IDLE_CHECK_MS / 1_000)
+    return in_progress() == 0
+
+
+__all__ = ["new_incarnation", "new_metrics", "wait_until_idle"]
--- /dev/null
+++ b/src/boragetiller/router/agent_client.py
@@ -0,0 +1,150 @@
+"""The router's HTTP client to agents."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from boragetiller.errors import (
+    AgentLost,
+    AgentUnreachable,
+    BackendTimeout,
+    BoragetillerError,
+    ProtocolError,
+)
+from boragetiller.relay.attempt import (
+    ATTEMPT_HEADER,
+    ATTEMPT_PATH,
+    WITHDRAW_PATH,
+    data_path_token,
+)
+from boragetiller.relay.frames import Frame, FrameKind, FrameReader, parse_fail
+from boragetiller.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from boragetiller.relay.attempt import Attempt
+    from boragetiller.settings import Settings
+    from boragetiller.tables.agents import AgentEntry
+
+WITHDRAW_TIMEOUT_S = 1.0
+
+
+class AgentClient:
+    """Sends attempts to agents and reads their frames."""
+
+    def __init__(self, settings: Settings) -> None:
+        """:param settings: control key and timeouts"""
+        self._settings = settings
+        self._headers = {"Authorization": "Bearer " + data_path_token(settings.control.key)}
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        placement = self._settings.placement
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=placement.connect_timeout_ms / 1_000,
+            sock_read=placement.silence_timeout_ms / 1_000,
+        )
+        connector = aiohttp.TCPConnector(limit=0)
+        self._session = aiohttp.ClientSession(
+            connector=connector, timeout=timeout, auto_decompress=False
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def send(
+        self, agent: AgentEntry, attempt: Attempt, body: bytes
+    ) -> AsyncGenerator[list[Frame], None]:
+        """
+        Send an attempt and read its frames.
+
+        :param agent: where to
+        :param attempt: the attempt
+        :param body: body for the backend server
+        :return: lists of HEAD and DATA frames as they arrive; ends after the end marker
+        :raises BoragetillerError: with the verdict that holds at the point of failure
+        """
+        assert self._session is not None
+        headers = {**self._headers, ATTEMPT_HEADER: attempt.to_header()}
+        url = _url(agent, ATTEMPT_PATH)
+        try:
+            async with self._session.post(url, data=body, headers=headers) as response:
+                _check_status(response)
+                async for frames in _read_frames(response, attempt.number):
+                    yield frames
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            raise _agent_error(error) from error
+
+    async def withdraw(self, agent: AgentEntry, attempt: Attempt) -> Verdict:
+        """
+        Ask an agent whether an attempt was sent to its backend server, and forbid it from now on.
+
+        :param agent: the agent that the attempt was sent to
+        :param attempt: the attempt
+        :return: NOT_RUN only on the word of the same incarnation
+        """
+        assert self._session is not None
+        fields = {
+            "request_id": attempt.request_id,
+            "number": attempt.number,
+            "incarnation": agent.incarnation,
+        }
+        timeout = aiohttp.ClientTimeout(total=WITHDRAW_TIMEOUT_S)
+        try:
+            async with self._session.post(
+                _url(agent, WITHDRAW_PATH), json=fields, headers=self._headers, timeout=timeout
+            ) as response:
+                answer = await response.json()
+                verdict = Verdict(answer["verdict"])
+                return verdict if answer["known"] is True else Verdict.MAY_HAVE_RUN
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
+            return Verdict.MAY_HAVE_RUN
+
+
+async def _read_frames(
+    response: aiohttp.ClientResponse, attempt: int
+) -> AsyncGenerator[list[Frame], None]:
+    reader = FrameReader(attempt)
+    async for chunk in response.content.iter_any():
+        content: list[Frame] = []
+        for frame in reader.feed(chunk):
+            if frame.kind is FrameKind.FAIL:
+                if content:
+                    yield content
+                raise parse_fail(frame.payload)
+            if frame.kind is FrameKind.END:
+                if content:
+                    yield content
+                return
+            if frame.kind is not FrameKind.KEEPALIVE:
+                content.append(frame)
+        if content:
+            yield content
+    raise AgentLost("the answer ended without its end marker")
+
+
+def _url(agent: AgentEntry, path: str) -> str:
+    return f"http://{agent.address}:{agent.data_port}{path}"
+
+
+def _check_status(response: aiohttp.ClientResponse) -> None:
+    if response.status != 200:
+        raise ProtocolError(f"agent answered {response.status}", verdict=Verdict.NOT_RUN)
+
+
+def _agent_error(error: BaseException) -> BoragetillerError:
+    if isinstance(error, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)):
+        return AgentUnreachable()
+    if isinstance(error, TimeoutError):
+        return BackendTimeout("the agent fell silent")
+    return AgentLost(type(error).__name__)
+
+
+__all__ = ["AgentClient"]
--- /dev/null
+++ b/src/boragetiller/router/process.py
@@ -0,0 +1,105 @@
+"""The router process: all parts of the role, started and closed together."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from random import Random
+from typing import TYPE_CHECKING
+
+from boragetiller.clock import SystemClock
+from boragetiller.events import Event, log_event
+from boragetiller.http_server import HttpServer
+from boragetiller.operator_app import operator_app
+from boragetiller.process import new_incarnation, new_metrics, wait_until_idle
+from boragetiller.router.agent_client import AgentClient
+from boragetiller.router.discovery import Discovery
+from boragetiller.router.relay import Relay
+from boragetiller.router.server import CallerServer
+from boragetiller.router.traces import TraceTable
+from boragetiller.tables.agents import AgentTable
+from boragetiller.tables.config import ConfigTable
+
+if TYPE_CHECKING:
+    from boragetiller.clock import Clock
+    from boragetiller.metrics import Metrics
+    from boragetiller.platform.clients import PlatformClients
+    from boragetiller.settings import Settings
+
+SEED_BITS = 64
+
+
+class RouterProcess:
+    """One router on one entry host."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: PlatformClients,
+        *,
+        clock: Clock | None = None,
+        metrics: Metrics | None = None,
+    ) -> None:
+        """
+        Prepare the parts.
+
+        :param settings: settings of the process
+        :param platform: clients of the platform's services
+        :param clock: monotonic time
+        :param metrics: counters
+        """
+        self.settings = settings
+        self.platform = platform
+        self.clock = clock or SystemClock()
+        self.metrics = metrics or new_metrics(settings)
+        self.incarnation = new_incarnation()
+        seed = secrets.randbits(SEED_BITS) if settings.seed is None else settings.seed
+        self.rng = Random(seed)
+        self.config = ConfigTable()
+        self.agents = AgentTable()
+        self.traces = TraceTable(self.clock)
+        self.client = AgentClient(settings)
+        self.discovery = Discovery(settings, platform.hosts, self.agents, self.metrics)
+        self.relay = Relay(
+            settings, self.agents, self.client, self.traces, self.clock, self.metrics, self.rng
+        )
+        self.server = CallerServer(
+            settings, self.config, self.relay, self.traces, self.metrics, self.rng
+        )
+        self.callers = HttpServer(
+            self.server.routes(),
+            settings.listen.address,
+            settings.listen.port,
+            limits=settings.limits,
+            tls=settings.listen.tls,
+        )
+        self.operator = HttpServer(
+            operator_app(settings.operator, self.metrics),
+            settings.operator.address,
+            settings.operator.port,
+            limits=settings.limits,
+        )
+
+    async def start(self) -> None:
+        """Learn agents and configuration, then listen."""
+        await self.client.start()
+        await self.discovery.start()
+        await self.callers.start()
+        await self.operator.start()
+        log_event(Event.PROCESS_STARTED, role="router", name=self.settings.name)
+
+    async def close(self) -> None:
+        """Leave the balancer, refuse new work, finish what is in progress, then stop."""
+        log_event(Event.PROCESS_STOPPING, role="router", name=self.settings.name)
+        self.server.draining = True
+        await asyncio.sleep(self.settings.lame_duck_ms / 1_000)
+        self.server.refusing = True
+        await wait_until_idle(lambda: self.server.in_progress, self.settings.drain_timeout_ms)
+        await self.callers.close()
+        await self.discovery.close()
+        await self.client.close()
+        await self.operator.close()
+        log_event(Event.PROCESS_STOPPED, role="router", name=self.settings.name)
+
+
+__all__ = ["RouterProcess"]
--- /dev/null
+++ b/src/boragetiller/router/relay.py
@@ -0,0 +1,268 @@
+"""Take one request through placement, attempts and retries to its answer."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.errors import BoragetillerError, NoBackend
+from boragetiller.events import Event, log_event
+from boragetiller.relay.attempt import Attempt
+from boragetiller.relay.frames import Frame, FrameKind, parse_head
+from boragetiller.router.answers import EngineTranscript, continued_chunk, engine_body
+from boragetiller.systems.outcomes import (
+    Answered,
+    AttemptFailed,
+    AttemptFinished,
+    GiveUp,
+    Outcome,
+    RequestProgress,
+    Retry,
+    decide_next,
+)
+from boragetiller.systems.placement import PlacementRequest, choose_agent
+from boragetiller.verdict import Verdict
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from aiohttp import web
+
+    from boragetiller.clock import Clock
+    from boragetiller.metrics import Metrics
+    from boragetiller.router.agent_client import AgentClient
+    from boragetiller.router.request import RoutedRequest
+    from boragetiller.router.sinks import AnswerSink
+    from boragetiller.router.traces import TraceTable
+    from boragetiller.settings import Settings
+    from boragetiller.tables.agents import AgentEntry, AgentTable
+
+
+@attrs.define(kw_only=True)
+class Journey:
+    """One request on its way, over all its attempts."""
+
+    request: RoutedRequest
+    sink: AnswerSink
+    transcript: EngineTranscript
+    progress: RequestProgress
+    arrived_ms: int
+    tried: set[str] = attrs.Factory(set)
+    owner: str | None = None
+
+
+class Relay:
+    """Runs requests against the agents."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        agents: AgentTable,
+        client: AgentClient,
+        traces: TraceTable,
+        clock: Clock,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        """
+        Put the parts together.
+
+        :param settings: settings of the process
+        :param agents: what is known of the agents
+        :param client: sends attempts
+        :param traces: decisions by request
+        :param clock: monotonic time
+        :param metrics: counters
+        :param rng: seeded generator
+        """
+        self._settings = settings
+        self._agents = agents
+        self._client = client
+        self._traces = traces
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng
+
+    async def run(
+        self, request: RoutedRequest, sink: AnswerSink, transcript: EngineTranscript
+    ) -> web.StreamResponse:
+        """
+        Serve a request.
+
+        :param request: the request
+        :param sink: where the answer goes
+        :param transcript: events of an engine request
+        :return: the caller's response
+        """
+        journey = self._begin(request, sink, transcript)
+        while True:
+            outcome = await self._try_once(journey)
+            step = decide_next(outcome, journey.progress, self._settings.placement, self._rng)
+            match step:
+                case Answered():
+                    self._note(request, "answered", attempts=journey.progress.attempts)
+                    return await sink.end()
+                case Retry():
+                    await self._prepare_retry(journey, step)
+                case GiveUp(error=error):
+                    self._note_failure(request, error)
+                    return await sink.fail(error)
+
+    def _begin(
+        self, request: RoutedRequest, sink: AnswerSink, transcript: EngineTranscript
+    ) -> Journey:
+        progress = RequestProgress(
+            repeatable=request.repeatable,
+            keyed=bool(request.key),
+            resumable=request.for_engine and request.repeatable,
+        )
+        return Journey(
+            request=request,
+            sink=sink,
+            transcript=transcript,
+            progress=progress,
+            arrived_ms=self._clock.now_ms(),
+        )
+
+    async def _try_once(self, journey: Journey) -> Outcome:
+        journey.progress.attempts += 1
+        agent = self._place(journey)
+        if agent is None:
+            return AttemptFailed(NoBackend(retry_after_s=1), journey.sink.relayed)
+        attempt = self._attempt(journey)
+        self._note(journey.request, "placed", agent=agent.name, attempt=attempt.number)
+        agent.in_flight += 1
+        try:
+            await self._relay_attempt(journey, agent, attempt)
+            return AttemptFinished()
+        except BoragetillerError as error:
+            await self._settle_verdict(journey, agent, attempt, error)
+            return AttemptFailed(error, journey.sink.relayed)
+        finally:
+            agent.in_flight -= 1
+
+    def _place(self, journey: Journey) -> AgentEntry | None:
+        request = journey.request
+        candidates = self._candidates(request)
+        if journey.owner is not None:
+            owners = [agent for agent in candidates if agent.name == journey.owner]
+            return owners[0] if owners else None
+        wanted = PlacementRequest(
+            group=request.group.name,
+            tier=request.request_class.tier,
+            prefix_hash=request.prefix_hash,
+            fingerprint=request.fingerprint,
+            excluded=frozenset(journey.tried),
+        )
+        now_ms = self._clock.now_ms()
+        settings = self._settings.placement
+        chosen = choose_agent(candidates, wanted, settings, self._rng, now_ms)
+        if chosen is None and journey.tried:
+            again = attrs.evolve(wanted, excluded=frozenset())
+            chosen = choose_agent(candidates, again, settings, self._rng, now_ms)
+        if chosen is not None:
+            journey.tried.add(chosen.name)
+        return chosen
+
+    def _candidates(self, request: RoutedRequest) -> list[AgentEntry]:
+        members = request.group.members
+        agents = self._agents.of_group(request.group.name)
+        return [agent for agent in agents if agent.name in members]
+
+    def _attempt(self, journey: Journey) -> Attempt:
+        request = journey.request
+        request_class = request.request_class
+        elapsed_ms = self._clock.now_ms() - journey.arrived_ms
+        return Attempt(
+            request_id=request.request_id,
+            number=journey.progress.attempts,
+            method=request.method,
+            path=request.path,
+            content_type=request.content_type,
+            customer=request.customer.name,
+            class_name=request_class.name,
+            group=request.group.name,
+            tier=request_class.tier,
+            protected=request_class.protected,
+            repeatable=request.repeatable,
+            resumable=journey.progress.resumable,
+            customer_weight=request.customer.weight,
+            class_weight=request_class.weight,
+            prompt_tokens=request.prompt_tokens,
+            first_token_target_ms=request_class.first_token_target_ms,
+            between_tokens_target_ms=request_class.between_tokens_target_ms,
+            deadline_in_ms=max(0, request_class.deadline_ms - elapsed_ms),
+            fingerprint=request.fingerprint,
+            key=request.key,
+        )
+
+    async def _relay_attempt(self, journey: Journey, agent: AgentEntry, attempt: Attempt) -> None:
+        request = journey.request
+        tokens_before = 0
+        body = request.body
+        if request.for_engine:
+            resume = journey.transcript.resume_point() if journey.transcript.events else None
+            tokens_before = resume.tokens if resume else 0
+            body = engine_body(request.fields or {}, attempt.tier, resume)
+        async with aclosing(self._client.send(agent, attempt, body)) as answer:
+            async for frames in answer:
+                await self._relay_frames(journey, frames, tokens_before)
+
+    async def _relay_frames(
+        self, journey: Journey, frames: list[Frame], tokens_before: int
+    ) -> None:
+        content = b"".join(frame.payload for frame in frames if frame.kind is FrameKind.DATA)
+        if frames[0].kind is FrameKind.HEAD:
+            await journey.sink.head(parse_head(frames[0].payload))
+        if tokens_before:
+            content = continued_chunk(content, tokens_before)
+        if not content:
+            return
+        if journey.request.for_engine:
+            journey.transcript.add(content)
+        await journey.sink.data(content)
+
+    async def _settle_verdict(
+        self, journey: Journey, agent: AgentEntry, attempt: Attempt, error: BoragetillerError
+    ) -> None:
+        self._note(
+            journey.request,
+            "attempt failed",
+            agent=agent.name,
+            code=error.code,
+            verdict=error.verdict.value,
+        )
+        settled = error.verdict is not Verdict.MAY_HAVE_RUN or attempt.key or attempt.repeatable
+        if not settled and error.code in ("agent_lost", "backend_timeout"):
+            error.verdict = await self._client.withdraw(agent, attempt)
+
+    async def _prepare_retry(self, journey: Journey, step: Retry) -> None:
+        self._metrics.increment(f"router.retry.{step.reason}")
+        self._note(journey.request, "retry", reason=step.reason, delay_ms=step.delay_ms)
+        log_event(
+            Event.REQUEST_RETRIED,
+            request_id=journey.request.request_id,
+            reason=step.reason,
+            attempt=journey.progress.attempts,
+        )
+        journey.owner = step.owner
+        await asyncio.sleep(step.delay_ms / 1_000)
+
+    def _note(self, request: RoutedRequest, step: str, **details: object) -> None:
+        self._traces.add(request.request_id, step, **details)
+
+    def _note_failure(self, request: RoutedRequest, error: BoragetillerError) -> None:
+        self._metrics.increment(f"router.failed.{error.code}")
+        self._note(request, "failed", code=error.code, verdict=error.verdict.value)
+        log_event(
+            Event.REQUEST_FAILED,
+            request_id=request.request_id,
+            code=error.code,
+            verdict=error.verdict.value,
+        )
+
+
+__all__ = ["Journey", "Relay"]
--- /dev/null
+++ b/src/boragetiller/router/responses.py
@@ -0,0 +1,54 @@
+"""Error answers in the OpenAI format, with code and verdict."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from boragetiller.errors import BoragetillerError
+
+CLIENT_ERROR_LIMIT = 500
+RATE_LIMIT_STATUS = 429
+
+
+def error_body(error: BoragetillerError) -> dict[str, Any]:
+    """
+    Describe an error as OpenAI clients expect it.
+
+    :param error: the error
+    :return: JSON object with message, type, code and verdict
+    """
+    return {
+        "error": {
+            "message": str(error),
+            "type": _error_type(error.http_status),
+            "param": None,
+            "code": error.code,
+            "verdict": error.verdict.value,
+        }
+    }
+
+
+def error_response(error: BoragetillerError, request_id: str) -> web.Response:
+    """
+    Build the error answer.
+
+    :param error: the error
+    :param request_id: id that the caller sees
+    :return: response with `Retry-After` where it helps
+    """
+    headers = {"x-request-id": request_id, "x-verdict": error.verdict.value}
+    if error.retry_after_s is not None:
+        headers["Retry-After"] = str(error.retry_after_s)
+    return web.json_response(error_body(error), status=error.http_status, headers=headers)
+
+
+def _error_type(status: int) -> str:
+    if status == RATE_LIMIT_STATUS:
+        return "rate_limit_error"
+    return "invalid_request_error" if status < CLIENT_ERROR_LIMIT else "server_error"
+
+
+__all__ = ["error_body", "error_response"]
--- /dev/null
+++ b/src/boragetiller/router/server.py
@@ -0,0 +1,229 @@
+"""The callers' HTTP: OpenAI-compatible routes, plain services, health."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import hmac
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from boragetiller.errors import (
+    BoragetillerError,
+    Draining,
+    NotReady,
+    RequestTimeout,
+    RequestTooLarge,
+    Unauthorized,
+)
+from boragetiller.events import Event, log_event
+from boragetiller.router.answers import EngineTranscript
+from boragetiller.router.request import (
+    CallerHeaders,
+    RoutedRequest,
+    parse_engine_request,
+    parse_service_request,
+)
+from boragetiller.router.responses import error_response
+from boragetiller.router.sinks import StreamSink, WholeSink
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from boragetiller.metrics import Metrics
+    from boragetiller.records.model import Customer
+    from boragetiller.router.relay import Relay
+    from boragetiller.router.traces import TraceTable
+    from boragetiller.settings import Settings
+    from boragetiller.tables.config import ConfigTable
+
+    Parse = Callable[[str, Customer, bytes], RoutedRequest]
+
+BEARER = "Bearer "
+REQUEST_ID_BITS = 64
+
+
+class CallerServer:
+    """Handles the requests of callers."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        config: ConfigTable,
+        relay: Relay,
+        traces: TraceTable,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        """
+        Put the parts together.
+
+        :param settings: limits
+        :param config: records in force
+        :param relay: serves routed requests
+        :param traces: decisions by request
+        :param metrics: counters
+        :param rng: generator of request ids
+        """
+        self._settings = settings
+        self._config = config
+        self._relay = relay
+        self._traces = traces
+        self._metrics = metrics
+        self._rng = rng
+        self.in_progress = 0
+        self.draining = False
+        self.refusing = False
+
+    def routes(self) -> web.Application:
+        """:return: the application of the callers' port"""
+        app = web.Application(client_max_size=self._settings.limits.max_body_bytes)
+        app.router.add_get("/healthz", self.handle_health)
+        app.router.add_get("/readyz", self.handle_ready)
+        app.router.add_get("/v1/models", self.handle_models)
+        app.router.add_post("/v1/chat/completions", self.handle_engine)
+        app.router.add_post("/v1/completions", self.handle_engine)
+        app.router.add_route("*", "/services/{group}/{path:.*}", self.handle_service)
+        return app
+
+    async def handle_health(self, _request: web.Request) -> web.Response:
+        """:return: 200 while the process runs"""
+        return web.Response(text="ok")
+
+    async def handle_ready(self, _request: web.Request) -> web.Response:
+        """:return: 200 when the balancer may send requests, else 503 with the reason"""
+        if self.draining:
+            return web.Response(status=503, text="stopping")
+        if not self._config.ready:
+            return web.Response(status=503, text="no configuration yet")
+        return web.Response(text="ready")
+
+    async def handle_models(self, request: web.Request) -> web.Response:
+        """:return: the models that the customer may use"""
+        try:
+            customer = self._authenticate(request)
+        except BoragetillerError as error:
+            return self._refuse(error, self._new_request_id())
+        classes = [self._config.classes.get(name) for name in customer.classes]
+        groups = [self._config.groups.get(each.group) for each in classes if each]
+        models = sorted({model for group in groups if group for model in group.models})
+        data = [{"id": name, "object": "model", "owned_by": "boragetiller"} for name in models]
+        return web.json_response({"object": "list", "data": data})
+
+    async def handle_engine(self, request: web.Request) -> web.StreamResponse:
+        """
+        Serve a completion.
+
+        :param request: OpenAI-compatible request
+        :return: streamed or whole answer, or an error with code and verdict
+        """
+
+        def parse(request_id: str, customer: Customer, body: bytes) -> RoutedRequest:
+            headers = _caller_headers(request)
+            return parse_engine_request(
+                request_id, request.path, headers, body, customer, self._config
+            )
+
+        return await self._serve(request, parse)
+
+    async def handle_service(self, request: web.Request) -> web.StreamResponse:
+        """
+        Pass a call through to a plain service.
+
+        :param request: any request below /services/<group>/
+        :return: the service's answer, or an error with code and verdict
+        """
+
+        def parse(request_id: str, customer: Customer, body: bytes) -> RoutedRequest:
+            group = request.match_info["group"]
+            path = request.raw_path.removeprefix(f"/services/{group}")
+            headers = _caller_headers(request)
+            return parse_service_request(
+                request_id, request.method, group, path, headers, body, customer, self._config
+            )
+
+        return await self._serve(request, parse)
+
+    async def _serve(self, request: web.Request, parse: Parse) -> web.StreamResponse:
+        request_id = self._new_request_id()
+        self.in_progress += 1
+        try:
+            routed = await self._accept(request, request_id, parse)
+            transcript = EngineTranscript()
+            whole = routed.for_engine and not routed.streamed
+            sink = WholeSink(transcript, request_id) if whole else StreamSink(request, request_id)
+            return await self._relay.run(routed, sink, transcript)
+        except BoragetillerError as error:
+            return self._refuse(error, request_id)
+        except (asyncio.CancelledError, ConnectionError):
+            self._traces.add(request_id, "caller left")
+            self._metrics.increment("router.cancelled")
+            log_event(Event.REQUEST_CANCELLED, request_id=request_id)
+            raise
+        finally:
+            self.in_progress -= 1
+
+    async def _accept(self, request: web.Request, request_id: str, parse: Parse) -> RoutedRequest:
+        if self.refusing:
+            raise Draining(retry_after_s=1)
+        customer = self._authenticate(request)
+        body = await self._read_body(request)
+        routed = parse(request_id, customer, body)
+        self._traces.add(
+            request_id,
+            "accepted",
+            customer=customer.name,
+            request_class=routed.request_class.name,
+            group=routed.group.name,
+            tier=routed.request_class.tier,
+        )
+        return routed
+
+    def _authenticate(self, request: web.Request) -> Customer:
+        if not self._config.ready:
+            raise NotReady(retry_after_s=1)
+        given = request.headers.get("Authorization", "")
+        if not given.startswith(BEARER):
+            raise Unauthorized
+        digest = hashlib.sha256(given.removeprefix(BEARER).encode("utf-8", "replace")).hexdigest()
+        name = self._config.customers_by_key.get(digest)
+        customer = self._config.customers.get(name) if name else None
+        if customer is None or not _holds_key(customer, digest):
+            raise Unauthorized
+        return customer
+
+    async def _read_body(self, request: web.Request) -> bytes:
+        try:
+            async with asyncio.timeout(self._settings.limits.body_timeout_ms / 1_000):
+                return await request.read()
+        except web.HTTPRequestEntityTooLarge as error:
+            raise RequestTooLarge from error
+        except TimeoutError as error:
+            raise RequestTimeout from error
+
+    def _refuse(self, error: BoragetillerError, request_id: str) -> web.Response:
+        self._metrics.increment(f"router.refused.{error.code}")
+        self._traces.add(request_id, "refused", code=error.code, verdict=error.verdict.value)
+        log_event(Event.REQUEST_REFUSED, request_id=request_id, code=error.code)
+        return error_response(error, request_id)
+
+    def _new_request_id(self) -> str:
+        return f"req-{self._rng.getrandbits(REQUEST_ID_BITS):016x}"
+
+
+def _caller_headers(request: web.Request) -> CallerHeaders:
+    return CallerHeaders(
+        content_type=request.headers.get("Content-Type", "application/octet-stream"),
+        class_name=request.headers.get("X-Request-Class", ""),
+        key=request.headers.get("Idempotency-Key", "").strip('"'),
+    )
+
+
+def _holds_key(customer: Customer, digest: str) -> bool:
+    matches = [hmac.compare_digest(known, digest) for known in customer.key_hashes]
+    return any(matches)
+
+
+__all__ = ["CallerServer"]
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -106,7 +106,7 @@
     subset_size: int = attrs.field(default=24, validator=_POSITIVE)
     choices: int = attrs.field(default=2, validator=_POSITIVE)
     connect_timeout_ms: int = attrs.field(default=500, validator=_POSITIVE)
-    attempt_timeout_ms: int = attrs.field(default=120_000, validator=_POSITIVE)
+    silence_timeout_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
     max_attempts: int = attrs.field(default=4, validator=_POSITIVE)
     retry_base_ms: int = attrs.field(default=20, validator=_POSITIVE)
     retry_max_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
@@ -129,6 +129,8 @@
     kind: BackendKind
     url: str
     order_key: str | None = attrs.field(default=None, repr=False)
+    connect_timeout_ms: int = attrs.field(default=500, validator=_POSITIVE)
+    silence_timeout_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
 
 
 @attrs.frozen(kw_only=True)
@@ -150,6 +152,8 @@
     backend: BackendSettings | None = None
     seed: int | None = None
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
+    lame_duck_ms: int = attrs.field(default=0, validator=validators.ge(0))
+    keepalive_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
     drain_timeout_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
     log_level: str = "INFO"
     log_json: bool = False
--- a/src/boragetiller/systems/placement.py
+++ b/src/boragetiller/systems/placement.py
@@ -29,7 +29,7 @@
     request: PlacementRequest,
     settings: PlacementSettings,
     rng: Random,
-    now_ms: int,  # noqa: ARG001
+    now_ms: int,
 ) -> AgentEntry | None:
     """
     Pick the agent with the fewest requests among a random few.
--- /dev/null
+++ b/tests/relay/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of boragetiller.relay."""
+
+from __future__ import annotations
