--- /dev/null
+++ b/src/boragetiller/control/codec.py
@@ -0,0 +1,237 @@
+"""Turn messages of the control exchange into bytes and back."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import capnp
+
+from boragetiller.control.errors import BadFrame
+from boragetiller.control.messages import (
+    CustomerUsage,
+    CustomerUse,
+    Goodbye,
+    Hello,
+    PageRequest,
+    PageResponse,
+    PageVersions,
+    Proof,
+    Report,
+    Strike,
+    StrikeList,
+)
+from boragetiller.settings import Role
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from boragetiller.control.messages import Message
+
+MAX_UNPACKED_BYTES = 4_194_304
+WORD_BYTES = 8
+US_PER_MS = 1_000
+MAX_UINT16 = 0xFFFF
+MAX_UINT32 = 0xFFFF_FFFF
+
+_SCHEMA = capnp.load(str(Path(__file__).with_name("exchange.capnp")), imports=[])
+
+
+def encode(message: Message) -> bytes:
+    """
+    Serialize a message.
+
+    :param message: the message
+    :return: packed capnp bytes
+    """
+    name, value = _to_capnp(message)
+    return _SCHEMA.Envelope.new_message(**{name: value}).to_bytes_packed()
+
+
+def decode(data: bytes, max_unpacked_bytes: int = MAX_UNPACKED_BYTES) -> Message:
+    """
+    Parse a message.
+
+    :param data: packed capnp bytes
+    :param max_unpacked_bytes: bounds what a small frame may expand to
+    :return: the message
+    :raises BadFrame: the bytes are no message that this version knows
+    """
+    limit_words = max_unpacked_bytes // WORD_BYTES
+    try:
+        envelope = _SCHEMA.Envelope.from_bytes_packed(data, traversal_limit_in_words=limit_words)
+        name = str(envelope.which())
+        return _FROM_CAPNP[name](getattr(envelope, name))
+    except (capnp.KjException, ValueError, KeyError, AttributeError, TypeError) as error:
+        raise BadFrame(str(error)[:100]) from error
+
+
+@singledispatch
+def _to_capnp(message: Any) -> tuple[str, Any]:
+    raise TypeError(f"not a control message: {type(message).__name__}")
+
+
+@_to_capnp.register
+def _(message: Hello) -> tuple[str, Any]:
+    return "hello", {
+        "version": message.version,
+        "role": message.role.value,
+        "name": message.name,
+        "incarnation": message.incarnation,
+        "failureDomain": message.failure_domain,
+        "region": message.region,
+        "nonce": message.nonce,
+    }
+
+
+@_to_capnp.register
+def _(message: Proof) -> tuple[str, Any]:
+    return "proof", message.mac
+
+
+@_to_capnp.register
+def _(message: Report) -> tuple[str, Any]:
+    fields: dict[str, Any] = {
+        "incarnation": message.incarnation,
+        "pagesDigest": message.pages_digest,
+        "serviceUs": _microseconds(message.service_ms),
+        "firstTokenUs": _microseconds(message.first_token_ms),
+        "running": min(message.running, MAX_UINT16),
+        "maxRunning": min(message.max_running, MAX_UINT16),
+        "draining": message.draining,
+    }
+    if any(message.queued):
+        fields["queued"] = [min(count, MAX_UINT16) for count in message.queued]
+    if message.owned_shards is not None:
+        fields["hasShards"] = True
+        fields["ownedShards"] = list(message.owned_shards)
+    if message.strikes:
+        fields["strikes"] = [_strike_to_capnp(strike) for strike in message.strikes]
+    return "report", fields
+
+
+@_to_capnp.register
+def _(message: PageVersions) -> tuple[str, Any]:
+    pages = [{"index": i, "revision": r} for i, r in sorted(message.revisions.items())]
+    return "pageVersions", {"complete": message.complete, "pages": pages}
+
+
+@_to_capnp.register
+def _(message: PageRequest) -> tuple[str, Any]:
+    return "pageRequest", list(message.indexes)
+
+
+@_to_capnp.register
+def _(message: PageResponse) -> tuple[str, Any]:
+    return "pageResponse", {
+        "index": message.index,
+        "revision": message.revision,
+        "body": message.body,
+    }
+
+
+@_to_capnp.register
+def _(message: StrikeList) -> tuple[str, Any]:
+    return "strikeList", [_strike_to_capnp(strike) for strike in message.strikes]
+
+
+@_to_capnp.register
+def _(message: CustomerUsage) -> tuple[str, Any]:
+    return "customerUsage", [
+        {
+            "customer": entry.customer,
+            "inFlight": min(entry.in_flight, MAX_UINT32),
+            "milliRequestsPerS": min(round(entry.requests_per_s * 1_000), MAX_UINT32),
+        }
+        for entry in message.entries
+    ]
+
+
+@_to_capnp.register
+def _(message: Goodbye) -> tuple[str, Any]:
+    return "goodbye", message.reason
+
+
+def _hello(reader: Any) -> Hello:
+    return Hello(
+        version=reader.version,
+        role=Role(str(reader.role)),
+        name=reader.name,
+        incarnation=reader.incarnation,
+        failure_domain=reader.failureDomain,
+        region=reader.region,
+        nonce=reader.nonce,
+    )
+
+
+def _report(reader: Any) -> Report:
+    return Report(
+        incarnation=reader.incarnation,
+        draining=reader.draining,
+        running=reader.running,
+        max_running=reader.maxRunning,
+        queued=tuple(reader.queued) or (0, 0, 0, 0),
+        service_ms=reader.serviceUs / US_PER_MS,
+        first_token_ms=reader.firstTokenUs / US_PER_MS,
+        pages_digest=reader.pagesDigest,
+        owned_shards=tuple(reader.ownedShards) if reader.hasShards else None,
+        strikes=tuple(_strike(strike) for strike in reader.strikes),
+    )
+
+
+def _page_versions(reader: Any) -> PageVersions:
+    revisions = {page.index: page.revision for page in reader.pages}
+    return PageVersions(revisions=revisions, complete=reader.complete)
+
+
+def _page_response(reader: Any) -> PageResponse:
+    return PageResponse(index=reader.index, revision=reader.revision, body=reader.body)
+
+
+def _customer_usage(reader: Any) -> CustomerUsage:
+    return CustomerUsage(
+        entries=tuple(
+            CustomerUse(
+                customer=entry.customer,
+                in_flight=entry.inFlight,
+                requests_per_s=entry.milliRequestsPerS / 1_000,
+            )
+            for entry in reader
+        )
+    )
+
+
+def _strike(reader: Any) -> Strike:
+    return Strike(
+        fingerprint=reader.fingerprint,
+        backend_server=reader.backendServer,
+        age_ms=reader.ageMs,
+    )
+
+
+def _strike_to_capnp(strike: Strike) -> dict[str, Any]:
+    return {
+        "fingerprint": strike.fingerprint,
+        "backendServer": strike.backend_server,
+        "ageMs": min(strike.age_ms, MAX_UINT32),
+    }
+
+
+def _microseconds(value_ms: float) -> int:
+    return min(max(round(value_ms * US_PER_MS), 0), MAX_UINT32)
+
+
+_FROM_CAPNP: dict[str, Callable[[Any], Message]] = {
+    "hello": _hello,
+    "proof": lambda reader: Proof(mac=reader),
+    "report": _report,
+    "pageVersions": _page_versions,
+    "pageRequest": lambda reader: PageRequest(indexes=tuple(reader)),
+    "pageResponse": _page_response,
+    "strikeList": lambda reader: StrikeList(strikes=tuple(_strike(item) for item in reader)),
+    "customerUsage": _customer_usage,
+    "goodbye": lambda reader: Goodbye(reason=reader),
+}
+
+__all__ = ["decode", "encode"]
--- /dev/null
+++ b/src/boragetiller/control/exchange.capnp
@@ -0,0 +1,73 @@
+@0xb3f1c1a9d2e4f601;
+# Messages of the control exchange; fields are only ever added at the end.
+
+struct Envelope {
+  union {
+    hello @0 :Hello;
+    proof @1 :Data;
+    report @2 :Report;
+    pageVersions @3 :PageVersions;
+    pageRequest @4 :List(UInt16);
+    pageResponse @5 :PageResponse;
+    strikeList @6 :List(Strike);
+    customerUsage @7 :List(CustomerUse);
+    goodbye @8 :Text;
+  }
+}
+
+enum Role {
+  router @0;
+  agent @1;
+}
+
+struct Hello {
+  version @0 :UInt16;
+  role @1 :Role;
+  name @2 :Text;
+  incarnation @3 :UInt64;
+  failureDomain @4 :Text;
+  region @5 :Text;
+  nonce @6 :Data;
+}
+
+struct Report {
+  incarnation @0 :UInt64;
+  pagesDigest @1 :UInt64;
+  serviceUs @2 :UInt32;
+  firstTokenUs @3 :UInt32;
+  running @4 :UInt16;
+  maxRunning @5 :UInt16;
+  draining @6 :Bool;
+  hasShards @7 :Bool;
+  queued @8 :List(UInt16);
+  ownedShards @9 :List(UInt16);
+  strikes @10 :List(Strike);
+}
+
+struct PageRevision {
+  index @0 :UInt16;
+  revision @1 :UInt64;
+}
+
+struct PageVersions {
+  complete @0 :Bool;
+  pages @1 :List(PageRevision);
+}
+
+struct PageResponse {
+  index @0 :UInt16;
+  revision @1 :UInt64;
+  body @2 :Data;
+}
+
+struct Strike {
+  fingerprint @0 :Data;
+  backendServer @1 :Text;
+  ageMs @2 :UInt32;
+}
+
+struct CustomerUse {
+  customer @0 :Text;
+  inFlight @1 :UInt32;
+  milliRequestsPerS @2 :UInt32;
+}
--- /dev/null
+++ b/src/boragetiller/control/messages.py
@@ -0,0 +1,142 @@
+"""Messages of the control exchange."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from boragetiller.settings import Role
+
+PROTOCOL_VERSION = 1
+FINGERPRINT_BYTES = 16
+
+
+@attrs.frozen(kw_only=True)
+class Hello:
+    """First message of each side; the nonce makes the handshake of a connection unique."""
+
+    role: Role
+    name: str
+    incarnation: int
+    failure_domain: str
+    region: str = "default"
+    version: int = PROTOCOL_VERSION
+    nonce: bytes = b""
+
+
+@attrs.frozen(kw_only=True)
+class Proof:
+    """Shows that the sender knows the key; covers both hellos."""
+
+    mac: bytes
+
+
+@attrs.frozen(kw_only=True)
+class Strike:
+    """A request body that was running on a backend server when it crashed."""
+
+    fingerprint: bytes
+    backend_server: str
+    age_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class Report:
+    """Heartbeat with the sender's state; `queued` is indexed by tier."""
+
+    incarnation: int
+    draining: bool = False
+    running: int = 0
+    max_running: int = 0
+    queued: tuple[int, ...] = ()
+    service_ms: float = 0.0
+    first_token_ms: float = 0.0
+    pages_digest: int = 0
+    owned_shards: tuple[int, ...] | None = None  # None when unchanged on this connection
+    strikes: tuple[Strike, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class PageVersions:
+    """Store revisions of configuration pages by index; `complete` lists every page held."""
+
+    revisions: dict[int, int]
+    complete: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class PageRequest:
+    """Asks for configuration pages."""
+
+    indexes: tuple[int, ...]
+
+
+@attrs.frozen(kw_only=True)
+class PageResponse:
+    """One configuration page."""
+
+    index: int
+    revision: int
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class StrikeList:
+    """Strikes that the sender knows of."""
+
+    strikes: tuple[Strike, ...]
+
+
+@attrs.frozen(kw_only=True)
+class CustomerUse:
+    """What one customer uses at the sending router."""
+
+    customer: str
+    in_flight: int
+    requests_per_s: float
+
+
+@attrs.frozen(kw_only=True)
+class CustomerUsage:
+    """Use by the customers that are near a limit."""
+
+    entries: tuple[CustomerUse, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Goodbye:
+    """The sender closes the connection on purpose."""
+
+    reason: str
+
+
+Message = (
+    Hello
+    | Proof
+    | Report
+    | PageVersions
+    | PageRequest
+    | PageResponse
+    | StrikeList
+    | CustomerUsage
+    | Goodbye
+)
+
+__all__ = [
+    "FINGERPRINT_BYTES",
+    "PROTOCOL_VERSION",
+    "CustomerUsage",
+    "CustomerUse",
+    "Goodbye",
+    "Hello",
+    "Message",
+    "PageRequest",
+    "PageResponse",
+    "PageVersions",
+    "Proof",
+    "Report",
+    "Strike",
+    "StrikeList",
+]
--- /dev/null
+++ b/src/boragetiller/control/session.py
@@ -0,0 +1,176 @@
+"""One control connection without its socket: framing, handshake and frame authentication."""
+
+from __future__ import annotations
+
+import hmac
+from hashlib import blake2b, sha256
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.control.codec import decode, encode
+from boragetiller.control.errors import (
+    BadFrame,
+    FrameTooLarge,
+    NotAuthenticated,
+    UnexpectedMessage,
+    VersionMismatch,
+)
+from boragetiller.control.messages import PROTOCOL_VERSION, Hello, Proof
+
+if TYPE_CHECKING:
+    from boragetiller.control.messages import Message
+    from boragetiller.settings import ControlSettings
+
+LENGTH_BYTES = 4
+MAC_BYTES = 8
+NONCE_BYTES = 16
+MAX_HANDSHAKE_FRAME_BYTES = 1_024
+MAX_HANDSHAKE_UNPACKED_BYTES = 8_192
+
+
+class Session:
+    """
+    Handshake and frames of one connection.
+
+    Each side proves that it knows the key by an HMAC over both hellos, whose nonces never repeat.
+    Later frames carry a MAC over direction and sequence number, so they can't be forged,
+    reordered or replayed.
+    """
+
+    def __init__(self, settings: ControlSettings, hello: Hello, nonce: bytes, dialer: bool) -> None:
+        """
+        Prepare a connection.
+
+        :param settings: key and limits
+        :param hello: what this side says of itself
+        :param nonce: random bytes of this connection
+        :param dialer: whether this side opened the connection
+        """
+        self.peer: Hello | None = None
+        self.dialer = dialer
+        self._settings = settings
+        self._hello_frame = encode(attrs.evolve(hello, nonce=nonce))
+        self._buffer = bytearray()
+        self._outgoing = bytearray()
+        self._transcript = b""
+        self._peer_hello: Hello | None = None
+        self._send_key = b""
+        self._receive_key = b""
+        self._sent = 0
+        self._received = 0
+        if dialer:
+            self._append_frame(self._hello_frame)
+
+    @property
+    def authenticated(self) -> bool:
+        """:return: whether the peer proved that it knows the key"""
+        return self.peer is not None
+
+    def take_outgoing(self) -> bytes:
+        """:return: bytes to send now"""
+        data = bytes(self._outgoing)
+        self._outgoing.clear()
+        return data
+
+    def send(self, message: Message) -> None:
+        """
+        Queue a message as outgoing bytes.
+
+        :param message: the message
+        :raises FrameTooLarge: it is over the limit; nothing was queued
+        """
+        payload = encode(message)
+        if len(payload) + MAC_BYTES > self._settings.max_frame_bytes:
+            raise FrameTooLarge
+        self._append_frame(payload + _frame_mac(self._send_key, self._sent, payload))
+        self._sent += 1
+
+    def receive(self, data: bytes) -> list[Message]:
+        """
+        Take bytes from the peer.
+
+        :param data: what arrived
+        :return: whole messages, once the handshake is done
+        :raises ControlError: the connection must be closed
+        """
+        self._buffer += data
+        messages: list[Message] = []
+        while (payload := self._next_frame()) is not None:
+            if self.authenticated:
+                messages.append(self._open(payload))
+            else:
+                self._step_handshake(payload)
+        return messages
+
+    def _next_frame(self) -> bytes | None:
+        if len(self._buffer) < LENGTH_BYTES:
+            return None
+        length = int.from_bytes(self._buffer[:LENGTH_BYTES], "big")
+        limit = self._settings.max_frame_bytes if self.authenticated else MAX_HANDSHAKE_FRAME_BYTES
+        if length > limit:
+            raise FrameTooLarge
+        end = LENGTH_BYTES + length
+        if len(self._buffer) < end:
+            return None
+        payload = bytes(self._buffer[LENGTH_BYTES:end])
+        del self._buffer[:end]
+        return payload
+
+    def _open(self, payload: bytes) -> Message:
+        body, mac = payload[:-MAC_BYTES], payload[-MAC_BYTES:]
+        expected = _frame_mac(self._receive_key, self._received, body)
+        if not hmac.compare_digest(mac, expected):
+            raise NotAuthenticated
+        self._received += 1
+        message = decode(body)
+        if isinstance(message, Hello | Proof):
+            raise UnexpectedMessage
+        return message
+
+    def _step_handshake(self, payload: bytes) -> None:
+        message = decode(payload, MAX_HANDSHAKE_UNPACKED_BYTES)
+        if self._peer_hello is None and isinstance(message, Hello):
+            self._take_hello(message, payload)
+        elif self._peer_hello is not None and isinstance(message, Proof):
+            self._take_proof(message)
+        else:
+            raise UnexpectedMessage
+
+    def _take_hello(self, hello: Hello, payload: bytes) -> None:
+        if hello.version != PROTOCOL_VERSION:
+            raise VersionMismatch
+        if len(hello.nonce) != NONCE_BYTES or not hello.name:
+            raise BadFrame
+        self._peer_hello = hello
+        first, second = (
+            (self._hello_frame, payload) if self.dialer else (payload, self._hello_frame)
+        )
+        self._transcript = sha256(sha256(first).digest() + sha256(second).digest()).digest()
+        self._send_key = self._derive(b"frames", own=True)
+        self._receive_key = self._derive(b"frames", own=False)
+        if not self.dialer:
+            self._append_frame(self._hello_frame)
+            self._append_frame(encode(Proof(mac=self._derive(b"proof", own=True))))
+
+    def _take_proof(self, proof: Proof) -> None:
+        if not hmac.compare_digest(proof.mac, self._derive(b"proof", own=False)):
+            raise NotAuthenticated
+        self.peer = self._peer_hello
+        if self.dialer:
+            self._append_frame(encode(Proof(mac=self._derive(b"proof", own=True))))
+
+    def _derive(self, label: bytes, *, own: bool) -> bytes:
+        side = b"dialer" if own == self.dialer else b"listener"
+        text = b"/".join((label, side, self._transcript))
+        return hmac.new(self._settings.key.encode(), text, sha256).digest()
+
+    def _append_frame(self, payload: bytes) -> None:
+        self._outgoing += len(payload).to_bytes(LENGTH_BYTES, "big") + payload
+
+
+def _frame_mac(key: bytes, sequence: int, payload: bytes) -> bytes:
+    return blake2b(sequence.to_bytes(8, "big") + payload, key=key, digest_size=MAC_BYTES).digest()
+
+
+__all__ = ["Session"]
--- a/src/boragetiller/events.py
+++ b/src/boragetiller/events.py
@@ -21,6 +21,8 @@
     REQUEST_FINISHED = 204
     REQUEST_FAILED = 205
     REQUEST_CANCELLED = 206
+    CONTROL_CONNECTED = 700
+    CONTROL_CLOSED = 701
 
 
 def log_event(event: Event, **fields: object) -> None:
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -69,6 +69,8 @@
     heartbeat_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
     suspect_after_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
     max_frame_bytes: int = attrs.field(default=2_000_000, validator=_POSITIVE)
+    reconnect_base_ms: int = attrs.field(default=200, validator=_POSITIVE)
+    reconnect_max_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/tests/control/test_codec.py
@@ -0,0 +1,104 @@
+"""Tests of the codec."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragetiller.control.codec import decode, encode
+from boragetiller.control.errors import BadFrame
+from boragetiller.control.messages import (
+    CustomerUsage,
+    CustomerUse,
+    Goodbye,
+    Hello,
+    PageRequest,
+    PageResponse,
+    PageVersions,
+    Proof,
+    Report,
+    Strike,
+    StrikeList,
+)
+from boragetiller.settings import Role
+
+STRIKE = Strike(fingerprint=bytes(range(16)), backend_server="engine-1", age_ms=40)
+BUSY_REPORT = Report(
+    incarnation=1_764_824_000_123,
+    running=14,
+    max_running=16,
+    queued=(3, 12, 0, 250),
+    service_ms=1_834.25,
+    first_token_ms=212.5,
+    pages_digest=0xFEDC_BA98_7654_3210,
+)
+MESSAGES = (
+    Hello(
+        role=Role.AGENT,
+        name="host-1",
+        incarnation=2**63,
+        failure_domain="vl-a",
+        region="vesturland",
+        nonce=b"n" * 16,
+    ),
+    Proof(mac=b"m" * 32),
+    BUSY_REPORT,
+    Report(
+        incarnation=1, draining=True, queued=(0, 0, 0, 0), owned_shards=(3, 7), strikes=(STRIKE,)
+    ),
+    Report(incarnation=1, queued=(0, 0, 0, 0), owned_shards=()),
+    PageVersions(revisions={0: 5, 63: 2**40}, complete=True),
+    PageRequest(indexes=(1, 2, 63)),
+    PageResponse(index=4, revision=9, body=b"\x00\xff" * 4_000),
+    StrikeList(strikes=(STRIKE,)),
+    CustomerUsage(entries=(CustomerUse(customer="kalisz", in_flight=4, requests_per_s=2.5),)),
+    Goodbye(reason="stopping"),
+)
+
+
+class CodecTest(unittest.TestCase):
+    """Encode and decode."""
+
+    def test_round_trip_keeps_every_message(self) -> None:
+        for message in MESSAGES:
+            with self.subTest(kind=type(message).__name__):
+                self.assertEqual(decode(encode(message)), message)
+
+    def test_busy_report_fits_in_100_bytes_with_framing(self) -> None:
+        framing_bytes = 4 + 8
+        self.assertLess(len(encode(BUSY_REPORT)) + framing_bytes, 100)
+
+    def test_small_frame_that_expands_too_far_is_refused(self) -> None:
+        frame = encode(PageResponse(index=0, revision=1, body=bytes(100_000)))
+        self.assertLess(len(frame), 1_000)
+        self.assertEqual(len(decode(frame).body), 100_000)  # type: ignore[union-attr]
+        with self.assertRaises(BadFrame):
+            decode(frame, max_unpacked_bytes=8_192)
+
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(st.binary(max_size=300))
+    def test_random_bytes_are_a_message_or_a_bad_frame(self, data: bytes) -> None:
+        self._decode_or_refuse(data)
+
+    @settings(derandomize=True, max_examples=600, deadline=None)
+    @given(st.sampled_from(MESSAGES), st.data())
+    def test_damaged_messages_are_a_message_or_a_bad_frame(
+        self, message: object, draws: st.DataObject
+    ) -> None:
+        data = bytearray(encode(message))  # type: ignore[arg-type]
+        for _ in range(draws.draw(st.integers(1, 4))):
+            data[draws.draw(st.integers(0, len(data) - 1))] = draws.draw(st.integers(0, 255))
+        self._decode_or_refuse(bytes(data[: draws.draw(st.integers(0, len(data)))]))
+
+    def _decode_or_refuse(self, data: bytes) -> None:
+        try:
+            message = decode(data)
+        except BadFrame:
+            return
+        self.assertIsInstance(message, tuple(type(each) for each in MESSAGES))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/control/test_exchange.py
@@ -0,0 +1,108 @@
+"""Tests of the control exchange on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from boragetiller.control.messages import Goodbye, Report
+from tests.control.fakes import Node, until
+
+
+class ExchangeTest(unittest.IsolatedAsyncioTestCase):
+    """Connections between real exchanges."""
+
+    async def asyncSetUp(self) -> None:
+        self.nodes: list[Node] = []
+        self.a = await self._start("a")
+        self.b = await self._start("b")
+
+    async def asyncTearDown(self) -> None:
+        await asyncio.gather(*(node.exchange.close() for node in self.nodes))
+
+    async def _start(self, name: str, incarnation: int = 1, **control: object) -> Node:
+        node = Node(name, incarnation, **control)
+        await node.exchange.start()
+        self.nodes.append(node)
+        return node
+
+    async def _connect(self) -> None:
+        self.a.exchange.set_peers([self.b.peer])
+        await until(lambda: self.a.exchange.connected and self.b.exchange.connected)
+
+    async def test_messages_go_both_ways(self) -> None:
+        await self._connect()
+        report = Report(incarnation=1, queued=(0, 0, 0, 1))
+        self.assertTrue(self.a.exchange.send("b", report))
+        self.assertEqual(self.b.exchange.broadcast(report), 1)
+        await until(lambda: self.a.recorder.messages and self.b.recorder.messages)
+        self.assertEqual(self.b.recorder.messages, [("a", report)])
+        self.assertFalse(self.a.exchange.send("nobody", report))
+
+    async def test_peers_that_dial_each_other_keep_one_connection(self) -> None:
+        self.a.exchange.set_peers([self.b.peer])
+        self.b.exchange.set_peers([self.a.peer])
+        await until(lambda: self.a.exchange.connected and self.b.exchange.connected)
+        report = Report(incarnation=1, queued=(0, 0, 0, 1))
+        await until(lambda: self.a.exchange.send("b", report) and self.b.recorder.messages)
+        await until(lambda: len(self.a.exchange._open) == 1 and len(self.b.exchange._open) == 1)
+
+    async def test_lost_peer_is_reported_and_dialed_again(self) -> None:
+        await self._connect()
+        self.b.exchange.connection_to("a").replace()  # type: ignore[union-attr]
+        await until(lambda: len(self.a.recorder.connected) == 2)
+        self.assertEqual([peer.name for peer in self.a.recorder.lost], ["b"])
+
+    async def test_newer_incarnation_replaces_older(self) -> None:
+        await self._connect()
+        restarted = await self._start("a", incarnation=2)
+        restarted.exchange.set_peers([self.b.peer])
+        await until(lambda: self.b.exchange.connection_to("a").session.peer.incarnation == 2)  # type: ignore[union-attr]
+        closed = self.b.metrics.counts["control.closed.connection_replaced"]
+        await until(lambda: self.b.metrics.counts["control.closed.connection_replaced"] > closed)
+        peer = self.b.exchange.connection_to("a").session.peer  # type: ignore[union-attr]
+        self.assertEqual(peer.incarnation, 2)  # type: ignore[union-attr]
+
+    async def test_bad_bytes_close_one_connection_and_are_counted(self) -> None:
+        await self._connect()
+        for data, reason in (
+            (b"\x00\x00\x00\x04\xff\xff\xff\xff", "bad_frame"),
+            (b"GET / HTTP/1.1\r\n\r\n", "frame_too_large"),
+        ):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.a.exchange.port)
+            writer.write(data)
+            self.assertEqual(await reader.read(), b"")
+            writer.close()
+            self.assertEqual(self.a.metrics.counts[f"control.closed.{reason}"], 1)
+        self.assertEqual(self.a.exchange.connected, ["b"])
+        self.assertEqual(self.a.recorder.lost, [])
+
+    async def test_wrong_key_is_counted_and_never_connected(self) -> None:
+        stranger = await self._start("c", key="other")
+        stranger.exchange.set_peers([self.a.peer])
+        await until(lambda: stranger.metrics.counts["control.closed.not_authenticated"] >= 2)
+        self.assertEqual(self.a.exchange.connected, [])
+
+    async def test_silent_connections_are_closed(self) -> None:
+        self.c = await self._start("c", suspect_after_ms=20)
+        _, writer = await asyncio.open_connection("127.0.0.1", self.c.exchange.port)
+        await until(lambda: self.c.metrics.counts["control.closed.handshake_timeout"] == 1)
+        writer.close()
+        self.c.exchange.set_peers([self.b.peer])
+        await until(lambda: self.c.metrics.counts["control.closed.peer_silent"] >= 1)
+
+    async def test_peer_no_longer_named_is_disconnected(self) -> None:
+        await self._connect()
+        self.a.exchange.set_peers([])
+        await until(lambda: not self.b.exchange.connected)
+        self.assertEqual(self.b.recorder.messages, [("a", Goodbye(reason="not_needed"))])
+
+    async def test_close_says_goodbye(self) -> None:
+        await self._connect()
+        await self.b.exchange.close()
+        self.assertEqual(self.a.recorder.messages, [("b", Goodbye(reason="stopping"))])
+        self.assertEqual([peer.name for peer in self.a.recorder.lost], ["b"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/control/test_session.py
@@ -0,0 +1,161 @@
+"""Tests of the session: handshake, frame authentication and limits."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragetiller.control.errors import (
+    BadFrame,
+    ControlError,
+    FrameTooLarge,
+    NotAuthenticated,
+    UnexpectedMessage,
+    VersionMismatch,
+)
+from boragetiller.control.messages import Goodbye, Hello, PageResponse, Proof, Report
+from boragetiller.control.session import Session
+from boragetiller.settings import ControlSettings, Role
+
+KEY = ControlSettings(key="shared", max_frame_bytes=10_000)
+
+
+def _session(name: str, *, dialer: bool, nonce: bytes = b"", **changes: object) -> Session:
+    control = changes.pop("control", KEY)
+    hello = Hello(role=Role.ROUTER, name=name, incarnation=1, failure_domain="a", **changes)  # type: ignore[arg-type]
+    return Session(control, hello, nonce or name.encode().ljust(16), dialer)  # type: ignore[arg-type]
+
+
+def _shake_hands(dialer: Session, listener: Session) -> list[bytes]:
+    sent_by_dialer = []
+    while data := dialer.take_outgoing():
+        sent_by_dialer.append(data)
+        listener.receive(data)
+        dialer.receive(listener.take_outgoing())
+    return sent_by_dialer
+
+
+class HandshakeTest(unittest.TestCase):
+    """Who gets in."""
+
+    def setUp(self) -> None:
+        self.dialer = _session("dialer", dialer=True)
+        self.listener = _session("listener", dialer=False)
+
+    def test_same_key_authenticates_both(self) -> None:
+        sent = _shake_hands(self.dialer, self.listener)
+        self.assertTrue(self.dialer.authenticated and self.listener.authenticated)
+        self.assertNotIn(b"shared", b"".join(sent))
+
+    def test_other_key_is_refused_by_both(self) -> None:
+        stranger = ControlSettings(key="other")
+        with self.assertRaises(NotAuthenticated):
+            _shake_hands(_session("dialer", dialer=True, control=stranger), self.listener)
+        self.assertFalse(self.listener.authenticated)
+
+    def test_dialer_without_key_is_refused(self) -> None:
+        self.listener.receive(self.dialer.take_outgoing())
+        forged = _session("x", dialer=True)
+        forged._append_frame(b"")
+        with self.assertRaises(ControlError):
+            self.listener.receive(forged.take_outgoing()[-4:])
+
+    def test_replayed_handshake_is_refused(self) -> None:
+        recorded = _shake_hands(self.dialer, self.listener)
+        again = _session("listener", dialer=False, nonce=b"another nonce 16")
+        with self.assertRaises(NotAuthenticated):
+            for data in recorded:
+                again.receive(data)
+        self.assertFalse(again.authenticated)
+
+    def test_reflected_proof_is_refused(self) -> None:
+        self.listener.receive(self.dialer.take_outgoing())
+        answer = self.listener.take_outgoing()
+        hello_length = 4 + int.from_bytes(answer[:4], "big")
+        with self.assertRaises(NotAuthenticated):
+            self.listener.receive(answer[hello_length:])
+
+    def test_message_before_proof_is_refused(self) -> None:
+        self.dialer.take_outgoing()
+        self.dialer.send(Goodbye(reason="early"))
+        with self.assertRaises(ControlError):
+            self.listener.receive(self.dialer.take_outgoing())
+
+    def test_proof_before_hello_is_refused(self) -> None:
+        early = _session("early", dialer=False)
+        early.receive(_session("x", dialer=True).take_outgoing())
+        early.take_outgoing()
+        with self.assertRaises(UnexpectedMessage):
+            early.receive(_session("x", dialer=True).take_outgoing())
+
+    def test_other_version_is_refused(self) -> None:
+        with self.assertRaises(VersionMismatch):
+            _shake_hands(_session("dialer", dialer=True, version=99), self.listener)
+
+    def test_empty_name_or_short_nonce_is_refused(self) -> None:
+        for dialer in (_session("", dialer=True), _session("x", dialer=True, nonce=b"short")):
+            with self.assertRaises(BadFrame):
+                _session("listener", dialer=False).receive(dialer.take_outgoing())
+
+    def test_large_frame_before_handshake_is_refused(self) -> None:
+        with self.assertRaises(FrameTooLarge):
+            self.listener.receive((1_025).to_bytes(4, "big"))
+
+
+class FramesTest(unittest.TestCase):
+    """Frames after the handshake."""
+
+    def setUp(self) -> None:
+        self.dialer = _session("dialer", dialer=True)
+        self.listener = _session("listener", dialer=False)
+        _shake_hands(self.dialer, self.listener)
+
+    def _frame(self, message: Report | PageResponse | Proof) -> bytes:
+        self.dialer.send(message)
+        return self.dialer.take_outgoing()
+
+    def test_messages_arrive_in_order_however_they_are_cut(self) -> None:
+        reports = [Report(incarnation=i, queued=(0, 0, 0, i)) for i in range(1, 4)]
+        data = b"".join(self._frame(report) for report in reports)
+        received = [m for i in range(len(data)) for m in self.listener.receive(data[i : i + 1])]
+        self.assertEqual(received, reports)
+
+    def test_changed_replayed_or_skipped_frame_is_refused(self) -> None:
+        first, second = (self._frame(Report(incarnation=i)) for i in (1, 2))
+        changed = first[:-9] + bytes([first[-9] ^ 1]) + first[-8:]
+        for name, data in (("changed", changed), ("replayed", first + first), ("skipped", second)):
+            with self.subTest(name):
+                self.setUp()
+                with self.assertRaises(NotAuthenticated):
+                    self.listener.receive(data)
+
+    def test_hello_and_proof_after_handshake_are_refused(self) -> None:
+        with self.assertRaises(UnexpectedMessage):
+            self.listener.receive(self._frame(Proof(mac=b"m")))
+
+    def test_too_large_frame_is_refused_by_both_sides(self) -> None:
+        body = bytes(i % 251 for i in range(10_000))
+        with self.assertRaises(FrameTooLarge):
+            self.dialer.send(PageResponse(index=0, revision=1, body=body))
+        self.assertEqual(self.dialer.take_outgoing(), b"")
+        with self.assertRaises(FrameTooLarge):
+            self.listener.receive((10_001).to_bytes(4, "big"))
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.lists(st.binary(max_size=200), max_size=4), st.booleans())
+    def test_random_bytes_raise_only_control_errors(
+        self, chunks: list[bytes], authenticated: bool
+    ) -> None:
+        self.setUp()
+        target = self.listener if authenticated else _session("listener", dialer=False)
+        try:
+            for chunk in chunks:
+                self.assertEqual(target.receive(chunk), [])
+        except ControlError:
+            pass
+
+
+if __name__ == "__main__":
+    unittest.main()
