Admit by tier, fair share and due time; adapt the limit; preempt for protected work

Cause: the baseline was one FIFO with a fixed limit. Change: per tier, class and customer queues with token fair shares, an aging share, a bounded queue with the lowest tier dropped first, early refusal, an adaptive concurrency limit and preemption of resumable lower-tier work.

--- a/src/boragetiller/errors.py
+++ b/src/boragetiller/errors.py
@@ -166,6 +166,14 @@
     retryable = True
 
 
+class Preempted(BoragetillerError):
+    """The request was stopped for protected work and can be resumed."""
+
+    code = "preempted"
+    http_status = 503
+    retryable = True
+
+
 class AnswerNotKept(BoragetillerError):
     """The keyed request ran and its answer is no longer kept."""
 
@@ -221,6 +229,7 @@
     "NotRunError",
     "OutcomeUnknown",
     "Overloaded",
+    "Preempted",
     "Quarantined",
     "RateLimited",
     "RequestTimeout",
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -30,6 +30,7 @@
 
 _PORT = validators.and_(validators.ge(0), validators.le(MAX_PORT))
 _POSITIVE = validators.gt(0)
+_SHARE = validators.and_(validators.ge(0.0), validators.le(1.0))
 
 
 @attrs.frozen(kw_only=True)
@@ -116,8 +117,23 @@
 class AdmissionSettings:
     """How an agent admits, orders and limits work."""
 
-    max_running: int = attrs.field(default=8, validator=_POSITIVE)
+    min_running: int = attrs.field(default=2, validator=_POSITIVE)
+    initial_running: int = attrs.field(default=8, validator=_POSITIVE)
+    max_running: int = attrs.field(default=64, validator=_POSITIVE)
+    limit_window_ms: int = attrs.field(default=250, validator=_POSITIVE)
+    limit_min_gaps: int = attrs.field(default=16, validator=_POSITIVE)
+    limit_step: float = attrs.field(default=1.0, validator=validators.gt(0.0))
+    between_tokens_share: float = attrs.field(default=0.85, validator=_SHARE)
     max_queued: int = attrs.field(default=1_000, validator=_POSITIVE)
+    max_classes: int = attrs.field(default=64, validator=_POSITIVE)
+    fair_turn_tokens: int = attrs.field(default=512, validator=_POSITIVE)
+    prompt_token_cost: float = attrs.field(default=0.1, validator=validators.ge(0.0))
+    min_cost_tokens: int = attrs.field(default=16, validator=_POSITIVE)
+    late_share: float = attrs.field(default=0.125, validator=_SHARE)
+    aging_interval_ms: int = attrs.field(default=4_000, validator=_POSITIVE)
+    protected_share: float = attrs.field(default=0.25, validator=_SHARE)
+    protected_memory_ms: int = attrs.field(default=60_000, validator=_POSITIVE)
+    preempt_slack_ms: int = attrs.field(default=250, validator=validators.ge(0))
 
 
 @attrs.frozen(kw_only=True)
--- a/src/boragetiller/systems/admission.py
+++ b/src/boragetiller/systems/admission.py
@@ -1,15 +1,21 @@
-"""Admit, order and start work at an agent."""
+"""Admit, order, start and stop work at an agent."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from boragetiller.errors import Overloaded
-from boragetiller.tables.actions import Action, RefuseWork, StartWork
+from boragetiller.systems import fairness, shedding
+from boragetiller.systems.concurrency import adapt_limit, observe_gap
+from boragetiller.systems.preemption import preempt
+from boragetiller.tables.actions import Action, StartWork
+from boragetiller.tables.agents import LoadReport
 
 if TYPE_CHECKING:
     from boragetiller.settings import AdmissionSettings
-    from boragetiller.tables.work import WorkItem, WorkTable
+    from boragetiller.tables.work import ClassQueue, WorkItem, WorkTable
+
+TIERS = 4
+_SMOOTHING = 0.1  # weight of the newest request in a mean
 
 
 def submit(
@@ -24,29 +30,31 @@
     :param now_ms: monotonic time in milliseconds
     :return: actions, for this and for other requests
     """
-    if len(table.queued) >= settings.max_queued:
-        return [RefuseWork(item.request_id, Overloaded(retry_after_s=1))]
-    table.queued[item.request_id] = item
-    return run_tick(table, settings, now_ms)
+    if item.protected:
+        table.protected_ms = now_ms
+    room = shedding.make_room(table, item, settings, now_ms)
+    if not room.granted:
+        return [shedding.refuse(table, item)]
+    fairness.enqueue(table, item, settings, now_ms)
+    return [*room.actions, *run_tick(table, settings, now_ms)]
 
 
 def run_tick(table: WorkTable, settings: AdmissionSettings, now_ms: int) -> list[Action]:
     """
-    Start what fits, refuse what is too late.
+    Start what fits, refuse what is too late, preempt for protected work that would be late.
 
     :param table: work of this agent
     :param settings: limits
     :param now_ms: monotonic time in milliseconds
     :return: actions to carry out
     """
-    table.max_running = settings.max_running
-    actions: list[Action] = []
-    while table.queued and len(table.running) < table.max_running:
-        request_id = next(iter(table.queued))
-        item = table.queued.pop(request_id)
-        item.started_ms = now_ms
-        table.running[request_id] = item
-        actions.append(StartWork(request_id))
+    table.max_running = adapt_limit(table.limit, settings, now_ms)
+    actions: list[Action] = [*shedding.expire(table, now_ms)]
+    if table.queued:
+        actions.extend(_start_in_order(table, settings, now_ms))
+    if table.queued:
+        actions.extend(_start_aged(table, settings, now_ms))
+        actions.extend(preempt(table, settings, now_ms))
     return actions
 
 
@@ -62,10 +70,16 @@
     item = table.running.get(request_id)
     if item is None:
         return
-    if item.first_token_ms is None:
+    if item.last_token_ms is None:
         item.first_token_ms = now_ms
+        started_ms = now_ms if item.started_ms is None else item.started_ms
+        table.first_token_ms = _mean(table.first_token_ms, now_ms - started_ms)
+    else:
+        gap_ms = now_ms - item.last_token_ms
+        observe_gap(table.limit, gap_ms, item.between_tokens_target_ms, count)
     item.last_token_ms = now_ms
     item.tokens += count
+    fairness.charge(table, item, count)
 
 
 def finish(
@@ -80,9 +94,85 @@
     :param now_ms: monotonic time in milliseconds
     :return: actions that the freed place allows
     """
-    table.queued.pop(request_id, None)
-    table.running.pop(request_id, None)
+    if request_id in table.queued:
+        fairness.remove(table, table.queued[request_id])
+    if request_id in table.running:
+        item = table.running[request_id]
+        if item.started_ms is not None and not item.preempting:
+            table.service_ms = _mean(table.service_ms, now_ms - item.started_ms)
+        fairness.note_end(table, item)
     return run_tick(table, settings, now_ms)
 
 
-__all__ = ["finish", "record_token", "run_tick", "submit"]
+def report_load(table: WorkTable, now_ms: int) -> LoadReport:
+    """
+    Sum up the load for the routers.
+
+    :param table: work of this agent
+    :param now_ms: monotonic time in milliseconds
+    :return: the report
+    """
+    queued = tuple(table.tiers[tier].count if tier in table.tiers else 0 for tier in range(TIERS))
+    return LoadReport(
+        received_ms=now_ms,
+        running=len(table.running),
+        max_running=max(1, table.max_running),
+        queued=queued,
+        service_ms=table.service_ms,
+        first_token_ms=table.first_token_ms,
+        between_tokens_ms=table.limit.between_tokens_ms,
+    )
+
+
+def _start_in_order(table: WorkTable, settings: AdmissionSettings, now_ms: int) -> list[Action]:
+    actions: list[Action] = []
+    while len(table.running) - table.aged_running < table.max_running:
+        item = _next_item(table, settings, now_ms)
+        if item is None:
+            return actions
+        fairness.note_start(table, item, settings, now_ms)
+        actions.append(StartWork(item.request_id))
+    table.limit.was_full = True
+    return actions
+
+
+def _next_item(table: WorkTable, settings: AdmissionSettings, now_ms: int) -> WorkItem | None:
+    for number in sorted(table.tiers):
+        tier = table.tiers[number]
+        item = fairness.next_in_tier(table, tier, settings, now_ms) if tier.count else None
+        if item is not None and _may_start(table, item, settings, now_ms):
+            return item
+    return None
+
+
+def _may_start(table: WorkTable, item: WorkItem, settings: AdmissionSettings, now_ms: int) -> bool:
+    if item.protected or item.preemptible or table.protected_ms is None:
+        return True
+    if now_ms - table.protected_ms > settings.protected_memory_ms:
+        return True
+    return table.firm_running < table.max_running * (1 - settings.protected_share)
+
+
+def _start_aged(table: WorkTable, settings: AdmissionSettings, now_ms: int) -> list[Action]:
+    if table.aged_ms is not None and now_ms - table.aged_ms < settings.aging_interval_ms:
+        return []
+    queue = _longest_waiting(table)
+    if queue is None or now_ms - queue.waiting_since_ms < settings.aging_interval_ms:
+        return []
+    item = fairness.next_in_class(table, queue, settings, now_ms)
+    item.aged = True  # beyond the limit, which therefore shrinks for the rest
+    table.aged_ms = now_ms
+    fairness.note_start(table, item, settings, now_ms)
+    return [StartWork(item.request_id)]
+
+
+def _longest_waiting(table: WorkTable) -> ClassQueue | None:
+    waiting = [q for tier in table.tiers.values() for q in tier.classes.values() if q.count]
+    return min(waiting, key=lambda queue: queue.waiting_since_ms, default=None)
+
+
+def _mean(mean: float, value: float) -> float:
+    return (1 - _SMOOTHING) * mean + _SMOOTHING * value if mean else float(value)
+
+
+__all__ = ["finish", "record_token", "report_load", "run_tick", "submit"]
--- /dev/null
+++ b/src/boragetiller/systems/concurrency.py
@@ -0,0 +1,67 @@
+"""Adapt the concurrency limit of a backend server to its time between tokens."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from boragetiller.settings import AdmissionSettings
+    from boragetiller.tables.concurrency import ConcurrencyLimit
+
+_SMOOTHING = 0.3  # weight of the newest window in the smoothed gap
+_MAX_CUT = 0.7  # largest decrease in one window
+
+
+def observe_gap(limit: ConcurrencyLimit, gap_ms: float, target_ms: int, count: int) -> None:
+    """
+    Note the time since the previous token of one request.
+
+    :param limit: state of the limit
+    :param gap_ms: time since the previous token, for all the tokens together
+    :param target_ms: target between tokens of the request
+    :param count: number of tokens
+    """
+    limit.gap_sum_ms += gap_ms
+    limit.gap_count += count
+    limit.target_ms = min(limit.target_ms or target_ms, target_ms)
+
+
+def adapt_limit(limit: ConcurrencyLimit, settings: AdmissionSettings, now_ms: int) -> int:
+    """
+    Raise the limit by a step while gaps leave room, cut it in proportion when they are too long.
+
+    :param limit: state of the limit
+    :param settings: bounds, window and share of the target to hold
+    :param now_ms: monotonic time in milliseconds
+    :return: requests that may run at once
+    """
+    if limit.limit == 0.0:
+        limit.limit = float(min(settings.initial_running, settings.max_running))
+        limit.window_start_ms = now_ms
+    if now_ms - limit.window_start_ms >= settings.limit_window_ms:
+        if limit.gap_count >= settings.limit_min_gaps:
+            _close_window(limit, settings)
+        _open_window(limit, now_ms)
+    return int(limit.limit)
+
+
+def _close_window(limit: ConcurrencyLimit, settings: AdmissionSettings) -> None:
+    mean_ms = limit.gap_sum_ms / limit.gap_count
+    before_ms = limit.between_tokens_ms or mean_ms
+    limit.between_tokens_ms = (1 - _SMOOTHING) * before_ms + _SMOOTHING * mean_ms
+    aim_ms = limit.target_ms * settings.between_tokens_share
+    if mean_ms > aim_ms:
+        limit.limit = max(settings.min_running, limit.limit * max(_MAX_CUT, aim_ms / mean_ms))
+    elif limit.was_full and limit.between_tokens_ms < aim_ms:
+        limit.limit = min(settings.max_running, limit.limit + settings.limit_step)
+
+
+def _open_window(limit: ConcurrencyLimit, now_ms: int) -> None:
+    limit.window_start_ms = now_ms
+    limit.gap_sum_ms = 0.0
+    limit.gap_count = 0
+    limit.target_ms = 0
+    limit.was_full = False
+
+
+__all__ = ["adapt_limit", "observe_gap"]
--- /dev/null
+++ b/src/boragetiller/systems/preemption.py
@@ -0,0 +1,66 @@
+"""Stop running lower-tier work that can be resumed, for protected work that is about to be late."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from boragetiller.systems import fairness
+from boragetiller.tables.actions import PreemptWork
+
+if TYPE_CHECKING:
+    from boragetiller.settings import AdmissionSettings
+    from boragetiller.tables.work import WorkItem, WorkTable
+
+
+def preempt(table: WorkTable, settings: AdmissionSettings, now_ms: int) -> list[PreemptWork]:
+    """
+    Preempt one running request for each protected one that would start too late.
+
+    :param table: work of this agent
+    :param settings: the slack that is left before work counts as urgent
+    :param now_ms: monotonic time in milliseconds
+    :return: what to stop; a slot is free once it has finished
+    """
+    actions: list[PreemptWork] = []
+    wanted = -table.preempting
+    for number in sorted(table.tiers):
+        for queue in table.tiers[number].classes.values():
+            if not queue.protected or not queue.count:
+                continue
+            item = fairness.next_in_class(table, queue, settings, now_ms)
+            if not _is_urgent(table, item, settings, now_ms):
+                continue
+            wanted += queue.count
+            while wanted > 0 and (victim := choose_victim(table, item)) is not None:
+                victim.preempting = True
+                table.preempting += 1
+                wanted -= 1
+                actions.append(PreemptWork(victim.request_id))
+    return actions
+
+
+def choose_victim(table: WorkTable, item: WorkItem) -> WorkItem | None:
+    """
+    Choose the running request that gives way: lowest tier, then the last one started.
+
+    :param table: work of this agent
+    :param item: the protected request that needs a slot
+    :return: the victim, None when no running work can give way
+    """
+    victims = [
+        other for other in reversed(table.running.values()) if _can_give_way(other, item.tier)
+    ]
+    return max(victims, key=lambda other: (other.tier, other.started_ms or 0), default=None)
+
+
+def _can_give_way(other: WorkItem, tier: int) -> bool:
+    if other.protected or other.aged or other.preempting:
+        return False
+    return other.preemptible and other.tier > tier
+
+
+def _is_urgent(table: WorkTable, item: WorkItem, settings: AdmissionSettings, now_ms: int) -> bool:
+    return now_ms + table.first_token_ms + settings.preempt_slack_ms >= item.due_ms()
+
+
+__all__ = ["choose_victim", "preempt"]
--- /dev/null
+++ b/src/boragetiller/systems/shedding.py
@@ -0,0 +1,140 @@
+"""Refuse or drop queued work: early, when overdue, and to make room at the bound."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.errors import Overloaded
+from boragetiller.systems import fairness
+from boragetiller.systems.preemption import choose_victim
+from boragetiller.tables.actions import Action, PreemptWork, RefuseWork
+
+if TYPE_CHECKING:
+    from boragetiller.settings import AdmissionSettings
+    from boragetiller.tables.work import ClassQueue, WorkItem, WorkTable
+
+_MAX_RETRY_AFTER_S = 60
+
+
+@attrs.frozen
+class Room:
+    """Whether a new request may queue, and what had to give way."""
+
+    granted: bool
+    actions: tuple[Action, ...] = ()
+
+
+def make_room(table: WorkTable, item: WorkItem, settings: AdmissionSettings, now_ms: int) -> Room:
+    """
+    Decide whether a new request may queue.
+
+    Each class may keep one request outside the bound, so that it is never pushed out whole.
+
+    :param table: work of this agent
+    :param item: the new request
+    :param settings: bound of the queue
+    :param now_ms: monotonic time in milliseconds
+    :return: the decision; the actions make the room
+    """
+    if fairness.class_queue(table, item).count == 0 and table.backlogged < settings.max_classes:
+        return Room(granted=True)
+    if not item.protected and _is_hopeless(table, item, now_ms):
+        return Room(granted=False)
+    if len(table.queued) - table.backlogged < settings.max_queued:
+        return Room(granted=True)
+    dropped = _choose_dropped(table, item)
+    if dropped is not None:
+        fairness.remove(table, dropped)
+        return Room(granted=True, actions=(refuse(table, dropped),))
+    victim = choose_victim(table, item) if item.protected else None
+    if victim is None:
+        return Room(granted=False)
+    victim.preempting = True
+    table.preempting += 1
+    return Room(granted=True, actions=(PreemptWork(victim.request_id),))
+
+
+def expire(table: WorkTable, now_ms: int) -> list[Action]:
+    """
+    Refuse unprotected work whose deadline passed in the queue.
+
+    :param table: work of this agent
+    :param now_ms: monotonic time in milliseconds
+    :return: the refusals
+    """
+    actions: list[Action] = []
+    while table.expiry and table.expiry[0][0] <= now_ms:
+        item = heapq.heappop(table.expiry)[2]
+        if table.queued.get(item.request_id) is item:
+            fairness.remove(table, item)
+            actions.append(refuse(table, item))
+    return actions
+
+
+def refuse(table: WorkTable, item: WorkItem) -> RefuseWork:
+    """
+    Build the refusal of a request that never ran.
+
+    :param table: work of this agent
+    :param item: the request
+    :return: the refusal, with the delay after which a retry makes sense
+    """
+    delay_s = math.ceil(expected_wait_ms(table, item.tier) / 1_000)
+    retry_after_s = min(max(delay_s, 1), _MAX_RETRY_AFTER_S)
+    return RefuseWork(item.request_id, Overloaded(retry_after_s=retry_after_s))
+
+
+def expected_wait_ms(table: WorkTable, tier: int) -> float:
+    """
+    Estimate the wait of a new request from the mean time in a slot.
+
+    :param table: work of this agent
+    :param tier: tier of the request
+    :return: wait for a slot in milliseconds
+    """
+    ahead = sum(queue.count for number, queue in table.tiers.items() if number <= tier)
+    free = table.max_running - len(table.running)
+    return max(0, ahead + 1 - free) * table.service_ms / max(1, table.max_running)
+
+
+def _is_hopeless(table: WorkTable, item: WorkItem, now_ms: int) -> bool:
+    if not item.deadline_ms:
+        return False
+    return now_ms + expected_wait_ms(table, item.tier) > item.deadline_ms
+
+
+def _choose_dropped(table: WorkTable, item: WorkItem) -> WorkItem | None:
+    for tier in sorted(table.tiers, reverse=True):
+        if tier <= item.tier:
+            break
+        queue = _longest_queue(table, tier, protected=False)
+        if queue is None and item.protected:
+            queue = _longest_queue(table, tier, protected=True)
+        if queue is not None:
+            return fairness.newest_of_longest(table, queue)
+    return _choose_dropped_in_tier(table, item)
+
+
+def _choose_dropped_in_tier(table: WorkTable, item: WorkItem) -> WorkItem | None:
+    queue = _longest_queue(table, item.tier, protected=False)
+    if queue is not None and item.protected:
+        return fairness.newest_of_longest(table, queue)
+    if queue is None and item.protected:
+        queue = _longest_queue(table, item.tier, protected=True)
+    if queue is None or queue.longest <= fairness.customer_count(table, item) + 1:
+        return None
+    return fairness.newest_of_longest(table, queue)
+
+
+def _longest_queue(table: WorkTable, tier: int, *, protected: bool) -> ClassQueue | None:
+    tier_queue = table.tiers.get(tier)
+    classes = tier_queue.classes.values() if tier_queue else ()
+    eligible = [q for q in classes if q.count > 1 and q.protected == protected]
+    return max(eligible, key=lambda queue: queue.longest, default=None)
+
+
+__all__ = ["Room", "expected_wait_ms", "expire", "make_room", "refuse"]
--- a/src/boragetiller/tables/agents.py
+++ b/src/boragetiller/tables/agents.py
@@ -15,6 +15,7 @@
     queued: tuple[int, ...] = (0, 0, 0, 0)
     service_ms: float = 0.0  # mean time of one request in a slot
     first_token_ms: float = 0.0  # recent mean time from start to first token
+    between_tokens_ms: float = 0.0  # recent mean gap between tokens
 
 
 @attrs.define(kw_only=True)
--- a/src/boragetiller/tables/work.py
+++ b/src/boragetiller/tables/work.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 import attrs
 
+from boragetiller.tables.concurrency import ConcurrencyLimit
+
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class WorkItem:
     """One attempt at the agent; times are monotonic milliseconds of the agent's clock."""
 
@@ -23,11 +27,61 @@
     between_tokens_target_ms: int = 45
     fingerprint: str = ""
     arrived_ms: int = 0
-    deadline_ms: int = 0
+    deadline_ms: int = 0  # a start after this is of no use; 0 for none
     started_ms: int | None = None
     first_token_ms: int | None = None
     last_token_ms: int | None = None
     tokens: int = 0
+    aged: bool = False  # started by the aging share
+    preempting: bool = False  # told to stop, not yet finished
+
+    def is_firm(self) -> bool:
+        """:return: whether it holds its slot although it is not protected"""
+        return not (self.protected or self.preemptible)
+
+    def due_ms(self) -> int:
+        """:return: when its first token is due"""
+        return self.arrived_ms + self.first_token_target_ms
+
+
+@attrs.define(kw_only=True, eq=False)
+class CustomerQueue:
+    """Waiting work of one customer in one class, oldest first."""
+
+    customer: str
+    virtual_tokens: float = 0.0  # tokens charged, divided by the customer's weight
+    items: deque[WorkItem] = attrs.Factory(deque)  # may hold items that left the queue
+    count: int = 0
+    running: int = 0
+
+
+@attrs.define(kw_only=True, eq=False)
+class ClassQueue:
+    """Waiting work of one class."""
+
+    name: str
+    tier: int
+    protected: bool
+    virtual_tokens: float = 0.0  # tokens charged, divided by the weight of the class
+    reached_tokens: float = 0.0  # virtual tokens of the customer served last
+    customers: dict[str, CustomerQueue] = attrs.Factory(dict)
+    order: list[tuple[int, int, int, CustomerQueue]] = attrs.Factory(list)  # heap
+    late: deque[WorkItem] = attrs.Factory(deque)  # the first token is overdue
+    late_credit: float = 0.0
+    lengths: dict[int, dict[str, None]] = attrs.Factory(dict)  # customers by queue length
+    longest: int = 0
+    count: int = 0
+    running: int = 0
+    waiting_since_ms: int = 0
+
+
+@attrs.define
+class TierQueue:
+    """Classes of one tier."""
+
+    classes: dict[str, ClassQueue] = attrs.Factory(dict)
+    reached_tokens: float = 0.0  # virtual tokens of the class served last
+    count: int = 0
 
 
 @attrs.define
@@ -37,6 +91,23 @@
     queued: dict[str, WorkItem] = attrs.Factory(dict)
     running: dict[str, WorkItem] = attrs.Factory(dict)
     max_running: int = 1
+    tiers: dict[int, TierQueue] = attrs.Factory(dict)
+    expiry: list[tuple[int, int, WorkItem]] = attrs.Factory(list)  # heap by deadline
+    limit: ConcurrencyLimit = attrs.Factory(ConcurrencyLimit)
+    sequence: int = 0
+    backlogged: int = 0  # classes with queued work
+    preempting: int = 0
+    service_ms: float = 0.0  # mean time of one request in a slot
+    first_token_ms: float = 0.0  # mean time from start to first token
+    aged_ms: int | None = None  # last start by the aging share
+    aged_running: int = 0
+    firm_running: int = 0  # unprotected and not preemptible
+    protected_ms: int | None = None  # last arrival of protected work
+
+    def next_sequence(self) -> int:
+        """:return: a number that breaks ties in order of arrival"""
+        self.sequence += 1
+        return self.sequence
 
 
-__all__ = ["WorkItem", "WorkTable"]
+__all__ = ["ClassQueue", "CustomerQueue", "TierQueue", "WorkItem", "WorkTable"]
