--- a/src/boragetiller/errors.py
+++ b/src/boragetiller/errors.py
@@ -303,6 +303,7 @@
     "NotRunError",
     "OutcomeUnknown",
     "Overloaded",
+    "Preempted",
     "Quarantined",
     "RateLimited",
     "RequestTimeout",
