Add platform clients, in memory and over HTTP, and the platform stand-in

Writes go out as POST: aiohttp repeats PUT and DELETE by itself when a kept connection drops, and a repeated compare-and-swap would report a conflict for a write that took effect. Tests: python -m unittest tests.platform.test_store tests.platform.test_hosts

--- a/src/boragetiller/errors.py
+++ b/src/boragetiller/errors.py
@@ -204,6 +204,14 @@
     http_status = 409
 
 
+class ValueTooLarge(BoragetillerError):
+    """The value is larger than the platform's store holds."""
+
+    code = "value_too_large"
+    verdict = Verdict.NOT_RUN
+    http_status = 413
+
+
 __all__ = [
     "AnswerNotKept",
     "BackendLost",
@@ -230,4 +238,5 @@
     "StaleAttempt",
     "StoreUnavailable",
     "Unauthorized",
+    "ValueTooLarge",
 ]
--- /dev/null
+++ b/src/boragetiller/platform/http_session.py
@@ -0,0 +1,87 @@
+"""HTTP calls to the platform, with failures turned into typed errors."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from boragetiller.errors import RevisionConflict, StoreUnavailable, ValueTooLarge
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from boragetiller.settings import PlatformSettings
+
+WATCH_SILENCE_FACTOR = 3  # silence on a watch, in time-outs, that means it broke
+
+
+class HttpSession:
+    """One connection pool towards one base URL of the platform."""
+
+    def __init__(self, base_url: str, settings: PlatformSettings) -> None:
+        """
+        Prepare the session.
+
+        :param base_url: base URL of the service
+        :param settings: time-out of each call
+        """
+        self._base_url = base_url.rstrip("/")
+        timeout_s = settings.timeout_ms / 1_000
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._watch_timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=timeout_s, sock_read=timeout_s * WATCH_SILENCE_FACTOR
+        )
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        self._session = aiohttp.ClientSession()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+            self._session = None
+
+    @asynccontextmanager
+    async def call(
+        self, method: str, path: str, *, watching: bool = False, **options: Any
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """
+        Send one call; writes use POST, which the HTTP library never repeats by itself.
+
+        :param method: HTTP method
+        :param path: path below the base URL
+        :param watching: whether the answer is open-ended
+        :param options: passed to aiohttp
+        :return: the answer, with status 200 or 404
+        :raises RevisionConflict: the service answered 409
+        :raises StoreUnavailable: no answer, or one that makes no sense
+        """
+        if self._session is None:
+            raise StoreUnavailable("the platform client is closed")
+        timeout = self._watch_timeout if watching else self._timeout
+        try:
+            async with self._session.request(
+                method, self._base_url + path, timeout=timeout, **options
+            ) as response:
+                _check_status(response)
+                yield response
+        except (aiohttp.ClientError, TimeoutError, EOFError, OSError) as error:
+            raise StoreUnavailable(f"{type(error).__name__}: {error}") from error
+        except (ValueError, KeyError, TypeError) as error:
+            raise StoreUnavailable(f"bad answer: {error}") from error
+
+
+def _check_status(response: aiohttp.ClientResponse) -> None:
+    if response.status == 409:
+        raise RevisionConflict
+    if response.status == 413:
+        raise ValueTooLarge
+    if response.status not in (200, 404):
+        raise StoreUnavailable(f"status {response.status}")
+
+
+__all__ = ["HttpSession"]
--- /dev/null
+++ b/src/boragetiller/platform/http_store.py
@@ -0,0 +1,106 @@
+"""The store over HTTP."""
+
+from __future__ import annotations
+
+import builtins
+import io
+from typing import TYPE_CHECKING
+
+from boragetiller.errors import RevisionConflict, StoreUnavailable
+from boragetiller.platform.dialect import REVISION_HEADER, read_entry
+from boragetiller.platform.http_session import HttpSession
+from boragetiller.platform.store import Entry, Lease
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from boragetiller.settings import PlatformSettings
+
+
+class HttpStore:
+    """Client of the store; see :class:`boragetiller.platform.store.Store`."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        """:param settings: base URL and time-out"""
+        self._session = HttpSession(settings.store_url, settings)
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        await self._session.start()
+
+    async def close(self) -> None:
+        """Close connections."""
+        await self._session.close()
+
+    async def get(self, key: str) -> Entry | None:
+        """See :class:`Store`."""
+        async with self._session.call("GET", "/entry", params={"key": key}) as response:
+            if response.status == 404:
+                return None
+            return Entry(key, await response.read(), int(response.headers[REVISION_HEADER]))
+
+    async def list(self, prefix: str) -> builtins.list[Entry]:
+        """See :class:`Store`."""
+        entries: builtins.list[Entry] = []
+        async with self._session.call("GET", "/entries", params={"prefix": prefix}) as response:
+            while (entry := await read_entry(response.content)) is not None:
+                entries.append(entry)
+        return entries
+
+    async def put(self, key: str, value: bytes, *, expected_revision: int) -> int:
+        """See :class:`Store`."""
+        params = {"key": key, "expected_revision": str(expected_revision)}
+        async with self._session.call(
+            "POST", "/put", params=params, data=io.BytesIO(value)
+        ) as response:
+            return int((await response.json())["revision"])
+
+    async def delete(self, key: str, *, expected_revision: int) -> None:
+        """See :class:`Store`."""
+        params = {"key": key, "expected_revision": str(expected_revision)}
+        async with self._session.call("POST", "/delete", params=params) as response:
+            await response.json()
+
+    async def watch(self, prefix: str, *, after_revision: int) -> AsyncIterator[Entry]:
+        """See :class:`Store`."""
+        params = {"prefix": prefix, "after_revision": str(after_revision)}
+        async with self._session.call("GET", "/watch", params=params, watching=True) as response:
+            if response.status == 404:
+                raise StoreUnavailable("the store offers no watch")
+            while (entry := await read_entry(response.content)) is not None:
+                yield entry
+
+    async def acquire_lease(self, name: str, holder: str, ttl_ms: int) -> Lease | None:
+        """See :class:`Store`."""
+        request = {"name": name, "holder": holder, "ttl_ms": ttl_ms}
+        try:
+            async with self._session.call("POST", "/leases/acquire", json=request) as response:
+                token = int((await response.json())["token"])
+        except RevisionConflict:
+            return None
+        return Lease(name=name, holder=holder, token=token, ttl_ms=ttl_ms)
+
+    async def renew_lease(self, lease: Lease) -> bool:
+        """See :class:`Store`."""
+        try:
+            await self._send_lease("/leases/renew", lease)
+        except RevisionConflict:
+            return False
+        return True
+
+    async def release_lease(self, lease: Lease) -> None:
+        """See :class:`Store`."""
+        await self._send_lease("/leases/release", lease)
+
+    async def _send_lease(self, path: str, lease: Lease) -> None:
+        request = {
+            "name": lease.name,
+            "holder": lease.holder,
+            "token": lease.token,
+            "ttl_ms": lease.ttl_ms,
+        }
+        async with self._session.call("POST", path, json=request) as response:
+            await response.json()
+
+
+__all__ = ["HttpStore"]
--- /dev/null
+++ b/src/boragetiller/platform/http_weights.py
@@ -0,0 +1,41 @@
+"""The weight store over HTTP."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from boragetiller.platform.http_session import HttpSession
+
+if TYPE_CHECKING:
+    from boragetiller.settings import PlatformSettings
+
+
+class HttpWeightStore:
+    """Client of the weight store; see :class:`boragetiller.platform.weights.WeightStore`."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        """
+        Prepare the client.
+
+        :param settings: base URL and time-out
+        :raises ValueError: the settings name no weight store
+        """
+        if settings.weight_store_url is None:
+            raise ValueError("platform.weight_store_url: not set")
+        self._session = HttpSession(settings.weight_store_url, settings)
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        await self._session.start()
+
+    async def close(self) -> None:
+        """Close connections."""
+        await self._session.close()
+
+    async def concurrent_loads(self) -> int:
+        """See :class:`WeightStore`."""
+        async with self._session.call("GET", "/weights") as response:
+            return int((await response.json())["concurrent_loads"])
+
+
+__all__ = ["HttpWeightStore"]
--- /dev/null
+++ b/src/boragetiller/platform/memory_hosts.py
@@ -0,0 +1,112 @@
+"""The host list, kept in memory, with a lag and faults on demand."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from boragetiller.errors import StoreUnavailable
+from boragetiller.platform.faults import CallKind, HostListFaults
+
+if TYPE_CHECKING:
+    from boragetiller.clock import Clock
+    from boragetiller.platform.hosts import Host, HostState
+
+
+@attrs.frozen
+class _Change:
+    visible_ms: int
+    name: str
+    host: Host | None
+
+
+class MemoryHostList:
+    """Host list in memory; see :class:`boragetiller.platform.hosts.HostList`."""
+
+    def __init__(self, clock: Clock, lag_ms: int = 0) -> None:
+        """
+        Start with no hosts.
+
+        :param clock: decides when a change becomes visible
+        :param lag_ms: delay of each change
+        """
+        self.faults = HostListFaults()
+        self.counts: Counter[CallKind] = Counter()
+        self.lag_ms = lag_ms
+        self._clock = clock
+        self._actual: dict[str, Host] = {}
+        self._visible: dict[str, Host] = {}
+        self._changes: list[_Change] = []
+
+    def inject(self, **changes: Any) -> None:
+        """
+        Change the faults.
+
+        :param changes: fields of :class:`HostListFaults`
+        """
+        self._settle()
+        self.faults = attrs.evolve(self.faults, **changes)
+
+    def put(self, host: Host) -> None:
+        """
+        Add or replace a host.
+
+        :param host: the new entry
+        """
+        self._actual[host.name] = host
+        self._note(host.name, host)
+
+    def set_state(self, name: str, state: HostState) -> None:
+        """
+        Change the state of a known host.
+
+        :param name: name of the host
+        :param state: its new state
+        """
+        self.put(attrs.evolve(self._actual[name], state=state))
+
+    def remove(self, name: str) -> None:
+        """
+        Take a host off the list; an unknown one is ignored.
+
+        :param name: name of the host
+        """
+        self._actual.pop(name, None)
+        self._note(name, None)
+
+    async def hosts(self) -> list[Host]:
+        """See :class:`HostList`."""
+        self.counts[CallKind.LIST_HOSTS] += 1
+        if self.faults.delay_ms:
+            await asyncio.sleep(self.faults.delay_ms / 1_000)
+        if self.faults.outage:
+            raise StoreUnavailable("the host list did not answer")
+        self._settle()
+        return [self._visible[name] for name in sorted(self._visible)]
+
+    async def start(self) -> None:
+        """Do nothing; the list is ready when built."""
+
+    async def close(self) -> None:
+        """Do nothing; what is kept stays for other users of this object."""
+
+    def _note(self, name: str, host: Host | None) -> None:
+        self._changes.append(_Change(self._clock.now_ms() + self.lag_ms, name, host))
+
+    def _settle(self) -> None:
+        if self.faults.stale:
+            return
+        now_ms = self._clock.now_ms()
+        due = [change for change in self._changes if change.visible_ms <= now_ms]
+        self._changes = [change for change in self._changes if change.visible_ms > now_ms]
+        for change in due:
+            if change.host is None:
+                self._visible.pop(change.name, None)
+            else:
+                self._visible[change.name] = change.host
+
+
+__all__ = ["MemoryHostList"]
--- a/src/boragetiller/platform/store.py
+++ b/src/boragetiller/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import builtins
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
@@ -41,7 +42,7 @@
         """
         ...
 
-    async def list(self, prefix: str) -> list[Entry]:
+    async def list(self, prefix: str) -> builtins.list[Entry]:
         """:return: the entries whose key starts with the prefix, in key order (one call)"""
         ...
 
--- /dev/null
+++ b/src/boragetiller/standin/platform_server.py
@@ -0,0 +1,250 @@
+"""The platform's services as one small HTTP server: store, host list and weight store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+import fire
+from aiohttp import web
+
+from boragetiller.clock import SystemClock
+from boragetiller.errors import (
+    BoragetillerError,
+    RevisionConflict,
+    StoreUnavailable,
+    ValueTooLarge,
+)
+from boragetiller.platform.dialect import (
+    MAX_REQUEST_BYTES,
+    REVISION_HEADER,
+    decode_host,
+    encode_entry,
+    encode_host,
+)
+from boragetiller.platform.memory import MemoryHostList, MemoryStore, MemoryWeightStore
+from boragetiller.platform.store import Lease
+from boragetiller.standin.web import Address, WebServer, reset, serve_until_signal
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from boragetiller.clock import Clock
+
+KEEP_ALIVE_S = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class PlatformServerSettings:
+    """How the stand-in of the platform behaves."""
+
+    listen: Address = Address()
+    host_list_lag_ms: int = 0
+    concurrent_loads: int = 2
+
+
+class PlatformServer:
+    """Serves the in-memory stand-ins; tests reach into them directly."""
+
+    def __init__(self, settings: PlatformServerSettings, clock: Clock | None = None) -> None:
+        """
+        Start with empty services.
+
+        :param settings: address, lag and limits
+        :param clock: decides when leases expire
+        """
+        clock = clock or SystemClock()
+        self.store = MemoryStore(clock)
+        self.host_list = MemoryHostList(clock, settings.host_list_lag_ms)
+        self.weights = MemoryWeightStore(settings.concurrent_loads)
+        self._closing = asyncio.Event()
+        self._web = WebServer(self._build_app(), settings.listen)
+
+    @property
+    def url(self) -> str:
+        """:return: base URL of all services"""
+        return self._web.url
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        await self._web.start()
+
+    async def close(self) -> None:
+        """End the watches and stop serving."""
+        self._closing.set()
+        await self._web.close()
+
+    def _build_app(self) -> web.Application:
+        app = web.Application(client_max_size=MAX_REQUEST_BYTES, middlewares=[_answer_errors])
+        app.add_routes(
+            [
+                web.get("/entry", self._get),
+                web.get("/entries", self._list),
+                web.post("/put", self._put),
+                web.post("/delete", self._delete),
+                web.get("/watch", self._watch),
+                web.post("/leases/acquire", self._acquire),
+                web.post("/leases/renew", self._renew),
+                web.post("/leases/release", self._release),
+                web.get("/hosts", self._hosts),
+                web.put("/hosts/{name}", self._put_host),
+                web.delete("/hosts/{name}", self._remove_host),
+                web.get("/weights", self._weights),
+                web.post("/weights/begin", self._begin_load),
+                web.post("/weights/end", self._end_load),
+                web.post("/faults", self._faults),
+                web.get("/counts", self._counts),
+            ]
+        )
+        return app
+
+    async def _get(self, request: web.Request) -> web.Response:
+        entry = await self.store.get(request.query["key"])
+        if entry is None:
+            return web.Response(status=404)
+        return web.Response(body=entry.value, headers={REVISION_HEADER: str(entry.revision)})
+
+    async def _list(self, request: web.Request) -> web.Response:
+        entries = await self.store.list(request.query["prefix"])
+        return web.Response(body=b"".join(encode_entry(entry) for entry in entries))
+
+    async def _put(self, request: web.Request) -> web.Response:
+        expected = int(request.query["expected_revision"])
+        value = await request.read()
+        revision = await self.store.put(request.query["key"], value, expected_revision=expected)
+        return web.json_response({"revision": revision})
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        expected = int(request.query["expected_revision"])
+        await self.store.delete(request.query["key"], expected_revision=expected)
+        return web.json_response({})
+
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        after_revision = int(request.query["after_revision"])
+        changes = self.store.watch(request.query["prefix"], after_revision=after_revision)
+        await response.prepare(request)
+        next_change = asyncio.ensure_future(anext(changes))
+        closing = asyncio.ensure_future(self._closing.wait())
+        try:
+            while not closing.done():
+                await asyncio.wait(
+                    {next_change, closing},
+                    timeout=KEEP_ALIVE_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not next_change.done():
+                    await response.write(b"\n")
+                    continue
+                await response.write(encode_entry(next_change.result()))
+                next_change = asyncio.ensure_future(anext(changes))
+        except StopAsyncIteration:
+            pass
+        finally:
+            next_change.cancel()
+            closing.cancel()
+        return response
+
+    async def _acquire(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        lease = await self.store.acquire_lease(body["name"], body["holder"], body["ttl_ms"])
+        if lease is None:
+            raise RevisionConflict
+        return web.json_response({"token": lease.token})
+
+    async def _renew(self, request: web.Request) -> web.Response:
+        if not await self.store.renew_lease(Lease(**await request.json())):
+            raise RevisionConflict
+        return web.json_response({})
+
+    async def _release(self, request: web.Request) -> web.Response:
+        await self.store.release_lease(Lease(**await request.json()))
+        return web.json_response({})
+
+    async def _hosts(self, _: web.Request) -> web.Response:
+        return web.json_response([encode_host(host) for host in await self.host_list.hosts()])
+
+    async def _put_host(self, request: web.Request) -> web.Response:
+        self.host_list.put(
+            decode_host({**await request.json(), "name": request.match_info["name"]})
+        )
+        return web.json_response({})
+
+    async def _remove_host(self, request: web.Request) -> web.Response:
+        self.host_list.remove(request.match_info["name"])
+        return web.json_response({})
+
+    async def _weights(self, _: web.Request) -> web.Response:
+        return web.json_response({"concurrent_loads": await self.weights.concurrent_loads()})
+
+    async def _begin_load(self, _: web.Request) -> web.Response:
+        self.weights.begin_load()
+        return web.json_response({})
+
+    async def _end_load(self, _: web.Request) -> web.Response:
+        self.weights.end_load()
+        return web.json_response({})
+
+    async def _faults(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self.store.inject(**body.get("store", {}))
+        self.host_list.inject(**body.get("host_list", {}))
+        return web.json_response(
+            {
+                "store": attrs.asdict(self.store.faults),
+                "host_list": attrs.asdict(self.host_list.faults),
+            }
+        )
+
+    async def _counts(self, _: web.Request) -> web.Response:
+        counts = self.store.counts + self.host_list.counts
+        return web.json_response({kind.value: count for kind, count in counts.items()})
+
+
+@web.middleware
+async def _answer_errors(
+    request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
+) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except StoreUnavailable:
+        reset(request.transport)
+        return web.Response(status=503)
+    except (RevisionConflict, ValueTooLarge) as error:
+        return _error_response(error)
+    except (KeyError, TypeError, ValueError) as error:
+        return web.json_response({"error": str(error)}, status=400)
+
+
+def _error_response(error: BoragetillerError) -> web.Response:
+    return web.json_response({"error": error.code}, status=error.http_status)
+
+
+def main(
+    port: int = 0, address: str = "127.0.0.1", host_list_lag_ms: int = 0, concurrent_loads: int = 2
+) -> None:
+    """
+    Run the stand-in of the platform as a process.
+
+    :param port: where to listen; 0 takes a free port, which is printed
+    :param address: IP number to listen on
+    :param host_list_lag_ms: delay of each change of the host list
+    :param concurrent_loads: loads that the weight store allows at once
+    """
+    settings = PlatformServerSettings(
+        listen=Address(address=address, port=port),
+        host_list_lag_ms=host_list_lag_ms,
+        concurrent_loads=concurrent_loads,
+    )
+    asyncio.run(_run(settings))
+
+
+async def _run(settings: PlatformServerSettings) -> None:
+    await serve_until_signal(PlatformServer(settings))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
+
+__all__ = ["PlatformServer", "PlatformServerSettings", "main"]
--- /dev/null
+++ b/tests/platform/test_hosts.py
@@ -0,0 +1,94 @@
+"""Tests of the host list and the weight store, in memory and over HTTP."""
+
+from __future__ import annotations
+
+import unittest
+
+import aiohttp
+
+from boragetiller.clock import ManualClock
+from boragetiller.errors import StoreUnavailable
+from boragetiller.platform.dialect import encode_host
+from boragetiller.platform.hosts import Host, HostState
+from boragetiller.platform.http_hosts import HttpHostList
+from boragetiller.platform.http_weights import HttpWeightStore
+from boragetiller.platform.memory import MemoryHostList
+from boragetiller.settings import PlatformSettings
+from boragetiller.standin.platform_server import PlatformServer, PlatformServerSettings
+
+HOST = Host(
+    name="tiller-pool-1",
+    role="agent",
+    address="127.0.0.1",
+    data_port=1,
+    control_port=2,
+    failure_domain="vl-a",
+)
+
+
+class MemoryHostListTest(unittest.IsolatedAsyncioTestCase):
+    """Lag and faults of the list."""
+
+    async def test_hosts_show_changes_after_lag(self) -> None:
+        clock = ManualClock()
+        host_list = MemoryHostList(clock, lag_ms=500)
+        host_list.put(HOST)
+        self.assertEqual(await host_list.hosts(), [])
+        clock.advance(500)
+        self.assertEqual(await host_list.hosts(), [HOST])
+        host_list.set_state(HOST.name, HostState.LEAVING)
+        clock.advance(499)
+        self.assertEqual((await host_list.hosts())[0].state, HostState.LIVE)
+        clock.advance(1)
+        self.assertEqual((await host_list.hosts())[0].state, HostState.LEAVING)
+
+    async def test_hosts_stale_and_outage(self) -> None:
+        host_list = MemoryHostList(ManualClock())
+        host_list.put(HOST)
+        host_list.inject(stale=True)
+        host_list.remove(HOST.name)
+        self.assertEqual(await host_list.hosts(), [HOST])
+        host_list.inject(stale=False)
+        self.assertEqual(await host_list.hosts(), [])
+        host_list.inject(outage=True)
+        with self.assertRaises(StoreUnavailable):
+            await host_list.hosts()
+
+
+class HttpPlatformTest(unittest.IsolatedAsyncioTestCase):
+    """The clients against the stand-in server."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = PlatformServer(PlatformServerSettings(concurrent_loads=3))
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+        url = self.server.url
+        self.settings = PlatformSettings(
+            store_url=url, host_list_url=url, weight_store_url=url, timeout_ms=5_000
+        )
+
+    async def test_hosts_are_put_and_removed(self) -> None:
+        client = HttpHostList(self.settings)
+        await client.start()
+        self.addAsyncCleanup(client.close)
+        url = f"{self.server.url}/hosts/{HOST.name}"
+        async with aiohttp.ClientSession() as session:
+            await session.put(url, json=encode_host(HOST))
+            self.assertEqual(await client.hosts(), [HOST])
+            async with session.put(url, json={"role": "agent", "other": 1}) as response:
+                self.assertEqual(response.status, 400)
+            await session.delete(url)
+            self.assertEqual(await client.hosts(), [])
+            await session.post(self.server.url + "/faults", json={"host_list": {"outage": True}})
+            with self.assertRaises(StoreUnavailable):
+                await client.hosts()
+
+    async def test_weights_tell_their_limit(self) -> None:
+        client = HttpWeightStore(self.settings)
+        await client.start()
+        self.addAsyncCleanup(client.close)
+        self.assertEqual(await client.concurrent_loads(), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
