--- a/src/boragetiller/platform/http_store.py
+++ b/src/boragetiller/platform/http_store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import builtins
 import io
 from typing import TYPE_CHECKING
 
@@ -12,6 +11,7 @@
 from boragetiller.platform.store import Entry, Lease
 
 if TYPE_CHECKING:
+    import builtins
     from collections.abc import AsyncIterator
 
     from boragetiller.settings import PlatformSettings
--- a/src/boragetiller/platform/memory.py
+++ b/src/boragetiller/platform/memory.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import builtins
 from bisect import bisect_right
 from collections import Counter
 from typing import TYPE_CHECKING, Any
@@ -17,6 +16,7 @@
 from boragetiller.platform.store import Entry, Lease
 
 if TYPE_CHECKING:
+    import builtins
     from collections.abc import AsyncIterator
 
     from boragetiller.clock import Clock
--- a/src/boragetiller/platform/store.py
+++ b/src/boragetiller/platform/store.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import builtins
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
 if TYPE_CHECKING:
+    import builtins
     from collections.abc import AsyncIterator
 
 
