--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -12,12 +12,12 @@
 from boragetiller.clock import SystemClock
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
-from boragetiller.metrics import Metrics
 from boragetiller.operator_app import operator_app
 from boragetiller.process import new_incarnation, new_metrics, wait_until_idle
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
+    from boragetiller.metrics import Metrics
     from boragetiller.platform.clients import PlatformClients
     from boragetiller.settings import Settings
 
--- a/src/boragetiller/errors.py
+++ b/src/boragetiller/errors.py
@@ -251,6 +251,14 @@
     http_status = 409
 
 
+class ValueTooLarge(BoragetillerError):
+    """The value is larger than the platform's store holds."""
+
+    code = "value_too_large"
+    verdict = Verdict.NOT_RUN
+    http_status = 413
+
+
 def error_from_code(
     code: str,
     message: str,
@@ -313,4 +321,5 @@
     "StaleAttempt",
     "StoreUnavailable",
     "Unauthorized",
+    "ValueTooLarge",
 ]
--- a/src/boragetiller/platform/store.py
+++ b/src/boragetiller/platform/store.py
@@ -7,6 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
+    import builtins
     from collections.abc import AsyncIterator
 
 
@@ -41,7 +42,7 @@
         """
         ...
 
-    async def list(self, prefix: str) -> list[Entry]:
+    async def list(self, prefix: str) -> builtins.list[Entry]:
         """:return: the entries whose key starts with the prefix, in key order (one call)"""
         ...
 
--- a/src/boragetiller/router/sinks.py
+++ b/src/boragetiller/router/sinks.py
@@ -7,12 +7,12 @@
 
 from aiohttp import web
 
-from boragetiller.relay.frames import Head
 from boragetiller.router.answers import EngineTranscript, whole_answer
 from boragetiller.router.responses import error_body, error_response
 
 if TYPE_CHECKING:
     from boragetiller.errors import BoragetillerError
+    from boragetiller.relay.frames import Head
 
 EVENT_STREAM = "text/event-stream"
 
