--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,194 @@
+"""Start a small fleet of real processes on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import attrs
+import yaml
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+CONTROL_KEY = "control-key"
+OPERATOR_KEY = "operator-key"
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+LOOPBACK = "127.0.0.1"
+
+
+@attrs.define
+class Member:
+    """One running process."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    endpoints: dict[str, Any]
+    url: str
+
+    @property
+    def cpu_ticks(self) -> int:
+        """:return: processor time used so far, in clock ticks of the kernel"""
+        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return int(fields[11]) + int(fields[12])
+
+    @property
+    def resident_kb(self) -> int:
+        """:return: resident memory in KB"""
+        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1])
+        return 0
+
+    async def stop(self, number: int = signal.SIGTERM) -> int:
+        """
+        End the process.
+
+        :param number: signal to send
+        :return: its exit code
+        """
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+        return await asyncio.wait_for(self.process.wait(), STOP_TIMEOUT_S)
+
+
+class Fleet:
+    """A platform stand-in and any number of backend servers, agents and routers."""
+
+    def __init__(self) -> None:
+        """Prepare an empty fleet."""
+        self.members: dict[str, Member] = {}
+        self._folder = tempfile.TemporaryDirectory()
+
+    async def start(self) -> None:
+        """Start the platform stand-in."""
+        await self.start_standin("platform", "platform_server")
+
+    async def close(self) -> None:
+        """End every process that still runs."""
+        for member in reversed(self.members.values()):
+            if member.process.returncode is None:
+                member.process.kill()
+                await member.process.wait()
+        self._folder.cleanup()
+
+    async def start_standin(self, name: str, module: str, *arguments: str) -> Member:
+        """
+        Start a stand-in.
+
+        :param name: name in the fleet
+        :param module: module below boragetiller.standin
+        :param arguments: command-line flags
+        :return: the process
+        """
+        command = ["-m", f"boragetiller.standin.{module}", *arguments]
+        process, line = await self._spawn(command)
+        member = Member(name, process, {}, line.strip())
+        self.members[name] = member
+        return member
+
+    async def start_agent(
+        self, name: str, group: str, backend: Member, *, kind: str = "engine", **settings: Any
+    ) -> Member:
+        """
+        Start an agent and put it on the host list.
+
+        :param name: host name
+        :param group: backend group
+        :param backend: its backend server
+        :param kind: engine or service
+        :param settings: further settings
+        :return: the process
+        """
+        backend_settings = {"name": backend.name, "group": group, "kind": kind, "url": backend.url}
+        member = await self._start_daemon(name, "agent", backend=backend_settings, **settings)
+        await self.list_host(member, group=group)
+        return member
+
+    async def start_router(self, name: str, **settings: Any) -> Member:
+        """
+        Start a router and put it on the host list.
+
+        :param name: host name
+        :param settings: further settings
+        :return: the process
+        """
+        member = await self._start_daemon(name, "router", **settings)
+        await self.list_host(member)
+        return member
+
+    async def list_host(self, member: Member, *, group: str = "", state: str = "live") -> None:
+        """
+        Write a host to the platform's list.
+
+        :param member: the process
+        :param group: backend group of an agent
+        :param state: live or leaving
+        """
+        host = {
+            "role": member.endpoints["role"],
+            "address": LOOPBACK,
+            "data_port": member.endpoints["data_port"],
+            "control_port": member.endpoints["control_port"],
+            "failure_domain": "fd-1",
+            "group": group,
+            "state": state,
+        }
+        url = f"{self.members['platform'].url}/hosts/{member.name}"
+        async with aiohttp.ClientSession() as session, session.put(url, json=host) as response:
+            response.raise_for_status()
+
+    async def apply(self, records: str) -> None:
+        """
+        Write records with the command line.
+
+        :param records: YAML documents
+        """
+        path = Path(self._folder.name) / "records.yaml"
+        path.write_text(records)
+        url = self.members["platform"].url
+        command = ["-m", "boragetiller.cli.main", "apply", str(path), "--store-url", url]
+        process = await asyncio.create_subprocess_exec(sys.executable, *command)
+        if await process.wait() != 0:
+            raise RuntimeError("apply failed")
+
+    async def _start_daemon(self, name: str, role: str, **settings: Any) -> Member:
+        platform_url = self.members["platform"].url
+        document = {
+            "role": role,
+            "name": name,
+            "failure_domain": "fd-1",
+            "control": {"key": CONTROL_KEY},
+            "operator": {"key": OPERATOR_KEY},
+            "platform": {"store_url": platform_url, "host_list_url": platform_url},
+            "log_level": "WARNING",
+            **settings,
+        }
+        path = Path(self._folder.name) / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(document))
+        process, line = await self._spawn(["-m", "boragetiller.daemon", "--settings", str(path)])
+        endpoints = json.loads(line)
+        url = f"http://{LOOPBACK}:{endpoints['data_port']}"
+        member = Member(name, process, endpoints, url)
+        self.members[name] = member
+        return member
+
+    async def _spawn(self, command: Sequence[str]) -> tuple[asyncio.subprocess.Process, str]:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, *command, stdout=asyncio.subprocess.PIPE
+        )
+        assert process.stdout is not None
+        line = await asyncio.wait_for(process.stdout.readline(), START_TIMEOUT_S)
+        if not line:
+            raise RuntimeError(f"{command} ended before it was ready")
+        return process, line.decode()
+
+
+__all__ = ["CONTROL_KEY", "OPERATOR_KEY", "Fleet", "Member"]
--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -13,7 +13,7 @@
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
-from boragetiller.process import new_incarnation, new_metrics, wait_until_idle
+from boragetiller.process import Endpoints, new_incarnation, new_metrics, wait_until_idle
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
@@ -85,6 +85,16 @@
         ]
         log_event(Event.PROCESS_STARTED, role="agent", name=self.settings.name)
 
+    def endpoints(self) -> Endpoints:
+        """:return: where the process listens"""
+        return Endpoints(
+            role=self.settings.role.value,
+            name=self.settings.name,
+            data_port=self.data.port,
+            operator_port=self.operator.port,
+            control_port=0,
+        )
+
     async def close(self) -> None:
         """Refuse new work, finish what is in progress, then stop."""
         log_event(Event.PROCESS_STOPPING, role="agent", name=self.settings.name)
--- a/src/boragetiller/daemon.py
+++ b/src/boragetiller/daemon.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
 import sys
 from typing import TYPE_CHECKING, NoReturn, Protocol
 
+import attrs
 import fire
 
 from boragetiller.agent.process import AgentProcess
@@ -18,6 +20,7 @@
 
 if TYPE_CHECKING:
     from boragetiller.platform.clients import PlatformClients
+    from boragetiller.process import Endpoints
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -36,6 +39,10 @@
         """Stop gracefully."""
         ...
 
+    def endpoints(self) -> Endpoints:
+        """:return: where the process listens"""
+        ...
+
 
 def main() -> None:
     """Parse the command line and run; exit codes are in docs/OPERATIONS.md."""
@@ -72,6 +79,7 @@
     except OSError as error:
         print(f"cannot start: {error}", file=sys.stderr)
         return EXIT_START
+    print(json.dumps(attrs.asdict(process.endpoints())), flush=True)
     await stop.wait()
     forced = _stop_event()
     return await _close(process, platform, forced)
@@ -111,3 +119,6 @@
 
 
 __all__ = ["build_process", "main", "run", "serve"]
+
+if __name__ == "__main__":
+    main()
--- a/src/boragetiller/process.py
+++ b/src/boragetiller/process.py
@@ -6,6 +6,8 @@
 import time
 from typing import TYPE_CHECKING
 
+import attrs
+
 from boragetiller.metrics import Metrics
 
 if TYPE_CHECKING:
@@ -16,6 +18,17 @@
 IDLE_CHECK_MS = 10
 
 
+@attrs.frozen(kw_only=True)
+class Endpoints:
+    """Where a started process listens; printed as one JSON line when it is ready."""
+
+    role: str
+    name: str
+    data_port: int
+    operator_port: int
+    control_port: int
+
+
 def new_incarnation() -> int:
     """:return: a number that differs for each start of a process, from the wall clock in µs"""
     return time.time_ns() // 1_000
@@ -50,4 +63,4 @@
     return in_progress() == 0
 
 
-__all__ = ["new_incarnation", "new_metrics", "wait_until_idle"]
+__all__ = ["Endpoints", "new_incarnation", "new_metrics", "wait_until_idle"]
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -11,7 +11,7 @@
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
-from boragetiller.process import new_incarnation, new_metrics, wait_until_idle
+from boragetiller.process import Endpoints, new_incarnation, new_metrics, wait_until_idle
 from boragetiller.router.agent_client import AgentClient
 from boragetiller.router.discovery import Discovery
 from boragetiller.router.relay import Relay
@@ -88,6 +88,16 @@
         await self.operator.start()
         log_event(Event.PROCESS_STARTED, role="router", name=self.settings.name)
 
+    def endpoints(self) -> Endpoints:
+        """:return: where the process listens"""
+        return Endpoints(
+            role=self.settings.role.value,
+            name=self.settings.name,
+            data_port=self.callers.port,
+            operator_port=self.operator.port,
+            control_port=0,
+        )
+
     async def close(self) -> None:
         """Leave the balancer, refuse new work, finish what is in progress, then stop."""
         log_event(Event.PROCESS_STOPPING, role="router", name=self.settings.name)
