Add stand-ins for an engine and a plain service

The text of token i is a pure function of prompt and index, so a test can verify each answer, and a resume whose text does not fit is refused and counted.

--- /dev/null
+++ b/src/boragetiller/standin/engine_orders.py
@@ -0,0 +1,103 @@
+"""Orders to the stand-in engine: what it holds, and how it treats fencing numbers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+ORDER_KINDS = ("load_model", "load_adapter", "set_role")
+
+
+@attrs.define(kw_only=True)
+class EngineState:
+    """What orders have made of the engine."""
+
+    models: list[str] = attrs.Factory(list)
+    adapters: list[str] = attrs.Factory(list)
+    role: str = "any"
+    fencing: int = 0
+    orders: list[dict[str, Any]] = attrs.Factory(list)
+    refused: int = 0
+
+
+class OrderRefused(Exception):
+    """The engine does not carry the order out."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        """
+        Build the error.
+
+        :param status: HTTP status
+        :param reason: text for people
+        """
+        super().__init__(reason)
+        self.status = status
+
+
+class OrderDesk:
+    """Carries orders out."""
+
+    def __init__(
+        self,
+        state: EngineState,
+        load_ms: int,
+        *,
+        honours_fencing: bool,
+        fetch_weights: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
+        """
+        Prepare the desk.
+
+        :param state: changed by the orders
+        :param load_ms: how long a load takes
+        :param honours_fencing: whether an old number is refused
+        :param fetch_weights: replaces the wait of a load
+        """
+        self.state = state
+        self._load_ms = load_ms
+        self._honours_fencing = honours_fencing
+        self._fetch_weights = fetch_weights or self._wait
+
+    async def carry_out(self, order: Any) -> None:
+        """
+        Carry one order out.
+
+        :param order: object out of JSON
+        :raises OrderRefused: malformed, or with an old number
+        """
+        kind, fencing = _check(order)
+        if self._honours_fencing and fencing < self.state.fencing:
+            self.state.refused += 1
+            raise OrderRefused(409, f"fencing number {fencing} is older than {self.state.fencing}")
+        self.state.fencing = max(fencing, self.state.fencing)
+        self.state.orders.append(order)
+        if kind == "set_role":
+            self.state.role = order["role"]
+            return
+        await self._fetch_weights()
+        held = self.state.models if kind == "load_model" else self.state.adapters
+        name = order["model" if kind == "load_model" else "adapter"]
+        if name not in held:
+            held.append(name)
+
+    async def _wait(self) -> None:
+        await asyncio.sleep(self._load_ms / 1_000)
+
+
+def _check(order: Any) -> tuple[str, int]:
+    if not isinstance(order, dict) or order.get("kind") not in ORDER_KINDS:
+        raise OrderRefused(400, f"kind must be one of {', '.join(ORDER_KINDS)}")
+    kind = order["kind"]
+    if not isinstance(order.get(kind.split("_")[1]), str):
+        raise OrderRefused(400, f"{kind} needs {kind.split('_')[1]}")
+    if type(order.get("fencing")) is not int:
+        raise OrderRefused(400, "fencing must be a number")
+    return kind, order["fencing"]
+
+
+__all__ = ["EngineState", "OrderDesk", "OrderRefused"]
--- a/src/boragetiller/standin/platform_server.py
+++ b/src/boragetiller/standin/platform_server.py
@@ -139,7 +139,7 @@
                     continue
                 await response.write(encode_entry(next_change.result()))
                 next_change = asyncio.ensure_future(anext(changes))
-        except StopAsyncIteration:
+        except (StopAsyncIteration, ConnectionResetError):
             pass
         finally:
             next_change.cancel()
@@ -222,7 +222,11 @@
 
 
 def main(
-    port: int = 0, address: str = "127.0.0.1", host_list_lag_ms: int = 0, concurrent_loads: int = 2
+    *,
+    port: int = 0,
+    address: str = "127.0.0.1",
+    host_list_lag_ms: int = 0,
+    concurrent_loads: int = 2,
 ) -> None:
     """
     Run the stand-in of the platform as a process.
--- /dev/null
+++ b/src/boragetiller/standin/service.py
@@ -0,0 +1,166 @@
+"""A stand-in plain service: it runs each call and writes it into a ledger."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections import Counter
+
+import attrs
+import fire
+from aiohttp import web
+
+from boragetiller.standin.web import Address, WebServer, reset, serve_until_signal
+
+MAX_BODY_BYTES = 8_000_000
+
+
+@attrs.define(kw_only=True)
+class ServiceFaults:
+    """Faults; the counters fall by one with each call that they hit."""
+
+    delay_ms: int = 0
+    reset_before_run: int = 0  # the connection breaks, the call does not run
+    reset_before_first_byte: int = 0  # the call runs, its answer does not begin
+    reset_after_first_byte: int = 0  # the call runs, its answer breaks off
+    truncate: int = 0  # the call runs, its answer ends before its announced length
+
+
+@attrs.frozen(kw_only=True)
+class ServiceSettings:
+    """How a stand-in plain service behaves."""
+
+    listen: Address = Address()
+    delay_ms: int = 0
+
+
+@attrs.define
+class ServiceLedger:
+    """What was really executed."""
+
+    by_key: Counter[str] = attrs.Factory(Counter)
+    by_request_id: Counter[str] = attrs.Factory(Counter)
+    by_body: Counter[str] = attrs.Factory(Counter)
+
+
+class ServiceServer:
+    """One plain service; it does not look whether a key was seen before."""
+
+    def __init__(self, settings: ServiceSettings) -> None:
+        """:param settings: address and delay"""
+        self.ledger = ServiceLedger()
+        self.faults = ServiceFaults(delay_ms=settings.delay_ms)
+        app = web.Application(client_max_size=MAX_BODY_BYTES)
+        app.router.add_get("/ledger", self._show_ledger)
+        app.router.add_post("/faults", self._set_faults)
+        app.router.add_route("*", "/{path:.*}", self._call)
+        self.web = WebServer(app, settings.listen)
+
+    @property
+    def url(self) -> str:
+        """:return: base URL"""
+        return self.web.url
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        await self.web.start()
+
+    async def close(self) -> None:
+        """Stop serving."""
+        await self.web.close()
+
+    async def _call(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        if self._strikes("reset_before_run"):
+            reset(request.transport)
+            return web.Response(status=500)
+        self._count(request, body)
+        if self.faults.delay_ms:
+            await asyncio.sleep(self.faults.delay_ms / 1_000)
+        if self._strikes("reset_before_first_byte"):
+            reset(request.transport)
+            return web.Response(status=500)
+        answer = web.json_response(
+            {
+                "method": request.method,
+                "path": request.path_qs,
+                "confirmation": confirmation(request.method, request.path_qs, body),
+            }
+        )
+        if self._strikes("reset_after_first_byte"):
+            response = await _begin_answer(request, answer)
+            reset(request.transport)
+            return response
+        if self._strikes("truncate"):
+            response = await _begin_answer(request, answer)
+            if request.transport is not None:
+                request.transport.close()
+            return response
+        return answer
+
+    def _count(self, request: web.Request, body: bytes) -> None:
+        if key := request.headers.get("Idempotency-Key"):
+            self.ledger.by_key[key] += 1
+        if request_id := request.headers.get("X-Request-Id"):
+            self.ledger.by_request_id[request_id] += 1
+        self.ledger.by_body[hashlib.sha256(body).hexdigest()] += 1
+
+    def _strikes(self, name: str) -> bool:
+        left = getattr(self.faults, name)
+        if left:
+            setattr(self.faults, name, left - 1)
+        return bool(left)
+
+    async def _show_ledger(self, _: web.Request) -> web.Response:
+        return web.json_response(attrs.asdict(self.ledger))
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        try:
+            self.faults = attrs.evolve(self.faults, **await request.json())
+        except (TypeError, ValueError) as error:
+            return web.json_response({"error": str(error)}, status=400)
+        return web.json_response(attrs.asdict(self.faults))
+
+
+async def _begin_answer(request: web.Request, answer: web.Response) -> web.StreamResponse:
+    payload = answer.body
+    assert isinstance(payload, bytes)
+    response = web.StreamResponse(headers={"Content-Type": "application/json"})
+    response.content_length = len(payload)
+    await response.prepare(request)
+    await response.write(payload[: len(payload) // 2])
+    return response
+
+
+def confirmation(method: str, path: str, body: bytes) -> str:
+    """
+    Tell the confirmation that a call must get.
+
+    :param method: HTTP method
+    :param path: path with its query
+    :param body: body as sent
+    :return: a short digest
+    """
+    return hashlib.sha256(f"{method} {path}\n".encode() + body).hexdigest()[:16]
+
+
+def main(*, port: int = 0, address: str = "127.0.0.1", delay_ms: int = 0) -> None:
+    """
+    Run a stand-in plain service as a process.
+
+    :param port: where to listen; 0 takes a free port, which is printed
+    :param address: IP number to listen on
+    :param delay_ms: time that each call takes
+    """
+    listen = Address(address=address, port=port)
+    asyncio.run(_run(ServiceSettings(listen=listen, delay_ms=delay_ms)))
+
+
+async def _run(settings: ServiceSettings) -> None:
+    await serve_until_signal(ServiceServer(settings))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
+
+__all__ = ["ServiceFaults", "ServiceLedger", "ServiceServer", "ServiceSettings", "confirmation"]
--- /dev/null
+++ b/tests/standin/test_engine.py
@@ -0,0 +1,208 @@
+"""Tests of the stand-in engine."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from boragetiller.clock import ManualClock
+from boragetiller.standin.engine import EngineServer, EngineSettings
+from boragetiller.standin.engine_model import EngineModelSettings, PrefixCache
+from boragetiller.standin.engine_text import (
+    MAX_SAMPLED_TOKENS,
+    answer_tokens,
+    expected_text,
+    token_text,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+FAST = EngineModelSettings(step_ms=0.2, step_ms_per_request=0.0, max_batch=2)
+SLOW = EngineModelSettings(step_ms=20.0, max_batch=1)
+
+
+def _chat(prompt: str, **more: Any) -> dict[str, Any]:
+    return {"model": "kopar-1", "messages": [{"role": "user", "content": prompt}], **more}
+
+
+async def _until(condition: Callable[[], bool]) -> None:
+    while not condition():  # noqa: ASYNC110
+        await asyncio.sleep(0)
+
+
+class EngineTextTest(unittest.TestCase):
+    """The answer as a function of the request."""
+
+    def test_answer_tokens_are_heavy_tailed(self) -> None:
+        lengths = sorted(answer_tokens(_chat(f"prompt {number}")) for number in range(2_000))
+        self.assertLess(lengths[1_000], 12)
+        self.assertGreater(lengths[-1], 200)
+        self.assertLessEqual(lengths[-1], MAX_SAMPLED_TOKENS)
+        self.assertEqual(answer_tokens(_chat("x", max_tokens=5)), 5)
+
+    def test_prefix_cache_is_bounded_and_events_are_late_with_gaps(self) -> None:
+        clock = ManualClock()
+        settings = EngineModelSettings(cache_blocks=4, event_lag_ms=100, event_gap=3)
+        cache = PrefixCache(settings, clock)
+        prompt = "a" * 1_024
+        self.assertEqual(cache.use(prompt), 0)
+        self.assertEqual(cache.use(prompt + "tail"), 256)
+        self.assertEqual(cache.events_after(0), [])
+        clock.advance(100)
+        self.assertEqual([event.number for event in cache.events_after(0)], [1, 2, 4])
+        cache.use("b" * 1_024)
+        self.assertEqual(cache.use(prompt), 0)
+
+
+class EngineServerTest(unittest.IsolatedAsyncioTestCase):
+    """The engine over HTTP."""
+
+    async def asyncSetUp(self) -> None:
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+
+    async def _start(self, settings: EngineSettings) -> EngineServer:
+        engine = EngineServer(settings)
+        await engine.start()
+        self.addAsyncCleanup(engine.close)
+        return engine
+
+    async def _post(self, engine: EngineServer, path: str, body: Any, **more: Any) -> Any:
+        async with self.session.post(engine.url + path, json=body, **more) as response:
+            return response.status, await response.json()
+
+    async def _first_answer(self, engine: EngineServer) -> int:
+        while True:
+            try:
+                status, _ = await self._post(engine, "/v1/chat/completions", _chat("up"))
+            except aiohttp.ClientConnectorError:
+                await asyncio.sleep(0.01)
+            else:
+                return int(status)
+
+    async def _stream(self, engine: EngineServer, body: dict[str, Any]) -> tuple[str, bool]:
+        text, done = "", False
+        body = {**body, "stream": True}
+        async with self.session.post(engine.url + "/v1/chat/completions", json=body) as response:
+            async for line in response.content:
+                data = line.decode().removeprefix("data: ").strip()
+                done = done or data == "[DONE]"
+                if data and not done:
+                    text += json.loads(data)["choices"][0]["delta"].get("content", "")
+        return text, done
+
+    async def test_whole_and_streamed_answers_are_equal(self) -> None:
+        engine = await self._start(EngineSettings(model=FAST))
+        body = _chat("sheet 0.7 mm?")
+        headers = {"X-Request-Id": "r-1"}
+        status, answer = await self._post(engine, "/v1/chat/completions", body, headers=headers)
+        self.assertEqual((status, answer["id"]), (200, "r-1"))
+        self.assertEqual(answer["choices"][0]["message"]["content"], expected_text(body))
+        self.assertEqual(await self._stream(engine, body), (expected_text(body), True))
+        text_body = {"model": "kopar-1", "prompt": "x", "max_tokens": 3}
+        _, answer = await self._post(engine, "/v1/completions", text_body)
+        self.assertEqual(answer["choices"][0]["text"], expected_text(text_body))
+
+    async def test_resume_sends_the_rest(self) -> None:
+        engine = await self._start(EngineSettings(model=FAST))
+        body = _chat("remnant", max_tokens=6)
+        prompt = "user: remnant"
+        begun = "".join(token_text(prompt, index) for index in range(4))
+        resumed = {**body, "resume_from": {"tokens": 4, "text": begun}}
+        text, done = await self._stream(engine, resumed)
+        self.assertEqual((begun + text, done), (expected_text(body), True))
+        resumed["resume_from"] = {"tokens": 4, "text": begun[:-1]}
+        status, _ = await self._post(engine, "/v1/chat/completions", resumed)
+        self.assertEqual((status, engine.ledger.bad_resumes), (400, 1))
+
+    async def test_bad_bodies_are_refused(self) -> None:
+        engine = await self._start(EngineSettings(model=FAST))
+        for body in ([], {"messages": 1}, {"prompt": 2}, {"prompt": "x", "max_tokens": "y"}):
+            status, _ = await self._post(engine, "/v1/completions", body)
+            self.assertEqual(status, 400, body)
+        status, _ = await self._post(engine, "/v1/completions", {"model": "no", "prompt": "x"})
+        self.assertEqual(status, 404)
+
+    async def test_priority_orders_the_queue(self) -> None:
+        engine = await self._start(EngineSettings(model=SLOW))
+        finished: list[int] = []
+
+        async def ask(priority: int) -> None:
+            body = _chat(f"p{priority}", max_tokens=1, priority=priority)
+            await self._post(engine, "/v1/chat/completions", body)
+            finished.append(priority)
+
+        headers = {"X-Request-Id": "first"}
+        body = _chat("first", max_tokens=10_000)
+        path = "/v1/chat/completions"
+        first = asyncio.create_task(self._post(engine, path, body, headers=headers))
+        await _until(lambda: bool(engine.ledger.by_body))
+        tasks = [asyncio.create_task(ask(priority)) for priority in (3, 1, 2)]
+        await _until(lambda: engine.model.waiting == 3)
+        await self._post(engine, "/cancel", {"request_id": "first"})
+        await asyncio.gather(first, *tasks)
+        self.assertEqual(finished, [1, 2, 3])
+
+    async def test_disconnect_and_cancel_stop_generation(self) -> None:
+        engine = await self._start(EngineSettings(model=SLOW))
+        url = engine.url + "/v1/chat/completions"
+        body = _chat("long", max_tokens=10_000, stream=True)
+        response = await self.session.post(url, json=body)
+        await response.content.readline()
+        response.close()
+        headers = {"X-Request-Id": "r-2"}
+        async with self.session.post(url, json=body, headers=headers) as response:
+            await response.content.readline()  # the slot is free only if the first was cancelled
+            await self._post(engine, "/cancel", {"request_id": "r-2"})
+            with self.assertRaises(aiohttp.ClientError):
+                await response.content.read()
+        self.assertEqual(engine.ledger.cancelled, 2)
+
+    async def test_poison_crashes_and_restarts(self) -> None:
+        engine = await self._start(EngineSettings(model=FAST, restart_ms=60_000))
+        bystander = asyncio.create_task(self._stream(engine, _chat("x", max_tokens=5_000)))
+        await _until(lambda: bool(engine.ledger.by_body))
+        with self.assertRaises(aiohttp.ClientError):
+            await self._post(engine, "/v1/chat/completions", _chat("POISON"))
+        with self.assertRaises(aiohttp.ClientError):
+            await bystander
+        with self.assertRaises(aiohttp.ClientConnectorError):
+            await self._post(engine, "/v1/chat/completions", _chat("down"))
+        engine.end_restart()
+        status = await self._first_answer(engine)
+        self.assertEqual((status, engine.ledger.crashes), (200, 1))
+
+    async def test_orders_with_fencing(self) -> None:
+        honours = await self._start(EngineSettings(load_ms=0, order_key="k"))
+        ignores = await self._start(EngineSettings(load_ms=0, honours_fencing=False))
+        order = {"kind": "load_model", "model": "kopar-2", "fencing": 5}
+        self.assertEqual((await self._post(honours, "/orders", order))[0], 401)
+        headers = {"Authorization": "Bearer k"}
+        self.assertEqual((await self._post(honours, "/orders", order, headers=headers))[0], 200)
+        self.assertIn("kopar-2", honours.state.models)
+        await self._post(ignores, "/orders", order)
+        old = {"kind": "set_role", "role": "prefill", "fencing": 4}
+        self.assertEqual((await self._post(honours, "/orders", old, headers=headers))[0], 409)
+        self.assertEqual((await self._post(ignores, "/orders", old))[0], 200)
+        self.assertEqual((honours.state.role, ignores.state.role), ("any", "prefill"))
+
+    async def test_load_is_reported_late(self) -> None:
+        clock = ManualClock()
+        engine = EngineServer(EngineSettings(model=SLOW), clock)
+        await engine.start()
+        self.addAsyncCleanup(engine.close)
+        task = asyncio.create_task(self._stream(engine, _chat("x", max_tokens=10_000)))
+        await _until(lambda: bool(engine.ledger.by_body))
+        self.assertEqual(engine.model.reported_load().running, 0)
+        clock.advance(SLOW.load_lag_ms)
+        self.assertEqual(engine.model.reported_load().running, 1)
+        task.cancel()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/standin/test_service.py
@@ -0,0 +1,54 @@
+"""Tests of the stand-in plain service."""
+
+from __future__ import annotations
+
+import unittest
+
+import aiohttp
+
+from boragetiller.standin.service import ServiceServer, ServiceSettings, confirmation
+
+
+class ServiceServerTest(unittest.IsolatedAsyncioTestCase):
+    """Calls, ledger and faults."""
+
+    async def asyncSetUp(self) -> None:
+        self.service = ServiceServer(ServiceSettings())
+        await self.service.start()
+        self.addAsyncCleanup(self.service.close)
+        self.session = aiohttp.ClientSession(self.service.url)
+        self.addAsyncCleanup(self.session.close)
+
+    async def _book(self) -> dict[str, str]:
+        headers = {"Idempotency-Key": "k-1", "X-Request-Id": "r-1"}
+        async with self.session.post("/bookings?d=1", data=b"tank", headers=headers) as response:
+            answer: dict[str, str] = await response.json()
+            return answer
+
+    async def test_calls_are_counted(self) -> None:
+        answer = await self._book()
+        self.assertEqual(answer["confirmation"], confirmation("POST", "/bookings?d=1", b"tank"))
+        await self._book()
+        ledger = self.service.ledger
+        self.assertEqual((ledger.by_key["k-1"], ledger.by_request_id["r-1"]), (2, 2))
+
+    async def test_resets_and_truncation(self) -> None:
+        cases = {
+            "reset_before_run": (0, aiohttp.ServerDisconnectedError),
+            "reset_before_first_byte": (1, aiohttp.ServerDisconnectedError),
+            "reset_after_first_byte": (2, aiohttp.ClientError),
+            "truncate": (3, aiohttp.ClientPayloadError),
+        }
+        for fault, (runs, error) in cases.items():
+            async with self.session.post("/faults", json={fault: 1}) as response:
+                self.assertEqual(response.status, 200)
+            with self.subTest(fault), self.assertRaises(error):
+                await self._book()
+            self.assertEqual(self.service.ledger.by_key["k-1"], runs, fault)
+        await self._book()
+        async with self.session.post("/faults", json={"other": 1}) as response:
+            self.assertEqual(response.status, 400)
+
+
+if __name__ == "__main__":
+    unittest.main()
