--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,181 @@
+"""A small fleet in one event loop: memory platform, stand-in backends, real agents and routers."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import attrs
+
+from boragetiller.agent.process import AgentProcess
+from boragetiller.clock import SystemClock
+from boragetiller.platform.clients import PlatformClients
+from boragetiller.platform.hosts import Host
+from boragetiller.platform.memory import MemoryStore
+from boragetiller.platform.memory_hosts import MemoryHostList
+from boragetiller.records.model import BackendGroup, Customer, RequestClass
+from boragetiller.router.process import RouterProcess
+from boragetiller.settings import (
+    BackendKind,
+    BackendSettings,
+    ControlSettings,
+    OperatorSettings,
+    PlatformSettings,
+    Role,
+    Settings,
+)
+
+if TYPE_CHECKING:
+    from boragetiller.records.model import Record
+
+KEY = "test-key"
+LOOPBACK = "127.0.0.1"
+MODEL = "kopar-1"
+
+
+def key_hash(key: str) -> str:
+    """:return: what the records keep of a bearer key"""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def sample_records(engines: tuple[str, ...], services: tuple[str, ...]) -> list[Record]:
+    """
+    Build records for one engine group and one plain-service group.
+
+    :param engines: agents of the engine group
+    :param services: agents of the service group
+    :return: customer, classes and groups
+    """
+    return [
+        BackendGroup(name="pool", members=engines, models=(MODEL,)),
+        BackendGroup(name="app", kind=BackendKind.SERVICE, members=services, shards=4),
+        RequestClass(name="quote", group="pool", tier=0, protected=True),
+        RequestClass(name="note", group="pool", tier=3),
+        RequestClass(name="booking", group="app", tier=0, protected=True, idempotent=False),
+        Customer(name="acme", key_hashes=(key_hash(KEY),), classes=("quote", "note", "booking")),
+    ]
+
+
+@attrs.define
+class Fleet:
+    """Starts and closes everything; `settings` go to each process."""
+
+    settings: dict[str, Any] = attrs.Factory(dict)
+    store: MemoryStore = attrs.Factory(lambda: MemoryStore(SystemClock()))
+    hosts: MemoryHostList = attrs.Factory(lambda: MemoryHostList(SystemClock()))
+    agents: dict[str, AgentProcess] = attrs.Factory(dict)
+    routers: list[RouterProcess] = attrs.Factory(list)
+    session: aiohttp.ClientSession | None = None
+
+    async def add_agent(
+        self, name: str, group: str, url: str, kind: BackendKind = BackendKind.ENGINE, **more: Any
+    ) -> AgentProcess:
+        """
+        Start an agent and list its host.
+
+        :param name: host name
+        :param group: backend group
+        :param url: its backend server
+        :param kind: what the backend server is
+        :param more: further settings
+        :return: the agent
+        """
+        backend = BackendSettings(name=f"{name}-server", group=group, kind=kind, url=url)
+        agent = AgentProcess(
+            self._settings(Role.AGENT, name, backend=backend, **more), self._platform()
+        )
+        await agent.start()
+        self.agents[name] = agent
+        self.hosts.put(_host(name, "agent", agent.endpoints(), group))
+        return agent
+
+    async def add_router(self, name: str, records: list[Record], **more: Any) -> RouterProcess:
+        """
+        Start a router with records in force.
+
+        :param name: host name
+        :param records: what is in force
+        :param more: further settings
+        :return: the router
+        """
+        router = RouterProcess(self._settings(Role.ROUTER, name, seed=7, **more), self._platform())
+        _fill(router, records)
+        await router.start()
+        self.routers.append(router)
+        self.hosts.put(_host(name, "router", router.endpoints(), ""))
+        return router
+
+    async def start(self) -> None:
+        """Open the callers' session."""
+        self.session = aiohttp.ClientSession()
+
+    async def close(self) -> None:
+        """Close every process."""
+        if self.session is not None:
+            await self.session.close()
+        for router in self.routers:
+            await router.close()
+        for agent in self.agents.values():
+            await agent.close()
+
+    def post(
+        self, router: RouterProcess, path: str, body: dict[str, Any] | bytes, **headers: str
+    ) -> Any:
+        """
+        Send a caller's request.
+
+        :param router: which router
+        :param path: path with leading slash
+        :param body: JSON object or raw bytes
+        :param headers: headers, underscores for dashes
+        :return: context manager of the response
+        """
+        assert self.session is not None
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        named.setdefault("Authorization", f"Bearer {KEY}")
+        content = {"data": body} if isinstance(body, bytes) else {"json": body}
+        return self.session.post(router.callers.base_url + path, headers=named, **content)
+
+    def _platform(self) -> PlatformClients:
+        return PlatformClients(self.store, self.hosts)
+
+    def _settings(self, role: Role, name: str, **more: Any) -> Settings:
+        return Settings(
+            role=role,
+            name=name,
+            failure_domain="fd-1",
+            control=ControlSettings(key="control-key"),
+            operator=OperatorSettings(key="operator-key"),
+            platform=PlatformSettings(store_url="", host_list_url=""),
+            **{**self.settings, **more},
+        )
+
+
+def _host(name: str, role: str, endpoints: Any, group: str) -> Host:
+    return Host(
+        name=name,
+        role=role,
+        address=LOOPBACK,
+        data_port=endpoints.data_port,
+        control_port=endpoints.control_port,
+        failure_domain="fd-1",
+        group=group,
+    )
+
+
+def _fill(router: RouterProcess, records: list[Record]) -> None:
+    config = router.config
+    for record in records:
+        match record:
+            case Customer():
+                config.customers[record.name] = record
+                config.customers_by_key |= dict.fromkeys(record.key_hashes, record.name)
+            case RequestClass():
+                config.classes[record.name] = record
+            case BackendGroup():
+                config.groups[record.name] = record
+    config.ready = True
+
+
+__all__ = ["KEY", "MODEL", "Fleet", "key_hash", "sample_records"]
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,93 @@
+"""Requests from caller to backend server and back, in one event loop."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import unittest
+
+import aiohttp
+
+from boragetiller.settings import BackendKind
+from boragetiller.standin.engine import EngineServer, EngineSettings
+from boragetiller.standin.engine_text import expected_text
+from boragetiller.standin.service import ServiceServer, ServiceSettings
+from tests.fleet import MODEL, Fleet, sample_records
+
+CHAT = "/v1/chat/completions"
+
+
+class WholePathTest(unittest.IsolatedAsyncioTestCase):
+    """Two engines, one plain service, one router."""
+
+    async def asyncSetUp(self) -> None:
+        self.engines = [EngineServer(EngineSettings(restart_ms=200)) for _ in range(2)]
+        self.service = ServiceServer(ServiceSettings())
+        self.fleet = Fleet()
+        await self.fleet.start()
+        for index, engine in enumerate(self.engines):
+            await engine.start()
+            await self.fleet.add_agent(f"engine-{index}", "pool", engine.url)
+        await self.service.start()
+        await self.fleet.add_agent("app-0", "app", self.service.url, BackendKind.SERVICE)
+        records = sample_records(("engine-0", "engine-1"), ("app-0",))
+        self.router = await self.fleet.add_router("router-0", records)
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.close()
+        for engine in self.engines:
+            await engine.close()
+        await self.service.close()
+
+    async def test_chat_whole_answer(self) -> None:
+        body = _chat("gauge of a 2 m sheet?", max_tokens=20)
+        async with self.fleet.post(self.router, CHAT, body) as response:
+            answer = await response.json()
+        self.assertEqual(response.status, 200, answer)
+        self.assertEqual(answer["choices"][0]["message"]["content"], expected_text(body))
+        self.assertEqual(answer["usage"]["completion_tokens"], 20)
+
+    async def test_chat_streamed_answer(self) -> None:
+        body = _chat("price of an offcut?", max_tokens=20, stream=True)
+        async with self.fleet.post(self.router, CHAT, body) as response:
+            content = await response.read()
+        self.assertTrue(content.endswith(b"data: [DONE]\n\n"))
+        self.assertEqual(_streamed_text(content), expected_text(body))
+
+    async def test_stream_resumes_after_engine_crash(self) -> None:
+        body = _chat("a long quote", max_tokens=60, stream=True)
+        async with self.fleet.post(self.router, CHAT, body) as response:
+            first = await response.content.readuntil(b"\n\n")
+            busy = next(e for e in self.engines if e.ledger.by_request_id)
+            await self._crash(busy)
+            rest = await response.read()
+        self.assertEqual(_streamed_text(first + rest), expected_text(body))
+
+    async def _crash(self, engine: EngineServer) -> None:
+        with contextlib.suppress(aiohttp.ClientError):
+            await self.fleet.session.post(engine.url + CHAT, json=_chat("POISON"))
+
+    async def test_booking_with_key_runs_once(self) -> None:
+        answers = []
+        for _ in range(2):
+            async with self.fleet.post(
+                self.router, "/services/app/reserve", b'{"sheet":1}', Idempotency_Key="k-1"
+            ) as response:
+                answers.append(await response.read())
+                self.assertEqual(response.status, 200)
+        self.assertEqual(answers[0], answers[1])
+        self.assertEqual(self.service.ledger.by_key["k-1"], 1)
+
+
+def _chat(prompt: str, **more: object) -> dict[str, object]:
+    return {"model": MODEL, "messages": [{"role": "user", "content": prompt}], **more}
+
+
+def _streamed_text(content: bytes) -> str:
+    events = [e[6:] for e in content.split(b"\n\n") if e.startswith(b"data: {")]
+    deltas = [json.loads(e)["choices"] for e in events]
+    return "".join(c[0]["delta"].get("content", "") for c in deltas if c)
+
+
+if __name__ == "__main__":
+    unittest.main()
