Walk the table of failure points against the real adapters

Cause: the verdict of each failure was decided in code only; nothing showed that the page, the code and the wire agree. Change: docs/OUTCOMES.md lists 13 points; tests/test_outcomes_table.py causes each over TCP.

--- a/src/boragetiller/router/traces.py
+++ b/src/boragetiller/router/traces.py
@@ -61,6 +61,10 @@
         while len(self._traces) > self._max_traces:
             self._traces.popitem(last=False)
 
+    def all(self) -> list[Trace]:
+        """:return: every remembered trace, oldest first"""
+        return list(self._traces.values())
+
     def get(self, request_id: str) -> Trace | None:
         """:return: the decisions of a request, None when it is unknown"""
         return self._traces.get(request_id)
--- /dev/null
+++ b/tests/faulty_server.py
@@ -0,0 +1,112 @@
+"""An HTTP server over raw TCP that fails at a chosen point."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from enum import Enum
+
+LOOPBACK = "127.0.0.1"
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\n"
+ERROR = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+BODY = b"0123456789"
+
+
+class Fault(Enum):
+    """Where the server fails."""
+
+    NONE = "none"
+    RESET_BEFORE_FIRST_BYTE = "reset before first byte"
+    RESET_IN_BODY = "reset in body"
+    TRUNCATED = "truncated"
+    SILENT = "silent"
+    SILENT_IN_BODY = "silent in body"
+    SERVER_ERROR = "server error"
+
+
+class FaultyServer:
+    """Fails the first `count` requests, then answers."""
+
+    def __init__(self, fault: Fault, count: int = 1_000_000) -> None:
+        """
+        Prepare the server.
+
+        :param fault: where it fails
+        :param count: how many requests fail
+        """
+        self.fault = fault
+        self.left = count
+        self.requests = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+
+    async def close(self) -> None:
+        """Reset what is open and stop listening."""
+        assert self._server is not None
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await self._server.wait_closed()
+
+    @property
+    def port(self) -> int:
+        """:return: TCP port"""
+        assert self._server is not None
+        return self._server.sockets[0].getsockname()[1]
+
+    @property
+    def url(self) -> str:
+        """:return: base URL"""
+        return f"http://{LOOPBACK}:{self.port}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    await _read_request(reader)
+                    self.requests += 1
+                    fault = self.fault if self.left > 0 else Fault.NONE
+                    self.left -= 1
+                    if not await self._answer(fault, writer, reader):
+                        return
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _answer(
+        self, fault: Fault, writer: asyncio.StreamWriter, reader: asyncio.StreamReader
+    ) -> bool:
+        match fault:
+            case Fault.NONE:
+                writer.write(HEAD + BODY)
+            case Fault.SERVER_ERROR:
+                writer.write(ERROR)
+            case Fault.RESET_BEFORE_FIRST_BYTE:
+                writer.transport.abort()
+            case Fault.RESET_IN_BODY | Fault.TRUNCATED | Fault.SILENT_IN_BODY:
+                writer.write(HEAD + BODY[:4])
+                await writer.drain()
+        if fault in (Fault.SILENT, Fault.SILENT_IN_BODY):
+            await reader.read()  # until the client gives up
+            return False
+        if fault is Fault.RESET_IN_BODY:
+            await asyncio.sleep(0.02)  # lets the first bytes arrive before the reset
+            writer.transport.abort()
+        return fault in (Fault.NONE, Fault.SERVER_ERROR)
+
+
+async def _read_request(reader: asyncio.StreamReader) -> None:
+    head = await reader.readuntil(b"\r\n\r\n")
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            await reader.readexactly(int(line.split(b":")[1]))
+        if line.startswith(b"transfer-encoding: chunked"):
+            await reader.readuntil(b"0\r\n\r\n")
+
+
+__all__ = ["BODY", "Fault", "FaultyServer"]
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -69,7 +69,14 @@
     session: aiohttp.ClientSession | None = None
 
     async def add_agent(
-        self, name: str, group: str, url: str, kind: BackendKind = BackendKind.ENGINE, **more: Any
+        self,
+        name: str,
+        group: str,
+        url: str,
+        kind: BackendKind = BackendKind.ENGINE,
+        *,
+        silence_timeout_ms: int = 30_000,
+        **more: Any,
     ) -> AgentProcess:
         """
         Start an agent and list its host.
@@ -78,13 +85,19 @@
         :param group: backend group
         :param url: its backend server
         :param kind: what the backend server is
+        :param silence_timeout_ms: how long the backend server may stay silent
         :param more: further settings
         :return: the agent
         """
-        backend = BackendSettings(name=f"{name}-server", group=group, kind=kind, url=url)
-        agent = AgentProcess(
-            self._settings(Role.AGENT, name, backend=backend, **more), self._platform()
+        backend = BackendSettings(
+            name=f"{name}-server",
+            group=group,
+            kind=kind,
+            url=url,
+            silence_timeout_ms=silence_timeout_ms,
         )
+        settings = self._settings(Role.AGENT, name, backend=backend, **more)
+        agent = AgentProcess(settings, self._platform())
         await agent.start()
         self.agents[name] = agent
         self.hosts.put(_host(name, "agent", agent.endpoints(), group))
--- /dev/null
+++ b/tests/test_outcomes_table.py
@@ -0,0 +1,180 @@
+"""Walk the table of failure points in docs/OUTCOMES.md against the real adapters."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import unittest
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import aiohttp
+import attrs
+
+from boragetiller.settings import BackendKind, PlacementSettings
+from tests.faulty_server import Fault, FaultyServer
+from tests.fleet import MODEL, Fleet, sample_records
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from boragetiller.router.process import RouterProcess
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "OUTCOMES.md"
+ROW = re.compile(r"^\| `([a-z-]+)` \|(.*)\|$", re.MULTILINE)
+SILENCE_MS = 150
+
+
+@attrs.frozen(kw_only=True)
+class Row:
+    """What the page says of one failure point."""
+
+    code: str
+    verdict: str
+    retried: bool
+
+
+@attrs.frozen(kw_only=True)
+class Seen:
+    """What the caller and the counters showed."""
+
+    code: str
+    verdict: str
+    retried: bool
+
+
+class OutcomesTableTest(unittest.IsolatedAsyncioTestCase):
+    """One scenario for each row; a row without a scenario fails, and the other way round."""
+
+    async def asyncSetUp(self) -> None:
+        placement = PlacementSettings(silence_timeout_ms=SILENCE_MS * 4, max_attempts=2)
+        self.fleet = Fleet({"placement": placement, "keepalive_ms": SILENCE_MS})
+        await self.fleet.start()
+        self.servers: list[FaultyServer] = []
+
+    async def asyncTearDown(self) -> None:
+        for server in self.servers:
+            await server.close()
+        await self.fleet.close()
+
+    async def test_table_matches_adapters(self) -> None:
+        rows = _rows()
+        scenarios = self._scenarios()
+        self.assertEqual(sorted(rows), sorted(scenarios))
+        for name, scenario in scenarios.items():
+            with self.subTest(name):
+                seen = await scenario()
+                self.assertEqual(attrs.asdict(seen), attrs.asdict(rows[name]))
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+
+    def _scenarios(self) -> dict[str, Callable[[], Awaitable[Seen]]]:
+        def backend(fault: Fault, method: str) -> Callable[[], Awaitable[Seen]]:
+            return lambda: self._call_faulty_backend(fault, method)
+
+        return {
+            "connect-refused": self._call_closed_backend,
+            "reset-before-first-byte": backend(Fault.RESET_BEFORE_FIRST_BYTE, "POST"),
+            "reset-before-first-byte-get": backend(Fault.RESET_BEFORE_FIRST_BYTE, "GET"),
+            "silent-before-first-byte": backend(Fault.SILENT, "POST"),
+            "reset-in-body": backend(Fault.RESET_IN_BODY, "POST"),
+            "truncated-body": backend(Fault.TRUNCATED, "POST"),
+            "silent-in-body": backend(Fault.SILENT_IN_BODY, "POST"),
+            "engine-server-error": self._call_failing_engine,
+            "agent-gone": self._call_stopped_agent,
+            "agent-lost": lambda: self._call_faulty_agent(Fault.RESET_BEFORE_FIRST_BYTE),
+            "agent-silent": lambda: self._call_faulty_agent(Fault.SILENT),
+            "agent-draining": self._call_draining_agent,
+            "agent-answer-cut": lambda: self._call_faulty_agent(Fault.TRUNCATED),
+        }
+
+    async def _faulty(self, fault: Fault) -> FaultyServer:
+        server = FaultyServer(fault)
+        await server.start()
+        self.servers.append(server)
+        return server
+
+    async def _router(self) -> RouterProcess:
+        return await self.fleet.add_router("router-0", sample_records(("pool-0",), ("app-0",)))
+
+    async def _add_app(self, url: str) -> None:
+        await self.fleet.add_agent(
+            "app-0", "app", url, BackendKind.SERVICE, silence_timeout_ms=SILENCE_MS
+        )
+
+    async def _call_faulty_backend(self, fault: Fault, method: str) -> Seen:
+        server = await self._faulty(fault)
+        await self._add_app(server.url)
+        return await self._call(await self._router(), method)
+
+    async def _call_closed_backend(self) -> Seen:
+        server = await self._faulty(Fault.NONE)
+        await self._add_app(server.url)
+        await server.close()
+        return await self._call(await self._router())
+
+    async def _call_failing_engine(self) -> Seen:
+        server = await self._faulty(Fault.SERVER_ERROR)
+        await self.fleet.add_agent("pool-0", "pool", server.url)
+        router = await self._router()
+        body = {"model": MODEL, "messages": [{"role": "user", "content": "gauge?"}]}
+        async with self.fleet.post(router, "/v1/chat/completions", body) as response:
+            return _seen(router, (await response.json())["error"])
+
+    async def _call_stopped_agent(self) -> Seen:
+        server = await self._faulty(Fault.NONE)
+        await self._add_app(server.url)
+        router = await self._router()
+        await self.fleet.agents["app-0"].close()
+        return await self._call(router)
+
+    async def _call_draining_agent(self) -> Seen:
+        server = await self._faulty(Fault.NONE)
+        await self._add_app(server.url)
+        router = await self._router()
+        self.fleet.agents["app-0"].server.draining = True
+        return await self._call(router)
+
+    async def _call_faulty_agent(self, fault: Fault) -> Seen:
+        server = await self._faulty(fault)
+        await self._add_app(server.url)
+        router = await self._router()
+        router.agents.entries["app-0"].data_port = server.port
+        return await self._call(router)
+
+    async def _call(self, router: RouterProcess, method: str = "POST") -> Seen:
+        url = router.callers.base_url + "/services/app/reserve"
+        headers = {"Authorization": "Bearer test-key"}
+        assert self.fleet.session is not None
+        async with self.fleet.session.request(method, url, data=b"x", headers=headers) as response:
+            try:
+                content = await response.json(content_type=None)
+                return _seen(router, content["error"])
+            except aiohttp.ClientPayloadError:
+                return await self._seen_cut(router)
+
+    async def _seen_cut(self, router: RouterProcess) -> Seen:
+        await asyncio.sleep(0)
+        steps = [step for trace in router.traces.all() for step in trace.steps]
+        failed = dict(part.split("=") for part in steps[-1].detail.split())
+        return Seen(code=failed["code"], verdict=failed["verdict"], retried=_retried(router))
+
+
+def _seen(router: RouterProcess, error: dict[str, str]) -> Seen:
+    return Seen(code=error["code"], verdict=error["verdict"], retried=_retried(router))
+
+
+def _retried(router: RouterProcess) -> bool:
+    return any(name.startswith("router.retry.") for name in router.metrics.counts)
+
+
+def _rows() -> dict[str, Row]:
+    found: dict[str, Row] = {}
+    for name, rest in ROW.findall(PAGE.read_text(encoding="utf-8")):
+        _point, code, verdict, retried, _why = (cell.strip() for cell in rest.split("|"))
+        found[name] = Row(code=code.strip("`"), verdict=verdict, retried=retried == "yes")
+    return found
+
+
+if __name__ == "__main__":
+    unittest.main()
