--- /dev/null
+++ b/src/boragetiller/systems/outliers.py
@@ -0,0 +1,100 @@
+"""Eject agents that fail, and mark those much slower than their peers."""
+
+from __future__ import annotations
+
+import math
+from statistics import median_low
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from boragetiller.settings import PlacementSettings
+    from boragetiller.tables.agents import AgentEntry
+
+_SMOOTHING = 0.3  # weight of the newest stream
+_MIN_PEERS = 3  # fewer say nothing of what is usual
+
+
+def record_success(agent: AgentEntry) -> None:
+    """
+    Note an answer that arrived whole.
+
+    :param agent: who answered
+    """
+    agent.health.failures = 0
+    agent.health.ejections = 0
+
+
+def record_failure(
+    agent: AgentEntry, group: list[AgentEntry], settings: PlacementSettings, now_ms: int
+) -> bool:
+    """
+    Note a failed attempt; eject the agent after several in a row.
+
+    :param agent: who failed
+    :param group: this router's subset of the group
+    :param settings: when to eject, for how long, and the share of servers that must stay
+    :param now_ms: monotonic time in milliseconds
+    :return: whether the agent was ejected now
+    """
+    health = agent.health
+    health.failures += 1
+    if health.failures < settings.eject_after_failures or health.is_ejected(now_ms):
+        return False
+    ejected = sum(1 for other in group if other.health.is_ejected(now_ms))
+    if ejected + 1 > len(group) - _floor(group, settings):
+        return False
+    duration_ms = min(settings.eject_max_ms, settings.eject_ms * 2**health.ejections)
+    health.ejected_until_ms = now_ms + duration_ms
+    health.ejections = min(health.ejections + 1, 16)
+    health.failures = 0
+    return True
+
+
+def record_gap(agent: AgentEntry, between_tokens_ms: float, now_ms: int) -> None:
+    """
+    Note the mean gap between tokens of a stretch of a relayed stream.
+
+    :param agent: who answered
+    :param between_tokens_ms: mean gap
+    :param now_ms: monotonic time in milliseconds
+    """
+    health = agent.health
+    before_ms = health.between_tokens_ms or between_tokens_ms
+    health.between_tokens_ms = (1 - _SMOOTHING) * before_ms + _SMOOTHING * between_tokens_ms
+    health.measured_ms = now_ms
+
+
+def mark_slow(group: list[AgentEntry], settings: PlacementSettings, now_ms: int) -> list[str]:
+    """
+    Mark agents whose gap is far above the median; protected work avoids them.
+
+    :param group: this router's subset of the group
+    :param settings: factor over the median and the share of servers that must stay
+    :param now_ms: monotonic time in milliseconds
+    :return: names of the slow agents
+    """
+    gaps = {agent.name: _gap_ms(agent, settings, now_ms) for agent in group}
+    known = [gap for gap in gaps.values() if gap > 0]
+    for agent in group:
+        agent.health.slow = False
+    if len(known) < _MIN_PEERS:
+        return []
+    limit_ms = median_low(known) * settings.slow_factor
+    slow = sorted((a for a in group if gaps[a.name] > limit_ms), key=lambda a: -gaps[a.name])
+    slow = slow[: len(group) - _floor(group, settings)]
+    for agent in slow:
+        agent.health.slow = True
+    return [agent.name for agent in slow]
+
+
+def _gap_ms(agent: AgentEntry, settings: PlacementSettings, now_ms: int) -> float:
+    fresh = now_ms - agent.health.measured_ms < settings.slow_memory_ms
+    seen_ms = agent.health.between_tokens_ms if fresh else 0.0
+    return seen_ms or (agent.load.between_tokens_ms if agent.load else 0.0)
+
+
+def _floor(group: list[AgentEntry], settings: PlacementSettings) -> int:
+    return max(1, math.ceil(len(group) * settings.min_healthy_share))
+
+
+__all__ = ["mark_slow", "record_failure", "record_gap", "record_success"]
--- a/src/boragetiller/systems/placement.py
+++ b/src/boragetiller/systems/placement.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from boragetiller.systems.affinity import rank_agents
+
 if TYPE_CHECKING:
     from random import Random
 
@@ -22,6 +24,8 @@
     prefix_hash: int = 0
     fingerprint: str = ""
     excluded: frozenset[str] = frozenset()
+    protected: bool = False
+    failure_domain: str = ""  # of the router
 
 
 def choose_agent(
@@ -29,28 +33,76 @@
     request: PlacementRequest,
     settings: PlacementSettings,
     rng: Random,
-    now_ms: int,  # noqa: ARG001
+    now_ms: int,
 ) -> AgentEntry | None:
     """
-    Pick the agent with the fewest requests among a random few.
+    Pick the agent with the earliest expected first token among a few.
+
+    The few are the agents that the prompt's prefix prefers, or the body's fingerprint where
+    there is no prefix, and random ones.
 
     :param candidates: agents of the group in this router's subset
     :param request: the request to place
-    :param settings: number of choices
+    :param settings: number of choices and what affinity is worth
     :param rng: seeded generator
     :param now_ms: monotonic time in milliseconds
     :return: the agent, or None when no candidate takes work
     """
     usable = [a for a in candidates if a.accepts_work() and a.name not in request.excluded]
+    usable = _without_outliers(usable, request, now_ms)
     if not usable:
         return None
+    key = request.prefix_hash or _fingerprint_key(request)
+    preferred = rank_agents(usable, key, 1)[0] if key else None
     sample = rng.sample(usable, min(settings.choices, len(usable)))
-    return min(sample, key=_outstanding)
+    best = min(sample, key=lambda a: expected_first_token_ms(a, request, settings, now_ms))
+    if preferred is None or preferred is best:
+        return best
+    gain_ms = settings.prefix_gain_ms if request.prefix_hash else settings.fingerprint_gain_ms
+    best_ms = expected_first_token_ms(best, request, settings, now_ms)
+    preferred_ms = expected_first_token_ms(preferred, request, settings, now_ms)
+    return preferred if preferred_ms <= best_ms + gain_ms else best
+
+
+def expected_first_token_ms(
+    agent: AgentEntry, request: PlacementRequest, settings: PlacementSettings, now_ms: int
+) -> float:
+    """
+    Estimate the time to the first token at an agent.
+
+    What this router sent since the last report is known exactly; the reported queue counts less
+    as the report ages; without a report only the own requests count.
+
+    :param agent: the agent
+    :param request: the request to place
+    :param settings: defaults for what was not reported
+    :param now_ms: monotonic time in milliseconds
+    :return: expected time in milliseconds
+    """
+    link_ms = 0 if agent.failure_domain == request.failure_domain else settings.other_domain_ms
+    load = agent.load
+    if load is None:
+        return link_ms + agent.in_flight * settings.unknown_wait_ms
+    age = min(1.0, max(0, now_ms - load.received_ms) / settings.report_fade_ms)
+    slots = max(1, load.max_running)
+    sent = max(0, agent.in_flight - agent.in_flight_at_report)
+    busy = load.running + sent + sum(load.queued[: request.tier + 1]) * (1 - age)
+    wait_ms = max(0.0, busy + 1 - slots) * load.service_ms / slots
+    crowding_ms = settings.crowding_ms * busy / slots
+    return link_ms + load.first_token_ms + wait_ms + crowding_ms
+
+
+def _without_outliers(
+    agents: list[AgentEntry], request: PlacementRequest, now_ms: int
+) -> list[AgentEntry]:
+    healthy = [agent for agent in agents if not agent.health.is_ejected(now_ms)] or agents
+    if not request.protected:
+        return healthy
+    return [agent for agent in healthy if not agent.health.slow] or healthy
 
 
-def _outstanding(agent: AgentEntry) -> int:
-    reported = agent.load.running + sum(agent.load.queued) if agent.load else 0
-    return max(reported, agent.in_flight)
+def _fingerprint_key(request: PlacementRequest) -> int:
+    return int(request.fingerprint[:16], 16) if request.fingerprint else 0
 
 
-__all__ = ["PlacementRequest", "choose_agent"]
+__all__ = ["PlacementRequest", "choose_agent", "expected_first_token_ms"]
--- /dev/null
+++ b/src/boragetiller/systems/rate_limits.py
@@ -0,0 +1,137 @@
+"""
+Customer limits that hold across routers without a call per request.
+
+Each router owns an even share of every limit, 1/routers. A router that needs more borrows unused
+share from a peer for a bounded time. The lender counts the loan longer than the borrower, so that
+the shares never add up to more than the limit; routers that are apart fall back to their own share.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from boragetiller.errors import RateLimited
+from boragetiller.tables.rates import CustomerUsage, Loan
+
+if TYPE_CHECKING:
+    from boragetiller.records.model import Customer
+    from boragetiller.settings import PlacementSettings
+    from boragetiller.tables.rates import RateTable
+
+
+def admit(
+    table: RateTable, customer: Customer, settings: PlacementSettings, now_ms: int
+) -> RateLimited | None:
+    """
+    Count a new request against its customer's limits.
+
+    :param table: usage at this router
+    :param customer: record with the limits
+    :param settings: seconds of rate that may come at once
+    :param now_ms: monotonic time in milliseconds
+    :return: the refusal, None when the request may go on; call :func:`release` at its end
+    """
+    usage = table.usage.setdefault(customer.name, CustomerUsage())
+    share = current_share(table, usage, now_ms)
+    _refill(usage, customer.requests_per_s * share, settings, now_ms)
+    if usage.running >= max(1, math.floor(customer.max_concurrent * share)):
+        return RateLimited("the customer's limit on concurrent requests", retry_after_s=1)
+    if usage.tokens is None or usage.tokens < 1.0:
+        per_s = max(customer.requests_per_s * share, 1 / 60)
+        return RateLimited("the customer's rate limit", retry_after_s=math.ceil(1 / per_s))
+    usage.tokens -= 1.0
+    usage.running += 1
+    return None
+
+
+def release(table: RateTable, customer: str, settings: PlacementSettings, now_ms: int) -> None:
+    """
+    Note the end of an admitted request.
+
+    :param table: usage at this router
+    :param customer: name of the customer
+    :param settings: how long an idle entry is kept
+    :param now_ms: monotonic time in milliseconds
+    """
+    usage = table.usage.get(customer)
+    if usage is None:
+        return
+    usage.running -= 1
+    idle = usage.running == 0 and not (usage.borrowed or usage.lent)
+    if idle and now_ms - usage.refilled_ms > settings.rate_burst_ms:
+        del table.usage[customer]
+
+
+def lend(
+    table: RateTable, customer: Customer, share: float, settings: PlacementSettings, now_ms: int
+) -> float:
+    """
+    Give away unused share for a while.
+
+    :param table: usage at the lender
+    :param customer: record with the limits
+    :param share: what the borrower asks for, of the whole limit
+    :param settings: duration of a loan and the lender's margin
+    :param now_ms: monotonic time of the lender
+    :return: the share lent, 0 when there is none to spare
+    """
+    usage = table.usage.setdefault(customer.name, CustomerUsage())
+    own = 1 / max(1, table.routers) - sum(loan.share for loan in _alive(usage.lent, now_ms))
+    spare = own / 2 - usage.running / customer.max_concurrent
+    granted = max(0.0, min(share, spare))
+    if granted:
+        expires_ms = now_ms + settings.loan_ms + settings.loan_margin_ms
+        usage.lent.append(Loan(granted, expires_ms))
+        usage.tokens = None if usage.tokens is None else min(usage.tokens, 1.0)
+    return granted
+
+
+def borrow(
+    table: RateTable, customer: str, share: float, asked_ms: int, settings: PlacementSettings
+) -> None:
+    """
+    Use share that a peer lent.
+
+    :param table: usage at the borrower
+    :param customer: name of the customer
+    :param share: the share lent
+    :param asked_ms: monotonic time of the borrower when it sent the question
+    :param settings: duration of a loan
+    """
+    usage = table.usage.setdefault(customer, CustomerUsage())
+    usage.borrowed.append(Loan(share, asked_ms + settings.loan_ms))
+
+
+def current_share(table: RateTable, usage: CustomerUsage, now_ms: int) -> float:
+    """
+    Sum up the share of the limits that this router holds now.
+
+    :param table: number of routers
+    :param usage: loans of the customer
+    :param now_ms: monotonic time in milliseconds
+    :return: share of the whole limit
+    """
+    usage.borrowed = _alive(usage.borrowed, now_ms)
+    usage.lent = _alive(usage.lent, now_ms)
+    own = 1 / max(1, table.routers) - sum(loan.share for loan in usage.lent)
+    return own + sum(loan.share for loan in usage.borrowed)
+
+
+def _alive(loans: list[Loan], now_ms: int) -> list[Loan]:
+    return [loan for loan in loans if loan.expires_ms > now_ms]
+
+
+def _refill(
+    usage: CustomerUsage, rate_per_s: float, settings: PlacementSettings, now_ms: int
+) -> None:
+    most = max(1.0, rate_per_s * settings.rate_burst_ms / 1_000)
+    if usage.tokens is None:
+        usage.tokens = most
+    else:
+        earned = rate_per_s * (now_ms - usage.refilled_ms) / 1_000
+        usage.tokens = min(most, usage.tokens + earned)
+    usage.refilled_ms = now_ms
+
+
+__all__ = ["admit", "borrow", "current_share", "lend", "release"]
--- /dev/null
+++ b/src/boragetiller/systems/subsets.py
@@ -0,0 +1,117 @@
+"""Choose the few agents of a group that a router talks to."""
+
+from __future__ import annotations
+
+import heapq
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.hashing import mix, stable_hash
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from boragetiller.settings import PlacementSettings
+
+
+@attrs.frozen
+class Member:
+    """A router or an agent, as the host list places it."""
+
+    name: str
+    failure_domain: str
+    region: str = "default"
+    seed: int = attrs.field(init=False, eq=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Hash the name once."""
+        object.__setattr__(self, "seed", stable_hash(self.name))
+
+
+def choose_subset(
+    router: Member, routers: Sequence[Member], agents: Sequence[Member], settings: PlacementSettings
+) -> list[str]:
+    """
+    Choose agents so that each agent is in about as many subsets as any other.
+
+    Processes that see the same lists agree, and replacing one host changes few subsets.
+
+    :param router: this router
+    :param routers: all routers, this one included or not
+    :param agents: agents of one group
+    :param settings: size of a subset and its share for the own failure domain
+    :return: names in a stable order, own failure domain first, then own region, then others
+    """
+    if len(agents) <= settings.subset_size:
+        return [
+            agent.name for agent in sorted(agents, key=lambda a: (_distance(router, a), a.name))
+        ]
+    near = [agent for agent in agents if agent.failure_domain == router.failure_domain]
+    peers = {peer.name: peer for peer in (*routers, router)}.values()
+    local = [peer for peer in peers if peer.failure_domain == router.failure_domain]
+    size = min(len(near), math.ceil(settings.subset_size * settings.own_domain_share))
+    chosen = _match(local, near, size)[router.name] if size else []
+    taken = set(chosen)
+    rest = [agent for agent in agents if agent.name not in taken]
+    spill = heapq.nsmallest(
+        settings.subset_size - len(chosen),
+        rest,
+        key=lambda agent: (_distance(router, agent), -mix(router.seed ^ agent.seed)),
+    )
+    return [*chosen, *_spread(router, rest, spill)]
+
+
+def _distance(router: Member, agent: Member) -> int:
+    if agent.failure_domain == router.failure_domain:
+        return 0
+    return 1 if agent.region == router.region else 2
+
+
+def _spread(router: Member, rest: list[Member], spill: list[Member]) -> list[str]:
+    """Replace the second half of an all-region spill by other regions, so that one may be lost."""
+    far = [agent for agent in rest if _distance(router, agent) == 2]
+    near = [agent for agent in spill if _distance(router, agent) < 2]
+    keep = len(spill) - min(len(far), len(spill) // 4)
+    near = near[:keep]
+    best = heapq.nlargest(len(spill) - len(near), far, key=lambda a: mix(router.seed ^ a.seed))
+    return [agent.name for agent in (*near, *best)]
+
+
+def _match(routers: list[Member], agents: list[Member], size: int) -> dict[str, list[str]]:
+    """Stable matching: each router gets `size` agents, each agent at most its even share."""
+    share = math.ceil(len(routers) * size / len(agents))
+    held: dict[str, list[tuple[int, str]]] = {agent.name: [] for agent in agents}
+    matched: dict[str, int] = {router.name: 0 for router in routers}
+    wishes = {router.name: _preferences(router, agents) for router in routers}
+    open_routers = sorted(matched)
+    while open_routers:
+        name = open_routers.pop()
+        while matched[name] < size and wishes[name]:
+            score, agent = wishes[name].pop()
+            heapq.heappush(held[agent], (score, name))
+            matched[name] += 1
+            if len(held[agent]) > share:
+                loser = heapq.heappop(held[agent])[1]
+                matched[loser] -= 1
+                if loser != name:
+                    open_routers.append(loser)
+    return _by_router(held, matched)
+
+
+def _preferences(router: Member, agents: list[Member]) -> list[tuple[int, str]]:
+    return sorted((mix(router.seed ^ agent.seed), agent.name) for agent in agents)
+
+
+def _by_router(
+    held: dict[str, list[tuple[int, str]]], routers: dict[str, int]
+) -> dict[str, list[str]]:
+    chosen: dict[str, list[str]] = {name: [] for name in routers}
+    for agent in sorted(held):
+        for _, router in held[agent]:
+            chosen[router].append(agent)
+    return chosen
+
+
+__all__ = ["Member", "choose_subset"]
--- a/src/boragetiller/tables/agents.py
+++ b/src/boragetiller/tables/agents.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+from boragetiller.hashing import stable_hash
+from boragetiller.tables.health import AgentHealth
+
 
 @attrs.define(kw_only=True)
 class LoadReport:
@@ -34,7 +37,23 @@
     leaving: bool = False
     suspected: bool = False
     in_flight: int = 0  # own requests of this router, not yet finished
+    in_flight_at_report: int = 0  # own requests when the report came
     load: LoadReport | None = None
+    health: AgentHealth = attrs.Factory(AgentHealth)
+    seed: int = attrs.field(init=False, eq=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Hash the name once."""
+        self.seed = stable_hash(self.name)
+
+    def update_load(self, load: LoadReport) -> None:
+        """
+        Take a report, late or not, that the agent sent.
+
+        :param load: the report, stamped with the time of receipt
+        """
+        self.load = load
+        self.in_flight_at_report = self.in_flight
 
     def accepts_work(self) -> bool:
         """:return: whether new work may be sent there"""
--- /dev/null
+++ b/tests/systems/test_limits.py
@@ -0,0 +1,87 @@
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from boragetiller.records.model import Customer
+from boragetiller.settings import PlacementSettings
+from boragetiller.systems import rate_limits, retry_budget
+from boragetiller.tables.rates import RateTable
+from boragetiller.tables.retry import RetryBudget
+from boragetiller.verdict import Verdict
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.settings = PlacementSettings(retry_burst=5)
+        self.budget = RetryBudget()
+
+    def test_withdraw_refused_when_spent_and_counted_by_reason(self) -> None:
+        sent = [retry_budget.withdraw(self.budget, "lost", self.settings) for _ in range(7)]
+        self.assertEqual(sent, [True] * 5 + [False] * 2)
+        self.assertEqual((self.budget.retried["lost"], self.budget.refused["lost"]), (5, 2))
+
+    def test_deposit_earns_a_share(self) -> None:
+        self.budget.tokens = 0.0
+        for _ in range(95):
+            retry_budget.deposit(self.budget, self.settings)
+        self.assertAlmostEqual(self.budget.tokens, 5.0)
+
+    def test_retry_delay_grows_to_its_bound(self) -> None:
+        delays = [retry_budget.retry_delay_ms(n, self.settings, Random(1)) for n in (1, 3, 20)]
+        self.assertTrue(10 <= delays[0] <= 20 and 40 <= delays[1] <= 80)
+        self.assertTrue(500 <= delays[2] <= 1_000)
+
+
+class RateLimitsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.settings = PlacementSettings()
+        self.customer = Customer(name="c", max_concurrent=30, requests_per_s=30.0)
+        self.tables = [RateTable(routers=3) for _ in range(3)]
+
+    def admit(self, table: RateTable, count: int, now_ms: int) -> int:
+        taken = 0
+        for _ in range(count):
+            error = rate_limits.admit(table, self.customer, self.settings, now_ms)
+            taken += error is None
+        return taken
+
+    def shares(self, now_ms: int) -> float:
+        return sum(
+            rate_limits.current_share(t, t.usage["c"], now_ms) for t in self.tables if t.usage
+        )
+
+    def test_admit_concurrency_holds_across_routers(self) -> None:
+        self.assertEqual(sum(self.admit(table, 100, 0) for table in self.tables), 30)
+
+    def test_admit_refusal_is_not_run_with_retry_after(self) -> None:
+        self.admit(self.tables[0], 100, 0)
+        error = rate_limits.admit(self.tables[0], self.customer, self.settings, 0)
+        self.assertIs(error.verdict, Verdict.NOT_RUN)
+        self.assertGreaterEqual(error.retry_after_s, 1)
+
+    def test_admit_rate_holds_across_routers(self) -> None:
+        self.customer = Customer(name="c", max_concurrent=10_000, requests_per_s=30.0)
+        taken = sum(self.admit(t, 100, s * 1_000) for t in self.tables for s in range(11))
+        self.assertLessEqual(taken, 30 * 10 + 30 * 2)
+
+    def test_loan_moves_share_and_never_adds_up_to_more(self) -> None:
+        lender, borrower = self.tables[0], self.tables[1]
+        for table in self.tables:
+            self.admit(table, 1, 0)
+        granted = rate_limits.lend(lender, self.customer, 0.3, self.settings, 100)
+        self.assertGreater(granted, 0)
+        rate_limits.borrow(borrower, "c", granted, 0, self.settings)
+        self.assertAlmostEqual(self.shares(200), 1.0)
+        self.assertGreater(self.admit(borrower, 100, 200), 9)
+        self.assertTrue(all(self.shares(now_ms) <= 1.0 + 1e-9 for now_ms in range(0, 9_000, 50)))
+        self.assertAlmostEqual(self.shares(7_000), 1.0)
+
+    def test_release_frees_the_place(self) -> None:
+        self.admit(self.tables[0], 100, 0)
+        rate_limits.release(self.tables[0], "c", self.settings, 0)
+        self.assertEqual(self.admit(self.tables[0], 2, 1_000), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/systems/test_subsets.py
@@ -0,0 +1,55 @@
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from boragetiller.settings import PlacementSettings
+from boragetiller.systems.subsets import Member, choose_subset
+
+
+class SubsetsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.settings = PlacementSettings(subset_size=8)
+        self.routers = [Member(f"r{n}", f"fd{n % 3}", f"reg{n % 3 // 2}") for n in range(30)]
+        self.agents = [Member(f"a{n}", f"fd{n % 3}", f"reg{n % 3 // 2}") for n in range(90)]
+
+    def subsets(self) -> dict[str, list[str]]:
+        return {
+            r.name: choose_subset(r, self.routers, self.agents, self.settings) for r in self.routers
+        }
+
+    def domain(self, name: str) -> str:
+        return next(a.failure_domain for a in self.agents if a.name == name)
+
+    def test_small_group_is_taken_whole(self) -> None:
+        chosen = choose_subset(self.routers[0], self.routers, self.agents[:5], self.settings)
+        self.assertEqual(sorted(chosen), [f"a{n}" for n in range(5)])
+        self.assertEqual(chosen[:2], ["a0", "a3"])
+
+    def test_subset_prefers_own_domain_and_spills(self) -> None:
+        for router in self.routers:
+            domains = [self.domain(name) for name in self.subsets()[router.name]]
+            self.assertEqual(len(set(self.subsets()[router.name])), 8)
+            self.assertEqual(domains[:6], [router.failure_domain] * 6)
+            self.assertNotIn(router.failure_domain, domains[6:])
+
+    def test_own_domain_part_is_balanced(self) -> None:
+        counts = Counter(name for chosen in self.subsets().values() for name in chosen[:6])
+        self.assertEqual({counts[agent.name] for agent in self.agents}, {2})
+
+    def test_replaced_agent_moves_little(self) -> None:
+        before = self.subsets()
+        self.agents[4] = Member("new", "fd1", "reg0")
+        after = self.subsets()
+        moved = sum(len(set(before[name]) - set(after[name])) for name in before)
+        self.assertLess(moved, 0.05 * 30 * 8)
+
+    def test_order_of_lists_does_not_matter(self) -> None:
+        before = self.subsets()
+        self.agents.reverse()
+        self.routers.reverse()
+        self.assertEqual(self.subsets(), before)
+
+
+if __name__ == "__main__":
+    unittest.main()
