--- a/src/boragetiller/systems/subsets.py
+++ b/src/boragetiller/systems/subsets.py
@@ -15,6 +15,8 @@
 
     from boragetiller.settings import PlacementSettings
 
+_MORE_OF_OWN = 3  # beyond its share, the own failure domain comes last
+
 
 @attrs.frozen
 class Member:
@@ -58,7 +60,10 @@
     spill = heapq.nsmallest(
         settings.subset_size - len(chosen),
         rest,
-        key=lambda agent: (_distance(router, agent), -mix(router.seed ^ agent.seed)),
+        key=lambda agent: (
+            _distance(router, agent) or _MORE_OF_OWN,
+            -mix(router.seed ^ agent.seed),
+        ),
     )
     return [*chosen, *_spread(router, rest, spill)]
 
