--- /dev/null
+++ b/src/boragetiller/router/limits.py
@@ -0,0 +1,51 @@
+"""Hold customers to their rate and concurrency limits."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from boragetiller.systems import rate_limits
+from boragetiller.tables.rates import RateTable
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from boragetiller.clock import Clock
+    from boragetiller.records.model import Customer
+    from boragetiller.settings import Settings
+
+
+class CustomerLimits:
+    """Counts requests of customers at this router against its share of their limits."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        """
+        Start with no usage.
+
+        :param settings: burst and loans
+        :param clock: monotonic time
+        """
+        self.table = RateTable()
+        self._settings = settings.placement
+        self._clock = clock
+
+    @contextmanager
+    def admitted(self, customer: Customer) -> Iterator[None]:
+        """
+        Count a request for as long as the context lasts.
+
+        :param customer: who calls
+        :raises RateLimited: the customer is over a limit; the request was not run
+        """
+        refusal = rate_limits.admit(self.table, customer, self._settings, self._clock.now_ms())
+        if refusal is not None:
+            raise refusal
+        try:
+            yield
+        finally:
+            now_ms = self._clock.now_ms()
+            rate_limits.release(self.table, customer.name, self._settings, now_ms)
+
+
+__all__ = ["CustomerLimits"]
--- /dev/null
+++ b/src/boragetiller/router/placer.py
@@ -0,0 +1,125 @@
+"""Choose agents for requests and learn from how attempts end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.events import Event, log_event
+from boragetiller.systems import outliers, retry_budget
+from boragetiller.systems.placement import PlacementRequest, choose_agent
+from boragetiller.tables.retry import RetryBudget
+from boragetiller.verdict import Verdict
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from boragetiller.clock import Clock
+    from boragetiller.errors import BoragetillerError
+    from boragetiller.router.request import RoutedRequest
+    from boragetiller.settings import Settings
+    from boragetiller.tables.agents import AgentEntry, AgentTable
+
+
+class Placer:
+    """Holds what placement needs: the agents, their health and the retry budgets."""
+
+    def __init__(self, settings: Settings, agents: AgentTable, clock: Clock, rng: Random) -> None:
+        """
+        Put the parts together.
+
+        :param settings: settings of the process
+        :param agents: agents of this router's subset
+        :param clock: monotonic time
+        :param rng: seeded generator
+        """
+        self._settings = settings
+        self._agents = agents
+        self._clock = clock
+        self._rng = rng
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def begin(self, group: str) -> RetryBudget:
+        """
+        Count a first attempt.
+
+        :param group: backend group
+        :return: the retry budget of the group
+        """
+        budget = self._budgets.setdefault(group, RetryBudget())
+        retry_budget.deposit(budget, self._settings.placement)
+        return budget
+
+    def choose(self, request: RoutedRequest, tried: set[str]) -> AgentEntry | None:
+        """
+        Place a request.
+
+        :param request: the request
+        :param tried: agents that failed it before, used again only when no other is left
+        :return: an agent that takes work, or None
+        """
+        wanted = PlacementRequest(
+            group=request.group.name,
+            tier=request.request_class.tier,
+            prefix_hash=request.prefix_hash,
+            fingerprint=request.fingerprint,
+            excluded=frozenset(tried),
+            protected=request.request_class.protected,
+            failure_domain=self._settings.failure_domain,
+        )
+        candidates = self.candidates(request)
+        chosen = self._choose(candidates, wanted)
+        if chosen is None and tried:
+            chosen = self._choose(candidates, attrs.evolve(wanted, excluded=frozenset()))
+        return chosen
+
+    def candidates(self, request: RoutedRequest) -> list[AgentEntry]:
+        """
+        List the agents that may serve a request.
+
+        :param request: the request
+        :return: agents of the subset that are members of the group
+        """
+        agents = self._agents.of_group(request.group.name)
+        return [agent for agent in agents if agent.name in request.group.members]
+
+    def note_success(self, agent: AgentEntry) -> None:
+        """
+        Note a whole answer.
+
+        :param agent: who answered
+        """
+        outliers.record_success(agent)
+
+    def note_failure(
+        self, request: RoutedRequest, agent: AgentEntry, error: BoragetillerError
+    ) -> None:
+        """
+        Note a failed attempt; refusals say nothing about health.
+
+        :param request: the request
+        :param agent: who failed
+        :param error: how
+        """
+        unreachable = error.code in ("agent_unreachable", "backend_unreachable")
+        if not unreachable and (error.verdict is Verdict.NOT_RUN or error.code == "preempted"):
+            return
+        group = self.candidates(request)
+        now_ms = self._clock.now_ms()
+        if outliers.record_failure(agent, group, self._settings.placement, now_ms):
+            log_event(Event.AGENT_EJECTED, agent=agent.name, code=error.code)
+
+    def tick(self) -> None:
+        """Mark agents that are much slower than their peers."""
+        now_ms = self._clock.now_ms()
+        groups = {agent.group for agent in self._agents.entries.values()}
+        for group in groups:
+            outliers.mark_slow(self._agents.of_group(group), self._settings.placement, now_ms)
+
+    def _choose(self, candidates: list[AgentEntry], wanted: PlacementRequest) -> AgentEntry | None:
+        now_ms = self._clock.now_ms()
+        return choose_agent(candidates, wanted, self._settings.placement, self._rng, now_ms)
+
+
+__all__ = ["Placer"]
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -14,6 +14,8 @@
 from boragetiller.process import Endpoints, new_incarnation, new_metrics, wait_until_idle
 from boragetiller.router.agent_client import AgentClient
 from boragetiller.router.discovery import Discovery
+from boragetiller.router.limits import CustomerLimits
+from boragetiller.router.placer import Placer
 from boragetiller.router.relay import Relay
 from boragetiller.router.server import CallerServer
 from boragetiller.router.traces import TraceTable
@@ -60,11 +62,13 @@
         self.traces = TraceTable(self.clock)
         self.client = AgentClient(settings)
         self.discovery = Discovery(settings, platform.hosts, self.agents, self.metrics)
+        self.placer = Placer(settings, self.agents, self.clock, self.rng)
         self.relay = Relay(
-            settings, self.agents, self.client, self.traces, self.clock, self.metrics, self.rng
+            settings, self.placer, self.client, self.traces, self.clock, self.metrics, self.rng
         )
+        self.limits = CustomerLimits(settings, self.clock)
         self.server = CallerServer(
-            settings, self.config, self.relay, self.traces, self.metrics, self.rng
+            settings, self.config, self.relay, self.limits, self.traces, self.metrics, self.rng
         )
         self.callers = HttpServer(
             self.server.routes(),
--- a/src/boragetiller/router/relay.py
+++ b/src/boragetiller/router/relay.py
@@ -18,12 +18,12 @@
     AttemptFailed,
     AttemptFinished,
     GiveUp,
+    GiveUpReason,
     Outcome,
     RequestProgress,
     Retry,
     decide_next,
 )
-from boragetiller.systems.placement import PlacementRequest, choose_agent
 from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -34,11 +34,12 @@
     from boragetiller.clock import Clock
     from boragetiller.metrics import Metrics
     from boragetiller.router.agent_client import AgentClient
+    from boragetiller.router.placer import Placer
     from boragetiller.router.request import RoutedRequest
     from boragetiller.router.sinks import AnswerSink
     from boragetiller.router.traces import TraceTable
     from boragetiller.settings import Settings
-    from boragetiller.tables.agents import AgentEntry, AgentTable
+    from boragetiller.tables.agents import AgentEntry
 
 
 @attrs.define(kw_only=True)
@@ -60,7 +61,7 @@
     def __init__(
         self,
         settings: Settings,
-        agents: AgentTable,
+        placer: Placer,
         client: AgentClient,
         traces: TraceTable,
         clock: Clock,
@@ -71,7 +72,7 @@
         Put the parts together.
 
         :param settings: settings of the process
-        :param agents: what is known of the agents
+        :param placer: chooses agents
         :param client: sends attempts
         :param traces: decisions by request
         :param clock: monotonic time
@@ -79,7 +80,7 @@
         :param rng: seeded generator
         """
         self._settings = settings
-        self._agents = agents
+        self._placer = placer
         self._client = client
         self._traces = traces
         self._clock = clock
@@ -107,8 +108,8 @@
                     return await sink.end()
                 case Retry():
                     await self._prepare_retry(journey, step)
-                case GiveUp(error=error):
-                    self._note_failure(request, error)
+                case GiveUp(error=error, reason=reason):
+                    self._note_failure(request, error, reason)
                     return await sink.fail(error)
 
     def _begin(
@@ -118,6 +119,7 @@
             repeatable=request.repeatable,
             keyed=bool(request.key),
             resumable=request.for_engine and request.repeatable,
+            budget=self._placer.begin(request.group.name),
         )
         return Journey(
             request=request,
@@ -137,40 +139,23 @@
         agent.in_flight += 1
         try:
             await self._relay_attempt(journey, agent, attempt)
+            self._placer.note_success(agent)
             return AttemptFinished()
         except BoragetillerError as error:
+            self._placer.note_failure(journey.request, agent, error)
             await self._settle_verdict(journey, agent, attempt, error)
             return AttemptFailed(error, journey.sink.relayed)
         finally:
             agent.in_flight -= 1
 
     def _place(self, journey: Journey) -> AgentEntry | None:
-        request = journey.request
-        candidates = self._candidates(request)
         if journey.owner is not None:
-            owners = [agent for agent in candidates if agent.name == journey.owner]
-            return owners[0] if owners else None
-        wanted = PlacementRequest(
-            group=request.group.name,
-            tier=request.request_class.tier,
-            prefix_hash=request.prefix_hash,
-            fingerprint=request.fingerprint,
-            excluded=frozenset(journey.tried),
-        )
-        now_ms = self._clock.now_ms()
-        settings = self._settings.placement
-        chosen = choose_agent(candidates, wanted, settings, self._rng, now_ms)
-        if chosen is None and journey.tried:
-            again = attrs.evolve(wanted, excluded=frozenset())
-            chosen = choose_agent(candidates, again, settings, self._rng, now_ms)
-        if chosen is not None:
-            journey.tried.add(chosen.name)
-        return chosen
-
-    def _candidates(self, request: RoutedRequest) -> list[AgentEntry]:
-        members = request.group.members
-        agents = self._agents.of_group(request.group.name)
-        return [agent for agent in agents if agent.name in members]
+            candidates = self._placer.candidates(journey.request)
+            return next((agent for agent in candidates if agent.name == journey.owner), None)
+        agent = self._placer.choose(journey.request, journey.tried)
+        if agent is not None:
+            journey.tried.add(agent.name)
+        return agent
 
     def _attempt(self, journey: Journey) -> Attempt:
         request = journey.request
@@ -254,9 +239,13 @@
     def _note(self, request: RoutedRequest, step: str, **details: object) -> None:
         self._traces.add(request.request_id, step, **details)
 
-    def _note_failure(self, request: RoutedRequest, error: BoragetillerError) -> None:
+    def _note_failure(
+        self, request: RoutedRequest, error: BoragetillerError, reason: GiveUpReason
+    ) -> None:
         self._metrics.increment(f"router.failed.{error.code}")
-        self._note(request, "failed", code=error.code, verdict=error.verdict.value)
+        self._metrics.increment(f"router.gave_up.{reason.value}")
+        verdict = error.verdict.value
+        self._note(request, "failed", code=error.code, verdict=verdict, reason=reason.value)
         log_event(
             Event.REQUEST_FAILED,
             request_id=request.request_id,
--- a/src/boragetiller/router/server.py
+++ b/src/boragetiller/router/server.py
@@ -34,6 +34,7 @@
 
     from boragetiller.metrics import Metrics
     from boragetiller.records.model import Customer
+    from boragetiller.router.limits import CustomerLimits
     from boragetiller.router.relay import Relay
     from boragetiller.router.traces import TraceTable
     from boragetiller.settings import Settings
@@ -53,6 +54,7 @@
         settings: Settings,
         config: ConfigTable,
         relay: Relay,
+        limits: CustomerLimits,
         traces: TraceTable,
         metrics: Metrics,
         rng: Random,
@@ -63,6 +65,7 @@
         :param settings: limits
         :param config: records in force
         :param relay: serves routed requests
+        :param limits: customers' limits
         :param traces: decisions by request
         :param metrics: counters
         :param rng: generator of request ids
@@ -70,6 +73,7 @@
         self._settings = settings
         self._config = config
         self._relay = relay
+        self._limits = limits
         self._traces = traces
         self._metrics = metrics
         self._rng = rng
@@ -154,7 +158,8 @@
             transcript = EngineTranscript()
             whole = routed.for_engine and not routed.streamed
             sink = WholeSink(transcript, request_id) if whole else StreamSink(request, request_id)
-            return await self._relay.run(routed, sink, transcript)
+            with self._limits.admitted(routed.customer):
+                return await self._relay.run(routed, sink, transcript)
         except BoragetillerError as error:
             return self._refuse(error, request_id)
         except (asyncio.CancelledError, ConnectionError):
--- a/src/boragetiller/systems/outcomes.py
+++ b/src/boragetiller/systems/outcomes.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
 import attrs
 
-from boragetiller.errors import BoragetillerError, NotOwner
+from boragetiller.errors import BoragetillerError, NotOwner, Preempted
+from boragetiller.systems.retry_budget import retry_delay_ms, withdraw
 from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
     from random import Random
 
     from boragetiller.settings import PlacementSettings
+    from boragetiller.tables.retry import RetryBudget
 
 
 @attrs.frozen
@@ -39,6 +42,7 @@
     repeatable: bool
     keyed: bool
     resumable: bool
+    budget: RetryBudget
     attempts: int = 0
     verdict: Verdict = Verdict.NOT_RUN
 
@@ -57,11 +61,22 @@
     owner: str | None = None
 
 
+class GiveUpReason(Enum):
+    """Why no further attempt is made; counted by value."""
+
+    FINAL = "final"  # another attempt would end the same way
+    ATTEMPTS = "attempts"
+    RELAYED = "relayed"  # the caller has part of an answer that cannot be resumed
+    NOT_REPEATABLE = "not_repeatable"
+    RETRY_BUDGET = "retry_budget"
+
+
 @attrs.frozen
 class GiveUp:
     """Tell the caller the error, with the verdict over all attempts."""
 
     error: BoragetillerError
+    reason: GiveUpReason
 
 
 NextStep = Answered | Retry | GiveUp
@@ -100,28 +115,32 @@
 ) -> NextStep:
     error = outcome.error
     progress.verdict = progress.verdict.combined(error.verdict)
-    if not _may_retry(outcome, progress, settings):
-        return GiveUp(_with_verdict(error, progress.verdict))
-    delay_ms = 0 if isinstance(error, NotOwner) else _backoff_ms(progress.attempts, settings, rng)
+    refusal = _refusal(outcome, progress, settings)
+    if refusal is not None:
+        return GiveUp(_with_verdict(error, progress.verdict), refusal)
+    if isinstance(error, (NotOwner, Preempted)):
+        return Retry(delay_ms=0, reason=error.code, owner=error.owner)
+    if not withdraw(progress.budget, error.code, settings):
+        return GiveUp(_with_verdict(error, progress.verdict), GiveUpReason.RETRY_BUDGET)
+    delay_ms = retry_delay_ms(progress.attempts, settings, rng)
     return Retry(delay_ms=delay_ms, reason=error.code, owner=error.owner)
 
 
-def _may_retry(
+def _refusal(
     outcome: AttemptFailed, progress: RequestProgress, settings: PlacementSettings
-) -> bool:
+) -> GiveUpReason | None:
     error = outcome.error
-    if not error.retryable or progress.attempts >= settings.max_attempts:
-        return False
+    if not error.retryable:
+        return GiveUpReason.FINAL
+    if progress.attempts >= settings.max_attempts:
+        return GiveUpReason.ATTEMPTS
     if outcome.relayed and not progress.resumable:
-        return False
+        return GiveUpReason.RELAYED
     if error.verdict is Verdict.NOT_RUN and progress.verdict is Verdict.NOT_RUN:
-        return True
-    return progress.repeatable or progress.keyed  # the owner of a key runs it at most once
-
-
-def _backoff_ms(attempts: int, settings: PlacementSettings, rng: Random) -> int:
-    ceiling_ms = min(settings.retry_max_ms, settings.retry_base_ms * 2 ** max(0, attempts - 1))
-    return rng.randint(0, ceiling_ms)
+        return None
+    if progress.repeatable or progress.keyed:  # the owner of a key runs it at most once
+        return None
+    return GiveUpReason.NOT_REPEATABLE
 
 
 def _with_verdict(error: BoragetillerError, verdict: Verdict) -> BoragetillerError:
@@ -134,6 +153,7 @@
     "AttemptFailed",
     "AttemptFinished",
     "GiveUp",
+    "GiveUpReason",
     "NextStep",
     "Outcome",
     "RequestProgress",
