--- /dev/null
+++ b/src/boragetiller/cli/main.py
@@ -0,0 +1,152 @@
+"""Entry point of `boragetiller`."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import TYPE_CHECKING, Any
+
+import fire
+
+from boragetiller.cli import apply as apply_command
+from boragetiller.cli import read
+from boragetiller.cli.exit_codes import ExitCode
+from boragetiller.cli.options import office_name, positive, read_file, store_options
+from boragetiller.errors import BoragetillerError, SettingsInvalid, StoreUnavailable
+from boragetiller.records.schema import NEWEST_SCHEMA_VERSION
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+DEFAULT_TIMEOUT_MS = 2_000
+
+
+class _Invocation:
+    """A command with its arguments, run only after the whole command line was understood."""
+
+    __slots__ = ("_make",)
+
+    def __init__(self, make: Callable[[], Coroutine[Any, Any, ExitCode]]) -> None:
+        self._make = make
+
+
+class Commands:
+    """Write and read the records, and ask routers what they do."""
+
+    def apply(
+        self,
+        file: str,
+        store_url: str | None = None,
+        office: str | None = None,
+        output: str = "table",
+        timeout_ms: int = DEFAULT_TIMEOUT_MS,
+    ) -> _Invocation:
+        """
+        Write the records of FILE (`-` for standard input); running it again is harmless.
+
+        :param store_url: base URL of the store; default BORAGETILLER_STORE_URL
+        :param office: who writes; default BORAGETILLER_OFFICE
+        :param output: table or json
+        :param timeout_ms: time limit of one call to the store
+        """
+        return _Invocation(
+            lambda: apply_command.apply_records(
+                read_file(file),
+                str(file),
+                office_name(office),
+                store_options(store_url, timeout_ms, output),
+            )
+        )
+
+    def get(
+        self,
+        record: str,
+        store_url: str | None = None,
+        schema_version: int = NEWEST_SCHEMA_VERSION,
+        output: str = "table",
+        timeout_ms: int = DEFAULT_TIMEOUT_MS,
+    ) -> _Invocation:
+        """
+        Print RECORD (kind/name) as a YAML document that `apply` takes back.
+
+        :param store_url: base URL of the store; default BORAGETILLER_STORE_URL
+        :param schema_version: schema version of the document
+        :param output: table (YAML) or json
+        :param timeout_ms: time limit of one call to the store
+        """
+        return _Invocation(
+            lambda: read.get_record(
+                str(record),
+                positive("--schema-version", schema_version),
+                store_options(store_url, timeout_ms, output),
+            )
+        )
+
+    def list(
+        self,
+        kind: str | None = None,
+        store_url: str | None = None,
+        output: str = "table",
+        timeout_ms: int = DEFAULT_TIMEOUT_MS,
+    ) -> _Invocation:
+        """
+        List the records, only those of KIND (customer, class, group) when it is given.
+
+        :param store_url: base URL of the store; default BORAGETILLER_STORE_URL
+        :param output: table or json
+        :param timeout_ms: time limit of one call to the store
+        """
+        return _Invocation(
+            lambda: read.list_records(kind, store_options(store_url, timeout_ms, output))
+        )
+
+
+def main() -> None:
+    """Run one command; ends the process with a code of :class:`ExitCode`."""
+    sys.exit(run(sys.argv[1:]))
+
+
+def run(arguments: list[str]) -> int:
+    """
+    Run one command.
+
+    :param arguments: command line without the program name
+    :return: exit code
+    """
+    try:
+        invocation = fire.Fire(
+            Commands, command=arguments, name="boragetiller", serialize=_hide_invocation
+        )
+        if not isinstance(invocation, _Invocation):
+            return ExitCode.INVALID if arguments else ExitCode.DONE
+        return asyncio.run(invocation._make())
+    except SettingsInvalid as error:
+        return _fail(ExitCode.INVALID, str(error))
+    except StoreUnavailable:
+        return _fail(ExitCode.UNREACHABLE, "the store does not answer; try again later")
+    except BoragetillerError as error:
+        return _fail(ExitCode.FAILED, f"{error.code}: {error}")
+    except KeyboardInterrupt:
+        return _fail(ExitCode.UNKNOWN, "interrupted; run the same command again to be sure")
+    except BrokenPipeError:
+        return ExitCode.FAILED
+    except SystemExit as stop:  # fire has printed help or a usage error
+        return stop.code if isinstance(stop.code, int) else ExitCode.INVALID
+    except Exception as error:  # noqa: BLE001
+        return _fail(ExitCode.FAILED, f"unexpected {type(error).__name__}: {error}")
+
+
+def _hide_invocation(result: object) -> object:
+    return None if isinstance(result, _Invocation) else result
+
+
+def _fail(code: ExitCode, message: str) -> ExitCode:
+    print(f"boragetiller: {message}", file=sys.stderr)
+    return code
+
+
+__all__ = ["Commands", "main", "run"]
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/boragetiller/cli/options.py
@@ -0,0 +1,132 @@
+"""Options that several commands share, with defaults from the environment."""
+
+from __future__ import annotations
+
+import os
+import re
+import sys
+from pathlib import Path
+
+import attrs
+
+from boragetiller.cli.report import OutputFormat, output_format
+from boragetiller.errors import SettingsInvalid
+
+STORE_URL_VARIABLE = "BORAGETILLER_STORE_URL"
+OFFICE_VARIABLE = "BORAGETILLER_OFFICE"
+OPERATOR_URL_VARIABLE = "BORAGETILLER_OPERATOR_URL"
+OPERATOR_KEY_VARIABLE = "BORAGETILLER_OPERATOR_KEY"
+_OFFICE_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+
+
+@attrs.frozen(kw_only=True)
+class StoreOptions:
+    """Where the store is and how to print."""
+
+    store_url: str
+    timeout_ms: int
+    output: OutputFormat
+
+
+@attrs.frozen(kw_only=True)
+class OperatorOptions:
+    """Where a router's operator port is and how to print."""
+
+    operator_urls: tuple[str, ...]
+    operator_key: str = attrs.field(repr=False)
+    timeout_ms: int
+    output: OutputFormat
+
+
+def store_options(store_url: object, timeout_ms: object, output: object) -> StoreOptions:
+    """
+    Check the options of a command that talks to the store.
+
+    :raises SettingsInvalid: saying which option is missing or wrong
+    """
+    return StoreOptions(
+        store_url=_required(store_url, "--store-url", STORE_URL_VARIABLE),
+        timeout_ms=positive("--timeout-ms", timeout_ms),
+        output=output_format(str(output)),
+    )
+
+
+def operator_options(
+    operator_url: object, operator_key: object, timeout_ms: object, output: object
+) -> OperatorOptions:
+    """
+    Check the options of a command that talks to routers.
+
+    :raises SettingsInvalid: saying which option is missing or wrong
+    """
+    if isinstance(operator_url, list | tuple):
+        operator_url = ",".join(map(str, operator_url))
+    urls = _required(operator_url, "--operator-url", OPERATOR_URL_VARIABLE).split(",")
+    for url in urls:
+        if not url.startswith(("http://", "https://")):
+            raise SettingsInvalid(f"--operator-url {url}: must begin with http:// or https://")
+    return OperatorOptions(
+        operator_urls=tuple(url.rstrip("/") for url in urls),
+        operator_key=_required(operator_key, "--operator-key", OPERATOR_KEY_VARIABLE),
+        timeout_ms=positive("--timeout-ms", timeout_ms),
+        output=output_format(str(output)),
+    )
+
+
+def office_name(office: object) -> str:
+    """
+    Check the name of the writing office.
+
+    :raises SettingsInvalid: when it is missing or malformed
+    """
+    name = _required(office, "--office", OFFICE_VARIABLE)
+    if not _OFFICE_PATTERN.fullmatch(name):
+        raise SettingsInvalid(f"--office {name}: must match {_OFFICE_PATTERN.pattern}")
+    return name
+
+
+def positive(option: str, value: object) -> int:
+    """
+    Check a whole number above zero.
+
+    :raises SettingsInvalid: when it is none
+    """
+    if isinstance(value, bool) or not isinstance(value, int) or value <= 0:
+        raise SettingsInvalid(f"{option} {value}: must be a whole number above 0")
+    return value
+
+
+def read_file(path: object) -> str:
+    """
+    Read a file of records, or standard input for `-`.
+
+    :raises SettingsInvalid: when it cannot be read
+    """
+    try:
+        if str(path) == "-":
+            return sys.stdin.read()
+        return Path(str(path)).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError, ValueError) as error:
+        raise SettingsInvalid(f"{path}: cannot be read: {error}") from error
+
+
+def _required(value: object, option: str, variable: str) -> str:
+    text = os.environ.get(variable, "") if value is None else str(value)
+    if not text or value is True:
+        raise SettingsInvalid(f"{option} missing; give it or set {variable}")
+    return text
+
+
+__all__ = [
+    "OFFICE_VARIABLE",
+    "OPERATOR_KEY_VARIABLE",
+    "OPERATOR_URL_VARIABLE",
+    "STORE_URL_VARIABLE",
+    "OperatorOptions",
+    "StoreOptions",
+    "office_name",
+    "operator_options",
+    "positive",
+    "read_file",
+    "store_options",
+]
--- /dev/null
+++ b/src/boragetiller/cli/read.py
@@ -0,0 +1,147 @@
+"""`boragetiller get`, `list` and `history`: show stored records."""
+
+from __future__ import annotations
+
+import json
+from datetime import UTC, datetime
+from typing import TYPE_CHECKING, Any
+
+from boragetiller.cli.exit_codes import ExitCode
+from boragetiller.cli.report import OutputFormat, Report, format_value, print_report
+from boragetiller.cli.store_access import find_record, open_store, read_pages
+from boragetiller.errors import SettingsInvalid
+from boragetiller.records.documents import document_of, document_yaml
+from boragetiller.records.pages import split_record_id
+from boragetiller.records.schema import NEWEST_SCHEMA_VERSION, RecordKind
+
+if TYPE_CHECKING:
+    from boragetiller.cli.options import StoreOptions
+    from boragetiller.records.pages import StoredRecord, WriteNote
+
+MS_PER_S = 1_000
+
+
+async def get_record(record_id: str, schema_version: int, options: StoreOptions) -> ExitCode:
+    """
+    Print one record as a document that `apply` takes back.
+
+    :param record_id: kind and name
+    :param schema_version: version of the document
+    :param options: store and output
+    :return: exit code
+    """
+    kind, name = split_record_id(record_id)
+    if not 1 <= schema_version <= NEWEST_SCHEMA_VERSION:
+        raise SettingsInvalid(f"--schema-version: allowed: 1 to {NEWEST_SCHEMA_VERSION}")
+    async with open_store(options.store_url, options.timeout_ms) as store:
+        record = find_record(await read_pages(store), record_id)
+    if record.schema_version > NEWEST_SCHEMA_VERSION:
+        raise SettingsInvalid(
+            f"{record_id}: stored in schema version {record.schema_version}; "
+            "install a newer boragetiller to read it"
+        )
+    document = document_of(
+        kind, name, record.fields, record.revision, schema_version=schema_version
+    )
+    if options.output is OutputFormat.JSON:
+        print(json.dumps(document, indent=2, ensure_ascii=False))
+    else:
+        print(document_yaml(document), end="")
+    return ExitCode.DONE
+
+
+async def list_records(kind: str | None, options: StoreOptions) -> ExitCode:
+    """
+    Print every record in one line each.
+
+    :param kind: only records of this kind, None for all
+    :param options: store and output
+    :return: exit code
+    """
+    wanted = _kind(kind).value if kind is not None else None
+    async with open_store(options.store_url, options.timeout_ms) as store:
+        pages = await read_pages(store)
+    records = {
+        record_id: record
+        for stored in pages.values()
+        for record_id, record in stored.page.records.items()
+        if not record.absent and wanted in (None, record_id.partition("/")[0])
+    }
+    summaries = [_summary(record_id, records[record_id]) for record_id in sorted(records)]
+    columns = ("record", "revision", "schema_version", "office", "at")
+    problems = tuple(f"cannot be read: {s.problem}" for s in pages.values() if s.problem)
+    report = Report(
+        columns=columns,
+        rows=[tuple(summary[column] for column in columns) for summary in summaries],
+        data=summaries,
+        notes=problems,
+    )
+    print_report(report, options.output)
+    return ExitCode.DONE
+
+
+async def show_history(record_id: str, options: StoreOptions) -> ExitCode:
+    """
+    Print the writes of a record that its page still keeps.
+
+    :param record_id: kind and name
+    :param options: store and output
+    :return: exit code
+    """
+    async with open_store(options.store_url, options.timeout_ms) as store:
+        record = find_record(await read_pages(store), record_id)
+    rows = []
+    for note in record.history:
+        rows.append(
+            (note.revision, time_text(note.at_ms), note.office, note.schema_version, note.write_id)
+            + (_changes_text(note),)
+        )
+    data = [_note_data(note) for note in record.history]
+    oldest = record.history[0].revision if record.history else 0
+    notes = (f"earlier writes are no longer kept: {oldest - 1}",) if oldest > 1 else ()
+    columns = ("revision", "at", "office", "schema_version", "write_id", "changes")
+    print_report(Report(columns=columns, rows=rows, data=data, notes=notes), options.output)
+    return ExitCode.DONE
+
+
+def time_text(at_ms: int) -> str:
+    """:return: a wall clock time in UTC"""
+    return datetime.fromtimestamp(at_ms / MS_PER_S, tz=UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
+
+
+def _kind(text: str) -> RecordKind:
+    return split_record_id(f"{text}/any")[0]
+
+
+def _summary(record_id: str, record: StoredRecord) -> dict[str, Any]:
+    last = record.history[-1] if record.history else None
+    return {
+        "record": record_id,
+        "revision": record.revision,
+        "schema_version": record.schema_version,
+        "office": last.office if last else None,
+        "at": time_text(last.at_ms) if last else None,
+    }
+
+
+def _changes_text(note: WriteNote) -> str:
+    if note.revision == 1:
+        return "created"
+    return "; ".join(
+        f"{name}: {format_value(old)} -> {format_value(new)}"
+        for name, (old, new) in note.changes.items()
+    )
+
+
+def _note_data(note: WriteNote) -> dict[str, Any]:
+    return {
+        "revision": note.revision,
+        "at": time_text(note.at_ms),
+        "office": note.office,
+        "schema_version": note.schema_version,
+        "write_id": note.write_id,
+        "changes": {name: list(pair) for name, pair in note.changes.items()},
+    }
+
+
+__all__ = ["get_record", "list_records", "show_history", "time_text"]
--- /dev/null
+++ b/src/boragetiller/cli/writer.py
@@ -0,0 +1,242 @@
+"""Write documents to the store by compare-and-swap, with a true answer for each."""
+
+from __future__ import annotations
+
+import asyncio
+from copy import deepcopy
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.cli.store_access import StoredPage, decode_entry, read_pages
+from boragetiller.errors import BoragetillerError, RevisionConflict, StoreUnavailable
+from boragetiller.records.pages import (
+    MAX_RECENT_WRITES,
+    Page,
+    encode_page,
+    page_index,
+    page_key,
+)
+from boragetiller.records.schema import RecordKind
+from boragetiller.records.writes import (
+    PendingWrite,
+    WriteResult,
+    WriteState,
+    apply_write,
+    begin_write,
+    write_is_settled,
+)
+from boragetiller.systems.config_pages import PageUpdate, take_pages
+from boragetiller.tables.config import ConfigTable
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from boragetiller.platform.store import Store
+    from boragetiller.records.documents import RecordDocument
+    from boragetiller.records.references import ReferenceProblem
+
+MS_PER_S = 1_000
+MAX_BATCH_WRITES = MAX_RECENT_WRITES // 2
+_ORDER = (RecordKind.GROUP, RecordKind.CLASS, RecordKind.CUSTOMER)
+
+
+@attrs.frozen(kw_only=True)
+class WriterSettings:
+    """How long a writer tries."""
+
+    attempts: int = 8
+    retry_base_ms: int = 50
+    retry_max_ms: int = 2_000
+
+
+@attrs.frozen(kw_only=True)
+class _LostReply:
+    expected_revision: int
+    write_count: int
+
+
+class RecordWriter:
+    """Writes the documents of one office."""
+
+    def __init__(
+        self, store: Store, office: str, rng: Random, settings: WriterSettings | None = None
+    ) -> None:
+        """
+        Prepare.
+
+        :param store: the platform's store
+        :param office: name that the history shows
+        :param rng: jitters the delays between attempts
+        :param settings: number of attempts and their delays
+        """
+        self._store = store
+        self._office = office
+        self._rng = rng
+        self._settings = settings or WriterSettings()
+
+    async def write(self, documents: list[RecordDocument], at_ms: int) -> list[WriteResult]:
+        """
+        Write documents; those of one page go in one swap.
+
+        :param documents: what the operator wants
+        :param at_ms: wall clock in milliseconds since 1970 in UTC
+        :return: a result for each document, in order
+        """
+        try:
+            pages = await self._read_pages()
+        except StoreUnavailable:
+            return [_unsent(d.record_id, "the store does not answer") for d in documents]
+        writes = [self._begin(pages, document, at_ms) for document in documents]
+        problems = check_references(pages, writes)
+        if problems:
+            text = "nothing of the file was written: " + "; ".join(map(str, problems))
+            return [_refused(write, text) for write in writes]
+        results: dict[str, WriteResult] = {}
+        for index, batch in _batches(writes):
+            for result in await self._write_page(index, batch):
+                results[result.record_id] = result
+        return [results[document.record_id] for document in documents]
+
+    def _begin(
+        self, pages: dict[int, StoredPage], document: RecordDocument, at_ms: int
+    ) -> PendingWrite:
+        stored = pages.get(page_index(document.record_id))
+        page = stored.page if stored else Page()
+        return begin_write(page, document, self._office, at_ms)
+
+    async def _read_pages(self) -> dict[int, StoredPage]:
+        for attempt in range(1, self._settings.attempts):
+            try:
+                return await read_pages(self._store)
+            except StoreUnavailable:
+                await self._back_off(attempt)
+        return await read_pages(self._store)
+
+    async def _write_page(self, index: int, writes: list[PendingWrite]) -> list[WriteResult]:
+        lost: _LostReply | None = None
+        for attempt in range(self._settings.attempts):
+            if attempt:
+                await self._back_off(attempt)
+            try:
+                stored = decode_entry(await self._store.get(page_key(index)))
+            except StoreUnavailable:
+                continue
+            if stored.problem:
+                return [_refused(write, stored.problem) for write in writes]
+            if lost is not None and stored.revision < lost.expected_revision:
+                continue  # a stale read
+            if lost is not None and stored.revision > lost.expected_revision:
+                unsettled = [
+                    write
+                    for write in writes
+                    if not write_is_settled(stored.page, write, lost.write_count)
+                ]
+                if unsettled:
+                    break
+                lost = None
+            write_count = stored.page.write_count
+            results = [apply_write(stored.page, write) for write in writes]
+            if stored.page.write_count == write_count:
+                return results
+            try:
+                await self._put(index, stored)
+            except RevisionConflict:
+                continue
+            except StoreUnavailable:
+                lost = lost or _LostReply(
+                    expected_revision=stored.revision, write_count=write_count
+                )
+                continue
+            except BoragetillerError as error:
+                return [_refused(write, str(error)) for write in writes]
+            return results
+        return [_undecided(write, lost is not None) for write in writes]
+
+    async def _put(self, index: int, stored: StoredPage) -> None:
+        data = encode_page(stored.page)
+        await self._store.put(page_key(index), data, expected_revision=stored.revision)
+
+    async def _back_off(self, attempt: int) -> None:
+        ceiling_ms = min(self._settings.retry_base_ms * 2**attempt, self._settings.retry_max_ms)
+        await asyncio.sleep(self._rng.uniform(0, ceiling_ms) / MS_PER_S)
+
+
+def check_references(
+    pages: dict[int, StoredPage], writes: list[PendingWrite]
+) -> list[ReferenceProblem]:
+    """
+    Tell which references would newly fail if all writes were accepted.
+
+    :param pages: pages as stored
+    :param writes: writes that are about to be made
+    :return: problems that the stored records do not have yet
+    """
+    before = _table_of(pages)
+    after_pages = deepcopy(pages)
+    for write in writes:
+        index = page_index(write.document.record_id)
+        stored = after_pages.setdefault(index, StoredPage(revision=0, data=b"", page=Page()))
+        apply_write(stored.page, write)
+    after = _table_of(after_pages)
+    return [p for p in after.reference_problems if p not in before.reference_problems]
+
+
+def missing_references(pages: dict[int, StoredPage]) -> list[ReferenceProblem]:
+    """:return: references of the stored records that do not hold"""
+    return list(_table_of(pages).reference_problems)
+
+
+def _table_of(pages: dict[int, StoredPage]) -> ConfigTable:
+    table = ConfigTable()
+    updates = [
+        PageUpdate(index=index, revision=1, data=encode_page(stored.page))
+        for index, stored in pages.items()
+    ]
+    take_pages(table, updates, now_ms=0)
+    return table
+
+
+def _batches(writes: list[PendingWrite]) -> list[tuple[int, list[PendingWrite]]]:
+    phases: list[list[PendingWrite]] = []
+    for kind in _ORDER:
+        phases.append([w for w in writes if w.document.kind is kind and not w.document.absent])
+    for kind in reversed(_ORDER):
+        phases.append([w for w in writes if w.document.kind is kind and w.document.absent])
+    batches = []
+    for phase in phases:
+        by_page: dict[int, list[PendingWrite]] = {}
+        for write in phase:
+            by_page.setdefault(page_index(write.document.record_id), []).append(write)
+        for index, batch in sorted(by_page.items()):
+            starts = range(0, len(batch), MAX_BATCH_WRITES)
+            batches += [(index, batch[start : start + MAX_BATCH_WRITES]) for start in starts]
+    return batches
+
+
+def _refused(write: PendingWrite, message: str) -> WriteResult:
+    return WriteResult(
+        record_id=write.document.record_id,
+        state=WriteState.REFUSED,
+        write_id=write.write_id,
+        message=message,
+    )
+
+
+def _unsent(record_id: str, message: str) -> WriteResult:
+    return WriteResult(record_id=record_id, state=WriteState.NOT_ACCEPTED, message=message)
+
+
+def _undecided(write: PendingWrite, reply_lost: bool) -> WriteResult:
+    if not reply_lost:
+        message = "the store does not answer or is too busy; nothing was written"
+        return _unsent(write.document.record_id, message)
+    return WriteResult(
+        record_id=write.document.record_id,
+        state=WriteState.UNKNOWN,
+        write_id=write.write_id,
+        message="a write was sent and its reply was lost; run the same command again to settle it",
+    )
+
+
+__all__ = ["RecordWriter", "WriterSettings", "check_references", "missing_references"]
--- /dev/null
+++ b/src/boragetiller/records/documents.py
@@ -0,0 +1,201 @@
+"""Record documents: the YAML that operators write and read."""
+
+from __future__ import annotations
+
+import re
+from typing import Any, NoReturn
+
+import attrs
+import yaml
+
+from boragetiller.errors import SettingsInvalid
+from boragetiller.records.schema import (
+    ABSENT_FIELD,
+    NEWEST_SCHEMA_VERSION,
+    RecordKind,
+    check_value,
+    default_of,
+    fields_of,
+    to_stored,
+    type_of,
+)
+from boragetiller.structure import structure_node
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+MAX_FILE_BYTES = 16_000_000
+_HEADER = ("kind", "name", "schema_version", "base_revision", ABSENT_FIELD)
+
+
+@attrs.frozen(kw_only=True)
+class RecordDocument:
+    """One record as a writer wants it; `fields` holds only what was given, in stored form."""
+
+    kind: RecordKind
+    name: str
+    schema_version: int
+    fields: dict[str, Any]
+    base_revision: int | None = None
+    line: int = 1
+
+    @property
+    def record_id(self) -> str:
+        """:return: kind and name, unique over all records"""
+        return f"{self.kind.value}/{self.name}"
+
+    @property
+    def absent(self) -> bool:
+        """:return: whether the writer wants the record removed"""
+        return bool(self.fields[ABSENT_FIELD])
+
+
+def parse_documents(text: str, *, source: str = "input") -> list[RecordDocument]:
+    """
+    Read every YAML document of a file.
+
+    :param text: one or more YAML documents
+    :param source: name of the file for error texts
+    :return: the documents in order
+    :raises SettingsInvalid: naming the line, the key and what is allowed there
+    """
+    if len(text) > MAX_FILE_BYTES:
+        raise SettingsInvalid(f"{source}: larger than {MAX_FILE_BYTES} bytes")
+    try:
+        nodes = [n for n in yaml.compose_all(text, Loader=yaml.SafeLoader) if not _is_null(n)]
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        raise SettingsInvalid(f"{source}: not YAML: {str(error)[:200]}") from error
+    if not nodes:
+        raise SettingsInvalid(f"{source}: no record in it")
+    documents = [_parse_node(node, source) for node in nodes]
+    _check_unique(documents, source)
+    return documents
+
+
+def document_of(
+    kind: RecordKind, name: str, stored: dict[str, Any], revision: int, *, schema_version: int
+) -> dict[str, Any]:
+    """
+    Show a stored record as a document.
+
+    :param kind: kind of record
+    :param name: name of the record
+    :param stored: fields in stored form
+    :param revision: revision of the record, which becomes the base of the next edit
+    :param schema_version: schema version of the document
+    :return: the document, with the default of each field that nobody has set
+    """
+    document: dict[str, Any] = {
+        "kind": kind.value,
+        "name": name,
+        "schema_version": schema_version,
+        "base_revision": revision,
+    }
+    if stored.get(ABSENT_FIELD):
+        document[ABSENT_FIELD] = True
+    for document_name, spec in fields_of(kind, schema_version).items():
+        document[document_name] = stored.get(spec.stored_name, default_of(kind, spec))
+    return document
+
+
+def document_yaml(document: dict[str, Any]) -> str:
+    """:return: the document as YAML text"""
+    return yaml.safe_dump(document, sort_keys=False, allow_unicode=True, explicit_start=True)
+
+
+def _is_null(node: yaml.Node | None) -> bool:
+    return node is None or node.tag == "tag:yaml.org,2002:null"
+
+
+def _parse_node(node: yaml.Node, source: str) -> RecordDocument:
+    if not isinstance(node, yaml.MappingNode):
+        _fail(node, source, "document: must be a mapping")
+    entries = _entries(node, source)
+    kind = _header(entries, "kind", RecordKind, node, source)
+    version = _header(entries, "schema_version", int, node, source)
+    if not 1 <= version <= NEWEST_SCHEMA_VERSION:
+        _fail(
+            entries["schema_version"],
+            source,
+            f"schema_version: this command knows 1 to {NEWEST_SCHEMA_VERSION}; "
+            "for a newer version install a newer boragetiller",
+        )
+    name = _header(entries, "name", str, node, source)
+    if not NAME_PATTERN.fullmatch(name):
+        _fail(entries["name"], source, f"name: must match {NAME_PATTERN.pattern}")
+    base_revision = None
+    if "base_revision" in entries:
+        base_revision = _header(entries, "base_revision", int, node, source)
+    fields = _parse_fields(entries, kind, version, source)
+    return RecordDocument(
+        kind=kind,
+        name=name,
+        schema_version=version,
+        fields=fields,
+        base_revision=base_revision,
+        line=node.start_mark.line + 1,
+    )
+
+
+def _entries(node: yaml.MappingNode, source: str) -> dict[str, yaml.Node]:
+    entries: dict[str, yaml.Node] = {}
+    for key_node, value_node in node.value:
+        if not isinstance(key_node, yaml.ScalarNode):
+            _fail(key_node, source, "document: each key must be plain text")
+        if key_node.value in entries:
+            _fail(key_node, source, f"{key_node.value}: key given twice")
+        entries[key_node.value] = value_node
+    return entries
+
+
+def _header(
+    entries: dict[str, yaml.Node], key: str, target: Any, node: yaml.Node, source: str
+) -> Any:
+    if key not in entries:
+        _fail(node, source, f"missing keys: {key}")
+    return structure_node(entries[key], target, source=source, path=f"{key}.")
+
+
+def _parse_fields(
+    entries: dict[str, yaml.Node], kind: RecordKind, version: int, source: str
+) -> dict[str, Any]:
+    known = fields_of(kind, version)
+    fields: dict[str, Any] = {ABSENT_FIELD: False}
+    for key, value_node in entries.items():
+        if key == ABSENT_FIELD:
+            fields[key] = structure_node(value_node, bool, source=source, path=f"{key}.")
+        if key in _HEADER:
+            continue
+        if key not in known:
+            allowed = ", ".join([*_HEADER, *known])
+            _fail(value_node, source, f"{key}: unknown key; allowed: {allowed}")
+        spec = known[key]
+        value = structure_node(value_node, type_of(kind, spec), source=source, path=f"{key}.")
+        try:
+            check_value(kind, spec, value)
+        except ValueError as error:
+            _fail(value_node, source, f"{key}: {error.args[0] if error.args else error}")
+        fields[spec.stored_name] = to_stored(value)
+    return fields
+
+
+def _check_unique(documents: list[RecordDocument], source: str) -> None:
+    seen: dict[str, int] = {}
+    for document in documents:
+        if document.record_id in seen:
+            raise SettingsInvalid(
+                f"{source}:{document.line}: {document.record_id}: "
+                f"given twice, first on line {seen[document.record_id]}"
+            )
+        seen[document.record_id] = document.line
+
+
+def _fail(node: yaml.Node, source: str, problem: str) -> NoReturn:
+    raise SettingsInvalid(f"{source}:{node.start_mark.line + 1}: {problem}")
+
+
+__all__ = [
+    "NAME_PATTERN",
+    "RecordDocument",
+    "document_of",
+    "document_yaml",
+    "parse_documents",
+]
--- /dev/null
+++ b/src/boragetiller/records/merge.py
@@ -0,0 +1,115 @@
+"""Three-way merge of a record by field."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from boragetiller.records.schema import ABSENT_FIELD, FIELDS, RecordKind, default_of
+
+if TYPE_CHECKING:
+    from boragetiller.records.pages import StoredRecord
+
+
+@attrs.frozen(kw_only=True)
+class FieldConflict:
+    """A field that two writers changed to different values."""
+
+    field: str
+    base: Any
+    theirs: Any
+    yours: Any
+
+
+@attrs.frozen(kw_only=True)
+class MergeResult:
+    """What a write changes, or why it cannot."""
+
+    changes: dict[str, tuple[Any, Any]]
+    conflicts: list[FieldConflict]
+    kept: list[FieldConflict]  # given as in the base, changed by another writer since
+
+
+def merge_fields(
+    kind: RecordKind, base: dict[str, Any], theirs: dict[str, Any], yours: dict[str, Any]
+) -> MergeResult:
+    """
+    Lay a writer's fields over the stored ones.
+
+    :param kind: kind of record
+    :param base: fields that the writer started from
+    :param theirs: fields stored now
+    :param yours: fields that the writer gave; fields that are not given stay as stored
+    :return: the old and new value of each field that changes, and the conflicts
+    """
+    changes: dict[str, tuple[Any, Any]] = {}
+    conflicts: list[FieldConflict] = []
+    kept: list[FieldConflict] = []
+    for name, mine in yours.items():
+        stored = theirs.get(name)
+        old = base.get(name, _default(kind, name) if base else None)
+        if stored is None:
+            changes[name] = (None, mine)
+        elif mine != stored:
+            difference = FieldConflict(field=name, base=old, theirs=stored, yours=mine)
+            if stored == old:
+                changes[name] = (stored, mine)
+            elif mine == old:
+                kept.append(difference)
+            else:
+                conflicts.append(difference)
+    conflicts += _removal_conflicts(base, theirs, changes)
+    return MergeResult(changes=changes, conflicts=conflicts, kept=kept)
+
+
+def fields_at(record: StoredRecord, revision: int) -> dict[str, Any] | None:
+    """
+    Reconstruct the fields that a record had at an earlier revision.
+
+    :param record: the record as stored now
+    :param revision: the earlier revision, 0 for before its creation
+    :return: the fields, None when the history does not reach back that far
+    """
+    if revision == record.revision:
+        return dict(record.fields)
+    if revision == 0:
+        return {}
+    if revision > record.revision:
+        return None
+    undone = [note for note in record.history if note.revision > revision]
+    if len(undone) != record.revision - revision:
+        return None
+    fields = dict(record.fields)
+    for note in reversed(undone):
+        for name, (old, _) in note.changes.items():
+            fields[name] = old
+    return {name: value for name, value in fields.items() if value is not None}
+
+
+def _default(kind: RecordKind, name: str) -> Any:
+    if name == ABSENT_FIELD:
+        return False
+    spec = next(spec for spec in FIELDS[kind] if spec.stored_name == name)
+    return default_of(kind, spec)
+
+
+def _removal_conflicts(
+    base: dict[str, Any], theirs: dict[str, Any], changes: dict[str, tuple[Any, Any]]
+) -> list[FieldConflict]:
+    edited = {name for name in {*base, *theirs} if base.get(name) != theirs.get(name)}
+    you_remove = changes.get(ABSENT_FIELD, (None, None))[1] is True
+    they_removed = ABSENT_FIELD in edited and theirs.get(ABSENT_FIELD) is True
+    if (you_remove and edited) or (they_removed and changes):
+        return [
+            FieldConflict(
+                field=ABSENT_FIELD,
+                base=base.get(ABSENT_FIELD, False),
+                theirs=theirs.get(ABSENT_FIELD, False),
+                yours=you_remove,
+            )
+        ]
+    return []
+
+
+__all__ = ["FieldConflict", "MergeResult", "fields_at", "merge_fields"]
--- a/src/boragetiller/records/model.py
+++ b/src/boragetiller/records/model.py
@@ -9,6 +9,7 @@
 
 LOWEST_TIER = 3
 _POSITIVE = validators.gt(0)
+_KEY_HASHES = validators.deep_iterable(validators.matches_re("[0-9a-f]{64}"))
 
 
 @attrs.frozen(kw_only=True)
@@ -16,7 +17,7 @@
     """Who calls; keys are stored as SHA-256 in hex."""
 
     name: str
-    key_hashes: tuple[str, ...] = ()
+    key_hashes: tuple[str, ...] = attrs.field(default=(), validator=_KEY_HASHES)
     classes: tuple[str, ...] = ()
     weight: float = attrs.field(default=1.0, validator=validators.gt(0.0))
     max_concurrent: int = attrs.field(default=1_000, validator=_POSITIVE)
--- /dev/null
+++ b/src/boragetiller/records/pages.py
@@ -0,0 +1,182 @@
+"""Pages: the stored form of records, many to one key of the store."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+import attrs
+
+from boragetiller.errors import SettingsInvalid
+from boragetiller.records.schema import ABSENT_FIELD, RecordKind
+
+PAGE_COUNT = 64
+PAGE_PREFIX = "config/"
+PAGE_FORMAT = 1
+MAX_RECENT_WRITES = 256
+MAX_RECORD_HISTORY = 8
+
+
+@attrs.frozen(kw_only=True)
+class WriteNote:
+    """One accepted write of a record; `changes` maps a field to its old and new value."""
+
+    write_id: str
+    office: str
+    at_ms: int  # wall clock of the writer, milliseconds since 1970 in UTC
+    schema_version: int
+    revision: int  # of the record, after the write
+    changes: dict[str, tuple[Any, Any]]
+
+
+@attrs.define(kw_only=True)
+class StoredRecord:
+    """One record in a page; `extra` keeps what a newer version has added."""
+
+    schema_version: int
+    revision: int = 0
+    fields: dict[str, Any] = attrs.Factory(dict)
+    history: list[WriteNote] = attrs.Factory(list)
+    extra: dict[str, Any] = attrs.Factory(dict)
+
+    @property
+    def absent(self) -> bool:
+        """:return: whether the record was removed"""
+        return bool(self.fields.get(ABSENT_FIELD))
+
+
+@attrs.define(kw_only=True)
+class Page:
+    """The records of one store key, and the identifiers of its recent writes."""
+
+    write_count: int = 0
+    recent_writes: list[str] = attrs.Factory(list)  # oldest first
+    records: dict[str, StoredRecord] = attrs.Factory(dict)
+    extra: dict[str, Any] = attrs.Factory(dict)
+
+
+def page_index(record_id: str) -> int:
+    """
+    Tell which page holds a record.
+
+    :param record_id: kind and name, as in `customer/kopar`
+    :return: number of the page, 0 to 63
+    """
+    return hashlib.sha256(record_id.encode()).digest()[0] % PAGE_COUNT
+
+
+def page_key(index: int) -> str:
+    """:return: the store key of a page"""
+    return f"{PAGE_PREFIX}{index:02d}"
+
+
+def index_of_key(key: str) -> int | None:
+    """:return: number of the page with this store key, None for any other key"""
+    digits = key.removeprefix(PAGE_PREFIX)
+    if key == digits or len(digits) != 2 or not digits.isdigit():
+        return None
+    index = int(digits)
+    return index if index < PAGE_COUNT else None
+
+
+def split_record_id(record_id: str) -> tuple[RecordKind, str]:
+    """
+    Split `kind/name`.
+
+    :raises SettingsInvalid: when the kind is unknown or the name is empty
+    """
+    kind_text, _, name = record_id.partition("/")
+    try:
+        kind = RecordKind(kind_text)
+    except ValueError as error:
+        allowed = ", ".join(k.value for k in RecordKind)
+        raise SettingsInvalid(f"{record_id}: unknown kind; allowed: {allowed}") from error
+    if not name:
+        raise SettingsInvalid(f"{record_id}: name missing")
+    return kind, name
+
+
+def encode_page(page: Page) -> bytes:
+    """:return: the page as JSON bytes, the same for equal pages"""
+    body = {
+        **page.extra,
+        "format": PAGE_FORMAT,
+        "write_count": page.write_count,
+        "recent_writes": page.recent_writes,
+        "records": {name: _record_body(page.records[name]) for name in sorted(page.records)},
+    }
+    return json.dumps(body, separators=(",", ":"), sort_keys=True).encode()
+
+
+def decode_page(data: bytes) -> Page:
+    """
+    Read a page; keys that this version does not know are kept.
+
+    :param data: stored bytes
+    :return: the page
+    :raises SettingsInvalid: when the bytes are no page or of a newer page format
+    """
+    try:
+        body = json.loads(data)
+        if body["format"] != PAGE_FORMAT:
+            raise SettingsInvalid(f"page format {body['format']} is not known here")
+        known = ("format", "write_count", "recent_writes", "records")
+        return Page(
+            write_count=int(body["write_count"]),
+            recent_writes=[str(write_id) for write_id in body["recent_writes"]],
+            records={name: _record_from(item) for name, item in body["records"].items()},
+            extra={key: value for key, value in body.items() if key not in known},
+        )
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        raise SettingsInvalid(f"not a page: {type(error).__name__}") from error
+
+
+def _record_body(record: StoredRecord) -> dict[str, Any]:
+    return {
+        **record.extra,
+        "schema_version": record.schema_version,
+        "revision": record.revision,
+        "fields": record.fields,
+        "history": [attrs.asdict(note) for note in record.history],
+    }
+
+
+def _record_from(body: dict[str, Any]) -> StoredRecord:
+    known = ("schema_version", "revision", "fields", "history")
+    return StoredRecord(
+        schema_version=int(body["schema_version"]),
+        revision=int(body["revision"]),
+        fields=dict(body["fields"]),
+        history=[_note_from(note) for note in body["history"]],
+        extra={key: value for key, value in body.items() if key not in known},
+    )
+
+
+def _note_from(body: dict[str, Any]) -> WriteNote:
+    changes = {name: (pair[0], pair[1]) for name, pair in body["changes"].items()}
+    return WriteNote(
+        write_id=body["write_id"],
+        office=body["office"],
+        at_ms=body["at_ms"],
+        schema_version=body["schema_version"],
+        revision=body["revision"],
+        changes=changes,
+    )
+
+
+__all__ = [
+    "MAX_RECENT_WRITES",
+    "MAX_RECORD_HISTORY",
+    "PAGE_COUNT",
+    "PAGE_PREFIX",
+    "Page",
+    "StoredRecord",
+    "WriteNote",
+    "decode_page",
+    "encode_page",
+    "index_of_key",
+    "page_index",
+    "page_key",
+    "split_record_id",
+]
--- /dev/null
+++ b/src/boragetiller/records/references.py
@@ -0,0 +1,96 @@
+"""References between records: what they name must exist, and a key has one customer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from boragetiller.records.model import BackendGroup, Customer, RequestClass
+
+
+@attrs.frozen(kw_only=True, order=True)
+class ReferenceProblem:
+    """A record that names something missing, or a key hash that two customers hold."""
+
+    record_id: str
+    field: str
+    problem: str
+    target_id: str = ""  # the record that is missing
+
+    def __str__(self) -> str:
+        """:return: one line for an operator"""
+        return f"{self.record_id}: {self.field}: {self.problem}"
+
+
+def reference_problems(
+    customers: dict[str, Customer],
+    classes: dict[str, RequestClass],
+    groups: dict[str, BackendGroup],
+    unreadable: Collection[str] = (),
+) -> list[ReferenceProblem]:
+    """
+    Check every reference.
+
+    :param customers: customers by name
+    :param classes: request classes by name
+    :param groups: backend groups by name
+    :param unreadable: records that exist in a newer schema version, as `kind/name`
+    :return: what does not hold, in a stable order
+    """
+    present = {*(f"class/{name}" for name in classes), *(f"group/{name}" for name in groups)}
+    present.update(unreadable)
+    problems = [*_class_problems(classes.values(), present)]
+    problems += _customer_problems(customers.values(), present)
+    problems += _key_problems(customers)
+    return sorted(problems)
+
+
+def _class_problems(
+    classes: Iterable[RequestClass], present: set[str]
+) -> Iterable[ReferenceProblem]:
+    for item in classes:
+        if f"group/{item.group}" not in present:
+            yield ReferenceProblem(
+                record_id=f"class/{item.name}",
+                field="group",
+                problem=f"no group {item.group}",
+                target_id=f"group/{item.group}",
+            )
+
+
+def _customer_problems(customers: Iterable[Customer], present: set[str]) -> list[ReferenceProblem]:
+    return [
+        ReferenceProblem(
+            record_id=f"customer/{customer.name}",
+            field="classes",
+            problem=f"no class {name}",
+            target_id=f"class/{name}",
+        )
+        for customer in customers
+        for name in customer.classes
+        if f"class/{name}" not in present
+    ]
+
+
+def _key_problems(customers: dict[str, Customer]) -> list[ReferenceProblem]:
+    holders: dict[str, str] = {}
+    problems = []
+    for name in sorted(customers):
+        for key_hash in customers[name].key_hashes:
+            first = holders.setdefault(key_hash, name)
+            if first != name:
+                problems.append(
+                    ReferenceProblem(
+                        record_id=f"customer/{name}",
+                        field="key_hashes",
+                        problem=f"a key already belongs to customer {first}",
+                    )
+                )
+    return problems
+
+
+__all__ = ["ReferenceProblem", "reference_problems"]
--- /dev/null
+++ b/src/boragetiller/records/schema.py
@@ -0,0 +1,167 @@
+"""Schema versions of the record kinds, and the mapping between each version and the stored form."""
+
+from __future__ import annotations
+
+import functools
+from enum import Enum
+from typing import Any
+
+import attrs
+
+from boragetiller.records.model import BackendGroup, Customer, RequestClass
+
+NEWEST_SCHEMA_VERSION = 2
+ABSENT_FIELD = "absent"
+
+
+class RecordKind(Enum):
+    """What a record describes."""
+
+    CUSTOMER = "customer"
+    CLASS = "class"
+    GROUP = "group"
+
+
+@attrs.frozen(kw_only=True)
+class FieldSpec:
+    """
+    One field of a kind.
+
+    A field is stored under the name that it had when it was introduced, so that a rename
+    in a later schema version changes documents only.
+    """
+
+    stored_name: str
+    model_name: str | None  # None when the newest version no longer has the field
+    since_version: int = 1
+    removed_in_version: int | None = None
+    renamed_in_version: int | None = None
+    removed_type: type = str
+    removed_default: str = ""
+
+    def in_version(self, version: int) -> bool:
+        """:return: whether documents of this schema version have the field"""
+        removed = self.removed_in_version is not None and version >= self.removed_in_version
+        return version >= self.since_version and not removed
+
+    def document_name(self, version: int) -> str:
+        """:return: name of the field in documents of this schema version"""
+        renamed = self.renamed_in_version is not None and version >= self.renamed_in_version
+        return self.model_name if renamed and self.model_name else self.stored_name
+
+
+MODELS: dict[RecordKind, type[Any]] = {
+    RecordKind.CUSTOMER: Customer,
+    RecordKind.CLASS: RequestClass,
+    RecordKind.GROUP: BackendGroup,
+}
+
+
+def _same(name: str, since_version: int = 1) -> FieldSpec:
+    return FieldSpec(stored_name=name, model_name=name, since_version=since_version)
+
+
+FIELDS: dict[RecordKind, tuple[FieldSpec, ...]] = {
+    RecordKind.CUSTOMER: (
+        _same("key_hashes"),
+        _same("classes"),
+        _same("weight", since_version=2),
+        _same("max_concurrent"),
+        _same("requests_per_s"),
+        FieldSpec(stored_name="contact", model_name=None, removed_in_version=2),
+    ),
+    RecordKind.CLASS: (
+        _same("group"),
+        _same("tier"),
+        _same("protected"),
+        _same("idempotent"),
+        FieldSpec(
+            stored_name="first_token_ms", model_name="first_token_target_ms", renamed_in_version=2
+        ),
+        _same("between_tokens_target_ms", since_version=2),
+        _same("deadline_ms"),
+        _same("weight", since_version=2),
+    ),
+    RecordKind.GROUP: (
+        FieldSpec(stored_name="backend", model_name="kind"),
+        _same("members"),
+        _same("models"),
+        _same("repeatable_methods"),
+        _same("shards"),
+    ),
+}
+
+
+def fields_of(kind: RecordKind, version: int) -> dict[str, FieldSpec]:
+    """
+    List the fields that documents of one kind and schema version have.
+
+    :param kind: kind of record
+    :param version: schema version
+    :return: the fields by document name
+    """
+    return {f.document_name(version): f for f in FIELDS[kind] if f.in_version(version)}
+
+
+def default_of(kind: RecordKind, spec: FieldSpec) -> Any:
+    """
+    Tell the value of a field that nobody has set.
+
+    :param kind: kind of record
+    :param spec: the field
+    :return: the default in stored form, None when the field must be given
+    """
+    if spec.model_name is None:
+        return spec.removed_default
+    default = _model_attribute(kind, spec.model_name).default
+    return None if default is attrs.NOTHING else to_stored(default)
+
+
+def type_of(kind: RecordKind, spec: FieldSpec) -> Any:
+    """:return: the type that a document value must have"""
+    if spec.model_name is None:
+        return spec.removed_type
+    return _model_attribute(kind, spec.model_name).type
+
+
+def check_value(kind: RecordKind, spec: FieldSpec, value: Any) -> None:
+    """
+    Check the range of a value that has the right type.
+
+    :raises ValueError: when the model does not allow the value
+    """
+    if spec.model_name is None:
+        return
+    attribute = _model_attribute(kind, spec.model_name)
+    if attribute.validator is not None:
+        attribute.validator(None, attribute, value)
+
+
+def to_stored(value: Any) -> Any:
+    """:return: the value as JSON can hold it"""
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, tuple):
+        return [to_stored(item) for item in value]
+    return value
+
+
+@functools.cache
+def _model_attribute(kind: RecordKind, name: str) -> attrs.Attribute[Any]:
+    model = attrs.resolve_types(MODELS[kind])
+    return attrs.fields_dict(model)[name]
+
+
+__all__ = [
+    "ABSENT_FIELD",
+    "FIELDS",
+    "MODELS",
+    "NEWEST_SCHEMA_VERSION",
+    "FieldSpec",
+    "RecordKind",
+    "check_value",
+    "default_of",
+    "fields_of",
+    "to_stored",
+    "type_of",
+]
--- /dev/null
+++ b/src/boragetiller/records/writes.py
@@ -0,0 +1,237 @@
+"""Decide what a writer's document does to a page."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from boragetiller.records.build import UnreadableRecord, build_record
+from boragetiller.records.merge import FieldConflict, fields_at, merge_fields
+from boragetiller.records.pages import (
+    MAX_RECENT_WRITES,
+    MAX_RECORD_HISTORY,
+    Page,
+    StoredRecord,
+    WriteNote,
+)
+from boragetiller.records.schema import NEWEST_SCHEMA_VERSION, default_of, fields_of
+
+if TYPE_CHECKING:
+    from boragetiller.records.documents import RecordDocument
+
+
+class WriteState(Enum):
+    """What became of a write."""
+
+    ACCEPTED = "accepted"
+    UNCHANGED = "unchanged"
+    CONFLICT = "conflict"
+    REFUSED = "refused"
+    NOT_ACCEPTED = "not_accepted"  # the store was not reached or had no time, nothing was written
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen(kw_only=True)
+class WriteResult:
+    """The answer to a writer for one record."""
+
+    record_id: str
+    state: WriteState
+    write_id: str = ""
+    revision: int = 0
+    changes: dict[str, tuple[Any, Any]] = attrs.Factory(dict)
+    conflicts: tuple[FieldConflict, ...] = ()
+    kept: tuple[FieldConflict, ...] = ()
+    message: str = ""
+
+    @property
+    def created(self) -> bool:
+        """:return: whether the write made the record"""
+        return bool(self.changes) and self.revision == 1
+
+
+@attrs.frozen(kw_only=True)
+class PendingWrite:
+    """A document together with the base that was fixed when its writer began."""
+
+    document: RecordDocument
+    office: str
+    at_ms: int
+    base_revision: int | None
+    base: dict[str, Any] | None
+
+    @property
+    def write_id(self) -> str:
+        """:return: the same identifier whenever the same edit is sent again"""
+        document = self.document
+        parts = [
+            self.office,
+            document.record_id,
+            self.base_revision,
+            document.schema_version,
+            document.fields,
+        ]
+        return hashlib.sha256(json.dumps(parts, sort_keys=True).encode()).hexdigest()[:16]
+
+
+def begin_write(page: Page, document: RecordDocument, office: str, at_ms: int) -> PendingWrite:
+    """
+    Fix the base of a write: the revision that the document names, else the office's last write.
+
+    :param page: the page as read first
+    :param document: what the writer wants
+    :param office: who writes
+    :param at_ms: wall clock in milliseconds since 1970 in UTC
+    :return: the write, with no base when it cannot be told
+    """
+    record = page.records.get(document.record_id)
+    base_revision = document.base_revision
+    if base_revision is None:
+        base_revision = _last_revision_of(record, office)
+    base: dict[str, Any] | None = None
+    if base_revision is not None:
+        base = fields_at(record, base_revision) if record else {}
+    return PendingWrite(
+        document=document, office=office, at_ms=at_ms, base_revision=base_revision, base=base
+    )
+
+
+def apply_write(page: Page, write: PendingWrite) -> WriteResult:
+    """
+    Apply one write to a page, in place when it is accepted.
+
+    :param page: the page as read; changed only when the result is ACCEPTED with changes
+    :param write: the write
+    :return: what became of it, provided that the page is then stored
+    """
+    document = write.document
+    record = page.records.get(document.record_id)
+    if write.write_id in page.recent_writes:
+        revision = record.revision if record else 0
+        return _result(write, WriteState.ACCEPTED, revision, message="was accepted before")
+    refusal = _refusal(record, write)
+    if refusal is not None:
+        return refusal
+    stored = record or StoredRecord(schema_version=document.schema_version)
+    yours = _completed(document, stored)
+    merged = merge_fields(document.kind, write.base or {}, stored.fields, yours)
+    if merged.conflicts:
+        return _result(
+            write, WriteState.CONFLICT, stored.revision, conflicts=tuple(merged.conflicts)
+        )
+    kept = tuple(merged.kept)
+    if not merged.changes or (document.absent and not stored.revision):
+        return _result(write, WriteState.UNCHANGED, stored.revision, kept=kept)
+    changed = _changed(stored, write, merged.changes)
+    try:
+        build_record(document.record_id, changed)
+    except UnreadableRecord as error:
+        return _result(write, WriteState.REFUSED, stored.revision, message=str(error))
+    page.records[document.record_id] = changed
+    page.write_count += 1
+    page.recent_writes = [*page.recent_writes, write.write_id][-MAX_RECENT_WRITES:]
+    revision = stored.revision + 1
+    return _result(write, WriteState.ACCEPTED, revision, changes=merged.changes, kept=kept)
+
+
+def write_is_settled(page: Page, write: PendingWrite, sent_write_count: int) -> bool:
+    """
+    Tell whether the page shows for certain what became of a write whose reply was lost.
+
+    :param page: a page with a higher store revision than the write expected
+    :param write: the write that was sent
+    :param sent_write_count: write count of the page that the write was applied to
+    :return: False when so many writes followed that its identifier may have been dropped
+    """
+    if write.write_id in page.recent_writes:
+        return True
+    return page.write_count - sent_write_count <= MAX_RECENT_WRITES
+
+
+def _last_revision_of(record: StoredRecord | None, office: str) -> int | None:
+    if record is None:
+        return 0
+    mine = [note.revision for note in record.history if note.office == office]
+    return mine[-1] if mine else None
+
+
+def _refusal(record: StoredRecord | None, write: PendingWrite) -> WriteResult | None:
+    record_id = write.document.record_id
+    if record is not None and record.schema_version > NEWEST_SCHEMA_VERSION:
+        message = (
+            f"stored in schema version {record.schema_version}, this command knows up to "
+            f"{NEWEST_SCHEMA_VERSION}; install a newer boragetiller to change it"
+        )
+        return _result(write, WriteState.REFUSED, record.revision, message=message)
+    revision = record.revision if record else 0
+    if (write.base_revision or 0) > revision:
+        message = (
+            f"base_revision {write.base_revision} is newer than the stored {revision}; "
+            f"run `boragetiller get {record_id}` again"
+        )
+        return _result(write, WriteState.REFUSED, revision, message=message)
+    if write.base is None:
+        message = (
+            "your office's last write of it is unknown or too long ago; run "
+            f"`boragetiller get {record_id}`, edit that and apply it"
+        )
+        return _result(write, WriteState.CONFLICT, revision, message=message)
+    return None
+
+
+def _completed(document: RecordDocument, stored: StoredRecord) -> dict[str, Any]:
+    if stored.revision and not (stored.absent and not document.absent):
+        return document.fields
+    version = NEWEST_SCHEMA_VERSION if stored.revision else document.schema_version
+    defaults = {
+        spec.stored_name: default_of(document.kind, spec)
+        for spec in fields_of(document.kind, version).values()
+    }
+    given = {name: value for name, value in defaults.items() if value is not None}
+    return {**given, **document.fields}
+
+
+def _changed(
+    stored: StoredRecord, write: PendingWrite, changes: dict[str, tuple[Any, Any]]
+) -> StoredRecord:
+    created = stored.revision == 0
+    note = WriteNote(
+        write_id=write.write_id,
+        office=write.office,
+        at_ms=write.at_ms,
+        schema_version=write.document.schema_version,
+        revision=stored.revision + 1,
+        changes={} if created else changes,  # creation changes all, the fields themselves tell
+    )
+    fields = {**stored.fields, **{name: new for name, (_, new) in changes.items()}}
+    return attrs.evolve(
+        stored,
+        schema_version=max(stored.schema_version, write.document.schema_version),
+        revision=stored.revision + 1,
+        fields=fields,
+        history=[*stored.history, note][-MAX_RECORD_HISTORY:],
+    )
+
+
+def _result(write: PendingWrite, state: WriteState, revision: int, **details: Any) -> WriteResult:
+    return WriteResult(
+        record_id=write.document.record_id,
+        state=state,
+        write_id=write.write_id,
+        revision=revision,
+        **details,
+    )
+
+
+__all__ = [
+    "PendingWrite",
+    "WriteResult",
+    "WriteState",
+    "apply_write",
+    "begin_write",
+    "write_is_settled",
+]
--- /dev/null
+++ b/src/boragetiller/router/config_sync.py
@@ -0,0 +1,284 @@
+"""Keep the configuration of this process up to date from the store and from peers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from enum import Enum
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.errors import BoragetillerError
+from boragetiller.events import Event, log_event
+from boragetiller.records.pages import PAGE_COUNT, PAGE_PREFIX, index_of_key
+from boragetiller.settings import Role
+from boragetiller.systems.config_pages import (
+    PageUpdate,
+    missing_pages,
+    newer_pages,
+    take_pages,
+    unreadable_records,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from boragetiller.clock import Clock
+    from boragetiller.platform.store import Entry, Store
+    from boragetiller.settings import Settings
+    from boragetiller.tables.config import ConfigTable
+
+MS_PER_S = 1_000
+MAX_BACKOFF_DOUBLINGS = 16
+MAX_PEERS = 256
+
+
+class StoreState(Enum):
+    """What the last call to the store showed."""
+
+    NOT_TRIED = "not_tried"
+    REACHED = "reached"
+    UNREACHABLE = "unreachable"
+
+
+@attrs.define
+class _PeerState:
+    revisions: dict[int, int]
+    complete: bool
+    heard_ms: int
+
+
+class ConfigSync:
+    """
+    Reads the pages once, then follows them.
+
+    A router watches the store. An agent learns of newer pages from its peers and turns to the
+    store while no peer is heard. Either takes pages from whichever has them first.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        table: ConfigTable,
+        settings: Settings,
+        clock: Clock,
+        on_change: Callable[[], None],
+    ) -> None:
+        """
+        Prepare; nothing is read before `start`.
+
+        :param store: where accepted records are kept
+        :param table: filled by this object only
+        :param settings: settings of the process
+        :param clock: monotonic time
+        :param on_change: called after pages came into force and when the table becomes ready
+        """
+        self.store_state = StoreState.NOT_TRIED
+        self._store = store
+        self._table = table
+        self._settings = settings
+        self._clock = clock
+        self._on_change = on_change
+        self._rng = _make_rng(settings)
+        self._peers: dict[str, _PeerState] = {}
+        self._listed = False
+        self._position_revision = 0  # the store showed every change up to here
+        self._restart_revision = 0  # position at the start of the running watch
+        self._alarms: set[str] = set()
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to read in the background; the table becomes ready when it is whole."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop reading; the table stays as it is."""
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+            self._task = None
+
+    @property
+    def ready(self) -> bool:
+        """:return: whether a whole configuration is in force"""
+        return self._table.ready
+
+    def not_ready_reason(self) -> str:
+        """:return: why the configuration is not whole, empty when it is"""
+        if self._table.ready:
+            return ""
+        complete = [name for name, peer in self._peers.items() if peer.complete]
+        if complete:
+            return f"configuration: pages from peer {complete[0]} are still on their way"
+        peers = f"none of {len(self._peers)} peers has it" if self._peers else "no peer is heard"
+        if self.store_state is StoreState.UNREACHABLE:
+            return f"configuration: the store does not answer and {peers}"
+        return f"configuration: the first read of the store has not ended and {peers}"
+
+    def page_versions(self) -> dict[int, int]:
+        """:return: store revision of each page held, by index"""
+        return {index: page.revision for index, page in self._table.pages.items()}
+
+    def pages_newer_than(self, revisions: dict[int, int]) -> list[PageUpdate]:
+        """:return: pages for a peer that holds these revisions"""
+        return newer_pages(self._table, revisions)
+
+    def note_peer(self, peer: str, revisions: dict[int, int], *, complete: bool) -> list[int]:
+        """
+        Take notice of the pages that a peer holds.
+
+        :param peer: name of the peer
+        :param revisions: store revision of each of its pages, by index
+        :param complete: whether the peer is ready and these are all its pages
+        :return: indexes of the pages to ask it for
+        """
+        if peer in self._peers or len(self._peers) < MAX_PEERS:
+            self._peers[peer] = _PeerState(dict(revisions), complete, self._clock.now_ms())
+        self._check_whole()
+        return missing_pages(self._table, revisions)
+
+    def peer_heard(self, peer: str) -> None:
+        """Take notice that a peer is there and its pages are those it told last."""
+        if peer in self._peers:
+            self._peers[peer].heard_ms = self._clock.now_ms()
+
+    def peer_lost(self, peer: str) -> None:
+        """Forget a peer that is no longer connected."""
+        self._peers.pop(peer, None)
+
+    def peer_revisions(self) -> dict[str, dict[int, int]]:
+        """:return: the page revisions that each connected peer told last"""
+        return {name: dict(peer.revisions) for name, peer in self._peers.items()}
+
+    def take_page(self, index: int, revision: int, data: bytes) -> bool:
+        """
+        Take a page that a peer sent.
+
+        :param index: number of the page
+        :param revision: its store revision
+        :param data: stored bytes
+        :return: whether it was newer than the one held
+        """
+        if not 0 <= index < PAGE_COUNT or revision <= 0:
+            return False
+        taken = self._take([PageUpdate(index=index, revision=revision, data=data)])
+        self._check_whole()
+        return taken
+
+    async def _run(self) -> None:
+        failures = 0
+        if self._is_agent():
+            await self._sleep_ms(self._settings.config.peer_wait_ms * self._rng.uniform(0.5, 1.0))
+        while True:
+            if self._is_agent() and self._table.ready and self._peers_heard():
+                await self._sleep_ms(self._settings.config.peer_silence_ms)
+                continue
+            try:
+                await self._read_and_follow()
+                failures = 0
+            except (BoragetillerError, OSError, ValueError) as error:
+                self._store_failed(error)
+                failures += 1
+            await self._sleep_ms(self._backoff_ms(failures))
+
+    async def _read_and_follow(self) -> None:
+        if not self._listed:
+            entries = await self._store.list(PAGE_PREFIX)
+            self._store_reached()
+            self._take_entries(entries)
+            self._listed = True
+            self._restart_revision = self._position_revision
+            self._become_ready("store")
+        restart_ms = self._settings.config.watch_restart_ms * self._rng.uniform(0.8, 1.2)
+        after_revision = self._restart_revision
+        self._restart_revision = self._position_revision
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(restart_ms / MS_PER_S):
+                await self._follow(after_revision)
+
+    async def _follow(self, after_revision: int) -> None:
+        async with contextlib.aclosing(
+            self._store.watch(PAGE_PREFIX, after_revision=after_revision)  # type: ignore[type-var]
+        ) as entries:
+            async for entry in entries:
+                self._store_reached()
+                self._take_entries([entry])
+
+    def _take_entries(self, entries: Iterable[Entry]) -> None:
+        updates = []
+        for entry in entries:
+            self._position_revision = max(self._position_revision, entry.revision)
+            index = index_of_key(entry.key)
+            if index is not None:
+                updates.append(PageUpdate(index=index, revision=entry.revision, data=entry.value))
+        self._take(updates)
+
+    def _take(self, updates: list[PageUpdate]) -> bool:
+        taken = take_pages(self._table, updates, self._clock.now_ms())
+        for update in taken:
+            log_event(Event.CONFIG_PAGE_TAKEN, page=update.index, revision=update.revision)
+        if taken:
+            self._report_alarms()
+            self._on_change()
+        return bool(taken)
+
+    def _check_whole(self) -> None:
+        if self._table.ready:
+            return
+        for name, peer in self._peers.items():
+            if peer.complete and not missing_pages(self._table, peer.revisions):
+                self._become_ready(f"peer {name}")
+                return
+
+    def _become_ready(self, source: str) -> None:
+        if self._table.ready:
+            return
+        self._table.ready = True
+        log_event(Event.CONFIG_READY, source=source, pages=len(self._table.pages))
+        self._on_change()
+
+    def _report_alarms(self) -> None:
+        unreadable = {f"{name}: {why}" for name, why in unreadable_records(self._table).items()}
+        missing = {str(problem) for problem in self._table.reference_problems}
+        for text in sorted(unreadable - self._alarms):
+            log_event(Event.CONFIG_UNREADABLE, reason=text)
+        for text in sorted(missing - self._alarms):
+            log_event(Event.CONFIG_REFERENCE_MISSING, reason=text)
+        self._alarms = unreadable | missing
+
+    def _store_reached(self) -> None:
+        if self.store_state is StoreState.UNREACHABLE:
+            log_event(Event.CONFIG_STORE_REACHED)
+        self.store_state = StoreState.REACHED
+
+    def _store_failed(self, error: Exception) -> None:
+        if self.store_state is not StoreState.UNREACHABLE:
+            log_event(Event.CONFIG_STORE_UNREACHABLE, reason=error)
+        self.store_state = StoreState.UNREACHABLE
+
+    def _is_agent(self) -> bool:
+        return self._settings.role is Role.AGENT
+
+    def _peers_heard(self) -> bool:
+        oldest_ms = self._clock.now_ms() - self._settings.config.peer_silence_ms
+        return any(peer.complete and peer.heard_ms >= oldest_ms for peer in self._peers.values())
+
+    def _backoff_ms(self, failures: int) -> float:
+        config = self._settings.config
+        ceiling_ms = config.retry_base_ms * 2 ** min(failures, MAX_BACKOFF_DOUBLINGS)
+        return self._rng.uniform(0, min(ceiling_ms, config.retry_max_ms))
+
+    async def _sleep_ms(self, wait_ms: float) -> None:
+        await asyncio.sleep(wait_ms / MS_PER_S)
+
+
+def _make_rng(settings: Settings) -> Random:
+    if settings.seed is None:
+        return Random()
+    return Random(f"{settings.seed}/{settings.name}")
+
+
+__all__ = ["ConfigSync", "StoreState"]
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -120,6 +120,17 @@
     max_queued: int = attrs.field(default=1_000, validator=_POSITIVE)
 
 
+@attrs.frozen(kw_only=True)
+class ConfigSettings:
+    """How a process keeps its configuration up to date."""
+
+    retry_base_ms: int = attrs.field(default=100, validator=_POSITIVE)
+    retry_max_ms: int = attrs.field(default=2_000, validator=_POSITIVE)
+    watch_restart_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
+    peer_silence_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
+    peer_wait_ms: int = attrs.field(default=1_500, validator=_POSITIVE)
+
+
 @attrs.frozen(kw_only=True)
 class BackendSettings:
     """The backend server that an agent stands beside."""
@@ -147,6 +158,7 @@
     limits: LimitSettings = LimitSettings()
     placement: PlacementSettings = PlacementSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    config: ConfigSettings = ConfigSettings()
     backend: BackendSettings | None = None
     seed: int | None = None
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
@@ -179,6 +191,7 @@
     "AdmissionSettings",
     "BackendKind",
     "BackendSettings",
+    "ConfigSettings",
     "ControlSettings",
     "LimitSettings",
     "ListenSettings",
--- /dev/null
+++ b/src/boragetiller/systems/config_pages.py
@@ -0,0 +1,139 @@
+"""Take pages into the configuration table; a page never moves back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from boragetiller.errors import SettingsInvalid
+from boragetiller.records.build import UnreadableRecord, build_record
+from boragetiller.records.pages import decode_page, page_key, split_record_id
+from boragetiller.records.references import reference_problems
+from boragetiller.records.schema import RecordKind
+from boragetiller.tables.config import HeldPage
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from boragetiller.records.pages import Page
+    from boragetiller.tables.config import ConfigTable
+
+
+@attrs.frozen(kw_only=True)
+class PageUpdate:
+    """A page as it came from the store or a peer."""
+
+    index: int
+    revision: int
+    data: bytes
+
+
+def take_pages(table: ConfigTable, updates: Iterable[PageUpdate], now_ms: int) -> list[PageUpdate]:
+    """
+    Bring pages into force that are newer than those held.
+
+    :param table: the configuration of this node
+    :param updates: pages in any order, repeated and old ones included
+    :param now_ms: monotonic time in milliseconds
+    :return: the updates that were taken
+    """
+    taken = [update for update in updates if _take_page(table, update, now_ms)]
+    if taken:
+        _rebuild_indexes(table)
+    return taken
+
+
+def newer_pages(table: ConfigTable, revisions: dict[int, int]) -> list[PageUpdate]:
+    """
+    List the held pages that a peer lacks.
+
+    :param table: the configuration of this node
+    :param revisions: revision of each page that the peer holds
+    :return: pages with a higher revision here
+    """
+    return [
+        PageUpdate(index=index, revision=page.revision, data=page.data)
+        for index, page in sorted(table.pages.items())
+        if page.revision > revisions.get(index, 0)
+    ]
+
+
+def missing_pages(table: ConfigTable, revisions: dict[int, int]) -> list[int]:
+    """:return: the pages that a peer with these revisions holds newer than this node"""
+    return sorted(
+        index
+        for index, revision in revisions.items()
+        if index not in table.pages or table.pages[index].revision < revision
+    )
+
+
+def unreadable_records(table: ConfigTable) -> dict[str, str]:
+    """:return: the reason for each record that this version cannot read"""
+    reasons: dict[str, str] = {}
+    for index, page in sorted(table.pages.items()):
+        reasons.update(page.unreadable)
+        if page.problem:
+            reasons[page_key(index)] = page.problem
+    return reasons
+
+
+def _take_page(table: ConfigTable, update: PageUpdate, now_ms: int) -> bool:
+    held = table.pages.get(update.index)
+    if held is not None and update.revision <= held.revision:
+        return False
+    taken = HeldPage(revision=update.revision, data=update.data, taken_ms=now_ms)
+    table.pages[update.index] = taken
+    table.page_revisions[page_key(update.index)] = update.revision
+    try:
+        page = decode_page(update.data)
+    except SettingsInvalid as error:
+        taken.problem = str(error)
+        taken.record_revisions = held.record_revisions if held else {}
+        return True
+    _take_records(table, page, taken)
+    for record_id in set(held.record_revisions if held else ()) - set(page.records):
+        _set_record(table, record_id, None)
+    return True
+
+
+def _take_records(table: ConfigTable, page: Page, taken: HeldPage) -> None:
+    for record_id, stored in page.records.items():
+        taken.record_revisions[record_id] = stored.revision
+        try:
+            record = build_record(record_id, stored)
+        except UnreadableRecord as error:
+            taken.unreadable[record_id] = str(error)
+            continue
+        _set_record(table, record_id, record)
+
+
+def _set_record(table: ConfigTable, record_id: str, record: Any) -> None:
+    try:
+        kind, name = split_record_id(record_id)
+    except SettingsInvalid:
+        return  # a kind that only a newer version knows
+    by_kind: dict[RecordKind, dict[str, Any]] = {
+        RecordKind.CUSTOMER: table.customers,
+        RecordKind.CLASS: table.classes,
+        RecordKind.GROUP: table.groups,
+    }
+    records = by_kind[kind]
+    if record is None:
+        records.pop(name, None)
+    else:
+        records[name] = record
+
+
+def _rebuild_indexes(table: ConfigTable) -> None:
+    table.customers_by_key = {
+        key_hash: name
+        for name in sorted(table.customers, reverse=True)  # the first name keeps a shared key
+        for key_hash in table.customers[name].key_hashes
+    }
+    table.reference_problems = tuple(
+        reference_problems(table.customers, table.classes, table.groups, unreadable_records(table))
+    )
+
+
+__all__ = ["PageUpdate", "missing_pages", "newer_pages", "take_pages", "unreadable_records"]
--- /dev/null
+++ b/tests/records/test_documents.py
@@ -0,0 +1,111 @@
+"""Tests of record documents."""
+
+from __future__ import annotations
+
+import unittest
+
+import yaml
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragetiller.errors import SettingsInvalid
+from boragetiller.records.documents import document_of, document_yaml, parse_documents
+from boragetiller.records.schema import FIELDS, RecordKind
+from tests.records.samples import FLEET, make_document
+
+
+class DocumentTest(unittest.TestCase):
+    """Parsing and showing."""
+
+    def test_parse_several(self) -> None:
+        documents = parse_documents(FLEET)
+        self.assertEqual(
+            [d.record_id for d in documents],
+            ["group/tiller-pool", "class/quote", "customer/morgun"],
+        )
+        self.assertEqual([d.line for d in documents], [2, 9, 16])
+
+    def test_parse_names_line_and_allowed_keys(self) -> None:
+        cases = {
+            FLEET.replace("tier: 0", "tire: 0"): r"f:13: tire: unknown key; allowed: .*tier",
+            FLEET.replace("tier: 0", "tier: 9"): r"f:13: tier: .*must be <= 3",
+            FLEET.replace("tier: 0", "tier: high"): r"f:13: tier.*must be of type int",
+            FLEET.replace("backend: engine", "backend: gpu"): r"f:5: backend.*engine, service",
+            FLEET.replace("kind: class", "kind: klass"): r"f:9: kind.*customer, class, group",
+            FLEET.replace("name: quote", "name: Quote!"): r"f:10: name: must match",
+            FLEET.replace("name: quote\n", ""): r"f:9: missing keys: name",
+            FLEET
+            + "---\nkind: class\nname: quote\nschema_version: 2\n": r"f:22: .*first on line 9",
+            "kind: class\nkind: class\n": r"f:2: kind: key given twice",
+            "a: [": r"f: not YAML",
+            "": r"f: no record in it",
+        }
+        for text, message in cases.items():
+            with self.subTest(message), self.assertRaisesRegex(SettingsInvalid, message):
+                parse_documents(text, source="f")
+
+    def test_parse_newer_version_is_refused(self) -> None:
+        with self.assertRaisesRegex(SettingsInvalid, "knows 1 to 2; .*newer boragetiller"):
+            make_document("class", "quote", version=3)
+
+    def test_parse_key_must_be_a_hash(self) -> None:
+        with self.assertRaisesRegex(SettingsInvalid, "key_hashes"):
+            make_document("customer", "morgun", key_hashes=["secret"])
+
+    def test_versions_rename_add_and_remove(self) -> None:
+        old = make_document("class", "quote", version=1, first_token_ms=500)
+        new = make_document("class", "quote", version=2, first_token_target_ms=500)
+        self.assertEqual(old.fields, new.fields)
+        with self.assertRaisesRegex(SettingsInvalid, "between_tokens_target_ms: unknown key"):
+            make_document("class", "quote", version=1, between_tokens_target_ms=40)
+        with self.assertRaisesRegex(SettingsInvalid, "contact: unknown key"):
+            make_document("customer", "morgun", version=2, contact="x")
+
+    def test_document_of_round_trip_in_both_versions(self) -> None:
+        for kind in RecordKind:
+            for version in (1, 2):
+                document = make_document(kind.value, "x", version, **_required(kind))
+                shown = document_of(kind, "x", document.fields, 4, schema_version=version)
+                again = parse_documents(document_yaml(shown))[0]
+                self.assertEqual(again.base_revision, 4)
+                self.assertLessEqual(document.fields.items(), again.fields.items())
+                names = {s.stored_name for s in FIELDS[kind] if s.in_version(version)}
+                self.assertEqual(set(again.fields), {*names, "absent"})
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(st.text(max_size=80))
+    def test_parse_any_text_is_a_coded_error(self, text: str) -> None:
+        _parse_or_refuse(text)
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(
+        st.dictionaries(
+            st.sampled_from(["kind", "name", "schema_version", "tier", "group", "members", "x"]),
+            st.recursive(
+                st.none()
+                | st.booleans()
+                | st.integers()
+                | st.floats()
+                | st.sampled_from(["class", "group", "customer", "a"]),
+                lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner),
+                max_leaves=5,
+            ),
+        )
+    )
+    def test_parse_any_mapping_is_a_coded_error(self, body: dict[str, object]) -> None:
+        _parse_or_refuse(yaml.safe_dump(body))
+
+
+def _parse_or_refuse(text: str) -> None:
+    try:
+        parse_documents(text)
+    except SettingsInvalid as error:
+        assert error.code == "settings_invalid"
+
+
+def _required(kind: RecordKind) -> dict[str, str]:
+    return {"group": "tiller-pool"} if kind is RecordKind.CLASS else {}
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/router/test_config_sync.py
@@ -0,0 +1,165 @@
+"""Tests of the configuration's way from store and peers to a node."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import attrs
+
+from boragetiller.clock import ManualClock
+from boragetiller.platform.faults import CallKind
+from boragetiller.platform.memory import MemoryStore
+from boragetiller.records.pages import page_index, page_key
+from boragetiller.router.config_sync import ConfigSync
+from boragetiller.settings import (
+    ConfigSettings,
+    ControlSettings,
+    OperatorSettings,
+    PlatformSettings,
+    Role,
+    Settings,
+)
+from boragetiller.tables.config import ConfigTable
+from tests.cli.writing import write_fields, write_fleet
+
+SETTINGS = Settings(
+    role=Role.ROUTER,
+    name="router-1",
+    failure_domain="vl-a",
+    control=ControlSettings(key="k"),
+    operator=OperatorSettings(key="k"),
+    platform=PlatformSettings(store_url="http://127.0.0.1:1", host_list_url="http://127.0.0.1:1"),
+    config=ConfigSettings(retry_base_ms=1, retry_max_ms=2, watch_restart_ms=50, peer_wait_ms=1),
+    seed=1,
+)
+QUOTE_PAGE = page_index("class/quote")
+
+
+class Node:
+    """One node with its table."""
+
+    def __init__(self, store: MemoryStore, settings: Settings = SETTINGS) -> None:
+        """:param store: the store, shared or not"""
+        self.table = ConfigTable()
+        self.changed = asyncio.Event()
+        self.sync = ConfigSync(store, self.table, settings, ManualClock(), self.changed.set)
+
+    async def wait_until(self, condition: object) -> None:
+        """Wait for a condition on the table, checked after each change."""
+        while not condition(self.table):  # type: ignore[operator]
+            self.changed.clear()
+            await self.changed.wait()
+
+
+class ConfigSyncTest(unittest.IsolatedAsyncioTestCase):
+    """Store up, slow, down; watches that misbehave; peers."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = MemoryStore(ManualClock())
+        self.node = Node(self.store)
+        self.addAsyncCleanup(self.node.sync.close)
+
+    async def test_empty_store_is_a_whole_configuration(self) -> None:
+        await self.node.sync.start()
+        await self.node.wait_until(lambda t: t.ready)
+        self.assertEqual(self.node.sync.not_ready_reason(), "")
+
+    async def test_store_up_reads_once_and_follows(self) -> None:
+        await write_fleet(self.store)
+        await self.node.sync.start()
+        await self.node.wait_until(lambda t: t.ready)
+        self.assertEqual(list(self.node.table.customers_by_key.values()), ["morgun"])
+        self.assertEqual(self.store.counts[CallKind.LIST], 2)  # the writer's and the node's
+        await write_fields(self.store, "class", "quote", tier=2)
+        await self.node.wait_until(lambda t: t.classes["quote"].tier == 2)
+
+    async def test_watch_faults_never_move_a_page_back(self) -> None:
+        await write_fleet(self.store)
+        self.store.inject(watch_repeat=True, watch_skip=True, watch_end=True, delay_ms=1)
+        await self.node.sync.start()
+        seen = []
+        for tier in (1, 2, 3, 1, 2, 3):
+            await write_fields(self.store, "class", "quote", tier=tier)
+            await self.node.wait_until(
+                lambda t, tier=tier: t.ready and t.classes["quote"].tier == tier
+            )
+            seen.append(self.node.table.page_revisions[page_key(QUOTE_PAGE)])
+        self.assertEqual(seen, sorted(set(seen)))
+
+    async def test_stale_read_is_corrected_by_the_watch(self) -> None:
+        await write_fleet(self.store)
+        self.store.inject(stale_reads=True)
+        stale = Node(self.store)
+        self.store.inject(stale_reads=False)
+        await write_fields(self.store, "class", "quote", tier=3)
+        self.store.inject(stale_reads=True)
+        await stale.sync.start()
+        self.addAsyncCleanup(stale.sync.close)
+        await stale.wait_until(lambda t: t.ready and t.classes["quote"].tier == 3)
+
+    async def test_outage_goes_on_and_catches_up(self) -> None:
+        await write_fleet(self.store)
+        await self.node.sync.start()
+        await self.node.wait_until(lambda t: t.ready)
+        self.store.inject(outage=True)
+        await asyncio.sleep(0.01)
+        self.assertTrue(self.node.table.ready)
+        self.store.inject(outage=False)
+        await write_fields(self.store, "class", "quote", tier=3)
+        await self.node.wait_until(lambda t: t.classes["quote"].tier == 3)
+
+    async def test_down_and_alone_is_not_ready_and_says_why(self) -> None:
+        self.store.inject(outage=True)
+        await self.node.sync.start()
+        await asyncio.sleep(0.01)
+        self.assertFalse(self.node.sync.ready)
+        self.assertIn("store does not answer and no peer", self.node.sync.not_ready_reason())
+
+    async def test_down_with_peers_up_becomes_ready_from_them(self) -> None:
+        await write_fleet(self.store)
+        await self.node.sync.start()
+        await self.node.wait_until(lambda t: t.ready)
+        down = MemoryStore(ManualClock())
+        down.inject(outage=True)
+        booting = Node(down, attrs.evolve(SETTINGS, name="router-2"))
+        await booting.sync.start()
+        self.addAsyncCleanup(booting.sync.close)
+        versions = self.node.sync.page_versions()
+        wanted = booting.sync.note_peer("router-1", versions, complete=True)
+        self.assertEqual(wanted, sorted(versions))
+        for page in self.node.sync.pages_newer_than(booting.sync.page_versions()):
+            self.assertFalse(booting.sync.ready)
+            booting.sync.take_page(page.index, page.revision, page.data)
+        self.assertTrue(booting.sync.ready)
+        self.assertEqual(booting.table.classes, self.node.table.classes)
+
+    async def test_incomplete_peer_does_not_make_ready(self) -> None:
+        self.node.sync.note_peer("router-9", {}, complete=False)
+        self.assertFalse(self.node.sync.ready)
+
+    async def test_older_page_from_peer_is_refused(self) -> None:
+        await write_fleet(self.store)
+        old = await self.store.get(page_key(QUOTE_PAGE))
+        await write_fields(self.store, "class", "quote", tier=3)
+        await self.node.sync.start()
+        await self.node.wait_until(lambda t: t.ready)
+        assert old is not None
+        self.assertFalse(self.node.sync.take_page(QUOTE_PAGE, old.revision, old.value))
+        self.assertEqual(self.node.table.classes["quote"].tier, 3)
+
+    async def test_agent_leaves_the_store_alone_while_peers_are_heard(self) -> None:
+        agent = Node(self.store, attrs.evolve(SETTINGS, role=Role.ROUTER, name="agent-1"))
+        settings = attrs.evolve(SETTINGS, name="agent-1")
+        object.__setattr__(settings, "role", Role.AGENT)
+        agent = Node(self.store, settings)
+        agent.sync.note_peer("router-1", {}, complete=True)
+        await agent.sync.start()
+        self.addAsyncCleanup(agent.sync.close)
+        await asyncio.sleep(0.02)
+        self.assertTrue(agent.sync.ready)
+        self.assertEqual(sum(self.store.counts.values()), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
