--- a/src/boragetiller/events.py
+++ b/src/boragetiller/events.py
@@ -27,6 +27,8 @@
     CONFIG_STORE_REACHED = 603
     CONFIG_UNREADABLE = 604
     CONFIG_REFERENCE_MISSING = 605
+    CONTROL_CONNECTED = 700
+    CONTROL_CLOSED = 701
 
 
 def log_event(event: Event, **fields: object) -> None:
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -30,6 +30,7 @@
 
 _PORT = validators.and_(validators.ge(0), validators.le(MAX_PORT))
 _POSITIVE = validators.gt(0)
+_SHARE = validators.and_(validators.ge(0.0), validators.le(1.0))
 
 
 @attrs.frozen(kw_only=True)
@@ -69,6 +70,8 @@
     heartbeat_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
     suspect_after_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
     max_frame_bytes: int = attrs.field(default=2_000_000, validator=_POSITIVE)
+    reconnect_base_ms: int = attrs.field(default=200, validator=_POSITIVE)
+    reconnect_max_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
 
 
 @attrs.frozen(kw_only=True)
@@ -106,18 +109,51 @@
     subset_size: int = attrs.field(default=24, validator=_POSITIVE)
     choices: int = attrs.field(default=2, validator=_POSITIVE)
     connect_timeout_ms: int = attrs.field(default=500, validator=_POSITIVE)
-    attempt_timeout_ms: int = attrs.field(default=120_000, validator=_POSITIVE)
+    silence_timeout_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
     max_attempts: int = attrs.field(default=4, validator=_POSITIVE)
     retry_base_ms: int = attrs.field(default=20, validator=_POSITIVE)
     retry_max_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+    retry_share: float = attrs.field(default=0.1, validator=_SHARE)
+    retry_burst: int = attrs.field(default=50, validator=_POSITIVE)
+    own_domain_share: float = attrs.field(default=0.67, validator=_SHARE)
+    other_domain_ms: int = attrs.field(default=5, validator=validators.ge(0))
+    prefix_gain_ms: int = attrs.field(default=150, validator=validators.ge(0))
+    fingerprint_gain_ms: int = attrs.field(default=20, validator=validators.ge(0))
+    crowding_ms: int = attrs.field(default=100, validator=validators.ge(0))
+    report_fade_ms: int = attrs.field(default=2_000, validator=_POSITIVE)
+    unknown_wait_ms: int = attrs.field(default=50, validator=_POSITIVE)
+    eject_after_failures: int = attrs.field(default=3, validator=_POSITIVE)
+    eject_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
+    eject_max_ms: int = attrs.field(default=60_000, validator=_POSITIVE)
+    min_healthy_share: float = attrs.field(default=0.5, validator=_SHARE)
+    slow_factor: float = attrs.field(default=2.0, validator=validators.ge(1.0))
+    slow_memory_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
+    rate_burst_ms: int = attrs.field(default=2_000, validator=_POSITIVE)
+    loan_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
+    loan_margin_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
 
 
 @attrs.frozen(kw_only=True)
 class AdmissionSettings:
     """How an agent admits, orders and limits work."""
 
-    max_running: int = attrs.field(default=8, validator=_POSITIVE)
+    min_running: int = attrs.field(default=2, validator=_POSITIVE)
+    initial_running: int = attrs.field(default=8, validator=_POSITIVE)
+    max_running: int = attrs.field(default=64, validator=_POSITIVE)
+    limit_window_ms: int = attrs.field(default=250, validator=_POSITIVE)
+    limit_min_gaps: int = attrs.field(default=16, validator=_POSITIVE)
+    limit_step: float = attrs.field(default=1.0, validator=validators.gt(0.0))
+    between_tokens_share: float = attrs.field(default=0.85, validator=_SHARE)
     max_queued: int = attrs.field(default=1_000, validator=_POSITIVE)
+    max_classes: int = attrs.field(default=64, validator=_POSITIVE)
+    fair_turn_tokens: int = attrs.field(default=512, validator=_POSITIVE)
+    prompt_token_cost: float = attrs.field(default=0.1, validator=validators.ge(0.0))
+    min_cost_tokens: int = attrs.field(default=16, validator=_POSITIVE)
+    late_share: float = attrs.field(default=0.125, validator=_SHARE)
+    aging_interval_ms: int = attrs.field(default=4_000, validator=_POSITIVE)
+    protected_share: float = attrs.field(default=0.25, validator=_SHARE)
+    protected_memory_ms: int = attrs.field(default=60_000, validator=_POSITIVE)
+    preempt_slack_ms: int = attrs.field(default=250, validator=validators.ge(0))
 
 
 @attrs.frozen(kw_only=True)
@@ -140,6 +176,8 @@
     kind: BackendKind
     url: str
     order_key: str | None = attrs.field(default=None, repr=False)
+    connect_timeout_ms: int = attrs.field(default=500, validator=_POSITIVE)
+    silence_timeout_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
 
 
 @attrs.frozen(kw_only=True)
@@ -162,6 +200,8 @@
     backend: BackendSettings | None = None
     seed: int | None = None
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
+    lame_duck_ms: int = attrs.field(default=0, validator=validators.ge(0))
+    keepalive_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
     drain_timeout_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
     log_level: str = "INFO"
     log_json: bool = False
