--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -154,8 +154,19 @@
         path = Path(self._folder.name) / "records.yaml"
         path.write_text(records)
         url = self.members["platform"].url
-        command = ["-m", "boragetiller.cli.main", "apply", str(path), "--store-url", url]
-        process = await asyncio.create_subprocess_exec(sys.executable, *command)
+        command = [
+            "-m",
+            "boragetiller.cli.main",
+            "apply",
+            str(path),
+            "--store-url",
+            url,
+            "--office",
+            "north",
+        ]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, *command, stdout=asyncio.subprocess.DEVNULL
+        )
         if await process.wait() != 0:
             raise RuntimeError("apply failed")
 
--- a/src/boragetiller/router/server.py
+++ b/src/boragetiller/router/server.py
@@ -34,6 +34,7 @@
 
     from boragetiller.metrics import Metrics
     from boragetiller.records.model import Customer
+    from boragetiller.router.config_sync import ConfigSync
     from boragetiller.router.limits import CustomerLimits
     from boragetiller.router.relay import Relay
     from boragetiller.router.traces import TraceTable
@@ -55,6 +56,7 @@
         config: ConfigTable,
         relay: Relay,
         limits: CustomerLimits,
+        sync: ConfigSync,
         traces: TraceTable,
         metrics: Metrics,
         rng: Random,
@@ -66,6 +68,7 @@
         :param config: records in force
         :param relay: serves routed requests
         :param limits: customers' limits
+        :param sync: tells why there is no configuration yet
         :param traces: decisions by request
         :param metrics: counters
         :param rng: generator of request ids
@@ -74,6 +77,7 @@
         self._config = config
         self._relay = relay
         self._limits = limits
+        self._sync = sync
         self._traces = traces
         self._metrics = metrics
         self._rng = rng
@@ -100,8 +104,9 @@
         """:return: 200 when the balancer may send requests, else 503 with the reason"""
         if self.draining:
             return web.Response(status=503, text="stopping")
-        if not self._config.ready:
-            return web.Response(status=503, text="no configuration yet")
+        reason = self._sync.not_ready_reason()
+        if reason:
+            return web.Response(status=503, text=reason)
         return web.Response(text="ready")
 
     async def handle_models(self, request: web.Request) -> web.Response:
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -156,6 +156,17 @@
     preempt_slack_ms: int = attrs.field(default=250, validator=validators.ge(0))
 
 
+@attrs.frozen(kw_only=True)
+class ConfigSettings:
+    """How a process keeps its configuration up to date."""
+
+    retry_base_ms: int = attrs.field(default=100, validator=_POSITIVE)
+    retry_max_ms: int = attrs.field(default=2_000, validator=_POSITIVE)
+    watch_restart_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
+    peer_silence_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
+    peer_wait_ms: int = attrs.field(default=1_500, validator=_POSITIVE)
+
+
 @attrs.frozen(kw_only=True)
 class BackendSettings:
     """The backend server that an agent stands beside."""
@@ -185,6 +196,7 @@
     limits: LimitSettings = LimitSettings()
     placement: PlacementSettings = PlacementSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    config: ConfigSettings = ConfigSettings()
     backend: BackendSettings | None = None
     seed: int | None = None
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
@@ -219,6 +231,7 @@
     "AdmissionSettings",
     "BackendKind",
     "BackendSettings",
+    "ConfigSettings",
     "ControlSettings",
     "LimitSettings",
     "ListenSettings",
--- a/tests/test_outcomes_table.py
+++ b/tests/test_outcomes_table.py
@@ -95,7 +95,8 @@
         return server
 
     async def _router(self) -> RouterProcess:
-        return await self.fleet.add_router("router-0", sample_records(("pool-0",), ("app-0",)))
+        await self.fleet.apply(sample_records(("pool-0",), ("app-0",)))
+        return await self.fleet.add_router("router-0")
 
     async def _add_app(self, url: str) -> None:
         await self.fleet.add_agent(
