--- /dev/null
+++ b/src/boragetiller/cli/check.py
@@ -0,0 +1,103 @@
+"""`boragetiller validate` and `diff`: judge a file before it is applied."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from boragetiller.cli.apply import result_data, result_lines
+from boragetiller.cli.exit_codes import ExitCode, exit_code_of
+from boragetiller.cli.report import Report, print_report
+from boragetiller.cli.store_access import StoredPage, open_store, read_pages
+from boragetiller.cli.writer import check_references, refused
+from boragetiller.records.documents import parse_documents
+from boragetiller.records.pages import Page, page_index
+from boragetiller.records.writes import WriteState, apply_write, begin_write
+
+if TYPE_CHECKING:
+    from boragetiller.cli.options import StoreOptions
+    from boragetiller.cli.report import OutputFormat
+    from boragetiller.records.documents import RecordDocument
+    from boragetiller.records.writes import PendingWrite, WriteResult
+
+
+async def validate_file(text: str, source: str, output: OutputFormat) -> ExitCode:
+    """
+    Check a file without the store.
+
+    :param text: YAML documents
+    :param source: name of the file for error texts
+    :param output: form of the result
+    :return: exit code
+    """
+    documents = parse_documents(text, source=source)
+    rows = [(d.record_id, d.schema_version, d.line) for d in documents]
+    columns = ("record", "schema_version", "line")
+    writes = [begin_write(Page(), document, "validate", at_ms=0) for document in documents]
+    notes = tuple(
+        f"{problem}; not in this file, `apply` looks it up in the store"
+        for problem in check_references({}, [w for w in writes if not w.document.absent])
+    )
+    data = {
+        "records": [dict(zip(columns, row, strict=True)) for row in rows],
+        "notes": list(notes),
+    }
+    print_report(Report(columns=columns, rows=rows, data=data, notes=notes), output)
+    return ExitCode.DONE
+
+
+async def diff_file(text: str, source: str, office: str, options: StoreOptions) -> ExitCode:
+    """
+    Show what `apply` would do now, and write nothing.
+
+    :param text: YAML documents
+    :param source: name of the file for error texts
+    :param office: who would write
+    :param options: store and output
+    :return: exit code, DIFFERENT when something would change
+    """
+    documents = parse_documents(text, source=source)
+    async with open_store(options.store_url, options.timeout_ms) as store:
+        pages = await read_pages(store)
+    writes = [_begin(pages, document, office) for document in documents]
+    problems = check_references(pages, writes)
+    results = [_plan(pages, write) for write in writes]
+    rows = [
+        (result.record_id, _effect(result), "; ".join(result_lines(result))) for result in results
+    ]
+    data = [{**result_data(result), "result": _effect(result)} for result in results]
+    notes = tuple(f"apply would be refused: {problem}" for problem in problems)
+    report = Report(columns=("record", "effect", "details"), rows=rows, data=data, notes=notes)
+    print_report(report, options.output)
+    if problems:
+        return ExitCode.REFUSED
+    code = exit_code_of([result.state for result in results])
+    if code is ExitCode.DONE and any(result.changes for result in results):
+        return ExitCode.DIFFERENT
+    return code
+
+
+def _begin(pages: dict[int, StoredPage], document: RecordDocument, office: str) -> PendingWrite:
+    return begin_write(_page_of(pages, document).page, document, office, at_ms=0)
+
+
+def _plan(pages: dict[int, StoredPage], write: PendingWrite) -> WriteResult:
+    stored = _page_of(pages, write.document)
+    if stored.problem:
+        return refused(write, stored.problem)
+    return apply_write(stored.page, write)
+
+
+def _page_of(pages: dict[int, StoredPage], document: RecordDocument) -> StoredPage:
+    empty = StoredPage(revision=0, data=b"", page=Page())
+    return pages.setdefault(page_index(document.record_id), empty)
+
+
+def _effect(result: WriteResult) -> str:
+    if result.state is not WriteState.ACCEPTED:
+        return result.state.value
+    if result.created:
+        return "create"
+    return "change" if result.changes else WriteState.UNCHANGED.value
+
+
+__all__ = ["diff_file", "validate_file"]
--- a/src/boragetiller/cli/main.py
+++ b/src/boragetiller/cli/main.py
@@ -9,9 +9,17 @@
 import fire
 
 from boragetiller.cli import apply as apply_command
-from boragetiller.cli import read
+from boragetiller.cli import check, read, status
 from boragetiller.cli.exit_codes import ExitCode
-from boragetiller.cli.options import office_name, positive, read_file, store_options
+from boragetiller.cli.operator_client import OperatorUnreachable
+from boragetiller.cli.options import (
+    office_name,
+    operator_options,
+    positive,
+    read_file,
+    store_options,
+)
+from boragetiller.cli.report import output_format
 from boragetiller.errors import BoragetillerError, SettingsInvalid, StoreUnavailable
 from boragetiller.records.schema import NEWEST_SCHEMA_VERSION
 
@@ -100,6 +108,110 @@
             lambda: read.list_records(kind, store_options(store_url, timeout_ms, output))
         )
 
+    def history(
+        self,
+        record: str,
+        store_url: str | None = None,
+        output: str = "table",
+        timeout_ms: int = DEFAULT_TIMEOUT_MS,
+    ) -> _Invocation:
+        """
+        Print the recent writes of RECORD (kind/name): office, time, version, changed fields.
+
+        :param store_url: base URL of the store; default BORAGETILLER_STORE_URL
+        :param output: table or json
+        :param timeout_ms: time limit of one call to the store
+        """
+        return _Invocation(
+            lambda: read.show_history(str(record), store_options(store_url, timeout_ms, output))
+        )
+
+    def diff(
+        self,
+        file: str,
+        store_url: str | None = None,
+        office: str | None = None,
+        output: str = "table",
+        timeout_ms: int = DEFAULT_TIMEOUT_MS,
+    ) -> _Invocation:
+        """
+        Show what `apply FILE` would do now, and write nothing; exit code 8 when it would change.
+
+        :param store_url: base URL of the store; default BORAGETILLER_STORE_URL
+        :param office: who would write; default BORAGETILLER_OFFICE
+        :param output: table or json
+        :param timeout_ms: time limit of one call to the store
+        """
+        return _Invocation(
+            lambda: check.diff_file(
+                read_file(file),
+                str(file),
+                office_name(office),
+                store_options(store_url, timeout_ms, output),
+            )
+        )
+
+    def validate(self, file: str, output: str = "table") -> _Invocation:
+        """
+        Check the records of FILE without the store.
+
+        :param output: table or json
+        """
+        return _Invocation(
+            lambda: check.validate_file(read_file(file), str(file), output_format(output))
+        )
+
+    def status(
+        self,
+        record: str | None = None,
+        operator_url: str | None = None,
+        operator_key: str | None = None,
+        output: str = "table",
+        timeout_ms: int = DEFAULT_TIMEOUT_MS,
+    ) -> _Invocation:
+        """
+        Show the fleet as routers see it, or which nodes have a record in force.
+
+        :param record: kind/name of a record
+        :param operator_url: operator ports, with commas between; BORAGETILLER_OPERATOR_URL
+        :param operator_key: their bearer key; default BORAGETILLER_OPERATOR_KEY
+        :param output: table or json
+        :param timeout_ms: time limit of one answer
+        """
+        if record is None:
+            return _Invocation(
+                lambda: status.show_status(
+                    operator_options(operator_url, operator_key, timeout_ms, output)
+                )
+            )
+        return _Invocation(
+            lambda: status.show_record_status(
+                str(record), operator_options(operator_url, operator_key, timeout_ms, output)
+            )
+        )
+
+    def explain(
+        self,
+        request_id: str,
+        operator_url: str | None = None,
+        operator_key: str | None = None,
+        output: str = "table",
+        timeout_ms: int = DEFAULT_TIMEOUT_MS,
+    ) -> _Invocation:
+        """
+        Print each decision about REQUEST_ID (the answer's x-request-id) with its reason.
+
+        :param operator_url: operator ports, with commas between; BORAGETILLER_OPERATOR_URL
+        :param operator_key: their bearer key; default BORAGETILLER_OPERATOR_KEY
+        :param output: table or json
+        :param timeout_ms: time limit of one answer
+        """
+        return _Invocation(
+            lambda: status.explain_request(
+                str(request_id), operator_options(operator_url, operator_key, timeout_ms, output)
+            )
+        )
+
 
 def main() -> None:
     """Run one command; ends the process with a code of :class:`ExitCode`."""
@@ -124,6 +236,8 @@
         return _fail(ExitCode.INVALID, str(error))
     except StoreUnavailable:
         return _fail(ExitCode.UNREACHABLE, "the store does not answer; try again later")
+    except OperatorUnreachable as error:
+        return _fail(ExitCode.UNREACHABLE, str(error))
     except BoragetillerError as error:
         return _fail(ExitCode.FAILED, f"{error.code}: {error}")
     except KeyboardInterrupt:
--- /dev/null
+++ b/src/boragetiller/cli/operator_client.py
@@ -0,0 +1,71 @@
+"""Ask the operator port of a process."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from boragetiller.cli.messages import AnswerInvalid
+from boragetiller.errors import BoragetillerError
+
+if TYPE_CHECKING:
+    from boragetiller.cli.options import OperatorOptions
+
+MS_PER_S = 1_000
+
+
+class OperatorUnreachable(BoragetillerError):
+    """The operator port did not answer."""
+
+    code = "operator_unreachable"
+
+
+class OperatorRefused(BoragetillerError):
+    """The operator port refused the request."""
+
+    code = "operator_refused"
+
+
+async def fetch(url: str, path: str, options: OperatorOptions) -> Any:
+    """
+    Read one JSON answer.
+
+    :param url: base URL of the operator port
+    :param path: path with a leading slash
+    :param options: bearer key and time limit
+    :return: decoded JSON
+    :raises OperatorUnreachable: no answer in time
+    :raises OperatorRefused: an answer that tells of an error
+    """
+    timeout = aiohttp.ClientTimeout(total=options.timeout_ms / MS_PER_S)
+    headers = {"Authorization": f"Bearer {options.operator_key}"}
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
+            session.get(url + path) as response,
+        ):
+            body = await response.read()
+            status = response.status
+    except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+        reason = str(error) or type(error).__name__
+        message = f"{url} does not answer ({reason}); check --operator-url and the process"
+        raise OperatorUnreachable(message) from error
+    _check_status(url, path, status)
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise AnswerInvalid(f"{url}{path}: the answer is no JSON") from error
+
+
+def _check_status(url: str, path: str, status: int) -> None:
+    if status in (401, 403):
+        raise OperatorRefused(f"{url}: the operator key is not accepted; check --operator-key")
+    if status == 404:
+        raise OperatorRefused(f"{url}{path}: not known there; ask another router")
+    if status != 200:
+        raise OperatorRefused(f"{url}{path}: status {status}")
+
+
+__all__ = ["OperatorRefused", "OperatorUnreachable", "fetch"]
--- /dev/null
+++ b/src/boragetiller/cli/status.py
@@ -0,0 +1,163 @@
+"""`boragetiller status` and `explain`: what routers see and did."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import attrs
+
+from boragetiller.cli.exit_codes import ExitCode
+from boragetiller.cli.messages import Explanation, NodePage, NodeStatus, RecordStatus, read_message
+from boragetiller.cli.operator_client import OperatorRefused, OperatorUnreachable, fetch
+from boragetiller.cli.report import Report, print_report
+from boragetiller.errors import BoragetillerError
+from boragetiller.records.pages import split_record_id
+
+if TYPE_CHECKING:
+    from boragetiller.cli.options import OperatorOptions
+
+T = TypeVar("T")
+
+
+async def show_status(options: OperatorOptions) -> ExitCode:
+    """
+    Print the fleet as the asked routers see it.
+
+    :param options: routers and output
+    :return: exit code
+    """
+    answers, problems = await _ask_all("/status", NodeStatus, options)
+    rows: list[tuple[Any, ...]] = []
+    for node in answers:
+        rows.append((node.name, node.role, node.failure_domain, _node_state(node), "", "", ""))
+        for agent in node.agents:
+            load = (f"{agent.running}/{agent.max_running}", agent.queued, agent.in_flight)
+            rows.append((f"  {agent.name}", agent.group, agent.failure_domain, agent.state, *load))
+    notes = [*problems, *(note for node in answers for note in _config_notes(node))]
+    report = Report(
+        columns=("node", "role_or_group", "failure_domain", "state")
+        + ("running", "queued_by_tier", "in_flight"),
+        rows=rows,
+        data=[attrs.asdict(answer) for answer in answers],
+        notes=tuple(notes),
+    )
+    print_report(report, options.output)
+    return ExitCode.UNREACHABLE if problems else ExitCode.DONE
+
+
+async def show_record_status(record_id: str, options: OperatorOptions) -> ExitCode:
+    """
+    Print which nodes have a record in force, at which revision and since when.
+
+    :param record_id: kind and name
+    :param options: routers and output
+    :return: exit code
+    """
+    split_record_id(record_id)
+    answers, problems = await _ask_all(f"/status/record/{record_id}", RecordStatus, options)
+    nodes: dict[str, NodePage] = {}
+    for answer in answers:
+        for node in answer.nodes:
+            _keep_newest(nodes, node)
+    newest_revision = max((node.page_revision for node in nodes.values()), default=0)
+    rows = [
+        (
+            node.node,
+            node.page_revision,
+            newest_revision > 0 and node.page_revision == newest_revision,
+            node.age_ms,
+        )
+        for _, node in sorted(nodes.items())
+    ]
+    notes = [*problems, *_record_notes(answers)]
+    columns = ("node", "page_revision", "newest", "in_force_for_ms")
+    data = {
+        "record": record_id,
+        "record_revision": max((a.record_revision or 0 for a in answers), default=0),
+        "nodes": [dict(zip(columns, row, strict=True)) for row in rows],
+        "problems": notes,
+    }
+    report = Report(columns=columns, rows=rows, data=data, notes=tuple(notes))
+    print_report(report, options.output)
+    return ExitCode.UNREACHABLE if problems else ExitCode.DONE
+
+
+async def explain_request(request_id: str, options: OperatorOptions) -> ExitCode:
+    """
+    Print each decision about a request with its reason.
+
+    :param request_id: as the answer's `x-request-id` says
+    :param options: routers and output
+    :return: exit code
+    """
+    answers, problems = await _ask_all(f"/explain/{request_id}", Explanation, options)
+    rows = [
+        (answer.router, step.at_ms, step.step, step.detail)
+        for answer in answers
+        for step in answer.steps
+    ]
+    data = [attrs.asdict(answer) for answer in answers]
+    report = Report(columns=("router", "at_ms", "step", "detail"), rows=rows, data=data)
+    print_report(attrs.evolve(report, notes=() if answers else tuple(problems)), options.output)
+    return ExitCode.DONE if answers else ExitCode.FAILED
+
+
+async def _ask_all(
+    path: str, target: type[T], options: OperatorOptions
+) -> tuple[list[T], list[str]]:
+    bodies = await asyncio.gather(
+        *(fetch(url, path, options) for url in options.operator_urls), return_exceptions=True
+    )
+    answers: list[T] = []
+    problems: list[str] = []
+    errors: list[BaseException] = []
+    for body in bodies:
+        try:
+            if isinstance(body, BaseException):
+                raise body
+            answers.append(read_message(target, body))
+        except BoragetillerError as error:
+            errors.append(error)
+            problems.append(str(error))
+    if not answers and not all(
+        isinstance(e, OperatorRefused | OperatorUnreachable) for e in errors
+    ):
+        raise errors[0]
+    return answers, problems
+
+
+def _node_state(node: NodeStatus) -> str:
+    if node.draining:
+        return "draining"
+    return "ready" if node.config.ready else "not_ready"
+
+
+def _config_notes(node: NodeStatus) -> list[str]:
+    config = node.config
+    notes = [config.reason] if config.reason else []
+    if config.store == "unreachable":
+        notes.append("the store does not answer; the configuration held stays in force")
+    notes += [f"cannot be read here: {text}" for text in config.unreadable]
+    notes += [f"reference does not hold: {text}" for text in config.reference_problems]
+    return [f"{node.name}: {note}" for note in notes]
+
+
+def _keep_newest(nodes: dict[str, NodePage], node: NodePage) -> None:
+    known = nodes.setdefault(node.node, node)
+    if (node.page_revision, node.age_ms or 0) > (known.page_revision, known.age_ms or 0):
+        nodes[node.node] = node
+
+
+def _record_notes(answers: list[RecordStatus]) -> list[str]:
+    notes = []
+    for answer in answers:
+        first = answer.nodes[0].node if answer.nodes else "unknown node"
+        if answer.problem:
+            notes.append(f"{first}: cannot read it, the last readable one stays: {answer.problem}")
+        elif answer.record_revision is None:
+            notes.append(f"{first}: has no such record")
+    return notes
+
+
+__all__ = ["explain_request", "show_record_status", "show_status"]
--- a/src/boragetiller/cli/writer.py
+++ b/src/boragetiller/cli/writer.py
@@ -91,7 +91,7 @@
         problems = check_references(pages, writes)
         if problems:
             text = "nothing of the file was written: " + "; ".join(map(str, problems))
-            return [_refused(write, text) for write in writes]
+            return [refused(write, text) for write in writes]
         results: dict[str, WriteResult] = {}
         for index, batch in _batches(writes):
             for result in await self._write_page(index, batch):
@@ -123,7 +123,7 @@
             except StoreUnavailable:
                 continue
             if stored.problem:
-                return [_refused(write, stored.problem) for write in writes]
+                return [refused(write, stored.problem) for write in writes]
             if lost is not None and stored.revision < lost.expected_revision:
                 continue  # a stale read
             if lost is not None and stored.revision > lost.expected_revision:
@@ -149,7 +149,7 @@
                 )
                 continue
             except BoragetillerError as error:
-                return [_refused(write, str(error)) for write in writes]
+                return [refused(write, str(error)) for write in writes]
             return results
         return [_undecided(write, lost is not None) for write in writes]
 
@@ -187,6 +187,16 @@
     return list(_table_of(pages).reference_problems)
 
 
+def refused(write: PendingWrite, message: str) -> WriteResult:
+    """:return: the answer to a write that may not be made"""
+    return WriteResult(
+        record_id=write.document.record_id,
+        state=WriteState.REFUSED,
+        write_id=write.write_id,
+        message=message,
+    )
+
+
 def _table_of(pages: dict[int, StoredPage]) -> ConfigTable:
     table = ConfigTable()
     updates = [
@@ -214,15 +224,6 @@
     return batches
 
 
-def _refused(write: PendingWrite, message: str) -> WriteResult:
-    return WriteResult(
-        record_id=write.document.record_id,
-        state=WriteState.REFUSED,
-        write_id=write.write_id,
-        message=message,
-    )
-
-
 def _unsent(record_id: str, message: str) -> WriteResult:
     return WriteResult(record_id=record_id, state=WriteState.NOT_ACCEPTED, message=message)
 
@@ -239,4 +240,4 @@
     )
 
 
-__all__ = ["RecordWriter", "WriterSettings", "check_references", "missing_references"]
+__all__ = ["RecordWriter", "WriterSettings", "check_references", "missing_references", "refused"]
--- /dev/null
+++ b/src/boragetiller/router/config_peers.py
@@ -0,0 +1,95 @@
+"""Which configuration pages the peers of a node hold."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.cli.messages import NodePage
+from boragetiller.systems.config_pages import missing_pages
+
+if TYPE_CHECKING:
+    from boragetiller.clock import Clock
+    from boragetiller.tables.config import ConfigTable
+
+MAX_PEERS = 256
+
+
+@attrs.define
+class _Peer:
+    revisions: dict[int, int]
+    complete: bool
+    heard_ms: int
+    changed_ms: dict[int, int] = attrs.Factory(dict)  # when this node learned of the revision
+
+
+class ConfigPeers:
+    """The page revisions that each connected peer told last."""
+
+    def __init__(self, clock: Clock) -> None:
+        """:param clock: monotonic time"""
+        self._clock = clock
+        self._peers: dict[str, _Peer] = {}
+
+    def __len__(self) -> int:
+        """:return: number of peers"""
+        return len(self._peers)
+
+    def note(self, name: str, revisions: dict[int, int], complete: bool) -> None:
+        """
+        Replace what is known of a peer.
+
+        :param name: the peer
+        :param revisions: store revision of each of its pages, by index
+        :param complete: whether the peer is ready and these are all its pages
+        """
+        known = self._peers.get(name)
+        if known is None and len(self._peers) >= MAX_PEERS:
+            return
+        now_ms = self._clock.now_ms()
+        peer = _Peer(dict(revisions), complete, now_ms)
+        for index, revision in revisions.items():
+            same = known is not None and known.revisions.get(index) == revision
+            peer.changed_ms[index] = known.changed_ms[index] if known and same else now_ms
+        self._peers[name] = peer
+
+    def heard(self, name: str) -> None:
+        """Take notice that a peer is there with the pages that it told last."""
+        if name in self._peers:
+            self._peers[name].heard_ms = self._clock.now_ms()
+
+    def remove(self, name: str) -> None:
+        """Forget a peer."""
+        self._peers.pop(name, None)
+
+    def pages(self, index: int) -> list[NodePage]:
+        """:return: the revision of one page at each peer"""
+        now_ms = self._clock.now_ms()
+        return [
+            NodePage(
+                node=name,
+                page_revision=peer.revisions.get(index, 0),
+                age_ms=now_ms - peer.changed_ms[index] if index in peer.changed_ms else None,
+            )
+            for name, peer in sorted(self._peers.items())
+        ]
+
+    def any_complete(self) -> str | None:
+        """:return: a peer that has a whole configuration"""
+        return next((name for name, peer in self._peers.items() if peer.complete), None)
+
+    def any_heard_within(self, silence_ms: int) -> bool:
+        """:return: whether a peer with a whole configuration was heard lately"""
+        oldest_ms = self._clock.now_ms() - silence_ms
+        return any(peer.complete and peer.heard_ms >= oldest_ms for peer in self._peers.values())
+
+    def matched_by(self, table: ConfigTable) -> str | None:
+        """:return: a peer whose whole configuration the table holds, in the same or newer pages"""
+        for name, peer in self._peers.items():
+            if peer.complete and not missing_pages(table, peer.revisions):
+                return name
+        return None
+
+
+__all__ = ["ConfigPeers"]
--- a/src/boragetiller/router/config_sync.py
+++ b/src/boragetiller/router/config_sync.py
@@ -8,11 +8,10 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-import attrs
-
 from boragetiller.errors import BoragetillerError
 from boragetiller.events import Event, log_event
 from boragetiller.records.pages import PAGE_COUNT, PAGE_PREFIX, index_of_key
+from boragetiller.router.config_peers import ConfigPeers
 from boragetiller.settings import Role
 from boragetiller.systems.config_pages import (
     PageUpdate,
@@ -25,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from boragetiller.cli.messages import NodePage
     from boragetiller.clock import Clock
     from boragetiller.platform.store import Entry, Store
     from boragetiller.settings import Settings
@@ -32,7 +32,6 @@
 
 MS_PER_S = 1_000
 MAX_BACKOFF_DOUBLINGS = 16
-MAX_PEERS = 256
 
 
 class StoreState(Enum):
@@ -43,13 +42,6 @@
     UNREACHABLE = "unreachable"
 
 
-@attrs.define
-class _PeerState:
-    revisions: dict[int, int]
-    complete: bool
-    heard_ms: int
-
-
 class ConfigSync:
     """
     Reads the pages once, then follows them.
@@ -82,7 +74,7 @@
         self._clock = clock
         self._on_change = on_change
         self._rng = _make_rng(settings)
-        self._peers: dict[str, _PeerState] = {}
+        self._peers = ConfigPeers(clock)
         self._listed = False
         self._position_revision = 0  # the store showed every change up to here
         self._restart_revision = 0  # position at the start of the running watch
@@ -110,10 +102,11 @@
         """:return: why the configuration is not whole, empty when it is"""
         if self._table.ready:
             return ""
-        complete = [name for name, peer in self._peers.items() if peer.complete]
-        if complete:
-            return f"configuration: pages from peer {complete[0]} are still on their way"
-        peers = f"none of {len(self._peers)} peers has it" if self._peers else "no peer is heard"
+        source = self._peers.any_complete()
+        if source is not None:
+            return f"configuration: pages from peer {source} are still on their way"
+        count = len(self._peers)
+        peers = f"none of {count} peers has it" if count else "no peer is heard"
         if self.store_state is StoreState.UNREACHABLE:
             return f"configuration: the store does not answer and {peers}"
         return f"configuration: the first read of the store has not ended and {peers}"
@@ -135,23 +128,21 @@
         :param complete: whether the peer is ready and these are all its pages
         :return: indexes of the pages to ask it for
         """
-        if peer in self._peers or len(self._peers) < MAX_PEERS:
-            self._peers[peer] = _PeerState(dict(revisions), complete, self._clock.now_ms())
+        self._peers.note(peer, revisions, complete)
         self._check_whole()
         return missing_pages(self._table, revisions)
 
     def peer_heard(self, peer: str) -> None:
         """Take notice that a peer is there and its pages are those it told last."""
-        if peer in self._peers:
-            self._peers[peer].heard_ms = self._clock.now_ms()
+        self._peers.heard(peer)
 
     def peer_lost(self, peer: str) -> None:
         """Forget a peer that is no longer connected."""
-        self._peers.pop(peer, None)
+        self._peers.remove(peer)
 
-    def peer_revisions(self) -> dict[str, dict[int, int]]:
-        """:return: the page revisions that each connected peer told last"""
-        return {name: dict(peer.revisions) for name, peer in self._peers.items()}
+    def peer_pages(self, index: int) -> list[NodePage]:
+        """:return: the revision of one page at each connected peer, as it told last"""
+        return self._peers.pages(index)
 
     def take_page(self, index: int, revision: int, data: bytes) -> bool:
         """
@@ -228,10 +219,9 @@
     def _check_whole(self) -> None:
         if self._table.ready:
             return
-        for name, peer in self._peers.items():
-            if peer.complete and not missing_pages(self._table, peer.revisions):
-                self._become_ready(f"peer {name}")
-                return
+        name = self._peers.matched_by(self._table)
+        if name is not None:
+            self._become_ready(f"peer {name}")
 
     def _become_ready(self, source: str) -> None:
         if self._table.ready:
@@ -263,8 +253,7 @@
         return self._settings.role is Role.AGENT
 
     def _peers_heard(self) -> bool:
-        oldest_ms = self._clock.now_ms() - self._settings.config.peer_silence_ms
-        return any(peer.complete and peer.heard_ms >= oldest_ms for peer in self._peers.values())
+        return self._peers.any_heard_within(self._settings.config.peer_silence_ms)
 
     def _backoff_ms(self, failures: int) -> float:
         config = self._settings.config
--- /dev/null
+++ b/tests/cli/test_main.py
@@ -0,0 +1,236 @@
+"""Tests of the command line as a whole: output, exit codes and error texts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+import json
+import os
+import tempfile
+import threading
+import unittest
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import attrs
+from aiohttp import web
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragetiller.cli.exit_codes import ExitCode
+from boragetiller.cli.main import run
+from boragetiller.cli.messages import (
+    AgentStatus,
+    AnswerInvalid,
+    ConfigStatus,
+    ExplainStep,
+    Explanation,
+    NodePage,
+    NodeStatus,
+    RecordStatus,
+    read_message,
+)
+from boragetiller.standin.platform_server import PlatformServer, PlatformServerSettings
+from tests.records.samples import FLEET
+
+KEY = "operator-key"
+STATUS = NodeStatus(
+    name="router-1",
+    role="router",
+    config=ConfigStatus(ready=True, store="unreachable", unreadable=("class/x: schema version 3",)),
+    agents=(AgentStatus(name="vl-a-1", group="tiller-pool", queued=(1, 0, 0, 2)),),
+)
+RECORD = RecordStatus(
+    record="class/quote",
+    page=3,
+    record_revision=2,
+    nodes=(
+        NodePage(node="router-1", page_revision=9, age_ms=1_500),
+        NodePage(node="vl-a-1", page_revision=8),
+    ),
+)
+EXPLANATION = Explanation(
+    request_id="r-1",
+    router="router-1",
+    steps=(ExplainStep(at_ms=3, step="placed", detail="agent=vl-a-1"),),
+)
+
+
+class Services:
+    """The platform and an operator port on a loop of their own."""
+
+    def __init__(self) -> None:
+        """Start both."""
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        self.platform = PlatformServer(PlatformServerSettings())
+        self.call(self.platform.start())
+        self.operator_url = self.call(self._start_operator())
+
+    def call(self, coroutine: Any) -> Any:
+        """:return: result of a coroutine on the loop"""
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
+
+    def close(self) -> None:
+        """Stop both."""
+        self.call(self.runner.cleanup())
+        self.call(self.platform.close())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+    async def _start_operator(self) -> str:
+        app = web.Application()
+        app.router.add_get("/status", _answer(STATUS))
+        app.router.add_get("/status/record/{record:.+}", _answer(RECORD))
+        app.router.add_get("/explain/r-1", _answer(EXPLANATION))
+        self.runner = web.AppRunner(app)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        return f"http://127.0.0.1:{self.runner.addresses[0][1]}"
+
+
+class MainTest(unittest.TestCase):
+    """Each command once, and each kind of failure."""
+
+    def setUp(self) -> None:
+        self.services = Services()
+        self.addCleanup(self.services.close)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / "fleet.yaml"
+        self.file.write_text(FLEET, encoding="utf-8")
+        environment = {
+            "BORAGETILLER_STORE_URL": self.services.platform.url,
+            "BORAGETILLER_OFFICE": "vesturland",
+            "BORAGETILLER_OPERATOR_URL": self.services.operator_url,
+            "BORAGETILLER_OPERATOR_KEY": KEY,
+        }
+        patch = mock.patch.dict(os.environ, environment)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_apply_diff_get_list_history(self) -> None:
+        self.assertIn("create", self.command(ExitCode.DIFFERENT, "diff", str(self.file)))
+        self.assertIn("accepted", self.command(ExitCode.DONE, "apply", str(self.file)))
+        self.assertIn("unchanged", self.command(ExitCode.DONE, "apply", str(self.file)))
+        self.assertIn("unchanged", self.command(ExitCode.DONE, "diff", str(self.file)))
+        document = self.command(ExitCode.DONE, "get", "class/quote", "--schema-version", "1")
+        self.assertIn("first_token_ms: 680", document)
+        self.file.write_text(document.replace("tier: 0", "tier: 2"), encoding="utf-8")
+        self.assertIn("tier: 0 -> 2", self.command(ExitCode.DIFFERENT, "diff", str(self.file)))
+        self.assertIn("tier: 0 -> 2", self.command(ExitCode.DONE, "apply", str(self.file)))
+        listed = json.loads(self.command(ExitCode.DONE, "list", "class", "--output", "json"))
+        self.assertEqual([(r["record"], r["revision"]) for r in listed], [("class/quote", 2)])
+        history = json.loads(
+            self.command(ExitCode.DONE, "history", "class/quote", "--output", "json")
+        )
+        self.assertEqual([h["schema_version"] for h in history], [2, 1])
+        self.assertEqual(history[1]["changes"], {"tier": [0, 2]})
+
+    def test_apply_conflict_shows_three_values(self) -> None:
+        self.command(ExitCode.DONE, "apply", str(self.file))
+        document = self.command(ExitCode.DONE, "get", "class/quote")
+        self.file.write_text(document.replace("tier: 0", "tier: 1"), encoding="utf-8")
+        self.command(ExitCode.DONE, "apply", str(self.file))
+        self.file.write_text(document.replace("tier: 0", "tier: 2"), encoding="utf-8")
+        output = self.command(ExitCode.CONFLICT, "apply", str(self.file), "--office", "kalisz")
+        self.assertIn("tier: conflict: base 0, theirs 1, yours 2", output)
+
+    def test_apply_lost_reply_is_accepted(self) -> None:
+        self.services.platform.store.inject(lose_replies=1)
+        self.assertIn("accepted", self.command(ExitCode.DONE, "apply", str(self.file)))
+
+    def test_apply_missing_reference_is_refused(self) -> None:
+        self.file.write_text(FLEET.replace("group: tiller-pool", "group: x"), encoding="utf-8")
+        self.assertIn("no group x", self.command(ExitCode.REFUSED, "apply", str(self.file)))
+
+    def test_outage_is_told(self) -> None:
+        self.services.platform.store.inject(outage=True)
+        self.assertIn("does not answer", self.command(ExitCode.UNREACHABLE, "list"))
+
+    def test_validate_is_offline(self) -> None:
+        with mock.patch.dict(os.environ, {"BORAGETILLER_STORE_URL": ""}):
+            self.command(ExitCode.DONE, "validate", str(self.file))
+            self.file.write_text(FLEET.replace("tier: 0", "tire: 0"), encoding="utf-8")
+            output = self.command(ExitCode.INVALID, "validate", str(self.file))
+        self.assertRegex(output, r"fleet.yaml:13: tire: unknown key; allowed: ")
+
+    def test_status_record_and_explain(self) -> None:
+        fleet = self.command(ExitCode.DONE, "status")
+        for text in ("vl-a-1", "1,0,0,2", "store does not answer", "schema version 3"):
+            self.assertIn(text, fleet)
+        record = self.command(ExitCode.DONE, "status", "--record", "class/quote")
+        self.assertRegex(record, r"router-1 +9 +true +1500")
+        self.assertRegex(record, r"vl-a-1 +8 +false +-")
+        self.assertIn("agent=vl-a-1", self.command(ExitCode.DONE, "explain", "r-1"))
+        self.assertIn("not known there", self.command(ExitCode.FAILED, "explain", "r-2"))
+        output = self.command(ExitCode.UNREACHABLE, "status", "--operator-key", "wrong")
+        self.assertIn("operator key is not accepted", output)
+
+    def test_errors_say_what_to_do(self) -> None:
+        cases = {
+            ("get", "class/none"): "boragetiller list",
+            ("get", "klass/x"): "allowed: customer, class, group",
+            ("list", "--output", "xml"): "allowed: table, json",
+            ("list", "--store-url", "nowhere"): "must begin with http://",
+            ("list", "--timeout-ms", "soon"): "whole number above 0",
+            ("apply", "/nowhere/x.yaml"): "cannot be read",
+            ("apply", str(self.file), "--office", "a b"): "--office",
+            ("apply", str(self.file), "--dry-run"): "Could not consume",
+            ("applying",): "Could not consume",
+        }
+        for arguments, text in cases.items():
+            with self.subTest(arguments):
+                self.assertIn(text, self.command(ExitCode.INVALID, *arguments))
+        self.assertEqual(json.loads(self.command(ExitCode.DONE, "list", "--output", "json")), [])
+
+    def command(self, code: ExitCode, *arguments: str) -> str:
+        """:return: what a command printed, after a check of its exit code"""
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
+            result = run(list(arguments))
+        self.assertEqual(result, code, output.getvalue())
+        self.assertNotIn("Traceback", output.getvalue())
+        return output.getvalue()
+
+
+class MessageTest(unittest.TestCase):
+    """Answers of the operator port."""
+
+    def test_round_trip(self) -> None:
+        for message in (STATUS, RECORD, EXPLANATION):
+            body = json.loads(json.dumps(attrs.asdict(message)))
+            body["added_later"] = 1
+            self.assertEqual(read_message(type(message), body), message)
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(
+        st.recursive(
+            st.none() | st.integers() | st.text(max_size=3),
+            lambda inner: st.lists(inner, max_size=2)
+            | st.dictionaries(
+                st.sampled_from(["name", "role", "config", "agents", "ready"]), inner
+            ),
+        )
+    )
+    def test_any_answer_is_a_coded_error(self, body: object) -> None:
+        with contextlib.suppress(AnswerInvalid):
+            self.assertIsInstance(read_message(NodeStatus, body), NodeStatus)
+
+
+def _answer(message: Any) -> Any:
+    async def handle(request: web.Request) -> web.Response:
+        if request.headers.get("Authorization") != f"Bearer {KEY}":
+            raise web.HTTPUnauthorized
+        return web.json_response(attrs.asdict(message))
+
+    return handle
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/cli/test_writer.py
@@ -0,0 +1,190 @@
+"""Tests of the writer: true answers under lost replies, races and outages."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from boragetiller.cli.store_access import read_pages
+from boragetiller.cli.writer import RecordWriter, WriterSettings
+from boragetiller.clock import ManualClock
+from boragetiller.errors import StoreUnavailable
+from boragetiller.platform.faults import CallKind
+from boragetiller.platform.memory import MemoryStore
+from boragetiller.records.documents import parse_documents
+from boragetiller.records.pages import page_index, page_key
+from boragetiller.records.writes import WriteResult, WriteState
+from tests.cli.writing import write_fields, write_fleet
+from tests.records.samples import FLEET, make_document
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+FAST = WriterSettings(attempts=3, retry_base_ms=1, retry_max_ms=1)
+
+
+class ScriptedStore(MemoryStore):
+    """Runs a step once, right before the next put."""
+
+    before_put: Callable[[], Awaitable[Any]] | None = None
+    delayed_put: tuple[str, bytes, int] | None = None
+
+    async def put(self, key: str, value: bytes, *, expected_revision: int) -> int:
+        """See :class:`MemoryStore`."""
+        step, self.before_put = self.before_put, None
+        if step is not None:
+            await step()
+        return await super().put(key, value, expected_revision=expected_revision)
+
+
+class WriterTest(unittest.IsolatedAsyncioTestCase):
+    """Two offices and a store with faults."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = ScriptedStore(ManualClock())
+        await write_fleet(self.store)
+
+    async def test_lost_reply_is_settled_as_accepted(self) -> None:
+        self.store.lose_next_reply()
+        result = await self._write(tier=2)
+        self.assertEqual(
+            (result.state, result.message), (WriteState.ACCEPTED, "was accepted before")
+        )
+        self.assertEqual(await self._stored("tier"), 2)
+        self.assertEqual(self.store.counts[CallKind.PUT], 4)
+
+    async def test_lost_request_is_sent_again(self) -> None:
+        self.store.inject(lose_requests=1)
+        self.assertEqual((await self._write(tier=2)).state, WriteState.ACCEPTED)
+        self.assertEqual(await self._stored("tier"), 2)
+
+    async def test_lost_reply_then_outage_is_unknown_and_rerun_settles(self) -> None:
+        async def lose_reply_then_fail() -> None:
+            self.store.inject(lose_replies=1)
+            self.store.before_put = fail
+
+        async def fail() -> None:
+            raise StoreUnavailable
+
+        self.store.before_put = lose_reply_then_fail
+        put = self.store.get
+
+        async def get(key: str) -> Any:
+            if self.store.before_put is fail:
+                raise StoreUnavailable
+            return await put(key)
+
+        self.store.get = get  # type: ignore[method-assign]
+        result = await self._write(tier=2)
+        self.assertEqual(result.state, WriteState.UNKNOWN)
+        self.assertIn("run the same command again", result.message)
+        self.store.get = put  # type: ignore[method-assign]
+        self.store.before_put = None
+        again = await self._write(tier=2)
+        self.assertEqual(again.state, WriteState.UNCHANGED)
+        self.assertEqual(again.revision, 2)
+
+    async def test_late_request_after_a_rerun_does_no_harm(self) -> None:
+        key = page_key(page_index("class/quote"))
+        before = await self.store.get(key)
+        assert before is not None
+        await self._write(base_revision=1, tier=2)
+        late = await self.store.get(key)
+        assert late is not None
+        await write_fields(self.store, "class", "quote", "kalisz", base_revision=2, tier=3)
+        with self.assertRaises(Exception):  # noqa: B017
+            await self.store.put(key, late.value, expected_revision=before.revision)
+        result = await self._write(base_revision=1, tier=2)
+        self.assertEqual(result.state, WriteState.ACCEPTED)
+        self.assertEqual(await self._stored("tier"), 3)
+
+    async def test_race_on_the_page_merges(self) -> None:
+        async def other_office() -> None:
+            await write_fields(
+                self.store, "class", "quote", "kalisz", base_revision=1, deadline_ms=5_000
+            )
+
+        self.store.before_put = other_office
+        self.assertEqual((await self._write(tier=2)).state, WriteState.ACCEPTED)
+        self.assertEqual(
+            (await self._stored("tier"), await self._stored("deadline_ms")), (2, 5_000)
+        )
+
+    async def test_race_on_the_field_conflicts(self) -> None:
+        async def other_office() -> None:
+            await write_fields(self.store, "class", "quote", "kalisz", base_revision=1, tier=3)
+
+        self.store.before_put = other_office
+        result = await self._write(tier=2)
+        self.assertEqual(result.state, WriteState.CONFLICT)
+        self.assertEqual((result.conflicts[0].base, result.conflicts[0].theirs), (0, 3))
+        self.assertEqual(await self._stored("tier"), 3)
+
+    async def test_lost_request_and_other_write_conflicts_truthfully(self) -> None:
+        async def other_office() -> None:
+            self.store.inject(lose_requests=0)
+            await write_fields(self.store, "class", "quote", "kalisz", base_revision=1, tier=3)
+            self.store.inject(lose_requests=1)
+
+        self.store.before_put = other_office
+        self.assertEqual((await self._write(tier=2)).state, WriteState.CONFLICT)
+
+    async def test_outage_says_not_accepted(self) -> None:
+        self.store.inject(outage=True)
+        result = await self._write(tier=2)
+        self.store.inject(outage=False)
+        self.assertEqual(result.state, WriteState.NOT_ACCEPTED)
+        self.assertEqual(await self._stored("tier"), 0)
+
+    async def test_stale_reads_never_overwrite(self) -> None:
+        self.store.inject(stale_reads=True)
+        await write_fields(self.store, "customer", "morgun", weight=2.0)
+        result = await self._write(tier=2)
+        self.store.inject(stale_reads=False)
+        self.assertIn(result.state, (WriteState.ACCEPTED, WriteState.NOT_ACCEPTED))
+        stored_tier = await self._stored("tier")
+        self.assertEqual(stored_tier, 2 if result.state is WriteState.ACCEPTED else 0)
+
+    async def test_missing_reference_refuses_the_file(self) -> None:
+        puts = self.store.counts[CallKind.PUT]
+        result = await write_fields(self.store, "class", "note", group="nowhere")
+        self.assertEqual(result.state, WriteState.REFUSED)
+        self.assertIn("class/note: group: no group nowhere", result.message)
+        removal = await write_fields(self.store, "group", "tiller-pool", absent=True)
+        self.assertEqual(removal.state, WriteState.REFUSED)
+        self.assertEqual(self.store.counts[CallKind.PUT], puts)
+
+    async def test_shared_key_hash_is_refused(self) -> None:
+        result = await write_fields(
+            self.store, "customer", "other", key_hashes=["a" * 64], classes=["quote"]
+        )
+        self.assertEqual(result.state, WriteState.REFUSED)
+        self.assertIn("already belongs to customer morgun", result.message)
+
+    async def test_file_may_remove_what_it_stops_referring_to(self) -> None:
+        text = FLEET.replace("classes: [quote]", "classes: []")
+        text = text.replace("tier: 0", "absent: true").replace("backend: engine", "absent: true")
+        results = await RecordWriter(self.store, "vesturland", Random(1), FAST).write(
+            parse_documents(text), 1
+        )
+        self.assertEqual([r.state for r in results], [WriteState.ACCEPTED] * 3, results)
+
+    async def test_unreadable_page_is_refused(self) -> None:
+        key = page_key(page_index("class/quote"))
+        entry = await self.store.get(key)
+        assert entry is not None
+        await self.store.put(key, b"garbage", expected_revision=entry.revision)
+        self.assertEqual((await self._write(tier=2)).state, WriteState.REFUSED)
+
+    async def _write(self, **fields: Any) -> WriteResult:
+        writer = RecordWriter(self.store, "vesturland", Random(1), FAST)
+        return (await writer.write([make_document("class", "quote", **fields)], 2_000))[0]
+
+    async def _stored(self, field: str) -> Any:
+        pages = await read_pages(self.store)
+        return pages[page_index("class/quote")].page.records["class/quote"].fields[field]
+
+
+if __name__ == "__main__":
+    unittest.main()
