--- a/src/boragetiller/cli/writer.py
+++ b/src/boragetiller/cli/writer.py
@@ -86,11 +86,11 @@
         try:
             pages = await self._read_pages()
         except StoreUnavailable:
-            return [_unsent(d.record_id, "the store does not answer") for d in documents]
+            return [_unsent(document.record_id) for document in documents]
         writes = [self._begin(pages, document, at_ms) for document in documents]
         problems = check_references(pages, writes)
         if problems:
-            text = "nothing of the file was written: " + "; ".join(map(str, problems))
+            text = "this run wrote nothing of the file: " + "; ".join(map(str, problems))
             return [refused(write, text) for write in writes]
         results: dict[str, WriteResult] = {}
         for index, batch in _batches(writes):
@@ -224,14 +224,17 @@
     return batches
 
 
-def _unsent(record_id: str, message: str) -> WriteResult:
-    return WriteResult(record_id=record_id, state=WriteState.NOT_ACCEPTED, message=message)
+def _unsent(record_id: str) -> WriteResult:
+    return WriteResult(
+        record_id=record_id,
+        state=WriteState.NOT_ACCEPTED,
+        message="the store does not answer or is too busy; this run wrote nothing, run it again",
+    )
 
 
 def _undecided(write: PendingWrite, reply_lost: bool) -> WriteResult:
     if not reply_lost:
-        message = "the store does not answer or is too busy; nothing was written"
-        return _unsent(write.document.record_id, message)
+        return _unsent(write.document.record_id)
     return WriteResult(
         record_id=write.document.record_id,
         state=WriteState.UNKNOWN,
--- a/src/boragetiller/records/writes.py
+++ b/src/boragetiller/records/writes.py
@@ -110,7 +110,7 @@
     """
     document = write.document
     record = page.records.get(document.record_id)
-    if write.write_id in page.recent_writes:
+    if was_accepted(page, write):
         revision = record.revision if record else 0
         return _result(write, WriteState.ACCEPTED, revision, message="was accepted before")
     refusal = _refusal(record, write)
@@ -138,6 +138,14 @@
     return _result(write, WriteState.ACCEPTED, revision, changes=merged.changes, kept=kept)
 
 
+def was_accepted(page: Page, write: PendingWrite) -> bool:
+    """:return: whether the page shows that the write took effect"""
+    if write.write_id in page.recent_writes:
+        return True
+    record = page.records.get(write.document.record_id)
+    return record is not None and any(n.write_id == write.write_id for n in record.history)
+
+
 def write_is_settled(page: Page, write: PendingWrite, sent_write_count: int) -> bool:
     """
     Tell whether the page shows for certain what became of a write whose reply was lost.
@@ -147,9 +155,14 @@
     :param sent_write_count: write count of the page that the write was applied to
     :return: False when so many writes followed that its identifier may have been dropped
     """
-    if write.write_id in page.recent_writes:
+    if was_accepted(page, write):
+        return True
+    if page.write_count - sent_write_count <= MAX_RECENT_WRITES:
         return True
-    return page.write_count - sent_write_count <= MAX_RECENT_WRITES
+    record = page.records.get(write.document.record_id)
+    if record is None or write.base_revision is None:
+        return record is None
+    return len(record.history) >= record.revision - write.base_revision
 
 
 def _last_revision_of(record: StoredRecord | None, office: str) -> int | None:
@@ -176,8 +189,8 @@
         return _result(write, WriteState.REFUSED, revision, message=message)
     if write.base is None:
         message = (
-            "your office's last write of it is unknown or too long ago; run "
-            f"`boragetiller get {record_id}`, edit that and apply it"
+            "this run wrote nothing: the base of your edit is unknown or too long ago; run "
+            f"`boragetiller get {record_id}`, look whether it holds, edit that and apply it"
         )
         return _result(write, WriteState.CONFLICT, revision, message=message)
     return None
@@ -233,5 +246,6 @@
     "WriteState",
     "apply_write",
     "begin_write",
+    "was_accepted",
     "write_is_settled",
 ]
--- a/tests/records/test_writes.py
+++ b/tests/records/test_writes.py
@@ -13,7 +13,13 @@
     decode_page,
     encode_page,
 )
-from boragetiller.records.writes import WriteState, apply_write, begin_write, write_is_settled
+from boragetiller.records.writes import (
+    WriteState,
+    apply_write,
+    begin_write,
+    was_accepted,
+    write_is_settled,
+)
 from tests.records.samples import make_document, write
 
 NORTH, WEST = "kalisz", "vesturland"
@@ -111,10 +117,22 @@
         sent_write_count = self.page.write_count
         apply_write(self.page, pending)
         for count in range(MAX_RECENT_WRITES):
-            self.assertTrue(write_is_settled(self.page, pending, sent_write_count))
             write(self.page, make_document("class", f"c{count}", group="pool"))
+            self.assertTrue(write_is_settled(self.page, pending, sent_write_count))
+        self.assertNotIn(pending.write_id, self.page.recent_writes)
+        self.assertTrue(was_accepted(self.page, pending))  # the history still has it
+        for tier in [0, 3] * MAX_RECORD_HISTORY:
+            self._write(WEST, tier=tier)
         self.assertFalse(write_is_settled(self.page, pending, sent_write_count))
 
+    def test_history_shows_that_a_write_never_took_effect(self) -> None:
+        pending = self._begin(WEST, base_revision=1, tier=2)
+        sent_write_count = self.page.write_count
+        for count in range(MAX_RECENT_WRITES + 1):
+            write(self.page, make_document("class", f"c{count}", group="pool"))
+        self.assertTrue(write_is_settled(self.page, pending, sent_write_count))
+        self.assertFalse(was_accepted(self.page, pending))
+
     def test_newer_stored_version_is_refused(self) -> None:
         self.page.records["class/quote"].schema_version = 3
         result = self._write(WEST, tier=3)
