--- a/tests/router/test_config_sync.py
+++ b/tests/router/test_config_sync.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from typing import TYPE_CHECKING
 
 import attrs
 
@@ -13,6 +14,8 @@
 from boragetiller.records.pages import page_index, page_key
 from boragetiller.router.config_sync import ConfigSync
 from boragetiller.settings import (
+    BackendKind,
+    BackendSettings,
     ConfigSettings,
     ControlSettings,
     OperatorSettings,
@@ -23,6 +26,9 @@
 from boragetiller.tables.config import ConfigTable
 from tests.cli.writing import write_fields, write_fleet
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 SETTINGS = Settings(
     role=Role.ROUTER,
     name="router-1",
@@ -33,6 +39,7 @@
     config=ConfigSettings(retry_base_ms=1, retry_max_ms=2, watch_restart_ms=50, peer_wait_ms=1),
     seed=1,
 )
+HANG_S = 30  # ends a test that would wait for ever
 QUOTE_PAGE = page_index("class/quote")
 
 
@@ -45,11 +52,12 @@
         self.changed = asyncio.Event()
         self.sync = ConfigSync(store, self.table, settings, ManualClock(), self.changed.set)
 
-    async def wait_until(self, condition: object) -> None:
+    async def wait_until(self, condition: Callable[[ConfigTable], bool]) -> None:
         """Wait for a condition on the table, checked after each change."""
-        while not condition(self.table):  # type: ignore[operator]
-            self.changed.clear()
-            await self.changed.wait()
+        async with asyncio.timeout(HANG_S):
+            while not condition(self.table):
+                self.changed.clear()
+                await self.changed.wait()
 
 
 class ConfigSyncTest(unittest.IsolatedAsyncioTestCase):
@@ -149,9 +157,8 @@
         self.assertEqual(self.node.table.classes["quote"].tier, 3)
 
     async def test_agent_leaves_the_store_alone_while_peers_are_heard(self) -> None:
-        agent = Node(self.store, attrs.evolve(SETTINGS, role=Role.ROUTER, name="agent-1"))
-        settings = attrs.evolve(SETTINGS, name="agent-1")
-        object.__setattr__(settings, "role", Role.AGENT)
+        backend = BackendSettings(name="e", group="g", kind=BackendKind.ENGINE, url="http://x")
+        settings = attrs.evolve(SETTINGS, name="agent-1", role=Role.AGENT, backend=backend)
         agent = Node(self.store, settings)
         agent.sync.note_peer("router-1", {}, complete=True)
         await agent.sync.start()
--- /dev/null
+++ b/tests/systems/test_config_pages.py
@@ -0,0 +1,116 @@
+"""Tests of pages coming into force."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+
+import attrs
+
+from boragetiller.records.pages import Page, encode_page, page_index
+from boragetiller.records.schema import FIELDS, MODELS, RecordKind
+from boragetiller.systems.config_pages import (
+    PageUpdate,
+    missing_pages,
+    newer_pages,
+    take_pages,
+    unreadable_records,
+)
+from boragetiller.tables.config import ConfigTable
+from tests.records.samples import KEY_HASH, make_document, write
+
+QUOTE = "class/quote"
+
+
+class ConfigPagesTest(unittest.TestCase):
+    """One table, pages in any order."""
+
+    def setUp(self) -> None:
+        self.table = ConfigTable()
+        self.page = Page()
+        write(self.page, make_document("class", "quote", group="pool", tier=2))
+
+    def test_page_never_moves_back(self) -> None:
+        old = encode_page(self.page)
+        write(self.page, make_document("class", "quote", tier=3))
+        self.assertTrue(self._take(7, encode_page(self.page)))
+        self.assertFalse(self._take(5, old))
+        self.assertFalse(self._take(7, old))
+        self.assertEqual(self.table.classes["quote"].tier, 3)
+
+    def test_newer_version_keeps_the_last_readable_one(self) -> None:
+        self._take(1, encode_page(self.page))
+        body = json.loads(encode_page(self.page))
+        body["records"][QUOTE] |= {"schema_version": 3, "fields": {"tier": {"level": 9}}}
+        data = json.dumps(body).encode()
+        self._take(2, data)
+        self.assertEqual(self.table.classes["quote"].tier, 2)
+        self.assertIn("schema version 3", unreadable_records(self.table)[QUOTE])
+        self.assertEqual([p.data for p in newer_pages(self.table, {})], [data])
+        self._take(3, encode_page(self.page))
+        self.assertEqual(unreadable_records(self.table), {})
+
+    def test_unknown_kind_is_kept_and_told(self) -> None:
+        body = json.loads(encode_page(self.page))
+        body["records"]["quota/x"] = body["records"][QUOTE]
+        self._take(1, json.dumps(body).encode())
+        self.assertIn("quota/x", unreadable_records(self.table))
+        self._take(2, encode_page(self.page))
+        self.assertEqual(list(self.table.classes), ["quote"])
+
+    def test_record_that_does_not_fit_keeps_the_last_one(self) -> None:
+        self._take(1, encode_page(self.page))
+        for revision, fields in enumerate(
+            ({"tier": "high"}, {"tier": True}, {"tier": 9}, {"tier": [1]}, {"group": None}), 2
+        ):
+            self.page.records[QUOTE].fields |= fields
+            self._take(revision, encode_page(self.page))
+            self.assertEqual(self.table.classes["quote"].tier, 2)
+            self.assertIn(QUOTE, unreadable_records(self.table))
+
+    def test_garbage_page_keeps_its_records(self) -> None:
+        self._take(1, encode_page(self.page))
+        for revision, data in enumerate((b"", b"{", b"[]", b"\xff", b'{"format":2}'), 2):
+            self._take(revision, data)
+            self.assertEqual(list(self.table.classes), ["quote"])
+            self.assertIn(f"config/{page_index(QUOTE):02d}", unreadable_records(self.table))
+        write(self.page, make_document("class", "quote", absent=True))
+        self._take(9, encode_page(self.page))
+        self.assertEqual(self.table.classes, {})
+
+    def test_missing_reference_and_shared_key_have_one_outcome(self) -> None:
+        for name in ("zeta", "alfa"):
+            document = make_document("customer", name, key_hashes=[KEY_HASH], classes=["none"])
+            write(self.page, document)
+        self._take(1, encode_page(self.page))
+        self.assertEqual(self.table.customers_by_key, {KEY_HASH: "alfa"})
+        self.assertEqual(
+            [str(problem) for problem in self.table.reference_problems],
+            [
+                "class/quote: group: no group pool",
+                "customer/alfa: classes: no class none",
+                "customer/zeta: classes: no class none",
+                "customer/zeta: key_hashes: a key already belongs to customer alfa",
+            ],
+        )
+
+    def test_missing_and_newer_pages(self) -> None:
+        self._take(4, encode_page(self.page))
+        index = page_index(QUOTE)
+        self.assertEqual(missing_pages(self.table, {index: 5, 63: 1}), sorted([index, 63]))
+        self.assertEqual(missing_pages(self.table, {index: 4}), [])
+        self.assertEqual(newer_pages(self.table, {index: 4}), [])
+
+    def test_each_model_field_is_in_the_schema(self) -> None:
+        for kind in RecordKind:
+            names = {field.name for field in attrs.fields(MODELS[kind])} - {"name"}
+            self.assertEqual({s.model_name for s in FIELDS[kind]} - {None}, names)
+
+    def _take(self, revision: int, data: bytes) -> Any:
+        update = PageUpdate(index=page_index(QUOTE), revision=revision, data=data)
+        return take_pages(self.table, [update], now_ms=revision)
+
+
+if __name__ == "__main__":
+    unittest.main()
