Give orders to engines under a lease and a fencing number

The last check of the lease runs in the generator of the request body, after the connection is open and immediately before the order is written: a holder that was paused while it connected sends headers only, and the engine gets no order. Idle engines cost no store call.

--- /dev/null
+++ b/src/boragetiller/agent/orders.py
@@ -0,0 +1,218 @@
+"""Keep an engine as the records say, by orders under a fencing number."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from random import Random
+from typing import TYPE_CHECKING
+
+from boragetiller.errors import (
+    BoragetillerError,
+    LeaseLapsed,
+    OrderRefused,
+    StaleFencingNumber,
+    StoreUnavailable,
+)
+from boragetiller.events import Event, log_event
+from boragetiller.platform.store import Lease
+from boragetiller.systems.orders import (
+    hold_lease,
+    may_send,
+    next_order,
+    next_step,
+    record_failure,
+    record_success,
+    take_lease,
+)
+from boragetiller.tables.orders import (
+    EngineConfig,
+    HeldLease,
+    OrderTable,
+    Rest,
+    SendOrder,
+    TakeLease,
+    TakeSlot,
+)
+from boragetiller.verdict import Verdict
+
+if TYPE_CHECKING:
+    from boragetiller.agent.order_channel import OrderChannel
+    from boragetiller.clock import Clock
+    from boragetiller.metrics import Metrics
+    from boragetiller.platform.clients import PlatformClients
+    from boragetiller.records.model import BackendGroup
+    from boragetiller.settings import Settings
+    from boragetiller.tables.config import ConfigTable
+
+MAX_STEPS = 32  # of one look at the engine
+
+
+class OrderKeeper:
+    """The only sender of orders to one engine."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: PlatformClients,
+        channel: OrderChannel,
+        config: ConfigTable,
+        clock: Clock,
+        metrics: Metrics,
+        incarnation: int,
+    ) -> None:
+        """
+        Put the parts together.
+
+        :param settings: settings of the agent
+        :param platform: store for leases, weight store for the number of slots
+        :param channel: the way to the engine
+        :param config: records in force
+        :param clock: monotonic time
+        :param metrics: counters
+        :param incarnation: number of this start of the process
+        """
+        assert settings.backend is not None
+        self._settings = settings.orders
+        self._backend = settings.backend
+        self._platform = platform
+        self._channel = channel
+        self._config = config
+        self._clock = clock
+        self._metrics = metrics
+        self._holder = f"{settings.name}/{incarnation}"
+        self._rng = Random(f"{settings.seed}/{settings.name}" if settings.seed else None)
+        self._table = OrderTable()
+        self._slot_index: int | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Look at the engine from time to time."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop; a load in progress goes on at the engine and its slot lapses by itself."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+
+    async def reconcile(self) -> None:
+        """Compare the engine with its group's record and send the orders that are missing."""
+        group = self._config.groups.get(self._backend.group)
+        if group is None:
+            return
+        wanted = wanted_config(group)
+        for _ in range(MAX_STEPS):
+            try:
+                order = next_order(wanted, await self._channel.read_config())
+            except BoragetillerError as error:
+                self._fail("read", error)
+                return
+            step = next_step(self._table, order, self._settings, self._clock.now_ms())
+            if isinstance(step, Rest) or not await self._carry_out(step):
+                return
+
+    async def _run(self) -> None:
+        while True:
+            await self.reconcile()
+            await asyncio.sleep(self._settings.check_interval_ms / 1_000)
+
+    async def _carry_out(self, step: TakeSlot | TakeLease | SendOrder) -> bool:
+        try:
+            if isinstance(step, TakeSlot):
+                return await self._take_slot()
+            if isinstance(step, TakeLease):
+                return await self._take_lease()
+            return await self._send(step)
+        except StoreUnavailable as error:
+            self._fail("lease", error)
+            return False
+
+    async def _take_slot(self) -> bool:
+        if self._platform.weights is None:
+            limit = 1
+        else:
+            limit = max(1, await self._platform.weights.concurrent_loads())
+        await self._release_slot()
+        if self._slot_index is None or self._slot_index >= limit:
+            self._slot_index = self._rng.randrange(limit)
+        name = f"slots/weights/{self._slot_index}"
+        self._table.slot = await self._acquire(name, self._settings.slot_ttl_ms)
+        if self._table.slot is None:
+            self._slot_index = None
+            self._back_off("slot_taken")
+        return self._table.slot is not None
+
+    async def _take_lease(self) -> bool:
+        name = f"leases/engines/{self._backend.name}"
+        lease = await self._acquire(name, self._settings.lease_ttl_ms)
+        if lease is None or not take_lease(self._table, lease):
+            log_event(Event.ORDER_LEASE_REFUSED, name=name)
+            self._back_off("lease_taken")
+            await self._release_slot()
+            return False
+        log_event(Event.ORDER_LEASE_TAKEN, name=name, token=lease.token)
+        return True
+
+    async def _acquire(self, name: str, ttl_ms: int) -> HeldLease | None:
+        asked_ms = self._clock.now_ms()
+        lease = await self._platform.store.acquire_lease(name, self._holder, ttl_ms)
+        if lease is None:
+            return None
+        return hold_lease(name, lease.token, ttl_ms, asked_ms)
+
+    async def _send(self, step: SendOrder) -> bool:
+        log_event(Event.ORDER_SENT, order=step.order, token=step.token)
+        try:
+            await self._channel.send(step.order, step.token, partial(self._may_send, step))
+        except LeaseLapsed:
+            self._metrics.increment("agent.orders.withheld")
+            log_event(Event.ORDER_WITHHELD, order=step.order, token=step.token)
+            return True  # the next step takes what has lapsed anew
+        except BoragetillerError as error:
+            await self._send_failed(error)
+            return False
+        record_success(self._table)
+        self._metrics.increment("agent.orders.done")
+        log_event(Event.ORDER_DONE, order=step.order, token=step.token)
+        await self._release_slot()
+        return True
+
+    async def _send_failed(self, error: BoragetillerError) -> None:
+        self._fail("refused" if isinstance(error, OrderRefused) else "not_carried_out", error)
+        if isinstance(error, StaleFencingNumber):
+            self._table.lease = None
+        if error.verdict is Verdict.NOT_RUN:
+            await self._release_slot()
+        self._table.slot = None  # a load may go on, so an unreleased slot lapses by itself
+
+    def _may_send(self, step: SendOrder) -> bool:
+        return may_send(self._table, step, self._settings, self._clock.now_ms())
+
+    async def _release_slot(self) -> None:
+        slot, self._table.slot = self._table.slot, None
+        if slot is not None:
+            lease = Lease(slot.name, self._holder, slot.token, slot.ttl_ms)
+            await self._platform.store.release_lease(lease)
+
+    def _fail(self, reason: str, error: BoragetillerError) -> None:
+        log_event(Event.ORDER_FAILED, reason=reason, code=error.code, detail=error)
+        self._back_off(reason)
+
+    def _back_off(self, reason: str) -> None:
+        self._metrics.increment(f"agent.orders.retry.{reason}")
+        record_failure(self._table, self._settings, self._rng, self._clock.now_ms())
+
+
+def wanted_config(group: BackendGroup) -> EngineConfig:
+    """
+    Tell what each engine of a group should hold.
+
+    :param group: the record
+    :return: models, adapters and role
+    """
+    return EngineConfig(models=group.models, adapters=group.adapters, role=group.role)
+
+
+__all__ = ["OrderKeeper", "wanted_config"]
--- a/src/boragetiller/errors.py
+++ b/src/boragetiller/errors.py
@@ -251,6 +251,28 @@
     http_status = 409
 
 
+class LeaseLapsed(BoragetillerError):
+    """The lease that an order needs has lapsed; nothing was sent."""
+
+    code = "lease_lapsed"
+    verdict = Verdict.NOT_RUN
+    http_status = 409
+
+
+class OrderRefused(BoragetillerError):
+    """The engine refused an order."""
+
+    code = "order_refused"
+    verdict = Verdict.NOT_RUN
+    http_status = 409
+
+
+class StaleFencingNumber(OrderRefused):
+    """The engine knows a newer fencing number."""
+
+    code = "stale_fencing_number"
+
+
 class ValueTooLarge(BoragetillerError):
     """The value is larger than the platform's store holds."""
 
@@ -304,11 +326,13 @@
     "Forbidden",
     "InvalidRequest",
     "KeyReused",
+    "LeaseLapsed",
     "NoBackend",
     "NotFound",
     "NotOwner",
     "NotReady",
     "NotRunError",
+    "OrderRefused",
     "OutcomeUnknown",
     "Overloaded",
     "Preempted",
@@ -319,6 +343,7 @@
     "RevisionConflict",
     "SettingsInvalid",
     "StaleAttempt",
+    "StaleFencingNumber",
     "StoreUnavailable",
     "Unauthorized",
     "ValueTooLarge",
--- a/src/boragetiller/events.py
+++ b/src/boragetiller/events.py
@@ -23,6 +23,12 @@
     REQUEST_CANCELLED = 206
     CONTROL_CONNECTED = 700
     CONTROL_CLOSED = 701
+    ORDER_SENT = 300
+    ORDER_DONE = 301
+    ORDER_FAILED = 302
+    ORDER_WITHHELD = 303
+    ORDER_LEASE_TAKEN = 304
+    ORDER_LEASE_REFUSED = 305
 
 
 def log_event(event: Event, **fields: object) -> None:
--- a/src/boragetiller/records/model.py
+++ b/src/boragetiller/records/model.py
@@ -46,6 +46,8 @@
     kind: BackendKind = BackendKind.ENGINE
     members: tuple[str, ...] = ()
     models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+    role: str = ""  # of each engine; empty leaves it as it is
     repeatable_methods: tuple[str, ...] = ("GET", "HEAD")
     shards: int = attrs.field(default=16, validator=_POSITIVE)
 
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -138,6 +138,25 @@
     preempt_slack_ms: int = attrs.field(default=250, validator=validators.ge(0))
 
 
+@attrs.frozen(kw_only=True)
+class OrderSettings:
+    """How an agent gives orders to its engine."""
+
+    enabled: bool = True
+    check_interval_ms: int = attrs.field(default=2_000, validator=_POSITIVE)
+    lease_ttl_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
+    delivery_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+    load_timeout_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
+    role_timeout_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
+    retry_base_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+    retry_max_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
+
+    @property
+    def slot_ttl_ms(self) -> int:
+        """:return: length of a slot, enough to take the lease and then load"""
+        return self.load_timeout_ms + self.lease_ttl_ms + self.delivery_ms
+
+
 @attrs.frozen(kw_only=True)
 class BackendSettings:
     """The backend server that an agent stands beside."""
@@ -167,6 +186,7 @@
     limits: LimitSettings = LimitSettings()
     placement: PlacementSettings = PlacementSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    orders: OrderSettings = OrderSettings()
     backend: BackendSettings | None = None
     seed: int | None = None
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
@@ -205,6 +225,7 @@
     "LimitSettings",
     "ListenSettings",
     "OperatorSettings",
+    "OrderSettings",
     "PlacementSettings",
     "PlatformSettings",
     "Role",
--- a/src/boragetiller/standin/engine.py
+++ b/src/boragetiller/standin/engine.py
@@ -106,6 +106,10 @@
         self._web.reset_connections()
         await self._web.close()
 
+    def crash(self) -> None:
+        """Crash now, as a poisoned prompt would do."""
+        self.model.fail(_Poisoned())
+
     def end_restart(self) -> None:
         """Come back from a crash now."""
         self._restart.set()
@@ -281,6 +285,8 @@
     async def _faults(self, request: web.Request) -> web.Response:
         body = await request.json()
         self.model.slowdown = float(body.get("slowdown", self.model.slowdown))
+        if body.get("crash"):
+            self.crash()
         return web.json_response({"slowdown": self.model.slowdown})
 
     async def _fetch_weights(self) -> None:
--- a/src/boragetiller/standin/engine_model.py
+++ b/src/boragetiller/standin/engine_model.py
@@ -155,6 +155,7 @@
         self._running: list[Sequence] = []
         self._samples: deque[LoadSample] = deque(maxlen=MAX_LOAD_SAMPLES)
         self._wake = asyncio.Event()
+        self._failure: Exception | None = None
 
     @property
     def waiting(self) -> int:
@@ -187,8 +188,17 @@
         self.cache.clear()
         self._sample_load()
 
+    def fail(self, error: Exception) -> None:
+        """
+        End the batch loop.
+
+        :param error: what :meth:`run` raises
+        """
+        self._failure = error
+        self._wake.set()
+
     async def run(self) -> None:
-        """Generate until cancelled, or until `on_start` raises."""
+        """Generate until cancelled, told to fail, or until `on_start` raises."""
         loop = asyncio.get_running_loop()
         due_s = loop.time()
         while True:
@@ -196,6 +206,9 @@
                 self._wake.clear()
                 await self._wake.wait()
                 due_s = loop.time()
+            if self._failure is not None:
+                error, self._failure = self._failure, None
+                raise error
             prefill_ms = self._admit()
             batch_ms = self._settings.step_ms_per_request * len(self._running)
             step_ms = (self._settings.step_ms + batch_ms + prefill_ms) * self.slowdown
--- /dev/null
+++ b/tests/systems/test_orders.py
@@ -0,0 +1,102 @@
+"""Tests of the decisions about orders."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from boragetiller.settings import OrderSettings
+from boragetiller.systems.orders import (
+    hold_lease,
+    may_send,
+    next_order,
+    next_step,
+    record_failure,
+    record_success,
+    take_lease,
+)
+from boragetiller.tables.orders import (
+    EngineConfig,
+    LoadAdapter,
+    LoadModel,
+    OrderTable,
+    Rest,
+    SendOrder,
+    SetRole,
+    TakeLease,
+    TakeSlot,
+)
+
+SETTINGS = OrderSettings(lease_ttl_ms=10_000, delivery_ms=1_000, load_timeout_ms=60_000)
+ROLE = SetRole("decode")
+
+
+def _table(asked_ms: int = 0, token: int = 7) -> OrderTable:
+    table = OrderTable()
+    take_lease(table, hold_lease("l", token, SETTINGS.lease_ttl_ms, asked_ms))
+    return table
+
+
+class OrdersTest(unittest.TestCase):
+    """Which order, and whether it may be sent."""
+
+    def test_next_order_removes_each_difference(self) -> None:
+        wanted = EngineConfig(models=("a", "b"), adapters=("x",), role="decode")
+        self.assertEqual(next_order(wanted, EngineConfig(models=("a",))), SetRole("decode"))
+        held = EngineConfig(models=("a",), role="decode")
+        self.assertEqual(next_order(wanted, held), LoadModel("b"))
+        held = EngineConfig(models=("b", "a"), role="decode")
+        self.assertEqual(next_order(wanted, held), LoadAdapter("x"))
+        held = EngineConfig(models=("b", "a", "c"), adapters=("x",), role="decode")
+        self.assertIsNone(next_order(wanted, held))
+
+    def test_next_step_takes_slot_then_lease_then_sends(self) -> None:
+        table = OrderTable()
+        order = LoadModel("a")
+        self.assertEqual(next_step(table, None, SETTINGS, 0), Rest())
+        self.assertEqual(next_step(table, order, SETTINGS, 0), TakeSlot())
+        table.slot = hold_lease("s", 3, SETTINGS.slot_ttl_ms, 0)
+        self.assertEqual(next_step(table, order, SETTINGS, 0), TakeLease())
+        take_lease(table, hold_lease("l", 4, SETTINGS.lease_ttl_ms, 0))
+        self.assertEqual(next_step(table, order, SETTINGS, 0), SendOrder(order, 4))
+        self.assertEqual(next_step(OrderTable(), ROLE, SETTINGS, 0), TakeLease())
+
+    def test_may_send_ends_before_the_lease_does(self) -> None:
+        step = SendOrder(ROLE, 7)
+        self.assertTrue(may_send(_table(asked_ms=500), step, SETTINGS, 9_499))
+        table = _table(asked_ms=500)
+        self.assertFalse(may_send(table, step, SETTINGS, 9_500))
+        self.assertFalse(may_send(table, step, SETTINGS, 0))  # given up for good
+
+    def test_may_send_refuses_another_number(self) -> None:
+        self.assertFalse(may_send(_table(token=8), SendOrder(ROLE, 7), SETTINGS, 0))
+
+    def test_may_send_needs_a_slot_for_the_whole_load(self) -> None:
+        table = _table()
+        step = SendOrder(LoadModel("a"), 7)
+        self.assertFalse(may_send(table, step, SETTINGS, 0))
+        table.slot = hold_lease("s", 3, 61_001, 0)
+        self.assertTrue(may_send(table, step, SETTINGS, 0))
+        self.assertFalse(may_send(table, step, SETTINGS, 1))
+
+    def test_take_lease_needs_a_newer_number(self) -> None:
+        table = _table(token=7)
+        self.assertFalse(take_lease(table, hold_lease("l", 7, 10_000, 5_000)))
+        self.assertTrue(take_lease(table, hold_lease("l", 8, 10_000, 5_000)))
+
+    def test_record_failure_backs_off(self) -> None:
+        table, rng = OrderTable(), Random(1)
+        delays = []
+        for _ in range(8):
+            record_failure(table, SETTINGS, rng, 0)
+            delays.append(table.retry_at_ms)
+        self.assertLessEqual(delays[0], SETTINGS.retry_base_ms)
+        self.assertGreaterEqual(min(delays[5:]), SETTINGS.retry_max_ms // 2)
+        self.assertLessEqual(max(delays), SETTINGS.retry_max_ms)
+        self.assertEqual(next_step(table, ROLE, SETTINGS, 0), Rest(table.retry_at_ms))
+        record_success(table)
+        self.assertEqual(next_step(table, ROLE, SETTINGS, 0), TakeLease())
+
+
+if __name__ == "__main__":
+    unittest.main()
