--- a/src/boragetiller/records/schema.py
+++ b/src/boragetiller/records/schema.py
@@ -86,6 +86,8 @@
         FieldSpec(stored_name="backend", model_name="kind"),
         _same("members"),
         _same("models"),
+        _same("adapters", since_version=2),
+        _same("role", since_version=2),
         _same("repeatable_methods"),
         _same("shards"),
     ),
