--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -30,6 +30,7 @@
 
 _PORT = validators.and_(validators.ge(0), validators.le(MAX_PORT))
 _POSITIVE = validators.gt(0)
+_SHARE = validators.and_(validators.ge(0.0), validators.le(1.0))
 
 
 @attrs.frozen(kw_only=True)
@@ -71,6 +72,10 @@
     max_frame_bytes: int = attrs.field(default=2_000_000, validator=_POSITIVE)
     reconnect_base_ms: int = attrs.field(default=200, validator=_POSITIVE)
     reconnect_max_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
+    candidate_floor_share: float = attrs.field(default=0.5, validator=_SHARE)
+    list_loss_share: float = attrs.field(default=0.3, validator=_SHARE)
+    list_doubt_ms: int = attrs.field(default=60_000, validator=_POSITIVE)
+    announce_interval_ms: int = attrs.field(default=100, validator=_POSITIVE)
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/src/boragetiller/systems/membership.py
@@ -0,0 +1,225 @@
+"""
+Decide which hosts are live, suspected, leaving or gone.
+
+Three sources disagree at times: the host list, which lags; heartbeats over the control exchange;
+and the operators' records. A sign that a host leaves is believed at once from any of them. Its
+absence is believed only when the list and the heartbeats agree.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from boragetiller.platform.hosts import HostState
+from boragetiller.tables.members import Member, MemberState, StateChange
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from boragetiller.platform.hosts import Host
+    from boragetiller.settings import ControlSettings
+    from boragetiller.tables.members import MemberTable
+
+
+def apply_host_list(
+    table: MemberTable, hosts: Iterable[Host], settings: ControlSettings, now_ms: int
+) -> None:
+    """
+    Take a new reading of the host list.
+
+    A list that lost more than a share of its hosts at once may add hosts and mark them as leaving;
+    that hosts are missing from it is believed only after it has stayed so for a while.
+
+    :param table: members of this node
+    :param hosts: the list as read
+    :param settings: what is believed
+    :param now_ms: monotonic time in milliseconds
+    """
+    listed = {host.name: host for host in hosts}
+    if _is_doubtful(table, listed, settings, now_ms):
+        table.hosts = {**table.hosts, **listed}
+    else:
+        table.doubted_since_ms = None
+        table.hosts = listed
+    for member in table.members.values():
+        host = table.hosts.get(member.host.name)
+        member.listed = host is not None
+        member.host = host or member.host
+
+
+def watch(table: MemberTable, names: Iterable[str], now_ms: int) -> None:
+    """
+    Set which listed hosts this node keeps a connection to.
+
+    :param table: members of this node
+    :param names: hosts of the subset and the peers; others are forgotten unless connected
+    :param now_ms: monotonic time in milliseconds
+    """
+    wanted = set(names)
+    for name in wanted:
+        if name not in table.members and name in table.hosts:
+            table.members[name] = Member(host=table.hosts[name], heard_ms=now_ms)
+    for name in [n for n, m in table.members.items() if n not in wanted and not m.connected]:
+        del table.members[name]
+
+
+def note_connected(table: MemberTable, name: str, incarnation: int, now_ms: int) -> bool:
+    """
+    Note a new control connection.
+
+    :param table: members of this node
+    :param name: the peer
+    :param incarnation: which start of the peer
+    :param now_ms: monotonic time in milliseconds
+    :return: False when the peer is not watched or the incarnation is an old one
+    """
+    member = _current(table, name, incarnation, now_ms)
+    if member is None:
+        return False
+    member.connected = True
+    member.lost = False
+    return True
+
+
+def note_report(
+    table: MemberTable, name: str, incarnation: int, now_ms: int, *, draining: bool = False
+) -> bool:
+    """
+    Note a heartbeat.
+
+    :param table: members of this node
+    :param name: the sender
+    :param incarnation: which start of the sender
+    :param now_ms: monotonic time in milliseconds
+    :param draining: whether it refuses new work
+    :return: False when the report is of an old incarnation and must be dropped
+    """
+    member = _current(table, name, incarnation, now_ms)
+    if member is None:
+        return False
+    member.draining = draining
+    return True
+
+
+def note_goodbye(table: MemberTable, name: str, incarnation: int) -> None:
+    """
+    Note that this start of a process is ending.
+
+    :param table: members of this node
+    :param name: the sender
+    :param incarnation: which start of the sender
+    """
+    member = table.members.get(name)
+    if member is not None and member.incarnation == incarnation:
+        member.stopped = True
+
+
+def note_lost(table: MemberTable, name: str, incarnation: int) -> None:
+    """
+    Note that a control connection broke.
+
+    :param table: members of this node
+    :param name: the peer
+    :param incarnation: which start of the peer was connected
+    """
+    member = table.members.get(name)
+    if member is not None and member.incarnation == incarnation:
+        member.connected = False
+        member.lost = True
+
+
+def note_records(table: MemberTable, members_by_group: dict[str, frozenset[str]]) -> None:
+    """
+    Note which hosts the operators' records name.
+
+    :param table: members of this node
+    :param members_by_group: host names by backend group
+    """
+    for member in table.members.values():
+        if member.host.group:
+            names = members_by_group.get(member.host.group, frozenset())
+            member.in_records = member.host.name in names
+
+
+def refresh(table: MemberTable, settings: ControlSettings, now_ms: int) -> list[StateChange]:
+    """
+    Decide every member's state anew; those that are gone leave the table.
+
+    :param table: members of this node
+    :param settings: timeouts and floor
+    :param now_ms: monotonic time in milliseconds
+    :return: what changed
+    """
+    changes = []
+    for name, member in list(table.members.items()):
+        state = _decide_state(member, settings, now_ms)
+        if state is not member.state:
+            changes.append(StateChange(name, member.state, state))
+            member.state = state
+        if state is MemberState.GONE:
+            del table.members[name]
+    _apply_floor(table, settings)
+    return changes
+
+
+def _is_doubtful(
+    table: MemberTable, listed: dict[str, Host], settings: ControlSettings, now_ms: int
+) -> bool:
+    missing = sum(1 for name in table.hosts if name not in listed)
+    if missing <= settings.list_loss_share * len(table.hosts):
+        return False
+    if table.doubted_since_ms is None:
+        table.doubted_since_ms = now_ms
+    return now_ms - table.doubted_since_ms < settings.list_doubt_ms
+
+
+def _current(table: MemberTable, name: str, incarnation: int, now_ms: int) -> Member | None:
+    member = table.members.get(name)
+    if member is None or incarnation < member.incarnation:
+        return None
+    if incarnation > member.incarnation:
+        member.incarnation = incarnation
+        member.draining = False
+        member.stopped = False
+        member.lost = False
+    member.heard_ms = now_ms
+    return member
+
+
+def _decide_state(member: Member, settings: ControlSettings, now_ms: int) -> MemberState:
+    silent = member.lost or now_ms - member.heard_ms >= settings.suspect_after_ms
+    if not member.listed and (silent or member.stopped):
+        return MemberState.GONE
+    if member.draining or member.stopped or not member.in_records:
+        return MemberState.LEAVING
+    if member.host.state is HostState.LEAVING:
+        return MemberState.LEAVING
+    return MemberState.SUSPECTED if silent else MemberState.LIVE
+
+
+def _apply_floor(table: MemberTable, settings: ControlSettings) -> None:
+    groups: dict[str, list[Member]] = {}
+    for member in table.members.values():
+        member.kept_by_floor = False
+        if member.state in (MemberState.LIVE, MemberState.SUSPECTED):
+            groups.setdefault(member.host.group, []).append(member)
+    for members in groups.values():
+        suspected = [m for m in members if m.state is MemberState.SUSPECTED]
+        live = len(members) - len(suspected)
+        missing = math.ceil(settings.candidate_floor_share * len(members)) - live
+        suspected.sort(key=lambda m: (-m.heard_ms, m.host.name))
+        for member in suspected[: max(missing, 0)]:
+            member.kept_by_floor = True
+
+
+__all__ = [
+    "apply_host_list",
+    "note_connected",
+    "note_goodbye",
+    "note_lost",
+    "note_records",
+    "note_report",
+    "refresh",
+    "watch",
+]
