--- a/src/boragetiller/control/codec.py
+++ b/src/boragetiller/control/codec.py
@@ -31,7 +31,7 @@
 
 MAX_UNPACKED_BYTES = 4_194_304
 WORD_BYTES = 8
-US_PER_MS = 1_000
+TENTHS_PER_MS = 10
 MAX_UINT16 = 0xFFFF
 MAX_UINT32 = 0xFFFF_FFFF
 
@@ -93,16 +93,16 @@
 @_to_capnp.register
 def _(message: Report) -> tuple[str, Any]:
     fields: dict[str, Any] = {
-        "incarnation": message.incarnation,
         "pagesDigest": message.pages_digest,
-        "serviceUs": _microseconds(message.service_ms),
-        "firstTokenUs": _microseconds(message.first_token_ms),
         "running": min(message.running, MAX_UINT16),
         "maxRunning": min(message.max_running, MAX_UINT16),
+        "serviceTenthsMs": _tenths(message.service_ms),
+        "firstTokenTenthsMs": _tenths(message.first_token_ms),
+        "betweenTokensTenthsMs": _tenths(message.between_tokens_ms),
         "draining": message.draining,
     }
-    if any(message.queued):
-        fields["queued"] = [min(count, MAX_UINT16) for count in message.queued]
+    for tier, count in enumerate(message.queued):
+        fields[f"queued{tier}"] = min(count, MAX_UINT16)
     if message.owned_shards is not None:
         fields["hasShards"] = True
         fields["ownedShards"] = list(message.owned_shards)
@@ -114,7 +114,11 @@
 @_to_capnp.register
 def _(message: PageVersions) -> tuple[str, Any]:
     pages = [{"index": i, "revision": r} for i, r in sorted(message.revisions.items())]
-    return "pageVersions", {"complete": message.complete, "pages": pages}
+    return "pageVersions", {
+        "complete": message.complete,
+        "partial": message.partial,
+        "pages": pages,
+    }
 
 
 @_to_capnp.register
@@ -167,13 +171,13 @@
 
 def _report(reader: Any) -> Report:
     return Report(
-        incarnation=reader.incarnation,
         draining=reader.draining,
         running=reader.running,
         max_running=reader.maxRunning,
-        queued=tuple(reader.queued) or (0, 0, 0, 0),
-        service_ms=reader.serviceUs / US_PER_MS,
-        first_token_ms=reader.firstTokenUs / US_PER_MS,
+        queued=(reader.queued0, reader.queued1, reader.queued2, reader.queued3),
+        service_ms=reader.serviceTenthsMs / TENTHS_PER_MS,
+        first_token_ms=reader.firstTokenTenthsMs / TENTHS_PER_MS,
+        between_tokens_ms=reader.betweenTokensTenthsMs / TENTHS_PER_MS,
         pages_digest=reader.pagesDigest,
         owned_shards=tuple(reader.ownedShards) if reader.hasShards else None,
         strikes=tuple(_strike(strike) for strike in reader.strikes),
@@ -182,7 +186,7 @@
 
 def _page_versions(reader: Any) -> PageVersions:
     revisions = {page.index: page.revision for page in reader.pages}
-    return PageVersions(revisions=revisions, complete=reader.complete)
+    return PageVersions(revisions=revisions, partial=reader.partial, complete=reader.complete)
 
 
 def _page_response(reader: Any) -> PageResponse:
@@ -218,8 +222,8 @@
     }
 
 
-def _microseconds(value_ms: float) -> int:
-    return min(max(round(value_ms * US_PER_MS), 0), MAX_UINT32)
+def _tenths(value_ms: float) -> int:
+    return min(max(round(value_ms * TENTHS_PER_MS), 0), MAX_UINT32)
 
 
 _FROM_CAPNP: dict[str, Callable[[Any], Message]] = {
--- a/src/boragetiller/control/exchange.capnp
+++ b/src/boragetiller/control/exchange.capnp
@@ -31,17 +31,20 @@
 }
 
 struct Report {
-  incarnation @0 :UInt64;
-  pagesDigest @1 :UInt64;
-  serviceUs @2 :UInt32;
-  firstTokenUs @3 :UInt32;
-  running @4 :UInt16;
-  maxRunning @5 :UInt16;
+  pagesDigest @0 :UInt32;
+  running @1 :UInt16;
+  maxRunning @2 :UInt16;
+  serviceTenthsMs @3 :UInt32;
+  firstTokenTenthsMs @4 :UInt32;
+  betweenTokensTenthsMs @5 :UInt32;
   draining @6 :Bool;
   hasShards @7 :Bool;
-  queued @8 :List(UInt16);
-  ownedShards @9 :List(UInt16);
-  strikes @10 :List(Strike);
+  queued0 @8 :UInt16;
+  queued1 @9 :UInt16;
+  queued2 @10 :UInt16;
+  queued3 @11 :UInt16;
+  ownedShards @12 :List(UInt16);
+  strikes @13 :List(Strike);
 }
 
 struct PageRevision {
@@ -52,6 +55,7 @@
 struct PageVersions {
   complete @0 :Bool;
   pages @1 :List(PageRevision);
+  partial @2 :Bool;
 }
 
 struct PageResponse {
--- a/src/boragetiller/control/messages.py
+++ b/src/boragetiller/control/messages.py
@@ -44,15 +44,19 @@
 
 @attrs.frozen(kw_only=True)
 class Report:
-    """Heartbeat with the sender's state; `queued` is indexed by tier."""
+    """
+    Heartbeat with the sender's state; `queued` is indexed by tier.
+
+    The incarnation is that of the hello of the same connection.
+    """
 
-    incarnation: int
     draining: bool = False
     running: int = 0
     max_running: int = 0
-    queued: tuple[int, ...] = ()
+    queued: tuple[int, int, int, int] = (0, 0, 0, 0)
     service_ms: float = 0.0
     first_token_ms: float = 0.0
+    between_tokens_ms: float = 0.0
     pages_digest: int = 0
     owned_shards: tuple[int, ...] | None = None  # None when unchanged on this connection
     strikes: tuple[Strike, ...] = ()
@@ -60,10 +64,11 @@
 
 @attrs.frozen(kw_only=True)
 class PageVersions:
-    """Store revisions of configuration pages by index; `complete` lists every page held."""
+    """Store revisions of configuration pages by index."""
 
     revisions: dict[int, int]
-    complete: bool = False
+    partial: bool = False  # only the pages that changed since the last message
+    complete: bool = False  # the sender has a whole configuration
 
 
 @attrs.frozen(kw_only=True)
--- a/src/boragetiller/events.py
+++ b/src/boragetiller/events.py
@@ -23,6 +23,9 @@
     REQUEST_CANCELLED = 206
     CONTROL_CONNECTED = 700
     CONTROL_CLOSED = 701
+    MEMBER_CHANGED = 710
+    HOST_LIST_DOUBTED = 711
+    HOST_LIST_BELIEVED = 712
 
 
 def log_event(event: Event, **fields: object) -> None:
