Add the control node of routers and agents

Change: ControlNode ties exchange, membership, page relay and strike flooding together; RouterNode keeps the table of agents, AgentNode reports. Pages are announced at once to peers that may lack them, asked of one peer at a time, and repaired by a digest in the heartbeat.

--- /dev/null
+++ b/src/boragetiller/control/node.py
@@ -0,0 +1,272 @@
+"""
+The control node of a process: ties the exchange to the tables and to the other parts.
+
+How a process uses it
+---------------------
+Router::
+
+    node = RouterNode(settings, incarnation, agents, config_sync, clock, metrics, RouterPorts())
+    await node.start()               # after config_sync.start()
+    node.take_hosts(hosts)           # with each reading of the host list
+    node.config_changed()            # from ConfigSync's on_change
+    await node.close()
+
+Agent::
+
+    node = AgentNode(settings, incarnation, state, config_sync, clock, metrics, strikes)
+    await node.start()               # port 0 takes a free one: node.port
+    node.config_changed()
+    node.report_now()                # when draining begins, when shards change hands
+    node.add_strikes([Strike(...)])  # after a crash of the backend server
+    await node.close()               # says goodbye
+
+The router's node keeps its ``AgentTable``: it adds and removes entries and sets ``leaving``,
+``draining``, ``suspected``, ``incarnation`` and ``load``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from functools import singledispatchmethod
+from random import Random
+from typing import TYPE_CHECKING
+
+from boragetiller.control.exchange import ControlExchange
+from boragetiller.control.messages import (
+    CustomerUsage,
+    Goodbye,
+    Hello,
+    PageRequest,
+    PageResponse,
+    PageVersions,
+    Report,
+    StrikeList,
+)
+from boragetiller.control.pages import PageRelay
+from boragetiller.control.strikes import StrikeRelay
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from boragetiller.clock import Clock
+    from boragetiller.control.messages import Message, Strike
+    from boragetiller.control.ports import AgentState, ConfigPages, StrikeSink
+    from boragetiller.metrics import Metrics
+    from boragetiller.settings import Settings
+
+MS_PER_S = 1_000
+MIN_BEAT_SHARE = 0.9  # heartbeats of many nodes must not fall into step
+
+
+class ControlNode:
+    """What routers and agents have in common."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: int,
+        config: ConfigPages,
+        clock: Clock,
+        metrics: Metrics,
+        strikes: StrikeSink | None = None,
+    ) -> None:
+        """
+        Prepare the node; nothing is sent before `start`.
+
+        :param settings: settings of the process
+        :param incarnation: number of this start of the process
+        :param config: configuration of this process
+        :param clock: monotonic time
+        :param metrics: counters
+        :param strikes: learns of strikes from other nodes
+        """
+        self.exchange = ControlExchange(settings, incarnation, self, clock, metrics)
+        self._settings = settings.control
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = Random(None if settings.seed is None else f"{settings.seed}/{settings.name}")
+        self._pages = PageRelay(config, settings.control, self.exchange.send, clock)
+        self._strikes = StrikeRelay(
+            strikes, self.exchange.send, lambda: self.exchange.connected, clock
+        )
+        self._config_dirty = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def port(self) -> int:
+        """:return: the control port in use"""
+        return self.exchange.port
+
+    async def start(self) -> None:
+        """Listen, and begin to send heartbeats and announcements."""
+        await self.exchange.start()
+        self.config_changed()
+        self._tasks = [
+            asyncio.create_task(self._run_beats()),
+            asyncio.create_task(self._run_announcements()),
+        ]
+
+    async def close(self) -> None:
+        """Say goodbye and stop."""
+        for task in self._tasks:
+            task.cancel()
+        for task in self._tasks:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        await self.exchange.close()
+
+    def config_changed(self) -> None:
+        """Announce pages that came into force, soon."""
+        self._config_dirty.set()
+
+    def add_strikes(self, strikes: Iterable[Strike]) -> None:
+        """
+        Spread strikes that this process saw.
+
+        :param strikes: new strikes
+        """
+        self._strikes.add_own(strikes)
+
+    def on_connected(self, peer: Hello) -> None:
+        """See :class:`ControlHandler`."""
+        self._pages.on_connected(peer.name)
+        self._strikes.on_connected(peer.name)
+        self._after_connected(peer)
+
+    def on_lost(self, peer: Hello) -> None:
+        """See :class:`ControlHandler`."""
+        self._pages.on_lost(peer.name)
+        self._after_lost(peer)
+
+    def on_message(self, peer: Hello, message: Message) -> None:
+        """See :class:`ControlHandler`."""
+        self._take(message, peer)
+
+    @singledispatchmethod
+    def _take(self, message: Message, peer: Hello) -> None:  # noqa: ARG002
+        self._metrics.increment(f"control.ignored.{type(message).__name__}")
+
+    @_take.register
+    def _(self, message: Report, peer: Hello) -> None:
+        self._pages.on_digest(peer.name, message.pages_digest)
+        if message.strikes:
+            self._strikes.on_strikes(peer.name, message.strikes)
+        self._take_report(peer, message)
+
+    @_take.register
+    def _(self, message: PageVersions, peer: Hello) -> None:
+        self._pages.on_versions(peer.name, message)
+
+    @_take.register
+    def _(self, message: PageRequest, peer: Hello) -> None:
+        self._pages.on_request(peer.name, message)
+
+    @_take.register
+    def _(self, message: PageResponse, peer: Hello) -> None:
+        if self._pages.on_response(peer.name, message):
+            self.config_changed()
+
+    @_take.register
+    def _(self, message: StrikeList, peer: Hello) -> None:
+        self._strikes.on_strikes(peer.name, message.strikes)
+
+    @_take.register
+    def _(self, message: CustomerUsage, peer: Hello) -> None:
+        self._take_usage(peer, message)
+
+    @_take.register
+    def _(self, message: Goodbye, peer: Hello) -> None:
+        self._take_goodbye(peer, message)
+
+    def _after_connected(self, peer: Hello) -> None:
+        """Act on a new connection."""
+
+    def _after_lost(self, peer: Hello) -> None:
+        """Act on a lost connection."""
+
+    def _take_report(self, peer: Hello, message: Report) -> None:
+        """Act on a heartbeat."""
+
+    def _take_usage(self, peer: Hello, message: CustomerUsage) -> None:
+        """Act on use by customers at a peer."""
+
+    def _take_goodbye(self, peer: Hello, message: Goodbye) -> None:
+        """Act on a peer that leaves."""
+
+    def _beat(self) -> None:
+        """Send heartbeats and let timers run."""
+
+    async def _run_beats(self) -> None:
+        while True:
+            self._pages.request_missing()
+            self._beat()
+            share = MIN_BEAT_SHARE + (1 - MIN_BEAT_SHARE) * self._rng.random()
+            await asyncio.sleep(self._settings.heartbeat_ms * share / MS_PER_S)
+
+    async def _run_announcements(self) -> None:
+        while True:
+            await self._config_dirty.wait()
+            self._config_dirty.clear()
+            self._pages.announce()
+            await asyncio.sleep(self._settings.announce_interval_ms / MS_PER_S)
+
+
+class AgentNode(ControlNode):
+    """Listens to routers and tells them the state of one backend server."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: int,
+        state: AgentState,
+        config: ConfigPages,
+        clock: Clock,
+        metrics: Metrics,
+        strikes: StrikeSink | None = None,
+    ) -> None:
+        """
+        Prepare the node.
+
+        :param settings: settings of the process
+        :param incarnation: number of this start of the process
+        :param state: load, draining and owned shards
+        :param config: configuration of this process
+        :param clock: monotonic time
+        :param metrics: counters
+        :param strikes: learns of strikes from other nodes
+        """
+        super().__init__(settings, incarnation, config, clock, metrics, strikes)
+        self._state = state
+        self._told_shards: tuple[int, ...] | None = None
+
+    def report_now(self) -> None:
+        """Send a heartbeat to every connected router at once."""
+        self._beat()
+
+    def _after_connected(self, peer: Hello) -> None:
+        self.exchange.send(peer.name, self._report(self._state.owned_shards()))
+
+    def _beat(self) -> None:
+        shards = self._state.owned_shards()
+        changed = shards != self._told_shards
+        self._told_shards = shards
+        self.exchange.broadcast(self._report(shards if changed else None))
+
+    def _report(self, owned_shards: tuple[int, ...] | None) -> Report:
+        load = self._state.report_load()
+        queued = (*load.queued, 0, 0, 0, 0)
+        return Report(
+            draining=self._state.is_draining(),
+            running=load.running,
+            max_running=load.max_running,
+            queued=(queued[0], queued[1], queued[2], queued[3]),
+            service_ms=load.service_ms,
+            first_token_ms=load.first_token_ms,
+            between_tokens_ms=load.between_tokens_ms,
+            pages_digest=self._pages.digest,
+            owned_shards=owned_shards,
+        )
+
+
+__all__ = ["AgentNode", "ControlNode"]
--- /dev/null
+++ b/src/boragetiller/control/router_node.py
@@ -0,0 +1,261 @@
+"""The router's control node: keeps the table of agents."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.control.client import Peer
+from boragetiller.control.messages import CustomerUsage, Goodbye, Hello, Report
+from boragetiller.control.node import ControlNode
+from boragetiller.events import Event, log_event
+from boragetiller.platform.hosts import HostState
+from boragetiller.settings import Role
+from boragetiller.systems import membership
+from boragetiller.systems.peers import choose_peers
+from boragetiller.tables.agents import AgentEntry, LoadReport
+from boragetiller.tables.members import MemberState, MemberTable
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from boragetiller.clock import Clock
+    from boragetiller.control.ports import (
+        ConfigPages,
+        GroupMembers,
+        ShardOwners,
+        StrikeSink,
+        SubsetChooser,
+        UsageExchange,
+    )
+    from boragetiller.metrics import Metrics
+    from boragetiller.platform.hosts import Host
+    from boragetiller.settings import Settings
+    from boragetiller.tables.agents import AgentTable
+    from boragetiller.tables.members import Member
+
+BEATS_BETWEEN_REPORTS = 2  # routers need less of each other and agents of routers
+NOT_NEEDED = "not_needed"
+
+
+@attrs.frozen(kw_only=True)
+class RouterPorts:
+    """Other parts of the router; each may be missing."""
+
+    choose_subset: SubsetChooser | None = None
+    group_members: GroupMembers | None = None
+    shard_owners: ShardOwners | None = None
+    strikes: StrikeSink | None = None
+    usage: UsageExchange | None = None
+
+
+class RouterNode(ControlNode):
+    """Dials the agents of the subset and a few routers."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: int,
+        agents: AgentTable,
+        config: ConfigPages,
+        clock: Clock,
+        metrics: Metrics,
+        ports: RouterPorts,
+    ) -> None:
+        """
+        Prepare the node.
+
+        :param settings: settings of the process
+        :param incarnation: number of this start of the process
+        :param agents: table that this node keeps
+        :param config: configuration of this process
+        :param clock: monotonic time
+        :param metrics: counters
+        :param ports: other parts of the router
+        """
+        super().__init__(settings, incarnation, config, clock, metrics, ports.strikes)
+        self.members = MemberTable()
+        self._agents = agents
+        self._ports = ports
+        self._name = settings.name
+        self._region = settings.region
+        self._beats = 0
+
+    def take_hosts(self, hosts: Iterable[Host]) -> None:
+        """
+        Take a reading of the host list.
+
+        :param hosts: every live and leaving host
+        """
+        now_ms = self._clock.now_ms()
+        was_doubted = self.members.doubted_since_ms is not None
+        listed = [host for host in hosts if host.name != self._name]
+        membership.apply_host_list(self.members, listed, self._settings, now_ms)
+        self._log_doubt(was_doubted, len(listed))
+        known = list(self.members.hosts.values())
+        wanted = self._choose_agents(known) | choose_peers(
+            self._name, self._region, [host for host in known if host.role == Role.ROUTER.value]
+        )
+        membership.watch(self.members, wanted, now_ms)
+        self.exchange.set_peers(
+            Peer(host.name, host.address, host.control_port)
+            for host in known
+            if host.name in wanted and host.control_port
+        )
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Decide the state of every member anew and bring the table of agents in line."""
+        if self._ports.group_members is not None:
+            groups = self._ports.group_members()
+            if groups:
+                membership.note_records(self.members, groups)
+        changes = membership.refresh(self.members, self._settings, self._clock.now_ms())
+        for change in changes:
+            self._metrics.increment(f"control.member.{change.new.value}")
+            log_event(
+                Event.MEMBER_CHANGED,
+                host=change.name,
+                old=change.old.value,
+                new=change.new.value,
+            )
+        self._update_agents()
+
+    def config_changed(self) -> None:
+        """Announce pages that came into force, and apply changed members of groups."""
+        super().config_changed()
+        self.refresh()
+
+    def _choose_agents(self, hosts: list[Host]) -> set[str]:
+        agents = [host for host in hosts if host.role == Role.AGENT.value]
+        if self._ports.choose_subset is None:
+            return {host.name for host in agents}
+        return self._ports.choose_subset(agents)
+
+    def _log_doubt(self, was_doubted: bool, listed: int) -> None:
+        is_doubted = self.members.doubted_since_ms is not None
+        hosts = len(self.members.hosts)
+        if is_doubted and not was_doubted:
+            self._metrics.increment("control.host_list.doubted")
+            log_event(Event.HOST_LIST_DOUBTED, hosts=hosts, listed=listed)
+        elif was_doubted and not is_doubted:
+            log_event(Event.HOST_LIST_BELIEVED, hosts=hosts)
+
+    def _after_connected(self, peer: Hello) -> None:
+        now_ms = self._clock.now_ms()
+        if membership.note_connected(self.members, peer.name, peer.incarnation, now_ms):
+            self.refresh()
+
+    def _after_lost(self, peer: Hello) -> None:
+        membership.note_lost(self.members, peer.name, peer.incarnation)
+        self.refresh()
+
+    def _take_goodbye(self, peer: Hello, message: Goodbye) -> None:
+        if message.reason != NOT_NEEDED:
+            membership.note_goodbye(self.members, peer.name, peer.incarnation)
+            self.refresh()
+
+    def _take_report(self, peer: Hello, message: Report) -> None:
+        member = self.members.members.get(peer.name)
+        before = member.draining if member else False
+        current = membership.note_report(
+            self.members,
+            peer.name,
+            peer.incarnation,
+            self._clock.now_ms(),
+            draining=message.draining,
+        )
+        if not current or member is None:
+            return
+        if member.draining != before or not member.is_candidate():
+            self.refresh()
+        self._take_load(peer, message)
+
+    def _take_load(self, peer: Hello, message: Report) -> None:
+        entry = self._agents.entries.get(peer.name)
+        if entry is None:
+            return
+        entry.load = LoadReport(
+            received_ms=self._clock.now_ms(),
+            running=message.running,
+            max_running=max(1, message.max_running),
+            queued=message.queued,
+            service_ms=message.service_ms,
+            first_token_ms=message.first_token_ms,
+            between_tokens_ms=message.between_tokens_ms,
+        )
+        if message.owned_shards is not None and self._ports.shard_owners is not None:
+            self._ports.shard_owners.note_shards(
+                peer.name, entry.group, peer.incarnation, message.owned_shards
+            )
+
+    def _take_usage(self, peer: Hello, message: CustomerUsage) -> None:
+        if self._ports.usage is not None:
+            self._ports.usage.take_usage(peer.name, message.entries, self._clock.now_ms())
+
+    def _beat(self) -> None:
+        self.refresh()
+        if self._beats % BEATS_BETWEEN_REPORTS == 0:
+            self.exchange.broadcast(Report(pages_digest=self._pages.digest))
+        self._beats += 1
+        if self._ports.usage is not None:
+            self._send_usage(self._ports.usage)
+
+    def _send_usage(self, usage: UsageExchange) -> None:
+        entries = usage.near_limit(self._clock.now_ms())
+        if entries:
+            for name, member in self.members.members.items():
+                if member.connected and member.host.role == Role.ROUTER.value:
+                    self.exchange.send(name, CustomerUsage(entries=entries))
+
+    def _update_agents(self) -> None:
+        entries = self._agents.entries
+        present = {
+            name: member
+            for name, member in self.members.members.items()
+            if member.host.role == Role.AGENT.value
+        }
+        for name, member in present.items():
+            entry = entries.get(name)
+            if entry is None or _has_moved(entry, member):
+                entry = entries[name] = _new_entry(member)
+            _update_entry(entry, member)
+        for name in [name for name in entries if name not in present]:
+            self._retire(name, entries[name])
+
+    def _retire(self, name: str, entry: AgentEntry) -> None:
+        entry.leaving = True
+        if entry.in_flight == 0:
+            del self._agents.entries[name]
+            if self._ports.shard_owners is not None:
+                self._ports.shard_owners.forget_agent(name)
+
+
+def _update_entry(entry: AgentEntry, member: Member) -> None:
+    entry.incarnation = member.incarnation
+    entry.draining = member.draining
+    entry.leaving = member.state is MemberState.LEAVING
+    entry.suspected = member.state is MemberState.SUSPECTED and not member.kept_by_floor
+
+
+def _has_moved(entry: AgentEntry, member: Member) -> bool:
+    host = member.host
+    return (entry.address, entry.data_port) != (host.address, host.data_port)
+
+
+def _new_entry(member: Member) -> AgentEntry:
+    host = member.host
+    return AgentEntry(
+        name=host.name,
+        group=host.group,
+        address=host.address,
+        data_port=host.data_port,
+        control_port=host.control_port,
+        failure_domain=host.failure_domain,
+        region=host.region,
+        leaving=host.state is HostState.LEAVING,
+    )
+
+
+__all__ = ["RouterNode", "RouterPorts"]
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
+
 from boragetiller.clock import SystemClock
 from boragetiller.control.client import Peer
 from boragetiller.control.exchange import ControlExchange
@@ -18,6 +20,7 @@
     Role,
     Settings,
 )
+from boragetiller.tables.agents import LoadReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -69,6 +72,73 @@
         self.lost.append(peer)
 
 
+@attrs.frozen
+class Page:
+    """One configuration page."""
+
+    index: int
+    revision: int
+    data: bytes
+
+
+class FakeConfig:
+    """Pages in memory with the rule that a page never moves back."""
+
+    def __init__(self, pages: dict[int, Page] | None = None, page_count: int = 64) -> None:
+        self.pages = dict(pages or {})
+        self.ready = bool(pages)
+        self.complete_peers: dict[str, bool] = {}
+        self.heard: list[str] = []
+        self.lost: list[str] = []
+        self._page_count = page_count
+
+    def put(self, index: int, revision: int, data: bytes = b"page") -> None:
+        """Accept a page from the store."""
+        self.pages[index] = Page(index, revision, data)
+
+    def page_versions(self) -> dict[int, int]:
+        return {index: page.revision for index, page in self.pages.items()}
+
+    def pages_newer_than(self, revisions: dict[int, int]) -> list[Page]:
+        return [p for i, p in sorted(self.pages.items()) if p.revision > revisions.get(i, 0)]
+
+    def note_peer(self, peer: str, revisions: dict[int, int], *, complete: bool) -> list[int]:
+        self.complete_peers[peer] = complete
+        own = self.page_versions()
+        return sorted(i for i, r in revisions.items() if r > own.get(i, 0))
+
+    def peer_heard(self, peer: str) -> None:
+        self.heard.append(peer)
+
+    def peer_lost(self, peer: str) -> None:
+        self.lost.append(peer)
+
+    def take_page(self, index: int, revision: int, data: bytes) -> bool:
+        held = self.pages.get(index)
+        if index >= self._page_count or (held is not None and held.revision >= revision):
+            return False
+        self.pages[index] = Page(index, revision, data)
+        return True
+
+
+class FakeAgentState:
+    """What a test agent reports."""
+
+    def __init__(self) -> None:
+        self.draining = False
+        self.shards: tuple[int, ...] = ()
+        self.load = LoadReport(received_ms=0, running=2, max_running=8, queued=(0, 1, 0, 0))
+
+    def report_load(self) -> LoadReport:
+        return self.load
+
+    def is_draining(self) -> bool:
+        return self.draining
+
+    def owned_shards(self) -> tuple[int, ...]:
+        return self.shards
+
+
 class Node:
     """One exchange with its recorder."""
 
@@ -93,4 +163,4 @@
             await asyncio.sleep(0.002)
 
 
-__all__ = ["Node", "Recorder", "make_settings", "until"]
+__all__ = ["FakeAgentState", "FakeConfig", "Node", "Page", "Recorder", "make_settings", "until"]
