Choose connections by the policy's subsets; forget hosts outside them

Cause: a member that fell out of the subset stayed in the table, suspected, and the floor could have made it a candidate again. Change: systems/connections.py names the subset of each group and the router peers; a member that is not watched gets nothing new and goes once it is disconnected. Choosing again only when the list changed.

--- a/src/boragetiller/control/ports.py
+++ b/src/boragetiller/control/ports.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
-from boragetiller.platform.hosts import Host
-
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -121,9 +119,6 @@
         ...
 
 
-SubsetChooser = Callable[[list[Host]], set[str]]
-"""Names the agents that this router uses out of all that are listed."""
-
 GroupMembers = Callable[[], dict[str, frozenset[str]]]
 """Host names by backend group as the records in force have them; empty before the first."""
 
@@ -134,6 +129,5 @@
     "PageUpdate",
     "ShardOwners",
     "StrikeSink",
-    "SubsetChooser",
     "UsageExchange",
 ]
--- a/src/boragetiller/control/router_node.py
+++ b/src/boragetiller/control/router_node.py
@@ -13,7 +13,7 @@
 from boragetiller.platform.hosts import HostState
 from boragetiller.settings import Role
 from boragetiller.systems import membership
-from boragetiller.systems.peers import choose_peers
+from boragetiller.systems.connections import choose_connections
 from boragetiller.tables.agents import AgentEntry, LoadReport
 from boragetiller.tables.members import MemberState, MemberTable
 
@@ -26,7 +26,6 @@
         GroupMembers,
         ShardOwners,
         StrikeSink,
-        SubsetChooser,
         UsageExchange,
     )
     from boragetiller.metrics import Metrics
@@ -43,7 +42,6 @@
 class RouterPorts:
     """Other parts of the router; each may be missing."""
 
-    choose_subset: SubsetChooser | None = None
     group_members: GroupMembers | None = None
     shard_owners: ShardOwners | None = None
     strikes: StrikeSink | None = None
@@ -78,8 +76,8 @@
         self.members = MemberTable()
         self._agents = agents
         self._ports = ports
-        self._name = settings.name
-        self._region = settings.region
+        self._process_settings = settings
+        self._chosen_from: dict[str, Host] = {}
         self._beats = 0
 
     def take_hosts(self, hosts: Iterable[Host]) -> None:
@@ -90,19 +88,11 @@
         """
         now_ms = self._clock.now_ms()
         was_doubted = self.members.doubted_since_ms is not None
-        listed = [host for host in hosts if host.name != self._name]
+        listed = [host for host in hosts if host.name != self._process_settings.name]
         membership.apply_host_list(self.members, listed, self._settings, now_ms)
         self._log_doubt(was_doubted, len(listed))
-        known = list(self.members.hosts.values())
-        wanted = self._choose_agents(known) | choose_peers(
-            self._name, self._region, [host for host in known if host.role == Role.ROUTER.value]
-        )
-        membership.watch(self.members, wanted, now_ms)
-        self.exchange.set_peers(
-            Peer(host.name, host.address, host.control_port)
-            for host in known
-            if host.name in wanted and host.control_port
-        )
+        if self.members.hosts != self._chosen_from:
+            self._choose_connections(now_ms)
         self.refresh()
 
     def refresh(self) -> None:
@@ -127,11 +117,23 @@
         super().config_changed()
         self.refresh()
 
-    def _choose_agents(self, hosts: list[Host]) -> set[str]:
-        agents = [host for host in hosts if host.role == Role.AGENT.value]
-        if self._ports.choose_subset is None:
-            return {host.name for host in agents}
-        return self._ports.choose_subset(agents)
+    def live_routers(self) -> int:
+        """:return: how many routers the host list shows as live, this one included"""
+        hosts = self.members.hosts.values()
+        return 1 + sum(
+            host.role == Role.ROUTER.value and host.state is HostState.LIVE for host in hosts
+        )
+
+    def _choose_connections(self, now_ms: int) -> None:
+        self._chosen_from = self.members.hosts
+        known = list(self._chosen_from.values())
+        wanted = choose_connections(known, self._process_settings)
+        membership.watch(self.members, wanted, now_ms)
+        self.exchange.set_peers(
+            Peer(host.name, host.address, host.control_port)
+            for host in known
+            if host.name in wanted and host.control_port
+        )
 
     def _log_doubt(self, was_doubted: bool, listed: int) -> None:
         is_doubted = self.members.doubted_since_ms is not None
@@ -176,15 +178,7 @@
         entry = self._agents.entries.get(peer.name)
         if entry is None:
             return
-        entry.load = LoadReport(
-            received_ms=self._clock.now_ms(),
-            running=message.running,
-            max_running=max(1, message.max_running),
-            queued=message.queued,
-            service_ms=message.service_ms,
-            first_token_ms=message.first_token_ms,
-            between_tokens_ms=message.between_tokens_ms,
-        )
+        entry.update_load(_load_of(message, self._clock.now_ms()))
         if message.owned_shards is not None and self._ports.shard_owners is not None:
             self._ports.shard_owners.note_shards(
                 peer.name, entry.group, peer.incarnation, message.owned_shards
@@ -232,6 +226,18 @@
                 self._ports.shard_owners.forget_agent(name)
 
 
+def _load_of(message: Report, now_ms: int) -> LoadReport:
+    return LoadReport(
+        received_ms=now_ms,
+        running=message.running,
+        max_running=max(1, message.max_running),
+        queued=message.queued,
+        service_ms=message.service_ms,
+        first_token_ms=message.first_token_ms,
+        between_tokens_ms=message.between_tokens_ms,
+    )
+
+
 def _update_entry(entry: AgentEntry, member: Member) -> None:
     entry.incarnation = member.incarnation
     entry.draining = member.draining
--- /dev/null
+++ b/src/boragetiller/systems/connections.py
@@ -0,0 +1,53 @@
+"""Choose the agents and routers that a router keeps a control connection to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from boragetiller.platform.hosts import HostState
+from boragetiller.settings import Role
+from boragetiller.systems.peers import choose_peers
+from boragetiller.systems.subsets import Member, choose_subset
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from boragetiller.platform.hosts import Host
+    from boragetiller.settings import Settings
+
+
+def choose_connections(hosts: Iterable[Host], settings: Settings) -> set[str]:
+    """
+    Name the subset of each group's agents, and the router peers.
+
+    Hosts that are leaving are chosen only where a group has no others.
+
+    :param hosts: the host list as far as it is believed
+    :param settings: settings of this router
+    :return: host names
+    """
+    listed = list(hosts)
+    routers = [host for host in listed if host.role == Role.ROUTER.value]
+    groups: dict[str, list[Host]] = {}
+    for host in listed:
+        if host.role == Role.AGENT.value:
+            groups.setdefault(host.group, []).append(host)
+    chosen = choose_peers(settings.name, settings.region, routers)
+    own = Member(settings.name, settings.failure_domain, settings.region)
+    router_members = [_member(host) for host in routers]
+    for agents in groups.values():
+        members = [_member(host) for host in _staying(agents)]
+        chosen.update(choose_subset(own, router_members, members, settings.placement))
+    return chosen
+
+
+def _staying(agents: list[Host]) -> list[Host]:
+    staying = [host for host in agents if host.state is HostState.LIVE]
+    return staying or agents
+
+
+def _member(host: Host) -> Member:
+    return Member(host.name, host.failure_domain, host.region)
+
+
+__all__ = ["choose_connections"]
--- a/src/boragetiller/systems/membership.py
+++ b/src/boragetiller/systems/membership.py
@@ -53,15 +53,16 @@
     Set which listed hosts this node keeps a connection to.
 
     :param table: members of this node
-    :param names: hosts of the subset and the peers; others are forgotten unless connected
+    :param names: hosts of the subset and the peers; others get nothing new and are forgotten
+        once they are disconnected
     :param now_ms: monotonic time in milliseconds
     """
     wanted = set(names)
     for name in wanted:
         if name not in table.members and name in table.hosts:
             table.members[name] = Member(host=table.hosts[name], heard_ms=now_ms)
-    for name in [n for n, m in table.members.items() if n not in wanted and not m.connected]:
-        del table.members[name]
+    for name, member in table.members.items():
+        member.watched = name in wanted
 
 
 def note_connected(table: MemberTable, name: str, incarnation: int, now_ms: int) -> bool:
@@ -191,6 +192,8 @@
     silent = member.lost or now_ms - member.heard_ms >= settings.suspect_after_ms
     if not member.listed and (silent or member.stopped):
         return MemberState.GONE
+    if not member.watched:
+        return MemberState.LEAVING if member.connected else MemberState.GONE
     if member.draining or member.stopped or not member.in_records:
         return MemberState.LEAVING
     if member.host.state is HostState.LEAVING:
--- a/src/boragetiller/tables/members.py
+++ b/src/boragetiller/tables/members.py
@@ -33,6 +33,7 @@
     draining: bool = False
     stopped: bool = False  # this incarnation said goodbye
     in_records: bool = True
+    watched: bool = True  # this node wants a connection
     state: MemberState = MemberState.GONE
     kept_by_floor: bool = False  # suspected, and a candidate for lack of better ones
 
--- a/tests/systems/test_membership.py
+++ b/tests/systems/test_membership.py
@@ -189,13 +189,21 @@
         self._beat(self.names, REACTION_MS + 2)
         self.assertNotIn("agent-20", self._candidates())
 
-    def test_host_outside_the_subset_is_forgotten_once_disconnected(self) -> None:
+    def test_host_outside_the_subset_gets_nothing_and_goes_once_disconnected(self) -> None:
         watch(self.table, self.names[1:], 1)
+        refresh(self.table, SETTINGS, 1)
+        self.assertEqual(self._candidates(), self.names[1:])
         self.assertIn("agent-0", self.table.members)
         note_lost(self.table, "agent-0", 1)
-        watch(self.table, self.names[1:], 2)
+        refresh(self.table, SETTINGS, 2)
         self.assertNotIn("agent-0", self.table.members)
 
+    def test_host_back_in_the_subset_is_used_again(self) -> None:
+        watch(self.table, self.names[1:], 1)
+        watch(self.table, self.names, 2)
+        refresh(self.table, SETTINGS, 2)
+        self.assertEqual(self._candidates(), self.names)
+
     def test_records_of_another_group_do_not_keep_a_host(self) -> None:
         self.table.members["agent-0"].host = attrs.evolve(self.hosts[0], group="other")
         note_records(self.table, {"g": frozenset(self.names)})
