Refuse control frames of several segments; lend shares of limits

An unknown enum value raised RuntimeError, which was not caught. Change: frames are encoded in one segment, others are refused; RuntimeError is a bad frame. Messages ShareRequest and ShareGrant in place of CustomerUsage, for the policy's lend and borrow.

--- a/src/boragetiller/control/codec.py
+++ b/src/boragetiller/control/codec.py
@@ -8,10 +8,8 @@
 
 import capnp
 
-from boragetiller.control.errors import BadFrame
+from boragetiller.control.errors import BadFrame, FrameTooLarge
 from boragetiller.control.messages import (
-    CustomerUsage,
-    CustomerUse,
     Goodbye,
     Hello,
     PageRequest,
@@ -19,6 +17,8 @@
     PageVersions,
     Proof,
     Report,
+    ShareGrant,
+    ShareRequest,
     Strike,
     StrikeList,
 )
@@ -31,7 +31,10 @@
 
 MAX_UNPACKED_BYTES = 4_194_304
 WORD_BYTES = 8
+FIRST_SEGMENT_WORDS = 4_096
+SEGMENT_COUNT_MASK = 0x0F  # of the first packing tag: bytes of the segment count less 1
 TENTHS_PER_MS = 10
+MILLIONTHS = 1_000_000
 MAX_UINT16 = 0xFFFF
 MAX_UINT32 = 0xFFFF_FFFF
 
@@ -44,9 +47,16 @@
 
     :param message: the message
     :return: packed capnp bytes
+    :raises FrameTooLarge: the message does not fit into one segment
     """
     name, value = _to_capnp(message)
-    return _SCHEMA.Envelope.new_message(**{name: value}).to_bytes_packed()
+    body_bytes = len(message.body) if isinstance(message, PageResponse) else 0
+    words = FIRST_SEGMENT_WORDS + body_bytes // WORD_BYTES
+    envelope = _SCHEMA.Envelope.new_message(num_first_segment_words=words, **{name: value})
+    data: bytes = envelope.to_bytes_packed()
+    if not _has_one_segment(data):
+        raise FrameTooLarge
+    return data
 
 
 def decode(data: bytes, max_unpacked_bytes: int = MAX_UNPACKED_BYTES) -> Message:
@@ -58,12 +68,14 @@
     :return: the message
     :raises BadFrame: the bytes are no message that this version knows
     """
+    if not _has_one_segment(data):
+        raise BadFrame("not one segment")
     limit_words = max_unpacked_bytes // WORD_BYTES
     try:
         envelope = _SCHEMA.Envelope.from_bytes_packed(data, traversal_limit_in_words=limit_words)
         name = str(envelope.which())
         return _FROM_CAPNP[name](getattr(envelope, name))
-    except (capnp.KjException, ValueError, KeyError, AttributeError, TypeError) as error:
+    except (capnp.KjException, RuntimeError, ValueError, KeyError, TypeError) as error:
         raise BadFrame(str(error)[:100]) from error
 
 
@@ -141,15 +153,13 @@
 
 
 @_to_capnp.register
-def _(message: CustomerUsage) -> tuple[str, Any]:
-    return "customerUsage", [
-        {
-            "customer": entry.customer,
-            "inFlight": min(entry.in_flight, MAX_UINT32),
-            "milliRequestsPerS": min(round(entry.requests_per_s * 1_000), MAX_UINT32),
-        }
-        for entry in message.entries
-    ]
+def _(message: ShareRequest) -> tuple[str, Any]:
+    return "shareRequest", _share_to_capnp(message)
+
+
+@_to_capnp.register
+def _(message: ShareGrant) -> tuple[str, Any]:
+    return "shareGrant", _share_to_capnp(message)
 
 
 @_to_capnp.register
@@ -193,19 +203,6 @@
     return PageResponse(index=reader.index, revision=reader.revision, body=reader.body)
 
 
-def _customer_usage(reader: Any) -> CustomerUsage:
-    return CustomerUsage(
-        entries=tuple(
-            CustomerUse(
-                customer=entry.customer,
-                in_flight=entry.inFlight,
-                requests_per_s=entry.milliRequestsPerS / 1_000,
-            )
-            for entry in reader
-        )
-    )
-
-
 def _strike(reader: Any) -> Strike:
     return Strike(
         fingerprint=reader.fingerprint,
@@ -222,6 +219,19 @@
     }
 
 
+def _has_one_segment(data: bytes) -> bool:
+    # The library ends the process when a frame of several segments is cut short.
+    return len(data) > 0 and data[0] & SEGMENT_COUNT_MASK == 0
+
+
+def _share_to_capnp(message: ShareRequest | ShareGrant) -> dict[str, Any]:
+    return {"customer": message.customer, "millionths": int(message.share * MILLIONTHS)}
+
+
+def _share_of(reader: Any) -> dict[str, Any]:
+    return {"customer": reader.customer, "share": reader.millionths / MILLIONTHS}
+
+
 def _tenths(value_ms: float) -> int:
     return min(max(round(value_ms * TENTHS_PER_MS), 0), MAX_UINT32)
 
@@ -234,7 +244,8 @@
     "pageRequest": lambda reader: PageRequest(indexes=tuple(reader)),
     "pageResponse": _page_response,
     "strikeList": lambda reader: StrikeList(strikes=tuple(_strike(item) for item in reader)),
-    "customerUsage": _customer_usage,
+    "shareRequest": lambda reader: ShareRequest(**_share_of(reader)),
+    "shareGrant": lambda reader: ShareGrant(**_share_of(reader)),
     "goodbye": lambda reader: Goodbye(reason=reader),
 }
 
--- a/src/boragetiller/control/exchange.capnp
+++ b/src/boragetiller/control/exchange.capnp
@@ -10,8 +10,9 @@
     pageRequest @4 :List(UInt16);
     pageResponse @5 :PageResponse;
     strikeList @6 :List(Strike);
-    customerUsage @7 :List(CustomerUse);
-    goodbye @8 :Text;
+    shareRequest @7 :Share;
+    shareGrant @8 :Share;
+    goodbye @9 :Text;
   }
 }
 
@@ -70,8 +71,7 @@
   ageMs @2 :UInt32;
 }
 
-struct CustomerUse {
+struct Share {
   customer @0 :Text;
-  inFlight @1 :UInt32;
-  milliRequestsPerS @2 :UInt32;
+  millionths @1 :UInt32;
 }
--- a/src/boragetiller/control/messages.py
+++ b/src/boragetiller/control/messages.py
@@ -95,19 +95,19 @@
 
 
 @attrs.frozen(kw_only=True)
-class CustomerUse:
-    """What one customer uses at the sending router."""
+class ShareRequest:
+    """Asks a router for a part of a customer's limits; `share` is of the whole limit."""
 
     customer: str
-    in_flight: int
-    requests_per_s: float
+    share: float
 
 
 @attrs.frozen(kw_only=True)
-class CustomerUsage:
-    """Use by the customers that are near a limit."""
+class ShareGrant:
+    """Lends a part of a customer's limits in answer to a request."""
 
-    entries: tuple[CustomerUse, ...]
+    customer: str
+    share: float
 
 
 @attrs.frozen(kw_only=True)
@@ -125,15 +125,14 @@
     | PageRequest
     | PageResponse
     | StrikeList
-    | CustomerUsage
+    | ShareRequest
+    | ShareGrant
     | Goodbye
 )
 
 __all__ = [
     "FINGERPRINT_BYTES",
     "PROTOCOL_VERSION",
-    "CustomerUsage",
-    "CustomerUse",
     "Goodbye",
     "Hello",
     "Message",
@@ -142,6 +141,8 @@
     "PageVersions",
     "Proof",
     "Report",
+    "ShareGrant",
+    "ShareRequest",
     "Strike",
     "StrikeList",
 ]
--- a/src/boragetiller/control/node.py
+++ b/src/boragetiller/control/node.py
@@ -34,13 +34,14 @@
 
 from boragetiller.control.exchange import ControlExchange
 from boragetiller.control.messages import (
-    CustomerUsage,
     Goodbye,
     Hello,
     PageRequest,
     PageResponse,
     PageVersions,
     Report,
+    ShareGrant,
+    ShareRequest,
     StrikeList,
 )
 from boragetiller.control.pages import PageRelay
@@ -172,8 +173,12 @@
         self._strikes.on_strikes(peer.name, message.strikes)
 
     @_take.register
-    def _(self, message: CustomerUsage, peer: Hello) -> None:
-        self._take_usage(peer, message)
+    def _(self, message: ShareRequest, peer: Hello) -> None:
+        self._take_share_request(peer, message)
+
+    @_take.register
+    def _(self, message: ShareGrant, peer: Hello) -> None:
+        self._take_share_grant(peer, message)
 
     @_take.register
     def _(self, message: Goodbye, peer: Hello) -> None:
@@ -188,8 +193,11 @@
     def _take_report(self, peer: Hello, message: Report) -> None:
         """Act on a heartbeat."""
 
-    def _take_usage(self, peer: Hello, message: CustomerUsage) -> None:
-        """Act on use by customers at a peer."""
+    def _take_share_request(self, peer: Hello, message: ShareRequest) -> None:
+        """Act on a peer that wants a part of a customer's limits."""
+
+    def _take_share_grant(self, peer: Hello, message: ShareGrant) -> None:
+        """Act on a part of a customer's limits that a peer lends."""
 
     def _take_goodbye(self, peer: Hello, message: Goodbye) -> None:
         """Act on a peer that leaves."""
--- a/src/boragetiller/control/ports.py
+++ b/src/boragetiller/control/ports.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from boragetiller.control.messages import CustomerUse, Strike
+    from boragetiller.control.messages import Strike
     from boragetiller.tables.agents import LoadReport
 
 
@@ -107,15 +107,25 @@
         ...
 
 
-class UsageExchange(Protocol):
-    """Shares use by customers between routers."""
+class ShareLender(Protocol):
+    """Lends and borrows parts of customers' limits; shares are of the whole limit."""
 
-    def near_limit(self, now_ms: int) -> tuple[CustomerUse, ...]:
-        """:return: use at this router by customers that are near a limit"""
+    def wanted(self, now_ms: int) -> tuple[tuple[str, float], ...]:
+        """:return: customers that were refused of late, and the share that each needs"""
         ...
 
-    def take_usage(self, peer: str, entries: tuple[CustomerUse, ...], now_ms: int) -> None:
-        """Take what a peer told, which replaces what it told before."""
+    def lend(self, customer: str, share: float, now_ms: int) -> float:
+        """:return: the share lent, 0 when there is none to spare"""
+        ...
+
+    def borrow(self, customer: str, share: float, asked_ms: int) -> None:
+        """
+        Use a share that a peer lent.
+
+        :param customer: its name
+        :param share: the share lent
+        :param asked_ms: monotonic time when this router sent the request
+        """
         ...
 
 
@@ -129,5 +139,5 @@
     "PageUpdate",
     "ShardOwners",
     "StrikeSink",
-    "UsageExchange",
+    "ShareLender",
 ]
--- a/src/boragetiller/control/router_node.py
+++ b/src/boragetiller/control/router_node.py
@@ -7,8 +7,9 @@
 import attrs
 
 from boragetiller.control.client import Peer
-from boragetiller.control.messages import CustomerUsage, Goodbye, Hello, Report
+from boragetiller.control.messages import Goodbye, Hello, Report, ShareGrant, ShareRequest
 from boragetiller.control.node import ControlNode
+from boragetiller.control.shares import ShareExchange
 from boragetiller.events import Event, log_event
 from boragetiller.platform.hosts import HostState
 from boragetiller.settings import Role
@@ -25,8 +26,8 @@
         ConfigPages,
         GroupMembers,
         ShardOwners,
+        ShareLender,
         StrikeSink,
-        UsageExchange,
     )
     from boragetiller.metrics import Metrics
     from boragetiller.platform.hosts import Host
@@ -45,7 +46,7 @@
     group_members: GroupMembers | None = None
     shard_owners: ShardOwners | None = None
     strikes: StrikeSink | None = None
-    usage: UsageExchange | None = None
+    lender: ShareLender | None = None
 
 
 class RouterNode(ControlNode):
@@ -79,6 +80,11 @@
         self._process_settings = settings
         self._chosen_from: dict[str, Host] = {}
         self._beats = 0
+        self._shares = None
+        if ports.lender is not None:
+            self._shares = ShareExchange(
+                ports.lender, settings.control, self.exchange.send, clock, self._rng
+            )
 
     def take_hosts(self, hosts: Iterable[Host]) -> None:
         """
@@ -184,24 +190,28 @@
                 peer.name, entry.group, peer.incarnation, message.owned_shards
             )
 
-    def _take_usage(self, peer: Hello, message: CustomerUsage) -> None:
-        if self._ports.usage is not None:
-            self._ports.usage.take_usage(peer.name, message.entries, self._clock.now_ms())
+    def _take_share_request(self, peer: Hello, message: ShareRequest) -> None:
+        if self._shares is not None and peer.role is Role.ROUTER:
+            self._shares.on_request(peer.name, message)
+
+    def _take_share_grant(self, peer: Hello, message: ShareGrant) -> None:
+        if self._shares is not None:
+            self._shares.on_grant(peer.name, message)
 
     def _beat(self) -> None:
         self.refresh()
         if self._beats % BEATS_BETWEEN_REPORTS == 0:
             self.exchange.broadcast(Report(pages_digest=self._pages.digest))
         self._beats += 1
-        if self._ports.usage is not None:
-            self._send_usage(self._ports.usage)
-
-    def _send_usage(self, usage: UsageExchange) -> None:
-        entries = usage.near_limit(self._clock.now_ms())
-        if entries:
-            for name, member in self.members.members.items():
-                if member.connected and member.host.role == Role.ROUTER.value:
-                    self.exchange.send(name, CustomerUsage(entries=entries))
+        if self._shares is not None:
+            self._shares.ask(self._connected_routers())
+
+    def _connected_routers(self) -> list[str]:
+        return [
+            name
+            for name, member in self.members.members.items()
+            if member.connected and member.host.role == Role.ROUTER.value
+        ]
 
     def _update_agents(self) -> None:
         entries = self._agents.entries
