--- /dev/null
+++ b/bench/policy_baselines.py
@@ -0,0 +1,162 @@
+"""Gates and placements that the policy is compared with."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING, Protocol
+
+from boragetiller.errors import Overloaded
+from boragetiller.systems import admission
+from boragetiller.systems.placement import choose_agent
+from boragetiller.tables.actions import Action, RefuseWork, StartWork
+from boragetiller.tables.work import WorkItem, WorkTable
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from boragetiller.settings import AdmissionSettings, PlacementSettings
+    from boragetiller.systems.placement import PlacementRequest
+    from boragetiller.tables.agents import AgentEntry, LoadReport
+
+FIXED_LIMIT = 28  # the largest batch of an engine of usual speed inside 45 ms
+
+
+class Gate(Protocol):
+    """Admission at one agent."""
+
+    def submit(self, item: WorkItem, now_ms: int) -> list[Action]:
+        """:return: actions"""
+        ...
+
+    def record_token(self, request_id: str, now_ms: int) -> None:
+        """Note a token."""
+        ...
+
+    def finish(self, request_id: str, now_ms: int) -> list[Action]:
+        """:return: actions"""
+        ...
+
+    def run_tick(self, now_ms: int) -> list[Action]:
+        """:return: actions"""
+        ...
+
+    def report(self, now_ms: int) -> LoadReport | None:
+        """:return: load for the routers"""
+        ...
+
+
+class PolicyGate:
+    """The project's admission."""
+
+    def __init__(self, settings: AdmissionSettings) -> None:
+        """:param settings: limits"""
+        self.table = WorkTable()
+        self._settings = settings
+
+    def submit(self, item: WorkItem, now_ms: int) -> list[Action]:
+        """See :class:`Gate`."""
+        return admission.submit(self.table, item, self._settings, now_ms)
+
+    def record_token(self, request_id: str, now_ms: int) -> None:
+        """See :class:`Gate`."""
+        admission.record_token(self.table, request_id, now_ms)
+
+    def finish(self, request_id: str, now_ms: int) -> list[Action]:
+        """See :class:`Gate`."""
+        return admission.finish(self.table, request_id, self._settings, now_ms)
+
+    def run_tick(self, now_ms: int) -> list[Action]:
+        """See :class:`Gate`."""
+        return admission.run_tick(self.table, self._settings, now_ms)
+
+    def report(self, now_ms: int) -> LoadReport | None:
+        """See :class:`Gate`."""
+        return admission.report_load(self.table, now_ms)
+
+
+class FixedGate:
+    """A fixed limit before queues served in order of arrival, by tier or all as one."""
+
+    def __init__(self, settings: AdmissionSettings, *, strict: bool) -> None:
+        """
+        Start empty.
+
+        :param settings: bound of the queue
+        :param strict: whether upper tiers always go first
+        """
+        self._settings = settings
+        self._strict = strict
+        self._queues: dict[int, deque[str]] = {tier: deque() for tier in range(4)}
+        self._queued: set[str] = set()
+        self._running: set[str] = set()
+
+    def submit(self, item: WorkItem, now_ms: int) -> list[Action]:
+        """See :class:`Gate`."""
+        if len(self._queued) >= self._settings.max_queued:
+            return [RefuseWork(item.request_id, Overloaded(retry_after_s=1))]
+        self._queues[item.tier if self._strict else 0].append(item.request_id)
+        self._queued.add(item.request_id)
+        return self.run_tick(now_ms)
+
+    def record_token(self, request_id: str, now_ms: int) -> None:
+        """See :class:`Gate`."""
+
+    def finish(self, request_id: str, now_ms: int) -> list[Action]:
+        """See :class:`Gate`."""
+        self._queued.discard(request_id)
+        self._running.discard(request_id)
+        return self.run_tick(now_ms)
+
+    def run_tick(self, now_ms: int) -> list[Action]:  # noqa: ARG002
+        """See :class:`Gate`."""
+        actions: list[Action] = []
+        for queue in self._queues.values():
+            while queue and len(self._running) < FIXED_LIMIT:
+                request_id = queue.popleft()
+                if request_id in self._queued:
+                    self._queued.discard(request_id)
+                    self._running.add(request_id)
+                    actions.append(StartWork(request_id))
+        return actions
+
+    def report(self, now_ms: int) -> LoadReport | None:  # noqa: ARG002
+        """See :class:`Gate`."""
+        return None
+
+
+class Policy:
+    """A named pair of gate and placement."""
+
+    def __init__(self, name: str) -> None:
+        """:param name: ours, round_robin, least or strict"""
+        self.name = name
+        self._turn = 0
+
+    def gate(self, settings: AdmissionSettings) -> Gate:
+        """:return: the gate of one agent"""
+        if self.name == "ours":
+            return PolicyGate(settings)
+        return FixedGate(settings, strict=self.name == "strict")
+
+    def choose(
+        self,
+        agents: list[AgentEntry],
+        request: PlacementRequest,
+        settings: PlacementSettings,
+        rng: Random,
+        now_ms: int,
+    ) -> AgentEntry | None:
+        """:return: the agent for a request"""
+        if self.name == "ours":
+            return choose_agent(agents, request, settings, rng, now_ms)
+        usable = [a for a in agents if a.name not in request.excluded] or agents
+        usable = [a for a in usable if not a.health.is_ejected(now_ms)] or usable
+        if self.name == "round_robin":
+            self._turn += 1
+            return usable[self._turn % len(usable)]
+        return min(usable, key=lambda agent: (agent.in_flight, rng.random()))
+
+
+POLICIES = ("ours", "round_robin", "least", "strict")
+
+__all__ = ["POLICIES", "Gate", "Policy"]
--- /dev/null
+++ b/bench/policy_world.py
@@ -0,0 +1,382 @@
+"""One engine group in virtual time: callers, routers with stale reports, agents and engines."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from bench.fake_engine import EventQueue, FakeEngine, Stream
+from bench.policy_baselines import Policy
+from bench.policy_scenarios import ROUTERS, SPEEDS, Call, make_calls
+from boragetiller.hashing import stable_hash
+from boragetiller.settings import AdmissionSettings, PlacementSettings
+from boragetiller.systems import outliers, retry_budget
+from boragetiller.systems.placement import PlacementRequest
+from boragetiller.tables.actions import Action, PreemptWork, RefuseWork
+from boragetiller.tables.agents import AgentEntry
+from boragetiller.tables.retry import RetryBudget
+from boragetiller.tables.work import WorkItem
+
+if TYPE_CHECKING:
+    from bench.policy_scenarios import Scenario
+    from boragetiller.tables.agents import LoadReport
+
+LINK_MS = 2.0
+TICK_MS = 50.0
+HEARTBEAT_MS = 1_000.0
+DRAIN_MS = 30_000
+STRAGGLER_FACTOR = 0.2
+GAP_SAMPLE_TOKENS = 16
+
+
+@attrs.define(eq=False)
+class Journey:
+    """A caller's request on its way."""
+
+    call: Call
+    request_id: str
+    router: Router
+    attempts: int = 0
+    tried: set[str] = attrs.Factory(set)
+    agent: AgentSim | None = None
+    produced: int = 0
+    first_ms: float | None = None
+    last_ms: float | None = None
+    sampled_ms: float = 0.0
+    status: str = "open"  # answered, refused, abandoned or failed
+    ended_ms: float = 0.0
+    started_ms: list[float] = attrs.Factory(list)
+    work_ms: float = 0.0
+    repeated_ms: float = 0.0  # work to resume, done before
+    preemptions: int = 0
+
+
+@attrs.define(eq=False)
+class Router:
+    """What one router knows."""
+
+    entries: list[AgentEntry]
+    policy: Policy
+    budget: RetryBudget = attrs.Factory(RetryBudget)
+
+    def entry(self, name: str) -> AgentEntry:
+        """:return: the entry of an agent"""
+        return next(entry for entry in self.entries if entry.name == name)
+
+
+class AgentSim:
+    """An agent and its engine."""
+
+    def __init__(self, world: World, engine: FakeEngine) -> None:
+        """
+        Stand beside an engine.
+
+        :param world: the run
+        :param engine: the engine
+        """
+        self.engine = engine
+        self.name = engine.name
+        self.gate = world.policy.gate(world.admission)
+        self.present: dict[str, Journey] = {}
+        self.stepping = False
+        self.epoch = 0
+
+
+class World:
+    """One run of a scenario under a policy."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        policy: str,
+        seed: int,
+        admission: AdmissionSettings | None = None,
+        placement: PlacementSettings | None = None,
+    ) -> None:
+        """
+        Put the parts together.
+
+        :param scenario: demand and faults
+        :param policy: name of the policy
+        :param seed: of all generators
+        :param admission: settings of the agents
+        :param placement: settings of the routers
+        """
+        self.scenario = scenario
+        self.policy = Policy(policy)
+        self.admission = admission or AdmissionSettings()
+        self.placement = placement or PlacementSettings()
+        self.rng = Random(seed)
+        self.events = EventQueue()
+        self.agents = [AgentSim(self, FakeEngine(f"e{n}", s)) for n, s in enumerate(SPEEDS)]
+        self.routers = [self._make_router() for _ in range(ROUTERS)]
+        self.journeys: list[Journey] = []
+        self.tokens_at: list[tuple[float, Journey]] = []
+        self._seed = seed
+
+    def run(self) -> None:
+        """Run to the end of the scenario and let the engines finish."""
+        for number, call in enumerate(make_calls(self.scenario, self._seed)):
+            journey = Journey(call, f"r{number}", self.rng.choice(self.routers))
+            self.journeys.append(journey)
+            self.events.at(call.arrive_ms, self._arrive, journey)
+        for agent in self.agents:
+            self.events.at(self.rng.random() * TICK_MS, self._tick, agent)
+            self.events.at(self.rng.random() * HEARTBEAT_MS, self._heartbeat, agent)
+        self._schedule_faults()
+        self.events.run(self.scenario.end_ms + DRAIN_MS)
+
+    def _make_router(self) -> Router:
+        entries = [
+            AgentEntry(name=a.name, group="tiller-pool", address="127.0.0.1", data_port=1)
+            for a in self.agents
+        ]
+        return Router(entries, Policy(self.policy.name))
+
+    def _schedule_faults(self) -> None:
+        scenario = self.scenario
+        if scenario.straggler:
+            self.events.at(scenario.peak_start_ms, self._slow_down, scenario.straggler)
+        if scenario.crash_ms:
+            self.events.at(scenario.crash_ms, self._crash, self.agents[0])
+            restart_ms = scenario.crash_ms + scenario.crash_duration_ms
+            self.events.at(restart_ms, self._restart, self.agents[0])
+
+    def _slow_down(self, name: str) -> None:
+        engine = next(agent.engine for agent in self.agents if agent.name == name)
+        engine.speed *= STRAGGLER_FACTOR
+
+    # routers
+
+    def _arrive(self, journey: Journey) -> None:
+        retry_budget.deposit(journey.router.budget, self.placement)
+        deadline_ms = journey.call.arrive_ms + journey.call.load.request_class.deadline_ms
+        self.events.at(deadline_ms, self._give_up, journey)
+        self._place(journey)
+
+    def _place(self, journey: Journey) -> None:
+        if journey.status != "open":
+            return
+        request_class = journey.call.load.request_class
+        request = PlacementRequest(
+            group="tiller-pool",
+            tier=request_class.tier,
+            prefix_hash=stable_hash(journey.call.prefix) if journey.call.prefix else 0,
+            excluded=frozenset(journey.tried) if len(journey.tried) < len(SPEEDS) else frozenset(),
+            protected=request_class.protected,
+        )
+        router = journey.router
+        now_ms = int(self.events.now_ms)
+        entry = router.policy.choose(router.entries, request, self.placement, self.rng, now_ms)
+        if entry is None:
+            self._end(journey, "failed")
+            return
+        journey.attempts += 1
+        journey.tried.add(entry.name)
+        journey.agent = next(agent for agent in self.agents if agent.name == entry.name)
+        entry.in_flight += 1
+        self.events.at(self.events.now_ms + LINK_MS, self._submit, journey, journey.agent)
+
+    def _retry(self, journey: Journey, code: str) -> None:
+        router = journey.router
+        assert journey.agent is not None
+        entry = router.entry(journey.agent.name)
+        entry.in_flight -= 1
+        journey.agent = None
+        if journey.status != "open":
+            return
+        now_ms = int(self.events.now_ms)
+        if code in ("backend_lost", "backend_unreachable"):
+            outliers.record_failure(entry, router.entries, self.placement, now_ms)
+        if code == "preempted":
+            journey.tried.clear()
+            journey.preemptions += 1
+            self.events.at(now_ms + LINK_MS, self._place, journey)
+            return
+        spent = journey.attempts - journey.preemptions >= self.placement.max_attempts
+        if spent or not retry_budget.withdraw(router.budget, code, self.placement):
+            self._end(journey, "refused" if code == "overloaded" else "failed")
+            return
+        delay_ms = retry_budget.retry_delay_ms(journey.attempts, self.placement, self.rng)
+        self.events.at(now_ms + delay_ms, self._place, journey)
+
+    def _give_up(self, journey: Journey) -> None:
+        if journey.status != "open" or journey.first_ms is not None:
+            return
+        agent = journey.agent
+        self._end(journey, "abandoned")
+        if agent is not None:
+            self._leave(agent, journey)
+            journey.router.entry(agent.name).in_flight -= 1
+            journey.agent = None
+
+    def _end(self, journey: Journey, status: str) -> None:
+        journey.status = status
+        journey.ended_ms = self.events.now_ms
+
+    # agents
+
+    def _submit(self, journey: Journey, agent: AgentSim) -> None:
+        if journey.status != "open" or journey.agent is not agent:
+            return
+        agent.present[journey.request_id] = journey
+        if not agent.engine.up:
+            del agent.present[journey.request_id]
+            self._retry(journey, "backend_unreachable")
+            return
+        self._apply(agent, agent.gate.submit(self._make_item(journey), int(self.events.now_ms)))
+
+    def _make_item(self, journey: Journey) -> WorkItem:
+        request_class = journey.call.load.request_class
+        return WorkItem(
+            request_id=journey.request_id,
+            attempt=journey.attempts,
+            customer=journey.call.customer,
+            class_name=request_class.name,
+            tier=request_class.tier,
+            protected=request_class.protected,
+            preemptible=not request_class.protected,
+            prompt_tokens=journey.call.load.prompt_tokens,
+            first_token_target_ms=request_class.first_token_target_ms,
+            arrived_ms=int(self.events.now_ms),
+            deadline_ms=int(journey.call.arrive_ms) + request_class.deadline_ms,
+        )
+
+    def _apply(self, agent: AgentSim, actions: list[Action]) -> None:
+        for action in actions:
+            journey = agent.present.get(action.request_id)
+            if journey is None:
+                continue
+            match action:
+                case RefuseWork():
+                    del agent.present[action.request_id]
+                    self._retry(journey, "overloaded")
+                case PreemptWork():
+                    at_ms = self.events.now_ms + LINK_MS
+                    self.events.at(at_ms, self._preempt, agent, journey)
+                case _:
+                    self._start(agent, journey)
+
+    def _start(self, agent: AgentSim, journey: Journey) -> None:
+        call = journey.call
+        journey.started_ms.append(self.events.now_ms)
+        stream = Stream(
+            journey.request_id,
+            call.load.prompt_tokens + call.prefix_tokens,
+            call.output_tokens - journey.produced,
+            call.prefix,
+            call.prefix_tokens,
+            journey.produced,
+        )
+        agent.engine.start(stream)
+        if not agent.stepping:
+            agent.stepping = True
+            self._step(agent, agent.epoch)
+
+    def _preempt(self, agent: AgentSim, journey: Journey) -> None:
+        if agent.present.get(journey.request_id) is journey:
+            self._leave(agent, journey)
+            self._retry(journey, "preempted")
+
+    def _leave(self, agent: AgentSim, journey: Journey) -> None:
+        if agent.present.pop(journey.request_id, None) is None:
+            return
+        stream = agent.engine.cancel(journey.request_id)
+        if stream is not None:
+            self._account(journey, stream)
+        self._apply(agent, agent.gate.finish(journey.request_id, int(self.events.now_ms)))
+
+    def _account(self, journey: Journey, stream: Stream) -> None:
+        journey.work_ms += stream.work_ms
+        if len(journey.started_ms) > 1:
+            prefilled = stream.prompt_tokens + stream.resumed_tokens - stream.prefill_left
+            journey.repeated_ms += min(stream.work_ms, prefilled * 0.06)
+
+    def _tick(self, agent: AgentSim) -> None:
+        self._apply(agent, agent.gate.run_tick(int(self.events.now_ms)))
+        self.events.at(self.events.now_ms + TICK_MS, self._tick, agent)
+
+    def _heartbeat(self, agent: AgentSim) -> None:
+        for router in self.routers:
+            self._report(agent, router)
+            outliers.mark_slow(router.entries, self.placement, int(self.events.now_ms))
+        self.events.at(self.events.now_ms + HEARTBEAT_MS, self._heartbeat, agent)
+
+    def _report(self, agent: AgentSim, router: Router) -> None:
+        load = agent.gate.report(int(self.events.now_ms))
+        if load is not None:
+            at_ms = self.events.now_ms + self.scenario.report_lag_ms
+            self.events.at(at_ms, self._receive, router.entry(agent.name), load)
+
+    def _receive(self, entry: AgentEntry, load: LoadReport) -> None:
+        load.received_ms = int(self.events.now_ms)
+        entry.update_load(load)
+
+    # engines
+
+    def _step(self, agent: AgentSim, epoch: int) -> None:
+        if not agent.engine.streams or epoch != agent.epoch:
+            agent.stepping = agent.stepping and epoch != agent.epoch
+            return
+        step_ms, decoding = agent.engine.step()
+        self.events.at(self.events.now_ms + step_ms, self._step_end, agent, epoch, decoding)
+
+    def _step_end(self, agent: AgentSim, epoch: int, decoding: list[Stream]) -> None:
+        if epoch != agent.epoch:
+            return
+        now_ms = self.events.now_ms
+        done = []
+        for stream in decoding:
+            journey = agent.present.get(stream.request_id)
+            if journey is None or agent.engine.streams.get(stream.request_id) is not stream:
+                continue
+            stream.produced += 1
+            self._token(agent, journey, now_ms)
+            if stream.produced >= stream.output_tokens:
+                done.append((journey, stream))
+        for journey, _ in done:
+            self._finish(agent, journey)
+        self._step(agent, epoch)
+
+    def _token(self, agent: AgentSim, journey: Journey, now_ms: float) -> None:
+        agent.gate.record_token(journey.request_id, int(now_ms))
+        if journey.first_ms is None:
+            journey.first_ms = now_ms
+        journey.last_ms = now_ms
+        journey.produced += 1
+        if self.scenario.peak_start_ms + 5_000 <= now_ms < self.scenario.peak_end_ms:
+            self.tokens_at.append((now_ms, journey))
+        if journey.produced % GAP_SAMPLE_TOKENS == 1:
+            if journey.produced > 1 and len(journey.started_ms) == 1:
+                gap_ms = (now_ms - journey.sampled_ms) / GAP_SAMPLE_TOKENS
+                outliers.record_gap(journey.router.entry(agent.name), gap_ms, int(now_ms))
+            journey.sampled_ms = now_ms
+
+    def _finish(self, agent: AgentSim, journey: Journey) -> None:
+        self._end(journey, "answered")
+        self._leave(agent, journey)
+        entry = journey.router.entry(agent.name)
+        entry.in_flight -= 1
+        outliers.record_success(entry)
+        journey.agent = None
+        self._report(agent, journey.router)
+
+    def _crash(self, agent: AgentSim) -> None:
+        agent.epoch += 1
+        agent.stepping = False
+        lost = {stream.request_id: stream for stream in agent.engine.crash()}
+        for journey in list(agent.present.values()):
+            stream = lost.get(journey.request_id)
+            if stream is not None:
+                self._account(journey, stream)
+            del agent.present[journey.request_id]
+            agent.gate.finish(journey.request_id, int(self.events.now_ms))
+            self._retry(journey, "backend_lost" if stream else "backend_unreachable")
+
+    def _restart(self, agent: AgentSim) -> None:
+        agent.engine.up = True
+
+
+__all__ = ["Journey", "World"]
