Keep resumed work from being refused as late

Cause: preempted work that came back after its deadline was refused, its tokens lost. Change: WorkItem.resumed_tokens; such work goes to the front of its customer's queue and neither expires nor is refused early.

--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -240,6 +240,7 @@
             preemptible=not request_class.protected,
             prompt_tokens=journey.call.load.prompt_tokens,
             first_token_target_ms=request_class.first_token_target_ms,
+            resumed_tokens=journey.produced,
             arrived_ms=int(self.events.now_ms),
             deadline_ms=int(journey.call.arrive_ms) + request_class.deadline_ms,
         )
--- a/src/boragetiller/systems/fairness.py
+++ b/src/boragetiller/systems/fairness.py
@@ -31,10 +31,13 @@
     if customer.count == 0:
         customer.virtual_tokens = max(customer.virtual_tokens, queue.reached_tokens)
     table.queued[item.request_id] = item
-    customer.items.append(item)
+    if item.resumed_tokens:
+        customer.items.appendleft(item)
+    else:
+        customer.items.append(item)
     _change_count(tier, queue, customer, 1)
     _push_order(table, queue, customer, settings)
-    if item.deadline_ms and not item.protected:
+    if item.can_expire():
         heapq.heappush(table.expiry, (item.deadline_ms, table.next_sequence(), item))
     _compact(table, queue, customer)
 
@@ -257,7 +260,7 @@
 
 
 def _is_late(table: WorkTable, item: WorkItem, now_ms: int) -> bool:
-    return now_ms + table.first_token_ms > item.due_ms()
+    return not item.resumed_tokens and now_ms + table.first_token_ms > item.due_ms()
 
 
 def _is_queued(table: WorkTable, item: WorkItem) -> bool:
--- a/src/boragetiller/systems/shedding.py
+++ b/src/boragetiller/systems/shedding.py
@@ -42,7 +42,7 @@
     """
     if fairness.class_queue(table, item).count == 0 and table.backlogged < settings.max_classes:
         return Room(granted=True)
-    if not item.protected and _is_hopeless(table, item, now_ms):
+    if item.can_expire() and _is_hopeless(table, item, now_ms):
         return Room(granted=False)
     if len(table.queued) - table.backlogged < settings.max_queued:
         return Room(granted=True)
@@ -102,8 +102,6 @@
 
 
 def _is_hopeless(table: WorkTable, item: WorkItem, now_ms: int) -> bool:
-    if not item.deadline_ms:
-        return False
     return now_ms + expected_wait_ms(table, item.tier) > item.deadline_ms
 
 
--- a/src/boragetiller/tables/work.py
+++ b/src/boragetiller/tables/work.py
@@ -28,6 +28,7 @@
     fingerprint: str = ""
     arrived_ms: int = 0
     deadline_ms: int = 0  # a start after this is of no use; 0 for none
+    resumed_tokens: int = 0  # relayed by earlier attempts; such work is not refused as late
     started_ms: int | None = None
     first_token_ms: int | None = None
     last_token_ms: int | None = None
@@ -39,6 +40,10 @@
         """:return: whether it holds its slot although it is not protected"""
         return not (self.protected or self.preemptible)
 
+    def can_expire(self) -> bool:
+        """:return: whether it is refused once its deadline has passed"""
+        return bool(self.deadline_ms) and not (self.protected or self.resumed_tokens)
+
     def due_ms(self) -> int:
         """:return: when its first token is due"""
         return self.arrived_ms + self.first_token_target_ms
