--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -143,7 +143,7 @@
     limit_window_ms: int = attrs.field(default=250, validator=_POSITIVE)
     limit_min_gaps: int = attrs.field(default=16, validator=_POSITIVE)
     limit_step: float = attrs.field(default=1.0, validator=validators.gt(0.0))
-    between_tokens_share: float = attrs.field(default=0.85, validator=_SHARE)
+    between_tokens_share: float = attrs.field(default=0.95, validator=_SHARE)
     max_queued: int = attrs.field(default=1_000, validator=_POSITIVE)
     max_classes: int = attrs.field(default=64, validator=_POSITIVE)
     fair_turn_tokens: int = attrs.field(default=512, validator=_POSITIVE)
--- a/src/boragetiller/systems/admission.py
+++ b/src/boragetiller/systems/admission.py
@@ -116,6 +116,7 @@
     return LoadReport(
         received_ms=now_ms,
         running=len(table.running),
+        protected_running=table.protected_running + table.firm_running,
         max_running=max(1, table.max_running),
         queued=queued,
         service_ms=table.service_ms,
--- a/src/boragetiller/systems/fairness.py
+++ b/src/boragetiller/systems/fairness.py
@@ -124,6 +124,7 @@
     table.running[item.request_id] = item
     table.aged_running += item.aged
     table.firm_running += item.is_firm()
+    table.protected_running += item.protected
     charge(table, item, settings.min_cost_tokens + item.prompt_tokens * settings.prompt_token_cost)
 
 
@@ -141,6 +142,7 @@
     table.preempting -= item.preempting
     table.aged_running -= item.aged
     table.firm_running -= item.is_firm()
+    table.protected_running -= item.protected
     _forget_idle(tier, queue, customer)
 
 
--- a/src/boragetiller/systems/placement.py
+++ b/src/boragetiller/systems/placement.py
@@ -12,7 +12,7 @@
     from random import Random
 
     from boragetiller.settings import PlacementSettings
-    from boragetiller.tables.agents import AgentEntry
+    from boragetiller.tables.agents import AgentEntry, LoadReport
 
 
 @attrs.frozen(kw_only=True)
@@ -86,12 +86,21 @@
     age = min(1.0, max(0, now_ms - load.received_ms) / settings.report_fade_ms)
     slots = max(1, load.max_running)
     sent = max(0, agent.in_flight - agent.in_flight_at_report)
-    busy = load.running + sent + sum(load.queued[: request.tier + 1]) * (1 - age)
-    wait_ms = max(0.0, busy + 1 - slots) * load.service_ms / slots
-    crowding_ms = settings.crowding_ms * busy / slots
+    ahead = sent + sum(load.queued[: request.tier + 1]) * (1 - age)
+    slot_ms = load.service_ms / slots
+    wait_ms = max(0.0, _held_slots(load, request) + ahead + 1 - slots) * slot_ms
+    if load.running + ahead >= slots:
+        wait_ms = max(wait_ms, slot_ms)
+    crowding_ms = settings.crowding_ms * (load.running + ahead) / slots
     return link_ms + load.first_token_ms + wait_ms + crowding_ms
 
 
+def _held_slots(load: LoadReport, request: PlacementRequest) -> int:
+    if request.protected and load.protected_running is not None:
+        return load.protected_running  # the rest gives way
+    return load.running
+
+
 def _without_outliers(
     agents: list[AgentEntry], request: PlacementRequest, now_ms: int
 ) -> list[AgentEntry]:
--- a/src/boragetiller/tables/agents.py
+++ b/src/boragetiller/tables/agents.py
@@ -14,6 +14,7 @@
 
     received_ms: int
     running: int = 0
+    protected_running: int | None = None  # running work that never gives way; None when not told
     max_running: int = 1
     queued: tuple[int, ...] = (0, 0, 0, 0)
     service_ms: float = 0.0  # mean time of one request in a slot
--- a/src/boragetiller/tables/work.py
+++ b/src/boragetiller/tables/work.py
@@ -106,6 +106,7 @@
     first_token_ms: float = 0.0  # mean time from start to first token
     aged_ms: int | None = None  # last start by the aging share
     aged_running: int = 0
+    protected_running: int = 0
     firm_running: int = 0  # unprotected and not preemptible
     protected_ms: int | None = None  # last arrival of protected work
 
