--- a/src/boragetiller/systems/concurrency.py
+++ b/src/boragetiller/systems/concurrency.py
@@ -9,7 +9,8 @@
     from boragetiller.tables.concurrency import ConcurrencyLimit
 
 _SMOOTHING = 0.3  # weight of the newest window in the smoothed gap
-_MAX_CUT = 0.7  # largest decrease in one window
+_MAX_CUT = 0.3  # largest decrease in one window, as a share
+_MAX_RISE = 0.1
 
 
 def observe_gap(limit: ConcurrencyLimit, gap_ms: float, target_ms: int, count: int) -> None:
@@ -28,7 +29,7 @@
 
 def adapt_limit(limit: ConcurrencyLimit, settings: AdmissionSettings, now_ms: int) -> int:
     """
-    Raise the limit by a step while gaps leave room, cut it in proportion when they are too long.
+    Move the limit in proportion to how far the smoothed gap is from its aim.
 
     :param limit: state of the limit
     :param settings: bounds, window and share of the target to hold
@@ -50,10 +51,12 @@
     before_ms = limit.between_tokens_ms or mean_ms
     limit.between_tokens_ms = (1 - _SMOOTHING) * before_ms + _SMOOTHING * mean_ms
     aim_ms = limit.target_ms * settings.between_tokens_share
-    if mean_ms > aim_ms:
-        limit.limit = max(settings.min_running, limit.limit * max(_MAX_CUT, aim_ms / mean_ms))
-    elif limit.was_full and limit.between_tokens_ms < aim_ms:
-        limit.limit = min(settings.max_running, limit.limit + settings.limit_step)
+    error = aim_ms / limit.between_tokens_ms - 1
+    if error > 0 and not limit.was_full:
+        return
+    change = min(max(error * settings.limit_gain, -_MAX_CUT), _MAX_RISE)
+    limited = max(float(settings.min_running), limit.limit * (1 + change))
+    limit.limit = min(float(settings.max_running), limited)
 
 
 def _open_window(limit: ConcurrencyLimit, now_ms: int) -> None:
