Estimate the load of an agent from the own share of it as well

Cause: two random choices by late reports left one agent full of protected work while another had work that could give way; more choices made all routers follow one report. Change: expected load blends the report with the router's own requests by tier times the number of routers; AgentEntry.begin/end, PlacementRequest.peers.

--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -166,6 +166,7 @@
             prefix_hash=stable_hash(journey.call.prefix) if journey.call.prefix else 0,
             excluded=frozenset(journey.tried) if len(journey.tried) < len(SPEEDS) else frozenset(),
             protected=request_class.protected,
+            peers=ROUTERS,
         )
         router = journey.router
         now_ms = int(self.events.now_ms)
@@ -176,14 +177,14 @@
         journey.attempts += 1
         journey.tried.add(entry.name)
         journey.agent = next(agent for agent in self.agents if agent.name == entry.name)
-        entry.in_flight += 1
+        entry.begin(request_class.tier)
         self.events.at(self.events.now_ms + LINK_MS, self._submit, journey, journey.agent)
 
     def _retry(self, journey: Journey, code: str) -> None:
         router = journey.router
         assert journey.agent is not None
         entry = router.entry(journey.agent.name)
-        entry.in_flight -= 1
+        entry.end(journey.call.load.request_class.tier)
         journey.agent = None
         if journey.status != "open":
             return
@@ -209,7 +210,7 @@
         self._end(journey, "abandoned")
         if agent is not None:
             self._leave(agent, journey)
-            journey.router.entry(agent.name).in_flight -= 1
+            journey.router.entry(agent.name).end(journey.call.load.request_class.tier)
             journey.agent = None
 
     def _end(self, journey: Journey, status: str) -> None:
@@ -359,7 +360,7 @@
         self._end(journey, "answered")
         self._leave(agent, journey)
         entry = journey.router.entry(agent.name)
-        entry.in_flight -= 1
+        entry.end(journey.call.load.request_class.tier)
         outliers.record_success(entry)
         journey.agent = None
         self._report(agent, journey.router)
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -121,6 +121,7 @@
     fingerprint_gain_ms: int = attrs.field(default=20, validator=validators.ge(0))
     crowding_ms: int = attrs.field(default=100, validator=validators.ge(0))
     report_fade_ms: int = attrs.field(default=2_000, validator=_POSITIVE)
+    own_share: float = attrs.field(default=0.7, validator=_SHARE)
     unknown_wait_ms: int = attrs.field(default=50, validator=_POSITIVE)
     eject_after_failures: int = attrs.field(default=3, validator=_POSITIVE)
     eject_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
--- a/src/boragetiller/systems/admission.py
+++ b/src/boragetiller/systems/admission.py
@@ -8,13 +8,12 @@
 from boragetiller.systems.concurrency import adapt_limit, observe_gap
 from boragetiller.systems.preemption import preempt
 from boragetiller.tables.actions import Action, StartWork
-from boragetiller.tables.agents import LoadReport
+from boragetiller.tables.agents import TIERS, LoadReport
 
 if TYPE_CHECKING:
     from boragetiller.settings import AdmissionSettings
     from boragetiller.tables.work import ClassQueue, WorkItem, WorkTable
 
-TIERS = 4
 _SMOOTHING = 0.1  # weight of the newest request in a mean
 
 
--- a/src/boragetiller/systems/placement.py
+++ b/src/boragetiller/systems/placement.py
@@ -26,6 +26,7 @@
     excluded: frozenset[str] = frozenset()
     protected: bool = False
     failure_domain: str = ""  # of the router
+    peers: int = 1  # routers that place work on the same agents, this one included
 
 
 def choose_agent(
@@ -83,22 +84,35 @@
     load = agent.load
     if load is None:
         return link_ms + agent.in_flight * settings.unknown_wait_ms
-    age = min(1.0, max(0, now_ms - load.received_ms) / settings.report_fade_ms)
     slots = max(1, load.max_running)
-    sent = max(0, agent.in_flight - agent.in_flight_at_report)
-    ahead = sent + sum(load.queued[: request.tier + 1]) * (1 - age)
     slot_ms = load.service_ms / slots
-    wait_ms = max(0.0, _held_slots(load, request) + ahead + 1 - slots) * slot_ms
-    if load.running + ahead >= slots:
+    ahead = _ahead(agent, load, request, settings, now_ms)
+    wait_ms = max(0.0, ahead + 1 - slots) * slot_ms
+    if load.running >= slots:
         wait_ms = max(wait_ms, slot_ms)
-    crowding_ms = settings.crowding_ms * (load.running + ahead) / slots
+    crowding_ms = settings.crowding_ms * ahead / slots
     return link_ms + load.first_token_ms + wait_ms + crowding_ms
 
 
-def _held_slots(load: LoadReport, request: PlacementRequest) -> int:
+def _ahead(
+    agent: AgentEntry,
+    load: LoadReport,
+    request: PlacementRequest,
+    settings: PlacementSettings,
+    now_ms: int,
+) -> float:
+    """Requests that a new one waits for: as reported, and as the own share of them suggests."""
+    age = min(1.0, max(0, now_ms - load.received_ms) / settings.report_fade_ms)
+    held = load.running
     if request.protected and load.protected_running is not None:
-        return load.protected_running  # the rest gives way
-    return load.running
+        held = load.protected_running  # the rest gives way
+    reported = held + sum(load.queued[: request.tier + 1])
+    sent = max(0, agent.in_flight - agent.in_flight_at_report)
+    own = sum(agent.in_flight_tiers[: request.tier + 1]) * request.peers
+    if not any(agent.in_flight_tiers):
+        return held + sent + (reported - held) * (1 - age)
+    share = settings.own_share + (1 - settings.own_share) * age
+    return share * own + (1 - share) * reported
 
 
 def _without_outliers(
--- a/src/boragetiller/tables/agents.py
+++ b/src/boragetiller/tables/agents.py
@@ -7,6 +7,8 @@
 from boragetiller.hashing import stable_hash
 from boragetiller.tables.health import AgentHealth
 
+TIERS = 4
+
 
 @attrs.define(kw_only=True)
 class LoadReport:
@@ -38,6 +40,7 @@
     leaving: bool = False
     suspected: bool = False
     in_flight: int = 0  # own requests of this router, not yet finished
+    in_flight_tiers: list[int] = attrs.Factory(lambda: [0] * TIERS)
     in_flight_at_report: int = 0  # own requests when the report came
     load: LoadReport | None = None
     health: AgentHealth = attrs.Factory(AgentHealth)
@@ -47,6 +50,24 @@
         """Hash the name once."""
         self.seed = stable_hash(self.name)
 
+    def begin(self, tier: int) -> None:
+        """
+        Count an attempt that is sent there.
+
+        :param tier: tier of the request
+        """
+        self.in_flight += 1
+        self.in_flight_tiers[tier] += 1
+
+    def end(self, tier: int) -> None:
+        """
+        Count the end of an attempt.
+
+        :param tier: tier of the request
+        """
+        self.in_flight -= 1
+        self.in_flight_tiers[tier] -= 1
+
     def update_load(self, load: LoadReport) -> None:
         """
         Take a report, late or not, that the agent sent.
@@ -79,4 +100,4 @@
         ]
 
 
-__all__ = ["AgentEntry", "AgentTable", "LoadReport"]
+__all__ = ["AgentEntry", "AgentTable", "LoadReport", "TIERS"]
