Let a prompt prefix outweigh half a second of expected wait

Cause: 150 ms undervalued a cached prefix; computing 3,000 tokens again costs the engine 180 ms and slows its whole batch. Change: prefix_gain_ms 150 -> 500.

--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -117,7 +117,7 @@
     retry_burst: int = attrs.field(default=50, validator=_POSITIVE)
     own_domain_share: float = attrs.field(default=0.67, validator=_SHARE)
     other_domain_ms: int = attrs.field(default=5, validator=validators.ge(0))
-    prefix_gain_ms: int = attrs.field(default=150, validator=validators.ge(0))
+    prefix_gain_ms: int = attrs.field(default=500, validator=validators.ge(0))
     fingerprint_gain_ms: int = attrs.field(default=20, validator=validators.ge(0))
     crowding_ms: int = attrs.field(default=100, validator=validators.ge(0))
     report_fade_ms: int = attrs.field(default=2_000, validator=_POSITIVE)
