Keep a tenth of the limit free of lower-tier work while protected work arrives

Cause: each burst of protected calls preempted lower-tier work that had just started. Change: headroom_share 0.1 of the limit is for protected work; the limit itself settles so that the engine stays full.

--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -153,6 +153,7 @@
     late_share: float = attrs.field(default=0.125, validator=_SHARE)
     aging_interval_ms: int = attrs.field(default=4_000, validator=_POSITIVE)
     protected_share: float = attrs.field(default=0.25, validator=_SHARE)
+    headroom_share: float = attrs.field(default=0.1, validator=_SHARE)
     protected_memory_ms: int = attrs.field(default=60_000, validator=_POSITIVE)
     preempt_slack_ms: int = attrs.field(default=250, validator=validators.ge(0))
 
--- a/src/boragetiller/systems/admission.py
+++ b/src/boragetiller/systems/admission.py
@@ -52,6 +52,7 @@
     if table.queued:
         actions.extend(_start_in_order(table, settings, now_ms))
     if table.queued:
+        table.limit.was_full |= _ordinary_running(table) >= _lower_limit(table, settings)
         actions.extend(_start_aged(table, settings, now_ms))
         actions.extend(preempt(table, settings, now_ms))
     return actions
@@ -126,13 +127,12 @@
 
 def _start_in_order(table: WorkTable, settings: AdmissionSettings, now_ms: int) -> list[Action]:
     actions: list[Action] = []
-    while len(table.running) - table.aged_running < table.max_running:
+    while _ordinary_running(table) < table.max_running:
         item = _next_item(table, settings, now_ms)
         if item is None:
             return actions
         fairness.note_start(table, item, settings, now_ms)
         actions.append(StartWork(item.request_id))
-    table.limit.was_full = True
     return actions
 
 
@@ -146,13 +146,23 @@
 
 
 def _may_start(table: WorkTable, item: WorkItem, settings: AdmissionSettings, now_ms: int) -> bool:
-    if item.protected or item.preemptible or table.protected_ms is None:
+    if item.protected or table.protected_ms is None:
         return True
     if now_ms - table.protected_ms > settings.protected_memory_ms:
         return True
+    if item.preemptible:
+        return _ordinary_running(table) < _lower_limit(table, settings)
     return table.firm_running < table.max_running * (1 - settings.protected_share)
 
 
+def _ordinary_running(table: WorkTable) -> int:
+    return len(table.running) - table.aged_running
+
+
+def _lower_limit(table: WorkTable, settings: AdmissionSettings) -> float:
+    return table.max_running * (1 - settings.headroom_share)
+
+
 def _start_aged(table: WorkTable, settings: AdmissionSettings, now_ms: int) -> list[Action]:
     if table.aged_ms is not None and now_ms - table.aged_ms < settings.aging_interval_ms:
         return []
