--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -143,7 +143,7 @@
     max_running: int = attrs.field(default=64, validator=_POSITIVE)
     limit_window_ms: int = attrs.field(default=250, validator=_POSITIVE)
     limit_min_gaps: int = attrs.field(default=16, validator=_POSITIVE)
-    limit_gain: float = attrs.field(default=0.25, validator=validators.gt(0.0))
+    limit_gain: float = attrs.field(default=0.1, validator=validators.gt(0.0))
     between_tokens_share: float = attrs.field(default=0.94, validator=_SHARE)
     max_queued: int = attrs.field(default=1_000, validator=_POSITIVE)
     max_classes: int = attrs.field(default=64, validator=_POSITIVE)
@@ -153,9 +153,9 @@
     late_share: float = attrs.field(default=0.125, validator=_SHARE)
     aging_interval_ms: int = attrs.field(default=4_000, validator=_POSITIVE)
     protected_share: float = attrs.field(default=0.25, validator=_SHARE)
-    headroom_share: float = attrs.field(default=0.1, validator=_SHARE)
+    headroom_share: float = attrs.field(default=0.15, validator=_SHARE)
     protected_memory_ms: int = attrs.field(default=60_000, validator=_POSITIVE)
-    preempt_slack_ms: int = attrs.field(default=250, validator=validators.ge(0))
+    preempt_slack_ms: int = attrs.field(default=150, validator=validators.ge(0))
 
 
 @attrs.frozen(kw_only=True)
