Let the aging share start one request in 8 s instead of 4 s

Cause: aged work held up to 4 of 24 slots on each engine while one customer's protected calls filled the rest.

--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -151,7 +151,7 @@
     prompt_token_cost: float = attrs.field(default=0.1, validator=validators.ge(0.0))
     min_cost_tokens: int = attrs.field(default=16, validator=_POSITIVE)
     late_share: float = attrs.field(default=0.125, validator=_SHARE)
-    aging_interval_ms: int = attrs.field(default=4_000, validator=_POSITIVE)
+    aging_interval_ms: int = attrs.field(default=8_000, validator=_POSITIVE)
     protected_share: float = attrs.field(default=0.25, validator=_SHARE)
     headroom_share: float = attrs.field(default=0.15, validator=_SHARE)
     protected_memory_ms: int = attrs.field(default=60_000, validator=_POSITIVE)
