Specify at most once and model-check it

Cause: bookings must go on in an outage of the store and still run at most once. Change: spec/at_most_once (owner per shard, claims committed by the owner, service from memory, uncertain pages, pauses, releases) with twelve seeded mistakes. Found on the way, now rules of the spec: a paused owner must see a write of its own applied before it serves from memory (a read was not enough: the taker's delayed write came after it); a release that was sent can't be taken back; NOT_RUN is not said by an owner that hasn't confirmed. Command: python -m unittest tests.spec.test_at_most_once

--- /dev/null
+++ b/spec/at_most_once.py
@@ -0,0 +1,74 @@
+"""At most once: one owner per shard, claims committed by the owner before the call runs.
+
+Two agents, one page, one key. A step is atomic; a write may be applied at any later time, its reply
+may be lost, and a call of the store may fail at any time, which covers outages of any length. Two
+clock events are abstract: *age* (the time after which an owner may serve from memory passes for all
+writes sent so far) and *horizon* (callers no longer repeat the key). Shards share no state but the
+life of the agents, so one shard is modelled.
+
+Invariants: the key runs at most once; NOT_RUN is never said of a key that ran.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from minicheck import Protocol
+
+from spec.at_most_once_owner import owner_steps
+from spec.at_most_once_state import Agent, Call, Claim, Life, Mistake, Page, State, Step, Write
+from spec.at_most_once_steps import call_steps, fault_steps, time_steps, write_steps
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+def build(mistake: Mistake | None = None, **budgets: int) -> Protocol:
+    """
+    Build the specification.
+
+    :param mistake: the rule to leave out
+    :param budgets: crashes, pauses and revisions, in place of the defaults
+    :return: the model for the checker
+    """
+    initial = State(**budgets)  # type: ignore[arg-type]
+    found: list[State] = []  # a seeded variant is searched up to its first violation
+
+    def transitions(fields: tuple[object, ...]) -> list[Step]:
+        if found:
+            return []
+        steps = list(_steps(State(*fields), mistake))  # type: ignore[arg-type]
+        found.extend(after for _, after in steps if _is_violation(after))
+        return steps
+
+    return Protocol(
+        name="at_most_once",
+        candidate=False,
+        fields=State._fields,
+        initial=initial,
+        transitions=transitions,
+        invariants={
+            "runs_at_most_once": lambda d: d["runs"] <= 1,
+            "not_run_is_true": lambda d: not d["false_not_run"],
+        },
+    )
+
+
+def _is_violation(state: State) -> bool:
+    return state.runs > 1 or state.false_not_run
+
+
+def _steps(state: State, mistake: Mistake | None) -> Iterator[Step]:
+    yield from time_steps(state)
+    yield from write_steps(state)
+    for index, call in enumerate(state.calls):
+        if index and call == state.calls[index - 1]:
+            continue  # the calls are alike
+        yield from call_steps(state, index, call, mistake)
+    for name in (0, 1):
+        yield from fault_steps(state, name, mistake)
+        if state.agents[name].life is Life.UP:
+            yield from owner_steps(state, name, mistake)
+
+
+__all__ = ["Agent", "Call", "Claim", "Life", "Mistake", "Page", "State", "Write", "build"]
--- /dev/null
+++ b/tests/spec/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the specifications."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/spec/test_at_most_once.py
@@ -0,0 +1,54 @@
+"""Model-check at most once, and its variants with a seeded mistake."""
+
+from __future__ import annotations
+
+import unittest
+
+from minicheck import check_safety
+
+from spec.at_most_once import Mistake, build
+
+MAX_STATES = 200_000
+BOUNDS = (
+    {"crashes": 1, "pauses": 0, "revisions": 2},
+    {"crashes": 1, "pauses": 1, "revisions": 1},
+)
+MISTAKE_BOUNDS = {
+    Mistake.RUN_BEFORE_COMMIT: (1, 0, 1),
+    Mistake.NO_INCARNATION: (1, 0, 1),
+    Mistake.NO_UNCERTAIN_MARK: (1, 0, 1),
+    Mistake.TAKEOVER_WITHOUT_LIST: (0, 0, 2),
+    Mistake.NOT_RUN_FOR_UNKNOWN: (1, 0, 1),
+    Mistake.MEMORY_TOO_EARLY: (1, 0, 1),
+    Mistake.RESUME_UNCONFIRMED: (0, 1, 1),
+    Mistake.LATE_CALLS_RUN: (1, 0, 1),
+    Mistake.FORGET_MEMORY_KEYS: (0, 0, 2),
+    Mistake.NOT_RUN_UNCONFIRMED: (0, 1, 1),
+    Mistake.CONFIRM_BY_READ: (0, 1, 1),
+    Mistake.MEMORY_AFTER_RELEASE: (0, 0, 2),
+}
+
+
+class AtMostOnceSpecTest(unittest.TestCase):
+    """The specification and its seeded variants."""
+
+    def test_spec_holds_within_bounds(self) -> None:
+        for bounds in BOUNDS:
+            with self.subTest(**bounds):
+                result = check_safety(build(**bounds), max_states=MAX_STATES)
+                self.assertTrue(result["exhaustive"], result)
+                broken = [n for n, p in result["properties"].items() if p["holds"] is not True]
+                self.assertEqual(broken, [])
+
+    def test_spec_finds_each_mistake(self) -> None:
+        for mistake in Mistake:
+            crashes, pauses, revisions = MISTAKE_BOUNDS[mistake]
+            with self.subTest(mistake=mistake.name):
+                model = build(mistake, crashes=crashes, pauses=pauses, revisions=revisions)
+                result = check_safety(model, max_states=MAX_STATES)
+                found = [n for n, p in result["properties"].items() if p["holds"] is False]
+                self.assertNotEqual(found, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
