Keep claims of idempotency keys per shard in the store

Cause: MemoryClaimKeeper ends with its process; a restart or a second agent ran a key again. Tests: python -m unittest tests.agent.test_claim_keeper tests.router.test_shard_owners

--- /dev/null
+++ b/bench/shard_world.py
@@ -0,0 +1,398 @@
+"""Agents of one group over the real systems of shards and claims, in virtual time.
+
+Only the store, the host list and the calls are fakes; every decision is that of the product.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from hashlib import blake2b
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from boragetiller.settings import ClaimSettings
+from boragetiller.systems import shards
+from boragetiller.systems.shard_pages import decode_page, encode_page
+from boragetiller.systems.shard_segments import note_sealed
+from boragetiller.tables.claims import DIGEST_BYTES, ShardCall
+from boragetiller.tables.shard_actions import (
+    DeleteSegment,
+    ReadPage,
+    ReadSegments,
+    RefuseCall,
+    ReplayAnswer,
+    RunCall,
+    ShardAction,
+    WritePage,
+    WriteSegment,
+)
+from boragetiller.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from boragetiller.errors import BoragetillerError
+    from boragetiller.tables.shards import ShardTable
+
+STORE_DELAY_MS = 3
+STORE_TIMEOUT_MS = 1_000
+SERVICE_MS = 50
+HOST_LIST_INTERVAL_MS = 1_000
+MAX_REDIRECTS = 4
+
+
+@attrs.define(kw_only=True)
+class Call:
+    """One send of a key by a caller, with its outcome."""
+
+    key: str
+    body: str
+    sent_ms: int
+    agent: str = ""
+    redirects: int = 0
+    verdict: Verdict | None = None
+    code: str = ""
+    answered_ms: int | None = None
+    answer: str | None = None
+
+
+@attrs.define(kw_only=True)
+class Faults:
+    """Chances of faults of one store call, and whether the store is down."""
+
+    down: bool = False
+    lost_replies: float = 0.0
+    late_writes: float = 0.0  # the reply is lost and the write is applied up to `late_ms` later
+    late_ms: int = 20_000
+
+
+@attrs.define(kw_only=True)
+class AgentState:
+    """One agent process."""
+
+    name: str
+    table: ShardTable
+    alive: bool = True
+    paused: bool = False
+    calls: dict[int, tuple[Call, ShardCall]] = attrs.Factory(dict)
+    inbox: list[Callable[[], None]] = attrs.Factory(list)
+
+
+class ShardWorld:
+    """Everything around the agents, driven by one event queue."""
+
+    def __init__(
+        self,
+        names: tuple[str, ...],
+        rng: Random,
+        *,
+        settings: ClaimSettings | None = None,
+        shard_count: int = 16,
+        tick_ms: int = 50,
+        list_lag_ms: int = 0,
+    ) -> None:
+        """
+        Start the agents.
+
+        :param names: their names
+        :param rng: seeded generator of faults
+        :param settings: limits
+        :param shard_count: shards of the group
+        :param tick_ms: tick interval of each agent
+        :param list_lag_ms: delay of the host list
+        """
+        self.now_ms = 0
+        self.settings = settings or ClaimSettings()
+        self.faults = Faults()
+        self.store: dict[str, tuple[Any, int]] = {}
+        self.store_calls: Counter[str] = Counter()
+        self.runs: Counter[str] = Counter()
+        self.false_not_run: list[str] = []
+        self.hosts = set(names)
+        self.list_lag_ms = list_lag_ms
+        self._rng = rng
+        self._shard_count = shard_count
+        self._tick_ms = tick_ms
+        self._revision = 0
+        self._order = 0
+        self._next_call = 0
+        self._incarnations: Counter[str] = Counter()
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self.agents: dict[str, AgentState] = {}
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """
+        Start an agent, or restart it with a new incarnation.
+
+        :param name: its name
+        """
+        self._incarnations[name] += 1
+        table = shards.new_table(name, self._incarnations[name], self._shard_count)
+        agent = AgentState(name=name, table=table)
+        self.agents[name] = agent
+        self.at(0, lambda: self._poll_hosts(agent))
+        self.at(1, lambda: self._tick(agent))
+
+    def crash(self, name: str) -> None:
+        """
+        Kill an agent; its calls get no answer.
+
+        :param name: its name
+        """
+        agent = self.agents[name]
+        agent.alive = False
+        for call, _ in agent.calls.values():
+            self._answer(call, Verdict.MAY_HAVE_RUN, "agent_lost")
+
+    def pause(self, name: str, duration_ms: int) -> None:
+        """
+        Stop an agent from handling anything for a while.
+
+        :param name: its name
+        :param duration_ms: how long
+        """
+        agent = self.agents[name]
+        agent.paused = True
+        self.at(duration_ms, lambda: self._resume(agent))
+
+    def set_listed(self, name: str, *, listed: bool) -> None:
+        """
+        Change the host list, which shows it after its lag.
+
+        :param name: the host
+        :param listed: whether it is live
+        """
+        change = self.hosts.add if listed else self.hosts.discard
+        self.at(self.list_lag_ms, lambda: change(name))
+
+    def send(self, key: str, agent: str, body: str = "body") -> Call:
+        """
+        Send a key to an agent.
+
+        :param key: idempotency key
+        :param agent: which agent
+        :param body: request body
+        :return: the call, whose outcome is filled in later
+        """
+        call = Call(key=key, body=body, sent_ms=self.now_ms, agent=agent)
+        self._deliver(call)
+        return call
+
+    def owner_of(self, key: str) -> str | None:
+        """:return: the agent that serves the key now, as routers learn it"""
+        index = shards.shard_of("acme", key, self._shard_count)
+        for agent in self.agents.values():
+            serves = agent.alive and not agent.paused
+            if serves and index in agent.table.owned_shards():
+                return agent.name
+        return None
+
+    def at(self, delay_ms: int, action: Callable[[], None]) -> None:
+        """
+        Do something later.
+
+        :param delay_ms: delay in milliseconds
+        :param action: what to do
+        """
+        self._order += 1
+        heapq.heappush(self._events, (self.now_ms + delay_ms, self._order, action))
+
+    def run(self, duration_ms: int) -> None:
+        """
+        Let virtual time pass.
+
+        :param duration_ms: how long
+        """
+        end_ms = self.now_ms + duration_ms
+        while self._events and self._events[0][0] <= end_ms:
+            self.now_ms, _, action = heapq.heappop(self._events)
+            action()
+        self.now_ms = end_ms
+
+    def _deliver(self, call: Call) -> None:
+        agent = self.agents[call.agent]
+        if not agent.alive:
+            self._answer(call, Verdict.MAY_HAVE_RUN, "agent_unreachable")
+        else:
+            self._handle(agent, lambda: self._submit(agent, call))
+
+    def _handle(self, agent: AgentState, work: Callable[[], None]) -> None:
+        if agent.paused:
+            agent.inbox.append(work)
+        elif agent.alive:
+            work()
+
+    def _resume(self, agent: AgentState) -> None:
+        agent.paused = False
+        inbox, agent.inbox = agent.inbox, []
+        for work in inbox:
+            self._handle(agent, work)
+
+    def _submit(self, agent: AgentState, call: Call) -> None:
+        self._next_call += 1
+        entry = ShardCall(
+            call_id=self._next_call,
+            shard=shards.shard_of("acme", call.key, self._shard_count),
+            digest=blake2b(call.key.encode(), digest_size=DIGEST_BYTES).digest(),
+            fingerprint=blake2b(call.body.encode(), digest_size=8).digest(),
+            age_ms=self.now_ms - call.sent_ms,
+        )
+        agent.calls[entry.call_id] = (call, entry)
+        self.at(self.settings.commit_timeout_ms, lambda: self._give_up(agent, entry))
+        now = (self.now_ms, self.now_ms)
+        self._apply(agent, shards.submit_call(agent.table, entry, self.settings, *now))
+
+    def _give_up(self, agent: AgentState, entry: ShardCall) -> None:
+        if entry.call_id in agent.calls and agent.calls[entry.call_id][0].code != "running":
+            self._handle(agent, lambda: self._withdraw(agent, entry))
+
+    def _withdraw(self, agent: AgentState, entry: ShardCall) -> None:
+        call, _ = agent.calls.get(entry.call_id, (None, None))
+        if call is None or call.code == "running":
+            return
+        del agent.calls[entry.call_id]
+        error = shards.withdraw_call(agent.table, entry)
+        self._answer(call, error.verdict, error.code)
+
+    def _apply(self, agent: AgentState, actions: list[ShardAction]) -> None:
+        for action in actions:
+            match action:
+                case RunCall(call_id=call_id):
+                    self._run_call(agent, call_id)
+                case ReplayAnswer(call_id=call_id, answer=answer):
+                    call, _ = agent.calls.pop(call_id)
+                    call.answer = answer
+                    self._answer(call, Verdict.RAN, "replayed")
+                case RefuseCall(call_id=call_id, error=error):
+                    self._refuse(agent, call_id, error)
+                case _:
+                    self._store_action(agent, action)
+
+    def _run_call(self, agent: AgentState, call_id: int) -> None:
+        call, entry = agent.calls[call_id]
+        self.runs[call.key] += 1
+        call.code = "running"
+        answer = f"{call.key}:{call.body}:{self.runs[call.key]}"
+
+        def finish() -> None:
+            agent.calls.pop(call_id, None)
+            call.answer = answer
+            self._answer(call, Verdict.RAN, "answered")
+            actions = shards.finish_call(agent.table, entry, answer, len(answer), self.settings)
+            self._apply(agent, actions)
+
+        self.at(SERVICE_MS, lambda: self._handle(agent, finish))
+
+    def _refuse(self, agent: AgentState, call_id: int, error: BoragetillerError) -> None:
+        call, _ = agent.calls.pop(call_id)
+        if error.code == "not_owner" and error.owner and call.redirects < MAX_REDIRECTS:
+            call.redirects += 1
+            call.agent = error.owner
+            self.at(1, lambda: self._deliver(call))
+            return
+        verdict = Verdict.MAY_HAVE_RUN if error.code == "not_owner" else error.verdict
+        self._answer(call, verdict, error.code)
+
+    def _answer(self, call: Call, verdict: Verdict, code: str) -> None:
+        if call.answered_ms is not None:
+            return
+        call.verdict, call.code, call.answered_ms = verdict, code, self.now_ms
+        if verdict is Verdict.NOT_RUN and code != "key_reused" and self.runs[call.key]:
+            self.false_not_run.append(call.key)
+
+    def _poll_hosts(self, agent: AgentState) -> None:
+        if not agent.alive:
+            return
+        listed = frozenset(self.hosts)
+        live = tuple(sorted(listed))
+        began_ms = self.now_ms
+        note = lambda: shards.note_hosts(agent.table, live, listed, began_ms)  # noqa: E731
+        self._handle(agent, note)
+        self.at(HOST_LIST_INTERVAL_MS, lambda: self._poll_hosts(agent))
+
+    def _tick(self, agent: AgentState) -> None:
+        if not agent.alive:
+            return
+        if not agent.paused:
+            now = (self.now_ms, self.now_ms)
+            self._apply(agent, shards.run_tick(agent.table, self.settings, *now))
+        self.at(self._tick_ms, lambda: self._tick(agent))
+
+    def _store_action(self, agent: AgentState, action: ShardAction) -> None:
+        self.store_calls[type(action).__name__] += 1
+        if self.faults.down:
+            self._later(agent, STORE_TIMEOUT_MS, lambda: self._fail(agent, action))
+            return
+        late = isinstance(action, WritePage) and self._rng.random() < self.faults.late_writes
+        if late:
+            self.at(self._rng.randrange(self.faults.late_ms), lambda: self._perform(action))
+            self._later(agent, STORE_TIMEOUT_MS, lambda: self._fail(agent, action))
+            return
+        self.at(STORE_DELAY_MS, lambda: self._perform_and_reply(agent, action))
+
+    def _perform_and_reply(self, agent: AgentState, action: ShardAction) -> None:
+        result = self._perform(action)
+        if self._rng.random() < self.faults.lost_replies:
+            self._later(agent, STORE_TIMEOUT_MS, lambda: self._fail(agent, action))
+        else:
+            self._later(agent, STORE_DELAY_MS, lambda: self._reply(agent, action, result))
+
+    def _later(self, agent: AgentState, delay_ms: int, work: Callable[[], None]) -> None:
+        self.at(delay_ms, lambda: self._handle(agent, work))
+
+    def _perform(self, action: ShardAction) -> Any:
+        match action:
+            case ReadPage(shard=shard):
+                return self.store.get(f"page/{shard}", (None, 0))
+            case WritePage(shard=shard, page=page, expected_revision=expected):
+                return self._put(f"page/{shard}", encode_page(page), expected)
+            case ReadSegments(shard=shard, numbers=numbers):
+                keys = {number: f"segment/{shard}/{number}" for number in numbers}
+                return {n: self.store.get(key, ((), 0))[0] for n, key in keys.items()}
+            case WriteSegment(shard=shard, number=number, claims=claims):
+                return self._put(f"segment/{shard}/{number}", claims, 0)
+            case DeleteSegment(shard=shard, number=number):
+                return self.store.pop(f"segment/{shard}/{number}", None)
+        return None
+
+    def _put(self, key: str, value: Any, expected: int) -> int:
+        if self.store.get(key, (None, 0))[1] != expected:
+            return 0
+        self._revision += 1
+        self.store[key] = (value, self._revision)
+        return self._revision
+
+    def _reply(self, agent: AgentState, action: ShardAction, result: Any) -> None:
+        now = (self.now_ms, self.now_ms)
+        match action:
+            case ReadPage(shard=shard):
+                page = decode_page(result[0]) if result[0] is not None else None
+                actions = shards.note_page(agent.table, shard, page, result[1], self.settings, *now)
+                self._apply(agent, actions)
+            case WritePage() if result:
+                actions = shards.note_write(agent.table, action, result, self.settings, *now)
+                self._apply(agent, actions)
+            case WritePage(shard=shard):
+                shards.note_write_failure(agent.table, shard, conflict=True, now_ms=self.now_ms)
+            case ReadSegments(shard=shard):
+                shards.note_segments(agent.table, shard, result)
+            case WriteSegment(shard=shard, number=number, claims=claims):
+                if result:
+                    note_sealed(agent.table.shards[shard], number, claims)
+                else:
+                    self._fail(agent, action)
+
+    def _fail(self, agent: AgentState, action: ShardAction) -> None:
+        match action:
+            case WritePage(shard=shard):
+                shards.note_write_failure(agent.table, shard, conflict=False, now_ms=self.now_ms)
+            case ReadPage(shard=shard) | ReadSegments(shard=shard) | WriteSegment(shard=shard):
+                shards.note_read_failure(agent.table, shard, self.settings, self.now_ms)
+
+
+__all__ = ["AgentState", "Call", "Faults", "ShardWorld"]
--- a/src/boragetiller/agent/claims.py
+++ b/src/boragetiller/agent/claims.py
@@ -26,6 +26,7 @@
     fingerprint: str  # SHA-256 of method, path and body
     request_id: str
     attempt: int
+    arrived_wall_ms: int | None = None  # when the caller's request reached its router
 
 
 class ClaimKeeper(Protocol):
@@ -48,6 +49,26 @@
         """
         ...
 
+    async def abandon(self, call: KeyedCall) -> None:
+        """Take back a claimed call of which no byte reached the backend server."""
+        ...
+
+    def owned_shards(self) -> tuple[int, ...]:
+        """:return: shards whose keys are decided here, for the reports to routers"""
+        ...
+
+    async def start(self) -> None:
+        """Begin to own shards."""
+        ...
+
+    async def drain(self) -> None:
+        """Commit what is left and release every shard."""
+        ...
+
+    async def close(self) -> None:
+        """Stop; calls that wait are refused."""
+        ...
+
 
 class MemoryClaimKeeper:
     """Claims kept by one agent only; they end with its process."""
@@ -64,6 +85,23 @@
         self._answers[name] = None
         return None
 
+    async def abandon(self, call: KeyedCall) -> None:
+        """See :class:`ClaimKeeper`."""
+        self._answers.pop((call.customer, call.group, call.key), None)
+
+    def owned_shards(self) -> tuple[int, ...]:
+        """See :class:`ClaimKeeper`."""
+        return ()
+
+    async def start(self) -> None:
+        """See :class:`ClaimKeeper`."""
+
+    async def drain(self) -> None:
+        """See :class:`ClaimKeeper`."""
+
+    async def close(self) -> None:
+        """See :class:`ClaimKeeper`."""
+
     async def finish(self, call: KeyedCall, answer: StoredAnswer | None) -> None:
         """See :class:`ClaimKeeper`."""
         self._answers[(call.customer, call.group, call.key)] = answer
--- /dev/null
+++ b/src/boragetiller/agent/shards.py
@@ -0,0 +1,206 @@
+"""Pages and segments of shards in the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+from boragetiller.errors import ProtocolError, RevisionConflict, StoreUnavailable
+from boragetiller.systems import shards
+from boragetiller.systems.shard_pages import (
+    decode_claims,
+    decode_page,
+    encode_claims,
+    encode_page,
+)
+from boragetiller.systems.shard_segments import note_sealed
+from boragetiller.tables.shard_actions import (
+    DeleteSegment,
+    ReadPage,
+    ReadSegments,
+    ShardAction,
+    WritePage,
+    WriteSegment,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+    from typing import Any
+
+    from boragetiller.clock import Clock
+    from boragetiller.platform.store import Store
+    from boragetiller.settings import ClaimSettings
+    from boragetiller.tables.shards import PageClaim, ShardTable
+
+PREFIX = "claims"
+
+
+def page_key(group: str, shard: int) -> str:
+    """:return: store key of the page of a shard"""
+    return f"{PREFIX}/{group}/page/{shard}"
+
+
+def segment_key(group: str, shard: int, number: int) -> str:
+    """:return: store key of a sealed segment"""
+    return f"{PREFIX}/{group}/segment/{shard}/{number}"
+
+
+async def read_shard_count(store: Store, group: str, count: int) -> int:
+    """
+    Read the number of shards of a group, fixed by the agent that comes first.
+
+    :param store: the platform's store
+    :param group: backend group
+    :param count: number that is written when there is none
+    :return: the number in force
+    """
+    key = f"{PREFIX}/{group}/shards"
+    entry = await store.get(key)
+    if entry is None:
+        with suppress(RevisionConflict):
+            await store.put(key, str(count).encode(), expected_revision=0)
+        entry = await store.get(key)
+    if entry is None:
+        raise StoreUnavailable("the number of shards was not found")
+    return int(entry.value)
+
+
+class ShardStore:
+    """Carries out store actions, each in a task, and feeds the results back."""
+
+    def __init__(
+        self,
+        store: Store,
+        group: str,
+        table: ShardTable,
+        settings: ClaimSettings,
+        clock: Clock,
+        wall_clock: Clock,
+        apply: Callable[[list[ShardAction]], None],
+        timeout_s: float,
+    ) -> None:
+        """
+        Put the parts together.
+
+        :param store: the platform's store
+        :param group: backend group
+        :param table: shards of this agent
+        :param settings: limits
+        :param clock: monotonic time
+        :param wall_clock: wall-clock time
+        :param apply: carries out the actions that follow
+        :param timeout_s: longest wait for the store, in seconds
+        """
+        self._store = store
+        self._group = group
+        self._table = table
+        self._settings = settings
+        self._clock = clock
+        self._wall = wall_clock
+        self._apply = apply
+        self._timeout_s = timeout_s
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def carry_out(self, action: ShardAction) -> None:
+        """
+        Begin a store action.
+
+        :param action: what to read, write or delete
+        """
+        match action:
+            case ReadPage():
+                self._begin(self._read_page(action))
+            case WritePage():
+                self._begin(self._write_page(action))
+            case ReadSegments():
+                self._begin(self._read_segments(action))
+            case WriteSegment():
+                self._begin(self._write_segment(action))
+            case DeleteSegment():
+                self._begin(self._delete_segment(action))
+
+    async def close(self) -> None:
+        """Drop what is in progress; a write may still take effect."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _begin(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _read_page(self, action: ReadPage) -> None:
+        key = page_key(self._group, action.shard)
+        try:
+            entry = await asyncio.wait_for(self._store.get(key), self._timeout_s)
+            page = decode_page(entry.value) if entry is not None else None
+        except (StoreUnavailable, TimeoutError, ProtocolError):
+            self._note_read_failure(action.shard)
+            return
+        revision = entry.revision if entry is not None else 0
+        self._apply(
+            shards.note_page(
+                self._table, action.shard, page, revision, self._settings, *self._now()
+            )
+        )
+
+    async def _write_page(self, action: WritePage) -> None:
+        key = page_key(self._group, action.shard)
+        write = self._store.put(
+            key, encode_page(action.page), expected_revision=action.expected_revision
+        )
+        try:
+            revision = await asyncio.wait_for(write, self._timeout_s)
+        except RevisionConflict:
+            self._note_write_failure(action.shard, conflict=True)
+        except (StoreUnavailable, TimeoutError):
+            self._note_write_failure(action.shard, conflict=False)
+        else:
+            now = self._now()
+            self._apply(shards.note_write(self._table, action, revision, self._settings, *now))
+
+    async def _read_segments(self, action: ReadSegments) -> None:
+        found: dict[int, tuple[PageClaim, ...]] = {}
+        try:
+            for number in action.numbers:
+                key = segment_key(self._group, action.shard, number)
+                entry = await asyncio.wait_for(self._store.get(key), self._timeout_s)
+                found[number] = decode_claims(entry.value) if entry is not None else ()
+        except (StoreUnavailable, TimeoutError, ProtocolError):
+            self._note_read_failure(action.shard)
+            return
+        shards.note_segments(self._table, action.shard, found)
+
+    async def _write_segment(self, action: WriteSegment) -> None:
+        key = segment_key(self._group, action.shard, action.number)
+        write = self._store.put(key, encode_claims(action.claims), expected_revision=0)
+        try:
+            await asyncio.wait_for(write, self._timeout_s)
+        except (RevisionConflict, StoreUnavailable, TimeoutError):
+            self._note_read_failure(action.shard)
+            return
+        note_sealed(self._table.shards[action.shard], action.number, action.claims)
+
+    async def _delete_segment(self, action: DeleteSegment) -> None:
+        key = segment_key(self._group, action.shard, action.number)
+        with suppress(RevisionConflict, StoreUnavailable, TimeoutError):
+            entry = await asyncio.wait_for(self._store.get(key), self._timeout_s)
+            if entry is not None:
+                deletion = self._store.delete(key, expected_revision=entry.revision)
+                await asyncio.wait_for(deletion, self._timeout_s)
+
+    def _note_read_failure(self, shard: int) -> None:
+        shards.note_read_failure(self._table, shard, self._settings, self._clock.now_ms())
+
+    def _note_write_failure(self, shard: int, *, conflict: bool) -> None:
+        now_ms = self._clock.now_ms()
+        shards.note_write_failure(self._table, shard, conflict=conflict, now_ms=now_ms)
+
+    def _now(self) -> tuple[int, int]:
+        return self._clock.now_ms(), self._wall.now_ms()
+
+
+__all__ = ["ShardStore", "page_key", "read_shard_count", "segment_key"]
--- a/src/boragetiller/clock.py
+++ b/src/boragetiller/clock.py
@@ -22,6 +22,14 @@
         return time.monotonic_ns() // 1_000_000
 
 
+class WallClock:
+    """Wall-clock time, for ages that are compared between hosts."""
+
+    def now_ms(self) -> int:
+        """:return: time since the epoch in milliseconds"""
+        return time.time_ns() // 1_000_000
+
+
 class ManualClock:
     """A clock that moves only when told to."""
 
@@ -42,4 +50,4 @@
         self._now_ms += step_ms
 
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ["Clock", "ManualClock", "SystemClock", "WallClock"]
--- a/src/boragetiller/errors.py
+++ b/src/boragetiller/errors.py
@@ -135,6 +135,13 @@
     retryable = True
 
 
+class ClaimNotCommitted(NotRunError):
+    """The claim of the idempotency key could not be committed in time; the call never runs."""
+
+    code = "claim_not_committed"
+    retryable = True
+
+
 class KeyReused(NotRunError):
     """The idempotency key was used before with another body."""
 
@@ -300,6 +307,7 @@
     "BackendTimeout",
     "BackendUnreachable",
     "BoragetillerError",
+    "ClaimNotCommitted",
     "Draining",
     "Forbidden",
     "InvalidRequest",
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -156,6 +156,26 @@
     preempt_slack_ms: int = attrs.field(default=250, validator=validators.ge(0))
 
 
+@attrs.frozen(kw_only=True)
+class ClaimSettings:
+    """How calls that may not be repeated are claimed by their idempotency key."""
+
+    memory_after_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
+    renew_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
+    commit_interval_ms: int = attrs.field(default=250, validator=_POSITIVE)
+    poll_ms: int = attrs.field(default=500, validator=_POSITIVE)
+    pause_limit_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
+    retry_horizon_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
+    max_call_age_ms: int = attrs.field(default=120_000, validator=_POSITIVE)
+    max_clock_skew_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+    commit_timeout_ms: int = attrs.field(default=25_000, validator=_POSITIVE)
+    rebalance_after_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
+    release_timeout_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
+    page_claims: int = attrs.field(default=1_024, validator=_POSITIVE)
+    answer_bytes: int = attrs.field(default=65_536, validator=_POSITIVE)
+    answers_bytes: int = attrs.field(default=16_000_000, validator=_POSITIVE)
+
+
 @attrs.frozen(kw_only=True)
 class BackendSettings:
     """The backend server that an agent stands beside."""
@@ -185,6 +205,7 @@
     limits: LimitSettings = LimitSettings()
     placement: PlacementSettings = PlacementSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    claims: ClaimSettings = ClaimSettings()
     backend: BackendSettings | None = None
     seed: int | None = None
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
@@ -219,6 +240,7 @@
     "AdmissionSettings",
     "BackendKind",
     "BackendSettings",
+    "ClaimSettings",
     "ControlSettings",
     "LimitSettings",
     "ListenSettings",
--- /dev/null
+++ b/src/boragetiller/systems/shard_pages.py
@@ -0,0 +1,142 @@
+"""Build the pages and segments of a shard, and encode them for the store."""
+
+from __future__ import annotations
+
+import base64
+import json
+import struct
+from typing import TYPE_CHECKING
+
+from boragetiller.errors import ProtocolError
+from boragetiller.tables.claims import DIGEST_BYTES, FINGERPRINT_BYTES, ClaimState
+from boragetiller.tables.shards import Page, PageClaim, SegmentRef
+
+if TYPE_CHECKING:
+    from boragetiller.tables.shards import Shard, ShardTable
+
+_CLAIM = struct.Struct(f">{DIGEST_BYTES}s{FINGERPRINT_BYTES}s?I")
+
+
+def build_page(
+    table: ShardTable, shard: Shard, now_ms: int, wall_ms: int, *, from_memory: bool
+) -> Page:
+    """
+    Build the next page of an owned shard.
+
+    :param table: name and incarnation of the owner
+    :param shard: the shard
+    :param now_ms: monotonic time in milliseconds
+    :param wall_ms: wall-clock time in milliseconds
+    :param from_memory: whether the owner may go on to serve from memory
+    :return: the page
+    """
+    return Page(
+        owner=table.name,
+        incarnation=table.incarnation,
+        sequence=shard.page.sequence + 1,
+        sent_wall_ms=wall_ms,
+        from_memory=from_memory,
+        uncertain_ms=max(0, shard.uncertain_until_ms - now_ms),
+        next_segment=shard.next_segment,
+        segments=_segment_refs(shard, now_ms),
+        claims=page_claims(shard, tuple(shard.recent), now_ms),
+    )
+
+
+def page_claims(shard: Shard, digests: tuple[bytes, ...], now_ms: int) -> tuple[PageClaim, ...]:
+    """
+    List claims in the form that pages and segments keep.
+
+    :param shard: the shard
+    :param digests: which claims
+    :param now_ms: monotonic time in milliseconds
+    :return: the claims, without those that were withdrawn before they were ever sent
+    """
+    claims = []
+    for digest in digests:
+        claim = shard.claims[digest]
+        if claim.state is ClaimState.WITHDRAWN and not claim.sent:
+            continue
+        page_claim = PageClaim(
+            digest=digest,
+            fingerprint=claim.fingerprint,
+            finished=claim.state is ClaimState.FINISHED,
+            remaining_ms=max(0, claim.expires_ms - now_ms),
+        )
+        claims.append(page_claim)
+    return tuple(claims)
+
+
+def encode_page(page: Page) -> bytes:
+    """:return: the page as the store keeps it"""
+    fields = {
+        "owner": page.owner,
+        "incarnation": page.incarnation,
+        "sequence": page.sequence,
+        "sent_wall_ms": page.sent_wall_ms,
+        "from_memory": page.from_memory,
+        "uncertain_ms": page.uncertain_ms,
+        "next_segment": page.next_segment,
+        "segments": [[ref.number, ref.remaining_ms] for ref in page.segments],
+        "claims": base64.b64encode(encode_claims(page.claims)).decode(),
+    }
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def decode_page(value: bytes) -> Page:
+    """
+    Decode a page.
+
+    :param value: what the store keeps
+    :return: the page
+    :raises ProtocolError: the value is not a page
+    """
+    try:
+        fields = json.loads(value)
+        segments = tuple(SegmentRef(number=n, remaining_ms=ms) for n, ms in fields.pop("segments"))
+        claims = decode_claims(base64.b64decode(fields.pop("claims")))
+        return Page(segments=segments, claims=claims, **fields)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise ProtocolError("bad page of a shard") from error
+
+
+def encode_claims(claims: tuple[PageClaim, ...]) -> bytes:
+    """:return: the claims, each in a fixed number of bytes"""
+    return b"".join(
+        _CLAIM.pack(claim.digest, claim.fingerprint, claim.finished, claim.remaining_ms)
+        for claim in claims
+    )
+
+
+def decode_claims(value: bytes) -> tuple[PageClaim, ...]:
+    """
+    Decode claims.
+
+    :param value: what :func:`encode_claims` returned
+    :return: the claims
+    :raises ProtocolError: the length does not fit
+    """
+    try:
+        return tuple(
+            PageClaim(digest=d, fingerprint=f, finished=done, remaining_ms=ms)
+            for d, f, done, ms in _CLAIM.iter_unpack(value)
+        )
+    except struct.error as error:
+        raise ProtocolError("bad claims of a shard") from error
+
+
+def _segment_refs(shard: Shard, now_ms: int) -> tuple[SegmentRef, ...]:
+    return tuple(
+        SegmentRef(number=number, remaining_ms=max(0, expires_ms - now_ms))
+        for number, expires_ms in shard.segment_expires_ms.items()
+    )
+
+
+__all__ = [
+    "build_page",
+    "decode_claims",
+    "decode_page",
+    "encode_claims",
+    "encode_page",
+    "page_claims",
+]
--- /dev/null
+++ b/src/boragetiller/systems/shard_segments.py
@@ -0,0 +1,98 @@
+"""Seal the claims of a shard into create-only segments, and expire them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from boragetiller.systems import claims
+from boragetiller.systems.shard_pages import page_claims
+from boragetiller.tables.shard_actions import DeleteSegment, ShardAction, WriteSegment
+
+if TYPE_CHECKING:
+    from boragetiller.settings import ClaimSettings
+    from boragetiller.tables.shards import PageClaim, Shard, ShardTable
+
+
+def expire_claims(table: ShardTable, shard: Shard, now_ms: int) -> list[ShardAction]:
+    """
+    Forget expired claims and segments.
+
+    :param table: answers kept
+    :param shard: an owned shard
+    :param now_ms: monotonic time in milliseconds
+    :return: segments to delete, which no page in the store names any more
+    """
+    for digest in list(shard.recent):
+        claim = shard.claims[digest]
+        if claim.expires_ms <= now_ms and not claim.in_progress():
+            claims.forget_claim(table, shard, digest)
+    deletions = _deletions(shard)
+    expired = [n for n, expires_ms in shard.segment_expires_ms.items() if expires_ms <= now_ms]
+    for number in expired:
+        del shard.segment_expires_ms[number]
+        shard.dropped_segments.append(number)
+        for digest in shard.segment_digests.pop(number, ()):
+            claims.forget_claim(table, shard, digest)
+    return deletions
+
+
+def _deletions(shard: Shard) -> list[ShardAction]:
+    named = {ref.number for ref in shard.page.segments}
+    unnamed = [number for number in shard.dropped_segments if number not in named]
+    shard.dropped_segments = [number for number in shard.dropped_segments if number in named]
+    return [DeleteSegment(shard.index, number) for number in unnamed]
+
+
+def seal_claims(shard: Shard, settings: ClaimSettings, now_ms: int) -> WriteSegment | None:
+    """
+    Seal ended claims once a page would hold too many.
+
+    :param shard: an owned shard
+    :param settings: claims a page
+    :param now_ms: monotonic time in milliseconds
+    :return: the segment to write before the next page, if any
+    """
+    if len(shard.recent) < settings.page_claims:
+        return None
+    ended = [digest for digest in shard.recent if shard.claims[digest].has_ended()]
+    digests = tuple(ended[: settings.page_claims])
+    if len(digests) < settings.page_claims // 2:
+        return None
+    shard.busy = True
+    number = shard.next_segment
+    shard.next_segment += 1
+    return WriteSegment(shard.index, number, page_claims(shard, digests, now_ms))
+
+
+def note_sealed(shard: Shard, number: int, sealed: tuple[PageClaim, ...]) -> None:
+    """
+    Note that a segment is in the store; the next page refers to it.
+
+    :param shard: the shard
+    :param number: its number
+    :param sealed: its claims
+    """
+    shard.busy = False
+    if not shard.owned:
+        return
+    held = [claim.digest for claim in sealed if claim.digest in shard.claims]
+    attach_segment(shard, number, tuple(held))
+
+
+def attach_segment(shard: Shard, number: int, digests: tuple[bytes, ...]) -> None:
+    """
+    Move claims from the page to a segment.
+
+    :param shard: the shard
+    :param number: number of the segment
+    :param digests: its claims
+    """
+    shard.segment_digests[number] = digests
+    expiries = [shard.claims[digest].expires_ms for digest in digests]
+    shard.segment_expires_ms[number] = max(expiries, default=0)
+    for digest in digests:
+        shard.claims[digest].sealed = True
+        shard.recent.pop(digest, None)
+
+
+__all__ = ["attach_segment", "expire_claims", "note_sealed", "seal_claims"]
--- /dev/null
+++ b/src/boragetiller/tables/shard_actions.py
@@ -0,0 +1,99 @@
+"""What the systems of claims and shards ask their adapter to do."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+if TYPE_CHECKING:
+    from boragetiller.errors import BoragetillerError
+    from boragetiller.tables.shards import Page, PageClaim
+
+
+@attrs.frozen
+class RunCall:
+    """Let a call run; it is the only one of its key."""
+
+    call_id: int
+
+
+@attrs.frozen
+class ReplayAnswer:
+    """Answer a call with the kept answer of its key."""
+
+    call_id: int
+    answer: Any
+
+
+@attrs.frozen
+class RefuseCall:
+    """Answer a call with an error."""
+
+    call_id: int
+    error: BoragetillerError
+
+
+@attrs.frozen
+class ReadPage:
+    """Read the page of a shard."""
+
+    shard: int
+
+
+@attrs.frozen
+class WritePage:
+    """Write the page of a shard if its revision is the expected one."""
+
+    shard: int
+    page: Page
+    expected_revision: int
+
+
+@attrs.frozen
+class ReadSegments:
+    """Read the sealed segments of a page that is to be taken."""
+
+    shard: int
+    numbers: tuple[int, ...]
+
+
+@attrs.frozen
+class WriteSegment:
+    """Create a sealed segment."""
+
+    shard: int
+    number: int
+    claims: tuple[PageClaim, ...]
+
+
+@attrs.frozen
+class DeleteSegment:
+    """Remove a segment that is no longer needed."""
+
+    shard: int
+    number: int
+
+
+ShardAction = (
+    RunCall
+    | ReplayAnswer
+    | RefuseCall
+    | ReadPage
+    | WritePage
+    | ReadSegments
+    | WriteSegment
+    | DeleteSegment
+)
+
+__all__ = [
+    "DeleteSegment",
+    "ReadPage",
+    "ReadSegments",
+    "RefuseCall",
+    "ReplayAnswer",
+    "RunCall",
+    "ShardAction",
+    "WritePage",
+    "WriteSegment",
+]
