--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -6,20 +6,28 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.agent.backend import BackendClient
-from boragetiller.agent.claims import MemoryClaimKeeper
+from boragetiller.agent.claim_keeper import StoreClaimKeeper
+from boragetiller.agent.claims import ClaimKeeper, MemoryClaimKeeper
 from boragetiller.agent.gate import Gate
+from boragetiller.agent.order_channel import HttpOrderChannel
+from boragetiller.agent.orders import OrderKeeper
 from boragetiller.agent.server import AttemptServer
+from boragetiller.agent.state import AgentState
 from boragetiller.clock import SystemClock
+from boragetiller.control.node import AgentNode
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
 from boragetiller.process import Endpoints, new_incarnation, new_metrics, wait_until_idle
+from boragetiller.router.config_sync import ConfigSync
+from boragetiller.settings import BackendKind
+from boragetiller.tables.config import ConfigTable
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
     from boragetiller.metrics import Metrics
     from boragetiller.platform.clients import PlatformClients
-    from boragetiller.settings import Settings
+    from boragetiller.settings import BackendSettings, Settings
 
 
 class AgentProcess:
@@ -47,9 +55,15 @@
         self.clock = clock or SystemClock()
         self.metrics = metrics or new_metrics(settings)
         self.incarnation = new_incarnation()
+        self.config = ConfigTable()
+        self.sync = ConfigSync(
+            platform.store, self.config, settings, self.clock, self._on_config_changed
+        )
         self.gate = Gate(settings.admission, self.clock, self.metrics)
         self.backend = BackendClient(settings.backend)
-        self.claims = MemoryClaimKeeper()
+        self.claims = self._build_claims(settings.backend)
+        self.order_channel = HttpOrderChannel(settings.backend, settings.orders)
+        self.orders = self._build_orders(settings.backend)
         self.server = AttemptServer(
             settings,
             self.gate,
@@ -59,6 +73,10 @@
             self.metrics,
             self.incarnation,
         )
+        state = AgentState(self.gate, self.server, self.claims, self.clock)
+        self.node = AgentNode(
+            settings, self.incarnation, state, self.sync, self.clock, self.metrics
+        )
         self.data = HttpServer(
             self.server.routes(),
             settings.listen.address,
@@ -77,8 +95,14 @@
     async def start(self) -> None:
         """Listen and begin to take work."""
         await self.backend.start()
+        await self.sync.start()
+        await self.claims.start()
         await self.data.start()
         await self.operator.start()
+        await self.node.start()
+        if self.orders is not None:
+            await self.order_channel.start()
+            await self.orders.start()
         self._tasks = [
             asyncio.create_task(self._run_ticks()),
             asyncio.create_task(self._run_keepalives()),
@@ -92,22 +116,58 @@
             name=self.settings.name,
             data_port=self.data.port,
             operator_port=self.operator.port,
-            control_port=0,
+            control_port=self.node.port,
         )
 
     async def close(self) -> None:
         """Refuse new work, finish what is in progress, then stop."""
         log_event(Event.PROCESS_STOPPING, role="agent", name=self.settings.name)
         self.server.draining = True
+        self.node.report_now()
         await wait_until_idle(lambda: self.server.in_progress, self.settings.drain_timeout_ms)
+        await self.claims.drain()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.orders is not None:
+            await self.orders.close()
+            await self.order_channel.close()
+        await self.node.close()
+        await self.claims.close()
+        await self.sync.close()
         await self.data.close()
         await self.operator.close()
         await self.backend.close()
         log_event(Event.PROCESS_STOPPED, role="agent", name=self.settings.name)
 
+    def _build_claims(self, backend: BackendSettings) -> ClaimKeeper:
+        if backend.kind is BackendKind.ENGINE:
+            return MemoryClaimKeeper()  # routers send no keyed calls to engines
+        return StoreClaimKeeper(
+            self.settings,
+            self.platform.store,
+            self.platform.hosts,
+            self.incarnation,
+            self.metrics,
+            clock=self.clock,
+        )
+
+    def _build_orders(self, backend: BackendSettings) -> OrderKeeper | None:
+        if backend.kind is not BackendKind.ENGINE or not self.settings.orders.enabled:
+            return None
+        return OrderKeeper(
+            self.settings,
+            self.platform,
+            self.order_channel,
+            self.config,
+            self.clock,
+            self.metrics,
+            self.incarnation,
+        )
+
+    def _on_config_changed(self) -> None:
+        self.node.config_changed()
+
     async def _run_ticks(self) -> None:
         while True:
             await asyncio.sleep(self.settings.tick_ms / 1_000)
--- a/src/boragetiller/agent/runner.py
+++ b/src/boragetiller/agent/runner.py
@@ -105,11 +105,18 @@
     async def _run_once(
         self, attempt: Attempt, call: KeyedCall, body: bytes, ticket: Ticket
     ) -> StoredAnswer:
-        answer: StoredAnswer | None = None
         try:
             answer = await self._collect(attempt, body, ticket)
-        finally:
-            await self._claims.finish(call, answer)
+        except BoragetillerError as error:
+            if error.verdict is Verdict.NOT_RUN:
+                await self._claims.abandon(call)
+            else:
+                await self._claims.finish(call, None)
+            raise
+        except BaseException:
+            await self._claims.finish(call, None)
+            raise
+        await self._claims.finish(call, answer)
         return answer
 
     async def _collect(self, attempt: Attempt, body: bytes, ticket: Ticket) -> StoredAnswer:
@@ -198,6 +205,7 @@
         customer_weight=attempt.customer_weight,
         class_weight=attempt.class_weight,
         prompt_tokens=attempt.prompt_tokens,
+        resumed_tokens=attempt.resumed_tokens,
         first_token_target_ms=attempt.first_token_target_ms,
         between_tokens_target_ms=attempt.between_tokens_target_ms,
         fingerprint=attempt.fingerprint,
--- a/src/boragetiller/relay/attempt.py
+++ b/src/boragetiller/relay/attempt.py
@@ -40,6 +40,7 @@
     between_tokens_target_ms: int
     deadline_in_ms: int
     fingerprint: str
+    resumed_tokens: int = 0
     key: str = ""
     isolated: bool = False
 
--- /dev/null
+++ b/src/boragetiller/router/control_ports.py
@@ -0,0 +1,79 @@
+"""What the router's control node learns for the other parts, and what it asks them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from boragetiller.systems import rate_limits
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from boragetiller.router.limits import CustomerLimits
+    from boragetiller.router.shard_owners import ShardOwners
+    from boragetiller.settings import Settings
+    from boragetiller.tables.config import ConfigTable
+
+
+class ShardOwnersPort:
+    """Hands owned shards on to the table of owners."""
+
+    def __init__(self, owners: ShardOwners) -> None:
+        """:param owners: table that calls are sent by"""
+        self._owners = owners
+
+    def note_shards(
+        self, agent: str, group: str, incarnation: int, shards: tuple[int, ...]
+    ) -> None:
+        """Take all shards that an agent owns now; its membership drops late incarnations."""
+        del incarnation
+        self._owners.note_report(group, agent, shards)
+
+    def forget_agent(self, agent: str) -> None:
+        """Forget an agent that is gone."""
+        self._owners.forget_agent(agent)
+
+
+class LimitsPort:
+    """Lends and borrows shares of customers' limits."""
+
+    def __init__(self, settings: Settings, limits: CustomerLimits, config: ConfigTable) -> None:
+        """
+        Put the parts together.
+
+        :param settings: duration of loans
+        :param limits: usage at this router
+        :param config: records in force
+        """
+        self._settings = settings.placement
+        self._limits = limits
+        self._config = config
+
+    def wanted(self, now_ms: int) -> tuple[tuple[str, float], ...]:
+        """:return: customers that were refused of late, and the share that each needs"""
+        share = 1 / max(1, self._limits.table.routers)
+        return tuple((name, share) for name in self._limits.take_refused(now_ms))
+
+    def lend(self, customer: str, share: float, now_ms: int) -> float:
+        """:return: the share lent, 0 when there is none to spare"""
+        record = self._config.customers.get(customer)
+        if record is None:
+            return 0.0
+        return rate_limits.lend(self._limits.table, record, share, self._settings, now_ms)
+
+    def borrow(self, customer: str, share: float, asked_ms: int) -> None:
+        """Use a share that a peer lent."""
+        rate_limits.borrow(self._limits.table, customer, share, asked_ms, self._settings)
+
+
+def group_members(config: ConfigTable) -> Callable[[], dict[str, frozenset[str]]]:
+    """
+    Read the members of groups from the records in force.
+
+    :param config: records in force
+    :return: function that gives host names by backend group
+    """
+    return lambda: {name: frozenset(group.members) for name, group in config.groups.items()}
+
+
+__all__ = ["LimitsPort", "ShardOwnersPort", "group_members"]
--- a/src/boragetiller/router/discovery.py
+++ b/src/boragetiller/router/discovery.py
@@ -1,4 +1,4 @@
-"""Fill the agent table from the host list."""
+"""Read the host list at intervals."""
 
 from __future__ import annotations
 
@@ -6,34 +6,36 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.errors import StoreUnavailable
-from boragetiller.platform.hosts import Host, HostState
-from boragetiller.tables.agents import AgentEntry, AgentTable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from boragetiller.metrics import Metrics
-    from boragetiller.platform.hosts import HostList
+    from boragetiller.platform.hosts import Host, HostList
     from boragetiller.settings import Settings
 
-AGENT_ROLE = "agent"
-
 
 class Discovery:
     """Polls the host list."""
 
     def __init__(
-        self, settings: Settings, hosts: HostList, agents: AgentTable, metrics: Metrics
+        self,
+        settings: Settings,
+        hosts: HostList,
+        take_hosts: Callable[[list[Host]], None],
+        metrics: Metrics,
     ) -> None:
         """
         Put the parts together.
 
         :param settings: poll interval
         :param hosts: the platform's list
-        :param agents: table to fill
+        :param take_hosts: called with each reading
         :param metrics: counters
         """
         self._interval_s = settings.platform.host_list_interval_ms / 1_000
         self._hosts = hosts
-        self._agents = agents
+        self._take_hosts = take_hosts
         self._metrics = metrics
         self._task: asyncio.Task[None] | None = None
 
@@ -49,13 +51,13 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def poll(self) -> None:
-        """Read the list; an outage leaves the table as it is."""
+        """Read the list; an outage changes nothing."""
         try:
             hosts = await self._hosts.hosts()
         except StoreUnavailable:
             self._metrics.increment("router.host_list.unavailable")
             return
-        update_agents(self._agents, hosts)
+        self._take_hosts(hosts)
 
     async def _run(self) -> None:
         while True:
@@ -63,34 +65,4 @@
             await self.poll()
 
 
-def update_agents(agents: AgentTable, hosts: list[Host]) -> None:
-    """
-    Bring the agent table in line with the host list.
-
-    :param agents: table to change
-    :param hosts: every live and leaving host
-    """
-    listed = {host.name: host for host in hosts if host.role == AGENT_ROLE}
-    for name in [name for name in agents.entries if name not in listed]:
-        del agents.entries[name]
-    for host in listed.values():
-        entry = agents.entries.get(host.name)
-        if entry is None or (entry.address, entry.data_port) != (host.address, host.data_port):
-            entry = _new_entry(host)
-            agents.entries[host.name] = entry
-        entry.leaving = host.state is HostState.LEAVING
-
-
-def _new_entry(host: Host) -> AgentEntry:
-    return AgentEntry(
-        name=host.name,
-        group=host.group,
-        address=host.address,
-        data_port=host.data_port,
-        control_port=host.control_port,
-        failure_domain=host.failure_domain,
-        region=host.region,
-    )
-
-
-__all__ = ["Discovery", "update_agents"]
+__all__ = ["Discovery"]
--- a/src/boragetiller/router/limits.py
+++ b/src/boragetiller/router/limits.py
@@ -29,6 +29,7 @@
         self.table = RateTable()
         self._settings = settings.placement
         self._clock = clock
+        self._refused: set[str] = set()
 
     @contextmanager
     def admitted(self, customer: Customer) -> Iterator[None]:
@@ -40,6 +41,7 @@
         """
         refusal = rate_limits.admit(self.table, customer, self._settings, self._clock.now_ms())
         if refusal is not None:
+            self._refused.add(customer.name)
             raise refusal
         try:
             yield
@@ -47,5 +49,17 @@
             now_ms = self._clock.now_ms()
             rate_limits.release(self.table, customer.name, self._settings, now_ms)
 
+    def take_refused(self, now_ms: int) -> list[str]:
+        """
+        Name the customers that were refused since the last call.
+
+        :param now_ms: monotonic time in milliseconds
+        :return: customers that need a larger share of their limits here
+        """
+        del now_ms
+        refused = sorted(self._refused)
+        self._refused.clear()
+        return refused
+
 
 __all__ = ["CustomerLimits"]
--- /dev/null
+++ b/src/boragetiller/router/operator.py
@@ -0,0 +1,89 @@
+"""The router's operator routes: status, records in force, decisions of a request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from aiohttp import web
+
+from boragetiller.cli.messages import AgentStatus, ExplainStep, Explanation, NodeStatus
+from boragetiller.router.config_status import config_status, record_status
+
+if TYPE_CHECKING:
+    from boragetiller.router.process import RouterProcess
+    from boragetiller.tables.agents import AgentEntry
+
+
+def add_router_routes(app: web.Application, router: RouterProcess) -> None:
+    """
+    Add the routes to the operator port.
+
+    :param app: application of the port
+    :param router: the process to describe
+    """
+
+    async def show_status(_request: web.Request) -> web.Response:
+        return web.json_response(attrs.asdict(_node_status(router)))
+
+    async def show_record(request: web.Request) -> web.Response:
+        record_id = f"{request.match_info['kind']}/{request.match_info['name']}"
+        now_ms = router.clock.now_ms()
+        name = router.settings.name
+        status = record_status(router.sync, router.config, record_id, name, now_ms)
+        return web.json_response(attrs.asdict(status))
+
+    async def explain(request: web.Request) -> web.Response:
+        request_id = request.match_info["request_id"]
+        trace = router.traces.get(request_id)
+        if trace is None:
+            return web.json_response({"code": "not_found"}, status=404)
+        steps = tuple(
+            ExplainStep(at_ms=step.at_ms, step=step.step, detail=step.detail)
+            for step in trace.steps
+        )
+        answer = Explanation(request_id=request_id, router=router.settings.name, steps=steps)
+        return web.json_response(attrs.asdict(answer))
+
+    app.router.add_get("/status", show_status)
+    app.router.add_get("/status/record/{kind}/{name}", show_record)
+    app.router.add_get("/explain/{request_id}", explain)
+
+
+def _node_status(router: RouterProcess) -> NodeStatus:
+    entries = router.agents.entries
+    return NodeStatus(
+        name=router.settings.name,
+        role=router.settings.role.value,
+        failure_domain=router.settings.failure_domain,
+        region=router.settings.region,
+        draining=router.server.draining,
+        config=config_status(router.sync, router.config),
+        agents=tuple(_agent_status(entries[name], router) for name in sorted(entries)),
+    )
+
+
+def _agent_status(agent: AgentEntry, router: RouterProcess) -> AgentStatus:
+    load = agent.load
+    return AgentStatus(
+        name=agent.name,
+        group=agent.group,
+        failure_domain=agent.failure_domain,
+        state=_state(agent),
+        in_flight=agent.in_flight,
+        running=load.running if load else 0,
+        max_running=load.max_running if load else 0,
+        queued=load.queued if load else (),
+        report_age_ms=router.clock.now_ms() - load.received_ms if load else None,
+    )
+
+
+def _state(agent: AgentEntry) -> str:
+    if agent.leaving:
+        return "leaving"
+    if agent.draining:
+        return "draining"
+    return "suspected" if agent.suspected else "live"
+
+
+__all__ = ["add_router_routes"]
--- a/src/boragetiller/router/placer.py
+++ b/src/boragetiller/router/placer.py
@@ -7,8 +7,11 @@
 import attrs
 
 from boragetiller.events import Event, log_event
+from boragetiller.platform.hosts import Host, HostState
+from boragetiller.settings import Role
 from boragetiller.systems import outliers, retry_budget
 from boragetiller.systems.placement import PlacementRequest, choose_agent
+from boragetiller.tables.agents import AgentEntry
 from boragetiller.tables.retry import RetryBudget
 from boragetiller.verdict import Verdict
 
@@ -19,23 +22,33 @@
     from boragetiller.errors import BoragetillerError
     from boragetiller.router.request import RoutedRequest
     from boragetiller.settings import Settings
-    from boragetiller.tables.agents import AgentEntry, AgentTable
+    from boragetiller.tables.agents import AgentTable
+    from boragetiller.tables.members import MemberTable
 
 
 class Placer:
     """Holds what placement needs: the agents, their health and the retry budgets."""
 
-    def __init__(self, settings: Settings, agents: AgentTable, clock: Clock, rng: Random) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        agents: AgentTable,
+        members: MemberTable,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
         """
         Put the parts together.
 
         :param settings: settings of the process
         :param agents: agents of this router's subset
+        :param members: the host list as far as it is believed
         :param clock: monotonic time
         :param rng: seeded generator
         """
         self._settings = settings
         self._agents = agents
+        self._members = members
         self._clock = clock
         self._rng = rng
         self._budgets: dict[str, RetryBudget] = {}
@@ -67,6 +80,7 @@
             excluded=frozenset(tried),
             protected=request.request_class.protected,
             failure_domain=self._settings.failure_domain,
+            peers=self._sharing_routers(),
         )
         candidates = self.candidates(request)
         chosen = self._choose(candidates, wanted)
@@ -84,6 +98,22 @@
         agents = self._agents.of_group(request.group.name)
         return [agent for agent in agents if agent.name in request.group.members]
 
+    def find_owner(self, request: RoutedRequest, name: str) -> AgentEntry | None:
+        """
+        Find the agent that owns a key, which may be outside the subset.
+
+        :param request: the request
+        :param name: the agent
+        :return: the agent if it is a listed member of the group that takes work
+        """
+        entry = self._agents.entries.get(name)
+        if entry is None:
+            host = self._members.hosts.get(name)
+            entry = _entry_of(host) if host is not None else None
+        if entry is None or name not in request.group.members or not entry.accepts_work():
+            return None
+        return entry
+
     def note_success(self, agent: AgentEntry) -> None:
         """
         Note a whole answer.
@@ -117,9 +147,27 @@
         for group in groups:
             outliers.mark_slow(self._agents.of_group(group), self._settings.placement, now_ms)
 
+    def _sharing_routers(self) -> int:
+        hosts = self._members.hosts.values()
+        routers = 1 + sum(1 for host in hosts if host.role == Role.ROUTER.value)
+        agents = sum(1 for host in hosts if host.role == Role.AGENT.value)
+        return max(1, routers * len(self._agents.entries) // max(1, agents))
+
     def _choose(self, candidates: list[AgentEntry], wanted: PlacementRequest) -> AgentEntry | None:
         now_ms = self._clock.now_ms()
         return choose_agent(candidates, wanted, self._settings.placement, self._rng, now_ms)
 
 
+def _entry_of(host: Host) -> AgentEntry:
+    return AgentEntry(
+        name=host.name,
+        group=host.group,
+        address=host.address,
+        data_port=host.data_port,
+        failure_domain=host.failure_domain,
+        region=host.region,
+        leaving=host.state is HostState.LEAVING,
+    )
+
+
 __all__ = ["Placer"]
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -8,17 +8,21 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.clock import SystemClock
+from boragetiller.control.router_node import RouterNode, RouterPorts
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
 from boragetiller.process import Endpoints, new_incarnation, new_metrics, wait_until_idle
 from boragetiller.router.agent_client import AgentClient
 from boragetiller.router.config_sync import ConfigSync
+from boragetiller.router.control_ports import LimitsPort, ShardOwnersPort, group_members
 from boragetiller.router.discovery import Discovery
 from boragetiller.router.limits import CustomerLimits
+from boragetiller.router.operator import add_router_routes
 from boragetiller.router.placer import Placer
 from boragetiller.router.relay import Relay
 from boragetiller.router.server import CallerServer
+from boragetiller.router.shard_owners import ShardOwners
 from boragetiller.router.traces import TraceTable
 from boragetiller.tables.agents import AgentTable
 from boragetiller.tables.config import ConfigTable
@@ -27,9 +31,11 @@
     from boragetiller.clock import Clock
     from boragetiller.metrics import Metrics
     from boragetiller.platform.clients import PlatformClients
+    from boragetiller.platform.hosts import Host
     from boragetiller.settings import Settings
 
 SEED_BITS = 64
+SLOW_TICK_S = 1.0
 
 
 class RouterProcess:
@@ -64,12 +70,21 @@
         self.sync = ConfigSync(platform.store, self.config, settings, self.clock, self._on_config)
         self.traces = TraceTable(self.clock)
         self.client = AgentClient(settings)
-        self.discovery = Discovery(settings, platform.hosts, self.agents, self.metrics)
-        self.placer = Placer(settings, self.agents, self.clock, self.rng)
+        self.limits = CustomerLimits(settings, self.clock)
+        self.owners = ShardOwners()
+        self.node = self._build_node()
+        self.discovery = Discovery(settings, platform.hosts, self._take_hosts, self.metrics)
+        self.placer = Placer(settings, self.agents, self.node.members, self.clock, self.rng)
         self.relay = Relay(
-            settings, self.placer, self.client, self.traces, self.clock, self.metrics, self.rng
+            settings,
+            self.placer,
+            self.owners,
+            self.client,
+            self.traces,
+            self.clock,
+            self.metrics,
+            self.rng,
         )
-        self.limits = CustomerLimits(settings, self.clock)
         self.server = CallerServer(
             settings,
             self.config,
@@ -87,18 +102,23 @@
             limits=settings.limits,
             tls=settings.listen.tls,
         )
+        operator_routes = operator_app(settings.operator, self.metrics)
+        add_router_routes(operator_routes, self)
         self.operator = HttpServer(
-            operator_app(settings.operator, self.metrics),
+            operator_routes,
             settings.operator.address,
             settings.operator.port,
             limits=settings.limits,
         )
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Learn agents and configuration, then listen."""
         await self.client.start()
         await self.sync.start()
+        await self.node.start()
         await self.discovery.start()
+        self._tasks = [asyncio.create_task(self._run_ticks())]
         await self.callers.start()
         await self.operator.start()
         log_event(Event.PROCESS_STARTED, role="router", name=self.settings.name)
@@ -110,7 +130,7 @@
             name=self.settings.name,
             data_port=self.callers.port,
             operator_port=self.operator.port,
-            control_port=0,
+            control_port=self.node.port,
         )
 
     async def close(self) -> None:
@@ -122,14 +142,44 @@
         await wait_until_idle(lambda: self.server.in_progress, self.settings.drain_timeout_ms)
         await self.callers.close()
         await self.discovery.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.node.close()
         await self.sync.close()
         await self.client.close()
         await self.operator.close()
         log_event(Event.PROCESS_STOPPED, role="router", name=self.settings.name)
 
+    def _build_node(self) -> RouterNode:
+        ports = RouterPorts(
+            group_members=group_members(self.config),
+            shard_owners=ShardOwnersPort(self.owners),
+            lender=LimitsPort(self.settings, self.limits, self.config),
+        )
+        return RouterNode(
+            self.settings,
+            self.incarnation,
+            self.agents,
+            self.sync,
+            self.clock,
+            self.metrics,
+            ports,
+        )
+
+    def _take_hosts(self, hosts: list[Host]) -> None:
+        self.node.take_hosts(hosts)
+        self.limits.table.routers = self.node.live_routers()
+
     def _on_config(self) -> None:
+        self.node.config_changed()
         if self.config.ready:
             self.configured.set()
 
+    async def _run_ticks(self) -> None:
+        while True:
+            await asyncio.sleep(SLOW_TICK_S)
+            self.placer.tick()
+
 
 __all__ = ["RouterProcess"]
--- a/src/boragetiller/router/relay.py
+++ b/src/boragetiller/router/relay.py
@@ -8,11 +8,11 @@
 
 import attrs
 
-from boragetiller.errors import BoragetillerError, NoBackend
+from boragetiller.errors import BoragetillerError, NoBackend, NotOwner
 from boragetiller.events import Event, log_event
 from boragetiller.relay.attempt import Attempt
 from boragetiller.relay.frames import Frame, FrameKind, parse_head
-from boragetiller.router.answers import EngineTranscript, continued_chunk, engine_body
+from boragetiller.router.answers import EngineTranscript, ResumePoint, continued_chunk, engine_body
 from boragetiller.systems.outcomes import (
     Answered,
     AttemptFailed,
@@ -36,6 +36,7 @@
     from boragetiller.router.agent_client import AgentClient
     from boragetiller.router.placer import Placer
     from boragetiller.router.request import RoutedRequest
+    from boragetiller.router.shard_owners import ShardOwners
     from boragetiller.router.sinks import AnswerSink
     from boragetiller.router.traces import TraceTable
     from boragetiller.settings import Settings
@@ -52,7 +53,6 @@
     progress: RequestProgress
     arrived_ms: int
     tried: set[str] = attrs.Factory(set)
-    owner: str | None = None
 
 
 class Relay:
@@ -62,6 +62,7 @@
         self,
         settings: Settings,
         placer: Placer,
+        owners: ShardOwners,
         client: AgentClient,
         traces: TraceTable,
         clock: Clock,
@@ -73,6 +74,7 @@
 
         :param settings: settings of the process
         :param placer: chooses agents
+        :param owners: which agent decides on which key
         :param client: sends attempts
         :param traces: decisions by request
         :param clock: monotonic time
@@ -81,6 +83,7 @@
         """
         self._settings = settings
         self._placer = placer
+        self._owners = owners
         self._client = client
         self._traces = traces
         self._clock = clock
@@ -101,6 +104,7 @@
         journey = self._begin(request, sink, transcript)
         while True:
             outcome = await self._try_once(journey)
+            journey.progress.elapsed_ms = self._clock.now_ms() - journey.arrived_ms
             step = decide_next(outcome, journey.progress, self._settings.placement, self._rng)
             match step:
                 case Answered():
@@ -119,6 +123,7 @@
             repeatable=request.repeatable,
             keyed=bool(request.key),
             resumable=request.for_engine and request.repeatable,
+            deadline_ms=request.request_class.deadline_ms,
             budget=self._placer.begin(request.group.name),
         )
         return Journey(
@@ -134,30 +139,52 @@
         agent = self._place(journey)
         if agent is None:
             return AttemptFailed(NoBackend(retry_after_s=1), journey.sink.relayed)
-        attempt = self._attempt(journey)
+        resume = journey.transcript.resume_point() if journey.transcript.events else None
+        attempt = self._attempt(journey, resume)
         self._note(journey.request, "placed", agent=agent.name, attempt=attempt.number)
-        agent.in_flight += 1
+        agent.begin(attempt.tier)
         try:
-            await self._relay_attempt(journey, agent, attempt)
+            await self._relay_attempt(journey, agent, attempt, resume)
             self._placer.note_success(agent)
             return AttemptFinished()
         except BoragetillerError as error:
             self._placer.note_failure(journey.request, agent, error)
+            self._note_owner(journey, error)
             await self._settle_verdict(journey, agent, attempt, error)
             return AttemptFailed(error, journey.sink.relayed)
         finally:
-            agent.in_flight -= 1
+            agent.end(attempt.tier)
 
     def _place(self, journey: Journey) -> AgentEntry | None:
-        if journey.owner is not None:
-            candidates = self._placer.candidates(journey.request)
-            return next((agent for agent in candidates if agent.name == journey.owner), None)
+        owner = self._owner(journey)
+        if owner is not None:
+            return owner
         agent = self._placer.choose(journey.request, journey.tried)
         if agent is not None:
             journey.tried.add(agent.name)
         return agent
 
-    def _attempt(self, journey: Journey) -> Attempt:
+    def _owner(self, journey: Journey) -> AgentEntry | None:
+        request = journey.request
+        if not request.key:
+            return None
+        name = self._owners.owner_of(
+            request.group.name, request.group.shards, request.customer.name, request.key
+        )
+        return self._placer.find_owner(request, name) if name is not None else None
+
+    def _note_owner(self, journey: Journey, error: BoragetillerError) -> None:
+        request = journey.request
+        if request.key and isinstance(error, NotOwner):
+            self._owners.note_refusal(
+                request.group.name,
+                request.group.shards,
+                request.customer.name,
+                request.key,
+                error.owner,
+            )
+
+    def _attempt(self, journey: Journey, resume: ResumePoint | None) -> Attempt:
         request = journey.request
         request_class = request.request_class
         elapsed_ms = self._clock.now_ms() - journey.arrived_ms
@@ -182,19 +209,19 @@
             deadline_in_ms=max(0, request_class.deadline_ms - elapsed_ms),
             fingerprint=request.fingerprint,
             key=request.key,
+            resumed_tokens=resume.tokens if resume else 0,
         )
 
-    async def _relay_attempt(self, journey: Journey, agent: AgentEntry, attempt: Attempt) -> None:
+    async def _relay_attempt(
+        self, journey: Journey, agent: AgentEntry, attempt: Attempt, resume: ResumePoint | None
+    ) -> None:
         request = journey.request
-        tokens_before = 0
         body = request.body
-        if request.for_engine:
-            resume = journey.transcript.resume_point() if journey.transcript.events else None
-            tokens_before = resume.tokens if resume else 0
-            body = engine_body(request.fields or {}, attempt.tier, resume)
+        if request.fields is not None:
+            body = engine_body(request.fields, attempt.tier, resume)
         async with aclosing(self._client.send(agent, attempt, body)) as answer:
             async for frames in answer:
-                await self._relay_frames(journey, frames, tokens_before)
+                await self._relay_frames(journey, frames, attempt.resumed_tokens)
 
     async def _relay_frames(
         self, journey: Journey, frames: list[Frame], tokens_before: int
@@ -233,7 +260,6 @@
             reason=step.reason,
             attempt=journey.progress.attempts,
         )
-        journey.owner = step.owner
         await asyncio.sleep(step.delay_ms / 1_000)
 
     def _note(self, request: RoutedRequest, step: str, **details: object) -> None:
--- a/src/boragetiller/router/request.py
+++ b/src/boragetiller/router/request.py
@@ -97,7 +97,6 @@
         repeatable=request_class.idempotent,
         streamed=fields.get("stream") is True,
         fields=fields,
-        key="" if request_class.idempotent else _checked_key(headers.key),
         prompt_tokens=len(prompt) // CHARACTERS_PER_TOKEN + 1,
         prefix_hash=int.from_bytes(hashlib.blake2b(prefix.encode(), digest_size=8).digest()),
         fingerprint=digest,
--- a/src/boragetiller/systems/outcomes.py
+++ b/src/boragetiller/systems/outcomes.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from boragetiller.errors import BoragetillerError, NotOwner, Preempted
+from boragetiller.errors import BoragetillerError, ClaimNotCommitted, NotOwner, Preempted
 from boragetiller.systems.retry_budget import retry_delay_ms, withdraw
 from boragetiller.verdict import Verdict
 
@@ -19,6 +19,9 @@
     from boragetiller.tables.retry import RetryBudget
 
 
+_OWNERSHIP_ERRORS = (NotOwner, ClaimNotCommitted)  # a shard is on its way to another agent
+
+
 @attrs.frozen
 class AttemptFinished:
     """The answer is whole."""
@@ -44,6 +47,8 @@
     resumable: bool
     budget: RetryBudget
     attempts: int = 0
+    elapsed_ms: int = 0
+    deadline_ms: int = 0
     verdict: Verdict = Verdict.NOT_RUN
 
 
@@ -54,11 +59,10 @@
 
 @attrs.frozen(kw_only=True)
 class Retry:
-    """Try again after a delay; the same agent only when it owns the key."""
+    """Try again after a delay."""
 
     delay_ms: int
     reason: str
-    owner: str | None = None
 
 
 class GiveUpReason(Enum):
@@ -66,6 +70,7 @@
 
     FINAL = "final"  # another attempt would end the same way
     ATTEMPTS = "attempts"
+    DEADLINE = "deadline"  # the shard of the key found no owner in time
     RELAYED = "relayed"  # the caller has part of an answer that cannot be resumed
     NOT_REPEATABLE = "not_repeatable"
     RETRY_BUDGET = "retry_budget"
@@ -118,12 +123,13 @@
     refusal = _refusal(outcome, progress, settings)
     if refusal is not None:
         return GiveUp(_with_verdict(error, progress.verdict), refusal)
-    if isinstance(error, (NotOwner, Preempted)):
-        return Retry(delay_ms=0, reason=error.code, owner=error.owner)
-    if not withdraw(progress.budget, error.code, settings):
+    if isinstance(error, Preempted) or error.owner is not None:
+        return Retry(delay_ms=0, reason=error.code)
+    free = isinstance(error, _OWNERSHIP_ERRORS)  # refused by agents alone, at little cost
+    if not free and not withdraw(progress.budget, error.code, settings):
         return GiveUp(_with_verdict(error, progress.verdict), GiveUpReason.RETRY_BUDGET)
     delay_ms = retry_delay_ms(progress.attempts, settings, rng)
-    return Retry(delay_ms=delay_ms, reason=error.code, owner=error.owner)
+    return Retry(delay_ms=delay_ms, reason=error.code)
 
 
 def _refusal(
@@ -132,6 +138,9 @@
     error = outcome.error
     if not error.retryable:
         return GiveUpReason.FINAL
+    if isinstance(error, _OWNERSHIP_ERRORS) and progress.verdict is Verdict.NOT_RUN:
+        late = progress.elapsed_ms >= progress.deadline_ms
+        return GiveUpReason.DEADLINE if late else None
     if progress.attempts >= settings.max_attempts:
         return GiveUpReason.ATTEMPTS
     if outcome.relayed and not progress.resumable:
--- a/tests/test_outcomes_table.py
+++ b/tests/test_outcomes_table.py
@@ -63,10 +63,12 @@
         self.assertEqual(sorted(rows), sorted(scenarios))
         for name, scenario in scenarios.items():
             with self.subTest(name):
-                seen = await scenario()
+                try:
+                    seen = await scenario()
+                finally:
+                    await self.asyncTearDown()
+                    await self.asyncSetUp()
                 self.assertEqual(attrs.asdict(seen), attrs.asdict(rows[name]))
-                await self.asyncTearDown()
-                await self.asyncSetUp()
 
     def _scenarios(self) -> dict[str, Callable[[], Awaitable[Seen]]]:
         def backend(fault: Fault, method: str) -> Callable[[], Awaitable[Seen]]:
@@ -126,7 +128,7 @@
         server = await self._faulty(Fault.NONE)
         await self._add_app(server.url)
         router = await self._router()
-        await self.fleet.agents["app-0"].close()
+        await self.fleet.agents["app-0"].data.close()  # as after a kill: no goodbye is sent
         return await self._call(router)
 
     async def _call_draining_agent(self) -> Seen:
