Cut the limit faster than it grows; keep half of the retry budget for essential retries

Cause: gaps over the target lasted while the limit came down; a lower-tier refusal could spend the retry that a protected call needed. A hold of 1 s after each preemption changed nothing and is not kept.

--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -197,7 +197,10 @@
             self.events.at(now_ms + LINK_MS, self._place, journey)
             return
         spent = journey.attempts - journey.preemptions >= self.placement.max_attempts
-        if spent or not retry_budget.withdraw(router.budget, code, self.placement):
+        essential = journey.call.load.request_class.protected or journey.produced > 0
+        if spent or not retry_budget.withdraw(
+            router.budget, code, self.placement, essential=essential
+        ):
             self._end(journey, "refused" if code == "overloaded" else "failed")
             return
         delay_ms = retry_budget.retry_delay_ms(journey.attempts, self.placement, self.rng)
--- a/src/boragetiller/systems/concurrency.py
+++ b/src/boragetiller/systems/concurrency.py
@@ -54,7 +54,8 @@
     error = aim_ms / limit.between_tokens_ms - 1
     if error > 0 and not limit.was_full:
         return
-    change = min(max(error * settings.limit_gain, -_MAX_CUT), _MAX_RISE)
+    gain = settings.limit_cut_gain if error < 0 else settings.limit_rise_gain
+    change = min(max(error * gain, -_MAX_CUT), _MAX_RISE)
     limited = max(float(settings.min_running), limit.limit * (1 + change))
     limit.limit = min(float(settings.max_running), limited)
 
--- a/src/boragetiller/systems/retry_budget.py
+++ b/src/boragetiller/systems/retry_budget.py
@@ -22,17 +22,21 @@
     budget.tokens = min(float(settings.retry_burst), tokens + settings.retry_share)
 
 
-def withdraw(budget: RetryBudget, reason: str, settings: PlacementSettings) -> bool:
+def withdraw(
+    budget: RetryBudget, reason: str, settings: PlacementSettings, *, essential: bool = False
+) -> bool:
     """
     Spend one retry if the budget allows.
 
     :param budget: budget of the backend group
     :param reason: code of the error that asks for the retry
-    :param settings: bound
+    :param settings: bound, and the part of it that is kept for essential retries
+    :param essential: whether the request is protected or part of its answer was relayed
     :return: whether the retry may be sent
     """
     tokens = float(settings.retry_burst) if budget.tokens is None else budget.tokens
-    allowed = tokens >= 1.0
+    kept = 0.0 if essential else settings.retry_burst * settings.retry_essential_share
+    allowed = tokens >= kept + 1.0
     budget.tokens = tokens - 1.0 if allowed else tokens
     counter = budget.retried if allowed else budget.refused
     counter[reason] += 1
--- a/tests/systems/test_admission.py
+++ b/tests/systems/test_admission.py
@@ -14,7 +14,11 @@
     def setUp(self) -> None:
         self.table = WorkTable()
         self.settings = AdmissionSettings(
-            initial_running=2, max_running=4, max_queued=4, aging_interval_ms=1_000
+            initial_running=2,
+            max_running=4,
+            max_queued=4,
+            aging_interval_ms=1_000,
+            preempt_slack_ms=250,
         )
         self.now_ms = 0
 
--- a/tests/systems/test_limits.py
+++ b/tests/systems/test_limits.py
@@ -17,10 +17,19 @@
         self.budget = RetryBudget()
 
     def test_withdraw_refused_when_spent_and_counted_by_reason(self) -> None:
-        sent = [retry_budget.withdraw(self.budget, "lost", self.settings) for _ in range(7)]
+        sent = [
+            retry_budget.withdraw(self.budget, "lost", self.settings, essential=True)
+            for _ in range(7)
+        ]
         self.assertEqual(sent, [True] * 5 + [False] * 2)
         self.assertEqual((self.budget.retried["lost"], self.budget.refused["lost"]), (5, 2))
 
+    def test_withdraw_keeps_a_part_for_essential_retries(self) -> None:
+        settings = PlacementSettings(retry_burst=10)
+        sent = [retry_budget.withdraw(self.budget, "overloaded", settings) for _ in range(7)]
+        self.assertEqual(sent, [True] * 5 + [False] * 2)
+        self.assertTrue(retry_budget.withdraw(self.budget, "lost", settings, essential=True))
+
     def test_deposit_earns_a_share(self) -> None:
         self.budget.tokens = 0.0
         for _ in range(95):
