--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,218 @@
+"""
+Measure the control exchange on loopback with the real code.
+
+Commands::
+
+    python -m bench.control load --seconds 20      # bytes, processor time and memory of a router
+    python -m bench.control agent --seconds 20     # the same of an agent
+    python -m bench.control relay                  # a page to 50 nodes by relay only
+    python -m bench.control leaving                # from each sign to nothing new
+    python -m bench.control restart                # all agents restart at once
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import resource
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import fire
+
+from bench.control_faults import SIGNS, measure_leaving, measure_relay, measure_restart
+from bench.control_nodes import NodeFleet, until
+from boragetiller.control.client import Peer
+from boragetiller.platform.hosts import Host, HostState
+
+if TYPE_CHECKING:
+    from boragetiller.control.node import ControlNode
+
+SETTLE_S = 3.0
+WAIT_S = 30.0
+
+
+def load(agents: str = "8,24,100", peers: int = 6, seconds: float = 20.0) -> None:
+    """
+    Measure one router; its agents and router peers run in another process.
+
+    :param agents: numbers of agents, separated by commas
+    :param peers: number of router peers
+    :param seconds: duration of each measurement
+    """
+    for count in _numbers(agents):
+        _print(asyncio.run(_measure_router(count, peers, seconds)))
+
+
+def agent(routers: str = "2,8,22", seconds: float = 20.0) -> None:
+    """
+    Measure one agent; its routers run in another process.
+
+    :param routers: numbers of routers, separated by commas
+    :param seconds: duration of each measurement
+    """
+    for count in _numbers(routers):
+        _print(asyncio.run(_measure_agent(count, seconds)))
+
+
+def relay(routers: int = 16, agents: int = 34, subset: int = 8, rounds: int = 50) -> None:
+    """
+    Measure how long a page takes from one router to every other node by relay only.
+
+    :param routers: number of routers
+    :param agents: number of agents
+    :param subset: agents of each router
+    :param rounds: number of changes
+    """
+    _print(asyncio.run(measure_relay(routers, agents, subset, rounds)))
+
+
+def leaving(routers: int = 8, agents: int = 24, rounds: int = 10) -> None:
+    """
+    Measure how long after each sign of leaving no router places new work.
+
+    :param routers: number of routers
+    :param agents: number of agents
+    :param rounds: measurements for each sign
+    """
+    for sign in SIGNS:
+        _print(asyncio.run(measure_leaving(sign, routers, agents, rounds)))
+
+
+def restart(routers: int = 8, agents: int = 24, down_s: float = 1.0) -> None:
+    """
+    Restart all agents at once.
+
+    :param routers: number of routers
+    :param agents: number of agents
+    :param down_s: how long they are down
+    """
+    _print(asyncio.run(measure_restart(routers, agents, down_s)))
+
+
+def serve(role: str, count: int) -> None:
+    """
+    Run nodes for another process to measure against, until its standard input ends.
+
+    :param role: agent or router
+    :param count: number of nodes
+    """
+    asyncio.run(_serve(role, count))
+
+
+async def _serve(role: str, count: int) -> None:
+    fleet = NodeFleet()
+    for index in range(1, count + 1):
+        await (fleet.add_agent(index) if role == "agent" else fleet.add_router(index))
+    print(json.dumps([attrs.asdict(h) | {"state": "live"} for h in fleet.hosts.values()]))
+    sys.stdout.flush()
+    loop = asyncio.get_running_loop()
+    while line := await loop.run_in_executor(None, sys.stdin.readline):
+        hosts = [_host(each) for each in json.loads(line)]
+        fleet.list_hosts(hosts)
+        for name in fleet.tables:
+            fleet.nodes[name].exchange.set_peers(
+                Peer(h.name, h.address, h.control_port) for h in hosts
+            )
+    await fleet.close()
+
+
+async def _measure_router(agents: int, peers: int, seconds: float) -> dict[str, Any]:
+    agent_process, agent_hosts = await _spawn("agent", agents)
+    peer_process, peer_hosts = await _spawn("router", peers)
+    fleet = NodeFleet(subset_size=max(agents, 1))
+    node = await fleet.add_router(0)
+    hosts = [*agent_hosts, *peer_hosts]
+    node.take_hosts(hosts)
+    connected = min(peers, 4) + agents
+    await until(lambda: len(node.exchange.connected) >= connected)
+    figures = await _sample(node, seconds)
+    await _end(agent_process, peer_process)
+    await fleet.close()
+    return {"role": "router", "agents": agents, **figures}
+
+
+async def _measure_agent(routers: int, seconds: float) -> dict[str, Any]:
+    process, _ = await _spawn("router", routers)
+    fleet = NodeFleet()
+    node = await fleet.add_agent(0)
+    assert process.stdin is not None
+    hosts = [attrs.asdict(host) | {"state": "live"} for host in fleet.hosts.values()]
+    process.stdin.write(json.dumps(hosts).encode() + b"\n")
+    await until(lambda: len(node.exchange.connected) == routers)
+    figures = await _sample(node, seconds)
+    await _end(process)
+    await fleet.close()
+    return {"role": "agent", "routers": routers, **figures}
+
+
+async def _sample(node: ControlNode, seconds: float) -> dict[str, Any]:
+    await asyncio.sleep(SETTLE_S)
+    node.exchange.traffic.clear()
+    processor_s, started_s = time.process_time(), time.perf_counter()
+    await asyncio.sleep(seconds)
+    elapsed_s = time.perf_counter() - started_s
+    used_s = time.process_time() - processor_s
+    traffic = node.exchange.traffic
+    messages = sum(count for kind, count in traffic.items() if "." in kind)
+    return {
+        "connections": len(node.exchange.connected),
+        "sent_bytes_per_s": round(traffic["sent_bytes"] / elapsed_s),
+        "received_bytes_per_s": round(traffic["received_bytes"] / elapsed_s),
+        "messages_per_s": round(messages / elapsed_s, 1),
+        "core_percent": round(100 * used_s / elapsed_s, 2),
+        "resident_mb": round(_resident_mb(), 1),
+    }
+
+
+async def _spawn(role: str, count: int) -> tuple[asyncio.subprocess.Process, list[Host]]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *("-m", "bench.control", "serve", role, str(count)),
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    assert process.stdout is not None
+    line = await asyncio.wait_for(process.stdout.readline(), WAIT_S)
+    return process, [_host(each) for each in json.loads(line)]
+
+
+async def _end(*processes: asyncio.subprocess.Process) -> None:
+    for process in processes:
+        assert process.stdin is not None
+        process.stdin.close()
+        await process.wait()
+
+
+def _host(fields: dict[str, Any]) -> Host:
+    return Host(**{**fields, "state": HostState(fields["state"])})
+
+
+def _numbers(text: Any) -> list[int]:
+    values = text if isinstance(text, list | tuple) else str(text).split(",")
+    return [int(value) for value in values]
+
+
+def _resident_mb() -> float:
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / 1_000_000
+
+
+def _print(row: dict[str, Any]) -> None:
+    print(json.dumps(row), flush=True)
+
+
+if __name__ == "__main__":
+    fire.Fire(
+        {
+            "load": load,
+            "agent": agent,
+            "relay": relay,
+            "leaving": leaving,
+            "restart": restart,
+            "serve": serve,
+        }
+    )
--- /dev/null
+++ b/bench/control_nodes.py
@@ -0,0 +1,237 @@
+"""Control nodes for measurements, without the rest of their processes."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+from loguru import logger
+
+from boragetiller.clock import SystemClock
+from boragetiller.control.node import AgentNode
+from boragetiller.control.router_node import RouterNode, RouterPorts
+from boragetiller.metrics import Metrics
+from boragetiller.platform.hosts import Host, HostState
+from boragetiller.settings import (
+    BackendKind,
+    BackendSettings,
+    ControlSettings,
+    OperatorSettings,
+    PlacementSettings,
+    PlatformSettings,
+    Role,
+    Settings,
+)
+from boragetiller.tables.agents import AgentTable, LoadReport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from boragetiller.control.node import ControlNode
+
+LOOPBACK = "127.0.0.1"
+PAGE_COUNT = 64
+GROUP = "pool"
+DOMAINS = 3
+WAIT_S = 30.0
+POLL_S = 0.001
+
+
+@attrs.frozen
+class Page:
+    """One configuration page."""
+
+    index: int
+    revision: int
+    data: bytes
+
+
+class MemoryPages:
+    """Pages in memory; a page is replaced only by a higher revision."""
+
+    def __init__(self, page_bytes: int, on_taken: Callable[[], None] | None = None) -> None:
+        """
+        Fill the pages.
+
+        :param page_bytes: size of each page
+        :param on_taken: called when a newer page was taken
+        """
+        self.ready = True
+        self.pages = {i: Page(i, i + 1, bytes(page_bytes)) for i in range(PAGE_COUNT)}
+        self._on_taken = on_taken
+
+    def put(self, page: Page) -> None:
+        """Accept a page as from the store."""
+        self.pages[page.index] = page
+
+    def page_versions(self) -> dict[int, int]:
+        """:return: revision by index"""
+        return {index: page.revision for index, page in self.pages.items()}
+
+    def pages_newer_than(self, revisions: dict[int, int]) -> list[Page]:
+        """:return: pages held with a higher revision"""
+        return [p for i, p in self.pages.items() if p.revision > revisions.get(i, 0)]
+
+    def note_peer(self, peer: str, revisions: dict[int, int], *, complete: bool) -> list[int]:
+        """:return: nothing; the relay finds what is missing by itself"""
+        return []
+
+    def peer_heard(self, peer: str) -> None:
+        """Ignore the peer."""
+
+    def peer_lost(self, peer: str) -> None:
+        """Ignore the peer."""
+
+    def take_page(self, index: int, revision: int, data: bytes) -> bool:
+        """:return: whether the page was newer"""
+        if self.pages[index].revision >= revision:
+            return False
+        self.pages[index] = Page(index, revision, data)
+        if self._on_taken is not None:
+            self._on_taken()
+        return True
+
+
+class BusyAgent:
+    """An agent whose load is another one in each report."""
+
+    def __init__(self, seed: int) -> None:
+        """:param seed: of the loads"""
+        self.draining = False
+        self._rng = Random(seed)
+
+    def report_load(self) -> LoadReport:
+        """:return: load of a busy engine"""
+        rng = self._rng
+        return LoadReport(
+            received_ms=0,
+            running=rng.randint(8, 64),
+            max_running=64,
+            queued=(rng.randint(0, 9), rng.randint(0, 99), rng.randint(0, 99), rng.randint(0, 300)),
+            service_ms=rng.uniform(2_000, 20_000),
+            first_token_ms=rng.uniform(100, 700),
+            between_tokens_ms=rng.uniform(20, 60),
+        )
+
+    def is_draining(self) -> bool:
+        """:return: whether it drains"""
+        return self.draining
+
+    def owned_shards(self) -> tuple[int, ...]:
+        """:return: the same shards always"""
+        return (1, 5, 9)
+
+
+@attrs.define
+class NodeFleet:
+    """Control nodes in this process, and the host list that they share."""
+
+    subset_size: int = 24
+    page_bytes: int = 20_000
+    domains: int = DOMAINS
+    on_page: Callable[[str], None] | None = None
+    nodes: dict[str, ControlNode] = attrs.Factory(dict)
+    pages: dict[str, MemoryPages] = attrs.Factory(dict)
+    agents: dict[str, BusyAgent] = attrs.Factory(dict)
+    tables: dict[str, AgentTable] = attrs.Factory(dict)
+    hosts: dict[str, Host] = attrs.Factory(dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Keep events out of the measurement."""
+        logger.remove()
+
+    async def add_agent(self, index: int, incarnation: int = 1, port: int = 0) -> AgentNode:
+        """:return: a started agent node on the list"""
+        name = f"agent-{index}"
+        self.agents[name] = BusyAgent(index)
+        node = AgentNode(
+            self._settings(Role.AGENT, name, index, port),
+            incarnation,
+            self.agents[name],
+            self._pages_of(name),
+            SystemClock(),
+            Metrics(),
+        )
+        await self._start(name, index, node, "agent")
+        return node
+
+    async def add_router(self, index: int) -> RouterNode:
+        """:return: a started router node on the list"""
+        name = f"router-{index}"
+        self.tables[name] = AgentTable()
+        node = RouterNode(
+            self._settings(Role.ROUTER, name, index, 0),
+            1,
+            self.tables[name],
+            self._pages_of(name),
+            SystemClock(),
+            Metrics(),
+            RouterPorts(),
+        )
+        await self._start(name, index, node, "router")
+        return node
+
+    def list_hosts(self, more: list[Host] | None = None) -> None:
+        """Give every router the host list."""
+        for name in self.tables:
+            router = self.nodes[name]
+            assert isinstance(router, RouterNode)
+            router.take_hosts([*self.hosts.values(), *(more or [])])
+
+    def mark(self, name: str, state: HostState) -> None:
+        """Change a host's state on the list."""
+        self.hosts[name] = attrs.evolve(self.hosts[name], state=state)
+
+    def usable(self, router: str) -> set[str]:
+        """:return: agents that the router may place work on and has a report of"""
+        entries = self.tables[router].entries.values()
+        return {entry.name for entry in entries if entry.accepts_work() and entry.load}
+
+    async def close(self) -> None:
+        """Close every node."""
+        for node in self.nodes.values():
+            await node.close()
+
+    def _pages_of(self, name: str) -> MemoryPages:
+        on_taken = None if self.on_page is None else lambda: self.on_page(name)  # type: ignore[misc]
+        self.pages[name] = MemoryPages(self.page_bytes, on_taken)
+        return self.pages[name]
+
+    async def _start(self, name: str, index: int, node: ControlNode, role: str) -> None:
+        await node.start()
+        self.nodes[name] = node
+        self.hosts[name] = Host(
+            name=name,
+            role=role,
+            address=LOOPBACK,
+            data_port=1,
+            control_port=node.port,
+            failure_domain=f"domain-{index % self.domains}",
+            group=GROUP if role == "agent" else "",
+        )
+
+    def _settings(self, role: Role, name: str, index: int, port: int) -> Settings:
+        backend = BackendSettings(name=name, group=GROUP, kind=BackendKind.ENGINE, url="http://x")
+        return Settings(
+            role=role,
+            name=name,
+            failure_domain=f"domain-{index % self.domains}",
+            control=ControlSettings(key="bench", port=port),
+            operator=OperatorSettings(key="bench"),
+            platform=PlatformSettings(store_url="", host_list_url=""),
+            placement=PlacementSettings(subset_size=self.subset_size),
+            backend=backend if role is Role.AGENT else None,
+            seed=1,
+        )
+
+
+async def until(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(WAIT_S):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
+
+
+__all__ = ["BusyAgent", "MemoryPages", "NodeFleet", "Page", "until"]
--- a/src/boragetiller/control/connection.py
+++ b/src/boragetiller/control/connection.py
@@ -33,10 +33,14 @@
         """Tell that the handshake is done."""
         ...
 
-    def on_received(self, connection: Connection, message: Message, size_bytes: int) -> None:
+    def on_received(self, connection: Connection, message: Message) -> None:
         """Hand over a message."""
         ...
 
+    def on_bytes(self, size_bytes: int) -> None:
+        """Count bytes that arrived."""
+        ...
+
     def on_closed(self, connection: Connection, error: ControlError | None) -> None:
         """Tell that the connection is closed, and why when this side closed it for a fault."""
         ...
@@ -75,6 +79,7 @@
     def data_received(self, data: bytes) -> None:
         """See :class:`asyncio.Protocol`."""
         self._heard_ms = self._clock.now_ms()
+        self._owner.on_bytes(len(data))
         was_authenticated = self.session.authenticated
         try:
             messages = self.session.receive(data)
@@ -86,7 +91,7 @@
             self._owner.on_authenticated(self)
         for message in messages:
             if self._error is None:
-                self._owner.on_received(self, message, len(data) // len(messages))
+                self._owner.on_received(self, message)
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         """See :class:`asyncio.Protocol`."""
--- a/src/boragetiller/control/exchange.py
+++ b/src/boragetiller/control/exchange.py
@@ -177,7 +177,8 @@
         except FrameTooLarge:
             self._metrics.increment("control.not_sent.frame_too_large")
             return False
-        self._count("sent", message, size_bytes)
+        self.traffic[f"sent.{type(message).__name__}"] += 1
+        self.traffic["sent_bytes"] += size_bytes
         return size_bytes > 0
 
     def broadcast(self, message: Message) -> int:
@@ -210,12 +211,16 @@
         log_event(Event.CONTROL_CONNECTED, peer=peer.name, incarnation=peer.incarnation)
         self._handler.on_connected(peer)
 
-    def on_received(self, connection: Connection, message: Message, size_bytes: int) -> None:
+    def on_bytes(self, size_bytes: int) -> None:
+        """See :class:`ConnectionOwner`."""
+        self.traffic["received_bytes"] += size_bytes
+
+    def on_received(self, connection: Connection, message: Message) -> None:
         """See :class:`ConnectionOwner`."""
         peer = _peer_of(connection)
         if self._by_name.get(peer.name) is not connection:
             return
-        self._count("received", message, size_bytes)
+        self.traffic[f"received.{type(message).__name__}"] += 1
         self._handler.on_message(peer, message)
 
     def on_closed(self, connection: Connection, error: ControlError | None) -> None:
@@ -264,11 +269,6 @@
             self.send(name, Goodbye(reason="not_needed"))
             connection.close()
 
-    def _count(self, direction: str, message: Message, size_bytes: int) -> None:
-        kind = type(message).__name__
-        self.traffic[f"{direction}.{kind}"] += 1
-        self.traffic[f"{direction}_bytes.{kind}"] += size_bytes
-
     async def _check_timeouts(self) -> None:
         while True:
             await asyncio.sleep(self._settings.heartbeat_ms / MS_PER_S)
