--- a/src/boragetiller/control/codec.py
+++ b/src/boragetiller/control/codec.py
@@ -31,7 +31,9 @@
 
 MAX_UNPACKED_BYTES = 4_194_304
 WORD_BYTES = 8
-FIRST_SEGMENT_WORDS = 4_096
+REPORT_WORDS = 64
+STRIKE_WORDS = 64
+OTHER_WORDS = 4_096
 SEGMENT_COUNT_MASK = 0x0F  # of the first packing tag: bytes of the segment count less 1
 TENTHS_PER_MS = 10
 MILLIONTHS = 1_000_000
@@ -50,8 +52,7 @@
     :raises FrameTooLarge: the message does not fit into one segment
     """
     name, value = _to_capnp(message)
-    body_bytes = len(message.body) if isinstance(message, PageResponse) else 0
-    words = FIRST_SEGMENT_WORDS + body_bytes // WORD_BYTES
+    words = _first_segment_words(message)
     envelope = _SCHEMA.Envelope.new_message(num_first_segment_words=words, **{name: value})
     data: bytes = envelope.to_bytes_packed()
     if not _has_one_segment(data):
@@ -219,6 +220,15 @@
     }
 
 
+def _first_segment_words(message: Message) -> int:
+    if isinstance(message, Report):
+        items = len(message.owned_shards or ()) + len(message.strikes) * STRIKE_WORDS
+        return REPORT_WORDS + items
+    if isinstance(message, PageResponse):
+        return OTHER_WORDS + len(message.body) // WORD_BYTES
+    return OTHER_WORDS
+
+
 def _has_one_segment(data: bytes) -> bool:
     # The library ends the process when a frame of several segments is cut short.
     return len(data) > 0 and data[0] & SEGMENT_COUNT_MASK == 0
--- a/src/boragetiller/control/connection.py
+++ b/src/boragetiller/control/connection.py
@@ -98,17 +98,17 @@
         self.closed.set()
         self._owner.on_closed(self, self._error)
 
-    def send(self, message: Message) -> int:
+    def send(self, payload: bytes) -> int:
         """
-        Send a message; a peer that does not read loses its connection.
+        Send an encoded message; a peer that does not read loses its connection.
 
-        :param message: the message
+        :param payload: the message
         :return: bytes written
         :raises FrameTooLarge: it is over the limit; nothing was sent
         """
         if self._transport is None or self._transport.is_closing():
             return 0
-        self.session.send(message)
+        self.session.send_payload(payload)
         if self._transport.get_write_buffer_size() > 2 * self._settings.max_frame_bytes:
             self.abort(PeerSlow())
             return 0
--- a/src/boragetiller/control/exchange.py
+++ b/src/boragetiller/control/exchange.py
@@ -27,6 +27,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from boragetiller.control.client import PeerClient
+from boragetiller.control.codec import encode
 from boragetiller.control.connection import Connection
 from boragetiller.control.errors import ControlError, FrameTooLarge, TooManyHandshakes
 from boragetiller.control.messages import Goodbye, Hello
@@ -169,17 +170,7 @@
         :param message: the message
         :return: whether it was handed to a connection
         """
-        connection = self._by_name.get(name)
-        if connection is None:
-            return False
-        try:
-            size_bytes = connection.send(message)
-        except FrameTooLarge:
-            self._metrics.increment("control.not_sent.frame_too_large")
-            return False
-        self.traffic[f"sent.{type(message).__name__}"] += 1
-        self.traffic["sent_bytes"] += size_bytes
-        return size_bytes > 0
+        return self.send_all([name], message) == 1
 
     def broadcast(self, message: Message) -> int:
         """
@@ -188,7 +179,29 @@
         :param message: the message
         :return: how many peers it went to
         """
-        return sum(self.send(name, message) for name in list(self._by_name))
+        return self.send_all(list(self._by_name), message)
+
+    def send_all(self, names: list[str], message: Message) -> int:
+        """
+        Send a message to several peers.
+
+        :param names: the peers; those that are not connected are passed over
+        :param message: the message
+        :return: how many peers it went to
+        """
+        connections = [self._by_name[name] for name in names if name in self._by_name]
+        if not connections:
+            return 0
+        try:
+            payload = encode(message)
+            sizes = [connection.send(payload) for connection in connections]
+        except FrameTooLarge:
+            self._metrics.increment("control.not_sent.frame_too_large")
+            return 0
+        count = sum(size_bytes > 0 for size_bytes in sizes)
+        self.traffic[f"sent.{type(message).__name__}"] += count
+        self.traffic["sent_bytes"] += sum(sizes)
+        return count
 
     def on_opened(self, connection: Connection) -> None:
         """See :class:`ConnectionOwner`."""
--- a/src/boragetiller/control/node.py
+++ b/src/boragetiller/control/node.py
@@ -28,7 +28,7 @@
 
 import asyncio
 import contextlib
-from functools import singledispatchmethod
+from functools import singledispatch
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -57,7 +57,7 @@
     from boragetiller.settings import Settings
 
 MS_PER_S = 1_000
-MIN_BEAT_SHARE = 0.9  # heartbeats of many nodes must not fall into step
+BEAT_JITTER_SHARE = 0.1  # heartbeats of many nodes must not fall into step
 
 
 class ControlNode:
@@ -142,47 +142,7 @@
 
     def on_message(self, peer: Hello, message: Message) -> None:
         """See :class:`ControlHandler`."""
-        self._take(message, peer)
-
-    @singledispatchmethod
-    def _take(self, message: Message, peer: Hello) -> None:  # noqa: ARG002
-        self._metrics.increment(f"control.ignored.{type(message).__name__}")
-
-    @_take.register
-    def _(self, message: Report, peer: Hello) -> None:
-        self._pages.on_digest(peer.name, message.pages_digest)
-        if message.strikes:
-            self._strikes.on_strikes(peer.name, message.strikes)
-        self._take_report(peer, message)
-
-    @_take.register
-    def _(self, message: PageVersions, peer: Hello) -> None:
-        self._pages.on_versions(peer.name, message)
-
-    @_take.register
-    def _(self, message: PageRequest, peer: Hello) -> None:
-        self._pages.on_request(peer.name, message)
-
-    @_take.register
-    def _(self, message: PageResponse, peer: Hello) -> None:
-        if self._pages.on_response(peer.name, message):
-            self.config_changed()
-
-    @_take.register
-    def _(self, message: StrikeList, peer: Hello) -> None:
-        self._strikes.on_strikes(peer.name, message.strikes)
-
-    @_take.register
-    def _(self, message: ShareRequest, peer: Hello) -> None:
-        self._take_share_request(peer, message)
-
-    @_take.register
-    def _(self, message: ShareGrant, peer: Hello) -> None:
-        self._take_share_grant(peer, message)
-
-    @_take.register
-    def _(self, message: Goodbye, peer: Hello) -> None:
-        self._take_goodbye(peer, message)
+        _take(message, self, peer)
 
     def _after_connected(self, peer: Hello) -> None:
         """Act on a new connection."""
@@ -209,7 +169,7 @@
         while True:
             self._pages.request_missing()
             self._beat()
-            share = MIN_BEAT_SHARE + (1 - MIN_BEAT_SHARE) * self._rng.random()
+            share = self._rng.uniform(1 - BEAT_JITTER_SHARE, 1 + BEAT_JITTER_SHARE)
             await asyncio.sleep(self._settings.heartbeat_ms * share / MS_PER_S)
 
     async def _run_announcements(self) -> None:
@@ -277,4 +237,53 @@
         )
 
 
+@singledispatch
+def _take(message: Message, node: ControlNode, peer: Hello) -> None:
+    raise TypeError(f"{type(message).__name__} from {peer.name} for {node}")
+
+
+@_take.register
+def _(message: Report, node: ControlNode, peer: Hello) -> None:
+    node._pages.on_digest(peer.name, message.pages_digest)
+    if message.strikes:
+        node._strikes.on_strikes(peer.name, message.strikes)
+    node._take_report(peer, message)
+
+
+@_take.register
+def _(message: PageVersions, node: ControlNode, peer: Hello) -> None:
+    node._pages.on_versions(peer.name, message)
+
+
+@_take.register
+def _(message: PageRequest, node: ControlNode, peer: Hello) -> None:
+    node._pages.on_request(peer.name, message)
+
+
+@_take.register
+def _(message: PageResponse, node: ControlNode, peer: Hello) -> None:
+    if node._pages.on_response(peer.name, message):
+        node.config_changed()
+
+
+@_take.register
+def _(message: StrikeList, node: ControlNode, peer: Hello) -> None:
+    node._strikes.on_strikes(peer.name, message.strikes)
+
+
+@_take.register
+def _(message: ShareRequest, node: ControlNode, peer: Hello) -> None:
+    node._take_share_request(peer, message)
+
+
+@_take.register
+def _(message: ShareGrant, node: ControlNode, peer: Hello) -> None:
+    node._take_share_grant(peer, message)
+
+
+@_take.register
+def _(message: Goodbye, node: ControlNode, peer: Hello) -> None:
+    node._take_goodbye(peer, message)
+
+
 __all__ = ["AgentNode", "ControlNode"]
--- a/src/boragetiller/control/router_node.py
+++ b/src/boragetiller/control/router_node.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
 
 from boragetiller.control.client import Peer
 from boragetiller.control.messages import Goodbye, Hello, Report, ShareGrant, ShareRequest
-from boragetiller.control.node import ControlNode
+from boragetiller.control.node import MS_PER_S, ControlNode
 from boragetiller.control.shares import ShareExchange
 from boragetiller.events import Event, log_event
 from boragetiller.platform.hosts import HostState
@@ -35,7 +36,8 @@
     from boragetiller.tables.agents import AgentTable
     from boragetiller.tables.members import Member
 
-BEATS_BETWEEN_REPORTS = 2  # routers need less of each other and agents of routers
+BEATS_PER_AGENT_REPORT = 4  # agents need little from routers
+CHECKS_PER_BEAT = 4
 NOT_NEEDED = "not_needed"
 
 
@@ -86,6 +88,11 @@
                 ports.lender, settings.control, self.exchange.send, clock, self._rng
             )
 
+    async def start(self) -> None:
+        """Listen, and begin to send heartbeats, announcements and to watch for silence."""
+        await super().start()
+        self._tasks.append(asyncio.create_task(self._run_checks()))
+
     def take_hosts(self, hosts: Iterable[Host]) -> None:
         """
         Take a reading of the host list.
@@ -200,11 +207,21 @@
 
     def _beat(self) -> None:
         self.refresh()
-        if self._beats % BEATS_BETWEEN_REPORTS == 0:
-            self.exchange.broadcast(Report(pages_digest=self._pages.digest))
+        report = Report(pages_digest=self._pages.digest)
+        routers = self._connected_routers()
+        if self._beats % BEATS_PER_AGENT_REPORT == 0:
+            self.exchange.broadcast(report)
+        else:
+            self.exchange.send_all(routers, report)
         self._beats += 1
         if self._shares is not None:
-            self._shares.ask(self._connected_routers())
+            self._shares.ask(routers)
+
+    async def _run_checks(self) -> None:
+        while True:
+            await asyncio.sleep(self._settings.heartbeat_ms / CHECKS_PER_BEAT / MS_PER_S)
+            if membership.has_fallen_silent(self.members, self._settings, self._clock.now_ms()):
+                self.refresh()
 
     def _connected_routers(self) -> list[str]:
         return [
--- a/src/boragetiller/control/session.py
+++ b/src/boragetiller/control/session.py
@@ -80,7 +80,15 @@
         :param message: the message
         :raises FrameTooLarge: it is over the limit; nothing was queued
         """
-        payload = encode(message)
+        self.send_payload(encode(message))
+
+    def send_payload(self, payload: bytes) -> None:
+        """
+        Queue a message that is encoded already.
+
+        :param payload: the encoded message
+        :raises FrameTooLarge: it is over the limit; nothing was queued
+        """
         if len(payload) + MAC_BYTES > self._settings.max_frame_bytes:
             raise FrameTooLarge
         self._append_frame(payload + _frame_mac(self._send_key, self._sent, payload))
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -68,7 +68,7 @@
     port: int = attrs.field(default=0, validator=_PORT)
     key: str = attrs.field(repr=False)
     heartbeat_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
-    suspect_after_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
+    suspect_after_ms: int = attrs.field(default=2_500, validator=_POSITIVE)
     max_frame_bytes: int = attrs.field(default=2_000_000, validator=_POSITIVE)
     reconnect_base_ms: int = attrs.field(default=200, validator=_POSITIVE)
     reconnect_max_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
--- a/src/boragetiller/systems/membership.py
+++ b/src/boragetiller/systems/membership.py
@@ -164,6 +164,22 @@
     return changes
 
 
+def has_fallen_silent(table: MemberTable, settings: ControlSettings, now_ms: int) -> bool:
+    """
+    Tell cheaply whether a live member is due to be suspected.
+
+    :param table: members of this node
+    :param settings: timeouts
+    :param now_ms: monotonic time in milliseconds
+    :return: whether :func:`refresh` would change its state
+    """
+    oldest_ms = now_ms - settings.suspect_after_ms
+    return any(
+        member.heard_ms <= oldest_ms and member.state is MemberState.LIVE
+        for member in table.members.values()
+    )
+
+
 def _is_doubtful(
     table: MemberTable, listed: dict[str, Host], settings: ControlSettings, now_ms: int
 ) -> bool:
@@ -218,6 +234,7 @@
 
 __all__ = [
     "apply_host_list",
+    "has_fallen_silent",
     "note_connected",
     "note_goodbye",
     "note_lost",
--- a/tests/control/test_codec.py
+++ b/tests/control/test_codec.py
@@ -105,7 +105,8 @@
     def test_large_messages_fit_one_segment(self) -> None:
         page = PageResponse(index=0, revision=1, body=bytes(range(251)) * 4_000)
         strikes = StrikeList(strikes=(STRIKE,) * 500)
-        for message in (page, strikes):
+        report = Report(owned_shards=tuple(range(4_000)), strikes=(STRIKE,) * 500)
+        for message in (page, strikes, report):
             self.assertEqual(decode(encode(message)), message)
 
     @settings(derandomize=True, max_examples=400, deadline=None)
--- a/tests/systems/test_membership.py
+++ b/tests/systems/test_membership.py
@@ -10,6 +10,7 @@
 from boragetiller.settings import ControlSettings
 from boragetiller.systems.membership import (
     apply_host_list,
+    has_fallen_silent,
     note_connected,
     note_goodbye,
     note_lost,
@@ -64,8 +65,11 @@
         self.assertEqual(self._beat(self.names, 1_000), [])
 
     def test_silent_host_is_suspected_and_returns(self) -> None:
+        self.assertFalse(has_fallen_silent(self.table, SETTINGS, 2 * HEARTBEAT_MS))
         for now_ms in range(HEARTBEAT_MS, 4 * HEARTBEAT_MS, HEARTBEAT_MS):
+            silent = has_fallen_silent(self.table, SETTINGS, now_ms)
             changes = self._beat(self.names[1:], now_ms)
+            self.assertEqual(silent, bool(changes))
         self.assertEqual(changes, [StateChange("agent-0", MemberState.LIVE, MemberState.SUSPECTED)])
         self.assertEqual(self._candidates(), self.names[1:])
         self._beat(self.names, 4 * HEARTBEAT_MS)
