--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -175,6 +175,17 @@
         return self.load_timeout_ms + self.lease_ttl_ms + self.delivery_ms
 
 
+@attrs.frozen(kw_only=True)
+class ConfigSettings:
+    """How a process keeps its configuration up to date."""
+
+    retry_base_ms: int = attrs.field(default=100, validator=_POSITIVE)
+    retry_max_ms: int = attrs.field(default=2_000, validator=_POSITIVE)
+    watch_restart_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
+    peer_silence_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
+    peer_wait_ms: int = attrs.field(default=1_500, validator=_POSITIVE)
+
+
 @attrs.frozen(kw_only=True)
 class BackendSettings:
     """The backend server that an agent stands beside."""
@@ -205,6 +216,7 @@
     placement: PlacementSettings = PlacementSettings()
     admission: AdmissionSettings = AdmissionSettings()
     orders: OrderSettings = OrderSettings()
+    config: ConfigSettings = ConfigSettings()
     backend: BackendSettings | None = None
     seed: int | None = None
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
@@ -239,6 +251,7 @@
     "AdmissionSettings",
     "BackendKind",
     "BackendSettings",
+    "ConfigSettings",
     "ControlSettings",
     "LimitSettings",
     "ListenSettings",
