--- a/spec/lease_fencing.py
+++ b/spec/lease_fencing.py
@@ -1,16 +1,13 @@
 """
-Orders to an engine under a lease, and weight loads under slots, for minicheck.
+Orders to an engine under a lease, for minicheck.
 
-Lease model. Two processes want to give orders to one engine. Each may pause at any step (time
+Two processes want to give orders to one engine. Each may pause at any step (time
 then passes without it), restart, and lose a reply of the store. Time is kept as what is left or
 has passed, in ticks, so pauses may be of any length. A sent order arrives within `DELIVERY` ticks.
 The engine either honours fencing numbers or ignores them.
 
-Slot model. Two engines share one slot for weight loads. A load ends at latest `DELIVERY + LOAD`
-ticks after its order, also when the process that ordered it is paused or gone.
-
 Invariants: orders run in the order of their numbers; no order runs once another process was
-granted the lease; no more loads run at once than there are slots. Bound: `MAX_GRANTS` leases.
+granted the lease. Bound: `MAX_GRANTS` leases.
 
     python -m spec.lease_fencing
 """
@@ -19,9 +16,11 @@
 
 import sys
 from enum import Enum
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+from minicheck import Protocol
 
-from minicheck import Protocol, check_safety
+from spec.checking import report
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -29,9 +28,6 @@
 TTL = 3
 DELIVERY = 1
 MAX_GRANTS = 3
-LOAD = 2
-SLOT_TTL = 5
-MAX_STATES = 500_000
 NONE = -1
 GONE = 2  # added to the index of a process that held the lease and was restarted
 PROCESSES = (0, 1)
@@ -45,8 +41,6 @@
     NO_DELIVERY_TIME = "the time that an order is on its way is not allowed for"
     LAST_MOMENT = "an order may arrive at the very moment when the lease ends"
     OLD_NUMBER = "a new lease is used with the number of the first one"
-    SHORT_SLOT = "a slot is only checked to be held when the load begins"
-    SLOT_FREED_EARLY = "a slot is released when its holder loses sight of the load"
 
 
 class Holder(NamedTuple):
@@ -178,86 +172,6 @@
     return state._replace(holders=holders)
 
 
-class Loader(NamedTuple):
-    """One engine and its agent: what is left of its slot as the agent knows, and its load."""
-
-    valid_left: int = 0
-    load_left: int = NONE
-
-
-class SlotState(NamedTuple):
-    """Everything at one moment."""
-
-    slot_holder: int = NONE
-    slot_left: int = 0
-    loaders: tuple[Loader, Loader] = (Loader(), Loader())
-
-
-def slot_covers(loader: Loader, mistake: Mistake | None = None) -> bool:
-    """:return: whether a load may begin now"""
-    if mistake is Mistake.SHORT_SLOT:
-        return loader.valid_left > 0
-    return loader.valid_left > DELIVERY + LOAD
-
-
-def slot_steps(
-    state: SlotState, *, mistake: Mistake | None = None
-) -> Iterator[tuple[str, SlotState]]:
-    """
-    List what can happen next.
-
-    :param state: the present state
-    :param mistake: seeded mistake, if any
-    :return: labels and next states
-    """
-    if all(loader.load_left != 0 for loader in state.loaders):
-        first, second = state.loaders
-        left = max(0, state.slot_left - 1)
-        loaders = (_later(first), _later(second))
-        yield "tick", state._replace(slot_left=left, loaders=loaders)
-    for index in PROCESSES:
-        yield from _slot_steps_of(state, index, mistake)
-
-
-def _slot_steps_of(
-    state: SlotState, index: int, mistake: Mistake | None
-) -> Iterator[tuple[str, SlotState]]:
-    loader = state.loaders[index]
-    if loader.load_left != NONE:
-        yield f"end {index}", _released(state, index, Loader())
-        unseen = Loader(load_left=loader.load_left)
-        early = mistake is Mistake.SLOT_FREED_EARLY
-        after = _released(state, index, unseen) if early else _with_loader(state, index, unseen)
-        yield f"lose {index}", after
-        return
-    if state.slot_left == 0 and loader.valid_left == 0:
-        taken = state._replace(slot_holder=index, slot_left=SLOT_TTL)
-        for delay in (0, 1):  # how long ago the slot was asked for when the reply comes
-            held = Loader(valid_left=SLOT_TTL - delay)
-            yield f"take {index} {delay}", _with_loader(taken, index, held)
-    if slot_covers(loader, mistake):
-        begun = loader._replace(load_left=DELIVERY + LOAD)
-        yield f"load {index}", _with_loader(state, index, begun)
-    if loader.valid_left:
-        yield f"restart {index}", _with_loader(state, index, Loader())
-
-
-def _later(loader: Loader) -> Loader:
-    load_left = loader.load_left if loader.load_left == NONE else loader.load_left - 1
-    return Loader(valid_left=max(0, loader.valid_left - 1), load_left=load_left)
-
-
-def _released(state: SlotState, index: int, loader: Loader) -> SlotState:
-    after = _with_loader(state, index, loader)
-    still_held = state.slot_holder == index and state.loaders[index].valid_left > 0
-    return after._replace(slot_holder=NONE, slot_left=0) if still_held else after
-
-
-def _with_loader(state: SlotState, index: int, loader: Loader) -> SlotState:
-    loaders = (loader, state.loaders[1]) if index == 0 else (state.loaders[0], loader)
-    return state._replace(loaders=loaders)
-
-
 def lease_model(*, honours: bool, mistake: Mistake | None = None) -> Protocol:
     """
     Build the lease model.
@@ -282,74 +196,15 @@
     )
 
 
-def slot_model(mistake: Mistake | None = None) -> Protocol:
-    """
-    Build the slot model.
-
-    :param mistake: seeded mistake, if any
-    :return: the model
-    """
-    return Protocol(
-        name="slots",
-        candidate=False,
-        fields=("state",),
-        initial=(SlotState(),),
-        transitions=lambda s: [
-            (label, (after,)) for label, after in slot_steps(s[0], mistake=mistake)
-        ],
-        invariants={"one load at once": lambda d: _loads(d["state"]) <= 1},
-    )
-
-
-def _loads(state: SlotState) -> int:
-    return sum(loader.load_left != NONE for loader in state.loaders)
-
-
-def violated(model: Protocol) -> tuple[list[str], int]:
-    """
-    Check a model.
-
-    :param model: the model
-    :return: names of the invariants that do not hold, and the number of states
-    :raises RuntimeError: the search was not exhaustive and found nothing
-    """
-    result: dict[str, Any] = check_safety(model, max_states=MAX_STATES)
-    names = [name for name, found in result["properties"].items() if found["holds"] is False]
-    if not names and not result["exhaustive"]:
-        raise RuntimeError("the search was not exhaustive")
-    return names, result["reachable_states"]
-
-
-def main() -> int:
-    """
-    Check the models and print what was found.
-
-    :return: process exit code
-    """
-    failed = 0
-    for model in (lease_model(honours=True), lease_model(honours=False), slot_model()):
-        names, states = violated(model)
-        failed += bool(names)
-        print(f"{model.name}: {states} states, violated: {names or 'none'}")
-    return 1 if failed else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(report([lease_model(honours=True), lease_model(honours=False)]))
 
 __all__ = [
     "DELIVERY",
-    "LOAD",
-    "SLOT_TTL",
     "TTL",
     "LeaseState",
     "Mistake",
-    "SlotState",
     "lease_model",
     "lease_steps",
     "may_send",
-    "slot_covers",
-    "slot_model",
-    "slot_steps",
-    "violated",
 ]
--- /dev/null
+++ b/spec/weight_slots.py
@@ -0,0 +1,159 @@
+"""
+Weight loads under fleet-wide slots, for minicheck.
+
+Two engines share one slot, which is a lease of the store. A load ends at latest `DELIVERY + LOAD`
+ticks after its order, also when the process that ordered it is paused, restarted, or has lost sight
+of it. Time is kept as what is left, in ticks, so pauses may be of any length.
+
+Invariant: no more loads run at once than there are slots.
+
+    python -m spec.weight_slots
+"""
+
+from __future__ import annotations
+
+import sys
+from enum import Enum
+from typing import TYPE_CHECKING, NamedTuple
+
+from minicheck import Protocol
+
+from spec.checking import report
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+DELIVERY = 1
+LOAD = 2
+SLOT_TTL = 5
+NONE = -1
+PROCESSES = (0, 1)
+
+
+class Mistake(Enum):
+    """Seeded mistakes; the checker must find each."""
+
+    SHORT_SLOT = "a slot is only checked to be held when the load begins"
+    SLOT_FREED_EARLY = "a slot is released when its holder loses sight of the load"
+
+
+class Loader(NamedTuple):
+    """One engine and its agent: what is left of its slot as the agent knows, and its load."""
+
+    valid_left: int = 0
+    load_left: int = NONE
+
+
+class SlotState(NamedTuple):
+    """Everything at one moment."""
+
+    slot_holder: int = NONE
+    slot_left: int = 0
+    loaders: tuple[Loader, Loader] = (Loader(), Loader())
+
+
+def slot_covers(loader: Loader, mistake: Mistake | None = None) -> bool:
+    """:return: whether a load may begin now"""
+    if mistake is Mistake.SHORT_SLOT:
+        return loader.valid_left > 0
+    return loader.valid_left > DELIVERY + LOAD
+
+
+def slot_steps(
+    state: SlotState, *, mistake: Mistake | None = None
+) -> Iterator[tuple[str, SlotState]]:
+    """
+    List what can happen next.
+
+    :param state: the present state
+    :param mistake: seeded mistake, if any
+    :return: labels and next states
+    """
+    if all(loader.load_left != 0 for loader in state.loaders):
+        first, second = state.loaders
+        left = max(0, state.slot_left - 1)
+        loaders = (_later(first), _later(second))
+        yield "tick", state._replace(slot_left=left, loaders=loaders)
+    for index in PROCESSES:
+        yield from _slot_steps_of(state, index, mistake)
+
+
+def _slot_steps_of(
+    state: SlotState, index: int, mistake: Mistake | None
+) -> Iterator[tuple[str, SlotState]]:
+    loader = state.loaders[index]
+    if loader.load_left != NONE:
+        yield f"end {index}", _released(state, index, Loader())
+        unseen = Loader(load_left=loader.load_left)
+        early = mistake is Mistake.SLOT_FREED_EARLY
+        after = _released(state, index, unseen) if early else _with_loader(state, index, unseen)
+        yield f"lose {index}", after
+        return
+    if state.slot_left == 0 and loader.valid_left == 0:
+        taken = state._replace(slot_holder=index, slot_left=SLOT_TTL)
+        for delay in (0, 1):  # how long ago the slot was asked for when the reply comes
+            held = Loader(valid_left=SLOT_TTL - delay)
+            yield f"take {index} {delay}", _with_loader(taken, index, held)
+    if slot_covers(loader, mistake):
+        begun = loader._replace(load_left=DELIVERY + LOAD)
+        yield f"load {index}", _with_loader(state, index, begun)
+    if loader.valid_left:
+        yield f"restart {index}", _with_loader(state, index, Loader())
+
+
+def _later(loader: Loader) -> Loader:
+    load_left = loader.load_left if loader.load_left == NONE else loader.load_left - 1
+    return Loader(valid_left=max(0, loader.valid_left - 1), load_left=load_left)
+
+
+def _released(state: SlotState, index: int, loader: Loader) -> SlotState:
+    after = _with_loader(state, index, loader)
+    still_held = state.slot_holder == index and state.loaders[index].valid_left > 0
+    return after._replace(slot_holder=NONE, slot_left=0) if still_held else after
+
+
+def _with_loader(state: SlotState, index: int, loader: Loader) -> SlotState:
+    loaders = (loader, state.loaders[1]) if index == 0 else (state.loaders[0], loader)
+    return state._replace(loaders=loaders)
+
+
+def slot_model(mistake: Mistake | None = None) -> Protocol:
+    """
+    Build the slot model.
+
+    :param mistake: seeded mistake, if any
+    :return: the model
+    """
+    return Protocol(
+        name="slots",
+        candidate=False,
+        fields=("state",),
+        initial=(SlotState(),),
+        transitions=lambda s: [
+            (label, (after,)) for label, after in slot_steps(s[0], mistake=mistake)
+        ],
+        invariants={"one load at once": lambda d: _loads(d["state"]) <= 1},
+    )
+
+
+def _loads(state: SlotState) -> int:
+    return sum(loader.load_left != NONE for loader in state.loaders)
+
+
+def _loads(state: SlotState) -> int:
+    return sum(loader.load_left != NONE for loader in state.loaders)
+
+
+if __name__ == "__main__":
+    sys.exit(report([slot_model()]))
+
+__all__ = [
+    "DELIVERY",
+    "LOAD",
+    "SLOT_TTL",
+    "Mistake",
+    "SlotState",
+    "slot_covers",
+    "slot_model",
+    "slot_steps",
+]
--- a/src/boragetiller/standin/engine.py
+++ b/src/boragetiller/standin/engine.py
@@ -4,18 +4,18 @@
 
 import asyncio
 import contextlib
-from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
-import attrs
 import fire
 from aiohttp import web
 
 from boragetiller.clock import SystemClock
 from boragetiller.standin.engine_answers import DONE, AnswerFormat
+from boragetiller.standin.engine_controls import EngineControls, error_response
 from boragetiller.standin.engine_model import EngineModel, EngineModelSettings, Sequence
-from boragetiller.standin.engine_orders import EngineState, OrderDesk, OrderRefused
+from boragetiller.standin.engine_orders import EngineState, OrderDesk
+from boragetiller.standin.engine_settings import EngineSettings, Ledger
 from boragetiller.standin.engine_text import (
     answer_tokens,
     body_digest,
@@ -31,32 +31,6 @@
 MAX_BODY_BYTES = 8_000_000
 
 
-@attrs.frozen(kw_only=True)
-class EngineSettings:
-    """How a stand-in engine behaves."""
-
-    listen: Address = Address()
-    models: tuple[str, ...] = ("kopar-1",)
-    model: EngineModelSettings = EngineModelSettings()
-    poison_marker: str = "POISON"
-    restart_ms: int = 1_000
-    load_ms: int = 50
-    honours_fencing: bool = True
-    order_key: str | None = attrs.field(default=None, repr=False)
-    weight_store_url: str | None = None
-
-
-@attrs.define
-class Ledger:
-    """What was really executed."""
-
-    by_request_id: Counter[str] = attrs.Factory(Counter)
-    by_body: Counter[str] = attrs.Factory(Counter)
-    crashes: int = 0
-    cancelled: int = 0
-    bad_resumes: int = 0
-
-
 class _Poisoned(Exception):
     """A prompt crashes the engine."""
 
@@ -74,10 +48,10 @@
         self.ledger = Ledger()
         self.state = EngineState(models=list(settings.models))
         self.model = EngineModel(settings.model, clock or SystemClock(), self._on_start)
-        self._settings = settings
-        self._sequences: dict[str, Sequence] = {}
+        self.settings = settings
+        self.sequences: dict[str, Sequence] = {}
         self._bodies: dict[Sequence, str] = {}
-        self._desk = OrderDesk(
+        self.desk = OrderDesk(
             self.state,
             settings.load_ms,
             honours_fencing=settings.honours_fencing,
@@ -122,21 +96,21 @@
 
     async def _crash(self) -> None:
         self.ledger.crashes += 1
-        for sequence in self._sequences.values():
+        for sequence in self.sequences.values():
             sequence.cancelled = True
         await self._web.go_down()
         self.model.drop_all()
-        self.state.models = list(self._settings.models)
+        self.state.models = list(self.settings.models)
         self.state.adapters = []
         self._restart.clear()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._restart.wait(), self._settings.restart_ms / 1_000)
+            await asyncio.wait_for(self._restart.wait(), self.settings.restart_ms / 1_000)
         await self._web.come_up()
 
     def _on_start(self, sequence: Sequence) -> None:
         self.ledger.by_request_id[sequence.request_id] += 1
         self.ledger.by_body[self._bodies[sequence]] += 1
-        if self._settings.poison_marker in sequence.prompt:
+        if self.settings.poison_marker in sequence.prompt:
             raise _Poisoned
 
     def _build_app(self) -> web.Application:
@@ -145,14 +119,7 @@
             [
                 web.post("/v1/chat/completions", self._complete),
                 web.post("/v1/completions", self._complete),
-                web.get("/v1/models", self._models),
-                web.post("/cancel", self._cancel),
-                web.get("/load", self._load),
-                web.get("/cache_events", self._cache_events),
-                web.post("/orders", self._order),
-                web.get("/orders", self._order_state),
-                web.get("/ledger", self._show_ledger),
-                web.post("/faults", self._faults),
+                *EngineControls(self).routes(),
             ]
         )
         return app
@@ -162,9 +129,9 @@
             body = await request.json()
             sequence = self._build_sequence(request, body)
         except (ValueError, TypeError, KeyError, AttributeError) as error:
-            return _error(400, str(error))
+            return error_response(400, str(error))
         if self.state.models and body.get("model") not in self.state.models:
-            return _error(404, f"model {body.get('model')} is not loaded")
+            return error_response(404, f"model {body.get('model')} is not loaded")
         answer = AnswerFormat(
             request_id=sequence.request_id,
             model=str(body.get("model")),
@@ -172,7 +139,7 @@
             finish_reason="length" if "max_tokens" in body else "stop",
             prompt_tokens=sequence.prompt_tokens,
         )
-        self._sequences[sequence.request_id] = sequence
+        self.sequences[sequence.request_id] = sequence
         self._bodies[sequence] = body_digest(body)
         self.model.submit(sequence)
         try:
@@ -180,7 +147,7 @@
                 return await self._stream(request, body, sequence, answer)
             return await self._answer_whole(sequence, answer)
         except ConnectionResetError:
-            return _error(499, "the caller left")
+            return error_response(499, "the caller left")
         finally:
             self._end(sequence)
 
@@ -212,7 +179,7 @@
         while first_index < sequence.total_tokens and (part := await sequence.tokens.get()):
             parts.append(part)
         if sequence.cancelled:
-            return _error(499, "cancelled")
+            return error_response(499, "cancelled")
         return web.json_response(answer.whole("".join(parts), sequence.next_index))
 
     async def _stream(
@@ -238,70 +205,17 @@
             sequence.cancelled = True
             self.ledger.cancelled += 1
         self._bodies.pop(sequence, None)
-        if self._sequences.get(sequence.request_id) is sequence:
-            del self._sequences[sequence.request_id]
-
-    async def _models(self, _: web.Request) -> web.Response:
-        data = [{"id": name, "object": "model", "owned_by": "engine"} for name in self.state.models]
-        return web.json_response({"object": "list", "data": data})
-
-    async def _cancel(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        sequence = self._sequences.get(body.get("request_id"))
-        if sequence is None:
-            return _error(404, "no such request")
-        sequence.cancelled = True
-        self.ledger.cancelled += 1
-        sequence.tokens.put_nowait(None)
-        return web.json_response({})
-
-    async def _load(self, _: web.Request) -> web.Response:
-        load = self.model.reported_load()
-        max_batch = self._settings.model.max_batch
-        return web.json_response(
-            {"running": load.running, "waiting": load.waiting, "max_batch": max_batch}
-        )
-
-    async def _cache_events(self, request: web.Request) -> web.Response:
-        events = self.model.cache.events_after(int(request.query.get("after", "0")))
-        return web.json_response({"events": [attrs.asdict(event) for event in events]})
-
-    async def _order(self, request: web.Request) -> web.Response:
-        key = self._settings.order_key
-        if key is not None and request.headers.get("Authorization") != f"Bearer {key}":
-            return _error(401, "the key for orders is missing or wrong")
-        try:
-            await self._desk.carry_out(await request.json())
-        except OrderRefused as error:
-            return _error(error.status, str(error))
-        return web.json_response({})
-
-    async def _order_state(self, _: web.Request) -> web.Response:
-        return web.json_response(attrs.asdict(self.state))
-
-    async def _show_ledger(self, _: web.Request) -> web.Response:
-        return web.json_response(attrs.asdict(self.ledger))
-
-    async def _faults(self, request: web.Request) -> web.Response:
-        body = await request.json()
-        self.model.slowdown = float(body.get("slowdown", self.model.slowdown))
-        if body.get("crash"):
-            self.crash()
-        return web.json_response({"slowdown": self.model.slowdown})
+        if self.sequences.get(sequence.request_id) is sequence:
+            del self.sequences[sequence.request_id]
 
     async def _fetch_weights(self) -> None:
-        url = self._settings.weight_store_url
+        url = self.settings.weight_store_url
         async with aiohttp.ClientSession() as session:
             await session.post(f"{url}/weights/begin")
-            await asyncio.sleep(self._settings.load_ms / 1_000)
+            await asyncio.sleep(self.settings.load_ms / 1_000)
             await session.post(f"{url}/weights/end")
 
 
-def _error(status: int, message: str) -> web.Response:
-    error = {"message": message, "type": "engine_error", "code": status}
-    return web.json_response({"error": error}, status=status)
-
-
 def main(
     *,
     port: int = 0,
--- /dev/null
+++ b/src/boragetiller/standin/engine_controls.py
@@ -0,0 +1,100 @@
+"""The stand-in engine's routes besides completions: load, cache events, orders, ledger, faults."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from aiohttp import web
+
+from boragetiller.standin.engine_orders import OrderRefused
+
+if TYPE_CHECKING:
+    from boragetiller.standin.engine import EngineServer
+
+
+class EngineControls:
+    """Handlers over one engine."""
+
+    def __init__(self, engine: EngineServer) -> None:
+        """:param engine: the engine"""
+        self._engine = engine
+
+    def routes(self) -> list[web.RouteDef]:
+        """:return: the routes"""
+        return [
+            web.get("/v1/models", self._models),
+            web.post("/cancel", self._cancel),
+            web.get("/load", self._load),
+            web.get("/cache_events", self._cache_events),
+            web.post("/orders", self._order),
+            web.get("/orders", self._order_state),
+            web.get("/ledger", self._show_ledger),
+            web.post("/faults", self._faults),
+        ]
+
+    async def _models(self, _: web.Request) -> web.Response:
+        data = [
+            {"id": name, "object": "model", "owned_by": "engine"}
+            for name in self._engine.state.models
+        ]
+        return web.json_response({"object": "list", "data": data})
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        sequence = self._engine.sequences.get(body.get("request_id"))
+        if sequence is None:
+            return error_response(404, "no such request")
+        sequence.cancelled = True
+        self._engine.ledger.cancelled += 1
+        sequence.tokens.put_nowait(None)
+        return web.json_response({})
+
+    async def _load(self, _: web.Request) -> web.Response:
+        load = self._engine.model.reported_load()
+        max_batch = self._engine.settings.model.max_batch
+        return web.json_response(
+            {"running": load.running, "waiting": load.waiting, "max_batch": max_batch}
+        )
+
+    async def _cache_events(self, request: web.Request) -> web.Response:
+        events = self._engine.model.cache.events_after(int(request.query.get("after", "0")))
+        return web.json_response({"events": [attrs.asdict(event) for event in events]})
+
+    async def _order(self, request: web.Request) -> web.Response:
+        key = self._engine.settings.order_key
+        if key is not None and request.headers.get("Authorization") != f"Bearer {key}":
+            return error_response(401, "the key for orders is missing or wrong")
+        try:
+            await self._engine.desk.carry_out(await request.json())
+        except OrderRefused as error:
+            return error_response(error.status, str(error))
+        return web.json_response({})
+
+    async def _order_state(self, _: web.Request) -> web.Response:
+        return web.json_response(attrs.asdict(self._engine.state))
+
+    async def _show_ledger(self, _: web.Request) -> web.Response:
+        return web.json_response(attrs.asdict(self._engine.ledger))
+
+    async def _faults(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self._engine.model.slowdown = float(body.get("slowdown", self._engine.model.slowdown))
+        if body.get("crash"):
+            self._engine.crash()
+        return web.json_response({"slowdown": self._engine.model.slowdown})
+
+
+def error_response(status: int, message: str) -> web.Response:
+    """
+    Build an error in the OpenAI format.
+
+    :param status: HTTP status
+    :param message: text for people
+    :return: the answer
+    """
+    error = {"message": message, "type": "engine_error", "code": status}
+    return web.json_response({"error": error}, status=status)
+
+
+__all__ = ["EngineControls", "error_response"]
--- /dev/null
+++ b/src/boragetiller/standin/engine_settings.py
@@ -0,0 +1,39 @@
+"""Settings and ledger of a stand-in engine."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import attrs
+
+from boragetiller.standin.engine_model import EngineModelSettings
+from boragetiller.standin.web import Address
+
+
+@attrs.frozen(kw_only=True)
+class EngineSettings:
+    """How a stand-in engine behaves."""
+
+    listen: Address = Address()
+    models: tuple[str, ...] = ("kopar-1",)
+    model: EngineModelSettings = EngineModelSettings()
+    poison_marker: str = "POISON"
+    restart_ms: int = 1_000
+    load_ms: int = 50
+    honours_fencing: bool = True
+    order_key: str | None = attrs.field(default=None, repr=False)
+    weight_store_url: str | None = None
+
+
+@attrs.define
+class Ledger:
+    """What was really executed."""
+
+    by_request_id: Counter[str] = attrs.Factory(Counter)
+    by_body: Counter[str] = attrs.Factory(Counter)
+    crashes: int = 0
+    cancelled: int = 0
+    bad_resumes: int = 0
+
+
+__all__ = ["EngineSettings", "Ledger"]
--- a/tests/spec/test_lease_fencing.py
+++ b/tests/spec/test_lease_fencing.py
@@ -18,7 +18,10 @@
 )
 from boragetiller.tables.orders import OrderTable, SendOrder, SetRole
 from spec import lease_fencing as spec
-from spec.lease_fencing import LeaseState, Mistake, SlotState
+from spec import weight_slots as slots
+from spec.checking import violated
+from spec.lease_fencing import LeaseState, Mistake
+from spec.weight_slots import SlotState
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -32,7 +35,7 @@
 SETTINGS = OrderSettings(
     lease_ttl_ms=spec.TTL * TICK_MS,
     delivery_ms=spec.DELIVERY * TICK_MS,
-    load_timeout_ms=spec.LOAD * TICK_MS,
+    load_timeout_ms=slots.LOAD * TICK_MS,
 )
 LEASE_MISTAKES = (
     Mistake.NO_CHECK_AT_SEND,
@@ -46,8 +49,8 @@
     """What the checker finds."""
 
     def test_models_hold(self) -> None:
-        for model in (spec.lease_model(honours=False), spec.slot_model()):
-            self.assertEqual(spec.violated(model)[0], [], model.name)
+        for model in (spec.lease_model(honours=False), slots.slot_model()):
+            self.assertEqual(violated(model)[0], [], model.name)
 
     def test_mistakes_with_the_lease_are_found(self) -> None:
         for mistake in LEASE_MISTAKES:
@@ -64,8 +67,8 @@
         self.assertIn("orders run by number", self._found(model, SEARCH_STATES))
 
     def test_mistakes_with_slots_are_found(self) -> None:
-        for mistake in (Mistake.SHORT_SLOT, Mistake.SLOT_FREED_EARLY):
-            found = self._found(spec.slot_model(mistake), SEARCH_STATES)
+        for mistake in slots.Mistake:
+            found = self._found(slots.slot_model(mistake), SEARCH_STATES)
             self.assertEqual(found, ["one load at once"], mistake)
 
     def _found(self, model: object, max_states: int) -> list[str]:
@@ -116,7 +119,7 @@
         table = self.tables[index]
         if name == "take":
             asked_ms = self.now_ms - int(label.split()[2]) * TICK_MS
-            table.slot = hold_lease("s", 1, spec.SLOT_TTL * TICK_MS, asked_ms)
+            table.slot = hold_lease("s", 1, slots.SLOT_TTL * TICK_MS, asked_ms)
         elif name in {"end", "lose", "restart"}:
             table.slot = None
 
@@ -141,12 +144,12 @@
         loads = 0
         for seed in range(WALKS):
             replay = SlotReplay()
-            for label, before, after in _walk(SlotState(), spec.slot_steps, seed):
+            for label, before, after in _walk(SlotState(), slots.slot_steps, seed):
                 replay.follow(label, before)
                 loads += label.startswith("load")
                 for loader, table in zip(after.loaders, replay.tables, strict=True):
                     real = slot_covers_load(table, SETTINGS, replay.now_ms)
-                    self.assertEqual(real, spec.slot_covers(loader), (seed, label))
+                    self.assertEqual(real, slots.slot_covers(loader), (seed, label))
         self.assertGreater(loads, WALKS)
 
 
