Turn every bad answer of the platform into a typed error

Cause: a deeply nested JSON answer raised RecursionError out of the clients; a host with fields of another type was passed on. Test: python -m unittest tests.platform.test_bad_answers; with the unmended except clause it ends in RecursionError, now 2 pass.

--- a/src/boragetiller/agent/orders.py
+++ b/src/boragetiller/agent/orders.py
@@ -100,7 +100,7 @@
     async def reconcile(self) -> None:
         """Compare the engine with its group's record and send the orders that are missing."""
         group = self._config.groups.get(self._backend.group)
-        if group is None:
+        if group is None or self._clock.now_ms() < self._table.retry_at_ms:
             return
         wanted = wanted_config(group)
         for _ in range(MAX_STEPS):
--- a/src/boragetiller/platform/dialect.py
+++ b/src/boragetiller/platform/dialect.py
@@ -15,6 +15,8 @@
 
 REVISION_HEADER = "X-Revision"
 MAX_REQUEST_BYTES = 2_000_000
+_INTEGERS = ("data_port", "control_port")
+_HOST_TYPES = {field.name: int if field.name in _INTEGERS else str for field in attrs.fields(Host)}
 
 
 def encode_entry(entry: Entry) -> bytes:
@@ -35,6 +37,9 @@
     :param stream: body of a list answer or of a watch
     :return: the entry, None at the end of the stream
     :raises ValueError: the stream holds something else
+    :raises KeyError: a field is missing
+    :raises TypeError: a field is of another type
+    :raises EOFError: the stream ends inside an entry
     """
     line = b"\n"
     while line == b"\n":
@@ -42,8 +47,12 @@
     if not line:
         return None
     head = json.loads(line)
-    value = await stream.readexactly(int(head["length"]))
-    return Entry(str(head["key"]), value, int(head["revision"]))
+    if not isinstance(head, dict):
+        raise ValueError("the head of an entry must be an object")
+    length, revision = int(head["length"]), int(head["revision"])
+    if length < 0 or revision < 0:
+        raise ValueError("negative length or revision")
+    return Entry(str(head["key"]), await stream.readexactly(length), revision)
 
 
 def encode_host(host: Host) -> dict[str, Any]:
@@ -66,8 +75,13 @@
     """
     if not isinstance(data, dict):
         raise ValueError("a host must be an object")
+    fields = {"state": HostState.LIVE.value, **data}
+    for name, value in fields.items():
+        if type(value) is not _HOST_TYPES.get(name):
+            raise ValueError(f"host field {name!r} is unknown or of another type")
+    fields["state"] = HostState(fields["state"])
     try:
-        return Host(**{**data, "state": HostState(data.get("state", "live"))})
+        return Host(**fields)
     except TypeError as error:
         raise ValueError(str(error)) from error
 
--- a/src/boragetiller/platform/http_session.py
+++ b/src/boragetiller/platform/http_session.py
@@ -71,7 +71,7 @@
                 yield response
         except (aiohttp.ClientError, TimeoutError, EOFError, OSError) as error:
             raise StoreUnavailable(f"{type(error).__name__}: {error}") from error
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, LookupError, TypeError, RecursionError) as error:
             raise StoreUnavailable(f"bad answer: {error}") from error
 
 
--- /dev/null
+++ b/tests/platform/test_bad_answers.py
@@ -0,0 +1,113 @@
+"""Whatever the platform answers, its clients raise nothing but typed errors."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragetiller.errors import BoragetillerError
+from boragetiller.platform.clients import open_http_clients
+from boragetiller.platform.dialect import decode_host
+from boragetiller.platform.store import Lease
+from boragetiller.settings import PlatformSettings
+from boragetiller.standin.web import Address, WebServer
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from boragetiller.platform.clients import PlatformClients
+
+DEEP = b"[" * 100_000
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda children: st.lists(children, max_size=3)
+    | st.dictionaries(
+        st.sampled_from(("name", "role", "address", "data_port", "state", "x")), children
+    ),
+    max_leaves=8,
+)
+BODIES = (
+    b"",
+    b"\xff\x00",
+    b"null",
+    b"[1]",
+    b"{}",
+    b'[{"name": 1}]',
+    b'{"key": "k", "revision": 1, "length": 10}\nshort',
+    b'{"key": "k", "revision": 1, "length": -1}\n',
+    b'{"key": "k", "revision": "x", "length": 1}\nv',
+    b'{"revision": [], "token": {}, "concurrent_loads": "many"}',
+    DEEP,
+)
+STATUSES = (200, 204, 302, 400, 404, 409, 413, 500)
+
+
+class BadAnswersTest(unittest.IsolatedAsyncioTestCase):
+    """A server that answers each call with the same bytes."""
+
+    async def asyncSetUp(self) -> None:
+        self.status = 200
+        self.body = b""
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self._answer)
+        self.server = WebServer(app, Address())
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+        url = self.server.url
+        platform = PlatformSettings(store_url=url, host_list_url=url, weight_store_url=url)
+        self.clients = await open_http_clients(platform)
+        self.addAsyncCleanup(self.clients.close)
+
+    async def _answer(self, _request: web.Request) -> web.Response:
+        headers = {"Content-Type": "application/json"}
+        return web.Response(status=self.status, body=self.body, headers=headers)
+
+    async def test_calls_raise_typed_errors_only(self) -> None:
+        raised = 0
+        for self.status in STATUSES:
+            for self.body in BODIES:
+                for call in _calls(self.clients):
+                    try:
+                        await call
+                    except BoragetillerError:
+                        raised += 1
+        self.assertGreater(raised, len(STATUSES) * len(BODIES))
+
+
+class DecodeHostTest(unittest.TestCase):
+    """Any JSON value is a host or a ValueError."""
+
+    @settings(derandomize=True, max_examples=200, database=None)
+    @given(JSON_VALUES)
+    def test_decode_host_any_json(self, value: Any) -> None:
+        try:
+            host = decode_host(json.loads(json.dumps(value)))
+        except ValueError:
+            return
+        self.assertIsInstance(host.data_port, int)
+
+
+def _calls(clients: PlatformClients) -> list[Awaitable[object]]:
+    assert clients.weights is not None
+    store, lease = clients.store, Lease("l", "h", 1, 1_000)
+    return [
+        store.get("k"),
+        store.list("k"),
+        store.put("k", b"v", expected_revision=0),
+        store.delete("k", expected_revision=1),
+        anext(store.watch("k", after_revision=0), None),
+        store.acquire_lease("l", "h", 1_000),
+        store.renew_lease(lease),
+        store.release_lease(lease),
+        clients.hosts.hosts(),
+        clients.weights.concurrent_loads(),
+    ]
+
+
+if __name__ == "__main__":
+    unittest.main()
