--- a/src/boragetiller/http_server.py
+++ b/src/boragetiller/http_server.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import ssl
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
+from boragetiller.platform.tls import server_tls_context
+
 if TYPE_CHECKING:
     from boragetiller.settings import LimitSettings, TlsSettings
 
@@ -65,19 +66,4 @@
         return f"{scheme}://{self.address}:{self.port}"
 
 
-def server_tls_context(tls: TlsSettings) -> ssl.SSLContext:
-    """
-    Build the server side of TLS; an authority makes client certificates required.
-
-    :param tls: PEM files
-    :return: the context
-    """
-    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-    context.load_cert_chain(tls.certificate, tls.key)
-    if tls.authority is not None:
-        context.load_verify_locations(tls.authority)
-        context.verify_mode = ssl.CERT_REQUIRED
-    return context
-
-
-__all__ = ["HttpServer", "server_tls_context"]
+__all__ = ["HttpServer"]
