--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,7 +9,7 @@
 from boragetiller.errors import RevisionConflict, StoreUnavailable, ValueTooLarge
 from boragetiller.platform.faults import CallKind
 from boragetiller.platform.http_store import HttpStore
-from boragetiller.platform.memory import MAX_VALUE_BYTES, MemoryStore
+from boragetiller.platform.memory import MAX_LOG_ENTRIES, MAX_VALUE_BYTES, MemoryStore
 from boragetiller.settings import PlatformSettings
 from boragetiller.standin.platform_server import PlatformServer, PlatformServerSettings
 
@@ -131,6 +131,23 @@
         return [await anext(watch) for _ in range(count)]
 
 
+class CompactionTest(unittest.IsolatedAsyncioTestCase):
+    """The log of changes stays bounded."""
+
+    async def test_watch_after_compaction_sends_the_newest(self) -> None:
+        store = MemoryStore(ManualClock())
+        revision = await store.put("k", b"0", expected_revision=0)
+        other = await store.put("other", b"1", expected_revision=0)
+        await store.delete("other", expected_revision=other)
+        for number in range(MAX_LOG_ENTRIES):
+            revision = await store.put("k", b"%d" % number, expected_revision=revision)
+        watch = store.watch("", after_revision=0)
+        deleted, newest = await anext(watch), await anext(watch)
+        self.assertEqual((deleted.key, deleted.value), ("other", b""))
+        self.assertGreater(newest.revision, deleted.revision)
+        self.assertLess(len(store._log), MAX_LOG_ENTRIES)
+
+
 class HttpStoreTest(MemoryStoreTest):
     """The same rules through the HTTP client and the stand-in server."""
 
