--- /dev/null
+++ b/bench/order_rollout.py
@@ -0,0 +1,169 @@
+"""
+Store calls while every engine of a fleet loads a new model, in virtual time.
+
+Real `OrderKeeper`s and the in-memory store run on an event loop whose clock jumps to the next
+timer, so an hour of the fleet takes seconds. Printed: calls of the store, the busiest second, the
+time until the last engine holds the model, and how often more loads ran than the weight store allows.
+
+    python -m bench.order_rollout --agents 1300 --slots 16 --load_s 60
+"""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import fire
+
+from boragetiller.agent.orders import OrderKeeper
+from boragetiller.errors import LeaseLapsed
+from boragetiller.events import configure_logging
+from boragetiller.metrics import Metrics
+from boragetiller.platform.clients import PlatformClients
+from boragetiller.platform.memory import MemoryHostList, MemoryStore, MemoryWeightStore
+from boragetiller.records.model import BackendGroup
+from boragetiller.settings import (
+    BackendKind,
+    BackendSettings,
+    ControlSettings,
+    OperatorSettings,
+    PlatformSettings,
+    Role,
+    Settings,
+)
+from boragetiller.tables.config import ConfigTable
+from boragetiller.tables.orders import EngineConfig, Order
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MODEL = "kopar-2"
+MS_PER_S = 1_000
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    """Moves virtual time in place of waiting."""
+
+    now_s = 0.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        self.now_s += timeout or 0.0
+        return super().select(0)
+
+
+class VirtualClock:
+    """The clock of a loop in virtual time."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        """:param loop: the loop"""
+        self._loop = loop
+
+    def now_ms(self) -> int:
+        """:return: virtual time in milliseconds"""
+        return round(self._loop.time() * MS_PER_S)
+
+
+@attrs.define
+class SlowEngine:
+    """An engine that takes a while to load."""
+
+    load_s: float
+    weights: MemoryWeightStore
+    models: tuple[str, ...] = ()
+
+    async def read_config(self) -> EngineConfig:
+        """:return: what the engine holds"""
+        return EngineConfig(models=self.models)
+
+    async def send(
+        self, order: Order, _token: int, may_send: Callable[[], bool]
+    ) -> None:  # noqa: ARG002
+        """Load the model."""
+        if not may_send():
+            raise LeaseLapsed
+        self.weights.begin_load()
+        await asyncio.sleep(self.load_s)
+        self.weights.end_load()
+        self.models = (MODEL,)
+
+
+class CountingStore(MemoryStore):
+    """Counts lease calls by virtual second."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        """:param clock: virtual time"""
+        super().__init__(clock)
+        self.by_second: Counter[int] = Counter()
+        self._virtual = clock
+
+    async def _begin(self, kind: Any) -> None:
+        self.by_second[self._virtual.now_ms() // MS_PER_S] += 1
+        await super()._begin(kind)
+
+
+async def _roll_out(agents: int, slots: int, load_s: float, seed: int) -> str:
+    clock = VirtualClock(asyncio.get_running_loop())
+    store = CountingStore(clock)
+    weights = MemoryWeightStore(limit=slots)
+    platform = PlatformClients(store, MemoryHostList(clock), weights)
+    config = ConfigTable(ready=True, groups={"pool": BackendGroup(name="pool", models=(MODEL,))})
+    engines = [SlowEngine(load_s, weights) for _ in range(agents)]
+    keepers = [
+        OrderKeeper(_settings(number, seed), platform, engine, config, clock, Metrics(), 1)
+        for number, engine in enumerate(engines)
+    ]
+    for keeper in keepers:
+        await keeper.start()
+    while not all(engine.models for engine in engines):
+        await asyncio.sleep(1.0)
+    for keeper in keepers:
+        await keeper.close()
+    total, busiest = sum(store.by_second.values()), max(store.by_second.values())
+    elapsed_s = clock.now_ms() / MS_PER_S
+    return (
+        f"agents={agents} slots={slots} load_s={load_s} seed={seed}: store calls={total} "
+        f"({total / agents:.1f} an agent, {total / elapsed_s:.1f}/s, busiest second {busiest}), "
+        f"done after {elapsed_s:.0f} s (shortest possible {agents / slots * load_s:.0f} s), "
+        f"loads over the limit={weights.excess}"
+    )
+
+
+def _settings(number: int, seed: int) -> Settings:
+    name = f"engine-{number}"
+    backend = BackendSettings(name=name, group="pool", kind=BackendKind.ENGINE, url="")
+    return Settings(
+        role=Role.AGENT,
+        name=name,
+        failure_domain="vl-a",
+        control=ControlSettings(key="k"),
+        operator=OperatorSettings(key="k"),
+        platform=PlatformSettings(store_url="", host_list_url=""),
+        backend=backend,
+        seed=seed,
+    )
+
+
+def main(agents: int = 1_300, slots: int = 16, load_s: float = 60.0, seed: int = 1) -> None:
+    """
+    Roll a model out and print the cost.
+
+    :param agents: number of engines, each with its agent
+    :param slots: loads that the weight store allows at once
+    :param load_s: time of one load
+    :param seed: seed of the agents' delays
+    """
+    configure_logging("WARNING")
+    selector = _JumpingSelector()
+    loop = asyncio.SelectorEventLoop(selector)
+    loop.time = lambda: selector.now_s  # type: ignore[method-assign]
+    try:
+        print(loop.run_until_complete(_roll_out(agents, slots, load_s, seed)))
+    finally:
+        loop.close()
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
