--- /dev/null
+++ b/bench/config.py
@@ -0,0 +1,76 @@
+"""
+Measure the configuration's way: `python -m bench.config COMMAND`.
+
+Commands: `writes` (two offices under faults), `start` (many nodes at once), `spread` (time from
+acceptance to in force), `memory` (of one node).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+
+import fire
+from loguru import logger
+
+from bench.config_nodes import measure_memory, measure_spread, measure_start
+from bench.config_writes import run_interleaved
+
+
+class Bench:
+    """Measurements of the configuration."""
+
+    def writes(self, seed: int = 7, count: int = 1_000) -> None:
+        """Write from two offices, one on the old version; exits 1 on any loss, revert or lie."""
+        outcome = asyncio.run(run_interleaved(seed, count))
+        print(f"answers: {dict(outcome.answers)}, page versions: {outcome.versions}")
+        print(
+            f"accepted writes lost: {len(outcome.lost_writes)}, reverts: {len(outcome.reverts)}, "
+            f"false answers: {len(outcome.false_answers)}, unsettled: {outcome.unsettled}"
+        )
+        problems = [*outcome.lost_writes, *outcome.reverts, *outcome.false_answers]
+        for problem in problems[:10]:
+            print(f"  {problem}"[:400])
+        if problems or outcome.unsettled or not outcome.answers["accepted"]:
+            raise SystemExit(1)
+
+    def start(self, nodes: int = 50, customers: int = 5_200, seed: int = 7) -> None:
+        """Start nodes at once in one process."""
+        figures = asyncio.run(measure_start(nodes, customers, seed))
+        print(
+            f"nodes {nodes}, customers {customers}: ready_ms {_spread(figures.ready_ms)}, "
+            f"processor_ms per node {figures.processor_ms_per_node:.0f}, "
+            f"store calls per node {figures.calls_per_node:.2f}, "
+            f"bytes read per node {figures.read_bytes_per_node}"
+        )
+
+    def spread(self, nodes: str = "1,10,50", changes: int = 60, seed: int = 7) -> None:
+        """Change a class again and again."""
+        counts = nodes if isinstance(nodes, tuple) else str(nodes).split(",")
+        for count in map(int, counts):
+            figures = asyncio.run(measure_spread(count, changes, seed))
+            print(
+                f"nodes {count}: in_force_ms {_spread(figures.in_force_ms)}, "
+                f"store calls per change {figures.calls_per_change:.2f}"
+            )
+
+    def memory(self, customers: int = 5_200) -> None:
+        """Hold a whole configuration."""
+        record_bytes, total_mb = asyncio.run(measure_memory(customers))
+        print(f"customers {customers}: {record_bytes:.0f} bytes a record, {total_mb:.1f} MB in all")
+
+
+def _spread(values: list[float]) -> str:
+    ordered = sorted(values)
+    p99 = ordered[min(len(ordered) - 1, int(len(ordered) * 0.99))]
+    return f"p50 {statistics.median(ordered):.1f} p99 {p99:.1f} max {ordered[-1]:.1f}"
+
+
+def main() -> None:
+    """Run one measurement."""
+    logger.remove()
+    fire.Fire(Bench())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/config_nodes.py
@@ -0,0 +1,236 @@
+"""Nodes that read their configuration over HTTP from the stand-in store."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import time
+import tracemalloc
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.cli.writer import RecordWriter
+from boragetiller.clock import SystemClock
+from boragetiller.platform.faults import CallKind
+from boragetiller.platform.http_store import HttpStore
+from boragetiller.platform.memory import MemoryStore
+from boragetiller.records.documents import parse_documents
+from boragetiller.records.pages import PAGE_PREFIX, page_index, page_key
+from boragetiller.records.writes import WriteState
+from boragetiller.router.config_sync import ConfigSync
+from boragetiller.settings import (
+    ControlSettings,
+    OperatorSettings,
+    PlatformSettings,
+    Role,
+    Settings,
+)
+from boragetiller.standin.platform_server import PlatformServer, PlatformServerSettings
+from boragetiller.systems.config_pages import PageUpdate, take_pages
+from boragetiller.tables.config import ConfigTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from boragetiller.platform.store import Store
+
+READY_TIMEOUT_S = 120
+
+
+@attrs.frozen(kw_only=True)
+class StartFigures:
+    """Nodes that start at once."""
+
+    ready_ms: list[float]
+    processor_ms_per_node: float
+    calls_per_node: float
+    read_bytes_per_node: int
+
+
+@attrs.frozen(kw_only=True)
+class SpreadFigures:
+    """Time from acceptance to in force, a figure for each change and node."""
+
+    in_force_ms: list[float]
+    calls_per_change: float
+
+
+class Node:
+    """A router's configuration, with its own connection to the store."""
+
+    def __init__(self, number: int, store_url: str, seed: int) -> None:
+        """:param number: tells nodes apart"""
+        settings = node_settings(f"router-{number}", store_url, seed)
+        self.table = ConfigTable()
+        self.changed = asyncio.Event()
+        self.ready_at: float | None = None
+        self.taken_at: dict[tuple[str, int], float] = {}
+        self.store = HttpStore(settings.platform)
+        self.sync = ConfigSync(self.store, self.table, settings, SystemClock(), self._on_change)
+
+    async def start(self) -> None:
+        """Begin to read."""
+        await self.store.start()
+        await self.sync.start()
+
+    async def close(self) -> None:
+        """Stop."""
+        await self.sync.close()
+        await self.store.close()
+
+    def _on_change(self) -> None:
+        now = time.perf_counter()
+        if self.table.ready and self.ready_at is None:
+            self.ready_at = now
+        for item in self.table.page_revisions.items():
+            self.taken_at.setdefault(item, now)
+        self.changed.set()
+
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        """Wait for a condition, looked at after each change."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not condition():
+                self.changed.clear()
+                await self.changed.wait()
+
+
+def node_settings(name: str, store_url: str, seed: int) -> Settings:
+    """:return: settings of a router with a given store"""
+    return Settings(
+        role=Role.ROUTER,
+        name=name,
+        failure_domain="vl-a",
+        control=ControlSettings(key="bench"),
+        operator=OperatorSettings(key="bench"),
+        platform=PlatformSettings(store_url=store_url, host_list_url=store_url, timeout_ms=30_000),
+        seed=seed,
+    )
+
+
+async def fill_store(store: Store, customers: int) -> None:
+    """Write a group, four classes and many customers, four changes each in the history."""
+    text = "kind: group\nname: pool\nschema_version: 2\nmembers: [a, b]\nmodels: [m]\n"
+    for tier in range(4):
+        text += f"---\nkind: class\nname: t{tier}\nschema_version: 2\ngroup: pool\ntier: {tier}\n"
+    documents = parse_documents(text)
+    for number in range(customers):
+        documents += parse_documents(
+            f"kind: customer\nname: customer-{number}\nschema_version: 2\n"
+            f"key_hashes: ['{number:064x}', '{number + 10**9:064x}']\nclasses: [t0, t1, t2, t3]\n"
+        )
+    writer = RecordWriter(store, "vesturland", Random(1))
+    for weight in (1.0, 2.0, 3.0):
+        edited = [attrs.evolve(d, fields={**d.fields, "weight": weight}) for d in documents[5:]]
+        results = await writer.write([*documents[:5], *edited], at_ms=0)
+        states = {result.state for result in results}
+        assert states <= {WriteState.ACCEPTED, WriteState.UNCHANGED}, states
+
+
+async def measure_start(nodes: int, customers: int, seed: int) -> StartFigures:
+    """
+    Start many nodes at once.
+
+    :return: time to ready of each node, all in one process
+    """
+    platform = PlatformServer(PlatformServerSettings())
+    await platform.start()
+    await fill_store(platform.store, customers)
+    before = _calls(platform.store)
+    fleet = [Node(number, platform.url, seed) for number in range(nodes)]
+    began, processor_began = time.perf_counter(), time.process_time()
+    await asyncio.gather(*(node.start() for node in fleet))
+    await _wait_ready(fleet)
+    processor_s = time.process_time() - processor_began
+    calls = _calls(platform.store) - before
+    read_bytes = sum(len(page.data) for page in fleet[0].table.pages.values())
+    figures = StartFigures(
+        ready_ms=[1_000 * ((node.ready_at or 0) - began) for node in fleet],
+        processor_ms_per_node=1_000 * processor_s / nodes,
+        calls_per_node=calls / nodes,
+        read_bytes_per_node=read_bytes,
+    )
+    await asyncio.gather(*(node.close() for node in fleet))
+    await platform.close()
+    return figures
+
+
+async def measure_spread(nodes: int, changes: int, seed: int) -> SpreadFigures:
+    """
+    Change a class again and again while nodes watch.
+
+    :return: time from the writer's answer to in force at each node
+    """
+    platform = PlatformServer(PlatformServerSettings())
+    await platform.start()
+    await fill_store(platform.store, customers=520)
+    fleet = [Node(number, platform.url, seed) for number in range(nodes)]
+    await asyncio.gather(*(node.start() for node in fleet))
+    await _wait_ready(fleet)
+    writer_store = HttpStore(fleet[0].sync._settings.platform)
+    await writer_store.start()
+    writer = RecordWriter(writer_store, "vesturland", Random(seed))
+    key = page_key(page_index("class/t1"))
+    calls = _calls(platform.store)
+    in_force_ms: list[float] = []
+    for change in range(changes):
+        text = f"kind: class\nname: t1\nschema_version: 2\ndeadline_ms: {1_000 + change}\n"
+        result = (await writer.write(parse_documents(text), at_ms=change))[0]
+        accepted_at = time.perf_counter()
+        assert result.state is WriteState.ACCEPTED, result
+        entry = await platform.store.get(key)
+        assert entry is not None
+        await _wait_taken(fleet, (key, entry.revision))
+        taken = [node.taken_at[(key, entry.revision)] for node in fleet]
+        in_force_ms += [max(0.0, 1_000 * (at - accepted_at)) for at in taken]
+    calls = _calls(platform.store) - calls - changes  # less this function's own reads
+    await writer_store.close()
+    await asyncio.gather(*(node.close() for node in fleet))
+    await platform.close()
+    return SpreadFigures(in_force_ms=in_force_ms, calls_per_change=calls / changes)
+
+
+async def measure_memory(customers: int) -> tuple[float, float]:
+    """:return: bytes a customer record takes in a node, and the whole configuration in MB"""
+    store = MemoryStore(SystemClock())
+    await fill_store(store, customers)
+    entries = await store.list(PAGE_PREFIX)
+    gc.collect()
+    tracemalloc.start()
+    table = ConfigTable()
+    updates = [
+        PageUpdate(index=index, revision=entry.revision, data=bytes(bytearray(entry.value)))
+        for index, entry in enumerate(entries)
+    ]
+    take_pages(table, updates, now_ms=0)
+    del updates
+    gc.collect()
+    used_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(table.customers) == customers
+    return used_bytes / customers, used_bytes / 1e6
+
+
+async def _wait_ready(fleet: list[Node]) -> None:
+    await asyncio.gather(*(node.wait_until(lambda n=node: n.table.ready) for node in fleet))
+
+
+async def _wait_taken(fleet: list[Node], item: tuple[str, int]) -> None:
+    await asyncio.gather(*(node.wait_until(lambda n=node: item in n.taken_at) for node in fleet))
+
+
+def _calls(store: MemoryStore) -> int:
+    return sum(store.counts[kind] for kind in CallKind)
+
+
+__all__ = [
+    "Node",
+    "SpreadFigures",
+    "StartFigures",
+    "fill_store",
+    "measure_memory",
+    "measure_spread",
+    "measure_start",
+    "node_settings",
+]
