--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -13,6 +13,7 @@
 from boragetiller.operator_app import operator_app
 from boragetiller.process import Endpoints, new_incarnation, new_metrics, wait_until_idle
 from boragetiller.router.agent_client import AgentClient
+from boragetiller.router.config_sync import ConfigSync
 from boragetiller.router.discovery import Discovery
 from boragetiller.router.limits import CustomerLimits
 from boragetiller.router.placer import Placer
@@ -58,7 +59,9 @@
         seed = secrets.randbits(SEED_BITS) if settings.seed is None else settings.seed
         self.rng = Random(seed)
         self.config = ConfigTable()
+        self.configured = asyncio.Event()
         self.agents = AgentTable()
+        self.sync = ConfigSync(platform.store, self.config, settings, self.clock, self._on_config)
         self.traces = TraceTable(self.clock)
         self.client = AgentClient(settings)
         self.discovery = Discovery(settings, platform.hosts, self.agents, self.metrics)
@@ -68,7 +71,14 @@
         )
         self.limits = CustomerLimits(settings, self.clock)
         self.server = CallerServer(
-            settings, self.config, self.relay, self.limits, self.traces, self.metrics, self.rng
+            settings,
+            self.config,
+            self.relay,
+            self.limits,
+            self.sync,
+            self.traces,
+            self.metrics,
+            self.rng,
         )
         self.callers = HttpServer(
             self.server.routes(),
@@ -87,6 +97,7 @@
     async def start(self) -> None:
         """Learn agents and configuration, then listen."""
         await self.client.start()
+        await self.sync.start()
         await self.discovery.start()
         await self.callers.start()
         await self.operator.start()
@@ -111,9 +122,14 @@
         await wait_until_idle(lambda: self.server.in_progress, self.settings.drain_timeout_ms)
         await self.callers.close()
         await self.discovery.close()
+        await self.sync.close()
         await self.client.close()
         await self.operator.close()
         log_event(Event.PROCESS_STOPPED, role="router", name=self.settings.name)
 
+    def _on_config(self) -> None:
+        if self.config.ready:
+            self.configured.set()
+
 
 __all__ = ["RouterProcess"]
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,155 @@
+"""Real processes on loopback: mixed calls while one agent and one router are stopped."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from typing import Any
+
+import aiohttp
+import attrs
+
+from bench.fleet import Fleet, Member
+from boragetiller.standin.engine_text import expected_text
+from tests.fleet import KEY, MODEL, sample_records
+
+CALLS = 200
+AT_ONCE = 10
+STOP_AGENT_AFTER = 60
+STOP_ROUTER_AFTER = 120
+MAX_TRIES = 40
+RETRY_S = 0.05
+HEADERS = {"Authorization": f"Bearer {KEY}"}
+
+
+@attrs.define
+class Tally:
+    """How the calls ended."""
+
+    whole: int = 0
+    problems: list[str] = attrs.Factory(list)
+
+
+class ProcessesTest(unittest.IsolatedAsyncioTestCase):
+    """Two routers, two engines and two plain services with their agents."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet()
+        self.addAsyncCleanup(self.fleet.close)  # also when the set-up fails
+        await self.fleet.start()
+        for name in ("engine-a", "engine-b"):
+            engine = await self.fleet.start_standin(f"{name}-server", "engine")
+            await self.fleet.start_agent(name, "pool", engine)
+        for name in ("app-a", "app-b"):
+            service = await self.fleet.start_standin(f"{name}-server", "service")
+            await self.fleet.start_agent(name, "app", service, kind="service")
+        await self.fleet.apply(sample_records(("engine-a", "engine-b"), ("app-a", "app-b")))
+        self.routers = [await self.fleet.start_router(name) for name in ("router-a", "router-b")]
+        self.session = aiohttp.ClientSession(headers=HEADERS)
+        self.addAsyncCleanup(self.session.close)
+        self.tally = Tally()
+
+    async def test_stop_of_agent_and_router_cuts_no_call(self) -> None:
+        for router in self.routers:
+            await self._wait_ready(router)
+        slots = asyncio.Semaphore(AT_ONCE)
+        calls = []
+        stops = []
+        for number in range(CALLS):
+            await slots.acquire()
+            if number == STOP_AGENT_AFTER:
+                stops.append(asyncio.create_task(self._stop("engine-a")))
+            if number == STOP_ROUTER_AFTER:
+                stops.append(asyncio.create_task(self._stop("router-a")))
+            calls.append(asyncio.create_task(self._call(number, slots)))
+        await asyncio.gather(*calls)
+        codes = await asyncio.gather(*stops)
+        self.assertEqual(self.tally.problems, [])
+        self.assertEqual(self.tally.whole, CALLS)
+        self.assertEqual(codes, [0, 0])
+        await self._check_bookings_ran_once()
+
+    async def _wait_ready(self, router: Member) -> None:
+        for _ in range(MAX_TRIES):
+            async with self.session.get(router.url + "/readyz") as response:
+                if response.status == 200:
+                    return
+            await asyncio.sleep(RETRY_S)
+        self.fail("router is not ready")
+
+    async def _stop(self, name: str) -> int:
+        return await self.fleet.members[name].stop()
+
+    async def _call(self, number: int, slots: asyncio.Semaphore) -> None:
+        try:
+            problem = await self._call_until_served(number)
+        finally:
+            slots.release()
+        if problem:
+            self.tally.problems.append(f"call {number}: {problem}")
+        else:
+            self.tally.whole += 1
+
+    async def _call_until_served(self, number: int) -> str:
+        """Send as a balancer would: another router when one refuses or is gone."""
+        problem = "never sent"
+        for attempt in range(MAX_TRIES):
+            router = self.routers[(number + attempt) % len(self.routers)]
+            try:
+                status, content = await self._send(router, number)
+            except aiohttp.ClientConnectorError:
+                continue
+            except aiohttp.ClientError as error:
+                return f"cut off: {error!r}"
+            if status == 200:
+                return _check(number, content)
+            problem = f"{status} {content[:200]!r}"
+            if json.loads(content)["error"]["verdict"] != "not_run":
+                return problem
+            await asyncio.sleep(RETRY_S)
+        return problem
+
+    async def _send(self, router: Member, number: int) -> tuple[int, bytes]:
+        if number % 4 == 3:
+            url, headers = "/services/app/reserve", {"Idempotency-Key": f"key-{number}"}
+            sent: dict[str, Any] = {"data": f"sheet {number}".encode(), "headers": headers}
+        else:
+            url, sent = "/v1/chat/completions", {"json": _chat(number)}
+        async with self.session.post(router.url + url, **sent) as response:
+            return response.status, await response.read()
+
+    async def _check_bookings_ran_once(self) -> None:
+        counts: dict[str, int] = {}
+        for name in ("app-a-server", "app-b-server"):
+            async with self.session.get(self.fleet.members[name].url + "/ledger") as response:
+                for key, count in (await response.json())["by_key"].items():
+                    counts[key] = counts.get(key, 0) + count
+        self.assertEqual(counts, {f"key-{n}": 1 for n in range(CALLS) if n % 4 == 3})
+
+
+def _chat(number: int) -> dict[str, Any]:
+    messages = [{"role": "user", "content": f"question {number}"}]
+    return {"model": MODEL, "messages": messages, "max_tokens": 8, "stream": number % 2 == 0}
+
+
+def _check(number: int, content: bytes) -> str:
+    if number % 4 == 3:
+        return ""
+    text = _text(content) if number % 2 == 0 else _whole_text(content)
+    return "" if text == expected_text(_chat(number)) else f"another answer: {text!r}"
+
+
+def _text(content: bytes) -> str:
+    if not content.endswith(b"data: [DONE]\n\n"):
+        return "no end marker"
+    events = [json.loads(e[6:]) for e in content.split(b"\n\n") if e.startswith(b"data: {")]
+    return "".join(e["choices"][0]["delta"].get("content", "") for e in events if e["choices"])
+
+
+def _whole_text(content: bytes) -> str:
+    return str(json.loads(content)["choices"][0]["message"]["content"])
+
+
+if __name__ == "__main__":
+    unittest.main()
