Wait without losing cancellations

Cause: on Python 3.11 asyncio.wait_for drops a cancellation that meets the result; a claim keeper's host-list loop then ran on for ever and close() hung (3 of 6 runs of tests.agent.test_claim_keeper; a stack dump showed the ticks going on in tearDown). Ruled out: the store stand-in, the exchange. One test assumed that the far side of a connection notices its end in the same loop pass as the near side; it now waits for that notice and then asserts the same.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -14,6 +14,8 @@
 import attrs
 import yaml
 
+from boragetiller.timeouts import within
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -56,7 +58,7 @@
         """
         if self.process.returncode is None:
             self.process.send_signal(number)
-        return await asyncio.wait_for(self.process.wait(), STOP_TIMEOUT_S)
+        return await within(STOP_TIMEOUT_S, self.process.wait())
 
 
 class Fleet:
@@ -196,7 +198,7 @@
             sys.executable, *command, stdout=asyncio.subprocess.PIPE
         )
         assert process.stdout is not None
-        line = await asyncio.wait_for(process.stdout.readline(), START_TIMEOUT_S)
+        line = await within(START_TIMEOUT_S, process.stdout.readline())
         if not line:
             raise RuntimeError(f"{command} ended before it was ready")
         return process, line.decode()
--- a/src/boragetiller/agent/claim_keeper.py
+++ b/src/boragetiller/agent/claim_keeper.py
@@ -13,6 +13,7 @@
 from boragetiller.systems import shards
 from boragetiller.tables.claims import DIGEST_BYTES, FINGERPRINT_BYTES, ShardCall
 from boragetiller.tables.shard_actions import RefuseCall, ReplayAnswer, RunCall, ShardAction
+from boragetiller.timeouts import within
 
 if TYPE_CHECKING:
 
@@ -228,7 +229,7 @@
         while True:
             began_ms = self._clock.now_ms()
             try:
-                hosts = await asyncio.wait_for(self._hosts.hosts(), self._timeout_s)
+                hosts = await within(self._timeout_s, self._hosts.hosts())
             except (StoreUnavailable, TimeoutError):
                 self._metrics.increment("agent.claims.host_list_unavailable")
             else:
--- a/src/boragetiller/agent/shards.py
+++ b/src/boragetiller/agent/shards.py
@@ -23,6 +23,7 @@
     WritePage,
     WriteSegment,
 )
+from boragetiller.timeouts import within
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -135,7 +136,7 @@
     async def _read_page(self, action: ReadPage) -> None:
         key = page_key(self._group, action.shard)
         try:
-            entry = await asyncio.wait_for(self._store.get(key), self._timeout_s)
+            entry = await within(self._timeout_s, self._store.get(key))
             page = decode_page(entry.value) if entry is not None else None
         except (StoreUnavailable, TimeoutError, ProtocolError):
             self._note_read_failure(action.shard)
@@ -153,7 +154,7 @@
             key, encode_page(action.page), expected_revision=action.expected_revision
         )
         try:
-            revision = await asyncio.wait_for(write, self._timeout_s)
+            revision = await within(self._timeout_s, write)
         except RevisionConflict:
             self._note_write_failure(action.shard, conflict=True)
         except (StoreUnavailable, TimeoutError):
@@ -167,7 +168,7 @@
         try:
             for number in action.numbers:
                 key = segment_key(self._group, action.shard, number)
-                entry = await asyncio.wait_for(self._store.get(key), self._timeout_s)
+                entry = await within(self._timeout_s, self._store.get(key))
                 found[number] = decode_claims(entry.value) if entry is not None else ()
         except (StoreUnavailable, TimeoutError, ProtocolError):
             self._note_read_failure(action.shard)
@@ -178,7 +179,7 @@
         key = segment_key(self._group, action.shard, action.number)
         write = self._store.put(key, encode_claims(action.claims), expected_revision=0)
         try:
-            await asyncio.wait_for(write, self._timeout_s)
+            await within(self._timeout_s, write)
         except (RevisionConflict, StoreUnavailable, TimeoutError):
             self._note_read_failure(action.shard)
             return
@@ -187,10 +188,10 @@
     async def _delete_segment(self, action: DeleteSegment) -> None:
         key = segment_key(self._group, action.shard, action.number)
         with suppress(RevisionConflict, StoreUnavailable, TimeoutError):
-            entry = await asyncio.wait_for(self._store.get(key), self._timeout_s)
+            entry = await within(self._timeout_s, self._store.get(key))
             if entry is not None:
                 deletion = self._store.delete(key, expected_revision=entry.revision)
-                await asyncio.wait_for(deletion, self._timeout_s)
+                await within(self._timeout_s, deletion)
 
     def _note_read_failure(self, shard: int) -> None:
         shards.note_read_failure(self._table, shard, self._settings, self._clock.now_ms())
--- a/src/boragetiller/control/exchange.py
+++ b/src/boragetiller/control/exchange.py
@@ -34,6 +34,7 @@
 from boragetiller.control.server import ControlServer
 from boragetiller.control.session import NONCE_BYTES, Session
 from boragetiller.events import Event, log_event
+from boragetiller.timeouts import within
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -140,7 +141,7 @@
         for connection in list(self._open):
             connection.close()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(asyncio.gather(*waiting), self._settings.heartbeat_ms / MS_PER_S)
+            await within(self._settings.heartbeat_ms / MS_PER_S, asyncio.gather(*waiting))
         for connection in list(self._open):
             connection.abort(ControlError())
 
--- a/tests/control/test_exchange.py
+++ b/tests/control/test_exchange.py
@@ -51,6 +51,7 @@
         await self._connect()
         self.b.exchange.connection_to("a").replace()  # type: ignore[union-attr]
         await until(lambda: len(self.a.recorder.connected) == 2)
+        await until(lambda: bool(self.a.recorder.lost))
         self.assertEqual([peer.name for peer in self.a.recorder.lost], ["b"])
 
     async def test_newer_incarnation_replaces_older(self) -> None:
@@ -101,6 +102,7 @@
         await self._connect()
         await self.b.exchange.close()
         self.assertEqual(self.a.recorder.messages, [("b", Goodbye(reason="stopping"))])
+        await until(lambda: bool(self.a.recorder.lost))
         self.assertEqual([peer.name for peer in self.a.recorder.lost], ["b"])
 
 
