Spread the orders of a large group over time

Cause: when a record changes, every agent of the group asked for a slot at once, and the store's busiest second grew with the fleet. Change: the first step of a new order waits at random up to 10 ms for each member of the group; retries at the store start from the same figure; looks at the engine have jitter.

--- a/bench/order_rollout.py
+++ b/bench/order_rollout.py
@@ -3,7 +3,7 @@
 
 Real `OrderKeeper`s and the in-memory store run on an event loop whose clock jumps to the next
 timer, so an hour of the fleet takes seconds. Printed: calls of the store, the busiest second, the
-time until the last engine holds the model, and how often more loads ran than the weight store allows.
+time until the last engine holds the model, and how many loads began over the weight store's limit.
 
     python -m bench.order_rollout --agents 1300 --slots 16 --load_s 60
 """
@@ -109,7 +109,9 @@
     store = CountingStore(clock)
     weights = MemoryWeightStore(limit=slots)
     platform = PlatformClients(store, MemoryHostList(clock), weights)
-    config = ConfigTable(ready=True, groups={"pool": BackendGroup(name="pool", models=(MODEL,))})
+    members = tuple(f"engine-{number}" for number in range(agents))
+    group = BackendGroup(name="pool", members=members, models=(MODEL,))
+    config = ConfigTable(ready=True, groups={"pool": group})
     engines = [SlowEngine(load_s, weights) for _ in range(agents)]
     keepers = [
         OrderKeeper(_settings(number, seed), platform, engine, config, clock, Metrics(), 1)
@@ -117,7 +119,7 @@
     ]
     for keeper in keepers:
         await keeper.start()
-    while not all(engine.models for engine in engines):
+    while not all(engine.models for engine in engines):  # noqa: ASYNC110
         await asyncio.sleep(1.0)
     for keeper in keepers:
         await keeper.close()
--- a/src/boragetiller/agent/orders.py
+++ b/src/boragetiller/agent/orders.py
@@ -21,6 +21,7 @@
     may_send,
     next_order,
     next_step,
+    notice_order,
     record_failure,
     record_success,
     take_lease,
@@ -46,6 +47,7 @@
     from boragetiller.tables.config import ConfigTable
 
 MAX_STEPS = 32  # of one look at the engine
+STORE_REASONS = frozenset({"lease", "lease_taken", "slot_taken"})
 
 
 class OrderKeeper:
@@ -84,6 +86,7 @@
         self._rng = Random(f"{settings.seed}/{settings.name}" if settings.seed else None)
         self._table = OrderTable()
         self._slot_index: int | None = None
+        self._members = 0
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -102,6 +105,7 @@
         group = self._config.groups.get(self._backend.group)
         if group is None or self._clock.now_ms() < self._table.retry_at_ms:
             return
+        self._members = len(group.members)
         wanted = wanted_config(group)
         for _ in range(MAX_STEPS):
             try:
@@ -109,14 +113,17 @@
             except BoragetillerError as error:
                 self._fail("read", error)
                 return
-            step = next_step(self._table, order, self._settings, self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            notice_order(self._table, order, len(group.members), self._settings, self._rng, now_ms)
+            step = next_step(self._table, order, self._settings, now_ms)
             if isinstance(step, Rest) or not await self._carry_out(step):
                 return
 
     async def _run(self) -> None:
         while True:
             await self.reconcile()
-            await asyncio.sleep(self._settings.check_interval_ms / 1_000)
+            wait_ms = self._settings.check_interval_ms * self._rng.uniform(0.5, 1.5)
+            await asyncio.sleep(wait_ms / 1_000)
 
     async def _carry_out(self, step: TakeSlot | TakeLease | SendOrder) -> bool:
         try:
@@ -202,7 +209,9 @@
 
     def _back_off(self, reason: str) -> None:
         self._metrics.increment(f"agent.orders.retry.{reason}")
-        record_failure(self._table, self._settings, self._rng, self._clock.now_ms())
+        members = self._members if reason in STORE_REASONS else 0
+        now_ms = self._clock.now_ms()
+        record_failure(self._table, self._settings, self._rng, now_ms, members)
 
 
 def wanted_config(group: BackendGroup) -> EngineConfig:
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -168,6 +168,7 @@
     role_timeout_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
     retry_base_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
     retry_max_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
+    spread_ms_per_member: int = attrs.field(default=10, validator=validators.ge(0))
 
     @property
     def slot_ttl_ms(self) -> int:
--- a/src/boragetiller/systems/orders.py
+++ b/src/boragetiller/systems/orders.py
@@ -46,6 +46,29 @@
     return None
 
 
+def notice_order(
+    table: OrderTable,
+    order: Order | None,
+    members: int,
+    settings: OrderSettings,
+    rng: Random,
+    now_ms: int,
+) -> None:
+    """
+    Delay the first step of a new order at random, so that a large group does not ask at once.
+
+    :param table: state of the orders
+    :param order: the order, None when the engine is as it should be
+    :param members: size of the backend group, which a change of its record reaches at once
+    :param settings: delay
+    :param rng: seeded generator
+    :param now_ms: monotonic time in milliseconds
+    """
+    if order is not None and not table.waiting:
+        table.retry_at_ms = now_ms + rng.randint(0, members * settings.spread_ms_per_member)
+    table.waiting = order is not None
+
+
 def next_step(
     table: OrderTable, order: Order | None, settings: OrderSettings, now_ms: int
 ) -> OrderStep:
@@ -158,7 +181,9 @@
     table.retry_at_ms = 0
 
 
-def record_failure(table: OrderTable, settings: OrderSettings, rng: Random, now_ms: int) -> None:
+def record_failure(
+    table: OrderTable, settings: OrderSettings, rng: Random, now_ms: int, members: int = 0
+) -> None:
     """
     Note a step that failed and delay the next one, exponentially and with jitter.
 
@@ -166,9 +191,11 @@
     :param settings: delays
     :param rng: seeded generator
     :param now_ms: monotonic time in milliseconds
+    :param members: how many agents may try the same step at the store
     """
+    base_ms = max(settings.retry_base_ms, members * settings.spread_ms_per_member)
     doublings = min(table.failures, MAX_DOUBLINGS)
-    ceiling_ms = min(settings.retry_base_ms * 2**doublings, settings.retry_max_ms)
+    ceiling_ms = min(base_ms * 2**doublings, settings.retry_max_ms)
     table.failures += 1
     table.retry_at_ms = now_ms + rng.randint(ceiling_ms // 2, ceiling_ms)
 
@@ -180,6 +207,7 @@
     "needs_slot",
     "next_order",
     "next_step",
+    "notice_order",
     "record_failure",
     "record_success",
     "slot_covers_load",
--- a/src/boragetiller/tables/orders.py
+++ b/src/boragetiller/tables/orders.py
@@ -55,6 +55,7 @@
     lease: HeldLease | None = None
     slot: HeldLease | None = None
     newest_token: int = 0
+    waiting: bool = False  # an order was noticed and is not carried out yet
     failures: int = 0
     retry_at_ms: int = 0
 
--- a/tests/systems/test_orders.py
+++ b/tests/systems/test_orders.py
@@ -11,6 +11,7 @@
     may_send,
     next_order,
     next_step,
+    notice_order,
     record_failure,
     record_success,
     take_lease,
@@ -61,6 +62,17 @@
         self.assertEqual(next_step(table, order, SETTINGS, 0), SendOrder(order, 4))
         self.assertEqual(next_step(OrderTable(), ROLE, SETTINGS, 0), TakeLease())
 
+    def test_notice_order_spreads_the_first_step_of_a_large_group(self) -> None:
+        starts = []
+        for seed in range(200):
+            table = OrderTable()
+            notice_order(table, ROLE, 1_300, SETTINGS, Random(seed), 0)
+            starts.append(table.retry_at_ms)
+            notice_order(table, ROLE, 1_300, SETTINGS, Random(seed), 5)
+            self.assertEqual(table.retry_at_ms, starts[-1])
+        self.assertLessEqual(max(starts), 13_000)
+        self.assertLess(sum(start < 1_000 for start in starts), 40)
+
     def test_may_send_ends_before_the_lease_does(self) -> None:
         step = SendOrder(ROLE, 7)
         self.assertTrue(may_send(_table(asked_ms=500), step, SETTINGS, 9_499))
