--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -68,10 +68,14 @@
     port: int = attrs.field(default=0, validator=_PORT)
     key: str = attrs.field(repr=False)
     heartbeat_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
-    suspect_after_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
+    suspect_after_ms: int = attrs.field(default=2_500, validator=_POSITIVE)
     max_frame_bytes: int = attrs.field(default=2_000_000, validator=_POSITIVE)
     reconnect_base_ms: int = attrs.field(default=200, validator=_POSITIVE)
     reconnect_max_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
+    candidate_floor_share: float = attrs.field(default=0.5, validator=_SHARE)
+    list_loss_share: float = attrs.field(default=0.3, validator=_SHARE)
+    list_doubt_ms: int = attrs.field(default=60_000, validator=_POSITIVE)
+    announce_interval_ms: int = attrs.field(default=100, validator=_POSITIVE)
 
 
 @attrs.frozen(kw_only=True)
@@ -114,13 +118,15 @@
     retry_base_ms: int = attrs.field(default=20, validator=_POSITIVE)
     retry_max_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
     retry_share: float = attrs.field(default=0.1, validator=_SHARE)
+    retry_essential_share: float = attrs.field(default=0.5, validator=_SHARE)
     retry_burst: int = attrs.field(default=50, validator=_POSITIVE)
     own_domain_share: float = attrs.field(default=0.67, validator=_SHARE)
     other_domain_ms: int = attrs.field(default=5, validator=validators.ge(0))
-    prefix_gain_ms: int = attrs.field(default=150, validator=validators.ge(0))
+    prefix_gain_ms: int = attrs.field(default=500, validator=validators.ge(0))
     fingerprint_gain_ms: int = attrs.field(default=20, validator=validators.ge(0))
     crowding_ms: int = attrs.field(default=100, validator=validators.ge(0))
     report_fade_ms: int = attrs.field(default=2_000, validator=_POSITIVE)
+    own_share: float = attrs.field(default=0.7, validator=_SHARE)
     unknown_wait_ms: int = attrs.field(default=50, validator=_POSITIVE)
     eject_after_failures: int = attrs.field(default=3, validator=_POSITIVE)
     eject_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
@@ -142,18 +148,31 @@
     max_running: int = attrs.field(default=64, validator=_POSITIVE)
     limit_window_ms: int = attrs.field(default=250, validator=_POSITIVE)
     limit_min_gaps: int = attrs.field(default=16, validator=_POSITIVE)
-    limit_step: float = attrs.field(default=1.0, validator=validators.gt(0.0))
-    between_tokens_share: float = attrs.field(default=0.85, validator=_SHARE)
+    limit_cut_gain: float = attrs.field(default=0.3, validator=validators.gt(0.0))
+    limit_rise_gain: float = attrs.field(default=0.1, validator=validators.gt(0.0))
+    between_tokens_share: float = attrs.field(default=0.94, validator=_SHARE)
     max_queued: int = attrs.field(default=1_000, validator=_POSITIVE)
     max_classes: int = attrs.field(default=64, validator=_POSITIVE)
     fair_turn_tokens: int = attrs.field(default=512, validator=_POSITIVE)
     prompt_token_cost: float = attrs.field(default=0.1, validator=validators.ge(0.0))
     min_cost_tokens: int = attrs.field(default=16, validator=_POSITIVE)
     late_share: float = attrs.field(default=0.125, validator=_SHARE)
-    aging_interval_ms: int = attrs.field(default=4_000, validator=_POSITIVE)
+    aging_interval_ms: int = attrs.field(default=8_000, validator=_POSITIVE)
     protected_share: float = attrs.field(default=0.25, validator=_SHARE)
+    headroom_share: float = attrs.field(default=0.2, validator=_SHARE)
     protected_memory_ms: int = attrs.field(default=60_000, validator=_POSITIVE)
-    preempt_slack_ms: int = attrs.field(default=250, validator=validators.ge(0))
+    preempt_slack_ms: int = attrs.field(default=150, validator=validators.ge(0))
+
+
+@attrs.frozen(kw_only=True)
+class ConfigSettings:
+    """How a process keeps its configuration up to date."""
+
+    retry_base_ms: int = attrs.field(default=100, validator=_POSITIVE)
+    retry_max_ms: int = attrs.field(default=2_000, validator=_POSITIVE)
+    watch_restart_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
+    peer_silence_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
+    peer_wait_ms: int = attrs.field(default=1_500, validator=_POSITIVE)
 
 
 @attrs.frozen(kw_only=True)
@@ -177,14 +196,23 @@
 
 
 @attrs.frozen(kw_only=True)
-class ConfigSettings:
-    """How a process keeps its configuration up to date."""
-
-    retry_base_ms: int = attrs.field(default=100, validator=_POSITIVE)
-    retry_max_ms: int = attrs.field(default=2_000, validator=_POSITIVE)
-    watch_restart_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
-    peer_silence_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
-    peer_wait_ms: int = attrs.field(default=1_500, validator=_POSITIVE)
+class ClaimSettings:
+    """How calls that may not be repeated are claimed by their idempotency key."""
+
+    memory_after_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
+    renew_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
+    commit_interval_ms: int = attrs.field(default=250, validator=_POSITIVE)
+    poll_ms: int = attrs.field(default=500, validator=_POSITIVE)
+    pause_limit_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
+    retry_horizon_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
+    max_call_age_ms: int = attrs.field(default=120_000, validator=_POSITIVE)
+    max_clock_skew_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+    commit_timeout_ms: int = attrs.field(default=25_000, validator=_POSITIVE)
+    rebalance_after_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
+    release_timeout_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
+    page_claims: int = attrs.field(default=1_024, validator=_POSITIVE)
+    answer_bytes: int = attrs.field(default=65_536, validator=_POSITIVE)
+    answers_bytes: int = attrs.field(default=16_000_000, validator=_POSITIVE)
 
 
 @attrs.frozen(kw_only=True)
@@ -216,8 +244,9 @@
     limits: LimitSettings = LimitSettings()
     placement: PlacementSettings = PlacementSettings()
     admission: AdmissionSettings = AdmissionSettings()
-    orders: OrderSettings = OrderSettings()
     config: ConfigSettings = ConfigSettings()
+    orders: OrderSettings = OrderSettings()
+    claims: ClaimSettings = ClaimSettings()
     backend: BackendSettings | None = None
     seed: int | None = None
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
@@ -253,6 +282,7 @@
     "BackendKind",
     "BackendSettings",
     "ConfigSettings",
+    "ClaimSettings",
     "ControlSettings",
     "LimitSettings",
     "ListenSettings",
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import hashlib
-from typing import TYPE_CHECKING, Any
+from random import Random
+from typing import Any
 
 import aiohttp
 import attrs
+import yaml
 
 from boragetiller.agent.process import AgentProcess
+from boragetiller.cli.writer import RecordWriter
 from boragetiller.clock import SystemClock
 from boragetiller.platform.clients import PlatformClients
 from boragetiller.platform.hosts import Host
 from boragetiller.platform.memory import MemoryStore
 from boragetiller.platform.memory_hosts import MemoryHostList
-from boragetiller.records.model import BackendGroup, Customer, RequestClass
+from boragetiller.records.documents import parse_documents
+from boragetiller.records.writes import WriteState
 from boragetiller.router.process import RouterProcess
 from boragetiller.settings import (
     BackendKind,
@@ -26,9 +30,6 @@
     Settings,
 )
 
-if TYPE_CHECKING:
-    from boragetiller.records.model import Record
-
 KEY = "test-key"
 LOOPBACK = "127.0.0.1"
 MODEL = "kopar-1"
@@ -39,22 +40,28 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def sample_records(engines: tuple[str, ...], services: tuple[str, ...]) -> list[Record]:
+def sample_records(engines: tuple[str, ...], services: tuple[str, ...]) -> str:
     """
-    Build records for one engine group and one plain-service group.
+    Write records for one engine group and one plain-service group.
 
     :param engines: agents of the engine group
     :param services: agents of the service group
-    :return: customer, classes and groups
+    :return: YAML documents of customer, classes and groups
     """
-    return [
-        BackendGroup(name="pool", members=engines, models=(MODEL,)),
-        BackendGroup(name="app", kind=BackendKind.SERVICE, members=services, shards=4),
-        RequestClass(name="quote", group="pool", tier=0, protected=True),
-        RequestClass(name="note", group="pool", tier=3),
-        RequestClass(name="booking", group="app", tier=0, protected=True, idempotent=False),
-        Customer(name="acme", key_hashes=(key_hash(KEY),), classes=("quote", "note", "booking")),
+    documents: list[dict[str, Any]] = [
+        {"kind": "group", "name": "pool", "members": list(engines), "models": [MODEL]},
+        {"kind": "group", "name": "app", "backend": "service", "members": list(services)},
+        {"kind": "class", "name": "quote", "group": "pool", "tier": 0, "protected": True},
+        {"kind": "class", "name": "note", "group": "pool", "tier": 3},
+        {"kind": "class", "name": "booking", "group": "app", "tier": 0, "idempotent": False},
+        {
+            "kind": "customer",
+            "name": "acme",
+            "key_hashes": [key_hash(KEY)],
+            "classes": ["quote", "note", "booking"],
+        },
     ]
+    return yaml.safe_dump_all({"schema_version": 2, **each} for each in documents)
 
 
 @attrs.define
@@ -103,22 +110,34 @@
         self.hosts.put(_host(name, "agent", agent.endpoints(), group))
         return agent
 
-    async def add_router(self, name: str, records: list[Record], **more: Any) -> RouterProcess:
+    async def add_router(self, name: str, **more: Any) -> RouterProcess:
         """
-        Start a router with records in force.
+        Start a router and wait until the stored records are in force.
 
         :param name: host name
-        :param records: what is in force
         :param more: further settings
         :return: the router
         """
-        router = RouterProcess(self._settings(Role.ROUTER, name, seed=7, **more), self._platform())
-        _fill(router, records)
+        settings = self._settings(Role.ROUTER, name, **{"seed": 7, **more})
+        router = RouterProcess(settings, self._platform())
         await router.start()
         self.routers.append(router)
         self.hosts.put(_host(name, "router", router.endpoints(), ""))
+        await router.configured.wait()
         return router
 
+    async def apply(self, records: str) -> None:
+        """
+        Write records as an operator would.
+
+        :param records: YAML documents
+        """
+        writer = RecordWriter(self.store, "vesturland", Random(1))
+        results = await writer.write(parse_documents(records), 1_000)
+        refused = [result for result in results if result.state is not WriteState.ACCEPTED]
+        if refused:
+            raise AssertionError(refused)
+
     async def start(self) -> None:
         """Open the callers' session."""
         self.session = aiohttp.ClientSession()
@@ -177,18 +196,4 @@
     )
 
 
-def _fill(router: RouterProcess, records: list[Record]) -> None:
-    config = router.config
-    for record in records:
-        match record:
-            case Customer():
-                config.customers[record.name] = record
-                config.customers_by_key |= dict.fromkeys(record.key_hashes, record.name)
-            case RequestClass():
-                config.classes[record.name] = record
-            case BackendGroup():
-                config.groups[record.name] = record
-    config.ready = True
-
-
 __all__ = ["KEY", "MODEL", "Fleet", "key_hash", "sample_records"]
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -31,7 +31,8 @@
         await self.service.start()
         await self.fleet.add_agent("app-0", "app", self.service.url, BackendKind.SERVICE)
         records = sample_records(("engine-0", "engine-1"), ("app-0",))
-        self.router = await self.fleet.add_router("router-0", records)
+        await self.fleet.apply(records)
+        self.router = await self.fleet.add_router("router-0")
 
     async def asyncTearDown(self) -> None:
         await self.fleet.close()
