--- a/src/boragetiller/standin/demo.py
+++ b/src/boragetiller/standin/demo.py
@@ -24,6 +24,7 @@
     ControlSettings,
     ListenSettings,
     OperatorSettings,
+    OrderSettings,
     PlatformSettings,
     Role,
     Settings,
@@ -94,6 +95,7 @@
 
     port: int = 8470  # 0 takes free ports
     step_ms: float = 20.0
+    order_check_ms: int = 1_000
     seed: int = 1
 
 
@@ -218,6 +220,7 @@
             control=ControlSettings(key=CONTROL_KEY),
             operator=OperatorSettings(port=operator_port, key=OPERATOR_KEY),
             platform=self._platform_settings(),
+            orders=OrderSettings(check_interval_ms=self._settings.order_check_ms),
             backend=backend,
         )
 
--- a/tests/standin/test_demo.py
+++ b/tests/standin/test_demo.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import unittest
+from random import Random
 from typing import Any
 
 import aiohttp
 
 from boragetiller.cli.demo import describe
+from boragetiller.cli.writer import RecordWriter
+from boragetiller.records.documents import parse_documents
 from boragetiller.standin.demo import CUSTOMER_KEYS, Demo, DemoSettings
 from boragetiller.standin.engine_text import expected_text
 from boragetiller.standin.service import confirmation
@@ -17,11 +21,23 @@
 KALISZ = {"Authorization": f"Bearer {CUSTOMER_KEYS['kalisz-dzial-deszczowki']}"}
 
 
+HANG_S = 60
+GROUP_CHANGE = """
+kind: group
+name: tiller-pool
+schema_version: 2
+backend: engine
+members: [tiller-pool-1, tiller-pool-2]
+models: [kopar-1, kopar-2]
+role: decode
+"""
+
+
 class DemoTest(unittest.IsolatedAsyncioTestCase):
     """One demo on free ports."""
 
     async def asyncSetUp(self) -> None:
-        self.demo = Demo(DemoSettings(port=0, step_ms=0.5))
+        self.demo = Demo(DemoSettings(port=0, step_ms=0.5, order_check_ms=50))
         self.addAsyncCleanup(self.demo.close)
         await self.demo.start()
         self.session = aiohttp.ClientSession()
@@ -36,6 +52,19 @@
         await self._check_reservation()
         self.assertIn(self._url(0, "/services/lager-app/reservations"), describe(self.demo))
 
+    async def test_record_change_becomes_orders(self) -> None:
+        writer = RecordWriter(self.demo.platform.store, "demo", Random(1))
+        await writer.write(parse_documents(GROUP_CHANGE), at_ms=1)
+        engines = [self.demo.engines[f"tiller-pool-{number}"].state for number in (1, 2)]
+        wanted = ["kopar-1", "kopar-2"]
+        async with asyncio.timeout(HANG_S):
+            while any(engine.models != wanted for engine in engines):  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+        for engine in engines:
+            kinds = [order["kind"] for order in engine.orders]
+            self.assertEqual((kinds, engine.role), (["set_role", "load_model"], "decode"))
+            self.assertGreater(engine.orders[0]["fencing"], 0)
+
     async def _check_whole_answer(self) -> None:
         body = _chat("doradca-1", "A grant for a tank?")
         url = self._url(1, "/v1/chat/completions")
@@ -55,10 +84,13 @@
 
     async def _check_reservation(self) -> None:
         headers = {**KOPAR, "X-Request-Class": "reservation", "Idempotency-Key": "sheet-17"}
-        url = self._url(0, "/services/lager-app/reservations")
-        async with self.session.post(url, data=b"{}", headers=headers) as response:
-            answer = await response.json()
-        self.assertEqual(answer["confirmation"], confirmation("POST", "/reservations", b"{}"))
+        for router in (0, 1):
+            url = self._url(router, "/services/lager-app/reservations")
+            async with self.session.post(url, data=b"{}", headers=headers) as response:
+                answer = await response.json()
+            self.assertEqual(
+                answer.get("confirmation"), confirmation("POST", "/reservations", b"{}"), answer
+            )
         runs = [service.ledger.by_key["sheet-17"] for service in self.demo.services.values()]
         self.assertEqual(sum(runs), 1)
 
