Judge writes under real interleaving, lost replies and old pages from peers; add demo command

Cause: a store without delays ran each writer at one go, and no mutation of the node's revision check was found by python -m bench.config writes. Change: a base delay, peers that offer old pages, counters of what the faults did.

--- a/bench/config.py
+++ b/bench/config.py
@@ -24,6 +24,10 @@
         """Write from two offices, one on the old version; exits 1 on any loss, revert or lie."""
         outcome = asyncio.run(run_interleaved(seed, count))
         print(f"answers: {dict(outcome.answers)}, page versions: {outcome.versions}")
+        print(
+            f"unknown answers, settled by a further run: {outcome.unknown}, "
+            f"lost replies recognized: {outcome.recognized}"
+        )
         print(
             f"accepted writes lost: {len(outcome.lost_writes)}, reverts: {len(outcome.reverts)}, "
             f"false answers: {len(outcome.false_answers)}, unsettled: {outcome.unsettled}"
--- a/bench/config_writes.py
+++ b/bench/config_writes.py
@@ -4,19 +4,16 @@
 
 import asyncio
 import contextlib
-from collections import Counter
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-import attrs
-
+from bench.config_judge import Outcome, Told, judge
 from bench.config_nodes import node_settings
 from boragetiller.cli.writer import RecordWriter, WriterSettings
 from boragetiller.clock import SystemClock
 from boragetiller.platform.memory import MemoryStore
 from boragetiller.records.documents import RecordDocument, parse_documents
-from boragetiller.records.pages import PAGE_PREFIX, decode_page
-from boragetiller.records.schema import RecordKind, default_of, fields_of
+from boragetiller.records.pages import PAGE_PREFIX, decode_page, index_of_key
 from boragetiller.records.writes import WriteState
 from boragetiller.router.config_sync import ConfigSync
 from boragetiller.tables.config import ConfigTable
@@ -24,13 +21,13 @@
 if TYPE_CHECKING:
     from boragetiller.cli.store_access import StoredPage
     from boragetiller.platform.store import Entry
-    from boragetiller.records.pages import StoredRecord
-    from boragetiller.records.writes import PendingWrite, WriteResult
+    from boragetiller.records.writes import PendingWrite
 
 RECORDS = 24
 OPERATORS_PER_OFFICE = 4
 MAX_RERUNS = 40
-FAULT_PAUSE_S = 0.004
+FAULT_PAUSE_S = 0.006
+BASE_DELAY_MS = 1
 WRITER = WriterSettings(attempts=5, retry_base_ms=1, retry_max_ms=8)
 VALUES: dict[str, list[Any]] = {
     "tier": [0, 1, 2, 3],
@@ -42,7 +39,6 @@
 }
 OLD_NAMES = {"first_token_target_ms": "first_token_ms"}
 NEW_ONLY = ("between_tokens_target_ms", "weight")
-NOT_WRITTEN = (WriteState.CONFLICT, WriteState.REFUSED, WriteState.UNCHANGED)
 
 
 class RecordingStore(MemoryStore):
@@ -51,12 +47,13 @@
     def __init__(self) -> None:
         """Start empty."""
         super().__init__(SystemClock())
-        self.versions: dict[str, list[bytes]] = {}
+        self.versions: dict[str, list[Entry]] = {}
 
     def _append(self, key: str, value: bytes) -> Entry:
+        entry = super()._append(key, value)
         if key.startswith(PAGE_PREFIX):
-            self.versions.setdefault(key, []).append(value)
-        return super()._append(key, value)
+            self.versions.setdefault(key, []).append(entry)
+        return entry
 
 
 class RecordingWriter(RecordWriter):
@@ -72,26 +69,6 @@
         return write
 
 
-@attrs.define
-class Outcome:
-    """What the run showed."""
-
-    answers: Counter[str] = attrs.Factory(Counter)
-    unsettled: int = 0
-    lost_writes: list[str] = attrs.Factory(list)
-    reverts: list[str] = attrs.Factory(list)
-    false_answers: list[str] = attrs.Factory(list)
-    versions: int = 0
-
-
-@attrs.define
-class _Told:
-    """The answers to one writer, who ran again after an unknown."""
-
-    write_ids: list[str]
-    final: WriteResult
-
-
 async def run_interleaved(seed: int, writes: int) -> Outcome:
     """
     Write from two offices at once while the store misbehaves.
@@ -109,22 +86,31 @@
     for node in nodes:
         await node.sync.start()
     faults = asyncio.create_task(_inject_faults(store, Random(seed + 1)))
+    peers = asyncio.create_task(_offer_old_pages(store, nodes, Random(seed + 2)))
     share = writes // (2 * OPERATORS_PER_OFFICE)
-    told: list[_Told] = []
+    told: list[Told] = []
+    _clear_faults(store)
     operators = [
-        _operate(_make_writer(store, office, begun, seed + number), told, version, share, number)
+        _operate(
+            _make_writer(store, office, begun, seed + number),
+            told,
+            version,
+            share,
+            Random(f"{seed}/{office}/{number}"),
+        )
         for office, version in (("vesturland", 1), ("kalisz", 2))
         for number in range(OPERATORS_PER_OFFICE)
     ]
     await asyncio.gather(*operators)
-    faults.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await faults
+    for task in (faults, peers):
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
     _clear_faults(store)
     await _wait_for_nodes(nodes, store)
     for node in nodes:
         await node.sync.close()
-    _judge(outcome, store, begun, told)
+    judge(outcome, store.versions, begun, told)
     return outcome
 
 
@@ -164,18 +150,20 @@
 
 
 async def _operate(
-    writer: RecordingWriter, told: list[_Told], version: int, count: int, number: int
+    writer: RecordingWriter, told: list[Told], version: int, count: int, rng: Random
 ) -> None:
-    rng = Random(f"{version}/{number}")
     for step in range(count):
         document = await _edit(writer, version, rng)
         write_ids: list[str] = []
+        unknown = 0
         for _ in range(MAX_RERUNS):
             result = (await writer.write([document], at_ms=step))[0]
             write_ids.append(result.write_id)
-            if result.state not in (WriteState.UNKNOWN, WriteState.NOT_ACCEPTED):
+            unknown += result.state is WriteState.UNKNOWN
+            settled = result.state not in (WriteState.UNKNOWN, WriteState.NOT_ACCEPTED)
+            if settled or not unknown:
                 break
-        told.append(_Told(write_ids, result))
+        told.append(Told(write_ids, result, unknown))
 
 
 async def _edit(writer: RecordingWriter, version: int, rng: Random) -> RecordDocument:
@@ -213,7 +201,7 @@
         elif fault == "request":
             store.inject(lose_requests=rng.randint(1, 2))
         elif fault == "delay":
-            store.inject(delay_ms=rng.randint(1, 3))
+            store.inject(delay_ms=rng.randint(2, 5))
         elif fault == "outage":
             store.inject(outage=True)
         elif fault == "stale":
@@ -222,11 +210,20 @@
             store.inject(watch_end=True, watch_repeat=True, watch_skip=True)
 
 
+async def _offer_old_pages(store: RecordingStore, nodes: list[_Node], rng: Random) -> None:
+    while True:
+        await asyncio.sleep(rng.uniform(0, FAULT_PAUSE_S))
+        entry = rng.choice(store.versions[rng.choice(sorted(store.versions))])
+        index = index_of_key(entry.key)
+        if index is not None:
+            rng.choice(nodes).sync.take_page(index, entry.revision, entry.value)
+
+
 def _clear_faults(store: MemoryStore) -> None:
     store.inject(
         lose_replies=0,
         lose_requests=0,
-        delay_ms=0,
+        delay_ms=BASE_DELAY_MS,
         outage=False,
         stale_reads=False,
         watch_end=False,
@@ -244,63 +241,4 @@
                 await node.changed.wait()
 
 
-def _judge(
-    outcome: Outcome, store: RecordingStore, begun: dict[str, PendingWrite], told: list[_Told]
-) -> None:
-    effects: Counter[str] = Counter()
-    for key in sorted(store.versions):
-        effects.update(_judge_page(outcome, store.versions[key], begun))
-    outcome.versions = sum(len(versions) for versions in store.versions.values())
-    outcome.lost_writes += [f"{name} took effect twice" for name, n in effects.items() if n > 1]
-    for each in told:
-        state = each.final.state
-        outcome.answers[state.value] += 1
-        took_effect = any(effects[write_id] for write_id in each.write_ids if write_id)
-        if state is WriteState.ACCEPTED and not took_effect:
-            outcome.false_answers.append(f"accepted without effect: {each}")
-        if state in NOT_WRITTEN and effects[each.final.write_id]:
-            outcome.false_answers.append(f"{state.value} with effect: {each}")
-        outcome.unsettled += state in (WriteState.UNKNOWN, WriteState.NOT_ACCEPTED)
-
-
-def _judge_page(
-    outcome: Outcome, versions: list[bytes], begun: dict[str, PendingWrite]
-) -> Counter[str]:
-    effects: Counter[str] = Counter()
-    known: dict[str, dict[int, dict[str, Any]]] = {}
-    before: dict[str, StoredRecord] = {}
-    for data in versions:
-        after = decode_page(data).records
-        for record_id, record in after.items():
-            old = before.get(record_id)
-            if old is not None and old.revision == record.revision:
-                if old.fields != record.fields:
-                    outcome.lost_writes.append(f"{record_id} changed without a write")
-                continue
-            write = begun[record.history[-1].write_id]
-            effects[write.write_id] += 1
-            states = known.setdefault(record_id, {0: {}})
-            _judge_write(outcome, write, states, old.fields if old else {}, record.fields)
-            states[record.revision] = record.fields
-        before = after
-    return effects
-
-
-def _judge_write(
-    outcome: Outcome,
-    write: PendingWrite,
-    states: dict[int, dict[str, Any]],
-    old: dict[str, Any],
-    new: dict[str, Any],
-) -> None:
-    base = states.get(write.base_revision or 0, {})
-    specs = {spec.stored_name: spec for spec in fields_of(RecordKind.CLASS, 2).values()}
-    for name, stored in old.items():
-        if new.get(name) == stored:
-            continue
-        default = default_of(RecordKind.CLASS, specs[name]) if name in specs else None
-        if name not in write.document.fields or base.get(name, default) != stored:
-            outcome.lost_writes.append(f"{write.document.record_id}: {name} of {stored} lost")
-
-
-__all__ = ["Outcome", "run_interleaved"]
+__all__ = ["run_interleaved"]
--- a/src/boragetiller/cli/main.py
+++ b/src/boragetiller/cli/main.py
@@ -212,6 +212,20 @@
             )
         )
 
+    def demo(self, port: int | None = None) -> _Invocation:
+        """
+        Start both user deployments in small in one process, until Ctrl-C.
+
+        :param port: first of five ports, 0 for any free ones
+        """
+        return _Invocation(lambda: _run_demo(port))
+
+
+async def _run_demo(port: int | None) -> ExitCode:
+    from boragetiller.cli.demo import demo  # noqa: PLC0415  the stand-ins load only for this
+
+    return await (demo() if port is None else demo(port))
+
 
 def main() -> None:
     """Run one command; ends the process with a code of :class:`ExitCode`."""
--- a/src/boragetiller/cli/writer.py
+++ b/src/boragetiller/cli/writer.py
@@ -224,9 +224,10 @@
     return batches
 
 
-def _unsent(record_id: str) -> WriteResult:
+def _unsent(record_id: str, write_id: str = "") -> WriteResult:
     return WriteResult(
         record_id=record_id,
+        write_id=write_id,
         state=WriteState.NOT_ACCEPTED,
         message="the store does not answer or is too busy; this run wrote nothing, run it again",
     )
@@ -234,7 +235,7 @@
 
 def _undecided(write: PendingWrite, reply_lost: bool) -> WriteResult:
     if not reply_lost:
-        return _unsent(write.document.record_id)
+        return _unsent(write.document.record_id, write.write_id)
     return WriteResult(
         record_id=write.document.record_id,
         state=WriteState.UNKNOWN,
