--- a/src/boragetiller/control/connection.py
+++ b/src/boragetiller/control/connection.py
@@ -33,10 +33,14 @@
         """Tell that the handshake is done."""
         ...
 
-    def on_received(self, connection: Connection, message: Message, size_bytes: int) -> None:
+    def on_received(self, connection: Connection, message: Message) -> None:
         """Hand over a message."""
         ...
 
+    def on_bytes(self, size_bytes: int) -> None:
+        """Count bytes that arrived."""
+        ...
+
     def on_closed(self, connection: Connection, error: ControlError | None) -> None:
         """Tell that the connection is closed, and why when this side closed it for a fault."""
         ...
@@ -75,6 +79,7 @@
     def data_received(self, data: bytes) -> None:
         """See :class:`asyncio.Protocol`."""
         self._heard_ms = self._clock.now_ms()
+        self._owner.on_bytes(len(data))
         was_authenticated = self.session.authenticated
         try:
             messages = self.session.receive(data)
@@ -86,24 +91,24 @@
             self._owner.on_authenticated(self)
         for message in messages:
             if self._error is None:
-                self._owner.on_received(self, message, len(data) // len(messages))
+                self._owner.on_received(self, message)
 
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         """See :class:`asyncio.Protocol`."""
         self.closed.set()
         self._owner.on_closed(self, self._error)
 
-    def send(self, message: Message) -> int:
+    def send(self, payload: bytes) -> int:
         """
-        Send a message; a peer that does not read loses its connection.
+        Send an encoded message; a peer that does not read loses its connection.
 
-        :param message: the message
+        :param payload: the message
         :return: bytes written
         :raises FrameTooLarge: it is over the limit; nothing was sent
         """
         if self._transport is None or self._transport.is_closing():
             return 0
-        self.session.send(message)
+        self.session.send_payload(payload)
         if self._transport.get_write_buffer_size() > 2 * self._settings.max_frame_bytes:
             self.abort(PeerSlow())
             return 0
