--- a/src/boragetiller/cli/status.py
+++ b/src/boragetiller/cli/status.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING, Any, TypeVar
+from urllib.parse import quote
 
 import attrs
 
@@ -91,7 +92,9 @@
     :param options: routers and output
     :return: exit code
     """
-    answers, problems = await _ask_all(f"/explain/{request_id}", Explanation, options)
+    answers, problems = await _ask_all(
+        f"/explain/{quote(request_id, safe='')}", Explanation, options
+    )
     rows = [
         (answer.router, step.at_ms, step.step, step.detail)
         for answer in answers
