--- a/src/boragetiller/control/exchange.py
+++ b/src/boragetiller/control/exchange.py
@@ -136,11 +136,12 @@
         self._clients.clear()
         await asyncio.gather(*(client.close() for client in clients), *self._background)
         self.broadcast(Goodbye(reason=reason))
-        waiting = [connection.closed.wait() for connection in self._open]
-        for connection in list(self._open):
+        closing = list(self._open)
+        for connection in closing:
             connection.close()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(asyncio.gather(*waiting), self._settings.heartbeat_ms / MS_PER_S)
+            async with asyncio.timeout(self._settings.heartbeat_ms / MS_PER_S):
+                await asyncio.gather(*(connection.closed.wait() for connection in closing))
         for connection in list(self._open):
             connection.abort(ControlError())
 
