Wait for the peer's side in test_close_says_goodbye

Cause: the test read the peer's list of lost connections in the same turn of the event loop in which the closing side ended; it passed only because wait_for took one turn more. It now waits until the peer has noticed and checks the same values.

--- a/tests/control/test_exchange.py
+++ b/tests/control/test_exchange.py
@@ -100,6 +100,7 @@
     async def test_close_says_goodbye(self) -> None:
         await self._connect()
         await self.b.exchange.close()
+        await until(lambda: self.a.recorder.lost)
         self.assertEqual(self.a.recorder.messages, [("b", Goodbye(reason="stopping"))])
         self.assertEqual([peer.name for peer in self.a.recorder.lost], ["b"])
 
