--- a/src/boragetiller/agent/claim_keeper.py
+++ b/src/boragetiller/agent/claim_keeper.py
@@ -208,7 +208,8 @@
     async def _open_table(self) -> None:
         while True:
             try:
-                count = await read_shard_count(self._store, self._group, self._shard_count)
+                async with asyncio.timeout(self._timeout_s):
+                    count = await read_shard_count(self._store, self._group, self._shard_count)
                 break
             except (StoreUnavailable, TimeoutError):
                 await asyncio.sleep(self._poll_s)
@@ -228,7 +229,8 @@
         while True:
             began_ms = self._clock.now_ms()
             try:
-                hosts = await asyncio.wait_for(self._hosts.hosts(), self._timeout_s)
+                async with asyncio.timeout(self._timeout_s):
+                    hosts = await self._hosts.hosts()
             except (StoreUnavailable, TimeoutError):
                 self._metrics.increment("agent.claims.host_list_unavailable")
             else:
--- a/src/boragetiller/agent/shards.py
+++ b/src/boragetiller/agent/shards.py
@@ -135,7 +135,8 @@
     async def _read_page(self, action: ReadPage) -> None:
         key = page_key(self._group, action.shard)
         try:
-            entry = await asyncio.wait_for(self._store.get(key), self._timeout_s)
+            async with asyncio.timeout(self._timeout_s):
+                entry = await self._store.get(key)
             page = decode_page(entry.value) if entry is not None else None
         except (StoreUnavailable, TimeoutError, ProtocolError):
             self._note_read_failure(action.shard)
@@ -149,11 +150,12 @@
 
     async def _write_page(self, action: WritePage) -> None:
         key = page_key(self._group, action.shard)
-        write = self._store.put(
-            key, encode_page(action.page), expected_revision=action.expected_revision
-        )
+        value = encode_page(action.page)
         try:
-            revision = await asyncio.wait_for(write, self._timeout_s)
+            async with asyncio.timeout(self._timeout_s):
+                revision = await self._store.put(
+                    key, value, expected_revision=action.expected_revision
+                )
         except RevisionConflict:
             self._note_write_failure(action.shard, conflict=True)
         except (StoreUnavailable, TimeoutError):
@@ -167,7 +169,8 @@
         try:
             for number in action.numbers:
                 key = segment_key(self._group, action.shard, number)
-                entry = await asyncio.wait_for(self._store.get(key), self._timeout_s)
+                async with asyncio.timeout(self._timeout_s):
+                    entry = await self._store.get(key)
                 found[number] = decode_claims(entry.value) if entry is not None else ()
         except (StoreUnavailable, TimeoutError, ProtocolError):
             self._note_read_failure(action.shard)
@@ -176,9 +179,10 @@
 
     async def _write_segment(self, action: WriteSegment) -> None:
         key = segment_key(self._group, action.shard, action.number)
-        write = self._store.put(key, encode_claims(action.claims), expected_revision=0)
+        value = encode_claims(action.claims)
         try:
-            await asyncio.wait_for(write, self._timeout_s)
+            async with asyncio.timeout(self._timeout_s):
+                await self._store.put(key, value, expected_revision=0)
         except (RevisionConflict, StoreUnavailable, TimeoutError):
             self._note_read_failure(action.shard)
             return
@@ -187,10 +191,10 @@
     async def _delete_segment(self, action: DeleteSegment) -> None:
         key = segment_key(self._group, action.shard, action.number)
         with suppress(RevisionConflict, StoreUnavailable, TimeoutError):
-            entry = await asyncio.wait_for(self._store.get(key), self._timeout_s)
-            if entry is not None:
-                deletion = self._store.delete(key, expected_revision=entry.revision)
-                await asyncio.wait_for(deletion, self._timeout_s)
+            async with asyncio.timeout(self._timeout_s):
+                entry = await self._store.get(key)
+                if entry is not None:
+                    await self._store.delete(key, expected_revision=entry.revision)
 
     def _note_read_failure(self, shard: int) -> None:
         shards.note_read_failure(self._table, shard, self._settings, self._clock.now_ms())
