--- /dev/null
+++ b/spec/lease_fencing.py
@@ -0,0 +1,210 @@
+"""
+Orders to an engine under a lease, for minicheck.
+
+Two processes want to give orders to one engine. Each may pause at any step (time
+then passes without it), restart, and lose a reply of the store. Time is kept as what is left or
+has passed, in ticks, so pauses may be of any length. A sent order arrives within `DELIVERY` ticks.
+The engine either honours fencing numbers or ignores them.
+
+Invariants: orders run in the order of their numbers; no order runs once another process was
+granted the lease. Bound: `MAX_GRANTS` leases.
+
+    python -m spec.lease_fencing
+"""
+
+from __future__ import annotations
+
+import sys
+from enum import Enum
+from typing import TYPE_CHECKING, NamedTuple
+
+from minicheck import Protocol
+
+from spec.checking import report
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+TTL = 3
+DELIVERY = 1
+MAX_GRANTS = 3
+NONE = -1
+GONE = 2  # added to the index of a process that held the lease and was restarted
+PROCESSES = (0, 1)
+
+
+class Mistake(Enum):
+    """Seeded mistakes; the checker must find each."""
+
+    NO_CHECK_AT_SEND = "the lease is checked when it is taken, not when an order is sent"
+    COUNTED_FROM_REPLY = "the lease is counted from its reply, not from its request"
+    NO_DELIVERY_TIME = "the time that an order is on its way is not allowed for"
+    LAST_MOMENT = "an order may arrive at the very moment when the lease ends"
+    OLD_NUMBER = "a new lease is used with the number of the first one"
+
+
+class Holder(NamedTuple):
+    """One process: its outstanding request, its lease, its order on the way."""
+
+    asked_ago: int = NONE
+    reply: int = 0  # number granted and not heard of yet
+    token: int = 0
+    valid_left: int = 0
+    order_token: int = 0
+    order_ago: int = NONE
+
+
+class LeaseState(NamedTuple):
+    """Everything at one moment."""
+
+    lease_holder: int = NONE
+    lease_token: int = 0
+    lease_left: int = 0
+    holders: tuple[Holder, Holder] = (Holder(), Holder())
+    newest_run: int = 0
+    stale_run: bool = False
+    superseded_run: bool = False
+
+
+def may_send(holder: Holder, mistake: Mistake | None = None) -> bool:
+    """:return: whether the process may send an order now"""
+    if holder.token == 0 or mistake is Mistake.NO_CHECK_AT_SEND:
+        return holder.token > 0
+    if mistake is Mistake.NO_DELIVERY_TIME:
+        return holder.valid_left > 0
+    if mistake is Mistake.LAST_MOMENT:
+        return holder.valid_left >= DELIVERY
+    return holder.valid_left > DELIVERY
+
+
+def lease_steps(
+    state: LeaseState, *, honours: bool, mistake: Mistake | None = None
+) -> Iterator[tuple[str, LeaseState]]:
+    """
+    List what can happen next.
+
+    :param state: the present state
+    :param honours: whether the engine refuses old numbers
+    :param mistake: seeded mistake, if any
+    :return: labels and next states
+    """
+    if all(holder.order_ago < DELIVERY for holder in state.holders):
+        yield "tick", _ticked(state)
+    for index in PROCESSES:
+        yield from _request_steps(state, index, mistake)
+        yield from _order_steps(state, index, honours, mistake)
+        if state.holders[index] != Holder():
+            yield f"restart {index}", _restarted(state, index)
+
+
+def _ticked(state: LeaseState) -> LeaseState:
+    first, second = state.holders
+    left = max(0, state.lease_left - 1)
+    return state._replace(lease_left=left, holders=(_older(first), _older(second)))
+
+
+def _older(holder: Holder) -> Holder:
+    asked_ago = holder.asked_ago if holder.asked_ago == NONE else min(TTL, holder.asked_ago + 1)
+    order_ago = holder.order_ago if holder.order_ago == NONE else holder.order_ago + 1
+    valid_left = max(0, holder.valid_left - 1)
+    return holder._replace(asked_ago=asked_ago, order_ago=order_ago, valid_left=valid_left)
+
+
+def _request_steps(
+    state: LeaseState, index: int, mistake: Mistake | None
+) -> Iterator[tuple[str, LeaseState]]:
+    holder = state.holders[index]
+    if holder.asked_ago == NONE:
+        yield f"ask {index}", _with(state, index, holder._replace(asked_ago=0))
+        return
+    forgotten = holder._replace(asked_ago=NONE, reply=0)
+    if holder.reply:
+        yield f"hear {index}", _with(state, index, _heard(holder, forgotten, mistake))
+        yield f"lose {index}", _with(state, index, forgotten)
+    elif state.lease_holder not in (NONE, index) and state.lease_left > 0:
+        yield f"deny {index}", _with(state, index, forgotten)
+    elif state.lease_token < MAX_GRANTS:
+        token = state.lease_token + 1
+        granted = state._replace(lease_holder=index, lease_token=token, lease_left=TTL)
+        yield f"grant {index}", _with(granted, index, holder._replace(reply=token))
+
+
+def _heard(holder: Holder, forgotten: Holder, mistake: Mistake | None) -> Holder:
+    left = TTL if mistake is Mistake.COUNTED_FROM_REPLY else TTL - holder.asked_ago
+    token = holder.reply
+    if mistake is Mistake.OLD_NUMBER and holder.token:
+        token = holder.token
+    return forgotten._replace(token=token, valid_left=left)
+
+
+def _order_steps(
+    state: LeaseState, index: int, honours: bool, mistake: Mistake | None
+) -> Iterator[tuple[str, LeaseState]]:
+    holder = state.holders[index]
+    if holder.order_ago == NONE:
+        if may_send(holder, mistake):
+            sent = holder._replace(order_token=holder.token, order_ago=0)
+            yield f"send {index}", _with(state, index, sent)
+        return
+    token = holder.order_token
+    after = _with(state, index, holder._replace(order_token=0, order_ago=NONE))
+    if honours and token < state.newest_run:
+        yield f"refuse {index}", after
+        return
+    superseded = state.lease_holder not in (index, index + GONE)
+    run = after._replace(
+        newest_run=max(token, state.newest_run),
+        stale_run=state.stale_run or token < state.newest_run,
+        superseded_run=state.superseded_run or superseded,
+    )
+    yield f"run {index}", run
+
+
+def _restarted(state: LeaseState, index: int) -> LeaseState:
+    old = state.holders[index]
+    kept = Holder(order_token=old.order_token, order_ago=old.order_ago)
+    owner = index + GONE if state.lease_holder == index else state.lease_holder
+    return _with(state, index, kept)._replace(lease_holder=owner)
+
+
+def _with(state: LeaseState, index: int, holder: Holder) -> LeaseState:
+    holders = (holder, state.holders[1]) if index == 0 else (state.holders[0], holder)
+    return state._replace(holders=holders)
+
+
+def lease_model(*, honours: bool, mistake: Mistake | None = None) -> Protocol:
+    """
+    Build the lease model.
+
+    :param honours: whether the engine refuses old numbers
+    :param mistake: seeded mistake, if any
+    :return: the model
+    """
+    return Protocol(
+        name=f"lease-{'honours' if honours else 'ignores'}",
+        candidate=False,
+        fields=("state",),
+        initial=(LeaseState(),),
+        transitions=lambda s: [
+            (label, (after,))
+            for label, after in lease_steps(s[0], honours=honours, mistake=mistake)
+        ],
+        invariants={
+            "orders run by number": lambda d: not d["state"].stale_run,
+            "no order runs after a takeover": lambda d: not d["state"].superseded_run,
+        },
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(report([lease_model(honours=True), lease_model(honours=False)]))
+
+__all__ = [
+    "DELIVERY",
+    "TTL",
+    "LeaseState",
+    "Mistake",
+    "lease_model",
+    "lease_steps",
+    "may_send",
+]
