Prove the claims' code by traces, seeded faults and mutations

Cause: the specification proves the protocol, not the code. Change: counterexamples of the specification replayed over the real systems; 20 seeded histories of 250 steps; 8 mutations of the systems, each of which makes a trace or a history fail.

--- /dev/null
+++ b/tests/systems/shard_faults.py
@@ -0,0 +1,95 @@
+"""Seeded histories of faults over the real systems of shards and claims."""
+
+from __future__ import annotations
+
+from random import Random
+
+from bench.shard_world import Call, Faults, ShardWorld
+from boragetiller.settings import ClaimSettings
+
+NAMES = ("a", "b", "c")
+SETTINGS = ClaimSettings(
+    memory_after_ms=4_000,
+    renew_ms=1_200,
+    pause_limit_ms=1_500,
+    max_clock_skew_ms=100,
+    retry_horizon_ms=15_000,
+    max_call_age_ms=9_000,
+    commit_timeout_ms=8_000,
+    rebalance_after_ms=3_000,
+    page_claims=8,
+)
+LISTED_GONE_AFTER_MS = 1_600
+SETTLE_MS = 15_000
+
+
+class FaultHistory:
+    """One history: sends of keys, crashes, pauses, outages, lost and late writes."""
+
+    def __init__(self, seed: int) -> None:
+        """:param seed: seed of all choices"""
+        self._rng = Random(seed)
+        self.world = ShardWorld(
+            NAMES, self._rng, settings=SETTINGS, shard_count=4, tick_ms=100, list_lag_ms=500
+        )
+        self.calls: list[Call] = []
+        self._disturbed: set[str] = set()
+
+    def run(self, steps: int) -> None:
+        """
+        Run the history, then let everything settle.
+
+        :param steps: number of events
+        """
+        self.world.run(3_000)
+        for step in range(steps):
+            self._step(step)
+            self.world.run(self._rng.choice((5, 50, 300, 1_500)))
+        self.world.faults = Faults()
+        self.world.run(SETTLE_MS)
+
+    def violations(self) -> list[str]:
+        """:return: keys that ran twice, or of which NOT_RUN was said although they ran"""
+        twice = [f"{key} ran twice" for key, runs in self.world.runs.items() if runs > 1]
+        return twice + [f"{key} had run" for key in self.world.false_not_run]
+
+    def _step(self, step: int) -> None:
+        draw = self._rng.random()
+        if draw < 0.6:
+            self._send(f"k{step // 12}-{self._rng.randrange(4)}")
+        elif draw < 0.66:
+            self.world.faults.lost_replies = self._rng.choice((0.0, 0.2, 0.6))
+            self.world.faults.late_writes = self._rng.choice((0.0, 0.2, 0.5))
+        elif draw < 0.72:
+            self.world.faults.down = not self.world.faults.down
+        elif draw < 0.8:
+            self._disturb(self._rng.choice(NAMES))
+
+    def _send(self, key: str) -> None:
+        owner = self.world.owner_of(key)
+        known = owner is not None and self._rng.random() < 0.6
+        agent = owner if known and owner else self._rng.choice(NAMES)
+        self.calls.append(self.world.send(key, agent))
+
+    def _disturb(self, name: str) -> None:
+        if name in self._disturbed:
+            return
+        self._disturbed.add(name)
+        duration_ms = self._rng.choice((300, 2_500, 7_000))
+        crash = self._rng.random() < 0.5
+        if crash:
+            self.world.crash(name)
+        else:
+            self.world.pause(name, duration_ms)
+        if duration_ms > LISTED_GONE_AFTER_MS:
+            self.world.at(LISTED_GONE_AFTER_MS, lambda: self.world.set_listed(name, listed=False))
+        self.world.at(duration_ms, lambda: self._restore(name, crash))
+
+    def _restore(self, name: str, crashed: bool) -> None:
+        if crashed:
+            self.world.start(name)
+        self.world.set_listed(name, listed=True)
+        self._disturbed.discard(name)
+
+
+__all__ = ["NAMES", "SETTINGS", "FaultHistory"]
--- /dev/null
+++ b/tests/systems/test_shards_faults.py
@@ -0,0 +1,247 @@
+"""At most once over the real systems: seeded faults, traces of the specification, mutations."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+from random import Random
+from typing import TYPE_CHECKING, Any
+from unittest.mock import patch
+
+import attrs
+
+from bench.shard_world import Call, ShardWorld
+from boragetiller.systems import claims, shard_commits, shard_ownership, shards
+from boragetiller.systems.shard_pages import decode_page
+from boragetiller.tables.claims import ClaimState
+from tests.systems.shard_faults import SETTINGS, FaultHistory
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SEEDS = range(20)
+STEPS = 250
+
+
+class ShardFaultsTest(unittest.TestCase):
+    """Seeded histories."""
+
+    def test_histories_run_each_key_at_most_once(self) -> None:
+        codes: Counter[str] = Counter()
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                history = FaultHistory(seed)
+                history.run(STEPS)
+                self.assertEqual(history.violations(), [])
+                self.assertEqual([c for c in history.calls if c.answered_ms is None], [])
+                codes.update(call.code for call in history.calls)
+        self.assertGreater(codes["answered"], 500)
+        self.assertGreater(codes["replayed"], 200)
+
+
+class TraceTest(unittest.TestCase):
+    """Counterexamples of the seeded mistakes of the specification, replayed step by step."""
+
+    def setUp(self) -> None:
+        self.world = ShardWorld(
+            ("a", "b"), Random(1), settings=SETTINGS, shard_count=1, list_lag_ms=0
+        )
+        self.world.run(3_000)
+        owner = self.world.owner_of("k")
+        assert owner is not None
+        self.owner = owner
+        self.other = "b" if owner == "a" else "a"
+
+    def _send(self, agent: str, wait_ms: int = 500, key: str = "k") -> Call:
+        call = self.world.send(key, agent)
+        self.world.run(wait_ms)
+        return call
+
+    def _check(self) -> None:
+        self.assertLessEqual(max(self.world.runs.values(), default=0), 1)
+        self.assertEqual(self.world.false_not_run, [])
+
+    def _crash_and_restart(self) -> None:
+        self.world.crash(self.owner)
+        self.world.start(self.owner)
+        self.world.run(2_000)
+
+    def test_trace_run_before_commit(self) -> None:
+        self.world.faults.down = True
+        self._send(self.owner, 10)
+        self.world.crash(self.owner)
+        self.world.faults.down = False
+        self.world.start(self.owner)
+        self.world.run(2_000)
+        self._send(self.owner)
+        self._check()
+
+    def test_trace_memory_too_early(self) -> None:
+        self.world.faults.down = True
+        self._send(self.owner, 2_500)
+        self.world.faults.down = False
+        self._crash_and_restart()
+        self._send(self.owner)
+        self._check()
+
+    def test_trace_no_uncertain_mark(self) -> None:
+        self.world.faults.down = True
+        self._send(self.owner, 6_000)
+        self.world.crash(self.owner)
+        self.world.faults.down = False
+        self.world.start(self.owner)
+        self.world.run(2_000)
+        call = self._send(self.owner)
+        self.assertEqual(call.code, "outcome_unknown")
+        self._check()
+
+    def test_trace_no_incarnation(self) -> None:
+        self.world.faults.down = True
+        self._send(self.owner, 6_000)
+        self.world.crash(self.owner)
+        self.world.faults.down = False
+        self.world.start(self.owner)
+        self.world.run(60)
+        self.world.faults.down = True
+        self._send(self.owner, 7_000)
+        self._check()
+
+    def test_trace_takeover_without_list(self) -> None:
+        self._send(self.owner)
+        self.world.pause(self.other, 1_000)
+        self.world.agents[self.other].table.members = (self.other,)
+        self.world.run(8_000)
+        self.assertEqual(self.world.owner_of("k"), self.owner)
+
+    def test_trace_takeover_needs_a_list_read_after_the_page(self) -> None:
+        table = self.world.agents[self.other].table
+        value, revision = self.world.store["page/0"]
+        now_ms = self.world.now_ms
+        alone = ((self.other,), frozenset({self.other}))
+        shards.note_hosts(table, *alone, now_ms - 1)
+        shards.note_page(table, 0, decode_page(value), revision, SETTINGS, now_ms, now_ms)
+        self.assertFalse(shard_ownership.may_take(table, table.shards[0]))
+        shards.note_hosts(table, *alone, now_ms + 1)
+        self.assertTrue(shard_ownership.may_take(table, table.shards[0]))
+
+    def test_trace_memory_keys_are_in_the_page_after_an_outage(self) -> None:
+        self.world.faults.down = True
+        self._send(self.owner, 6_000)
+        self.world.faults.down = False
+        self.world.run(2_000)
+        self._crash_and_restart()
+        self._send(self.owner)
+        self._check()
+
+    def test_trace_release_is_not_taken_back(self) -> None:
+        self.world.faults.late_writes = 1.0
+        shards.begin_drain(self.world.agents[self.owner].table)
+        self.world.run(200)
+        self.world.agents[self.owner].table.draining = False
+        self.world.faults.late_writes = 0.0
+        self._send(self.owner, 7_000)
+        self.world.run(20_000)
+        self._send(self.other)
+        self._check()
+
+    def test_trace_pause_and_takeover_in_an_outage(self) -> None:
+        self.world.pause(self.owner, 3_000)
+        self.world.set_listed(self.owner, listed=False)
+        self.world.run(2_900)
+        self.world.faults.down = True
+        self.world.set_listed(self.owner, listed=True)
+        calls = [self._send(self.owner, 10), self._send(self.other, 10)]
+        self.world.run(15_000)
+        self._check()
+        self.assertNotIn("", [call.code for call in calls])
+
+    def test_trace_late_call_is_refused(self) -> None:
+        self.world.pause(self.owner, 20_000)
+        call = self.world.send("k", self.owner)
+        self.world.run(21_000)
+        self.assertEqual(call.code, "outcome_unknown")
+        self._check()
+
+
+def _granted_at_once(*arguments: Any) -> Any:
+    shard, call = arguments[0], arguments[1]
+    actions = _claim_key(*arguments)
+    return actions + (claims.grant(shard, call.digest) if call.digest in shard.claims else [])
+
+
+def _without_claims(*arguments: Any) -> Any:
+    return attrs.evolve(_taken_page(*arguments), claims=())
+
+
+def _any_incarnation(*arguments: Any) -> Any:
+    table, shard, page, revision, now_ms = arguments
+    if page.owner == table.name:
+        page = attrs.evolve(page, incarnation=table.incarnation)
+    return _learn_page(table, shard, page, revision, now_ms)
+
+
+def _without_memory_keys(*arguments: Any, **named: Any) -> Any:
+    page = _build_page(*arguments, **named)
+    shard = arguments[1]
+    kept = [
+        claim
+        for claim in page.claims
+        if claim.digest not in shard.uncommitted
+        or shard.claims[claim.digest].state is ClaimState.PENDING
+    ]
+    return attrs.evolve(page, claims=tuple(kept), from_memory=False)
+
+
+_claim_key = claims.claim_key
+_taken_page = shard_ownership.taken_page
+_learn_page = shards.learn_page
+_build_page = shard_commits.build_page
+
+MUTATIONS: dict[str, tuple[object, str, Callable[..., Any]]] = {
+    "run before commit": (claims, "claim_key", _granted_at_once),
+    "memory too early": (
+        shard_ownership,
+        "may_mark_memory",
+        lambda shard, *_: not shard.unconfirmed and not shard.releasing,
+    ),
+    "no uncertain mark": (
+        shard_ownership,
+        "_may_have_served_from_memory",
+        lambda *_: False,
+    ),
+    "take without claims": (shard_ownership, "taken_page", _without_claims),
+    "no incarnation": (shards, "learn_page", _any_incarnation),
+    "pause unnoticed": (shards, "_mark_unconfirmed", lambda _: None),
+    "memory keys forgotten": (shard_commits, "build_page", _without_memory_keys),
+    "takeover without the list": (
+        shard_ownership,
+        "may_take",
+        shard_ownership.may_own,
+    ),
+}
+
+
+class MutationTest(unittest.TestCase):
+    """Each rule left out of the real systems is noticed by the traces or the histories."""
+
+    def test_mutations_are_caught(self) -> None:
+        for name, (module, attribute, mutated) in MUTATIONS.items():
+            with self.subTest(name), patch.object(module, attribute, mutated):
+                self.assertTrue(_is_caught(), f"{name} was not noticed")
+
+
+def _is_caught() -> bool:
+    result = unittest.TestResult()
+    unittest.defaultTestLoader.loadTestsFromTestCase(TraceTest).run(result)
+    if result.failures:
+        return True
+    for seed in SEEDS:
+        history = FaultHistory(seed)
+        history.run(STEPS)
+        if history.violations():
+            return True
+    return False
+
+
+if __name__ == "__main__":
+    unittest.main()
