--- a/src/boragetiller/errors.py
+++ b/src/boragetiller/errors.py
@@ -149,6 +149,13 @@
     http_status = 422
 
 
+class Struck(NotRunError):
+    """The body was running when a backend server crashed; it runs in isolation only."""
+
+    code = "struck"
+    retryable = True
+
+
 class Quarantined(NotRunError):
     """The same body crashed backend servers before and is refused."""
 
@@ -353,6 +360,7 @@
     "StaleAttempt",
     "StaleFencingNumber",
     "StoreUnavailable",
+    "Struck",
     "Unauthorized",
     "ValueTooLarge",
 ]
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -214,6 +214,14 @@
     answers_bytes: int = attrs.field(default=16_000_000, validator=_POSITIVE)
 
 
+@attrs.frozen(kw_only=True)
+class StrikeSettings:
+    """How request bodies that crash backend servers are remembered."""
+
+    expire_ms: int = attrs.field(default=1_800_000, validator=_POSITIVE)
+    max_bodies: int = attrs.field(default=10_000, validator=_POSITIVE)
+
+
 @attrs.frozen(kw_only=True)
 class BackendSettings:
     """The backend server that an agent stands beside."""
@@ -246,6 +254,7 @@
     config: ConfigSettings = ConfigSettings()
     orders: OrderSettings = OrderSettings()
     claims: ClaimSettings = ClaimSettings()
+    strikes: StrikeSettings = StrikeSettings()
     backend: BackendSettings | None = None
     seed: int | None = None
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
@@ -292,6 +301,7 @@
     "Role",
     "Settings",
     "StatsdSettings",
+    "StrikeSettings",
     "TlsSettings",
     "load_settings",
 ]
