Isolate and quarantine request bodies that crash backend servers

Cause: a body that crashes its server was retried on the next one, from every router. Change: a lost connection strikes the body; a struck body runs in isolation on one agent, the same at every router; its attempt tells that agent the known strikes; after two crashes it is refused.

--- /dev/null
+++ b/src/boragetiller/router/quarantine.py
@@ -0,0 +1,146 @@
+"""What a router does about request bodies that crash backend servers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from boragetiller.errors import BackendLost, BoragetillerError, Quarantined, Struck
+from boragetiller.systems import strikes
+from boragetiller.tables.strikes import StrikeTable, Suspicion
+
+if TYPE_CHECKING:
+    from boragetiller.clock import Clock
+    from boragetiller.control.messages import Strike
+    from boragetiller.settings import StrikeSettings
+    from boragetiller.tables.agents import AgentEntry
+
+FINGERPRINT_BYTES = 16
+
+
+class Quarantine:
+    """Strikes known to this router, its own and those of the fleet."""
+
+    def __init__(self, settings: StrikeSettings, clock: Clock) -> None:
+        """
+        Start without strikes.
+
+        :param settings: how long strikes are kept
+        :param clock: monotonic time
+        """
+        self.table = StrikeTable()
+        self._settings = settings
+        self._clock = clock
+        self._in_flight: dict[str, Counter[str]] = {}
+
+    def take_strike(self, strike: Strike, now_ms: int) -> None:
+        """
+        Take a strike that another process saw.
+
+        :param strike: fingerprint, agent of the backend server, and age
+        :param now_ms: monotonic time in milliseconds
+        """
+        struck_ms = now_ms - strike.age_ms
+        strikes.merge_strike(
+            self.table, strike.fingerprint, strike.backend_server, struck_ms, self._settings
+        )
+
+    def needs_isolation(self, fingerprint: str) -> bool:
+        """
+        Judge a body before each attempt.
+
+        :param fingerprint: SHA-256 of the request in hex
+        :return: whether it runs in isolation only
+        :raises Quarantined: it crashed backend servers and is refused
+        """
+        suspicion = strikes.judge_body(self.table, fingerprint_bytes(fingerprint))
+        if suspicion is Suspicion.QUARANTINE:
+            raise Quarantined
+        return suspicion is Suspicion.ISOLATE
+
+    def isolated_agent(
+        self, fingerprint: str, key: int, agents: list[AgentEntry], tried: set[str]
+    ) -> AgentEntry | None:
+        """
+        Choose the one agent that runs a struck body, the same at every router.
+
+        :param fingerprint: SHA-256 of the request in hex
+        :param key: what placement prefers agents by: hash of the prefix, or of the body
+        :param agents: every agent of the group, also those whose backend server failed of late
+        :param tried: agents that could not run it in isolation
+        :return: the agent, None when none is left
+        """
+        by_name = {agent.name: agent for agent in agents if not (agent.draining or agent.leaving)}
+        body = fingerprint_bytes(fingerprint)
+        order = strikes.isolation_order(self.table, body, by_name, key)
+        return next((by_name[name] for name in order if name not in tried), None)
+
+    def struck_servers(self, fingerprint: str) -> tuple[str, ...]:
+        """:return: agents of the servers that a body crashed; each attempt tells its agent"""
+        return strikes.struck_servers(self.table, fingerprint_bytes(fingerprint))
+
+    def begin(self, fingerprint: str, agent: str) -> None:
+        """
+        Note that a body was sent to an agent.
+
+        :param fingerprint: SHA-256 of the request in hex
+        :param agent: the agent
+        """
+        copies = self._in_flight.setdefault(fingerprint, Counter())
+        copies[agent] += 1
+
+    def end(self, fingerprint: str, agent: str) -> None:
+        """
+        Note the end of an attempt that :meth:`begin` noted.
+
+        :param fingerprint: SHA-256 of the request in hex
+        :param agent: the agent
+        """
+        copies = self._in_flight[fingerprint]
+        copies[agent] -= 1
+        if not copies[agent]:
+            del copies[agent]
+        if not copies:
+            del self._in_flight[fingerprint]
+
+    def agent_in_use(self, fingerprint: str) -> str | None:
+        """:return: agent that runs a copy of the body for this router; further copies go there"""
+        return next(iter(self._in_flight.get(fingerprint, ())), None)
+
+    def note_error(
+        self, fingerprint: str, agent: str, error: BoragetillerError, sent_ms: int
+    ) -> None:
+        """
+        Learn from a failed attempt at once, without waiting for the control exchange.
+
+        :param fingerprint: SHA-256 of the request in hex
+        :param agent: the agent of the attempt
+        :param error: how the attempt ended
+        :param sent_ms: when the attempt began, in monotonic time
+        """
+        now_ms = self._clock.now_ms()
+        body = fingerprint_bytes(fingerprint)
+        if isinstance(error, BackendLost):
+            strikes.record_crash(self.table, body, agent, sent_ms, now_ms)
+        elif isinstance(error, Struck):
+            strikes.merge_strike(self.table, body, error.owner or agent, now_ms, self._settings)
+
+    def note_success(self, fingerprint: str) -> None:
+        """
+        Note that an isolated attempt ran to its end.
+
+        :param fingerprint: SHA-256 of the request in hex
+        """
+        strikes.clear_body(self.table, fingerprint_bytes(fingerprint))
+
+    def tick(self) -> None:
+        """Forget old strikes."""
+        strikes.expire_strikes(self.table, self._settings, self._clock.now_ms())
+
+
+def fingerprint_bytes(fingerprint: str) -> bytes:
+    """:return: the start of a fingerprint in hex, as the control exchange carries it"""
+    return bytes.fromhex(fingerprint[: 2 * FINGERPRINT_BYTES])
+
+
+__all__ = ["FINGERPRINT_BYTES", "Quarantine", "fingerprint_bytes"]
--- a/src/boragetiller/systems/strikes.py
+++ b/src/boragetiller/systems/strikes.py
@@ -80,7 +80,7 @@
 
 
 def isolation_order(
-    table: StrikeTable, fingerprint: bytes, servers: Iterable[str]
+    table: StrikeTable, fingerprint: bytes, servers: Iterable[str], key: int
 ) -> list[str]:
     """
     Order the backend servers for a struck body: the same order at every router.
@@ -88,12 +88,12 @@
     :param table: strikes known
     :param fingerprint: the body
     :param servers: every backend server of the group, whatever its health
+    :param key: what placement prefers servers by, so that copies not yet struck run on these too
     :return: names, without those that the body crashed
     """
-    seed = int.from_bytes(fingerprint[:8], "big")
     struck = struck_servers(table, fingerprint)
     others = [name for name in servers if name not in struck]
-    return sorted(others, key=lambda name: (mix(stable_hash(name) ^ seed), name), reverse=True)
+    return sorted(others, key=lambda name: (mix(stable_hash(name) ^ key), name), reverse=True)
 
 
 def clear_body(table: StrikeTable, fingerprint: bytes) -> None:
--- /dev/null
+++ b/tests/router/test_quarantine.py
@@ -0,0 +1,263 @@
+"""Poison requests: routers, agents and crashing servers, with the real strikes and gates."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import unittest
+from random import Random
+from typing import TYPE_CHECKING
+from unittest.mock import patch
+
+import attrs
+
+from boragetiller.agent.strike_gate import StrikeGate
+from boragetiller.clock import ManualClock
+from boragetiller.errors import BackendLost, BackendUnreachable, BoragetillerError, Quarantined
+from boragetiller.hashing import mix, stable_hash
+from boragetiller.router.quarantine import Quarantine
+from boragetiller.settings import StrikeSettings
+from boragetiller.systems import strikes
+from boragetiller.tables.agents import AgentEntry
+
+if TYPE_CHECKING:
+    from boragetiller.control.messages import Strike
+
+AGENTS = ("a-1", "a-2", "a-3", "a-4", "a-5")
+SETTINGS = StrikeSettings()
+RESTART_STEPS = 6
+MAX_ATTEMPTS = 40
+
+
+def fingerprint(body: str) -> str:
+    """:return: what a router computes for a body"""
+    return hashlib.sha256(body.encode()).hexdigest()
+
+
+@attrs.define
+class Server:
+    """A backend server that a poison body crashes."""
+
+    crashes: int = 0
+    down_steps: int = 0
+    running: dict[asyncio.Future[None], str] = attrs.Factory(dict)
+
+    async def run(self, body: str) -> None:
+        """Run a body; every body that runs at a crash is lost."""
+        if self.down_steps:
+            raise BackendUnreachable
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.running[future] = body
+        await future
+
+    def step(self) -> None:
+        """End one running body, or crash if one of them is poison and next."""
+        self.down_steps = max(0, self.down_steps - 1)
+        if not self.running:
+            return
+        future, body = next(iter(self.running.items()))
+        if not body.startswith("poison"):
+            del self.running[future]
+            future.set_result(None)
+            return
+        self.crashes += 1
+        self.down_steps = RESTART_STEPS
+        lost, self.running = self.running, {}
+        for waiting in lost:
+            waiting.set_exception(BackendLost())
+
+
+class Fleet:
+    """Two routers, five agents; strikes travel late or not at all."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = Random(seed)
+        self.clock = ManualClock()
+        self.servers = {name: Server() for name in AGENTS}
+        self.pending: list[Strike] = []
+        self.gates = {
+            name: StrikeGate(name, SETTINGS, self.clock, self.pending.extend) for name in AGENTS
+        }
+        self.routers = [Quarantine(SETTINGS, self.clock) for _ in range(2)]
+        self.entries = [
+            AgentEntry(name=name, group="pool", address="", data_port=1) for name in AGENTS
+        ]
+
+    async def request(self, router: Quarantine, body: str) -> str:
+        """Serve a request as a router does; returns its code."""
+        print_of_body = fingerprint(body)
+        tried: set[str] = set()
+        for _ in range(MAX_ATTEMPTS):
+            try:
+                isolated = router.needs_isolation(print_of_body)
+                agent = self._choose(router, print_of_body, isolated, tried)
+                await self._attempt(router, agent, body, isolated)
+                return "answered"
+            except (BackendLost, BackendUnreachable) as error:
+                tried.add(agent.name)
+                last = error.code
+            except Quarantined as error:
+                return error.code
+            except BoragetillerError as error:
+                last = error.code
+            if len(tried) == len(AGENTS):
+                tried.clear()
+            await asyncio.sleep(0)
+        return last
+
+    def _choose(
+        self, router: Quarantine, print_of_body: str, isolated: bool, tried: set[str]
+    ) -> AgentEntry:
+        seed = int(print_of_body[:16], 16)
+        if isolated:
+            agent = router.isolated_agent(print_of_body, seed, self.entries, tried)
+            if agent is not None:
+                return agent
+        ranked = sorted(self.entries, key=lambda e: mix(stable_hash(e.name) ^ seed), reverse=True)
+        return next((e for e in ranked if e.name not in tried), ranked[0])
+
+    async def _attempt(
+        self, router: Quarantine, agent: AgentEntry, body: str, isolated: bool
+    ) -> None:
+        gate, print_of_body = self.gates[agent.name], fingerprint(body)
+        sent_ms = self.clock.now_ms()
+        try:
+            async with gate.isolate(
+                print_of_body,
+                isolated=isolated,
+                keyed=False,
+                struck=router.struck_servers(print_of_body),
+            ):
+                for _ in range(self.rng.randrange(4)):  # waits for admission
+                    await asyncio.sleep(0)
+                gate.check(print_of_body, isolated=isolated)
+                await self._run(gate, agent.name, body)
+        except BoragetillerError as error:
+            router.note_error(print_of_body, agent.name, error, sent_ms)
+            raise
+        if isolated:
+            gate.note_success(print_of_body)
+            router.note_success(print_of_body)
+
+    async def _run(self, gate: StrikeGate, name: str, body: str) -> None:
+        sent_ms = self.clock.now_ms()
+        try:
+            await self.servers[name].run(body)
+        except BackendLost:
+            gate.note_lost(fingerprint(body), sent_ms)
+            raise
+
+    async def step(self) -> None:
+        """Let time pass; now and then strikes reach everybody."""
+        self.clock.advance(1)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        for server in self.servers.values():
+            if self.rng.random() < 0.5:
+                server.step()
+        if self.pending and self.rng.random() < 0.1:
+            for strike in self.pending:
+                for sink in [*self.gates.values(), *self.routers]:
+                    sink.take_strike(strike, self.clock.now_ms())
+            self.pending.clear()
+
+    def crashes(self) -> int:
+        """:return: crashes of all servers"""
+        return sum(server.crashes for server in self.servers.values())
+
+
+async def run_fleet(seed: int) -> tuple[int, list[str], list[str]]:
+    """
+    Send copies of one poison body through both routers among bystanders.
+
+    :param seed: seed of all choices
+    :return: crashes, codes of the poison copies, codes of the bystanders
+    """
+    fleet = Fleet(seed)
+    copies, bystanders = [], []
+    for number in range(8):
+        router = fleet.routers[number % 2]
+        copies.append(asyncio.create_task(fleet.request(router, "poison")))
+        for other in range(3):
+            body = f"bystander-{number}-{other}"
+            bystanders.append(asyncio.create_task(fleet.request(router, body)))
+        for _ in range(fleet.rng.randrange(4)):
+            await fleet.step()
+    for _ in range(2_000):
+        if all(task.done() for task in [*copies, *bystanders]):
+            break
+        await fleet.step()
+    late = asyncio.create_task(fleet.request(Quarantine(SETTINGS, fleet.clock), "poison"))
+    for _ in range(50):
+        await fleet.step()
+    codes = [[task.result() for task in tasks] for tasks in ([*copies, late], bystanders)]
+    return fleet.crashes(), codes[0], codes[1]
+
+
+class QuarantineTest(unittest.TestCase):
+    """Bounds on crashes, whatever the order of events."""
+
+    def test_poison_copies_crash_two_servers_at_most(self) -> None:
+        for seed in range(60):
+            with self.subTest(seed=seed):
+                crashes, poison, bystanders = asyncio.run(run_fleet(seed))
+                self.assertLessEqual(crashes, 2)
+                self.assertEqual(set(poison), {"quarantined"})
+                self.assertEqual(set(bystanders), {"answered"})
+
+    def test_poison_without_check_before_sending_crashes_more(self) -> None:
+        with patch.object(StrikeGate, "check", lambda *_, **__: None):
+            self.assertGreater(max(asyncio.run(run_fleet(seed))[0] for seed in range(20)), 2)
+
+    def test_poison_without_telling_strikes_crashes_more(self) -> None:
+        with patch.object(Quarantine, "struck_servers", lambda *_: ()):
+            self.assertGreater(max(asyncio.run(run_fleet(seed))[0] for seed in range(60)), 2)
+
+    def test_copies_in_flight_share_one_agent(self) -> None:
+        quarantine = Quarantine(SETTINGS, ManualClock())
+        quarantine.begin("x", "a-1")
+        quarantine.begin("x", "a-1")
+        quarantine.end("x", "a-1")
+        self.assertEqual(quarantine.agent_in_use("x"), "a-1")
+        quarantine.end("x", "a-1")
+        self.assertIsNone(quarantine.agent_in_use("x"))
+
+    def test_poison_without_counting_by_crash_quarantines_too_early(self) -> None:
+        real = strikes.record_crash
+
+        def count_copies(
+            table: object, body: bytes, server: str, started_ms: int, now_ms: int
+        ) -> bool:
+            return real(table, body, server, now_ms + 10**9, now_ms)  # type: ignore[arg-type]
+
+        with patch.object(strikes, "record_crash", count_copies):
+            crashes = [asyncio.run(run_fleet(seed))[0] for seed in range(20)]
+        self.assertLess(min(crashes), 2)
+
+    def test_strikes_expire(self) -> None:
+        clock = ManualClock()
+        quarantine = Quarantine(SETTINGS, clock)
+        for server in AGENTS[:2]:
+            quarantine.note_error(fingerprint("x"), server, BackendLost(), 0)
+        with self.assertRaises(Quarantined):
+            quarantine.needs_isolation(fingerprint("x"))
+        clock.advance(SETTINGS.expire_ms + 1)
+        quarantine.tick()
+        self.assertFalse(quarantine.needs_isolation(fingerprint("x")))
+
+    def test_isolated_agent_is_the_same_at_every_router(self) -> None:
+        fleet = Fleet(1)
+        for router in fleet.routers:
+            router.note_error(fingerprint("x"), "a-1", BackendLost(), 0)
+        chosen = {
+            router.isolated_agent(fingerprint("x"), 7, order, set()).name  # type: ignore[union-attr]
+            for router, order in zip(
+                fleet.routers, (fleet.entries, fleet.entries[::-1]), strict=True
+            )
+        }
+        self.assertEqual(len(chosen), 1)
+        self.assertNotIn("a-1", chosen)
+
+
+if __name__ == "__main__":
+    unittest.main()
