Keep poison bodies apart; say not_run of a key only on its owner's word

Cause: (1) a body that crashes its engine was retried freely by the router; (2) a refusal before the claim was looked up said not_run of a key that an earlier send may have run.

--- a/src/boragetiller/agent/backend.py
+++ b/src/boragetiller/agent/backend.py
@@ -5,10 +5,12 @@
 import asyncio
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
+from urllib.parse import urlsplit
 
 import aiohttp
 
 from boragetiller.errors import (
+    BackendCrashed,
     BackendFailed,
     BackendLost,
     BackendTimeout,
@@ -28,6 +30,11 @@
 EVENT_END = b"\n\n"
 STREAM_END = b"data: [DONE]"
 MAX_EVENT_BYTES = 1_000_000
+PROBE_TIMEOUT_S = 0.2
+
+
+class _AnswerCut(Exception):
+    """The answer ended before its end marker."""
 
 
 class BackendAnswer:
@@ -49,7 +56,6 @@
 
         :return: whole server-sent events, several in one chunk when they came together; raw
             bytes for any other content type
-        :raises BackendLost: the answer ended before its end marker
         """
         if not self.is_event_stream:
             async for chunk in self._response.content.iter_any():
@@ -60,12 +66,12 @@
         async for chunk in self._response.content.iter_any():
             events, separator, rest = (rest + chunk).rpartition(EVENT_END)
             if len(rest) > MAX_EVENT_BYTES:
-                raise BackendLost("event too large")
+                raise _AnswerCut("event too large")
             if separator:
                 ended = ended or STREAM_END in events
                 yield events + separator
         if not ended:
-            raise BackendLost("the answer ended before its end marker")
+            raise _AnswerCut("the answer ended before its end marker")
 
 
 class BackendClient:
@@ -94,6 +100,12 @@
         if self._session is not None:
             await self._session.close()
 
+    async def _failure(self, error: BaseException) -> BoragetillerError:
+        found = _backend_error(error)
+        if isinstance(found, BackendLost) and await _refuses_connections(self._settings.url):
+            return BackendCrashed()
+        return found
+
     @asynccontextmanager
     async def send(self, attempt: Attempt, body: bytes) -> AsyncIterator[BackendAnswer]:
         """
@@ -116,8 +128,21 @@
                 if self._settings.kind is BackendKind.ENGINE and response.status >= 500:
                     raise BackendFailed(f"engine answered {response.status}")
                 yield BackendAnswer(response)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise _backend_error(error) from error
+        except (aiohttp.ClientError, TimeoutError, OSError, _AnswerCut) as error:
+            raise await self._failure(error) from error
+
+
+async def _refuses_connections(url: str) -> bool:
+    parts = urlsplit(url)
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            _, writer = await asyncio.open_connection(parts.hostname, parts.port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return False
 
 
 def _backend_error(error: BaseException) -> BoragetillerError:
--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -13,6 +13,7 @@
 from boragetiller.agent.orders import OrderKeeper
 from boragetiller.agent.server import AttemptServer
 from boragetiller.agent.state import AgentState
+from boragetiller.agent.strike_gate import StrikeGate
 from boragetiller.clock import SystemClock
 from boragetiller.control.node import AgentNode
 from boragetiller.events import Event, log_event
@@ -25,6 +26,7 @@
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
+    from boragetiller.control.messages import Strike
     from boragetiller.metrics import Metrics
     from boragetiller.platform.clients import PlatformClients
     from boragetiller.settings import BackendSettings, Settings
@@ -64,18 +66,20 @@
         self.claims = self._build_claims(settings.backend)
         self.order_channel = HttpOrderChannel(settings.backend, settings.orders)
         self.orders = self._build_orders(settings.backend)
+        self.strikes = StrikeGate(settings.name, settings.strikes, self.clock, self._spread_strikes)
         self.server = AttemptServer(
             settings,
             self.gate,
             self.backend,
             self.claims,
+            self.strikes,
             self.clock,
             self.metrics,
             self.incarnation,
         )
         state = AgentState(self.gate, self.server, self.claims, self.clock)
         self.node = AgentNode(
-            settings, self.incarnation, state, self.sync, self.clock, self.metrics
+            settings, self.incarnation, state, self.sync, self.clock, self.metrics, self.strikes
         )
         self.data = HttpServer(
             self.server.routes(),
@@ -124,6 +128,7 @@
         log_event(Event.PROCESS_STOPPING, role="agent", name=self.settings.name)
         self.server.draining = True
         self.node.report_now()
+        await self.claims.drain()  # shards without calls in progress move on at once
         await wait_until_idle(lambda: self.server.in_progress, self.settings.drain_timeout_ms)
         await self.claims.drain()
         for task in self._tasks:
@@ -165,6 +170,9 @@
             self.incarnation,
         )
 
+    def _spread_strikes(self, strikes: list[Strike]) -> None:
+        self.node.add_strikes(strikes)
+
     def _on_config_changed(self) -> None:
         self.node.config_changed()
 
@@ -172,6 +180,7 @@
         while True:
             await asyncio.sleep(self.settings.tick_ms / 1_000)
             self.gate.tick()
+            self.strikes.tick()
 
     async def _run_keepalives(self) -> None:
         while True:
--- a/src/boragetiller/agent/runner.py
+++ b/src/boragetiller/agent/runner.py
@@ -3,21 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 from typing import TYPE_CHECKING
 
 from boragetiller.agent.claims import KeyedCall, StoredAnswer
-from boragetiller.errors import BoragetillerError, Preempted, StaleAttempt
+from boragetiller.errors import BackendCrashed, BoragetillerError, Preempted, StaleAttempt
 from boragetiller.relay.frames import Head
 from boragetiller.tables.work import WorkItem
 from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from boragetiller.agent.attempts import AttemptTable
     from boragetiller.agent.backend import BackendAnswer, BackendClient
     from boragetiller.agent.claims import ClaimKeeper
     from boragetiller.agent.gate import Gate, Ticket
     from boragetiller.agent.stream import FrameStream
+    from boragetiller.agent.strike_gate import StrikeGate
     from boragetiller.clock import Clock
     from boragetiller.relay.attempt import Attempt
     from boragetiller.settings import Settings
@@ -34,6 +37,7 @@
         gate: Gate,
         backend: BackendClient,
         claims: ClaimKeeper,
+        strikes: StrikeGate,
         attempts: AttemptTable,
         clock: Clock,
     ) -> None:
@@ -44,6 +48,7 @@
         :param gate: admission
         :param backend: client to the backend server
         :param claims: decides on keyed calls
+        :param strikes: keeps bodies that crashed backend servers apart
         :param attempts: current attempts
         :param clock: monotonic time
         """
@@ -51,6 +56,7 @@
         self._gate = gate
         self._backend = backend
         self._claims = claims
+        self._strikes = strikes
         self._attempts = attempts
         self._clock = clock
         self._detached: set[asyncio.Task[StoredAnswer]] = set()
@@ -76,11 +82,8 @@
             await self._run_plain(attempt, body, stream)
 
     async def _run_plain(self, attempt: Attempt, body: bytes, stream: FrameStream) -> None:
-        ticket = await self._admit(attempt)
-        try:
+        async with self._admitted(attempt) as ticket:
             await self._send(attempt, body, stream, ticket)
-        finally:
-            self._gate.leave(ticket)
 
     async def _run_keyed(self, attempt: Attempt, body: bytes, stream: FrameStream) -> None:
         task = asyncio.create_task(self._run_claimed(attempt, body))
@@ -92,35 +95,47 @@
         await stream.data(answer.body)
 
     async def _run_claimed(self, attempt: Attempt, body: bytes) -> StoredAnswer:
-        ticket = await self._admit(attempt)
+        call = _keyed_call(attempt)
+        kept = await self._claims.claim(call)
+        if kept is not None:
+            return kept
+        answer: StoredAnswer | None = None
         try:
-            call = _keyed_call(attempt)
-            kept = await self._claims.claim(call)
-            if kept is not None:
-                return kept
-            return await self._run_once(attempt, call, body, ticket)
-        finally:
-            self._gate.leave(ticket)
-
-    async def _run_once(
-        self, attempt: Attempt, call: KeyedCall, body: bytes, ticket: Ticket
-    ) -> StoredAnswer:
-        try:
-            answer = await self._collect(attempt, body, ticket)
+            async with self._admitted(attempt) as ticket:
+                answer = await self._collect(attempt, body, ticket)
         except BoragetillerError as error:
             if error.verdict is Verdict.NOT_RUN:
                 await self._claims.abandon(call)
-            else:
-                await self._claims.finish(call, None)
-            raise
-        except BaseException:
-            await self._claims.finish(call, None)
             raise
-        await self._claims.finish(call, answer)
+        finally:
+            await self._claims.finish(call, answer)  # of no effect after abandon
         return answer
 
+    @asynccontextmanager
+    async def _admitted(self, attempt: Attempt) -> AsyncIterator[Ticket]:
+        """Hold a slot of the backend server, apart from other struck bodies if need be."""
+        body = attempt.fingerprint
+        async with self._strikes.isolate(
+            body,
+            isolated=attempt.isolated,
+            keyed=bool(attempt.key),
+            struck=attempt.struck_servers(),
+        ) as alone:
+            ticket = await self._admit(attempt)
+            sent_ms = self._clock.now_ms()
+            try:
+                self._strikes.check(body, isolated=alone)
+                self._mark_sent(attempt)
+                yield ticket
+            except BackendCrashed:
+                self._strikes.note_lost(body, sent_ms)
+                raise
+            finally:
+                self._gate.leave(ticket)
+            if alone:
+                self._strikes.note_success(body)
+
     async def _collect(self, attempt: Attempt, body: bytes, ticket: Ticket) -> StoredAnswer:
-        self._mark_sent(attempt)
         async with self._backend.send(attempt, body) as answer:
             parts = [chunk async for chunk in answer.chunks()]
             self._gate.note_tokens(ticket, len(parts))
@@ -142,7 +157,6 @@
     async def _send(
         self, attempt: Attempt, body: bytes, stream: FrameStream, ticket: Ticket
     ) -> None:
-        self._mark_sent(attempt)
         async with self._backend.send(attempt, body) as answer:
             await stream.head(answer.head)
             if attempt.resumable:
@@ -190,6 +204,7 @@
         fingerprint=attempt.fingerprint,
         request_id=attempt.request_id,
         attempt=attempt.number,
+        arrived_wall_ms=attempt.arrived_wall_ms or None,
     )
 
 
--- a/src/boragetiller/agent/server.py
+++ b/src/boragetiller/agent/server.py
@@ -27,6 +27,7 @@
     from boragetiller.agent.backend import BackendClient
     from boragetiller.agent.claims import ClaimKeeper
     from boragetiller.agent.gate import Gate
+    from boragetiller.agent.strike_gate import StrikeGate
     from boragetiller.clock import Clock
     from boragetiller.metrics import Metrics
     from boragetiller.settings import Settings
@@ -43,6 +44,7 @@
         gate: Gate,
         backend: BackendClient,
         claims: ClaimKeeper,
+        strikes: StrikeGate,
         clock: Clock,
         metrics: Metrics,
         incarnation: int,
@@ -54,6 +56,7 @@
         :param gate: admission
         :param backend: client to the backend server
         :param claims: decides on keyed calls
+        :param strikes: keeps bodies that crashed backend servers apart
         :param clock: monotonic time
         :param metrics: counters
         :param incarnation: number of this start of the process
@@ -63,7 +66,9 @@
         self._incarnation = incarnation
         self._token = "Bearer " + data_path_token(settings.control.key)
         self._attempts = AttemptTable()
-        self._runner = AttemptRunner(settings, gate, backend, claims, self._attempts, clock)
+        self._runner = AttemptRunner(
+            settings, gate, backend, claims, strikes, self._attempts, clock
+        )
         self._streams: set[FrameStream] = set()
         self.draining = False
 
--- a/src/boragetiller/errors.py
+++ b/src/boragetiller/errors.py
@@ -179,6 +179,12 @@
     retryable = True
 
 
+class BackendCrashed(BackendLost):
+    """The connection broke and the backend server no longer listens."""
+
+    code = "backend_crashed"
+
+
 class BackendTimeout(BoragetillerError):
     """The backend server accepted the request and sent no answer in time."""
 
@@ -327,6 +333,7 @@
 __all__ = [
     "AgentLost",
     "AgentUnreachable",
+    "BackendCrashed",
     "BackendFailed",
     "Preempted",
     "ProtocolError",
--- a/src/boragetiller/relay/attempt.py
+++ b/src/boragetiller/relay/attempt.py
@@ -42,7 +42,13 @@
     fingerprint: str
     resumed_tokens: int = 0
     key: str = ""
+    arrived_wall_ms: int = 0  # wall clock of the router when the caller's request arrived
     isolated: bool = False
+    struck: str = ""  # agents whose backend server crashed with this body, comma between them
+
+    def struck_servers(self) -> tuple[str, ...]:
+        """:return: agents whose backend server crashed with this body"""
+        return tuple(name for name in self.struck.split(",") if name)
 
     def to_header(self) -> str:
         """:return: the attempt as one ASCII header value"""
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -20,6 +20,7 @@
 from boragetiller.router.limits import CustomerLimits
 from boragetiller.router.operator import add_router_routes
 from boragetiller.router.placer import Placer
+from boragetiller.router.quarantine import Quarantine
 from boragetiller.router.relay import Relay
 from boragetiller.router.server import CallerServer
 from boragetiller.router.shard_owners import ShardOwners
@@ -72,6 +73,7 @@
         self.client = AgentClient(settings)
         self.limits = CustomerLimits(settings, self.clock)
         self.owners = ShardOwners()
+        self.quarantine = Quarantine(settings.strikes, self.clock)
         self.node = self._build_node()
         self.discovery = Discovery(settings, platform.hosts, self._take_hosts, self.metrics)
         self.placer = Placer(settings, self.agents, self.node.members, self.clock, self.rng)
@@ -79,6 +81,7 @@
             settings,
             self.placer,
             self.owners,
+            self.quarantine,
             self.client,
             self.traces,
             self.clock,
@@ -155,6 +158,7 @@
         ports = RouterPorts(
             group_members=group_members(self.config),
             shard_owners=ShardOwnersPort(self.owners),
+            strikes=self.quarantine,
             lender=LimitsPort(self.settings, self.limits, self.config),
         )
         return RouterNode(
@@ -180,6 +184,7 @@
         while True:
             await asyncio.sleep(SLOW_TICK_S)
             self.placer.tick()
+            self.quarantine.tick()
 
 
 __all__ = ["RouterProcess"]
--- a/src/boragetiller/router/relay.py
+++ b/src/boragetiller/router/relay.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from boragetiller.clock import WallClock
 from boragetiller.errors import BoragetillerError, NoBackend, NotOwner
 from boragetiller.events import Event, log_event
 from boragetiller.relay.attempt import Attempt
@@ -35,6 +36,7 @@
     from boragetiller.metrics import Metrics
     from boragetiller.router.agent_client import AgentClient
     from boragetiller.router.placer import Placer
+    from boragetiller.router.quarantine import Quarantine
     from boragetiller.router.request import RoutedRequest
     from boragetiller.router.shard_owners import ShardOwners
     from boragetiller.router.sinks import AnswerSink
@@ -52,6 +54,7 @@
     transcript: EngineTranscript
     progress: RequestProgress
     arrived_ms: int
+    arrived_wall_ms: int
     tried: set[str] = attrs.Factory(set)
 
 
@@ -63,6 +66,7 @@
         settings: Settings,
         placer: Placer,
         owners: ShardOwners,
+        quarantine: Quarantine,
         client: AgentClient,
         traces: TraceTable,
         clock: Clock,
@@ -75,6 +79,7 @@
         :param settings: settings of the process
         :param placer: chooses agents
         :param owners: which agent decides on which key
+        :param quarantine: bodies that crashed backend servers
         :param client: sends attempts
         :param traces: decisions by request
         :param clock: monotonic time
@@ -84,6 +89,8 @@
         self._settings = settings
         self._placer = placer
         self._owners = owners
+        self._quarantine = quarantine
+        self._wall = WallClock()
         self._client = client
         self._traces = traces
         self._clock = clock
@@ -122,6 +129,7 @@
         progress = RequestProgress(
             repeatable=request.repeatable,
             keyed=bool(request.key),
+            protected=request.request_class.protected,
             resumable=request.for_engine and request.repeatable,
             deadline_ms=request.request_class.deadline_ms,
             budget=self._placer.begin(request.group.name),
@@ -132,38 +140,69 @@
             transcript=transcript,
             progress=progress,
             arrived_ms=self._clock.now_ms(),
+            arrived_wall_ms=self._wall.now_ms(),
         )
 
     async def _try_once(self, journey: Journey) -> Outcome:
         journey.progress.attempts += 1
-        agent = self._place(journey)
+        try:
+            isolated = self._quarantine.needs_isolation(journey.request.fingerprint)
+        except BoragetillerError as error:
+            return AttemptFailed(error, journey.sink.relayed)
+        agent = self._place(journey, isolated=isolated)
         if agent is None:
             return AttemptFailed(NoBackend(retry_after_s=1), journey.sink.relayed)
         resume = journey.transcript.resume_point() if journey.transcript.events else None
-        attempt = self._attempt(journey, resume)
+        attempt = attrs.evolve(self._attempt(journey, resume), isolated=isolated)
         self._note(journey.request, "placed", agent=agent.name, attempt=attempt.number)
+        return await self._run_attempt(journey, agent, attempt, resume)
+
+    async def _run_attempt(
+        self, journey: Journey, agent: AgentEntry, attempt: Attempt, resume: ResumePoint | None
+    ) -> Outcome:
+        body = journey.request.fingerprint
+        sent_ms = self._clock.now_ms()
         agent.begin(attempt.tier)
+        self._quarantine.begin(body, agent.name)
         try:
             await self._relay_attempt(journey, agent, attempt, resume)
-            self._placer.note_success(agent)
-            return AttemptFinished()
         except BoragetillerError as error:
+            self._quarantine.note_error(body, agent.name, error, sent_ms)
             self._placer.note_failure(journey.request, agent, error)
             self._note_owner(journey, error)
             await self._settle_verdict(journey, agent, attempt, error)
             return AttemptFailed(error, journey.sink.relayed)
         finally:
             agent.end(attempt.tier)
+            self._quarantine.end(body, agent.name)
+        self._placer.note_success(agent)
+        if attempt.isolated:
+            self._quarantine.note_success(body)
+        return AttemptFinished()
 
-    def _place(self, journey: Journey) -> AgentEntry | None:
+    def _place(self, journey: Journey, *, isolated: bool) -> AgentEntry | None:
         owner = self._owner(journey)
         if owner is not None:
             return owner
-        agent = self._placer.choose(journey.request, journey.tried)
+        request = journey.request
+        agent = self._agent_for_copies(journey, isolated=isolated)
+        agent = agent or self._placer.choose(request, journey.tried)
         if agent is not None:
             journey.tried.add(agent.name)
         return agent
 
+    def _agent_for_copies(self, journey: Journey, *, isolated: bool) -> AgentEntry | None:
+        """Keep copies of one body on one agent, so that it can crash few servers."""
+        request = journey.request
+        members = self._placer.candidates(request)
+        body = request.fingerprint
+        if isolated:
+            key = request.prefix_hash or int(body[:16], 16)
+            return self._quarantine.isolated_agent(body, key, members, journey.tried)
+        name = self._quarantine.agent_in_use(body)
+        usable = (a for a in members if a.name == name and a.accepts_work())
+        return next((a for a in usable if a.name not in journey.tried), None)
+
     def _owner(self, journey: Journey) -> AgentEntry | None:
         request = journey.request
         if not request.key:
@@ -210,6 +249,8 @@
             fingerprint=request.fingerprint,
             key=request.key,
             resumed_tokens=resume.tokens if resume else 0,
+            arrived_wall_ms=journey.arrived_wall_ms,
+            struck=",".join(self._quarantine.struck_servers(request.fingerprint)),
         )
 
     async def _relay_attempt(
--- a/src/boragetiller/router/server.py
+++ b/src/boragetiller/router/server.py
@@ -27,6 +27,7 @@
 )
 from boragetiller.router.responses import error_response
 from boragetiller.router.sinks import StreamSink, WholeSink
+from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -166,6 +167,8 @@
             with self._limits.admitted(routed.customer):
                 return await self._relay.run(routed, sink, transcript)
         except BoragetillerError as error:
+            if "group" in request.match_info and "Idempotency-Key" in request.headers:
+                error.verdict = Verdict.MAY_HAVE_RUN  # an earlier send of the key may have run
             return self._refuse(error, request_id)
         except (asyncio.CancelledError, ConnectionError):
             self._traces.add(request_id, "caller left")
--- a/src/boragetiller/systems/outcomes.py
+++ b/src/boragetiller/systems/outcomes.py
@@ -8,7 +8,15 @@
 
 import attrs
 
-from boragetiller.errors import BoragetillerError, ClaimNotCommitted, NotOwner, Preempted
+from boragetiller.errors import (
+    BackendUnreachable,
+    BoragetillerError,
+    ClaimNotCommitted,
+    KeyReused,
+    NotOwner,
+    Overloaded,
+    Preempted,
+)
 from boragetiller.systems.retry_budget import retry_delay_ms, withdraw
 from boragetiller.verdict import Verdict
 
@@ -19,8 +27,16 @@
     from boragetiller.tables.retry import RetryBudget
 
 
+MAX_REDIRECTS = 3
 _OWNERSHIP_ERRORS = (NotOwner, ClaimNotCommitted)  # a shard is on its way to another agent
 
+_SAID_BY_OWNER = (  # refusals of a key after its claim: only then is NOT_RUN true of the key
+    BackendUnreachable,
+    ClaimNotCommitted,
+    KeyReused,
+    Overloaded,
+)
+
 
 @attrs.frozen
 class AttemptFinished:
@@ -44,6 +60,7 @@
 
     repeatable: bool
     keyed: bool
+    protected: bool = False
     resumable: bool
     budget: RetryBudget
     attempts: int = 0
@@ -122,12 +139,14 @@
     progress.verdict = progress.verdict.combined(error.verdict)
     refusal = _refusal(outcome, progress, settings)
     if refusal is not None:
-        return GiveUp(_with_verdict(error, progress.verdict), refusal)
-    if isinstance(error, Preempted) or error.owner is not None:
+        return GiveUp(_with_verdict(error, progress), refusal)
+    redirected = error.owner is not None and progress.attempts <= MAX_REDIRECTS
+    if isinstance(error, Preempted) or redirected:
         return Retry(delay_ms=0, reason=error.code)
+    essential = progress.protected or outcome.relayed
     free = isinstance(error, _OWNERSHIP_ERRORS)  # refused by agents alone, at little cost
-    if not free and not withdraw(progress.budget, error.code, settings):
-        return GiveUp(_with_verdict(error, progress.verdict), GiveUpReason.RETRY_BUDGET)
+    if not free and not withdraw(progress.budget, error.code, settings, essential=essential):
+        return GiveUp(_with_verdict(error, progress), GiveUpReason.RETRY_BUDGET)
     delay_ms = retry_delay_ms(progress.attempts, settings, rng)
     return Retry(delay_ms=delay_ms, reason=error.code)
 
@@ -152,8 +171,10 @@
     return GiveUpReason.NOT_REPEATABLE
 
 
-def _with_verdict(error: BoragetillerError, verdict: Verdict) -> BoragetillerError:
-    error.verdict = verdict
+def _with_verdict(error: BoragetillerError, progress: RequestProgress) -> BoragetillerError:
+    if progress.keyed and not isinstance(error, _SAID_BY_OWNER):
+        error.verdict = error.verdict.combined(Verdict.MAY_HAVE_RUN)
+    error.verdict = error.verdict.combined(progress.verdict)
     return error
 
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -64,6 +64,28 @@
             rest = await response.read()
         self.assertEqual(_streamed_text(first + rest), expected_text(body))
 
+    async def test_refusal_of_keyed_call_promises_nothing(self) -> None:
+        async with self.fleet.post(
+            self.router, "/services/app/reserve", b"x", Idempotency_Key="k-2"
+        ) as response:
+            await response.read()
+        self.router.server.refusing = True
+        async with self.fleet.post(
+            self.router, "/services/app/reserve", b"x", Idempotency_Key="k-2"
+        ) as response:
+            answer = await response.json()
+        self.assertEqual(answer["error"]["code"], "draining")
+        self.assertEqual(answer["error"]["verdict"], "may_have_run")
+
+    async def test_poison_crashes_at_most_two_engines(self) -> None:
+        body = _chat("POISON in the ledger", max_tokens=5)
+        codes = []
+        for _ in range(3):
+            async with self.fleet.post(self.router, CHAT, body) as response:
+                codes.append((await response.json())["error"]["code"])
+        self.assertEqual(codes[-1], "quarantined")
+        self.assertLessEqual(sum(engine.ledger.crashes for engine in self.engines), 2)
+
     async def _crash(self, engine: EngineServer) -> None:
         with contextlib.suppress(aiohttp.ClientError):
             await self.fleet.session.post(engine.url + CHAT, json=_chat("POISON"))
