--- /dev/null
+++ b/tests/relay/test_frames.py
@@ -0,0 +1,93 @@
+"""Tests of the frames between agent and router."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+from unittest.mock import patch
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragetiller.errors import BackendLost, ProtocolError
+from boragetiller.relay.frames import FrameKind, FrameReader, FrameWriter, Head, parse_fail
+
+OWN_ATTEMPT = 2
+OTHER_ATTEMPT = 1
+_PARTS = st.lists(st.binary(max_size=20), max_size=8)
+
+
+def _frames(attempt: int, parts: list[bytes]) -> list[bytes]:
+    writer = FrameWriter(attempt)
+    head = writer.head(Head(200, "text/plain"))
+    return [head, *(writer.data(part) for part in parts), writer.end()]
+
+
+def _shuffled_wire(own: list[bytes], late: list[bytes], seed: int) -> bytes:
+    """Own frames in order, some of them twice, with frames of another attempt in between."""
+    rng = Random(seed)
+    wire: list[bytes] = []
+    for frame in own:
+        wire += rng.sample(late, rng.randint(0, min(2, len(late))))
+        wire += [frame] * rng.randint(1, 2)
+    return b"".join(wire)
+
+
+def _read(wire: bytes, seed: int) -> tuple[bytes, bool]:
+    """:return: the body that a router would relay, and whether its end marker was seen"""
+    reader, rng, body, ended = FrameReader(OWN_ATTEMPT), Random(seed), b"", False
+    while wire and not ended:
+        size = rng.randint(1, 30)
+        for frame in reader.feed(wire[:size]):
+            body += frame.payload if frame.kind is FrameKind.DATA else b""
+            ended = ended or frame.kind is FrameKind.END
+        wire = wire[size:]
+    return body, ended
+
+
+class FrameTest(unittest.TestCase):
+    """Only whole frames of the current attempt are taken, each once and in order."""
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(own=_PARTS, late=_PARTS, seed=st.integers(0, 10_000))
+    def test_feed_takes_own_answer_only(
+        self, own: list[bytes], late: list[bytes], seed: int
+    ) -> None:
+        wire = _shuffled_wire(_frames(OWN_ATTEMPT, own), _frames(OTHER_ATTEMPT, late), seed)
+        self.assertEqual(_read(wire, seed), (b"".join(own), True))
+
+    def test_check_finds_reader_that_takes_late_answers(self) -> None:
+        def take_all(
+            reader: FrameReader, frames: list, kind: int, _attempt: int, _seq: int, payload: bytes
+        ) -> None:
+            frames.append(type("F", (), {"kind": FrameKind(kind), "payload": payload}))
+
+        late, own = _frames(OTHER_ATTEMPT, [b"late"]), _frames(OWN_ATTEMPT, [b"own"])
+        wire = b"".join([late[1], *own])
+        with patch.object(FrameReader, "_accept", take_all):
+            self.assertNotEqual(_read(wire, 3), (b"own", True))
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(parts=st.lists(st.binary(max_size=20), min_size=1, max_size=8), data=st.data())
+    def test_feed_refuses_missing_frame(self, parts: list[bytes], data: st.DataObject) -> None:
+        frames = _frames(OWN_ATTEMPT, parts)
+        del frames[data.draw(st.integers(0, len(frames) - 2))]
+        with self.assertRaises(ProtocolError):
+            _read(b"".join(frames), 1)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(wire=st.binary(max_size=200))
+    def test_feed_any_bytes_gives_coded_error_or_frames(self, wire: bytes) -> None:
+        try:
+            FrameReader(0).feed(wire)
+        except ProtocolError as error:
+            self.assertEqual(error.code, "protocol_error")
+
+    def test_fail_keeps_code_and_verdict(self) -> None:
+        frame = FrameReader(OWN_ATTEMPT).feed(FrameWriter(OWN_ATTEMPT).fail(BackendLost("gone")))[0]
+        error = parse_fail(frame.payload)
+        self.assertEqual((type(error), str(error)), (BackendLost, "gone"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_stops.py
@@ -0,0 +1,86 @@
+"""A planned stop of router or agent cuts off no request in progress."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import TYPE_CHECKING
+from unittest.mock import patch
+
+import aiohttp
+
+from boragetiller.standin.engine import EngineServer, EngineSettings
+from boragetiller.standin.engine_text import expected_text
+from tests.fleet import MODEL, Fleet, sample_records
+from tests.streams import streamed_text
+
+if TYPE_CHECKING:
+    from boragetiller.agent.process import AgentProcess
+    from boragetiller.router.process import RouterProcess
+
+CHAT = "/v1/chat/completions"
+TOKENS = 40
+
+
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """One engine that streams while its agent or the router stops."""
+
+    async def asyncSetUp(self) -> None:
+        self.engine = EngineServer(EngineSettings())
+        await self.engine.start()
+        self.fleet = Fleet()
+        await self.fleet.start()
+        self.agent = await self.fleet.add_agent("engine-0", "pool", self.engine.url)
+        await self.fleet.apply(sample_records(("engine-0",), ()))
+        self.router = await self.fleet.add_router("router-0")
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.close()
+        await self.engine.close()
+
+    async def test_router_stop_finishes_stream(self) -> None:
+        self.assertEqual(await self._stream_during_stop(self.router), expected_text(_body()))
+
+    async def test_agent_stop_finishes_stream(self) -> None:
+        self.assertEqual(await self._stream_during_stop(self.agent), expected_text(_body()))
+
+    async def test_stopping_router_refuses_new_work(self) -> None:
+        self.router.server.refusing = True
+        async with self.fleet.post(self.router, CHAT, _body()) as response:
+            answer = await response.json()
+        self.assertEqual((answer["error"]["code"], response.status), ("draining", 503))
+        self.assertEqual(answer["error"]["verdict"], "not_run")
+        self.assertEqual(sum(self.engine.ledger.by_request_id.values()), 0)
+
+    async def test_check_finds_stop_that_does_not_wait(self) -> None:
+        async def no_wait(_in_progress: object, _timeout_ms: int) -> bool:
+            return False
+
+        with (
+            patch("boragetiller.http_server.SHUTDOWN_TIMEOUT_S", 0.01),
+            patch("boragetiller.router.process.wait_until_idle", no_wait),
+        ):
+            self.router = await self.fleet.add_router("router-1")
+            text = await self._stream_during_stop(self.router)
+        self.assertNotEqual(text, expected_text(_body()))
+
+    async def _stream_during_stop(self, process: RouterProcess | AgentProcess) -> str:
+        content = b""
+        async with self.fleet.post(self.router, CHAT, _body()) as response:
+            content += await response.content.readuntil(b"\n\n")
+            stop = asyncio.create_task(process.close())
+            try:
+                content += await response.read()
+            except aiohttp.ClientError:
+                content = b""
+        await stop
+        return streamed_text(content)
+
+
+def _body() -> dict[str, object]:
+    messages = [{"role": "user", "content": "a quote to read out"}]
+    return {"model": MODEL, "messages": messages, "max_tokens": TOKENS, "stream": True}
+
+
+if __name__ == "__main__":
+    unittest.main()
