--- /dev/null
+++ b/bench/decision_cost.py
@@ -0,0 +1,135 @@
+"""Processor time of one placement and one admission: `python -m bench.decision_cost [--json]`."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from random import Random
+from typing import TYPE_CHECKING
+
+from boragetiller.hashing import stable_hash
+from boragetiller.settings import AdmissionSettings, PlacementSettings
+from boragetiller.systems import admission
+from boragetiller.systems.placement import PlacementRequest, choose_agent
+from boragetiller.systems.subsets import Member, choose_subset
+from boragetiller.tables.agents import AgentEntry, LoadReport
+from boragetiller.tables.work import WorkItem, WorkTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CANDIDATES = (24, 100, 400)
+QUEUED = (10, 1_000, 10_000)
+CUSTOMERS = 500
+ROUNDS = 3_000
+TRIES = 5
+
+
+def main() -> int:
+    """
+    Measure and print.
+
+    :return: process exit code
+    """
+    figures: dict[str, float] = {}
+    for count in CANDIDATES:
+        figures[f"placement_us.{count}_candidates"] = _placement_us(count, prefix=False)
+        figures[f"placement_with_prefix_us.{count}_candidates"] = _placement_us(count, prefix=True)
+    for count in QUEUED:
+        figures[f"admission_us.{count}_queued"] = _admission_us(count)
+        figures[f"refusal_at_bound_us.{count}_queued"] = _admission_us(count, at_bound=True)
+    figures["token_us"] = _token_us()
+    figures["subset_ms.400_routers_1300_agents"] = _subset_ms()
+    if "--json" in sys.argv:
+        print(json.dumps(figures, indent=1))
+    else:
+        print("\n".join(f"{name:<48}{value:>10.1f}" for name, value in figures.items()))
+    return 0
+
+
+def _best_us(call: Callable[[int], None], rounds: int = ROUNDS) -> float:
+    best = float("inf")
+    for _ in range(TRIES):
+        start = time.process_time_ns()
+        for number in range(rounds):
+            call(number)
+        best = min(best, (time.process_time_ns() - start) / rounds / 1_000)
+    return best
+
+
+def _placement_us(count: int, *, prefix: bool) -> float:
+    rng = Random(1)
+    settings = PlacementSettings()
+    agents = []
+    for number in range(count):
+        agent = AgentEntry(name=f"e{number}", group="g", address="127.0.0.1", data_port=1)
+        agent.update_load(LoadReport(received_ms=0, running=rng.randrange(30), max_running=24))
+        agents.append(agent)
+
+    def place(number: int) -> None:
+        key = stable_hash(str(number)) if prefix else 0
+        request = PlacementRequest(group="g", tier=0, prefix_hash=key, protected=True)
+        choose_agent(agents, request, settings, rng, number)
+
+    return _best_us(place, ROUNDS // 10)
+
+
+def _make_item(number: int) -> WorkItem:
+    tier = number % 4
+    return WorkItem(
+        request_id=f"r{number}",
+        attempt=1,
+        customer=f"c{number % CUSTOMERS}",
+        class_name=f"t{tier}",
+        tier=tier,
+        protected=tier == 0,
+        preemptible=tier > 0,
+        arrived_ms=number // 20,
+        deadline_ms=10**9,
+    )
+
+
+def _admission_us(queued: int, *, at_bound: bool = False) -> float:
+    """One arrival and one end, so that the queue keeps its length."""
+    table = WorkTable()
+    bound = queued if at_bound else queued + ROUNDS
+    settings = AdmissionSettings(max_queued=bound, initial_running=24)
+    count = 0
+    while len(table.queued) < queued:
+        admission.submit(table, _make_item(count), settings, count // 20)
+        count += 1
+
+    def admit(number: int) -> None:
+        nonlocal count
+        now_ms = count // 20
+        admission.submit(table, _make_item(count), settings, now_ms)
+        if not at_bound or number % 8 == 0:
+            admission.finish(table, next(iter(table.running)), settings, now_ms)
+        count += 1
+
+    return _best_us(admit)
+
+
+def _token_us() -> float:
+    table = WorkTable()
+    settings = AdmissionSettings(initial_running=24)
+    for number in range(24):
+        admission.submit(table, _make_item(number), settings, 0)
+    names = list(table.running)
+    return _best_us(lambda n: admission.record_token(table, names[n % len(names)], n))
+
+
+def _subset_ms() -> float:
+    routers = [Member(f"r{n}", f"fd{n % 21}", f"region{n % 21 % 6}") for n in range(400)]
+    agents = [Member(f"a{n}", f"fd{n % 21}", f"region{n % 21 % 6}") for n in range(1_300)]
+    settings = PlacementSettings()
+    return _best_us(lambda n: _drop(choose_subset(routers[n], routers, agents, settings)), 5) / 1e3
+
+
+def _drop(_: object) -> None:
+    """Discard a result."""
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/boragetiller/systems/fairness.py
+++ b/src/boragetiller/systems/fairness.py
@@ -33,10 +33,12 @@
     table.queued[item.request_id] = item
     if item.resumed_tokens:
         customer.items.appendleft(item)
+        customer.ordered = False  # its key became lower
     else:
         customer.items.append(item)
     _change_count(tier, queue, customer, 1)
-    _push_order(table, queue, customer, settings)
+    if not customer.ordered:
+        _push_order(table, queue, customer, settings)
     if item.can_expire():
         heapq.heappush(table.expiry, (item.deadline_ms, table.next_sequence(), item))
     _compact(table, queue, customer)
@@ -55,7 +57,7 @@
     if queue.count == 0:
         table.backlogged -= 1
         queue.late.clear()
-        queue.order.clear()
+        _clear_order(queue)
     _compact(table, queue, customer)
     _forget_idle(tier, queue, customer)
 
@@ -221,6 +223,13 @@
 ) -> None:
     turn, due_ms = _order_key(customer, settings)
     heapq.heappush(queue.order, (turn, due_ms, table.next_sequence(), customer))
+    customer.ordered = True
+
+
+def _clear_order(queue: ClassQueue) -> None:
+    for entry in queue.order:
+        entry[3].ordered = False
+    queue.order.clear()
 
 
 def _order_key(customer: CustomerQueue, settings: AdmissionSettings) -> tuple[int, int]:
@@ -235,6 +244,7 @@
         _drop_departed(table, queue, customer, now_ms)
         if not customer.items:
             heapq.heappop(queue.order)
+            customer.ordered = False
         elif (turn, due_ms) < _order_key(customer, settings):
             heapq.heappop(queue.order)
             _push_order(table, queue, customer, settings)
@@ -280,8 +290,11 @@
         queue.late.extend(overdue)
     if len(queue.order) > 2 * queue.count + _SLACK:
         latest = {id(entry[3]): entry for entry in sorted(queue.order, reverse=True)}
-        queue.order[:] = [entry for entry in latest.values() if entry[3].count]
+        _clear_order(queue)
+        queue.order.extend(entry for entry in latest.values() if entry[3].count)
         heapq.heapify(queue.order)
+        for entry in queue.order:
+            entry[3].ordered = True
     if len(table.expiry) > 2 * len(table.queued) + _SLACK:
         table.expiry[:] = [entry for entry in table.expiry if _is_queued(table, entry[2])]
         heapq.heapify(table.expiry)
--- a/src/boragetiller/systems/shedding.py
+++ b/src/boragetiller/systems/shedding.py
@@ -47,15 +47,16 @@
     if len(table.queued) - table.backlogged < settings.max_queued:
         return Room(granted=True)
     dropped = _choose_dropped(table, item)
-    if dropped is not None:
-        fairness.remove(table, dropped)
-        return Room(granted=True, actions=(refuse(table, dropped),))
-    victim = choose_victim(table, item) if item.protected else None
-    if victim is None:
+    if item.protected and (dropped is None or dropped.protected):
+        victim = choose_victim(table, dropped or item)
+        if victim is not None:
+            victim.preempting = True
+            table.preempting += 1
+            return Room(granted=True, actions=(PreemptWork(victim.request_id),))
+    if dropped is None:
         return Room(granted=False)
-    victim.preempting = True
-    table.preempting += 1
-    return Room(granted=True, actions=(PreemptWork(victim.request_id),))
+    fairness.remove(table, dropped)
+    return Room(granted=True, actions=(refuse(table, dropped),))
 
 
 def expire(table: WorkTable, now_ms: int) -> list[Action]:
--- a/src/boragetiller/tables/work.py
+++ b/src/boragetiller/tables/work.py
@@ -56,6 +56,7 @@
     customer: str
     virtual_tokens: float = 0.0  # tokens charged, divided by the customer's weight
     items: deque[WorkItem] = attrs.Factory(deque)  # may hold items that left the queue
+    ordered: bool = False  # whether the order of the class has an entry for it
     count: int = 0
     running: int = 0
 
--- a/tests/systems/test_admission.py
+++ b/tests/systems/test_admission.py
@@ -88,6 +88,13 @@
         actions = self.submit(make_item(0))
         self.assertEqual((preempted(actions), refused(actions)), ([running[1]], []))
 
+    def test_submit_protected_at_bound_preempts_before_it_drops_protected(self) -> None:
+        running = self.fill(preemptible=True)
+        for item in [*(make_item(1, protected=True) for _ in range(5)), make_item(0)]:
+            self.submit(item)
+        actions = self.submit(make_item(0))
+        self.assertEqual((preempted(actions), refused(actions)), ([running[1]], []))
+
     def test_submit_hopeless_lower_tier_refused_early(self) -> None:
         running = self.fill()
         self.now_ms = 20_000
--- a/tests/systems/test_placement.py
+++ b/tests/systems/test_placement.py
@@ -3,6 +3,9 @@
 import unittest
 from random import Random
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from boragetiller.settings import PlacementSettings
 from boragetiller.systems import outliers
 from boragetiller.systems.placement import PlacementRequest, choose_agent
@@ -90,6 +93,38 @@
         self.assertTrue(all(before[key] == "e0" for key in moved))
 
 
+class ReportsTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=60, deadline=None, database=None)
+    @given(
+        running=st.lists(st.integers(0, 200), min_size=5, max_size=5),
+        queued=st.lists(st.integers(0, 5_000), min_size=5, max_size=5),
+        received_ms=st.integers(-(10**9), -2_000),
+        tier=st.integers(0, 3),
+    )
+    def test_old_reports_do_not_steer(
+        self, running: list[int], queued: list[int], received_ms: int, tier: int
+    ) -> None:
+        agents = make_agents(5)
+        for agent, run, wait in zip(agents, running, queued, strict=True):
+            agent.load = LoadReport(
+                received_ms=received_ms,
+                max_running=10,
+                service_ms=1_000.0,
+                running=run,
+                queued=(wait, 0, 0, 0),
+            )
+        request = PlacementRequest(group="g", tier=tier, peers=3)
+        rng = Random(1)
+        for agent in agents:
+            agent.begin(tier)
+        for _ in range(500):
+            chosen = choose_agent(agents, request, PlacementSettings(), rng, 0)
+            self.assertIsNotNone(chosen)
+            chosen.begin(tier)
+        counts = [agent.in_flight for agent in agents]
+        self.assertLessEqual(max(counts) - min(counts), 10, counts)
+
+
 class OutliersTest(unittest.TestCase):
     def setUp(self) -> None:
         self.settings = PlacementSettings(choices=5)
