--- /dev/null
+++ b/bench/config_writes.py
@@ -0,0 +1,244 @@
+"""Interleaved writes from two offices under faults, judged against every version of each page."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from bench.config_judge import Outcome, Told, judge
+from bench.config_nodes import node_settings
+from boragetiller.cli.writer import RecordWriter, WriterSettings
+from boragetiller.clock import SystemClock
+from boragetiller.platform.memory import MemoryStore
+from boragetiller.records.documents import RecordDocument, parse_documents
+from boragetiller.records.pages import PAGE_PREFIX, decode_page, index_of_key
+from boragetiller.records.writes import WriteState
+from boragetiller.router.config_sync import ConfigSync
+from boragetiller.tables.config import ConfigTable
+
+if TYPE_CHECKING:
+    from boragetiller.cli.store_access import StoredPage
+    from boragetiller.platform.store import Entry
+    from boragetiller.records.writes import PendingWrite
+
+RECORDS = 24
+OPERATORS_PER_OFFICE = 4
+MAX_RERUNS = 40
+FAULT_PAUSE_S = 0.006
+BASE_DELAY_MS = 1
+WRITER = WriterSettings(attempts=5, retry_base_ms=1, retry_max_ms=8)
+VALUES: dict[str, list[Any]] = {
+    "tier": [0, 1, 2, 3],
+    "deadline_ms": [1_000, 2_000, 3_000],
+    "protected": [True, False],
+    "first_token_target_ms": [500, 600, 700],
+    "between_tokens_target_ms": [30, 40, 50],
+    "weight": [1.0, 2.0, 3.0],
+}
+OLD_NAMES = {"first_token_target_ms": "first_token_ms"}
+NEW_ONLY = ("between_tokens_target_ms", "weight")
+
+
+class RecordingStore(MemoryStore):
+    """Keeps every version of each page."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        super().__init__(SystemClock())
+        self.versions: dict[str, list[Entry]] = {}
+
+    def _append(self, key: str, value: bytes) -> Entry:
+        entry = super()._append(key, value)
+        if key.startswith(PAGE_PREFIX):
+            self.versions.setdefault(key, []).append(entry)
+        return entry
+
+
+class RecordingWriter(RecordWriter):
+    """Remembers the base of each write."""
+
+    begun: dict[str, PendingWrite]
+
+    def _begin(
+        self, pages: dict[int, StoredPage], document: RecordDocument, at_ms: int
+    ) -> PendingWrite:
+        write = super()._begin(pages, document, at_ms)
+        self.begun[write.write_id] = write
+        return write
+
+
+async def run_interleaved(seed: int, writes: int) -> Outcome:
+    """
+    Write from two offices at once while the store misbehaves.
+
+    :param seed: seed of every choice
+    :param writes: number of writes, half of them from each office
+    :return: what the run showed
+    """
+    rng = Random(seed)
+    store = RecordingStore()
+    begun: dict[str, PendingWrite] = {}
+    await _create_records(store, begun, rng)
+    outcome = Outcome()
+    nodes = [_Node(store, f"router-{number}", outcome, seed) for number in range(3)]
+    for node in nodes:
+        await node.sync.start()
+    faults = asyncio.create_task(_inject_faults(store, Random(seed + 1)))
+    peers = asyncio.create_task(_offer_old_pages(store, nodes, Random(seed + 2)))
+    share = writes // (2 * OPERATORS_PER_OFFICE)
+    told: list[Told] = []
+    _clear_faults(store)
+    operators = [
+        _operate(
+            _make_writer(store, office, begun, seed + number),
+            told,
+            version,
+            share,
+            Random(f"{seed}/{office}/{number}"),
+        )
+        for office, version in (("vesturland", 1), ("kalisz", 2))
+        for number in range(OPERATORS_PER_OFFICE)
+    ]
+    await asyncio.gather(*operators)
+    for task in (faults, peers):
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+    _clear_faults(store)
+    await _wait_for_nodes(nodes, store)
+    for node in nodes:
+        await node.sync.close()
+    judge(outcome, store.versions, begun, told)
+    return outcome
+
+
+class _Node:
+    """A node that follows the store and notes each move back."""
+
+    def __init__(self, store: MemoryStore, name: str, outcome: Outcome, seed: int) -> None:
+        self.table = ConfigTable()
+        self._outcome = outcome
+        self._seen: dict[str, int] = {}
+        self.changed = asyncio.Event()
+        settings = node_settings(name, "http://127.0.0.1:1", seed)
+        self.sync = ConfigSync(store, self.table, settings, SystemClock(), self._on_change)
+
+    def _on_change(self) -> None:
+        for key, revision in self.table.page_revisions.items():
+            if revision < self._seen.get(key, 0):
+                self._outcome.reverts.append(f"{key}: {self._seen[key]} -> {revision}")
+            self._seen[key] = revision
+        self.changed.set()
+
+
+def _make_writer(
+    store: MemoryStore, office: str, begun: dict[str, PendingWrite], seed: int
+) -> RecordingWriter:
+    writer = RecordingWriter(store, office, Random(f"{office}/{seed}"), WRITER)
+    writer.begun = begun
+    return writer
+
+
+async def _create_records(store: MemoryStore, begun: dict[str, PendingWrite], rng: Random) -> None:
+    text = "kind: group\nname: pool\nschema_version: 2\n"
+    for number in range(RECORDS):
+        text += f"---\nkind: class\nname: c{number}\nschema_version: 2\ngroup: pool\n"
+    writer = _make_writer(store, "kalisz", begun, rng.getrandbits(32))
+    await writer.write(parse_documents(text), at_ms=0)
+
+
+async def _operate(
+    writer: RecordingWriter, told: list[Told], version: int, count: int, rng: Random
+) -> None:
+    for step in range(count):
+        document = await _edit(writer, version, rng)
+        write_ids: list[str] = []
+        unknown = 0
+        for _ in range(MAX_RERUNS):
+            result = (await writer.write([document], at_ms=step))[0]
+            write_ids.append(result.write_id)
+            unknown += result.state is WriteState.UNKNOWN
+            settled = result.state not in (WriteState.UNKNOWN, WriteState.NOT_ACCEPTED)
+            if settled or not unknown:
+                break
+        told.append(Told(write_ids, result, unknown))
+
+
+async def _edit(writer: RecordingWriter, version: int, rng: Random) -> RecordDocument:
+    record_id = f"class/c{rng.randrange(RECORDS)}"
+    names = [n for n in VALUES if version > 1 or n not in NEW_ONLY]
+    lines = [f"kind: class\nname: {record_id.partition('/')[2]}\nschema_version: {version}"]
+    for name in rng.sample(names, rng.choice((1, 1, 2))):
+        shown = OLD_NAMES.get(name, name) if version == 1 else name
+        lines.append(f"{shown}: {str(rng.choice(VALUES[name])).lower()}")
+    revision = await _read_revision(writer, record_id)
+    if revision is not None and rng.random() < 0.9:
+        lines.append(f"base_revision: {max(1, revision - rng.choice((0, 0, 0, 1)))}")
+    return parse_documents("\n".join(lines))[0]
+
+
+async def _read_revision(writer: RecordingWriter, record_id: str) -> int | None:
+    store = writer._store
+    with contextlib.suppress(Exception):
+        for entry in await store.list(PAGE_PREFIX):
+            record = decode_page(entry.value).records.get(record_id)
+            if record is not None:
+                return record.revision
+    return None
+
+
+async def _inject_faults(store: MemoryStore, rng: Random) -> None:
+    while True:
+        await asyncio.sleep(rng.uniform(0, FAULT_PAUSE_S))
+        _clear_faults(store)
+        fault = rng.choice(
+            ("none", "reply", "reply", "request", "delay", "outage", "stale", "watch")
+        )
+        if fault == "reply":
+            store.inject(lose_replies=rng.randint(1, 4))
+        elif fault == "request":
+            store.inject(lose_requests=rng.randint(1, 2))
+        elif fault == "delay":
+            store.inject(delay_ms=rng.randint(2, 5))
+        elif fault == "outage":
+            store.inject(outage=True)
+        elif fault == "stale":
+            store.inject(stale_reads=True)
+        elif fault == "watch":
+            store.inject(watch_end=True, watch_repeat=True, watch_skip=True)
+
+
+async def _offer_old_pages(store: RecordingStore, nodes: list[_Node], rng: Random) -> None:
+    while True:
+        await asyncio.sleep(rng.uniform(0, FAULT_PAUSE_S))
+        entry = rng.choice(store.versions[rng.choice(sorted(store.versions))])
+        index = index_of_key(entry.key)
+        if index is not None:
+            rng.choice(nodes).sync.take_page(index, entry.revision, entry.value)
+
+
+def _clear_faults(store: MemoryStore) -> None:
+    store.inject(
+        lose_replies=0,
+        lose_requests=0,
+        delay_ms=BASE_DELAY_MS,
+        outage=False,
+        stale_reads=False,
+        watch_end=False,
+        watch_repeat=False,
+        watch_skip=False,
+    )
+
+
+async def _wait_for_nodes(nodes: list[_Node], store: MemoryStore) -> None:
+    newest = {entry.key: entry.revision for entry in await store.list(PAGE_PREFIX)}
+    async with asyncio.timeout(10):
+        for node in nodes:
+            while node.table.page_revisions != newest:
+                node.changed.clear()
+                await node.changed.wait()
+
+
+__all__ = ["run_interleaved"]
--- a/src/boragetiller/control/exchange.py
+++ b/src/boragetiller/control/exchange.py
@@ -27,12 +27,14 @@
 from typing import TYPE_CHECKING, Protocol
 
 from boragetiller.control.client import PeerClient
+from boragetiller.control.codec import encode
 from boragetiller.control.connection import Connection
 from boragetiller.control.errors import ControlError, FrameTooLarge, TooManyHandshakes
 from boragetiller.control.messages import Goodbye, Hello
 from boragetiller.control.server import ControlServer
 from boragetiller.control.session import NONCE_BYTES, Session
 from boragetiller.events import Event, log_event
+from boragetiller.timeouts import within
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -139,7 +141,7 @@
         for connection in list(self._open):
             connection.close()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(asyncio.gather(*waiting), self._settings.heartbeat_ms / MS_PER_S)
+            await within(self._settings.heartbeat_ms / MS_PER_S, asyncio.gather(*waiting))
         for connection in list(self._open):
             connection.abort(ControlError())
 
@@ -169,16 +171,7 @@
         :param message: the message
         :return: whether it was handed to a connection
         """
-        connection = self._by_name.get(name)
-        if connection is None:
-            return False
-        try:
-            size_bytes = connection.send(message)
-        except FrameTooLarge:
-            self._metrics.increment("control.not_sent.frame_too_large")
-            return False
-        self._count("sent", message, size_bytes)
-        return size_bytes > 0
+        return self.send_all([name], message) == 1
 
     def broadcast(self, message: Message) -> int:
         """
@@ -187,7 +180,29 @@
         :param message: the message
         :return: how many peers it went to
         """
-        return sum(self.send(name, message) for name in list(self._by_name))
+        return self.send_all(list(self._by_name), message)
+
+    def send_all(self, names: list[str], message: Message) -> int:
+        """
+        Send a message to several peers.
+
+        :param names: the peers; those that are not connected are passed over
+        :param message: the message
+        :return: how many peers it went to
+        """
+        connections = [self._by_name[name] for name in names if name in self._by_name]
+        if not connections:
+            return 0
+        try:
+            payload = encode(message)
+            sizes = [connection.send(payload) for connection in connections]
+        except FrameTooLarge:
+            self._metrics.increment("control.not_sent.frame_too_large")
+            return 0
+        count = sum(size_bytes > 0 for size_bytes in sizes)
+        self.traffic[f"sent.{type(message).__name__}"] += count
+        self.traffic["sent_bytes"] += sum(sizes)
+        return count
 
     def on_opened(self, connection: Connection) -> None:
         """See :class:`ConnectionOwner`."""
@@ -210,12 +225,16 @@
         log_event(Event.CONTROL_CONNECTED, peer=peer.name, incarnation=peer.incarnation)
         self._handler.on_connected(peer)
 
-    def on_received(self, connection: Connection, message: Message, size_bytes: int) -> None:
+    def on_bytes(self, size_bytes: int) -> None:
+        """See :class:`ConnectionOwner`."""
+        self.traffic["received_bytes"] += size_bytes
+
+    def on_received(self, connection: Connection, message: Message) -> None:
         """See :class:`ConnectionOwner`."""
         peer = _peer_of(connection)
         if self._by_name.get(peer.name) is not connection:
             return
-        self._count("received", message, size_bytes)
+        self.traffic[f"received.{type(message).__name__}"] += 1
         self._handler.on_message(peer, message)
 
     def on_closed(self, connection: Connection, error: ControlError | None) -> None:
@@ -264,11 +283,6 @@
             self.send(name, Goodbye(reason="not_needed"))
             connection.close()
 
-    def _count(self, direction: str, message: Message, size_bytes: int) -> None:
-        kind = type(message).__name__
-        self.traffic[f"{direction}.{kind}"] += 1
-        self.traffic[f"{direction}_bytes.{kind}"] += size_bytes
-
     async def _check_timeouts(self) -> None:
         while True:
             await asyncio.sleep(self._settings.heartbeat_ms / MS_PER_S)
--- a/src/boragetiller/errors.py
+++ b/src/boragetiller/errors.py
@@ -135,6 +135,13 @@
     retryable = True
 
 
+class ClaimNotCommitted(NotRunError):
+    """The claim of the idempotency key could not be committed in time; the call never runs."""
+
+    code = "claim_not_committed"
+    retryable = True
+
+
 class KeyReused(NotRunError):
     """The idempotency key was used before with another body."""
 
@@ -251,6 +258,28 @@
     http_status = 409
 
 
+class LeaseLapsed(BoragetillerError):
+    """The lease that an order needs has lapsed; nothing was sent."""
+
+    code = "lease_lapsed"
+    verdict = Verdict.NOT_RUN
+    http_status = 409
+
+
+class OrderRefused(BoragetillerError):
+    """The engine refused an order."""
+
+    code = "order_refused"
+    verdict = Verdict.NOT_RUN
+    http_status = 409
+
+
+class StaleFencingNumber(OrderRefused):
+    """The engine knows a newer fencing number."""
+
+    code = "stale_fencing_number"
+
+
 class ValueTooLarge(BoragetillerError):
     """The value is larger than the platform's store holds."""
 
@@ -300,15 +329,18 @@
     "BackendTimeout",
     "BackendUnreachable",
     "BoragetillerError",
+    "ClaimNotCommitted",
     "Draining",
     "Forbidden",
     "InvalidRequest",
     "KeyReused",
+    "LeaseLapsed",
     "NoBackend",
     "NotFound",
     "NotOwner",
     "NotReady",
     "NotRunError",
+    "OrderRefused",
     "OutcomeUnknown",
     "Overloaded",
     "Preempted",
@@ -319,6 +351,7 @@
     "RevisionConflict",
     "SettingsInvalid",
     "StaleAttempt",
+    "StaleFencingNumber",
     "StoreUnavailable",
     "Unauthorized",
     "ValueTooLarge",
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -68,10 +68,14 @@
     port: int = attrs.field(default=0, validator=_PORT)
     key: str = attrs.field(repr=False)
     heartbeat_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
-    suspect_after_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
+    suspect_after_ms: int = attrs.field(default=2_500, validator=_POSITIVE)
     max_frame_bytes: int = attrs.field(default=2_000_000, validator=_POSITIVE)
     reconnect_base_ms: int = attrs.field(default=200, validator=_POSITIVE)
     reconnect_max_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
+    candidate_floor_share: float = attrs.field(default=0.5, validator=_SHARE)
+    list_loss_share: float = attrs.field(default=0.3, validator=_SHARE)
+    list_doubt_ms: int = attrs.field(default=60_000, validator=_POSITIVE)
+    announce_interval_ms: int = attrs.field(default=100, validator=_POSITIVE)
 
 
 @attrs.frozen(kw_only=True)
@@ -160,6 +164,57 @@
     preempt_slack_ms: int = attrs.field(default=150, validator=validators.ge(0))
 
 
+@attrs.frozen(kw_only=True)
+class ConfigSettings:
+    """How a process keeps its configuration up to date."""
+
+    retry_base_ms: int = attrs.field(default=100, validator=_POSITIVE)
+    retry_max_ms: int = attrs.field(default=2_000, validator=_POSITIVE)
+    watch_restart_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
+    peer_silence_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
+    peer_wait_ms: int = attrs.field(default=1_500, validator=_POSITIVE)
+
+
+@attrs.frozen(kw_only=True)
+class OrderSettings:
+    """How an agent gives orders to its engine."""
+
+    enabled: bool = True
+    check_interval_ms: int = attrs.field(default=2_000, validator=_POSITIVE)
+    lease_ttl_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
+    delivery_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+    load_timeout_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
+    role_timeout_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
+    retry_base_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+    retry_max_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
+    spread_ms_per_member: int = attrs.field(default=10, validator=validators.ge(0))
+
+    @property
+    def slot_ttl_ms(self) -> int:
+        """:return: length of a slot, enough to take the lease and then load"""
+        return self.load_timeout_ms + self.lease_ttl_ms + self.delivery_ms
+
+
+@attrs.frozen(kw_only=True)
+class ClaimSettings:
+    """How calls that may not be repeated are claimed by their idempotency key."""
+
+    memory_after_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
+    renew_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
+    commit_interval_ms: int = attrs.field(default=250, validator=_POSITIVE)
+    poll_ms: int = attrs.field(default=500, validator=_POSITIVE)
+    pause_limit_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
+    retry_horizon_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
+    max_call_age_ms: int = attrs.field(default=120_000, validator=_POSITIVE)
+    max_clock_skew_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+    commit_timeout_ms: int = attrs.field(default=25_000, validator=_POSITIVE)
+    rebalance_after_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
+    release_timeout_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
+    page_claims: int = attrs.field(default=1_024, validator=_POSITIVE)
+    answer_bytes: int = attrs.field(default=65_536, validator=_POSITIVE)
+    answers_bytes: int = attrs.field(default=16_000_000, validator=_POSITIVE)
+
+
 @attrs.frozen(kw_only=True)
 class BackendSettings:
     """The backend server that an agent stands beside."""
@@ -189,6 +244,9 @@
     limits: LimitSettings = LimitSettings()
     placement: PlacementSettings = PlacementSettings()
     admission: AdmissionSettings = AdmissionSettings()
+    config: ConfigSettings = ConfigSettings()
+    orders: OrderSettings = OrderSettings()
+    claims: ClaimSettings = ClaimSettings()
     backend: BackendSettings | None = None
     seed: int | None = None
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
@@ -223,10 +281,13 @@
     "AdmissionSettings",
     "BackendKind",
     "BackendSettings",
+    "ConfigSettings",
+    "ClaimSettings",
     "ControlSettings",
     "LimitSettings",
     "ListenSettings",
     "OperatorSettings",
+    "OrderSettings",
     "PlacementSettings",
     "PlatformSettings",
     "Role",
--- a/tests/control/test_exchange.py
+++ b/tests/control/test_exchange.py
@@ -32,7 +32,7 @@
 
     async def test_messages_go_both_ways(self) -> None:
         await self._connect()
-        report = Report(incarnation=1, queued=(0, 0, 0, 1))
+        report = Report(running=1)
         self.assertTrue(self.a.exchange.send("b", report))
         self.assertEqual(self.b.exchange.broadcast(report), 1)
         await until(lambda: self.a.recorder.messages and self.b.recorder.messages)
@@ -43,7 +43,7 @@
         self.a.exchange.set_peers([self.b.peer])
         self.b.exchange.set_peers([self.a.peer])
         await until(lambda: self.a.exchange.connected and self.b.exchange.connected)
-        report = Report(incarnation=1, queued=(0, 0, 0, 1))
+        report = Report(running=1)
         await until(lambda: self.a.exchange.send("b", report) and self.b.recorder.messages)
         await until(lambda: len(self.a.exchange._open) == 1 and len(self.b.exchange._open) == 1)
 
@@ -51,6 +51,7 @@
         await self._connect()
         self.b.exchange.connection_to("a").replace()  # type: ignore[union-attr]
         await until(lambda: len(self.a.recorder.connected) == 2)
+        await until(lambda: bool(self.a.recorder.lost))
         self.assertEqual([peer.name for peer in self.a.recorder.lost], ["b"])
 
     async def test_newer_incarnation_replaces_older(self) -> None:
@@ -101,6 +102,7 @@
         await self._connect()
         await self.b.exchange.close()
         self.assertEqual(self.a.recorder.messages, [("b", Goodbye(reason="stopping"))])
+        await until(lambda: bool(self.a.recorder.lost))
         self.assertEqual([peer.name for peer in self.a.recorder.lost], ["b"])
 
 
