Move released shards on demand; know the owner before it is gone

Change: a call for a shard that this agent does not own makes it read the page, and take it when it was released; the successor reads the page every 10 s beforehand; service from memory after 12 s; transitions poll every 200 ms.

--- /dev/null
+++ b/bench/bookings.py
@@ -0,0 +1,228 @@
+"""Bookings on the owners of shards: store writes, an outage, and seconds without service.
+
+The real systems run in virtual time over fakes of the store and the host list.
+
+    python -m bench.bookings --seed 1
+"""
+
+from __future__ import annotations
+
+import itertools
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+import fire
+
+from bench.shard_world import Call, ShardWorld
+from boragetiller.settings import ClaimSettings
+from boragetiller.systems import shards
+from boragetiller.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+AGENTS = ("sklep-1", "sklep-2", "sklep-3")
+WARM_UP_MS = 5_000
+MEASURE_MS = 60_000
+OUTAGE_MS = 600_000
+GAP_MS = 30_000
+PROBE_INTERVAL_MS = 50
+SHARDS = 16
+LIST_LAG_MS = 5_000
+
+
+@attrs.define
+class Bookings:
+    """Sends bookings at a rate, each with a new key, to the owner as routers know it."""
+
+    world: ShardWorld
+    rate_per_s: float
+    rng: Random
+    calls: list[Call] = attrs.Factory(list)
+    _stopped: bool = False
+
+    def start(self) -> None:
+        """Begin to send."""
+        self._send_next()
+
+    def stop(self) -> None:
+        """Send no more."""
+        self._stopped = True
+
+    def _send_next(self) -> None:
+        if self._stopped:
+            return
+        key = f"booking-{len(self.calls)}"
+        agent = self.world.owner_of(key) or _any_live(self.world, len(self.calls))
+        self.calls.append(self.world.send(key, agent))
+        delay_ms = self.rng.expovariate(self.rate_per_s / 1_000)
+        self.world.at(max(1, round(delay_ms)), self._send_next)
+
+
+def measure_writes(rate_per_s: float, seed: int) -> dict[str, float]:
+    """
+    Count store writes at a rate of bookings.
+
+    :param rate_per_s: bookings a second
+    :param seed: seed of arrivals
+    :return: writes a second, mean and 99th percentile of the time to the answer
+    """
+    rng = Random(seed)
+    world = ShardWorld(AGENTS, rng)
+    world.run(WARM_UP_MS)
+    bookings = Bookings(world, rate_per_s, rng)
+    bookings.start()
+    before = _writes(world)
+    world.run(MEASURE_MS)
+    writes = _writes(world) - before
+    bookings.stop()
+    world.run(WARM_UP_MS)
+    waits = sorted(_wait_ms(call) for call in bookings.calls)
+    return {
+        "bookings_per_s": len(bookings.calls) / (MEASURE_MS / 1_000),
+        "writes_per_s": writes / (MEASURE_MS / 1_000),
+        "mean_ms": sum(waits) / len(waits),
+        "p99_ms": waits[int(0.99 * len(waits))],
+        "served": _served(bookings.calls),
+    }
+
+
+def measure_outage(rate_per_s: float, seed: int) -> dict[str, float]:
+    """
+    Serve bookings through an outage of the store of ten minutes.
+
+    :param rate_per_s: bookings a second
+    :param seed: seed of arrivals
+    :return: share served, longest wait, store writes in the minute after
+    """
+    rng = Random(seed)
+    world = ShardWorld(AGENTS, rng)
+    world.run(WARM_UP_MS)
+    bookings = Bookings(world, rate_per_s, rng)
+    world.faults.down = True
+    bookings.start()
+    world.run(OUTAGE_MS)
+    bookings.stop()
+    world.faults.down = False
+    before = _writes(world)
+    world.run(MEASURE_MS)
+    waits = sorted(_wait_ms(call) for call in bookings.calls)
+    return {
+        "bookings": len(bookings.calls),
+        "served": _served(bookings.calls),
+        "longest_wait_ms": waits[-1],
+        "share_over_1_s": sum(wait > 1_000 for wait in waits) / len(waits),
+        "twice": sum(runs > 1 for runs in world.runs.values()),
+        "writes_in_next_minute": _writes(world) - before,
+    }
+
+
+def measure_gap(disturb: Callable[[ShardWorld, str], None], seed: int) -> dict[str, float]:
+    """
+    Measure how long the shards of one agent are without service.
+
+    :param disturb: what happens to the agent
+    :param seed: seed of the world
+    :return: longest time in which calls for one shard were not served, and their share in the half
+        minute after; calls are sent once and follow four redirects, routers would try them again
+    """
+    world = ShardWorld(AGENTS, Random(seed), list_lag_ms=LIST_LAG_MS)
+    world.run(WARM_UP_MS + seed % 3_000)
+    victim = AGENTS[0]
+    owned = world.agents[victim].table.owned_shards()
+    disturb(world, victim)
+    probes: dict[int, list[Call]] = {shard: [] for shard in owned}
+    for number in range(GAP_MS // PROBE_INTERVAL_MS):
+        for shard, calls in probes.items():
+            key = _key_of(shard, number)
+            calls.append(world.send(key, world.owner_of(key) or _any_live(world, number)))
+        world.run(PROBE_INTERVAL_MS)
+    world.run(MEASURE_MS)
+    gaps_ms = [_longest_gap_ms(calls) for calls in probes.values()]
+    sent = [call for calls in probes.values() for call in calls]
+    return {
+        "shards": len(owned),
+        "longest_s": max(gaps_ms) / 1_000,
+        "mean_s": sum(gaps_ms) / len(gaps_ms) / 1_000,
+        "not_served": sum(call.verdict is not Verdict.RAN for call in sent) / len(sent),
+        "longest_wait_s": max(_wait_ms(call) for call in sent) / 1_000,
+    }
+
+
+def crash_and_restart(world: ShardWorld, name: str) -> None:
+    """Kill an agent and start it again two seconds later."""
+    world.crash(name)
+    world.at(2_000, lambda: world.start(name))
+
+
+def stop_and_leave(world: ShardWorld, name: str) -> None:
+    """Drain an agent whose host leaves."""
+    shards.begin_drain(world.agents[name].table)
+    world.set_listed(name, listed=False)
+
+
+def lose_host(world: ShardWorld, name: str) -> None:
+    """Kill an agent with its host, which the list shows after its lag."""
+    world.crash(name)
+    world.set_listed(name, listed=False)
+
+
+def _key_of(shard: int, number: int) -> str:
+    tries = (f"probe-{shard}-{number}-{attempt}" for attempt in itertools.count())
+    return next(key for key in tries if shards.shard_of("acme", key, SHARDS) == shard)
+
+
+def _longest_gap_ms(calls: list[Call]) -> int:
+    """Longest stretch of calls sent one after the other that were not served."""
+    longest_ms, since_ms = 0, None
+    for call in calls:
+        if call.verdict is Verdict.RAN:
+            since_ms = None
+            continue
+        since_ms = call.sent_ms if since_ms is None else since_ms
+        longest_ms = max(longest_ms, call.sent_ms + PROBE_INTERVAL_MS - since_ms)
+    return longest_ms
+
+
+def _any_live(world: ShardWorld, number: int) -> str:
+    live = sorted(name for name, agent in world.agents.items() if agent.alive)
+    return live[number % len(live)]
+
+
+def _writes(world: ShardWorld) -> int:
+    kinds = ("WritePage", "WriteSegment", "DeleteSegment")
+    return sum(world.store_calls[kind] for kind in kinds)
+
+
+def _wait_ms(call: Call) -> int:
+    assert call.answered_ms is not None, call
+    return call.answered_ms - call.sent_ms
+
+
+def _served(calls: list[Call]) -> float:
+    return sum(call.verdict is Verdict.RAN for call in calls) / len(calls)
+
+
+def _print(title: str, figures: dict[str, float]) -> None:
+    print(title, " ".join(f"{name}={value:.4g}" for name, value in figures.items()), flush=True)
+
+
+def main(seed: int = 1, outage_rate_per_s: float = 10.0) -> None:
+    """
+    Print all measurements.
+
+    :param seed: seed of arrivals
+    :param outage_rate_per_s: bookings a second in the outage
+    """
+    settings = ClaimSettings()
+    print(f"seed={seed} shards=16 agents={len(AGENTS)} memory_after_ms={settings.memory_after_ms}")
+    for rate_per_s in (10, 100, 500):
+        _print(f"writes at {rate_per_s}/s:", measure_writes(rate_per_s, seed))
+    _print("outage of 600 s:", measure_outage(outage_rate_per_s, seed))
+    for disturb in (crash_and_restart, stop_and_leave, lose_host):
+        _print(f"gap after {disturb.__name__}:", measure_gap(disturb, seed))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -198,10 +198,11 @@
 class ClaimSettings:
     """How calls that may not be repeated are claimed by their idempotency key."""
 
-    memory_after_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
+    memory_after_ms: int = attrs.field(default=12_000, validator=_POSITIVE)
     renew_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
     commit_interval_ms: int = attrs.field(default=250, validator=_POSITIVE)
-    poll_ms: int = attrs.field(default=500, validator=_POSITIVE)
+    poll_ms: int = attrs.field(default=200, validator=_POSITIVE)
+    successor_poll_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
     pause_limit_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
     retry_horizon_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
     max_call_age_ms: int = attrs.field(default=120_000, validator=_POSITIVE)
--- a/src/boragetiller/systems/shard_commits.py
+++ b/src/boragetiller/systems/shard_commits.py
@@ -42,6 +42,7 @@
     shard.page, shard.revision, shard.known = page, revision, True
     shard.unsettled = shard.failed = False
     shard.fresh = True
+    shard.learned_ms = now_ms
     shard_ownership.note_seen(shard, page, now_ms)
     if not mine:
         return _lose(table, shard) if shard.owned else []
@@ -115,7 +116,7 @@
     table: ShardTable, shard: Shard, settings: ClaimSettings, now_ms: int, wall_ms: int
 ) -> list[ShardAction]:
     if not shard_ownership.may_own(table, shard):
-        return []
+        return _watch(table, shard, settings, now_ms)
     if not shard.fresh:
         return _read(shard, settings, now_ms)
     shard.fresh = False
@@ -129,6 +130,17 @@
     return [_write(shard, page, settings, now_ms)]
 
 
+def _watch(
+    table: ShardTable, shard: Shard, settings: ClaimSettings, now_ms: int
+) -> list[ShardAction]:
+    """Know the owner before it is gone, so that a takeover needs one read."""
+    shard.fresh = False
+    rested = now_ms - shard.next_read_ms >= settings.successor_poll_ms
+    if not rested or not shard_ownership.is_successor(table, shard):
+        return []
+    return _read(shard, settings, now_ms)
+
+
 def _release(
     table: ShardTable, shard: Shard, settings: ClaimSettings, now_ms: int, wall_ms: int
 ) -> list[ShardAction]:
@@ -179,6 +191,8 @@
 
 def _begin_ownership(shard: Shard, page: Page, now_ms: int) -> None:
     shard.owned = True
+    shard.owned_since_ms = now_ms
+    shard.wanted_until_ms = -1
     shard.closing = shard.releasing = shard.unconfirmed = False
     shard.uncertain_until_ms = now_ms + page.uncertain_ms
     shard.next_segment = page.next_segment
--- a/src/boragetiller/systems/shard_ownership.py
+++ b/src/boragetiller/systems/shard_ownership.py
@@ -14,38 +14,57 @@
     from boragetiller.tables.shards import Shard, ShardTable
 
 
-def preferred_owner(table: ShardTable, index: int) -> str | None:
+def preferred_owners(table: ShardTable, index: int) -> list[str]:
     """
-    Pick the owner of a shard among the live members by rendezvous hashing.
+    Order the live members for a shard by rendezvous hashing.
 
-    :param table: live members
+    :param table: live members; one that drains stands aside
     :param index: the shard
-    :return: name of an agent, None without members
+    :return: names of agents: the owner, its successor, and so on
     """
-    if not table.members:
-        return None
-    return max(table.members, key=lambda name: (mix(stable_hash(name) ^ mix(index)), name))
+    members = [name for name in table.members if not (table.draining and name == table.name)]
+    return sorted(
+        members, key=lambda name: (mix(stable_hash(name) ^ mix(index)), name), reverse=True
+    )
+
+
+def preferred_owner(table: ShardTable, index: int) -> str | None:
+    """:return: the agent that should own a shard, None without live members"""
+    return next(iter(preferred_owners(table, index)), None)
 
 
-def owner_hint(table: ShardTable, shard: Shard) -> str | None:
+def is_successor(table: ShardTable, shard: Shard) -> bool:
+    """:return: whether this agent follows when the preferred owner is gone"""
+    return preferred_owners(table, shard.index)[1:2] == [table.name]
+
+
+def owner_hint(
+    table: ShardTable, shard: Shard, settings: ClaimSettings | None = None, now_ms: int = 0
+) -> str | None:
     """
     Name the agent that should be asked for a key of a shard instead of this one.
 
     :param table: live members
     :param shard: the shard
+    :param settings: how long a page that was read counts as recent
+    :param now_ms: monotonic time in milliseconds
     :return: name of another agent, or None
     """
-    preferred = preferred_owner(table, shard.index)
-    if preferred is not None and preferred != table.name:
-        return preferred
     owner = shard.page.owner
-    return owner if owner in table.listed and owner != table.name else None
+    other = owner if owner in table.listed and owner != table.name else None
+    recent = settings is not None and now_ms - shard.learned_ms < settings.successor_poll_ms
+    if other is not None and recent:
+        return other
+    preferred = preferred_owner(table, shard.index)
+    return preferred if preferred not in (None, table.name) else other
 
 
 def may_own(table: ShardTable, shard: Shard) -> bool:
     """:return: whether this agent is to own the shard, when nobody else does"""
     if table.draining or table.name not in table.members:
         return False
+    if shard.wanted_until_ms >= (table.last_ms or 0):
+        return True
     return preferred_owner(table, shard.index) == table.name or shard.page.owner == table.name
 
 
@@ -158,6 +177,7 @@
 
 __all__ = [
     "expects_shard",
+    "is_successor",
     "may_mark_memory",
     "may_own",
     "may_serve_from_memory",
@@ -165,5 +185,6 @@
     "note_seen",
     "owner_hint",
     "preferred_owner",
+    "preferred_owners",
     "taken_page",
 ]
--- a/src/boragetiller/systems/shards.py
+++ b/src/boragetiller/systems/shards.py
@@ -64,10 +64,14 @@
     if shard.owned and not shard.closing:
         actions = claims.claim_key(shard, call, settings, now_ms)
         return actions + next_actions(table, shard, settings, now_ms, wall_ms)
+    if not shard.owned and not table.draining:  # the shard may have been released meanwhile
+        shard.wanted_until_ms = now_ms + settings.poll_ms
+    actions = next_actions(table, shard, settings, now_ms, wall_ms)
     if shard_ownership.expects_shard(table, shard):
         shard.waiting.append(call)
-        return []
-    return [RefuseCall(call.call_id, NotOwner(owner=shard_ownership.owner_hint(table, shard)))]
+        return actions
+    hint = shard_ownership.owner_hint(table, shard, settings, now_ms)
+    return [*actions, RefuseCall(call.call_id, NotOwner(owner=hint))]
 
 
 def withdraw_call(table: ShardTable, call: ShardCall) -> BoragetillerError:
@@ -273,7 +277,7 @@
     if not shard.owned or shard.releasing:
         return
     preferred = shard_ownership.preferred_owner(table, shard.index)
-    joined_ms = table.joined_ms.get(preferred or "", now_ms)
+    joined_ms = max(shard.owned_since_ms, table.joined_ms.get(preferred or "", now_ms))
     moved = preferred not in (None, table.name)
     shard.closing = table.draining or (moved and now_ms - joined_ms >= settings.rebalance_after_ms)
 
--- a/src/boragetiller/tables/shards.py
+++ b/src/boragetiller/tables/shards.py
@@ -86,6 +86,9 @@
     next_read_ms: int = 0
     renewed_ms: int = 0
     seen: SeenOwner | None = None
+    wanted_until_ms: int = -1  # a call came for it though another agent is preferred
+    owned_since_ms: int = 0
+    learned_ms: int = 0  # when `page` was read or written
 
 
 @attrs.define(kw_only=True)
