Build keys and references once the table is ready and only when they changed

Cause: each page cost 15 ms in a node with 5,200 customers, 11 of them for indexes, and a node that takes its first pages from peers did this 64 times. Change: make_ready(); ConfigTable.references_changed.

--- a/bench/config.py
+++ b/bench/config.py
@@ -2,7 +2,7 @@
 Measure the configuration's way: `python -m bench.config COMMAND`.
 
 Commands: `writes` (two offices under faults), `start` (many nodes at once), `spread` (time from
-acceptance to in force), `memory` (of one node).
+acceptance to in force), `relay` (the same by the control exchange alone), `memory` (of one node).
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 import fire
 from loguru import logger
 
+from bench.config_fleet import measure_relay
 from bench.config_nodes import measure_memory, measure_spread, measure_start
 from bench.config_writes import run_interleaved
 
@@ -58,6 +59,14 @@
                 f"store calls per change {figures.calls_per_change:.2f}"
             )
 
+    def relay(self, routers: int = 10, agents: int = 40, changes: int = 30) -> None:
+        """Change a class while only one router reaches the store."""
+        in_force_ms, ready_ms = asyncio.run(measure_relay(routers, agents, changes))
+        print(
+            f"routers {routers}, agents {agents}, one with the store: "
+            f"in_force_ms {_spread(in_force_ms)}, last node ready after {ready_ms:.0f} ms"
+        )
+
     def memory(self, customers: int = 5_200) -> None:
         """Hold a whole configuration."""
         record_bytes, total_mb = asyncio.run(measure_memory(customers))
--- /dev/null
+++ b/bench/config_fleet.py
@@ -0,0 +1,206 @@
+"""Nodes that keep their configuration by the store or by the control exchange alone."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from random import Random
+from typing import TYPE_CHECKING
+
+from bench.config_nodes import fill_store
+from boragetiller.cli.writer import RecordWriter
+from boragetiller.clock import SystemClock
+from boragetiller.control.node import AgentNode
+from boragetiller.control.router_node import RouterNode, RouterPorts
+from boragetiller.metrics import Metrics
+from boragetiller.platform.hosts import Host
+from boragetiller.platform.memory import MemoryStore
+from boragetiller.records.documents import parse_documents
+from boragetiller.records.pages import page_index, page_key
+from boragetiller.records.writes import WriteState
+from boragetiller.router.config_sync import ConfigSync
+from boragetiller.settings import (
+    BackendKind,
+    BackendSettings,
+    ControlSettings,
+    OperatorSettings,
+    PlacementSettings,
+    PlatformSettings,
+    Role,
+    Settings,
+)
+from boragetiller.tables.agents import AgentTable, LoadReport
+from boragetiller.tables.config import ConfigTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from boragetiller.platform.store import Store
+
+LOOPBACK = "127.0.0.1"
+GROUP = "pool"
+WAIT_S = 60.0
+_URL = "http://127.0.0.1:1"
+_BACKEND = BackendSettings(name="engine", group=GROUP, kind=BackendKind.ENGINE, url=_URL)
+
+
+class ConfigNode:
+    """The configuration and the control node of one process."""
+
+    def __init__(
+        self,
+        name: str,
+        role: Role,
+        store: Store,
+        *,
+        subset_size: int = 8,
+        heartbeat_ms: int = 1_000,
+    ) -> None:
+        """:param store: the store as this node reaches it"""
+        self.name = name
+        self.role = role
+        self.table = ConfigTable()
+        self.changed = asyncio.Event()
+        self.ready_at: float | None = None
+        self.taken_at: dict[tuple[str, int], float] = {}
+        settings = _settings(name, role, subset_size, heartbeat_ms)
+        clock = SystemClock()
+        self.sync = ConfigSync(store, self.table, settings, clock, self._on_change)
+        if role is Role.ROUTER:
+            agents, ports = AgentTable(), RouterPorts()
+            self.router = RouterNode(settings, 1, agents, self.sync, clock, Metrics(), ports)
+            self.control: RouterNode | AgentNode = self.router
+        else:
+            self.control = AgentNode(settings, 1, _IdleAgent(), self.sync, clock, Metrics())
+
+    async def start(self) -> None:
+        """Begin to read and to listen."""
+        await self.sync.start()
+        await self.control.start()
+
+    async def close(self) -> None:
+        """Stop."""
+        await self.control.close()
+        await self.sync.close()
+
+    def host(self) -> Host:
+        """:return: the entry of this node on the host list"""
+        return Host(
+            name=self.name,
+            role=self.role.value,
+            address=LOOPBACK,
+            data_port=1,
+            control_port=self.control.port,
+            failure_domain="vl-a",
+            group=GROUP if self.role is Role.AGENT else "",
+        )
+
+    async def wait_until(self, condition: Callable[[], bool]) -> None:
+        """Wait for a condition, looked at after each change."""
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                self.changed.clear()
+                await self.changed.wait()
+
+    def _on_change(self) -> None:
+        now = time.perf_counter()
+        if self.table.ready and self.ready_at is None:
+            self.ready_at = now
+        for item in self.table.page_revisions.items():
+            self.taken_at.setdefault(item, now)
+        self.changed.set()
+        self.control.config_changed()
+
+
+class _IdleAgent:
+    """An agent without work."""
+
+    def report_load(self) -> LoadReport:
+        """:return: no load"""
+        return LoadReport(received_ms=0)
+
+    def is_draining(self) -> bool:
+        """:return: False"""
+        return False
+
+    def owned_shards(self) -> tuple[int, ...]:
+        """:return: none"""
+        return ()
+
+
+def cut_off_store() -> MemoryStore:
+    """:return: a store that never answers"""
+    store = MemoryStore(SystemClock())
+    store.inject(outage=True)
+    return store
+
+
+def introduce(nodes: list[ConfigNode]) -> None:
+    """Show every router the whole host list."""
+    hosts = [node.host() for node in nodes]
+    for node in nodes:
+        if node.role is Role.ROUTER:
+            node.router.take_hosts(hosts)
+
+
+async def measure_relay(routers: int, agents: int, changes: int) -> tuple[list[float], float]:
+    """
+    Change a class again and again while one router reaches the store.
+
+    :param routers: number of routers
+    :param agents: number of agents
+    :param changes: number of changes
+    :return: time in ms from the writer's answer to in force at each node, and from the start in
+        an outage to ready at the last node
+    """
+    store = MemoryStore(SystemClock())
+    await fill_store(store, customers=5_200)
+    nodes = [ConfigNode("router-0", Role.ROUTER, store)]
+    for number in range(1, routers):
+        nodes.append(ConfigNode(f"router-{number}", Role.ROUTER, cut_off_store()))
+    for number in range(agents):
+        nodes.append(ConfigNode(f"agent-{number}", Role.AGENT, cut_off_store()))
+    await asyncio.gather(*(node.start() for node in nodes))
+    await nodes[0].wait_until(lambda: nodes[0].table.ready)
+    began = time.perf_counter()
+    introduce(nodes)
+    await asyncio.gather(*(node.wait_until(lambda n=node: n.table.ready) for node in nodes))
+    ready_ms = 1_000 * (max(node.ready_at or 0 for node in nodes) - began)
+    in_force_ms: list[float] = []
+    writer = RecordWriter(store, "vesturland", Random(1))
+    for change in range(changes):
+        in_force_ms += await _change_once(store, writer, nodes, change)
+    await asyncio.gather(*(node.close() for node in nodes))
+    return in_force_ms, ready_ms
+
+
+async def _change_once(
+    store: MemoryStore, writer: RecordWriter, nodes: list[ConfigNode], change: int
+) -> list[float]:
+    text = f"kind: class\nname: t1\nschema_version: 2\ndeadline_ms: {1_000 + change}\n"
+    result = (await writer.write(parse_documents(text), at_ms=change))[0]
+    accepted_at = time.perf_counter()
+    assert result.state is WriteState.ACCEPTED, result
+    key = page_key(page_index("class/t1"))
+    entry = await store.get(key)
+    assert entry is not None
+    item = (key, entry.revision)
+    await asyncio.gather(*(node.wait_until(lambda n=node: item in n.taken_at) for node in nodes))
+    return [max(0.0, 1_000 * (node.taken_at[item] - accepted_at)) for node in nodes]
+
+
+def _settings(name: str, role: Role, subset_size: int, heartbeat_ms: int) -> Settings:
+    return Settings(
+        role=role,
+        name=name,
+        failure_domain="vl-a",
+        control=ControlSettings(key="bench", heartbeat_ms=heartbeat_ms),
+        operator=OperatorSettings(key="bench"),
+        platform=PlatformSettings(store_url=_URL, host_list_url=_URL),
+        placement=PlacementSettings(subset_size=subset_size),
+        backend=_BACKEND if role is Role.AGENT else None,
+        seed=7,
+    )
+
+
+__all__ = ["ConfigNode", "cut_off_store", "introduce", "measure_relay"]
--- a/bench/config_nodes.py
+++ b/bench/config_nodes.py
@@ -28,7 +28,7 @@
     Settings,
 )
 from boragetiller.standin.platform_server import PlatformServer, PlatformServerSettings
-from boragetiller.systems.config_pages import PageUpdate, take_pages
+from boragetiller.systems.config_pages import PageUpdate, make_ready, take_pages
 from boragetiller.tables.config import ConfigTable
 
 if TYPE_CHECKING:
@@ -204,6 +204,7 @@
         for index, entry in enumerate(entries)
     ]
     take_pages(table, updates, now_ms=0)
+    make_ready(table)
     del updates
     gc.collect()
     used_bytes, _ = tracemalloc.get_traced_memory()
--- a/src/boragetiller/cli/writer.py
+++ b/src/boragetiller/cli/writer.py
@@ -26,7 +26,7 @@
     begin_write,
     write_is_settled,
 )
-from boragetiller.systems.config_pages import PageUpdate, take_pages
+from boragetiller.systems.config_pages import PageUpdate, make_ready, take_pages
 from boragetiller.tables.config import ConfigTable
 
 if TYPE_CHECKING:
@@ -204,6 +204,7 @@
         for index, stored in pages.items()
     ]
     take_pages(table, updates, now_ms=0)
+    make_ready(table)
     return table
 
 
--- a/src/boragetiller/router/config_sync.py
+++ b/src/boragetiller/router/config_sync.py
@@ -15,6 +15,7 @@
 from boragetiller.settings import Role
 from boragetiller.systems.config_pages import (
     PageUpdate,
+    make_ready,
     missing_pages,
     newer_pages,
     take_pages,
@@ -212,7 +213,8 @@
         for update in taken:
             log_event(Event.CONFIG_PAGE_TAKEN, page=update.index, revision=update.revision)
         if taken:
-            self._report_alarms()
+            if self._table.ready:
+                self._report_alarms()
             self._on_change()
         return bool(taken)
 
@@ -226,7 +228,8 @@
     def _become_ready(self, source: str) -> None:
         if self._table.ready:
             return
-        self._table.ready = True
+        make_ready(self._table)
+        self._report_alarms()
         log_event(Event.CONFIG_READY, source=source, pages=len(self._table.pages))
         self._on_change()
 
--- a/src/boragetiller/systems/config_pages.py
+++ b/src/boragetiller/systems/config_pages.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from boragetiller.records.model import Record
     from boragetiller.records.pages import Page
     from boragetiller.tables.config import ConfigTable
 
@@ -33,17 +34,29 @@
     """
     Bring pages into force that are newer than those held.
 
+    Keys and references are looked at once the table is ready, and again only when they changed.
+
     :param table: the configuration of this node
     :param updates: pages in any order, repeated and old ones included
     :param now_ms: monotonic time in milliseconds
     :return: the updates that were taken
     """
     taken = [update for update in updates if _take_page(table, update, now_ms)]
-    if taken:
+    if table.ready:
         _rebuild_indexes(table)
     return taken
 
 
+def make_ready(table: ConfigTable) -> None:
+    """
+    Take notice that the table holds a whole configuration.
+
+    :param table: the configuration of this node
+    """
+    table.ready = True
+    _rebuild_indexes(table)
+
+
 def newer_pages(table: ConfigTable, revisions: dict[int, int]) -> list[PageUpdate]:
     """
     List the held pages that a peer lacks.
@@ -92,6 +105,8 @@
         taken.record_revisions = held.record_revisions if held else {}
         return True
     _take_records(table, page, taken)
+    if set(taken.unreadable) != set(held.unreadable if held else ()):
+        table.references_changed = True
     for record_id in set(held.record_revisions if held else ()) - set(page.records):
         _set_record(table, record_id, None)
     return True
@@ -119,13 +134,25 @@
         RecordKind.GROUP: table.groups,
     }
     records = by_kind[kind]
+    if _references_of(records.get(name)) != _references_of(record):
+        table.references_changed = True
     if record is None:
         records.pop(name, None)
     else:
         records[name] = record
 
 
+def _references_of(record: Record | None) -> tuple[object, ...] | None:
+    if record is None:
+        return None
+    names = ("key_hashes", "classes", "group")
+    return tuple(getattr(record, name, None) for name in names)
+
+
 def _rebuild_indexes(table: ConfigTable) -> None:
+    if not table.references_changed:
+        return
+    table.references_changed = False
     table.customers_by_key = {
         key_hash: name
         for name in sorted(table.customers, reverse=True)  # the first name keeps a shared key
@@ -136,4 +163,11 @@
     )
 
 
-__all__ = ["PageUpdate", "missing_pages", "newer_pages", "take_pages", "unreadable_records"]
+__all__ = [
+    "PageUpdate",
+    "make_ready",
+    "missing_pages",
+    "newer_pages",
+    "take_pages",
+    "unreadable_records",
+]
--- a/src/boragetiller/tables/config.py
+++ b/src/boragetiller/tables/config.py
@@ -35,6 +35,7 @@
     page_revisions: dict[str, int] = attrs.Factory(dict)  # by store key
     pages: dict[int, HeldPage] = attrs.Factory(dict)
     reference_problems: tuple[ReferenceProblem, ...] = ()
+    references_changed: bool = True  # the indexes have to be built again
 
 
 __all__ = ["ConfigTable", "HeldPage"]
--- /dev/null
+++ b/tests/router/test_config_relay.py
@@ -0,0 +1,55 @@
+"""The configuration's way over the control exchange: nodes cut off from the store."""
+
+from __future__ import annotations
+
+import unittest
+
+from bench.config_fleet import ConfigNode, cut_off_store, introduce
+from boragetiller.clock import SystemClock
+from boragetiller.platform.memory import MemoryStore
+from boragetiller.router.config_status import config_status, record_status
+from boragetiller.settings import Role
+from tests.cli.writing import write_fields, write_fleet
+
+
+class ConfigRelayTest(unittest.IsolatedAsyncioTestCase):
+    """One router that reaches the store; a router and an agent that do not."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = MemoryStore(SystemClock())
+        await write_fleet(self.store)
+        self.up = ConfigNode("router-1", Role.ROUTER, self.store, heartbeat_ms=100)
+        self.cut = ConfigNode("router-2", Role.ROUTER, cut_off_store(), heartbeat_ms=100)
+        self.agent = ConfigNode("agent-1", Role.AGENT, cut_off_store(), heartbeat_ms=100)
+        self.nodes = [self.up, self.cut, self.agent]
+        for node in self.nodes:
+            await node.start()
+            self.addAsyncCleanup(node.close)
+        await self.up.wait_until(lambda: self.up.table.ready)
+        self.assertFalse(self.cut.table.ready)
+        introduce(self.nodes)
+
+    async def test_start_in_an_outage_takes_all_pages_from_peers(self) -> None:
+        for node in (self.cut, self.agent):
+            await node.wait_until(lambda n=node: n.table.ready)
+            self.assertEqual(node.table.page_revisions, self.up.table.page_revisions)
+            self.assertEqual(node.table.customers, self.up.table.customers)
+        status = config_status(self.cut.sync, self.cut.table)
+        self.assertEqual((status.ready, status.store), (True, "unreachable"))
+
+    async def test_change_reaches_nodes_without_a_store(self) -> None:
+        for tier in (1, 2, 3):
+            await write_fields(self.store, "class", "quote", tier=tier)
+            for node in self.nodes:
+                await node.wait_until(
+                    lambda n=node, tier=tier: n.table.ready
+                    and n.table.classes["quote"].tier == tier
+                )
+        status = record_status(self.up.sync, self.up.table, "class/quote", "router-1", 0)
+        self.assertEqual(status.record_revision, 4)
+        self.assertEqual(status.nodes[0].node, "router-1")
+        self.assertGreater(len(status.nodes), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/systems/test_config_pages.py
+++ b/tests/systems/test_config_pages.py
@@ -12,6 +12,7 @@
 from boragetiller.records.schema import FIELDS, MODELS, RecordKind
 from boragetiller.systems.config_pages import (
     PageUpdate,
+    make_ready,
     missing_pages,
     newer_pages,
     take_pages,
@@ -28,6 +29,7 @@
 
     def setUp(self) -> None:
         self.table = ConfigTable()
+        make_ready(self.table)
         self.page = Page()
         write(self.page, make_document("class", "quote", group="pool", tier=2))
 
@@ -95,6 +97,22 @@
             ],
         )
 
+    def test_indexes_are_built_when_ready_and_when_references_change(self) -> None:
+        table = ConfigTable()
+        write(self.page, make_document("customer", "alfa", key_hashes=[KEY_HASH]))
+        update = PageUpdate(index=0, revision=1, data=encode_page(self.page))
+        take_pages(table, [update], now_ms=0)
+        self.assertEqual(table.customers_by_key, {})
+        make_ready(table)
+        self.assertEqual(table.customers_by_key, {KEY_HASH: "alfa"})
+        self.assertEqual(len(table.reference_problems), 1)
+        write(self.page, make_document("group", "pool"))
+        write(self.page, make_document("customer", "alfa", key_hashes=["b" * 64]))
+        update = PageUpdate(index=0, revision=2, data=encode_page(self.page))
+        take_pages(table, [update], now_ms=0)
+        self.assertEqual(table.customers_by_key, {"b" * 64: "alfa"})
+        self.assertEqual(table.reference_problems, ())
+
     def test_missing_and_newer_pages(self) -> None:
         self._take(4, encode_page(self.page))
         index = page_index(QUOTE)
