--- /dev/null
+++ b/bench/fault_callers.py
@@ -0,0 +1,218 @@
+"""Callers of the fault run: bookings, quotes, streams and poison, each answer checked."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import attrs
+
+from bench.fault_fleet import ROUTERS
+from boragetiller.standin.engine_text import expected_text
+from boragetiller.standin.service import confirmation
+from tests.fleet import KEY, MODEL
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from bench.fault_fleet import FaultFleet
+
+BOOKING_PATH = "/services/app/book"
+CHAT_PATH = "/v1/chat/completions"
+REQUEST_TIMEOUT_S = 40.0
+MAX_SENDS = 4
+RETRY_S = 0.3
+STREAM_END = "[DONE]"
+
+
+@attrs.frozen(kw_only=True)
+class Answer:
+    """What a caller saw; `status` is 0 when the connection failed."""
+
+    status: int
+    request_id: str = ""
+    verdict: str = ""
+    code: str = ""
+    body: str = ""
+    whole: bool = True
+
+    @property
+    def ok(self) -> bool:
+        """:return: whether a whole answer came"""
+        return self.status == 200 and self.whole
+
+
+@attrs.define
+class Tally:
+    """Counts of the run and the violations found."""
+
+    operations: Counter[str] = attrs.Factory(Counter)
+    answered: Counter[str] = attrs.Factory(Counter)
+    codes: Counter[str] = attrs.Factory(Counter)
+    violations: list[str] = attrs.Factory(list)
+    keys: list[str] = attrs.Factory(list)
+    not_run: list[str] = attrs.Factory(list)  # request ids
+    not_run_of_known_key: int = 0  # another send of the key had run
+    poisons: int = 0
+
+
+class Callers:
+    """Sends operations to the routers."""
+
+    def __init__(self, fleet: FaultFleet, rng: Random, session: aiohttp.ClientSession) -> None:
+        """
+        Put the parts together.
+
+        :param fleet: where to send
+        :param rng: seeded generator
+        :param session: HTTP client
+        """
+        self.tally = Tally()
+        self._fleet = fleet
+        self._rng = rng
+        self._session = session
+        self._number = 0
+
+    async def operate(self) -> None:
+        """Do one operation of a random kind."""
+        self._number += 1
+        number = self._number
+        draw = self._rng.random()
+        if draw < 0.5:
+            await self._book(f"booking-{number}")
+        elif draw < 0.8:
+            await self._complete("quote", number, stream=False)
+        else:
+            await self._complete("stream", number, stream=True)
+
+    async def send_poison(self) -> None:
+        """Send copies of a poison body through both routers, at once and again later."""
+        self.tally.poisons += 1
+        content = f"POISON {self.tally.poisons}"
+        body = {"model": MODEL, "messages": [{"role": "user", "content": content}]}
+        for _ in range(2):
+            await asyncio.gather(*(self._post(CHAT_PATH, body, router) for router in ROUTERS))
+            await asyncio.sleep(RETRY_S)
+
+    async def _book(self, key: str) -> None:
+        self.tally.operations["booking"] += 1
+        self.tally.keys.append(key)
+        if self._rng.random() < 0.15:
+            answers = await asyncio.gather(*(self._send_booking(key) for _ in range(2)))
+            served = any(answers)
+        else:
+            served = await self._send_booking(key)
+        self.tally.answered["booking"] += served
+
+    async def _send_booking(self, key: str) -> bool:
+        body = {"booking": key}
+        expected = confirmation("POST", "/book", json.dumps(body).encode())
+        for _ in range(MAX_SENDS):
+            answer = await self._post(BOOKING_PATH, body, **{"Idempotency-Key": key})
+            if answer.ok:
+                if json.loads(answer.body).get("confirmation") != expected:
+                    self.tally.violations.append(f"{key}: another answer {answer.body}")
+                return True
+            if answer.verdict == "not_run" and self._fleet.runs_of_key(key):
+                self.tally.not_run_of_known_key += 1
+            if answer.code in ("outcome_unknown", "answer_not_kept"):
+                return False
+            await asyncio.sleep(RETRY_S)
+        return False
+
+    async def _complete(self, kind: str, number: int, *, stream: bool) -> None:
+        self.tally.operations[kind] += 1
+        content = f"{kind} {number}: gauge of sheet {number}?"
+        body: dict[str, Any] = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": content}],
+            "max_tokens": 40 if stream else 8,
+        }
+        if stream:
+            body["stream"] = True
+        answer = await self._post(CHAT_PATH, body, **{"X-Request-Class": "quote"})
+        if not answer.ok:
+            return
+        text = _stream_text(answer.body) if stream else _completion_text(answer.body)
+        if text is None:
+            self.tally.codes["cut_off"] += 1
+            return
+        if text != expected_text(body):
+            self.tally.violations.append(f"{kind} {number}: another answer {text[:80]!r}")
+        self.tally.answered[kind] += 1
+
+    async def _post(
+        self, path: str, body: dict[str, Any], router: str | None = None, **headers: str
+    ) -> Answer:
+        name = router or self._rng.choice(ROUTERS)
+        answer = await self._exchange(self._fleet.caller_urls[name] + path, body, headers)
+        if not answer.ok:
+            self.tally.codes[answer.code or f"status_{answer.status}"] += 1
+        if answer.verdict == "not_run":
+            self.tally.not_run.append(answer.request_id)
+        return answer
+
+    async def _exchange(self, url: str, body: dict[str, Any], headers: dict[str, str]) -> Answer:
+        named = {"Authorization": f"Bearer {KEY}", **headers}
+        head: dict[str, Any] = {"status": 0}
+        try:
+            async with self._session.post(url, json=body, headers=named) as response:
+                head = _head(response)
+                text = await response.text()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return Answer(**head, code=type(error).__name__, whole=False)
+        return Answer(**head, code=_code(text) if response.status != 200 else "", body=text)
+
+
+def check_ledgers(fleet: FaultFleet, tally: Tally) -> None:
+    """
+    Compare what callers were told with what was executed.
+
+    :param fleet: ledgers of the backend servers
+    :param tally: gets the violations
+    """
+    for key in tally.keys:
+        if fleet.runs_of_key(key) > 1:
+            tally.violations.append(f"{key} ran {fleet.runs_of_key(key)} times")
+    for request_id in tally.not_run:
+        if request_id and fleet.runs_of_request(request_id):
+            tally.violations.append(f"{request_id} ran, and not_run was said")
+    crashes, limit = fleet.engine_crashes(), 2 * tally.poisons
+    if crashes > limit:
+        tally.violations.append(f"{crashes} crashes by {tally.poisons} poison requests")
+
+
+def _head(response: aiohttp.ClientResponse) -> dict[str, Any]:
+    return {
+        "status": response.status,
+        "request_id": response.headers.get("x-request-id", ""),
+        "verdict": response.headers.get("x-verdict", ""),
+    }
+
+
+def _code(text: str) -> str:
+    try:
+        return str(json.loads(text)["error"]["code"])
+    except (ValueError, KeyError, TypeError):
+        return "no_code"
+
+
+def _completion_text(text: str) -> str | None:
+    choices = json.loads(text).get("choices")
+    return choices[0]["message"]["content"] if choices else None
+
+
+def _stream_text(text: str) -> str | None:
+    events = [line[6:] for line in text.splitlines() if line.startswith("data: ")]
+    if not events or events[-1] != STREAM_END:
+        return None
+    parts = [json.loads(event) for event in events[:-1]]
+    if any("error" in part for part in parts):
+        return None
+    return "".join(part["choices"][0]["delta"].get("content") or "" for part in parts)
+
+
+__all__ = ["REQUEST_TIMEOUT_S", "Answer", "Callers", "Tally", "check_ledgers"]
--- /dev/null
+++ b/bench/faults.py
@@ -0,0 +1,227 @@
+"""Bookings, quotes and streams over real sockets while nearly everything fails.
+
+    python -m bench.faults --seed 1 --operations 500
+
+Faults come in a seeded order; how they meet the operations depends on the machine.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import sys
+import time
+from collections import Counter
+from random import Random
+from typing import TYPE_CHECKING
+
+import aiohttp
+import attrs
+import fire
+from loguru import logger
+
+from bench.fault_callers import REQUEST_TIMEOUT_S, Callers, Tally, check_ledgers
+from bench.fault_fleet import ENGINES, ROUTERS, SERVICES, FaultFleet
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+WORKERS = 16
+THINK_S = 0.3
+SETTLE_S = 1.0
+FAULT_PAUSE_S = (0.2, 0.8)
+
+
+@attrs.define
+class FaultDriver:
+    """Causes one fault after the other."""
+
+    fleet: FaultFleet
+    callers: Callers
+    rng: Random
+    counts: Counter[str] = attrs.Factory(Counter)
+    _busy: set[str] = attrs.Factory(set)
+    _tasks: set[asyncio.Task[None]] = attrs.Factory(set)
+
+    async def run(self) -> None:
+        """Cause faults until cancelled."""
+        faults: list[Callable[[], Awaitable[None]]] = [
+            self.lose_replies,
+            self.stop_store,
+            self.freeze,
+            self.kill,
+            self.stop,
+            self.lose_host,
+            self.break_service,
+            self.poison,
+        ]
+        while True:
+            fault = self.rng.choice(faults)
+            task = asyncio.ensure_future(fault())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self.rng.uniform(*FAULT_PAUSE_S))
+
+    async def finish(self) -> None:
+        """Wait until every fault is over."""
+        await asyncio.gather(*self._tasks)
+
+    async def lose_replies(self) -> None:
+        """Let writes of the store take effect without a reply, or get lost."""
+        self.counts["lost_reply"] += 2
+        self.counts["lost_request"] += 1
+        self.fleet.platform.store.inject(lose_replies=2, lose_requests=1)
+
+    async def stop_store(self) -> None:
+        """Stop the store for up to five seconds."""
+        if "store" in self._busy:
+            return
+        self._busy.add("store")
+        self.counts["store_outage"] += 1
+        self.fleet.platform.store.inject(outage=True)
+        await asyncio.sleep(self.rng.uniform(0.5, 5.0))
+        self.fleet.platform.store.inject(outage=False)
+        self._busy.discard("store")
+
+    async def freeze(self) -> None:
+        """Freeze a router or agent."""
+        name = self.rng.choice((*ROUTERS, *SERVICES, *ENGINES))
+        if name in self._busy:
+            return
+        self.counts["freeze"] += 1
+        self.fleet.processes[name].freeze(self.rng.choice((100, 900, 2_000)))
+
+    async def kill(self) -> None:
+        """Kill a process and start it again."""
+        await self._restart("kill", (*ROUTERS, *SERVICES, *ENGINES), self._kill)
+
+    async def stop(self) -> None:
+        """Stop a process as planned and start it again."""
+        names = (*SERVICES, *ENGINES)
+        await self._restart("planned_stop", names, self.fleet.stop_process)
+
+    async def lose_host(self) -> None:
+        """Kill an agent; the host list shows it, later the host is back."""
+        await self._restart("host_loss", (*SERVICES, *ENGINES), self._lose_host)
+
+    async def break_service(self) -> None:
+        """Reset connections of a plain service, before or after it ran the call."""
+        server = self.fleet.services[self.rng.choice(SERVICES)]
+        name = self.rng.choice(("reset_before_run", "reset_before_first_byte", "truncate"))
+        self.counts[name] += 1
+        setattr(server.faults, name, 1)
+
+    async def poison(self) -> None:
+        """Send a request that crashes engines."""
+        if "poison" in self._busy:
+            return
+        self._busy.add("poison")
+        self.counts["poison"] += 1
+        await self.callers.send_poison()
+        self._busy.discard("poison")
+
+    async def _restart(
+        self, kind: str, names: tuple[str, ...], end: Callable[[str], Awaitable[None]]
+    ) -> None:
+        name = self.rng.choice(names)
+        others = set(ROUTERS) if name in ROUTERS else set(SERVICES if name in SERVICES else ENGINES)
+        if others & self._busy:  # one of each kind at a time
+            return
+        self._busy.add(name)
+        self.counts[kind] += 1
+        await end(name)
+        await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+        await self.fleet.start_process(name)
+        self._busy.discard(name)
+
+    async def _kill(self, name: str) -> None:
+        self.fleet.processes[name].kill()
+
+    async def _lose_host(self, name: str) -> None:
+        self.fleet.processes[name].kill()
+        await asyncio.sleep(1.0)
+        self.fleet.platform.host_list.remove(name)
+        await asyncio.sleep(2.0)
+
+
+async def run_operations(
+    seed: int, operations: int, *, with_faults: bool
+) -> tuple[Tally, Counter[str], float]:
+    """
+    Do operations on a fresh fleet.
+
+    :param seed: seed of operations and faults
+    :param operations: how many
+    :param with_faults: whether faults are caused
+    :return: what callers saw, the faults by kind, and seconds taken
+    """
+    fleet = FaultFleet()
+    await fleet.start()
+    timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        callers = Callers(fleet, Random(seed), session)
+        driver = FaultDriver(fleet, callers, Random(seed + 1))
+        await asyncio.sleep(SETTLE_S)
+        faults = asyncio.create_task(driver.run()) if with_faults else None
+        began_s = time.monotonic()
+        await _work(callers, operations, Random(seed + 2))
+        duration_s = time.monotonic() - began_s
+        if faults is not None:
+            faults.cancel()
+            await asyncio.gather(faults, return_exceptions=True)
+        await driver.finish()
+        await asyncio.sleep(SETTLE_S)
+        check_ledgers(fleet, callers.tally)
+    await fleet.close()
+    return callers.tally, driver.counts, duration_s
+
+
+async def _work(callers: Callers, operations: int, rng: Random) -> None:
+    left = iter(range(operations))
+
+    async def work() -> None:
+        for _ in left:
+            await callers.operate()
+            await asyncio.sleep(rng.uniform(0, 2 * THINK_S))
+
+    await asyncio.gather(*(work() for _ in range(WORKERS)))
+
+
+def _share(tally: Tally) -> str:
+    kinds = sorted(tally.operations)
+    return " ".join(f"{kind}={tally.answered[kind]}/{tally.operations[kind]}" for kind in kinds)
+
+
+def main(seed: int = 1, operations: int = 500, baseline: bool = True) -> None:
+    """
+    Run with faults, and without for comparison; the exit code is 1 after a violation.
+
+    :param seed: seed of operations and faults
+    :param operations: how many operations each run does
+    :param baseline: also run without faults
+    """
+    logger.disable("boragetiller")
+    for with_faults in (True, False) if baseline else (True,):
+        tally, counts, duration_s = asyncio.run(
+            run_operations(seed, operations, with_faults=with_faults)
+        )
+        answered = sum(tally.answered.values())
+        print(f"seed={seed} faults={'yes' if with_faults else 'no'} operations={operations}")
+        print("  faults:", dict(sorted(counts.items())))
+        print("  answered:", _share(tally), f"goodput={answered / duration_s:.1f}/s")
+        print("  other answers:", dict(sorted(tally.codes.items())))
+        print(f"  not_run answers: {len(tally.not_run)}; of keys that another send ran: ", end="")
+        print(tally.not_run_of_known_key)
+        print(f"  violations: {len(tally.violations)}", *tally.violations[:10], flush=True)
+        if tally.violations:
+            _exit(1)
+    _exit(0)
+
+
+def _exit(code: int) -> None:
+    sys.stdout.flush()
+    os._exit(code)  # killed processes stay as they are; their loops are never closed
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
