--- a/bench/fault_callers.py
+++ b/bench/fault_callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
@@ -24,6 +25,8 @@
 CHAT_PATH = "/v1/chat/completions"
 REQUEST_TIMEOUT_S = 40.0
 MAX_SENDS = 4
+RETRY_HORIZON_S = 9.0  # below the retry horizon of the fleet
+REPEAT_SHARE = 0.3
 RETRY_S = 0.3
 STREAM_END = "[DONE]"
 
@@ -75,6 +78,8 @@
         self._rng = rng
         self._session = session
         self._number = 0
+        self._began_s: dict[str, float] = {}  # first send of each key
+        self.repeats: set[asyncio.Task[None]] = set()
 
     async def operate(self) -> None:
         """Do one operation of a random kind."""
@@ -106,11 +111,30 @@
         else:
             served = await self._send_booking(key)
         self.tally.answered["booking"] += served
+        if self._rng.random() < REPEAT_SHARE:
+            delay_s = self._rng.uniform(0.5, 5.0)
+            self._repeat(key, delay_s)
+
+    def _repeat(self, key: str, delay_s: float) -> None:
+        """Send a key again later, as a caller does that lost the answer."""
+
+        async def repeat() -> None:
+            await asyncio.sleep(delay_s)
+            if time.monotonic() - began_s < RETRY_HORIZON_S:
+                await self._send_booking(key)
+
+        began_s = self._began_s.get(key, 0.0)
+        task = asyncio.create_task(repeat())
+        self.repeats.add(task)
+        task.add_done_callback(self.repeats.discard)
 
     async def _send_booking(self, key: str) -> bool:
         body = {"booking": key}
         expected = confirmation("POST", "/book", json.dumps(body).encode())
+        began_s = self._began_s.setdefault(key, time.monotonic())
         for _ in range(MAX_SENDS):
+            if time.monotonic() - began_s > RETRY_HORIZON_S:
+                return False
             answer = await self._post(BOOKING_PATH, body, **{"Idempotency-Key": key})
             if answer.ok:
                 if json.loads(answer.body).get("confirmation") != expected:
--- a/bench/fault_fleet.py
+++ b/bench/fault_fleet.py
@@ -42,6 +42,8 @@
     poll_ms=100,
     rebalance_after_ms=2_000,
     release_timeout_ms=1_500,
+    retry_horizon_ms=10_000,
+    max_call_age_ms=5_000,
 )
 
 
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -22,6 +22,7 @@
 
 from bench.fault_callers import REQUEST_TIMEOUT_S, Callers, Tally, check_ledgers
 from bench.fault_fleet import ENGINES, ROUTERS, SERVICES, FaultFleet
+from tests.systems.test_shards_faults import MUTATIONS
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -30,6 +31,7 @@
 THINK_S = 0.3
 SETTLE_S = 1.0
 FAULT_PAUSE_S = (0.2, 0.8)
+FLEETS: list[FaultFleet] = []  # nothing of a killed process may run, not even its clean-up
 
 
 @attrs.define
@@ -156,6 +158,7 @@
     :return: what callers saw, the faults by kind, and seconds taken
     """
     fleet = FaultFleet()
+    FLEETS.append(fleet)
     await fleet.start()
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
     async with aiohttp.ClientSession(timeout=timeout) as session:
@@ -170,6 +173,7 @@
             faults.cancel()
             await asyncio.gather(faults, return_exceptions=True)
         await driver.finish()
+        await asyncio.gather(*callers.repeats)
         await asyncio.sleep(SETTLE_S)
         check_ledgers(fleet, callers.tally)
     await fleet.close()
@@ -192,15 +196,19 @@
     return " ".join(f"{kind}={tally.answered[kind]}/{tally.operations[kind]}" for kind in kinds)
 
 
-def main(seed: int = 1, operations: int = 500, baseline: bool = True) -> None:
+def main(seed: int = 1, operations: int = 500, baseline: bool = True, mutation: str = "") -> None:
     """
     Run with faults, and without for comparison; the exit code is 1 after a violation.
 
     :param seed: seed of operations and faults
     :param operations: how many operations each run does
     :param baseline: also run without faults
+    :param mutation: a rule of the claims to leave out, by its name in the tests
     """
     logger.disable("boragetiller")
+    if mutation:
+        module, attribute, mutated = MUTATIONS[mutation]
+        setattr(module, attribute, mutated)
     for with_faults in (True, False) if baseline else (True,):
         tally, counts, duration_s = asyncio.run(
             run_operations(seed, operations, with_faults=with_faults)
