--- a/src/boragetiller/control/exchange.py
+++ b/src/boragetiller/control/exchange.py
@@ -34,6 +34,7 @@
 from boragetiller.control.server import ControlServer
 from boragetiller.control.session import NONCE_BYTES, Session
 from boragetiller.events import Event, log_event
+from boragetiller.timeouts import within
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -136,11 +137,12 @@
         self._clients.clear()
         await asyncio.gather(*(client.close() for client in clients), *self._background)
         self.broadcast(Goodbye(reason=reason))
-        waiting = [connection.closed.wait() for connection in self._open]
-        for connection in list(self._open):
+        closing = list(self._open)
+        for connection in closing:
             connection.close()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(asyncio.gather(*waiting), self._settings.heartbeat_ms / MS_PER_S)
+            waits = (connection.closed.wait() for connection in closing)
+            await within(self._settings.heartbeat_ms / MS_PER_S, asyncio.gather(*waits))
         for connection in list(self._open):
             connection.abort(ControlError())
 
