--- a/src/boragetiller/agent/claim_keeper.py
+++ b/src/boragetiller/agent/claim_keeper.py
@@ -13,7 +13,6 @@
 from boragetiller.systems import shards
 from boragetiller.tables.claims import DIGEST_BYTES, FINGERPRINT_BYTES, ShardCall
 from boragetiller.tables.shard_actions import RefuseCall, ReplayAnswer, RunCall, ShardAction
-from boragetiller.timeouts import within
 
 if TYPE_CHECKING:
 
@@ -209,7 +208,8 @@
     async def _open_table(self) -> None:
         while True:
             try:
-                count = await read_shard_count(self._store, self._group, self._shard_count)
+                async with asyncio.timeout(self._timeout_s):
+                    count = await read_shard_count(self._store, self._group, self._shard_count)
                 break
             except (StoreUnavailable, TimeoutError):
                 await asyncio.sleep(self._poll_s)
@@ -229,7 +229,8 @@
         while True:
             began_ms = self._clock.now_ms()
             try:
-                hosts = await within(self._timeout_s, self._hosts.hosts())
+                async with asyncio.timeout(self._timeout_s):
+                    hosts = await self._hosts.hosts()
             except (StoreUnavailable, TimeoutError):
                 self._metrics.increment("agent.claims.host_list_unavailable")
             else:
--- a/src/boragetiller/errors.py
+++ b/src/boragetiller/errors.py
@@ -149,6 +149,13 @@
     http_status = 422
 
 
+class Struck(NotRunError):
+    """The body was running when a backend server crashed; it runs in isolation only."""
+
+    code = "struck"
+    retryable = True
+
+
 class Quarantined(NotRunError):
     """The same body crashed backend servers before and is refused."""
 
@@ -172,6 +179,12 @@
     retryable = True
 
 
+class BackendCrashed(BackendLost):
+    """The connection broke and the backend server no longer listens."""
+
+    code = "backend_crashed"
+
+
 class BackendTimeout(BoragetillerError):
     """The backend server accepted the request and sent no answer in time."""
 
@@ -320,6 +333,7 @@
 __all__ = [
     "AgentLost",
     "AgentUnreachable",
+    "BackendCrashed",
     "BackendFailed",
     "Preempted",
     "ProtocolError",
@@ -353,6 +367,7 @@
     "StaleAttempt",
     "StaleFencingNumber",
     "StoreUnavailable",
+    "Struck",
     "Unauthorized",
     "ValueTooLarge",
 ]
