Balance the spill-over part of subsets as well

Cause: outside the own failure domain plain rendezvous hashing put agents in 1 to 16 subsets. Change: spill-over places are dealt over the region's domains and one other region, and matched domain by domain.

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -5,6 +5,7 @@
 import json
 import sys
 import time
+from collections import Counter
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -41,6 +42,7 @@
         figures[f"refusal_at_bound_us.{count}_queued"] = _admission_us(count, at_bound=True)
     figures["token_us"] = _token_us()
     figures["subset_ms.400_routers_1300_agents"] = _subset_ms()
+    figures.update(_subset_balance())
     if "--json" in sys.argv:
         print(json.dumps(figures, indent=1))
     else:
@@ -120,13 +122,46 @@
     return _best_us(lambda n: admission.record_token(table, names[n % len(names)], n))
 
 
+def _members(kind: str, count: int) -> list[Member]:
+    return [Member(f"{kind}{n}", f"fd{n % 21}", f"region{n % 21 % 6}") for n in range(count)]
+
+
 def _subset_ms() -> float:
-    routers = [Member(f"r{n}", f"fd{n % 21}", f"region{n % 21 % 6}") for n in range(400)]
-    agents = [Member(f"a{n}", f"fd{n % 21}", f"region{n % 21 % 6}") for n in range(1_300)]
+    routers, agents = _members("r", 400), _members("a", 1_300)
     settings = PlacementSettings()
     return _best_us(lambda n: _drop(choose_subset(routers[n], routers, agents, settings)), 5) / 1e3
 
 
+def _subset_balance() -> dict[str, float]:
+    """Subsets that hold each agent, and places that change when one host is replaced."""
+    routers, agents = _members("r", 400), _members("a", 1_300)
+    before = _subsets(routers, agents)
+    counts = Counter(name for chosen in before.values() for name in chosen)
+    held = sorted(counts[agent.name] for agent in agents)
+    newer = [*agents[:7], Member("new-agent", "fd7", "region1"), *agents[8:]]
+    moved = _moved(before, _subsets(routers, newer))
+    other = [*routers[:7], Member("new-router", "fd7", "region1"), *routers[8:]]
+    places = sum(len(chosen) for chosen in before.values())
+    return {
+        "subsets_per_agent.min": held[0],
+        "subsets_per_agent.p5": held[len(held) // 20],
+        "subsets_per_agent.p95": held[-len(held) // 20],
+        "subsets_per_agent.max": held[-1],
+        "moved_places.new_agent": moved,
+        "moved_places.new_router": _moved(before, _subsets(other, agents)),
+        "places": places,
+    }
+
+
+def _subsets(routers: list[Member], agents: list[Member]) -> dict[str, set[str]]:
+    settings = PlacementSettings()
+    return {r.name: set(choose_subset(r, routers, agents, settings)) for r in routers}
+
+
+def _moved(before: dict[str, set[str]], after: dict[str, set[str]]) -> int:
+    return sum(len(before[name] - after[name]) for name in before if name in after)
+
+
 def _drop(_: object) -> None:
     """Discard a result."""
 
--- a/src/boragetiller/systems/subsets.py
+++ b/src/boragetiller/systems/subsets.py
@@ -16,6 +16,7 @@
     from boragetiller.settings import PlacementSettings
 
 _MORE_OF_OWN = 3  # beyond its share, the own failure domain comes last
+_FAR_PART = 4  # one in so many places outside the own failure domain is in another region
 
 
 @attrs.frozen
@@ -50,22 +51,18 @@
         return [
             agent.name for agent in sorted(agents, key=lambda a: (_distance(router, a), a.name))
         ]
-    near = [agent for agent in agents if agent.failure_domain == router.failure_domain]
+    by_domain: dict[str, list[Member]] = {}
+    for agent in agents:
+        by_domain.setdefault(agent.failure_domain, []).append(agent)
     peers = {peer.name: peer for peer in (*routers, router)}.values()
     local = [peer for peer in peers if peer.failure_domain == router.failure_domain]
-    size = min(len(near), math.ceil(settings.subset_size * settings.own_domain_share))
-    chosen = _match(local, near, size)[router.name] if size else []
+    chosen: list[str] = []
+    for domain, places in _plan(router, by_domain, settings):
+        size = min(places, len(by_domain[domain]))
+        chosen.extend(_match(local, by_domain[domain], size)[router.name])
     taken = set(chosen)
     rest = [agent for agent in agents if agent.name not in taken]
-    spill = heapq.nsmallest(
-        settings.subset_size - len(chosen),
-        rest,
-        key=lambda agent: (
-            _distance(router, agent) or _MORE_OF_OWN,
-            -mix(router.seed ^ agent.seed),
-        ),
-    )
-    return [*chosen, *_spread(router, rest, spill)]
+    return [*chosen, *_fill(router, rest, settings.subset_size - len(chosen))]
 
 
 def _distance(router: Member, agent: Member) -> int:
@@ -74,14 +71,43 @@
     return 1 if agent.region == router.region else 2
 
 
-def _spread(router: Member, rest: list[Member], spill: list[Member]) -> list[str]:
-    """Replace the second half of an all-region spill by other regions, so that one may be lost."""
-    far = [agent for agent in rest if _distance(router, agent) == 2]
-    near = [agent for agent in spill if _distance(router, agent) < 2]
-    keep = len(spill) - min(len(far), len(spill) // 4)
-    near = near[:keep]
-    best = heapq.nlargest(len(spill) - len(near), far, key=lambda a: mix(router.seed ^ a.seed))
-    return [agent.name for agent in (*near, *best)]
+def _plan(
+    router: Member, by_domain: dict[str, list[Member]], settings: PlacementSettings
+) -> list[tuple[str, int]]:
+    """Places by failure domain; routers of one domain share a plan, those of others differ."""
+    ranks = {domain: _distance(router, members[0]) for domain, members in by_domain.items()}
+    own = math.ceil(settings.subset_size * settings.own_domain_share) if 0 in ranks.values() else 0
+    spill = settings.subset_size - own
+    far = [domain for domain in sorted(ranks) if ranks[domain] == 2]
+    near = [domain for domain in sorted(ranks) if ranks[domain] == 1]
+    far_places = (spill // _FAR_PART if near else spill) if far else 0
+    plan = [(router.failure_domain, own)] if own else []
+    start = sorted({*ranks, router.failure_domain}).index(router.failure_domain)
+    plan.extend(_deal(near, spill - far_places, start))
+    plan.extend(_deal(far, far_places, start))
+    return plan
+
+
+def _deal(domains: list[str], places: int, start: int) -> list[tuple[str, int]]:
+    """Deal places round, each failure domain from another start."""
+    counts: dict[str, int] = {}
+    for number in range(places if domains else 0):
+        domain = domains[(start + number) % len(domains)]
+        counts[domain] = counts.get(domain, 0) + 1
+    return list(counts.items())
+
+
+def _fill(router: Member, rest: list[Member], places: int) -> list[str]:
+    """Places that a failure domain was too small for go to the nearest other agents."""
+    best = heapq.nsmallest(
+        places,
+        rest,
+        key=lambda agent: (
+            _distance(router, agent) or _MORE_OF_OWN,
+            -mix(router.seed ^ agent.seed),
+        ),
+    )
+    return [agent.name for agent in best]
 
 
 def _match(routers: list[Member], agents: list[Member], size: int) -> dict[str, list[str]]:
--- a/tests/systems/test_subsets.py
+++ b/tests/systems/test_subsets.py
@@ -37,6 +37,16 @@
         counts = Counter(name for chosen in self.subsets().values() for name in chosen[:6])
         self.assertEqual({counts[agent.name] for agent in self.agents}, {2})
 
+    def test_whole_subsets_are_balanced(self) -> None:
+        counts = Counter(name for chosen in self.subsets().values() for name in chosen)
+        held = [counts[agent.name] for agent in self.agents]
+        self.assertLessEqual(max(held) - min(held), 2, held)
+
+    def test_lost_domain_leaves_whole_subsets(self) -> None:
+        self.agents = [agent for agent in self.agents if agent.failure_domain != "fd1"]
+        for chosen in self.subsets().values():
+            self.assertEqual(len(set(chosen)), 8)
+
     def test_replaced_agent_moves_little(self) -> None:
         before = self.subsets()
         self.agents[4] = Member("new", "fd1", "reg0")
