--- a/tests/systems/test_limits.py
+++ b/tests/systems/test_limits.py
@@ -3,6 +3,9 @@
 import unittest
 from random import Random
 
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from boragetiller.records.model import Customer
 from boragetiller.settings import PlacementSettings
 from boragetiller.systems import rate_limits, retry_budget
@@ -91,6 +94,47 @@
         rate_limits.release(self.tables[0], "c", self.settings, 0)
         self.assertEqual(self.admit(self.tables[0], 2, 1_000), 1)
 
+    @settings(derandomize=True, max_examples=100, deadline=None, database=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 2),  # lender
+                st.integers(1, 2),  # borrower, counted from the lender
+                st.floats(0.01, 1.0),  # share asked for
+                st.integers(0, 2_500),  # delay of the question
+                st.integers(0, 8_000),  # delay of the answer
+                st.integers(0, 4_000),  # time to the next question
+                st.integers(0, 12),  # requests that run at the lender meanwhile
+            ),
+            max_size=12,
+        )
+    )
+    def test_shares_never_add_up_to_more_under_any_delay(
+        self, loans: list[tuple[int, int, float, int, int, int, int]]
+    ) -> None:
+        self.setUp()
+        now_ms = 0
+        arrivals: list[tuple[int, int, float, int]] = []
+        for lender, step, share, question_ms, answer_ms, pause_ms, running in loans:
+            borrower = (lender + step) % 3
+            self.admit(self.tables[lender], running, now_ms)
+            granted_ms = now_ms + question_ms
+            granted = rate_limits.lend(
+                self.tables[lender], self.customer, share, self.settings, granted_ms
+            )
+            arrivals.append((granted_ms + answer_ms, borrower, granted, now_ms))
+            end_ms = granted_ms + pause_ms
+            for _, to, amount, asked_ms in sorted(a for a in arrivals if a[0] <= end_ms):
+                rate_limits.borrow(self.tables[to], "c", amount, asked_ms, self.settings)
+            arrivals = [a for a in arrivals if a[0] > end_ms]
+            now_ms = end_ms
+            held = [
+                rate_limits.current_share(t, t.usage["c"], now_ms) if "c" in t.usage else 1 / 3
+                for t in self.tables
+            ]
+            self.assertLessEqual(sum(held), 1.0 + 1e-9)
+            self.assertGreaterEqual(min(held), 0.0)
+
 
 if __name__ == "__main__":
     unittest.main()
