--- /dev/null
+++ b/bench/host_list.py
@@ -0,0 +1,63 @@
+"""
+Bytes that one read of the host list costs, whole and unchanged.
+
+    python -m bench.host_list --hosts 1700
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import fire
+
+from boragetiller.platform.hosts import Host
+from boragetiller.standin.platform_server import PlatformServer, PlatformServerSettings
+
+
+async def _measure(hosts: int) -> str:
+    server = PlatformServer(PlatformServerSettings())
+    await server.start()
+    for number in range(hosts):
+        server.host_list.put(_host(number))
+    port = int(server.url.rpartition(":")[2])
+    whole = await _exchange(port, "")
+    tag = next(line for line in whole.split(b"\r\n") if line.lower().startswith(b"etag:"))
+    unchanged = await _exchange(port, "If-None-Match: " + tag.split(b" ")[1].decode() + "\r\n")
+    await server.close()
+    status = unchanged.split(b" ")[1].decode()
+    return f"hosts={hosts}: whole {len(whole)} B, unchanged {len(unchanged)} B (status {status})"
+
+
+async def _exchange(port: int, headers: str) -> bytes:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    request = f"GET /hosts HTTP/1.1\r\nHost: platform\r\nConnection: close\r\n{headers}\r\n"
+    writer.write(request.encode())
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+def _host(number: int) -> Host:
+    return Host(
+        name=f"tiller-pool-{number}",
+        role="agent",
+        address=f"10.0.{number // 256}.{number % 256}",
+        data_port=8_000,
+        control_port=8_001,
+        failure_domain=f"domain-{number % 21}",
+        region=f"region-{number % 6}",
+        group="tiller-pool",
+    )
+
+
+def main(hosts: int = 1_700) -> None:
+    """
+    Measure and print.
+
+    :param hosts: entries of the list
+    """
+    print(asyncio.run(_measure(hosts)))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/boragetiller/platform/http_hosts.py
+++ b/src/boragetiller/platform/http_hosts.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.platform.dialect import decode_host
-from boragetiller.platform.http_session import HttpSession
+from boragetiller.platform.http_session import NOT_MODIFIED, HttpSession
 
 if TYPE_CHECKING:
     from boragetiller.platform.hosts import Host
@@ -18,6 +18,8 @@
     def __init__(self, settings: PlatformSettings) -> None:
         """:param settings: base URL and time-out"""
         self._session = HttpSession(settings.host_list_url, settings)
+        self._entity_tag = ""
+        self._hosts: tuple[Host, ...] = ()
 
     async def start(self) -> None:
         """Open the connection pool."""
@@ -28,9 +30,13 @@
         await self._session.close()
 
     async def hosts(self) -> list[Host]:
-        """See :class:`HostList`."""
-        async with self._session.call("GET", "/hosts") as response:
-            return [decode_host(item) for item in await response.json()]
+        """See :class:`HostList`; an unchanged list is not sent again."""
+        headers = {"If-None-Match": self._entity_tag} if self._entity_tag else {}
+        async with self._session.call("GET", "/hosts", headers=headers) as response:
+            if response.status != NOT_MODIFIED:
+                self._hosts = tuple(decode_host(item) for item in await response.json())
+                self._entity_tag = response.headers.get("ETag", "")
+        return list(self._hosts)
 
 
 __all__ = ["HttpHostList"]
--- a/src/boragetiller/platform/http_session.py
+++ b/src/boragetiller/platform/http_session.py
@@ -14,6 +14,7 @@
 
     from boragetiller.settings import PlatformSettings
 
+NOT_MODIFIED = 304
 WATCH_SILENCE_FACTOR = 3  # silence on a watch, in time-outs, that means it broke
 
 
@@ -56,7 +57,7 @@
         :param path: path below the base URL
         :param watching: whether the answer is open-ended
         :param options: passed to aiohttp
-        :return: the answer, with status 200 or 404
+        :return: the answer, with status 200, 404, or 304 to a conditional call
         :raises RevisionConflict: the service answered 409
         :raises StoreUnavailable: no answer, or one that makes no sense
         """
@@ -80,8 +81,11 @@
         raise RevisionConflict
     if response.status == 413:
         raise ValueTooLarge
+    conditional = "If-None-Match" in response.request_info.headers
+    if response.status == NOT_MODIFIED and conditional:
+        return
     if response.status not in (200, 404):
         raise StoreUnavailable(f"status {response.status}")
 
 
-__all__ = ["HttpSession"]
+__all__ = ["NOT_MODIFIED", "HttpSession"]
--- a/src/boragetiller/standin/platform_server.py
+++ b/src/boragetiller/standin/platform_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 from typing import TYPE_CHECKING
 
 import attrs
@@ -162,8 +163,15 @@
         await self.store.release_lease(Lease(**await request.json()))
         return web.json_response({})
 
-    async def _hosts(self, _: web.Request) -> web.Response:
-        return web.json_response([encode_host(host) for host in await self.host_list.hosts()])
+    async def _hosts(self, request: web.Request) -> web.Response:
+        hosts = [encode_host(host) for host in await self.host_list.hosts()]
+        response = web.json_response(hosts)
+        assert response.text is not None
+        entity_tag = hashlib.sha256(response.text.encode()).hexdigest()[:16]
+        if any(tag.value == entity_tag for tag in request.if_none_match or ()):
+            response = web.Response(status=304)
+        response.etag = entity_tag
+        return response
 
     async def _put_host(self, request: web.Request) -> web.Response:
         self.host_list.put(
--- a/tests/platform/test_hosts.py
+++ b/tests/platform/test_hosts.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
 import aiohttp
 
 from boragetiller.clock import ManualClock
 from boragetiller.errors import StoreUnavailable
-from boragetiller.platform.dialect import encode_host
+from boragetiller.platform import http_hosts
+from boragetiller.platform.dialect import decode_host, encode_host
 from boragetiller.platform.hosts import Host, HostState
 from boragetiller.platform.http_hosts import HttpHostList
 from boragetiller.platform.http_weights import HttpWeightStore
@@ -83,6 +85,20 @@
             with self.assertRaises(StoreUnavailable):
                 await client.hosts()
 
+    async def test_unchanged_hosts_are_not_sent_again(self) -> None:
+        client = HttpHostList(self.settings)
+        await client.start()
+        self.addAsyncCleanup(client.close)
+        with patch.object(http_hosts, "decode_host", wraps=decode_host) as decoded:
+            self.server.host_list.put(HOST)
+            for _ in range(3):
+                self.assertEqual(await client.hosts(), [HOST])
+            self.assertEqual(decoded.call_count, 1)
+            self.server.host_list.set_state(HOST.name, HostState.LEAVING)
+            self.assertEqual((await client.hosts())[0].state, HostState.LEAVING)
+            self.server.host_list.remove(HOST.name)
+            self.assertEqual(await client.hosts(), [])
+
     async def test_weights_tell_their_limit(self) -> None:
         client = HttpWeightStore(self.settings)
         await client.start()
