Pass end-to-end headers of plain services both ways; tell a lost router from a lost server

Cause: aiohttp asked services for gzip and the router dropped Content-Encoding, so a caller could have got compressed bytes as plain ones; ETag, Location and conditional headers were lost; a write to a router that had gone was counted as a broken backend server. Change: relay/headers.py, HEAD without a body, 431 for too large headers, RouterGone. The set of a group's members and the number of sharing routers are kept instead of computed for each request.

--- a/src/boragetiller/agent/backend.py
+++ b/src/boragetiller/agent/backend.py
@@ -18,6 +18,7 @@
     BoragetillerError,
 )
 from boragetiller.relay.frames import Head
+from boragetiller.relay.headers import answer_headers
 from boragetiller.settings import BackendKind
 from boragetiller.verdict import Verdict
 
@@ -43,7 +44,8 @@
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         """:param response: open response"""
         self._response = response
-        self.head = Head(response.status, response.headers.get("Content-Type", ""))
+        content_type = response.headers.get("Content-Type", "")
+        self.head = Head(response.status, content_type, answer_headers(response.headers))
 
     @property
     def is_event_stream(self) -> bool:
@@ -117,9 +119,7 @@
         :raises BoragetillerError: with the verdict that holds at the point of failure
         """
         assert self._session is not None
-        headers = {"X-Request-Id": attempt.request_id, "Content-Type": attempt.content_type}
-        if attempt.key:
-            headers["Idempotency-Key"] = attempt.key
+        headers = _request_headers(attempt)
         url = self._settings.url + attempt.path
         try:
             async with self._session.request(
@@ -132,6 +132,15 @@
             raise await self._failure(error) from error
 
 
+def _request_headers(attempt: Attempt) -> dict[str, str]:
+    headers = {"Accept-Encoding": "identity", **attempt.headers}
+    headers["X-Request-Id"] = attempt.request_id
+    headers["Content-Type"] = attempt.content_type
+    if attempt.key:
+        headers["Idempotency-Key"] = attempt.key
+    return headers
+
+
 async def _refuses_connections(url: str) -> bool:
     parts = urlsplit(url)
     try:
--- a/src/boragetiller/agent/claims.py
+++ b/src/boragetiller/agent/claims.py
@@ -14,6 +14,7 @@
     status: int
     content_type: str
     body: bytes
+    headers: dict[str, str] = attrs.Factory(dict)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -20,6 +20,7 @@
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
 from boragetiller.process import Endpoints, new_incarnation, new_metrics, wait_until_idle
+from boragetiller.relay.attempt import MAX_ATTEMPT_HEADER_BYTES
 from boragetiller.router.config_sync import ConfigSync
 from boragetiller.settings import BackendKind
 from boragetiller.tables.config import ConfigTable
@@ -87,6 +88,7 @@
             settings.listen.port,
             limits=settings.limits,
             tls=settings.listen.tls,
+            max_field_bytes=MAX_ATTEMPT_HEADER_BYTES,
         )
         self.operator = HttpServer(
             operator_app(settings.operator, self.metrics),
--- a/src/boragetiller/agent/runner.py
+++ b/src/boragetiller/agent/runner.py
@@ -91,7 +91,7 @@
         task.add_done_callback(self._detached.discard)
         task.add_done_callback(_consume_error)
         answer = await asyncio.shield(task)  # the caller's leaving must not end a booking
-        await stream.head(Head(answer.status, answer.content_type))
+        await stream.head(Head(answer.status, answer.content_type, answer.headers))
         await stream.data(answer.body)
 
     async def _run_claimed(self, attempt: Attempt, body: bytes) -> StoredAnswer:
@@ -143,6 +143,7 @@
                 status=answer.head.status,
                 content_type=answer.head.content_type,
                 body=b"".join(parts),
+                headers=answer.head.headers,
             )
 
     async def _admit(self, attempt: Attempt) -> Ticket:
--- a/src/boragetiller/agent/server.py
+++ b/src/boragetiller/agent/server.py
@@ -11,7 +11,7 @@
 
 from boragetiller.agent.attempts import AttemptTable
 from boragetiller.agent.runner import AttemptRunner
-from boragetiller.agent.stream import FrameStream
+from boragetiller.agent.stream import FrameStream, RouterGone
 from boragetiller.errors import BoragetillerError, Draining, Unauthorized
 from boragetiller.events import Event, log_event
 from boragetiller.relay.attempt import (
@@ -123,7 +123,7 @@
     async def send_keepalives(self) -> None:
         """Write a keepalive frame to each stream that was silent for a while."""
         for stream in list(self._streams):
-            with suppress(ConnectionError):
+            with suppress(RouterGone):
                 await stream.keepalive()
 
     async def _run(self, attempt: Attempt, body: bytes, stream: FrameStream) -> None:
@@ -135,9 +135,9 @@
             log_event(Event.REQUEST_FINISHED, request_id=attempt.request_id, n=attempt.number)
         except BoragetillerError as error:
             self._count_failure(attempt, error)
-            with suppress(ConnectionError):
+            with suppress(RouterGone):
                 await stream.fail(error)
-        except ConnectionError:
+        except RouterGone:
             log_event(Event.REQUEST_CANCELLED, request_id=attempt.request_id, n=attempt.number)
         except asyncio.CancelledError:
             log_event(Event.REQUEST_CANCELLED, request_id=attempt.request_id, n=attempt.number)
--- a/src/boragetiller/agent/stream.py
+++ b/src/boragetiller/agent/stream.py
@@ -12,6 +12,10 @@
     from boragetiller.errors import BoragetillerError
 
 
+class RouterGone(Exception):
+    """The router closed the connection; nobody waits for the answer here."""
+
+
 class FrameStream:
     """Writes frames in order; a silent stream is kept alive by the process tick."""
 
@@ -53,7 +57,10 @@
 
     async def _write(self, frame: bytes) -> None:
         self._wrote_since_tick = True
-        await self._response.write(frame)
+        try:
+            await self._response.write(frame)
+        except ConnectionError as error:
+            raise RouterGone from error
 
 
-__all__ = ["FrameStream"]
+__all__ = ["FrameStream", "RouterGone"]
--- a/src/boragetiller/errors.py
+++ b/src/boragetiller/errors.py
@@ -57,6 +57,13 @@
     http_status = 413
 
 
+class HeadersTooLarge(NotRunError):
+    """The request headers are larger than the limit."""
+
+    code = "headers_too_large"
+    http_status = 431
+
+
 class RequestTimeout(NotRunError):
     """The request body did not arrive within the limit."""
 
@@ -346,6 +353,7 @@
     "ClaimNotCommitted",
     "Draining",
     "Forbidden",
+    "HeadersTooLarge",
     "InvalidRequest",
     "KeyReused",
     "LeaseLapsed",
--- a/src/boragetiller/http_server.py
+++ b/src/boragetiller/http_server.py
@@ -25,6 +25,7 @@
         *,
         limits: LimitSettings,
         tls: TlsSettings | None = None,
+        max_field_bytes: int | None = None,
     ) -> None:
         """
         Prepare the server.
@@ -33,6 +34,7 @@
         :param address: IP number
         :param port: TCP port, 0 for a free one
         :param limits: header limit
+        :param max_field_bytes: replaces the header limit
         :param tls: certificate and key, None for plain TCP
         """
         self.address = address
@@ -43,7 +45,7 @@
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-            max_field_size=limits.max_header_bytes,
+            max_field_size=max_field_bytes or limits.max_header_bytes,
             max_line_size=limits.max_header_bytes,
         )
 
--- a/src/boragetiller/relay/attempt.py
+++ b/src/boragetiller/relay/attempt.py
@@ -14,7 +14,7 @@
 ATTEMPT_HEADER = "X-Attempt"
 ATTEMPT_PATH = "/attempt"
 WITHDRAW_PATH = "/withdraw"
-MAX_ATTEMPT_HEADER_BYTES = 32_768
+MAX_ATTEMPT_HEADER_BYTES = 131_072
 
 
 @attrs.frozen(kw_only=True)
@@ -42,6 +42,7 @@
     fingerprint: str
     resumed_tokens: int = 0
     key: str = ""
+    headers: dict[str, str] = attrs.Factory(dict)  # the caller's, for a plain service
     arrived_wall_ms: int = 0  # wall clock of the router when the caller's request arrived
     isolated: bool = False
     struck: str = ""  # agents whose backend server crashed with this body, comma between them
@@ -89,6 +90,8 @@
 
 def _checked(field: Any, fields: dict[str, Any]) -> Any:
     value = fields[field.name]
+    if field.name == "headers":
+        return _checked_headers(value)
     expected = _TYPES[str(field.type)]
     if expected is float and type(value) is int:
         return float(value)
@@ -97,6 +100,12 @@
     return value
 
 
+def _checked_headers(value: object) -> dict[str, str]:
+    if not isinstance(value, dict) or not all(isinstance(each, str) for each in value.values()):
+        raise ProtocolError("attempt headers have another type")
+    return value
+
+
 __all__ = [
     "ATTEMPT_HEADER",
     "ATTEMPT_PATH",
--- a/src/boragetiller/relay/frames.py
+++ b/src/boragetiller/relay/frames.py
@@ -7,6 +7,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+import attrs
+
 from boragetiller.errors import BoragetillerError, ProtocolError, error_from_code
 from boragetiller.verdict import Verdict
 
@@ -33,11 +35,13 @@
     payload: bytes
 
 
-class Head(NamedTuple):
+@attrs.frozen
+class Head:
     """Status and headers of the backend server's answer."""
 
     status: int
     content_type: str
+    headers: dict[str, str] = attrs.Factory(dict)  # further ones, of a plain service
 
 
 class FrameWriter:
@@ -50,7 +54,7 @@
 
     def head(self, head: Head) -> bytes:
         """:return: an encoded HEAD frame"""
-        return self._encode(FrameKind.HEAD, json.dumps(head._asdict()).encode())
+        return self._encode(FrameKind.HEAD, json.dumps(attrs.asdict(head)).encode())
 
     def data(self, payload: bytes) -> bytes:
         """:return: an encoded DATA frame"""
@@ -138,8 +142,9 @@
     """
     try:
         fields = json.loads(payload)
-        return Head(int(fields["status"]), str(fields["content_type"]))
-    except (ValueError, KeyError, TypeError) as error:
+        headers = {str(name): str(value) for name, value in fields["headers"].items()}
+        return Head(int(fields["status"]), str(fields["content_type"]), headers)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise ProtocolError("bad head frame") from error
 
 
--- a/src/boragetiller/router/placer.py
+++ b/src/boragetiller/router/placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 import attrs
@@ -20,12 +21,19 @@
 
     from boragetiller.clock import Clock
     from boragetiller.errors import BoragetillerError
+    from boragetiller.records.model import BackendGroup
     from boragetiller.router.request import RoutedRequest
     from boragetiller.settings import Settings
     from boragetiller.tables.agents import AgentTable
     from boragetiller.tables.members import MemberTable
 
 
+@attrs.frozen
+class _MemberSet:
+    group: BackendGroup
+    names: frozenset[str]
+
+
 class Placer:
     """Holds what placement needs: the agents, their health and the retry budgets."""
 
@@ -52,6 +60,9 @@
         self._clock = clock
         self._rng = rng
         self._budgets: dict[str, RetryBudget] = {}
+        self._member_sets: dict[str, _MemberSet] = {}
+        self._counted_hosts: dict[str, Host] = {}
+        self._sharing = 1
 
     def begin(self, group: str) -> RetryBudget:
         """
@@ -96,7 +107,8 @@
         :return: agents of the subset that are members of the group
         """
         agents = self._agents.of_group(request.group.name)
-        return [agent for agent in agents if agent.name in request.group.members]
+        members = self._member_set(request.group)
+        return [agent for agent in agents if agent.name in members]
 
     def find_owner(self, request: RoutedRequest, name: str) -> AgentEntry | None:
         """
@@ -110,7 +122,8 @@
         if entry is None:
             host = self._members.hosts.get(name)
             entry = _entry_of(host) if host is not None else None
-        if entry is None or name not in request.group.members or not entry.accepts_work():
+        members = self._member_set(request.group)
+        if entry is None or name not in members or not entry.accepts_work():
             return None
         return entry
 
@@ -147,11 +160,21 @@
         for group in groups:
             outliers.mark_slow(self._agents.of_group(group), self._settings.placement, now_ms)
 
+    def _member_set(self, group: BackendGroup) -> frozenset[str]:
+        known = self._member_sets.get(group.name)
+        if known is None or known.group is not group:  # a changed record is another object
+            known = _MemberSet(group, frozenset(group.members))
+            self._member_sets[group.name] = known
+        return known.names
+
     def _sharing_routers(self) -> int:
-        hosts = self._members.hosts.values()
-        routers = 1 + sum(1 for host in hosts if host.role == Role.ROUTER.value)
-        agents = sum(1 for host in hosts if host.role == Role.AGENT.value)
-        return max(1, routers * len(self._agents.entries) // max(1, agents))
+        if self._members.hosts is not self._counted_hosts:  # replaced with each reading
+            self._counted_hosts = self._members.hosts
+            roles = Counter(host.role for host in self._counted_hosts.values())
+            routers = 1 + roles[Role.ROUTER.value]
+            agents = max(1, roles[Role.AGENT.value])
+            self._sharing = max(1, routers * len(self._agents.entries) // agents)
+        return self._sharing
 
     def _choose(self, candidates: list[AgentEntry], wanted: PlacementRequest) -> AgentEntry | None:
         now_ms = self._clock.now_ms()
--- a/src/boragetiller/router/relay.py
+++ b/src/boragetiller/router/relay.py
@@ -249,6 +249,7 @@
             fingerprint=request.fingerprint,
             key=request.key,
             resumed_tokens=resume.tokens if resume else 0,
+            headers=request.headers,
             arrived_wall_ms=journey.arrived_wall_ms,
             struck=",".join(self._quarantine.struck_servers(request.fingerprint)),
         )
--- a/src/boragetiller/router/request.py
+++ b/src/boragetiller/router/request.py
@@ -35,6 +35,7 @@
     group: BackendGroup
     repeatable: bool
     streamed: bool = False
+    headers: dict[str, str] = attrs.Factory(dict)
     fields: dict[str, Any] | None = None  # parsed body of an engine request
     key: str = ""
     prompt_tokens: int = 0
@@ -54,6 +55,7 @@
     content_type: str
     class_name: str
     key: str
+    passed: dict[str, str] = attrs.Factory(dict)  # what a plain service sees
 
 
 def parse_engine_request(
@@ -142,6 +144,7 @@
         request_class=request_class,
         group=group,
         repeatable=repeatable,
+        headers=headers.passed,
         key="" if repeatable else _checked_key(headers.key),
         fingerprint=_fingerprint(method, path, body),
     )
--- a/src/boragetiller/router/server.py
+++ b/src/boragetiller/router/server.py
@@ -7,17 +7,20 @@
 import hmac
 from typing import TYPE_CHECKING
 
+import attrs
 from aiohttp import web
 
 from boragetiller.errors import (
     BoragetillerError,
     Draining,
+    HeadersTooLarge,
     NotReady,
     RequestTimeout,
     RequestTooLarge,
     Unauthorized,
 )
 from boragetiller.events import Event, log_event
+from boragetiller.relay.headers import request_headers
 from boragetiller.router.answers import EngineTranscript
 from boragetiller.router.request import (
     CallerHeaders,
@@ -150,6 +153,10 @@
             group = request.match_info["group"]
             path = request.raw_path.removeprefix(f"/services/{group}")
             headers = _caller_headers(request)
+            passed = request_headers(request.headers)
+            if sum(map(len, passed.values())) > self._settings.limits.max_header_bytes:
+                raise HeadersTooLarge
+            headers = attrs.evolve(headers, passed=passed)
             return parse_service_request(
                 request_id, request.method, group, path, headers, body, customer, self._config
             )
--- a/src/boragetiller/router/sinks.py
+++ b/src/boragetiller/router/sinks.py
@@ -15,6 +15,7 @@
     from boragetiller.relay.frames import Head
 
 EVENT_STREAM = "text/event-stream"
+BODILESS_STATUSES = (204, 304)
 
 
 class AnswerSink(Protocol):
@@ -65,11 +66,12 @@
         """Send status and headers, once."""
         if self._response is not None:
             return
-        headers = {"Content-Type": head.content_type} if head.content_type else {}
-        response = web.StreamResponse(
-            status=head.status, headers={"x-request-id": self._request_id, **headers}
-        )
-        response.enable_chunked_encoding()
+        headers = {**head.headers, "x-request-id": self._request_id}
+        if head.content_type:
+            headers["Content-Type"] = head.content_type
+        response = web.StreamResponse(status=head.status, headers=headers)
+        if head.status not in BODILESS_STATUSES and self._request.method != "HEAD":
+            response.enable_chunked_encoding()
         self._response = response
         await response.prepare(self._request)
 
--- a/src/boragetiller/standin/service.py
+++ b/src/boragetiller/standin/service.py
@@ -13,6 +13,7 @@
 from boragetiller.standin.web import Address, WebServer, reset, serve_until_signal
 
 MAX_BODY_BYTES = 8_000_000
+ETAG = '"stand-in"'
 
 
 @attrs.define(kw_only=True)
@@ -49,6 +50,7 @@
     def __init__(self, settings: ServiceSettings) -> None:
         """:param settings: address and delay"""
         self.ledger = ServiceLedger()
+        self.last_headers: dict[str, str] = {}
         self.faults = ServiceFaults(delay_ms=settings.delay_ms)
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_get("/ledger", self._show_ledger)
@@ -71,6 +73,7 @@
 
     async def _call(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
+        self.last_headers = dict(request.headers)
         if self._strikes("reset_before_run"):
             reset(request.transport)
             return web.Response(status=500)
@@ -85,7 +88,8 @@
                 "method": request.method,
                 "path": request.path_qs,
                 "confirmation": confirmation(request.method, request.path_qs, body),
-            }
+            },
+            headers={"ETag": ETAG},
         )
         if self._strikes("reset_after_first_byte"):
             response = await _begin_answer(request, answer)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import unittest
+from typing import TYPE_CHECKING
 
 import aiohttp
 
@@ -14,6 +16,9 @@
 from tests.fleet import MODEL, Fleet, sample_records
 from tests.streams import streamed_text
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 CHAT = "/v1/chat/completions"
 
 
@@ -64,6 +69,48 @@
             rest = await response.read()
         self.assertEqual(streamed_text(first + rest), expected_text(body))
 
+    async def test_service_headers_pass_both_ways(self) -> None:
+        headers = {"Authorization": "Bearer test-key", "If-Match": '"v1"'}
+        url = self.router.callers.base_url + "/services/app/sheets?gauge=2"
+        async with self.fleet.session.get(url, headers=headers) as response:
+            await response.read()
+        seen = self.service.last_headers
+        self.assertEqual(seen["If-Match"], '"v1"')
+        self.assertNotIn("Authorization", seen)
+        self.assertEqual(response.headers["ETag"], '"stand-in"')
+        async with self.fleet.session.head(url, headers=headers) as response:
+            self.assertEqual((response.status, await response.read()), (200, b""))
+
+    async def test_caller_that_leaves_cancels_at_the_engine(self) -> None:
+        body = _chat("a very long ledger", max_tokens=2_000, stream=True)
+        async with self.fleet.post(self.router, CHAT, body) as response:
+            await response.content.readuntil(b"\n\n")
+            response.close()
+        await self._until(lambda: sum(e.ledger.cancelled for e in self.engines) == 1)
+        agents = [self.fleet.agents[f"engine-{n}"] for n in range(2)]
+        await self._until(lambda: not any(agent.gate.table.running for agent in agents))
+
+    async def test_caller_that_leaves_does_not_end_a_booking(self) -> None:
+        self.service.faults.delay_ms = 200
+        call = asyncio.create_task(self._reserve("k-3"))
+        await self._until(lambda: self.service.ledger.by_key["k-3"] == 1)
+        call.cancel()
+        status, _ = await self._reserve("k-3")
+        self.assertEqual((status, self.service.ledger.by_key["k-3"]), (200, 1))
+
+    async def _reserve(self, key: str) -> tuple[int, bytes]:
+        async with self.fleet.post(
+            self.router, "/services/app/reserve", b"{}", Idempotency_Key=key
+        ) as response:
+            return response.status, await response.read()
+
+    async def _until(self, condition: Callable[[], bool]) -> None:
+        for _ in range(500):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        self.fail("the condition did not come true")
+
     async def test_refusal_of_keyed_call_promises_nothing(self) -> None:
         async with self.fleet.post(
             self.router, "/services/app/reserve", b"x", Idempotency_Key="k-2"
