--- a/src/boragetiller/agent/strike_gate.py
+++ b/src/boragetiller/agent/strike_gate.py
@@ -13,7 +13,7 @@
 from boragetiller.tables.strikes import StrikeTable, Suspicion
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from boragetiller.clock import Clock
     from boragetiller.settings import StrikeSettings
@@ -28,6 +28,7 @@
         settings: StrikeSettings,
         clock: Clock,
         spread: Callable[[list[Strike]], None],
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         """
         Start without strikes.
@@ -36,12 +37,14 @@
         :param settings: how long strikes are kept
         :param clock: monotonic time
         :param spread: tells the fleet of new strikes
+        :param sleep: waits for seconds
         """
         self.table = StrikeTable()
         self._name = name
         self._settings = settings
         self._clock = clock
         self._spread = spread
+        self._sleep = sleep
         self._isolation = asyncio.Lock()
 
     def take_strike(self, strike: Strike, now_ms: int) -> None:
@@ -80,6 +83,7 @@
             self.check(fingerprint, isolated=False)
             yield False
             return
+        await self._wait(fingerprint)
         async with self._isolation:
             self.check(fingerprint, isolated=True)
             yield True
@@ -124,6 +128,16 @@
         """Forget old strikes."""
         strikes.expire_strikes(self.table, self._settings, self._clock.now_ms())
 
+    async def _wait(self, fingerprint: str) -> None:
+        """Let copies that other agents run already crash first."""
+        body = fingerprint_bytes(fingerprint)
+        while True:
+            now_ms = self._clock.now_ms()
+            wait_ms = strikes.isolation_wait_ms(self.table, body, self._settings, now_ms)
+            if not wait_ms:
+                return
+            await self._sleep(wait_ms / 1_000)
+
     def _judge(self, fingerprint: str) -> Suspicion:
         return strikes.judge_body(self.table, fingerprint_bytes(fingerprint))
 
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -222,6 +222,7 @@
     """How request bodies that crash backend servers are remembered."""
 
     expire_ms: int = attrs.field(default=1_800_000, validator=_POSITIVE)
+    isolation_delay_ms: int = attrs.field(default=500, validator=_POSITIVE)
     max_bodies: int = attrs.field(default=10_000, validator=_POSITIVE)
 
 
--- a/src/boragetiller/systems/strikes.py
+++ b/src/boragetiller/systems/strikes.py
@@ -79,6 +79,23 @@
     return tuple(sorted(table.by_fingerprint.get(fingerprint, {})))
 
 
+def isolation_wait_ms(
+    table: StrikeTable, fingerprint: bytes, settings: StrikeSettings, now_ms: int
+) -> int:
+    """
+    Tell how long a struck body waits, so that copies already running can crash first.
+
+    :param table: strikes known
+    :param fingerprint: the body
+    :param settings: delay after a crash
+    :param now_ms: monotonic time in milliseconds
+    :return: milliseconds until it may run in isolation
+    """
+    servers = table.by_fingerprint.get(fingerprint, {})
+    last_ms = max((strikes.last_ms for strikes in servers.values()), default=now_ms)
+    return max(0, last_ms + settings.isolation_delay_ms - now_ms) if servers else 0
+
+
 def isolation_order(
     table: StrikeTable, fingerprint: bytes, servers: Iterable[str], key: int
 ) -> list[str]:
@@ -130,6 +147,7 @@
     "clear_body",
     "expire_strikes",
     "isolation_order",
+    "isolation_wait_ms",
     "judge_body",
     "merge_strike",
     "record_crash",
