--- a/src/boragetiller/router/placer.py
+++ b/src/boragetiller/router/placer.py
@@ -153,6 +153,15 @@
         if outliers.record_failure(agent, group, self._settings.placement, now_ms):
             log_event(Event.AGENT_EJECTED, agent=agent.name, code=error.code)
 
+    def note_gap(self, agent: AgentEntry, gap_ms: float) -> None:
+        """
+        Note the mean time between tokens of a stretch of a stream.
+
+        :param agent: who answered
+        :param gap_ms: mean time in milliseconds
+        """
+        outliers.record_gap(agent, gap_ms, self._clock.now_ms())
+
     def tick(self) -> None:
         """Mark agents that are much slower than their peers."""
         now_ms = self._clock.now_ms()
--- a/src/boragetiller/router/relay.py
+++ b/src/boragetiller/router/relay.py
@@ -14,6 +14,7 @@
 from boragetiller.relay.attempt import Attempt
 from boragetiller.relay.frames import Frame, FrameKind, parse_head
 from boragetiller.router.answers import EngineTranscript, ResumePoint, continued_chunk, engine_body
+from boragetiller.router.measures import StreamMeter, report_answer, report_failure
 from boragetiller.systems.outcomes import (
     Answered,
     AttemptFailed,
@@ -55,6 +56,7 @@
     progress: RequestProgress
     arrived_ms: int
     arrived_wall_ms: int
+    meter: StreamMeter
     tried: set[str] = attrs.Factory(set)
 
 
@@ -115,11 +117,14 @@
             step = decide_next(outcome, journey.progress, self._settings.placement, self._rng)
             match step:
                 case Answered():
+                    report_answer(self._metrics, request.request_class, journey.meter)
+                    self._metrics.increment("router.answered")
                     self._note(request, "answered", attempts=journey.progress.attempts)
                     return await sink.end()
                 case Retry():
                     await self._prepare_retry(journey, step)
                 case GiveUp(error=error, reason=reason):
+                    report_failure(self._metrics, request.request_class, journey.meter)
                     self._note_failure(request, error, reason)
                     return await sink.fail(error)
 
@@ -134,13 +139,15 @@
             deadline_ms=request.request_class.deadline_ms,
             budget=self._placer.begin(request.group.name),
         )
+        now_ms = self._clock.now_ms()
         return Journey(
             request=request,
             sink=sink,
             transcript=transcript,
             progress=progress,
-            arrived_ms=self._clock.now_ms(),
+            arrived_ms=now_ms,
             arrived_wall_ms=self._wall.now_ms(),
+            meter=StreamMeter(arrived_ms=now_ms),
         )
 
     async def _try_once(self, journey: Journey) -> Outcome:
@@ -261,12 +268,13 @@
         body = request.body
         if request.fields is not None:
             body = engine_body(request.fields, attempt.tier, resume)
+        journey.meter.begin_attempt()
         async with aclosing(self._client.send(agent, attempt, body)) as answer:
             async for frames in answer:
-                await self._relay_frames(journey, frames, attempt.resumed_tokens)
+                await self._relay_frames(journey, agent, frames, attempt.resumed_tokens)
 
     async def _relay_frames(
-        self, journey: Journey, frames: list[Frame], tokens_before: int
+        self, journey: Journey, agent: AgentEntry, frames: list[Frame], tokens_before: int
     ) -> None:
         content = b"".join(frame.payload for frame in frames if frame.kind is FrameKind.DATA)
         if frames[0].kind is FrameKind.HEAD:
@@ -277,8 +285,14 @@
             return
         if journey.request.for_engine:
             journey.transcript.add(content)
+            self._measure(journey, agent, content)
         await journey.sink.data(content)
 
+    def _measure(self, journey: Journey, agent: AgentEntry, content: bytes) -> None:
+        gap_ms = journey.meter.note(content, self._clock.now_ms())
+        if gap_ms is not None:
+            self._placer.note_gap(agent, gap_ms)
+
     async def _settle_verdict(
         self, journey: Journey, agent: AgentEntry, attempt: Attempt, error: BoragetillerError
     ) -> None:
