--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -12,7 +12,7 @@
 
 from boragetiller.agent.process import AgentProcess
 from boragetiller.cli.writer import RecordWriter
-from boragetiller.clock import SystemClock
+from boragetiller.clock import Clock, SystemClock
 from boragetiller.platform.clients import PlatformClients
 from boragetiller.platform.hosts import Host
 from boragetiller.platform.memory import MemoryStore
@@ -69,6 +69,7 @@
     """Starts and closes everything; `settings` go to each process."""
 
     settings: dict[str, Any] = attrs.Factory(dict)
+    clock: Clock = attrs.Factory(SystemClock)  # of agents and routers
     store: MemoryStore = attrs.Factory(lambda: MemoryStore(SystemClock()))
     hosts: MemoryHostList = attrs.Factory(lambda: MemoryHostList(SystemClock()))
     agents: dict[str, AgentProcess] = attrs.Factory(dict)
@@ -83,6 +84,7 @@
         kind: BackendKind = BackendKind.ENGINE,
         *,
         silence_timeout_ms: int = 30_000,
+        clock: Clock | None = None,
         **more: Any,
     ) -> AgentProcess:
         """
@@ -93,6 +95,7 @@
         :param url: its backend server
         :param kind: what the backend server is
         :param silence_timeout_ms: how long the backend server may stay silent
+        :param clock: monotonic time of this agent, by default that of the fleet
         :param more: further settings
         :return: the agent
         """
@@ -104,7 +107,7 @@
             silence_timeout_ms=silence_timeout_ms,
         )
         settings = self._settings(Role.AGENT, name, backend=backend, **more)
-        agent = AgentProcess(settings, self._platform())
+        agent = AgentProcess(settings, self._platform(), clock=clock or self.clock)
         await agent.start()
         self.agents[name] = agent
         self.hosts.put(_host(name, "agent", agent.endpoints(), group))
@@ -119,7 +122,7 @@
         :return: the router
         """
         settings = self._settings(Role.ROUTER, name, **{"seed": 7, **more})
-        router = RouterProcess(settings, self._platform())
+        router = RouterProcess(settings, self._platform(), clock=self.clock)
         await router.start()
         self.routers.append(router)
         self.hosts.put(_host(name, "router", router.endpoints(), ""))
--- /dev/null
+++ b/tests/golden/__init__.py
@@ -0,0 +1,3 @@
+"""Whole sessions as text that a person can review."""
+
+from __future__ import annotations
