--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -90,8 +90,18 @@
         :param arguments: command-line flags
         :return: the process
         """
-        command = ["-m", f"boragetiller.standin.{module}", *arguments]
-        process, line = await self._spawn(command)
+        return await self.start_module(name, f"boragetiller.standin.{module}", *arguments)
+
+    async def start_module(self, name: str, module: str, *arguments: str) -> Member:
+        """
+        Start a module that prints its base URL.
+
+        :param name: name in the fleet
+        :param module: full name of the module
+        :param arguments: command-line flags
+        :return: the process
+        """
+        process, line = await self._spawn(["-m", module, *arguments])
         member = Member(name, process, {}, line.strip())
         self.members[name] = member
         return member
--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,184 @@
+"""
+Measure what router and agent add to a request, beside a bare two-hop relay in the same run.
+
+Command::
+
+    python -m bench.relay      # about a minute; real processes on loopback
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import statistics
+import time
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import attrs
+import fire
+
+from bench.fleet import Fleet
+from tests.fleet import KEY, MODEL, sample_records
+
+if TYPE_CHECKING:
+    from bench.fleet import Member
+
+CHAT = "/v1/chat/completions"
+ENGINE_FLAGS = ("--step_ms=2", "--max_batch=64")
+AT_ONCE = 8
+SHORT_TOKENS = 8
+READY_CHECK_S = 0.1
+TICK_MS = 1_000 / os.sysconf("SC_CLK_TCK")
+AIM_ADDED_MS = 2.0
+AIM_RATIO = 2.0
+
+
+@attrs.frozen(kw_only=True)
+class Cost:
+    """Processor time in ms of a run with short answers and of one with long answers."""
+
+    short_ms: float
+    long_ms: float
+    requests: int
+    more_tokens: int  # of a long answer
+
+    @property
+    def token_us(self) -> float:
+        """:return: processor time of one relayed token in microseconds"""
+        return (self.long_ms - self.short_ms) / (self.requests * self.more_tokens) * 1_000
+
+    @property
+    def request_ms(self) -> float:
+        """:return: processor time of one request without its tokens in milliseconds"""
+        return self.short_ms / self.requests - SHORT_TOKENS * self.token_us / 1_000
+
+
+def main(latency_requests: int = 300, requests: int = 400, tokens: int = 136) -> None:
+    """
+    Run the whole measurement and print it.
+
+    :param latency_requests: requests one after another on each path
+    :param requests: requests of each run that measures processor time, eight at once
+    :param tokens: tokens of a long answer
+    """
+    asyncio.run(_measure(latency_requests, requests, tokens))
+
+
+async def _measure(latency_requests: int, requests: int, tokens: int) -> None:
+    fleet = Fleet()
+    try:
+        paths = await _start(fleet)
+        async with aiohttp.ClientSession(headers={"Authorization": f"Bearer {KEY}"}) as session:
+            for url in paths.values():
+                await _run(session, url, 20, SHORT_TOKENS)
+            await _measure_latency(session, paths, latency_requests)
+            through = [fleet.members["router"], fleet.members["agent"]]
+            ours = await _cost(session, paths["router"], through, requests, tokens)
+            bare_hops = [fleet.members["hop-1"], fleet.members["hop-2"]]
+            bare = await _cost(session, paths["bare"], bare_hops, requests, tokens)
+    finally:
+        await fleet.close()
+    _print_cost(ours, bare)
+
+
+async def _start(fleet: Fleet) -> dict[str, str]:
+    await fleet.start()
+    engine = await fleet.start_standin("engine", "engine", *ENGINE_FLAGS)
+    await fleet.start_agent("agent", "pool", engine)
+    await fleet.apply(sample_records(("agent",), ()))
+    router = await fleet.start_router("router")
+    second = await fleet.start_module("hop-2", "bench.bare_relay", engine.url)
+    first = await fleet.start_module("hop-1", "bench.bare_relay", second.url)
+    await _wait_served(router.url)
+    return {"direct": engine.url, "router": router.url, "bare": first.url}
+
+
+async def _wait_served(url: str) -> None:
+    async with aiohttp.ClientSession(headers={"Authorization": f"Bearer {KEY}"}) as session:
+        while await _status(session, url) != 200:  # noqa: ASYNC110
+            await asyncio.sleep(READY_CHECK_S)
+
+
+async def _status(session: aiohttp.ClientSession, url: str) -> int:
+    async with session.post(url + CHAT, json=_body(0, 1)) as response:
+        await response.read()
+        return response.status
+
+
+async def _measure_latency(
+    session: aiohttp.ClientSession, paths: dict[str, str], count: int
+) -> None:
+    samples: dict[str, list[float]] = {name: [] for name in paths}
+    for number in range(count):
+        for name, url in paths.items():
+            samples[name].append(await _first_token_ms(session, url, number))
+    direct = _quantiles(samples["direct"])
+    print("first token, ms     median    p95    added at the median   added at p95")
+    for name, values in samples.items():
+        median, p95 = _quantiles(values)
+        added = f"{median - direct[0]:12.2f} {p95 - direct[1]:18.2f}"
+        print(f"{name:16} {median:9.2f} {p95:7.2f} {added}")
+    met = "met" if _quantiles(samples["router"])[0] - direct[0] < AIM_ADDED_MS else "missed"
+    print(f"aim, under {AIM_ADDED_MS:.0f} ms added at the median: {met}")
+
+
+async def _first_token_ms(session: aiohttp.ClientSession, url: str, number: int) -> float:
+    begin = time.perf_counter()
+    async with session.post(url + CHAT, json=_body(number, 2)) as response:
+        await response.content.readuntil(b"\n\n")
+        elapsed_ms = (time.perf_counter() - begin) * 1_000
+        await response.read()
+    return elapsed_ms
+
+
+async def _cost(
+    session: aiohttp.ClientSession, url: str, through: list[Member], requests: int, tokens: int
+) -> Cost:
+    used: list[float] = []
+    for length in (SHORT_TOKENS, tokens):
+        before = sum(member.cpu_ticks for member in through)
+        await _run(session, url, requests, length)
+        used.append((sum(member.cpu_ticks for member in through) - before) * TICK_MS)
+    return Cost(
+        short_ms=used[0], long_ms=used[1], requests=requests, more_tokens=tokens - SHORT_TOKENS
+    )
+
+
+async def _run(session: aiohttp.ClientSession, url: str, requests: int, tokens: int) -> None:
+    slots = asyncio.Semaphore(AT_ONCE)
+
+    async def call(number: int) -> None:
+        async with slots, session.post(url + CHAT, json=_body(number, tokens)) as response:
+            content = await response.read()
+        found = content.count(b'"content"')
+        if found != tokens or not content.endswith(b"[DONE]\n\n"):
+            raise RuntimeError(f"{url}: {response.status}, {found} of {tokens} tokens")
+
+    await asyncio.gather(*(call(number) for number in range(requests)))
+
+
+def _body(number: int, tokens: int) -> dict[str, Any]:
+    prompt = f"question {number}: which gauge has the offcut?"
+    messages = [{"role": "user", "content": prompt}]
+    return {"model": MODEL, "messages": messages, "max_tokens": tokens, "stream": True}
+
+
+def _quantiles(values: list[float]) -> tuple[float, float]:
+    return statistics.median(values), statistics.quantiles(values, n=20)[-1]
+
+
+def _print_cost(ours: Cost, bare: Cost) -> None:
+    print("processor time       per request, ms   per relayed token, us")
+    for name, cost in (("router + agent", ours), ("bare two hops", bare)):
+        print(f"{name:16} {cost.request_ms:15.2f} {cost.token_us:20.1f}")
+    ratio = ours.token_us / bare.token_us
+    met = "met" if ratio <= AIM_RATIO else "missed"
+    print(f"per token {ratio:.2f}x of the bare relay; aim, within {AIM_RATIO:.0f}x: {met}")
+    print(f"per request {ours.request_ms / bare.request_ms:.2f}x of the bare relay")
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
+
+__all__ = ["Cost", "main"]
