Fuzz what callers and peers send; code and count every refusal

Cause: unknown routes and methods got plain text without a code, malformed HTTP was not counted and put a traceback into the log; a FAIL frame with a list as retry_after_s was accepted, and a HEAD frame with an infinite status raised OverflowError. Change: http_refusals counts what the HTTP library refuses; 404 and 405 are coded; head and fail payloads are checked by type.

--- a/src/boragetiller/errors.py
+++ b/src/boragetiller/errors.py
@@ -71,6 +71,13 @@
     http_status = 404
 
 
+class MethodNotAllowed(NotRunError):
+    """The route takes other HTTP methods."""
+
+    code = "method_not_allowed"
+    http_status = 405
+
+
 class Unauthorized(NotRunError):
     """The bearer key is missing or unknown."""
 
@@ -349,6 +356,7 @@
     "InvalidRequest",
     "KeyReused",
     "LeaseLapsed",
+    "MethodNotAllowed",
     "NoBackend",
     "NotFound",
     "NotOwner",
--- a/src/boragetiller/http_server.py
+++ b/src/boragetiller/http_server.py
@@ -5,10 +5,14 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import web
+from aiohttp.log import server_logger
 
+from boragetiller.http_refusals import refusal_logger
 from boragetiller.platform.tls import server_tls_context
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from boragetiller.settings import LimitSettings, TlsSettings
 
 SHUTDOWN_TIMEOUT_S = 5.0
@@ -25,6 +29,7 @@
         *,
         limits: LimitSettings,
         tls: TlsSettings | None = None,
+        count_refusal: Callable[[str], None] | None = None,
     ) -> None:
         """
         Prepare the server.
@@ -34,10 +39,12 @@
         :param port: TCP port, 0 for a free one
         :param limits: header limit
         :param tls: certificate and key, None for plain TCP
+        :param count_refusal: called with a code when a request is no acceptable HTTP
         """
         self.address = address
         self.port = port
         self._tls = tls
+        logger = refusal_logger(count_refusal) if count_refusal else server_logger
         self._runner = web.AppRunner(
             app,
             access_log=None,
@@ -45,6 +52,7 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
             max_field_size=limits.max_header_bytes,
             max_line_size=limits.max_header_bytes,
+            logger=logger,
         )
 
     async def start(self) -> None:
--- a/src/boragetiller/relay/frames.py
+++ b/src/boragetiller/relay/frames.py
@@ -5,13 +5,16 @@
 import json
 import struct
 from enum import IntEnum
-from typing import NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from boragetiller.errors import BoragetillerError, ProtocolError, error_from_code
 from boragetiller.verdict import Verdict
 
 _HEADER = struct.Struct(">BHII")
 MAX_PAYLOAD_BYTES = 16_000_000
+_STATUSES = range(100, 600)
+_LINE_ENDS = frozenset("\r\n\0")
+T = TypeVar("T")
 
 
 class FrameKind(IntEnum):
@@ -138,9 +141,14 @@
     """
     try:
         fields = json.loads(payload)
-        return Head(int(fields["status"]), str(fields["content_type"]))
-    except (ValueError, KeyError, TypeError) as error:
+        head = Head(fields["status"], fields["content_type"])
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise ProtocolError("bad head frame") from error
+    if type(head.status) is not int or head.status not in _STATUSES:
+        raise ProtocolError("bad status in a head frame")
+    if not isinstance(head.content_type, str) or not _LINE_ENDS.isdisjoint(head.content_type):
+        raise ProtocolError("bad content type in a head frame")
+    return head
 
 
 def parse_fail(payload: bytes) -> BoragetillerError:
@@ -156,13 +164,19 @@
             str(fields["code"]),
             str(fields["message"]),
             verdict=Verdict(fields["verdict"]),
-            retry_after_s=fields["retry_after_s"],
-            owner=fields["owner"],
+            retry_after_s=_optional(fields["retry_after_s"], int),
+            owner=_optional(fields["owner"], str),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise ProtocolError("bad fail frame") from error
 
 
+def _optional(value: Any, expected: type[T]) -> T | None:
+    if value is None or type(value) is expected:
+        return value
+    raise TypeError(f"{expected.__name__} is needed")
+
+
 __all__ = [
     "MAX_PAYLOAD_BYTES",
     "Frame",
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -104,6 +104,7 @@
             settings.listen.port,
             limits=settings.limits,
             tls=settings.listen.tls,
+            count_refusal=self.server.count_refusal,
         )
         operator_routes = operator_app(settings.operator, self.metrics)
         add_router_routes(operator_routes, self)
--- a/src/boragetiller/router/server.py
+++ b/src/boragetiller/router/server.py
@@ -12,6 +12,8 @@
 from boragetiller.errors import (
     BoragetillerError,
     Draining,
+    MethodNotAllowed,
+    NotFound,
     NotReady,
     RequestTimeout,
     RequestTooLarge,
@@ -30,7 +32,7 @@
 from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
     from random import Random
 
     from boragetiller.metrics import Metrics
@@ -42,6 +44,7 @@
     from boragetiller.settings import Settings
     from boragetiller.tables.config import ConfigTable
 
+    Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
     Parse = Callable[[str, Customer, bytes], RoutedRequest]
 
 BEARER = "Bearer "
@@ -88,7 +91,8 @@
 
     def routes(self) -> web.Application:
         """:return: the application of the callers' port"""
-        app = web.Application(client_max_size=self._settings.limits.max_body_bytes)
+        limit = self._settings.limits.max_body_bytes
+        app = web.Application(client_max_size=limit, middlewares=[self._answer_unrouted])
         app.router.add_get("/healthz", self.handle_health)
         app.router.add_get("/readyz", self.handle_ready)
         app.router.add_get("/v1/models", self.handle_models)
@@ -97,6 +101,14 @@
         app.router.add_route("*", "/services/{group}/{path:.*}", self.handle_service)
         return app
 
+    def count_refusal(self, code: str) -> None:
+        """
+        Count a request that was refused before it reached a handler.
+
+        :param code: why
+        """
+        self._metrics.increment(f"router.refused.{code}")
+
     async def handle_health(self, _request: web.Request) -> web.Response:
         """:return: 200 while the process runs"""
         return web.Response(text="ok")
@@ -156,6 +168,17 @@
 
         return await self._serve(request, parse)
 
+    @web.middleware
+    async def _answer_unrouted(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except web.HTTPNotFound:
+            return self._refuse(NotFound(f"no route {request.path}"), self._new_request_id())
+        except web.HTTPMethodNotAllowed as error:
+            refusal = self._refuse(MethodNotAllowed(), self._new_request_id())
+            refusal.headers["Allow"] = error.headers["Allow"]
+            return refusal
+
     async def _serve(self, request: web.Request, parse: Parse) -> web.StreamResponse:
         request_id = self._new_request_id()
         self.in_progress += 1
