--- a/src/boragetiller/router/relay.py
+++ b/src/boragetiller/router/relay.py
@@ -154,6 +154,9 @@
             return AttemptFailed(NoBackend(retry_after_s=1), journey.sink.relayed)
         resume = journey.transcript.resume_point() if journey.transcript.events else None
         attempt = attrs.evolve(self._attempt(journey, resume), isolated=isolated)
+        if attempt.resumed_tokens:
+            request_id = journey.request.request_id
+            log_event(Event.REQUEST_RESUMED, request_id=request_id, agent=agent.name)
         self._note(journey.request, "placed", agent=agent.name, attempt=attempt.number)
         return await self._run_attempt(journey, agent, attempt, resume)
 
