--- a/src/boragetiller/standin/platform_server.py
+++ b/src/boragetiller/standin/platform_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import attrs
@@ -23,9 +24,11 @@
     encode_entry,
     encode_host,
 )
+from boragetiller.platform.hosts import Host  # noqa: TC001 - read from YAML by its type
 from boragetiller.platform.memory import MemoryHostList, MemoryStore, MemoryWeightStore
 from boragetiller.platform.store import Lease
 from boragetiller.standin.web import Address, WebServer, reset, serve_until_signal
+from boragetiller.structure import structure_yaml
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -42,6 +45,7 @@
     listen: Address = Address()
     host_list_lag_ms: int = 0
     concurrent_loads: int = 2
+    hosts: tuple[Host, ...] = ()  # listed from the start
 
 
 class PlatformServer:
@@ -57,6 +61,8 @@
         clock = clock or SystemClock()
         self.store = MemoryStore(clock)
         self.host_list = MemoryHostList(clock, settings.host_list_lag_ms)
+        for host in settings.hosts:
+            self.host_list.put(host)
         self.weights = MemoryWeightStore(settings.concurrent_loads)
         self._closing = asyncio.Event()
         self._web = WebServer(self._build_app(), settings.listen)
@@ -227,6 +233,7 @@
     address: str = "127.0.0.1",
     host_list_lag_ms: int = 0,
     concurrent_loads: int = 2,
+    settings: str | None = None,
 ) -> None:
     """
     Run the stand-in of the platform as a process.
@@ -235,13 +242,18 @@
     :param address: IP number to listen on
     :param host_list_lag_ms: delay of each change of the host list
     :param concurrent_loads: loads that the weight store allows at once
+    :param settings: YAML file with all of this and the listed hosts, instead of the flags
     """
-    settings = PlatformServerSettings(
+    if settings is not None:
+        text = Path(settings).read_text(encoding="utf-8")
+        asyncio.run(_run(structure_yaml(text, PlatformServerSettings, source=settings)))
+        return
+    chosen = PlatformServerSettings(
         listen=Address(address=address, port=port),
         host_list_lag_ms=host_list_lag_ms,
         concurrent_loads=concurrent_loads,
     )
-    asyncio.run(_run(settings))
+    asyncio.run(_run(chosen))
 
 
 async def _run(settings: PlatformServerSettings) -> None:
