--- /dev/null
+++ b/tests/systems/test_policy_aims.py
@@ -0,0 +1,39 @@
+from __future__ import annotations
+
+import unittest
+
+import attrs
+
+from bench.policy_measures import measure
+from bench.policy_scenarios import SCENARIOS
+from bench.policy_world import World
+from boragetiller.settings import AdmissionSettings
+
+TARGET = 0.95
+
+
+class PolicyAimsTest(unittest.TestCase):
+    """The users' aims in short peaks of the policy bench, in virtual time."""
+
+    def run_peak(self, name: str, policy: str = "ours") -> dict[str, float]:
+        scenario = next(s for s in SCENARIOS if s.name == name)
+        short = attrs.evolve(scenario, peak_start_ms=5_000, peak_end_ms=25_000, end_ms=27_000)
+        world = World(short, policy, seed=1)
+        world.run()
+        return measure(world)
+
+    def test_burst_of_lower_tiers_leaves_protected_calls_in_target(self) -> None:
+        figures = self.run_peak("burst")
+        self.assertGreaterEqual(figures["protected.attained"], TARGET)
+        interval_ms = AdmissionSettings().aging_interval_ms
+        self.assertLessEqual(figures["note.longest_unserved_ms"], 4 * interval_ms)
+
+    def test_straggler_leaves_protected_calls_in_target(self) -> None:
+        self.assertGreaterEqual(self.run_peak("straggler")["protected.attained"], TARGET)
+
+    def test_fifo_misses_the_target_in_the_same_burst(self) -> None:
+        self.assertLess(self.run_peak("burst", "least")["protected.attained"], TARGET)
+
+
+if __name__ == "__main__":
+    unittest.main()
