--- /dev/null
+++ b/bench/policy_entities.py
@@ -0,0 +1,114 @@
+"""Requests, routers and agents of the policy bench."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from bench.fake_engine import Stream
+from boragetiller.tables.agents import AgentEntry
+from boragetiller.tables.retry import RetryBudget
+from boragetiller.tables.work import WorkItem
+
+if TYPE_CHECKING:
+    from bench.fake_engine import FakeEngine
+    from bench.policy_baselines import Gate, Policy
+    from bench.policy_scenarios import Call
+
+
+@attrs.define(eq=False)
+class Journey:
+    """A caller's request on its way."""
+
+    call: Call
+    request_id: str
+    router: Router
+    attempts: int = 0
+    tried: set[str] = attrs.Factory(set)
+    agent: AgentSim | None = None
+    produced: int = 0
+    first_ms: float | None = None
+    last_ms: float | None = None
+    sampled_ms: float = 0.0
+    status: str = "open"  # answered, refused, abandoned or failed
+    ended_ms: float = 0.0
+    started_ms: list[float] = attrs.Factory(list)
+    work_ms: float = 0.0
+    repeated_ms: float = 0.0  # work to resume, done before
+    preemptions: int = 0
+
+
+@attrs.define(eq=False)
+class Router:
+    """What one router knows."""
+
+    entries: list[AgentEntry]
+    policy: Policy
+    budget: RetryBudget = attrs.Factory(RetryBudget)
+
+    def entry(self, name: str) -> AgentEntry:
+        """:return: the entry of an agent"""
+        return next(entry for entry in self.entries if entry.name == name)
+
+
+class AgentSim:
+    """An agent and its engine."""
+
+    def __init__(self, engine: FakeEngine, gate: Gate) -> None:
+        """
+        Stand beside an engine.
+
+        :param engine: the engine
+        :param gate: its admission
+        """
+        self.engine = engine
+        self.name = engine.name
+        self.gate = gate
+        self.present: dict[str, Journey] = {}
+        self.stepping = False
+        self.epoch = 0
+
+
+def make_item(journey: Journey, now_ms: int) -> WorkItem:
+    """:return: the attempt as the agent sees it"""
+    request_class = journey.call.load.request_class
+    return WorkItem(
+        request_id=journey.request_id,
+        attempt=journey.attempts,
+        customer=journey.call.customer,
+        class_name=request_class.name,
+        tier=request_class.tier,
+        protected=request_class.protected,
+        preemptible=not request_class.protected,
+        prompt_tokens=journey.call.load.prompt_tokens,
+        first_token_target_ms=request_class.first_token_target_ms,
+        resumed_tokens=journey.produced,
+        arrived_ms=now_ms,
+        deadline_ms=int(journey.call.arrive_ms) + request_class.deadline_ms,
+    )
+
+
+def make_stream(journey: Journey) -> Stream:
+    """:return: the attempt as the engine sees it"""
+    call = journey.call
+    return Stream(
+        journey.request_id,
+        call.load.prompt_tokens + call.prefix_tokens,
+        call.output_tokens - journey.produced,
+        call.prefix,
+        call.prefix_tokens,
+        journey.produced,
+    )
+
+
+def make_router(agents: list[AgentSim], policy: Policy) -> Router:
+    """:return: a router that knows the agents and no load"""
+    entries = [
+        AgentEntry(name=agent.name, group="tiller-pool", address="127.0.0.1", data_port=1)
+        for agent in agents
+    ]
+    return Router(entries, policy)
+
+
+__all__ = ["AgentSim", "Journey", "Router", "make_item", "make_router", "make_stream"]
--- a/bench/policy_measures.py
+++ b/bench/policy_measures.py
@@ -9,11 +9,13 @@
     GAP_TARGET_MS,
     LOADS,
     SPEEDS,
+    STRAGGLER_FACTOR,
     capacity_tokens_per_s,
 )
 
 if TYPE_CHECKING:
-    from bench.policy_world import Journey, World
+    from bench.policy_entities import Journey
+    from bench.policy_world import World
 
 MIN_GAP_TOKENS = 8  # shorter answers say nothing of the gap
 
@@ -100,7 +102,7 @@
     able = capacity_tokens_per_s(scenario) * window_s
     if scenario.straggler:
         number = int(scenario.straggler[1:])
-        slowed = [s * (0.2 if n == number else 1) for n, s in enumerate(SPEEDS)]
+        slowed = [s * (STRAGGLER_FACTOR if n == number else 1) for n, s in enumerate(SPEEDS)]
         able = capacity_tokens_per_s(scenario, tuple(slowed)) * window_s
     if scenario.crash_ms:
         without = capacity_tokens_per_s(scenario, SPEEDS[:1]) * scenario.crash_duration_ms / 1_000
--- a/bench/policy_scenarios.py
+++ b/bench/policy_scenarios.py
@@ -12,6 +12,7 @@
 
 SPEEDS = (1.0, 1.1, 0.9, 1.2, 0.8)
 ROUTERS = 3
+STRAGGLER_FACTOR = 0.2
 GAP_TARGET_MS = 45
 LENGTH_SIGMA = 1.0
 MAX_OUTPUT_TOKENS = 2_000
--- a/bench/policy_world.py
+++ b/bench/policy_world.py
@@ -5,85 +5,28 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-import attrs
-
 from bench.fake_engine import EventQueue, FakeEngine, Stream
 from bench.policy_baselines import Policy
-from bench.policy_scenarios import ROUTERS, SPEEDS, Call, make_calls
+from bench.policy_entities import AgentSim, Journey, make_item, make_router, make_stream
+from bench.policy_scenarios import ROUTERS, SPEEDS, STRAGGLER_FACTOR, make_calls
 from boragetiller.hashing import stable_hash
 from boragetiller.settings import AdmissionSettings, PlacementSettings
 from boragetiller.systems import outliers, retry_budget
 from boragetiller.systems.placement import PlacementRequest
 from boragetiller.tables.actions import Action, PreemptWork, RefuseWork
-from boragetiller.tables.agents import AgentEntry
-from boragetiller.tables.retry import RetryBudget
-from boragetiller.tables.work import WorkItem
 
 if TYPE_CHECKING:
+    from bench.policy_entities import Router
     from bench.policy_scenarios import Scenario
-    from boragetiller.tables.agents import LoadReport
+    from boragetiller.tables.agents import AgentEntry, LoadReport
 
 LINK_MS = 2.0
 TICK_MS = 50.0
 HEARTBEAT_MS = 1_000.0
 DRAIN_MS = 30_000
-STRAGGLER_FACTOR = 0.2
 GAP_SAMPLE_TOKENS = 16
 
 
-@attrs.define(eq=False)
-class Journey:
-    """A caller's request on its way."""
-
-    call: Call
-    request_id: str
-    router: Router
-    attempts: int = 0
-    tried: set[str] = attrs.Factory(set)
-    agent: AgentSim | None = None
-    produced: int = 0
-    first_ms: float | None = None
-    last_ms: float | None = None
-    sampled_ms: float = 0.0
-    status: str = "open"  # answered, refused, abandoned or failed
-    ended_ms: float = 0.0
-    started_ms: list[float] = attrs.Factory(list)
-    work_ms: float = 0.0
-    repeated_ms: float = 0.0  # work to resume, done before
-    preemptions: int = 0
-
-
-@attrs.define(eq=False)
-class Router:
-    """What one router knows."""
-
-    entries: list[AgentEntry]
-    policy: Policy
-    budget: RetryBudget = attrs.Factory(RetryBudget)
-
-    def entry(self, name: str) -> AgentEntry:
-        """:return: the entry of an agent"""
-        return next(entry for entry in self.entries if entry.name == name)
-
-
-class AgentSim:
-    """An agent and its engine."""
-
-    def __init__(self, world: World, engine: FakeEngine) -> None:
-        """
-        Stand beside an engine.
-
-        :param world: the run
-        :param engine: the engine
-        """
-        self.engine = engine
-        self.name = engine.name
-        self.gate = world.policy.gate(world.admission)
-        self.present: dict[str, Journey] = {}
-        self.stepping = False
-        self.epoch = 0
-
-
 class World:
     """One run of a scenario under a policy."""
 
@@ -110,8 +53,11 @@
         self.placement = placement or PlacementSettings()
         self.rng = Random(seed)
         self.events = EventQueue()
-        self.agents = [AgentSim(self, FakeEngine(f"e{n}", s)) for n, s in enumerate(SPEEDS)]
-        self.routers = [self._make_router() for _ in range(ROUTERS)]
+        self.agents = [
+            AgentSim(FakeEngine(f"e{n}", s), self.policy.gate(self.admission))
+            for n, s in enumerate(SPEEDS)
+        ]
+        self.routers = [make_router(self.agents, Policy(policy)) for _ in range(ROUTERS)]
         self.journeys: list[Journey] = []
         self.tokens_at: list[tuple[float, Journey]] = []
         self._seed = seed
@@ -128,13 +74,6 @@
         self._schedule_faults()
         self.events.run(self.scenario.end_ms + DRAIN_MS)
 
-    def _make_router(self) -> Router:
-        entries = [
-            AgentEntry(name=a.name, group="tiller-pool", address="127.0.0.1", data_port=1)
-            for a in self.agents
-        ]
-        return Router(entries, Policy(self.policy.name))
-
     def _schedule_faults(self) -> None:
         scenario = self.scenario
         if scenario.straggler:
@@ -148,8 +87,6 @@
         engine = next(agent.engine for agent in self.agents if agent.name == name)
         engine.speed *= STRAGGLER_FACTOR
 
-    # routers
-
     def _arrive(self, journey: Journey) -> None:
         retry_budget.deposit(journey.router.budget, self.placement)
         deadline_ms = journey.call.arrive_ms + journey.call.load.request_class.deadline_ms
@@ -220,8 +157,6 @@
         journey.status = status
         journey.ended_ms = self.events.now_ms
 
-    # agents
-
     def _submit(self, journey: Journey, agent: AgentSim) -> None:
         if journey.status != "open" or journey.agent is not agent:
             return
@@ -230,24 +165,8 @@
             del agent.present[journey.request_id]
             self._retry(journey, "backend_unreachable")
             return
-        self._apply(agent, agent.gate.submit(self._make_item(journey), int(self.events.now_ms)))
-
-    def _make_item(self, journey: Journey) -> WorkItem:
-        request_class = journey.call.load.request_class
-        return WorkItem(
-            request_id=journey.request_id,
-            attempt=journey.attempts,
-            customer=journey.call.customer,
-            class_name=request_class.name,
-            tier=request_class.tier,
-            protected=request_class.protected,
-            preemptible=not request_class.protected,
-            prompt_tokens=journey.call.load.prompt_tokens,
-            first_token_target_ms=request_class.first_token_target_ms,
-            resumed_tokens=journey.produced,
-            arrived_ms=int(self.events.now_ms),
-            deadline_ms=int(journey.call.arrive_ms) + request_class.deadline_ms,
-        )
+        now_ms = int(self.events.now_ms)
+        self._apply(agent, agent.gate.submit(make_item(journey, now_ms), now_ms))
 
     def _apply(self, agent: AgentSim, actions: list[Action]) -> None:
         for action in actions:
@@ -265,17 +184,8 @@
                     self._start(agent, journey)
 
     def _start(self, agent: AgentSim, journey: Journey) -> None:
-        call = journey.call
         journey.started_ms.append(self.events.now_ms)
-        stream = Stream(
-            journey.request_id,
-            call.load.prompt_tokens + call.prefix_tokens,
-            call.output_tokens - journey.produced,
-            call.prefix,
-            call.prefix_tokens,
-            journey.produced,
-        )
-        agent.engine.start(stream)
+        agent.engine.start(make_stream(journey))
         if not agent.stepping:
             agent.stepping = True
             self._step(agent, agent.epoch)
@@ -319,8 +229,6 @@
         load.received_ms = int(self.events.now_ms)
         entry.update_load(load)
 
-    # engines
-
     def _step(self, agent: AgentSim, epoch: int) -> None:
         if not agent.engine.streams or epoch != agent.epoch:
             agent.stepping = agent.stepping and epoch != agent.epoch
@@ -384,4 +292,4 @@
         agent.engine.up = True
 
 
-__all__ = ["Journey", "World"]
+__all__ = ["World"]
--- a/src/boragetiller/systems/admission.py
+++ b/src/boragetiller/systems/admission.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from boragetiller.systems import fairness, shedding
+from boragetiller.systems import fairness, queues, shedding
 from boragetiller.systems.concurrency import adapt_limit, observe_gap
 from boragetiller.systems.preemption import preempt
 from boragetiller.tables.actions import Action, StartWork
@@ -34,7 +34,7 @@
     room = shedding.make_room(table, item, settings, now_ms)
     if not room.granted:
         return [shedding.refuse(table, item)]
-    fairness.enqueue(table, item, settings, now_ms)
+    queues.enqueue(table, item, settings, now_ms)
     return [*room.actions, *run_tick(table, settings, now_ms)]
 
 
@@ -95,7 +95,7 @@
     :return: actions that the freed place allows
     """
     if request_id in table.queued:
-        fairness.remove(table, table.queued[request_id])
+        queues.remove(table, table.queued[request_id])
     if request_id in table.running:
         item = table.running[request_id]
         if item.started_ms is not None and not item.preempting:
--- /dev/null
+++ b/src/boragetiller/systems/queues.py
@@ -0,0 +1,210 @@
+"""Queues of waiting work by tier, class and customer."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from boragetiller.tables.work import ClassQueue, CustomerQueue, TierQueue
+
+if TYPE_CHECKING:
+    from boragetiller.settings import AdmissionSettings
+    from boragetiller.tables.work import WorkItem, WorkTable
+
+_SLACK = 16  # entries of departed work kept before a structure is rebuilt
+
+
+def enqueue(table: WorkTable, item: WorkItem, settings: AdmissionSettings, now_ms: int) -> None:
+    """
+    Add a request to the queue of its tier, class and customer.
+
+    :param table: work of this agent
+    :param item: the request
+    :param settings: size of a fair turn
+    :param now_ms: monotonic time in milliseconds
+    """
+    tier, queue, customer = find_queues(table, item)
+    if queue.count == 0:
+        queue.virtual_tokens = max(queue.virtual_tokens, tier.reached_tokens)
+        queue.waiting_since_ms = now_ms
+        table.backlogged += 1
+    if customer.count == 0:
+        customer.virtual_tokens = max(customer.virtual_tokens, queue.reached_tokens)
+    table.queued[item.request_id] = item
+    if item.resumed_tokens:
+        customer.items.appendleft(item)
+        customer.ordered = False  # its key became lower
+    else:
+        customer.items.append(item)
+    _change_count(tier, queue, customer, 1)
+    if not customer.ordered:
+        push_order(table, queue, customer, settings)
+    if item.can_expire():
+        heapq.heappush(table.expiry, (item.deadline_ms, table.next_sequence(), item))
+    _compact(table, queue, customer)
+
+
+def remove(table: WorkTable, item: WorkItem) -> None:
+    """
+    Take a request out of the queue.
+
+    :param table: work of this agent
+    :param item: the queued request
+    """
+    tier, queue, customer = find_queues(table, item)
+    del table.queued[item.request_id]
+    _change_count(tier, queue, customer, -1)
+    if queue.count == 0:
+        table.backlogged -= 1
+        queue.late.clear()
+        _clear_order(queue)
+    _compact(table, queue, customer)
+    forget_idle(tier, queue, customer)
+
+
+def newest_of_longest(table: WorkTable, queue: ClassQueue) -> WorkItem:
+    """
+    Find the newest request of the customer with the longest queue in a class.
+
+    :param table: work of this agent
+    :param queue: queue of the class, with work in it
+    :return: a queued request, not yet removed
+    """
+    customer = queue.customers[next(iter(queue.lengths[queue.longest]))]
+    for waiting in (customer.items, queue.late):
+        while waiting:
+            if is_queued(table, waiting[-1]):
+                return waiting[-1]
+            waiting.pop()
+    raise LookupError(f"class {queue.name} has no queued work")
+
+
+def customer_count(table: WorkTable, item: WorkItem) -> int:
+    """:return: queued requests of the item's customer in its class"""
+    return find_queues(table, item)[2].count
+
+
+def class_queue(table: WorkTable, item: WorkItem) -> ClassQueue:
+    """:return: the queue of the item's class"""
+    return find_queues(table, item)[1]
+
+
+def find_queues(table: WorkTable, item: WorkItem) -> tuple[TierQueue, ClassQueue, CustomerQueue]:
+    """
+    Find the queues that a request belongs to, made where they are missing.
+
+    :param table: work of this agent
+    :param item: the request
+    :return: queues of its tier, class and customer
+    """
+    tier = table.tiers.get(item.tier)
+    if tier is None:
+        tier = table.tiers[item.tier] = TierQueue()
+    queue = tier.classes.get(item.class_name)
+    if queue is None:
+        queue = ClassQueue(name=item.class_name, tier=item.tier, protected=item.protected)
+        tier.classes[item.class_name] = queue
+    customer = queue.customers.get(item.customer)
+    if customer is None:
+        customer = queue.customers[item.customer] = CustomerQueue(customer=item.customer)
+    return tier, queue, customer
+
+
+def push_order(
+    table: WorkTable, queue: ClassQueue, customer: CustomerQueue, settings: AdmissionSettings
+) -> None:
+    """
+    Give a customer its place in the order of the class.
+
+    :param table: work of this agent
+    :param queue: queue of the class
+    :param customer: queue of the customer, with items
+    :param settings: size of a fair turn
+    """
+    turn, due_ms = order_key(customer, settings)
+    heapq.heappush(queue.order, (turn, due_ms, table.next_sequence(), customer))
+    customer.ordered = True
+
+
+def order_key(customer: CustomerQueue, settings: AdmissionSettings) -> tuple[int, int]:
+    """:return: turn and due time by which customers of a class are ordered; both only grow"""
+    return int(customer.virtual_tokens / settings.fair_turn_tokens), customer.items[0].due_ms()
+
+
+def is_queued(table: WorkTable, item: WorkItem) -> bool:
+    """:return: whether the request still waits"""
+    return table.queued.get(item.request_id) is item
+
+
+def forget_idle(tier: TierQueue, queue: ClassQueue, customer: CustomerQueue) -> None:
+    """
+    Drop queues that hold nothing and owe nothing.
+
+    :param tier: queues of the tier
+    :param queue: queue of the class
+    :param customer: queue of the customer
+    """
+    idle = customer.count == 0 and customer.running == 0
+    if idle and customer.virtual_tokens <= queue.reached_tokens:
+        queue.customers.pop(customer.customer, None)
+    if queue.count == 0 and queue.running == 0:
+        queue.customers.clear()
+        if queue.virtual_tokens <= tier.reached_tokens:
+            tier.classes.pop(queue.name, None)
+
+
+def _change_count(tier: TierQueue, queue: ClassQueue, customer: CustomerQueue, change: int) -> None:
+    old = queue.lengths.get(customer.count)
+    if old is not None:
+        old.pop(customer.customer, None)
+        if not old:
+            del queue.lengths[customer.count]
+    customer.count += change
+    queue.count += change
+    tier.count += change
+    if customer.count:
+        queue.lengths.setdefault(customer.count, {})[customer.customer] = None
+    queue.longest = max(queue.longest, customer.count)
+    while queue.longest and queue.longest not in queue.lengths:
+        queue.longest -= 1
+
+
+def _clear_order(queue: ClassQueue) -> None:
+    for entry in queue.order:
+        entry[3].ordered = False
+    queue.order.clear()
+
+
+def _compact(table: WorkTable, queue: ClassQueue, customer: CustomerQueue) -> None:
+    if len(customer.items) > 2 * customer.count + _SLACK:
+        kept = [item for item in customer.items if is_queued(table, item)]
+        customer.items.clear()
+        customer.items.extend(kept)
+    if len(queue.late) > 2 * queue.count + _SLACK:
+        overdue = [item for item in queue.late if is_queued(table, item)]
+        queue.late.clear()
+        queue.late.extend(overdue)
+    if len(queue.order) > 2 * queue.count + _SLACK:
+        latest = {id(entry[3]): entry for entry in sorted(queue.order, reverse=True)}
+        _clear_order(queue)
+        queue.order.extend(entry for entry in latest.values() if entry[3].count)
+        heapq.heapify(queue.order)
+        for entry in queue.order:
+            entry[3].ordered = True
+    if len(table.expiry) > 2 * len(table.queued) + _SLACK:
+        table.expiry[:] = [entry for entry in table.expiry if is_queued(table, entry[2])]
+        heapq.heapify(table.expiry)
+
+
+__all__ = [
+    "class_queue",
+    "customer_count",
+    "enqueue",
+    "find_queues",
+    "forget_idle",
+    "is_queued",
+    "newest_of_longest",
+    "order_key",
+    "push_order",
+    "remove",
+]
