--- a/bench/config.py
+++ b/bench/config.py
@@ -2,7 +2,8 @@
 Measure the configuration's way: `python -m bench.config COMMAND`.
 
 Commands: `writes` (two offices under faults), `start` (many nodes at once), `spread` (time from
-acceptance to in force), `relay` (the same by the control exchange alone), `memory` (of one node).
+acceptance to in force, all nodes watch the store), `relay` (by the control exchange alone),
+`in_force` (both, over whole processes), `memory` (of one node).
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 
 from bench.config_fleet import measure_relay
 from bench.config_nodes import measure_memory, measure_spread, measure_start
+from bench.config_processes import measure_in_force
 from bench.config_writes import run_interleaved
 
 
@@ -69,6 +71,21 @@
             f"in_force_ms {_spread(in_force_ms)}, last node ready after {ready_ms:.0f} ms"
         )
 
+    def in_force(
+        self, routers: int = 10, agents: int = 40, customers: int = 520, changes: int = 30
+    ) -> None:
+        """Change a class over whole processes, with the store and by relay alone."""
+        for relay_only in (False, True):
+            figures = asyncio.run(
+                measure_in_force(routers, agents, customers, changes, relay_only=relay_only)
+            )
+            way = "one router reaches the store" if relay_only else "all reach the store"
+            print(
+                f"processes {routers + agents}, {way}: in_force_ms {_spread(figures.in_force_ms)}, "
+                f"all ready after {figures.ready_ms:.0f} ms, "
+                f"store calls per change {figures.calls_per_change:.2f}"
+            )
+
     def memory(self, customers: int = 5_200) -> None:
         """Hold a whole configuration."""
         record_bytes, total_mb = asyncio.run(measure_memory(customers))
--- /dev/null
+++ b/bench/config_processes.py
@@ -0,0 +1,176 @@
+"""Time from acceptance to in force over whole router and agent processes in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from bench.config_fleet import GROUP, LOOPBACK, cut_off_store
+from bench.config_nodes import fill_store
+from boragetiller.agent.process import AgentProcess
+from boragetiller.cli.writer import RecordWriter
+from boragetiller.clock import SystemClock
+from boragetiller.platform.clients import PlatformClients
+from boragetiller.platform.hosts import Host
+from boragetiller.platform.memory import MemoryStore
+from boragetiller.platform.memory_hosts import MemoryHostList
+from boragetiller.records.documents import parse_documents
+from boragetiller.records.pages import page_index, page_key
+from boragetiller.records.writes import WriteState
+from boragetiller.router.process import RouterProcess
+from boragetiller.settings import (
+    BackendKind,
+    BackendSettings,
+    ControlSettings,
+    OperatorSettings,
+    PlatformSettings,
+    Role,
+    Settings,
+)
+from boragetiller.timeouts import within
+
+if TYPE_CHECKING:
+    from boragetiller.platform.store import Store
+
+WAIT_S = 60.0
+_URL = "http://127.0.0.1:1"
+_KEY = page_key(page_index("class/t1"))
+
+
+@attrs.frozen(kw_only=True)
+class InForceFigures:
+    """A figure for each change and node."""
+
+    in_force_ms: list[float]
+    ready_ms: float
+    calls_per_change: float
+
+
+class _Watched:
+    """A process whose configuration is looked at after each change."""
+
+    def __init__(self, process: RouterProcess | AgentProcess) -> None:
+        self.process = process
+        self.taken_at: dict[int, float] = {}
+        self._changed = asyncio.Event()
+        self._forward = process.sync._on_change
+        process.sync._on_change = self._on_change
+
+    @property
+    def ready(self) -> bool:
+        """:return: whether a whole configuration is in force"""
+        return self.process.config.ready
+
+    async def wait_ready(self) -> None:
+        """Wait for a whole configuration."""
+        while not self.ready:
+            await self._wait_change()
+
+    async def wait_taken(self, revision: int) -> None:
+        """Wait for the page of the changed class."""
+        while revision not in self.taken_at:
+            await self._wait_change()
+
+    def _on_change(self) -> None:
+        self._forward()
+        revision = self.process.config.page_revisions.get(_KEY, 0)
+        self.taken_at.setdefault(revision, time.perf_counter())
+        self._changed.set()
+
+    async def _wait_change(self) -> None:
+        self._changed.clear()
+        await self._changed.wait()
+
+
+async def measure_in_force(
+    routers: int, agents: int, customers: int, changes: int, *, relay_only: bool
+) -> InForceFigures:
+    """
+    Change a class again and again.
+
+    :param routers: number of router processes
+    :param agents: number of agent processes
+    :param customers: number of customer records
+    :param changes: number of changes
+    :param relay_only: only the first router reaches the store
+    :return: the figures
+    """
+    store = MemoryStore(SystemClock())
+    await fill_store(store, customers)
+    hosts = MemoryHostList(SystemClock())
+    fleet: list[_Watched] = []
+    began = time.perf_counter()
+    for number in range(routers + agents):
+        reachable: Store = cut_off_store() if relay_only and number else store
+        clients = PlatformClients(reachable, hosts)
+        fleet.append(await _start(number, routers, clients, hosts))
+    await within(WAIT_S, _all_ready(fleet))
+    ready_ms = 1_000 * (time.perf_counter() - began)
+    writer = RecordWriter(store, "vesturland", Random(1))
+    calls = sum(store.counts.values())
+    in_force_ms: list[float] = []
+    for change in range(changes):
+        in_force_ms += await within(WAIT_S, _change_once(store, writer, fleet, change))
+    calls = sum(store.counts.values()) - calls
+    await asyncio.gather(*(node.process.close() for node in fleet))
+    return InForceFigures(
+        in_force_ms=in_force_ms, ready_ms=ready_ms, calls_per_change=calls / changes
+    )
+
+
+async def _all_ready(fleet: list[_Watched]) -> None:
+    for node in fleet:
+        await node.wait_ready()
+
+
+async def _change_once(
+    store: MemoryStore, writer: RecordWriter, fleet: list[_Watched], change: int
+) -> list[float]:
+    text = f"kind: class\nname: t1\nschema_version: 2\ndeadline_ms: {1_000 + change}\n"
+    result = (await writer.write(parse_documents(text), at_ms=change))[0]
+    accepted_at = time.perf_counter()
+    assert result.state is WriteState.ACCEPTED, result
+    entry = store._entries[_KEY]
+    for node in fleet:
+        await node.wait_taken(entry.revision)
+    return [max(0.0, 1_000 * (n.taken_at[entry.revision] - accepted_at)) for n in fleet]
+
+
+async def _start(
+    number: int, routers: int, clients: PlatformClients, hosts: MemoryHostList
+) -> _Watched:
+    role = Role.ROUTER if number < routers else Role.AGENT
+    name = f"{role.value}-{number}"
+    backend = BackendSettings(name=f"{name}-s", group=GROUP, kind=BackendKind.SERVICE, url=_URL)
+    settings = Settings(
+        role=role,
+        name=name,
+        failure_domain="vl-a",
+        control=ControlSettings(key="bench"),
+        operator=OperatorSettings(key="bench"),
+        platform=PlatformSettings(store_url=_URL, host_list_url=_URL),
+        backend=backend if role is Role.AGENT else None,
+        seed=number,
+    )
+    process = (RouterProcess if role is Role.ROUTER else AgentProcess)(settings, clients)
+    watched = _Watched(process)
+    await process.start()
+    endpoints = process.endpoints()
+    host = Host(
+        name=name,
+        role=role.value,
+        address=LOOPBACK,
+        data_port=endpoints.data_port,
+        control_port=endpoints.control_port,
+        failure_domain="vl-a",
+        group=GROUP if role is Role.AGENT else "",
+    )
+    hosts.put(host)
+    return watched
+
+
+__all__ = ["InForceFigures", "measure_in_force"]
--- a/src/boragetiller/cli/status.py
+++ b/src/boragetiller/cli/status.py
@@ -10,9 +10,9 @@
 
 from boragetiller.cli.exit_codes import ExitCode
 from boragetiller.cli.messages import Explanation, NodePage, NodeStatus, RecordStatus, read_message
-from boragetiller.cli.operator_client import OperatorRefused, OperatorUnreachable, fetch
+from boragetiller.cli.operator_client import OperatorRefused, fetch
 from boragetiller.cli.report import Report, print_report
-from boragetiller.errors import BoragetillerError
+from boragetiller.errors import BoragetillerError, SettingsInvalid
 from boragetiller.records.pages import split_record_id
 
 if TYPE_CHECKING:
@@ -28,14 +28,14 @@
     :param options: routers and output
     :return: exit code
     """
-    answers, problems = await _ask_all("/status", NodeStatus, options)
+    answers, errors = await _ask_all("/status", NodeStatus, options)
     rows: list[tuple[Any, ...]] = []
     for node in answers:
         rows.append((node.name, node.role, node.failure_domain, _node_state(node), "", "", ""))
         for agent in node.agents:
             load = (f"{agent.running}/{agent.max_running}", agent.queued, agent.in_flight)
             rows.append((f"  {agent.name}", agent.group, agent.failure_domain, agent.state, *load))
-    notes = [*problems, *(note for node in answers for note in _config_notes(node))]
+    notes = [*map(str, errors), *(note for node in answers for note in _config_notes(node))]
     report = Report(
         columns=("node", "role_or_group", "failure_domain", "state")
         + ("running", "queued_by_tier", "in_flight"),
@@ -44,7 +44,7 @@
         notes=tuple(notes),
     )
     print_report(report, options.output)
-    return ExitCode.UNREACHABLE if problems else ExitCode.DONE
+    return ExitCode.UNREACHABLE if errors else ExitCode.DONE
 
 
 async def show_record_status(record_id: str, options: OperatorOptions) -> ExitCode:
@@ -56,7 +56,11 @@
     :return: exit code
     """
     split_record_id(record_id)
-    answers, problems = await _ask_all(f"/status/record/{record_id}", RecordStatus, options)
+    answers, errors = await _ask_all(f"/status/record/{record_id}", RecordStatus, options)
+    if answers and not any(_knows_record(answer) for answer in answers):
+        raise SettingsInvalid(
+            f"{record_id}: no such record at the routers asked; `boragetiller list` shows all"
+        )
     nodes: dict[str, NodePage] = {}
     for answer in answers:
         for node in answer.nodes:
@@ -71,7 +75,7 @@
         )
         for _, node in sorted(nodes.items())
     ]
-    notes = [*problems, *_record_notes(answers)]
+    notes = [*map(str, errors), *_record_notes(answers)]
     columns = ("node", "page_revision", "newest", "in_force_for_ms")
     data = {
         "record": record_id,
@@ -81,7 +85,7 @@
     }
     report = Report(columns=columns, rows=rows, data=data, notes=tuple(notes))
     print_report(report, options.output)
-    return ExitCode.UNREACHABLE if problems else ExitCode.DONE
+    return ExitCode.UNREACHABLE if errors else ExitCode.DONE
 
 
 async def explain_request(request_id: str, options: OperatorOptions) -> ExitCode:
@@ -92,9 +96,7 @@
     :param options: routers and output
     :return: exit code
     """
-    answers, problems = await _ask_all(
-        f"/explain/{quote(request_id, safe='')}", Explanation, options
-    )
+    answers, errors = await _ask_all(f"/explain/{quote(request_id, safe='')}", Explanation, options)
     rows = [
         (answer.router, step.at_ms, step.step, step.detail)
         for answer in answers
@@ -102,32 +104,30 @@
     ]
     data = [attrs.asdict(answer) for answer in answers]
     report = Report(columns=("router", "at_ms", "step", "detail"), rows=rows, data=data)
-    print_report(attrs.evolve(report, notes=() if answers else tuple(problems)), options.output)
-    return ExitCode.DONE if answers else ExitCode.FAILED
+    if not answers:
+        raise next((e for e in errors if not isinstance(e, OperatorRefused)), errors[0])
+    print_report(report, options.output)
+    return ExitCode.DONE
 
 
 async def _ask_all(
     path: str, target: type[T], options: OperatorOptions
-) -> tuple[list[T], list[str]]:
-    bodies = await asyncio.gather(
-        *(fetch(url, path, options) for url in options.operator_urls), return_exceptions=True
-    )
+) -> tuple[list[T], list[BoragetillerError]]:
+    asked = (_ask(url, path, target, options) for url in options.operator_urls)
     answers: list[T] = []
-    problems: list[str] = []
-    errors: list[BaseException] = []
-    for body in bodies:
-        try:
-            if isinstance(body, BaseException):
-                raise body
-            answers.append(read_message(target, body))
-        except BoragetillerError as error:
-            errors.append(error)
-            problems.append(str(error))
-    if not answers and not all(
-        isinstance(e, OperatorRefused | OperatorUnreachable) for e in errors
-    ):
-        raise errors[0]
-    return answers, problems
+    errors: list[BoragetillerError] = []
+    for answer in await asyncio.gather(*asked, return_exceptions=True):
+        if isinstance(answer, BoragetillerError):
+            errors.append(answer)
+        elif isinstance(answer, BaseException):
+            raise answer
+        else:
+            answers.append(answer)
+    return answers, errors
+
+
+async def _ask(url: str, path: str, target: type[T], options: OperatorOptions) -> T:
+    return read_message(target, await fetch(url, path, options))
 
 
 def _node_state(node: NodeStatus) -> str:
@@ -152,6 +152,10 @@
         nodes[node.node] = node
 
 
+def _knows_record(answer: RecordStatus) -> bool:
+    return answer.record_revision is not None or bool(answer.problem)
+
+
 def _record_notes(answers: list[RecordStatus]) -> list[str]:
     notes = []
     for answer in answers:
