--- a/src/boragetiller/cli/writer.py
+++ b/src/boragetiller/cli/writer.py
@@ -168,6 +168,8 @@
     """
     Tell which references would newly fail if all writes were accepted.
 
+    A record whose page cannot be read is taken to be there.
+
     :param pages: pages as stored
     :param writes: writes that are about to be made
     :return: problems that the stored records do not have yet
@@ -179,7 +181,13 @@
         stored = after_pages.setdefault(index, StoredPage(revision=0, data=b"", page=Page()))
         apply_write(stored.page, write)
     after = _table_of(after_pages)
-    return [p for p in after.reference_problems if p not in before.reference_problems]
+    unreadable = {index for index, stored in pages.items() if stored.problem}
+    return [
+        problem
+        for problem in after.reference_problems
+        if problem not in before.reference_problems
+        and not (problem.target_id and page_index(problem.target_id) in unreadable)
+    ]
 
 
 def missing_references(pages: dict[int, StoredPage]) -> list[ReferenceProblem]:
--- a/src/boragetiller/records/pages.py
+++ b/src/boragetiller/records/pages.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+import zlib
 from typing import Any
 
 import attrs
@@ -14,6 +15,8 @@
 PAGE_COUNT = 64
 PAGE_PREFIX = "config/"
 PAGE_FORMAT = 1
+MAX_PAGE_BYTES = 16_000_000  # after decompression
+COMPRESSION_LEVEL = 6
 MAX_RECENT_WRITES = 256
 MAX_RECORD_HISTORY = 8
 
@@ -98,7 +101,7 @@
 
 
 def encode_page(page: Page) -> bytes:
-    """:return: the page as JSON bytes, the same for equal pages"""
+    """:return: the page as compressed JSON"""
     body = {
         **page.extra,
         "format": PAGE_FORMAT,
@@ -106,19 +109,20 @@
         "recent_writes": page.recent_writes,
         "records": {name: _record_body(page.records[name]) for name in sorted(page.records)},
     }
-    return json.dumps(body, separators=(",", ":"), sort_keys=True).encode()
+    text = json.dumps(body, separators=(",", ":"), sort_keys=True)
+    return zlib.compress(text.encode(), COMPRESSION_LEVEL)
 
 
 def decode_page(data: bytes) -> Page:
     """
     Read a page; keys that this version does not know are kept.
 
-    :param data: stored bytes
+    :param data: stored bytes, compressed or plain JSON
     :return: the page
     :raises SettingsInvalid: when the bytes are no page or of a newer page format
     """
     try:
-        body = json.loads(data)
+        body = json.loads(_decompress(data))
         if body["format"] != PAGE_FORMAT:
             raise SettingsInvalid(f"page format {body['format']} is not known here")
         known = ("format", "write_count", "recent_writes", "records")
@@ -128,10 +132,28 @@
             records={name: _record_from(item) for name, item in body["records"].items()},
             extra={key: value for key, value in body.items() if key not in known},
         )
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        IndexError,
+        RecursionError,
+        zlib.error,
+    ) as error:
         raise SettingsInvalid(f"not a page: {type(error).__name__}") from error
 
 
+def _decompress(data: bytes) -> bytes:
+    if data.startswith(b"{"):
+        return data
+    decompressor = zlib.decompressobj()
+    text = decompressor.decompress(data, MAX_PAGE_BYTES)
+    if not decompressor.eof:
+        raise ValueError("cut off or too large")
+    return text
+
+
 def _record_body(record: StoredRecord) -> dict[str, Any]:
     return {
         **record.extra,
@@ -166,6 +188,7 @@
 
 
 __all__ = [
+    "MAX_PAGE_BYTES",
     "MAX_RECENT_WRITES",
     "MAX_RECORD_HISTORY",
     "PAGE_COUNT",
--- a/tests/cli/test_writer.py
+++ b/tests/cli/test_writer.py
@@ -170,6 +170,15 @@
         )
         self.assertEqual([r.state for r in results], [WriteState.ACCEPTED] * 3, results)
 
+    async def test_reference_into_an_unreadable_page_is_accepted(self) -> None:
+        key = page_key(page_index("group/tiller-pool"))
+        self.assertNotEqual(page_index("group/tiller-pool"), page_index("class/note"))
+        entry = await self.store.get(key)
+        assert entry is not None
+        await self.store.put(key, b"garbage", expected_revision=entry.revision)
+        result = await write_fields(self.store, "class", "note", group="tiller-pool")
+        self.assertEqual(result.state, WriteState.ACCEPTED)
+
     async def test_unreadable_page_is_refused(self) -> None:
         key = page_key(page_index("class/quote"))
         entry = await self.store.get(key)
