--- a/src/boragetiller/cli/writer.py
+++ b/src/boragetiller/cli/writer.py
@@ -26,7 +26,7 @@
     begin_write,
     write_is_settled,
 )
-from boragetiller.systems.config_pages import PageUpdate, take_pages
+from boragetiller.systems.config_pages import PageUpdate, make_ready, take_pages
 from boragetiller.tables.config import ConfigTable
 
 if TYPE_CHECKING:
@@ -204,6 +204,7 @@
         for index, stored in pages.items()
     ]
     take_pages(table, updates, now_ms=0)
+    make_ready(table)
     return table
 
 
@@ -224,9 +225,10 @@
     return batches
 
 
-def _unsent(record_id: str) -> WriteResult:
+def _unsent(record_id: str, write_id: str = "") -> WriteResult:
     return WriteResult(
         record_id=record_id,
+        write_id=write_id,
         state=WriteState.NOT_ACCEPTED,
         message="the store does not answer or is too busy; this run wrote nothing, run it again",
     )
@@ -234,7 +236,7 @@
 
 def _undecided(write: PendingWrite, reply_lost: bool) -> WriteResult:
     if not reply_lost:
-        return _unsent(write.document.record_id)
+        return _unsent(write.document.record_id, write.write_id)
     return WriteResult(
         record_id=write.document.record_id,
         state=WriteState.UNKNOWN,
--- a/src/boragetiller/control/exchange.py
+++ b/src/boragetiller/control/exchange.py
@@ -34,6 +34,7 @@
 from boragetiller.control.server import ControlServer
 from boragetiller.control.session import NONCE_BYTES, Session
 from boragetiller.events import Event, log_event
+from boragetiller.timeouts import within
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -140,8 +141,8 @@
         for connection in closing:
             connection.close()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._settings.heartbeat_ms / MS_PER_S):
-                await asyncio.gather(*(connection.closed.wait() for connection in closing))
+            waits = (connection.closed.wait() for connection in closing)
+            await within(self._settings.heartbeat_ms / MS_PER_S, asyncio.gather(*waits))
         for connection in list(self._open):
             connection.abort(ControlError())
 
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -188,6 +188,7 @@
     role_timeout_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
     retry_base_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
     retry_max_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
+    spread_ms_per_member: int = attrs.field(default=10, validator=validators.ge(0))
 
     @property
     def slot_ttl_ms(self) -> int:
@@ -199,10 +200,11 @@
 class ClaimSettings:
     """How calls that may not be repeated are claimed by their idempotency key."""
 
-    memory_after_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
+    memory_after_ms: int = attrs.field(default=12_000, validator=_POSITIVE)
     renew_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
     commit_interval_ms: int = attrs.field(default=250, validator=_POSITIVE)
-    poll_ms: int = attrs.field(default=500, validator=_POSITIVE)
+    poll_ms: int = attrs.field(default=200, validator=_POSITIVE)
+    successor_poll_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
     pause_limit_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
     retry_horizon_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
     max_call_age_ms: int = attrs.field(default=120_000, validator=_POSITIVE)
@@ -215,6 +217,14 @@
     answers_bytes: int = attrs.field(default=16_000_000, validator=_POSITIVE)
 
 
+@attrs.frozen(kw_only=True)
+class StrikeSettings:
+    """How request bodies that crash backend servers are remembered."""
+
+    expire_ms: int = attrs.field(default=1_800_000, validator=_POSITIVE)
+    max_bodies: int = attrs.field(default=10_000, validator=_POSITIVE)
+
+
 @attrs.frozen(kw_only=True)
 class BackendSettings:
     """The backend server that an agent stands beside."""
@@ -247,6 +257,7 @@
     config: ConfigSettings = ConfigSettings()
     orders: OrderSettings = OrderSettings()
     claims: ClaimSettings = ClaimSettings()
+    strikes: StrikeSettings = StrikeSettings()
     backend: BackendSettings | None = None
     seed: int | None = None
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
@@ -293,6 +304,7 @@
     "Role",
     "Settings",
     "StatsdSettings",
+    "StrikeSettings",
     "TlsSettings",
     "load_settings",
 ]
