Prove over real processes that leaving servers get nothing new after three seconds

Change: tests/test_leaving.py: four engines, two routers; one engine leaves by the host list, one by the records, one drains with requests in progress. bench/slopes_processes.py: idle real processes.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -24,6 +24,7 @@
 from bench.config_nodes import measure_memory
 from bench.control import measure_agent, measure_router
 from bench.control_nodes import NodeFleet
+from bench.slopes_processes import measure_processes
 from boragetiller.platform.dialect import decode_host, encode_host
 from boragetiller.platform.hosts import Host
 from boragetiller.settings import (
@@ -82,6 +83,7 @@
     agents = [asyncio.run(measure_agent(n, seconds)) for n in ROUTER_COUNTS]
     _print_role("router", routers, "agents", AGENTS_PER_ROUTER)
     _print_role("agent", agents, "routers", ROUTERS_PER_AGENT)
+    _print_processes(seconds)
     _print_configuration()
     _print_host_list()
     _print_checks()
@@ -111,6 +113,13 @@
     print(f"| {name} | | bound {bound:g} | {value:.4g}: {verdict} |")
 
 
+def _print_processes(seconds: float) -> None:
+    print(f"\nidle processes with the records of {CUSTOMERS} customers, a fleet of one each")
+    for figures in asyncio.run(measure_processes(CUSTOMERS, seconds)):
+        print(f"{figures.name}: {figures.core_percent:.2f}% of a core")
+        _print_bound(f"{figures.name} resident_mb", figures.resident_mb, MEMORY_BOUND_MB)
+
+
 def _print_configuration() -> None:
     record_bytes, total_mb = asyncio.run(measure_memory(CUSTOMERS))
     print(f"\nconfiguration of {CUSTOMERS} customers: {record_bytes:.0f} bytes a record")
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,118 @@
+"""Real processes on loopback: a backend server that leaves gets nothing new after three seconds."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+import aiohttp
+
+from bench.fleet import OPERATOR_KEY, Fleet, Member
+from tests.fleet import KEY, MODEL, sample_records
+
+ENGINES = ("engine-a", "engine-b", "engine-c", "engine-d")
+STAYING = "engine-a"
+REACTION_S = 3.0
+CALLS = 40
+LONG_CALLS = 12
+LONG_TOKENS = 1_200
+MAX_TRIES = 200
+RETRY_S = 0.05
+
+
+class LeavingTest(unittest.IsolatedAsyncioTestCase):
+    """Four engines; one leaves by the list, one by the records, one by draining."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet()
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start()
+        await asyncio.gather(*(self._start_engine(name) for name in ENGINES))
+        await self.fleet.apply(sample_records(ENGINES, ()))
+        names = ("router-a", "router-b")
+        self.routers = await asyncio.gather(*(self.fleet.start_router(name) for name in names))
+        self.session = aiohttp.ClientSession(headers={"Authorization": f"Bearer {KEY}"})
+        self.addAsyncCleanup(self.session.close)
+
+    async def test_leaving_servers_get_nothing_new_after_three_seconds(self) -> None:
+        await self._call_until_all_serve()
+        long_calls = await self._start_long_calls()
+        members = self.fleet.members
+        await self.fleet.list_host(members["engine-b"], group="pool", state="leaving")
+        await self.fleet.apply(sample_records(("engine-a", "engine-b", "engine-d"), ()))
+        stop = asyncio.create_task(members["engine-d"].stop())
+        await asyncio.sleep(REACTION_S)
+        before = await self._runs()
+        turned_away = await self._turned_away()
+        statuses = await asyncio.gather(*(self._call(n) for n in range(CALLS)))
+        after = await self._runs()
+        self.assertEqual(statuses, [200] * CALLS)
+        gained = {name: after[name] - before[name] for name in ENGINES}
+        self.assertEqual(gained, {name: CALLS if name == STAYING else 0 for name in ENGINES})
+        self.assertEqual(await self._turned_away(), turned_away)
+        self.assertFalse(stop.done())
+        self.assertEqual(await asyncio.gather(*long_calls), [200] * LONG_CALLS)
+        self.assertEqual(await stop, 0)
+
+    async def _start_engine(self, name: str) -> None:
+        engine = await self.fleet.start_standin(f"{name}-server", "engine")
+        await self.fleet.start_agent(name, "pool", engine)
+
+    async def _call_until_all_serve(self) -> None:
+        for number in range(MAX_TRIES):
+            await self._call(number)
+            if all((await self._runs()).values()):
+                return
+            await asyncio.sleep(RETRY_S)
+        self.fail(f"not every engine is used: {await self._runs()}")
+
+    async def _start_long_calls(self) -> list[asyncio.Task[int]]:
+        before = await self._runs()
+        calls = [asyncio.create_task(self._call(n, LONG_TOKENS)) for n in range(LONG_CALLS)]
+        expected = sum(before.values()) + LONG_CALLS
+        for _ in range(MAX_TRIES):
+            runs = await self._runs()
+            if sum(runs.values()) == expected:
+                break
+            await asyncio.sleep(RETRY_S)
+        self.assertEqual(sum(runs.values()), expected)
+        self.assertGreater(runs["engine-d"], before["engine-d"])
+        return calls
+
+    async def _call(self, number: int, tokens: int = 4) -> int:
+        router = self.routers[number % len(self.routers)]
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": f"question {tokens} {number}"}],
+            "max_tokens": tokens,
+        }
+        async with self.session.post(router.url + "/v1/chat/completions", json=body) as response:
+            await response.read()
+            return response.status
+
+    async def _runs(self) -> dict[str, int]:
+        """Count the requests that each engine started."""
+        runs = {}
+        for name in ENGINES:
+            ledger = await self._get(self.fleet.members[f"{name}-server"].url + "/ledger")
+            runs[name] = sum(ledger["by_request_id"].values())
+        return runs
+
+    async def _turned_away(self) -> int:
+        """Count attempts that routers sent to an agent which was draining."""
+        metrics = [await self._operator_metrics(router) for router in self.routers]
+        return sum(counts.get("router.retry.draining", 0) for counts in metrics)
+
+    async def _operator_metrics(self, member: Member) -> dict[str, int]:
+        port = member.endpoints["operator_port"]
+        headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+        return dict(await self._get(f"http://127.0.0.1:{port}/metrics", headers=headers))
+
+    async def _get(self, url: str, **options: Any) -> Any:
+        async with self.session.get(url, **options) as response:
+            return await response.json()
+
+
+if __name__ == "__main__":
+    unittest.main()
