--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -86,7 +86,7 @@
             settings.listen.address,
             settings.listen.port,
             limits=settings.limits,
-            tls=settings.listen.tls,
+            tls=settings.peer_tls,
         )
         self.operator = HttpServer(
             operator_app(settings.operator, self.metrics),
--- a/src/boragetiller/daemon.py
+++ b/src/boragetiller/daemon.py
@@ -76,6 +76,9 @@
     stop = _stop_event()
     try:
         await process.start()
+    except SettingsInvalid as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
     except OSError as error:
         print(f"cannot start: {error}", file=sys.stderr)
         return EXIT_START
--- a/src/boragetiller/router/agent_client.py
+++ b/src/boragetiller/router/agent_client.py
@@ -13,6 +13,7 @@
     BoragetillerError,
     ProtocolError,
 )
+from boragetiller.platform.tls import client_tls_context
 from boragetiller.relay.attempt import (
     ATTEMPT_HEADER,
     ATTEMPT_PATH,
@@ -36,7 +37,7 @@
     """Sends attempts to agents and reads their frames."""
 
     def __init__(self, settings: Settings) -> None:
-        """:param settings: control key and timeouts"""
+        """:param settings: control key, TLS and timeouts"""
         self._settings = settings
         self._headers = {"Authorization": "Bearer " + data_path_token(settings.control.key)}
         self._session: aiohttp.ClientSession | None = None
@@ -49,7 +50,10 @@
             sock_connect=placement.connect_timeout_ms / 1_000,
             sock_read=placement.silence_timeout_ms / 1_000,
         )
+        peer_tls = self._settings.peer_tls
         connector = aiohttp.TCPConnector(limit=0)
+        if peer_tls is not None:
+            connector = aiohttp.TCPConnector(limit=0, ssl=client_tls_context(peer_tls))
         self._session = aiohttp.ClientSession(
             connector=connector, timeout=timeout, auto_decompress=False
         )
@@ -73,7 +77,7 @@
         """
         assert self._session is not None
         headers = {**self._headers, ATTEMPT_HEADER: attempt.to_header()}
-        url = _url(agent, ATTEMPT_PATH)
+        url = self._url(agent, ATTEMPT_PATH)
         try:
             async with self._session.post(url, data=body, headers=headers) as response:
                 _check_status(response)
@@ -99,7 +103,7 @@
         timeout = aiohttp.ClientTimeout(total=WITHDRAW_TIMEOUT_S)
         try:
             async with self._session.post(
-                _url(agent, WITHDRAW_PATH), json=fields, headers=self._headers, timeout=timeout
+                self._url(agent, WITHDRAW_PATH), json=fields, headers=self._headers, timeout=timeout
             ) as response:
                 answer = await response.json()
                 verdict = Verdict(answer["verdict"])
@@ -107,6 +111,10 @@
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
             return Verdict.MAY_HAVE_RUN
 
+    def _url(self, agent: AgentEntry, path: str) -> str:
+        scheme = "http" if self._settings.peer_tls is None else "https"
+        return f"{scheme}://{agent.address}:{agent.data_port}{path}"
+
 
 async def _read_frames(
     response: aiohttp.ClientResponse, attempt: int
@@ -130,10 +138,6 @@
     raise AgentLost("the answer ended without its end marker")
 
 
-def _url(agent: AgentEntry, path: str) -> str:
-    return f"http://{agent.address}:{agent.data_port}{path}"
-
-
 def _check_status(response: aiohttp.ClientResponse) -> None:
     if response.status != 200:
         raise ProtocolError(f"agent answered {response.status}", verdict=Verdict.NOT_RUN)
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -246,6 +246,7 @@
     failure_domain: str
     region: str = "default"
     listen: ListenSettings = ListenSettings()
+    peer_tls: TlsSettings | None = None  # between routers and agents, each shows a certificate
     control: ControlSettings
     operator: OperatorSettings
     platform: PlatformSettings
@@ -267,9 +268,13 @@
     log_json: bool = False
 
     def __attrs_post_init__(self) -> None:
-        """:raises ValueError: when an agent names no backend server"""
+        """:raises ValueError: when settings do not fit together"""
         if self.role is Role.AGENT and self.backend is None:
             raise ValueError("backend: required for role agent")
+        if self.role is Role.AGENT and self.listen.tls is not None:
+            raise ValueError("listen.tls: for callers of routers; agents take peer_tls")
+        if self.peer_tls is not None and self.peer_tls.authority is None:
+            raise ValueError("peer_tls.authority: required, both sides check it")
 
 
 def load_settings(path: str) -> Settings:
--- a/tests/platform/test_tls.py
+++ b/tests/platform/test_tls.py
@@ -1,14 +1,32 @@
-"""TLS settings that do not fit are refused with the file's name."""
+"""TLS towards callers and between router and agent, by settings."""
 
 from __future__ import annotations
 
+import ssl
 import tempfile
 import unittest
 from pathlib import Path
 
+import aiohttp
+
 from boragetiller.errors import SettingsInvalid
 from boragetiller.platform.tls import client_tls_context, server_tls_context
-from boragetiller.settings import TlsSettings
+from boragetiller.settings import ListenSettings, TlsSettings
+from boragetiller.standin.engine import EngineServer, EngineSettings
+from boragetiller.standin.engine_model import EngineModelSettings
+from boragetiller.standin.engine_text import expected_text
+from tests.fleet import KEY, MODEL, Fleet, sample_records
+
+CERTIFICATES = Path(__file__).parents[1] / "tls"
+BODY = {"model": MODEL, "max_tokens": 3, "messages": [{"role": "user", "content": "gauge?"}]}
+
+
+def _tls(certificate: str = "host", key: str = "host") -> TlsSettings:
+    return TlsSettings(
+        certificate=str(CERTIFICATES / f"{certificate}.pem"),
+        key=str(CERTIFICATES / f"{key}.key"),
+        authority=str(CERTIFICATES / "authority.pem"),
+    )
 
 
 class TlsFilesTest(unittest.TestCase):
@@ -25,5 +43,56 @@
                         build(tls)
 
 
+class TlsPathTest(unittest.IsolatedAsyncioTestCase):
+    """A caller, a router, an agent and an engine."""
+
+    async def asyncSetUp(self) -> None:
+        self.engine = EngineServer(
+            EngineSettings(models=(MODEL,), model=EngineModelSettings(step_ms=0.2))
+        )
+        await self.engine.start()
+        self.addAsyncCleanup(self.engine.close)
+        self.fleet = Fleet()
+        await self.fleet.start()
+        self.addAsyncCleanup(self.fleet.close)
+
+    async def _ask(self, router_tls: TlsSettings, agent_tls: TlsSettings) -> tuple[int, str]:
+        await self.fleet.add_agent("pool-1", "pool", self.engine.url, peer_tls=agent_tls)
+        listen = ListenSettings(tls=TlsSettings(certificate=_tls().certificate, key=_tls().key))
+        await self.fleet.apply(sample_records(("pool-1",), ()))
+        router = await self.fleet.add_router("r-1", peer_tls=router_tls, listen=listen)
+        context = ssl.create_default_context(cafile=_tls().authority)
+        url = router.callers.base_url + "/v1/chat/completions"
+        headers = {"Authorization": f"Bearer {KEY}"}
+        async with (
+            aiohttp.ClientSession(headers=headers) as session,
+            session.post(url, json=BODY, ssl=context) as response,
+        ):
+            self.assertTrue(url.startswith("https://"))
+            return response.status, await response.text()
+
+    async def test_completion_over_tls(self) -> None:
+        status, text = await self._ask(_tls(), _tls())
+        self.assertEqual(status, 200)
+        self.assertIn(expected_text(BODY), text)
+
+    async def test_router_without_our_certificate_runs_nothing(self) -> None:
+        status, _ = await self._ask(_tls("stranger", "stranger"), _tls())
+        self.assertGreaterEqual(status, 500)
+        self.assertEqual(self.engine.ledger.by_body, {})
+
+    async def test_agent_with_another_address_runs_nothing(self) -> None:
+        status, text = await self._ask(_tls(), _tls("elsewhere"))
+        self.assertGreaterEqual(status, 500)
+        self.assertIn("not_run", text)
+        self.assertEqual(self.engine.ledger.by_body, {})
+
+    async def test_plain_http_to_an_agent_is_refused(self) -> None:
+        agent = await self.fleet.add_agent("pool-1", "pool", self.engine.url, peer_tls=_tls())
+        async with aiohttp.ClientSession() as session:
+            with self.assertRaises(aiohttp.ClientError):
+                await session.post(f"http://127.0.0.1:{agent.data.port}/attempt")
+
+
 if __name__ == "__main__":
     unittest.main()
