--- /dev/null
+++ b/src/boragetiller/agent/operator.py
@@ -0,0 +1,68 @@
+"""The agent's operator routes: its status and the records that it holds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from aiohttp import web
+
+from boragetiller.cli.messages import AgentStatus, NodeStatus
+from boragetiller.router.config_status import config_status, record_status
+
+if TYPE_CHECKING:
+    from boragetiller.agent.process import AgentProcess
+
+
+def add_agent_routes(app: web.Application, agent: AgentProcess) -> None:
+    """
+    Add the routes to the operator port.
+
+    :param app: application of the port
+    :param agent: the process to describe
+    """
+
+    async def show_status(_request: web.Request) -> web.Response:
+        return web.json_response(attrs.asdict(_node_status(agent)))
+
+    async def show_record(request: web.Request) -> web.Response:
+        record_id = f"{request.match_info['kind']}/{request.match_info['name']}"
+        now_ms = agent.clock.now_ms()
+        name = agent.settings.name
+        status = record_status(agent.sync, agent.config, record_id, name, now_ms)
+        return web.json_response(attrs.asdict(status))
+
+    app.router.add_get("/status", show_status)
+    app.router.add_get("/status/record/{kind}/{name}", show_record)
+
+
+def _node_status(agent: AgentProcess) -> NodeStatus:
+    settings = agent.settings
+    return NodeStatus(
+        name=settings.name,
+        role=settings.role.value,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        draining=agent.server.draining,
+        config=config_status(agent.sync, agent.config),
+        agents=(_own_status(agent),),
+    )
+
+
+def _own_status(agent: AgentProcess) -> AgentStatus:
+    assert agent.settings.backend is not None
+    load = agent.state.report_load()
+    return AgentStatus(
+        name=agent.settings.name,
+        group=agent.settings.backend.group,
+        failure_domain=agent.settings.failure_domain,
+        state="draining" if agent.server.draining else "live",
+        in_flight=agent.server.in_progress,
+        running=load.running,
+        max_running=load.max_running,
+        queued=load.queued,
+        report_age_ms=0,
+    )
+
+
+__all__ = ["add_agent_routes"]
--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -9,6 +9,7 @@
 from boragetiller.agent.claim_keeper import StoreClaimKeeper
 from boragetiller.agent.claims import ClaimKeeper, MemoryClaimKeeper
 from boragetiller.agent.gate import Gate
+from boragetiller.agent.operator import add_agent_routes
 from boragetiller.agent.order_channel import HttpOrderChannel
 from boragetiller.agent.orders import OrderKeeper
 from boragetiller.agent.server import AttemptServer
@@ -77,9 +78,15 @@
             self.metrics,
             self.incarnation,
         )
-        state = AgentState(self.gate, self.server, self.claims, self.clock)
+        self.state = AgentState(self.gate, self.server, self.claims, self.clock)
         self.node = AgentNode(
-            settings, self.incarnation, state, self.sync, self.clock, self.metrics, self.strikes
+            settings,
+            self.incarnation,
+            self.state,
+            self.sync,
+            self.clock,
+            self.metrics,
+            self.strikes,
         )
         self.data = HttpServer(
             self.server.routes(),
@@ -88,8 +95,10 @@
             limits=settings.limits,
             tls=settings.peer_tls,
         )
+        operator_routes = operator_app(settings.operator, self.metrics)
+        add_agent_routes(operator_routes, self)
         self.operator = HttpServer(
-            operator_app(settings.operator, self.metrics),
+            operator_routes,
             settings.operator.address,
             settings.operator.port,
             limits=settings.limits,
--- /dev/null
+++ b/tests/agent/test_operator.py
@@ -0,0 +1,60 @@
+"""Tests of the agent's operator port."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+import aiohttp
+
+from boragetiller.cli.messages import NodeStatus, RecordStatus, read_message
+from boragetiller.standin.engine import EngineServer, EngineSettings
+from tests.fleet import Fleet, sample_records
+
+KEY = {"Authorization": "Bearer operator-key"}
+
+
+class AgentOperatorTest(unittest.IsolatedAsyncioTestCase):
+    """One agent and one router."""
+
+    async def asyncSetUp(self) -> None:
+        engine = EngineServer(EngineSettings())
+        await engine.start()
+        self.addAsyncCleanup(engine.close)
+        self.fleet = Fleet()
+        self.addAsyncCleanup(self.fleet.close)
+        await self.fleet.start()
+        await self.fleet.apply(sample_records(("pool-1",), ()))
+        self.agent = await self.fleet.add_agent("pool-1", "pool", engine.url)
+
+    async def _get(self, path: str, **headers: str) -> tuple[int, Any]:
+        async with (
+            aiohttp.ClientSession(self.agent.operator.base_url) as session,
+            session.get(path, headers=headers) as response,
+        ):
+            return response.status, await response.json()
+
+    async def test_status_describes_the_agent(self) -> None:
+        status = read_message(NodeStatus, (await self._get("/status", **KEY))[1])
+        self.assertEqual((status.name, status.role, status.draining), ("pool-1", "agent", False))
+        (own,) = status.agents
+        self.assertEqual((own.group, own.state, own.running), ("pool", "live", 0))
+        self.agent.server.draining = True
+        status = read_message(NodeStatus, (await self._get("/status", **KEY))[1])
+        self.assertEqual((status.draining, status.agents[0].state), (True, "draining"))
+
+    async def test_status_needs_the_key(self) -> None:
+        self.assertEqual((await self._get("/status"))[0], 401)
+        self.assertEqual((await self._get("/status", Authorization="Bearer x"))[0], 401)
+
+    async def test_record_shows_the_page_in_force(self) -> None:
+        await self.fleet.add_router("r-1")
+        body: Any = {}
+        while not body.get("record_revision"):
+            body = (await self._get("/status/record/group/pool", **KEY))[1]
+        status = read_message(RecordStatus, body)
+        self.assertEqual((status.record_revision, status.nodes[0].node), (1, "pool-1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
