--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -9,6 +9,7 @@
 from boragetiller.agent.claim_keeper import StoreClaimKeeper
 from boragetiller.agent.claims import ClaimKeeper, MemoryClaimKeeper
 from boragetiller.agent.gate import Gate
+from boragetiller.agent.operator import add_agent_routes
 from boragetiller.agent.order_channel import HttpOrderChannel
 from boragetiller.agent.orders import OrderKeeper
 from boragetiller.agent.server import AttemptServer
@@ -19,7 +20,7 @@
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
-from boragetiller.process import Endpoints, new_incarnation, new_metrics, wait_until_idle
+from boragetiller.process import Endpoints, drain, new_incarnation, new_metrics
 from boragetiller.relay.attempt import MAX_ATTEMPT_HEADER_BYTES
 from boragetiller.router.config_sync import ConfigSync
 from boragetiller.settings import BackendKind
@@ -78,20 +79,28 @@
             self.metrics,
             self.incarnation,
         )
-        state = AgentState(self.gate, self.server, self.claims, self.clock)
+        self.state = AgentState(self.gate, self.server, self.claims, self.clock)
         self.node = AgentNode(
-            settings, self.incarnation, state, self.sync, self.clock, self.metrics, self.strikes
+            settings,
+            self.incarnation,
+            self.state,
+            self.sync,
+            self.clock,
+            self.metrics,
+            self.strikes,
         )
         self.data = HttpServer(
             self.server.routes(),
             settings.listen.address,
             settings.listen.port,
             limits=settings.limits,
-            tls=settings.listen.tls,
+            tls=settings.peer_tls,
             max_field_bytes=MAX_ATTEMPT_HEADER_BYTES,
         )
+        operator_routes = operator_app(settings.operator, self.metrics)
+        add_agent_routes(operator_routes, self)
         self.operator = HttpServer(
-            operator_app(settings.operator, self.metrics),
+            operator_routes,
             settings.operator.address,
             settings.operator.port,
             limits=settings.limits,
@@ -129,9 +138,10 @@
         """Refuse new work, finish what is in progress, then stop."""
         log_event(Event.PROCESS_STOPPING, role="agent", name=self.settings.name)
         self.server.draining = True
+        self.data.begin_close()
         self.node.report_now()
         await self.claims.drain()  # shards without calls in progress move on at once
-        await wait_until_idle(lambda: self.server.in_progress, self.settings.drain_timeout_ms)
+        await drain(lambda: self.server.in_progress, self.settings)
         await self.claims.drain()
         for task in self._tasks:
             task.cancel()
--- a/src/boragetiller/http_server.py
+++ b/src/boragetiller/http_server.py
@@ -46,6 +46,8 @@
         self.address = address
         self.port = port
         self._tls = tls
+        self._closing = False
+        app.on_response_prepare.append(self._close_after_answer)
         logger = refusal_logger(count_refusal) if count_refusal else server_logger
         self._runner = web.AppRunner(
             app,
@@ -57,6 +59,13 @@
             logger=logger,
         )
 
+    async def _close_after_answer(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self._closing:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
     async def start(self) -> None:
         """Listen; :attr:`port` then holds the real port."""
         await self._runner.setup()
@@ -65,6 +74,10 @@
         await site.start()
         self.port = self._runner.addresses[0][1]
 
+    def begin_close(self) -> None:
+        """Ask clients, with each answer from now on, to close their connection."""
+        self._closing = True
+
     async def close(self) -> None:
         """Stop listening and close idle connections."""
         await self._runner.cleanup()
--- a/src/boragetiller/process.py
+++ b/src/boragetiller/process.py
@@ -47,14 +47,20 @@
     return Metrics(settings.statsd.address, settings.statsd.port, prefix)
 
 
-async def wait_until_idle(in_progress: Callable[[], int], timeout_ms: int) -> bool:
+async def drain(in_progress: Callable[[], int], settings: Settings) -> bool:
     """
-    Wait until nothing is in progress.
+    Wait until nothing is in progress and callers had time to drop their idle connections.
 
     :param in_progress: counts what has not ended
-    :param timeout_ms: longest wait in milliseconds
+    :param settings: longest wait, and the time for idle connections
     :return: whether nothing was left
     """
+    idle = await _wait_until_idle(in_progress, settings.drain_timeout_ms)
+    await asyncio.sleep(settings.drain_grace_ms / 1_000)
+    return await _wait_until_idle(in_progress, settings.drain_timeout_ms) and idle
+
+
+async def _wait_until_idle(in_progress: Callable[[], int], timeout_ms: int) -> bool:
     rounds = max(1, timeout_ms // IDLE_CHECK_MS)
     for _ in range(rounds):
         if in_progress() == 0:
@@ -63,4 +69,4 @@
     return in_progress() == 0
 
 
-__all__ = ["Endpoints", "new_incarnation", "new_metrics", "wait_until_idle"]
+__all__ = ["Endpoints", "drain", "new_incarnation", "new_metrics"]
