--- a/src/boragetiller/http_server.py
+++ b/src/boragetiller/http_server.py
@@ -5,10 +5,14 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import web
+from aiohttp.log import server_logger
 
+from boragetiller.http_refusals import refusal_logger
 from boragetiller.platform.tls import server_tls_context
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from boragetiller.settings import LimitSettings, TlsSettings
 
 SHUTDOWN_TIMEOUT_S = 5.0
@@ -26,6 +30,7 @@
         limits: LimitSettings,
         tls: TlsSettings | None = None,
         max_field_bytes: int | None = None,
+        count_refusal: Callable[[str], None] | None = None,
     ) -> None:
         """
         Prepare the server.
@@ -36,10 +41,14 @@
         :param limits: header limit
         :param max_field_bytes: replaces the header limit
         :param tls: certificate and key, None for plain TCP
+        :param count_refusal: called with a code when a request is no acceptable HTTP
         """
         self.address = address
         self.port = port
         self._tls = tls
+        self._closing = False
+        app.on_response_prepare.append(self._close_after_answer)
+        logger = refusal_logger(count_refusal) if count_refusal else server_logger
         self._runner = web.AppRunner(
             app,
             access_log=None,
@@ -47,8 +56,16 @@
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
             max_field_size=max_field_bytes or limits.max_header_bytes,
             max_line_size=limits.max_header_bytes,
+            logger=logger,
         )
 
+    async def _close_after_answer(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self._closing:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
     async def start(self) -> None:
         """Listen; :attr:`port` then holds the real port."""
         await self._runner.setup()
@@ -57,6 +74,10 @@
         await site.start()
         self.port = self._runner.addresses[0][1]
 
+    def begin_close(self) -> None:
+        """Ask clients, with each answer from now on, to close their connection."""
+        self._closing = True
+
     async def close(self) -> None:
         """Stop listening and close idle connections."""
         await self._runner.cleanup()
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -12,7 +12,7 @@
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
-from boragetiller.process import Endpoints, new_incarnation, new_metrics, wait_until_idle
+from boragetiller.process import Endpoints, drain, new_incarnation, new_metrics
 from boragetiller.router.agent_client import AgentClient
 from boragetiller.router.config_sync import ConfigSync
 from boragetiller.router.control_ports import LimitsPort, ShardOwnersPort, group_members
@@ -104,6 +104,7 @@
             settings.listen.port,
             limits=settings.limits,
             tls=settings.listen.tls,
+            count_refusal=self.server.count_refusal,
         )
         operator_routes = operator_app(settings.operator, self.metrics)
         add_router_routes(operator_routes, self)
@@ -140,9 +141,10 @@
         """Leave the balancer, refuse new work, finish what is in progress, then stop."""
         log_event(Event.PROCESS_STOPPING, role="router", name=self.settings.name)
         self.server.draining = True
+        self.callers.begin_close()
         await asyncio.sleep(self.settings.lame_duck_ms / 1_000)
         self.server.refusing = True
-        await wait_until_idle(lambda: self.server.in_progress, self.settings.drain_timeout_ms)
+        await drain(lambda: self.server.in_progress, self.settings)
         await self.callers.close()
         await self.discovery.close()
         for task in self._tasks:
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -248,6 +248,7 @@
     failure_domain: str
     region: str = "default"
     listen: ListenSettings = ListenSettings()
+    peer_tls: TlsSettings | None = None  # between routers and agents, each shows a certificate
     control: ControlSettings
     operator: OperatorSettings
     platform: PlatformSettings
@@ -262,16 +263,21 @@
     backend: BackendSettings | None = None
     seed: int | None = None
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
-    lame_duck_ms: int = attrs.field(default=0, validator=validators.ge(0))
+    lame_duck_ms: int = attrs.field(default=1_000, validator=validators.ge(0))
     keepalive_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+    drain_grace_ms: int = attrs.field(default=500, validator=validators.ge(0))
     drain_timeout_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
     log_level: str = "INFO"
     log_json: bool = False
 
     def __attrs_post_init__(self) -> None:
-        """:raises ValueError: when an agent names no backend server"""
+        """:raises ValueError: when settings do not fit together"""
         if self.role is Role.AGENT and self.backend is None:
             raise ValueError("backend: required for role agent")
+        if self.role is Role.AGENT and self.listen.tls is not None:
+            raise ValueError("listen.tls: for callers of routers; agents take peer_tls")
+        if self.peer_tls is not None and self.peer_tls.authority is None:
+            raise ValueError("peer_tls.authority: required, both sides check it")
 
 
 def load_settings(path: str) -> Settings:
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -52,13 +52,19 @@
         self.assertEqual(answer["error"]["verdict"], "not_run")
         self.assertEqual(sum(self.engine.ledger.by_request_id.values()), 0)
 
+    async def test_stopping_router_closes_connections_after_answers(self) -> None:
+        self.router.callers.begin_close()
+        async with self.fleet.post(self.router, CHAT, {**_body(), "max_tokens": 2}) as response:
+            await response.read()
+        self.assertEqual(response.headers["Connection"], "close")
+
     async def test_check_finds_stop_that_does_not_wait(self) -> None:
-        async def no_wait(_in_progress: object, _timeout_ms: int) -> bool:
+        async def no_wait(_in_progress: object, _settings: object) -> bool:
             return False
 
         with (
             patch("boragetiller.http_server.SHUTDOWN_TIMEOUT_S", 0.01),
-            patch("boragetiller.router.process.wait_until_idle", no_wait),
+            patch("boragetiller.router.process.drain", no_wait),
         ):
             self.router = await self.fleet.add_router("router-1")
             text = await self._stream_during_stop(self.router)
