End kept-alive connections gracefully when a process stops

Cause: tests.test_processes failed once under load ('call 128: cut off: Server disconnected'): the stopping server closed idle kept-alive connections while requests were on their way on them.

--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -21,6 +21,7 @@
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
 from boragetiller.process import Endpoints, new_incarnation, new_metrics, wait_until_idle
+from boragetiller.relay.attempt import MAX_ATTEMPT_HEADER_BYTES
 from boragetiller.router.config_sync import ConfigSync
 from boragetiller.settings import BackendKind
 from boragetiller.tables.config import ConfigTable
@@ -94,6 +95,7 @@
             settings.listen.port,
             limits=settings.limits,
             tls=settings.peer_tls,
+            max_field_bytes=MAX_ATTEMPT_HEADER_BYTES,
         )
         operator_routes = operator_app(settings.operator, self.metrics)
         add_agent_routes(operator_routes, self)
@@ -136,6 +138,7 @@
         """Refuse new work, finish what is in progress, then stop."""
         log_event(Event.PROCESS_STOPPING, role="agent", name=self.settings.name)
         self.server.draining = True
+        self.data.announce_close()
         self.node.report_now()
         await self.claims.drain()  # shards without calls in progress move on at once
         await wait_until_idle(lambda: self.server.in_progress, self.settings.drain_timeout_ms)
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -140,6 +140,7 @@
         """Leave the balancer, refuse new work, finish what is in progress, then stop."""
         log_event(Event.PROCESS_STOPPING, role="router", name=self.settings.name)
         self.server.draining = True
+        self.callers.announce_close()
         await asyncio.sleep(self.settings.lame_duck_ms / 1_000)
         self.server.refusing = True
         await wait_until_idle(lambda: self.server.in_progress, self.settings.drain_timeout_ms)
