--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -20,7 +20,7 @@
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
-from boragetiller.process import Endpoints, drain, new_incarnation, new_metrics
+from boragetiller.process import Endpoints, new_incarnation, new_metrics, wait_until_idle
 from boragetiller.relay.attempt import MAX_ATTEMPT_HEADER_BYTES
 from boragetiller.router.config_sync import ConfigSync
 from boragetiller.settings import BackendKind
@@ -138,10 +138,10 @@
         """Refuse new work, finish what is in progress, then stop."""
         log_event(Event.PROCESS_STOPPING, role="agent", name=self.settings.name)
         self.server.draining = True
-        self.data.begin_close()
+        self.data.announce_close()
         self.node.report_now()
         await self.claims.drain()  # shards without calls in progress move on at once
-        await drain(lambda: self.server.in_progress, self.settings)
+        await wait_until_idle(lambda: self.server.in_progress, self.settings.drain_timeout_ms)
         await self.claims.drain()
         for task in self._tasks:
             task.cancel()
--- a/src/boragetiller/http_server.py
+++ b/src/boragetiller/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -16,6 +17,8 @@
     from boragetiller.settings import LimitSettings, TlsSettings
 
 SHUTDOWN_TIMEOUT_S = 5.0
+LINGER_MS = 500
+LINGER_CHECK_MS = 5
 
 
 class HttpServer:
@@ -47,7 +50,8 @@
         self.port = port
         self._tls = tls
         self._closing = False
-        app.on_response_prepare.append(self._close_after_answer)
+        self._site: web.TCPSite | None = None
+        app.on_response_prepare.append(self._end_connection)
         logger = refusal_logger(count_refusal) if count_refusal else server_logger
         self._runner = web.AppRunner(
             app,
@@ -59,29 +63,39 @@
             logger=logger,
         )
 
-    async def _close_after_answer(
-        self, _request: web.Request, response: web.StreamResponse
-    ) -> None:
-        if self._closing:
-            response.force_close()
-            response.headers["Connection"] = "close"
-
     async def start(self) -> None:
         """Listen; :attr:`port` then holds the real port."""
         await self._runner.setup()
         context = server_tls_context(self._tls) if self._tls else None
-        site = web.TCPSite(self._runner, self.address, self.port, ssl_context=context)
-        await site.start()
+        self._site = web.TCPSite(self._runner, self.address, self.port, ssl_context=context)
+        await self._site.start()
         self.port = self._runner.addresses[0][1]
 
-    def begin_close(self) -> None:
-        """Ask clients, with each answer from now on, to close their connection."""
-        self._closing = True
-
     async def close(self) -> None:
-        """Stop listening and close idle connections."""
+        """
+        Stop listening, let open connections end with their next answer, close idle ones.
+
+        A request that is on its way on a kept-alive connection is still answered.
+        """
+        self._closing = True
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+        for _ in range(LINGER_MS // LINGER_CHECK_MS):
+            if self._runner.server is None or not self._runner.server.connections:
+                break
+            await asyncio.sleep(LINGER_CHECK_MS / 1_000)
         await self._runner.cleanup()
 
+    def announce_close(self) -> None:
+        """From now on, end each connection with its next answer; go on serving."""
+        self._closing = True
+
+    async def _end_connection(self, _request: web.Request, response: web.StreamResponse) -> None:
+        if self._closing:
+            response.headers["Connection"] = "close"
+            response.force_close()
+
     @property
     def base_url(self) -> str:
         """:return: URL without a path"""
--- a/src/boragetiller/router/relay.py
+++ b/src/boragetiller/router/relay.py
@@ -9,7 +9,7 @@
 import attrs
 
 from boragetiller.clock import WallClock
-from boragetiller.errors import BoragetillerError, NoBackend, NotOwner
+from boragetiller.errors import BoragetillerError, NoBackend, NotOwner, Preempted
 from boragetiller.events import Event, log_event
 from boragetiller.relay.attempt import Attempt
 from boragetiller.relay.frames import Frame, FrameKind, parse_head
@@ -311,6 +311,8 @@
             error.verdict = await self._client.withdraw(agent, attempt)
 
     async def _prepare_retry(self, journey: Journey, step: Retry) -> None:
+        if step.reason == Preempted.code:
+            journey.tried.clear()  # the agent did not fail
         self._metrics.increment(f"router.retry.{step.reason}")
         self._note(journey.request, "retry", reason=step.reason, delay_ms=step.delay_ms)
         log_event(
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -265,7 +265,6 @@
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
     lame_duck_ms: int = attrs.field(default=1_000, validator=validators.ge(0))
     keepalive_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
-    drain_grace_ms: int = attrs.field(default=500, validator=validators.ge(0))
     drain_timeout_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
     log_level: str = "INFO"
     log_json: bool = False
--- a/src/boragetiller/systems/outcomes.py
+++ b/src/boragetiller/systems/outcomes.py
@@ -64,6 +64,7 @@
     resumable: bool
     budget: RetryBudget
     attempts: int = 0
+    preemptions: int = 0  # attempts that gave way to protected work; they do not count
     elapsed_ms: int = 0
     deadline_ms: int = 0
     verdict: Verdict = Verdict.NOT_RUN
@@ -136,6 +137,8 @@
     outcome: AttemptFailed, progress: RequestProgress, settings: PlacementSettings, rng: Random
 ) -> NextStep:
     error = outcome.error
+    if isinstance(error, Preempted):
+        progress.preemptions += 1
     progress.verdict = progress.verdict.combined(error.verdict)
     refusal = _refusal(outcome, progress, settings)
     if refusal is not None:
@@ -160,7 +163,7 @@
     if isinstance(error, _OWNERSHIP_ERRORS) and progress.verdict is Verdict.NOT_RUN:
         late = progress.elapsed_ms >= progress.deadline_ms
         return GiveUpReason.DEADLINE if late else None
-    if progress.attempts >= settings.max_attempts:
+    if progress.attempts - progress.preemptions >= settings.max_attempts:
         return GiveUpReason.ATTEMPTS
     if outcome.relayed and not progress.resumable:
         return GiveUpReason.RELAYED
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -53,7 +53,7 @@
         self.assertEqual(sum(self.engine.ledger.by_request_id.values()), 0)
 
     async def test_stopping_router_closes_connections_after_answers(self) -> None:
-        self.router.callers.begin_close()
+        self.router.callers.announce_close()
         async with self.fleet.post(self.router, CHAT, {**_body(), "max_tokens": 2}) as response:
             await response.read()
         self.assertEqual(response.headers["Connection"], "close")
@@ -64,7 +64,8 @@
 
         with (
             patch("boragetiller.http_server.SHUTDOWN_TIMEOUT_S", 0.01),
-            patch("boragetiller.router.process.drain", no_wait),
+            patch("boragetiller.http_server.LINGER_MS", 0),
+            patch("boragetiller.router.process.wait_until_idle", no_wait),
         ):
             self.router = await self.fleet.add_router("router-1")
             text = await self._stream_during_stop(self.router)
