--- a/src/boragetiller/cli/writer.py
+++ b/src/boragetiller/cli/writer.py
@@ -26,7 +26,7 @@
     begin_write,
     write_is_settled,
 )
-from boragetiller.systems.config_pages import PageUpdate, take_pages
+from boragetiller.systems.config_pages import PageUpdate, make_ready, take_pages
 from boragetiller.tables.config import ConfigTable
 
 if TYPE_CHECKING:
@@ -168,6 +168,8 @@
     """
     Tell which references would newly fail if all writes were accepted.
 
+    A record whose page cannot be read is taken to be there.
+
     :param pages: pages as stored
     :param writes: writes that are about to be made
     :return: problems that the stored records do not have yet
@@ -179,7 +181,13 @@
         stored = after_pages.setdefault(index, StoredPage(revision=0, data=b"", page=Page()))
         apply_write(stored.page, write)
     after = _table_of(after_pages)
-    return [p for p in after.reference_problems if p not in before.reference_problems]
+    unreadable = {index for index, stored in pages.items() if stored.problem}
+    return [
+        problem
+        for problem in after.reference_problems
+        if problem not in before.reference_problems
+        and not (problem.target_id and page_index(problem.target_id) in unreadable)
+    ]
 
 
 def missing_references(pages: dict[int, StoredPage]) -> list[ReferenceProblem]:
@@ -204,6 +212,7 @@
         for index, stored in pages.items()
     ]
     take_pages(table, updates, now_ms=0)
+    make_ready(table)
     return table
 
 
--- a/src/boragetiller/relay/frames.py
+++ b/src/boragetiller/relay/frames.py
@@ -7,6 +7,8 @@
 from enum import IntEnum
 from typing import Any, NamedTuple, TypeVar
 
+import attrs
+
 from boragetiller.errors import BoragetillerError, ProtocolError, error_from_code
 from boragetiller.verdict import Verdict
 
@@ -36,11 +38,13 @@
     payload: bytes
 
 
-class Head(NamedTuple):
+@attrs.frozen
+class Head:
     """Status and headers of the backend server's answer."""
 
     status: int
     content_type: str
+    headers: dict[str, str] = attrs.Factory(dict)  # further ones, of a plain service
 
 
 class FrameWriter:
@@ -53,7 +57,7 @@
 
     def head(self, head: Head) -> bytes:
         """:return: an encoded HEAD frame"""
-        return self._encode(FrameKind.HEAD, json.dumps(head._asdict()).encode())
+        return self._encode(FrameKind.HEAD, json.dumps(attrs.asdict(head)).encode())
 
     def data(self, payload: bytes) -> bytes:
         """:return: an encoded DATA frame"""
@@ -141,13 +145,18 @@
     """
     try:
         fields = json.loads(payload)
-        head = Head(fields["status"], fields["content_type"])
+        head = Head(fields["status"], fields["content_type"], fields["headers"])
     except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise ProtocolError("bad head frame") from error
     if type(head.status) is not int or head.status not in _STATUSES:
         raise ProtocolError("bad status in a head frame")
     if not isinstance(head.content_type, str) or not _LINE_ENDS.isdisjoint(head.content_type):
         raise ProtocolError("bad content type in a head frame")
+    if not isinstance(head.headers, dict):
+        raise ProtocolError("bad headers in a head frame")
+    for name, value in head.headers.items():
+        if not isinstance(value, str) or not _LINE_ENDS.isdisjoint(name + value):
+            raise ProtocolError("bad header in a head frame")
     return head
 
 
--- a/src/boragetiller/settings.py
+++ b/src/boragetiller/settings.py
@@ -30,6 +30,7 @@
 
 _PORT = validators.and_(validators.ge(0), validators.le(MAX_PORT))
 _POSITIVE = validators.gt(0)
+_FRAME_BYTES = validators.and_(validators.gt(0), validators.lt(2**24))
 _SHARE = validators.and_(validators.ge(0.0), validators.le(1.0))
 
 
@@ -69,7 +70,7 @@
     key: str = attrs.field(repr=False)
     heartbeat_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
     suspect_after_ms: int = attrs.field(default=2_500, validator=_POSITIVE)
-    max_frame_bytes: int = attrs.field(default=2_000_000, validator=_POSITIVE)
+    max_frame_bytes: int = attrs.field(default=2_000_000, validator=_FRAME_BYTES)
     reconnect_base_ms: int = attrs.field(default=200, validator=_POSITIVE)
     reconnect_max_ms: int = attrs.field(default=5_000, validator=_POSITIVE)
     candidate_floor_share: float = attrs.field(default=0.5, validator=_SHARE)
@@ -199,10 +200,11 @@
 class ClaimSettings:
     """How calls that may not be repeated are claimed by their idempotency key."""
 
-    memory_after_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
+    memory_after_ms: int = attrs.field(default=12_000, validator=_POSITIVE)
     renew_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
     commit_interval_ms: int = attrs.field(default=250, validator=_POSITIVE)
-    poll_ms: int = attrs.field(default=500, validator=_POSITIVE)
+    poll_ms: int = attrs.field(default=200, validator=_POSITIVE)
+    successor_poll_ms: int = attrs.field(default=10_000, validator=_POSITIVE)
     pause_limit_ms: int = attrs.field(default=3_000, validator=_POSITIVE)
     retry_horizon_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
     max_call_age_ms: int = attrs.field(default=120_000, validator=_POSITIVE)
@@ -220,6 +222,7 @@
     """How request bodies that crash backend servers are remembered."""
 
     expire_ms: int = attrs.field(default=1_800_000, validator=_POSITIVE)
+    isolation_delay_ms: int = attrs.field(default=500, validator=_POSITIVE)
     max_bodies: int = attrs.field(default=10_000, validator=_POSITIVE)
 
 
@@ -245,6 +248,7 @@
     failure_domain: str
     region: str = "default"
     listen: ListenSettings = ListenSettings()
+    peer_tls: TlsSettings | None = None  # between routers and agents, each shows a certificate
     control: ControlSettings
     operator: OperatorSettings
     platform: PlatformSettings
@@ -259,16 +263,21 @@
     backend: BackendSettings | None = None
     seed: int | None = None
     tick_ms: int = attrs.field(default=50, validator=_POSITIVE)
-    lame_duck_ms: int = attrs.field(default=0, validator=validators.ge(0))
+    lame_duck_ms: int = attrs.field(default=1_000, validator=validators.ge(0))
     keepalive_ms: int = attrs.field(default=1_000, validator=_POSITIVE)
+    drain_grace_ms: int = attrs.field(default=500, validator=validators.ge(0))
     drain_timeout_ms: int = attrs.field(default=600_000, validator=_POSITIVE)
     log_level: str = "INFO"
     log_json: bool = False
 
     def __attrs_post_init__(self) -> None:
-        """:raises ValueError: when an agent names no backend server"""
+        """:raises ValueError: when settings do not fit together"""
         if self.role is Role.AGENT and self.backend is None:
             raise ValueError("backend: required for role agent")
+        if self.role is Role.AGENT and self.listen.tls is not None:
+            raise ValueError("listen.tls: for callers of routers; agents take peer_tls")
+        if self.peer_tls is not None and self.peer_tls.authority is None:
+            raise ValueError("peer_tls.authority: required, both sides check it")
 
 
 def load_settings(path: str) -> Settings:
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -32,7 +32,9 @@
     RecordStatus,
     read_message,
 )
+from boragetiller.records.writes import WriteState
 from boragetiller.standin.platform_server import PlatformServer, PlatformServerSettings
+from tests.cli.writing import write_fields
 from tests.records.samples import FLEET
 
 KEY = "operator-key"
@@ -85,7 +87,9 @@
     async def _start_operator(self) -> str:
         app = web.Application()
         app.router.add_get("/status", _answer(STATUS))
-        app.router.add_get("/status/record/{record:.+}", _answer(RECORD))
+        app.router.add_get("/status/record/class/quote", _answer(RECORD))
+        unknown = attrs.evolve(RECORD, record_revision=None)
+        app.router.add_get("/status/record/class/unknown", _answer(unknown))
         app.router.add_get("/explain/r-1", _answer(EXPLANATION))
         self.runner = web.AppRunner(app)
         await self.runner.setup()
@@ -149,6 +153,28 @@
         self.file.write_text(FLEET.replace("group: tiller-pool", "group: x"), encoding="utf-8")
         self.assertIn("no group x", self.command(ExitCode.REFUSED, "apply", str(self.file)))
 
+    def test_apply_tells_of_a_reference_lost_in_a_race(self) -> None:
+        self.command(ExitCode.DONE, "apply", str(self.file))
+        store = self.services.platform.store
+        put = store.put
+
+        async def remove_group_first(key: str, value: bytes, *, expected_revision: int) -> int:
+            store.put = put  # type: ignore[method-assign]
+            for kind, name in (
+                ("customer", "morgun"),
+                ("class", "quote"),
+                ("group", "tiller-pool"),
+            ):
+                result = await write_fields(store, kind, name, absent=True)
+                self.assertEqual(result.state, WriteState.ACCEPTED, result)
+            return await put(key, value, expected_revision=expected_revision)
+
+        store.put = remove_group_first  # type: ignore[method-assign]
+        text = "kind: class\nname: note\nschema_version: 2\ngroup: tiller-pool\n"
+        self.file.write_text(text, encoding="utf-8")
+        output = self.command(ExitCode.REFERENCE_MISSING, "apply", str(self.file))
+        self.assertIn("class/note: group: no group tiller-pool", output)
+
     def test_outage_is_told(self) -> None:
         self.services.platform.store.inject(outage=True)
         self.assertIn("does not answer", self.command(ExitCode.UNREACHABLE, "list"))
@@ -167,6 +193,8 @@
         record = self.command(ExitCode.DONE, "status", "--record", "class/quote")
         self.assertRegex(record, r"router-1 +9 +true +1500")
         self.assertRegex(record, r"vl-a-1 +8 +false +-")
+        output = self.command(ExitCode.INVALID, "status", "--record", "class/unknown")
+        self.assertIn("no such record", output)
         self.assertIn("agent=vl-a-1", self.command(ExitCode.DONE, "explain", "r-1"))
         self.assertIn("not known there", self.command(ExitCode.FAILED, "explain", "r-2"))
         output = self.command(ExitCode.UNREACHABLE, "status", "--operator-key", "wrong")
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -32,6 +32,7 @@
 
 KEY = "test-key"
 LOOPBACK = "127.0.0.1"
+GRACE_MS = 20
 MODEL = "kopar-1"
 
 
@@ -183,7 +184,7 @@
             control=ControlSettings(key="control-key"),
             operator=OperatorSettings(key="operator-key"),
             platform=PlatformSettings(store_url="", host_list_url=""),
-            **{**self.settings, **more},
+            **{"drain_grace_ms": GRACE_MS, "lame_duck_ms": 0, **self.settings, **more},
         )
 
 
--- a/tests/systems/test_config_pages.py
+++ b/tests/systems/test_config_pages.py
@@ -4,14 +4,16 @@
 
 import json
 import unittest
+import zlib
 from typing import Any
 
 import attrs
 
-from boragetiller.records.pages import Page, encode_page, page_index
+from boragetiller.records.pages import MAX_PAGE_BYTES, Page, encode_page, page_index
 from boragetiller.records.schema import FIELDS, MODELS, RecordKind
 from boragetiller.systems.config_pages import (
     PageUpdate,
+    make_ready,
     missing_pages,
     newer_pages,
     take_pages,
@@ -28,6 +30,7 @@
 
     def setUp(self) -> None:
         self.table = ConfigTable()
+        make_ready(self.table)
         self.page = Page()
         write(self.page, make_document("class", "quote", group="pool", tier=2))
 
@@ -41,7 +44,7 @@
 
     def test_newer_version_keeps_the_last_readable_one(self) -> None:
         self._take(1, encode_page(self.page))
-        body = json.loads(encode_page(self.page))
+        body = json.loads(zlib.decompress(encode_page(self.page)))
         body["records"][QUOTE] |= {"schema_version": 3, "fields": {"tier": {"level": 9}}}
         data = json.dumps(body).encode()
         self._take(2, data)
@@ -52,7 +55,7 @@
         self.assertEqual(unreadable_records(self.table), {})
 
     def test_unknown_kind_is_kept_and_told(self) -> None:
-        body = json.loads(encode_page(self.page))
+        body = json.loads(zlib.decompress(encode_page(self.page)))
         body["records"]["quota/x"] = body["records"][QUOTE]
         self._take(1, json.dumps(body).encode())
         self.assertIn("quota/x", unreadable_records(self.table))
@@ -71,12 +74,15 @@
 
     def test_garbage_page_keeps_its_records(self) -> None:
         self._take(1, encode_page(self.page))
-        for revision, data in enumerate((b"", b"{", b"[]", b"\xff", b'{"format":2}'), 2):
+        huge = zlib.compress(b" " * (MAX_PAGE_BYTES + 1))
+        whole = encode_page(self.page)
+        garbage = (b"", b"{", b"[]", b"\xff", b'{"format":2}', whole[:-9], huge)
+        for revision, data in enumerate(garbage, 2):
             self._take(revision, data)
             self.assertEqual(list(self.table.classes), ["quote"])
             self.assertIn(f"config/{page_index(QUOTE):02d}", unreadable_records(self.table))
         write(self.page, make_document("class", "quote", absent=True))
-        self._take(9, encode_page(self.page))
+        self._take(99, encode_page(self.page))
         self.assertEqual(self.table.classes, {})
 
     def test_missing_reference_and_shared_key_have_one_outcome(self) -> None:
@@ -95,6 +101,22 @@
             ],
         )
 
+    def test_indexes_are_built_when_ready_and_when_references_change(self) -> None:
+        table = ConfigTable()
+        write(self.page, make_document("customer", "alfa", key_hashes=[KEY_HASH]))
+        update = PageUpdate(index=0, revision=1, data=encode_page(self.page))
+        take_pages(table, [update], now_ms=0)
+        self.assertEqual(table.customers_by_key, {})
+        make_ready(table)
+        self.assertEqual(table.customers_by_key, {KEY_HASH: "alfa"})
+        self.assertEqual(len(table.reference_problems), 1)
+        write(self.page, make_document("group", "pool"))
+        write(self.page, make_document("customer", "alfa", key_hashes=["b" * 64]))
+        update = PageUpdate(index=0, revision=2, data=encode_page(self.page))
+        take_pages(table, [update], now_ms=0)
+        self.assertEqual(table.customers_by_key, {"b" * 64: "alfa"})
+        self.assertEqual(table.reference_problems, ())
+
     def test_missing_and_newer_pages(self) -> None:
         self._take(4, encode_page(self.page))
         index = page_index(QUOTE)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -13,6 +13,7 @@
 from bench.fleet import Fleet, Member
 from boragetiller.standin.engine_text import expected_text
 from tests.fleet import KEY, MODEL, sample_records
+from tests.streams import streamed_text
 
 CALLS = 200
 AT_ONCE = 10
@@ -49,10 +50,12 @@
         self.session = aiohttp.ClientSession(headers=HEADERS)
         self.addAsyncCleanup(self.session.close)
         self.tally = Tally()
+        self.ready = list(self.routers)
 
     async def test_stop_of_agent_and_router_cuts_no_call(self) -> None:
         for router in self.routers:
             await self._wait_ready(router)
+        balancer = asyncio.create_task(self._watch_readiness())
         slots = asyncio.Semaphore(AT_ONCE)
         calls = []
         stops = []
@@ -64,6 +67,7 @@
                 stops.append(asyncio.create_task(self._stop("router-a")))
             calls.append(asyncio.create_task(self._call(number, slots)))
         await asyncio.gather(*calls)
+        balancer.cancel()
         codes = await asyncio.gather(*stops)
         self.assertEqual(self.tally.problems, [])
         self.assertEqual(self.tally.whole, CALLS)
@@ -72,12 +76,25 @@
 
     async def _wait_ready(self, router: Member) -> None:
         for _ in range(MAX_TRIES):
-            async with self.session.get(router.url + "/readyz") as response:
-                if response.status == 200:
-                    return
+            if await self._is_ready(router):
+                return
             await asyncio.sleep(RETRY_S)
         self.fail("router is not ready")
 
+    async def _watch_readiness(self) -> None:
+        """Leave out routers that are not ready, as the platform's balancer does."""
+        while True:
+            ready = [router for router in self.routers if await self._is_ready(router)]
+            self.ready = ready or self.ready
+            await asyncio.sleep(RETRY_S)
+
+    async def _is_ready(self, router: Member) -> bool:
+        try:
+            async with self.session.get(router.url + "/readyz") as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
     async def _stop(self, name: str) -> int:
         return await self.fleet.members[name].stop()
 
@@ -92,10 +109,10 @@
             self.tally.whole += 1
 
     async def _call_until_served(self, number: int) -> str:
-        """Send as a balancer would: another router when one refuses or is gone."""
+        """Send through a ready router; try again when it refuses."""
         problem = "never sent"
         for attempt in range(MAX_TRIES):
-            router = self.routers[(number + attempt) % len(self.routers)]
+            router = self.ready[(number + attempt) % len(self.ready)]
             try:
                 status, content = await self._send(router, number)
             except aiohttp.ClientConnectorError:
@@ -137,17 +154,10 @@
 def _check(number: int, content: bytes) -> str:
     if number % 4 == 3:
         return ""
-    text = _text(content) if number % 2 == 0 else _whole_text(content)
+    text = streamed_text(content) if number % 2 == 0 else _whole_text(content)
     return "" if text == expected_text(_chat(number)) else f"another answer: {text!r}"
 
 
-def _text(content: bytes) -> str:
-    if not content.endswith(b"data: [DONE]\n\n"):
-        return "no end marker"
-    events = [json.loads(e[6:]) for e in content.split(b"\n\n") if e.startswith(b"data: {")]
-    return "".join(e["choices"][0]["delta"].get("content", "") for e in events if e["choices"])
-
-
 def _whole_text(content: bytes) -> str:
     return str(json.loads(content)["choices"][0]["message"]["content"])
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
-import json
 import unittest
+from typing import TYPE_CHECKING
 
 import aiohttp
 
@@ -13,6 +14,10 @@
 from boragetiller.standin.engine_text import expected_text
 from boragetiller.standin.service import ServiceServer, ServiceSettings
 from tests.fleet import MODEL, Fleet, sample_records
+from tests.streams import streamed_text
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 CHAT = "/v1/chat/completions"
 
@@ -53,7 +58,7 @@
         async with self.fleet.post(self.router, CHAT, body) as response:
             content = await response.read()
         self.assertTrue(content.endswith(b"data: [DONE]\n\n"))
-        self.assertEqual(_streamed_text(content), expected_text(body))
+        self.assertEqual(streamed_text(content), expected_text(body))
 
     async def test_stream_resumes_after_engine_crash(self) -> None:
         body = _chat("a long quote", max_tokens=60, stream=True)
@@ -62,7 +67,49 @@
             busy = next(e for e in self.engines if e.ledger.by_request_id)
             await self._crash(busy)
             rest = await response.read()
-        self.assertEqual(_streamed_text(first + rest), expected_text(body))
+        self.assertEqual(streamed_text(first + rest), expected_text(body))
+
+    async def test_service_headers_pass_both_ways(self) -> None:
+        headers = {"Authorization": "Bearer test-key", "If-Match": '"v1"'}
+        url = self.router.callers.base_url + "/services/app/sheets?gauge=2"
+        async with self.fleet.session.get(url, headers=headers) as response:
+            await response.read()
+        seen = self.service.last_headers
+        self.assertEqual(seen["If-Match"], '"v1"')
+        self.assertNotIn("Authorization", seen)
+        self.assertEqual(response.headers["ETag"], '"stand-in"')
+        async with self.fleet.session.head(url, headers=headers) as response:
+            self.assertEqual((response.status, await response.read()), (200, b""))
+
+    async def test_caller_that_leaves_cancels_at_the_engine(self) -> None:
+        body = _chat("a very long ledger", max_tokens=2_000, stream=True)
+        async with self.fleet.post(self.router, CHAT, body) as response:
+            await response.content.readuntil(b"\n\n")
+            response.close()
+        await self._until(lambda: sum(e.ledger.cancelled for e in self.engines) == 1)
+        agents = [self.fleet.agents[f"engine-{n}"] for n in range(2)]
+        await self._until(lambda: not any(agent.gate.table.running for agent in agents))
+
+    async def test_caller_that_leaves_does_not_end_a_booking(self) -> None:
+        self.service.faults.delay_ms = 200
+        call = asyncio.create_task(self._reserve("k-3"))
+        await self._until(lambda: self.service.ledger.by_key["k-3"] == 1)
+        call.cancel()
+        status, _ = await self._reserve("k-3")
+        self.assertEqual((status, self.service.ledger.by_key["k-3"]), (200, 1))
+
+    async def _reserve(self, key: str) -> tuple[int, bytes]:
+        async with self.fleet.post(
+            self.router, "/services/app/reserve", b"{}", Idempotency_Key=key
+        ) as response:
+            return response.status, await response.read()
+
+    async def _until(self, condition: Callable[[], bool]) -> None:
+        for _ in range(500):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        self.fail("the condition did not come true")
 
     async def test_refusal_of_keyed_call_promises_nothing(self) -> None:
         async with self.fleet.post(
@@ -106,11 +153,5 @@
     return {"model": MODEL, "messages": [{"role": "user", "content": prompt}], **more}
 
 
-def _streamed_text(content: bytes) -> str:
-    events = [e[6:] for e in content.split(b"\n\n") if e.startswith(b"data: {")]
-    deltas = [json.loads(e)["choices"] for e in events]
-    return "".join(c[0]["delta"].get("content", "") for c in deltas if c)
-
-
 if __name__ == "__main__":
     unittest.main()
