--- a/src/boragetiller/control/codec.py
+++ b/src/boragetiller/control/codec.py
@@ -117,6 +117,9 @@
         "betweenTokensTenthsMs": _tenths(message.between_tokens_ms),
         "draining": message.draining,
     }
+    if message.protected_running is not None:
+        fields["hasProtectedRunning"] = True
+        fields["protectedRunning"] = min(message.protected_running, MAX_UINT16)
     for tier, count in enumerate(message.queued):
         fields[f"queued{tier}"] = min(count, MAX_UINT16)
     if message.owned_shards is not None:
@@ -192,6 +195,7 @@
         service_ms=reader.serviceTenthsMs / TENTHS_PER_MS,
         first_token_ms=reader.firstTokenTenthsMs / TENTHS_PER_MS,
         between_tokens_ms=reader.betweenTokensTenthsMs / TENTHS_PER_MS,
+        protected_running=reader.protectedRunning if reader.hasProtectedRunning else None,
         pages_digest=reader.pagesDigest,
         owned_shards=tuple(reader.ownedShards) if reader.hasShards else None,
         strikes=tuple(_strike(strike) for strike in reader.strikes),
--- a/src/boragetiller/control/exchange.capnp
+++ b/src/boragetiller/control/exchange.capnp
@@ -46,6 +46,8 @@
   queued3 @11 :UInt16;
   ownedShards @12 :List(UInt16);
   strikes @13 :List(Strike);
+  hasProtectedRunning @14 :Bool;
+  protectedRunning @15 :UInt16;
 }
 
 struct PageRevision {
--- a/src/boragetiller/control/messages.py
+++ b/src/boragetiller/control/messages.py
@@ -57,6 +57,7 @@
     service_ms: float = 0.0
     first_token_ms: float = 0.0
     between_tokens_ms: float = 0.0
+    protected_running: int | None = None  # running work that never gives way
     pages_digest: int = 0
     owned_shards: tuple[int, ...] | None = None  # None when unchanged on this connection
     strikes: tuple[Strike, ...] = ()
--- a/src/boragetiller/control/node.py
+++ b/src/boragetiller/control/node.py
@@ -232,6 +232,7 @@
             service_ms=load.service_ms,
             first_token_ms=load.first_token_ms,
             between_tokens_ms=load.between_tokens_ms,
+            protected_running=load.protected_running,
             pages_digest=self._pages.digest,
             owned_shards=owned_shards,
         )
--- a/src/boragetiller/control/router_node.py
+++ b/src/boragetiller/control/router_node.py
@@ -262,6 +262,7 @@
         service_ms=message.service_ms,
         first_token_ms=message.first_token_ms,
         between_tokens_ms=message.between_tokens_ms,
+        protected_running=message.protected_running,
     )
 
 
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -64,7 +64,7 @@
         self.metrics = metrics or new_metrics(settings)
         self.incarnation = new_incarnation()
         seed = secrets.randbits(SEED_BITS) if settings.seed is None else settings.seed
-        self.rng = Random(seed)
+        self.rng = Random(f"{seed}/{settings.name}")  # request ids of two routers must differ
         self.config = ConfigTable()
         self.configured = asyncio.Event()
         self.agents = AgentTable()
--- a/tests/control/test_codec.py
+++ b/tests/control/test_codec.py
@@ -48,7 +48,7 @@
     ),
     Proof(mac=b"m" * 32),
     BUSY_REPORT,
-    Report(draining=True, owned_shards=(3, 7), strikes=(STRIKE,)),
+    Report(draining=True, protected_running=0, owned_shards=(3, 7), strikes=(STRIKE,)),
     Report(owned_shards=()),
     PageVersions(revisions={0: 5, 63: 2**40}, complete=True),
     PageVersions(revisions={7: 8}, partial=True),
