Split the relay; refuse to continue a stream with anything but a stream

Cause: a resumed attempt that an engine answered with 404 had its JSON body appended to the caller's stream, which then ended cleanly: a partial answer passed off as whole. A retry used the members that the group had when the request arrived.

--- /dev/null
+++ b/src/boragetiller/router/journey.py
@@ -0,0 +1,76 @@
+"""One request on its way, over all its attempts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.relay.attempt import Attempt
+
+if TYPE_CHECKING:
+    from boragetiller.router.answers import EngineTranscript, ResumePoint
+    from boragetiller.router.measures import StreamMeter
+    from boragetiller.router.request import RoutedRequest
+    from boragetiller.router.sinks import AnswerSink
+    from boragetiller.systems.outcomes import RequestProgress
+
+
+@attrs.define(kw_only=True)
+class Journey:
+    """A request with what happened to it so far; times are in milliseconds."""
+
+    request: RoutedRequest
+    sink: AnswerSink
+    transcript: EngineTranscript
+    progress: RequestProgress
+    arrived_ms: int
+    arrived_wall_ms: int
+    meter: StreamMeter
+    tried: set[str] = attrs.Factory(set)
+
+
+def build_attempt(
+    journey: Journey, resume: ResumePoint | None, struck: tuple[str, ...], *, isolated: bool
+) -> Attempt:
+    """
+    Describe the next attempt to an agent.
+
+    :param journey: the request so far
+    :param resume: what was generated already, if any
+    :param struck: agents whose backend server crashed with this body
+    :param isolated: whether the agent must run it apart from other struck bodies
+    :return: the attempt
+    """
+    request = journey.request
+    request_class = request.request_class
+    return Attempt(
+        request_id=request.request_id,
+        number=journey.progress.attempts,
+        method=request.method,
+        path=request.path,
+        content_type=request.content_type,
+        customer=request.customer.name,
+        class_name=request_class.name,
+        group=request.group.name,
+        tier=request_class.tier,
+        protected=request_class.protected,
+        repeatable=request.repeatable,
+        resumable=journey.progress.resumable,
+        customer_weight=request.customer.weight,
+        class_weight=request_class.weight,
+        prompt_tokens=request.prompt_tokens,
+        first_token_target_ms=request_class.first_token_target_ms,
+        between_tokens_target_ms=request_class.between_tokens_target_ms,
+        deadline_in_ms=max(0, request_class.deadline_ms - journey.progress.elapsed_ms),
+        fingerprint=request.fingerprint,
+        resumed_tokens=resume.tokens if resume else 0,
+        key=request.key,
+        headers=request.headers,
+        arrived_wall_ms=journey.arrived_wall_ms,
+        isolated=isolated,
+        struck=",".join(struck),
+    )
+
+
+__all__ = ["Journey", "build_attempt"]
--- a/src/boragetiller/router/placer.py
+++ b/src/boragetiller/router/placer.py
@@ -25,6 +25,7 @@
     from boragetiller.router.request import RoutedRequest
     from boragetiller.settings import Settings
     from boragetiller.tables.agents import AgentTable
+    from boragetiller.tables.config import ConfigTable
     from boragetiller.tables.members import MemberTable
 
 
@@ -42,6 +43,7 @@
         settings: Settings,
         agents: AgentTable,
         members: MemberTable,
+        config: ConfigTable,
         clock: Clock,
         rng: Random,
     ) -> None:
@@ -51,12 +53,14 @@
         :param settings: settings of the process
         :param agents: agents of this router's subset
         :param members: the host list as far as it is believed
+        :param config: records in force
         :param clock: monotonic time
         :param rng: seeded generator
         """
         self._settings = settings
         self._agents = agents
         self._members = members
+        self._config = config
         self._clock = clock
         self._rng = rng
         self._budgets: dict[str, RetryBudget] = {}
@@ -169,7 +173,8 @@
         for group in groups:
             outliers.mark_slow(self._agents.of_group(group), self._settings.placement, now_ms)
 
-    def _member_set(self, group: BackendGroup) -> frozenset[str]:
+    def _member_set(self, arrived_with: BackendGroup) -> frozenset[str]:
+        group = self._config.groups.get(arrived_with.name, arrived_with)  # it may have changed
         known = self._member_sets.get(group.name)
         if known is None or known.group is not group:  # a changed record is another object
             known = _MemberSet(group, frozenset(group.members))
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -13,6 +13,7 @@
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
 from boragetiller.process import Endpoints, new_incarnation, new_metrics, wait_until_idle
+from boragetiller.router.agent_choice import AgentChoice
 from boragetiller.router.agent_client import AgentClient
 from boragetiller.router.config_sync import ConfigSync
 from boragetiller.router.control_ports import LimitsPort, ShardOwnersPort, group_members
@@ -76,12 +77,12 @@
         self.quarantine = Quarantine(settings.strikes, self.clock)
         self.node = self._build_node()
         self.discovery = Discovery(settings, platform.hosts, self._take_hosts, self.metrics)
-        self.placer = Placer(settings, self.agents, self.node.members, self.clock, self.rng)
+        self.placer = Placer(
+            settings, self.agents, self.node.members, self.config, self.clock, self.rng
+        )
         self.relay = Relay(
             settings,
-            self.placer,
-            self.owners,
-            self.quarantine,
+            AgentChoice(self.placer, self.owners, self.quarantine),
             self.client,
             self.traces,
             self.clock,
--- a/src/boragetiller/router/relay.py
+++ b/src/boragetiller/router/relay.py
@@ -6,15 +6,14 @@
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
-import attrs
-
 from boragetiller.clock import WallClock
-from boragetiller.errors import BoragetillerError, NoBackend, NotOwner, Preempted
+from boragetiller.errors import BackendFailed, BoragetillerError, NoBackend, Preempted
 from boragetiller.events import Event, log_event
-from boragetiller.relay.attempt import Attempt
-from boragetiller.relay.frames import Frame, FrameKind, parse_head
+from boragetiller.relay.frames import Frame, FrameKind, Head, parse_head
 from boragetiller.router.answers import EngineTranscript, ResumePoint, continued_chunk, engine_body
+from boragetiller.router.journey import Journey, build_attempt
 from boragetiller.router.measures import StreamMeter, report_answer, report_failure
+from boragetiller.router.sinks import EVENT_STREAM
 from boragetiller.systems.outcomes import (
     Answered,
     AttemptFailed,
@@ -35,40 +34,23 @@
 
     from boragetiller.clock import Clock
     from boragetiller.metrics import Metrics
+    from boragetiller.relay.attempt import Attempt
+    from boragetiller.router.agent_choice import AgentChoice
     from boragetiller.router.agent_client import AgentClient
-    from boragetiller.router.placer import Placer
-    from boragetiller.router.quarantine import Quarantine
     from boragetiller.router.request import RoutedRequest
-    from boragetiller.router.shard_owners import ShardOwners
     from boragetiller.router.sinks import AnswerSink
     from boragetiller.router.traces import TraceTable
     from boragetiller.settings import Settings
     from boragetiller.tables.agents import AgentEntry
 
 
-@attrs.define(kw_only=True)
-class Journey:
-    """One request on its way, over all its attempts."""
-
-    request: RoutedRequest
-    sink: AnswerSink
-    transcript: EngineTranscript
-    progress: RequestProgress
-    arrived_ms: int
-    arrived_wall_ms: int
-    meter: StreamMeter
-    tried: set[str] = attrs.Factory(set)
-
-
 class Relay:
     """Runs requests against the agents."""
 
     def __init__(
         self,
         settings: Settings,
-        placer: Placer,
-        owners: ShardOwners,
-        quarantine: Quarantine,
+        choice: AgentChoice,
         client: AgentClient,
         traces: TraceTable,
         clock: Clock,
@@ -79,9 +61,7 @@
         Put the parts together.
 
         :param settings: settings of the process
-        :param placer: chooses agents
-        :param owners: which agent decides on which key
-        :param quarantine: bodies that crashed backend servers
+        :param choice: chooses agents
         :param client: sends attempts
         :param traces: decisions by request
         :param clock: monotonic time
@@ -89,9 +69,7 @@
         :param rng: seeded generator
         """
         self._settings = settings
-        self._placer = placer
-        self._owners = owners
-        self._quarantine = quarantine
+        self._choice = choice
         self._wall = WallClock()
         self._client = client
         self._traces = traces
@@ -137,7 +115,7 @@
             protected=request.request_class.protected,
             resumable=request.for_engine and request.repeatable,
             deadline_ms=request.request_class.deadline_ms,
-            budget=self._placer.begin(request.group.name),
+            budget=self._choice.placer.begin(request.group.name),
         )
         now_ms = self._clock.now_ms()
         return Journey(
@@ -152,118 +130,38 @@
 
     async def _try_once(self, journey: Journey) -> Outcome:
         journey.progress.attempts += 1
+        request = journey.request
         try:
-            isolated = self._quarantine.needs_isolation(journey.request.fingerprint)
+            isolated = self._choice.quarantine.needs_isolation(request.fingerprint)
         except BoragetillerError as error:
             return AttemptFailed(error, journey.sink.relayed)
-        agent = self._place(journey, isolated=isolated)
+        agent = self._choice.choose(journey, isolated=isolated)
         if agent is None:
             return AttemptFailed(NoBackend(retry_after_s=1), journey.sink.relayed)
         resume = journey.transcript.resume_point() if journey.transcript.events else None
-        attempt = attrs.evolve(self._attempt(journey, resume), isolated=isolated)
+        struck = self._choice.quarantine.struck_servers(request.fingerprint)
+        attempt = build_attempt(journey, resume, struck, isolated=isolated)
         if attempt.resumed_tokens:
-            request_id = journey.request.request_id
-            log_event(Event.REQUEST_RESUMED, request_id=request_id, agent=agent.name)
-        self._note(journey.request, "placed", agent=agent.name, attempt=attempt.number)
+            log_event(Event.REQUEST_RESUMED, request_id=request.request_id, agent=agent.name)
+        self._note(request, "placed", agent=agent.name, attempt=attempt.number)
         return await self._run_attempt(journey, agent, attempt, resume)
 
     async def _run_attempt(
         self, journey: Journey, agent: AgentEntry, attempt: Attempt, resume: ResumePoint | None
     ) -> Outcome:
-        body = journey.request.fingerprint
         sent_ms = self._clock.now_ms()
-        agent.begin(attempt.tier)
-        self._quarantine.begin(body, agent.name)
+        self._choice.begin(agent, attempt)
         try:
             await self._relay_attempt(journey, agent, attempt, resume)
         except BoragetillerError as error:
-            self._quarantine.note_error(body, agent.name, error, sent_ms)
-            self._placer.note_failure(journey.request, agent, error)
-            self._note_owner(journey, error)
+            self._choice.note_failure(journey, agent, error, sent_ms)
             await self._settle_verdict(journey, agent, attempt, error)
             return AttemptFailed(error, journey.sink.relayed)
         finally:
-            agent.end(attempt.tier)
-            self._quarantine.end(body, agent.name)
-        self._placer.note_success(agent)
-        if attempt.isolated:
-            self._quarantine.note_success(body)
+            self._choice.end(agent, attempt)
+        self._choice.note_success(agent, attempt)
         return AttemptFinished()
 
-    def _place(self, journey: Journey, *, isolated: bool) -> AgentEntry | None:
-        owner = self._owner(journey)
-        if owner is not None:
-            return owner
-        request = journey.request
-        agent = self._agent_for_copies(journey, isolated=isolated)
-        agent = agent or self._placer.choose(request, journey.tried)
-        if agent is not None:
-            journey.tried.add(agent.name)
-        return agent
-
-    def _agent_for_copies(self, journey: Journey, *, isolated: bool) -> AgentEntry | None:
-        """Keep copies of one body on one agent, so that it can crash few servers."""
-        request = journey.request
-        members = self._placer.candidates(request)
-        body = request.fingerprint
-        if isolated:
-            key = request.prefix_hash or int(body[:16], 16)
-            return self._quarantine.isolated_agent(body, key, members, journey.tried)
-        name = self._quarantine.agent_in_use(body)
-        usable = (a for a in members if a.name == name and a.accepts_work())
-        return next((a for a in usable if a.name not in journey.tried), None)
-
-    def _owner(self, journey: Journey) -> AgentEntry | None:
-        request = journey.request
-        if not request.key:
-            return None
-        name = self._owners.owner_of(
-            request.group.name, request.group.shards, request.customer.name, request.key
-        )
-        return self._placer.find_owner(request, name) if name is not None else None
-
-    def _note_owner(self, journey: Journey, error: BoragetillerError) -> None:
-        request = journey.request
-        if request.key and isinstance(error, NotOwner):
-            self._owners.note_refusal(
-                request.group.name,
-                request.group.shards,
-                request.customer.name,
-                request.key,
-                error.owner,
-            )
-
-    def _attempt(self, journey: Journey, resume: ResumePoint | None) -> Attempt:
-        request = journey.request
-        request_class = request.request_class
-        elapsed_ms = self._clock.now_ms() - journey.arrived_ms
-        return Attempt(
-            request_id=request.request_id,
-            number=journey.progress.attempts,
-            method=request.method,
-            path=request.path,
-            content_type=request.content_type,
-            customer=request.customer.name,
-            class_name=request_class.name,
-            group=request.group.name,
-            tier=request_class.tier,
-            protected=request_class.protected,
-            repeatable=request.repeatable,
-            resumable=journey.progress.resumable,
-            customer_weight=request.customer.weight,
-            class_weight=request_class.weight,
-            prompt_tokens=request.prompt_tokens,
-            first_token_target_ms=request_class.first_token_target_ms,
-            between_tokens_target_ms=request_class.between_tokens_target_ms,
-            deadline_in_ms=max(0, request_class.deadline_ms - elapsed_ms),
-            fingerprint=request.fingerprint,
-            key=request.key,
-            resumed_tokens=resume.tokens if resume else 0,
-            headers=request.headers,
-            arrived_wall_ms=journey.arrived_wall_ms,
-            struck=",".join(self._quarantine.struck_servers(request.fingerprint)),
-        )
-
     async def _relay_attempt(
         self, journey: Journey, agent: AgentEntry, attempt: Attempt, resume: ResumePoint | None
     ) -> None:
@@ -281,7 +179,7 @@
     ) -> None:
         content = b"".join(frame.payload for frame in frames if frame.kind is FrameKind.DATA)
         if frames[0].kind is FrameKind.HEAD:
-            await journey.sink.head(parse_head(frames[0].payload))
+            await self._relay_head(journey, parse_head(frames[0].payload))
         if tokens_before:
             content = continued_chunk(content, tokens_before)
         if not content:
@@ -291,10 +189,15 @@
             self._measure(journey, agent, content)
         await journey.sink.data(content)
 
+    async def _relay_head(self, journey: Journey, head: Head) -> None:
+        if journey.sink.relayed and not head.content_type.startswith(EVENT_STREAM):
+            raise BackendFailed(f"the engine answered {head.status} to a resumed stream")
+        await journey.sink.head(head)
+
     def _measure(self, journey: Journey, agent: AgentEntry, content: bytes) -> None:
         gap_ms = journey.meter.note(content, self._clock.now_ms())
         if gap_ms is not None:
-            self._placer.note_gap(agent, gap_ms)
+            self._choice.placer.note_gap(agent, gap_ms)
 
     async def _settle_verdict(
         self, journey: Journey, agent: AgentEntry, attempt: Attempt, error: BoragetillerError
@@ -341,4 +244,4 @@
         )
 
 
-__all__ = ["Journey", "Relay"]
+__all__ = ["Relay"]
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -137,6 +137,19 @@
         with contextlib.suppress(aiohttp.ClientError):
             await self.fleet.session.post(engine.url + CHAT, json=_chat("POISON"))
 
+    async def test_stream_that_cannot_be_resumed_is_not_passed_off_as_whole(self) -> None:
+        body = _chat("a long quote", max_tokens=60, stream=True)
+        async with self.fleet.post(self.router, CHAT, body) as response:
+            content = await response.content.readuntil(b"\n\n")
+            busy, idle = sorted(self.engines, key=lambda e: -len(e.ledger.by_request_id))
+            idle.state.models[:] = ["another"]  # it answers 404 to the resumed attempt
+            await self._crash(busy)
+            try:
+                content += await response.read()
+            except aiohttp.ClientError:
+                return
+        self.assertEqual(streamed_text(content), expected_text(body))
+
     async def test_booking_with_key_runs_once(self) -> None:
         answers = []
         for _ in range(2):
