Split errors and settings into packages of small modules

Read as a newcomer would: errors.py (381 lines) and settings.py (310) held many things each. The names that others import stay the same.

--- a/bench/config_judge.py
+++ b/bench/config_judge.py
@@ -9,12 +9,12 @@
 
 from boragetiller.records.pages import decode_page
 from boragetiller.records.schema import RecordKind, default_of, fields_of
-from boragetiller.records.writes import WriteState
+from boragetiller.records.writes import WriteResult, WriteState
 
 if TYPE_CHECKING:
     from boragetiller.platform.store import Entry
     from boragetiller.records.pages import StoredRecord
-    from boragetiller.records.writes import PendingWrite, WriteResult
+    from boragetiller.records.writes import PendingWrite
 
 _NOT_WRITTEN = (WriteState.CONFLICT, WriteState.REFUSED, WriteState.UNCHANGED)
 _OPEN = (WriteState.UNKNOWN, WriteState.NOT_ACCEPTED)
--- a/bench/control_nodes.py
+++ b/bench/control_nodes.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from random import Random
-from typing import TYPE_CHECKING
 
 import attrs
 from loguru import logger
 
 from boragetiller.clock import SystemClock
-from boragetiller.control.node import AgentNode
+from boragetiller.control.node import AgentNode, ControlNode
 from boragetiller.control.router_node import RouterNode, RouterPorts
 from boragetiller.metrics import Metrics
 from boragetiller.platform.hosts import Host, HostState
@@ -26,11 +26,6 @@
 )
 from boragetiller.tables.agents import AgentTable, LoadReport
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from boragetiller.control.node import ControlNode
-
 LOOPBACK = "127.0.0.1"
 PAGE_COUNT = 64
 GROUP = "pool"
--- a/bench/policy_entities.py
+++ b/bench/policy_entities.py
@@ -7,14 +7,15 @@
 import attrs
 
 from bench.fake_engine import Stream
+from bench.policy_baselines import Policy
+from bench.policy_scenarios import Call
 from boragetiller.tables.agents import AgentEntry
 from boragetiller.tables.retry import RetryBudget
 from boragetiller.tables.work import WorkItem
 
 if TYPE_CHECKING:
     from bench.fake_engine import FakeEngine
-    from bench.policy_baselines import Gate, Policy
-    from bench.policy_scenarios import Call
+    from bench.policy_baselines import Gate
 
 
 @attrs.define(eq=False)
--- a/bench/shard_world.py
+++ b/bench/shard_world.py
@@ -7,6 +7,7 @@
 
 import heapq
 from collections import Counter
+from collections.abc import Callable
 from hashlib import blake2b
 from typing import TYPE_CHECKING, Any
 
@@ -28,14 +29,13 @@
     WritePage,
     WriteSegment,
 )
+from boragetiller.tables.shards import ShardTable
 from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from random import Random
 
     from boragetiller.errors import BoragetillerError
-    from boragetiller.tables.shards import ShardTable
 
 STORE_DELAY_MS = 3
 STORE_TIMEOUT_MS = 1_000
--- a/src/boragetiller/control/messages.py
+++ b/src/boragetiller/control/messages.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import attrs
 
-if TYPE_CHECKING:
-    from boragetiller.settings import Role
+from boragetiller.settings import Role
 
 PROTOCOL_VERSION = 1
 FINGERPRINT_BYTES = 16
--- a/src/boragetiller/control/router_node.py
+++ b/src/boragetiller/control/router_node.py
@@ -10,6 +10,12 @@
 from boragetiller.control.client import Peer
 from boragetiller.control.messages import Goodbye, Hello, Report, ShareGrant, ShareRequest
 from boragetiller.control.node import MS_PER_S, ControlNode
+from boragetiller.control.ports import (
+    GroupMembers,
+    ShardOwners,
+    ShareLender,
+    StrikeSink,
+)
 from boragetiller.control.shares import ShareExchange
 from boragetiller.events import Event, log_event
 from boragetiller.platform.hosts import HostState
@@ -25,10 +31,6 @@
     from boragetiller.clock import Clock
     from boragetiller.control.ports import (
         ConfigPages,
-        GroupMembers,
-        ShardOwners,
-        ShareLender,
-        StrikeSink,
     )
     from boragetiller.metrics import Metrics
     from boragetiller.platform.hosts import Host
--- a/src/boragetiller/platform/clients.py
+++ b/src/boragetiller/platform/clients.py
@@ -6,14 +6,14 @@
 
 import attrs
 
+from boragetiller.platform.hosts import HostList
 from boragetiller.platform.http_hosts import HttpHostList
 from boragetiller.platform.http_store import HttpStore
 from boragetiller.platform.http_weights import HttpWeightStore
+from boragetiller.platform.store import Store
+from boragetiller.platform.weights import WeightStore
 
 if TYPE_CHECKING:
-    from boragetiller.platform.hosts import HostList
-    from boragetiller.platform.store import Store
-    from boragetiller.platform.weights import WeightStore
     from boragetiller.settings import PlatformSettings
 
 
--- a/src/boragetiller/platform/memory_hosts.py
+++ b/src/boragetiller/platform/memory_hosts.py
@@ -10,10 +10,11 @@
 
 from boragetiller.errors import StoreUnavailable
 from boragetiller.platform.faults import CallKind, HostListFaults
+from boragetiller.platform.hosts import Host
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
-    from boragetiller.platform.hosts import Host, HostState
+    from boragetiller.platform.hosts import HostState
 
 
 @attrs.frozen
--- a/src/boragetiller/records/writes.py
+++ b/src/boragetiller/records/writes.py
@@ -5,11 +5,12 @@
 import hashlib
 import json
 from enum import Enum
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import attrs
 
 from boragetiller.records.build import UnreadableRecord, build_record
+from boragetiller.records.documents import RecordDocument
 from boragetiller.records.merge import FieldConflict, fields_at, merge_fields
 from boragetiller.records.pages import (
     MAX_RECENT_WRITES,
@@ -20,9 +21,6 @@
 )
 from boragetiller.records.schema import NEWEST_SCHEMA_VERSION, default_of, fields_of
 
-if TYPE_CHECKING:
-    from boragetiller.records.documents import RecordDocument
-
 
 class WriteState(Enum):
     """What became of a write."""
--- a/src/boragetiller/router/journey.py
+++ b/src/boragetiller/router/journey.py
@@ -7,13 +7,14 @@
 import attrs
 
 from boragetiller.relay.attempt import Attempt
+from boragetiller.router.answers import EngineTranscript
+from boragetiller.router.measures import StreamMeter
+from boragetiller.router.request import RoutedRequest
+from boragetiller.router.sinks import AnswerSink
+from boragetiller.systems.outcomes import RequestProgress
 
 if TYPE_CHECKING:
-    from boragetiller.router.answers import EngineTranscript, ResumePoint
-    from boragetiller.router.measures import StreamMeter
-    from boragetiller.router.request import RoutedRequest
-    from boragetiller.router.sinks import AnswerSink
-    from boragetiller.systems.outcomes import RequestProgress
+    from boragetiller.router.answers import ResumePoint
 
 
 @attrs.define(kw_only=True)
--- a/src/boragetiller/router/placer.py
+++ b/src/boragetiller/router/placer.py
@@ -9,6 +9,7 @@
 
 from boragetiller.events import Event, log_event
 from boragetiller.platform.hosts import Host, HostState
+from boragetiller.records.model import BackendGroup
 from boragetiller.settings import Role
 from boragetiller.systems import outliers, retry_budget
 from boragetiller.systems.placement import PlacementRequest, choose_agent
@@ -21,7 +22,6 @@
 
     from boragetiller.clock import Clock
     from boragetiller.errors import BoragetillerError
-    from boragetiller.records.model import BackendGroup
     from boragetiller.router.request import RoutedRequest
     from boragetiller.settings import Settings
     from boragetiller.tables.agents import AgentTable
--- a/src/boragetiller/router/request.py
+++ b/src/boragetiller/router/request.py
@@ -9,10 +9,10 @@
 import attrs
 
 from boragetiller.errors import Forbidden, InvalidRequest, NotFound
+from boragetiller.records.model import BackendGroup, Customer, RequestClass
 from boragetiller.settings import BackendKind
 
 if TYPE_CHECKING:
-    from boragetiller.records.model import BackendGroup, Customer, RequestClass
     from boragetiller.tables.config import ConfigTable
 
 CHARACTERS_PER_TOKEN = 4
--- /dev/null
+++ b/src/boragetiller/settings/__init__.py
@@ -0,0 +1,48 @@
+"""Settings of a process, as attrs classes that are passed whole."""
+
+from __future__ import annotations
+
+from boragetiller.settings.fleet import ConfigSettings, OrderSettings
+from boragetiller.settings.network import (
+    ControlSettings,
+    LimitSettings,
+    ListenSettings,
+    OperatorSettings,
+    PlatformSettings,
+    StatsdSettings,
+    TlsSettings,
+)
+from boragetiller.settings.policy import (
+    AdmissionSettings,
+    ClaimSettings,
+    PlacementSettings,
+    StrikeSettings,
+)
+from boragetiller.settings.process import (
+    BackendKind,
+    BackendSettings,
+    Role,
+    Settings,
+    load_settings,
+)
+
+__all__ = [
+    "AdmissionSettings",
+    "BackendKind",
+    "BackendSettings",
+    "ClaimSettings",
+    "ConfigSettings",
+    "ControlSettings",
+    "LimitSettings",
+    "ListenSettings",
+    "OperatorSettings",
+    "OrderSettings",
+    "PlacementSettings",
+    "PlatformSettings",
+    "Role",
+    "Settings",
+    "StatsdSettings",
+    "StrikeSettings",
+    "TlsSettings",
+    "load_settings",
+]
--- /dev/null
+++ b/src/boragetiller/settings/fleet.py
@@ -0,0 +1,45 @@
+"""How a process keeps its configuration and gives orders."""
+
+from __future__ import annotations
+
+import attrs
+from attrs import validators
+
+from boragetiller.settings.fields import POSITIVE
+
+
+@attrs.frozen(kw_only=True)
+class ConfigSettings:
+    """How a process keeps its configuration up to date."""
+
+    retry_base_ms: int = attrs.field(default=100, validator=POSITIVE)
+    retry_max_ms: int = attrs.field(default=2_000, validator=POSITIVE)
+    watch_restart_ms: int = attrs.field(default=30_000, validator=POSITIVE)
+    peer_silence_ms: int = attrs.field(default=5_000, validator=POSITIVE)
+    peer_wait_ms: int = attrs.field(default=1_500, validator=POSITIVE)
+
+
+@attrs.frozen(kw_only=True)
+class OrderSettings:
+    """How an agent gives orders to its engine."""
+
+    enabled: bool = True
+    check_interval_ms: int = attrs.field(default=2_000, validator=POSITIVE)
+    lease_ttl_ms: int = attrs.field(default=10_000, validator=POSITIVE)
+    delivery_ms: int = attrs.field(default=1_000, validator=POSITIVE)
+    load_timeout_ms: int = attrs.field(default=600_000, validator=POSITIVE)
+    role_timeout_ms: int = attrs.field(default=30_000, validator=POSITIVE)
+    retry_base_ms: int = attrs.field(default=1_000, validator=POSITIVE)
+    retry_max_ms: int = attrs.field(default=30_000, validator=POSITIVE)
+    spread_ms_per_member: int = attrs.field(default=10, validator=validators.ge(0))
+
+    @property
+    def slot_ttl_ms(self) -> int:
+        """:return: length of a slot, enough to take the lease and then load"""
+        return self.load_timeout_ms + self.lease_ttl_ms + self.delivery_ms
+
+
+__all__ = [
+    "ConfigSettings",
+    "OrderSettings",
+]
--- /dev/null
+++ b/src/boragetiller/settings/network.py
@@ -0,0 +1,91 @@
+"""Where a process listens and whom it talks to."""
+
+from __future__ import annotations
+
+import attrs
+
+from boragetiller.settings.fields import FRAME_BYTES, PORT, POSITIVE, SHARE
+
+
+@attrs.frozen(kw_only=True)
+class TlsSettings:
+    """Certificate, key and authority, as PEM files."""
+
+    certificate: str
+    key: str
+    authority: str | None = None
+
+
+@attrs.frozen(kw_only=True)
+class ListenSettings:
+    """Where a server listens; port 0 takes a free one."""
+
+    address: str = "127.0.0.1"
+    port: int = attrs.field(default=0, validator=PORT)
+    tls: TlsSettings | None = None
+
+
+@attrs.frozen(kw_only=True)
+class OperatorSettings:
+    """The operators' port and its bearer key."""
+
+    address: str = "127.0.0.1"
+    port: int = attrs.field(default=0, validator=PORT)
+    key: str = attrs.field(repr=False)
+
+
+@attrs.frozen(kw_only=True)
+class ControlSettings:
+    """The control exchange between the system's own processes."""
+
+    address: str = "127.0.0.1"
+    port: int = attrs.field(default=0, validator=PORT)
+    key: str = attrs.field(repr=False)
+    heartbeat_ms: int = attrs.field(default=1_000, validator=POSITIVE)
+    suspect_after_ms: int = attrs.field(default=2_500, validator=POSITIVE)
+    max_frame_bytes: int = attrs.field(default=2_000_000, validator=FRAME_BYTES)
+    reconnect_base_ms: int = attrs.field(default=200, validator=POSITIVE)
+    reconnect_max_ms: int = attrs.field(default=5_000, validator=POSITIVE)
+    candidate_floor_share: float = attrs.field(default=0.5, validator=SHARE)
+    list_loss_share: float = attrs.field(default=0.3, validator=SHARE)
+    list_doubt_ms: int = attrs.field(default=60_000, validator=POSITIVE)
+    announce_interval_ms: int = attrs.field(default=100, validator=POSITIVE)
+
+
+@attrs.frozen(kw_only=True)
+class PlatformSettings:
+    """Base URLs of the platform's services."""
+
+    store_url: str
+    host_list_url: str
+    weight_store_url: str | None = None
+    timeout_ms: int = attrs.field(default=1_000, validator=POSITIVE)
+    host_list_interval_ms: int = attrs.field(default=1_000, validator=POSITIVE)
+
+
+@attrs.frozen(kw_only=True)
+class StatsdSettings:
+    """Where counters and timings are sent."""
+
+    address: str
+    port: int = attrs.field(default=8125, validator=PORT)
+
+
+@attrs.frozen(kw_only=True)
+class LimitSettings:
+    """Limits on what a caller may send."""
+
+    max_body_bytes: int = attrs.field(default=4_000_000, validator=POSITIVE)
+    max_header_bytes: int = attrs.field(default=32_768, validator=POSITIVE)
+    body_timeout_ms: int = attrs.field(default=10_000, validator=POSITIVE)
+
+
+__all__ = [
+    "ControlSettings",
+    "LimitSettings",
+    "ListenSettings",
+    "OperatorSettings",
+    "PlatformSettings",
+    "StatsdSettings",
+    "TlsSettings",
+]
--- a/src/boragetiller/systems/outcomes.py
+++ b/src/boragetiller/systems/outcomes.py
@@ -18,13 +18,13 @@
     Preempted,
 )
 from boragetiller.systems.retry_budget import retry_delay_ms, withdraw
+from boragetiller.tables.retry import RetryBudget
 from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
     from random import Random
 
     from boragetiller.settings import PlacementSettings
-    from boragetiller.tables.retry import RetryBudget
 
 
 MAX_REDIRECTS = 3
--- a/src/boragetiller/tables/actions.py
+++ b/src/boragetiller/tables/actions.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import attrs
 
-if TYPE_CHECKING:
-    from boragetiller.errors import BoragetillerError
+from boragetiller.errors import BoragetillerError
 
 
 @attrs.frozen
--- a/src/boragetiller/tables/config.py
+++ b/src/boragetiller/tables/config.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import attrs
 
-if TYPE_CHECKING:
-    from boragetiller.records.model import BackendGroup, Customer, RequestClass
-    from boragetiller.records.references import ReferenceProblem
+from boragetiller.records.model import BackendGroup, Customer, RequestClass
+from boragetiller.records.references import ReferenceProblem
 
 
 @attrs.define(kw_only=True)
--- a/src/boragetiller/tables/members.py
+++ b/src/boragetiller/tables/members.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
 
 import attrs
 
-if TYPE_CHECKING:
-    from boragetiller.platform.hosts import Host
+from boragetiller.platform.hosts import Host
 
 
 class MemberState(Enum):
--- a/src/boragetiller/tables/shard_actions.py
+++ b/src/boragetiller/tables/shard_actions.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import attrs
 
-if TYPE_CHECKING:
-    from boragetiller.errors import BoragetillerError
-    from boragetiller.tables.shards import Page, PageClaim
+from boragetiller.errors import BoragetillerError
+from boragetiller.tables.shards import Page, PageClaim
 
 
 @attrs.frozen
--- a/src/boragetiller/tables/shards.py
+++ b/src/boragetiller/tables/shards.py
@@ -2,12 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import attrs
 
-if TYPE_CHECKING:
-    from boragetiller.tables.claims import Claim, ShardCall
+from boragetiller.tables.claims import Claim, ShardCall
 
 
 @attrs.frozen(kw_only=True)
