--- a/bench/relay.py
+++ b/bench/relay.py
@@ -134,14 +134,30 @@
 
 async def _cost(
     session: aiohttp.ClientSession, url: str, through: list[Member], requests: int, tokens: int
-) -> Cost:
-    used: list[float] = []
+) -> dict[str, Cost]:
+    used: dict[str, list[float]] = {member.name: [] for member in through}
     for length in (SHORT_TOKENS, tokens):
-        before = sum(member.cpu_ticks for member in through)
+        before = {member.name: member.cpu_ticks for member in through}
         await _run(session, url, requests, length)
-        used.append((sum(member.cpu_ticks for member in through) - before) * TICK_MS)
-    return Cost(
-        short_ms=used[0], long_ms=used[1], requests=requests, more_tokens=tokens - SHORT_TOKENS
+        for member in through:
+            used[member.name].append((member.cpu_ticks - before[member.name]) * TICK_MS)
+    return {
+        name: Cost(
+            short_ms=short_ms,
+            long_ms=long_ms,
+            requests=requests,
+            more_tokens=tokens - SHORT_TOKENS,
+        )
+        for name, (short_ms, long_ms) in used.items()
+    }
+
+
+def _sum(costs: dict[str, Cost]) -> Cost:
+    first = next(iter(costs.values()))
+    return attrs.evolve(
+        first,
+        short_ms=sum(cost.short_ms for cost in costs.values()),
+        long_ms=sum(cost.long_ms for cost in costs.values()),
     )
 
 
@@ -168,9 +184,11 @@
     return statistics.median(values), statistics.quantiles(values, n=20)[-1]
 
 
-def _print_cost(ours: Cost, bare: Cost) -> None:
+def _print_cost(ours_by_name: dict[str, Cost], bare_by_name: dict[str, Cost]) -> None:
+    ours, bare = _sum(ours_by_name), _sum(bare_by_name)
     print("processor time       per request, ms   per relayed token, us")
-    for name, cost in (("router + agent", ours), ("bare two hops", bare)):
+    rows = {**ours_by_name, "router + agent": ours, "bare two hops": bare}
+    for name, cost in rows.items():
         print(f"{name:16} {cost.request_ms:15.2f} {cost.token_us:20.1f}")
     ratio = ours.token_us / bare.token_us
     met = "met" if ratio <= AIM_RATIO else "missed"
