Count every lost engine connection as a crash

An agent that was frozen for 900 ms or 2 s while its engine crashed and came back after 500 ms found the port open, told the router of a lost connection and not of a crash, and the body was sent on without a strike. Change: for engines a lost connection always strikes the body; for plain services, whose bodies may be alike by chance, only when the port refuses connections. tests/agent/test_backend.py fails without the change and passes with it.

--- a/src/boragetiller/agent/backend.py
+++ b/src/boragetiller/agent/backend.py
@@ -104,10 +104,15 @@
 
     async def _failure(self, error: BaseException) -> BoragetillerError:
         found = _backend_error(error)
-        if isinstance(found, BackendLost) and await _refuses_connections(self._settings.url):
+        if isinstance(found, BackendLost) and await self._tells_of_crash():
             return BackendCrashed()
         return found
 
+    async def _tells_of_crash(self) -> bool:
+        if self._settings.kind is BackendKind.ENGINE:
+            return True  # it may be back already when an agent that was paused looks
+        return await _refuses_connections(self._settings.url)
+
     @asynccontextmanager
     async def send(self, attempt: Attempt, body: bytes) -> AsyncIterator[BackendAnswer]:
         """
--- a/src/boragetiller/errors/failures.py
+++ b/src/boragetiller/errors/failures.py
@@ -22,7 +22,7 @@
 
 
 class BackendCrashed(BackendLost):
-    """The connection broke and the backend server no longer listens."""
+    """The connection broke in a way that tells of a crash of the backend server."""
 
     code = "backend_crashed"
 
--- /dev/null
+++ b/tests/agent/test_backend.py
@@ -0,0 +1,58 @@
+"""Tests of the client to the backend server."""
+
+from __future__ import annotations
+
+import unittest
+
+import attrs
+
+from boragetiller.agent.backend import BackendClient
+from boragetiller.errors import BackendCrashed, BackendLost, BoragetillerError
+from boragetiller.relay.attempt import Attempt
+from boragetiller.settings import BackendKind, BackendSettings
+from tests.faulty_server import Fault, FaultyServer
+
+_DEFAULTS = {"str": "", "int": 0, "float": 1.0, "bool": False}
+
+
+def _attempt() -> Attempt:
+    required = [field for field in attrs.fields(Attempt) if field.default is attrs.NOTHING]
+    values = {field.name: _DEFAULTS[str(field.type)] for field in required}
+    return Attempt(**{**values, "request_id": "r-1", "method": "POST", "path": "/x"})
+
+
+class LostConnectionTest(unittest.IsolatedAsyncioTestCase):
+    """A connection that breaks while the server still listens, or listens again."""
+
+    async def test_lost_engine_counts_as_crashed_although_it_listens(self) -> None:
+        error = await self._failure(BackendKind.ENGINE, still_listens=True)
+        self.assertIs(type(error), BackendCrashed)
+
+    async def test_reset_of_listening_service_is_no_crash(self) -> None:
+        error = await self._failure(BackendKind.SERVICE, still_listens=True)
+        self.assertIs(type(error), BackendLost)
+
+    async def test_lost_service_that_refuses_connections_crashed(self) -> None:
+        error = await self._failure(BackendKind.SERVICE, still_listens=False)
+        self.assertIs(type(error), BackendCrashed)
+
+    async def _failure(self, kind: BackendKind, *, still_listens: bool) -> BoragetillerError:
+        fault = Fault.RESET_BEFORE_FIRST_BYTE if still_listens else Fault.SILENT
+        server = FaultyServer(fault)
+        server.on_request = None if still_listens else server.close
+        await server.start()
+        client = BackendClient(BackendSettings(name="s", group="g", kind=kind, url=server.url))
+        await client.start()
+        try:
+            with self.assertRaises(BoragetillerError) as caught:
+                async with client.send(_attempt(), b"{}"):
+                    pass
+        finally:
+            await client.close()
+            if still_listens:
+                await server.close()
+        return caught.exception
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/faulty_server.py
+++ b/tests/faulty_server.py
@@ -5,6 +5,10 @@
 import asyncio
 import contextlib
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
 
 LOOPBACK = "127.0.0.1"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\n"
@@ -37,6 +41,7 @@
         self.fault = fault
         self.left = count
         self.requests = 0
+        self.on_request: Callable[[], Awaitable[None]] | None = None
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -70,6 +75,8 @@
                 while True:
                     await _read_request(reader)
                     self.requests += 1
+                    if self.on_request is not None:
+                        await self.on_request()
                     fault = self.fault if self.left > 0 else Fault.NONE
                     self.left -= 1
                     if not await self._answer(fault, writer, reader):
