--- /dev/null
+++ b/tests/test_preemption.py
@@ -0,0 +1,57 @@
+"""Protected work preempts a running stream of a lower tier, which is resumed and ends whole."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from boragetiller.settings import AdmissionSettings
+from boragetiller.standin.engine import EngineServer, EngineSettings
+from boragetiller.standin.engine_text import expected_text
+from tests.fleet import MODEL, Fleet, sample_records
+from tests.streams import streamed_text
+
+CHAT = "/v1/chat/completions"
+
+
+class PreemptionTest(unittest.IsolatedAsyncioTestCase):
+    """One engine whose agent runs one request at a time."""
+
+    async def asyncSetUp(self) -> None:
+        self.engine = EngineServer(EngineSettings())
+        await self.engine.start()
+        admission = AdmissionSettings(initial_running=1, max_running=1)
+        self.fleet = Fleet({"admission": admission})
+        await self.fleet.start()
+        self.agent = await self.fleet.add_agent("engine-0", "pool", self.engine.url)
+        await self.fleet.apply(sample_records(("engine-0",), ()))
+        self.router = await self.fleet.add_router("router-0")
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.close()
+        await self.engine.close()
+
+    async def test_protected_request_preempts_stream_that_is_resumed(self) -> None:
+        async with self._send("note", "a long note", 300) as note:
+            content = await note.content.readuntil(b"\n\n")
+            async with self._send("quote", "a quick quote", 5) as quote:
+                quick = await quote.read()
+            self.assertEqual(self.agent.metrics.counts["agent.preempted"], 1)
+            content += await note.read()
+        self.assertEqual(streamed_text(quick), expected_text(_body("a quick quote", 5)))
+        self.assertEqual(streamed_text(content), expected_text(_body("a long note", 300)))
+        self.assertEqual(self.router.metrics.counts["router.retry.preempted"], 1)
+        self.assertEqual(len(self.agent.gate.table.queued), 0)
+
+    def _send(self, class_name: str, prompt: str, tokens: int) -> Any:
+        body = _body(prompt, tokens)
+        return self.fleet.post(self.router, CHAT, body, X_Request_Class=class_name)
+
+
+def _body(prompt: str, tokens: int) -> dict[str, object]:
+    messages = [{"role": "user", "content": prompt}]
+    return {"model": MODEL, "messages": messages, "max_tokens": tokens, "stream": True}
+
+
+if __name__ == "__main__":
+    unittest.main()
