--- a/tests/systems/test_subsets.py
+++ b/tests/systems/test_subsets.py
@@ -42,6 +42,16 @@
         held = [counts[agent.name] for agent in self.agents]
         self.assertLessEqual(max(held) - min(held), 2, held)
 
+    def test_few_routers_with_small_subsets_leave_no_agent_out(self) -> None:
+        routers = [Member(f"router-{n}", f"d{n % 3}") for n in range(10)]
+        agents = [Member(f"agent-{n}", f"d{n % 3}") for n in range(40)]
+        chosen = {
+            name
+            for router in routers
+            for name in choose_subset(router, routers, agents, self.settings)
+        }
+        self.assertEqual(sorted(a.name for a in agents if a.name not in chosen), [])
+
     def test_lost_domain_leaves_whole_subsets(self) -> None:
         self.agents = [agent for agent in self.agents if agent.failure_domain != "fd1"]
         for chosen in self.subsets().values():
