Serve the record status of both roles by one function; drop a dead constant

Found in the read-through: agent/operator.py and router/operator.py had the same handler twice, and router/shard_owners.py kept a bound that only systems/outcomes.py applies. Behaviour is unchanged. The whole suite was not run again.

--- a/src/boragetiller/agent/operator.py
+++ b/src/boragetiller/agent/operator.py
@@ -8,7 +8,8 @@
 from aiohttp import web
 
 from boragetiller.cli.messages import AgentStatus, NodeStatus
-from boragetiller.router.config_status import config_status, record_status
+from boragetiller.operator_app import add_record_route
+from boragetiller.router.config_status import config_status
 
 if TYPE_CHECKING:
     from boragetiller.agent.process import AgentProcess
@@ -25,15 +26,8 @@
     async def show_status(_request: web.Request) -> web.Response:
         return web.json_response(attrs.asdict(_node_status(agent)))
 
-    async def show_record(request: web.Request) -> web.Response:
-        record_id = f"{request.match_info['kind']}/{request.match_info['name']}"
-        now_ms = agent.clock.now_ms()
-        name = agent.settings.name
-        status = record_status(agent.sync, agent.config, record_id, name, now_ms)
-        return web.json_response(attrs.asdict(status))
-
     app.router.add_get("/status", show_status)
-    app.router.add_get("/status/record/{kind}/{name}", show_record)
+    add_record_route(app, agent.sync, agent.config, agent.settings.name, agent.clock)
 
 
 def _node_status(agent: AgentProcess) -> NodeStatus:
--- a/src/boragetiller/operator_app.py
+++ b/src/boragetiller/operator_app.py
@@ -5,13 +5,19 @@
 import hmac
 from typing import TYPE_CHECKING
 
+import attrs
 from aiohttp import web
 
+from boragetiller.router.config_status import record_status
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from boragetiller.clock import Clock
     from boragetiller.metrics import Metrics
+    from boragetiller.router.config_sync import ConfigSync
     from boragetiller.settings import OperatorSettings
+    from boragetiller.tables.config import ConfigTable
 
     Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -41,4 +47,25 @@
     return app
 
 
-__all__ = ["operator_app"]
+def add_record_route(
+    app: web.Application, sync: ConfigSync, config: ConfigTable, name: str, clock: Clock
+) -> None:
+    """
+    Add the route that tells which page of a record this process and its peers hold.
+
+    :param app: application of the operator port
+    :param sync: knows the pages of the peers
+    :param config: records in force
+    :param name: name of this process
+    :param clock: monotonic time
+    """
+
+    async def show_record(request: web.Request) -> web.Response:
+        record_id = f"{request.match_info['kind']}/{request.match_info['name']}"
+        status = record_status(sync, config, record_id, name, clock.now_ms())
+        return web.json_response(attrs.asdict(status))
+
+    app.router.add_get("/status/record/{kind}/{name}", show_record)
+
+
+__all__ = ["add_record_route", "operator_app"]
--- a/src/boragetiller/router/operator.py
+++ b/src/boragetiller/router/operator.py
@@ -8,7 +8,8 @@
 from aiohttp import web
 
 from boragetiller.cli.messages import AgentStatus, ExplainStep, Explanation, NodeStatus
-from boragetiller.router.config_status import config_status, record_status
+from boragetiller.operator_app import add_record_route
+from boragetiller.router.config_status import config_status
 
 if TYPE_CHECKING:
     from boragetiller.router.process import RouterProcess
@@ -26,13 +27,6 @@
     async def show_status(_request: web.Request) -> web.Response:
         return web.json_response(attrs.asdict(_node_status(router)))
 
-    async def show_record(request: web.Request) -> web.Response:
-        record_id = f"{request.match_info['kind']}/{request.match_info['name']}"
-        now_ms = router.clock.now_ms()
-        name = router.settings.name
-        status = record_status(router.sync, router.config, record_id, name, now_ms)
-        return web.json_response(attrs.asdict(status))
-
     async def explain(request: web.Request) -> web.Response:
         request_id = request.match_info["request_id"]
         trace = router.traces.get(request_id)
@@ -46,7 +40,7 @@
         return web.json_response(attrs.asdict(answer))
 
     app.router.add_get("/status", show_status)
-    app.router.add_get("/status/record/{kind}/{name}", show_record)
+    add_record_route(app, router.sync, router.config, router.settings.name, router.clock)
     app.router.add_get("/explain/{request_id}", explain)
 
 
--- a/src/boragetiller/router/shard_owners.py
+++ b/src/boragetiller/router/shard_owners.py
@@ -4,8 +4,6 @@
 
 from boragetiller.systems.shards import shard_of
 
-MAX_REDIRECTS = 3
-
 
 class ShardOwners:
     """Owners by group and shard, from the reports of agents and from their refusals."""
@@ -67,4 +65,4 @@
         return self._owners.get((group, shard_of(customer, key, shard_count)))
 
 
-__all__ = ["MAX_REDIRECTS", "ShardOwners"]
+__all__ = ["ShardOwners"]
