Serve the platform's requests by routers without agents: thin path

Cause: the users' platform was not met at all. Change: boragetiller.gateway (routes, kinds, deadlines, event streams, backend servers found by a list) and platform/ (names, formats, calls); routers alone, straight to the engines.

--- a/src/boragetiller/errors/__init__.py
+++ b/src/boragetiller/errors/__init__.py
@@ -22,6 +22,8 @@
     OutcomeUnknown,
 )
 from boragetiller.errors.platform import (
+    EntryUnreadable,
+    HistoryLost,
     LeaseLapsed,
     OrderRefused,
     RevisionConflict,
@@ -50,6 +52,8 @@
 )
 
 __all__ = [
+    "EntryUnreadable",
+    "HistoryLost",
     "AgentLost",
     "AgentUnreachable",
     "AnswerNotKept",
--- a/src/boragetiller/errors/platform.py
+++ b/src/boragetiller/errors/platform.py
@@ -21,6 +21,20 @@
     http_status = 503
 
 
+class HistoryLost(BoragetillerError):
+    """The store no longer knows what changed after the revision asked for."""
+
+    code = "history_lost"
+    http_status = 410
+
+
+class EntryUnreadable(BoragetillerError):
+    """A stored entry is not of the form that its key promises."""
+
+    code = "entry_unreadable"
+    http_status = 400
+
+
 class RevisionConflict(BoragetillerError):
     """The stored value has another revision than the writer expected."""
 
@@ -60,6 +74,8 @@
 
 
 __all__ = [
+    "EntryUnreadable",
+    "HistoryLost",
     "LeaseLapsed",
     "OrderRefused",
     "RevisionConflict",
--- a/src/boragetiller/events.py
+++ b/src/boragetiller/events.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import json
 import sys
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from loguru import logger
 
+if TYPE_CHECKING:
+    from loguru import Message
+
 
 class Event(Enum):
     """Every event that a process can log, by number."""
@@ -38,6 +43,15 @@
     MEMBER_CHANGED = 710
     HOST_LIST_DOUBTED = 711
     HOST_LIST_BELIEVED = 712
+    CALL_ANSWERED = 800
+    CALL_REPEATED = 801
+    CALL_FAILED = 802
+    CALL_REFUSED = 803
+    CALLER_LEFT = 804
+    ROUTES_TAKEN = 810
+    SERVER_GONE = 811
+    SERVER_UNREADABLE = 812
+    SERVER_EJECTED = 813
 
 
 def log_event(event: Event, **fields: object) -> None:
@@ -48,7 +62,7 @@
     :param fields: details; durations carry their unit as suffix
     """
     text = " ".join(f"{name}={value}" for name, value in fields.items())
-    logger.bind(event=event.value, **fields).info("{} {} {}", event.value, event.name.lower(), text)
+    logger.bind(event=event.value, event_name=event.name.lower(), **fields).info("{} {} {}", event.value, event.name.lower(), text)
 
 
 def configure_logging(level: str = "INFO", *, json_lines: bool = False) -> None:
@@ -62,4 +76,21 @@
     logger.add(sys.stderr, level=level, serialize=json_lines, format="{time} {level} {message}")
 
 
-__all__ = ["Event", "configure_logging", "log_event"]
+def configure_json_logging(name: str) -> None:
+    """
+    Send one JSON object a line to standard output.
+
+    :param name: name of the process
+    """
+
+    def write(message: Message) -> None:
+        extra = message.record["extra"]
+        line = {"time_ms": int(message.record["time"].timestamp() * 1_000), "process": name}
+        sys.stdout.write(json.dumps(line | extra) + "\n")
+        sys.stdout.flush()
+
+    logger.remove()
+    logger.add(write, level="INFO", format="{message}")
+
+
+__all__ = ["Event", "configure_json_logging", "configure_logging", "log_event"]
--- /dev/null
+++ b/src/boragetiller/gateway/callers.py
@@ -0,0 +1,146 @@
+"""The callers' HTTP port of a router without agents."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from boragetiller.errors import (
+    BoragetillerError,
+    Draining,
+    NotReady,
+    RequestTimeout,
+    RequestTooLarge,
+)
+from boragetiller.events import Event, log_event
+from boragetiller.gateway.answers import OwnAnswer, own_response
+from boragetiller.gateway.call import admit_call
+
+if TYPE_CHECKING:
+    from boragetiller.clock import Clock
+    from boragetiller.gateway.fleet import Fleet
+    from boragetiller.gateway.metrics import GatewayMetrics
+    from boragetiller.gateway.ports import Dialect
+    from boragetiller.gateway.runner import CallRunner
+    from boragetiller.tables.routes import CallerLimits
+
+BACKLOG = 1_024  # connections that wait to be taken; a full queue costs callers seconds
+NOT_READY_RETRY_S = 0.3
+DEFAULT_IDLE_TIMEOUT_S = 75.0  # until a configuration says otherwise
+MAX_LINE_BYTES = 16_384
+BODY_TIMEOUT_S = 10.0
+
+
+class CallerPort:
+    """Takes calls and hands them to the runner."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        runner: CallRunner,
+        dialect: Dialect,
+        clock: Clock,
+        metrics: GatewayMetrics,
+    ) -> None:
+        """
+        Put the parts together.
+
+        :param fleet: configuration in force
+        :param runner: serves calls
+        :param dialect: words of the platform
+        :param clock: monotonic time
+        :param metrics: counters
+        """
+        self._fleet = fleet
+        self._runner = runner
+        self._dialect = dialect
+        self._clock = clock
+        self._metrics = metrics
+        self.in_progress = 0
+        self.stopping = False  # end each connection with its next answer
+        self.refusing = False  # take no new call
+
+    def server(self) -> web.Server:
+        """:return: the HTTP server to listen with"""
+        return web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=DEFAULT_IDLE_TIMEOUT_S,
+            max_line_size=MAX_LINE_BYTES,
+            max_field_size=MAX_LINE_BYTES,
+        )
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.in_progress += 1
+        self._metrics.in_flight.set(self.in_progress)
+        try:
+            response = await self._serve(request)
+        finally:
+            self.in_progress -= 1
+            self._metrics.in_flight.set(self.in_progress)
+        if self.stopping and not response.prepared:
+            response.force_close()
+            response.headers["Connection"] = "close"
+        return response
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = ""
+        try:
+            config = self._fleet.config
+            if config is None:
+                raise NotReady
+            if self.refusing:
+                raise Draining
+            arrived_ms = self._clock.now_ms()
+            facts = self._dialect.read_call(request.headers)
+            request_id = facts.request_id
+            body = await _read_body(request, config.limits)
+            call = admit_call(
+                config, facts, request.method, request.raw_path, request.headers, body, arrived_ms
+            )
+        except BoragetillerError as error:
+            return self._refuse(error, request_id)
+        try:
+            return await self._runner.run(call, request)
+        except (asyncio.CancelledError, ConnectionError):
+            self._metrics.left.labels(call.route.name).inc()
+            log_event(
+                Event.CALLER_LEFT,
+                request_id=request_id,
+                route=call.route.name,
+                elapsed_ms=self._clock.now_ms() - call.arrived_ms,
+            )
+            raise
+
+    def _refuse(self, error: BoragetillerError, request_id: str) -> web.Response:
+        self._metrics.refused.labels(error.code).inc()
+        log_event(Event.CALL_REFUSED, request_id=request_id, code=error.code)
+        retry_after_s = NOT_READY_RETRY_S if error.http_status == 503 else None
+        answer = OwnAnswer(
+            status=error.http_status, code=error.code, retry_after_s=retry_after_s
+        )
+        return own_response(answer, request_id, self._dialect)
+
+
+async def _read_body(request: web.BaseRequest, limits: CallerLimits) -> bytes:
+    if not request.body_exists:
+        return b""
+    chunks = []
+    size = 0
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_S):
+            async for chunk in request.content.iter_any():
+                size += len(chunk)
+                if size > limits.max_body_bytes:
+                    raise RequestTooLarge
+                chunks.append(chunk)
+    except TimeoutError as error:
+        raise RequestTimeout from error
+    return b"".join(chunks)
+
+
+__all__ = ["BACKLOG", "CallerPort"]
--- /dev/null
+++ b/src/boragetiller/gateway/connections.py
@@ -0,0 +1,149 @@
+"""
+Connections to backend servers that guard against answers of other requests.
+
+A faulty server may send bytes that no request waits for, an answer of an earlier request, or a
+body without a length that a reset cuts off. aiohttp's own classes pass such bytes on.
+"""
+
+from __future__ import annotations
+
+import functools
+import socket
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+if TYPE_CHECKING:
+    from asyncio import AbstractEventLoop
+    from collections.abc import Callable
+
+    from aiohttp.client_reqrep import Connection
+
+    from multidict import CIMultiDictProxy
+
+    AnswerCheck = Callable[[CIMultiDictProxy[str], CIMultiDictProxy[str]], bool]
+    AddressInfo = tuple[int, int, int, str, tuple[str, int]]
+
+SILENT_PEER_MS = 2_000  # unacknowledged bytes for so long mean that the path is gone
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+
+class GuardedProtocol(ResponseHandler):
+    """Closes the connection on bytes that no request waits for."""
+
+    def __init__(self, loop: AbstractEventLoop) -> None:
+        """:param loop: the running loop"""
+        super().__init__(loop)
+        self.expects_answer = False
+
+    def set_response_params(self, **params: object) -> None:  # type: ignore[override]
+        """See :class:`ResponseHandler`; called as a request is about to be sent."""
+        self.expects_answer = True
+        super().set_response_params(**params)  # type: ignore[arg-type]
+
+    def data_received(self, data: bytes) -> None:
+        """See :class:`ResponseHandler`."""
+        if not self.expects_answer:
+            self.abort()
+            return
+        super().data_received(data)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """See :class:`ResponseHandler`; a reset never ends a body that has no length."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"connection lost: {exc!r}"))
+        super().connection_lost(exc)
+
+
+class IdentifiedResponse(aiohttp.ClientResponse):
+    """Passes over answers to earlier requests on the same connection."""
+
+    _identified = False
+
+    def answers_its_request(self) -> bool:
+        """:return: whether the head that was read answers the request that was sent"""
+        raise NotImplementedError
+
+    async def start(self, connection: Connection) -> aiohttp.ClientResponse:
+        """See :class:`ClientResponse`."""
+        await super().start(connection)
+        while not self.answers_its_request():
+            await self.content.read()
+            await super().start(connection)
+        self._identified = True
+        if self.content.is_eof():
+            self._response_eof()
+        return self
+
+    def _response_eof(self) -> None:
+        if not self._identified:
+            return
+        if isinstance(self._protocol, GuardedProtocol):
+            self._protocol.expects_answer = False
+        super()._response_eof()
+
+
+def identified_response(is_answer_to: AnswerCheck) -> type[IdentifiedResponse]:
+    """
+    Build the response class for a dialect.
+
+    :param is_answer_to: tells from the headers of a request and of an answer whether they match
+    :return: the class
+    """
+
+    class DialectResponse(IdentifiedResponse):
+        """Answers that the dialect identifies."""
+
+        def answers_its_request(self) -> bool:
+            """See :class:`IdentifiedResponse`."""
+            return is_answer_to(self.request_info.headers, self.headers)
+
+    return DialectResponse
+
+
+def guarded_connector(idle_timeout_s: float) -> aiohttp.TCPConnector:
+    """
+    Build the connection pool of one backend server.
+
+    :param idle_timeout_s: how long an idle connection is kept
+    :return: the pool
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0, keepalive_timeout=idle_timeout_s, socket_factory=_open_socket
+    )
+    loop = connector._loop  # noqa: SLF001
+    connector._factory = functools.partial(GuardedProtocol, loop=loop)  # type: ignore[assignment]  # noqa: SLF001
+    return connector
+
+
+def detect_silence(sock: socket.socket) -> None:
+    """
+    Let the kernel end a connection whose path has gone silent.
+
+    :param sock: a TCP socket
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_MS)
+
+
+def _open_socket(info: AddressInfo) -> socket.socket:
+    family, kind, protocol, _, _ = info
+    sock = socket.socket(family, kind, protocol)
+    detect_silence(sock)
+    return sock
+
+
+__all__ = [
+    "GuardedProtocol",
+    "IdentifiedResponse",
+    "detect_silence",
+    "guarded_connector",
+    "identified_response",
+]
--- /dev/null
+++ b/src/boragetiller/gateway/daemon.py
@@ -0,0 +1,53 @@
+"""Run a router without agents until a signal ends it."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+from boragetiller.events import configure_json_logging
+from boragetiller.gateway.process import GatewayProcess
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from boragetiller.gateway.ports import Dialect, ReadStore
+    from boragetiller.gateway.settings import Endpoint, GatewaySettings
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+EXIT_START = 3
+
+
+async def serve(
+    settings: GatewaySettings,
+    dialect: Dialect,
+    open_store: Callable[[Endpoint], ReadStore],
+) -> int:
+    """
+    Run until SIGTERM or SIGINT.
+
+    :param settings: settings of the process
+    :param dialect: words of the platform
+    :param open_store: opens the client of the platform's store
+    :return: exit code
+    """
+    configure_json_logging(settings.name)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    process = GatewayProcess(settings, dialect, open_store(settings.store))
+    try:
+        await process.start()
+    except OSError as error:
+        print(f"cannot start: {error}", file=sys.stderr)
+        return EXIT_START
+    await stop.wait()
+    await process.close()
+    return EXIT_OK
+
+
+__all__ = ["EXIT_OK", "EXIT_SETTINGS", "EXIT_START", "serve"]
--- /dev/null
+++ b/src/boragetiller/gateway/fleet.py
@@ -0,0 +1,175 @@
+"""What this router knows of routes and backend servers, and its connections to them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from boragetiller.errors import EntryUnreadable
+from boragetiller.events import Event, log_event
+from boragetiller.gateway.server_client import ServerClient
+from boragetiller.systems.window_budget import WindowBudget
+from boragetiller.tables.servers import ServerTable
+from boragetiller.tables.store_view import StoreView
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from boragetiller.clock import Clock
+    from boragetiller.gateway.ports import Dialect
+    from boragetiller.gateway.settings import GatewaySettings
+    from boragetiller.tables.routes import RouteConfig
+    from boragetiller.tables.servers import BackendServer, ServerRecord
+    from boragetiller.tables.store_view import StoredItem
+
+ROUTERS = 8  # the fleet's retry slack is shared by so many routers at most, spare ones among them
+CLOSE_AFTER_MS = 30_000  # calls on their way at a server that left may still end
+
+
+class Fleet:
+    """The configuration in force, the backend servers and the clients to them."""
+
+    def __init__(self, settings: GatewaySettings, dialect: Dialect, clock: Clock) -> None:
+        """
+        Prepare an empty fleet.
+
+        :param settings: settings of the process
+        :param dialect: words of the platform
+        :param clock: monotonic time
+        """
+        self.view = StoreView()
+        self.servers = ServerTable()
+        self.config: RouteConfig | None = None
+        self.listed = False  # whether the backend servers were ever listed
+        self._settings = settings
+        self._dialect = dialect
+        self._clock = clock
+        self._clients: dict[str, ServerClient] = {}
+        self._budgets: dict[str, WindowBudget] = {}
+        self._unreadable: dict[str, int] = {}
+        self._closing: set[asyncio.Task[None]] = set()
+
+    def client(self, server: BackendServer) -> ServerClient:
+        """
+        Give the connections to a backend server.
+
+        :param server: the server
+        :return: its client
+        """
+        name = server.name
+        if name not in self._clients:
+            self._clients[name] = ServerClient(server.record, self._dialect)
+        return self._clients[name]
+
+    def budget(self, group: str) -> WindowBudget:
+        """
+        Give the retry budget of a group.
+
+        :param group: name of the backend group
+        :return: this router's part of it
+        """
+        if group not in self._budgets:
+            self._budgets[group] = WindowBudget(
+                ratio=self._settings.retry_ratio,
+                slack=self._settings.retry_slack / ROUTERS,
+                window_ms=self._settings.retry_window_ms,
+            )
+        return self._budgets[group]
+
+    def take_changes(self, items: Iterable[StoredItem], source: str) -> None:
+        """
+        Take items from a watch or a peer.
+
+        :param items: entries and marks of removed ones
+        :param source: where they come from, for the log
+        """
+        self._apply(self.view.take(items), source)
+
+    def take_listing(
+        self, prefix: str, items: list[StoredItem], revision: int, source: str
+    ) -> None:
+        """
+        Take a whole listing.
+
+        :param prefix: prefix of its keys
+        :param items: entries
+        :param revision: revision of the store when it was read
+        :param source: where it comes from, for the log
+        """
+        news = self.view.take_listing(prefix, items, revision)
+        first = not self.listed and prefix == self._dialect.servers_prefix
+        self.listed = self.listed or first
+        self._apply(news, source)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for task in self._closing:
+            task.cancel()
+        for client in self._clients.values():
+            await client.close()
+        self._clients.clear()
+
+    def _apply(self, news: list[StoredItem], source: str) -> None:
+        if not news:
+            return
+        changed = False
+        for item in news:
+            if item.key == self._dialect.config_key and item.value is not None:
+                changed |= self._take_config(item, source)
+            changed |= item.key.startswith(self._dialect.servers_prefix)
+        if changed:
+            self._replace_servers()
+
+    def _take_config(self, item: StoredItem, source: str) -> bool:
+        assert item.value is not None
+        try:
+            config = self._dialect.decode_config(item.value)
+        except EntryUnreadable as error:
+            log_event(Event.CONFIG_UNREADABLE, reason=str(error), revision=item.revision)
+            return False
+        if self.config is not None and config.version <= self.config.version:
+            return False
+        self.config = config
+        log_event(
+            Event.ROUTES_TAKEN, version=config.version, revision=item.revision, source=source
+        )
+        return True
+
+    def _replace_servers(self) -> None:
+        if self.config is None:
+            return
+        items = self.view.below(self._dialect.servers_prefix)
+        records = [record for item in items if (record := self._read_server(item)) is not None]
+        gone = self.servers.replace(records, self._clock.now_ms())
+        for server in gone:
+            log_event(Event.SERVER_GONE, server=server.name, in_flight=server.in_flight)
+            client = self._clients.pop(server.name, None)
+            if client is not None:
+                self._close_later(client)
+
+    def _read_server(self, item: StoredItem) -> ServerRecord | None:
+        assert item.value is not None
+        assert self.config is not None
+        try:
+            record = self._dialect.decode_server(item.key, item.value)
+        except EntryUnreadable as error:
+            if self._unreadable.get(item.key) != item.revision:
+                log_event(Event.SERVER_UNREADABLE, key=item.key, reason=str(error))
+            self._unreadable[item.key] = item.revision
+            return None
+        return record if record.group in self.config.groups else None
+
+    def _close_later(self, client: ServerClient) -> None:
+        task = asyncio.create_task(_close_after(client))
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
+
+
+async def _close_after(client: ServerClient) -> None:
+    try:
+        await asyncio.sleep(CLOSE_AFTER_MS / 1_000)
+    finally:
+        await client.close()
+
+
+__all__ = ["Fleet"]
--- /dev/null
+++ b/src/boragetiller/gateway/ports.py
@@ -0,0 +1,106 @@
+"""What a platform gives to the routers: the words of its headers and its store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+if TYPE_CHECKING:
+    from multidict import CIMultiDict, CIMultiDictProxy
+
+    from boragetiller.tables.calls import AnswerFacts, CallFacts, ForwardFacts
+    from boragetiller.tables.routes import RouteConfig
+    from boragetiller.tables.servers import ServerRecord
+    from boragetiller.tables.store_view import StoredItem
+
+    Headers = CIMultiDictProxy[str]
+
+
+@attrs.frozen(kw_only=True)
+class Listing:
+    """Entries below a prefix at or after a revision."""
+
+    items: list[StoredItem]
+    revision: int
+
+
+class Dialect(Protocol):
+    """Names and formats of the platform; decides nothing."""
+
+    config_key: str
+    servers_prefix: str
+
+    def read_call(self, headers: Headers) -> CallFacts:
+        """
+        Read the headers of a caller.
+
+        :raises InvalidRequest: a header that the router needs is missing or unreadable
+        """
+        ...
+
+    def forward_headers(self, headers: Headers, facts: ForwardFacts) -> CIMultiDict[str]:
+        """:return: headers for the backend server"""
+        ...
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
+        """:return: what the head of an answer says; what cannot be read counts as absent"""
+        ...
+
+    def is_answer_to(self, request: Headers, answer: Headers) -> bool:
+        """:return: whether the headers of an answer belong to the request"""
+        ...
+
+    def answer_headers(self, headers: Headers) -> CIMultiDict[str]:
+        """:return: headers of an answer for the caller"""
+        ...
+
+    def own_answer_headers(self, request_id: str) -> CIMultiDict[str]:
+        """:return: headers of an answer that the router makes itself"""
+        ...
+
+    def decode_config(self, value: bytes) -> RouteConfig:
+        """:raises EntryUnreadable: the value is no configuration"""
+        ...
+
+    def decode_server(self, key: str, value: bytes) -> ServerRecord:
+        """:raises EntryUnreadable: the value names no server that can be used"""
+        ...
+
+
+class ReadStore(Protocol):
+    """The platform's store as routers read it; each call is counted by the platform."""
+
+    async def read_below(self, prefix: str) -> Listing:
+        """
+        List all entries whose key starts with the prefix.
+
+        :raises StoreUnavailable: no answer in time
+        """
+        ...
+
+    async def read_key(self, key: str) -> Listing:
+        """
+        Read one key.
+
+        :return: one item, or none when the key does not exist
+        :raises StoreUnavailable: no answer in time
+        """
+        ...
+
+    async def wait_for_changes(self, prefix: str, after_revision: int, wait_ms: int) -> Listing:
+        """
+        Wait until something below the prefix changes.
+
+        :return: changes, removed keys among them; none when the time is over
+        :raises HistoryLost: the store no longer knows what changed after the revision
+        :raises StoreUnavailable: no answer in time
+        """
+        ...
+
+    async def close(self) -> None:
+        """Close connections."""
+        ...
+
+
+__all__ = ["Dialect", "Headers", "Listing", "ReadStore"]
--- /dev/null
+++ b/src/boragetiller/gateway/sender.py
@@ -0,0 +1,193 @@
+"""Carry out one send of a call to one backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import aiohttp
+import attrs
+
+from boragetiller.gateway.event_stream import EventSplitter
+from boragetiller.gateway.server_client import BROKEN, NEVER_SENT, OutgoingCall
+from boragetiller.systems.first_token import note_cached, uncached_tokens
+from boragetiller.tables.attempts import SendEnd, SendResult, WholeAnswer
+from boragetiller.tables.calls import ForwardFacts
+from boragetiller.tables.servers import PendingPrompt
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from boragetiller.clock import Clock
+    from boragetiller.gateway.answers import EventSink
+    from boragetiller.gateway.call import Call
+    from boragetiller.gateway.fleet import Fleet
+    from boragetiller.gateway.ports import Dialect
+    from boragetiller.gateway.server_client import ServerAnswer
+    from boragetiller.tables.attempts import CallProgress
+    from boragetiller.tables.calls import AnswerFacts
+    from boragetiller.tables.servers import BackendServer
+
+SUCCESS = range(200, 300)
+FIRST_SERVER_ERROR = 500
+CACHE_SHARE = 0.8  # of an engine's memory; the rest holds what its running requests generate
+
+
+@attrs.define(kw_only=True)
+class StreamState:
+    """What the caller has of a stream."""
+
+    sink: EventSink
+    last_event_id: str | None
+    first_event_ms: int | None = None  # monotonic time
+    status: int = 0
+    complete: bool = False
+
+
+class Sender:
+    """Sends calls and keeps account of what is under way where."""
+
+    def __init__(self, fleet: Fleet, dialect: Dialect, clock: Clock) -> None:
+        """
+        Put the parts together.
+
+        :param fleet: backend servers and their clients
+        :param dialect: words of the platform
+        :param clock: monotonic time
+        """
+        self._fleet = fleet
+        self._dialect = dialect
+        self._clock = clock
+
+    async def send(
+        self, call: Call, server: BackendServer, progress: CallProgress, stream: StreamState | None
+    ) -> SendResult:
+        """
+        Send a call and read its answer to the end.
+
+        :param call: the call
+        :param server: where to
+        :param progress: the call so far; relayed events are counted in it
+        :param stream: what the caller has of the stream, None for a whole answer
+        :return: how the send ended
+        """
+        left_ms = call.time_left_ms(self._clock.now_ms())
+        with self._accounted(call, server):
+            try:
+                async with asyncio.timeout(left_ms / 1_000):
+                    return await self._exchange(call, server, progress, stream)
+            except TimeoutError:
+                return SendResult(SendEnd.SILENT, detail="no whole answer in time")
+
+    async def _exchange(
+        self, call: Call, server: BackendServer, progress: CallProgress, stream: StreamState | None
+    ) -> SendResult:
+        outgoing = self._outgoing(call, server, stream)
+        try:
+            answer = await self._fleet.client(server).send(outgoing)
+        except NEVER_SENT as error:
+            return SendResult(SendEnd.UNREACHABLE, detail=repr(error))
+        except BROKEN as error:
+            return SendResult(SendEnd.LOST, detail=repr(error))
+        try:
+            return await self._read(call, server, answer, progress, stream)
+        except BROKEN as error:
+            return SendResult(SendEnd.LOST, detail=repr(error))
+        finally:
+            answer.close()
+
+    def _outgoing(
+        self, call: Call, server: BackendServer, stream: StreamState | None
+    ) -> OutgoingCall:
+        facts = ForwardFacts(
+            server_name=server.name,
+            deadline_ms=call.deadline_left_ms(self._clock.now_ms()),
+            customer=call.customer.name if call.customer else None,
+            tier=call.tier if call.group.engine else None,
+            last_event_id=stream.last_event_id if stream else call.facts.last_event_id,
+        )
+        headers = self._dialect.forward_headers(call.headers, facts)
+        return OutgoingCall(
+            method=call.method, raw_path=call.raw_path, headers=headers, body=call.body
+        )
+
+    async def _read(
+        self,
+        call: Call,
+        server: BackendServer,
+        answer: ServerAnswer,
+        progress: CallProgress,
+        stream: StreamState | None,
+    ) -> SendResult:
+        facts = answer.facts
+        if facts.not_run:
+            end = SendEnd.MISDIRECTED if facts.status == 421 else SendEnd.FULL
+            return SendResult(end, detail=f"status {facts.status}")
+        if facts.encoded or (facts.status in SUCCESS and not facts.sealed):
+            return SendResult(SendEnd.GARBLED, detail=f"status {facts.status}, no receipt")
+        if stream is not None and facts.status in SUCCESS:
+            return await self._relay(call, server, answer, progress, stream)
+        body = await answer.read()
+        return _whole_result(facts, self._whole(answer, body))
+
+    async def _relay(
+        self,
+        call: Call,
+        server: BackendServer,
+        answer: ServerAnswer,
+        progress: CallProgress,
+        stream: StreamState,
+    ) -> SendResult:
+        splitter = EventSplitter(stream.last_event_id)
+        headers = self._dialect.answer_headers(answer.headers)
+        async for chunk in answer.chunks():
+            events = splitter.feed(chunk)
+            if not events.count:
+                continue
+            if stream.first_event_ms is None:
+                stream.first_event_ms = self._clock.now_ms()
+            self._note_first_event(call, server)
+            await stream.sink.write(answer.facts.status, headers, events.data)
+            progress.relayed_events += events.count
+            stream.last_event_id = events.last_id
+        if splitter.has_rest:
+            return SendResult(SendEnd.GARBLED, detail="the stream ended inside an event")
+        stream.status = answer.facts.status
+        stream.complete = True
+        return SendResult(SendEnd.ANSWERED, self._whole(answer, b""))
+
+    def _whole(self, answer: ServerAnswer, body: bytes) -> WholeAnswer:
+        headers = self._dialect.answer_headers(answer.headers)
+        return WholeAnswer(status=answer.facts.status, headers=headers, body=body)
+
+    @contextmanager
+    def _accounted(self, call: Call, server: BackendServer) -> Iterator[None]:
+        request_id, prompt = call.facts.request_id, call.facts.prompt
+        server.in_flight += 1
+        if prompt is not None:
+            tokens = int(uncached_tokens(server, prompt))
+            server.pending[request_id] = PendingPrompt(tokens, call.tier, self._clock.now_ms())
+        try:
+            yield
+        finally:
+            server.in_flight -= 1
+            server.pending.pop(request_id, None)
+
+    def _note_first_event(self, call: Call, server: BackendServer) -> None:
+        if server.pending.pop(call.facts.request_id, None) is None:
+            return
+        prompt, engine = call.facts.prompt, call.group.engine
+        if prompt is not None and engine is not None:
+            note_cached(server, prompt, int(CACHE_SHARE * engine.memory_tokens))
+
+
+def _whole_result(facts: AnswerFacts, answer: WholeAnswer) -> SendResult:
+    if facts.status < FIRST_SERVER_ERROR:
+        return SendResult(SendEnd.ANSWERED, answer)
+    if facts.sealed:
+        return SendResult(SendEnd.SERVER_ERROR, answer)
+    return SendResult(SendEnd.GARBLED, detail=f"status {facts.status} without a receipt")
+
+
+__all__ = ["Sender", "StreamState"]
--- /dev/null
+++ b/src/boragetiller/gateway/server_client.py
@@ -0,0 +1,125 @@
+"""Send calls to one incarnation of a backend server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+import attrs
+from yarl import URL
+
+from boragetiller.gateway.connections import guarded_connector, identified_response
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from multidict import CIMultiDict
+
+    from boragetiller.gateway.ports import Dialect
+    from boragetiller.tables.calls import AnswerFacts
+    from boragetiller.tables.servers import ServerRecord
+
+CONNECT_TIMEOUT_MS = 500  # a connection takes a few ms; a lost opening packet is sent again in 1 s
+IDLE_TIMEOUT_S = 4.0  # idle connections are let go before the backend server closes them
+IDLE_MARGIN_S = 1.0
+OWN_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+MAX_HEADER_BYTES = 65_536
+
+NEVER_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+BROKEN = (aiohttp.ClientError, OSError, ValueError)
+
+
+@attrs.frozen(kw_only=True)
+class OutgoingCall:
+    """A call as it is sent."""
+
+    method: str
+    raw_path: str  # path and query, unchanged
+    headers: CIMultiDict[str]
+    body: bytes
+
+
+class ServerAnswer:
+    """An answer whose head has arrived."""
+
+    def __init__(self, response: aiohttp.ClientResponse, facts: AnswerFacts) -> None:
+        """
+        Wrap a response.
+
+        :param response: the response, head read
+        :param facts: what the head says
+        """
+        self.facts = facts
+        self.headers = response.headers
+        self._response = response
+
+    async def read(self) -> bytes:
+        """
+        Read the whole body.
+
+        :return: the body
+        :raises aiohttp.ClientError: it did not arrive completely
+        """
+        return await self._response.read()
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """
+        Iterate over the body as it arrives.
+
+        :return: bytes, at whatever limits they arrived
+        """
+        return self._response.content.iter_any()
+
+    def close(self) -> None:
+        """Drop the connection unless the body was read to its end."""
+        self._response.close()
+
+
+class ServerClient:
+    """Connections to one backend server."""
+
+    def __init__(self, record: ServerRecord, dialect: Dialect) -> None:
+        """
+        Prepare the pool.
+
+        :param record: the backend server
+        :param dialect: words of the platform
+        """
+        self._base = f"http://{record.address}"
+        self._dialect = dialect
+        self._session = aiohttp.ClientSession(
+            connector=guarded_connector(IDLE_TIMEOUT_S),
+            response_class=identified_response(dialect.is_answer_to),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=OWN_HEADERS,
+            auto_decompress=False,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_MS / 1_000),
+            max_field_size=MAX_HEADER_BYTES,
+            max_line_size=MAX_HEADER_BYTES,
+        )
+        self._session._retry_connection = False  # noqa: SLF001  # each send is counted here
+
+    async def send(self, call: OutgoingCall) -> ServerAnswer:
+        """
+        Send a call and wait for the head of its answer.
+
+        :param call: the call
+        :return: the answer, to be closed by the caller
+        :raises aiohttp.ClientError: one of NEVER_SENT when no byte was sent
+        """
+        response = await self._session.request(
+            call.method,
+            URL(self._base + call.raw_path, encoded=True),
+            headers=call.headers,
+            data=call.body or None,
+            allow_redirects=False,
+        )
+        facts = self._dialect.read_answer(response.status, response.headers)
+        return ServerAnswer(response, facts)
+
+    async def close(self) -> None:
+        """Close idle connections and those in use."""
+        await self._session.close()
+
+
+__all__ = ["BROKEN", "NEVER_SENT", "OutgoingCall", "ServerAnswer", "ServerClient"]
--- /dev/null
+++ b/src/boragetiller/gateway/store_follower.py
@@ -0,0 +1,118 @@
+"""Keep the configuration and the list of backend servers up to date from the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from boragetiller.errors import HistoryLost, StoreUnavailable
+from boragetiller.events import Event, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from boragetiller.clock import Clock
+    from boragetiller.gateway.fleet import Fleet
+    from boragetiller.gateway.metrics import GatewayMetrics
+    from boragetiller.gateway.ports import Dialect, Listing, ReadStore
+
+WATCH_WAIT_MS = 5_000  # a watch that hears nothing for so long is asked for again
+PLAIN_READ_SHARE = 0.35  # of the time that a configuration may take: two reads fit into it
+RETRY_MS = 200  # between calls to a store that does not answer
+
+
+class StoreFollower:
+    """Two watches, and plain reads beside them for when a watch hears nothing."""
+
+    def __init__(
+        self,
+        store: ReadStore,
+        fleet: Fleet,
+        dialect: Dialect,
+        config_apply_ms: int,
+        clock: Clock,
+        metrics: GatewayMetrics,
+    ) -> None:
+        """
+        Put the parts together.
+
+        :param store: the platform's store
+        :param fleet: takes what was read
+        :param dialect: names of the keys
+        :param config_apply_ms: longest time until a new configuration is in force
+        :param clock: monotonic time
+        :param metrics: counters
+        """
+        self._store = store
+        self._fleet = fleet
+        self._dialect = dialect
+        self._read_interval_ms = config_apply_ms * PLAIN_READ_SHARE
+        self._clock = clock
+        self._metrics = metrics
+        self._tasks: list[asyncio.Task[None]] = []
+        self._reachable: bool | None = None
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        for prefix in (self._dialect.config_key, self._dialect.servers_prefix):
+            self._tasks.append(asyncio.create_task(self._follow(prefix)))
+            self._tasks.append(asyncio.create_task(self._reread(prefix)))
+
+    async def close(self) -> None:
+        """Stop following."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._store.close()
+
+    async def _follow(self, prefix: str) -> None:
+        revision = 0
+        while True:
+            try:
+                if revision == 0:
+                    revision = await self._list(prefix, "read")
+                revision = await self._watch(prefix, revision)
+            except HistoryLost:
+                revision = 0
+            except StoreUnavailable as error:
+                self._note_reachable(False, str(error))
+                await asyncio.sleep(RETRY_MS / 1_000)
+
+    async def _reread(self, prefix: str) -> None:
+        while True:
+            await asyncio.sleep(self._read_interval_ms / 1_000)
+            try:
+                await self._list(prefix, "reread")
+            except StoreUnavailable as error:
+                self._note_reachable(False, str(error))
+
+    async def _list(self, prefix: str, source: str) -> int:
+        listing = await self._call("read", lambda: self._store.read_below(prefix))
+        self._fleet.take_listing(prefix, listing.items, listing.revision, source)
+        return listing.revision
+
+    async def _watch(self, prefix: str, revision: int) -> int:
+        listing = await self._call(
+            "watch", lambda: self._store.wait_for_changes(prefix, revision, WATCH_WAIT_MS)
+        )
+        self._fleet.take_changes(listing.items, "watch")
+        return max(revision, listing.revision)
+
+    async def _call(self, name: str, call: Callable[[], Awaitable[Listing]]) -> Listing:
+        self._metrics.store_calls.labels(name).inc()
+        listing = await call()
+        self._note_reachable(True, "")
+        return listing
+
+    def _note_reachable(self, reachable: bool, reason: str) -> None:
+        if reachable == self._reachable:
+            return
+        self._reachable = reachable
+        self._metrics.store_reachable.set(int(reachable))
+        if reachable:
+            log_event(Event.CONFIG_STORE_REACHED)
+        else:
+            log_event(Event.CONFIG_STORE_UNREACHABLE, reason=reason)
+
+
+__all__ = ["StoreFollower"]
--- a/src/boragetiller/process.py
+++ b/src/boragetiller/process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from typing import TYPE_CHECKING
 
@@ -11,12 +10,8 @@
 from boragetiller.metrics import Metrics
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from boragetiller.settings import Settings
 
-IDLE_CHECK_MS = 10
-
 
 @attrs.frozen(kw_only=True)
 class Endpoints:
@@ -47,20 +42,4 @@
     return Metrics(settings.statsd.address, settings.statsd.port, prefix)
 
 
-async def wait_until_idle(in_progress: Callable[[], int], timeout_ms: int) -> bool:
-    """
-    Wait until nothing is in progress.
-
-    :param in_progress: counts what has not ended
-    :param timeout_ms: longest wait in milliseconds
-    :return: whether nothing was left
-    """
-    rounds = max(1, timeout_ms // IDLE_CHECK_MS)
-    for _ in range(rounds):
-        if in_progress() == 0:
-            return True
-        await asyncio.sleep(IDLE_CHECK_MS / 1_000)
-    return in_progress() == 0
-
-
-__all__ = ["Endpoints", "new_incarnation", "new_metrics", "wait_until_idle"]
+__all__ = ["Endpoints", "new_incarnation", "new_metrics"]
--- /dev/null
+++ b/src/boragetiller/tables/attempts.py
@@ -0,0 +1,73 @@
+"""How a send of a request to a backend server ended, and what happened to the request so far."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.verdict import Verdict
+
+if TYPE_CHECKING:
+    from multidict import CIMultiDict
+
+
+class SendEnd(Enum):
+    """How a send ended."""
+
+    ANSWERED = "answered"  # an answer to pass on
+    SERVER_ERROR = "server_error"  # the backend server ran the request and reports a failure
+    UNREACHABLE = "unreachable"  # nothing was sent
+    FULL = "full"  # the backend server refused it and did not run it
+    MISDIRECTED = "misdirected"  # another incarnation has the address; it did not run it
+    LOST = "lost"  # the connection broke
+    GARBLED = "garbled"  # the answer is not the backend server's whole answer
+    SILENT = "silent"  # no answer in the time given
+
+
+NOT_RUN_ENDS = frozenset({SendEnd.UNREACHABLE, SendEnd.FULL, SendEnd.MISDIRECTED})
+
+
+@attrs.frozen(kw_only=True)
+class WholeAnswer:
+    """An answer that arrived completely."""
+
+    status: int
+    headers: CIMultiDict[str]
+    body: bytes
+
+
+@attrs.frozen
+class SendResult:
+    """The end of one send."""
+
+    end: SendEnd
+    answer: WholeAnswer | None = None
+    detail: str = ""
+
+    @property
+    def verdict(self) -> Verdict:
+        """:return: whether the request may have run by this send"""
+        if self.end in NOT_RUN_ENDS:
+            return Verdict.NOT_RUN
+        if self.end in {SendEnd.ANSWERED, SendEnd.SERVER_ERROR}:
+            return Verdict.RAN
+        return Verdict.MAY_HAVE_RUN
+
+
+@attrs.define(kw_only=True)
+class CallProgress:
+    """What happened to a call so far."""
+
+    repeatable: bool
+    max_attempts: int  # backend servers that may run it
+    sends: int = 0
+    arrivals: int = 0  # sends that reached a backend server
+    runs: int = 0  # sends after which it may have run
+    relayed_events: int = 0
+    verdict: Verdict = Verdict.NOT_RUN
+    server_error: WholeAnswer | None = None  # kept in case nothing better comes
+
+
+__all__ = ["NOT_RUN_ENDS", "CallProgress", "SendEnd", "SendResult", "WholeAnswer"]
--- /dev/null
+++ b/src/boragetiller/tables/servers.py
@@ -0,0 +1,131 @@
+"""Backend servers that routers reach directly, without an agent beside them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@attrs.frozen(kw_only=True)
+class ServerRecord:
+    """One incarnation of a backend server as it registered itself."""
+
+    name: str
+    group: str
+    address: str  # IP:PORT
+    failure_domain: str
+    slots: int
+    draining: bool
+    born_ms: int  # wall-clock time of its start since the epoch, 0 when not told
+    cold_ms: float  # how long it stays slow after its start
+
+
+@attrs.define
+class PendingPrompt:
+    """A request that this router sent and whose first event has not come."""
+
+    tokens: int  # not held in the engine's cache, as far as known
+    tier: int
+    sent_ms: int
+
+
+@attrs.define
+class ServerHealth:
+    """Outcomes of requests that this router sent."""
+
+    failures: int = 0  # in a row
+    ejections: int = 0  # since the last success
+    ejected_until_ms: int = 0
+    first_event_ratio: float = 1.0  # measured over expected time to the first event, smoothed
+
+    def is_ejected(self, now_ms: int) -> bool:
+        """:return: whether new work avoids the server"""
+        return now_ms < self.ejected_until_ms
+
+
+@attrs.define(kw_only=True)
+class PeerLoad:
+    """What another router has under way at a backend server."""
+
+    in_flight: int
+    pending_tokens: int
+    received_ms: int
+
+
+@attrs.define(eq=False)
+class BackendServer:
+    """A backend server with this router's work on it and what it believes of the rest."""
+
+    record: ServerRecord
+    in_flight: int = 0
+    in_flight_tokens: int = 0  # prompt tokens of requests under way
+    pending: dict[str, PendingPrompt] = attrs.field(factory=dict)  # by request id
+    peers: dict[str, PeerLoad] = attrs.field(factory=dict)  # by name of the router
+    cached_parts: OrderedDict[str, int] = attrs.field(factory=OrderedDict)  # part id to tokens
+    cached_tokens: int = 0
+    health: ServerHealth = attrs.field(factory=ServerHealth)
+    full_until_ms: int = 0  # it refused work for lack of places
+    joined_ms: int = 0
+
+    @property
+    def name(self) -> str:
+        """:return: name of the server"""
+        return self.record.name
+
+
+@attrs.define(eq=False)
+class ServerTable:
+    """All backend servers that are registered now."""
+
+    by_name: dict[str, BackendServer] = attrs.field(factory=dict)
+
+    def accepting(self, group: str) -> list[BackendServer]:
+        """
+        List the servers that take new work.
+
+        :param group: name of the backend group
+        :return: servers that are registered and not draining
+        """
+        servers = self.by_name.values()
+        return [s for s in servers if s.record.group == group and not s.record.draining]
+
+    def replace(self, records: Iterable[ServerRecord], now_ms: int) -> list[BackendServer]:
+        """
+        Take a new list of registered servers.
+
+        :param records: all that are registered
+        :param now_ms: monotonic time in milliseconds
+        :return: incarnations that are gone; what was known of them is dropped
+        """
+        gone = []
+        named = {record.name: record for record in records}
+        for name, server in list(self.by_name.items()):
+            record = named.get(name)
+            if record is None or _is_other_incarnation(server.record, record):
+                gone.append(self.by_name.pop(name))
+        for name, record in named.items():
+            known = self.by_name.get(name)
+            if known is None:
+                self.by_name[name] = BackendServer(record, joined_ms=now_ms)
+            else:
+                known.record = record
+        return gone
+
+
+def _is_other_incarnation(old: ServerRecord, new: ServerRecord) -> bool:
+    return (old.born_ms, old.address, old.group) != (new.born_ms, new.address, new.group)
+
+
+__all__ = [
+    "BackendServer",
+    "PeerLoad",
+    "PendingPrompt",
+    "ServerHealth",
+    "ServerRecord",
+    "ServerTable",
+]
--- /dev/null
+++ b/src/boragetiller/tables/store_view.py
@@ -0,0 +1,91 @@
+"""Entries of the platform's store as this process last saw them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+@attrs.frozen
+class StoredItem:
+    """One entry, or the mark of a removed one (value None), at its revision."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@attrs.define
+class StoreView:
+    """
+    The newest known item of each key.
+
+    An item moves only to a higher revision, whoever brings it, so nothing reverts.
+    """
+
+    items: dict[str, StoredItem] = attrs.field(factory=dict)
+    revision: int = 0  # every change up to here is known
+
+    def take(self, items: Iterable[StoredItem]) -> list[StoredItem]:
+        """
+        Take items from the store or from a peer.
+
+        :param items: any items, in any order
+        :return: those that are news
+        """
+        news = []
+        for item in items:
+            known = self.items.get(item.key)
+            if known is None or item.revision > known.revision:
+                self.items[item.key] = item
+                news.append(item)
+        return news
+
+    def take_listing(
+        self, prefix: str, items: list[StoredItem], revision: int
+    ) -> list[StoredItem]:
+        """
+        Take a whole listing; keys that it lacks were removed by its revision.
+
+        :param prefix: prefix of the keys listed
+        :param items: entries below the prefix
+        :param revision: revision of the store before the listing was read
+        :return: items that are news
+        """
+        listed = {item.key for item in items}
+        removed = [
+            StoredItem(key, None, revision)
+            for key, known in self.items.items()
+            if key.startswith(prefix)
+            and key not in listed
+            and known.value is not None
+            and known.revision < revision
+        ]
+        return self.take([*items, *removed])
+
+    def newer_than(self, revision: int) -> list[StoredItem]:
+        """
+        List the items that changed after a revision.
+
+        :param revision: revision of the store
+        :return: items, oldest first
+        """
+        found = [item for item in self.items.values() if item.revision > revision]
+        return sorted(found, key=lambda item: item.revision)
+
+    def below(self, prefix: str) -> list[StoredItem]:
+        """
+        List the entries that exist.
+
+        :param prefix: prefix of the keys
+        :return: items with a value
+        """
+        items = self.items.values()
+        return [i for i in items if i.key.startswith(prefix) and i.value is not None]
+
+
+__all__ = ["StoreView", "StoredItem"]
