--- a/src/boragetiller/gateway/connections.py
+++ b/src/boragetiller/gateway/connections.py
@@ -46,7 +46,7 @@
 
     def data_received(self, data: bytes) -> None:
         """See :class:`ResponseHandler`."""
-        if not self.expects_answer:
+        if data and not self.expects_answer:
             self.abort()
             return
         super().data_received(data)
