Exchange loads and read prompts between routers; weigh stalls; reload settings; linger at a stop

Change: peers send loads, read prompts and missing store entries ten times a second; placement adds the stall of other streams; settings are read again; a stopping router answers until its last call has ended.

--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -20,7 +20,8 @@
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
-from boragetiller.process import Endpoints, new_incarnation, new_metrics
+from boragetiller.clock import new_incarnation
+from boragetiller.process import Endpoints, new_metrics
 from boragetiller.timeouts import wait_until_idle
 from boragetiller.relay.attempt import MAX_ATTEMPT_HEADER_BYTES
 from boragetiller.router.config_sync import ConfigSync
--- a/src/boragetiller/clock.py
+++ b/src/boragetiller/clock.py
@@ -50,4 +50,9 @@
         self._now_ms += step_ms
 
 
-__all__ = ["Clock", "ManualClock", "SystemClock", "WallClock"]
+def new_incarnation() -> int:
+    """:return: a number that differs for each start of a process, from the wall clock in µs"""
+    return time.time_ns() // 1_000
+
+
+__all__ = ["Clock", "ManualClock", "SystemClock", "WallClock", "new_incarnation"]
--- a/src/boragetiller/events.py
+++ b/src/boragetiller/events.py
@@ -52,6 +52,10 @@
     SERVER_GONE = 811
     SERVER_UNREADABLE = 812
     SERVER_EJECTED = 813
+    PEER_HEARD = 820
+    PEER_LOST = 821
+    SETTINGS_RELOADED = 830
+    SETTINGS_REFUSED = 831
 
 
 def log_event(event: Event, **fields: object) -> None:
--- /dev/null
+++ b/src/boragetiller/gateway/beliefs.py
@@ -0,0 +1,162 @@
+"""What a router tells its peers, and what it takes from them."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.gateway.peer_messages import PeerReport, ReadPrompt, SentLoad
+from boragetiller.systems.first_token import engine_cache_tokens, note_cached
+from boragetiller.tables.servers import PeerLoad
+
+if TYPE_CHECKING:
+    from boragetiller.clock import Clock
+    from boragetiller.gateway.fleet import Fleet
+    from boragetiller.gateway.settings import Endpoint
+    from boragetiller.tables.calls import PromptPart
+    from boragetiller.tables.servers import BackendServer
+    from boragetiller.tables.store_view import StoredItem
+
+KEPT_PROMPTS = 512  # a report every 100 ms tells all that were read since the last one
+
+
+@attrs.frozen
+class FollowedRevisions:
+    """Revisions of the newest known change to the configuration and to the list of servers."""
+
+    config: int
+    servers: int
+
+    def is_ahead_of(self, other: FollowedRevisions) -> bool:
+        """:return: whether something is known here that the other lacks"""
+        return self.config > other.config or self.servers > other.servers
+
+
+class Beliefs:
+    """This router's side of the exchange with its peers."""
+
+    def __init__(self, fleet: Fleet, clock: Clock) -> None:
+        """
+        Prepare the beliefs.
+
+        :param fleet: configuration and backend servers
+        :param clock: monotonic time
+        """
+        self.peer_names: dict[Endpoint, str] = {}
+        self.prompt_count = 0
+        self._fleet = fleet
+        self._clock = clock
+        self._prompts: deque[ReadPrompt] = deque(maxlen=KEPT_PROMPTS)
+
+    def revisions(self) -> FollowedRevisions:
+        """:return: how far this router has followed the store"""
+        dialect = self._fleet.dialect
+        view = self._fleet.view
+        return FollowedRevisions(
+            view.newest_revision(dialect.config_key), view.newest_revision(dialect.servers_prefix)
+        )
+
+    def items_after(self, revisions: FollowedRevisions) -> list[StoredItem]:
+        """
+        List what a peer lacks.
+
+        :param revisions: how far the peer has followed the store
+        :return: items, oldest first
+        """
+        dialect = self._fleet.dialect
+        view = self._fleet.view
+        found = view.newer_than(dialect.config_key, revisions.config)
+        found += view.newer_than(dialect.servers_prefix, revisions.servers)
+        return found
+
+    def note_prompt(self, server: BackendServer, parts: tuple[PromptPart, ...]) -> None:
+        """
+        Note a prompt that an engine has read for this router, to tell the peers.
+
+        :param server: the engine
+        :param parts: parts of the prompt
+        """
+        self._prompts.append(ReadPrompt(server=server.name, parts=parts))
+        self.prompt_count += 1
+
+    def report(self, prompts_seen: int) -> PeerReport:
+        """
+        Build a report.
+
+        :param prompts_seen: how many prompts the peer has been told of
+        :return: the report
+        """
+        revisions = self.revisions()
+        new = min(self.prompt_count - prompts_seen, len(self._prompts))
+        prompts = list(self._prompts)[len(self._prompts) - new :] if new else []
+        servers = self._fleet.servers.by_name.values()
+        return PeerReport(
+            config_revision=revisions.config,
+            servers_revision=revisions.servers,
+            loads=tuple(_load(server) for server in servers if server.in_flight),
+            prompts=tuple(prompts),
+        )
+
+    def take_report(self, peer: str, report: PeerReport) -> None:
+        """
+        Take a peer's work and what engines have read for it.
+
+        :param peer: name of the peer
+        :param report: its report; servers it does not name have none of its work
+        """
+        now_ms = self._clock.now_ms()
+        loads = {load.server: load for load in report.loads}
+        for name, server in self._fleet.servers.by_name.items():
+            load = loads.get(name)
+            if load is None:
+                server.peers.pop(peer, None)
+                continue
+            server.peers[peer] = PeerLoad(
+                in_flight=load.in_flight,
+                unread_tokens=load.unread_tokens,
+                sensitivity=load.sensitivity,
+                received_ms=now_ms,
+            )
+        for prompt in report.prompts:
+            self._take_prompt(prompt)
+
+    def take_items(self, items: tuple[StoredItem, ...], peer: str) -> None:
+        """
+        Take store entries from a peer.
+
+        :param items: entries and marks of removed ones
+        :param peer: name of the peer
+        """
+        self._fleet.take_changes(items, f"peer {peer}")
+        self._fleet.listed = self._fleet.listed or bool(self._fleet.servers.by_name)
+
+    def forget_peer(self, peer: str) -> None:
+        """
+        Drop the work of a peer that is not heard any more.
+
+        :param peer: its name
+        """
+        for server in self._fleet.servers.by_name.values():
+            server.peers.pop(peer, None)
+
+    def _take_prompt(self, prompt: ReadPrompt) -> None:
+        server = self._fleet.servers.by_name.get(prompt.server)
+        if server is None or self._fleet.config is None:
+            return
+        group = self._fleet.config.groups.get(server.record.group)
+        if group is not None and group.engine is not None:
+            note_cached(server, prompt.parts, engine_cache_tokens(group.engine))
+
+
+def _load(server: BackendServer) -> SentLoad:
+    return SentLoad(
+        server=server.name,
+        in_flight=server.in_flight,
+        unread_tokens=server.unread_by_tier(),
+        sensitivity=round(server.sensitivity, 2),
+    )
+
+
+__all__ = ["Beliefs", "FollowedRevisions"]
--- a/src/boragetiller/gateway/daemon.py
+++ b/src/boragetiller/gateway/daemon.py
@@ -9,6 +9,7 @@
 
 from boragetiller.events import configure_json_logging
 from boragetiller.gateway.process import GatewayProcess
+from boragetiller.gateway.reload import SettingsReloader
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,13 +24,15 @@
 
 async def serve(
     settings: GatewaySettings,
+    load: Callable[[], GatewaySettings],
     dialect: Dialect,
     open_store: Callable[[Endpoint], ReadStore],
 ) -> int:
     """
-    Run until SIGTERM or SIGINT.
+    Run until SIGTERM or SIGINT; SIGHUP reads the settings again.
 
     :param settings: settings of the process
+    :param load: reads the settings again; raises SettingsInvalid
     :param dialect: words of the platform
     :param open_store: opens the client of the platform's store
     :return: exit code
@@ -40,12 +43,16 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     process = GatewayProcess(settings, dialect, open_store(settings.store))
+    reloader = SettingsReloader(settings, load, process.apply)
+    loop.add_signal_handler(signal.SIGHUP, reloader.check)
     try:
         await process.start()
     except OSError as error:
         print(f"cannot start: {error}", file=sys.stderr)
         return EXIT_START
+    reloader.start()
     await stop.wait()
+    await reloader.close()
     await process.close()
     return EXIT_OK
 
--- a/src/boragetiller/gateway/fleet.py
+++ b/src/boragetiller/gateway/fleet.py
@@ -42,7 +42,7 @@
         self.config: RouteConfig | None = None
         self.listed = False  # whether the backend servers were ever listed
         self._settings = settings
-        self._dialect = dialect
+        self.dialect = dialect
         self._clock = clock
         self._clients: dict[str, ServerClient] = {}
         self._budgets: dict[str, WindowBudget] = {}
@@ -58,7 +58,7 @@
         """
         name = server.name
         if name not in self._clients:
-            self._clients[name] = ServerClient(server.record, self._dialect)
+            self._clients[name] = ServerClient(server.record, self.dialect)
         return self._clients[name]
 
     def budget(self, group: str) -> WindowBudget:
@@ -97,7 +97,7 @@
         :param source: where it comes from, for the log
         """
         news = self.view.take_listing(prefix, items, revision)
-        first = not self.listed and prefix == self._dialect.servers_prefix
+        first = not self.listed and prefix == self.dialect.servers_prefix
         self.listed = self.listed or first
         self._apply(news, source)
 
@@ -114,16 +114,16 @@
             return
         changed = False
         for item in news:
-            if item.key == self._dialect.config_key and item.value is not None:
+            if item.key == self.dialect.config_key and item.value is not None:
                 changed |= self._take_config(item, source)
-            changed |= item.key.startswith(self._dialect.servers_prefix)
+            changed |= item.key.startswith(self.dialect.servers_prefix)
         if changed:
             self._replace_servers()
 
     def _take_config(self, item: StoredItem, source: str) -> bool:
         assert item.value is not None
         try:
-            config = self._dialect.decode_config(item.value)
+            config = self.dialect.decode_config(item.value)
         except EntryUnreadable as error:
             log_event(Event.CONFIG_UNREADABLE, reason=str(error), revision=item.revision)
             return False
@@ -138,7 +138,7 @@
     def _replace_servers(self) -> None:
         if self.config is None:
             return
-        items = self.view.below(self._dialect.servers_prefix)
+        items = self.view.below(self.dialect.servers_prefix)
         records = [record for item in items if (record := self._read_server(item)) is not None]
         gone = self.servers.replace(records, self._clock.now_ms())
         for server in gone:
@@ -151,7 +151,7 @@
         assert item.value is not None
         assert self.config is not None
         try:
-            record = self._dialect.decode_server(item.key, item.value)
+            record = self.dialect.decode_server(item.key, item.value)
         except EntryUnreadable as error:
             if self._unreadable.get(item.key) != item.revision:
                 log_event(Event.SERVER_UNREADABLE, key=item.key, reason=str(error))
--- /dev/null
+++ b/src/boragetiller/gateway/peer_messages.py
@@ -0,0 +1,206 @@
+"""Messages between routers without agents, and their bytes."""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from pathlib import Path
+from typing import Any
+
+import attrs
+import capnp
+
+from boragetiller.control.errors import BadFrame
+from boragetiller.tables.calls import PromptPart
+from boragetiller.tables.store_view import StoredItem
+
+LENGTH_BYTES = 4
+MAX_FRAME_BYTES = 4_194_304  # holds one store value of a megabyte, with room
+
+_SCHEMA = capnp.load(str(Path(__file__).with_name("peers.capnp")), imports=[])
+
+
+@attrs.frozen(kw_only=True)
+class PeerHello:
+    """First message of a connection: who sends, and where it listens."""
+
+    name: str
+    incarnation: int
+    address: str
+    port: int
+
+
+@attrs.frozen(kw_only=True)
+class SentLoad:
+    """What the sender has under way at a backend server."""
+
+    server: str
+    in_flight: int
+    unread_tokens: tuple[int, ...]  # prompt tokens not yet read there, by tier
+    sensitivity: float  # sum over its streams; see systems.first_token
+
+
+@attrs.frozen(kw_only=True)
+class ReadPrompt:
+    """A prompt that a backend server has read for the sender."""
+
+    server: str
+    parts: tuple[PromptPart, ...]
+
+
+@attrs.frozen(kw_only=True)
+class PeerReport:
+    """Heartbeat: the sender's work and how far it has followed the store."""
+
+    config_revision: int
+    servers_revision: int
+    loads: tuple[SentLoad, ...] = ()
+    prompts: tuple[ReadPrompt, ...] = ()
+
+
+@attrs.frozen
+class PeerItems:
+    """Store entries that the receiver has not seen."""
+
+    items: tuple[StoredItem, ...]
+
+
+PeerMessage = PeerHello | PeerReport | PeerItems
+
+
+def encode_frame(message: PeerMessage) -> bytes:
+    """
+    Serialize a message with its length before it.
+
+    :param message: the message
+    :return: a frame
+    """
+    name, value = _to_capnp(message)
+    data: bytes = _SCHEMA.Envelope.new_message(**{name: value}).to_bytes()
+    return len(data).to_bytes(LENGTH_BYTES, "big") + data
+
+
+def decode_payload(data: bytes) -> PeerMessage:
+    """
+    Parse a message.
+
+    :param data: bytes of a frame without its length
+    :return: the message
+    :raises BadFrame: the bytes are no message that this version knows
+    """
+    try:
+        with _SCHEMA.Envelope.from_bytes(data) as envelope:
+            return _from_capnp(envelope)
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        raise BadFrame(str(error)) from error
+
+
+def _from_capnp(envelope: Any) -> PeerMessage:
+    match str(envelope.which()):
+        case "hello":
+            hello = envelope.hello
+            return PeerHello(
+                name=hello.name,
+                incarnation=hello.incarnation,
+                address=hello.address,
+                port=hello.port,
+            )
+        case "report":
+            return _read_report(envelope.report)
+        case "items":
+            return PeerItems(tuple(_read_item(item) for item in envelope.items))
+    raise BadFrame("unknown message")
+
+
+def _read_report(report: Any) -> PeerReport:
+    loads = [
+        SentLoad(
+            server=load.server,
+            in_flight=load.inFlight,
+            unread_tokens=tuple(load.unreadTokens),
+            sensitivity=load.sensitivity,
+        )
+        for load in report.loads
+    ]
+    prompts = [
+        ReadPrompt(
+            server=prompt.server,
+            parts=tuple(PromptPart(part.id, part.tokens) for part in prompt.parts),
+        )
+        for prompt in report.prompts
+    ]
+    return PeerReport(
+        config_revision=report.configRevision,
+        servers_revision=report.serversRevision,
+        loads=tuple(loads),
+        prompts=tuple(prompts),
+    )
+
+
+def _read_item(item: Any) -> StoredItem:
+    value = None if item.removed else bytes(item.value)
+    return StoredItem(item.key, value, item.revision)
+
+
+@singledispatch
+def _to_capnp(message: PeerMessage) -> tuple[str, Any]:
+    raise TypeError(type(message).__name__)
+
+
+@_to_capnp.register
+def _(message: PeerHello) -> tuple[str, Any]:
+    return "hello", attrs.asdict(message)
+
+
+@_to_capnp.register
+def _(message: PeerReport) -> tuple[str, Any]:
+    loads = [
+        {
+            "server": load.server,
+            "inFlight": load.in_flight,
+            "unreadTokens": list(load.unread_tokens),
+            "sensitivity": load.sensitivity,
+        }
+        for load in message.loads
+    ]
+    prompts = [
+        {
+            "server": prompt.server,
+            "parts": [{"id": part.part_id, "tokens": part.tokens} for part in prompt.parts],
+        }
+        for prompt in message.prompts
+    ]
+    report = {
+        "configRevision": message.config_revision,
+        "serversRevision": message.servers_revision,
+        "loads": loads,
+        "prompts": prompts,
+    }
+    return "report", report
+
+
+@_to_capnp.register
+def _(message: PeerItems) -> tuple[str, Any]:
+    items = [
+        {
+            "key": item.key,
+            "value": item.value or b"",
+            "revision": item.revision,
+            "removed": item.value is None,
+        }
+        for item in message.items
+    ]
+    return "items", items
+
+
+__all__ = [
+    "LENGTH_BYTES",
+    "MAX_FRAME_BYTES",
+    "PeerHello",
+    "PeerItems",
+    "PeerMessage",
+    "PeerReport",
+    "ReadPrompt",
+    "SentLoad",
+    "decode_payload",
+    "encode_frame",
+]
--- /dev/null
+++ b/src/boragetiller/gateway/peers.capnp
@@ -0,0 +1,48 @@
+@0xd1a5c8e27f3b9046;
+# Messages between routers without agents; fields are only ever added at the end.
+
+struct Envelope {
+  union {
+    hello @0 :Hello;
+    report @1 :Report;
+    items @2 :List(Item);
+  }
+}
+
+struct Hello {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  address @2 :Text;
+  port @3 :UInt16;
+}
+
+struct Report {
+  configRevision @0 :UInt64;
+  serversRevision @1 :UInt64;
+  loads @2 :List(Load);
+  prompts @3 :List(ReadPrompt);
+}
+
+struct Load {
+  server @0 :Text;
+  inFlight @1 :UInt16;
+  unreadTokens @2 :List(UInt32);  # by tier
+  sensitivity @3 :Float32;
+}
+
+struct ReadPrompt {
+  server @0 :Text;
+  parts @1 :List(Part);
+}
+
+struct Part {
+  id @0 :Text;
+  tokens @1 :UInt32;
+}
+
+struct Item {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+  removed @3 :Bool;
+}
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -10,9 +10,11 @@
 
 from boragetiller.clock import SystemClock
 from boragetiller.events import Event, log_event
+from boragetiller.gateway.beliefs import Beliefs
 from boragetiller.gateway.callers import BACKLOG, CallerPort
 from boragetiller.gateway.fleet import Fleet
 from boragetiller.gateway.metrics import GatewayMetrics
+from boragetiller.gateway.peers import PeerExchange
 from boragetiller.gateway.runner import CallRunner
 from boragetiller.gateway.store_follower import StoreFollower
 from boragetiller.timeouts import wait_until_idle
@@ -21,8 +23,9 @@
     from boragetiller.gateway.ports import Dialect, ReadStore
     from boragetiller.gateway.settings import Endpoint, GatewaySettings
 
-LEAVE_ROTATION_MS = 2_600  # the balancer asks once a second and takes a node out after two misses
+REFUSE_AFTER_MS = 3_000  # the balancer asks once a second and takes a node out after two misses
 EXIT_MARGIN_MS = 600  # before SIGKILL
+QUIET_MS = 200  # without a call, before the ports are closed
 
 
 class GatewayProcess:
@@ -40,45 +43,53 @@
         clock = SystemClock()
         self.metrics = GatewayMetrics()
         self.fleet = Fleet(settings, dialect, clock)
-        runner = CallRunner(
-            settings, self.fleet, dialect, clock, self.metrics, random.Random(settings.name)
-        )
+        beliefs = Beliefs(self.fleet, clock)
+        rng = random.Random(settings.name)
+        runner = CallRunner(settings, self.fleet, beliefs, dialect, clock, self.metrics, rng)
+        self._peers = PeerExchange(settings, beliefs, clock, self.metrics)
         self._callers = CallerPort(self.fleet, runner, dialect, clock, self.metrics)
         self._follower = StoreFollower(
             store, self.fleet, dialect, settings.config_apply_ms, clock, self.metrics
         )
         self._runners: list[web.BaseRunner[web.BaseRequest]] = []
         self._caller_site: web.TCPSite | None = None
-        self._caller_server: web.Server | None = None
 
     async def start(self) -> None:
         """Listen and begin to follow the store."""
         await self._follower.start()
+        await self._peers.start()
         await self._listen(web.Server(self._handle_ready, access_log=None), self._settings.readiness)
         if self._settings.metrics is not None:
             await self._listen(
                 web.Server(self._handle_metrics, access_log=None), self._settings.metrics
             )
-        self._caller_server = self._callers.server()
-        self._caller_site = await self._listen(self._caller_server, self._settings.callers)
+        self._caller_site = await self._listen(self._callers.server(), self._settings.callers)
         log_event(Event.PROCESS_STARTED, role="gateway", name=self._settings.name)
 
     async def close(self) -> None:
         """Leave the balancer's rotation, let calls end, then close."""
         log_event(Event.PROCESS_STOPPING, role="gateway", name=self._settings.name)
         self._callers.stopping = True
-        await asyncio.sleep(LEAVE_ROTATION_MS / 1_000)
+        await asyncio.sleep(REFUSE_AFTER_MS / 1_000)
         self._callers.refusing = True
+        left_ms = self._settings.grace_ms - REFUSE_AFTER_MS - EXIT_MARGIN_MS
+        await wait_until_idle(lambda: self._callers.in_progress, left_ms)
+        await asyncio.sleep(QUIET_MS / 1_000)
         if self._caller_site is not None:
             await self._caller_site.stop()
-        if self._caller_server is not None:
-            self._caller_server.pre_shutdown()
-        left_ms = self._settings.grace_ms - LEAVE_ROTATION_MS - EXIT_MARGIN_MS
-        await wait_until_idle(lambda: self._callers.in_progress, left_ms)
         await self._follower.close()
+        await self._peers.close()
         await self.fleet.close()
         log_event(Event.PROCESS_STOPPED, role="gateway", name=self._settings.name)
 
+    def apply(self, settings: GatewaySettings) -> None:
+        """
+        Take changed settings; see :data:`boragetiller.gateway.reload.LIVE_FIELDS`.
+
+        :param settings: the new settings
+        """
+        self._peers.connect(settings.seeds)
+
     async def _listen(self, server: web.Server, endpoint: Endpoint) -> web.TCPSite:
         runner = web.ServerRunner(server)
         await runner.setup()
--- /dev/null
+++ b/src/boragetiller/gateway/reload.py
@@ -0,0 +1,86 @@
+"""Take changes of the settings file while the process runs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.errors import SettingsInvalid
+from boragetiller.events import Event, log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from boragetiller.gateway.settings import GatewaySettings
+
+CHECK_INTERVAL_MS = 1_000  # the file may change without a signal; reading it costs microseconds
+LIVE_FIELDS = frozenset({"seeds"})  # taken at once; the others hold from the next start
+
+
+class SettingsReloader:
+    """Reads the settings again at a signal and at intervals."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        load: Callable[[], GatewaySettings],
+        apply: Callable[[GatewaySettings], None],
+    ) -> None:
+        """
+        Put the parts together.
+
+        :param settings: settings that the process was started with
+        :param load: reads the file; raises SettingsInvalid
+        :param apply: takes changed settings
+        """
+        self._settings = settings
+        self._load = load
+        self._apply = apply
+        self._refusal = ""
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to look at intervals."""
+        self._task = asyncio.create_task(self._check_at_intervals())
+
+    async def close(self) -> None:
+        """Stop looking."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def check(self) -> None:
+        """Read the file; a bad one changes nothing."""
+        try:
+            settings = self._load()
+        except SettingsInvalid as error:
+            self._note_refusal(str(error))
+            return
+        self._refusal = ""
+        changed = _changed_fields(self._settings, settings)
+        if not changed:
+            return
+        self._settings = settings
+        at_restart = sorted(set(changed) - LIVE_FIELDS)
+        log_event(Event.SETTINGS_RELOADED, changed=changed, at_next_start=at_restart)
+        self._apply(settings)
+
+    def _note_refusal(self, reason: str) -> None:
+        if reason != self._refusal:
+            log_event(Event.SETTINGS_REFUSED, reason=reason)
+        self._refusal = reason
+
+    async def _check_at_intervals(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_MS / 1_000)
+            self.check()
+
+
+def _changed_fields(old: GatewaySettings, new: GatewaySettings) -> list[str]:
+    names = [field.name for field in attrs.fields(type(old))]
+    return [name for name in names if getattr(old, name) != getattr(new, name)]
+
+
+__all__ = ["SettingsReloader"]
--- a/src/boragetiller/gateway/runner.py
+++ b/src/boragetiller/gateway/runner.py
@@ -15,7 +15,12 @@
     decide_next,
     note_send,
 )
-from boragetiller.systems.first_token import PlacementCosts, choose_server
+from boragetiller.systems.first_token import (
+    PlacementCosts,
+    PlacementRequest,
+    choose_server,
+    stream_sensitivity,
+)
 from boragetiller.systems.server_health import note_failure, note_success
 from boragetiller.tables.attempts import CallProgress, SendEnd
 from boragetiller.verdict import Verdict
@@ -26,6 +31,7 @@
     from aiohttp import web
 
     from boragetiller.clock import Clock
+    from boragetiller.gateway.beliefs import Beliefs
     from boragetiller.gateway.call import Call
     from boragetiller.gateway.fleet import Fleet
     from boragetiller.gateway.metrics import GatewayMetrics
@@ -46,6 +52,7 @@
         self,
         settings: GatewaySettings,
         fleet: Fleet,
+        beliefs: Beliefs,
         dialect: Dialect,
         clock: Clock,
         metrics: GatewayMetrics,
@@ -56,6 +63,7 @@
 
         :param settings: settings of the process
         :param fleet: configuration and backend servers
+        :param beliefs: told of prompts that were read
         :param dialect: words of the platform
         :param clock: monotonic time
         :param metrics: counters
@@ -67,8 +75,8 @@
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
-        self._sender = Sender(fleet, dialect, clock)
         self._costs = PlacementCosts()
+        self._sender = Sender(fleet, beliefs, dialect, self._costs, clock)
 
     async def run(self, call: Call, request: web.BaseRequest) -> web.StreamResponse:
         """
@@ -108,14 +116,13 @@
     def _choose(self, call: Call, tried: set[str]) -> BackendServer | None:
         servers = self._fleet.servers.accepting(call.group.name)
         fresh = [server for server in servers if server.name not in tried]
-        return choose_server(
-            fresh,
-            call.facts.prompt if call.group.engine else None,
-            call.tier,
-            self._settings.failure_domain,
-            self._costs,
-            self._clock.now_ms(),
+        placed = PlacementRequest(
+            prompt=call.facts.prompt if call.group.engine else None,
+            tier=call.tier,
+            sensitivity=stream_sensitivity(call.route.gap_target_ms),
+            failure_domain=self._settings.failure_domain,
         )
+        return choose_server(fresh, placed, self._costs, self._clock.now_ms())
 
     def _decide(
         self, call: Call, result: SendResult, progress: CallProgress
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -11,7 +11,12 @@
 
 from boragetiller.gateway.event_stream import EventSplitter
 from boragetiller.gateway.server_client import BROKEN, NEVER_SENT, OutgoingCall
-from boragetiller.systems.first_token import note_cached, uncached_tokens
+from boragetiller.systems.first_token import (
+    engine_cache_tokens,
+    note_cached,
+    stream_sensitivity,
+    uncached_tokens,
+)
 from boragetiller.tables.attempts import SendEnd, SendResult, WholeAnswer
 from boragetiller.tables.calls import ForwardFacts
 from boragetiller.tables.servers import PendingPrompt
@@ -21,17 +26,18 @@
 
     from boragetiller.clock import Clock
     from boragetiller.gateway.answers import EventSink
+    from boragetiller.gateway.beliefs import Beliefs
     from boragetiller.gateway.call import Call
     from boragetiller.gateway.fleet import Fleet
     from boragetiller.gateway.ports import Dialect
     from boragetiller.gateway.server_client import ServerAnswer
+    from boragetiller.systems.first_token import PlacementCosts
     from boragetiller.tables.attempts import CallProgress
     from boragetiller.tables.calls import AnswerFacts
     from boragetiller.tables.servers import BackendServer
 
 SUCCESS = range(200, 300)
 FIRST_SERVER_ERROR = 500
-CACHE_SHARE = 0.8  # of an engine's memory; the rest holds what its running requests generate
 
 
 @attrs.define(kw_only=True)
@@ -48,15 +54,26 @@
 class Sender:
     """Sends calls and keeps account of what is under way where."""
 
-    def __init__(self, fleet: Fleet, dialect: Dialect, clock: Clock) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        beliefs: Beliefs,
+        dialect: Dialect,
+        costs: PlacementCosts,
+        clock: Clock,
+    ) -> None:
         """
         Put the parts together.
 
         :param fleet: backend servers and their clients
+        :param beliefs: told of prompts that were read
         :param dialect: words of the platform
+        :param costs: figures of placement
         :param clock: monotonic time
         """
         self._fleet = fleet
+        self._beliefs = beliefs
+        self._costs = costs
         self._dialect = dialect
         self._clock = clock
 
@@ -164,14 +181,17 @@
     @contextmanager
     def _accounted(self, call: Call, server: BackendServer) -> Iterator[None]:
         request_id, prompt = call.facts.request_id, call.facts.prompt
+        sensitivity = stream_sensitivity(call.route.gap_target_ms)
         server.in_flight += 1
+        server.sensitivity += sensitivity
         if prompt is not None:
-            tokens = int(uncached_tokens(server, prompt))
+            tokens = int(uncached_tokens(server, prompt, self._costs))
             server.pending[request_id] = PendingPrompt(tokens, call.tier, self._clock.now_ms())
         try:
             yield
         finally:
             server.in_flight -= 1
+            server.sensitivity -= sensitivity
             server.pending.pop(request_id, None)
 
     def _note_first_event(self, call: Call, server: BackendServer) -> None:
@@ -179,7 +199,8 @@
             return
         prompt, engine = call.facts.prompt, call.group.engine
         if prompt is not None and engine is not None:
-            note_cached(server, prompt, int(CACHE_SHARE * engine.memory_tokens))
+            note_cached(server, prompt.parts, engine_cache_tokens(engine))
+            self._beliefs.note_prompt(server, prompt.parts)
 
 
 def _whole_result(facts: AnswerFacts, answer: WholeAnswer) -> SendResult:
--- a/src/boragetiller/process.py
+++ b/src/boragetiller/process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING
 
 import attrs
@@ -24,11 +23,6 @@
     control_port: int
 
 
-def new_incarnation() -> int:
-    """:return: a number that differs for each start of a process, from the wall clock in µs"""
-    return time.time_ns() // 1_000
-
-
 def new_metrics(settings: Settings) -> Metrics:
     """
     Build the counters of a process.
@@ -42,4 +36,4 @@
     return Metrics(settings.statsd.address, settings.statsd.port, prefix)
 
 
-__all__ = ["Endpoints", "new_incarnation", "new_metrics"]
+__all__ = ["Endpoints", "new_metrics"]
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -12,7 +12,8 @@
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
-from boragetiller.process import Endpoints, new_incarnation, new_metrics
+from boragetiller.clock import new_incarnation
+from boragetiller.process import Endpoints, new_metrics
 from boragetiller.timeouts import wait_until_idle
 from boragetiller.router.agent_choice import AgentChoice
 from boragetiller.router.agent_client import AgentClient
--- a/src/boragetiller/systems/first_token.py
+++ b/src/boragetiller/systems/first_token.py
@@ -1,9 +1,11 @@
 """
-Choose a backend server by the expected time to the first event of the answer.
+Choose a backend server by the expected time to the first event, and by the harm to others.
 
-Answers the load of long prompts in bursts: an engine reads prompts one chunk after the other
-between the tokens of its streams, so what counts is how many tokens wait to be read there, not
-how many requests run.
+Answers the load of long prompts in bursts. An engine reads prompts one chunk after the other
+between the tokens of its streams. So the tokens that wait to be read there decide when a new
+stream begins, and a long prompt stalls each stream that runs beside it. Prompts share parts: an
+engine that has read a part does not read it again, so requests with a part go to one engine as
+long as its queue costs less than reading the part elsewhere.
 """
 
 from __future__ import annotations
@@ -15,14 +17,14 @@
 from boragetiller.hashing import mix, stable_hash
 
 if TYPE_CHECKING:
-    from boragetiller.tables.calls import Prompt
-    from boragetiller.tables.servers import BackendServer
+    from boragetiller.tables.calls import Prompt, PromptPart
+    from boragetiller.tables.routes import EngineProfile
+    from boragetiller.tables.servers import BackendServer, PeerLoad
 
 PEER_LOAD_FADE_MS = 1_000  # reports come ten times a second; ten missed ones say nothing
-MAX_RATIO = 8.0  # bounds how much one measured delay may push work away
 SLOT_WAIT_MS = 50.0  # expected wait for a place per request beyond the slots
-KNOWN_PART_SHARE = 1.0  # part of a prompt that a known cached part saves
-OWNER_PART_SHARE = 0.3  # what a part is worth at the server that all routers would choose for it
+CACHE_SHARE = 0.8  # of an engine's memory; the rest holds what its running requests generate
+SENSITIVE_GAP_MS = 200.0  # an event of four tokens beside a prompt that is read takes as long
 
 
 @attrs.frozen(kw_only=True)
@@ -33,23 +35,40 @@
     other_domain_ms: float = 3.0  # twice the way between failure domains
     cold_ms: float = 200.0  # extra time at an engine that has just started
     batch_ms_per_request: float = 0.5  # a larger batch makes each step longer
+    owner_share: float = 0.3  # what a part is worth where all routers would look for it
+    stall_weight: float = 0.3  # of time that a stream is stalled against time to a first event
+
+
+@attrs.frozen(kw_only=True)
+class PlacementRequest:
+    """What placement needs to know of a request."""
+
+    prompt: Prompt | None  # None for a plain service
+    tier: int  # 0 is the most urgent
+    sensitivity: float  # to stalls; see stream_sensitivity
+    failure_domain: str  # of this router
+
+
+def stream_sensitivity(gap_target_ms: float) -> float:
+    """
+    Tell how much a stream suffers from a stall.
+
+    :param gap_target_ms: longest pause between events for which it is on time, 0 for none
+    :return: 0 for answers without such a target, up to 1
+    """
+    if gap_target_ms <= 0:
+        return 0.0
+    return min(1.0, SENSITIVE_GAP_MS / gap_target_ms)
 
 
 def choose_server(
-    servers: list[BackendServer],
-    prompt: Prompt | None,
-    tier: int,
-    failure_domain: str,
-    costs: PlacementCosts,
-    now_ms: int,
+    servers: list[BackendServer], request: PlacementRequest, costs: PlacementCosts, now_ms: int
 ) -> BackendServer | None:
     """
-    Pick the server with the earliest expected first event.
+    Pick the server where the request costs least.
 
     :param servers: servers that accept work
-    :param prompt: size of the request, None for a plain service
-    :param tier: tier of the request, 0 is the most urgent
-    :param failure_domain: that of this router
+    :param request: the request
     :param costs: figures of the group
     :param now_ms: monotonic time in milliseconds
     :return: the server, None when none takes work now
@@ -58,60 +77,59 @@
     usable = [s for s in usable if not s.health.is_ejected(now_ms)] or usable
     if not usable:
         return None
-    owner = _part_owner(usable, prompt)
+    owner = _part_owner(usable, request.prompt)
 
-    def expected_ms(server: BackendServer) -> float:
-        return expected_first_event_ms(
-            server, prompt, tier, failure_domain, costs, now_ms, is_owner=server is owner
-        )
+    def cost_ms(server: BackendServer) -> float:
+        return placement_cost_ms(server, request, costs, now_ms, is_owner=server is owner)
 
-    return min(usable, key=expected_ms)
+    return min(usable, key=cost_ms)
 
 
-def expected_first_event_ms(
+def placement_cost_ms(
     server: BackendServer,
-    prompt: Prompt | None,
-    tier: int,
-    failure_domain: str,
+    request: PlacementRequest,
     costs: PlacementCosts,
     now_ms: int,
     *,
     is_owner: bool = False,
 ) -> float:
     """
-    Estimate the time to the first event at a server.
+    Add the expected time to the first event and the stalls of streams.
 
     :param server: the server
-    :param prompt: size of the request, None for a plain service
-    :param tier: tier of the request
-    :param failure_domain: that of this router
+    :param request: the request
     :param costs: figures of the group
     :param now_ms: monotonic time in milliseconds
     :param is_owner: whether routers without knowledge would choose this server for the prompt
-    :return: expected time in milliseconds
+    :return: cost in milliseconds
     """
-    peers = [load for load in server.peers.values() if _is_fresh(load.received_ms, now_ms)]
+    peers = [load for load in server.peers.values() if _is_fresh(load, now_ms)]
     in_flight = server.in_flight + sum(load.in_flight for load in peers)
-    link_ms = 0.0 if server.record.failure_domain == failure_domain else costs.other_domain_ms
+    link_ms = _link_ms(server, request, costs)
     beyond = max(0, in_flight + 1 - server.record.slots)
     wait_ms = beyond * SLOT_WAIT_MS + in_flight * costs.batch_ms_per_request
     if now_ms - server.joined_ms < server.record.cold_ms:
         wait_ms += costs.cold_ms
-    if prompt is None:
-        return (link_ms + wait_ms) * server.health.first_event_ratio
-    ahead = sum(p.tokens for p in server.pending.values() if p.tier <= tier)
-    ahead += sum(load.pending_tokens for load in peers)
-    unread = uncached_tokens(server, prompt, is_owner=is_owner)
-    read_ms = (ahead + unread) / costs.read_tokens_per_ms
-    return link_ms + (wait_ms + read_ms) * server.health.first_event_ratio
-
-
-def uncached_tokens(server: BackendServer, prompt: Prompt, *, is_owner: bool = False) -> float:
+    if request.prompt is None:
+        return link_ms + wait_ms * server.health.first_event_ratio
+    unread = _unread_by_tier(server, peers)
+    new_tokens = uncached_tokens(server, request.prompt, costs, is_owner=is_owner)
+    first_ms = (sum(unread[: request.tier + 1]) + new_tokens) / costs.read_tokens_per_ms
+    others = server.sensitivity + sum(load.sensitivity for load in peers)
+    stalls = request.sensitivity * sum(unread) + others * new_tokens
+    stall_ms = costs.stall_weight * stalls / costs.read_tokens_per_ms
+    return link_ms + (wait_ms + first_ms) * server.health.first_event_ratio + stall_ms
+
+
+def uncached_tokens(
+    server: BackendServer, prompt: Prompt, costs: PlacementCosts, *, is_owner: bool = False
+) -> float:
     """
     Estimate how many tokens of a prompt a server would have to read.
 
     :param server: the server
     :param prompt: parts of the prompt; a cached part helps only behind cached parts
+    :param costs: what a part is worth at its owner
     :param is_owner: whether routers without knowledge would choose this server for the prompt
     :return: tokens
     """
@@ -119,21 +137,23 @@
     for part in prompt.parts:
         if part.part_id not in server.cached_parts:
             break
-        saved += part.tokens * KNOWN_PART_SHARE
+        saved += part.tokens
     if saved == 0 and is_owner:
-        saved = OWNER_PART_SHARE * sum(part.tokens for part in prompt.parts[:-1])
+        saved = costs.owner_share * sum(part.tokens for part in prompt.parts[:-1])
     return max(0.0, prompt.input_tokens - saved)
 
 
-def note_cached(server: BackendServer, prompt: Prompt, capacity_tokens: int) -> None:
+def note_cached(
+    server: BackendServer, parts: tuple[PromptPart, ...], capacity_tokens: int
+) -> None:
     """
     Remember that an engine has read the parts of a prompt; the oldest parts yield.
 
     :param server: the server
-    :param prompt: what it has read
+    :param parts: what it has read
     :param capacity_tokens: tokens that its cache holds
     """
-    for part in prompt.parts:
+    for part in parts:
         known = server.cached_parts.pop(part.part_id, 0)
         server.cached_parts[part.part_id] = part.tokens
         server.cached_tokens += part.tokens - known
@@ -142,6 +162,16 @@
         server.cached_tokens -= tokens
 
 
+def engine_cache_tokens(engine: EngineProfile) -> int:
+    """
+    Tell how many tokens of parts an engine is expected to keep.
+
+    :param engine: profile of its group
+    :return: tokens
+    """
+    return int(CACHE_SHARE * engine.memory_tokens)
+
+
 def _part_owner(servers: list[BackendServer], prompt: Prompt | None) -> BackendServer | None:
     """Rank by the shared parts, so that an engine that leaves moves only its own parts."""
     if prompt is None or len(prompt.parts) < 2:
@@ -150,14 +180,30 @@
     return max(servers, key=lambda server: mix(stable_hash(server.name) ^ key))
 
 
-def _is_fresh(received_ms: int, now_ms: int) -> bool:
-    return now_ms - received_ms < PEER_LOAD_FADE_MS
+def _link_ms(server: BackendServer, request: PlacementRequest, costs: PlacementCosts) -> float:
+    near = server.record.failure_domain == request.failure_domain
+    return 0.0 if near else costs.other_domain_ms
+
+
+def _unread_by_tier(server: BackendServer, peers: list[PeerLoad]) -> list[int]:
+    unread = list(server.unread_by_tier())
+    for load in peers:
+        for tier, tokens in enumerate(load.unread_tokens[: len(unread)]):
+            unread[tier] += tokens
+    return unread
+
+
+def _is_fresh(load: PeerLoad, now_ms: int) -> bool:
+    return now_ms - load.received_ms < PEER_LOAD_FADE_MS
 
 
 __all__ = [
     "PlacementCosts",
+    "PlacementRequest",
     "choose_server",
-    "expected_first_event_ms",
+    "engine_cache_tokens",
     "note_cached",
+    "placement_cost_ms",
+    "stream_sensitivity",
     "uncached_tokens",
 ]
--- a/src/boragetiller/tables/servers.py
+++ b/src/boragetiller/tables/servers.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+TIERS = 4  # lower ones than the last count as the last
+
 
 @attrs.frozen(kw_only=True)
 class ServerRecord:
@@ -53,7 +55,8 @@
     """What another router has under way at a backend server."""
 
     in_flight: int
-    pending_tokens: int
+    unread_tokens: tuple[int, ...]  # prompt tokens not yet read there, by tier
+    sensitivity: float  # sum over its streams
     received_ms: int
 
 
@@ -63,7 +66,7 @@
 
     record: ServerRecord
     in_flight: int = 0
-    in_flight_tokens: int = 0  # prompt tokens of requests under way
+    sensitivity: float = 0.0  # to stalls, summed over the streams under way
     pending: dict[str, PendingPrompt] = attrs.field(factory=dict)  # by request id
     peers: dict[str, PeerLoad] = attrs.field(factory=dict)  # by name of the router
     cached_parts: OrderedDict[str, int] = attrs.field(factory=OrderedDict)  # part id to tokens
@@ -77,6 +80,13 @@
         """:return: name of the server"""
         return self.record.name
 
+    def unread_by_tier(self) -> tuple[int, ...]:
+        """:return: prompt tokens of this router's requests that wait to be read, by tier"""
+        unread = [0] * TIERS
+        for prompt in self.pending.values():
+            unread[min(max(0, prompt.tier), TIERS - 1)] += prompt.tokens
+        return tuple(unread)
+
 
 @attrs.define(eq=False)
 class ServerTable:
@@ -122,6 +132,7 @@
 
 
 __all__ = [
+    "TIERS",
     "BackendServer",
     "PeerLoad",
     "PendingPrompt",
--- a/src/boragetiller/tables/store_view.py
+++ b/src/boragetiller/tables/store_view.py
@@ -28,7 +28,6 @@
     """
 
     items: dict[str, StoredItem] = attrs.field(factory=dict)
-    revision: int = 0  # every change up to here is known
 
     def take(self, items: Iterable[StoredItem]) -> list[StoredItem]:
         """
@@ -67,14 +66,26 @@
         ]
         return self.take([*items, *removed])
 
-    def newer_than(self, revision: int) -> list[StoredItem]:
+    def newest_revision(self, prefix: str) -> int:
+        """
+        Tell the revision of the newest known change.
+
+        :param prefix: prefix of the keys
+        :return: revision, 0 when nothing is known
+        """
+        found = [item.revision for item in self.items.values() if item.key.startswith(prefix)]
+        return max(found, default=0)
+
+    def newer_than(self, prefix: str, revision: int) -> list[StoredItem]:
         """
         List the items that changed after a revision.
 
+        :param prefix: prefix of the keys
         :param revision: revision of the store
         :return: items, oldest first
         """
-        found = [item for item in self.items.values() if item.revision > revision]
+        items = self.items.values()
+        found = [i for i in items if i.key.startswith(prefix) and i.revision > revision]
         return sorted(found, key=lambda item: item.revision)
 
     def below(self, prefix: str) -> list[StoredItem]:
