Keep a fifth of the engines for streams that suffer from stalls; average what engines read lately

Cause: a yard note of some hundred tokens, on an engine that reads long prompts all the time, does not end in 12 s. Change: expected share of reading time and expected streams enter the cost, the same on each router before they have heard of each other.

--- a/src/boragetiller/gateway/beliefs.py
+++ b/src/boragetiller/gateway/beliefs.py
@@ -8,14 +8,16 @@
 import attrs
 
 from boragetiller.gateway.peer_messages import PeerReport, ReadPrompt, SentLoad
-from boragetiller.systems.first_token import engine_cache_tokens, note_cached
+from boragetiller.systems.first_token import engine_cache_tokens, note_read
 from boragetiller.tables.servers import PeerLoad
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
     from boragetiller.gateway.fleet import Fleet
     from boragetiller.gateway.settings import Endpoint
-    from boragetiller.tables.calls import PromptPart
+    from boragetiller.systems.first_token import PlacementCosts
+    from boragetiller.tables.calls import Prompt
+    from boragetiller.tables.routes import EngineProfile
     from boragetiller.tables.servers import BackendServer
     from boragetiller.tables.store_view import StoredItem
 
@@ -37,16 +39,18 @@
 class Beliefs:
     """This router's side of the exchange with its peers."""
 
-    def __init__(self, fleet: Fleet, clock: Clock) -> None:
+    def __init__(self, fleet: Fleet, costs: PlacementCosts, clock: Clock) -> None:
         """
         Prepare the beliefs.
 
         :param fleet: configuration and backend servers
+        :param costs: figures of placement
         :param clock: monotonic time
         """
         self.peer_names: dict[Endpoint, str] = {}
         self.prompt_count = 0
         self._fleet = fleet
+        self._costs = costs
         self._clock = clock
         self._prompts: deque[ReadPrompt] = deque(maxlen=KEPT_PROMPTS)
 
@@ -71,14 +75,16 @@
         found += view.newer_than(dialect.servers_prefix, revisions.servers)
         return found
 
-    def note_prompt(self, server: BackendServer, parts: tuple[PromptPart, ...]) -> None:
+    def note_prompt(self, server: BackendServer, prompt: Prompt, engine: EngineProfile) -> None:
         """
         Note a prompt that an engine has read for this router, to tell the peers.
 
         :param server: the engine
-        :param parts: parts of the prompt
+        :param prompt: the prompt
+        :param engine: profile of its group
         """
-        self._prompts.append(ReadPrompt(server=server.name, parts=parts))
+        self._note_read(server, prompt, engine)
+        self._prompts.append(ReadPrompt(server=server.name, prompt=prompt))
         self.prompt_count += 1
 
     def report(self, prompts_seen: int) -> PeerReport:
@@ -147,7 +153,11 @@
             return
         group = self._fleet.config.groups.get(server.record.group)
         if group is not None and group.engine is not None:
-            note_cached(server, prompt.parts, engine_cache_tokens(group.engine))
+            self._note_read(server, prompt.prompt, group.engine)
+
+    def _note_read(self, server: BackendServer, prompt: Prompt, engine: EngineProfile) -> None:
+        cache_tokens = engine_cache_tokens(engine)
+        note_read(server, prompt, self._costs, cache_tokens, self._clock.now_ms())
 
 
 def _load(server: BackendServer) -> SentLoad:
--- a/src/boragetiller/gateway/peer_messages.py
+++ b/src/boragetiller/gateway/peer_messages.py
@@ -10,7 +10,7 @@
 import capnp
 
 from boragetiller.control.errors import BadFrame
-from boragetiller.tables.calls import PromptPart
+from boragetiller.tables.calls import Prompt, PromptPart
 from boragetiller.tables.store_view import StoredItem
 
 LENGTH_BYTES = 4
@@ -44,7 +44,7 @@
     """A prompt that a backend server has read for the sender."""
 
     server: str
-    parts: tuple[PromptPart, ...]
+    prompt: Prompt
 
 
 @attrs.frozen(kw_only=True)
@@ -122,11 +122,7 @@
         for load in report.loads
     ]
     prompts = [
-        ReadPrompt(
-            server=prompt.server,
-            parts=tuple(PromptPart(part.id, part.tokens) for part in prompt.parts),
-        )
-        for prompt in report.prompts
+        ReadPrompt(server=prompt.server, prompt=_read_prompt(prompt)) for prompt in report.prompts
     ]
     return PeerReport(
         config_revision=report.configRevision,
@@ -136,6 +132,15 @@
     )
 
 
+def _read_prompt(prompt: Any) -> Prompt:
+    return Prompt(
+        model=prompt.model,
+        input_tokens=prompt.inputTokens,
+        output_tokens=prompt.outputTokens,
+        parts=tuple(PromptPart(part.id, part.tokens) for part in prompt.parts),
+    )
+
+
 def _read_item(item: Any) -> StoredItem:
     value = None if item.removed else bytes(item.value)
     return StoredItem(item.key, value, item.revision)
@@ -164,10 +169,13 @@
     ]
     prompts = [
         {
-            "server": prompt.server,
-            "parts": [{"id": part.part_id, "tokens": part.tokens} for part in prompt.parts],
+            "server": read.server,
+            "model": read.prompt.model,
+            "inputTokens": read.prompt.input_tokens,
+            "outputTokens": read.prompt.output_tokens,
+            "parts": [{"id": part.part_id, "tokens": part.tokens} for part in read.prompt.parts],
         }
-        for prompt in message.prompts
+        for read in message.prompts
     ]
     report = {
         "configRevision": message.config_revision,
--- a/src/boragetiller/gateway/peers.capnp
+++ b/src/boragetiller/gateway/peers.capnp
@@ -32,7 +32,10 @@
 
 struct ReadPrompt {
   server @0 :Text;
-  parts @1 :List(Part);
+  model @1 :Text;
+  inputTokens @2 :UInt32;
+  outputTokens @3 :UInt32;
+  parts @4 :List(Part);
 }
 
 struct Part {
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -17,6 +17,7 @@
 from boragetiller.gateway.peers import PeerExchange
 from boragetiller.gateway.runner import CallRunner
 from boragetiller.gateway.store_follower import StoreFollower
+from boragetiller.systems.first_token import PlacementCosts
 from boragetiller.timeouts import wait_until_idle
 
 if TYPE_CHECKING:
@@ -43,9 +44,12 @@
         clock = SystemClock()
         self.metrics = GatewayMetrics()
         self.fleet = Fleet(settings, dialect, clock)
-        beliefs = Beliefs(self.fleet, clock)
+        costs = PlacementCosts()
+        beliefs = Beliefs(self.fleet, costs, clock)
         rng = random.Random(settings.name)
-        runner = CallRunner(settings, self.fleet, beliefs, dialect, clock, self.metrics, rng)
+        runner = CallRunner(
+            settings, self.fleet, beliefs, dialect, costs, clock, self.metrics, rng
+        )
         self._peers = PeerExchange(settings, beliefs, clock, self.metrics)
         self._callers = CallerPort(self.fleet, runner, dialect, clock, self.metrics)
         self._follower = StoreFollower(
--- a/src/boragetiller/gateway/runner.py
+++ b/src/boragetiller/gateway/runner.py
@@ -16,7 +16,6 @@
     note_send,
 )
 from boragetiller.systems.first_token import (
-    PlacementCosts,
     PlacementRequest,
     choose_server,
     stream_sensitivity,
@@ -37,6 +36,7 @@
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.ports import Dialect
     from boragetiller.gateway.settings import GatewaySettings
+    from boragetiller.systems.first_token import PlacementCosts
     from boragetiller.tables.attempts import SendResult
     from boragetiller.tables.servers import BackendServer
 
@@ -54,6 +54,7 @@
         fleet: Fleet,
         beliefs: Beliefs,
         dialect: Dialect,
+        costs: PlacementCosts,
         clock: Clock,
         metrics: GatewayMetrics,
         rng: Random,
@@ -65,6 +66,7 @@
         :param fleet: configuration and backend servers
         :param beliefs: told of prompts that were read
         :param dialect: words of the platform
+        :param costs: figures of placement
         :param clock: monotonic time
         :param metrics: counters
         :param rng: seeded generator
@@ -75,7 +77,7 @@
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
-        self._costs = PlacementCosts()
+        self._costs = costs
         self._sender = Sender(fleet, beliefs, dialect, self._costs, clock)
 
     async def run(self, call: Call, request: web.BaseRequest) -> web.StreamResponse:
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -12,8 +12,6 @@
 from boragetiller.gateway.event_stream import EventSplitter
 from boragetiller.gateway.server_client import BROKEN, NEVER_SENT, OutgoingCall
 from boragetiller.systems.first_token import (
-    engine_cache_tokens,
-    note_cached,
     stream_sensitivity,
     uncached_tokens,
 )
@@ -199,8 +197,7 @@
             return
         prompt, engine = call.facts.prompt, call.group.engine
         if prompt is not None and engine is not None:
-            note_cached(server, prompt.parts, engine_cache_tokens(engine))
-            self._beliefs.note_prompt(server, prompt.parts)
+            self._beliefs.note_prompt(server, prompt, engine)
 
 
 def _whole_result(facts: AnswerFacts, answer: WholeAnswer) -> SendResult:
--- a/src/boragetiller/systems/first_token.py
+++ b/src/boragetiller/systems/first_token.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -24,7 +25,10 @@
 PEER_LOAD_FADE_MS = 1_000  # reports come ten times a second; ten missed ones say nothing
 SLOT_WAIT_MS = 50.0  # expected wait for a place per request beyond the slots
 CACHE_SHARE = 0.8  # of an engine's memory; the rest holds what its running requests generate
-SENSITIVE_GAP_MS = 200.0  # an event of four tokens beside a prompt that is read takes as long
+SENSITIVE_GAP_MS = 200.0  # an event of four tokens beside a long prompt takes about as long
+MIN_SPLIT_SERVERS = 3  # with fewer engines each one takes all kinds of requests
+SENSITIVITY_POWER = 3  # a stream with half as much room again is hardly ever late
+READ_MEMORY_MS = 2_000.0  # over which the reading of prompts is averaged
 
 
 @attrs.frozen(kw_only=True)
@@ -36,7 +40,19 @@
     cold_ms: float = 200.0  # extra time at an engine that has just started
     batch_ms_per_request: float = 0.5  # a larger batch makes each step longer
     owner_share: float = 0.3  # what a part is worth where all routers would look for it
-    stall_weight: float = 0.3  # of time that a stream is stalled against time to a first event
+    stall_weight: float = 1.0  # of time that a stream is stalled against time to a first event
+    step_ms: float = 4.0  # for one token of each stream
+    quiet_share: float = 0.2  # of engines, kept for streams that suffer from stalls
+    quiet_streams: float = 2.0  # that are expected at each of these, also before they come
+    usual_read_share: float = 0.1  # of its time, expected at the others
+
+
+@attrs.frozen(kw_only=True)
+class ServerDuty:
+    """What all routers expect of a server, without having heard of each other."""
+
+    is_owner: bool = False  # they look for the prompt's parts there
+    is_quiet: bool = False  # they keep long prompts away from it
 
 
 @attrs.frozen(kw_only=True)
@@ -58,7 +74,7 @@
     """
     if gap_target_ms <= 0:
         return 0.0
-    return min(1.0, SENSITIVE_GAP_MS / gap_target_ms)
+    return min(1.0, (SENSITIVE_GAP_MS / gap_target_ms) ** SENSITIVITY_POWER)
 
 
 def choose_server(
@@ -78,9 +94,11 @@
     if not usable:
         return None
     owner = _part_owner(usable, request.prompt)
+    quiet = quiet_servers(servers, costs) if request.prompt else set()
 
     def cost_ms(server: BackendServer) -> float:
-        return placement_cost_ms(server, request, costs, now_ms, is_owner=server is owner)
+        duty = ServerDuty(is_owner=server is owner, is_quiet=server.name in quiet)
+        return placement_cost_ms(server, request, costs, now_ms, duty)
 
     return min(usable, key=cost_ms)
 
@@ -90,8 +108,7 @@
     request: PlacementRequest,
     costs: PlacementCosts,
     now_ms: int,
-    *,
-    is_owner: bool = False,
+    duty: ServerDuty,
 ) -> float:
     """
     Add the expected time to the first event and the stalls of streams.
@@ -100,7 +117,7 @@
     :param request: the request
     :param costs: figures of the group
     :param now_ms: monotonic time in milliseconds
-    :param is_owner: whether routers without knowledge would choose this server for the prompt
+    :param duty: what all routers expect of the server
     :return: cost in milliseconds
     """
     peers = [load for load in server.peers.values() if _is_fresh(load, now_ms)]
@@ -113,14 +130,36 @@
     if request.prompt is None:
         return link_ms + wait_ms * server.health.first_event_ratio
     unread = _unread_by_tier(server, peers)
-    new_tokens = uncached_tokens(server, request.prompt, costs, is_owner=is_owner)
+    new_tokens = uncached_tokens(server, request.prompt, costs, is_owner=duty.is_owner)
     first_ms = (sum(unread[: request.tier + 1]) + new_tokens) / costs.read_tokens_per_ms
     others = server.sensitivity + sum(load.sensitivity for load in peers)
-    stalls = request.sensitivity * sum(unread) + others * new_tokens
-    stall_ms = costs.stall_weight * stalls / costs.read_tokens_per_ms
+    busy = read_share(server, costs, now_ms)
+    if duty.is_quiet:
+        others = max(others, costs.quiet_streams)
+    else:
+        busy = max(busy, costs.usual_read_share)
+    own_ms = sum(unread) / costs.read_tokens_per_ms
+    own_ms += busy * request.prompt.output_tokens * costs.step_ms
+    others_ms = others * new_tokens / costs.read_tokens_per_ms
+    stall_ms = costs.stall_weight * (request.sensitivity * own_ms + others_ms)
     return link_ms + (wait_ms + first_ms) * server.health.first_event_ratio + stall_ms
 
 
+def quiet_servers(servers: list[BackendServer], costs: PlacementCosts) -> set[str]:
+    """
+    Choose the engines that long prompts avoid, the same ones on each router.
+
+    :param servers: engines that accept work
+    :param costs: share of them
+    :return: names; none in a group too small to be split
+    """
+    count = round(len(servers) * costs.quiet_share)
+    if len(servers) < MIN_SPLIT_SERVERS or not count:
+        return set()
+    ranked = sorted(servers, key=lambda server: stable_hash("quiet", server.name))
+    return {server.name for server in ranked[:count]}
+
+
 def uncached_tokens(
     server: BackendServer, prompt: Prompt, costs: PlacementCosts, *, is_owner: bool = False
 ) -> float:
@@ -143,6 +182,37 @@
     return max(0.0, prompt.input_tokens - saved)
 
 
+def read_share(server: BackendServer, costs: PlacementCosts, now_ms: int) -> float:
+    """
+    Estimate the share of its time that an engine spent on reading prompts lately.
+
+    :param server: the engine
+    :param costs: how fast engines read
+    :param now_ms: monotonic time in milliseconds
+    :return: 0 to 1
+    """
+    decay = math.exp(-max(0, now_ms - server.read_noted_ms) / READ_MEMORY_MS)
+    return min(1.0, server.read_tokens * decay / (READ_MEMORY_MS * costs.read_tokens_per_ms))
+
+
+def note_read(
+    server: BackendServer, prompt: Prompt, costs: PlacementCosts, cache_tokens: int, now_ms: int
+) -> None:
+    """
+    Note that an engine has read a prompt.
+
+    :param server: the engine
+    :param prompt: what it has read
+    :param costs: see :func:`uncached_tokens`
+    :param cache_tokens: tokens of parts that the engine keeps
+    :param now_ms: monotonic time in milliseconds
+    """
+    decay = math.exp(-max(0, now_ms - server.read_noted_ms) / READ_MEMORY_MS)
+    server.read_tokens = server.read_tokens * decay + uncached_tokens(server, prompt, costs)
+    server.read_noted_ms = now_ms
+    note_cached(server, prompt.parts, cache_tokens)
+
+
 def note_cached(
     server: BackendServer, parts: tuple[PromptPart, ...], capacity_tokens: int
 ) -> None:
@@ -200,10 +270,13 @@
 __all__ = [
     "PlacementCosts",
     "PlacementRequest",
+    "ServerDuty",
     "choose_server",
     "engine_cache_tokens",
-    "note_cached",
+    "note_read",
     "placement_cost_ms",
+    "quiet_servers",
+    "read_share",
     "stream_sensitivity",
     "uncached_tokens",
 ]
