Weigh reading work and haste in placement; count a prompt as read from its send

Cause: in a burst of long prompts each engine read the same shared parts: requests fled a queue of a second to engines that had to read 13,000 tokens again, and a second request with a part did not see that the first one was reading it. Change: reading time counts also as work for all later requests; delay counts against the latency target of the route.

--- a/src/boragetiller/gateway/beliefs.py
+++ b/src/boragetiller/gateway/beliefs.py
@@ -77,7 +77,7 @@
 
     def note_prompt(self, server: BackendServer, prompt: Prompt, engine: EngineProfile) -> None:
         """
-        Note a prompt that an engine has read for this router, to tell the peers.
+        Note a prompt that was sent to an engine, to tell the peers.
 
         :param server: the engine
         :param prompt: the prompt
--- a/src/boragetiller/gateway/runner.py
+++ b/src/boragetiller/gateway/runner.py
@@ -121,6 +121,7 @@
         placed = PlacementRequest(
             prompt=call.facts.prompt if call.group.engine else None,
             tier=call.tier,
+            target_ms=max(1.0, call.route.target_ms),
             sensitivity=stream_sensitivity(call.route.gap_target_ms),
             failure_domain=self._settings.failure_domain,
         )
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -162,7 +162,7 @@
                 continue
             if stream.first_event_ms is None:
                 stream.first_event_ms = self._clock.now_ms()
-            self._note_first_event(call, server)
+            server.pending.pop(call.facts.request_id, None)
             await stream.sink.write(answer.facts.status, headers, events.data)
             progress.relayed_events += events.count
             stream.last_event_id = events.last_id
@@ -185,6 +185,8 @@
         if prompt is not None:
             tokens = int(uncached_tokens(server, prompt, self._costs))
             server.pending[request_id] = PendingPrompt(tokens, call.tier, self._clock.now_ms())
+            if call.group.engine is not None:
+                self._beliefs.note_prompt(server, prompt, call.group.engine)
         try:
             yield
         finally:
@@ -192,13 +194,6 @@
             server.sensitivity -= sensitivity
             server.pending.pop(request_id, None)
 
-    def _note_first_event(self, call: Call, server: BackendServer) -> None:
-        if server.pending.pop(call.facts.request_id, None) is None:
-            return
-        prompt, engine = call.facts.prompt, call.group.engine
-        if prompt is not None and engine is not None:
-            self._beliefs.note_prompt(server, prompt, engine)
-
 
 def _whole_result(facts: AnswerFacts, answer: WholeAnswer) -> SendResult:
     if facts.status < FIRST_SERVER_ERROR:
--- a/src/boragetiller/systems/first_token.py
+++ b/src/boragetiller/systems/first_token.py
@@ -26,6 +26,7 @@
 SLOT_WAIT_MS = 50.0  # expected wait for a place per request beyond the slots
 CACHE_SHARE = 0.8  # of an engine's memory; the rest holds what its running requests generate
 SENSITIVE_GAP_MS = 200.0  # an event of four tokens beside a long prompt takes about as long
+MAX_HASTE = 2.0  # bounds the weight of delay for very short targets
 MIN_SPLIT_SERVERS = 3  # with fewer engines each one takes all kinds of requests
 SENSITIVITY_POWER = 3  # a stream with half as much room again is hardly ever late
 READ_MEMORY_MS = 2_000.0  # over which the reading of prompts is averaged
@@ -42,9 +43,11 @@
     owner_share: float = 0.3  # what a part is worth where all routers would look for it
     stall_weight: float = 1.0  # of time that a stream is stalled against time to a first event
     step_ms: float = 4.0  # for one token of each stream
+    work_weight: float = 2.0  # of reading time, which delays all that comes later
+    usual_target_ms: float = 600.0  # latency target for which a ms of delay counts as one
     quiet_share: float = 0.2  # of engines, kept for streams that suffer from stalls
-    quiet_streams: float = 2.0  # that are expected at each of these, also before they come
-    usual_read_share: float = 0.1  # of its time, expected at the others
+    quiet_streams: float = 6.0  # that are expected at each of these, also before they come
+    usual_read_share: float = 0.3  # of its time, expected at the others
 
 
 @attrs.frozen(kw_only=True)
@@ -61,6 +64,7 @@
 
     prompt: Prompt | None  # None for a plain service
     tier: int  # 0 is the most urgent
+    target_ms: float  # latency target, to the first event of a stream
     sensitivity: float  # to stalls; see stream_sensitivity
     failure_domain: str  # of this router
 
@@ -142,7 +146,10 @@
     own_ms += busy * request.prompt.output_tokens * costs.step_ms
     others_ms = others * new_tokens / costs.read_tokens_per_ms
     stall_ms = costs.stall_weight * (request.sensitivity * own_ms + others_ms)
-    return link_ms + (wait_ms + first_ms) * server.health.first_event_ratio + stall_ms
+    work_ms = costs.work_weight * new_tokens / costs.read_tokens_per_ms
+    haste = min(MAX_HASTE, costs.usual_target_ms / request.target_ms)
+    delay_ms = haste * (wait_ms + first_ms) * server.health.first_event_ratio
+    return link_ms + delay_ms + work_ms + stall_ms
 
 
 def quiet_servers(servers: list[BackendServer], costs: PlacementCosts) -> set[str]:
@@ -199,10 +206,13 @@
     server: BackendServer, prompt: Prompt, costs: PlacementCosts, cache_tokens: int, now_ms: int
 ) -> None:
     """
-    Note that an engine has read a prompt.
+    Note that an engine reads a prompt.
+
+    It counts as read from the moment it is sent: the engine reads in order of arrival, so the next
+    request with the same parts finds them there.
 
     :param server: the engine
-    :param prompt: what it has read
+    :param prompt: what it reads
     :param costs: see :func:`uncached_tokens`
     :param cache_tokens: tokens of parts that the engine keeps
     :param now_ms: monotonic time in milliseconds
