Hedge idempotent calls; keep to the engines that a route allows; call the store less

Cause: an idempotent call whose answer was lost waited until its deadline; rereads of the store were half of all calls. Change: a second engine is asked after three quarters of the target; rereads every 2.5 s; doubled pauses while the store is down.

--- /dev/null
+++ b/src/boragetiller/gateway/hedging.py
@@ -0,0 +1,75 @@
+"""Run two sends of one call side by side and take the better end."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.tables.attempts import SendEnd, SendResult
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from boragetiller.tables.servers import BackendServer
+
+    Send = Callable[[BackendServer], Coroutine[None, None, SendResult]]
+
+
+@attrs.frozen
+class ServerResult:
+    """How the send to one server ended."""
+
+    server: BackendServer
+    result: SendResult
+
+
+async def send_hedged(
+    server: BackendServer,
+    send: Send,
+    choose_second: Callable[[], BackendServer | None],
+    hedge_ms: float,
+) -> list[ServerResult]:
+    """
+    Send to a second server when the first one does not answer in time.
+
+    The send that has not ended when the other one has an answer is given up as silent.
+
+    :param server: the first server
+    :param send: sends the call to a server
+    :param choose_second: chooses the second server, None for no second send
+    :param hedge_ms: time without an answer until then
+    :return: both ends, the one that counts last
+    """
+    first = asyncio.create_task(send(server))
+    tasks = {first: server}
+    try:
+        await asyncio.wait(tasks, timeout=hedge_ms / 1_000)
+        if not first.done() and (second := choose_second()) is not None:
+            tasks[asyncio.create_task(send(second))] = second
+        return await _first_answer(tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _first_answer(
+    tasks: dict[asyncio.Task[SendResult], BackendServer],
+) -> list[ServerResult]:
+    ended: list[ServerResult] = []
+    waiting = set(tasks)
+    while waiting:
+        done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+        ended += [ServerResult(tasks[task], task.result()) for task in done]
+        answered = [each for each in ended if each.result.end is SendEnd.ANSWERED]
+        if answered:
+            late = SendResult(SendEnd.SILENT, detail="another server answered first")
+            silent = [ServerResult(tasks[task], late) for task in waiting]
+            others = [each for each in ended if each is not answered[0]]
+            return [*others, *silent, answered[0]]
+    return ended
+
+
+__all__ = ["ServerResult", "send_hedged"]
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -52,9 +52,7 @@
         )
         self._peers = PeerExchange(settings, beliefs, clock, self.metrics)
         self._callers = CallerPort(self.fleet, runner, dialect, clock, self.metrics)
-        self._follower = StoreFollower(
-            store, self.fleet, dialect, settings.config_apply_ms, clock, self.metrics
-        )
+        self._follower = StoreFollower(store, self.fleet, dialect, clock, self.metrics)
         self._runners: list[web.BaseRunner[web.BaseRequest]] = []
         self._caller_site: web.TCPSite | None = None
 
--- a/src/boragetiller/gateway/runner.py
+++ b/src/boragetiller/gateway/runner.py
@@ -6,6 +6,7 @@
 
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.answers import EventSink, OwnAnswer, own_response, whole_response
+from boragetiller.gateway.hedging import ServerResult, send_hedged
 from boragetiller.gateway.sender import Sender, StreamState
 from boragetiller.systems.direct_outcomes import (
     GiveUpReason,
@@ -20,6 +21,7 @@
     choose_server,
     stream_sensitivity,
 )
+from boragetiller.systems.patience import hedge_after_ms
 from boragetiller.systems.server_health import note_failure, note_success
 from boragetiller.tables.attempts import CallProgress, SendEnd
 from boragetiller.verdict import Verdict
@@ -42,7 +44,15 @@
 
 FULL_PAUSE_MS = 50  # a server that refused for lack of places gets nothing new for so long
 RETRY_AFTER_S = (0.1, 0.4)  # spreads returns over the time in which places come free
-FAILURES = frozenset({SendEnd.UNREACHABLE, SendEnd.LOST, SendEnd.GARBLED, SendEnd.SERVER_ERROR})
+FAILURES = frozenset(
+    {
+        SendEnd.UNREACHABLE,
+        SendEnd.LOST,
+        SendEnd.GARBLED,
+        SendEnd.SERVER_ERROR,
+        SendEnd.SILENT,
+    }
+)
 
 
 class CallRunner:
@@ -89,7 +99,7 @@
         :return: the response
         """
         route = call.route
-        progress = CallProgress(repeatable=route.repeatable, max_attempts=route.max_attempts)
+        progress = CallProgress(repeatable=route.repeatable, max_servers=route.max_attempts)
         stream = _new_stream(call, request) if route.streamed else None
         self._fleet.budget(call.group.name).note_request(self._clock.now_ms())
         tried: set[str] = set()
@@ -98,10 +108,10 @@
             if server is None:
                 end = Refuse(GiveUpReason.FULL, SendEnd.FULL, progress.verdict)
                 return self._give_up(call, end, stream)
-            tried.add(server.name)
-            result = await self._sender.send(call, server, progress, stream)
-            note_send(progress, result)
-            self._note_health(call, server, result)
+            for ended in await self._send(call, server, progress, stream, tried):
+                server, result = ended.server, ended.result
+                note_send(progress, server.name, result)
+                self._note_health(call, server, result)
             step = self._decide(call, result, progress)
             match step:
                 case PassOn(answer=answer):
@@ -115,9 +125,47 @@
                     self._log_failure(call, server, result, step)
                     return self._give_up(call, step, stream)
 
+    async def _send(
+        self,
+        call: Call,
+        server: BackendServer,
+        progress: CallProgress,
+        stream: StreamState | None,
+        tried: set[str],
+    ) -> list[ServerResult]:
+        """Send to a server, or to a second one too; the result that counts comes last."""
+        tried.add(server.name)
+        if stream is not None or not call.route.repeatable:
+            return [ServerResult(server, await self._sender.send(call, server, progress, stream))]
+
+        def choose_second() -> BackendServer | None:
+            return self._choose_hedge(call, progress, tried)
+
+        return await send_hedged(
+            server,
+            lambda chosen: self._sender.send(call, chosen, progress, None),
+            choose_second,
+            hedge_after_ms(call.route.target_ms),
+        )
+
+    def _choose_hedge(
+        self, call: Call, progress: CallProgress, tried: set[str]
+    ) -> BackendServer | None:
+        now_ms = self._clock.now_ms()
+        budget = self._fleet.budget(call.group.name)
+        if len(progress.ran_on) + 1 >= progress.max_servers or not budget.allows(now_ms):
+            return None
+        server = self._choose(call, tried)
+        if server is not None:
+            tried.add(server.name)
+            budget.note_repeat(now_ms)
+            self._metrics.repeats.labels("hedge").inc()
+            log_event(Event.CALL_HEDGED, request_id=call.facts.request_id, server=server.name)
+        return server
+
     def _choose(self, call: Call, tried: set[str]) -> BackendServer | None:
         servers = self._fleet.servers.accepting(call.group.name)
-        fresh = [server for server in servers if server.name not in tried]
+        servers = [server for server in servers if server.name not in tried]
         placed = PlacementRequest(
             prompt=call.facts.prompt if call.group.engine else None,
             tier=call.tier,
@@ -125,7 +173,7 @@
             sensitivity=stream_sensitivity(call.route.gap_target_ms),
             failure_domain=self._settings.failure_domain,
         )
-        return choose_server(fresh, placed, self._costs, self._clock.now_ms())
+        return choose_server(servers, placed, self._costs, self._clock.now_ms())
 
     def _decide(
         self, call: Call, result: SendResult, progress: CallProgress
--- a/src/boragetiller/gateway/store_follower.py
+++ b/src/boragetiller/gateway/store_follower.py
@@ -17,8 +17,9 @@
     from boragetiller.gateway.ports import Dialect, Listing, ReadStore
 
 WATCH_WAIT_MS = 5_000  # a watch that hears nothing for so long is asked for again
-PLAIN_READ_SHARE = 0.35  # of the time that a configuration may take: two reads fit into it
-RETRY_MS = 200  # between calls to a store that does not answer
+PLAIN_READ_MS = 2_500  # beside the watches and the peers, which are faster
+RETRY_FIRST_MS = 100  # between calls to a store that does not answer, doubled each time
+RETRY_MAX_MS = 1_600  # half of the time in which a node counts as in touch again
 
 
 class StoreFollower:
@@ -29,7 +30,6 @@
         store: ReadStore,
         fleet: Fleet,
         dialect: Dialect,
-        config_apply_ms: int,
         clock: Clock,
         metrics: GatewayMetrics,
     ) -> None:
@@ -39,14 +39,12 @@
         :param store: the platform's store
         :param fleet: takes what was read
         :param dialect: names of the keys
-        :param config_apply_ms: longest time until a new configuration is in force
         :param clock: monotonic time
         :param metrics: counters
         """
         self._store = store
         self._fleet = fleet
         self._dialect = dialect
-        self._read_interval_ms = config_apply_ms * PLAIN_READ_SHARE
         self._clock = clock
         self._metrics = metrics
         self._tasks: list[asyncio.Task[None]] = []
@@ -67,20 +65,25 @@
 
     async def _follow(self, prefix: str) -> None:
         revision = 0
+        retry_ms = RETRY_FIRST_MS
         while True:
             try:
                 if revision == 0:
                     revision = await self._list(prefix, "read")
                 revision = await self._watch(prefix, revision)
+                retry_ms = RETRY_FIRST_MS
             except HistoryLost:
                 revision = 0
             except StoreUnavailable as error:
                 self._note_reachable(False, str(error))
-                await asyncio.sleep(RETRY_MS / 1_000)
+                await asyncio.sleep(retry_ms / 1_000)
+                retry_ms = min(RETRY_MAX_MS, 2 * retry_ms)
 
     async def _reread(self, prefix: str) -> None:
         while True:
-            await asyncio.sleep(self._read_interval_ms / 1_000)
+            await asyncio.sleep(PLAIN_READ_MS / 1_000)
+            if not self._reachable:
+                continue  # the watch is tried again and tells when the store is back
             try:
                 await self._list(prefix, "reread")
             except StoreUnavailable as error:
--- a/src/boragetiller/systems/direct_outcomes.py
+++ b/src/boragetiller/systems/direct_outcomes.py
@@ -49,11 +49,12 @@
 NextStep = PassOn | SendAgain | Refuse
 
 
-def note_send(progress: CallProgress, result: SendResult) -> None:
+def note_send(progress: CallProgress, server: str, result: SendResult) -> None:
     """
     Add the end of a send to the progress of its call.
 
     :param progress: the call so far
+    :param server: name of the backend server
     :param result: how the send ended
     """
     progress.sends += 1
@@ -61,6 +62,7 @@
         progress.arrivals += 1
     if result.verdict is not Verdict.NOT_RUN:
         progress.runs += 1
+        progress.ran_on.add(server)
     progress.verdict = progress.verdict.combined(result.verdict)
     if result.end is SendEnd.SERVER_ERROR:
         progress.server_error = result.answer
@@ -105,7 +107,7 @@
     ran = progress.verdict is not Verdict.NOT_RUN
     if ran and not progress.repeatable:
         return GiveUpReason.NOT_REPEATABLE
-    if progress.runs >= progress.max_attempts:
+    if progress.has_all_servers:
         return GiveUpReason.ATTEMPTS
     if progress.sends - progress.runs >= MAX_REFUSED_SENDS:
         return GiveUpReason.FULL
--- a/src/boragetiller/tables/attempts.py
+++ b/src/boragetiller/tables/attempts.py
@@ -61,13 +61,19 @@
     """What happened to a call so far."""
 
     repeatable: bool
-    max_attempts: int  # backend servers that may run it
+    max_servers: int  # backend servers that may run it
     sends: int = 0
     arrivals: int = 0  # sends that reached a backend server
     runs: int = 0  # sends after which it may have run
+    ran_on: set[str] = attrs.field(factory=set)  # backend servers that may have run it
     relayed_events: int = 0
     verdict: Verdict = Verdict.NOT_RUN
     server_error: WholeAnswer | None = None  # kept in case nothing better comes
 
+    @property
+    def has_all_servers(self) -> bool:
+        """:return: whether no further backend server may run it"""
+        return len(self.ran_on) >= self.max_servers
+
 
 __all__ = ["NOT_RUN_ENDS", "CallProgress", "SendEnd", "SendResult", "WholeAnswer"]
