--- a/src/boragetiller/control/codec.py
+++ b/src/boragetiller/control/codec.py
@@ -9,7 +9,7 @@
 
 import capnp
 
-from boragetiller.control.errors import BadFrame, FrameTooLarge
+from boragetiller.control.errors import BadFrame
 from boragetiller.control.messages import (
     Goodbye,
     Hello,
@@ -23,6 +23,7 @@
     Strike,
     StrikeList,
 )
+from boragetiller.control.packing import MAX_UNPACKED_BYTES, WORD_BYTES, pack, unpack
 from boragetiller.settings import Role
 
 if TYPE_CHECKING:
@@ -30,14 +31,11 @@
 
     from boragetiller.control.messages import Message
 
-MAX_UNPACKED_BYTES = 4_194_304
-WORD_BYTES = 8
 REPORT_WORDS = 64
 STRIKE_WORDS = 64
 OTHER_WORDS = 4_096
 MAX_PAGE_BYTES = 4_194_304
 COMPRESSED_PAGES = 8  # one page goes to many peers in turn
-SEGMENT_COUNT_MASK = 0x0F  # of the first packing tag: bytes of the segment count less 1
 TENTHS_PER_MS = 10
 MILLIONTHS = 1_000_000
 MAX_UINT16 = 0xFFFF
@@ -57,10 +55,7 @@
     name, value = _to_capnp(message)
     words = _first_segment_words(message)
     envelope = _SCHEMA.Envelope.new_message(num_first_segment_words=words, **{name: value})
-    data: bytes = envelope.to_bytes_packed()
-    if not _has_one_segment(data):
-        raise FrameTooLarge
-    return data
+    return pack(envelope)
 
 
 def decode(data: bytes, max_unpacked_bytes: int = MAX_UNPACKED_BYTES) -> Message:
@@ -72,11 +67,8 @@
     :return: the message
     :raises BadFrame: the bytes are no message that this version knows
     """
-    if not _has_one_segment(data):
-        raise BadFrame("not one segment")
-    limit_words = max_unpacked_bytes // WORD_BYTES
+    envelope = unpack(_SCHEMA.Envelope, data, max_unpacked_bytes)
     try:
-        envelope = _SCHEMA.Envelope.from_bytes_packed(data, traversal_limit_in_words=limit_words)
         name = str(envelope.which())
         return _FROM_CAPNP[name](getattr(envelope, name))
     except (capnp.KjException, RuntimeError, ValueError, KeyError, TypeError, zlib.error) as error:
@@ -237,11 +229,6 @@
     return OTHER_WORDS
 
 
-def _has_one_segment(data: bytes) -> bool:
-    # The library ends the process when a frame of several segments is cut short.
-    return len(data) > 0 and data[0] & SEGMENT_COUNT_MASK == 0
-
-
 def _share_to_capnp(message: ShareRequest | ShareGrant) -> dict[str, Any]:
     return {"customer": message.customer, "millionths": int(message.share * MILLIONTHS)}
 
--- a/src/boragetiller/gateway/peer_messages.py
+++ b/src/boragetiller/gateway/peer_messages.py
@@ -10,10 +10,13 @@
 import capnp
 
 from boragetiller.control.errors import BadFrame
+from boragetiller.control.packing import WORD_BYTES, pack, unpack
 from boragetiller.tables.calls import Prompt, PromptPart
 from boragetiller.tables.store_view import StoredItem
 
 LENGTH_BYTES = 4
+OTHER_WORDS = 256
+ITEM_WORDS = 64  # a key has at most 200 bytes
 MAX_FRAME_BYTES = 4_194_304  # holds one store value of a megabyte, with room
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("peers.capnp")), imports=[])
@@ -73,9 +76,11 @@
 
     :param message: the message
     :return: a frame
+    :raises FrameTooLarge: the message does not fit into one segment
     """
     name, value = _to_capnp(message)
-    data: bytes = _SCHEMA.Envelope.new_message(**{name: value}).to_bytes()
+    words = _first_segment_words(message)
+    data = pack(_SCHEMA.Envelope.new_message(num_first_segment_words=words, **{name: value}))
     return len(data).to_bytes(LENGTH_BYTES, "big") + data
 
 
@@ -87,11 +92,22 @@
     :return: the message
     :raises BadFrame: the bytes are no message that this version knows
     """
+    envelope = unpack(_SCHEMA.Envelope, data)
     try:
-        with _SCHEMA.Envelope.from_bytes(data) as envelope:
-            return _from_capnp(envelope)
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
-        raise BadFrame(str(error)) from error
+        return _from_capnp(envelope)
+    except (capnp.KjException, RuntimeError, ValueError, TypeError) as error:
+        raise BadFrame(str(error)[:100]) from error
+
+
+def _first_segment_words(message: PeerMessage) -> int:
+    if isinstance(message, PeerItems):
+        return OTHER_WORDS + sum(
+            ITEM_WORDS + len(item.value or b"") // WORD_BYTES for item in message.items
+        )
+    if isinstance(message, PeerReport):
+        parts = sum(len(read.prompt.parts) for read in message.prompts)
+        return OTHER_WORDS + ITEM_WORDS * (len(message.loads) + len(message.prompts) + parts)
+    return OTHER_WORDS
 
 
 def _from_capnp(envelope: Any) -> PeerMessage:
