Log within a budget and without blocking; end a silent stream that may go on elsewhere; say what a choice was based on

Cause: a line on a full pipe would have stopped the router; a resumable stream on a mute engine waited for its deadline.

--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -15,18 +15,17 @@
 from boragetiller.agent.server import AttemptServer
 from boragetiller.agent.state import AgentState
 from boragetiller.agent.strike_gate import StrikeGate
-from boragetiller.clock import SystemClock
+from boragetiller.clock import SystemClock, new_incarnation
 from boragetiller.control.node import AgentNode
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
-from boragetiller.clock import new_incarnation
 from boragetiller.process import Endpoints, new_metrics
-from boragetiller.timeouts import wait_until_idle
 from boragetiller.relay.attempt import MAX_ATTEMPT_HEADER_BYTES
 from boragetiller.router.config_sync import ConfigSync
 from boragetiller.settings import BackendKind
 from boragetiller.tables.config import ConfigTable
+from boragetiller.timeouts import wait_until_idle
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
--- a/src/boragetiller/events.py
+++ b/src/boragetiller/events.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import sys
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -10,7 +9,7 @@
 from loguru import logger
 
 if TYPE_CHECKING:
-    from loguru import Message
+    from boragetiller.log_sink import LogSink
 
 
 class Event(Enum):
@@ -49,6 +48,7 @@
     CALL_REFUSED = 803
     CALLER_LEFT = 804
     CALL_HEDGED = 805
+    CALL_PLACED = 806
     ROUTES_TAKEN = 810
     SERVER_GONE = 811
     SERVER_UNREADABLE = 812
@@ -67,7 +67,9 @@
     :param fields: details; durations carry their unit as suffix
     """
     text = " ".join(f"{name}={value}" for name, value in fields.items())
-    logger.bind(event=event.value, event_name=event.name.lower(), **fields).info("{} {} {}", event.value, event.name.lower(), text)
+    logger.bind(event=event.value, event_name=event.name.lower(), **fields).info(
+        "{} {} {}", event.value, event.name.lower(), text
+    )
 
 
 def configure_logging(level: str = "INFO", *, json_lines: bool = False) -> None:
@@ -81,21 +83,14 @@
     logger.add(sys.stderr, level=level, serialize=json_lines, format="{time} {level} {message}")
 
 
-def configure_json_logging(name: str) -> None:
+def configure_json_logging(sink: LogSink) -> None:
     """
-    Send one JSON object a line to standard output.
+    Send one JSON object a line to a sink.
 
-    :param name: name of the process
+    :param sink: takes the records
     """
-
-    def write(message: Message) -> None:
-        extra = message.record["extra"]
-        line = {"time_ms": int(message.record["time"].timestamp() * 1_000), "process": name}
-        sys.stdout.write(json.dumps(line | extra) + "\n")
-        sys.stdout.flush()
-
     logger.remove()
-    logger.add(write, level="INFO", format="{message}")
+    logger.add(sink.write, level="INFO", format="{message}")
 
 
 __all__ = ["Event", "configure_json_logging", "configure_logging", "log_event"]
--- /dev/null
+++ b/src/boragetiller/gateway/accounts.py
@@ -0,0 +1,168 @@
+"""Log lines and counters of what happens to calls."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from boragetiller.events import Event, log_event
+
+if TYPE_CHECKING:
+    from boragetiller.clock import Clock
+    from boragetiller.gateway.call import Call
+    from boragetiller.gateway.metrics import GatewayMetrics
+    from boragetiller.gateway.sender import StreamState
+    from boragetiller.systems.direct_outcomes import Refuse
+    from boragetiller.systems.first_token import Placement
+    from boragetiller.tables.attempts import CallProgress, SendResult
+
+
+class CallAccounts:
+    """Tells logs and metrics of calls."""
+
+    def __init__(self, metrics: GatewayMetrics, clock: Clock) -> None:
+        """
+        Put the parts together.
+
+        :param metrics: counters and histograms
+        :param clock: monotonic time
+        """
+        self._metrics = metrics
+        self._clock = clock
+
+    def note_placed(self, call: Call, placement: Placement) -> None:
+        """
+        Tell where a call goes, and what the choice was based on.
+
+        :param call: the call
+        :param placement: the choice
+        """
+        log_event(
+            Event.CALL_PLACED,
+            request_id=call.facts.request_id,
+            route=call.route.name,
+            tier=call.tier,
+            server=placement.server.name,
+            cost_ms=round(placement.cost_ms),
+            first_event_ms=round(placement.first_event_ms),
+            new_tokens=placement.new_tokens,
+            in_flight=placement.in_flight,
+            peers_heard=placement.peers_heard,
+            oldest_report_ms=placement.oldest_report_ms,
+            config_version=call.config_version,
+        )
+
+    def note_hedged(self, call: Call, placement: Placement) -> None:
+        """
+        Tell that a second server is asked beside the first.
+
+        :param call: the call
+        :param placement: the second server
+        """
+        self._metrics.repeats.labels("hedge").inc()
+        log_event(Event.CALL_HEDGED, request_id=call.facts.request_id, server=placement.server.name)
+
+    def note_send_end(self, result: SendResult) -> None:
+        """
+        Count the end of a send.
+
+        :param result: how it ended
+        """
+        self._metrics.sends.labels(result.end.value).inc()
+
+    def note_ejected(self, call: Call, placement: Placement, result: SendResult) -> None:
+        """
+        Tell that a server gets nothing new for a while.
+
+        :param call: the call whose failure led to it
+        :param placement: the server
+        :param result: the failure
+        """
+        self._metrics.ejected.labels(call.group.name).inc()
+        log_event(
+            Event.SERVER_EJECTED,
+            request_id=call.facts.request_id,
+            server=placement.server.name,
+            end=result.end.value,
+        )
+
+    def note_repeated(self, call: Call, placement: Placement, result: SendResult) -> None:
+        """
+        Tell that a call is sent again.
+
+        :param call: the call
+        :param placement: where the last send went
+        :param result: how it ended
+        """
+        self._metrics.repeats.labels(result.end.value).inc()
+        log_event(
+            Event.CALL_REPEATED,
+            request_id=call.facts.request_id,
+            server=placement.server.name,
+            end=result.end.value,
+            detail=result.detail,
+        )
+
+    def note_answered(
+        self,
+        call: Call,
+        placement: Placement,
+        progress: CallProgress,
+        stream: StreamState | None,
+        status: int,
+    ) -> None:
+        """
+        Tell that a call is answered by a server.
+
+        :param call: the call
+        :param placement: the server
+        :param progress: its sends
+        :param stream: when the first event came, None for a whole answer
+        :param status: HTTP status
+        """
+        elapsed_ms = self._clock.now_ms() - call.arrived_ms
+        first_ms = elapsed_ms
+        if stream is not None and stream.first_event_ms is not None:
+            first_ms = stream.first_event_ms - call.arrived_ms
+        route = call.route.name
+        self._metrics.answered.labels(route).inc()
+        self._metrics.whole_s.labels(route).observe(elapsed_ms / 1_000)
+        self._metrics.first_event_s.labels(route).observe(first_ms / 1_000)
+        log_event(
+            Event.CALL_ANSWERED,
+            request_id=call.facts.request_id,
+            route=route,
+            server=placement.server.name,
+            status=status,
+            sends=progress.sends,
+            first_event_ms=first_ms,
+            elapsed_ms=elapsed_ms,
+            config_version=call.config_version,
+        )
+
+    def note_failed(
+        self, call: Call, placement: Placement | None, step: Refuse, detail: str
+    ) -> None:
+        """
+        Tell that a call is given up.
+
+        :param call: the call
+        :param placement: where the last send went, None when no server took work
+        :param step: reason and verdict
+        :param detail: what the last send met
+        """
+        self._metrics.failed.labels(step.reason.value).inc()
+        log_event(
+            Event.CALL_FAILED,
+            request_id=call.facts.request_id,
+            route=call.route.name,
+            server=placement.server.name if placement else "",
+            end=step.end.value,
+            detail=detail,
+            reason=step.reason.value,
+            verdict=step.verdict.value,
+            elapsed_ms=self._clock.now_ms() - call.arrived_ms,
+            config_version=call.config_version,
+        )
+
+
+__all__ = ["CallAccounts"]
--- a/src/boragetiller/gateway/call.py
+++ b/src/boragetiller/gateway/call.py
@@ -5,15 +5,16 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from multidict import CIMultiDictProxy
 
 from boragetiller.errors import NotFound
 from boragetiller.systems.routing import choose_group, find_customer, find_route, request_tier
+from boragetiller.tables.calls import CallFacts
+from boragetiller.tables.routes import BackendGroup, Route, RouteCustomer
 
 if TYPE_CHECKING:
-    from multidict import CIMultiDictProxy
 
-    from boragetiller.tables.calls import CallFacts
-    from boragetiller.tables.routes import BackendGroup, Route, RouteConfig, RouteCustomer
+    from boragetiller.tables.routes import RouteConfig
 
 NO_DEADLINE_MS = 60_000.0  # a caller that names none is held to the route's timeout alone
 
--- a/src/boragetiller/gateway/callers.py
+++ b/src/boragetiller/gateway/callers.py
@@ -120,9 +120,7 @@
         self._metrics.refused.labels(error.code).inc()
         log_event(Event.CALL_REFUSED, request_id=request_id, code=error.code)
         retry_after_s = NOT_READY_RETRY_S if error.http_status == 503 else None
-        answer = OwnAnswer(
-            status=error.http_status, code=error.code, retry_after_s=retry_after_s
-        )
+        answer = OwnAnswer(status=error.http_status, code=error.code, retry_after_s=retry_after_s)
         return own_response(answer, request_id, self._dialect)
 
 
--- a/src/boragetiller/gateway/connections.py
+++ b/src/boragetiller/gateway/connections.py
@@ -19,7 +19,6 @@
     from collections.abc import Callable
 
     from aiohttp.client_reqrep import Connection
-
     from multidict import CIMultiDictProxy
 
     AnswerCheck = Callable[[CIMultiDictProxy[str], CIMultiDictProxy[str]], bool]
--- a/src/boragetiller/gateway/daemon.py
+++ b/src/boragetiller/gateway/daemon.py
@@ -7,9 +7,11 @@
 import sys
 from typing import TYPE_CHECKING
 
+from boragetiller.clock import SystemClock
 from boragetiller.events import configure_json_logging
 from boragetiller.gateway.process import GatewayProcess
 from boragetiller.gateway.reload import SettingsReloader
+from boragetiller.log_sink import LogSink
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,12 +39,15 @@
     :param open_store: opens the client of the platform's store
     :return: exit code
     """
-    configure_json_logging(settings.name)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     process = GatewayProcess(settings, dialect, open_store(settings.store))
+    sink = LogSink(
+        sys.stdout.fileno(), settings.name, SystemClock().now_ms, process.metrics.note_dropped_line
+    )
+    configure_json_logging(sink)
     reloader = SettingsReloader(settings, load, process.apply)
     loop.add_signal_handler(signal.SIGHUP, reloader.check)
     try:
--- a/src/boragetiller/gateway/event_stream.py
+++ b/src/boragetiller/gateway/event_stream.py
@@ -21,7 +21,7 @@
     """Holds back the beginning of an event until its end has come."""
 
     def __init__(self, after_id: str | None = None) -> None:
-        """:param after_id: id of the last event that the caller has; it and older ones are dropped"""
+        """:param after_id: last event that the caller has; it and older ones are dropped"""
         self._rest = b""
         self._after = _number(after_id)
         self.last_id = after_id
--- a/src/boragetiller/gateway/fleet.py
+++ b/src/boragetiller/gateway/fleet.py
@@ -130,9 +130,7 @@
         if self.config is not None and config.version <= self.config.version:
             return False
         self.config = config
-        log_event(
-            Event.ROUTES_TAKEN, version=config.version, revision=item.revision, source=source
-        )
+        log_event(Event.ROUTES_TAKEN, version=config.version, revision=item.revision, source=source)
         return True
 
     def _replace_servers(self) -> None:
--- a/src/boragetiller/gateway/hedging.py
+++ b/src/boragetiller/gateway/hedging.py
@@ -7,43 +7,42 @@
 
 import attrs
 
+from boragetiller.systems.first_token import Placement
 from boragetiller.tables.attempts import SendEnd, SendResult
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
-    from boragetiller.tables.servers import BackendServer
-
-    Send = Callable[[BackendServer], Coroutine[None, None, SendResult]]
+    Send = Callable[[Placement], Coroutine[None, None, SendResult]]
 
 
 @attrs.frozen
-class ServerResult:
+class PlacedResult:
     """How the send to one server ended."""
 
-    server: BackendServer
+    placement: Placement
     result: SendResult
 
 
 async def send_hedged(
-    server: BackendServer,
+    placement: Placement,
     send: Send,
-    choose_second: Callable[[], BackendServer | None],
+    choose_second: Callable[[], Placement | None],
     hedge_ms: float,
-) -> list[ServerResult]:
+) -> list[PlacedResult]:
     """
     Send to a second server when the first one does not answer in time.
 
     The send that has not ended when the other one has an answer is given up as silent.
 
-    :param server: the first server
+    :param placement: the first server
     :param send: sends the call to a server
     :param choose_second: chooses the second server, None for no second send
     :param hedge_ms: time without an answer until then
     :return: both ends, the one that counts last
     """
-    first = asyncio.create_task(send(server))
-    tasks = {first: server}
+    first = asyncio.create_task(send(placement))
+    tasks = {first: placement}
     try:
         await asyncio.wait(tasks, timeout=hedge_ms / 1_000)
         if not first.done() and (second := choose_second()) is not None:
@@ -56,20 +55,20 @@
 
 
 async def _first_answer(
-    tasks: dict[asyncio.Task[SendResult], BackendServer],
-) -> list[ServerResult]:
-    ended: list[ServerResult] = []
+    tasks: dict[asyncio.Task[SendResult], Placement],
+) -> list[PlacedResult]:
+    ended: list[PlacedResult] = []
     waiting = set(tasks)
     while waiting:
         done, waiting = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
-        ended += [ServerResult(tasks[task], task.result()) for task in done]
+        ended += [PlacedResult(tasks[task], task.result()) for task in done]
         answered = [each for each in ended if each.result.end is SendEnd.ANSWERED]
         if answered:
             late = SendResult(SendEnd.SILENT, detail="another server answered first")
-            silent = [ServerResult(tasks[task], late) for task in waiting]
+            silent = [PlacedResult(tasks[task], late) for task in waiting]
             others = [each for each in ended if each is not answered[0]]
             return [*others, *silent, answered[0]]
     return ended
 
 
-__all__ = ["ServerResult", "send_hedged"]
+__all__ = ["PlacedResult", "send_hedged"]
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -1,10 +1,21 @@
-"""Counters, gauges and latency histograms in the Prometheus text format; docs/METRICS.md lists them."""
+"""Metrics in the Prometheus text format; docs/METRICS.md lists them."""
 
 from __future__ import annotations
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
-LATENCY_BUCKETS_S = (0.01, 0.03, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0)  # the routes' targets lie within
+LATENCY_BUCKETS_S = (
+    0.01,
+    0.03,
+    0.1,
+    0.2,
+    0.3,
+    0.6,
+    1.0,
+    2.0,
+    4.0,
+    8.0,
+)  # the routes' targets lie within
 
 
 class GatewayMetrics:
@@ -30,6 +41,14 @@
         self.first_event_s = self._histogram("first_event_seconds", "arrival to first event")
         self.whole_s = self._histogram("answer_seconds", "arrival to the whole answer")
 
+    def note_dropped_line(self, event: str) -> None:
+        """
+        Count a log line that was left out.
+
+        :param event: name of the event
+        """
+        self.dropped_lines.labels(event).inc()
+
     def text(self) -> bytes:
         """:return: all metrics in the text format"""
         return generate_latest(self.registry)
@@ -42,7 +61,11 @@
 
     def _histogram(self, name: str, text: str) -> Histogram:
         return Histogram(
-            f"boragetiller_{name}", text, ["route"], registry=self.registry, buckets=LATENCY_BUCKETS_S
+            f"boragetiller_{name}",
+            text,
+            ["route"],
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
         )
 
 
--- a/src/boragetiller/gateway/peers.py
+++ b/src/boragetiller/gateway/peers.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from boragetiller.clock import new_incarnation
 from boragetiller.control.errors import BadFrame
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.beliefs import FollowedRevisions
@@ -28,7 +29,6 @@
     encode_frame,
 )
 from boragetiller.gateway.settings import Endpoint
-from boragetiller.clock import new_incarnation
 from boragetiller.timeouts import within
 
 if TYPE_CHECKING:
--- a/src/boragetiller/gateway/ports.py
+++ b/src/boragetiller/gateway/ports.py
@@ -6,13 +6,14 @@
 
 import attrs
 
+from boragetiller.tables.store_view import StoredItem
+
 if TYPE_CHECKING:
     from multidict import CIMultiDict, CIMultiDictProxy
 
     from boragetiller.tables.calls import AnswerFacts, CallFacts, ForwardFacts
     from boragetiller.tables.routes import RouteConfig
     from boragetiller.tables.servers import ServerRecord
-    from boragetiller.tables.store_view import StoredItem
 
     Headers = CIMultiDictProxy[str]
 
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -47,20 +47,20 @@
         costs = PlacementCosts()
         beliefs = Beliefs(self.fleet, costs, clock)
         rng = random.Random(settings.name)
-        runner = CallRunner(
-            settings, self.fleet, beliefs, dialect, costs, clock, self.metrics, rng
-        )
+        runner = CallRunner(settings, self.fleet, beliefs, dialect, costs, clock, self.metrics, rng)
         self._peers = PeerExchange(settings, beliefs, clock, self.metrics)
         self._callers = CallerPort(self.fleet, runner, dialect, clock, self.metrics)
         self._follower = StoreFollower(store, self.fleet, dialect, clock, self.metrics)
-        self._runners: list[web.BaseRunner[web.BaseRequest]] = []
+        self._runners: list[web.ServerRunner] = []
         self._caller_site: web.TCPSite | None = None
 
     async def start(self) -> None:
         """Listen and begin to follow the store."""
         await self._follower.start()
         await self._peers.start()
-        await self._listen(web.Server(self._handle_ready, access_log=None), self._settings.readiness)
+        await self._listen(
+            web.Server(self._handle_ready, access_log=None), self._settings.readiness
+        )
         if self._settings.metrics is not None:
             await self._listen(
                 web.Server(self._handle_metrics, access_log=None), self._settings.metrics
--- a/src/boragetiller/gateway/runner.py
+++ b/src/boragetiller/gateway/runner.py
@@ -4,9 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from boragetiller.events import Event, log_event
+import attrs
+
+from boragetiller.gateway.accounts import CallAccounts
 from boragetiller.gateway.answers import EventSink, OwnAnswer, own_response, whole_response
-from boragetiller.gateway.hedging import ServerResult, send_hedged
+from boragetiller.gateway.call import Call
+from boragetiller.gateway.hedging import PlacedResult, send_hedged
 from boragetiller.gateway.sender import Sender, StreamState
 from boragetiller.systems.direct_outcomes import (
     GiveUpReason,
@@ -16,13 +19,9 @@
     decide_next,
     note_send,
 )
-from boragetiller.systems.first_token import (
-    PlacementRequest,
-    choose_server,
-    stream_sensitivity,
-)
+from boragetiller.systems.first_token import PlacementRequest, choose_server, stream_sensitivity
 from boragetiller.systems.patience import hedge_after_ms
-from boragetiller.systems.server_health import note_failure, note_success
+from boragetiller.systems.server_health import note_end
 from boragetiller.tables.attempts import CallProgress, SendEnd
 from boragetiller.verdict import Verdict
 
@@ -33,26 +32,24 @@
 
     from boragetiller.clock import Clock
     from boragetiller.gateway.beliefs import Beliefs
-    from boragetiller.gateway.call import Call
     from boragetiller.gateway.fleet import Fleet
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.ports import Dialect
     from boragetiller.gateway.settings import GatewaySettings
-    from boragetiller.systems.first_token import PlacementCosts
+    from boragetiller.systems.first_token import Placement, PlacementCosts
     from boragetiller.tables.attempts import SendResult
-    from boragetiller.tables.servers import BackendServer
 
-FULL_PAUSE_MS = 50  # a server that refused for lack of places gets nothing new for so long
 RETRY_AFTER_S = (0.1, 0.4)  # spreads returns over the time in which places come free
-FAILURES = frozenset(
-    {
-        SendEnd.UNREACHABLE,
-        SendEnd.LOST,
-        SendEnd.GARBLED,
-        SendEnd.SERVER_ERROR,
-        SendEnd.SILENT,
-    }
-)
+
+
+@attrs.define(kw_only=True)
+class CallRun:
+    """A call with its sends so far."""
+
+    call: Call
+    progress: CallProgress
+    stream: StreamState | None  # None for a whole answer
+    tried: set[str] = attrs.field(factory=set)  # names of servers that got it
 
 
 class CallRunner:
@@ -74,7 +71,7 @@
 
         :param settings: settings of the process
         :param fleet: configuration and backend servers
-        :param beliefs: told of prompts that were read
+        :param beliefs: told of prompts that were sent
         :param dialect: words of the platform
         :param costs: figures of placement
         :param clock: monotonic time
@@ -84,11 +81,11 @@
         self._settings = settings
         self._fleet = fleet
         self._dialect = dialect
+        self._costs = costs
         self._clock = clock
-        self._metrics = metrics
         self._rng = rng
-        self._costs = costs
-        self._sender = Sender(fleet, beliefs, dialect, self._costs, clock)
+        self._accounts = CallAccounts(metrics, clock)
+        self._sender = Sender(fleet, beliefs, dialect, costs, clock)
 
     async def run(self, call: Call, request: web.BaseRequest) -> web.StreamResponse:
         """
@@ -98,74 +95,60 @@
         :param request: where the answer goes
         :return: the response
         """
-        route = call.route
-        progress = CallProgress(repeatable=route.repeatable, max_servers=route.max_attempts)
-        stream = _new_stream(call, request) if route.streamed else None
+        run = _begin(call, request)
         self._fleet.budget(call.group.name).note_request(self._clock.now_ms())
-        tried: set[str] = set()
         while True:
-            server = self._choose(call, tried)
-            if server is None:
-                end = Refuse(GiveUpReason.FULL, SendEnd.FULL, progress.verdict)
-                return self._give_up(call, end, stream)
-            for ended in await self._send(call, server, progress, stream, tried):
-                server, result = ended.server, ended.result
-                note_send(progress, server.name, result)
-                self._note_health(call, server, result)
-            step = self._decide(call, result, progress)
+            placement = self._choose(run)
+            if placement is None:
+                full = Refuse(GiveUpReason.FULL, SendEnd.FULL, run.progress.verdict)
+                return self._give_up(run, None, full, "no server takes work")
+            self._accounts.note_placed(call, placement)
+            for ended in await self._send(run, placement):
+                placement, result = ended.placement, ended.result
+                self._note_end(run, placement, result)
+            step = self._decide(run, result)
             match step:
                 case PassOn(answer=answer):
-                    self._log_answer(call, server, progress, stream, answer.status)
-                    if stream is not None and stream.complete:
-                        return await stream.sink.end(answer.status, answer.headers)
+                    self._accounts.note_answered(
+                        call, placement, run.progress, run.stream, answer.status
+                    )
+                    if run.stream is not None and run.stream.complete:
+                        return await run.stream.sink.end(answer.status, answer.headers)
                     return whole_response(answer)
-                case SendAgain(reason=reason):
-                    self._log_repeat(call, server, result, reason)
+                case SendAgain():
+                    self._accounts.note_repeated(call, placement, result)
                 case Refuse():
-                    self._log_failure(call, server, result, step)
-                    return self._give_up(call, step, stream)
+                    return self._give_up(run, placement, step, result.detail)
 
-    async def _send(
-        self,
-        call: Call,
-        server: BackendServer,
-        progress: CallProgress,
-        stream: StreamState | None,
-        tried: set[str],
-    ) -> list[ServerResult]:
+    async def _send(self, run: CallRun, placement: Placement) -> list[PlacedResult]:
         """Send to a server, or to a second one too; the result that counts comes last."""
-        tried.add(server.name)
-        if stream is not None or not call.route.repeatable:
-            return [ServerResult(server, await self._sender.send(call, server, progress, stream))]
-
-        def choose_second() -> BackendServer | None:
-            return self._choose_hedge(call, progress, tried)
-
+        run.tried.add(placement.server.name)
+        if run.stream is not None or not run.call.route.repeatable:
+            result = await self._sender.send(run.call, placement, run.progress, run.stream)
+            return [PlacedResult(placement, result)]
         return await send_hedged(
-            server,
-            lambda chosen: self._sender.send(call, chosen, progress, None),
-            choose_second,
-            hedge_after_ms(call.route.target_ms),
+            placement,
+            lambda chosen: self._sender.send(run.call, chosen, run.progress, None),
+            lambda: self._choose_hedge(run),
+            hedge_after_ms(run.call.route.target_ms),
         )
 
-    def _choose_hedge(
-        self, call: Call, progress: CallProgress, tried: set[str]
-    ) -> BackendServer | None:
+    def _choose_hedge(self, run: CallRun) -> Placement | None:
         now_ms = self._clock.now_ms()
-        budget = self._fleet.budget(call.group.name)
-        if len(progress.ran_on) + 1 >= progress.max_servers or not budget.allows(now_ms):
+        budget = self._fleet.budget(run.call.group.name)
+        if len(run.progress.ran_on) + 1 >= run.progress.max_servers or not budget.allows(now_ms):
             return None
-        server = self._choose(call, tried)
-        if server is not None:
-            tried.add(server.name)
+        placement = self._choose(run)
+        if placement is not None:
+            run.tried.add(placement.server.name)
             budget.note_repeat(now_ms)
-            self._metrics.repeats.labels("hedge").inc()
-            log_event(Event.CALL_HEDGED, request_id=call.facts.request_id, server=server.name)
-        return server
+            self._accounts.note_hedged(run.call, placement)
+        return placement
 
-    def _choose(self, call: Call, tried: set[str]) -> BackendServer | None:
+    def _choose(self, run: CallRun) -> Placement | None:
+        call = run.call
         servers = self._fleet.servers.accepting(call.group.name)
-        servers = [server for server in servers if server.name not in tried]
+        fresh = [server for server in servers if server.name not in run.tried]
         placed = PlacementRequest(
             prompt=call.facts.prompt if call.group.engine else None,
             tier=call.tier,
@@ -173,43 +156,36 @@
             sensitivity=stream_sensitivity(call.route.gap_target_ms),
             failure_domain=self._settings.failure_domain,
         )
-        return choose_server(servers, placed, self._costs, self._clock.now_ms())
+        return choose_server(fresh, placed, self._costs, self._clock.now_ms())
+
+    def _note_end(self, run: CallRun, placement: Placement, result: SendResult) -> None:
+        note_send(run.progress, placement.server.name, result)
+        self._accounts.note_send_end(result)
+        group = self._fleet.servers.accepting(run.call.group.name)
+        if note_end(placement.server, group, result.end, self._clock.now_ms()):
+            self._accounts.note_ejected(run.call, placement, result)
 
-    def _decide(
-        self, call: Call, result: SendResult, progress: CallProgress
-    ) -> PassOn | SendAgain | Refuse:
+    def _decide(self, run: CallRun, result: SendResult) -> PassOn | SendAgain | Refuse:
         now_ms = self._clock.now_ms()
-        budget = self._fleet.budget(call.group.name)
+        budget = self._fleet.budget(run.call.group.name)
         step = decide_next(
             result,
-            progress,
-            call.time_left_ms(now_ms),
-            call.route.target_ms,
+            run.progress,
+            run.call.time_left_ms(now_ms),
+            run.call.route.target_ms,
             budget_left=budget.allows(now_ms),
         )
         if isinstance(step, SendAgain) and result.end is not SendEnd.UNREACHABLE:
             budget.note_repeat(now_ms)
         return step
 
-    def _note_health(self, call: Call, server: BackendServer, result: SendResult) -> None:
-        self._metrics.sends.labels(result.end.value).inc()
-        now_ms = self._clock.now_ms()
-        if result.end is SendEnd.FULL:
-            server.full_until_ms = now_ms + FULL_PAUSE_MS
-        if result.end is SendEnd.ANSWERED:
-            note_success(server)
-        elif result.end in FAILURES:
-            group = self._fleet.servers.accepting(call.group.name)
-            if note_failure(server, group, now_ms):
-                self._metrics.ejected.labels(call.group.name).inc()
-                log_event(Event.SERVER_EJECTED, server=server.name, end=result.end.value)
-
-    def _give_up(self, call: Call, step: Refuse, stream: StreamState | None) -> web.StreamResponse:
-        self._metrics.failed.labels(step.reason.value).inc()
-        if stream is not None and stream.sink.started:
-            return stream.sink.break_off()
-        answer = self._own_answer(step)
-        return own_response(answer, call.facts.request_id, self._dialect)
+    def _give_up(
+        self, run: CallRun, placement: Placement | None, step: Refuse, detail: str
+    ) -> web.StreamResponse:
+        self._accounts.note_failed(run.call, placement, step, detail)
+        if run.stream is not None and run.stream.sink.started:
+            return run.stream.sink.break_off()
+        return own_response(self._own_answer(step), run.call.facts.request_id, self._dialect)
 
     def _own_answer(self, step: Refuse) -> OwnAnswer:
         if step.verdict is Verdict.NOT_RUN:
@@ -218,65 +194,14 @@
         status = 504 if step.end is SendEnd.SILENT else 502
         return OwnAnswer(status=status, code=step.end.value)
 
-    def _log_answer(
-        self,
-        call: Call,
-        server: BackendServer,
-        progress: CallProgress,
-        stream: StreamState | None,
-        status: int,
-    ) -> None:
-        elapsed_ms = self._clock.now_ms() - call.arrived_ms
-        route = call.route.name
-        self._metrics.answered.labels(route).inc()
-        self._metrics.whole_s.labels(route).observe(elapsed_ms / 1_000)
-        first_ms = elapsed_ms
-        if stream is not None and stream.first_event_ms is not None:
-            first_ms = stream.first_event_ms - call.arrived_ms
-        self._metrics.first_event_s.labels(route).observe(first_ms / 1_000)
-        log_event(
-            Event.CALL_ANSWERED,
-            request_id=call.facts.request_id,
-            route=route,
-            server=server.name,
-            status=status,
-            sends=progress.sends,
-            first_event_ms=first_ms,
-            elapsed_ms=elapsed_ms,
-            config_version=call.config_version,
-        )
-
-    def _log_repeat(
-        self, call: Call, server: BackendServer, result: SendResult, reason: SendEnd
-    ) -> None:
-        self._metrics.repeats.labels(reason.value).inc()
-        log_event(
-            Event.CALL_REPEATED,
-            request_id=call.facts.request_id,
-            server=server.name,
-            end=result.end.value,
-            detail=result.detail,
-        )
-
-    def _log_failure(
-        self, call: Call, server: BackendServer, result: SendResult, step: Refuse
-    ) -> None:
-        log_event(
-            Event.CALL_FAILED,
-            request_id=call.facts.request_id,
-            route=call.route.name,
-            server=server.name,
-            end=result.end.value,
-            detail=result.detail,
-            reason=step.reason.value,
-            verdict=step.verdict.value,
-            elapsed_ms=self._clock.now_ms() - call.arrived_ms,
-            config_version=call.config_version,
-        )
-
 
-def _new_stream(call: Call, request: web.BaseRequest) -> StreamState:
-    return StreamState(sink=EventSink(request), last_event_id=call.facts.last_event_id)
+def _begin(call: Call, request: web.BaseRequest) -> CallRun:
+    route = call.route
+    stream = None
+    if route.streamed:
+        stream = StreamState(sink=EventSink(request), last_event_id=call.facts.last_event_id)
+    progress = CallProgress(repeatable=route.repeatable, max_servers=route.max_attempts)
+    return CallRun(call=call, progress=progress, stream=stream)
 
 
-__all__ = ["CallRunner"]
+__all__ = ["CallRun", "CallRunner"]
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -6,15 +6,13 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
-import aiohttp
 import attrs
 
+from boragetiller.gateway.answers import EventSink
 from boragetiller.gateway.event_stream import EventSplitter
 from boragetiller.gateway.server_client import BROKEN, NEVER_SENT, OutgoingCall
-from boragetiller.systems.first_token import (
-    stream_sensitivity,
-    uncached_tokens,
-)
+from boragetiller.systems.first_token import stream_sensitivity, uncached_tokens
+from boragetiller.systems.patience import stream_patience
 from boragetiller.tables.attempts import SendEnd, SendResult, WholeAnswer
 from boragetiller.tables.calls import ForwardFacts
 from boragetiller.tables.servers import PendingPrompt
@@ -23,13 +21,12 @@
     from collections.abc import Iterator
 
     from boragetiller.clock import Clock
-    from boragetiller.gateway.answers import EventSink
     from boragetiller.gateway.beliefs import Beliefs
     from boragetiller.gateway.call import Call
     from boragetiller.gateway.fleet import Fleet
     from boragetiller.gateway.ports import Dialect
     from boragetiller.gateway.server_client import ServerAnswer
-    from boragetiller.systems.first_token import PlacementCosts
+    from boragetiller.systems.first_token import Placement, PlacementCosts
     from boragetiller.tables.attempts import CallProgress
     from boragetiller.tables.calls import AnswerFacts
     from boragetiller.tables.servers import BackendServer
@@ -49,6 +46,19 @@
     complete: bool = False
 
 
+@attrs.frozen(kw_only=True)
+class SilenceLimit:
+    """Ends a send whose stream is silent for too long."""
+
+    timer: asyncio.Timeout
+    between_events_s: float | None  # None for no limit
+
+    def note_event(self) -> None:
+        """Start the time anew."""
+        if self.between_events_s is not None:
+            self.timer.reschedule(asyncio.get_running_loop().time() + self.between_events_s)
+
+
 class Sender:
     """Sends calls and keeps account of what is under way where."""
 
@@ -76,27 +86,51 @@
         self._clock = clock
 
     async def send(
-        self, call: Call, server: BackendServer, progress: CallProgress, stream: StreamState | None
+        self,
+        call: Call,
+        placement: Placement,
+        progress: CallProgress,
+        stream: StreamState | None,
     ) -> SendResult:
         """
         Send a call and read its answer to the end.
 
         :param call: the call
-        :param server: where to
+        :param placement: where to, and what is expected there
         :param progress: the call so far; relayed events are counted in it
         :param stream: what the caller has of the stream, None for a whole answer
         :return: how the send ended
         """
         left_ms = call.time_left_ms(self._clock.now_ms())
-        with self._accounted(call, server):
+        silence = self._silence_limit(call, placement)
+        with self._accounted(call, placement.server):
             try:
-                async with asyncio.timeout(left_ms / 1_000):
-                    return await self._exchange(call, server, progress, stream)
+                async with asyncio.timeout(left_ms / 1_000), silence.timer:
+                    return await self._exchange(call, placement.server, progress, stream, silence)
             except TimeoutError:
+                if silence.timer.expired():
+                    return SendResult(SendEnd.SILENT, detail="no event in time")
                 return SendResult(SendEnd.SILENT, detail="no whole answer in time")
 
+    def _silence_limit(self, call: Call, placement: Placement) -> SilenceLimit:
+        """Only streams that may go on elsewhere are not waited for until their deadline."""
+        if not (call.route.streamed and call.route.resumable):
+            return SilenceLimit(timer=asyncio.timeout(None), between_events_s=None)
+        patience = stream_patience(
+            call.route.target_ms, call.route.gap_target_ms, placement.first_event_ms
+        )
+        return SilenceLimit(
+            timer=asyncio.timeout(patience.first_event_ms / 1_000),
+            between_events_s=patience.between_events_ms / 1_000,
+        )
+
     async def _exchange(
-        self, call: Call, server: BackendServer, progress: CallProgress, stream: StreamState | None
+        self,
+        call: Call,
+        server: BackendServer,
+        progress: CallProgress,
+        stream: StreamState | None,
+        silence: SilenceLimit,
     ) -> SendResult:
         outgoing = self._outgoing(call, server, stream)
         try:
@@ -106,7 +140,7 @@
         except BROKEN as error:
             return SendResult(SendEnd.LOST, detail=repr(error))
         try:
-            return await self._read(call, server, answer, progress, stream)
+            return await self._read(call, server, answer, progress, stream, silence)
         except BROKEN as error:
             return SendResult(SendEnd.LOST, detail=repr(error))
         finally:
@@ -134,6 +168,7 @@
         answer: ServerAnswer,
         progress: CallProgress,
         stream: StreamState | None,
+        silence: SilenceLimit,
     ) -> SendResult:
         facts = answer.facts
         if facts.not_run:
@@ -141,8 +176,10 @@
             return SendResult(end, detail=f"status {facts.status}")
         if facts.encoded or (facts.status in SUCCESS and not facts.sealed):
             return SendResult(SendEnd.GARBLED, detail=f"status {facts.status}, no receipt")
+        if stream is not None and stream.sink.started and facts.status not in SUCCESS:
+            return SendResult(SendEnd.LOST, detail=f"status {facts.status} to a resumed stream")
         if stream is not None and facts.status in SUCCESS:
-            return await self._relay(call, server, answer, progress, stream)
+            return await self._relay(call, server, answer, progress, stream, silence)
         body = await answer.read()
         return _whole_result(facts, self._whole(answer, body))
 
@@ -153,6 +190,7 @@
         answer: ServerAnswer,
         progress: CallProgress,
         stream: StreamState,
+        silence: SilenceLimit,
     ) -> SendResult:
         splitter = EventSplitter(stream.last_event_id)
         headers = self._dialect.answer_headers(answer.headers)
@@ -160,6 +198,7 @@
             events = splitter.feed(chunk)
             if not events.count:
                 continue
+            silence.note_event()
             if stream.first_event_ms is None:
                 stream.first_event_ms = self._clock.now_ms()
             server.pending.pop(call.facts.request_id, None)
--- a/src/boragetiller/gateway/server_client.py
+++ b/src/boragetiller/gateway/server_client.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import attrs
+from multidict import CIMultiDict
 from yarl import URL
 
 from boragetiller.gateway.connections import guarded_connector, identified_response
@@ -13,8 +14,6 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from multidict import CIMultiDict
-
     from boragetiller.gateway.ports import Dialect
     from boragetiller.tables.calls import AnswerFacts
     from boragetiller.tables.servers import ServerRecord
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -7,14 +7,12 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from boragetiller.clock import SystemClock
+from boragetiller.clock import SystemClock, new_incarnation
 from boragetiller.control.router_node import RouterNode, RouterPorts
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
 from boragetiller.operator_app import operator_app
-from boragetiller.clock import new_incarnation
 from boragetiller.process import Endpoints, new_metrics
-from boragetiller.timeouts import wait_until_idle
 from boragetiller.router.agent_choice import AgentChoice
 from boragetiller.router.agent_client import AgentClient
 from boragetiller.router.config_sync import ConfigSync
@@ -30,6 +28,7 @@
 from boragetiller.router.traces import TraceTable
 from boragetiller.tables.agents import AgentTable
 from boragetiller.tables.config import ConfigTable
+from boragetiller.timeouts import wait_until_idle
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
--- a/src/boragetiller/systems/first_token.py
+++ b/src/boragetiller/systems/first_token.py
@@ -16,11 +16,13 @@
 import attrs
 
 from boragetiller.hashing import mix, stable_hash
+from boragetiller.tables.calls import Prompt
+from boragetiller.tables.servers import BackendServer
 
 if TYPE_CHECKING:
-    from boragetiller.tables.calls import Prompt, PromptPart
+    from boragetiller.tables.calls import PromptPart
     from boragetiller.tables.routes import EngineProfile
-    from boragetiller.tables.servers import BackendServer, PeerLoad
+    from boragetiller.tables.servers import PeerLoad
 
 PEER_LOAD_FADE_MS = 1_000  # reports come ten times a second; ten missed ones say nothing
 SLOT_WAIT_MS = 50.0  # expected wait for a place per request beyond the slots
@@ -69,6 +71,19 @@
     failure_domain: str  # of this router
 
 
+@attrs.frozen(kw_only=True)
+class Placement:
+    """A server for a request, and what speaks for it."""
+
+    server: BackendServer
+    cost_ms: float
+    first_event_ms: float  # expected time to the first event
+    new_tokens: int  # of the prompt, that the server would have to read
+    in_flight: int  # requests there, as far as known
+    peers_heard: int  # routers whose work there is known
+    oldest_report_ms: int  # age of the oldest of their reports
+
+
 def stream_sensitivity(gap_target_ms: float) -> float:
     """
     Tell how much a stream suffers from a stall.
@@ -83,7 +98,7 @@
 
 def choose_server(
     servers: list[BackendServer], request: PlacementRequest, costs: PlacementCosts, now_ms: int
-) -> BackendServer | None:
+) -> Placement | None:
     """
     Pick the server where the request costs least.
 
@@ -91,7 +106,7 @@
     :param request: the request
     :param costs: figures of the group
     :param now_ms: monotonic time in milliseconds
-    :return: the server, None when none takes work now
+    :return: the server and what the choice was based on, None when none takes work now
     """
     usable = [s for s in servers if s.full_until_ms <= now_ms]
     usable = [s for s in usable if not s.health.is_ejected(now_ms)] or usable
@@ -99,57 +114,60 @@
         return None
     owner = _part_owner(usable, request.prompt)
     quiet = quiet_servers(servers, costs) if request.prompt else set()
-
-    def cost_ms(server: BackendServer) -> float:
-        duty = ServerDuty(is_owner=server is owner, is_quiet=server.name in quiet)
-        return placement_cost_ms(server, request, costs, now_ms, duty)
-
-    return min(usable, key=cost_ms)
-
-
-def placement_cost_ms(
+    placements = [
+        estimate_placement(
+            server,
+            request,
+            costs,
+            now_ms,
+            ServerDuty(is_owner=server is owner, is_quiet=server.name in quiet),
+        )
+        for server in usable
+    ]
+    return min(placements, key=lambda placement: placement.cost_ms)
+
+
+def estimate_placement(
     server: BackendServer,
     request: PlacementRequest,
     costs: PlacementCosts,
     now_ms: int,
     duty: ServerDuty,
-) -> float:
+) -> Placement:
     """
-    Add the expected time to the first event and the stalls of streams.
+    Add the expected time to the first event, the work and the stalls of streams.
 
     :param server: the server
     :param request: the request
     :param costs: figures of the group
     :param now_ms: monotonic time in milliseconds
     :param duty: what all routers expect of the server
-    :return: cost in milliseconds
+    :return: the cost and what it was based on
     """
     peers = [load for load in server.peers.values() if _is_fresh(load, now_ms)]
     in_flight = server.in_flight + sum(load.in_flight for load in peers)
-    link_ms = _link_ms(server, request, costs)
-    beyond = max(0, in_flight + 1 - server.record.slots)
-    wait_ms = beyond * SLOT_WAIT_MS + in_flight * costs.batch_ms_per_request
-    if now_ms - server.joined_ms < server.record.cold_ms:
-        wait_ms += costs.cold_ms
-    if request.prompt is None:
-        return link_ms + wait_ms * server.health.first_event_ratio
-    unread = _unread_by_tier(server, peers)
-    new_tokens = uncached_tokens(server, request.prompt, costs, is_owner=duty.is_owner)
-    first_ms = (sum(unread[: request.tier + 1]) + new_tokens) / costs.read_tokens_per_ms
-    others = server.sensitivity + sum(load.sensitivity for load in peers)
-    busy = read_share(server, costs, now_ms)
-    if duty.is_quiet:
-        others = max(others, costs.quiet_streams)
-    else:
-        busy = max(busy, costs.usual_read_share)
-    own_ms = sum(unread) / costs.read_tokens_per_ms
-    own_ms += busy * request.prompt.output_tokens * costs.step_ms
-    others_ms = others * new_tokens / costs.read_tokens_per_ms
-    stall_ms = costs.stall_weight * (request.sensitivity * own_ms + others_ms)
-    work_ms = costs.work_weight * new_tokens / costs.read_tokens_per_ms
+    wait_ms = _wait_ms(server, in_flight, costs, now_ms)
+    first_ms, harm_ms, new_tokens = wait_ms, 0.0, 0.0
+    if request.prompt is not None:
+        unread = _unread_by_tier(server, peers)
+        new_tokens = uncached_tokens(server, request.prompt, costs, is_owner=duty.is_owner)
+        ahead = sum(unread[: request.tier + 1])
+        first_ms += (ahead + new_tokens) / costs.read_tokens_per_ms
+        harm_ms = costs.work_weight * new_tokens / costs.read_tokens_per_ms
+        others = server.sensitivity + sum(load.sensitivity for load in peers)
+        busy = read_share(server, costs, now_ms)
+        harm_ms += _stall_ms(request, costs, sum(unread), new_tokens, others, busy, duty)
+    first_ms *= server.health.first_event_ratio
     haste = min(MAX_HASTE, costs.usual_target_ms / request.target_ms)
-    delay_ms = haste * (wait_ms + first_ms) * server.health.first_event_ratio
-    return link_ms + delay_ms + work_ms + stall_ms
+    return Placement(
+        server=server,
+        cost_ms=_link_ms(server, request, costs) + haste * first_ms + harm_ms,
+        first_event_ms=first_ms,
+        new_tokens=int(new_tokens),
+        in_flight=in_flight,
+        peers_heard=len(peers),
+        oldest_report_ms=max((now_ms - load.received_ms for load in peers), default=0),
+    )
 
 
 def quiet_servers(servers: list[BackendServer], costs: PlacementCosts) -> set[str]:
@@ -223,9 +241,7 @@
     note_cached(server, prompt.parts, cache_tokens)
 
 
-def note_cached(
-    server: BackendServer, parts: tuple[PromptPart, ...], capacity_tokens: int
-) -> None:
+def note_cached(server: BackendServer, parts: tuple[PromptPart, ...], capacity_tokens: int) -> None:
     """
     Remember that an engine has read the parts of a prompt; the oldest parts yield.
 
@@ -260,6 +276,35 @@
     return max(servers, key=lambda server: mix(stable_hash(server.name) ^ key))
 
 
+def _wait_ms(server: BackendServer, in_flight: int, costs: PlacementCosts, now_ms: int) -> float:
+    beyond = max(0, in_flight + 1 - server.record.slots)
+    wait_ms = beyond * SLOT_WAIT_MS + in_flight * costs.batch_ms_per_request
+    if now_ms - server.joined_ms < server.record.cold_ms:
+        wait_ms += costs.cold_ms
+    return wait_ms
+
+
+def _stall_ms(
+    request: PlacementRequest,
+    costs: PlacementCosts,
+    unread_tokens: int,
+    new_tokens: float,
+    others: float,
+    busy: float,
+    duty: ServerDuty,
+) -> float:
+    """Time that prompts stall this stream, and that its prompt stalls the others there."""
+    assert request.prompt is not None
+    if duty.is_quiet:
+        others = max(others, costs.quiet_streams)
+    else:
+        busy = max(busy, costs.usual_read_share)
+    own_ms = unread_tokens / costs.read_tokens_per_ms
+    own_ms += busy * request.prompt.output_tokens * costs.step_ms
+    others_ms = others * new_tokens / costs.read_tokens_per_ms
+    return costs.stall_weight * (request.sensitivity * own_ms + others_ms)
+
+
 def _link_ms(server: BackendServer, request: PlacementRequest, costs: PlacementCosts) -> float:
     near = server.record.failure_domain == request.failure_domain
     return 0.0 if near else costs.other_domain_ms
@@ -278,13 +323,14 @@
 
 
 __all__ = [
+    "Placement",
     "PlacementCosts",
     "PlacementRequest",
     "ServerDuty",
     "choose_server",
     "engine_cache_tokens",
+    "estimate_placement",
     "note_read",
-    "placement_cost_ms",
     "quiet_servers",
     "read_share",
     "stream_sensitivity",
--- a/src/boragetiller/systems/patience.py
+++ b/src/boragetiller/systems/patience.py
@@ -32,9 +32,7 @@
     return HEDGE_SHARE * target_ms
 
 
-def stream_patience(
-    target_ms: float, gap_target_ms: float, expected_ms: float
-) -> StreamPatience:
+def stream_patience(target_ms: float, gap_target_ms: float, expected_ms: float) -> StreamPatience:
     """
     Tell when a resumable stream that is silent goes on at another server.
 
--- a/src/boragetiller/systems/server_health.py
+++ b/src/boragetiller/systems/server_health.py
@@ -9,6 +9,8 @@
 import math
 from typing import TYPE_CHECKING
 
+from boragetiller.tables.attempts import SendEnd
+
 if TYPE_CHECKING:
     from boragetiller.tables.servers import BackendServer
 
@@ -16,27 +18,33 @@
 EJECT_MS = 1_000  # a crashed engine is back after some seconds; doubled with each ejection
 EJECT_MAX_MS = 4_000
 MIN_KEPT_SHARE = 0.5  # of a group, however many fail
+FULL_PAUSE_MS = 50  # a server that refused for lack of places gets nothing new for so long
 
+FAILURES = frozenset({SendEnd.UNREACHABLE, SendEnd.LOST, SendEnd.GARBLED, SendEnd.SILENT})
 
-def note_success(server: BackendServer) -> None:
-    """
-    Note a whole answer.
 
-    :param server: who answered
+def note_end(server: BackendServer, group: list[BackendServer], end: SendEnd, now_ms: int) -> bool:
     """
-    server.health.failures = 0
-    server.health.ejections = 0
-
+    Note the end of a send; eject the server after several failures in a row.
 
-def note_failure(server: BackendServer, group: list[BackendServer], now_ms: int) -> bool:
-    """
-    Note a failed send; eject the server after several in a row, unless too many are.
+    An error that the server reports itself is no failure of the server: most are the fault of
+    the request, and another server answers it the same way.
 
-    :param server: who failed
+    :param server: where the send went
     :param group: servers of its group that accept work
+    :param end: how the send ended
     :param now_ms: monotonic time in milliseconds
     :return: whether the server was ejected now
     """
+    if end is SendEnd.FULL:
+        server.full_until_ms = now_ms + FULL_PAUSE_MS
+    if end is SendEnd.ANSWERED:
+        server.health.failures = 0
+        server.health.ejections = 0
+    return end in FAILURES and _note_failure(server, group, now_ms)
+
+
+def _note_failure(server: BackendServer, group: list[BackendServer], now_ms: int) -> bool:
     health = server.health
     health.failures += 1
     if health.failures < EJECT_AFTER_FAILURES or health.is_ejected(now_ms):
@@ -50,4 +58,4 @@
     return True
 
 
-__all__ = ["note_failure", "note_success"]
+__all__ = ["note_end"]
--- a/src/boragetiller/tables/attempts.py
+++ b/src/boragetiller/tables/attempts.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
 
 import attrs
+from multidict import CIMultiDict
 
 from boragetiller.verdict import Verdict
 
-if TYPE_CHECKING:
-    from multidict import CIMultiDict
-
 
 class SendEnd(Enum):
     """How a send ended."""
--- a/src/boragetiller/tables/store_view.py
+++ b/src/boragetiller/tables/store_view.py
@@ -44,9 +44,7 @@
                 news.append(item)
         return news
 
-    def take_listing(
-        self, prefix: str, items: list[StoredItem], revision: int
-    ) -> list[StoredItem]:
+    def take_listing(self, prefix: str, items: list[StoredItem], revision: int) -> list[StoredItem]:
         """
         Take a whole listing; keys that it lacks were removed by its revision.
 
