--- a/src/boragetiller/gateway/callers.py
+++ b/src/boragetiller/gateway/callers.py
@@ -17,6 +17,7 @@
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.answers import OwnAnswer, own_response
 from boragetiller.gateway.call import admit_call
+from boragetiller.http_refusals import refusal_logger
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
@@ -26,7 +27,6 @@
     from boragetiller.gateway.runner import CallRunner
     from boragetiller.tables.routes import CallerLimits
 
-BACKLOG = 1_024  # connections that wait to be taken; a full queue costs callers seconds
 NOT_READY_RETRY_S = 0.3
 DEFAULT_IDLE_TIMEOUT_S = 75.0  # until a configuration says otherwise
 MAX_LINE_BYTES = 16_384
@@ -72,8 +72,12 @@
             keepalive_timeout=DEFAULT_IDLE_TIMEOUT_S,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
+            logger=refusal_logger(self._count_refusal),
         )
 
+    def _count_refusal(self, code: str) -> None:
+        self._metrics.refused.labels(code).inc()
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         self.in_progress += 1
         self._metrics.in_flight.set(self.in_progress)
@@ -118,7 +122,14 @@
 
     def _refuse(self, error: BoragetillerError, request_id: str) -> web.Response:
         self._metrics.refused.labels(error.code).inc()
-        log_event(Event.CALL_REFUSED, request_id=request_id, code=error.code)
+        config = self._fleet.config
+        log_event(
+            Event.CALL_REFUSED,
+            request_id=request_id,
+            code=error.code,
+            config_version=config.version if config else 0,
+            config_age_ms=self._clock.now_ms() - self._fleet.config_taken_ms,
+        )
         retry_after_s = NOT_READY_RETRY_S if error.http_status == 503 else None
         answer = OwnAnswer(status=error.http_status, code=error.code, retry_after_s=retry_after_s)
         return own_response(answer, request_id, self._dialect)
@@ -141,4 +152,4 @@
     return b"".join(chunks)
 
 
-__all__ = ["BACKLOG", "CallerPort"]
+__all__ = ["CallerPort"]
--- a/src/boragetiller/gateway/connections.py
+++ b/src/boragetiller/gateway/connections.py
@@ -72,6 +72,7 @@
         await super().start(connection)
         while not self.answers_its_request():
             await self.content.read()
+            self._cache.clear()  # aiohttp keeps the headers of the first head
             await super().start(connection)
         self._identified = True
         if self.content.is_eof():
--- a/src/boragetiller/gateway/fleet.py
+++ b/src/boragetiller/gateway/fleet.py
@@ -16,6 +16,7 @@
     from collections.abc import Iterable
 
     from boragetiller.clock import Clock
+    from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.ports import Dialect
     from boragetiller.gateway.settings import GatewaySettings
     from boragetiller.tables.routes import RouteConfig
@@ -29,17 +30,22 @@
 class Fleet:
     """The configuration in force, the backend servers and the clients to them."""
 
-    def __init__(self, settings: GatewaySettings, dialect: Dialect, clock: Clock) -> None:
+    def __init__(
+        self, settings: GatewaySettings, dialect: Dialect, clock: Clock, metrics: GatewayMetrics
+    ) -> None:
         """
         Prepare an empty fleet.
 
         :param settings: settings of the process
         :param dialect: words of the platform
         :param clock: monotonic time
+        :param metrics: gauges of what is known
         """
+        self._metrics = metrics
         self.view = StoreView()
         self.servers = ServerTable()
         self.config: RouteConfig | None = None
+        self.config_taken_ms = 0  # monotonic time since which it is in force
         self.listed = False  # whether the backend servers were ever listed
         self._settings = settings
         self.dialect = dialect
@@ -125,11 +131,13 @@
         try:
             config = self.dialect.decode_config(item.value)
         except EntryUnreadable as error:
-            log_event(Event.CONFIG_UNREADABLE, reason=str(error), revision=item.revision)
+            log_event(Event.CONFIG_UNREADABLE, reason=str(error))
             return False
         if self.config is not None and config.version <= self.config.version:
             return False
         self.config = config
+        self.config_taken_ms = self._clock.now_ms()
+        self._metrics.config_version.set(config.version)
         log_event(Event.ROUTES_TAKEN, version=config.version, revision=item.revision, source=source)
         return True
 
@@ -138,7 +146,17 @@
             return
         items = self.view.below(self.dialect.servers_prefix)
         records = [record for item in items if (record := self._read_server(item)) is not None]
+        known = set(self.servers.by_name)
         gone = self.servers.replace(records, self._clock.now_ms())
+        for record in records:
+            if record.name not in known:
+                log_event(
+                    Event.SERVER_JOINED,
+                    server=record.name,
+                    group=record.group,
+                    failure_domain=record.failure_domain,
+                )
+        self._metrics.servers.set(len(records))
         for server in gone:
             log_event(Event.SERVER_GONE, server=server.name, in_flight=server.in_flight)
             client = self._clients.pop(server.name, None)
--- a/src/boragetiller/gateway/peers.py
+++ b/src/boragetiller/gateway/peers.py
@@ -78,8 +78,9 @@
         self._incarnation = new_incarnation()
         self._heard: dict[str, HeardPeer] = {}
         self._dialed: dict[Endpoint, asyncio.Task[None]] = {}
-        self._inbound: set[asyncio.Task[None]] = set()
+        self._inbound: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self.endpoint: Endpoint | None = None  # where this router listens, once started
 
     async def start(self) -> None:
         """Listen and connect to the seeds."""
@@ -87,6 +88,8 @@
         if own is None:
             return
         self._server = await asyncio.start_server(self._accept, own.address, own.port)
+        port: int = self._server.sockets[0].getsockname()[1]
+        self.endpoint = Endpoint(own.address, port)
         self.connect(self._settings.seeds)
 
     def connect(self, endpoints: tuple[Endpoint, ...]) -> None:
@@ -100,15 +103,16 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        tasks = [*self._dialed.values(), *self._inbound]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
         if self._server is not None:
             self._server.close()
+        for writer in self._inbound:
+            writer.transport.abort()
+        for task in self._dialed.values():
+            task.cancel()
+        await asyncio.gather(*self._dialed.values(), return_exceptions=True)
 
     def _dial(self, endpoint: Endpoint) -> None:
-        if endpoint in self._dialed or endpoint == self._settings.peers:
+        if endpoint in self._dialed or endpoint == self.endpoint:
             return
         if len(self._dialed) >= MAX_PEERS:
             return
@@ -133,13 +137,12 @@
                 writer.transport.abort()
 
     async def _send_reports(self, writer: asyncio.StreamWriter) -> None:
-        own = self._settings.peers
-        assert own is not None
+        assert self.endpoint is not None
         hello = PeerHello(
             name=self._settings.name,
             incarnation=self._incarnation,
-            address=own.address,
-            port=own.port,
+            address=self.endpoint.address,
+            port=self.endpoint.port,
         )
         writer.write(encode_frame(hello))
         sent: PeerReport | None = None
@@ -174,16 +177,15 @@
         return self._heard.get(name) if name else None
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._inbound.add(task)
+        self._inbound.add(writer)
         try:
             detect_silence(writer.get_extra_info("socket"))
             await self._hear(reader)
         except (OSError, TimeoutError, asyncio.IncompleteReadError, BadFrame) as error:
-            log_event(Event.PEER_LOST, reason=repr(error))
+            peer = writer.get_extra_info("peername")
+            log_event(Event.PEER_LOST, peer=str(peer), reason=repr(error))
         finally:
-            self._inbound.discard(task)
+            self._inbound.discard(writer)
             writer.transport.abort()
 
     async def _hear(self, reader: asyncio.StreamReader) -> None:
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -11,8 +11,9 @@
 from boragetiller.clock import SystemClock
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.beliefs import Beliefs
-from boragetiller.gateway.callers import BACKLOG, CallerPort
+from boragetiller.gateway.callers import CallerPort
 from boragetiller.gateway.fleet import Fleet
+from boragetiller.gateway.listener import Listener
 from boragetiller.gateway.metrics import GatewayMetrics
 from boragetiller.gateway.peers import PeerExchange
 from boragetiller.gateway.runner import CallRunner
@@ -21,10 +22,13 @@
 from boragetiller.timeouts import wait_until_idle
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from boragetiller.gateway.ports import Dialect, ReadStore
-    from boragetiller.gateway.settings import Endpoint, GatewaySettings
+    from boragetiller.gateway.settings import GatewaySettings
+
+    Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
-REFUSE_AFTER_MS = 3_000  # the balancer asks once a second and takes a node out after two misses
 EXIT_MARGIN_MS = 600  # before SIGKILL
 QUIET_MS = 200  # without a call, before the ports are closed
 
@@ -42,47 +46,58 @@
         """
         self._settings = settings
         clock = SystemClock()
-        self.metrics = GatewayMetrics()
-        self.fleet = Fleet(settings, dialect, clock)
         costs = PlacementCosts()
-        beliefs = Beliefs(self.fleet, costs, clock)
+        self.metrics = GatewayMetrics()
+        self.fleet = Fleet(settings, dialect, clock, self.metrics)
+        self.beliefs = Beliefs(self.fleet, costs, clock)
         rng = random.Random(settings.name)
-        runner = CallRunner(settings, self.fleet, beliefs, dialect, costs, clock, self.metrics, rng)
-        self._peers = PeerExchange(settings, beliefs, clock, self.metrics)
-        self._callers = CallerPort(self.fleet, runner, dialect, clock, self.metrics)
-        self._follower = StoreFollower(store, self.fleet, dialect, clock, self.metrics)
-        self._runners: list[web.ServerRunner] = []
-        self._caller_site: web.TCPSite | None = None
+        runner = CallRunner(
+            settings, self.fleet, self.beliefs, dialect, costs, clock, self.metrics, rng
+        )
+        self.peers = PeerExchange(settings, self.beliefs, clock, self.metrics)
+        self.callers = CallerPort(self.fleet, runner, dialect, clock, self.metrics)
+        self._follower = StoreFollower(store, self.fleet, dialect, self.metrics)
+        self.caller_port = Listener(self.callers.server(), settings.callers)
+        self.ready_port = Listener(_server(self._handle_ready), settings.readiness)
+        self._listeners = [self.ready_port, self.caller_port]
+        if settings.metrics is not None:
+            metrics = Listener(_server(self._handle_metrics), settings.metrics)
+            self._listeners.insert(0, metrics)
 
     async def start(self) -> None:
         """Listen and begin to follow the store."""
         await self._follower.start()
-        await self._peers.start()
-        await self._listen(
-            web.Server(self._handle_ready, access_log=None), self._settings.readiness
-        )
-        if self._settings.metrics is not None:
-            await self._listen(
-                web.Server(self._handle_metrics, access_log=None), self._settings.metrics
-            )
-        self._caller_site = await self._listen(self._callers.server(), self._settings.callers)
+        await self.peers.start()
+        for listener in self._listeners:
+            await listener.start()
         log_event(Event.PROCESS_STARTED, role="gateway", name=self._settings.name)
 
     async def close(self) -> None:
-        """Leave the balancer's rotation, let calls end, then close."""
+        """
+        Leave the balancer's rotation, let calls end, then close.
+
+        The port stays open to the end: where too few nodes are in rotation the balancer goes on
+        sending, and a refusal lets a caller go elsewhere sooner than a closed port.
+        """
         log_event(Event.PROCESS_STOPPING, role="gateway", name=self._settings.name)
-        self._callers.stopping = True
-        await asyncio.sleep(REFUSE_AFTER_MS / 1_000)
-        self._callers.refusing = True
-        left_ms = self._settings.grace_ms - REFUSE_AFTER_MS - EXIT_MARGIN_MS
-        await wait_until_idle(lambda: self._callers.in_progress, left_ms)
+        settings = self._settings
+        self.callers.stopping = True
+        await asyncio.sleep(settings.refuse_after_ms / 1_000)
+        self.callers.refusing = True
+        left_ms = settings.grace_ms - settings.refuse_after_ms - EXIT_MARGIN_MS
+        await wait_until_idle(lambda: self.callers.in_progress, left_ms)
         await asyncio.sleep(QUIET_MS / 1_000)
-        if self._caller_site is not None:
-            await self._caller_site.stop()
+        await self.caller_port.stop_listening()
+        await self.abort()
+        log_event(Event.PROCESS_STOPPED, role="gateway", name=self._settings.name)
+
+    async def abort(self) -> None:
+        """Close everything at once, whatever is in progress."""
+        for listener in self._listeners:
+            await listener.close()
         await self._follower.close()
-        await self._peers.close()
+        await self.peers.close()
         await self.fleet.close()
-        log_event(Event.PROCESS_STOPPED, role="gateway", name=self._settings.name)
 
     def apply(self, settings: GatewaySettings) -> None:
         """
@@ -90,22 +105,18 @@
 
         :param settings: the new settings
         """
-        self._peers.connect(settings.seeds)
-
-    async def _listen(self, server: web.Server, endpoint: Endpoint) -> web.TCPSite:
-        runner = web.ServerRunner(server)
-        await runner.setup()
-        self._runners.append(runner)
-        site = web.TCPSite(runner, endpoint.address, endpoint.port, backlog=BACKLOG)
-        await site.start()
-        return site
+        self.peers.connect(settings.seeds)
 
     async def _handle_ready(self, _request: web.BaseRequest) -> web.Response:
-        ready = self.fleet.config is not None and self.fleet.listed and not self._callers.stopping
+        ready = self.fleet.config is not None and self.fleet.listed and not self.callers.stopping
         return web.Response(status=200 if ready else 503)
 
     async def _handle_metrics(self, _request: web.BaseRequest) -> web.Response:
         return web.Response(body=self.metrics.text(), content_type="text/plain")
 
 
+def _server(handler: Handler) -> web.Server:
+    return web.Server(handler, access_log=None)
+
+
 __all__ = ["GatewayProcess"]
--- a/src/boragetiller/gateway/settings.py
+++ b/src/boragetiller/gateway/settings.py
@@ -26,6 +26,9 @@
     seeds: tuple[Endpoint, ...]  # other routers; may be stale
     store: Endpoint
     grace_ms: int  # from SIGTERM to SIGKILL
+    # After SIGTERM calls are served for so long: the balancer asks once a second whether a node is
+    # ready and takes it out of rotation after two misses.
+    refuse_after_ms: int = 3_000
     drain_ms: int  # longest time until a leaving backend server gets no new work
     config_apply_ms: int  # longest time until a new configuration is in force
     event_delay_ms: int  # longest delay of an event of a stream
--- a/src/boragetiller/gateway/store_follower.py
+++ b/src/boragetiller/gateway/store_follower.py
@@ -11,7 +11,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from boragetiller.clock import Clock
     from boragetiller.gateway.fleet import Fleet
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.ports import Dialect, Listing, ReadStore
@@ -30,7 +29,6 @@
         store: ReadStore,
         fleet: Fleet,
         dialect: Dialect,
-        clock: Clock,
         metrics: GatewayMetrics,
     ) -> None:
         """
@@ -39,13 +37,11 @@
         :param store: the platform's store
         :param fleet: takes what was read
         :param dialect: names of the keys
-        :param clock: monotonic time
         :param metrics: counters
         """
         self._store = store
         self._fleet = fleet
         self._dialect = dialect
-        self._clock = clock
         self._metrics = metrics
         self._tasks: list[asyncio.Task[None]] = []
         self._reachable: bool | None = None
--- a/src/boragetiller/systems/first_token.py
+++ b/src/boragetiller/systems/first_token.py
@@ -112,8 +112,9 @@
     usable = [s for s in usable if not s.health.is_ejected(now_ms)] or usable
     if not usable:
         return None
-    owner = _part_owner(usable, request.prompt)
     quiet = quiet_servers(servers, costs) if request.prompt else set()
+    loud = [server for server in usable if server.name not in quiet]
+    owner = _part_owner(loud or usable, request.prompt)
     placements = [
         estimate_placement(
             server,
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the gateway."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/gateway/site.py
@@ -0,0 +1,280 @@
+"""A router over the platform's dialect, with a store in memory, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+from yarl import URL
+
+import tests.platform_path  # noqa: F401
+from boragetiller.errors import HistoryLost, StoreUnavailable
+from boragetiller.gateway.ports import Listing
+from boragetiller.gateway.process import GatewayProcess
+from boragetiller.gateway.settings import Endpoint, GatewaySettings
+from boragetiller.tables.store_view import StoredItem
+from dialect import PlatformDialect
+
+if TYPE_CHECKING:
+    from tests.gateway.engines import ScriptedEngine
+
+HOST = "shop.example"
+KEY = "key-1"
+WAIT_S = 10.0
+
+ROUTES = {
+    "quotes": {"kind": "streaming", "sticky": True, "priority": 2, "goal-ms": 2_000},
+    "gauges": {
+        "kind": "streaming",
+        "sticky": True,
+        "priority": 1,
+        "goal-ms": 600,
+        "resumable": True,
+        "max-attempts": 2,
+        "gap-target-ms": 300,
+    },
+    "stock": {"kind": "idempotent", "max-attempts": 2, "goal-ms": 200},
+    "reserve": {"kind": "non_idempotent", "goal-ms": 200},
+}
+
+
+def config(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """
+    Build the operator's configuration.
+
+    :param version: its version
+    :param changes: fields that replace others, by name with `_` for `-`
+    :return: a document
+    """
+    routes = [
+        {
+            "name": name,
+            "host": HOST,
+            "path-prefix": f"/{name}/",
+            "timeout-ms": 5_000,
+            "service": "engines" if fields.get("sticky") else "shop",
+            **fields,
+        }
+        for name, fields in ROUTES.items()
+    ]
+    engine = {"slots": 8, "kv-capacity": 100_000}
+    document = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "engines", "health-path": "/health", "max-conns": 99, "engine": engine},
+            {"name": "shop", "health-path": "/health", "max-conns": 99},
+        ],
+        "limits": {
+            "max-header-bytes": 16_384,
+            "max-body-bytes": 65_536,
+            "header-timeout-ms": 3_000,
+            "idle-timeout-ms": 15_000,
+        },
+        "tenants": [{"name": "north", "api-keys": [KEY], "priority": 1}],
+    }
+    return document | {name.replace("_", "-"): value for name, value in changes.items()}
+
+
+class MemoryStore:
+    """The platform's store in memory, with faults."""
+
+    def __init__(self) -> None:
+        """Begin empty and reachable."""
+        self.items: dict[str, StoredItem] = {}
+        self.history: list[StoredItem] = []
+        self.revision = 1
+        self.down = False
+        self.deaf = False  # watches hear nothing
+        self.compacted_at = 0  # history up to here is gone
+        self.calls: list[str] = []
+        self._changed = asyncio.Event()
+
+    def put(self, key: str, document: Any) -> None:
+        """
+        Write an entry.
+
+        :param key: its key
+        :param document: bytes, or a document for JSON
+        """
+        value = document if isinstance(document, bytes) else json.dumps(document).encode()
+        self._note(StoredItem(key, value, self.revision + 1))
+
+    def remove(self, key: str) -> None:
+        """:param key: key of the entry to remove"""
+        self._note(StoredItem(key, None, self.revision + 1))
+
+    def compact(self) -> None:
+        """Drop the history; watches hear of it."""
+        self.compacted_at = self.revision
+        self._wake()
+
+    def register(self, name: str, engine: ScriptedEngine, service: str, **fields: Any) -> None:
+        """
+        Register a backend server.
+
+        :param name: its id
+        :param engine: who serves there
+        :param service: its service
+        :param fields: more fields of its entry
+        """
+        entry = {
+            "service": service,
+            "address": engine.address,
+            "zone": "a",
+            "slots": 8,
+            "state": "ready",
+            "seq": 1,
+        }
+        self.put(f"servers/{name}", entry | fields)
+
+    async def read_below(self, prefix: str) -> Listing:
+        """See :class:`ReadStore`."""
+        self.calls.append("read")
+        self._check()
+        found = [item for key, item in self.items.items() if key.startswith(prefix)]
+        return Listing(items=found, revision=self.revision)
+
+    async def read_key(self, key: str) -> Listing:
+        """See :class:`ReadStore`."""
+        return await self.read_below(key)
+
+    async def wait_for_changes(self, prefix: str, after_revision: int, wait_ms: int) -> Listing:
+        """See :class:`ReadStore`."""
+        self.calls.append("watch")
+        end_s = asyncio.get_running_loop().time() + wait_ms / 1_000
+        while True:
+            self._check()
+            if after_revision < self.compacted_at:
+                raise HistoryLost
+            found = [
+                item
+                for item in self.history
+                if item.key.startswith(prefix) and item.revision > after_revision
+            ]
+            left_s = end_s - asyncio.get_running_loop().time()
+            if (found and not self.deaf) or left_s <= 0:
+                return Listing(items=found, revision=self.revision)
+            changed = self._changed
+            await asyncio.wait([asyncio.ensure_future(changed.wait())], timeout=left_s)
+
+    async def close(self) -> None:
+        """See :class:`ReadStore`."""
+
+    def _check(self) -> None:
+        if self.down:
+            raise StoreUnavailable("down")
+
+    def _note(self, item: StoredItem) -> None:
+        self.revision = item.revision
+        self.history.append(item)
+        if item.value is None:
+            self.items.pop(item.key, None)
+        else:
+            self.items[item.key] = item
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def settings(name: str = "router-1", **changes: Any) -> GatewaySettings:
+    """
+    Build settings on loopback with free ports.
+
+    :param name: name of the process
+    :param changes: fields that replace others
+    :return: the settings
+    """
+    free = Endpoint("127.0.0.1", 0)
+    fields: dict[str, Any] = {
+        "name": name,
+        "failure_domain": "a",
+        "callers": free,
+        "readiness": free,
+        "peers": free,
+        "metrics": free,
+        "seeds": (),
+        "store": free,
+        "grace_ms": 8_000,
+        "drain_ms": 2_000,
+        "config_apply_ms": 2_000,
+        "event_delay_ms": 120,
+        "retry_ratio": 0.2,
+        "retry_slack": 56.0,
+        "retry_window_ms": 10_000,
+    }
+    return GatewaySettings(**(fields | changes))
+
+
+class Site:
+    """One router and its callers."""
+
+    def __init__(self, store: MemoryStore | None = None, **changes: Any) -> None:
+        """
+        Prepare the site.
+
+        :param store: the store, a new one with a configuration when left out
+        :param changes: settings that replace others
+        """
+        self.store = store or MemoryStore()
+        if store is None:
+            self.store.put("op/config", config())
+        self.router = GatewayProcess(settings(**changes), PlatformDialect(), self.store)
+        self.session: aiohttp.ClientSession | None = None
+        self._sent = 0
+
+    async def start(self) -> None:
+        """Start the router and wait until it is ready."""
+        await self.router.start()
+        self.session = aiohttp.ClientSession(auto_decompress=False)
+        self.session._retry_connection = False
+        if "op/config" in self.store.items:
+            await wait_until(lambda: self.router.fleet.listed and self.router.fleet.config)
+
+    async def close(self) -> None:
+        """Stop at once."""
+        assert self.session is not None
+        await self.session.close()
+        await self.router.abort()
+
+    def call(
+        self, path: str, method: str = "POST", body: bytes = b"", **headers: str
+    ) -> aiohttp.client._RequestContextManager:
+        """
+        Send a call.
+
+        :param path: path and query
+        :param method: HTTP method
+        :param body: its body
+        :param headers: headers that replace the usual ones, by name with `_` for `-`
+        :return: aiohttp's context of the answer
+        """
+        self._sent += 1
+        usual = {
+            "Host": HOST,
+            "X-Boragetiller-Attempt-Id": f"id-{self._sent}",
+            "X-Boragetiller-Deadline-Ms": "4000",
+            "Authorization": f"Token {KEY}",
+        }
+        given = {name.replace("_", "-"): value for name, value in headers.items()}
+        assert self.session is not None
+        url = URL(f"http://127.0.0.1:{self.router.caller_port.port}{path}", encoded=True)
+        return self.session.request(method, url, headers=usual | given, data=body or None)
+
+
+async def wait_until(condition: Any) -> None:
+    """
+    Wait until a condition holds.
+
+    :param condition: called without arguments
+    """
+    async with asyncio.timeout(WAIT_S):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+
+
+__all__ = ["HOST", "KEY", "MemoryStore", "Site", "config", "settings", "wait_until"]
--- /dev/null
+++ b/tests/gateway/test_following.py
@@ -0,0 +1,124 @@
+"""A router that follows the store through its faults, and its own settings file."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest.mock import patch
+
+from boragetiller.errors import SettingsInvalid
+from boragetiller.gateway.reload import SettingsReloader
+from tests.gateway.engines import ScriptedEngine, answer
+from tests.gateway.site import MemoryStore, Site, config, settings, wait_until
+
+
+class FollowingTest(unittest.IsolatedAsyncioTestCase):
+    """One router, its store and one server."""
+
+    async def asyncSetUp(self) -> None:
+        self.engine = ScriptedEngine(lambda r, w: asyncio.sleep(0, w.write(answer(r.request_id))))
+        await self.engine.start()
+        self.addAsyncCleanup(self.engine.close)
+        self.site = Site()
+        self.store: MemoryStore = self.site.store
+        self.store.register("a", self.engine, "shop")
+        await self.site.start()
+        self.addAsyncCleanup(self.site.close)
+        self.fleet = self.site.router.fleet
+
+    async def test_new_version_is_in_force_at_once(self) -> None:
+        self.store.put("op/config", config(2))
+        await wait_until(lambda: self.fleet.config.version == 2)
+
+    async def test_older_version_never_comes_back(self) -> None:
+        self.store.put("op/config", config(5))
+        await wait_until(lambda: self.fleet.config.version == 5)
+        self.store.put("op/config", config(4))
+        self.store.put("servers/z", b"{}")
+        await wait_until(lambda: "servers/z" in self.fleet.view.items)
+        self.assertEqual(self.fleet.config.version, 5)
+
+    async def test_unreadable_configuration_leaves_the_last_one_in_force(self) -> None:
+        self.store.put("op/config", b"{")
+        self.store.put("op/config", config(3))
+        await wait_until(lambda: self.fleet.config.version == 3)
+
+    async def test_lost_history_is_made_up_by_a_listing(self) -> None:
+        self.store.deaf = True
+        self.store.put("op/config", config(2))
+        self.store.remove("servers/a")
+        self.store.compact()
+        await wait_until(lambda: self.fleet.config.version == 2)
+        await wait_until(lambda: not self.fleet.servers.by_name)
+
+    async def test_deaf_watch_is_made_up_by_a_plain_read(self) -> None:
+        with patch("boragetiller.gateway.store_follower.PLAIN_READ_MS", 50):
+            self.store.deaf = True
+            self.store.put("op/config", config(2))
+            await wait_until(lambda: self.fleet.config.version == 2)
+
+    async def test_outage_leaves_all_in_force_and_ends(self) -> None:
+        self.store.down = True
+        self.store.put("servers/z", b"{}")
+        async with self.site.call("/stock/") as got:
+            self.assertEqual(got.status, 200)
+        self.store.put("op/config", config(2))
+        self.store.down = False
+        await wait_until(lambda: self.fleet.config.version == 2)
+
+    async def test_draining_server_gets_no_new_work(self) -> None:
+        self.store.register("a", self.engine, "shop", state="draining")
+        await wait_until(lambda: not self.fleet.servers.accepting("shop"))
+        async with self.site.call("/reserve/") as got:
+            self.assertEqual(got.status, 503)
+        self.assertFalse(self.engine.requests)
+
+    async def test_address_that_now_serves_another_group_is_not_used_for_the_old_one(self) -> None:
+        self.store.register("a", self.engine, "engines")
+        await wait_until(lambda: not self.fleet.servers.accepting("shop"))
+
+    async def test_same_name_born_again_begins_with_nothing(self) -> None:
+        self.fleet.servers.by_name["a"].health.failures = 1
+        self.store.register("a", self.engine, "shop", born=12)
+        await wait_until(lambda: self.fleet.servers.by_name["a"].record.born_ms == 12)
+        self.assertEqual(self.fleet.servers.by_name["a"].health.failures, 0)
+
+    async def test_unreadable_entries_leave_the_others_in_use(self) -> None:
+        for number, value in enumerate((b"", b"[]", b"{}", b"\xff", b'{"service": 1}')):
+            self.store.put(f"servers/bad{number}", value)
+        self.store.register("odd", self.engine, "shop", state="resting")
+        self.store.register("none", self.engine, "no-such-service")
+        await wait_until(lambda: "servers/none" in self.fleet.view.items)
+        self.assertEqual(set(self.fleet.servers.by_name), {"a"})
+
+
+class ReloadTest(unittest.TestCase):
+    """Settings that change while the process runs."""
+
+    def setUp(self) -> None:
+        self.current = settings()
+        self.applied: list[object] = []
+        self.reloader = SettingsReloader(settings(), self.load, self.applied.append)
+
+    def load(self) -> object:
+        if isinstance(self.current, Exception):
+            raise self.current
+        return self.current
+
+    def test_check_applies_a_change_once(self) -> None:
+        self.current = settings(seeds=(settings().peers,))
+        self.reloader.check()
+        self.reloader.check()
+        self.assertEqual(self.applied, [self.current])
+
+    def test_check_keeps_the_settings_when_the_file_is_bad(self) -> None:
+        self.current = SettingsInvalid("half written")
+        self.reloader.check()
+        self.assertEqual(self.applied, [])
+        self.current = settings(grace_ms=1)
+        self.reloader.check()
+        self.assertEqual(len(self.applied), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_peers.py
@@ -0,0 +1,148 @@
+"""Routers that tell each other what they know."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragetiller.control.errors import BadFrame
+from boragetiller.gateway.peer_messages import (
+    LENGTH_BYTES,
+    PeerHello,
+    PeerItems,
+    PeerReport,
+    ReadPrompt,
+    SentLoad,
+    decode_payload,
+    encode_frame,
+)
+from boragetiller.tables.calls import Prompt, PromptPart
+from boragetiller.tables.store_view import StoredItem
+from tests.gateway.engines import ScriptedEngine, answer
+from tests.gateway.site import MemoryStore, Site, config, wait_until
+
+PROMPT = Prompt(model="m", input_tokens=900, output_tokens=16, parts=(PromptPart("aa", 800),))
+
+
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    """Two routers; the second one knows the first as its seed."""
+
+    async def pair(self, second_store: MemoryStore) -> tuple[Site, Site]:
+        engine = ScriptedEngine(lambda r, w: asyncio.sleep(0, w.write(answer(r.request_id))))
+        await engine.start()
+        self.addAsyncCleanup(engine.close)
+        first = Site(name="router-1")
+        first.store.register("a", engine, "shop")
+        first.store.register("e", engine, "engines")
+        await first.start()
+        self.addAsyncCleanup(first.close)
+        second = Site(second_store, name="router-2", seeds=(first.router.peers.endpoint,))
+        await second.start()
+        self.addAsyncCleanup(second.close)
+        return first, second
+
+    async def test_router_that_starts_in_an_outage_learns_all_from_a_peer(self) -> None:
+        store = MemoryStore()
+        store.down = True
+        _, second = await self.pair(store)
+        await wait_until(lambda: second.router.fleet.config is not None)
+        await wait_until(lambda: second.router.fleet.listed)
+        async with second.call("/stock/", method="GET") as got:
+            self.assertEqual(got.status, 200)
+
+    async def test_key_taken_away_reaches_a_router_cut_off_from_the_store(self) -> None:
+        store = MemoryStore()
+        store.down = True
+        first, second = await self.pair(store)
+        await wait_until(lambda: second.router.fleet.listed)
+        first.store.put("op/config", config(2, tenants=[]))
+        await wait_until(lambda: second.router.fleet.config.version == 2)
+        async with second.call("/stock/", method="GET") as got:
+            self.assertEqual(got.status, 401)
+
+    async def test_server_that_left_is_forgotten_by_a_router_cut_off_from_the_store(self) -> None:
+        store = MemoryStore()
+        store.down = True
+        first, second = await self.pair(store)
+        await wait_until(lambda: "a" in second.router.fleet.servers.by_name)
+        first.store.remove("servers/a")
+        await wait_until(lambda: "a" not in second.router.fleet.servers.by_name)
+
+    async def test_older_configuration_of_a_peer_changes_nothing(self) -> None:
+        store = MemoryStore()
+        store.put("op/config", config(9))
+        store.put("op/other", {})
+        first, second = await self.pair(store)
+        await asyncio.sleep(0.5)
+        self.assertEqual(second.router.fleet.config.version, 9)
+
+    async def test_work_and_prompts_of_a_peer_are_known_and_end_with_it(self) -> None:
+        store = MemoryStore()
+        store.down = True
+        first, second = await self.pair(store)
+        await wait_until(lambda: "e" in second.router.fleet.servers.by_name)
+        server = first.router.fleet.servers.by_name["e"]
+        server.in_flight, server.sensitivity = 3, 1.5
+        group = first.router.fleet.config.groups["engines"]
+        first.router.beliefs.note_prompt(server, PROMPT, group.engine)
+        seen = second.router.fleet.servers.by_name["e"]
+        await wait_until(lambda: "router-1" in seen.peers and "aa" in seen.cached_parts)
+        self.assertEqual(seen.peers["router-1"].in_flight, 3)
+        await first.router.abort()
+        await wait_until(lambda: not seen.peers)
+
+    async def test_stranger_that_sends_no_message_is_cut_off(self) -> None:
+        store = MemoryStore()
+        first, _ = await self.pair(store)
+        endpoint = first.router.peers.endpoint
+        reader, writer = await asyncio.open_connection(endpoint.address, endpoint.port)
+        writer.write(b"\xff\xff\xff\xff and more")
+        async with asyncio.timeout(5):
+            self.assertEqual(await reader.read(), b"")
+        writer.transport.abort()
+
+
+class PeerMessagesTest(unittest.TestCase):
+    """Frames and what is no frame."""
+
+    def test_decode_gives_back_what_was_encoded(self) -> None:
+        load = SentLoad(server="a", in_flight=2, unread_tokens=(5, 0, 1, 0), sensitivity=0.5)
+        for message in (
+            PeerHello(name="r", incarnation=7, address="10.0.0.1", port=80),
+            PeerReport(
+                config_revision=1,
+                servers_revision=2,
+                loads=(load,),
+                prompts=(ReadPrompt(server="a", prompt=PROMPT),),
+            ),
+            PeerItems((StoredItem("k", b"x" * 200_000, 3), StoredItem("l", None, 4))),
+        ):
+            with self.subTest(message=type(message).__name__):
+                self.assertEqual(decode_payload(encode_frame(message)[LENGTH_BYTES:]), message)
+
+    @given(st.binary(max_size=200))
+    @settings(derandomize=True, deadline=None)
+    def test_decode_refuses_noise_with_its_own_error(self, data: bytes) -> None:
+        try:
+            decode_payload(data)
+        except BadFrame:
+            return
+
+    @given(st.integers(0, 60), st.integers(0, 255))
+    @settings(derandomize=True, deadline=None)
+    def test_decode_refuses_damage_with_its_own_error(self, position: int, value: int) -> None:
+        load = SentLoad(server="a", in_flight=2, unread_tokens=(5, 0, 1, 0), sensitivity=0.5)
+        report = PeerReport(config_revision=1, servers_revision=2, loads=(load,))
+        data = bytearray(encode_frame(report)[LENGTH_BYTES:])
+        data[position % len(data)] = value
+        try:
+            decode_payload(bytes(data))
+        except BadFrame:
+            return
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform_dialect/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the platform_dialect."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/platform_path.py
@@ -0,0 +1,13 @@
+"""Make the modules of the `platform` folder importable, as its entry script does."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent.parent / "platform"
+
+if str(FOLDER) not in sys.path:
+    sys.path.append(str(FOLDER))
+
+__all__ = ["FOLDER"]
--- /dev/null
+++ b/tests/systems/test_direct_calls.py
@@ -0,0 +1,202 @@
+"""Decisions on the way of a call: route, repeats, budget, health, patience."""
+
+from __future__ import annotations
+
+import unittest
+
+import attrs
+from multidict import CIMultiDict
+
+from boragetiller.errors import NotFound, Unauthorized
+from boragetiller.systems.direct_outcomes import (
+    MAX_REFUSED_SENDS,
+    GiveUpReason,
+    PassOn,
+    Refuse,
+    SendAgain,
+    decide_next,
+    note_send,
+)
+from boragetiller.systems.patience import MIN_SILENCE_MS, hedge_after_ms, stream_patience
+from boragetiller.systems.routing import choose_group, find_customer, find_route, request_tier
+from boragetiller.systems.server_health import note_end
+from boragetiller.systems.window_budget import WindowBudget
+from boragetiller.tables.attempts import CallProgress, SendEnd, SendResult, WholeAnswer
+from boragetiller.tables.routes import (
+    CallerLimits,
+    GroupShare,
+    RequestKind,
+    Route,
+    RouteConfig,
+    RouteCustomer,
+)
+from boragetiller.verdict import Verdict
+from tests.systems.test_first_token import make_server
+
+ANSWER = WholeAnswer(status=200, headers=CIMultiDict(), body=b"")
+ERROR = WholeAnswer(status=500, headers=CIMultiDict(), body=b"")
+ROUTE = Route(
+    name="r",
+    host="h",
+    path_prefix="/a/",
+    kind=RequestKind.IDEMPOTENT,
+    timeout_ms=1_000,
+    target_ms=200,
+    gap_target_ms=0,
+    tier=2,
+    shares=(GroupShare(group="g", weight=1),),
+    max_attempts=2,
+    public=False,
+    resumable=False,
+    for_engine=False,
+)
+NORTH = RouteCustomer(name="north", tier=0)
+
+
+def make_config(*routes: Route) -> RouteConfig:
+    limits = CallerLimits(
+        max_header_bytes=1, max_body_bytes=1, header_timeout_ms=1, idle_timeout_ms=1
+    )
+    return RouteConfig(
+        version=1, routes=routes, groups={}, limits=limits, customers_by_key={"k": NORTH}
+    )
+
+
+class RoutingTest(unittest.TestCase):
+    def test_find_route_takes_the_longest_prefix_of_the_host(self) -> None:
+        deep = attrs.evolve(ROUTE, name="deep", path_prefix="/a/b/")
+        other = attrs.evolve(ROUTE, name="other", host="o", path_prefix="/a/b/c/")
+        config = make_config(ROUTE, deep, other)
+        self.assertEqual(find_route(config, "h", "/a/b/c/d").name, "deep")
+        self.assertEqual(find_route(config, "h", "/a/bc").name, "r")
+        with self.assertRaises(NotFound):
+            find_route(config, "h", "/a")
+
+    def test_find_customer_needs_a_known_key_unless_the_route_is_public(self) -> None:
+        config = make_config(ROUTE)
+        self.assertIs(find_customer(config, ROUTE, "k"), NORTH)
+        for key in (None, "", "other"):
+            with self.assertRaises(Unauthorized):
+                find_customer(config, ROUTE, key)
+        public = attrs.evolve(ROUTE, public=True)
+        self.assertIsNone(find_customer(config, public, "other"))
+
+    def test_choose_group_follows_the_weights(self) -> None:
+        shares = (GroupShare(group="a", weight=90), GroupShare(group="b", weight=10))
+        route = attrs.evolve(ROUTE, shares=shares)
+        chosen = [choose_group(route, f"id{number}") for number in range(2_000)]
+        self.assertAlmostEqual(chosen.count("b") / len(chosen), 0.1, delta=0.03)
+
+    def test_tier_of_the_customer_goes_before_that_of_the_route(self) -> None:
+        self.assertEqual(request_tier(ROUTE, NORTH), 0)
+        self.assertEqual(request_tier(ROUTE, RouteCustomer(name="south")), 2)
+        self.assertEqual(request_tier(ROUTE, None), 2)
+
+
+class DecideNextTest(unittest.TestCase):
+    def decide(
+        self, *ends: SendEnd, repeatable: bool, time_left_ms: float = 900, budget: bool = True
+    ) -> PassOn | SendAgain | Refuse:
+        self.progress = CallProgress(repeatable=repeatable, max_servers=2)
+        for number, end in enumerate(ends):
+            answer = {SendEnd.ANSWERED: ANSWER, SendEnd.SERVER_ERROR: ERROR}.get(end)
+            result = SendResult(end, answer)
+            note_send(self.progress, f"s{number}", result)
+        return decide_next(result, self.progress, time_left_ms, 200, budget_left=budget)
+
+    def test_what_did_not_run_may_always_be_sent_again(self) -> None:
+        for end in (SendEnd.UNREACHABLE, SendEnd.FULL, SendEnd.MISDIRECTED):
+            with self.subTest(end=end):
+                self.assertIsInstance(self.decide(end, repeatable=False), SendAgain)
+
+    def test_what_may_have_run_is_sent_again_only_when_it_may_repeat(self) -> None:
+        for end in (SendEnd.LOST, SendEnd.GARBLED, SendEnd.SILENT, SendEnd.SERVER_ERROR):
+            with self.subTest(end=end):
+                self.assertIsInstance(self.decide(end, repeatable=True), SendAgain)
+                self.assertNotIsInstance(self.decide(end, repeatable=False), SendAgain)
+
+    def test_no_more_servers_run_it_than_the_route_allows(self) -> None:
+        step = self.decide(SendEnd.LOST, SendEnd.LOST, repeatable=True)
+        self.assertEqual(step, Refuse(GiveUpReason.ATTEMPTS, SendEnd.LOST, Verdict.MAY_HAVE_RUN))
+
+    def test_refusal_after_a_run_promises_nothing(self) -> None:
+        ends = [SendEnd.LOST, *[SendEnd.FULL] * MAX_REFUSED_SENDS]
+        step = self.decide(*ends, repeatable=True)
+        assert isinstance(step, Refuse)
+        self.assertIs(step.verdict, Verdict.MAY_HAVE_RUN)
+
+    def test_error_of_a_server_is_kept_for_when_nothing_better_comes(self) -> None:
+        step = self.decide(SendEnd.SERVER_ERROR, SendEnd.LOST, repeatable=True)
+        self.assertEqual(step, PassOn(ERROR))
+
+    def test_spent_budget_stops_repeats_but_not_what_never_arrived(self) -> None:
+        step = self.decide(SendEnd.FULL, repeatable=True, budget=False)
+        self.assertIsInstance(step, Refuse)
+        step = self.decide(SendEnd.UNREACHABLE, repeatable=True, budget=False)
+        self.assertIsInstance(step, SendAgain)
+
+    def test_no_send_when_no_time_is_left(self) -> None:
+        step = self.decide(SendEnd.FULL, repeatable=True, time_left_ms=10)
+        self.assertEqual(step, Refuse(GiveUpReason.DEADLINE, SendEnd.FULL, Verdict.NOT_RUN))
+
+
+class WindowBudgetTest(unittest.TestCase):
+    def test_all_routers_together_keep_to_the_budget_of_the_fleet(self) -> None:
+        """A storm of failures: each router would repeat each of its 500 requests."""
+        routers = [WindowBudget(ratio=0.2, slack=56 / 8, window_ms=10_000) for _ in range(8)]
+        sent = 0
+        for now_ms in range(0, 10_000, 20):
+            for budget in routers:
+                budget.note_request(now_ms)
+                if budget.allows(now_ms):
+                    budget.note_repeat(now_ms)
+                    sent += 1
+        self.assertLessEqual(sent, 0.2 * 8 * 500 + 56)
+
+    def test_window_forgets(self) -> None:
+        budget = WindowBudget(ratio=0, slack=1, window_ms=1_000)
+        budget.note_repeat(0)
+        self.assertFalse(budget.allows(999))
+        self.assertTrue(budget.allows(1_001))
+
+
+class ServerHealthTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.group = [make_server(f"e{number}") for number in range(3)]
+
+    def fail(self, number: int, times: int = 2) -> bool:  # type: ignore[override]
+        ends = [note_end(self.group[number], self.group, SendEnd.LOST, 0) for _ in range(times)]
+        return ends[-1]
+
+    def test_failures_in_a_row_eject(self) -> None:
+        self.assertFalse(self.fail(0, times=1))
+        note_end(self.group[0], self.group, SendEnd.ANSWERED, 0)
+        self.assertFalse(self.fail(0, times=1))
+        self.assertTrue(self.fail(0, times=1))
+        self.assertTrue(self.group[0].health.is_ejected(500))
+
+    def test_half_of_a_group_is_never_ejected(self) -> None:
+        self.assertEqual([self.fail(number) for number in range(3)], [True, False, False])
+
+    def test_errors_of_requests_eject_nobody(self) -> None:
+        for _ in range(9):
+            self.assertFalse(note_end(self.group[0], self.group, SendEnd.SERVER_ERROR, 0))
+
+    def test_full_server_is_left_alone_for_a_moment(self) -> None:
+        note_end(self.group[0], self.group, SendEnd.FULL, 100)
+        self.assertGreater(self.group[0].full_until_ms, 100)
+
+
+class PatienceTest(unittest.TestCase):
+    def test_hedge_comes_before_the_target(self) -> None:
+        self.assertLess(hedge_after_ms(200), 200)
+
+    def test_stream_is_given_longer_where_longer_is_expected(self) -> None:
+        short = stream_patience(600, 300, 100)
+        long = stream_patience(600, 300, 2_000)
+        self.assertLess(short.first_event_ms, long.first_event_ms)
+        self.assertGreaterEqual(short.between_events_ms, MIN_SILENCE_MS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/systems/test_first_token.py
@@ -0,0 +1,259 @@
+"""Placement of prompts, and the load patterns that it answers."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+import attrs
+
+from boragetiller.systems.first_token import (
+    PlacementCosts,
+    PlacementRequest,
+    choose_server,
+    note_read,
+    quiet_servers,
+    read_share,
+    stream_sensitivity,
+    uncached_tokens,
+)
+from boragetiller.tables.calls import Prompt, PromptPart
+from boragetiller.tables.servers import (
+    BackendServer,
+    PeerLoad,
+    PendingPrompt,
+    ServerRecord,
+    ServerTable,
+)
+
+COSTS = PlacementCosts()
+CACHE_TOKENS = 400_000
+READ_TOKENS_PER_MS = 60.0
+
+
+def make_server(name: str, **fields: object) -> BackendServer:
+    record = ServerRecord(
+        name=name,
+        group="g",
+        address="10.0.0.1:80",
+        failure_domain="a",
+        slots=64,
+        draining=False,
+        born_ms=0,
+        cold_ms=0.0,
+    )
+    return BackendServer(attrs.evolve(record, **fields), joined_ms=-100_000)
+
+
+def make_prompt(shared: str, shared_tokens: int, own: str, own_tokens: int) -> Prompt:
+    parts = (PromptPart(shared, shared_tokens), PromptPart(own, own_tokens))
+    return Prompt(
+        model="m", input_tokens=shared_tokens + own_tokens, output_tokens=100, parts=parts
+    )
+
+
+def make_request(prompt: Prompt | None, **fields: object) -> PlacementRequest:
+    usual = {"tier": 1, "target_ms": 600.0, "sensitivity": 0.0, "failure_domain": "a"}
+    return PlacementRequest(prompt=prompt, **(usual | fields))
+
+
+class ChooseServerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.servers = [make_server(f"e{number}") for number in range(5)]
+        self.prompt = make_prompt("part", 13_000, "own", 3_000)
+
+    def choose(self, request: PlacementRequest, now_ms: int = 0) -> BackendServer:
+        placement = choose_server(self.servers, request, COSTS, now_ms)
+        assert placement is not None
+        return placement.server
+
+    def test_choose_none_without_servers(self) -> None:
+        self.assertIsNone(choose_server([], make_request(None), COSTS, 0))
+
+    def test_choose_passes_over_servers_that_are_full_or_ejected(self) -> None:
+        for server in self.servers[1:3]:
+            server.full_until_ms = 50
+        for server in self.servers[3:]:
+            server.health.ejected_until_ms = 50
+        self.assertIs(self.choose(make_request(None)), self.servers[0])
+
+    def test_choose_takes_ejected_servers_when_there_are_no_others(self) -> None:
+        for server in self.servers:
+            server.health.ejected_until_ms = 50
+        self.assertIsNotNone(self.choose(make_request(None)))
+
+    def test_choose_prefers_the_engine_that_has_read_the_part(self) -> None:
+        other = make_prompt("part", 13_000, "else", 3_000)
+        for server in self.servers:
+            server.cached_parts.clear()
+            note_read(server, other, COSTS, CACHE_TOKENS, 0)
+            self.assertIs(self.choose(make_request(self.prompt)), server)
+            server.cached_parts.clear()
+
+    def test_choose_leaves_that_engine_when_its_queue_is_much_longer(self) -> None:
+        holder = self.choose(make_request(self.prompt))
+        note_read(holder, self.prompt, COSTS, CACHE_TOKENS, 0)
+        holder.pending["x"] = PendingPrompt(tokens=200_000, tier=0, sent_ms=0)
+        self.assertIsNot(self.choose(make_request(self.prompt)), holder)
+
+    def test_choose_counts_the_work_of_peers_until_it_is_stale(self) -> None:
+        holder = self.choose(make_request(self.prompt))
+        load = PeerLoad(in_flight=9, unread_tokens=(0, 200_000, 0, 0), sensitivity=0, received_ms=0)
+        holder.peers["r2"] = load
+        self.assertIsNot(self.choose(make_request(self.prompt), now_ms=10), holder)
+        self.assertIs(self.choose(make_request(self.prompt), now_ms=5_000), holder)
+
+    def test_choose_agrees_between_routers_that_know_nothing(self) -> None:
+        for number in range(20):
+            prompt = make_prompt(f"part{number}", 13_000, "own", 3_000)
+            chosen = self.choose(make_request(prompt)).name
+            shuffled = [make_server(server.name) for server in self.servers]
+            Random(number).shuffle(shuffled)
+            placement = choose_server(shuffled, make_request(prompt), COSTS, 0)
+            self.assertEqual(placement and placement.server.name, chosen)
+
+    def test_choose_stays_in_the_failure_domain_when_all_else_is_equal(self) -> None:
+        self.servers = [make_server("near"), make_server("far", failure_domain="b")]
+        self.assertEqual(self.choose(make_request(None)).name, "near")
+
+    def test_long_prompts_avoid_engines_with_sensitive_streams(self) -> None:
+        quiet = quiet_servers(self.servers, COSTS)
+        for number in range(30):
+            prompt = make_prompt(f"part{number}", 13_000, "own", 3_000)
+            self.assertNotIn(self.choose(make_request(prompt)).name, quiet)
+
+    def test_sensitive_streams_go_where_little_is_read(self) -> None:
+        short = make_prompt("s", 300, "own", 1_000)
+        for server in self.servers[1:]:
+            note_read(server, self.prompt, COSTS, CACHE_TOKENS, 0)
+        request = make_request(short, sensitivity=1.0, target_ms=300.0, tier=0)
+        self.assertIs(self.choose(request, now_ms=10), self.servers[0])
+
+
+class CacheBeliefTest(unittest.TestCase):
+    def test_uncached_counts_a_part_only_behind_cached_parts(self) -> None:
+        server = make_server("e")
+        server.cached_parts["own"] = 3_000
+        prompt = make_prompt("part", 13_000, "own", 3_000)
+        self.assertEqual(uncached_tokens(server, prompt, COSTS), 16_000)
+        server.cached_parts["part"] = 13_000
+        self.assertEqual(uncached_tokens(server, prompt, COSTS), 0)
+
+    def test_note_read_drops_the_oldest_parts(self) -> None:
+        server = make_server("e")
+        for number in range(40):
+            note_read(server, make_prompt(f"p{number}", 13_000, "own", 0), COSTS, CACHE_TOKENS, 0)
+        self.assertLessEqual(server.cached_tokens, CACHE_TOKENS)
+        self.assertNotIn("p0", server.cached_parts)
+        self.assertIn("p39", server.cached_parts)
+
+    def test_read_share_fades(self) -> None:
+        server = make_server("e")
+        note_read(server, make_prompt("p", 60_000, "own", 0), COSTS, CACHE_TOKENS, 0)
+        self.assertAlmostEqual(read_share(server, COSTS, 0), 0.5)
+        self.assertLess(read_share(server, COSTS, 10_000), 0.01)
+
+    def test_sensitivity_falls_with_the_pause_that_is_allowed(self) -> None:
+        values = [stream_sensitivity(gap_ms) for gap_ms in (100, 200, 300, 800)]
+        self.assertEqual(values[:2], [1.0, 1.0])
+        self.assertGreater(values[2], values[3])
+        self.assertEqual(stream_sensitivity(0), 0.0)
+
+
+class BurstReplayTest(unittest.TestCase):
+    """
+    A burst of long prompts with shared parts meets four routers and five engines.
+
+    The engines are a model: each reads its prompts in order of arrival, less the parts that it
+    has read before.
+    """
+
+    ROUTERS = 4
+    THINGS = 64
+    REQUESTS = 120
+    GAP_MS = 60  # 17 a second
+
+    def replay(self, *, exchange: bool, least_outstanding: bool = False) -> int:
+        """:return: tokens of shared parts that were read more than once"""
+        rng = Random(7)
+        tables = [[make_server(f"e{n}") for n in range(5)] for _ in range(self.ROUTERS)]
+        held: dict[str, set[str]] = {f"e{n}": set() for n in range(5)}
+        free_ms = dict.fromkeys(held, 0.0)
+        again = 0
+        for number in range(self.REQUESTS):
+            now_ms = number * self.GAP_MS
+            router = rng.randrange(self.ROUTERS)
+            shared = f"p{rng.randrange(self.THINGS)}"
+            prompt = make_prompt(shared, 13_000, f"own{number}", 3_700)
+            self._forget_read(tables, free_ms, now_ms)
+            name = self._place(tables[router], prompt, now_ms, least_outstanding=least_outstanding)
+            new = 3_700 if shared in held[name] else 16_700
+            if new > 3_700 and any(shared in parts for parts in held.values()):
+                again += 13_000
+            held[name].add(shared)
+            free_ms[name] = max(free_ms[name], now_ms) + new / READ_TOKENS_PER_MS
+            for index, table in enumerate(tables):
+                if index == router or exchange:
+                    self._note(table, name, prompt, number, free_ms[name])
+        return again
+
+    def _place(
+        self, table: list[BackendServer], prompt: Prompt, now_ms: int, *, least_outstanding: bool
+    ) -> str:
+        if least_outstanding:
+            return min(table, key=lambda server: len(server.pending)).name
+        request = make_request(prompt, tier=2, target_ms=2_000.0)
+        placement = choose_server(table, request, COSTS, now_ms)
+        assert placement is not None
+        return placement.server.name
+
+    def _note(
+        self, table: list[BackendServer], name: str, prompt: Prompt, number: int, end_ms: float
+    ) -> None:
+        server = next(server for server in table if server.name == name)
+        tokens = int(uncached_tokens(server, prompt, COSTS))
+        server.pending[str(number)] = PendingPrompt(tokens, 2, int(end_ms))
+        note_read(server, prompt, COSTS, CACHE_TOKENS, number * self.GAP_MS)
+
+    def _forget_read(
+        self, tables: list[list[BackendServer]], free_ms: dict[str, float], now_ms: int
+    ) -> None:
+        for table in tables:
+            for server in table:
+                done = [key for key, p in server.pending.items() if p.sent_ms <= now_ms]
+                for key in done:
+                    del server.pending[key]
+
+    def test_routers_that_exchange_beliefs_hardly_read_a_part_twice(self) -> None:
+        least = self.replay(exchange=False, least_outstanding=True)
+        alone = self.replay(exchange=False)
+        together = self.replay(exchange=True)
+        self.assertLess(together, least / 4)
+        self.assertLessEqual(together, alone)
+
+
+class ServerTableTest(unittest.TestCase):
+    def test_replace_drops_what_was_known_of_another_incarnation(self) -> None:
+        table = ServerTable()
+        record = make_server("e").record
+        table.replace([record], 0)
+        table.by_name["e"].in_flight = 2
+        self.assertEqual(table.replace([attrs.evolve(record, draining=True)], 0), [])
+        self.assertEqual(table.by_name["e"].in_flight, 2)
+        gone = table.replace([attrs.evolve(record, born_ms=5)], 0)
+        self.assertEqual([server.in_flight for server in gone], [2])
+        self.assertEqual(table.by_name["e"].in_flight, 0)
+
+    def test_accepting_leaves_out_draining_servers_and_other_groups(self) -> None:
+        table = ServerTable()
+        servers = [
+            make_server("a"),
+            make_server("b", draining=True),
+            make_server("c", group="other"),
+        ]
+        table.replace([server.record for server in servers], 0)
+        self.assertEqual([server.name for server in table.accepting("g")], ["a"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_log_sink.py
@@ -0,0 +1,90 @@
+"""Log lines that never block and keep to their budget."""
+
+from __future__ import annotations
+
+import json
+import os
+import unittest
+from collections import Counter
+from types import SimpleNamespace
+
+from loguru import logger
+
+from boragetiller.clock import ManualClock
+from boragetiller.events import Event, configure_json_logging, log_event
+from boragetiller.log_sink import KEPT_LINES_PER_S, USUAL_LINES_PER_S, LogSink
+
+
+class LogSinkTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.read_end, self.write_end = os.pipe()
+        self.addCleanup(os.close, self.read_end)
+        self.addCleanup(os.close, self.write_end)
+        self.clock = ManualClock()
+        self.dropped: Counter[str] = Counter()
+        self.sink = LogSink(self.write_end, "r1", self.clock.now_ms, self.count)
+        configure_json_logging(self.sink)
+        self.addCleanup(logger.remove)
+
+    def count(self, event: str) -> None:
+        self.dropped[event] += 1
+
+    def lines(self) -> list[dict[str, object]]:
+        os.set_blocking(self.read_end, False)
+        data = b""
+        try:
+            while part := os.read(self.read_end, 65_536):
+                data += part
+        except BlockingIOError:
+            return [json.loads(line) for line in data.splitlines()]
+        return []
+
+    def test_line_has_the_process_the_event_and_its_fields(self) -> None:
+        log_event(Event.CALL_HEDGED, request_id="id", server="s")
+        (line,) = self.lines()
+        self.assertEqual((line["process"], line["event"]), ("r1", Event.CALL_HEDGED.value))
+        self.assertEqual((line["request_id"], line["server"]), ("id", "s"))
+
+    def test_usual_events_keep_to_their_budget_and_failures_get_more(self) -> None:
+        written: Counter[object] = Counter()
+        for _ in range(KEPT_LINES_PER_S * 3):
+            log_event(Event.CALL_ANSWERED, request_id="id")
+            log_event(Event.CALL_FAILED, request_id="id")
+            written.update(line["event_name"] for line in self.lines())
+        self.assertEqual(written["call_answered"], USUAL_LINES_PER_S * 2)
+        self.assertEqual(written["call_failed"], KEPT_LINES_PER_S * 2)
+        self.assertEqual(
+            self.dropped["call_answered"], KEPT_LINES_PER_S * 3 - written["call_answered"]
+        )
+
+    def test_left_out_lines_are_summed_up(self) -> None:
+        for _ in range(USUAL_LINES_PER_S * 3):
+            log_event(Event.CALL_ANSWERED, request_id="id")
+        self.lines()
+        self.clock.advance(2_000)
+        log_event(Event.CALL_ANSWERED, request_id="id")
+        self.assertEqual(self.lines()[-1]["lines_left_out"], {"call_answered": USUAL_LINES_PER_S})
+
+    def test_full_pipe_drops_lines_and_later_lines_are_whole(self) -> None:
+        message = SimpleNamespace(
+            record={"extra": {"event_name": "x", "text": "y" * 900}, "time": _Time()}
+        )
+        for _ in range(400):
+            self.sink.write(message)
+        self.assertGreater(self.dropped["x"], 0)
+        self.lines_are_whole()
+        self.sink.write(message)
+        self.lines_are_whole()
+
+    def lines_are_whole(self) -> None:
+        for line in self.lines()[:-1]:
+            self.assertEqual(line["event_name"], "x")
+
+
+class _Time:
+    def timestamp(self) -> float:
+        return 1.0
+
+
+if __name__ == "__main__":
+    unittest.main()
