--- a/src/boragetiller/events.py
+++ b/src/boragetiller/events.py
@@ -68,9 +68,7 @@
     :param fields: details; durations carry their unit as suffix
     """
     text = " ".join(f"{name}={value}" for name, value in fields.items())
-    logger.bind(event=event.value, event_name=event.name.lower(), **fields).info(
-        "{} {} {}", event.value, event.name.lower(), text
-    )
+    logger.bind(event=event.value, **fields).info("{} {} {}", event.value, event.name.lower(), text)
 
 
 def configure_logging(level: str = "INFO", *, json_lines: bool = False) -> None:
--- a/src/boragetiller/log_sink.py
+++ b/src/boragetiller/log_sink.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from boragetiller.events import Event
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -80,13 +82,14 @@
         :param message: record of loguru
         """
         fields = message.record["extra"]
-        event = str(fields.get("event_name", "log"))
+        event = _event_name(fields.get("event"))
         now_ms = self._now_ms()
         if not self._budget(event, now_ms).take(now_ms):
             self._drop(event)
             return
         time_ms = int(message.record["time"].timestamp() * 1_000)
-        self._write_line({"time_ms": time_ms, "process": self._process, **fields}, event)
+        line = {"time_ms": time_ms, "process": self._process, **fields, "event_name": event}
+        self._write_line(line, event)
         self._sum_up(time_ms, now_ms)
 
     def _budget(self, event: str, now_ms: int) -> LineBudget:
@@ -129,4 +132,11 @@
         self._count_dropped(event)
 
 
+def _event_name(number: object) -> str:
+    try:
+        return Event(number).name.lower()
+    except ValueError:
+        return "log"
+
+
 __all__ = ["LogSink"]
--- a/tests/test_log_sink.py
+++ b/tests/test_log_sink.py
@@ -67,18 +67,18 @@
 
     def test_full_pipe_drops_lines_and_later_lines_are_whole(self) -> None:
         message = SimpleNamespace(
-            record={"extra": {"event_name": "x", "text": "y" * 900}, "time": _Time()}
+            record={"extra": {"event": 0, "text": "y" * 900}, "time": _Time()}
         )
         for _ in range(400):
             self.sink.write(message)
-        self.assertGreater(self.dropped["x"], 0)
+        self.assertGreater(self.dropped["log"], 0)
         self.lines_are_whole()
         self.sink.write(message)
         self.lines_are_whole()
 
     def lines_are_whole(self) -> None:
         for line in self.lines()[:-1]:
-            self.assertEqual(line["event_name"], "x")
+            self.assertEqual(line["event_name"], "log")
 
 
 class _Time:
