--- /dev/null
+++ b/tests/test_metrics_page.py
@@ -0,0 +1,31 @@
+"""docs/METRICS.md and the code name the same metrics."""
+
+from __future__ import annotations
+
+import re
+import unittest
+from pathlib import Path
+
+from boragetiller.gateway.metrics import GatewayMetrics
+
+PAGE = Path(__file__).resolve().parent.parent / "docs" / "METRICS.md"
+ROW = re.compile(r"^\| (boragetiller_\w+) \| (\w+) \| (\w*) ?\|", re.MULTILINE)
+
+
+class MetricsPageTest(unittest.TestCase):
+    def test_page_lists_each_metric_with_its_kind_and_label(self) -> None:
+        rows = ROW.findall(PAGE.read_text(encoding="utf-8"))
+        metrics = GatewayMetrics()
+        registered = {(each.name, each.type) for each in metrics.registry.collect()}
+        self.assertEqual({(name, kind) for name, kind, _ in rows}, registered)
+        self.assertEqual(len(rows), len(registered))
+        labels = {
+            each._name: "".join(each._labelnames)
+            for each in vars(metrics).values()
+            if hasattr(each, "_labelnames")
+        }
+        self.assertEqual({name: label for name, _, label in rows}, labels)
+
+
+if __name__ == "__main__":
+    unittest.main()
