--- a/src/boragetiller/gateway/accounts.py
+++ b/src/boragetiller/gateway/accounts.py
@@ -123,6 +123,7 @@
         first_ms = elapsed_ms
         if stream is not None and stream.first_event_ms is not None:
             first_ms = stream.first_event_ms - call.arrived_ms
+            self._metrics.pause_s.labels(call.route.name).observe(stream.longest_pause_ms / 1_000)
         route = call.route.name
         self._metrics.answered.labels(route).inc()
         self._metrics.whole_s.labels(route).observe(elapsed_ms / 1_000)
--- a/src/boragetiller/gateway/fleet.py
+++ b/src/boragetiller/gateway/fleet.py
@@ -55,6 +55,11 @@
         self._unreadable: dict[str, int] = {}
         self._closing: set[asyncio.Task[None]] = set()
 
+    @property
+    def is_complete(self) -> bool:
+        """:return: whether calls can be served: routes and backend servers are known"""
+        return self.config is not None and self.listed
+
     def client(self, server: BackendServer) -> ServerClient:
         """
         Give the connections to a backend server.
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -40,6 +40,8 @@
         self.peers = self._gauge("peers", "other routers that were heard lately")
         self.first_event_s = self._histogram("first_event_seconds", "arrival to first event")
         self.whole_s = self._histogram("answer_seconds", "arrival to the whole answer")
+        self.pause_s = self._histogram("event_pause_seconds", "longest pause in a stream")
+        self.store_call_s = self._histogram("store_call_seconds", "reads of the store", "call")
 
     def note_dropped_line(self, event: str) -> None:
         """
@@ -59,11 +61,11 @@
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(f"boragetiller_{name}", text, registry=self.registry)
 
-    def _histogram(self, name: str, text: str) -> Histogram:
+    def _histogram(self, name: str, text: str, label: str = "route") -> Histogram:
         return Histogram(
             f"boragetiller_{name}",
             text,
-            ["route"],
+            [label],
             registry=self.registry,
             buckets=LATENCY_BUCKETS_S,
         )
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -108,7 +108,7 @@
         self.peers.connect(settings.seeds)
 
     async def _handle_ready(self, _request: web.BaseRequest) -> web.Response:
-        ready = self.fleet.config is not None and self.fleet.listed and not self.callers.stopping
+        ready = self.fleet.is_complete and not self.callers.stopping
         return web.Response(status=200 if ready else 503)
 
     async def _handle_metrics(self, _request: web.BaseRequest) -> web.Response:
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -42,9 +42,23 @@
     sink: EventSink
     last_event_id: str | None
     first_event_ms: int | None = None  # monotonic time
+    last_event_ms: int = 0  # monotonic time
+    longest_pause_ms: int = 0  # between two events
     status: int = 0
     complete: bool = False
 
+    def note_event(self, now_ms: int) -> None:
+        """
+        Note that an event has come.
+
+        :param now_ms: monotonic time in milliseconds
+        """
+        if self.first_event_ms is None:
+            self.first_event_ms = now_ms
+        else:
+            self.longest_pause_ms = max(self.longest_pause_ms, now_ms - self.last_event_ms)
+        self.last_event_ms = now_ms
+
 
 @attrs.frozen(kw_only=True)
 class SilenceLimit:
@@ -199,8 +213,7 @@
             if not events.count:
                 continue
             silence.note_event()
-            if stream.first_event_ms is None:
-                stream.first_event_ms = self._clock.now_ms()
+            stream.note_event(self._clock.now_ms())
             server.pending.pop(call.facts.request_id, None)
             await stream.sink.write(answer.facts.status, headers, events.data)
             progress.relayed_events += events.count
--- a/src/boragetiller/gateway/store_follower.py
+++ b/src/boragetiller/gateway/store_follower.py
@@ -19,6 +19,7 @@
 PLAIN_READ_MS = 2_500  # beside the watches and the peers, which are faster
 RETRY_FIRST_MS = 100  # between calls to a store that does not answer, doubled each time
 RETRY_MAX_MS = 1_600  # half of the time in which a node counts as in touch again
+RETRY_EMPTY_MS = 200  # while nothing is known yet, and so no call can be served
 
 
 class StoreFollower:
@@ -73,7 +74,8 @@
             except StoreUnavailable as error:
                 self._note_reachable(False, str(error))
                 await asyncio.sleep(retry_ms / 1_000)
-                retry_ms = min(RETRY_MAX_MS, 2 * retry_ms)
+                longest_ms = RETRY_MAX_MS if self._fleet.is_complete else RETRY_EMPTY_MS
+                retry_ms = min(longest_ms, 2 * retry_ms)
 
     async def _reread(self, prefix: str) -> None:
         while True:
@@ -99,7 +101,8 @@
 
     async def _call(self, name: str, call: Callable[[], Awaitable[Listing]]) -> Listing:
         self._metrics.store_calls.labels(name).inc()
-        listing = await call()
+        with self._metrics.store_call_s.labels(name).time():
+            listing = await call()
         self._note_reachable(True, "")
         return listing
 
