Find slow servers by answers later than expected; end a stream at once when its caller has left

Cause: a server that works eight times slower was no outlier; an error while writing to a caller counted as the engine's, so a resumable stream was sent to a second engine for a caller that had gone (test_caller_that_left_is_not_served_by_another_engine). Change: lateness by server, smoothed and fading, enters placement; CallerGone is told apart from a broken engine.

--- a/src/boragetiller/gateway/answers.py
+++ b/src/boragetiller/gateway/answers.py
@@ -52,6 +52,10 @@
     )
 
 
+class CallerGone(Exception):
+    """The caller closed its connection; nothing more is to be sent anywhere for it."""
+
+
 class EventSink:
     """Relays events to a caller; its head is sent with the first event."""
 
@@ -72,12 +76,15 @@
         :param status: status of the backend server, for the first write
         :param headers: headers for the caller, for the first write
         :param data: bytes of whole events
-        :raises ConnectionError: the caller has left
+        :raises CallerGone: the caller has left
         """
-        if self._response is None:
-            self._response = web.StreamResponse(status=status, headers=headers)
-            await self._response.prepare(self._request)
-        await self._response.write(data)
+        try:
+            if self._response is None:
+                self._response = web.StreamResponse(status=status, headers=headers)
+                await self._response.prepare(self._request)
+            await self._response.write(data)
+        except ConnectionError as error:
+            raise CallerGone from error
 
     async def end(self, status: int, headers: CIMultiDict[str]) -> web.StreamResponse:
         """
@@ -104,4 +111,4 @@
         return self._response
 
 
-__all__ = ["EventSink", "OwnAnswer", "own_response", "whole_response"]
+__all__ = ["CallerGone", "EventSink", "OwnAnswer", "own_response", "whole_response"]
--- a/src/boragetiller/gateway/callers.py
+++ b/src/boragetiller/gateway/callers.py
@@ -15,7 +15,7 @@
     RequestTooLarge,
 )
 from boragetiller.events import Event, log_event
-from boragetiller.gateway.answers import OwnAnswer, own_response
+from boragetiller.gateway.answers import CallerGone, OwnAnswer, own_response
 from boragetiller.gateway.call import admit_call
 from boragetiller.http_refusals import refusal_logger
 
@@ -110,7 +110,7 @@
             return self._refuse(error, request_id)
         try:
             return await self._runner.run(call, request)
-        except (asyncio.CancelledError, ConnectionError):
+        except (asyncio.CancelledError, ConnectionError, CallerGone) as error:
             self._metrics.left.labels(call.route.name).inc()
             log_event(
                 Event.CALLER_LEFT,
@@ -118,6 +118,8 @@
                 route=call.route.name,
                 elapsed_ms=self._clock.now_ms() - call.arrived_ms,
             )
+            if isinstance(error, CallerGone):
+                raise ConnectionResetError from error  # aiohttp's word for it
             raise
 
     def _refuse(self, error: BoragetillerError, request_id: str) -> web.Response:
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -9,11 +9,17 @@
 import attrs
 
 from boragetiller.gateway.answers import EventSink
+from boragetiller.gateway.call import Call
 from boragetiller.gateway.event_stream import EventSplitter
 from boragetiller.gateway.server_client import BROKEN, NEVER_SENT, OutgoingCall
-from boragetiller.systems.first_token import stream_sensitivity, uncached_tokens
+from boragetiller.systems.first_token import (
+    Placement,
+    note_delay,
+    stream_sensitivity,
+    uncached_tokens,
+)
 from boragetiller.systems.patience import stream_patience
-from boragetiller.tables.attempts import SendEnd, SendResult, WholeAnswer
+from boragetiller.tables.attempts import CallProgress, SendEnd, SendResult, WholeAnswer
 from boragetiller.tables.calls import ForwardFacts
 from boragetiller.tables.servers import PendingPrompt
 
@@ -22,17 +28,16 @@
 
     from boragetiller.clock import Clock
     from boragetiller.gateway.beliefs import Beliefs
-    from boragetiller.gateway.call import Call
     from boragetiller.gateway.fleet import Fleet
     from boragetiller.gateway.ports import Dialect
     from boragetiller.gateway.server_client import ServerAnswer
-    from boragetiller.systems.first_token import Placement, PlacementCosts
-    from boragetiller.tables.attempts import CallProgress
+    from boragetiller.systems.first_token import PlacementCosts
     from boragetiller.tables.calls import AnswerFacts
     from boragetiller.tables.servers import BackendServer
 
 SUCCESS = range(200, 300)
 FIRST_SERVER_ERROR = 500
+MISDIRECTED = 421
 
 
 @attrs.define(kw_only=True)
@@ -44,7 +49,6 @@
     first_event_ms: int | None = None  # monotonic time
     last_event_ms: int = 0  # monotonic time
     longest_pause_ms: int = 0  # between two events
-    status: int = 0
     complete: bool = False
 
     def note_event(self, now_ms: int) -> None:
@@ -73,6 +77,23 @@
             self.timer.reschedule(asyncio.get_running_loop().time() + self.between_events_s)
 
 
+@attrs.frozen(kw_only=True)
+class OneSend:
+    """One send of a call to one backend server."""
+
+    call: Call
+    placement: Placement  # where to, and what is expected there
+    progress: CallProgress  # relayed events are counted in it
+    stream: StreamState | None  # None for a whole answer
+    silence: SilenceLimit
+    began_ms: int  # monotonic time
+
+    @property
+    def server(self) -> BackendServer:
+        """:return: where the call goes"""
+        return self.placement.server
+
+
 class Sender:
     """Sends calls and keeps account of what is under way where."""
 
@@ -88,7 +109,7 @@
         Put the parts together.
 
         :param fleet: backend servers and their clients
-        :param beliefs: told of prompts that were read
+        :param beliefs: told of prompts that were sent
         :param dialect: words of the platform
         :param costs: figures of placement
         :param clock: monotonic time
@@ -114,57 +135,45 @@
         :param progress: the call so far; relayed events are counted in it
         :param stream: what the caller has of the stream, None for a whole answer
         :return: how the send ended
+        :raises CallerGone: the caller has left
         """
-        left_ms = call.time_left_ms(self._clock.now_ms())
-        silence = self._silence_limit(call, placement)
-        with self._accounted(call, placement.server):
+        send = OneSend(
+            call=call,
+            placement=placement,
+            progress=progress,
+            stream=stream,
+            silence=_silence_limit(call, placement),
+            began_ms=self._clock.now_ms(),
+        )
+        left_ms = call.time_left_ms(send.began_ms)
+        with self._accounted(send):
             try:
-                async with asyncio.timeout(left_ms / 1_000), silence.timer:
-                    return await self._exchange(call, placement.server, progress, stream, silence)
+                async with asyncio.timeout(left_ms / 1_000), send.silence.timer:
+                    return await self._exchange(send)
             except TimeoutError:
-                if silence.timer.expired():
+                if send.silence.timer.expired():
                     return SendResult(SendEnd.SILENT, detail="no event in time")
                 return SendResult(SendEnd.SILENT, detail="no whole answer in time")
 
-    def _silence_limit(self, call: Call, placement: Placement) -> SilenceLimit:
-        """Only streams that may go on elsewhere are not waited for until their deadline."""
-        if not (call.route.streamed and call.route.resumable):
-            return SilenceLimit(timer=asyncio.timeout(None), between_events_s=None)
-        patience = stream_patience(
-            call.route.target_ms, call.route.gap_target_ms, placement.first_event_ms
-        )
-        return SilenceLimit(
-            timer=asyncio.timeout(patience.first_event_ms / 1_000),
-            between_events_s=patience.between_events_ms / 1_000,
-        )
-
-    async def _exchange(
-        self,
-        call: Call,
-        server: BackendServer,
-        progress: CallProgress,
-        stream: StreamState | None,
-        silence: SilenceLimit,
-    ) -> SendResult:
-        outgoing = self._outgoing(call, server, stream)
+    async def _exchange(self, send: OneSend) -> SendResult:
+        outgoing = self._outgoing(send)
         try:
-            answer = await self._fleet.client(server).send(outgoing)
+            answer = await self._fleet.client(send.server).send(outgoing)
         except NEVER_SENT as error:
             return SendResult(SendEnd.UNREACHABLE, detail=repr(error))
         except BROKEN as error:
             return SendResult(SendEnd.LOST, detail=repr(error))
         try:
-            return await self._read(call, server, answer, progress, stream, silence)
+            return await self._read(send, answer)
         except BROKEN as error:
             return SendResult(SendEnd.LOST, detail=repr(error))
         finally:
             answer.close()
 
-    def _outgoing(
-        self, call: Call, server: BackendServer, stream: StreamState | None
-    ) -> OutgoingCall:
+    def _outgoing(self, send: OneSend) -> OutgoingCall:
+        call, stream = send.call, send.stream
         facts = ForwardFacts(
-            server_name=server.name,
+            server_name=send.server.name,
             deadline_ms=call.deadline_left_ms(self._clock.now_ms()),
             customer=call.customer.name if call.customer else None,
             tier=call.tier if call.group.engine else None,
@@ -175,52 +184,38 @@
             method=call.method, raw_path=call.raw_path, headers=headers, body=call.body
         )
 
-    async def _read(
-        self,
-        call: Call,
-        server: BackendServer,
-        answer: ServerAnswer,
-        progress: CallProgress,
-        stream: StreamState | None,
-        silence: SilenceLimit,
-    ) -> SendResult:
-        facts = answer.facts
+    async def _read(self, send: OneSend, answer: ServerAnswer) -> SendResult:
+        facts, stream = answer.facts, send.stream
+        succeeded = facts.status in SUCCESS
         if facts.not_run:
-            end = SendEnd.MISDIRECTED if facts.status == 421 else SendEnd.FULL
+            end = SendEnd.MISDIRECTED if facts.status == MISDIRECTED else SendEnd.FULL
             return SendResult(end, detail=f"status {facts.status}")
-        if facts.encoded or (facts.status in SUCCESS and not facts.sealed):
+        if facts.encoded or (succeeded and not facts.sealed):
             return SendResult(SendEnd.GARBLED, detail=f"status {facts.status}, no receipt")
-        if stream is not None and stream.sink.started and facts.status not in SUCCESS:
+        if stream is not None and succeeded:
+            return await self._relay(send, stream, answer)
+        if stream is not None and stream.sink.started:
             return SendResult(SendEnd.LOST, detail=f"status {facts.status} to a resumed stream")
-        if stream is not None and facts.status in SUCCESS:
-            return await self._relay(call, server, answer, progress, stream, silence)
         body = await answer.read()
+        self._note_delay(send)
         return _whole_result(facts, self._whole(answer, body))
 
-    async def _relay(
-        self,
-        call: Call,
-        server: BackendServer,
-        answer: ServerAnswer,
-        progress: CallProgress,
-        stream: StreamState,
-        silence: SilenceLimit,
-    ) -> SendResult:
+    async def _relay(self, send: OneSend, stream: StreamState, answer: ServerAnswer) -> SendResult:
         splitter = EventSplitter(stream.last_event_id)
         headers = self._dialect.answer_headers(answer.headers)
         async for chunk in answer.chunks():
             events = splitter.feed(chunk)
             if not events.count:
                 continue
-            silence.note_event()
+            send.silence.note_event()
             stream.note_event(self._clock.now_ms())
-            server.pending.pop(call.facts.request_id, None)
+            if send.server.pending.pop(send.call.facts.request_id, None) is not None:
+                self._note_delay(send)
             await stream.sink.write(answer.facts.status, headers, events.data)
-            progress.relayed_events += events.count
+            send.progress.relayed_events += events.count
             stream.last_event_id = events.last_id
         if splitter.has_rest:
             return SendResult(SendEnd.GARBLED, detail="the stream ended inside an event")
-        stream.status = answer.facts.status
         stream.complete = True
         return SendResult(SendEnd.ANSWERED, self._whole(answer, b""))
 
@@ -228,17 +223,22 @@
         headers = self._dialect.answer_headers(answer.headers)
         return WholeAnswer(status=answer.facts.status, headers=headers, body=body)
 
+    def _note_delay(self, send: OneSend) -> None:
+        now_ms = self._clock.now_ms()
+        expected_ms = send.placement.first_event_ms
+        note_delay(send.server, now_ms - send.began_ms, expected_ms, now_ms)
+
     @contextmanager
-    def _accounted(self, call: Call, server: BackendServer) -> Iterator[None]:
+    def _accounted(self, send: OneSend) -> Iterator[None]:
+        call, server = send.call, send.server
         request_id, prompt = call.facts.request_id, call.facts.prompt
         sensitivity = stream_sensitivity(call.route.gap_target_ms)
         server.in_flight += 1
         server.sensitivity += sensitivity
-        if prompt is not None:
+        if prompt is not None and call.group.engine is not None:
             tokens = int(uncached_tokens(server, prompt, self._costs))
-            server.pending[request_id] = PendingPrompt(tokens, call.tier, self._clock.now_ms())
-            if call.group.engine is not None:
-                self._beliefs.note_prompt(server, prompt, call.group.engine)
+            server.pending[request_id] = PendingPrompt(tokens, call.tier)
+            self._beliefs.note_prompt(server, prompt, call.group.engine)
         try:
             yield
         finally:
@@ -247,6 +247,19 @@
             server.pending.pop(request_id, None)
 
 
+def _silence_limit(call: Call, placement: Placement) -> SilenceLimit:
+    """Only streams that may go on elsewhere are not waited for until their deadline."""
+    if not (call.route.streamed and call.route.resumable):
+        return SilenceLimit(timer=asyncio.timeout(None), between_events_s=None)
+    patience = stream_patience(
+        call.route.target_ms, call.route.gap_target_ms, placement.first_event_ms
+    )
+    return SilenceLimit(
+        timer=asyncio.timeout(patience.first_event_ms / 1_000),
+        between_events_s=patience.between_events_ms / 1_000,
+    )
+
+
 def _whole_result(facts: AnswerFacts, answer: WholeAnswer) -> SendResult:
     if facts.status < FIRST_SERVER_ERROR:
         return SendResult(SendEnd.ANSWERED, answer)
@@ -255,4 +268,4 @@
     return SendResult(SendEnd.GARBLED, detail=f"status {facts.status} without a receipt")
 
 
-__all__ = ["Sender", "StreamState"]
+__all__ = ["OneSend", "Sender", "SilenceLimit", "StreamState"]
--- a/src/boragetiller/systems/first_token.py
+++ b/src/boragetiller/systems/first_token.py
@@ -25,6 +25,9 @@
     from boragetiller.tables.servers import PeerLoad
 
 PEER_LOAD_FADE_MS = 1_000  # reports come ten times a second; ten missed ones say nothing
+LATE_MEMORY_MS = 3_000.0  # a slow server is tried again after about so long
+LATE_SMOOTHING = 0.3  # weight of the newest answer
+MAX_LATE_MS = 2_000.0  # bounds what one answer may add
 SLOT_WAIT_MS = 50.0  # expected wait for a place per request beyond the slots
 CACHE_SHARE = 0.8  # of an engine's memory; the rest holds what its running requests generate
 SENSITIVE_GAP_MS = 200.0  # an event of four tokens beside a long prompt takes about as long
@@ -45,6 +48,7 @@
     owner_share: float = 0.3  # what a part is worth where all routers would look for it
     stall_weight: float = 1.0  # of time that a stream is stalled against time to a first event
     step_ms: float = 4.0  # for one token of each stream
+    late_weight: float = 0.3  # of answers later than expected; a part is the request's own doing
     work_weight: float = 2.0  # of reading time, which delays all that comes later
     usual_target_ms: float = 600.0  # latency target for which a ms of delay counts as one
     quiet_share: float = 0.2  # of engines, kept for streams that suffer from stalls
@@ -158,7 +162,7 @@
         others = server.sensitivity + sum(load.sensitivity for load in peers)
         busy = read_share(server, costs, now_ms)
         harm_ms += _stall_ms(request, costs, sum(unread), new_tokens, others, busy, duty)
-    first_ms *= server.health.first_event_ratio
+    first_ms += costs.late_weight * lateness_ms(server, now_ms)
     haste = min(MAX_HASTE, costs.usual_target_ms / request.target_ms)
     return Placement(
         server=server,
@@ -171,6 +175,33 @@
     )
 
 
+def note_delay(server: BackendServer, measured_ms: float, expected_ms: float, now_ms: int) -> None:
+    """
+    Note how much later than expected a server answered, to find slow ones.
+
+    :param server: who answered
+    :param measured_ms: time to the first event or to the whole answer
+    :param expected_ms: what placement expected
+    :param now_ms: monotonic time in milliseconds
+    """
+    late_ms = min(MAX_LATE_MS, max(0.0, measured_ms - expected_ms))
+    before_ms = lateness_ms(server, now_ms)
+    server.health.late_ms = (1 - LATE_SMOOTHING) * before_ms + LATE_SMOOTHING * late_ms
+    server.health.late_noted_ms = now_ms
+
+
+def lateness_ms(server: BackendServer, now_ms: int) -> float:
+    """
+    Tell how much later than expected a server answers; it fades, so that it is tried again.
+
+    :param server: the server
+    :param now_ms: monotonic time in milliseconds
+    :return: milliseconds
+    """
+    age_ms = max(0, now_ms - server.health.late_noted_ms)
+    return server.health.late_ms * math.exp(-age_ms / LATE_MEMORY_MS)
+
+
 def quiet_servers(servers: list[BackendServer], costs: PlacementCosts) -> set[str]:
     """
     Choose the engines that long prompts avoid, the same ones on each router.
@@ -331,6 +362,8 @@
     "choose_server",
     "engine_cache_tokens",
     "estimate_placement",
+    "lateness_ms",
+    "note_delay",
     "note_read",
     "quiet_servers",
     "read_share",
--- a/src/boragetiller/tables/servers.py
+++ b/src/boragetiller/tables/servers.py
@@ -33,7 +33,6 @@
 
     tokens: int  # not held in the engine's cache, as far as known
     tier: int
-    sent_ms: int
 
 
 @attrs.define
@@ -43,7 +42,8 @@
     failures: int = 0  # in a row
     ejections: int = 0  # since the last success
     ejected_until_ms: int = 0
-    first_event_ratio: float = 1.0  # measured over expected time to the first event, smoothed
+    late_ms: float = 0.0  # answers later than expected, smoothed; see systems.first_token
+    late_noted_ms: int = 0
 
     def is_ejected(self, now_ms: int) -> bool:
         """:return: whether new work avoids the server"""
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -146,6 +146,16 @@
         body = await _read(site, "/gauges/", Last_Event_Id="2")
         self.assertEqual(body, event(3) + event(4))
 
+    async def test_caller_that_left_is_not_served_by_another_engine(self) -> None:
+        site = await self.serve(stream_whole)
+        left = ConnectionResetError("the caller has left")
+        with (
+            patch("aiohttp.web.StreamResponse.write", side_effect=left),
+            self.assertRaises(aiohttp.ClientError),
+        ):
+            await _read(site, "/gauges/")
+        self.assertEqual(self.served, 1)
+
     async def test_urgency_is_that_of_the_customer(self) -> None:
         site = await self.serve(stream_whole)
         await _read(site, "/quotes/")
--- a/tests/systems/test_first_token.py
+++ b/tests/systems/test_first_token.py
@@ -11,6 +11,8 @@
     PlacementCosts,
     PlacementRequest,
     choose_server,
+    lateness_ms,
+    note_delay,
     note_read,
     quiet_servers,
     read_share,
@@ -82,6 +84,13 @@
             server.health.ejected_until_ms = 50
         self.assertIsNotNone(self.choose(make_request(None)))
 
+    def test_choose_avoids_a_server_that_answers_late_until_that_fades(self) -> None:
+        for _ in range(3):
+            note_delay(self.servers[0], 400, 10, 0)
+        self.assertIsNot(self.choose(make_request(None)), self.servers[0])
+        self.assertGreater(lateness_ms(self.servers[0], 0), 200)
+        self.assertLess(lateness_ms(self.servers[0], 20_000), 1)
+
     def test_choose_prefers_the_engine_that_has_read_the_part(self) -> None:
         other = make_prompt("part", 13_000, "else", 3_000)
         for server in self.servers:
@@ -93,7 +102,7 @@
     def test_choose_leaves_that_engine_when_its_queue_is_much_longer(self) -> None:
         holder = self.choose(make_request(self.prompt))
         note_read(holder, self.prompt, COSTS, CACHE_TOKENS, 0)
-        holder.pending["x"] = PendingPrompt(tokens=200_000, tier=0, sent_ms=0)
+        holder.pending["x"] = PendingPrompt(tokens=200_000, tier=0)
         self.assertIsNot(self.choose(make_request(self.prompt)), holder)
 
     def test_choose_counts_the_work_of_peers_until_it_is_stale(self) -> None:
@@ -176,6 +185,7 @@
     def replay(self, *, exchange: bool, least_outstanding: bool = False) -> int:
         """:return: tokens of shared parts that were read more than once"""
         rng = Random(7)
+        self.ends_ms: dict[str, float] = {}
         tables = [[make_server(f"e{n}") for n in range(5)] for _ in range(self.ROUTERS)]
         held: dict[str, set[str]] = {f"e{n}": set() for n in range(5)}
         free_ms = dict.fromkeys(held, 0.0)
@@ -185,7 +195,7 @@
             router = rng.randrange(self.ROUTERS)
             shared = f"p{rng.randrange(self.THINGS)}"
             prompt = make_prompt(shared, 13_000, f"own{number}", 3_700)
-            self._forget_read(tables, free_ms, now_ms)
+            self._forget_read(tables, now_ms)
             name = self._place(tables[router], prompt, now_ms, least_outstanding=least_outstanding)
             new = 3_700 if shared in held[name] else 16_700
             if new > 3_700 and any(shared in parts for parts in held.values()):
@@ -212,15 +222,14 @@
     ) -> None:
         server = next(server for server in table if server.name == name)
         tokens = int(uncached_tokens(server, prompt, COSTS))
-        server.pending[str(number)] = PendingPrompt(tokens, 2, int(end_ms))
+        server.pending[str(number)] = PendingPrompt(tokens, 2)
+        self.ends_ms[str(number)] = end_ms
         note_read(server, prompt, COSTS, CACHE_TOKENS, number * self.GAP_MS)
 
-    def _forget_read(
-        self, tables: list[list[BackendServer]], free_ms: dict[str, float], now_ms: int
-    ) -> None:
+    def _forget_read(self, tables: list[list[BackendServer]], now_ms: int) -> None:
         for table in tables:
             for server in table:
-                done = [key for key, p in server.pending.items() if p.sent_ms <= now_ms]
+                done = [key for key in server.pending if self.ends_ms[key] <= now_ms]
                 for key in done:
                     del server.pending[key]
 
