Split placement, prompt beliefs and server health; bound the exchange between routers

Change: tables/placement, systems/prompt_cache, lateness in systems/server_health; a router that cannot be reached for 30 s and is no seed is forgotten; entries go one by one and a large one is withheld and logged. Tests: test_router_that_is_gone_is_forgotten_and_a_seed_is_not, test_entry_too_large_to_send_keeps_back_no_other.

--- a/src/boragetiller/gateway/accounts.py
+++ b/src/boragetiller/gateway/accounts.py
@@ -12,8 +12,8 @@
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.sender import StreamState
     from boragetiller.systems.direct_outcomes import Refuse
-    from boragetiller.systems.first_token import Placement
     from boragetiller.tables.attempts import CallProgress, SendResult
+    from boragetiller.tables.placement import Placement
 
 
 class CallAccounts:
--- a/src/boragetiller/gateway/beliefs.py
+++ b/src/boragetiller/gateway/beliefs.py
@@ -8,15 +8,15 @@
 import attrs
 
 from boragetiller.gateway.peer_messages import PeerReport, ReadPrompt, SentLoad
-from boragetiller.systems.first_token import engine_cache_tokens, note_read
+from boragetiller.systems.prompt_cache import engine_cache_tokens, note_read
 from boragetiller.tables.servers import PeerLoad
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
     from boragetiller.gateway.fleet import Fleet
     from boragetiller.gateway.settings import Endpoint
-    from boragetiller.systems.first_token import PlacementCosts
     from boragetiller.tables.calls import Prompt
+    from boragetiller.tables.placement import PlacementCosts
     from boragetiller.tables.routes import EngineProfile
     from boragetiller.tables.servers import BackendServer
     from boragetiller.tables.store_view import StoredItem
--- a/src/boragetiller/gateway/hedging.py
+++ b/src/boragetiller/gateway/hedging.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from boragetiller.systems.first_token import Placement
 from boragetiller.tables.attempts import SendEnd, SendResult
+from boragetiller.tables.placement import Placement
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
--- a/src/boragetiller/gateway/peers.py
+++ b/src/boragetiller/gateway/peers.py
@@ -10,12 +10,13 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import attrs
 
 from boragetiller.clock import new_incarnation
-from boragetiller.control.errors import BadFrame
+from boragetiller.control.errors import BadFrame, FrameTooLarge
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.beliefs import FollowedRevisions
 from boragetiller.gateway.connections import detect_silence
@@ -37,6 +38,7 @@
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.peer_messages import PeerMessage
     from boragetiller.gateway.settings import GatewaySettings
+    from boragetiller.tables.store_view import StoredItem
 
 REPORT_INTERVAL_MS = 100  # a long prompt takes longer to read, so each one is seen by the others
 QUIET_INTERVAL_MS = 500  # between reports that say nothing new
@@ -45,7 +47,8 @@
 SILENT_MS = 3_000  # without a report
 LAG_MS = 300  # how long a peer may lag behind the store before it is sent what it lacks
 MAX_BUFFER_BYTES = 2_000_000  # a peer that does not read loses its connection
-MAX_PEERS = 64
+MAX_PEERS = 64  # bounds the exchange: 64 reports of 100 to 300 bytes ten times a second
+FORGET_MS = 30_000  # a router that cannot be reached for so long, and is no seed, is gone
 
 
 @attrs.define
@@ -80,6 +83,7 @@
         self._dialed: dict[Endpoint, asyncio.Task[None]] = {}
         self._inbound: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
+        self._seeds: tuple[Endpoint, ...] = ()
         self.endpoint: Endpoint | None = None  # where this router listens, once started
 
     async def start(self) -> None:
@@ -96,11 +100,16 @@
         """
         Connect to routers that are not connected yet, and keep trying.
 
-        :param endpoints: where they listen
+        :param endpoints: where they listen; these are tried for ever
         """
+        self._seeds = endpoints
         for endpoint in endpoints:
             self._dial(endpoint)
 
+    def reached(self) -> set[Endpoint]:
+        """:return: routers to which a connection is kept or tried"""
+        return set(self._dialed)
+
     async def close(self) -> None:
         """Close all connections."""
         if self._server is not None:
@@ -119,22 +128,21 @@
         self._dialed[endpoint] = asyncio.create_task(self._keep_sending(endpoint))
 
     async def _keep_sending(self, endpoint: Endpoint) -> None:
-        while True:
-            try:
+        reached_ms = self._clock.now_ms()
+        while endpoint in self._seeds or self._clock.now_ms() - reached_ms < FORGET_MS:
+            with suppress(OSError, TimeoutError):
                 _, writer = await within(
                     CONNECT_TIMEOUT_MS / 1_000,
                     asyncio.open_connection(endpoint.address, endpoint.port),
                 )
-            except (OSError, TimeoutError):
-                await asyncio.sleep(RECONNECT_MS / 1_000)
-                continue
-            try:
-                detect_silence(writer.get_extra_info("socket"))
-                await self._send_reports(writer)
-            except (OSError, TimeoutError):
-                await asyncio.sleep(RECONNECT_MS / 1_000)
-            finally:
-                writer.transport.abort()
+                try:
+                    detect_silence(writer.get_extra_info("socket"))
+                    await self._send_reports(writer)
+                finally:
+                    writer.transport.abort()
+                    reached_ms = self._clock.now_ms()
+            await asyncio.sleep(RECONNECT_MS / 1_000)
+        del self._dialed[endpoint]
 
     async def _send_reports(self, writer: asyncio.StreamWriter) -> None:
         assert self.endpoint is not None
@@ -169,9 +177,16 @@
             return
         items = self._beliefs.items_after(peer.revisions)
         if items:
-            writer.write(encode_frame(PeerItems(tuple(items))))
+            self._send_items(writer, items)
         peer.behind_since_ms = self._clock.now_ms()
 
+    def _send_items(self, writer: asyncio.StreamWriter, items: list[StoredItem]) -> None:
+        for item in items:  # one by one, so that a large one keeps back no other
+            try:
+                writer.write(encode_frame(PeerItems((item,))))
+            except FrameTooLarge as error:
+                log_event(Event.PEER_ITEM_WITHHELD, key=item.key, reason=str(error))
+
     def _peer_at(self, address: tuple[str, int]) -> HeardPeer | None:
         name = self._beliefs.peer_names.get(Endpoint(*address[:2]))
         return self._heard.get(name) if name else None
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -18,7 +18,7 @@
 from boragetiller.gateway.peers import PeerExchange
 from boragetiller.gateway.runner import CallRunner
 from boragetiller.gateway.store_follower import StoreFollower
-from boragetiller.systems.first_token import PlacementCosts
+from boragetiller.tables.placement import PlacementCosts
 from boragetiller.timeouts import wait_until_idle
 
 if TYPE_CHECKING:
--- a/src/boragetiller/gateway/runner.py
+++ b/src/boragetiller/gateway/runner.py
@@ -19,10 +19,11 @@
     decide_next,
     note_send,
 )
-from boragetiller.systems.first_token import PlacementRequest, choose_server, stream_sensitivity
+from boragetiller.systems.first_token import choose_server, stream_sensitivity
 from boragetiller.systems.patience import hedge_after_ms
 from boragetiller.systems.server_health import note_end
 from boragetiller.tables.attempts import CallProgress, SendEnd
+from boragetiller.tables.placement import PlacementRequest
 from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -36,8 +37,8 @@
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.ports import Dialect
     from boragetiller.gateway.settings import GatewaySettings
-    from boragetiller.systems.first_token import Placement, PlacementCosts
     from boragetiller.tables.attempts import SendResult
+    from boragetiller.tables.placement import Placement, PlacementCosts
 
 RETRY_AFTER_S = (0.1, 0.4)  # spreads returns over the time in which places come free
 
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -12,15 +12,13 @@
 from boragetiller.gateway.call import Call
 from boragetiller.gateway.event_stream import EventSplitter
 from boragetiller.gateway.server_client import BROKEN, NEVER_SENT, OutgoingCall
-from boragetiller.systems.first_token import (
-    Placement,
-    note_delay,
-    stream_sensitivity,
-    uncached_tokens,
-)
+from boragetiller.systems.first_token import stream_sensitivity
 from boragetiller.systems.patience import stream_patience
+from boragetiller.systems.prompt_cache import uncached_tokens
+from boragetiller.systems.server_health import note_delay
 from boragetiller.tables.attempts import CallProgress, SendEnd, SendResult, WholeAnswer
 from boragetiller.tables.calls import ForwardFacts
+from boragetiller.tables.placement import Placement
 from boragetiller.tables.servers import PendingPrompt
 
 if TYPE_CHECKING:
@@ -31,8 +29,8 @@
     from boragetiller.gateway.fleet import Fleet
     from boragetiller.gateway.ports import Dialect
     from boragetiller.gateway.server_client import ServerAnswer
-    from boragetiller.systems.first_token import PlacementCosts
     from boragetiller.tables.calls import AnswerFacts
+    from boragetiller.tables.placement import PlacementCosts
     from boragetiller.tables.servers import BackendServer
 
 SUCCESS = range(200, 300)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -4,15 +4,17 @@
 
 import asyncio
 import unittest
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from boragetiller.control.errors import BadFrame
+from boragetiller.control.errors import BadFrame, FrameTooLarge
 from boragetiller.gateway.peer_messages import (
     LENGTH_BYTES,
     PeerHello,
     PeerItems,
+    PeerMessage,
     PeerReport,
     ReadPrompt,
     SentLoad,
@@ -94,6 +96,29 @@
         await first.router.abort()
         await wait_until(lambda: not seen.peers)
 
+    async def test_router_that_is_gone_is_forgotten_and_a_seed_is_not(self) -> None:
+        first, second = await self.pair(MemoryStore())
+        gone = second.router.peers.endpoint
+        seed = first.router.peers.endpoint
+        await wait_until(lambda: gone in first.router.peers.reached())
+        module = "boragetiller.gateway.peers"
+        with patch(f"{module}.FORGET_MS", 0), patch(f"{module}.RECONNECT_MS", 5):
+            await second.router.abort()
+            await wait_until(lambda: gone not in first.router.peers.reached())
+            await first.router.abort()
+        self.assertIn(seed, second.router.peers.reached())
+
+    async def test_entry_too_large_to_send_keeps_back_no_other(self) -> None:
+        store = MemoryStore()
+        store.down = True
+        with patch("boragetiller.gateway.peers.encode_frame", side_effect=_refuse_large):
+            first, second = await self.pair(store)
+            first.store.put("servers/large", b"x" * 5_000)
+            first.store.put("op/config", config(4))
+            await wait_until(lambda: second.router.fleet.config is not None)
+            await wait_until(lambda: second.router.fleet.config.version == 4)
+        self.assertNotIn("servers/large", second.router.fleet.view.items)
+
     async def test_stranger_that_sends_no_message_is_cut_off(self) -> None:
         store = MemoryStore()
         first, _ = await self.pair(store)
@@ -144,5 +169,12 @@
             return
 
 
+def _refuse_large(message: PeerMessage) -> bytes:
+    data = encode_frame(message)
+    if len(data) > 4_000:
+        raise FrameTooLarge
+    return data
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/systems/test_first_token.py
+++ b/tests/systems/test_first_token.py
@@ -7,19 +7,11 @@
 
 import attrs
 
-from boragetiller.systems.first_token import (
-    PlacementCosts,
-    PlacementRequest,
-    choose_server,
-    lateness_ms,
-    note_delay,
-    note_read,
-    quiet_servers,
-    read_share,
-    stream_sensitivity,
-    uncached_tokens,
-)
+from boragetiller.systems.first_token import choose_server, quiet_servers, stream_sensitivity
+from boragetiller.systems.prompt_cache import note_read, read_share, uncached_tokens
+from boragetiller.systems.server_health import lateness_ms, note_delay
 from boragetiller.tables.calls import Prompt, PromptPart
+from boragetiller.tables.placement import PlacementCosts, PlacementRequest
 from boragetiller.tables.servers import (
     BackendServer,
     PeerLoad,
