--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -15,7 +15,6 @@
 from boragetiller.systems.first_token import stream_sensitivity
 from boragetiller.systems.patience import stream_patience
 from boragetiller.systems.prompt_cache import uncached_tokens
-from boragetiller.systems.server_health import note_delay
 from boragetiller.tables.attempts import CallProgress, SendEnd, SendResult, WholeAnswer
 from boragetiller.tables.calls import ForwardFacts
 from boragetiller.tables.placement import Placement
@@ -84,7 +83,6 @@
     progress: CallProgress  # relayed events are counted in it
     stream: StreamState | None  # None for a whole answer
     silence: SilenceLimit
-    began_ms: int  # monotonic time
 
     @property
     def server(self) -> BackendServer:
@@ -141,9 +139,8 @@
             progress=progress,
             stream=stream,
             silence=_silence_limit(call, placement),
-            began_ms=self._clock.now_ms(),
         )
-        left_ms = call.time_left_ms(send.began_ms)
+        left_ms = call.time_left_ms(self._clock.now_ms())
         with self._accounted(send):
             try:
                 async with asyncio.timeout(left_ms / 1_000), send.silence.timer:
@@ -195,7 +192,6 @@
         if stream is not None and stream.sink.started:
             return SendResult(SendEnd.LOST, detail=f"status {facts.status} to a resumed stream")
         body = await answer.read()
-        self._note_delay(send)
         return _whole_result(facts, self._whole(answer, body))
 
     async def _relay(self, send: OneSend, stream: StreamState, answer: ServerAnswer) -> SendResult:
@@ -207,8 +203,7 @@
                 continue
             send.silence.note_event()
             stream.note_event(self._clock.now_ms())
-            if send.server.pending.pop(send.call.facts.request_id, None) is not None:
-                self._note_delay(send)
+            send.server.pending.pop(send.call.facts.request_id, None)
             await stream.sink.write(answer.facts.status, headers, events.data)
             send.progress.relayed_events += events.count
             stream.last_event_id = events.last_id
@@ -221,11 +216,6 @@
         headers = self._dialect.answer_headers(answer.headers)
         return WholeAnswer(status=answer.facts.status, headers=headers, body=body)
 
-    def _note_delay(self, send: OneSend) -> None:
-        now_ms = self._clock.now_ms()
-        expected_ms = send.placement.first_event_ms
-        note_delay(send.server, now_ms - send.began_ms, expected_ms, now_ms)
-
     @contextmanager
     def _accounted(self, send: OneSend) -> Iterator[None]:
         call, server = send.call, send.server
--- a/src/boragetiller/systems/first_token.py
+++ b/src/boragetiller/systems/first_token.py
@@ -14,7 +14,6 @@
 
 from boragetiller.hashing import mix, stable_hash
 from boragetiller.systems.prompt_cache import read_share, uncached_tokens
-from boragetiller.systems.server_health import lateness_ms
 from boragetiller.tables.placement import Placement, PlacementCosts, PlacementRequest, ServerDuty
 
 if TYPE_CHECKING:
@@ -103,7 +102,6 @@
         others = server.sensitivity + sum(load.sensitivity for load in peers)
         busy = read_share(server, costs, now_ms)
         harm_ms += _stall_ms(request, costs, sum(unread), new_tokens, others, busy, duty)
-    first_ms += costs.late_weight * lateness_ms(server, now_ms)
     haste = min(MAX_HASTE, costs.usual_target_ms / request.target_ms)
     return Placement(
         server=server,
--- a/src/boragetiller/tables/placement.py
+++ b/src/boragetiller/tables/placement.py
@@ -19,7 +19,6 @@
     owner_share: float = 0.3  # what a part is worth where all routers would look for it
     stall_weight: float = 1.0  # of time that a stream is stalled against time to a first event
     step_ms: float = 4.0  # for one token of each stream
-    late_weight: float = 0.3  # of answers later than expected; a part is the request's own doing
     work_weight: float = 2.0  # of reading time, which delays all that comes later
     usual_target_ms: float = 600.0  # latency target for which a ms of delay counts as one
     quiet_share: float = 0.2  # of engines, kept for streams that suffer from stalls
--- a/src/boragetiller/tables/servers.py
+++ b/src/boragetiller/tables/servers.py
@@ -42,8 +42,6 @@
     failures: int = 0  # in a row
     ejections: int = 0  # since the last success
     ejected_until_ms: int = 0
-    late_ms: float = 0.0  # answers later than expected, smoothed; see systems.first_token
-    late_noted_ms: int = 0
 
     def is_ejected(self, now_ms: int) -> bool:
         """:return: whether new work avoids the server"""
