Drop counters that repeat others; choose a stream's headers once

Read once more: CallProgress.runs was the size of ran_on, as no server gets a call twice; arrivals and IDLE_MARGIN_S were read nowhere; the headers of each streamed answer were chosen twice; a comment named the module that a split had emptied. Behaviour is unchanged and no test is.

--- a/src/boragetiller/gateway/fleet.py
+++ b/src/boragetiller/gateway/fleet.py
@@ -108,8 +108,7 @@
         :param source: where it comes from, for the log
         """
         news = self.view.take_listing(prefix, items, revision)
-        first = not self.listed and prefix == self.dialect.servers_prefix
-        self.listed = self.listed or first
+        self.listed = self.listed or prefix == self.dialect.servers_prefix
         self._apply(news, source)
 
     async def close(self) -> None:
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -191,8 +191,9 @@
             return await self._relay(send, stream, answer)
         if stream is not None and stream.sink.started:
             return SendResult(SendEnd.LOST, detail=f"status {facts.status} to a resumed stream")
+        headers = self._dialect.answer_headers(answer.headers)
         body = await answer.read()
-        return _whole_result(facts, self._whole(answer, body))
+        return _whole_result(facts, WholeAnswer(status=facts.status, headers=headers, body=body))
 
     async def _relay(self, send: OneSend, stream: StreamState, answer: ServerAnswer) -> SendResult:
         splitter = EventSplitter(stream.last_event_id)
@@ -210,11 +211,8 @@
         if splitter.has_rest:
             return SendResult(SendEnd.GARBLED, detail="the stream ended inside an event")
         stream.complete = True
-        return SendResult(SendEnd.ANSWERED, self._whole(answer, b""))
-
-    def _whole(self, answer: ServerAnswer, body: bytes) -> WholeAnswer:
-        headers = self._dialect.answer_headers(answer.headers)
-        return WholeAnswer(status=answer.facts.status, headers=headers, body=body)
+        whole = WholeAnswer(status=answer.facts.status, headers=headers, body=b"")
+        return SendResult(SendEnd.ANSWERED, whole)
 
     @contextmanager
     def _accounted(self, send: OneSend) -> Iterator[None]:
--- a/src/boragetiller/gateway/server_client.py
+++ b/src/boragetiller/gateway/server_client.py
@@ -20,7 +20,6 @@
 
 CONNECT_TIMEOUT_MS = 500  # a connection takes a few ms; a lost opening packet is sent again in 1 s
 IDLE_TIMEOUT_S = 4.0  # idle connections are let go before the backend server closes them
-IDLE_MARGIN_S = 1.0
 OWN_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 MAX_HEADER_BYTES = 65_536
 
--- a/src/boragetiller/systems/direct_outcomes.py
+++ b/src/boragetiller/systems/direct_outcomes.py
@@ -58,10 +58,7 @@
     :param result: how the send ended
     """
     progress.sends += 1
-    if result.end is not SendEnd.UNREACHABLE:
-        progress.arrivals += 1
     if result.verdict is not Verdict.NOT_RUN:
-        progress.runs += 1
         progress.ran_on.add(server)
     progress.verdict = progress.verdict.combined(result.verdict)
     if result.end is SendEnd.SERVER_ERROR:
@@ -109,7 +106,7 @@
         return GiveUpReason.NOT_REPEATABLE
     if progress.has_all_servers:
         return GiveUpReason.ATTEMPTS
-    if progress.sends - progress.runs >= MAX_REFUSED_SENDS:
+    if progress.sends - len(progress.ran_on) >= MAX_REFUSED_SENDS:
         return GiveUpReason.FULL
     if time_left_ms < MIN_TIME_LEFT_SHARE * target_ms:
         return GiveUpReason.DEADLINE
--- a/src/boragetiller/tables/attempts.py
+++ b/src/boragetiller/tables/attempts.py
@@ -60,8 +60,6 @@
     repeatable: bool
     max_servers: int  # backend servers that may run it
     sends: int = 0
-    arrivals: int = 0  # sends that reached a backend server
-    runs: int = 0  # sends after which it may have run
     ran_on: set[str] = attrs.field(factory=set)  # backend servers that may have run it
     relayed_events: int = 0
     verdict: Verdict = Verdict.NOT_RUN
--- a/src/boragetiller/tables/servers.py
+++ b/src/boragetiller/tables/servers.py
@@ -69,7 +69,7 @@
     peers: dict[str, PeerLoad] = attrs.field(factory=dict)  # by name of the router
     cached_parts: OrderedDict[str, int] = attrs.field(factory=OrderedDict)  # part id to tokens
     cached_tokens: int = 0
-    read_tokens: float = 0.0  # prompt tokens read lately, decaying; see systems.first_token
+    read_tokens: float = 0.0  # prompt tokens read lately, decaying; see systems.prompt_cache
     read_noted_ms: int = 0
     health: ServerHealth = attrs.field(factory=ServerHealth)
     full_until_ms: int = 0  # it refused work for lack of places
