--- /dev/null
+++ b/bench/platform_variants.py
@@ -0,0 +1,119 @@
+"""
+Play days of a site with other placement, beside the product: baselines, and mechanisms taken out.
+
+    python -m bench.platform_variants FLEETBENCH SITE FOLDER --days scale-1,trouble-1 --jobs 3
+
+Each variant is a copy of the checkout below FOLDER (outside /tmp) with one module changed. All are
+trials: without charge for processor time, one run a day.
+"""
+
+from __future__ import annotations
+
+import re
+import shutil
+import subprocess
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import attrs
+import fire
+
+ROOT = Path(__file__).resolve().parent.parent
+PLACEMENT = Path("src/boragetiller/systems/first_token.py")
+COSTS = Path("src/boragetiller/tables/placement.py")
+COPIED = ("src", "platform", "deploy", "target")
+CHOICE = re.compile(r"    quiet = quiet_servers.*?    return min\(placements.*?\n", re.DOTALL)
+
+_ROUND_ROBIN = """
+    turn = sum(server.placed for server in servers)
+    server = usable[turn % len(usable)]
+    server.placed += 1
+    return estimate_placement(server, request, costs, now_ms, ServerDuty())
+"""
+_LEAST_OUTSTANDING = """
+    owner = _part_owner(usable, request.prompt)
+    least = min(server.in_flight for server in usable)
+    if owner is None or owner.in_flight > least + 4:
+        owner = min(usable, key=lambda server: server.in_flight)
+    return estimate_placement(owner, request, costs, now_ms, ServerDuty())
+"""
+
+
+@attrs.frozen
+class Variant:
+    """A change of one module."""
+
+    name: str
+    module: Path
+    pattern: re.Pattern[str]
+    text: str
+
+
+def _without(name: str, cost: str) -> Variant:
+    return Variant(
+        f"without {name}", COSTS, re.compile(rf"{cost}: float = [\d.]+"), f"{cost}: float = 0.0"
+    )
+
+
+VARIANTS = (
+    Variant("product", PLACEMENT, re.compile(r"(?!)"), ""),
+    Variant("round robin", PLACEMENT, CHOICE, _ROUND_ROBIN),
+    Variant("least outstanding with affinity", PLACEMENT, CHOICE, _LEAST_OUTSTANDING),
+    _without("stalls", "stall_weight"),
+    _without("work", "work_weight"),
+    _without("lateness", "late_weight"),
+    _without("quiet engines", "quiet_share"),
+    _without("owners", "owner_share"),
+    Variant(
+        "without peers",
+        PLACEMENT,
+        re.compile(r"PEER_LOAD_FADE_MS = [\d_]+"),
+        "PEER_LOAD_FADE_MS = -1",
+    ),
+)
+
+
+def main(fleetbench: str, site: str, folder: str, days: str = "scale-1", jobs: int = 2) -> None:
+    """
+    Play each variant on each day and print a row for each.
+
+    :param fleetbench: the users' bench
+    :param site: site file
+    :param folder: where the copies go, outside /tmp
+    :param days: names of days, divided by commas
+    :param jobs: days played at once
+    """
+    names = days if isinstance(days, tuple) else days.split(",")
+    plays = [(variant, day) for variant in VARIANTS for day in names]
+
+    def play(each: tuple[Variant, str]) -> str:
+        return _play(each[0], each[1], Path(fleetbench), Path(site), Path(folder))
+
+    with ThreadPoolExecutor(jobs) as pool:
+        for row in pool.map(play, plays):
+            print(row, flush=True)
+
+
+def _play(variant: Variant, day: str, fleetbench: Path, site: Path, folder: Path) -> str:
+    copy = folder / f"{variant.name.replace(' ', '-')}-{day}"
+    shutil.rmtree(copy, ignore_errors=True)
+    for name in COPIED:
+        shutil.copytree(ROOT / name, copy / name)
+    module = copy / variant.module
+    source, changes = variant.pattern.subn(variant.text, module.read_text(encoding="utf-8"))
+    if variant.text and changes != 1:
+        raise ValueError(f"{variant.name}: {variant.module} has changed")
+    module.write_text(source, encoding="utf-8")
+    table = copy / "src/boragetiller/tables/servers.py"  # round robin counts its turns there
+    text = table.read_text(encoding="utf-8")
+    field = "    joined_ms: int = 0\n"
+    table.write_text(text.replace(field, field + "    placed: int = 0\n"), encoding="utf-8")
+    subprocess.run(["git", "init", "-q"], cwd=copy, check=True)
+    command = [fleetbench.resolve(), "run", site.resolve(), day, "--no-cpu", "--why", "trial"]
+    played = subprocess.run(command, cwd=copy, capture_output=True, text=True, check=False)
+    rows = [line for line in played.stdout.splitlines() if line.startswith(f"{day} ")]
+    return f"{variant.name:34}{rows[0] if rows else 'no result'}"
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
