Leave no agent out of all subsets

A domain without routers had no one to share it out at all. Ruled out: filling up at random (moves more places on a change); a larger default. Change: places are matched twice, first each agent's share rounded down, then one more each; the own part grows where it is smaller than the domain; the nearest routers share out a domain that has no router.

--- a/src/boragetiller/systems/subsets.py
+++ b/src/boragetiller/systems/subsets.py
@@ -1,4 +1,10 @@
-"""Choose the few agents of a group that a router talks to."""
+"""
+Choose the few agents of a group that a router talks to.
+
+Every agent is in the subset of at least one router: the routers of a failure domain share out all
+agents of that domain, and where a domain has agents and no router, those of the nearest domains do.
+A subset grows beyond its size only where there are too few places for that.
+"""
 
 from __future__ import annotations
 
@@ -37,7 +43,7 @@
     router: Member, routers: Sequence[Member], agents: Sequence[Member], settings: PlacementSettings
 ) -> list[str]:
     """
-    Choose agents so that each agent is in about as many subsets as any other.
+    Choose agents so that each agent is in about as many subsets as any other, and in one at least.
 
     Processes that see the same lists agree, and replacing one host changes few subsets.
 
@@ -54,12 +60,17 @@
     by_domain: dict[str, list[Member]] = {}
     for agent in agents:
         by_domain.setdefault(agent.failure_domain, []).append(agent)
-    peers = {peer.name: peer for peer in (*routers, router)}.values()
+    peers = list({peer.name: peer for peer in (*routers, router)}.values())
     local = [peer for peer in peers if peer.failure_domain == router.failure_domain]
     chosen: list[str] = []
     for domain, places in _plan(router, by_domain, settings):
-        size = min(places, len(by_domain[domain]))
+        needed = len(by_domain[domain]) / len(local) if domain == router.failure_domain else 0
+        size = min(max(places, math.ceil(needed)), len(by_domain[domain]))
         chosen.extend(_match(local, by_domain[domain], size)[router.name])
+    for members in _without_router(router, peers, by_domain):
+        nearest = _nearest(peers, members[0])
+        chosen.extend(_match(nearest, members, math.ceil(len(members) / len(nearest)))[router.name])
+    chosen = list(dict.fromkeys(chosen))
     taken = set(chosen)
     rest = [agent for agent in agents if agent.name not in taken]
     return [*chosen, *_fill(router, rest, settings.subset_size - len(chosen))]
@@ -71,6 +82,20 @@
     return 1 if agent.region == router.region else 2
 
 
+def _without_router(
+    router: Member, peers: list[Member], by_domain: dict[str, list[Member]]
+) -> list[list[Member]]:
+    """Agents of each domain that has no router, where this router is one of the nearest."""
+    with_router = {peer.failure_domain for peer in peers}
+    orphans = [by_domain[domain] for domain in sorted(by_domain) if domain not in with_router]
+    return [members for members in orphans if router in _nearest(peers, members[0])]
+
+
+def _nearest(peers: list[Member], agent: Member) -> list[Member]:
+    """Routers of the agent's region, or all routers where the region has none."""
+    return [peer for peer in peers if peer.region == agent.region] or peers
+
+
 def _plan(
     router: Member, by_domain: dict[str, list[Member]], settings: PlacementSettings
 ) -> list[tuple[str, int]]:
@@ -111,12 +136,36 @@
 
 
 def _match(routers: list[Member], agents: list[Member], size: int) -> dict[str, list[str]]:
-    """Stable matching: each router gets `size` agents, each agent at most its even share."""
-    share = math.ceil(len(routers) * size / len(agents))
+    """
+    Give each router `size` agents, and each agent its even share of the places.
+
+    First each agent gets its share rounded down, so that none is left out while there are places
+    for all; the places that remain then go to one more router an agent.
+    """
+    chosen: dict[str, list[str]] = {router.name: [] for router in routers}
+    share = len(routers) * size // len(agents)
+    if share:
+        _add_matched(chosen, routers, agents, size, share)
+    _add_matched(chosen, routers, agents, size, 1)
+    return chosen
+
+
+def _add_matched(
+    chosen: dict[str, list[str]],
+    routers: list[Member],
+    agents: list[Member],
+    size: int,
+    share: int,
+) -> None:
+    """Stable matching: no router gets more than `size` in all, no agent more than `share` here."""
     held: dict[str, list[tuple[int, str]]] = {agent.name: [] for agent in agents}
-    matched: dict[str, int] = {router.name: 0 for router in routers}
-    wishes = {router.name: _preferences(router, agents) for router in routers}
-    open_routers = sorted(matched)
+    matched = {name: len(taken) for name, taken in chosen.items()}
+    wishes = {
+        router.name: _preferences(router, agents, set(chosen[router.name]))
+        for router in routers
+        if matched[router.name] < size
+    }
+    open_routers = sorted(wishes)
     while open_routers:
         name = open_routers.pop()
         while matched[name] < size and wishes[name]:
@@ -128,21 +177,15 @@
                 matched[loser] -= 1
                 if loser != name:
                     open_routers.append(loser)
-    return _by_router(held, matched)
-
-
-def _preferences(router: Member, agents: list[Member]) -> list[tuple[int, str]]:
-    return sorted((mix(router.seed ^ agent.seed), agent.name) for agent in agents)
-
-
-def _by_router(
-    held: dict[str, list[tuple[int, str]]], routers: dict[str, int]
-) -> dict[str, list[str]]:
-    chosen: dict[str, list[str]] = {name: [] for name in routers}
     for agent in sorted(held):
         for _, router in held[agent]:
             chosen[router].append(agent)
-    return chosen
+
+
+def _preferences(router: Member, agents: list[Member], taken: set[str]) -> list[tuple[int, str]]:
+    return sorted(
+        (mix(router.seed ^ agent.seed), agent.name) for agent in agents if agent.name not in taken
+    )
 
 
 __all__ = ["Member", "choose_subset"]
--- a/tests/systems/test_subsets.py
+++ b/tests/systems/test_subsets.py
@@ -3,9 +3,19 @@
 import unittest
 from collections import Counter
 
+from hypothesis import given, settings, strategies
+
 from boragetiller.settings import PlacementSettings
 from boragetiller.systems.subsets import Member, choose_subset
 
+HOSTS = strategies.lists(strategies.integers(0, 5), min_size=1, max_size=30)  # failure domains
+
+
+def members(kind: str, domains: list[int]) -> list[Member]:
+    return [
+        Member(f"{kind}-{n}", f"d{domain}", f"g{domain // 2}") for n, domain in enumerate(domains)
+    ]
+
 
 class SubsetsTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -52,6 +62,20 @@
         }
         self.assertEqual(sorted(a.name for a in agents if a.name not in chosen), [])
 
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(router_domains=HOSTS, agent_domains=HOSTS, size=strategies.integers(1, 12))
+    def test_no_agent_is_left_out_whatever_the_hosts(
+        self, router_domains: list[int], agent_domains: list[int], size: int
+    ) -> None:
+        routers = members("router", router_domains)
+        agents = members("agent", agent_domains)
+        bound = PlacementSettings(subset_size=size)
+        subsets = [choose_subset(router, routers, agents, bound) for router in routers]
+        self.assertEqual({name for chosen in subsets for name in chosen}, {a.name for a in agents})
+        for chosen in subsets:
+            self.assertEqual(len(chosen), len(set(chosen)))
+            self.assertGreaterEqual(len(chosen), min(size, len(agents)))
+
     def test_lost_domain_leaves_whole_subsets(self) -> None:
         self.agents = [agent for agent in self.agents if agent.failure_domain != "fd1"]
         for chosen in self.subsets().values():
