Remember which servers failed a request; share plain reads of the store

A request that crashes servers was not recognized by these routers at all. Ruled out: a third server within one try (routes allow two). Change: routers remember errors by fingerprint (customer, method, path, body) for 15 s and strikes of crashes (systems/strikes), tell each other, begin a next try elsewhere, and refuse a request after two confirmed crashes. A plain read by one router serves all that hear it; watches wait 15 s; in an outage one call tries, the other follows at once.

--- a/src/boragetiller/gateway/beliefs.py
+++ b/src/boragetiller/gateway/beliefs.py
@@ -9,6 +9,8 @@
 
 from boragetiller.gateway.peer_messages import PeerReport, ReadPrompt, SentLoad
 from boragetiller.systems.prompt_cache import engine_cache_tokens, note_read
+from boragetiller.systems.read_sharing import SharedReads
+from boragetiller.systems.request_history import take_failure
 from boragetiller.tables.servers import PeerLoad
 
 if TYPE_CHECKING:
@@ -36,6 +38,14 @@
         return self.config > other.config or self.servers > other.servers
 
 
+@attrs.frozen
+class ToldSoFar:
+    """How much of what happened here a peer has been told."""
+
+    prompts: int = 0
+    failures: int = 0
+
+
 class Beliefs:
     """This router's side of the exchange with its peers."""
 
@@ -49,6 +59,7 @@
         """
         self.peer_names: dict[Endpoint, str] = {}
         self.prompt_count = 0
+        self.reads = SharedReads()
         self._fleet = fleet
         self._costs = costs
         self._clock = clock
@@ -87,15 +98,19 @@
         self._prompts.append(ReadPrompt(server=server.name, prompt=prompt))
         self.prompt_count += 1
 
-    def report(self, prompts_seen: int) -> PeerReport:
+    def told_all(self) -> ToldSoFar:
+        """:return: what a peer knows that has been told everything"""
+        return ToldSoFar(self.prompt_count, self._fleet.history.news_count)
+
+    def report(self, told: ToldSoFar) -> PeerReport:
         """
         Build a report.
 
-        :param prompts_seen: how many prompts the peer has been told of
+        :param told: what the peer has been told
         :return: the report
         """
         revisions = self.revisions()
-        new = min(self.prompt_count - prompts_seen, len(self._prompts))
+        new = min(self.prompt_count - told.prompts, len(self._prompts))
         prompts = list(self._prompts)[len(self._prompts) - new :] if new else []
         servers = self._fleet.servers.by_name.values()
         return PeerReport(
@@ -103,6 +118,8 @@
             servers_revision=revisions.servers,
             loads=tuple(_load(server) for server in servers if server.in_flight),
             prompts=tuple(prompts),
+            failures=self._fleet.history.news_since(told.failures),
+            store_reads=self.reads.own_count,
         )
 
     def take_report(self, peer: str, report: PeerReport) -> None:
@@ -127,6 +144,9 @@
             )
         for prompt in report.prompts:
             self._take_prompt(prompt)
+        for failure in report.failures:
+            take_failure(self._fleet.history, failure, now_ms)
+        self.reads.note_peer(peer, report.store_reads, now_ms)
 
     def take_items(self, items: tuple[StoredItem, ...], peer: str) -> None:
         """
@@ -146,6 +166,7 @@
         """
         for server in self._fleet.servers.by_name.values():
             server.peers.pop(peer, None)
+        self.reads.peer_counts.pop(peer, None)
 
     def _take_prompt(self, prompt: ReadPrompt) -> None:
         server = self._fleet.servers.by_name.get(prompt.server)
@@ -169,4 +190,4 @@
     )
 
 
-__all__ = ["Beliefs", "FollowedRevisions"]
+__all__ = ["Beliefs", "FollowedRevisions", "ToldSoFar"]
--- a/src/boragetiller/gateway/call.py
+++ b/src/boragetiller/gateway/call.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDictProxy
 
 from boragetiller.errors import NotFound
+from boragetiller.systems.request_history import request_fingerprint
 from boragetiller.systems.routing import choose_group, find_customer, find_route, request_tier
 from boragetiller.tables.calls import CallFacts
 from boragetiller.tables.routes import BackendGroup, Route, RouteCustomer
@@ -34,6 +35,7 @@
     tier: int
     config_version: int
     arrived_ms: int
+    fingerprint: bytes  # the same for each try of the caller
 
     @property
     def limit_ms(self) -> float:
@@ -89,6 +91,7 @@
         tier=request_tier(route, customer),
         config_version=config.version,
         arrived_ms=arrived_ms,
+        fingerprint=request_fingerprint(customer.name if customer else "", method, raw_path, body),
     )
 
 
--- a/src/boragetiller/gateway/connections.py
+++ b/src/boragetiller/gateway/connections.py
@@ -113,7 +113,7 @@
     :return: the pool
     """
     connector = aiohttp.TCPConnector(
-        limit=0, keepalive_timeout=idle_timeout_s, socket_factory=_open_socket
+        limit=0, keepalive_timeout=idle_timeout_s, socket_factory=open_guarded_socket
     )
     loop = connector._loop  # noqa: SLF001
     connector._factory = functools.partial(GuardedProtocol, loop=loop)  # type: ignore[assignment]  # noqa: SLF001
@@ -133,7 +133,13 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_MS)
 
 
-def _open_socket(info: AddressInfo) -> socket.socket:
+def open_guarded_socket(info: AddressInfo) -> socket.socket:
+    """
+    Open a socket whose connection ends when its path goes silent.
+
+    :param info: address as aiohttp found it
+    :return: the socket, not connected
+    """
     family, kind, protocol, _, _ = info
     sock = socket.socket(family, kind, protocol)
     detect_silence(sock)
@@ -146,4 +152,5 @@
     "detect_silence",
     "guarded_connector",
     "identified_response",
+    "open_guarded_socket",
 ]
--- a/src/boragetiller/gateway/fleet.py
+++ b/src/boragetiller/gateway/fleet.py
@@ -8,7 +8,9 @@
 from boragetiller.errors import EntryUnreadable
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.server_client import ServerClient
+from boragetiller.systems.request_history import confirm_crash
 from boragetiller.systems.window_budget import WindowBudget
+from boragetiller.tables.request_history import RequestHistory
 from boragetiller.tables.servers import ServerTable
 from boragetiller.tables.store_view import StoreView
 
@@ -44,6 +46,7 @@
         self._metrics = metrics
         self.view = StoreView()
         self.servers = ServerTable()
+        self.history = RequestHistory()
         self.config: RouteConfig | None = None
         self.config_taken_ms = 0  # monotonic time since which it is in force
         self.listed = False  # whether the backend servers were ever listed
@@ -111,6 +114,20 @@
         self.listed = self.listed or prefix == self.dialect.servers_prefix
         self._apply(news, source)
 
+    def note_crash(self, server: str) -> None:
+        """
+        Strike the requests that a server ran when it crashed.
+
+        :param server: name of a server that refuses connections or has left the list
+        """
+        struck = confirm_crash(self.history, server, self._clock.now_ms())
+        if struck:
+            log_event(
+                Event.REQUESTS_STRUCK,
+                server=server,
+                fingerprints=[failure.fingerprint.hex() for failure in struck],
+            )
+
     async def close(self) -> None:
         """Close all connections."""
         for task in self._closing:
@@ -163,6 +180,7 @@
         self._metrics.servers.set(len(records))
         for server in gone:
             log_event(Event.SERVER_GONE, server=server.name, in_flight=server.in_flight)
+            self.note_crash(server.name)
             client = self._clients.pop(server.name, None)
             if client is not None:
                 self._close_later(client)
--- a/src/boragetiller/gateway/peer_messages.py
+++ b/src/boragetiller/gateway/peer_messages.py
@@ -12,6 +12,7 @@
 from boragetiller.control.errors import BadFrame
 from boragetiller.control.packing import WORD_BYTES, pack, unpack
 from boragetiller.tables.calls import Prompt, PromptPart
+from boragetiller.tables.request_history import FailureKind, RequestFailure
 from boragetiller.tables.store_view import StoredItem
 
 LENGTH_BYTES = 4
@@ -58,6 +59,8 @@
     servers_revision: int
     loads: tuple[SentLoad, ...] = ()
     prompts: tuple[ReadPrompt, ...] = ()
+    failures: tuple[RequestFailure, ...] = ()
+    store_reads: int = 0  # plain reads of the store by the sender
 
 
 @attrs.frozen
@@ -106,7 +109,8 @@
         )
     if isinstance(message, PeerReport):
         parts = sum(len(read.prompt.parts) for read in message.prompts)
-        return OTHER_WORDS + ITEM_WORDS * (len(message.loads) + len(message.prompts) + parts)
+        entries = len(message.loads) + len(message.prompts) + parts + len(message.failures)
+        return OTHER_WORDS + ITEM_WORDS * entries
     return OTHER_WORDS
 
 
@@ -145,9 +149,16 @@
         servers_revision=report.serversRevision,
         loads=tuple(loads),
         prompts=tuple(prompts),
+        failures=tuple(_read_failure(failure) for failure in report.failures),
+        store_reads=report.storeReads,
     )
 
 
+def _read_failure(failure: Any) -> RequestFailure:
+    kind = FailureKind.CRASH if failure.crashed else FailureKind.ERROR
+    return RequestFailure(bytes(failure.fingerprint), failure.server, kind)
+
+
 def _read_prompt(prompt: Any) -> Prompt:
     return Prompt(
         model=prompt.model,
@@ -198,6 +209,15 @@
         "serversRevision": message.servers_revision,
         "loads": loads,
         "prompts": prompts,
+        "failures": [
+            {
+                "fingerprint": failure.fingerprint,
+                "server": failure.server,
+                "crashed": failure.kind is FailureKind.CRASH,
+            }
+            for failure in message.failures
+        ],
+        "storeReads": message.store_reads,
     }
     return "report", report
 
--- a/src/boragetiller/gateway/peers.capnp
+++ b/src/boragetiller/gateway/peers.capnp
@@ -21,6 +21,14 @@
   serversRevision @1 :UInt64;
   loads @2 :List(Load);
   prompts @3 :List(ReadPrompt);
+  failures @4 :List(Failure);
+  storeReads @5 :UInt32;
+}
+
+struct Failure {
+  fingerprint @0 :Data;
+  server @1 :Text;
+  crashed @2 :Bool;
 }
 
 struct Load {
--- a/src/boragetiller/gateway/peers.py
+++ b/src/boragetiller/gateway/peers.py
@@ -155,11 +155,11 @@
         writer.write(encode_frame(hello))
         sent: PeerReport | None = None
         sent_ms = 0
-        prompts_seen = self._beliefs.prompt_count
+        told = self._beliefs.told_all()
         while not writer.transport.is_closing():
             now_ms = self._clock.now_ms()
-            report = self._beliefs.report(prompts_seen)
-            prompts_seen = self._beliefs.prompt_count
+            report = self._beliefs.report(told)
+            told = self._beliefs.told_all()
             if report != sent or now_ms - sent_ms >= QUIET_INTERVAL_MS:
                 writer.write(encode_frame(report))
                 sent, sent_ms = report, now_ms
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -56,7 +56,9 @@
         )
         self.peers = PeerExchange(settings, self.beliefs, clock, self.metrics)
         self.callers = CallerPort(self.fleet, runner, dialect, clock, self.metrics)
-        self._follower = StoreFollower(store, self.fleet, dialect, self.metrics)
+        self._follower = StoreFollower(
+            store, self.fleet, dialect, self.beliefs.reads, clock, self.metrics, rng
+        )
         self.caller_port = Listener(self.callers.server(), settings.callers)
         self.ready_port = Listener(_server(self._handle_ready), settings.readiness)
         self._listeners = [self.ready_port, self.caller_port]
--- a/src/boragetiller/gateway/runner.py
+++ b/src/boragetiller/gateway/runner.py
@@ -21,6 +21,13 @@
 )
 from boragetiller.systems.first_token import choose_server, stream_sensitivity
 from boragetiller.systems.patience import hedge_after_ms
+from boragetiller.systems.request_history import (
+    is_quarantined,
+    note_answered,
+    note_error,
+    note_lost,
+    without_failed,
+)
 from boragetiller.systems.server_health import note_end
 from boragetiller.tables.attempts import CallProgress, SendEnd
 from boragetiller.tables.placement import PlacementRequest
@@ -97,7 +104,11 @@
         :return: the response
         """
         run = _begin(call, request)
-        self._fleet.budget(call.group.name).note_request(self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        if is_quarantined(self._fleet.history, call.fingerprint, now_ms):
+            struck = Refuse(GiveUpReason.QUARANTINED, SendEnd.LOST, Verdict.NOT_RUN)
+            return self._give_up(run, None, struck, "it crashed the servers that ran it")
+        self._fleet.budget(call.group.name).note_request(now_ms)
         while True:
             placement = self._choose(run)
             if placement is None:
@@ -149,7 +160,9 @@
     def _choose(self, run: CallRun) -> Placement | None:
         call = run.call
         servers = self._fleet.servers.accepting(call.group.name)
+        now_ms = self._clock.now_ms()
         fresh = [server for server in servers if server.name not in run.tried]
+        fresh = without_failed(fresh, self._fleet.history, call.fingerprint, now_ms)
         placed = PlacementRequest(
             prompt=call.facts.prompt if call.group.engine else None,
             tier=call.tier,
@@ -157,15 +170,29 @@
             sensitivity=stream_sensitivity(call.route.gap_target_ms),
             failure_domain=self._settings.failure_domain,
         )
-        return choose_server(fresh, placed, self._costs, self._clock.now_ms())
+        return choose_server(fresh, placed, self._costs, now_ms)
 
     def _note_end(self, run: CallRun, placement: Placement, result: SendResult) -> None:
         note_send(run.progress, placement.server.name, result)
         self._accounts.note_send_end(result)
+        self._note_failure(run, placement.server.name, result)
         group = self._fleet.servers.accepting(run.call.group.name)
         if note_end(placement.server, group, result.end, self._clock.now_ms()):
             self._accounts.note_ejected(run.call, placement, result)
 
+    def _note_failure(self, run: CallRun, server: str, result: SendResult) -> None:
+        """Remember what a later try of the same request should know."""
+        fleet, fingerprint, now_ms = self._fleet, run.call.fingerprint, self._clock.now_ms()
+        match result.end:
+            case SendEnd.ANSWERED:
+                note_answered(fleet.history, fingerprint)
+            case SendEnd.SERVER_ERROR:
+                note_error(fleet.history, fingerprint, server, now_ms)
+            case SendEnd.LOST:
+                note_lost(fleet.history, fingerprint, server, run.call.arrived_ms, now_ms)
+            case SendEnd.UNREACHABLE:
+                fleet.note_crash(server)
+
     def _decide(self, run: CallRun, result: SendResult) -> PassOn | SendAgain | Refuse:
         now_ms = self._clock.now_ms()
         budget = self._fleet.budget(run.call.group.name)
--- a/src/boragetiller/gateway/store_follower.py
+++ b/src/boragetiller/gateway/store_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from boragetiller.errors import HistoryLost, StoreUnavailable
@@ -10,15 +11,18 @@
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
+    from random import Random
 
+    from boragetiller.clock import Clock
     from boragetiller.gateway.fleet import Fleet
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.ports import Dialect, Listing, ReadStore
+    from boragetiller.systems.read_sharing import SharedReads
 
-WATCH_WAIT_MS = 5_000  # a watch that hears nothing for so long is asked for again
-PLAIN_READ_MS = 2_500  # beside the watches and the peers, which are faster
+WATCH_WAIT_MS = 15_000  # half of what the platform allows; a dead connection is found sooner
 RETRY_FIRST_MS = 100  # between calls to a store that does not answer, doubled each time
 RETRY_MAX_MS = 1_600  # half of the time in which a node counts as in touch again
+SLOW_RETRY_FACTOR = 4  # for the list, which is tried at once when the other call gets through
 RETRY_EMPTY_MS = 200  # while nothing is known yet, and so no call can be served
 
 
@@ -30,7 +34,10 @@
         store: ReadStore,
         fleet: Fleet,
         dialect: Dialect,
+        reads: SharedReads,
+        clock: Clock,
         metrics: GatewayMetrics,
+        rng: Random,
     ) -> None:
         """
         Put the parts together.
@@ -38,8 +45,15 @@
         :param store: the platform's store
         :param fleet: takes what was read
         :param dialect: names of the keys
+        :param reads: plain reads of all routers
+        :param clock: monotonic time
         :param metrics: counters
+        :param rng: seeded generator
         """
+        self._reads = reads
+        self._clock = clock
+        self._rng = rng
+        self._answered = asyncio.Event()  # set, and replaced, at each answer after a failure
         self._store = store
         self._fleet = fleet
         self._dialect = dialect
@@ -51,7 +65,7 @@
         """Begin to follow."""
         for prefix in (self._dialect.config_key, self._dialect.servers_prefix):
             self._tasks.append(asyncio.create_task(self._follow(prefix)))
-            self._tasks.append(asyncio.create_task(self._reread(prefix)))
+        self._tasks.append(asyncio.create_task(self._reread()))
 
     async def close(self) -> None:
         """Stop following."""
@@ -73,19 +87,40 @@
                 revision = 0
             except StoreUnavailable as error:
                 self._note_reachable(False, str(error))
-                await asyncio.sleep(retry_ms / 1_000)
-                longest_ms = RETRY_MAX_MS if self._fleet.is_complete else RETRY_EMPTY_MS
-                retry_ms = min(longest_ms, 2 * retry_ms)
-
-    async def _reread(self, prefix: str) -> None:
+                revision = 0  # a plain read tells at once that the store is back
+                await self._wait_for_answer(retry_ms)
+                retry_ms = min(self._longest_wait_ms(prefix), 2 * retry_ms)
+
+    def _longest_wait_ms(self, prefix: str) -> int:
+        if not self._fleet.is_complete:
+            return RETRY_EMPTY_MS
+        return RETRY_MAX_MS * (1 if prefix == self._dialect.config_key else SLOW_RETRY_FACTOR)
+
+    async def _wait_for_answer(self, wait_ms: int) -> None:
+        """Wait, but not on when another call to the store got through."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms / 1_000):
+                await self._answered.wait()
+
+    async def _reread(self) -> None:
+        """Read plainly what the watches may have missed, unless a peer has done so lately."""
+        self._reads.last_ms = self._clock.now_ms()
+        jitter = self._rng.random()
         while True:
-            await asyncio.sleep(PLAIN_READ_MS / 1_000)
+            await asyncio.sleep(max(0.0, self._reads.wait_ms(jitter, self._clock.now_ms())) / 1_000)
+            if self._reads.wait_ms(jitter, self._clock.now_ms()) > 0:
+                continue  # a peer has read meanwhile
+            jitter = self._rng.random()
+            self._reads.last_ms = self._clock.now_ms()
             if not self._reachable:
                 continue  # the watch is tried again and tells when the store is back
             try:
-                await self._list(prefix, "reread")
+                for prefix in (self._dialect.config_key, self._dialect.servers_prefix):
+                    await self._list(prefix, "reread")
             except StoreUnavailable as error:
                 self._note_reachable(False, str(error))
+            else:
+                self._reads.note_own(self._clock.now_ms())
 
     async def _list(self, prefix: str, source: str) -> int:
         listing = await self._call("read", lambda: self._store.read_below(prefix))
@@ -112,6 +147,8 @@
         self._reachable = reachable
         self._metrics.store_reachable.set(int(reachable))
         if reachable:
+            self._answered.set()
+            self._answered = asyncio.Event()
             log_event(Event.CONFIG_STORE_REACHED)
         else:
             log_event(Event.CONFIG_STORE_UNREACHABLE, reason=reason)
--- a/src/boragetiller/systems/direct_outcomes.py
+++ b/src/boragetiller/systems/direct_outcomes.py
@@ -21,6 +21,7 @@
     ATTEMPTS = "attempts"
     DEADLINE = "deadline"
     RETRY_BUDGET = "retry_budget"
+    QUARANTINED = "quarantined"
 
 
 @attrs.frozen
--- a/src/boragetiller/systems/strikes.py
+++ b/src/boragetiller/systems/strikes.py
@@ -11,6 +11,7 @@
     from collections.abc import Iterable
 
     from boragetiller.settings import StrikeSettings
+    from boragetiller.tables.strikes import StrikeLimits
 
 QUARANTINE_CRASHES = 2
 
@@ -41,7 +42,7 @@
 
 
 def merge_strike(
-    table: StrikeTable, fingerprint: bytes, server: str, struck_ms: int, settings: StrikeSettings
+    table: StrikeTable, fingerprint: bytes, server: str, struck_ms: int, settings: StrikeLimits
 ) -> None:
     """
     Take a strike that another process saw.
@@ -124,7 +125,7 @@
         table.by_fingerprint.pop(fingerprint, None)
 
 
-def expire_strikes(table: StrikeTable, settings: StrikeSettings, now_ms: int) -> None:
+def expire_strikes(table: StrikeTable, settings: StrikeLimits, now_ms: int) -> None:
     """
     Forget bodies that crashed no server for long.
 
--- /dev/null
+++ b/src/boragetiller/tables/request_history.py
@@ -0,0 +1,69 @@
+"""Backend servers that failed a request lately, by the request's fingerprint."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from enum import Enum
+
+import attrs
+
+from boragetiller.tables.strikes import StrikeTable
+
+KEPT_NEWS = 256  # failures told to peers; a report every 100 ms tells all that came since the last
+
+
+class FailureKind(Enum):
+    """How a backend server failed a request."""
+
+    ERROR = "error"  # it ran the request and reported a failure of its own
+    CRASH = "crash"  # it crashed while it ran the request
+
+
+@attrs.frozen
+class RequestFailure:
+    """One backend server that failed one request."""
+
+    fingerprint: bytes
+    server: str
+    kind: FailureKind
+
+
+@attrs.define
+class FailedServers:
+    """Backend servers that answered a request with an error."""
+
+    names: set[str] = attrs.field(factory=set)
+    last_ms: int = 0
+
+
+@attrs.frozen
+class LostSend:
+    """A send whose connection broke; the server may have crashed."""
+
+    fingerprint: bytes
+    sent_ms: int
+    lost_ms: int
+
+
+@attrs.define
+class RequestHistory:
+    """What is known of requests that failed, here and at other routers."""
+
+    strikes: StrikeTable = attrs.field(factory=StrikeTable)
+    errors: OrderedDict[bytes, FailedServers] = attrs.field(factory=OrderedDict)
+    lost: dict[str, list[LostSend]] = attrs.field(factory=dict)  # by server
+    news: deque[RequestFailure] = attrs.field(factory=lambda: deque(maxlen=KEPT_NEWS))
+    news_count: int = 0  # of all that were ever seen by this router itself
+
+    def news_since(self, told: int) -> tuple[RequestFailure, ...]:
+        """
+        List what this router saw itself.
+
+        :param told: value of `news_count` up to which a peer was told
+        :return: newer failures, oldest first
+        """
+        new = min(self.news_count - told, len(self.news))
+        return tuple(self.news)[len(self.news) - new :]
+
+
+__all__ = ["FailedServers", "FailureKind", "LostSend", "RequestFailure", "RequestHistory"]
--- a/src/boragetiller/tables/strikes.py
+++ b/src/boragetiller/tables/strikes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import Protocol
 
 import attrs
 
@@ -15,6 +16,18 @@
     QUARANTINE = "quarantine"
 
 
+class StrikeLimits(Protocol):
+    """How long and how many strikes are remembered."""
+
+    @property
+    def expire_ms(self) -> int:
+        """:return: after the last strike of a body"""
+
+    @property
+    def max_bodies(self) -> int:
+        """:return: number of bodies kept"""
+
+
 @attrs.define(kw_only=True)
 class ServerStrikes:
     """Crashes of one backend server while it ran a body."""
@@ -30,4 +43,4 @@
     by_fingerprint: dict[bytes, dict[str, ServerStrikes]] = attrs.Factory(dict)
 
 
-__all__ = ["ServerStrikes", "StrikeTable", "Suspicion"]
+__all__ = ["ServerStrikes", "StrikeLimits", "StrikeTable", "Suspicion"]
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -52,7 +52,7 @@
         await wait_until(lambda: not self.fleet.servers.by_name)
 
     async def test_deaf_watch_is_made_up_by_a_plain_read(self) -> None:
-        with patch("boragetiller.gateway.store_follower.PLAIN_READ_MS", 50):
+        with patch("boragetiller.systems.read_sharing.READ_INTERVAL_MS", 50):
             self.store.deaf = True
             self.store.put("op/config", config(2))
             await wait_until(lambda: self.fleet.config.version == 2)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -21,7 +21,9 @@
     decode_payload,
     encode_frame,
 )
+from boragetiller.systems.request_history import note_error, without_failed
 from boragetiller.tables.calls import Prompt, PromptPart
+from boragetiller.tables.request_history import FailureKind, RequestFailure
 from boragetiller.tables.store_view import StoredItem
 from tests.gateway.engines import ScriptedEngine, answer
 from tests.gateway.site import MemoryStore, Site, config, wait_until
@@ -96,6 +98,16 @@
         await first.router.abort()
         await wait_until(lambda: not seen.peers)
 
+    async def test_failure_at_one_router_is_known_at_the_other(self) -> None:
+        first, second = await self.pair(MemoryStore())
+        await wait_until(lambda: "router-1" in second.router.beliefs.reads.peer_counts)
+        note_error(first.router.fleet.history, b"f" * 12, "a", 0)
+        history = second.router.fleet.history
+        await wait_until(lambda: b"f" * 12 in history.errors)
+        servers = list(first.router.fleet.servers.by_name.values())
+        left = without_failed(servers, history, b"f" * 12, history.errors[b"f" * 12].last_ms)
+        self.assertEqual([server.name for server in left], ["e"])
+
     async def test_router_that_is_gone_is_forgotten_and_a_seed_is_not(self) -> None:
         first, second = await self.pair(MemoryStore())
         gone = second.router.peers.endpoint
@@ -142,6 +154,8 @@
                 servers_revision=2,
                 loads=(load,),
                 prompts=(ReadPrompt(server="a", prompt=PROMPT),),
+                failures=(RequestFailure(b"f" * 12, "a", FailureKind.CRASH),),
+                store_reads=3,
             ),
             PeerItems((StoredItem("k", b"x" * 200_000, 3), StoredItem("l", None, 4))),
         ):
--- a/tests/gateway/test_whole_calls.py
+++ b/tests/gateway/test_whole_calls.py
@@ -114,6 +114,39 @@
             self.assertEqual(got.headers["X-Boragetiller-Response-Seal"], "seal")
         self.assertEqual(self.runs(), 2)
 
+    async def test_next_try_of_a_failed_call_begins_where_nothing_has_failed(self) -> None:
+        site = await self.serve(a=answer_error, b=answer_error, c=answer_ok)
+        self.engines["c"].script = refuse  # the first tries end at the two others
+        for number in range(4):
+            self.assertEqual(await _status(site, f"/stock/{number}"), 500)
+        self.engines["c"].script = answer_ok
+        before = self.runs()
+        for number in range(4):
+            self.assertEqual(await _status(site, f"/stock/{number}"), 200)
+        self.assertEqual(self.runs() - before, 4)
+
+    async def test_call_that_crashed_two_servers_is_refused_without_a_run(self) -> None:
+        async def crash(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            if request.path != "/stock/poison":
+                writer.write(answer(request.request_id))
+                return
+            reset(writer)
+            for engine in self.engines.values():
+                if engine.requests and engine.requests[-1] is request:
+                    await engine.close()
+
+        site = await self.serve(a=crash, b=crash, c=crash, d=crash)
+        self.assertEqual(await _status(site, "/stock/poison"), 502)
+        self.assertEqual(self.runs(), 2)
+        for name in [name for name, engine in self.engines.items() if engine.requests]:
+            site.store.remove(f"servers/{name}")
+        await wait_until(lambda: len(site.router.fleet.servers.by_name) == 2)
+        async with site.call("/stock/poison") as got:
+            self.assertEqual(got.status, 503)
+            self.assertIn(b"quarantined", await got.read())
+        self.assertEqual(self.runs(), 2)
+        self.assertEqual(await _status(site, "/stock/other"), 200)
+
     async def test_reset_ends_a_reservation_without_a_promise(self) -> None:
         site = await self.serve(a=run_and_reset, b=run_and_reset)
         async with site.call("/reserve/") as got:
