Ask engines what their caches hold when they come onto the list

Ruled out: sending all known prompts to a new peer (no help when all routers restart). Change: one listing of the cache for each engine that joins, within a second or not at all.

--- /dev/null
+++ b/src/boragetiller/gateway/cache_reader.py
@@ -0,0 +1,73 @@
+"""Ask engines what their caches hold when they come onto the list."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from boragetiller.errors import EntryUnreadable
+from boragetiller.events import Event, log_event
+from boragetiller.gateway.server_client import BROKEN
+from boragetiller.systems.prompt_cache import engine_cache_tokens, note_held
+
+if TYPE_CHECKING:
+    from boragetiller.gateway.fleet import Fleet
+    from boragetiller.gateway.ports import Dialect
+    from boragetiller.tables.routes import EngineProfile
+    from boragetiller.tables.servers import BackendServer
+
+TIMEOUT_MS = 1_000  # a call to an engine takes some ms; without an answer its cache counts as empty
+
+
+class CacheReader:
+    """
+    Reads the cache of each engine that comes onto the list.
+
+    A router that starts among running engines would else place each prompt as if nobody had read
+    any, and so would all routers after the list was lost and came back. Later on a router hears of
+    what is read from its own calls and from its peers.
+    """
+
+    def __init__(self, fleet: Fleet, dialect: Dialect) -> None:
+        """
+        Put the parts together.
+
+        :param fleet: configuration, backend servers and their clients
+        :param dialect: words of the platform
+        """
+        self._fleet = fleet
+        self._dialect = dialect
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Read each engine that joins from now on."""
+        self._fleet.on_joined = self._begin_read
+
+    async def close(self) -> None:
+        """Stop reading."""
+        self._fleet.on_joined = None
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _begin_read(self, server: BackendServer) -> None:
+        config = self._fleet.config
+        engine = config.groups[server.record.group].engine if config is not None else None
+        if engine is not None:
+            task = asyncio.create_task(self._read(server, engine))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _read(self, server: BackendServer, engine: EngineProfile) -> None:
+        try:
+            async with asyncio.timeout(TIMEOUT_MS / 1_000):
+                body = await self._fleet.client(server).read_path(self._dialect.cache_path)
+            parts = self._dialect.decode_cache(body)
+        except (*BROKEN, TimeoutError, EntryUnreadable) as error:
+            log_event(Event.CACHE_UNREAD, server=server.name, reason=repr(error))
+            return
+        note_held(server, parts, engine_cache_tokens(engine))
+        log_event(Event.CACHE_READ, server=server.name, parts=len(parts))
+
+
+__all__ = ["CacheReader"]
--- a/src/boragetiller/gateway/fleet.py
+++ b/src/boragetiller/gateway/fleet.py
@@ -15,7 +15,7 @@
 from boragetiller.tables.store_view import StoreView
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from boragetiller.clock import Clock
     from boragetiller.gateway.metrics import GatewayMetrics
@@ -49,6 +49,7 @@
         self.history = RequestHistory()
         self.config: RouteConfig | None = None
         self.config_taken_ms = 0  # monotonic time since which it is in force
+        self.on_joined: Callable[[BackendServer], None] | None = None  # a server came onto the list
         self.listed = False  # whether the backend servers were ever listed
         self._settings = settings
         self.dialect = dialect
@@ -177,6 +178,8 @@
                     group=record.group,
                     failure_domain=record.failure_domain,
                 )
+                if self.on_joined is not None:
+                    self.on_joined(self.servers.by_name[record.name])
         self._metrics.servers.set(len(records))
         for server in gone:
             log_event(Event.SERVER_GONE, server=server.name, in_flight=server.in_flight)
--- a/src/boragetiller/gateway/ports.py
+++ b/src/boragetiller/gateway/ports.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from multidict import CIMultiDict, CIMultiDictProxy
 
-    from boragetiller.tables.calls import AnswerFacts, CallFacts, ForwardFacts
+    from boragetiller.tables.calls import AnswerFacts, CallFacts, ForwardFacts, PromptPart
     from boragetiller.tables.routes import RouteConfig
     from boragetiller.tables.servers import ServerRecord
 
@@ -31,6 +31,7 @@
 
     config_key: str
     servers_prefix: str
+    cache_path: str  # on an engine, lists the parts of prompts that it holds
 
     def read_call(self, headers: Headers) -> CallFacts:
         """
@@ -68,6 +69,14 @@
         """:raises EntryUnreadable: the value names no server that can be used"""
         ...
 
+    def decode_cache(self, body: bytes) -> tuple[PromptPart, ...]:
+        """
+        Read an engine's list of held parts.
+
+        :raises EntryUnreadable: the body is no such list
+        """
+        ...
+
 
 class ReadStore(Protocol):
     """The platform's store as routers read it; each call is counted by the platform."""
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -11,6 +11,7 @@
 from boragetiller.clock import SystemClock
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.beliefs import Beliefs
+from boragetiller.gateway.cache_reader import CacheReader
 from boragetiller.gateway.callers import CallerPort
 from boragetiller.gateway.fleet import Fleet
 from boragetiller.gateway.listener import Listener
@@ -59,6 +60,7 @@
         self._follower = StoreFollower(
             store, self.fleet, dialect, self.beliefs.reads, clock, self.metrics, rng
         )
+        self._cache_reader = CacheReader(self.fleet, dialect)
         self.caller_port = Listener(self.callers.server(), settings.callers)
         self.ready_port = Listener(_server(self._handle_ready), settings.readiness)
         self._listeners = [self.ready_port, self.caller_port]
@@ -68,6 +70,7 @@
 
     async def start(self) -> None:
         """Listen and begin to follow the store."""
+        await self._cache_reader.start()
         await self._follower.start()
         await self.peers.start()
         for listener in self._listeners:
@@ -97,6 +100,7 @@
         """Close everything at once, whatever is in progress."""
         for listener in self._listeners:
             await listener.close()
+        await self._cache_reader.close()
         await self._follower.close()
         await self.peers.close()
         await self.fleet.close()
--- a/src/boragetiller/gateway/server_client.py
+++ b/src/boragetiller/gateway/server_client.py
@@ -115,6 +115,18 @@
         facts = self._dialect.read_answer(response.status, response.headers)
         return ServerAnswer(response, facts)
 
+    async def read_path(self, path: str) -> bytes:
+        """
+        Read what the server tells of itself.
+
+        :param path: path on the server
+        :return: body of a 200
+        :raises aiohttp.ClientError: no such answer
+        """
+        url = URL(self._base + path, encoded=True)
+        async with self._session.get(url, raise_for_status=True) as response:
+            return await response.read()
+
     async def close(self) -> None:
         """Close idle connections and those in use."""
         await self._session.close()
--- a/src/boragetiller/systems/prompt_cache.py
+++ b/src/boragetiller/systems/prompt_cache.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from boragetiller.tables.calls import Prompt, PromptPart
     from boragetiller.tables.placement import PlacementCosts
     from boragetiller.tables.routes import EngineProfile
@@ -71,6 +73,18 @@
     _note_cached(server, prompt.parts, cache_tokens)
 
 
+def note_held(server: BackendServer, parts: Sequence[PromptPart], cache_tokens: int) -> None:
+    """
+    Take an engine's own list of the parts that it holds.
+
+    :param server: the engine
+    :param parts: what it holds
+    :param cache_tokens: tokens of parts that the engine keeps
+    """
+    unknown = tuple(part for part in parts if part.part_id not in server.cached_parts)
+    _note_cached(server, unknown, cache_tokens)
+
+
 def engine_cache_tokens(engine: EngineProfile) -> int:
     """
     Tell how many tokens of parts an engine is expected to keep.
@@ -98,4 +112,4 @@
         server.cached_tokens -= tokens
 
 
-__all__ = ["engine_cache_tokens", "note_read", "read_share", "uncached_tokens"]
+__all__ = ["engine_cache_tokens", "note_held", "note_read", "read_share", "uncached_tokens"]
--- a/tests/gateway/engines.py
+++ b/tests/gateway/engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import struct
 from typing import TYPE_CHECKING
@@ -31,13 +32,18 @@
         return self.headers["x-boragetiller-attempt-id"]
 
 
+CACHE_PATH = "/kv-list"
+
+
 class ScriptedEngine:
-    """Reads requests and lets a script write the answers."""
+    """Reads requests and lets a script write the answers; tells its cache by itself."""
 
     def __init__(self, script: Script) -> None:
         """:param script: writes the answer to each request"""
         self.script = script
         self.requests: list[ReceivedRequest] = []
+        self.held: list[tuple[str, int]] = []  # parts and tokens that its cache holds
+        self.cache_reads = 0
         self.connections = 0
         self.ended = 0  # connections that the other side closed
         self.address = ""
@@ -62,6 +68,10 @@
         try:
             while True:
                 request = await _read_request(reader, number)
+                if request.path == CACHE_PATH:
+                    self.cache_reads += 1
+                    writer.write(cache_list(self.held))
+                    continue
                 self.requests.append(request)
                 await self.script(request, writer)
                 await writer.drain()
@@ -106,6 +116,18 @@
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
+def cache_list(held: list[tuple[str, int]]) -> bytes:
+    """
+    Build the answer that tells what a cache holds.
+
+    :param held: ids of parts and their tokens
+    :return: bytes
+    """
+    entries = [["", part, tokens, "m"] for part, tokens in held]
+    body = json.dumps({"epoch": 1, "next": 1, "held": entries}).encode()
+    return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
 def stream_head(request_id: str, seal: str = "seal") -> bytes:
     """
     Build the head of an event stream in chunks.
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -92,6 +92,42 @@
         self.assertEqual(set(self.fleet.servers.by_name), {"a"})
 
 
+class CacheReadingTest(unittest.IsolatedAsyncioTestCase):
+    """What routers learn of engines that come onto the list."""
+
+    async def asyncSetUp(self) -> None:
+        self.engine = ScriptedEngine(lambda r, w: asyncio.sleep(0, w.write(answer(r.request_id))))
+        self.engine.held = [("aa", 800), ("bb", 100)]
+        await self.engine.start()
+        self.addAsyncCleanup(self.engine.close)
+        self.site = Site()
+        self.store = self.site.store
+        self.store.register("e", self.engine, "engines")
+        self.store.register("s", self.engine, "shop")
+        await self.site.start()
+        self.addAsyncCleanup(self.site.close)
+        self.servers = self.site.router.fleet.servers.by_name
+        await wait_until(lambda: self.engine.cache_reads == 1)
+
+    async def test_router_that_starts_learns_what_an_engine_holds(self) -> None:
+        await wait_until(lambda: self.servers["e"].cached_tokens == 900)
+        self.assertEqual(set(self.servers["e"].cached_parts), {"aa", "bb"})
+        self.assertEqual(self.servers["s"].cached_tokens, 0)
+
+    async def test_engine_that_was_lost_from_the_list_is_asked_again(self) -> None:
+        self.store.remove("servers/e")
+        await wait_until(lambda: "e" not in self.servers)
+        self.store.register("e", self.engine, "engines")
+        await wait_until(lambda: "e" in self.servers and self.servers["e"].cached_tokens == 900)
+
+    async def test_engine_that_does_not_tell_counts_as_empty_and_is_used(self) -> None:
+        with patch("tests.gateway.engines.cache_list", return_value=b"HTTP/1.1 404 No\r\n\r\n"):
+            self.store.register("f", self.engine, "engines")
+            await wait_until(lambda: self.engine.cache_reads == 2)
+        self.assertEqual(self.servers["f"].cached_tokens, 0)
+        self.assertIn("f", [s.name for s in self.site.router.fleet.servers.accepting("engines")])
+
+
 class ReloadTest(unittest.TestCase):
     """Settings that change while the process runs."""
 
--- a/tests/platform_dialect/test_codecs.py
+++ b/tests/platform_dialect/test_codecs.py
@@ -90,6 +90,19 @@
 
 
 class ServerEntryTest(unittest.TestCase):
+    def test_decode_cache_reads_the_entries_of_the_pages(self) -> None:
+        body = b'{"epoch": 3, "next": 7, "held": [["", "5c1e07a2", 800, "m"]]}'
+        self.assertEqual(documents.decode_cache(body), (PromptPart("5c1e07a2", 800),))
+
+    @given(st.recursive(st.none() | st.integers() | st.text(max_size=3), st.lists, max_leaves=8))
+    @settings(derandomize=True, deadline=None)
+    def test_decode_cache_refuses_other_entries_with_a_code(self, entry: object) -> None:
+        body = json.dumps({"held": [["", "aa", 1, "m"], entry]}).encode()
+        try:
+            self.assertEqual(len(documents.decode_cache(body)), 2)
+        except EntryUnreadable:
+            return
+
     def test_decode_server_reads_the_example_of_the_pages(self) -> None:
         record = documents.decode_server("servers/i-7f3a91c2", encode(SERVER))
         self.assertEqual((record.name, record.group), ("i-7f3a91c2", "huvo11a"))
