Listen for callers before the libraries are loaded

Change: the entry script reads the settings and listens first; calls wait in the port's queue, and for at most 300 ms more until routes and servers are known.

--- a/src/boragetiller/gateway/daemon.py
+++ b/src/boragetiller/gateway/daemon.py
@@ -9,26 +9,25 @@
 
 from boragetiller.clock import SystemClock
 from boragetiller.events import configure_json_logging
+from boragetiller.gateway.exit_codes import EXIT_OK, EXIT_START
 from boragetiller.gateway.process import GatewayProcess
 from boragetiller.gateway.reload import SettingsReloader
 from boragetiller.log_sink import LogSink
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from socket import socket
 
     from boragetiller.gateway.ports import Dialect, ReadStore
     from boragetiller.gateway.settings import Endpoint, GatewaySettings
 
-EXIT_OK = 0
-EXIT_SETTINGS = 2
-EXIT_START = 3
-
 
 async def serve(
     settings: GatewaySettings,
     load: Callable[[], GatewaySettings],
     dialect: Dialect,
     open_store: Callable[[Endpoint], ReadStore],
+    callers: socket,
 ) -> int:
     """
     Run until SIGTERM or SIGINT; SIGHUP reads the settings again.
@@ -37,13 +36,14 @@
     :param load: reads the settings again; raises SettingsInvalid
     :param dialect: words of the platform
     :param open_store: opens the client of the platform's store
+    :param callers: socket that listens for callers
     :return: exit code
     """
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    process = GatewayProcess(settings, dialect, open_store(settings.store))
+    process = GatewayProcess(settings, dialect, open_store(settings.store), callers)
     sink = LogSink(
         sys.stdout.fileno(), settings.name, SystemClock().now_ms, process.metrics.note_dropped_line
     )
@@ -62,4 +62,4 @@
     return EXIT_OK
 
 
-__all__ = ["EXIT_OK", "EXIT_SETTINGS", "EXIT_START", "serve"]
+__all__ = ["serve"]
--- a/src/boragetiller/gateway/listener.py
+++ b/src/boragetiller/gateway/listener.py
@@ -6,32 +6,42 @@
 
 from aiohttp import web
 
+from boragetiller.gateway.early_socket import BACKLOG
+
 if TYPE_CHECKING:
+    from socket import socket
+
     from boragetiller.gateway.settings import Endpoint
 
-BACKLOG = 1_024  # connections that wait to be taken; a full queue costs callers seconds
 SHUTDOWN_TIMEOUT_S = 1.0
 
 
 class Listener:
     """An HTTP server on its port."""
 
-    def __init__(self, server: web.Server, endpoint: Endpoint) -> None:
+    def __init__(
+        self, server: web.Server, endpoint: Endpoint, listening: socket | None = None
+    ) -> None:
         """
         Prepare the port.
 
         :param server: handles requests
         :param endpoint: where to listen; port 0 takes a free one
+        :param listening: socket that listens there already, None to open one
         """
+        self._listening = listening
         self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         self._endpoint = endpoint
-        self._site: web.TCPSite | None = None
+        self._site: web.BaseSite | None = None
 
     async def start(self) -> None:
         """Listen."""
         await self._runner.setup()
-        endpoint = self._endpoint
-        self._site = web.TCPSite(self._runner, endpoint.address, endpoint.port, backlog=BACKLOG)
+        if self._listening is not None:
+            self._site = web.SockSite(self._runner, self._listening, backlog=BACKLOG)
+        else:
+            address, port = self._endpoint.address, self._endpoint.port
+            self._site = web.TCPSite(self._runner, address, port, backlog=BACKLOG)
         await self._site.start()
 
     @property
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -20,10 +20,11 @@
 from boragetiller.gateway.runner import CallRunner
 from boragetiller.gateway.store_follower import StoreFollower
 from boragetiller.tables.placement import PlacementCosts
-from boragetiller.timeouts import wait_until_idle
+from boragetiller.timeouts import wait_until, wait_until_idle
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
+    from socket import socket
 
     from boragetiller.gateway.ports import Dialect, ReadStore
     from boragetiller.gateway.settings import GatewaySettings
@@ -31,19 +32,27 @@
     Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 EXIT_MARGIN_MS = 600  # before SIGKILL
+FIRST_WAIT_MS = 300  # a listing takes some ms; callers leave a call unread for a second
 QUIET_MS = 200  # without a call, before the ports are closed
 
 
 class GatewayProcess:
     """One process."""
 
-    def __init__(self, settings: GatewaySettings, dialect: Dialect, store: ReadStore) -> None:
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        store: ReadStore,
+        callers: socket | None = None,
+    ) -> None:
         """
         Build the parts.
 
         :param settings: settings of the process
         :param dialect: words of the platform
         :param store: the platform's store
+        :param callers: socket that listens for callers already, None to open one
         """
         self._settings = settings
         clock = SystemClock()
@@ -61,18 +70,25 @@
             store, self.fleet, dialect, self.beliefs.reads, clock, self.metrics, rng
         )
         self._cache_reader = CacheReader(self.fleet, dialect)
-        self.caller_port = Listener(self.callers.server(), settings.callers)
+        self.caller_port = Listener(self.callers.server(), settings.callers, callers)
         self.ready_port = Listener(_server(self._handle_ready), settings.readiness)
         self._listeners = [self.ready_port, self.caller_port]
         if settings.metrics is not None:
             metrics = Listener(_server(self._handle_metrics), settings.metrics)
             self._listeners.insert(0, metrics)
+        self._first_wait_ms = FIRST_WAIT_MS if callers is not None else 0
 
     async def start(self) -> None:
-        """Listen and begin to follow the store."""
+        """
+        Begin to follow the store, and listen.
+
+        Callers that wait in the port's queue are left there for a moment, until routes and backend
+        servers are known; else they would all be refused.
+        """
         await self._cache_reader.start()
         await self._follower.start()
         await self.peers.start()
+        await wait_until(lambda: self.fleet.is_complete, self._first_wait_ms)
         for listener in self._listeners:
             await listener.start()
         log_event(Event.PROCESS_STARTED, role="gateway", name=self._settings.name)
--- a/src/boragetiller/timeouts.py
+++ b/src/boragetiller/timeouts.py
@@ -10,7 +10,7 @@
 
 T = TypeVar("T")
 
-IDLE_CHECK_MS = 10
+CHECK_MS = 10
 
 
 async def within(timeout_s: float, work: Awaitable[T]) -> T:
@@ -34,12 +34,23 @@
     :param timeout_ms: longest wait in milliseconds
     :return: whether nothing was left
     """
-    rounds = max(1, timeout_ms // IDLE_CHECK_MS)
+    return await wait_until(lambda: in_progress() == 0, timeout_ms)
+
+
+async def wait_until(holds: Callable[[], bool], timeout_ms: int) -> bool:
+    """
+    Wait until a condition holds.
+
+    :param holds: the condition
+    :param timeout_ms: longest wait in milliseconds
+    :return: whether it holds
+    """
+    rounds = max(1, timeout_ms // CHECK_MS)
     for _ in range(rounds):
-        if in_progress() == 0:
+        if holds():
             return True
-        await asyncio.sleep(IDLE_CHECK_MS / 1_000)
-    return in_progress() == 0
+        await asyncio.sleep(CHECK_MS / 1_000)
+    return holds()
 
 
-__all__ = ["wait_until_idle", "within"]
+__all__ = ["wait_until", "wait_until_idle", "within"]
--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -213,17 +214,23 @@
 class Site:
     """One router and its callers."""
 
-    def __init__(self, store: MemoryStore | None = None, **changes: Any) -> None:
+    def __init__(
+        self,
+        store: MemoryStore | None = None,
+        listening: socket.socket | None = None,
+        **changes: Any,
+    ) -> None:
         """
         Prepare the site.
 
         :param store: the store, a new one with a configuration when left out
+        :param listening: socket that listens for callers already
         :param changes: settings that replace others
         """
         self.store = store or MemoryStore()
         if store is None:
             self.store.put("op/config", config())
-        self.router = GatewayProcess(settings(**changes), PlatformDialect(), self.store)
+        self.router = GatewayProcess(settings(**changes), PlatformDialect(), self.store, listening)
         self.session: aiohttp.ClientSession | None = None
         self._sent = 0
 
--- a/tests/gateway/test_whole_calls.py
+++ b/tests/gateway/test_whole_calls.py
@@ -8,6 +8,8 @@
 
 import aiohttp
 
+from boragetiller.gateway.early_socket import open_listening_socket
+from boragetiller.gateway.settings import Endpoint
 from tests.gateway.engines import ReceivedRequest, ScriptedEngine, answer, reset
 from tests.gateway.site import KEY, Site, config, wait_until
 
@@ -324,6 +326,24 @@
         await wait_until(lambda: site.router.fleet.listed)
         self.assertEqual(await _ready(site), 200)
 
+    async def test_call_sent_before_the_router_is_loaded_is_answered(self) -> None:
+        listening = open_listening_socket(Endpoint("127.0.0.1", 0))
+        site = Site(listening=listening)
+        engine = ScriptedEngine(answer_ok)
+        await engine.start()
+        self.addAsyncCleanup(engine.close)
+        site.store.register("a", engine, "shop")
+        reader, writer = await asyncio.open_connection(*listening.getsockname())
+        writer.write(
+            b"GET /stock/ HTTP/1.1\r\nHost: shop.example\r\nX-Boragetiller-Attempt-Id: early\r\n"
+            + f"Authorization: Token {KEY}\r\n\r\n".encode()
+        )
+        await writer.drain()
+        await site.start()
+        self.addAsyncCleanup(site.close)
+        self.assertIn(b" 200 ", await reader.readline())
+        writer.transport.abort()
+
     async def test_stop_answers_what_is_on_its_way_and_refuses_the_rest(self) -> None:
         release = asyncio.Event()
 
