--- a/tests/gateway/site.py
+++ b/tests/gateway/site.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import socket
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -19,6 +18,8 @@
 from dialect import PlatformDialect
 
 if TYPE_CHECKING:
+    from socket import socket
+
     from tests.gateway.engines import ScriptedEngine
 
 HOST = "shop.example"
@@ -217,7 +218,7 @@
     def __init__(
         self,
         store: MemoryStore | None = None,
-        listening: socket.socket | None = None,
+        listening: socket | None = None,
         **changes: Any,
     ) -> None:
         """
