Hold callers' connections to the operators' limits

Cause: header size, header time-out and idle time-out of the configuration were not applied; an idle connection lived 75 s and a head that never ended as long. Change: 431 for larger heads, 408 for heads that take longer, idle connections are closed half a second after the limit; a changed limit holds from the next bytes on a connection.

--- a/src/boragetiller/gateway/callers.py
+++ b/src/boragetiller/gateway/callers.py
@@ -5,11 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from aiohttp import web
-
 from boragetiller.errors import (
     BoragetillerError,
     Draining,
+    HeadersTooLarge,
     NotReady,
     RequestTimeout,
     RequestTooLarge,
@@ -17,9 +16,12 @@
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.answers import CallerGone, OwnAnswer, own_response
 from boragetiller.gateway.call import admit_call
+from boragetiller.gateway.caller_protocol import CallerServer
 from boragetiller.http_refusals import refusal_logger
 
 if TYPE_CHECKING:
+    from aiohttp import web
+
     from boragetiller.clock import Clock
     from boragetiller.gateway.fleet import Fleet
     from boragetiller.gateway.metrics import GatewayMetrics
@@ -28,8 +30,8 @@
     from boragetiller.tables.routes import CallerLimits
 
 NOT_READY_RETRY_S = 0.3
-DEFAULT_IDLE_TIMEOUT_S = 75.0  # until a configuration says otherwise
-MAX_LINE_BYTES = 16_384
+MAX_LINE_BYTES = 65_536  # of one header; the operators' limit on all of them is checked below
+HEADER_MARKS = 4  # colon, space and the end of the line
 BODY_TIMEOUT_S = 10.0
 
 
@@ -64,17 +66,21 @@
 
     def server(self) -> web.Server:
         """:return: the HTTP server to listen with"""
-        return web.Server(
+        return CallerServer(
             self._handle,
+            self._limits,
+            self._count_refusal,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
-            keepalive_timeout=DEFAULT_IDLE_TIMEOUT_S,
             max_line_size=MAX_LINE_BYTES,
             max_field_size=MAX_LINE_BYTES,
             logger=refusal_logger(self._count_refusal),
         )
 
+    def _limits(self) -> CallerLimits | None:
+        return self._fleet.config.limits if self._fleet.config is not None else None
+
     def _count_refusal(self, code: str) -> None:
         self._metrics.refused.labels(code).inc()
 
@@ -102,6 +108,7 @@
             arrived_ms = self._clock.now_ms()
             facts = self._dialect.read_call(request.headers)
             request_id = facts.request_id
+            _check_head(request, config.limits)
             body = await _read_body(request, config.limits)
             call = admit_call(
                 config, facts, request.method, request.raw_path, request.headers, body, arrived_ms
@@ -137,6 +144,12 @@
         return own_response(answer, request_id, self._dialect)
 
 
+def _check_head(request: web.BaseRequest, limits: CallerLimits) -> None:
+    headers = sum(len(name) + len(value) + HEADER_MARKS for name, value in request.raw_headers)
+    if len(request.raw_path) + headers > limits.max_header_bytes:
+        raise HeadersTooLarge
+
+
 async def _read_body(request: web.BaseRequest, limits: CallerLimits) -> bytes:
     if not request.body_exists:
         return b""
--- a/tests/gateway/test_whole_calls.py
+++ b/tests/gateway/test_whole_calls.py
@@ -284,6 +284,46 @@
             self.assertEqual(got.status, 413)
         self.assertEqual(self.runs(), 0)
 
+    async def test_headers_over_the_limit_are_refused(self) -> None:
+        site = await self.serve(a=answer_ok)
+        fields = {f"X_Field_{number}": "x" * 4_000 for number in range(5)}
+        self.assertEqual(await _status(site, "/stock/", **fields), 431)
+        self.assertEqual(self.runs(), 0)
+
+    async def with_limits(self, **limits: int) -> Site:
+        site = await self.serve(a=answer_ok)
+        named = {name.replace("_", "-"): value for name, value in limits.items()}
+        site.store.put("op/config", config(2, limits=config()["limits"] | named))
+        await wait_until(lambda: site.router.fleet.config.version == 2)
+        return site
+
+    async def test_head_that_does_not_end_in_time_is_refused(self) -> None:
+        site = await self.with_limits(header_timeout_ms=100)
+        reader, writer = await asyncio.open_connection("127.0.0.1", site.router.caller_port.port)
+        await asyncio.sleep(0.02)
+        writer.write(b"GET /stock/ HTTP/1.1\r\nHost: shop.exa")
+        async with asyncio.timeout(5):
+            answered = await reader.read()
+        self.assertIn(b" 408 ", answered)
+        writer.transport.abort()
+        self.assertEqual(self.runs(), 0)
+
+    async def test_slow_answer_is_no_slow_head(self) -> None:
+        async def answer_later(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.3)
+            writer.write(answer(request.request_id))
+
+        site = await self.with_limits(header_timeout_ms=100, idle_timeout_ms=150)
+        self.engines["a"].script = answer_later
+        self.assertEqual(await _status(site, "/reserve/"), 200)
+
+    async def test_idle_connection_is_closed_after_the_limit(self) -> None:
+        site = await self.with_limits(idle_timeout_ms=100)
+        reader, writer = await asyncio.open_connection("127.0.0.1", site.router.caller_port.port)
+        async with asyncio.timeout(5):
+            self.assertEqual(await reader.read(), b"")
+        writer.transport.abort()
+
     async def test_call_without_an_id_is_refused(self) -> None:
         site = await self.serve(a=answer_ok)
         async with site.call("/stock/", X_Boragetiller_Attempt_Id="") as got:
