Explain a request and condense a span from log files

Cause: on-call engineers have logs only; grep showed a request's lines without what its router believed then, and nothing condensed a span.

--- /dev/null
+++ b/src/boragetiller/cli/logs.py
@@ -0,0 +1,126 @@
+"""Commands that read log files: the story of a request, and a span condensed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.cli.exit_codes import ExitCode
+from boragetiller.cli.report import Report, print_report
+from boragetiller.errors import SettingsInvalid
+from boragetiller.logs.incident import summarize
+from boragetiller.logs.lines import read_logs
+from boragetiller.logs.story import tell_request
+
+if TYPE_CHECKING:
+    from boragetiller.cli.report import OutputFormat
+    from boragetiller.logs.incident import IncidentSummary
+    from boragetiller.logs.lines import LogLines
+
+
+def log_files(text: str) -> list[str]:
+    """
+    Read the value of `--logs`.
+
+    :param text: files with commas between; a dash for standard input
+    :return: the files
+    :raises SettingsInvalid: no file is named
+    """
+    names = [name for name in str(text).split(",") if name]
+    if not names:
+        raise SettingsInvalid("--logs: name at least one file, or - for standard input")
+    return names
+
+
+async def explain_from_logs(request_id: str, files: list[str], output: OutputFormat) -> ExitCode:
+    """
+    Print the story of a request.
+
+    :param request_id: the caller's id of the request
+    :param files: log files of any number of processes
+    :param output: form of the result
+    :return: exit code
+    """
+    logs = read_logs(files)
+    steps = tell_request(logs.lines, request_id)
+    rows = [
+        (
+            step.at_ms,
+            step.process,
+            step.event if step.about_request else f"({step.event})",
+            " ".join(f"{name}={value}" for name, value in step.fields.items()),
+        )
+        for step in steps
+    ]
+    report = Report(
+        columns=("at_ms", "process", "event", "detail"),
+        rows=rows,
+        data=[attrs.asdict(step) for step in steps],
+        notes=_notes(logs),
+    )
+    if not steps:
+        raise SettingsInvalid(f"no line is about {request_id}; were all routers' logs given?")
+    print_report(report, output)
+    return ExitCode.DONE
+
+
+async def show_incident(
+    files: list[str], start_ms: int | None, end_ms: int | None, output: OutputFormat
+) -> ExitCode:
+    """
+    Print what stands out in a span.
+
+    :param files: log files of any number of processes
+    :param start_ms: first moment since the epoch, None for the first line
+    :param end_ms: last moment, None for the last line
+    :param output: form of the result
+    :return: exit code
+    """
+    logs = read_logs(files)
+    if not logs.lines:
+        raise SettingsInvalid("the files hold no log line")
+    first_ms = logs.lines[0].time_ms if start_ms is None else start_ms
+    last_ms = logs.lines[-1].time_ms if end_ms is None else end_ms
+    if last_ms < first_ms:
+        raise SettingsInvalid("--end-ms must not be before --start-ms")
+    summary = summarize(logs.lines, first_ms, last_ms)
+    report = Report(
+        columns=("what", "which", "count", "detail"),
+        rows=_incident_rows(summary),
+        data=attrs.asdict(summary),
+        notes=_notes(logs),
+    )
+    print_report(report, output)
+    return ExitCode.DONE
+
+
+def _incident_rows(summary: IncidentSummary) -> list[tuple[str, str, int, str]]:
+    span_s = (summary.end_ms - summary.start_ms) / 1_000
+    rows = [("failed", f"of {summary.calls} calls", summary.failures, f"in {span_s:.0f} s")]
+    rows += [("cause", cause, count, "") for cause, count in summary.causes]
+    rows += [
+        ("stands out", f"{each.kind} {each.name}", each.failures, f"{each.factor:.1f} x its share")
+        for each in summary.standouts
+    ]
+    rows += [
+        ("bad second", f"{(start_ms - summary.start_ms) / 1_000:.0f} s", 1, f"from {start_ms}")
+        for start_ms in summary.bad_seconds_ms
+    ]
+    rows += [
+        (
+            "change",
+            f"{each.event} {each.what}",
+            each.processes,
+            f"at {(each.time_ms - summary.start_ms) / 1_000:.1f} s",
+        )
+        for each in summary.changes
+    ]
+    return rows
+
+
+def _notes(logs: LogLines) -> tuple[str, ...]:
+    return (f"{logs.unreadable} lines are no events",) if logs.unreadable else ()
+
+
+__all__ = ["explain_from_logs", "log_files", "show_incident"]
--- a/src/boragetiller/cli/main.py
+++ b/src/boragetiller/cli/main.py
@@ -11,6 +11,7 @@
 from boragetiller.cli import apply as apply_command
 from boragetiller.cli import check, read, status
 from boragetiller.cli.exit_codes import ExitCode
+from boragetiller.cli.logs import explain_from_logs, log_files, show_incident
 from boragetiller.cli.operator_client import OperatorUnreachable
 from boragetiller.cli.options import (
     office_name,
@@ -193,6 +194,7 @@
     def explain(
         self,
         request_id: str,
+        logs: str | None = None,
         operator_url: str | None = None,
         operator_key: str | None = None,
         output: str = "table",
@@ -201,17 +203,40 @@
         """
         Print each decision about REQUEST_ID (the answer's x-request-id) with its reason.
 
+        :param logs: log files to read instead of asking routers, with commas between; - for input
         :param operator_url: operator ports, with commas between; BORAGETILLER_OPERATOR_URL
         :param operator_key: their bearer key; default BORAGETILLER_OPERATOR_KEY
         :param output: table or json
         :param timeout_ms: time limit of one answer
         """
+        if logs is not None:
+            return _Invocation(
+                lambda: explain_from_logs(str(request_id), log_files(logs), output_format(output))
+            )
         return _Invocation(
             lambda: status.explain_request(
                 str(request_id), operator_options(operator_url, operator_key, timeout_ms, output)
             )
         )
 
+    def incident(
+        self,
+        logs: str,
+        start_ms: int | None = None,
+        end_ms: int | None = None,
+        output: str = "table",
+    ) -> _Invocation:
+        """
+        Condense LOGS (files with commas between, - for input): failures, who stands out, changes.
+
+        :param start_ms: first moment since the epoch; default the first line
+        :param end_ms: last moment; default the last line
+        :param output: table or json
+        """
+        return _Invocation(
+            lambda: show_incident(log_files(logs), start_ms, end_ms, output_format(output))
+        )
+
     def demo(self, port: int | None = None) -> _Invocation:
         """
         Start both user deployments in small in one process, until Ctrl-C.
--- /dev/null
+++ b/tests/logs/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the log readers."""
+
+from __future__ import annotations
