--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -156,6 +156,17 @@
             await _read(site, "/gauges/")
         self.assertEqual(self.served, 1)
 
+    async def test_caller_that_leaves_in_mid_stream_frees_the_engine(self) -> None:
+        async def stream_one_event(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            writer.write(stream_head(request.request_id) + chunk(event(1)))
+
+        site = await self.serve(stream_one_event)
+        async with site.call("/quotes/", **PROMPT) as got:
+            await got.content.readany()
+            got.close()
+            await wait_until(lambda: sum(engine.ended for engine in self.engines) == 1)
+        self.assertEqual(self.served, 1)
+
     async def test_urgency_is_that_of_the_customer(self) -> None:
         site = await self.serve(stream_whole)
         await _read(site, "/quotes/")
--- a/tests/gateway/test_whole_calls.py
+++ b/tests/gateway/test_whole_calls.py
@@ -259,6 +259,55 @@
                 self.assertEqual((got.status, await got.read()), (200, b"own"))
             await asyncio.sleep(0.05)
 
+    async def test_repeat_tells_the_server_only_the_time_that_is_left(self) -> None:
+        async def fail_slowly(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.12)
+            await answer_error(request, writer)
+
+        site = await self.serve(a=fail_slowly, b=fail_slowly)
+        await _status(site, "/stock/")
+        requests = [engine.requests[0] for engine in self.engines.values()]
+        told = sorted(int(each.headers["x-boragetiller-deadline-ms"]) for each in requests)
+        self.assertGreaterEqual(told[1] - told[0], 100)
+        self.assertLessEqual(told[1], 4_000)
+
+    async def test_misdirected_reservation_goes_elsewhere(self) -> None:
+        async def answer_misdirected(
+            request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(answer(request.request_id, status="421 Misdirected", seal=""))
+
+        site = await self.serve(a=answer_misdirected, b=answer_ok)
+        for _ in range(3):
+            self.assertEqual(await _status(site, "/reserve/"), 200)
+        self.assertEqual(len(self.engines["b"].requests), 3)
+
+    async def test_rest_of_a_body_comes_before_the_next_call_on_its_connection(self) -> None:
+        body = b"x" * 60_000
+        received: list[bytes] = []
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for _ in range(2):
+                head = await reader.readuntil(b"\r\n\r\n")
+                received.append(head)
+                request_id = head.lower().split(b"x-boragetiller-attempt-id: ")[1].split(b"\r\n")[0]
+                writer.write(answer(request_id.decode(), status="413 Too Large"))
+                await asyncio.sleep(0.05)  # answers before it reads the body
+                received.append(await reader.readexactly(len(body)))
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=2_000)
+        self.addCleanup(server.close)
+        site = await self.serve()
+        engine = ScriptedEngine(answer_ok)
+        engine.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        site.store.register("early", engine, "shop")
+        await wait_until(lambda: site.router.fleet.servers.accepting("shop"))
+        for _ in range(2):
+            async with site.call("/reserve/", body=body) as got:
+                self.assertEqual(got.status, 413)
+        await wait_until(lambda: len(received) == 4)
+        self.assertEqual([received[1], received[3]], [body, body])
+
     async def test_caller_that_leaves_frees_the_server(self) -> None:
         site = await self.serve(a=say_nothing)
         call = asyncio.create_task(_status(site, "/reserve/"))
