Tell peers only what changed of a router's work

Cause: each report named the work at all servers, ten times a second to each peer, whether it had changed or not. Change: a report names servers whose load differs from the last report on that connection; any report keeps the rest fresh.

--- a/src/boragetiller/gateway/beliefs.py
+++ b/src/boragetiller/gateway/beliefs.py
@@ -38,12 +38,13 @@
         return self.config > other.config or self.servers > other.servers
 
 
-@attrs.frozen
+@attrs.define
 class ToldSoFar:
-    """How much of what happened here a peer has been told."""
+    """How much of what happened here a peer has been told on its connection."""
 
     prompts: int = 0
     failures: int = 0
+    loads: dict[str, SentLoad] = attrs.field(factory=dict)  # by server, none that is 0
 
 
 class Beliefs:
@@ -98,50 +99,44 @@
         self._prompts.append(ReadPrompt(server=server.name, prompt=prompt))
         self.prompt_count += 1
 
-    def told_all(self) -> ToldSoFar:
-        """:return: what a peer knows that has been told everything"""
+    def begin_telling(self) -> ToldSoFar:
+        """:return: for a new connection, on which only the present and the future are told"""
         return ToldSoFar(self.prompt_count, self._fleet.history.news_count)
 
     def report(self, told: ToldSoFar) -> PeerReport:
         """
-        Build a report.
+        Build a report, which has to be sent if it tells news.
 
-        :param told: what the peer has been told
+        :param told: what the peer has been told; brought up to date
         :return: the report
         """
         revisions = self.revisions()
         new = min(self.prompt_count - told.prompts, len(self._prompts))
         prompts = list(self._prompts)[len(self._prompts) - new :] if new else []
-        servers = self._fleet.servers.by_name.values()
-        return PeerReport(
+        report = PeerReport(
             config_revision=revisions.config,
             servers_revision=revisions.servers,
-            loads=tuple(_load(server) for server in servers if server.in_flight),
+            loads=self._changed_loads(told),
             prompts=tuple(prompts),
             failures=self._fleet.history.news_since(told.failures),
             store_reads=self.reads.own_count,
         )
+        told.prompts, told.failures = self.prompt_count, self._fleet.history.news_count
+        return report
 
     def take_report(self, peer: str, report: PeerReport) -> None:
         """
         Take a peer's work and what engines have read for it.
 
         :param peer: name of the peer
-        :param report: its report; servers it does not name have none of its work
+        :param report: its report; its work at servers that it does not name is as it was
         """
         now_ms = self._clock.now_ms()
-        loads = {load.server: load for load in report.loads}
-        for name, server in self._fleet.servers.by_name.items():
-            load = loads.get(name)
-            if load is None:
-                server.peers.pop(peer, None)
-                continue
-            server.peers[peer] = PeerLoad(
-                in_flight=load.in_flight,
-                unread_tokens=load.unread_tokens,
-                sensitivity=load.sensitivity,
-                received_ms=now_ms,
-            )
+        for load in report.loads:
+            self._take_load(peer, load, now_ms)
+        for server in self._fleet.servers.by_name.values():
+            if peer in server.peers:
+                server.peers[peer].received_ms = now_ms
         for prompt in report.prompts:
             self._take_prompt(prompt)
         for failure in report.failures:
@@ -168,6 +163,29 @@
             server.peers.pop(peer, None)
         self.reads.peer_counts.pop(peer, None)
 
+    def _changed_loads(self, told: ToldSoFar) -> tuple[SentLoad, ...]:
+        servers = self._fleet.servers.by_name.values()
+        loads = {server.name: _load(server) for server in servers if server.in_flight}
+        ended = [attrs.evolve(load, in_flight=0) for load in told.loads.values()]
+        ended = [load for load in ended if load.server not in loads]
+        changed = [load for name, load in loads.items() if told.loads.get(name) != load]
+        told.loads = loads
+        return (*changed, *ended)
+
+    def _take_load(self, peer: str, load: SentLoad, now_ms: int) -> None:
+        server = self._fleet.servers.by_name.get(load.server)
+        if server is None:
+            return
+        if load.in_flight == 0:
+            server.peers.pop(peer, None)
+            return
+        server.peers[peer] = PeerLoad(
+            in_flight=load.in_flight,
+            unread_tokens=load.unread_tokens,
+            sensitivity=load.sensitivity,
+            received_ms=now_ms,
+        )
+
     def _take_prompt(self, prompt: ReadPrompt) -> None:
         server = self._fleet.servers.by_name.get(prompt.server)
         if server is None or self._fleet.config is None:
--- a/src/boragetiller/gateway/peer_messages.py
+++ b/src/boragetiller/gateway/peer_messages.py
@@ -38,7 +38,7 @@
     """What the sender has under way at a backend server."""
 
     server: str
-    in_flight: int
+    in_flight: int  # 0 when nothing is under way there any more
     unread_tokens: tuple[int, ...]  # prompt tokens not yet read there, by tier
     sensitivity: float  # sum over its streams; see systems.first_token
 
@@ -53,15 +53,27 @@
 
 @attrs.frozen(kw_only=True)
 class PeerReport:
-    """Heartbeat: the sender's work and how far it has followed the store."""
+    """Heartbeat: what changed of the sender's work, and how far it has followed the store."""
 
     config_revision: int
     servers_revision: int
-    loads: tuple[SentLoad, ...] = ()
+    loads: tuple[SentLoad, ...] = ()  # that differ from those of earlier reports
     prompts: tuple[ReadPrompt, ...] = ()
     failures: tuple[RequestFailure, ...] = ()
     store_reads: int = 0  # plain reads of the store by the sender
 
+    def tells_news(self, last: PeerReport | None) -> bool:
+        """
+        Tell whether a peer learns something from it.
+
+        :param last: the report that the peer got before, None for none
+        :return: whether something differs
+        """
+        if last is None or self.loads or self.prompts or self.failures:
+            return True
+        followed = (self.config_revision, self.servers_revision, self.store_reads)
+        return followed != (last.config_revision, last.servers_revision, last.store_reads)
+
 
 @attrs.frozen
 class PeerItems:
--- a/src/boragetiller/gateway/peers.py
+++ b/src/boragetiller/gateway/peers.py
@@ -155,12 +155,11 @@
         writer.write(encode_frame(hello))
         sent: PeerReport | None = None
         sent_ms = 0
-        told = self._beliefs.told_all()
+        told = self._beliefs.begin_telling()
         while not writer.transport.is_closing():
             now_ms = self._clock.now_ms()
             report = self._beliefs.report(told)
-            told = self._beliefs.told_all()
-            if report != sent or now_ms - sent_ms >= QUIET_INTERVAL_MS:
+            if report.tells_news(sent) or now_ms - sent_ms >= QUIET_INTERVAL_MS:
                 writer.write(encode_frame(report))
                 sent, sent_ms = report, now_ms
             self._send_missing(writer)
@@ -210,6 +209,7 @@
         endpoint = Endpoint(hello.address, hello.port)
         self._beliefs.peer_names[endpoint] = hello.name
         self._heard[hello.name] = peer = HeardPeer(hello.incarnation)
+        self._beliefs.forget_peer(hello.name)  # it tells all of its work anew
         self._metrics.peers.set(len(self._heard))
         log_event(Event.PEER_HEARD, peer=hello.name, incarnation=hello.incarnation)
         self._dial(endpoint)
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -98,6 +98,28 @@
         await first.router.abort()
         await wait_until(lambda: not seen.peers)
 
+    async def test_report_tells_only_what_changed_and_keeps_the_rest_fresh(self) -> None:
+        store = MemoryStore()
+        store.down = True
+        first, second = await self.pair(store)
+        await wait_until(lambda: "e" in second.router.fleet.servers.by_name)
+        server = first.router.fleet.servers.by_name["e"]
+        told = first.router.beliefs.begin_telling()
+        seen = second.router.fleet.servers.by_name["e"]
+        server.in_flight = 2
+        changed = first.router.beliefs.report(told)
+        self.assertEqual([load.in_flight for load in changed.loads], [2])
+        second.router.beliefs.take_report("other", changed)
+        seen.peers["other"].received_ms = 0
+        same = first.router.beliefs.report(told)
+        self.assertEqual(same.loads, ())
+        self.assertFalse(same.tells_news(changed))
+        second.router.beliefs.take_report("other", same)
+        self.assertGreater(seen.peers["other"].received_ms, 0)
+        server.in_flight = 0
+        second.router.beliefs.take_report("other", first.router.beliefs.report(told))
+        self.assertNotIn("other", seen.peers)
+
     async def test_failure_at_one_router_is_known_at_the_other(self) -> None:
         first, second = await self.pair(MemoryStore())
         await wait_until(lambda: "router-1" in second.router.beliefs.reads.peer_counts)
