--- a/src/boragetiller/tables/placement.py
+++ b/src/boragetiller/tables/placement.py
@@ -17,7 +17,7 @@
     cold_ms: float = 200.0  # extra time at an engine that has just started
     batch_ms_per_request: float = 0.5  # a larger batch makes each step longer
     owner_share: float = 0.3  # what a part is worth where all routers would look for it
-    stall_weight: float = 1.0  # of time that a stream is stalled against time to a first event
+    stall_weight: float = 0.5  # of time that a stream is stalled against time to a first event
     step_ms: float = 4.0  # for one token of each stream
     work_weight: float = 2.0  # of reading time, which delays all that comes later
     usual_target_ms: float = 600.0  # latency target for which a ms of delay counts as one
