--- a/src/boragetiller/gateway/store_follower.py
+++ b/src/boragetiller/gateway/store_follower.py
@@ -19,7 +19,7 @@
     from boragetiller.gateway.ports import Dialect, Listing, ReadStore
     from boragetiller.systems.read_sharing import SharedReads
 
-WATCH_WAIT_MS = 15_000  # half of what the platform allows; a dead connection is found sooner
+WATCH_WAIT_MS = 5_000  # a watch that was lost in an outage is asked for again soon after its end
 RETRY_FIRST_MS = 100  # between calls to a store that does not answer, doubled each time
 RETRY_MAX_MS = 1_600  # half of the time in which a node counts as in touch again
 SLOW_RETRY_FACTOR = 4  # for the list, which is tried at once when the other call gets through
--- a/src/boragetiller/systems/subsets.py
+++ b/src/boragetiller/systems/subsets.py
@@ -61,16 +61,9 @@
     for agent in agents:
         by_domain.setdefault(agent.failure_domain, []).append(agent)
     peers = list({peer.name: peer for peer in (*routers, router)}.values())
-    local = [peer for peer in peers if peer.failure_domain == router.failure_domain]
-    chosen: list[str] = []
-    for domain, places in _plan(router, by_domain, settings):
-        needed = len(by_domain[domain]) / len(local) if domain == router.failure_domain else 0
-        size = min(max(places, math.ceil(needed)), len(by_domain[domain]))
-        chosen.extend(_match(local, by_domain[domain], size)[router.name])
-    for members in _without_router(router, peers, by_domain):
-        nearest = _nearest(peers, members[0])
-        chosen.extend(_match(nearest, members, math.ceil(len(members) / len(nearest)))[router.name])
-    chosen = list(dict.fromkeys(chosen))
+    planned = _planned(router, peers, by_domain, settings)
+    adopted = _adopted(router, peers, by_domain)
+    chosen = list(dict.fromkeys([*planned, *adopted]))
     taken = set(chosen)
     rest = [agent for agent in agents if agent.name not in taken]
     return [*chosen, *_fill(router, rest, settings.subset_size - len(chosen))]
@@ -82,13 +75,34 @@
     return 1 if agent.region == router.region else 2
 
 
-def _without_router(
-    router: Member, peers: list[Member], by_domain: dict[str, list[Member]]
-) -> list[list[Member]]:
-    """Agents of each domain that has no router, where this router is one of the nearest."""
+def _planned(
+    router: Member,
+    peers: list[Member],
+    by_domain: dict[str, list[Member]],
+    settings: PlacementSettings,
+) -> list[str]:
+    """Agents by the plan; routers of one domain have places for all of its agents."""
+    local = [peer for peer in peers if peer.failure_domain == router.failure_domain]
+    chosen: list[str] = []
+    for domain, places in _plan(router, by_domain, settings):
+        members = by_domain[domain]
+        needed = len(members) / len(local) if domain == router.failure_domain else 0
+        size = min(max(places, math.ceil(needed)), len(members))
+        chosen.extend(_match(local, members, size)[router.name])
+    return chosen
+
+
+def _adopted(router: Member, peers: list[Member], by_domain: dict[str, list[Member]]) -> list[str]:
+    """Agents of domains that have no router, where this router is one of the nearest."""
     with_router = {peer.failure_domain for peer in peers}
-    orphans = [by_domain[domain] for domain in sorted(by_domain) if domain not in with_router]
-    return [members for members in orphans if router in _nearest(peers, members[0])]
+    chosen: list[str] = []
+    for domain in sorted(by_domain.keys() - with_router):
+        members = by_domain[domain]
+        nearest = _nearest(peers, members[0])
+        if router in nearest:
+            size = math.ceil(len(members) / len(nearest))
+            chosen.extend(_match(nearest, members, size)[router.name])
+    return chosen
 
 
 def _nearest(peers: list[Member], agent: Member) -> list[Member]:
--- a/src/boragetiller/tables/placement.py
+++ b/src/boragetiller/tables/placement.py
@@ -13,10 +13,10 @@
     """Figures that turn load into milliseconds."""
 
     read_tokens_per_ms: float = 60.0  # engines of today read 64 to 93 tokens in a ms
-    other_domain_ms: float = 30.0  # the way is 3 ms; the rest keeps traffic in its failure domain
+    other_domain_ms: float = 60.0  # the way is 3 ms; the rest keeps traffic in its failure domain
     cold_ms: float = 200.0  # extra time at an engine that has just started
     batch_ms_per_request: float = 0.5  # a larger batch makes each step longer
-    owner_share: float = 0.3  # what a part is worth where all routers would look for it
+    owner_share: float = 0.05  # what a part is worth where all routers would look for it
     stall_weight: float = 0.5  # of time that a stream is stalled against time to a first event
     step_ms: float = 4.0  # for one token of each stream
     work_weight: float = 2.0  # of reading time, which delays all that comes later
