Log deadline and time-out of a failed call

What could not be told: whether the route's time-out or the caller's deadline had ended the seven. Change: call_failed bears both. That the route's time-out of 400 ms ended six of them is likely by the equal times, and not shown by these logs.

--- a/src/boragetiller/gateway/accounts.py
+++ b/src/boragetiller/gateway/accounts.py
@@ -161,6 +161,8 @@
             detail=detail,
             reason=step.reason.value,
             verdict=step.verdict.value,
+            deadline_ms=call.facts.deadline_ms,
+            timeout_ms=call.route.timeout_ms,
             elapsed_ms=self._clock.now_ms() - call.arrived_ms,
             config_version=call.config_version,
         )
