Keep what peers are told in one kind of list

Cause: prompts and failures told to peers were each kept in a bounded list with a count and the same cut of what a peer lacks, once in Beliefs and once in RequestHistory; a report copied every load it had told before it picked the few that had ended. Change: tables/news.py serves both; ended loads are picked first. No behaviour changes; the tests keep their assertions and call the new names.

--- a/src/boragetiller/gateway/beliefs.py
+++ b/src/boragetiller/gateway/beliefs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import TYPE_CHECKING
 
 import attrs
@@ -11,6 +10,7 @@
 from boragetiller.systems.prompt_cache import engine_cache_tokens, note_read
 from boragetiller.systems.read_sharing import SharedReads
 from boragetiller.systems.request_history import take_failure
+from boragetiller.tables.news import News
 from boragetiller.tables.servers import PeerLoad
 
 if TYPE_CHECKING:
@@ -59,12 +59,11 @@
         :param clock: monotonic time
         """
         self.peer_names: dict[Endpoint, str] = {}
-        self.prompt_count = 0
         self.reads = SharedReads()
         self._fleet = fleet
         self._costs = costs
         self._clock = clock
-        self._prompts: deque[ReadPrompt] = deque(maxlen=KEPT_PROMPTS)
+        self._prompts: News[ReadPrompt] = News.keeping(KEPT_PROMPTS)
 
     def revisions(self) -> FollowedRevisions:
         """:return: how far this router has followed the store"""
@@ -96,12 +95,11 @@
         :param engine: profile of its group
         """
         self._note_read(server, prompt, engine)
-        self._prompts.append(ReadPrompt(server=server.name, prompt=prompt))
-        self.prompt_count += 1
+        self._prompts.add(ReadPrompt(server=server.name, prompt=prompt))
 
     def begin_telling(self) -> ToldSoFar:
         """:return: for a new connection, on which only the present and the future are told"""
-        return ToldSoFar(self.prompt_count, self._fleet.history.news_count)
+        return ToldSoFar(self._prompts.count, self._fleet.history.news.count)
 
     def report(self, told: ToldSoFar) -> PeerReport:
         """
@@ -111,17 +109,16 @@
         :return: the report
         """
         revisions = self.revisions()
-        new = min(self.prompt_count - told.prompts, len(self._prompts))
-        prompts = list(self._prompts)[len(self._prompts) - new :] if new else []
+        failures = self._fleet.history.news
         report = PeerReport(
             config_revision=revisions.config,
             servers_revision=revisions.servers,
             loads=self._changed_loads(told),
-            prompts=tuple(prompts),
-            failures=self._fleet.history.news_since(told.failures),
+            prompts=self._prompts.since(told.prompts),
+            failures=failures.since(told.failures),
             store_reads=self.reads.own_count,
         )
-        told.prompts, told.failures = self.prompt_count, self._fleet.history.news_count
+        told.prompts, told.failures = self._prompts.count, failures.count
         return report
 
     def take_report(self, peer: str, report: PeerReport) -> None:
@@ -166,8 +163,11 @@
     def _changed_loads(self, told: ToldSoFar) -> tuple[SentLoad, ...]:
         servers = self._fleet.servers.by_name.values()
         loads = {server.name: _load(server) for server in servers if server.in_flight}
-        ended = [attrs.evolve(load, in_flight=0) for load in told.loads.values()]
-        ended = [load for load in ended if load.server not in loads]
+        ended = [
+            attrs.evolve(load, in_flight=0)
+            for name, load in told.loads.items()
+            if name not in loads
+        ]
         changed = [load for name, load in loads.items() if told.loads.get(name) != load]
         told.loads = loads
         return (*changed, *ended)
--- a/src/boragetiller/systems/request_history.py
+++ b/src/boragetiller/systems/request_history.py
@@ -78,7 +78,7 @@
     """
     failure = RequestFailure(fingerprint, server, FailureKind.ERROR)
     take_failure(history, failure, now_ms)
-    _tell(history, failure)
+    history.news.add(failure)
 
 
 def note_lost(
@@ -124,7 +124,7 @@
         if record_crash(history.strikes, send.fingerprint, server, send.sent_ms, now_ms):
             struck.append(RequestFailure(send.fingerprint, server, FailureKind.CRASH))
     for failure in struck:
-        _tell(history, failure)
+        history.news.add(failure)
     return struck
 
 
@@ -187,11 +187,6 @@
     return now_ms - oldest.last_ms >= ERROR_MEMORY_MS
 
 
-def _tell(history: RequestHistory, failure: RequestFailure) -> None:
-    history.news.append(failure)
-    history.news_count += 1
-
-
 __all__ = [
     "FINGERPRINT_BYTES",
     "confirm_crash",
--- a/src/boragetiller/tables/request_history.py
+++ b/src/boragetiller/tables/request_history.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from enum import Enum
 
 import attrs
 
+from boragetiller.tables.news import News
 from boragetiller.tables.strikes import StrikeTable
 
 KEPT_NEWS = 256  # failures told to peers; a report every 100 ms tells all that came since the last
@@ -52,18 +53,7 @@
     strikes: StrikeTable = attrs.field(factory=StrikeTable)
     errors: OrderedDict[bytes, FailedServers] = attrs.field(factory=OrderedDict)
     lost: dict[str, list[LostSend]] = attrs.field(factory=dict)  # by server
-    news: deque[RequestFailure] = attrs.field(factory=lambda: deque(maxlen=KEPT_NEWS))
-    news_count: int = 0  # of all that were ever seen by this router itself
-
-    def news_since(self, told: int) -> tuple[RequestFailure, ...]:
-        """
-        List what this router saw itself.
-
-        :param told: value of `news_count` up to which a peer was told
-        :return: newer failures, oldest first
-        """
-        new = min(self.news_count - told, len(self.news))
-        return tuple(self.news)[len(self.news) - new :]
+    news: News[RequestFailure] = attrs.field(factory=lambda: News.keeping(KEPT_NEWS))
 
 
 __all__ = ["FailedServers", "FailureKind", "LostSend", "RequestFailure", "RequestHistory"]
--- a/tests/systems/test_request_history.py
+++ b/tests/systems/test_request_history.py
@@ -115,19 +115,19 @@
         note_error(self.history, OTHER, "a", 0)
         self.crash("a", 100)
         self.crash("b", 1_000)
-        for failure in self.history.news_since(0):
+        for failure in self.history.news.since(0):
             take_failure(peer, failure, 1_200)
         self.assertTrue(is_quarantined(peer, BODY, 1_300))
         self.history = peer
         self.assertEqual(self.left(OTHER, 1_300), ["b", "c"])
-        self.assertEqual(peer.news_since(0), ())
+        self.assertEqual(peer.news.since(0), ())
 
     def test_news_begin_where_a_peer_was_told(self) -> None:
         note_error(self.history, BODY, "a", 0)
-        told = self.history.news_count
+        told = self.history.news.count
         note_error(self.history, BODY, "b", 0)
         self.assertEqual(
-            self.history.news_since(told), (RequestFailure(BODY, "b", FailureKind.ERROR),)
+            self.history.news.since(told), (RequestFailure(BODY, "b", FailureKind.ERROR),)
         )
 
 
