--- /dev/null
+++ b/bench/gateway_scale.py
@@ -0,0 +1,244 @@
+"""
+Costs of a router on the users' platform, by the size of the fleet.
+
+    python -m bench.gateway_scale [--json]
+
+One router's tables are filled as all others would fill them; no sockets are opened. Times are
+processor time, the best of five tries.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+import tracemalloc
+from random import Random
+from typing import TYPE_CHECKING
+
+import tests.platform_path  # noqa: F401
+from boragetiller.clock import ManualClock
+from boragetiller.gateway.beliefs import Beliefs
+from boragetiller.gateway.fleet import Fleet
+from boragetiller.gateway.metrics import GatewayMetrics
+from boragetiller.gateway.peer_messages import (
+    PeerReport,
+    ReadPrompt,
+    SentLoad,
+    decode_payload,
+    encode_frame,
+)
+from boragetiller.gateway.peers import report_interval_ms
+from boragetiller.gateway.settings import Endpoint, GatewaySettings
+from boragetiller.systems.candidates import pick_candidates
+from boragetiller.systems.first_token import choose_server
+from boragetiller.systems.peer_subset import MAX_PEERS
+from boragetiller.tables.calls import Prompt, PromptPart
+from boragetiller.tables.placement import PlacementCosts, PlacementRequest
+from boragetiller.tables.store_view import StoredItem
+from dialect import PlatformDialect
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+SIZES = ((4, 8), (28, 65), (100, 300), (400, 1_300))  # routers and backend servers
+DOMAINS = 21
+ROUTES = 100
+KEYS = 5_200
+TRIES = 5
+LOADS_PER_REPORT = 8  # servers at which a router's work changes between two reports
+PROMPTS_PER_REPORT = 3
+PARTS = 3_000
+
+
+def main() -> int:
+    """
+    Measure and print.
+
+    :return: process exit code
+    """
+    rows = [_measure(routers, servers) for routers, servers in SIZES]
+    if "--json" in sys.argv:
+        print(json.dumps(rows, indent=1))
+        return 0
+    for name in rows[0]:
+        print(f"{name:<28}" + "".join(f"{row[name]:>14.3f}" for row in rows))
+    return 0
+
+
+def _measure(routers: int, servers: int) -> dict[str, float]:
+    rng = Random(1)
+    tracemalloc.start()
+    clock = ManualClock(1_000)
+    fleet, beliefs = _router(servers, clock)
+    for number in range(routers - 1):
+        beliefs.take_report(f"r{number}", _report(rng, servers, LOADS_PER_REPORT * 4))
+    memory_mb = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    frame = encode_frame(_report(rng, servers, LOADS_PER_REPORT))
+    peers = min(MAX_PEERS, routers - 1)
+    interval_s = report_interval_ms(peers) / 1_000
+    taken_ms = _best_ms(lambda: beliefs.take_report("r0", decode_payload(frame[4:])), 200)
+    for server in list(fleet.servers.by_name.values())[:LOADS_PER_REPORT]:
+        server.in_flight = 3
+    built_ms = _best_ms(lambda: encode_frame(beliefs.report(beliefs.begin_telling())), 200)
+    control_share = (peers * taken_ms + built_ms) / interval_s / 1_000
+    revision = [10_000]
+
+    def change_list() -> None:
+        revision[0] += 1
+        fleet.take_changes([_server_item(0, revision[0], slots=revision[0])], "bench")
+
+    def change_config() -> None:
+        revision[0] += 1
+        fleet.take_changes([_config_item(revision[0])], "bench")
+
+    return {
+        "routers": routers,
+        "servers": servers,
+        "choice_ms": _choice_ms(fleet, rng, servers),
+        "report_taken_ms": taken_ms,
+        "report_built_ms": built_ms,
+        "control_share_of_core": control_share,
+        "control_kb_per_s": 2 * peers * len(frame) / interval_s / 1_000,
+        "list_change_ms": _best_ms(change_list, 5),
+        "config_change_ms": _best_ms(change_config, 3),
+        "memory_mb": memory_mb,
+    }
+
+
+def _router(servers: int, clock: ManualClock) -> tuple[Fleet, Beliefs]:
+    free = Endpoint("127.0.0.1", 0)
+    settings = GatewaySettings(
+        name="router",
+        failure_domain="z0",
+        callers=free,
+        readiness=free,
+        peers=free,
+        metrics=None,
+        seeds=(),
+        store=free,
+        grace_ms=8_000,
+        drain_ms=2_000,
+        config_apply_ms=2_000,
+        event_delay_ms=120,
+        retry_ratio=0.2,
+        retry_slack=50.0,
+        retry_window_ms=10_000,
+    )
+    fleet = Fleet(settings, PlatformDialect(), clock, GatewayMetrics())
+    beliefs = Beliefs("router", fleet, PlacementCosts(), clock)
+    fleet.take_changes([_config_item(1)], "bench")
+    fleet.take_listing("servers/", [_server_item(n, n + 2) for n in range(servers)], 5_000, "bench")
+    return fleet, beliefs
+
+
+def _choice_ms(fleet: Fleet, rng: Random, servers: int) -> float:
+    group = fleet.servers.accepting("engines")
+    costs = PlacementCosts()
+
+    def choose() -> None:
+        request = PlacementRequest(
+            prompt=_prompt(rng),
+            urgency=rng.randrange(9),
+            target_ms=600.0,
+            sensitivity=0.3,
+            failure_domain="z0",
+            time_left_ms=10_000.0,
+            patience_ms=4_000.0,
+            usual_output_tokens=100.0,
+        )
+        candidates = pick_candidates(group, request, set(), rng, 1_000)
+        choose_server(group, candidates, request, costs, 1_000)
+
+    assert len(group.servers) == servers
+    return _best_ms(choose, 100)
+
+
+def _best_ms(call: Callable[[], object], rounds: int) -> float:
+    best = float("inf")
+    for _ in range(TRIES):
+        start = time.process_time_ns()
+        for _ in range(rounds):
+            call()
+        best = min(best, (time.process_time_ns() - start) / rounds / 1e6)
+    return best
+
+
+def _prompt(rng: Random) -> Prompt:
+    parts = (
+        PromptPart(f"{rng.randrange(3):08x}", 500),
+        PromptPart(f"{100 + rng.randrange(PARTS):08x}", 5_000),
+        PromptPart(f"{rng.getrandbits(60):08x}", 3_000),
+    )
+    return Prompt(model="m", input_tokens=8_500, output_tokens=200, parts=parts)
+
+
+def _report(rng: Random, servers: int, loads: int) -> PeerReport:
+    names = rng.sample([_server_name(number) for number in range(servers)], min(loads, servers))
+    return PeerReport(
+        config_revision=1,
+        servers_revision=2,
+        loads=tuple(
+            SentLoad(server=name, in_flight=2, unread_tokens=(0, 900, 40, 0), sensitivity=0.4)
+            for name in names
+        ),
+        prompts=tuple(
+            ReadPrompt(server=name, prompt=_prompt(rng)) for name in names[:PROMPTS_PER_REPORT]
+        ),
+        reaches_store=True,
+    )
+
+
+def _server_name(number: int) -> str:
+    return f"i-{number:010x}"
+
+
+def _server_item(number: int, revision: int, slots: int = 64) -> StoredItem:
+    entry = {
+        "service": "engines",
+        "address": f"10.0.{number // 250}.{number % 250 + 1}:8500",
+        "zone": f"z{number % DOMAINS}",
+        "slots": slots,
+        "state": "ready",
+        "seq": 1,
+    }
+    return StoredItem(f"servers/{_server_name(number)}", json.dumps(entry).encode(), revision)
+
+
+def _config_item(version: int) -> StoredItem:
+    routes = [
+        {
+            "name": f"route-{number}",
+            "host": f"host{number % 10}.example",
+            "path-prefix": f"/p{number}/",
+            "timeout-ms": 5_000,
+            "service": "engines",
+            "kind": "streaming",
+            "sticky": True,
+            "priority": number % 4,
+            "goal-ms": 600,
+        }
+        for number in range(ROUTES)
+    ]
+    engine = {"slots": 64, "kv-capacity": 500_000}
+    document = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "engines", "health-path": "/health", "max-conns": 99, "engine": engine}
+        ],
+        "limits": {
+            "max-header-bytes": 16_384,
+            "max-body-bytes": 65_536,
+            "header-timeout-ms": 3_000,
+            "idle-timeout-ms": 15_000,
+        },
+        "tenants": [{"name": f"t{n}", "api-keys": [f"key-{n}"]} for n in range(KEYS)],
+    }
+    return StoredItem("op/config", json.dumps(document).encode(), version)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/bench/platform_variants.py
+++ b/bench/platform_variants.py
@@ -22,16 +22,16 @@
 PLACEMENT = Path("src/boragetiller/systems/first_token.py")
 COSTS = Path("src/boragetiller/tables/placement.py")
 COPIED = ("src", "platform", "deploy", "target")
-CHOICE = re.compile(r"    quiet = quiet_servers.*?    return min\(placements.*?\n", re.DOTALL)
+CHOICE = re.compile(r"    quiet = quiet_count.*?    return min\(placements.*?\n", re.DOTALL)
 
 _ROUND_ROBIN = """
-    turn = sum(server.placed for server in servers)
+    turn = sum(server.placed for server in group.servers)
     server = usable[turn % len(usable)]
     server.placed += 1
     return estimate_placement(server, request, costs, now_ms, ServerDuty())
 """
 _LEAST_OUTSTANDING = """
-    owner = _part_owner(usable, request.prompt)
+    owner = part_owner(group, request.prompt, lambda server: server in usable)
     least = min(server.in_flight for server in usable)
     if owner is None or owner.in_flight > least + 4:
         owner = min(usable, key=lambda server: server.in_flight)
--- a/src/boragetiller/events.py
+++ b/src/boragetiller/events.py
@@ -60,8 +60,10 @@
     PEER_HEARD = 820
     PEER_LOST = 821
     PEER_ITEM_WITHHELD = 822
+    PEERS_BOUNDED = 823
     SETTINGS_RELOADED = 830
     SETTINGS_REFUSED = 831
+    TASK_FAILED = 840
 
 
 def log_event(event: Event, **fields: object) -> None:
--- a/src/boragetiller/gateway/accounts.py
+++ b/src/boragetiller/gateway/accounts.py
@@ -12,6 +12,7 @@
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.sender import StreamState
     from boragetiller.systems.direct_outcomes import Refuse
+    from boragetiller.systems.engine_pace import EnginePace
     from boragetiller.tables.attempts import CallProgress, SendResult
     from boragetiller.tables.placement import Placement
 
@@ -29,25 +30,32 @@
         self._metrics = metrics
         self._clock = clock
 
-    def note_placed(self, call: Call, placement: Placement) -> None:
+    def note_placed(
+        self, call: Call, placement: Placement, pace: EnginePace, oldest_report_ms: int
+    ) -> None:
         """
         Tell where a call goes, and what the choice was based on.
 
         :param call: the call
         :param placement: the choice
+        :param pace: what was learned of the engines of its group
+        :param oldest_report_ms: age of the oldest report of a router that was counted
         """
         log_event(
             Event.CALL_PLACED,
             request_id=call.facts.request_id,
             route=call.route.name,
-            tier=call.tier,
+            urgency=call.urgency,
             server=placement.server.name,
             cost_ms=round(placement.cost_ms),
             first_event_ms=round(placement.first_event_ms),
             new_tokens=placement.new_tokens,
+            length_hint_tokens=call.facts.length_hint_tokens,
+            read_tokens_per_ms=round(pace.read_tokens_per_ms, 1),
+            tokens_per_event=round(pace.tokens_per_event, 1),
             in_flight=placement.in_flight,
             peers_heard=placement.peers_heard,
-            oldest_report_ms=placement.oldest_report_ms,
+            oldest_report_ms=oldest_report_ms,
             config_version=call.config_version,
         )
 
--- a/src/boragetiller/gateway/beliefs.py
+++ b/src/boragetiller/gateway/beliefs.py
@@ -7,9 +7,11 @@
 import attrs
 
 from boragetiller.gateway.peer_messages import PeerReport, ReadPrompt, SentLoad
+from boragetiller.systems.peer_work import end_load, forget_peer, hear_peer, take_load
 from boragetiller.systems.prompt_cache import engine_cache_tokens, note_read
 from boragetiller.systems.read_sharing import SharedReads
 from boragetiller.systems.request_history import take_failure
+from boragetiller.systems.watch_sharing import SharedWatches
 from boragetiller.tables.news import News
 from boragetiller.tables.servers import PeerLoad
 
@@ -50,16 +52,19 @@
 class Beliefs:
     """This router's side of the exchange with its peers."""
 
-    def __init__(self, fleet: Fleet, costs: PlacementCosts, clock: Clock) -> None:
+    def __init__(self, name: str, fleet: Fleet, costs: PlacementCosts, clock: Clock) -> None:
         """
         Prepare the beliefs.
 
+        :param name: name of this process
         :param fleet: configuration and backend servers
         :param costs: figures of placement
         :param clock: monotonic time
         """
         self.peer_names: dict[Endpoint, str] = {}
         self.reads = SharedReads()
+        self.watches = SharedWatches(name)
+        self.heard_share = 1.0  # see systems.peer_subset
         self._fleet = fleet
         self._costs = costs
         self._clock = clock
@@ -117,6 +122,8 @@
             prompts=self._prompts.since(told.prompts),
             failures=failures.since(told.failures),
             store_reads=self.reads.own_count,
+            reaches_store=self.watches.own_reaches,
+            watches=self.watches.own_reaches and self.watches.has_duty(self._clock.now_ms()),
         )
         told.prompts, told.failures = self._prompts.count, failures.count
         return report
@@ -129,16 +136,19 @@
         :param report: its report; its work at servers that it does not name is as it was
         """
         now_ms = self._clock.now_ms()
+        work = hear_peer(self._fleet.peer_work, peer, now_ms)
         for load in report.loads:
-            self._take_load(peer, load, now_ms)
-        for server in self._fleet.servers.by_name.values():
-            if peer in server.peers:
-                server.peers[peer].received_ms = now_ms
+            server = self._fleet.servers.by_name.get(load.server)
+            if server is None:
+                end_load(work, load.server)
+            else:
+                take_load(work, server, _peer_load(load))
         for prompt in report.prompts:
             self._take_prompt(prompt)
         for failure in report.failures:
             take_failure(self._fleet.history, failure, now_ms)
         self.reads.note_peer(peer, report.store_reads, now_ms)
+        self.watches.note_peer(peer, now_ms, reaches_store=report.reaches_store)
 
     def take_items(self, items: tuple[StoredItem, ...], peer: str) -> None:
         """
@@ -156,9 +166,9 @@
 
         :param peer: its name
         """
-        for server in self._fleet.servers.by_name.values():
-            server.peers.pop(peer, None)
+        forget_peer(self._fleet.peer_work, peer)
         self.reads.peer_counts.pop(peer, None)
+        self.watches.forget_peer(peer)
 
     def _changed_loads(self, told: ToldSoFar) -> tuple[SentLoad, ...]:
         servers = self._fleet.servers.by_name.values()
@@ -172,20 +182,6 @@
         told.loads = loads
         return (*changed, *ended)
 
-    def _take_load(self, peer: str, load: SentLoad, now_ms: int) -> None:
-        server = self._fleet.servers.by_name.get(load.server)
-        if server is None:
-            return
-        if load.in_flight == 0:
-            server.peers.pop(peer, None)
-            return
-        server.peers[peer] = PeerLoad(
-            in_flight=load.in_flight,
-            unread_tokens=load.unread_tokens,
-            sensitivity=load.sensitivity,
-            received_ms=now_ms,
-        )
-
     def _take_prompt(self, prompt: ReadPrompt) -> None:
         server = self._fleet.servers.by_name.get(prompt.server)
         if server is None or self._fleet.config is None:
@@ -199,11 +195,19 @@
         note_read(server, prompt, self._costs, cache_tokens, self._clock.now_ms())
 
 
+def _peer_load(load: SentLoad) -> PeerLoad:
+    return PeerLoad(
+        in_flight=load.in_flight,
+        unread_tokens=load.unread_tokens,
+        sensitivity=load.sensitivity,
+    )
+
+
 def _load(server: BackendServer) -> SentLoad:
     return SentLoad(
         server=server.name,
         in_flight=server.in_flight,
-        unread_tokens=server.unread_by_tier(),
+        unread_tokens=tuple(server.unread_tokens),
         sensitivity=round(server.sensitivity, 2),
     )
 
--- a/src/boragetiller/gateway/call.py
+++ b/src/boragetiller/gateway/call.py
@@ -9,7 +9,7 @@
 
 from boragetiller.errors import NotFound
 from boragetiller.systems.request_history import request_fingerprint
-from boragetiller.systems.routing import choose_group, find_customer, find_route, request_tier
+from boragetiller.systems.routing import choose_group, find_customer, find_route, request_urgency
 from boragetiller.tables.calls import CallFacts
 from boragetiller.tables.routes import BackendGroup, Route, RouteCustomer
 
@@ -32,7 +32,7 @@
     route: Route
     customer: RouteCustomer | None
     group: BackendGroup
-    tier: int
+    urgency: int
     config_version: int
     arrived_ms: int
     fingerprint: bytes  # the same for each try of the caller
@@ -88,7 +88,7 @@
         route=route,
         customer=customer,
         group=group,
-        tier=request_tier(route, customer),
+        urgency=request_urgency(route, customer),
         config_version=config.version,
         arrived_ms=arrived_ms,
         fingerprint=request_fingerprint(customer.name if customer else "", method, raw_path, body),
--- a/src/boragetiller/gateway/connections.py
+++ b/src/boragetiller/gateway/connections.py
@@ -28,19 +28,46 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+MAX_FRAMING_BYTES = 1_048_576  # of heads and chunk marks, beyond as many bytes as the body has
+MAX_SKIPPED_BYTES = 1_048_576  # of answers to other requests, before the connection is given up
+MAX_SKIPPED_ANSWERS = 8
+
+
+class AnswerTooLarge(ValueError):
+    """A server sends more bytes than any answer of the configuration in force has."""
+
+
+async def read_bounded(content: aiohttp.StreamReader, max_bytes: int) -> bytes:
+    """
+    Read a body to its end.
+
+    :param content: the body
+    :param max_bytes: after which no more is read
+    :return: the body
+    :raises AnswerTooLarge: it is longer
+    :raises aiohttp.ClientError: it did not arrive completely
+    """
+    data = bytearray()
+    async for chunk in content.iter_any():
+        data += chunk
+        if len(data) > max_bytes:
+            raise AnswerTooLarge(f"more than {max_bytes} bytes")
+    return bytes(data)
 
 
 class GuardedProtocol(ResponseHandler):
-    """Closes the connection on bytes that no request waits for."""
+    """Closes the connection on bytes that no request waits for, or that are no part of a body."""
 
     def __init__(self, loop: AbstractEventLoop) -> None:
         """:param loop: the running loop"""
         super().__init__(loop)
         self.expects_answer = False
+        self._received_bytes = 0  # since the last request
 
     def set_response_params(self, **params: object) -> None:  # type: ignore[override]
         """See :class:`ResponseHandler`; called as a request is about to be sent."""
         self.expects_answer = True
+        self._received_bytes = 0
         super().set_response_params(**params)  # type: ignore[arg-type]
 
     def data_received(self, data: bytes) -> None:
@@ -49,6 +76,15 @@
             self.abort()
             return
         super().data_received(data)
+        self._received_bytes += len(data)
+        payload = self._payload
+        body_bytes = payload.total_bytes if payload is not None else 0
+        if self._received_bytes > MAX_FRAMING_BYTES + 2 * body_bytes:
+            error = aiohttp.ClientPayloadError("more framing than body")
+            if payload is not None:
+                payload.set_exception(error)
+            self.set_exception(error)
+            self.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """See :class:`ResponseHandler`; a reset never ends a body that has no length."""
@@ -70,8 +106,12 @@
     async def start(self, connection: Connection) -> aiohttp.ClientResponse:
         """See :class:`ClientResponse`."""
         await super().start(connection)
+        left_bytes, skipped = MAX_SKIPPED_BYTES, 0
         while not self.answers_its_request():
-            await self.content.read()
+            skipped += 1
+            if skipped > MAX_SKIPPED_ANSWERS:
+                raise AnswerTooLarge(f"more than {MAX_SKIPPED_ANSWERS} answers to other requests")
+            left_bytes -= len(await read_bounded(self.content, left_bytes))
             self._cache.clear()  # aiohttp keeps the headers of the first head
             await super().start(connection)
         self._identified = True
@@ -147,10 +187,12 @@
 
 
 __all__ = [
+    "AnswerTooLarge",
     "GuardedProtocol",
     "IdentifiedResponse",
     "detect_silence",
     "guarded_connector",
     "identified_response",
     "open_guarded_socket",
+    "read_bounded",
 ]
--- a/src/boragetiller/gateway/event_stream.py
+++ b/src/boragetiller/gateway/event_stream.py
@@ -6,6 +6,7 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+MAX_EVENT_BYTES = 1_048_576  # an event holds a few tokens; a value of the store has a megabyte
 
 
 @attrs.frozen
@@ -17,12 +18,16 @@
     last_id: str | None
 
 
+class EventTooLarge(ValueError):
+    """A server sends an event without end."""
+
+
 class EventSplitter:
     """Holds back the beginning of an event until its end has come."""
 
     def __init__(self, after_id: str | None = None) -> None:
         """:param after_id: last event that the caller has; it and older ones are dropped"""
-        self._rest = b""
+        self._rest = bytearray()
         self._after = _number(after_id)
         self.last_id = after_id
 
@@ -37,15 +42,26 @@
 
         :param data: the next bytes
         :return: the events that are whole now
+        :raises EventTooLarge: an event has MAX_EVENT_BYTES and no end
         """
-        text = self._rest + data.replace(b"\r\n", b"\n") if b"\r" in data else self._rest + data
-        end = text.rfind(EVENT_END)
+        searched = max(0, len(self._rest) - len(EVENT_END))
+        self._append(data)
+        end = self._rest.rfind(EVENT_END, searched)
         if end < 0:
-            self._rest = text
+            if len(self._rest) > MAX_EVENT_BYTES:
+                raise EventTooLarge(f"an event of more than {MAX_EVENT_BYTES} bytes")
             return StreamEvents(b"", 0, self.last_id)
-        whole, self._rest = text[: end + len(EVENT_END)], text[end + len(EVENT_END) :]
+        end += len(EVENT_END)
+        whole = bytes(self._rest[:end])
+        del self._rest[:end]
         return self._select(whole)
 
+    def _append(self, data: bytes) -> None:
+        """Join lines that end in CR LF as if they ended in LF, also where a read ends between."""
+        if data.startswith(b"\n") and self._rest.endswith(b"\r"):
+            del self._rest[-1:]
+        self._rest += data.replace(b"\r\n", b"\n") if b"\r" in data else data
+
     def _select(self, whole: bytes) -> StreamEvents:
         kept = []
         for event in whole.split(EVENT_END)[:-1]:
@@ -70,4 +86,4 @@
     return int(event_id) if event_id is not None and event_id.isdecimal() else None
 
 
-__all__ = ["EventSplitter", "StreamEvents"]
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "EventTooLarge", "StreamEvents"]
--- a/src/boragetiller/gateway/fleet.py
+++ b/src/boragetiller/gateway/fleet.py
@@ -5,14 +5,20 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
+
 from boragetiller.errors import EntryUnreadable
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.server_client import ServerClient
+from boragetiller.systems.engine_pace import EnginePace
 from boragetiller.systems.request_history import confirm_crash
 from boragetiller.systems.window_budget import WindowBudget
+from boragetiller.tables.peer_work import PeerWorkTable
+from boragetiller.tables.placement import PlacementCosts
 from boragetiller.tables.request_history import RequestHistory
-from boragetiller.tables.servers import ServerTable
+from boragetiller.tables.server_table import ServerTable
 from boragetiller.tables.store_view import StoreView
+from boragetiller.tables.usual_lengths import UsualLengths
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -46,7 +52,10 @@
         self._metrics = metrics
         self.view = StoreView()
         self.servers = ServerTable()
+        self.peer_work = PeerWorkTable()
         self.history = RequestHistory()
+        self._paces: dict[str, EnginePace] = {}
+        self.lengths = UsualLengths()
         self.config: RouteConfig | None = None
         self.config_taken_ms = 0  # monotonic time since which it is in force
         self.on_joined: Callable[[BackendServer], None] | None = None  # a server came onto the list
@@ -54,6 +63,7 @@
         self._settings = settings
         self.dialect = dialect
         self._clock = clock
+        self._usual_costs = PlacementCosts()
         self._clients: dict[str, ServerClient] = {}
         self._budgets: dict[str, WindowBudget] = {}
         self._unreadable: dict[str, int] = {}
@@ -76,6 +86,31 @@
             self._clients[name] = ServerClient(server.record, self.dialect)
         return self._clients[name]
 
+    def pace(self, group: str) -> EnginePace:
+        """
+        Give what was learned of the engines of a group.
+
+        :param group: name of the backend group
+        :return: their pace
+        """
+        if group not in self._paces:
+            self._paces[group] = EnginePace()
+        return self._paces[group]
+
+    def costs(self, group: str) -> PlacementCosts:
+        """
+        Give the figures of placement for a group.
+
+        :param group: name of the backend group
+        :return: the figures, with what was learned of its engines
+        """
+        pace = self.pace(group)
+        return attrs.evolve(
+            self._usual_costs,
+            read_tokens_per_ms=pace.read_tokens_per_ms,
+            tokens_per_event=pace.tokens_per_event,
+        )
+
     def budget(self, group: str) -> WindowBudget:
         """
         Give the retry budget of a group.
@@ -158,6 +193,8 @@
         if self.config is not None and config.version <= self.config.version:
             return False
         self.config = config
+        self._paces = {name: pace for name, pace in self._paces.items() if name in config.groups}
+        self.lengths.keep({route.name for route in config.routes})
         self.config_taken_ms = self._clock.now_ms()
         self._metrics.config_version.set(config.version)
         log_event(Event.ROUTES_TAKEN, version=config.version, revision=item.revision, source=source)
--- a/src/boragetiller/gateway/peer_messages.py
+++ b/src/boragetiller/gateway/peer_messages.py
@@ -11,6 +11,7 @@
 
 from boragetiller.control.errors import BadFrame
 from boragetiller.control.packing import WORD_BYTES, pack, unpack
+from boragetiller.gateway.settings import Endpoint
 from boragetiller.tables.calls import Prompt, PromptPart
 from boragetiller.tables.request_history import FailureKind, RequestFailure
 from boragetiller.tables.store_view import StoredItem
@@ -39,7 +40,7 @@
 
     server: str
     in_flight: int  # 0 when nothing is under way there any more
-    unread_tokens: tuple[int, ...]  # prompt tokens not yet read there, by tier
+    unread_tokens: tuple[int, ...]  # prompt tokens not yet read there, by urgency
     sensitivity: float  # sum over its streams; see systems.first_token
 
 
@@ -61,6 +62,8 @@
     prompts: tuple[ReadPrompt, ...] = ()
     failures: tuple[RequestFailure, ...] = ()
     store_reads: int = 0  # plain reads of the store by the sender
+    reaches_store: bool = False  # its calls to the store are answered
+    watches: bool = False  # it watches the list of backend servers itself
 
     def tells_news(self, last: PeerReport | None) -> bool:
         """
@@ -71,8 +74,16 @@
         """
         if last is None or self.loads or self.prompts or self.failures:
             return True
-        followed = (self.config_revision, self.servers_revision, self.store_reads)
-        return followed != (last.config_revision, last.servers_revision, last.store_reads)
+        return self._standing() != last._standing()  # noqa: SLF001
+
+    def _standing(self) -> tuple[int, int, int, bool, bool]:
+        return (
+            self.config_revision,
+            self.servers_revision,
+            self.store_reads,
+            self.reaches_store,
+            self.watches,
+        )
 
 
 @attrs.frozen
@@ -82,7 +93,14 @@
     items: tuple[StoredItem, ...]
 
 
-PeerMessage = PeerHello | PeerReport | PeerItems
+@attrs.frozen
+class PeerRouters:
+    """Where other routers listen that the sender hears."""
+
+    endpoints: tuple[Endpoint, ...]
+
+
+PeerMessage = PeerHello | PeerReport | PeerItems | PeerRouters
 
 
 def encode_frame(message: PeerMessage) -> bytes:
@@ -119,6 +137,8 @@
         return OTHER_WORDS + sum(
             ITEM_WORDS + len(item.value or b"") // WORD_BYTES for item in message.items
         )
+    if isinstance(message, PeerRouters):
+        return OTHER_WORDS + ITEM_WORDS * len(message.endpoints)
     if isinstance(message, PeerReport):
         parts = sum(len(read.prompt.parts) for read in message.prompts)
         entries = len(message.loads) + len(message.prompts) + parts + len(message.failures)
@@ -140,6 +160,8 @@
             return _read_report(envelope.report)
         case "items":
             return PeerItems(tuple(_read_item(item) for item in envelope.items))
+        case "routers":
+            return PeerRouters(tuple(Endpoint(r.address, r.port) for r in envelope.routers))
     raise BadFrame("unknown message")
 
 
@@ -163,6 +185,8 @@
         prompts=tuple(prompts),
         failures=tuple(_read_failure(failure) for failure in report.failures),
         store_reads=report.storeReads,
+        reaches_store=report.reachesStore,
+        watches=report.watches,
     )
 
 
@@ -230,6 +254,8 @@
             for failure in message.failures
         ],
         "storeReads": message.store_reads,
+        "reachesStore": message.reaches_store,
+        "watches": message.watches,
     }
     return "report", report
 
@@ -248,6 +274,11 @@
     return "items", items
 
 
+@_to_capnp.register
+def _(message: PeerRouters) -> tuple[str, Any]:
+    return "routers", [attrs.asdict(endpoint) for endpoint in message.endpoints]
+
+
 __all__ = [
     "LENGTH_BYTES",
     "MAX_FRAME_BYTES",
@@ -255,6 +286,7 @@
     "PeerItems",
     "PeerMessage",
     "PeerReport",
+    "PeerRouters",
     "ReadPrompt",
     "SentLoad",
     "decode_payload",
--- a/src/boragetiller/gateway/peers.capnp
+++ b/src/boragetiller/gateway/peers.capnp
@@ -6,6 +6,7 @@
     hello @0 :Hello;
     report @1 :Report;
     items @2 :List(Item);
+    routers @3 :List(Address);
   }
 }
 
@@ -16,6 +17,11 @@
   port @3 :UInt16;
 }
 
+struct Address {
+  address @0 :Text;
+  port @1 :UInt16;
+}
+
 struct Report {
   configRevision @0 :UInt64;
   serversRevision @1 :UInt64;
@@ -23,6 +29,8 @@
   prompts @3 :List(ReadPrompt);
   failures @4 :List(Failure);
   storeReads @5 :UInt32;
+  reachesStore @6 :Bool;
+  watches @7 :Bool;  # the list of backend servers, itself
 }
 
 struct Failure {
--- a/src/boragetiller/gateway/peers.py
+++ b/src/boragetiller/gateway/peers.py
@@ -2,9 +2,9 @@
 Exchange of beliefs between routers without agents.
 
 Each router connects to every other one that it knows and sends on that connection: its work at
-the backend servers, prompts that were read for it, and store entries that the other lacks. It
-hears on the connections that others open. Nothing is asked for, so a router that hears nothing
-goes on with what it knows itself.
+the backend servers, prompts that were read for it, store entries that the other lacks, and where
+the routers listen that it hears. It hears on the connections that others open. Nothing is asked
+for, so a router that hears nothing goes on with what it knows itself.
 """
 
 from __future__ import annotations
@@ -20,16 +20,19 @@
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.beliefs import FollowedRevisions
 from boragetiller.gateway.connections import detect_silence
+from boragetiller.gateway.keep_running import keep_running
 from boragetiller.gateway.peer_messages import (
     LENGTH_BYTES,
     MAX_FRAME_BYTES,
     PeerHello,
     PeerItems,
     PeerReport,
+    PeerRouters,
     decode_payload,
     encode_frame,
 )
 from boragetiller.gateway.settings import Endpoint
+from boragetiller.systems.peer_subset import MAX_PEERS, are_peers, heard_share
 from boragetiller.timeouts import within
 
 if TYPE_CHECKING:
@@ -41,13 +44,15 @@
     from boragetiller.tables.store_view import StoredItem
 
 REPORT_INTERVAL_MS = 100  # a long prompt takes longer to read, so each one is seen by the others
+REPORT_MS_PER_PEER = 10  # a hundred reports a second are heard, however many routers there are
 QUIET_INTERVAL_MS = 500  # between reports that say nothing new
 CONNECT_TIMEOUT_MS = 1_000
 RECONNECT_MS = 1_000
 SILENT_MS = 3_000  # without a report
-LAG_MS = 300  # how long a peer may lag behind the store before it is sent what it lacks
+LAG_MS = 300  # how long a peer that watches the store may lag before it is sent what it lacks
 MAX_BUFFER_BYTES = 2_000_000  # a peer that does not read loses its connection
-MAX_PEERS = 64  # bounds the exchange: 64 reports of 100 to 300 bytes ten times a second
+MAX_KNOWN = 1_024  # routers, more than twice as many as the users plan for
+MIN_HEARD = 8  # routers, so that a few that are gone cut nobody off
 FORGET_MS = 30_000  # a router that cannot be reached for so long, and is no seed, is gone
 
 
@@ -56,8 +61,29 @@
     """What was last heard of a peer."""
 
     incarnation: int
+    endpoint: Endpoint
     revisions: FollowedRevisions = FollowedRevisions(0, 0)
     behind_since_ms: int | None = None
+    watches: bool = False  # the list of backend servers, itself
+    sent_servers_ms: int = -LAG_MS  # when changes of that list were sent to it at once
+
+
+@attrs.define
+class ToldPeer:
+    """A connection on which a peer is told what this router knows."""
+
+    writer: asyncio.StreamWriter
+    routers: set[Endpoint] = attrs.field(factory=set)  # of which it was told where they listen
+
+
+def report_interval_ms(peers: int) -> int:
+    """
+    Tell how often a router reports.
+
+    :param peers: how many routers it reports to
+    :return: time between reports; grows with the fleet, so that all reports together do not
+    """
+    return max(REPORT_INTERVAL_MS, REPORT_MS_PER_PEER * peers)
 
 
 class PeerExchange:
@@ -81,6 +107,9 @@
         self._incarnation = new_incarnation()
         self._heard: dict[str, HeardPeer] = {}
         self._dialed: dict[Endpoint, asyncio.Task[None]] = {}
+        self._known: set[Endpoint] = set()  # other routers, told or not
+        self._told: dict[Endpoint, ToldPeer] = {}
+        self._telling: asyncio.Task[None] | None = None
         self._inbound: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._seeds: tuple[Endpoint, ...] = ()
@@ -94,6 +123,7 @@
         self._server = await asyncio.start_server(self._accept, own.address, own.port)
         port: int = self._server.sockets[0].getsockname()[1]
         self.endpoint = Endpoint(own.address, port)
+        self._telling = asyncio.create_task(keep_running("tell peers", self._keep_telling))
         self.connect(self._settings.seeds)
 
     def connect(self, endpoints: tuple[Endpoint, ...]) -> None:
@@ -106,6 +136,11 @@
         for endpoint in endpoints:
             self._dial(endpoint)
 
+    @property
+    def known_count(self) -> int:
+        """:return: how many other routers were heard of"""
+        return len(self._known)
+
     def reached(self) -> set[Endpoint]:
         """:return: routers to which a connection is kept or tried"""
         return set(self._dialed)
@@ -116,35 +151,62 @@
             self._server.close()
         for writer in self._inbound:
             writer.transport.abort()
-        for task in self._dialed.values():
+        tasks = list(self._dialed.values())
+        if self._telling is not None:
+            tasks.append(self._telling)
+        self._known.clear()
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._dialed.values(), return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def _dial(self, endpoint: Endpoint) -> None:
-        if endpoint in self._dialed or endpoint == self.endpoint:
-            return
-        if len(self._dialed) >= MAX_PEERS:
+        if endpoint in self._known or endpoint == self.endpoint or len(self._known) >= MAX_KNOWN:
             return
-        self._dialed[endpoint] = asyncio.create_task(self._keep_sending(endpoint))
+        self._known.add(endpoint)
+        self._note_sizes()
+
+    def _keep_wanted(self) -> None:
+        """Keep connections to the peers; to seeds that are none only until others are heard."""
+        own, known = str(self.endpoint), len(self._known)
+        seeds = set(self._seeds) if len(self._heard) < MIN_HEARD else set()
+        for endpoint in self._known:
+            wanted = endpoint in seeds or are_peers(own, str(endpoint), known)
+            if wanted and endpoint not in self._dialed:
+                self._dialed[endpoint] = asyncio.create_task(self._keep_sending(endpoint))
+            elif not wanted and endpoint in self._dialed:
+                self._dialed.pop(endpoint).cancel()
+
+    def _note_sizes(self) -> None:
+        share = heard_share(len(self._known), len(self._heard))
+        if share < 1.0 <= self._beliefs.heard_share:
+            log_event(Event.PEERS_BOUNDED, known=len(self._known), peers=MAX_PEERS)
+        self._beliefs.heard_share = share
+        self._metrics.peers.set(len(self._heard))
+        self._keep_wanted()
 
     async def _keep_sending(self, endpoint: Endpoint) -> None:
         reached_ms = self._clock.now_ms()
         while endpoint in self._seeds or self._clock.now_ms() - reached_ms < FORGET_MS:
             with suppress(OSError, TimeoutError):
-                _, writer = await within(
+                reader, writer = await within(
                     CONNECT_TIMEOUT_MS / 1_000,
                     asyncio.open_connection(endpoint.address, endpoint.port),
                 )
                 try:
                     detect_silence(writer.get_extra_info("socket"))
-                    await self._send_reports(writer)
+                    self._begin_telling(endpoint, writer)
+                    await reader.read(1)  # the peer sends nothing here; this ends with the path
                 finally:
+                    self._told.pop(endpoint, None)
                     writer.transport.abort()
                     reached_ms = self._clock.now_ms()
             await asyncio.sleep(RECONNECT_MS / 1_000)
-        del self._dialed[endpoint]
+        self._dialed.pop(endpoint, None)
+        self._known.discard(endpoint)
+        self._note_sizes()
 
-    async def _send_reports(self, writer: asyncio.StreamWriter) -> None:
+    def _begin_telling(self, endpoint: Endpoint, writer: asyncio.StreamWriter) -> None:
+        """Tell who this is and all that is under way; what changes from now on is told to all."""
         assert self.endpoint is not None
         hello = PeerHello(
             name=self._settings.name,
@@ -152,32 +214,59 @@
             address=self.endpoint.address,
             port=self.endpoint.port,
         )
-        writer.write(encode_frame(hello))
+        everything = self._beliefs.report(self._beliefs.begin_telling())
+        writer.write(encode_frame(hello) + encode_frame(everything))
+        self._told[endpoint] = ToldPeer(writer)
+
+    async def _keep_telling(self) -> None:
+        """Tell all peers at once, so that a report is built and encoded once for all of them."""
+        told = self._beliefs.begin_telling()
         sent: PeerReport | None = None
         sent_ms = 0
-        told = self._beliefs.begin_telling()
-        while not writer.transport.is_closing():
-            now_ms = self._clock.now_ms()
+        while True:
+            await asyncio.sleep(report_interval_ms(len(self._told)) / 1_000)
             report = self._beliefs.report(told)
+            now_ms = self._clock.now_ms()
+            frame = b""
             if report.tells_news(sent) or now_ms - sent_ms >= QUIET_INTERVAL_MS:
-                writer.write(encode_frame(report))
+                frame = encode_frame(report)
                 sent, sent_ms = report, now_ms
-            self._send_missing(writer)
-            if writer.transport.get_write_buffer_size() > MAX_BUFFER_BYTES:
-                return
-            await asyncio.sleep(REPORT_INTERVAL_MS / 1_000)
+            for peer in list(self._told.values()):
+                self._tell(peer, frame)
+
+    def _tell(self, peer: ToldPeer, frame: bytes) -> None:
+        writer = peer.writer
+        if writer.transport.is_closing():
+            return
+        if writer.transport.get_write_buffer_size() > MAX_BUFFER_BYTES:
+            writer.transport.abort()
+            return
+        writer.write(frame)
+        self._send_missing(writer)
+        peer.routers = self._send_routers(writer, peer.routers)
+
+    def _send_routers(self, writer: asyncio.StreamWriter, told: set[Endpoint]) -> set[Endpoint]:
+        """Tell where the routers listen that were heard since the peer was told."""
+        heard = {peer.endpoint for peer in self._heard.values()}
+        if heard - told:
+            writer.write(encode_frame(PeerRouters(tuple(sorted(heard - told, key=str)))))
+        return heard
 
     def _send_missing(self, writer: asyncio.StreamWriter) -> None:
         """Send store entries to the peer at the other end, which its own reports name."""
         peer = self._peer_at(writer.get_extra_info("peername"))
         if peer is None or peer.behind_since_ms is None:
             return
-        if self._clock.now_ms() - peer.behind_since_ms < LAG_MS:
-            return
-        items = self._beliefs.items_after(peer.revisions)
-        if items:
-            self._send_items(writer, items)
-        peer.behind_since_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        lacks = peer.revisions
+        if now_ms - peer.behind_since_ms < LAG_MS:
+            if peer.watches or now_ms - peer.sent_servers_ms < LAG_MS:
+                return
+            lacks = attrs.evolve(lacks, config=self._beliefs.revisions().config)
+            peer.sent_servers_ms = now_ms
+        else:
+            peer.behind_since_ms = now_ms
+        self._send_items(writer, self._beliefs.items_after(lacks))
 
     def _send_items(self, writer: asyncio.StreamWriter, items: list[StoredItem]) -> None:
         for item in items:  # one by one, so that a large one keeps back no other
@@ -208,9 +297,9 @@
             raise BadFrame("the first message is no hello of another router")
         endpoint = Endpoint(hello.address, hello.port)
         self._beliefs.peer_names[endpoint] = hello.name
-        self._heard[hello.name] = peer = HeardPeer(hello.incarnation)
+        self._heard[hello.name] = peer = HeardPeer(hello.incarnation, endpoint)
         self._beliefs.forget_peer(hello.name)  # it tells all of its work anew
-        self._metrics.peers.set(len(self._heard))
+        self._note_sizes()
         log_event(Event.PEER_HEARD, peer=hello.name, incarnation=hello.incarnation)
         self._dial(endpoint)
         try:
@@ -219,7 +308,7 @@
             if self._heard.get(hello.name) is peer:
                 del self._heard[hello.name]
                 self._beliefs.forget_peer(hello.name)
-            self._metrics.peers.set(len(self._heard))
+            self._note_sizes()
 
     async def _take_messages(
         self, reader: asyncio.StreamReader, name: str, peer: HeardPeer
@@ -231,9 +320,13 @@
                 self._beliefs.take_report(name, message)
             elif isinstance(message, PeerItems):
                 self._beliefs.take_items(message.items, name)
+            elif isinstance(message, PeerRouters):
+                for endpoint in message.endpoints:
+                    self._dial(endpoint)
 
     def _note_revisions(self, peer: HeardPeer, report: PeerReport) -> None:
         peer.revisions = FollowedRevisions(report.config_revision, report.servers_revision)
+        peer.watches = report.watches
         if not self._beliefs.revisions().is_ahead_of(peer.revisions):
             peer.behind_since_ms = None
         elif peer.behind_since_ms is None:
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -59,15 +59,13 @@
         costs = PlacementCosts()
         self.metrics = GatewayMetrics()
         self.fleet = Fleet(settings, dialect, clock, self.metrics)
-        self.beliefs = Beliefs(self.fleet, costs, clock)
+        self.beliefs = Beliefs(settings.name, self.fleet, costs, clock)
         rng = random.Random(settings.name)
-        runner = CallRunner(
-            settings, self.fleet, self.beliefs, dialect, costs, clock, self.metrics, rng
-        )
+        runner = CallRunner(settings, self.fleet, self.beliefs, dialect, clock, self.metrics, rng)
         self.peers = PeerExchange(settings, self.beliefs, clock, self.metrics)
         self.callers = CallerPort(self.fleet, runner, dialect, clock, self.metrics)
         self._follower = StoreFollower(
-            store, self.fleet, dialect, self.beliefs.reads, clock, self.metrics, rng
+            settings, store, self.fleet, dialect, self.beliefs, clock, self.metrics, rng
         )
         self._cache_reader = CacheReader(self.fleet, dialect)
         self.caller_port = Listener(self.callers.server(), settings.callers, callers)
--- a/src/boragetiller/gateway/runner.py
+++ b/src/boragetiller/gateway/runner.py
@@ -11,6 +11,7 @@
 from boragetiller.gateway.call import Call
 from boragetiller.gateway.hedging import PlacedResult, send_hedged
 from boragetiller.gateway.sender import Sender, StreamState
+from boragetiller.systems.candidates import pick_candidates
 from boragetiller.systems.direct_outcomes import (
     GiveUpReason,
     PassOn,
@@ -20,7 +21,8 @@
     note_send,
 )
 from boragetiller.systems.first_token import choose_server, stream_sensitivity
-from boragetiller.systems.patience import hedge_after_ms
+from boragetiller.systems.patience import caller_patience_ms, hedge_after_ms
+from boragetiller.systems.peer_work import fade_silent
 from boragetiller.systems.request_history import (
     is_quarantined,
     note_answered,
@@ -45,9 +47,10 @@
     from boragetiller.gateway.ports import Dialect
     from boragetiller.gateway.settings import GatewaySettings
     from boragetiller.tables.attempts import SendResult
-    from boragetiller.tables.placement import Placement, PlacementCosts
+    from boragetiller.tables.placement import Placement
 
-RETRY_AFTER_S = (0.1, 0.4)  # spreads returns over the time in which places come free
+RETRY_AFTER_S = (0.1, 0.4)  # for plain services, whose calls take some ten ms
+RETRY_AFTER_TARGETS = (0.25, 0.75)  # for engines: the next try may still be on time
 
 
 @attrs.define(kw_only=True)
@@ -69,7 +72,6 @@
         fleet: Fleet,
         beliefs: Beliefs,
         dialect: Dialect,
-        costs: PlacementCosts,
         clock: Clock,
         metrics: GatewayMetrics,
         rng: Random,
@@ -81,19 +83,18 @@
         :param fleet: configuration and backend servers
         :param beliefs: told of prompts that were sent
         :param dialect: words of the platform
-        :param costs: figures of placement
         :param clock: monotonic time
         :param metrics: counters
         :param rng: seeded generator
         """
         self._settings = settings
         self._fleet = fleet
+        self._beliefs = beliefs
         self._dialect = dialect
-        self._costs = costs
         self._clock = clock
         self._rng = rng
         self._accounts = CallAccounts(metrics, clock)
-        self._sender = Sender(fleet, beliefs, dialect, costs, clock)
+        self._sender = Sender(fleet, beliefs, dialect, clock)
 
     async def run(self, call: Call, request: web.BaseRequest) -> web.StreamResponse:
         """
@@ -109,12 +110,18 @@
             struck = Refuse(GiveUpReason.QUARANTINED, SendEnd.LOST, Verdict.NOT_RUN)
             return self._give_up(run, None, struck, "it crashed the servers that ran it")
         self._fleet.budget(call.group.name).note_request(now_ms)
+        if call.facts.prompt is not None:
+            longest = call.facts.prompt.output_tokens
+            self._fleet.lengths.note(
+                call.route.name, min(longest, call.facts.length_hint_tokens or longest)
+            )
         while True:
             placement = self._choose(run)
             if placement is None:
-                full = Refuse(GiveUpReason.FULL, SendEnd.FULL, run.progress.verdict)
-                return self._give_up(run, None, full, "no server takes work")
-            self._accounts.note_placed(call, placement)
+                return self._give_up_unplaced(run)
+            oldest_ms = self._fleet.peer_work.oldest_report_ms(self._clock.now_ms())
+            pace = self._fleet.pace(call.group.name)
+            self._accounts.note_placed(call, placement, pace, oldest_ms)
             for ended in await self._send(run, placement):
                 placement, result = ended.placement, ended.result
                 self._note_end(run, placement, result)
@@ -124,6 +131,7 @@
                     self._accounts.note_answered(
                         call, placement, run.progress, run.stream, answer.status
                     )
+                    self._note_length(run)
                     if run.stream is not None and run.stream.complete:
                         return await run.stream.sink.end(answer.status, answer.headers)
                     return whole_response(answer)
@@ -132,6 +140,14 @@
                 case Refuse():
                     return self._give_up(run, placement, step, result.detail)
 
+    def _note_length(self, run: CallRun) -> None:
+        """Learn the size of events from streams that came whole from one server."""
+        hint_tokens = run.call.facts.length_hint_tokens
+        resumed = run.call.facts.last_event_id is not None or run.progress.sends > 1
+        if hint_tokens is not None and not resumed:
+            pace = self._fleet.pace(run.call.group.name)
+            pace.note_whole_stream(hint_tokens, run.progress.relayed_events)
+
     async def _send(self, run: CallRun, placement: Placement) -> list[PlacedResult]:
         """Send to a server, or to a second one too; the result that counts comes last."""
         run.tried.add(placement.server.name)
@@ -159,25 +175,34 @@
 
     def _choose(self, run: CallRun) -> Placement | None:
         call = run.call
-        servers = self._fleet.servers.accepting(call.group.name)
+        group = self._fleet.servers.accepting(call.group.name)
+        costs = attrs.evolve(
+            self._fleet.costs(call.group.name), heard_share=self._beliefs.heard_share
+        )
         now_ms = self._clock.now_ms()
-        fresh = [server for server in servers if server.name not in run.tried]
-        fresh = without_failed(fresh, self._fleet.history, call.fingerprint, now_ms)
+        fade_silent(self._fleet.peer_work, now_ms)
         placed = PlacementRequest(
             prompt=call.facts.prompt if call.group.engine else None,
-            tier=call.tier,
+            urgency=call.urgency,
             target_ms=max(1.0, call.route.target_ms),
-            sensitivity=stream_sensitivity(call.route.gap_target_ms),
+            sensitivity=stream_sensitivity(call.route.gap_target_ms, costs),
             failure_domain=self._settings.failure_domain,
+            time_left_ms=call.time_left_ms(now_ms),
+            patience_ms=caller_patience_ms(call.route.target_ms, call.route.gap_target_ms),
+            usual_output_tokens=self._fleet.lengths.usual(call.route.name),
+            repeated=run.progress.sends > 0,
+            begun=run.progress.relayed_events > 0,
         )
-        return choose_server(fresh, placed, self._costs, now_ms)
+        candidates = pick_candidates(group, placed, run.tried, self._rng, now_ms)
+        candidates = without_failed(candidates, self._fleet.history, call.fingerprint, now_ms)
+        return choose_server(group, candidates, placed, costs, now_ms)
 
     def _note_end(self, run: CallRun, placement: Placement, result: SendResult) -> None:
         note_send(run.progress, placement.server.name, result)
         self._accounts.note_send_end(result)
         self._note_failure(run, placement.server.name, result)
         group = self._fleet.servers.accepting(run.call.group.name)
-        if note_end(placement.server, group, result.end, self._clock.now_ms()):
+        if note_end(placement.server, group.servers, result.end, self._clock.now_ms()):
             self._accounts.note_ejected(run.call, placement, result)
 
     def _note_failure(self, run: CallRun, server: str, result: SendResult) -> None:
@@ -207,21 +232,39 @@
             budget.note_repeat(now_ms)
         return step
 
+    def _give_up_unplaced(self, run: CallRun) -> web.StreamResponse:
+        progress = run.progress
+        if progress.server_error is not None and not progress.relayed_events:
+            return whole_response(progress.server_error)
+        group = run.call.group
+        if group.engine is not None and self._fleet.servers.accepting(group.name).servers:
+            no_room = Refuse(GiveUpReason.NO_ROOM, SendEnd.FULL, progress.verdict)
+            return self._give_up(run, None, no_room, "no engine would end it in time")
+        full = Refuse(GiveUpReason.FULL, SendEnd.FULL, progress.verdict)
+        return self._give_up(run, None, full, "no server takes work")
+
     def _give_up(
         self, run: CallRun, placement: Placement | None, step: Refuse, detail: str
     ) -> web.StreamResponse:
         self._accounts.note_failed(run.call, placement, step, detail)
         if run.stream is not None and run.stream.sink.started:
             return run.stream.sink.break_off()
-        return own_response(self._own_answer(step), run.call.facts.request_id, self._dialect)
+        return own_response(
+            self._own_answer(run.call, step), run.call.facts.request_id, self._dialect
+        )
 
-    def _own_answer(self, step: Refuse) -> OwnAnswer:
+    def _own_answer(self, call: Call, step: Refuse) -> OwnAnswer:
         if step.verdict is Verdict.NOT_RUN:
-            retry_after_s = self._rng.uniform(*RETRY_AFTER_S)
+            retry_after_s = self._retry_after_s(call)
             return OwnAnswer(status=503, code=step.reason.value, retry_after_s=retry_after_s)
         status = 504 if step.end is SendEnd.SILENT else 502
         return OwnAnswer(status=status, code=step.end.value)
 
+    def _retry_after_s(self, call: Call) -> float:
+        if call.group.engine is None:
+            return self._rng.uniform(*RETRY_AFTER_S)
+        return self._rng.uniform(*RETRY_AFTER_TARGETS) * call.route.target_ms / 1_000
+
 
 def _begin(call: Call, request: web.BaseRequest) -> CallRun:
     route = call.route
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -10,7 +10,8 @@
 
 from boragetiller.gateway.answers import EventSink
 from boragetiller.gateway.call import Call
-from boragetiller.gateway.event_stream import EventSplitter
+from boragetiller.gateway.connections import AnswerTooLarge
+from boragetiller.gateway.event_stream import EventSplitter, EventTooLarge
 from boragetiller.gateway.server_client import BROKEN, NEVER_SENT, OutgoingCall
 from boragetiller.systems.first_token import stream_sensitivity
 from boragetiller.systems.patience import stream_patience
@@ -29,12 +30,12 @@
     from boragetiller.gateway.ports import Dialect
     from boragetiller.gateway.server_client import ServerAnswer
     from boragetiller.tables.calls import AnswerFacts
-    from boragetiller.tables.placement import PlacementCosts
     from boragetiller.tables.servers import BackendServer
 
 SUCCESS = range(200, 300)
 FIRST_SERVER_ERROR = 500
 MISDIRECTED = 421
+ANSWER_BODIES = 4  # an answer may have so many times the bytes that a caller's body may have
 
 
 @attrs.define(kw_only=True)
@@ -83,6 +84,7 @@
     progress: CallProgress  # relayed events are counted in it
     stream: StreamState | None  # None for a whole answer
     silence: SilenceLimit
+    begun_ms: int  # monotonic time
 
     @property
     def server(self) -> BackendServer:
@@ -98,7 +100,6 @@
         fleet: Fleet,
         beliefs: Beliefs,
         dialect: Dialect,
-        costs: PlacementCosts,
         clock: Clock,
     ) -> None:
         """
@@ -107,12 +108,10 @@
         :param fleet: backend servers and their clients
         :param beliefs: told of prompts that were sent
         :param dialect: words of the platform
-        :param costs: figures of placement
         :param clock: monotonic time
         """
         self._fleet = fleet
         self._beliefs = beliefs
-        self._costs = costs
         self._dialect = dialect
         self._clock = clock
 
@@ -139,8 +138,9 @@
             progress=progress,
             stream=stream,
             silence=_silence_limit(call, placement),
+            begun_ms=self._clock.now_ms(),
         )
-        left_ms = call.time_left_ms(self._clock.now_ms())
+        left_ms = call.time_left_ms(send.begun_ms)
         with self._accounted(send):
             try:
                 async with asyncio.timeout(left_ms / 1_000), send.silence.timer:
@@ -160,6 +160,8 @@
             return SendResult(SendEnd.LOST, detail=repr(error))
         try:
             return await self._read(send, answer)
+        except (AnswerTooLarge, EventTooLarge) as error:
+            return SendResult(SendEnd.GARBLED, detail=str(error))
         except BROKEN as error:
             return SendResult(SendEnd.LOST, detail=repr(error))
         finally:
@@ -171,7 +173,7 @@
             server_name=send.server.name,
             deadline_ms=call.deadline_left_ms(self._clock.now_ms()),
             customer=call.customer.name if call.customer else None,
-            tier=call.tier if call.group.engine else None,
+            urgency=call.urgency if call.group.engine else None,
             last_event_id=stream.last_event_id if stream else call.facts.last_event_id,
         )
         headers = self._dialect.forward_headers(call.headers, facts)
@@ -181,6 +183,9 @@
 
     async def _read(self, send: OneSend, answer: ServerAnswer) -> SendResult:
         facts, stream = answer.facts, send.stream
+        if facts.load is not None:
+            told = facts.load.running + facts.load.waiting
+            send.server.note_told_load(told, self._clock.now_ms())
         succeeded = facts.status in SUCCESS
         if facts.not_run:
             end = SendEnd.MISDIRECTED if facts.status == MISDIRECTED else SendEnd.FULL
@@ -192,7 +197,8 @@
         if stream is not None and stream.sink.started:
             return SendResult(SendEnd.LOST, detail=f"status {facts.status} to a resumed stream")
         headers = self._dialect.answer_headers(answer.headers)
-        body = await answer.read()
+        assert self._fleet.config is not None
+        body = await answer.read(ANSWER_BODIES * self._fleet.config.limits.max_body_bytes)
         return _whole_result(facts, WholeAnswer(status=facts.status, headers=headers, body=body))
 
     async def _relay(self, send: OneSend, stream: StreamState, answer: ServerAnswer) -> SendResult:
@@ -203,8 +209,10 @@
             if not events.count:
                 continue
             send.silence.note_event()
+            if stream.first_event_ms is None:
+                self._note_first_event(send)
             stream.note_event(self._clock.now_ms())
-            send.server.pending.pop(send.call.facts.request_id, None)
+            send.server.end_prompt(send.call.facts.request_id)
             await stream.sink.write(answer.facts.status, headers, events.data)
             send.progress.relayed_events += events.count
             stream.last_event_id = events.last_id
@@ -214,23 +222,31 @@
         whole = WholeAnswer(status=answer.facts.status, headers=headers, body=b"")
         return SendResult(SendEnd.ANSWERED, whole)
 
+    def _note_first_event(self, send: OneSend) -> None:
+        now_ms = self._clock.now_ms()
+        placement = send.placement
+        pace = self._fleet.pace(send.call.group.name)
+        took_ms = now_ms - send.begun_ms
+        pace.note_first_event(placement.new_tokens, placement.first_event_ms, took_ms)
+
     @contextmanager
     def _accounted(self, send: OneSend) -> Iterator[None]:
         call, server = send.call, send.server
         request_id, prompt = call.facts.request_id, call.facts.prompt
-        sensitivity = stream_sensitivity(call.route.gap_target_ms)
+        costs = self._fleet.costs(call.group.name)
+        sensitivity = stream_sensitivity(call.route.gap_target_ms, costs)
         server.in_flight += 1
         server.sensitivity += sensitivity
         if prompt is not None and call.group.engine is not None:
-            tokens = int(uncached_tokens(server, prompt, self._costs))
-            server.pending[request_id] = PendingPrompt(tokens, call.tier)
+            tokens = int(uncached_tokens(server, prompt, costs))
+            server.begin_prompt(request_id, PendingPrompt(tokens, call.urgency))
             self._beliefs.note_prompt(server, prompt, call.group.engine)
         try:
             yield
         finally:
             server.in_flight -= 1
             server.sensitivity -= sensitivity
-            server.pending.pop(request_id, None)
+            server.end_prompt(request_id)
 
 
 def _silence_limit(call: Call, placement: Placement) -> SilenceLimit:
--- a/src/boragetiller/gateway/server_client.py
+++ b/src/boragetiller/gateway/server_client.py
@@ -9,7 +9,11 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from boragetiller.gateway.connections import guarded_connector, identified_response
+from boragetiller.gateway.connections import (
+    guarded_connector,
+    identified_response,
+    read_bounded,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -22,6 +26,7 @@
 IDLE_TIMEOUT_S = 4.0  # idle connections are let go before the backend server closes them
 OWN_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 MAX_HEADER_BYTES = 65_536
+MAX_OWN_ACCOUNT_BYTES = 4_194_304  # 40,000 parts at a hundred bytes
 
 NEVER_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 BROKEN = (aiohttp.ClientError, OSError, ValueError)
@@ -51,14 +56,16 @@
         self.headers = response.headers
         self._response = response
 
-    async def read(self) -> bytes:
+    async def read(self, max_bytes: int) -> bytes:
         """
         Read the whole body.
 
+        :param max_bytes: after which no more is read
         :return: the body
+        :raises AnswerTooLarge: it is longer
         :raises aiohttp.ClientError: it did not arrive completely
         """
-        return await self._response.read()
+        return await read_bounded(self._response.content, max_bytes)
 
     def chunks(self) -> AsyncIterator[bytes]:
         """
@@ -121,11 +128,12 @@
 
         :param path: path on the server
         :return: body of a 200
+        :raises AnswerTooLarge: it is longer than any such account
         :raises aiohttp.ClientError: no such answer
         """
         url = URL(self._base + path, encoded=True)
         async with self._session.get(url, raise_for_status=True) as response:
-            return await response.read()
+            return await read_bounded(response.content, MAX_OWN_ACCOUNT_BYTES)
 
     async def close(self) -> None:
         """Close idle connections and those in use."""
--- a/src/boragetiller/gateway/store_follower.py
+++ b/src/boragetiller/gateway/store_follower.py
@@ -4,22 +4,27 @@
 
 import asyncio
 from contextlib import suppress
+from functools import partial
 from typing import TYPE_CHECKING
 
 from boragetiller.errors import HistoryLost, StoreUnavailable
 from boragetiller.events import Event, log_event
+from boragetiller.gateway.keep_running import keep_running
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
     from random import Random
 
     from boragetiller.clock import Clock
+    from boragetiller.gateway.beliefs import Beliefs
     from boragetiller.gateway.fleet import Fleet
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.ports import Dialect, Listing, ReadStore
-    from boragetiller.systems.read_sharing import SharedReads
+    from boragetiller.gateway.settings import GatewaySettings
 
 WATCH_WAIT_MS = 5_000  # a watch that was lost in an outage is asked for again soon after its end
+WATCH_PACE_SHARE = 0.2  # of the time in which a leaving server must be known to all
+DUTY_CHECK_MS = 200  # two reports of the peers
 RETRY_FIRST_MS = 100  # between calls to a store that does not answer, doubled each time
 RETRY_MAX_MS = 1_600  # half of the time in which a node counts as in touch again
 SLOW_RETRY_FACTOR = 4  # for the list, which is tried at once when the other call gets through
@@ -31,10 +36,11 @@
 
     def __init__(
         self,
+        settings: GatewaySettings,
         store: ReadStore,
         fleet: Fleet,
         dialect: Dialect,
-        reads: SharedReads,
+        beliefs: Beliefs,
         clock: Clock,
         metrics: GatewayMetrics,
         rng: Random,
@@ -42,15 +48,18 @@
         """
         Put the parts together.
 
+        :param settings: settings of the process
         :param store: the platform's store
         :param fleet: takes what was read
         :param dialect: names of the keys
-        :param reads: plain reads of all routers
+        :param beliefs: what peers read and watch
         :param clock: monotonic time
         :param metrics: counters
         :param rng: seeded generator
         """
-        self._reads = reads
+        self._reads = beliefs.reads
+        self._watches = beliefs.watches
+        self._watch_pace_ms = settings.drain_ms * WATCH_PACE_SHARE
         self._clock = clock
         self._rng = rng
         self._answered = asyncio.Event()  # set, and replaced, at each answer after a failure
@@ -64,8 +73,9 @@
     async def start(self) -> None:
         """Begin to follow."""
         for prefix in (self._dialect.config_key, self._dialect.servers_prefix):
-            self._tasks.append(asyncio.create_task(self._follow(prefix)))
-        self._tasks.append(asyncio.create_task(self._reread()))
+            follow = partial(self._follow, prefix)
+            self._tasks.append(asyncio.create_task(keep_running(f"follow {prefix}", follow)))
+        self._tasks.append(asyncio.create_task(keep_running("reread", self._reread)))
 
     async def close(self) -> None:
         """Stop following."""
@@ -79,6 +89,10 @@
         retry_ms = RETRY_FIRST_MS
         while True:
             try:
+                if prefix == self._dialect.servers_prefix and not self._has_duty():
+                    revision = 0  # what changes meanwhile comes from peers
+                    await asyncio.sleep(DUTY_CHECK_MS / 1_000)
+                    continue
                 if revision == 0:
                     revision = await self._list(prefix, "read")
                 revision = await self._watch(prefix, revision)
@@ -127,11 +141,18 @@
         self._fleet.take_listing(prefix, listing.items, listing.revision, source)
         return listing.revision
 
+    def _has_duty(self) -> bool:
+        return not self._fleet.listed or self._watches.has_duty(self._clock.now_ms())
+
     async def _watch(self, prefix: str, revision: int) -> int:
+        begun_ms = self._clock.now_ms()
         listing = await self._call(
             "watch", lambda: self._store.wait_for_changes(prefix, revision, WATCH_WAIT_MS)
         )
         self._fleet.take_changes(listing.items, "watch")
+        if prefix == self._dialect.servers_prefix:  # what changes next is collected for a while
+            took_ms = self._clock.now_ms() - begun_ms
+            await asyncio.sleep(max(0.0, self._watch_pace_ms - took_ms) / 1_000)
         return max(revision, listing.revision)
 
     async def _call(self, name: str, call: Callable[[], Awaitable[Listing]]) -> Listing:
@@ -142,6 +163,7 @@
         return listing
 
     def _note_reachable(self, reachable: bool, reason: str) -> None:
+        self._watches.own_reaches = reachable
         if reachable == self._reachable:
             return
         self._reachable = reachable
--- a/src/boragetiller/systems/direct_outcomes.py
+++ b/src/boragetiller/systems/direct_outcomes.py
@@ -16,7 +16,8 @@
 class GiveUpReason(Enum):
     """Why no further send is made; counted by value."""
 
-    FULL = "full"
+    FULL = "full"  # servers refuse work
+    NO_ROOM = "no_room"  # no engine would end the stream in time; see systems.server_room
     NOT_REPEATABLE = "not_repeatable"
     ATTEMPTS = "attempts"
     DEADLINE = "deadline"
--- a/src/boragetiller/systems/first_token.py
+++ b/src/boragetiller/systems/first_token.py
@@ -12,64 +12,81 @@
 
 from typing import TYPE_CHECKING
 
-from boragetiller.hashing import mix, stable_hash
+import attrs
+
+from boragetiller.systems.candidates import part_owner, usable_servers
 from boragetiller.systems.prompt_cache import read_share, uncached_tokens
+from boragetiller.systems.routing import ROUTE_TIERS
+from boragetiller.systems.server_room import expected_step_ms, has_room, may_overflow
 from boragetiller.tables.placement import Placement, PlacementCosts, PlacementRequest, ServerDuty
 
 if TYPE_CHECKING:
-    from boragetiller.tables.calls import Prompt
-    from boragetiller.tables.servers import BackendServer, PeerLoad
-
-PEER_LOAD_FADE_MS = 1_000  # reports come ten times a second; ten missed ones say nothing
+    from boragetiller.tables.server_groups import GroupServers
+    from boragetiller.tables.servers import BackendServer
 SLOT_WAIT_MS = 50.0  # expected wait for a place per request beyond the slots
-SENSITIVE_GAP_MS = 200.0  # an event of four tokens beside a long prompt takes about as long
+BATCH_STEP_MS = 8.0  # for one token of each stream of a large batch
 MAX_HASTE = 2.0  # bounds the weight of delay for very short targets
 MIN_SPLIT_SERVERS = 3  # with fewer engines each one takes all kinds of requests
+MAX_HIDDEN_X = 20.0  # work of which no router told, per work that is known
 SENSITIVITY_POWER = 3  # a stream with half as much room again is hardly ever late
 
 
-def stream_sensitivity(gap_target_ms: float) -> float:
+def stream_sensitivity(gap_target_ms: float, costs: PlacementCosts) -> float:
     """
     Tell how much a stream suffers from a stall.
 
     :param gap_target_ms: longest pause between events for which it is on time, 0 for none
-    :return: 0 for answers without such a target, up to 1
+    :param costs: figures of the group
+    :return: 0 for answers without such a target, up to 1 where an event beside a long prompt takes
+        as long as the target allows
     """
     if gap_target_ms <= 0:
         return 0.0
-    return min(1.0, (SENSITIVE_GAP_MS / gap_target_ms) ** SENSITIVITY_POWER)
+    stalled_ms = costs.tokens_per_event * (costs.chunk_ms + BATCH_STEP_MS)
+    return min(1.0, (stalled_ms / gap_target_ms) ** SENSITIVITY_POWER)
 
 
 def choose_server(
-    servers: list[BackendServer], request: PlacementRequest, costs: PlacementCosts, now_ms: int
+    group: GroupServers,
+    candidates: list[BackendServer],
+    request: PlacementRequest,
+    costs: PlacementCosts,
+    now_ms: int,
 ) -> Placement | None:
     """
     Pick the server where the request costs least.
 
-    :param servers: servers that accept work
+    :param group: servers that accept work
+    :param candidates: those of them that come into question; see systems.candidates
     :param request: the request
     :param costs: figures of the group
     :param now_ms: monotonic time in milliseconds
-    :return: the server and what the choice was based on, None when none takes work now
+    :return: the server and what the choice was based on, None when none has room for it now
     """
-    usable = [s for s in servers if s.full_until_ms <= now_ms]
-    usable = [s for s in usable if not s.health.is_ejected(now_ms)] or usable
+    usable = usable_servers(candidates, now_ms)
     if not usable:
         return None
-    quiet = quiet_servers(servers, costs) if request.prompt else set()
-    loud = [server for server in usable if server.name not in quiet]
-    owner = _part_owner(loud or usable, request.prompt)
-    placements = [
-        estimate_placement(
-            server,
-            request,
-            costs,
-            now_ms,
-            ServerDuty(is_owner=server is owner, is_quiet=server.name in quiet),
-        )
-        for server in usable
-    ]
-    return min(placements, key=lambda placement: placement.cost_ms)
+    quiet = quiet_count(group, costs) if request.prompt else 0
+    ranks = group.quiet_ranks
+    owner = part_owner(group, request.prompt, lambda server: ranks[server.name] >= quiet)
+    found = []
+    for server in usable:
+        duty = ServerDuty(is_owner=server is owner, is_quiet=ranks[server.name] < quiet)
+        found.append(estimate_placement(server, request, costs, now_ms, duty))
+    if request.prompt is not None:
+        quiet_names = {server.name for server in usable if ranks[server.name] < quiet}
+        found = _with_room(found, quiet_names, request, costs) or (found if request.begun else [])
+    return min(found, key=lambda placement: placement.cost_ms, default=None)
+
+
+def _with_room(
+    found: list[Placement], quiet: set[str], request: PlacementRequest, costs: PlacementCosts
+) -> list[Placement]:
+    """Leave out engines without room; those kept for sensitive streams may not fill up instead."""
+    roomy = [placement for placement in found if has_room(placement, request, costs)]
+    if all(placement.server.name in quiet for placement in roomy):
+        return [placement for placement in roomy if may_overflow(placement, request, costs)]
+    return roomy
 
 
 def estimate_placement(
@@ -89,57 +106,50 @@
     :param duty: what all routers expect of the server
     :return: the cost and what it was based on
     """
-    peers = [load for load in server.peers.values() if _is_fresh(load, now_ms)]
-    in_flight = server.in_flight + sum(load.in_flight for load in peers)
-    wait_ms = _wait_ms(server, in_flight, costs, now_ms)
+    work = _work_at(server, costs, now_ms)
+    wait_ms = _wait_ms(server, work.in_flight, costs, now_ms)
     first_ms, harm_ms, new_tokens = wait_ms, 0.0, 0.0
     if request.prompt is not None:
-        unread = _unread_by_tier(server, peers)
         new_tokens = uncached_tokens(server, request.prompt, costs, is_owner=duty.is_owner)
-        ahead = sum(unread[: request.tier + 1])
+        ahead = sum(work.unread_tokens[: _first_less_urgent(request.urgency)])
         first_ms += (ahead + new_tokens) / costs.read_tokens_per_ms
+        first_ms += costs.tokens_per_event * expected_step_ms(work.in_flight, work.busy, costs)
         harm_ms = costs.work_weight * new_tokens / costs.read_tokens_per_ms
-        others = server.sensitivity + sum(load.sensitivity for load in peers)
-        busy = read_share(server, costs, now_ms)
-        harm_ms += _stall_ms(request, costs, sum(unread), new_tokens, others, busy, duty)
+        harm_ms += _stall_ms(request, costs, work, new_tokens, duty)
     haste = min(MAX_HASTE, costs.usual_target_ms / request.target_ms)
     return Placement(
         server=server,
         cost_ms=_link_ms(server, request, costs) + haste * first_ms + harm_ms,
         first_event_ms=first_ms,
         new_tokens=int(new_tokens),
-        in_flight=in_flight,
-        peers_heard=len(peers),
-        oldest_report_ms=max((now_ms - load.received_ms for load in peers), default=0),
+        in_flight=work.in_flight,
+        busy=work.busy,
+        sensitivity=work.sensitivity,
+        peers_heard=server.others.routers,
     )
 
 
-def quiet_servers(servers: list[BackendServer], costs: PlacementCosts) -> set[str]:
+def _first_less_urgent(urgency: int) -> int:
+    """Prompts of one tier of customers are read in the order in which they came."""
+    return (urgency // ROUTE_TIERS + 1) * ROUTE_TIERS
+
+
+def quiet_count(group: GroupServers, costs: PlacementCosts) -> int:
     """
-    Choose the engines that long prompts avoid, the same ones on each router.
+    Tell how many engines long prompts avoid; they are the first by rank on each router.
 
-    :param servers: engines that accept work
+    :param group: engines that accept work
     :param costs: share of them
-    :return: names; none in a group too small to be split
+    :return: how many; 0 in a group too small to be split
     """
-    count = round(len(servers) * costs.quiet_share)
-    if len(servers) < MIN_SPLIT_SERVERS or not count:
-        return set()
-    ranked = sorted(servers, key=lambda server: stable_hash("quiet", server.name))
-    return {server.name for server in ranked[:count]}
-
-
-def _part_owner(servers: list[BackendServer], prompt: Prompt | None) -> BackendServer | None:
-    """Rank by the shared parts, so that an engine that leaves moves only its own parts."""
-    if prompt is None or len(prompt.parts) < 2:
-        return None
-    key = stable_hash("part", *(part.part_id for part in prompt.parts[:-1]))
-    return max(servers, key=lambda server: mix(stable_hash(server.name) ^ key))
+    if len(group.servers) < MIN_SPLIT_SERVERS:
+        return 0
+    return round(len(group.servers) * costs.quiet_share)
 
 
 def _wait_ms(server: BackendServer, in_flight: int, costs: PlacementCosts, now_ms: int) -> float:
     beyond = max(0, in_flight + 1 - server.record.slots)
-    wait_ms = beyond * SLOT_WAIT_MS + in_flight * costs.batch_ms_per_request
+    wait_ms = beyond * SLOT_WAIT_MS
     if now_ms - server.joined_ms < server.record.cold_ms:
         wait_ms += costs.cold_ms
     return wait_ms
@@ -148,19 +158,18 @@
 def _stall_ms(
     request: PlacementRequest,
     costs: PlacementCosts,
-    unread_tokens: int,
+    work: _ServerWork,
     new_tokens: float,
-    others: float,
-    busy: float,
     duty: ServerDuty,
 ) -> float:
     """Time that prompts stall this stream, and that its prompt stalls the others there."""
     assert request.prompt is not None
+    others, busy = work.sensitivity, work.busy
     if duty.is_quiet:
         others = max(others, costs.quiet_streams)
     else:
         busy = max(busy, costs.usual_read_share)
-    own_ms = unread_tokens / costs.read_tokens_per_ms
+    own_ms = sum(work.unread_tokens) / costs.read_tokens_per_ms
     own_ms += busy * request.prompt.output_tokens * costs.step_ms
     others_ms = others * new_tokens / costs.read_tokens_per_ms
     return costs.stall_weight * (request.sensitivity * own_ms + others_ms)
@@ -171,16 +180,34 @@
     return 0.0 if near else costs.other_domain_ms
 
 
-def _unread_by_tier(server: BackendServer, peers: list[PeerLoad]) -> list[int]:
-    unread = list(server.unread_by_tier())
-    for load in peers:
-        for tier, tokens in enumerate(load.unread_tokens[: len(unread)]):
-            unread[tier] += tokens
-    return unread
+@attrs.frozen(kw_only=True)
+class _ServerWork:
+    """What all routers together are believed to have at a server."""
+
+    in_flight: int
+    unread_tokens: list[float]  # by urgency
+    sensitivity: float
+    busy: float
 
 
-def _is_fresh(load: PeerLoad, now_ms: int) -> bool:
-    return now_ms - load.received_ms < PEER_LOAD_FADE_MS
+def _work_at(server: BackendServer, costs: PlacementCosts, now_ms: int) -> _ServerWork:
+    """
+    Add up own work and what was heard of; what nobody told of counts as more of the same.
+
+    Answers routers that are cut off from their peers, and fleets in which not all report to all:
+    the server itself tells with each answer how many requests it has.
+    """
+    others, others_x = server.others, 1.0 / costs.heard_share
+    known = server.in_flight + others_x * others.in_flight
+    hidden = server.hidden_requests(now_ms)
+    hidden_x = 1.0 + min(MAX_HIDDEN_X, hidden / max(1.0, known))
+    unread = zip(server.unread_tokens, others.unread_tokens, strict=True)
+    return _ServerWork(
+        in_flight=round(known + hidden),
+        unread_tokens=[hidden_x * (own + others_x * theirs) for own, theirs in unread],
+        sensitivity=hidden_x * (server.sensitivity + others_x * others.sensitivity),
+        busy=min(1.0, hidden_x * read_share(server, costs, now_ms)),
+    )
 
 
-__all__ = ["choose_server", "estimate_placement", "quiet_servers", "stream_sensitivity"]
+__all__ = ["choose_server", "estimate_placement", "quiet_count", "stream_sensitivity"]
--- a/src/boragetiller/systems/patience.py
+++ b/src/boragetiller/systems/patience.py
@@ -11,6 +11,9 @@
 
 HEDGE_SHARE = 0.75  # of the latency target; the second answer then still comes about in time
 EXPECTED_FACTOR = 1.5  # an engine may take half as long again as expected
+CALLER_MIN_MS = 2_000.0  # of silence, after which a caller leaves a stream (PROTOCOL.md)
+CALLER_TARGETS = 4  # or so many latency targets
+CALLER_GAPS = 8  # or so many of the longest pauses that are on time
 MIN_SILENCE_MS = 1_000.0  # callers leave a stream after two seconds without an event
 
 
@@ -32,6 +35,17 @@
     return HEDGE_SHARE * target_ms
 
 
+def caller_patience_ms(target_ms: float, gap_target_ms: float) -> float:
+    """
+    Tell how long a caller waits for the next event of a stream, the first one too.
+
+    :param target_ms: latency target to the first event
+    :param gap_target_ms: longest pause for which the stream is on time
+    :return: time without an event
+    """
+    return max(CALLER_MIN_MS, CALLER_TARGETS * target_ms, CALLER_GAPS * gap_target_ms)
+
+
 def stream_patience(target_ms: float, gap_target_ms: float, expected_ms: float) -> StreamPatience:
     """
     Tell when a resumable stream that is silent goes on at another server.
@@ -47,4 +61,4 @@
     )
 
 
-__all__ = ["StreamPatience", "hedge_after_ms", "stream_patience"]
+__all__ = ["StreamPatience", "caller_patience_ms", "hedge_after_ms", "stream_patience"]
--- a/src/boragetiller/systems/routing.py
+++ b/src/boragetiller/systems/routing.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     from boragetiller.tables.routes import Route, RouteConfig, RouteCustomer
 
+LEAST_URGENT = 9
+ROUTE_TIERS = 3  # told apart within a tier of customers
 _UNIT = float(1 << 64)
 
 
@@ -72,17 +74,30 @@
     return shares[-1].group
 
 
-def request_tier(route: Route, customer: RouteCustomer | None) -> int:
+def request_urgency(route: Route, customer: RouteCustomer | None) -> int:
     """
-    Tell the tier of a request.
+    Tell how urgent a request is to engines.
+
+    The customer's tier goes before the route's. Where customers are of one tier, which is most of
+    the time, the route's tier decides: else an engine that runs out of memory would stop a
+    short answer of an urgent route, and let a long one of another route run on.
 
     :param route: route of the request
     :param customer: holder of the key, if any
-    :return: the customer's tier where one is set, else the route's; 0 is the most urgent
+    :return: 0 for the most urgent, up to LEAST_URGENT
     """
+    first = route.tier
     if customer is not None and customer.tier is not None:
-        return customer.tier
-    return route.tier
-
-
-__all__ = ["choose_group", "find_customer", "find_route", "request_tier"]
+        first = customer.tier
+    level = ROUTE_TIERS * max(0, first) + min(max(0, route.tier), ROUTE_TIERS - 1)
+    return min(level, LEAST_URGENT)
+
+
+__all__ = [
+    "LEAST_URGENT",
+    "ROUTE_TIERS",
+    "choose_group",
+    "find_customer",
+    "find_route",
+    "request_urgency",
+]
--- a/src/boragetiller/systems/server_health.py
+++ b/src/boragetiller/systems/server_health.py
@@ -12,6 +12,8 @@
 from boragetiller.tables.attempts import SendEnd
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from boragetiller.tables.servers import BackendServer
 
 EJECT_AFTER_FAILURES = 2  # in a row; one alone may be the fault of the request
@@ -23,7 +25,9 @@
 FAILURES = frozenset({SendEnd.UNREACHABLE, SendEnd.LOST, SendEnd.GARBLED, SendEnd.SILENT})
 
 
-def note_end(server: BackendServer, group: list[BackendServer], end: SendEnd, now_ms: int) -> bool:
+def note_end(
+    server: BackendServer, group: Sequence[BackendServer], end: SendEnd, now_ms: int
+) -> bool:
     """
     Note the end of a send; eject the server after several failures in a row.
 
@@ -44,7 +48,7 @@
     return end in FAILURES and _note_failure(server, group, now_ms)
 
 
-def _note_failure(server: BackendServer, group: list[BackendServer], now_ms: int) -> bool:
+def _note_failure(server: BackendServer, group: Sequence[BackendServer], now_ms: int) -> bool:
     health = server.health
     health.failures += 1
     if health.failures < EJECT_AFTER_FAILURES or health.is_ejected(now_ms):
--- a/src/boragetiller/tables/calls.py
+++ b/src/boragetiller/tables/calls.py
@@ -33,6 +33,7 @@
     key: str | None
     prompt: Prompt | None
     last_event_id: str | None  # the caller resumes a stream
+    length_hint_tokens: float | None = None  # the caller's estimate of the answer's length
 
 
 @attrs.frozen(kw_only=True)
@@ -42,7 +43,7 @@
     server_name: str  # another server must refuse the call
     deadline_ms: float
     customer: str | None
-    tier: int | None  # None for a plain service
+    urgency: int | None  # None for a plain service
     last_event_id: str | None
 
 
--- /dev/null
+++ b/src/boragetiller/tables/server_table.py
@@ -0,0 +1,66 @@
+"""All backend servers that are registered now."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.tables.server_groups import GroupServers
+from boragetiller.tables.servers import BackendServer
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from boragetiller.tables.servers import ServerRecord
+
+
+@attrs.define(eq=False)
+class ServerTable:
+    """All backend servers that are registered now."""
+
+    by_name: dict[str, BackendServer] = attrs.field(factory=dict)
+    _groups: dict[str, GroupServers] = attrs.field(factory=dict, init=False)
+
+    def accepting(self, group: str) -> GroupServers:
+        """
+        Give the servers that take new work.
+
+        :param group: name of the backend group
+        :return: servers that are registered and not draining
+        """
+        if group not in self._groups:
+            servers = self.by_name.values()
+            found = [s for s in servers if s.record.group == group and not s.record.draining]
+            self._groups[group] = GroupServers.of(found)
+        return self._groups[group]
+
+    def replace(self, records: Iterable[ServerRecord], now_ms: int) -> list[BackendServer]:
+        """
+        Take a new list of registered servers.
+
+        :param records: all that are registered
+        :param now_ms: monotonic time in milliseconds
+        :return: incarnations that are gone; what was known of them is dropped
+        """
+        self._groups.clear()
+        gone = []
+        named = {record.name: record for record in records}
+        for name, server in list(self.by_name.items()):
+            record = named.get(name)
+            if record is None or _is_other_incarnation(server.record, record):
+                gone.append(self.by_name.pop(name))
+        for name, record in named.items():
+            known = self.by_name.get(name)
+            if known is None:
+                self.by_name[name] = BackendServer(record, joined_ms=now_ms)
+            else:
+                known.record = record
+        return gone
+
+
+def _is_other_incarnation(old: ServerRecord, new: ServerRecord) -> bool:
+    return (old.born_ms, old.address, old.group) != (new.born_ms, new.address, new.group)
+
+
+__all__ = ["ServerTable"]
--- a/src/boragetiller/tables/servers.py
+++ b/src/boragetiller/tables/servers.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import TYPE_CHECKING
 
 import attrs
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
+from boragetiller.hashing import stable_hash
 
-TIERS = 4  # lower ones than the last count as the last
+URGENCIES = 10  # 0 is the most urgent; see systems.routing
+
+TOLD_WEIGHT = 0.3  # of the latest answer; reports of other routers come a little later
+TOLD_MEMORY_MS = 2_000
 
 
 @attrs.frozen(kw_only=True)
@@ -32,7 +33,7 @@
     """A request that this router sent and whose first event has not come."""
 
     tokens: int  # not held in the engine's cache, as far as known
-    tier: int
+    urgency: int
 
 
 @attrs.define
@@ -48,14 +49,40 @@
         return now_ms < self.ejected_until_ms
 
 
-@attrs.define(kw_only=True)
+@attrs.frozen(kw_only=True)
 class PeerLoad:
     """What another router has under way at a backend server."""
 
     in_flight: int
-    unread_tokens: tuple[int, ...]  # prompt tokens not yet read there, by tier
+    unread_tokens: tuple[int, ...]  # prompt tokens not yet read there, by urgency
     sensitivity: float  # sum over its streams
-    received_ms: int
+
+
+@attrs.define
+class OthersLoad:
+    """What all other routers together have under way at a backend server."""
+
+    routers: int = 0
+    in_flight: int = 0
+    sensitivity: float = 0.0
+    unread_tokens: list[int] = attrs.field(factory=lambda: [0] * URGENCIES)
+
+    def add(self, load: PeerLoad) -> None:
+        """:param load: of one router, not contained yet"""
+        self._change(load, 1)
+
+    def subtract(self, load: PeerLoad) -> None:
+        """:param load: of one router, as it was added"""
+        self._change(load, -1)
+        if self.routers == 0:
+            self.sensitivity = 0.0  # what rounding has left
+
+    def _change(self, load: PeerLoad, sign: int) -> None:
+        self.routers += sign
+        self.in_flight += sign * load.in_flight
+        self.sensitivity += sign * load.sensitivity
+        for urgency, tokens in enumerate(load.unread_tokens[:URGENCIES]):
+            self.unread_tokens[urgency] += sign * tokens
 
 
 @attrs.define(eq=False)
@@ -65,8 +92,9 @@
     record: ServerRecord
     in_flight: int = 0
     sensitivity: float = 0.0  # to stalls, summed over the streams under way
-    pending: dict[str, PendingPrompt] = attrs.field(factory=dict)  # by request id
-    peers: dict[str, PeerLoad] = attrs.field(factory=dict)  # by name of the router
+    unread_tokens: list[int] = attrs.field(factory=lambda: [0] * URGENCIES)  # of own prompts
+    _pending: dict[str, PendingPrompt] = attrs.field(factory=dict, init=False)  # by request id
+    others: OthersLoad = attrs.field(factory=OthersLoad)
     cached_parts: OrderedDict[str, int] = attrs.field(factory=OrderedDict)  # part id to tokens
     cached_tokens: int = 0
     read_tokens: float = 0.0  # prompt tokens read lately, decaying; see systems.prompt_cache
@@ -74,69 +102,70 @@
     health: ServerHealth = attrs.field(factory=ServerHealth)
     full_until_ms: int = 0  # it refused work for lack of places
     joined_ms: int = 0
+    _hidden_requests: float = attrs.field(init=False, default=0.0)
+    _told_ms: int = attrs.field(init=False, default=-TOLD_MEMORY_MS)
+    name_hash: int = attrs.field(
+        init=False, default=attrs.Factory(lambda self: stable_hash(self.record.name), True)
+    )
 
     @property
     def name(self) -> str:
         """:return: name of the server"""
         return self.record.name
 
-    def unread_by_tier(self) -> tuple[int, ...]:
-        """:return: prompt tokens of this router's requests that wait to be read, by tier"""
-        unread = [0] * TIERS
-        for prompt in self.pending.values():
-            unread[min(max(0, prompt.tier), TIERS - 1)] += prompt.tokens
-        return tuple(unread)
-
-
-@attrs.define(eq=False)
-class ServerTable:
-    """All backend servers that are registered now."""
+    def note_told_load(self, requests: int, now_ms: int) -> None:
+        """
+        Take how many requests the server says it has.
 
-    by_name: dict[str, BackendServer] = attrs.field(factory=dict)
+        :param requests: running and waiting ones, of all routers
+        :param now_ms: monotonic time in milliseconds
+        """
+        hidden = max(0.0, requests - self.in_flight - self.others.in_flight)
+        known = self.hidden_requests(now_ms)
+        self._hidden_requests = known + TOLD_WEIGHT * (hidden - known)
+        self._told_ms = now_ms
 
-    def accepting(self, group: str) -> list[BackendServer]:
+    def hidden_requests(self, now_ms: int) -> float:
         """
-        List the servers that take new work.
+        Tell how many requests are there of which no router has told.
 
-        :param group: name of the backend group
-        :return: servers that are registered and not draining
+        :param now_ms: monotonic time in milliseconds
+        :return: requests of routers that are not heard, 0 when the server has told nothing of late
         """
-        servers = self.by_name.values()
-        return [s for s in servers if s.record.group == group and not s.record.draining]
+        return self._hidden_requests if now_ms - self._told_ms < TOLD_MEMORY_MS else 0.0
 
-    def replace(self, records: Iterable[ServerRecord], now_ms: int) -> list[BackendServer]:
+    def begin_prompt(self, request_id: str, prompt: PendingPrompt) -> None:
         """
-        Take a new list of registered servers.
+        Note a prompt that waits to be read.
 
-        :param records: all that are registered
-        :param now_ms: monotonic time in milliseconds
-        :return: incarnations that are gone; what was known of them is dropped
+        :param request_id: id of its request
+        :param prompt: its size and urgency
         """
-        gone = []
-        named = {record.name: record for record in records}
-        for name, server in list(self.by_name.items()):
-            record = named.get(name)
-            if record is None or _is_other_incarnation(server.record, record):
-                gone.append(self.by_name.pop(name))
-        for name, record in named.items():
-            known = self.by_name.get(name)
-            if known is None:
-                self.by_name[name] = BackendServer(record, joined_ms=now_ms)
-            else:
-                known.record = record
-        return gone
+        self.end_prompt(request_id)
+        self._pending[request_id] = prompt
+        self.unread_tokens[_level(prompt)] += prompt.tokens
+
+    def end_prompt(self, request_id: str) -> None:
+        """:param request_id: id of a request whose prompt is read, or that has ended"""
+        prompt = self._pending.pop(request_id, None)
+        if prompt is not None:
+            self.unread_tokens[_level(prompt)] -= prompt.tokens
+
+    def pending_requests(self) -> set[str]:
+        """:return: ids of the requests whose prompts wait to be read"""
+        return set(self._pending)
 
 
-def _is_other_incarnation(old: ServerRecord, new: ServerRecord) -> bool:
-    return (old.born_ms, old.address, old.group) != (new.born_ms, new.address, new.group)
+def _level(prompt: PendingPrompt) -> int:
+    return min(max(0, prompt.urgency), URGENCIES - 1)
 
 
 __all__ = [
-    "TIERS",
+    "URGENCIES",
     "BackendServer",
+    "OthersLoad",
     "PeerLoad",
     "PendingPrompt",
     "ServerHealth",
     "ServerRecord",
-    "ServerTable",
 ]
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -66,16 +66,26 @@
         self.store.down = False
         await wait_until(lambda: self.fleet.config.version == 2)
 
+    async def test_unforeseen_error_in_a_task_does_not_end_it(self) -> None:
+        broken = patch.object(self.fleet, "take_changes", side_effect=RuntimeError("odd"))
+        no_reread = patch("boragetiller.systems.read_sharing.READ_INTERVAL_MS", 60_000)
+        with no_reread, patch("boragetiller.gateway.keep_running.RESTART_MS", 5):
+            with broken as taken:
+                self.store.put("op/config", config(2))
+                await wait_until(lambda: taken.called)
+            self.store.put("op/config", config(3))
+            await wait_until(lambda: self.fleet.config.version == 3)
+
     async def test_draining_server_gets_no_new_work(self) -> None:
         self.store.register("a", self.engine, "shop", state="draining")
-        await wait_until(lambda: not self.fleet.servers.accepting("shop"))
+        await wait_until(lambda: not self.fleet.servers.accepting("shop").servers)
         async with self.site.call("/reserve/") as got:
             self.assertEqual(got.status, 503)
         self.assertFalse(self.engine.requests)
 
     async def test_address_that_now_serves_another_group_is_not_used_for_the_old_one(self) -> None:
         self.store.register("a", self.engine, "engines")
-        await wait_until(lambda: not self.fleet.servers.accepting("shop"))
+        await wait_until(lambda: not self.fleet.servers.accepting("shop").servers)
 
     async def test_same_name_born_again_begins_with_nothing(self) -> None:
         self.fleet.servers.by_name["a"].health.failures = 1
@@ -125,7 +135,9 @@
             self.store.register("f", self.engine, "engines")
             await wait_until(lambda: self.engine.cache_reads == 2)
         self.assertEqual(self.servers["f"].cached_tokens, 0)
-        self.assertIn("f", [s.name for s in self.site.router.fleet.servers.accepting("engines")])
+        self.assertIn(
+            "f", [s.name for s in self.site.router.fleet.servers.accepting("engines").servers]
+        )
 
 
 class ReloadTest(unittest.TestCase):
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -16,11 +16,14 @@
     PeerItems,
     PeerMessage,
     PeerReport,
+    PeerRouters,
     ReadPrompt,
     SentLoad,
     decode_payload,
     encode_frame,
 )
+from boragetiller.gateway.peers import MAX_KNOWN, PeerExchange
+from boragetiller.gateway.settings import Endpoint
 from boragetiller.systems.request_history import note_error, without_failed
 from boragetiller.tables.calls import Prompt, PromptPart
 from boragetiller.tables.request_history import FailureKind, RequestFailure
@@ -93,10 +96,10 @@
         group = first.router.fleet.config.groups["engines"]
         first.router.beliefs.note_prompt(server, PROMPT, group.engine)
         seen = second.router.fleet.servers.by_name["e"]
-        await wait_until(lambda: "router-1" in seen.peers and "aa" in seen.cached_parts)
-        self.assertEqual(seen.peers["router-1"].in_flight, 3)
+        await wait_until(lambda: seen.others.in_flight == 3 and "aa" in seen.cached_parts)
+        self.assertIn("router-1", second.router.fleet.peer_work.by_peer)
         await first.router.abort()
-        await wait_until(lambda: not seen.peers)
+        await wait_until(lambda: seen.others.in_flight == 0)
 
     async def test_report_tells_only_what_changed_and_keeps_the_rest_fresh(self) -> None:
         store = MemoryStore()
@@ -110,15 +113,17 @@
         changed = first.router.beliefs.report(told)
         self.assertEqual([load.in_flight for load in changed.loads], [2])
         second.router.beliefs.take_report("other", changed)
-        seen.peers["other"].received_ms = 0
+        work = second.router.fleet.peer_work.by_peer["other"]
+        work.heard_ms = 0
         same = first.router.beliefs.report(told)
         self.assertEqual(same.loads, ())
         self.assertFalse(same.tells_news(changed))
         second.router.beliefs.take_report("other", same)
-        self.assertGreater(seen.peers["other"].received_ms, 0)
+        self.assertGreater(work.heard_ms, 0)
+        self.assertEqual(seen.others.in_flight, 2)
         server.in_flight = 0
         second.router.beliefs.take_report("other", first.router.beliefs.report(told))
-        self.assertNotIn("other", seen.peers)
+        self.assertEqual(seen.others.in_flight, 0)
 
     async def test_failure_at_one_router_is_known_at_the_other(self) -> None:
         first, second = await self.pair(MemoryStore())
@@ -142,6 +147,28 @@
             await first.router.abort()
         self.assertIn(seed, second.router.peers.reached())
 
+    async def test_routers_that_know_only_a_seed_hear_each_other(self) -> None:
+        first, second = await self.pair(MemoryStore())
+        third = Site(name="router-3", seeds=(first.router.peers.endpoint,))
+        await third.start()
+        self.addAsyncCleanup(third.close)
+        await wait_until(lambda: "router-3" in second.router.beliefs.reads.peer_counts)
+        await wait_until(lambda: "router-2" in third.router.beliefs.reads.peer_counts)
+        await first.router.abort()
+        await wait_until(lambda: "router-1" not in second.router.beliefs.reads.peer_counts)
+        self.assertIn("router-3", second.router.beliefs.reads.peer_counts)
+
+    async def test_message_with_too_many_routers_is_taken_up_to_a_bound(self) -> None:
+        first, _ = await self.pair(MemoryStore())
+        endpoint = first.router.peers.endpoint
+        _, writer = await asyncio.open_connection(endpoint.address, endpoint.port)
+        hello = PeerHello(name="odd", incarnation=1, address="127.0.0.1", port=1)
+        routers = PeerRouters(tuple(Endpoint("127.0.0.2", port) for port in range(2, 4_000)))
+        with patch.object(PeerExchange, "_keep_wanted"):
+            writer.write(encode_frame(hello) + encode_frame(routers))
+            await wait_until(lambda: first.router.peers.known_count == MAX_KNOWN)
+        writer.transport.abort()
+
     async def test_entry_too_large_to_send_keeps_back_no_other(self) -> None:
         store = MemoryStore()
         store.down = True
@@ -179,6 +206,7 @@
                 failures=(RequestFailure(b"f" * 12, "a", FailureKind.CRASH),),
                 store_reads=3,
             ),
+            PeerRouters((Endpoint("10.0.0.1", 80), Endpoint("10.0.0.2", 81))),
             PeerItems((StoredItem("k", b"x" * 200_000, 3), StoredItem("l", None, 4))),
         ):
             with self.subTest(message=type(message).__name__):
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from boragetiller.clock import SystemClock
 from boragetiller.gateway.event_stream import EventSplitter
 from tests.gateway.engines import (
     ReceivedRequest,
@@ -94,15 +95,42 @@
             release.set()
             self.assertEqual(await got.read(), event(2))
 
+    async def test_stream_is_refused_at_once_when_no_engine_would_end_it_in_time(self) -> None:
+        site = await self.serve(stream_whole)
+        fleet = site.router.fleet
+        now_ms = SystemClock().now_ms()
+        for server in fleet.servers.by_name.values():
+            server.read_tokens, server.read_noted_ms = 1e9, now_ms
+        fleet.lengths.note("quotes", 10_000.0)
+        async with site.call("/quotes/", **PROMPT) as got:
+            self.assertEqual(got.status, 503)
+            self.assertEqual((await got.json())["error"]["code"], "no_room")
+            target_s = 2.0
+            self.assertTrue(target_s / 4 <= float(got.headers["Retry-After"]) <= target_s)
+        self.assertEqual(self.served, 0)
+
+    async def test_error_of_an_engine_reaches_the_caller_when_no_other_has_room(self) -> None:
+        site = await self.serve(stream_whole)
+
+        async def fail(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            for server in site.router.fleet.servers.by_name.values():
+                server.full_until_ms = SystemClock().now_ms() + 60_000
+            writer.write(answer(request.request_id, b"broken", status="500 Error"))
+
+        for engine in self.engines:
+            engine.script = fail
+        async with site.call("/gauges/", **PROMPT) as got:
+            self.assertEqual((got.status, await got.read()), (500, b"broken"))
+
     async def test_prompt_counts_as_waiting_until_its_first_event(self) -> None:
         site = await self.serve(stay_mute)
         call = asyncio.create_task(_read(site, "/quotes/"))
         await wait_until(lambda: self.served == 1)
         servers = site.router.fleet.servers.by_name.values()
-        self.assertEqual(sum(sum(s.unread_by_tier()) for s in servers), 900)
+        self.assertEqual(sum(sum(s.unread_tokens) for s in servers), 900)
         call.cancel()
         await wait_until(lambda: sum(s.in_flight for s in servers) == 0)
-        self.assertEqual(sum(sum(s.unread_by_tier()) for s in servers), 0)
+        self.assertEqual(sum(sum(s.unread_tokens) for s in servers), 0)
 
     async def test_resumable_stream_goes_on_without_a_gap(self) -> None:
         site = await self.serve(stream_half, stream_whole)
@@ -167,11 +195,12 @@
             await wait_until(lambda: sum(engine.ended for engine in self.engines) == 1)
         self.assertEqual(self.served, 1)
 
-    async def test_urgency_is_that_of_the_customer(self) -> None:
+    async def test_urgency_is_the_tier_of_the_customer_and_then_of_the_route(self) -> None:
         site = await self.serve(stream_whole)
-        await _read(site, "/quotes/")
-        seen = next(r for engine in self.engines for r in engine.requests)
-        self.assertEqual(seen.headers["x-boragetiller-request-urgency"], "1")
+        for path, urgency in (("/quotes/", "5"), ("/gauges/", "4")):
+            await _read(site, path)
+            seen = next(r for engine in self.engines for r in engine.requests if r.path == path)
+            self.assertEqual(seen.headers["x-boragetiller-request-urgency"], urgency)
 
 
 class EventSplitterTest(unittest.TestCase):
--- a/tests/gateway/test_whole_calls.py
+++ b/tests/gateway/test_whole_calls.py
@@ -301,7 +301,7 @@
         engine = ScriptedEngine(answer_ok)
         engine.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         site.store.register("early", engine, "shop")
-        await wait_until(lambda: site.router.fleet.servers.accepting("shop"))
+        await wait_until(lambda: site.router.fleet.servers.accepting("shop").servers)
         for _ in range(2):
             async with site.call("/reserve/", body=body) as got:
                 self.assertEqual(got.status, 413)
--- a/tests/platform_dialect/test_codecs.py
+++ b/tests/platform_dialect/test_codecs.py
@@ -178,7 +178,7 @@
 
     def test_forward_headers_drop_the_key_and_those_of_the_connection(self) -> None:
         facts = ForwardFacts(
-            server_name="i-1", deadline_ms=99.9, customer="hule930", tier=12, last_event_id="4"
+            server_name="i-1", deadline_ms=99.9, customer="hule930", urgency=12, last_event_id="4"
         )
         given_headers = CIMultiDict(REQUEST)
         given_headers.add("Connection", "keep-alive, X-Hop")
--- a/tests/systems/test_direct_calls.py
+++ b/tests/systems/test_direct_calls.py
@@ -18,7 +18,13 @@
     note_send,
 )
 from boragetiller.systems.patience import MIN_SILENCE_MS, hedge_after_ms, stream_patience
-from boragetiller.systems.routing import choose_group, find_customer, find_route, request_tier
+from boragetiller.systems.routing import (
+    LEAST_URGENT,
+    choose_group,
+    find_customer,
+    find_route,
+    request_urgency,
+)
 from boragetiller.systems.server_health import note_end
 from boragetiller.systems.window_budget import WindowBudget
 from boragetiller.tables.attempts import CallProgress, SendEnd, SendResult, WholeAnswer
@@ -88,9 +94,22 @@
         self.assertAlmostEqual(chosen.count("b") / len(chosen), 0.1, delta=0.03)
 
     def test_tier_of_the_customer_goes_before_that_of_the_route(self) -> None:
-        self.assertEqual(request_tier(ROUTE, NORTH), 0)
-        self.assertEqual(request_tier(ROUTE, RouteCustomer(name="south")), 2)
-        self.assertEqual(request_tier(ROUTE, None), 2)
+        urgent_route = attrs.evolve(ROUTE, tier=0)
+        second = RouteCustomer(name="second", tier=1)
+        self.assertLess(request_urgency(ROUTE, NORTH), request_urgency(urgent_route, second))
+        south = RouteCustomer(name="south")
+        self.assertEqual(request_urgency(ROUTE, south), request_urgency(ROUTE, None))
+        self.assertLess(request_urgency(ROUTE, NORTH), request_urgency(ROUTE, south))
+
+    def test_tier_of_the_route_decides_between_customers_of_one_tier(self) -> None:
+        urgent_route = attrs.evolve(ROUTE, tier=0)
+        self.assertLess(request_urgency(urgent_route, NORTH), request_urgency(ROUTE, NORTH))
+
+    def test_urgency_stays_in_its_range(self) -> None:
+        for tier in (-3, 0, 7, 10**6):
+            route = attrs.evolve(ROUTE, tier=tier)
+            for customer in (None, RouteCustomer(name="south", tier=tier)):
+                self.assertIn(request_urgency(route, customer), range(LEAST_URGENT + 1))
 
 
 class DecideNextTest(unittest.TestCase):
--- a/tests/systems/test_first_token.py
+++ b/tests/systems/test_first_token.py
@@ -7,16 +7,19 @@
 
 import attrs
 
-from boragetiller.systems.first_token import choose_server, quiet_servers, stream_sensitivity
+from boragetiller.systems.first_token import choose_server, quiet_count, stream_sensitivity
+from boragetiller.systems.peer_work import fade_silent, hear_peer, take_load
 from boragetiller.systems.prompt_cache import note_read, read_share, uncached_tokens
 from boragetiller.tables.calls import Prompt, PromptPart
-from boragetiller.tables.placement import PlacementCosts, PlacementRequest
+from boragetiller.tables.peer_work import PeerWorkTable
+from boragetiller.tables.placement import Placement, PlacementCosts, PlacementRequest
+from boragetiller.tables.server_groups import GroupServers
+from boragetiller.tables.server_table import ServerTable
 from boragetiller.tables.servers import (
     BackendServer,
     PeerLoad,
     PendingPrompt,
     ServerRecord,
-    ServerTable,
 )
 
 COSTS = PlacementCosts()
@@ -46,22 +49,36 @@
 
 
 def make_request(prompt: Prompt | None, **fields: object) -> PlacementRequest:
-    usual = {"tier": 1, "target_ms": 600.0, "sensitivity": 0.0, "failure_domain": "a"}
+    usual = {
+        "urgency": 1,
+        "target_ms": 600.0,
+        "sensitivity": 0.0,
+        "failure_domain": "a",
+        "time_left_ms": 10_000.0,
+        "patience_ms": 10_000.0,
+        "usual_output_tokens": 0.0,
+    }
     return PlacementRequest(prompt=prompt, **(usual | fields))
 
 
+def choose(
+    servers: list[BackendServer], request: PlacementRequest, now_ms: int = 0
+) -> Placement | None:
+    return choose_server(GroupServers.of(servers), servers, request, COSTS, now_ms)
+
+
 class ChooseServerTest(unittest.TestCase):
     def setUp(self) -> None:
         self.servers = [make_server(f"e{number}") for number in range(5)]
         self.prompt = make_prompt("part", 13_000, "own", 3_000)
 
     def choose(self, request: PlacementRequest, now_ms: int = 0) -> BackendServer:
-        placement = choose_server(self.servers, request, COSTS, now_ms)
+        placement = choose(self.servers, request, now_ms)
         assert placement is not None
         return placement.server
 
     def test_choose_none_without_servers(self) -> None:
-        self.assertIsNone(choose_server([], make_request(None), COSTS, 0))
+        self.assertIsNone(choose([], make_request(None)))
 
     def test_choose_passes_over_servers_that_are_full_or_ejected(self) -> None:
         for server in self.servers[1:3]:
@@ -86,23 +103,41 @@
     def test_choose_leaves_that_engine_when_its_queue_is_much_longer(self) -> None:
         holder = self.choose(make_request(self.prompt))
         note_read(holder, self.prompt, COSTS, CACHE_TOKENS, 0)
-        holder.pending["x"] = PendingPrompt(tokens=200_000, tier=0)
+        holder.begin_prompt("x", PendingPrompt(tokens=200_000, urgency=0))
         self.assertIsNot(self.choose(make_request(self.prompt)), holder)
 
     def test_choose_counts_the_work_of_peers_until_it_is_stale(self) -> None:
         holder = self.choose(make_request(self.prompt))
-        load = PeerLoad(in_flight=9, unread_tokens=(0, 200_000, 0, 0), sensitivity=0, received_ms=0)
-        holder.peers["r2"] = load
+        load = PeerLoad(in_flight=9, unread_tokens=(0, 200_000, 0, 0), sensitivity=0)
+        table = PeerWorkTable()
+        take_load(hear_peer(table, "r2", 0), holder, load)
         self.assertIsNot(self.choose(make_request(self.prompt), now_ms=10), holder)
+        fade_silent(table, 5_000)
         self.assertIs(self.choose(make_request(self.prompt), now_ms=5_000), holder)
 
+    def test_choose_avoids_a_server_that_tells_of_work_nobody_else_told_of(self) -> None:
+        for server in self.servers:
+            server.in_flight = 2
+        holder = self.choose(make_request(None))
+        for _ in range(10):
+            holder.note_told_load(90, now_ms=0)
+        self.assertIsNot(self.choose(make_request(None), now_ms=10), holder)
+        self.assertIs(self.choose(make_request(None), now_ms=10_000), holder)
+
+    def test_told_load_that_routers_told_of_too_adds_nothing(self) -> None:
+        server = self.servers[0]
+        load = PeerLoad(in_flight=9, unread_tokens=(), sensitivity=0)
+        take_load(hear_peer(PeerWorkTable(), "r2", 0), server, load)
+        server.note_told_load(7, now_ms=0)
+        self.assertEqual(server.hidden_requests(0), 0.0)
+
     def test_choose_agrees_between_routers_that_know_nothing(self) -> None:
         for number in range(20):
             prompt = make_prompt(f"part{number}", 13_000, "own", 3_000)
             chosen = self.choose(make_request(prompt)).name
             shuffled = [make_server(server.name) for server in self.servers]
             Random(number).shuffle(shuffled)
-            placement = choose_server(shuffled, make_request(prompt), COSTS, 0)
+            placement = choose(shuffled, make_request(prompt))
             self.assertEqual(placement and placement.server.name, chosen)
 
     def test_choose_stays_in_the_failure_domain_when_all_else_is_equal(self) -> None:
@@ -110,16 +145,19 @@
         self.assertEqual(self.choose(make_request(None)).name, "near")
 
     def test_long_prompts_avoid_engines_with_sensitive_streams(self) -> None:
-        quiet = quiet_servers(self.servers, COSTS)
+        group = GroupServers.of(self.servers)
+        count = quiet_count(group, COSTS)
+        quiet = {name for name, rank in group.quiet_ranks.items() if rank < count}
         for number in range(30):
             prompt = make_prompt(f"part{number}", 13_000, "own", 3_000)
             self.assertNotIn(self.choose(make_request(prompt)).name, quiet)
 
     def test_sensitive_streams_go_where_little_is_read(self) -> None:
         short = make_prompt("s", 300, "own", 1_000)
-        for server in self.servers[1:]:
-            note_read(server, self.prompt, COSTS, CACHE_TOKENS, 0)
-        request = make_request(short, sensitivity=1.0, target_ms=300.0, tier=0)
+        for number, server in enumerate(self.servers[1:] * 4):
+            prompt = make_prompt(f"part{number}", 13_000, "own", 3_000)
+            note_read(server, prompt, COSTS, CACHE_TOKENS, 0)
+        request = make_request(short, sensitivity=1.0, target_ms=300.0, urgency=0)
         self.assertIs(self.choose(request, now_ms=10), self.servers[0])
 
 
@@ -147,10 +185,10 @@
         self.assertLess(read_share(server, COSTS, 10_000), 0.01)
 
     def test_sensitivity_falls_with_the_pause_that_is_allowed(self) -> None:
-        values = [stream_sensitivity(gap_ms) for gap_ms in (100, 200, 300, 800)]
+        values = [stream_sensitivity(gap_ms, COSTS) for gap_ms in (80, 160, 300, 800)]
         self.assertEqual(values[:2], [1.0, 1.0])
         self.assertGreater(values[2], values[3])
-        self.assertEqual(stream_sensitivity(0), 0.0)
+        self.assertEqual(stream_sensitivity(0, COSTS), 0.0)
 
 
 class BurstReplayTest(unittest.TestCase):
@@ -195,9 +233,9 @@
         self, table: list[BackendServer], prompt: Prompt, now_ms: int, *, least_outstanding: bool
     ) -> str:
         if least_outstanding:
-            return min(table, key=lambda server: len(server.pending)).name
-        request = make_request(prompt, tier=2, target_ms=2_000.0)
-        placement = choose_server(table, request, COSTS, now_ms)
+            return min(table, key=lambda server: len(server.pending_requests())).name
+        request = make_request(prompt, urgency=2, target_ms=2_000.0)
+        placement = choose(table, request, now_ms)
         assert placement is not None
         return placement.server.name
 
@@ -206,16 +244,16 @@
     ) -> None:
         server = next(server for server in table if server.name == name)
         tokens = int(uncached_tokens(server, prompt, COSTS))
-        server.pending[str(number)] = PendingPrompt(tokens, 2)
+        server.begin_prompt(str(number), PendingPrompt(tokens, 2))
         self.ends_ms[str(number)] = end_ms
         note_read(server, prompt, COSTS, CACHE_TOKENS, number * self.GAP_MS)
 
     def _forget_read(self, tables: list[list[BackendServer]], now_ms: int) -> None:
         for table in tables:
             for server in table:
-                done = [key for key in server.pending if self.ends_ms[key] <= now_ms]
-                for key in done:
-                    del server.pending[key]
+                for key in server.pending_requests():
+                    if self.ends_ms[key] <= now_ms:
+                        server.end_prompt(key)
 
     def test_routers_that_exchange_beliefs_hardly_read_a_part_twice(self) -> None:
         least = self.replay(exchange=False, least_outstanding=True)
@@ -245,7 +283,7 @@
             make_server("c", group="other"),
         ]
         table.replace([server.record for server in servers], 0)
-        self.assertEqual([server.name for server in table.accepting("g")], ["a"])
+        self.assertEqual([server.name for server in table.accepting("g").servers], ["a"])
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/systems/test_peer_subset.py
@@ -0,0 +1,48 @@
+"""Routers that report to a part of a large fleet."""
+
+from __future__ import annotations
+
+import unittest
+
+from boragetiller.systems.peer_subset import MAX_PEERS, are_peers, heard_share
+
+NAMES = [f"10.0.{number // 200}.{number % 200}:8229" for number in range(400)]
+
+
+class PeerSubsetTest(unittest.TestCase):
+    """400 routers, as many as the users plan for."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        others = len(NAMES) - 1
+        cls.peers = {
+            own: {other for other in NAMES if other != own and are_peers(own, other, others)}
+            for own in NAMES
+        }
+
+    def test_all_are_peers_in_a_small_fleet(self) -> None:
+        self.assertTrue(all(are_peers("a", name, MAX_PEERS) for name in NAMES))
+
+    def test_peers_are_mutual_and_about_as_many_for_each_router(self) -> None:
+        for own, peers in self.peers.items():
+            self.assertTrue(all(own in self.peers[other] for other in peers))
+            self.assertGreater(len(peers), MAX_PEERS // 2)
+            self.assertLess(len(peers), 2 * MAX_PEERS)
+
+    def test_news_reaches_all_in_three_hops_without_a_third_of_the_routers(self) -> None:
+        gone = set(NAMES[::3])
+        left = [name for name in NAMES if name not in gone]
+        for start in left[::40]:
+            reached = {start}
+            for _ in range(3):
+                reached |= {name for known in reached for name in self.peers[known] - gone}
+            self.assertEqual(reached, set(left))
+
+    def test_heard_share_is_whole_where_all_tell_each_other(self) -> None:
+        self.assertEqual(heard_share(MAX_PEERS, 3), 1.0)
+        self.assertAlmostEqual(heard_share(256, 64), 0.25)
+        self.assertGreater(heard_share(256, 0), 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/systems/test_server_room.py
@@ -0,0 +1,102 @@
+"""Room for one more stream, and the bursts that it answers."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+import attrs
+
+from boragetiller.systems.first_token import choose_server
+from boragetiller.systems.prompt_cache import note_read
+from boragetiller.systems.server_room import expected_step_ms
+from boragetiller.tables.placement import PlacementCosts
+from boragetiller.tables.server_groups import GroupServers
+from boragetiller.tables.servers import PendingPrompt
+from tests.systems.engine_model import ModelEngine, ModelStream
+from tests.systems.test_first_token import COSTS, make_prompt, make_request, make_server
+
+CACHE_TOKENS = 400_000
+
+
+class ExpectedStepTest(unittest.TestCase):
+    def test_step_grows_with_streams_and_reading(self) -> None:
+        alone = expected_step_ms(1, 0.0, COSTS)
+        self.assertGreater(expected_step_ms(30, 0.0, COSTS), alone)
+        self.assertGreater(expected_step_ms(1, 0.5, COSTS), 1.5 * alone)
+
+    def test_step_is_bounded_by_one_chunk(self) -> None:
+        longest = expected_step_ms(0, 0.0, COSTS) + COSTS.chunk_ms
+        self.assertAlmostEqual(expected_step_ms(0, 1.0, COSTS), longest)
+        self.assertAlmostEqual(expected_step_ms(0, 0.999, COSTS), longest)
+
+
+class BurstOfLongAnswersTest(unittest.TestCase):
+    """
+    More prompts than engines can read, before answers of 400 tokens, for 25 seconds.
+
+    Each prompt is new, so that no cache helps. Streams that have not ended after 15 s are left by
+    their callers. What is turned away does not come back.
+    """
+
+    ENGINES = 4
+    PER_S = 18
+    SECONDS = 25
+    TOKENS = 12_000
+    DEADLINE_MS = 15_000.0
+
+    def replay(self, *, bounded: bool) -> tuple[int, int]:
+        """:return: requests that were begun, and answers that came whole in time"""
+        rng = Random(3)
+        costs = attrs.evolve(PlacementCosts(), read_tokens_per_ms=48.0, quiet_share=0.0)
+        servers = [make_server(f"e{number}") for number in range(self.ENGINES)]
+        engines = {server.name: ModelEngine() for server in servers}
+        begun = 0
+        for number in range(self.PER_S * self.SECONDS):
+            now_ms = int(1_000 * (number + rng.random()) / self.PER_S)
+            for server in servers:
+                engines[server.name].run_until(now_ms)
+                self._tell(server, engines[server.name])
+            prompt = make_prompt(f"part{number}", 5_000, f"own{number}", self.TOKENS - 5_000)
+            request = make_request(
+                prompt,
+                urgency=2,
+                target_ms=3_000.0,
+                time_left_ms=self.DEADLINE_MS,
+                patience_ms=12_000.0,
+                usual_output_tokens=400.0,
+                begun=not bounded,
+            )
+            group = GroupServers.of(servers)
+            placement = choose_server(group, servers, request, costs, now_ms)
+            if placement is None:
+                continue
+            begun += 1
+            chosen = placement.server
+            note_read(chosen, prompt, costs, CACHE_TOKENS, now_ms)
+            deadline_ms = now_ms + self.DEADLINE_MS
+            stream = ModelStream(str(number), self.TOKENS, 400, deadline_ms)
+            engines[chosen.name].streams.append(stream)
+        for engine in engines.values():
+            engine.run_until(1e6)
+        return begun, sum(len(engine.done) for engine in engines.values())
+
+    def _tell(self, server: object, engine: ModelEngine) -> None:
+        """The router sees the first events, so it knows what is not read yet."""
+        server.in_flight = len(engine.streams)
+        for request_id in server.pending_requests():
+            server.end_prompt(request_id)
+        for stream in engine.streams:
+            if stream.first_token_ms is None:
+                pending = PendingPrompt(int(stream.unread_tokens), 2)
+                server.begin_prompt(stream.request_id, pending)
+
+    def test_what_is_begun_ends_and_more_ends_than_without_a_bound(self) -> None:
+        _, ended_without = self.replay(bounded=False)
+        begun, ended = self.replay(bounded=True)
+        self.assertGreater(ended, 1.2 * ended_without)
+        self.assertGreaterEqual(ended, 0.95 * begun)
+
+
+if __name__ == "__main__":
+    unittest.main()
