--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -9,6 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from boragetiller.clock import SystemClock
 from boragetiller.control.errors import BadFrame, FrameTooLarge
 from boragetiller.gateway.peer_messages import (
     LENGTH_BYTES,
@@ -158,6 +159,24 @@
         await wait_until(lambda: "router-1" not in second.router.beliefs.reads.peer_counts)
         self.assertIn("router-3", second.router.beliefs.reads.peer_counts)
 
+    async def test_one_router_watches_the_list_and_the_other_one_takes_over(self) -> None:
+        store = MemoryStore()
+        store.put("op/config", config())
+        with patch("boragetiller.systems.watch_sharing.WATCHERS", 1):
+            first, second = await self.pair(store)
+            sites = (first, second)
+            await wait_until(lambda: all(s.router.beliefs.watches.heard_ms for s in sites))
+            now_ms = SystemClock().now_ms()
+            watchers = [s for s in sites if s.router.beliefs.watches.has_duty(now_ms)]
+            self.assertEqual(len(watchers), 1)
+            other = next(site for site in sites if site is not watchers[0])
+            watchers[0].store.put("servers/z", b"{}")  # the other one's own store lacks it
+            await wait_until(lambda: "servers/z" in other.router.fleet.view.items)
+            await watchers[0].router.abort()
+            await wait_until(lambda: other.router.beliefs.watches.has_duty(SystemClock().now_ms()))
+            other.store.put("servers/late", b"{}")
+            await wait_until(lambda: "servers/late" in other.router.fleet.view.items)
+
     async def test_message_with_too_many_routers_is_taken_up_to_a_bound(self) -> None:
         first, _ = await self.pair(MemoryStore())
         endpoint = first.router.peers.endpoint
