--- a/bench/gateway_scale.py
+++ b/bench/gateway_scale.py
@@ -29,7 +29,6 @@
     encode_frame,
 )
 from boragetiller.gateway.peers import report_interval_ms
-from boragetiller.gateway.settings import Endpoint, GatewaySettings
 from boragetiller.systems.candidates import pick_candidates
 from boragetiller.systems.first_token import choose_server
 from boragetiller.systems.peer_subset import MAX_PEERS
@@ -37,6 +36,7 @@
 from boragetiller.tables.placement import PlacementCosts, PlacementRequest
 from boragetiller.tables.store_view import StoredItem
 from dialect import PlatformDialect
+from tests.gateway.site import config, settings
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -109,25 +109,9 @@
 
 
 def _router(servers: int, clock: ManualClock) -> tuple[Fleet, Beliefs]:
-    free = Endpoint("127.0.0.1", 0)
-    settings = GatewaySettings(
-        name="router",
-        failure_domain="z0",
-        callers=free,
-        readiness=free,
-        peers=free,
-        metrics=None,
-        seeds=(),
-        store=free,
-        grace_ms=8_000,
-        drain_ms=2_000,
-        config_apply_ms=2_000,
-        event_delay_ms=120,
-        retry_ratio=0.2,
-        retry_slack=50.0,
-        retry_window_ms=10_000,
+    fleet = Fleet(
+        settings("router", failure_domain="z0"), PlatformDialect(), clock, GatewayMetrics()
     )
-    fleet = Fleet(settings, PlatformDialect(), clock, GatewayMetrics())
     beliefs = Beliefs("router", fleet, PlacementCosts(), clock)
     fleet.take_changes([_config_item(1)], "bench")
     fleet.take_listing("servers/", [_server_item(n, n + 2) for n in range(servers)], 5_000, "bench")
@@ -223,20 +207,9 @@
         for number in range(ROUTES)
     ]
     engine = {"slots": 64, "kv-capacity": 500_000}
-    document = {
-        "version": version,
-        "routes": routes,
-        "services": [
-            {"name": "engines", "health-path": "/health", "max-conns": 99, "engine": engine}
-        ],
-        "limits": {
-            "max-header-bytes": 16_384,
-            "max-body-bytes": 65_536,
-            "header-timeout-ms": 3_000,
-            "idle-timeout-ms": 15_000,
-        },
-        "tenants": [{"name": f"t{n}", "api-keys": [f"key-{n}"]} for n in range(KEYS)],
-    }
+    services = [{"name": "engines", "health-path": "/health", "max-conns": 99, "engine": engine}]
+    customers = [{"name": f"t{n}", "api-keys": [f"key-{n}"]} for n in range(KEYS)]
+    document = config(version, routes=routes, services=services, tenants=customers)
     return StoredItem("op/config", json.dumps(document).encode(), version)
 
 
