Build a choice's figures once

Cause: the runner copied the figures of placement a second time for each choice, to put in the share of routers that are heard. No behaviour changes.

--- a/src/boragetiller/gateway/fleet.py
+++ b/src/boragetiller/gateway/fleet.py
@@ -97,11 +97,12 @@
             self._paces[group] = EnginePace()
         return self._paces[group]
 
-    def costs(self, group: str) -> PlacementCosts:
+    def costs(self, group: str, heard_share: float = 1.0) -> PlacementCosts:
         """
         Give the figures of placement for a group.
 
         :param group: name of the backend group
+        :param heard_share: part of the other routers whose work is known
         :return: the figures, with what was learned of its engines
         """
         pace = self.pace(group)
@@ -109,6 +110,7 @@
             self._usual_costs,
             read_tokens_per_ms=pace.read_tokens_per_ms,
             tokens_per_event=pace.tokens_per_event,
+            heard_share=heard_share,
         )
 
     def budget(self, group: str) -> WindowBudget:
--- a/src/boragetiller/gateway/runner.py
+++ b/src/boragetiller/gateway/runner.py
@@ -176,9 +176,7 @@
     def _choose(self, run: CallRun) -> Placement | None:
         call = run.call
         group = self._fleet.servers.accepting(call.group.name)
-        costs = attrs.evolve(
-            self._fleet.costs(call.group.name), heard_share=self._beliefs.heard_share
-        )
+        costs = self._fleet.costs(call.group.name, self._beliefs.heard_share)
         now_ms = self._clock.now_ms()
         fade_silent(self._fleet.peer_work, now_ms)
         placed = PlacementRequest(
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -223,10 +223,9 @@
         return SendResult(SendEnd.ANSWERED, whole)
 
     def _note_first_event(self, send: OneSend) -> None:
-        now_ms = self._clock.now_ms()
         placement = send.placement
         pace = self._fleet.pace(send.call.group.name)
-        took_ms = now_ms - send.begun_ms
+        took_ms = self._clock.now_ms() - send.begun_ms
         pace.note_first_event(placement.new_tokens, placement.first_event_ms, took_ms)
 
     @contextmanager
