Log how far an engine got with each attempt that it lost

Event 808 names the shared prompt parts, the age of the response header and the number of events of an attempt whose connection broke. Without it the logs of a crash cannot tell the request that had just begun from those that were well on their way or had not begun, which the hypotheses of docs/incidents/crashing-prompt-part.md differ in. Attempts carry this as ResponseProgress. No decision uses it yet.

--- a/src/boragetiller/gateway/call_telemetry.py
+++ b/src/boragetiller/gateway/call_telemetry.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.events import Event, log_event
+from boragetiller.tables.direct_attempts import DirectAttemptOutcome
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
@@ -75,13 +76,29 @@
             Event.CALL_HEDGED, request_id=call.metadata.request_id, server=placement.server.name
         )
 
-    def record_attempt_end(self, result: DirectAttemptResult) -> None:
+    def record_attempt_end(
+        self, call: AdmittedCall, placement: Placement, result: DirectAttemptResult
+    ) -> None:
         """
-        Count the end of an attempt.
+        Count the end of an attempt, and log a broken connection to an engine.
 
+        :param call: the call
+        :param placement: server of the attempt
         :param result: how it ended
         """
         self._metrics.attempts.labels(result.outcome.value).inc()
+        if result.outcome is not DirectAttemptOutcome.LOST or call.metadata.prompt is None:
+            return
+        started_ms = result.progress.started_ms
+        log_event(
+            Event.ATTEMPT_LOST,
+            request_id=call.metadata.request_id,
+            server=placement.server.name,
+            shared_parts=[part.part_id for part in call.metadata.prompt.shared_parts],
+            response_age_ms=None if started_ms is None else self._clock.now_ms() - started_ms,
+            events=result.progress.events,
+            detail=result.detail,
+        )
 
     def record_ejected(
         self, call: AdmittedCall, placement: Placement, result: DirectAttemptResult
--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -221,7 +221,7 @@
         self, state: CallState, placement: Placement, result: DirectAttemptResult
     ) -> None:
         record_attempt(state.progress, placement.server.name, result)
-        self._telemetry.record_attempt_end(result)
+        self._telemetry.record_attempt_end(state.call, placement, result)
         self._record_failure(state, placement.server.name, result)
         group = self._registry.servers.find_accepting(state.call.group.name)
         if record_outcome(placement.server, group.servers, result.outcome, self._clock.now_ms()):
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -22,6 +22,7 @@
     CompleteResponse,
     DirectAttemptOutcome,
     DirectAttemptResult,
+    ResponseProgress,
 )
 from boragetiller.tables.server_placement import Placement
 from boragetiller.tables.servers import PendingPrompt
@@ -90,6 +91,7 @@
     stream: StreamState | None  # None for a buffered response
     event_timeout: EventTimeout
     started_ms: int  # monotonic time of the start
+    response_progress: ResponseProgress = attrs.field(factory=ResponseProgress)
 
     @property
     def server(self) -> BackendServer:
@@ -145,15 +147,19 @@
             event_timeout=_build_event_timeout(call, placement),
             started_ms=self._clock.now_ms(),
         )
-        left_ms = call.time_left_ms(attempt.started_ms)
         with self._track_in_flight(attempt):
-            try:
-                async with asyncio.timeout(left_ms / 1_000), attempt.event_timeout.timer:
-                    return await self._exchange(attempt)
-            except TimeoutError:
-                if attempt.event_timeout.timer.expired():
-                    return DirectAttemptResult(DirectAttemptOutcome.SILENT, detail="event timeout")
-                return DirectAttemptResult(DirectAttemptOutcome.SILENT, detail="response timeout")
+            result = await self._exchange_in_time(attempt)
+        return attrs.evolve(result, progress=attempt.response_progress)
+
+    async def _exchange_in_time(self, attempt: OutgoingAttempt) -> DirectAttemptResult:
+        left_ms = attempt.call.time_left_ms(attempt.started_ms)
+        try:
+            async with asyncio.timeout(left_ms / 1_000), attempt.event_timeout.timer:
+                return await self._exchange(attempt)
+        except TimeoutError:
+            if attempt.event_timeout.timer.expired():
+                return DirectAttemptResult(DirectAttemptOutcome.SILENT, detail="event timeout")
+            return DirectAttemptResult(DirectAttemptOutcome.SILENT, detail="response timeout")
 
     async def _exchange(self, attempt: OutgoingAttempt) -> DirectAttemptResult:
         outgoing = self._build_request(attempt)
@@ -190,6 +196,7 @@
         self, attempt: OutgoingAttempt, response: ServerResponse
     ) -> DirectAttemptResult:
         metadata, stream = response.metadata, attempt.stream
+        attempt.response_progress.started_ms = self._clock.now_ms()
         if metadata.load is not None:
             reported_requests = metadata.load.running + metadata.load.waiting
             attempt.server.record_reported_load(reported_requests, self._clock.now_ms())
@@ -237,6 +244,7 @@
             attempt.server.remove_pending_prompt(attempt.call.metadata.request_id)
             await stream.event_writer.write(response.metadata.status, headers, events.data)
             attempt.progress.relayed_events += events.count
+            attempt.response_progress.events += events.count
             stream.last_event_id = events.last_id
         if splitter.has_partial_event:
             return DirectAttemptResult(
--- a/src/boragetiller/tables/call_metadata.py
+++ b/src/boragetiller/tables/call_metadata.py
@@ -22,6 +22,11 @@
     output_tokens: int  # maximum length of the output
     parts: tuple[PromptPart, ...]  # in the order in which the engine prefills them
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """:return: the parts that other requests may have too; the last is the request's own"""
+        return self.parts[:-1]
+
 
 @attrs.frozen(kw_only=True)
 class CallMetadata:
--- a/src/boragetiller/tables/direct_attempts.py
+++ b/src/boragetiller/tables/direct_attempts.py
@@ -37,6 +37,14 @@
     body: bytes
 
 
+@attrs.define
+class ResponseProgress:
+    """How far a server got with its response in one attempt."""
+
+    started_ms: int | None = None  # monotonic time at which the header arrived
+    events: int = 0  # complete events of a stream
+
+
 @attrs.frozen
 class DirectAttemptResult:
     """Result of one attempt."""
@@ -44,6 +52,7 @@
     outcome: DirectAttemptOutcome
     response: CompleteResponse | None = None
     detail: str = ""
+    progress: ResponseProgress = attrs.field(factory=ResponseProgress)
 
     @property
     def verdict(self) -> Verdict:
@@ -79,4 +88,5 @@
     "CompleteResponse",
     "DirectAttemptOutcome",
     "DirectAttemptResult",
+    "ResponseProgress",
 ]
