--- /dev/null
+++ b/tests/gateway/test_crashing_prompt_part.py
@@ -0,0 +1,75 @@
+"""Requests with one prompt part that crashes each engine that begins to answer them."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from tests.gateway.crashing_engine import CrashingEngineGroup
+from tests.gateway.harness import FakeStore, RouterHarness, build_config, wait_until
+
+MAX_CRASHES = 5  # the users' rule counts from the fifth crash
+MAX_LATER_REQUESTS = 3  # that may reach engines after it
+ATTEMPTS = 12
+
+
+class CrashingPromptPartTest(unittest.IsolatedAsyncioTestCase):
+    """Two routers before engines that crash on the part `dead`."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the engines and two routers that report to each other."""
+        self.stores = (FakeStore(), FakeStore())
+        for store in self.stores:
+            store.put("op/config", build_config())
+        self.engines = CrashingEngineGroup(self.stores, "dead", size=6)
+        await self.engines.start()
+        self.addAsyncCleanup(self.engines.close)
+        self.routers = [await self.start_router(0, "router-1")]
+        seed = self.routers[0].router.peer_exchange.endpoint
+        self.routers.append(await self.start_router(1, "router-2", seeds=(seed,)))
+        for harness in self.routers:
+            await wait_until(lambda h=harness: h.router.registry.peer_loads.by_peer)
+
+    async def start_router(self, store: int, name: str, **changes: object) -> RouterHarness:
+        harness = RouterHarness(self.stores[store], name=name, **changes)
+        await harness.start()
+        self.addAsyncCleanup(harness.close)
+        return harness
+
+    async def call(self, harness: RouterHarness, parts: str, path: str = "/quotes/") -> int:
+        """:return: status of the response, 0 if its connection broke"""
+        try:
+            async with harness.call(
+                path,
+                body=parts.encode(),
+                X_Boragetiller_Model="m",
+                X_Boragetiller_Token_Counts="900,16",
+                X_Boragetiller_Prefix_Hash=parts,
+            ) as response:
+                await response.read()
+                return response.status
+        except aiohttp.ClientError:
+            return 0
+
+    async def crash_until_refused(self, path: str = "/quotes/") -> int:
+        """:return: status of the last of ATTEMPTS deadly requests, no two of which are alike"""
+        status = 0
+        for number in range(ATTEMPTS):
+            harness = self.routers[number % 2]
+            status = await self.call(harness, f"aa:500,dead:300,own{number}:100", path)
+            await asyncio.sleep(0.1)
+        return status
+
+    async def test_different_requests_with_one_part_crash_engine_after_engine(self) -> None:
+        self.assertEqual(await self.crash_until_refused(), 503)
+        self.assertLessEqual(self.engines.deadly_requests, MAX_CRASHES + MAX_LATER_REQUESTS)
+
+    async def test_resumable_stream_crashes_engine_after_engine(self) -> None:
+        self.assertEqual(await self.crash_until_refused("/gauges/"), 503)
+        self.assertLessEqual(self.engines.deadly_requests, MAX_CRASHES + MAX_LATER_REQUESTS)
+
+
+if __name__ == "__main__":
+    unittest.main()
