Refuse requests with a prompt part that crashes engines

Cause: crashes were counted by request, so different requests with the same crashing part never reached two; they were noticed at the next refused connection or the removal of the entry (0.5 to 3.6 s later); and a router that started later was told of none.

Why this works: only requests whose response had just begun are suspected, and the crash is recorded for their shared parts; an answer with the part clears it, two crashes that nothing clears refuse it. Reports between routers only go from recorded to cleared and are relayed at once. Requests beside the cause are no longer blamed for its crashes.

The probe of the agent for a crashed server moves to boragetiller.connection_probe, which the gateway uses too.

--- a/src/boragetiller/agent/backend.py
+++ b/src/boragetiller/agent/backend.py
@@ -11,6 +11,7 @@
 
 from boragetiller.agent_protocol.frames import ResponseHead
 from boragetiller.agent_protocol.headers import filter_response_headers
+from boragetiller.connection_probe import refuses_connections
 from boragetiller.errors import (
     BackendCrashed,
     BackendFailed,
@@ -114,7 +115,8 @@
     async def _has_crashed(self) -> bool:
         if self._settings.kind is BackendKind.ENGINE:
             return True  # no probe: after a pause of the agent the engine may have restarted
-        return await _refuses_connections(self._settings.url)
+        address = urlsplit(self._settings.url)
+        return await refuses_connections(address.hostname, address.port, PROBE_TIMEOUT_S)
 
     @asynccontextmanager
     async def send(self, attempt: Attempt, body: bytes) -> AsyncIterator[BackendResponse]:
@@ -149,19 +151,6 @@
     return headers
 
 
-async def _refuses_connections(url: str) -> bool:
-    parts = urlsplit(url)
-    try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(parts.hostname, parts.port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-    writer.close()
-    return False
-
-
 def _convert_error(error: BaseException) -> BoragetillerError:
     if isinstance(error, (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)):
         return BackendUnreachable(verdict=Verdict.NOT_RUN)
--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -12,6 +12,7 @@
 from boragetiller.gateway.server_client import ServerClient
 from boragetiller.systems.engine_throughput import EngineThroughput
 from boragetiller.systems.failure_history import confirm_crash
+from boragetiller.systems.part_quarantine import clear_parts
 from boragetiller.systems.windowed_retry_budget import WindowedRetryBudget
 from boragetiller.tables.failure_history import FailureHistory
 from boragetiller.tables.output_lengths import OutputLengths
@@ -27,6 +28,8 @@
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.platform_interface import Dialect
     from boragetiller.gateway.settings import GatewaySettings
+    from boragetiller.tables.call_metadata import Prompt
+    from boragetiller.tables.direct_attempts import ResponseProgress
     from boragetiller.tables.routes import RouteConfig
     from boragetiller.tables.servers import BackendServer, ServerRecord
     from boragetiller.tables.store_view import StoredItem
@@ -59,6 +62,7 @@
         self.config: RouteConfig | None = None
         self.config_applied_ms = 0  # monotonic time since which the configuration is in force
         self.on_server_added: Callable[[BackendServer], None] | None = None
+        self.on_crash_recorded: Callable[[], None] | None = None
         self.servers_listed = False  # whether the list of servers was ever received
         self._settings = settings
         self.dialect = dialect
@@ -158,13 +162,32 @@
 
         :param server: name of a server that refuses connections or was removed
         """
-        crash_records = confirm_crash(self.failure_history, server, self._clock.now_ms())
-        if crash_records:
+        crash = confirm_crash(self.failure_history, server, self._clock.now_ms())
+        if crash.failures:
             log_event(
                 Event.REQUESTS_STRUCK,
                 server=server,
-                fingerprints=[failure.fingerprint.hex() for failure in crash_records],
+                fingerprints=[failure.fingerprint.hex() for failure in crash.failures],
             )
+        if crash.quarantined_parts:
+            log_event(Event.PARTS_QUARANTINED, parts=crash.quarantined_parts, source=server)
+        if self.on_crash_recorded is not None:
+            self.on_crash_recorded()
+
+    def clear_parts(self, prompt: Prompt | None, progress: ResponseProgress) -> None:
+        """
+        Clear the recorded crashes of the shared parts of a prompt that an engine has answered.
+
+        :param prompt: the prompt, None for a request to a plain service
+        :param progress: the response, which is complete or has survived its beginning
+        """
+        table = self.failure_history.part_crashes
+        if not table.by_part or prompt is None or progress.started_ms is None:
+            return
+        parts = [part.part_id for part in prompt.shared_parts]
+        cleared = clear_parts(table, parts, progress.started_ms, self._clock.now_ms())
+        if cleared:
+            log_event(Event.PARTS_CLEARED, parts=cleared)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -8,6 +8,7 @@
 
 from boragetiller.gateway.admitted_call import AdmittedCall
 from boragetiller.gateway.call_telemetry import CallTelemetry
+from boragetiller.gateway.crash_detector import CrashDetector
 from boragetiller.gateway.hedging import PlacedResult, send_hedged
 from boragetiller.gateway.responses import (
     ErrorResponse,
@@ -28,10 +29,11 @@
 from boragetiller.systems.failure_history import (
     clear_request_crashes,
     exclude_failed_servers,
-    is_quarantined,
+    quarantine_left_ms,
     record_connection_loss,
     record_error,
 )
+from boragetiller.systems.part_quarantine import build_crash_id, find_suspect
 from boragetiller.systems.peer_loads import exclude_silent_peers
 from boragetiller.systems.response_timeouts import (
     compute_caller_event_timeout_ms,
@@ -40,6 +42,7 @@
 from boragetiller.systems.server_health import record_outcome
 from boragetiller.systems.server_placement import choose_server, compute_stream_sensitivity
 from boragetiller.tables.direct_attempts import CallProgress, DirectAttemptOutcome
+from boragetiller.tables.failure_history import LostAttempt
 from boragetiller.tables.server_placement import ServerPlacementRequest
 from boragetiller.verdict import Verdict
 
@@ -56,6 +59,7 @@
     from boragetiller.gateway.state_sync import StateSync
     from boragetiller.tables.direct_attempts import DirectAttemptResult
     from boragetiller.tables.server_placement import Placement
+    from boragetiller.tables.servers import BackendServer
 
 RETRY_AFTER_S = (0.1, 0.4)  # range for plain services, whose calls take tens of ms
 RETRY_AFTER_TARGET_SHARES = (0.25, 0.75)  # range for engines; such a retry may be in time
@@ -102,8 +106,13 @@
         self._clock = clock
         self._rng = rng
         self._telemetry = CallTelemetry(metrics, clock)
+        self._crash_detector = CrashDetector(registry)
         self._sender = CallSender(registry, state_sync, dialect, clock)
 
+    async def close(self) -> None:
+        """Cancel the probes in progress."""
+        await self._crash_detector.close()
+
     async def dispatch(self, call: AdmittedCall, request: web.BaseRequest) -> web.StreamResponse:
         """
         Dispatch a call and respond to the caller.
@@ -113,15 +122,9 @@
         :return: the response
         """
         state = _create_call_state(call, request)
-        now_ms = self._clock.now_ms()
-        if is_quarantined(self._registry.failure_history, call.fingerprint, now_ms):
-            quarantined = GiveUp(
-                GiveUpReason.QUARANTINED, DirectAttemptOutcome.LOST, Verdict.NOT_RUN
-            )
-            return self._fail(
-                state, None, quarantined, "quarantined: the request crashed the servers that ran it"
-            )
-        self._registry.get_retry_budget(call.group.name).record_request(now_ms)
+        if self._quarantine_left_ms(call):
+            return self._fail_quarantined(state)
+        self._registry.get_retry_budget(call.group.name).record_request(self._clock.now_ms())
         if call.metadata.prompt is not None:
             longest = call.metadata.prompt.output_tokens
             self._registry.output_lengths.record(
@@ -150,6 +153,8 @@
                         )
                     return build_complete_response(response)
                 case Retry():
+                    if self._quarantine_left_ms(call):
+                        return self._fail_quarantined(state)
                     self._telemetry.record_retried(call, placement, result)
                 case GiveUp():
                     return self._fail(state, placement, decision, result.detail)
@@ -222,25 +227,40 @@
     ) -> None:
         record_attempt(state.progress, placement.server.name, result)
         self._telemetry.record_attempt_end(state.call, placement, result)
-        self._record_failure(state, placement.server.name, result)
+        self._record_failure(state, placement.server, result)
         group = self._registry.servers.find_accepting(state.call.group.name)
         if record_outcome(placement.server, group.servers, result.outcome, self._clock.now_ms()):
             self._telemetry.record_ejected(state.call, placement, result)
 
-    def _record_failure(self, state: CallState, server: str, result: DirectAttemptResult) -> None:
+    def _record_failure(
+        self, state: CallState, server: BackendServer, result: DirectAttemptResult
+    ) -> None:
         """Update the failure history that later attempts of the same request use."""
         registry, fingerprint, now_ms = self._registry, state.call.fingerprint, self._clock.now_ms()
         match result.outcome:
             case DirectAttemptOutcome.ANSWERED:
                 clear_request_crashes(registry.failure_history, fingerprint)
             case DirectAttemptOutcome.SERVER_ERROR:
-                record_error(registry.failure_history, fingerprint, server, now_ms)
+                record_error(registry.failure_history, fingerprint, server.name, now_ms)
             case DirectAttemptOutcome.LOST:
-                record_connection_loss(
-                    registry.failure_history, fingerprint, server, state.call.arrived_ms, now_ms
-                )
+                self._record_loss(state.call, server, result)
             case DirectAttemptOutcome.UNREACHABLE:
-                registry.record_crash(server)
+                registry.record_crash(server.name)
+
+    def _record_loss(
+        self, call: AdmittedCall, server: BackendServer, result: DirectAttemptResult
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        attempt = LostAttempt(
+            fingerprint=call.fingerprint,
+            sent_ms=call.arrived_ms,
+            lost_ms=now_ms,
+            crash_id=build_crash_id(server.name, server.record.started_ms),
+            suspect=find_suspect(call.metadata.prompt, result.progress, now_ms),
+        )
+        record_connection_loss(self._registry.failure_history, server.name, attempt)
+        if attempt.suspect is not None:
+            self._crash_detector.check(server)
 
     def _decide_next_step(
         self, state: CallState, result: DirectAttemptResult
@@ -269,6 +289,19 @@
         full = GiveUp(GiveUpReason.FULL, DirectAttemptOutcome.FULL, progress.verdict)
         return self._fail(state, None, full, "no server accepts calls")
 
+    def _quarantine_left_ms(self, call: AdmittedCall) -> int:
+        history, now_ms = self._registry.failure_history, self._clock.now_ms()
+        return quarantine_left_ms(history, call.fingerprint, call.metadata.prompt, now_ms)
+
+    def _fail_quarantined(self, state: CallState) -> web.StreamResponse:
+        quarantined = GiveUp(
+            GiveUpReason.QUARANTINED, DirectAttemptOutcome.LOST, state.progress.verdict
+        )
+        detail = (
+            "quarantined: the request, or a part of its prompt, crashed the servers that ran it"
+        )
+        return self._fail(state, None, quarantined, detail)
+
     def _fail(
         self, state: CallState, placement: Placement | None, decision: GiveUp, detail: str
     ) -> web.StreamResponse:
@@ -283,14 +316,16 @@
 
     def _choose_error_response(self, call: AdmittedCall, decision: GiveUp) -> ErrorResponse:
         if decision.verdict is Verdict.NOT_RUN:
-            retry_after_s = self._retry_after_s(call)
+            retry_after_s = self._retry_after_s(call, decision.reason)
             return ErrorResponse(
                 status=503, code=decision.reason.value, retry_after_s=retry_after_s
             )
         status = 504 if decision.outcome is DirectAttemptOutcome.SILENT else 502
         return ErrorResponse(status=status, code=decision.outcome.value)
 
-    def _retry_after_s(self, call: AdmittedCall) -> float:
+    def _retry_after_s(self, call: AdmittedCall, reason: GiveUpReason) -> float:
+        if reason is GiveUpReason.QUARANTINED:
+            return self._quarantine_left_ms(call) / 1_000
         if call.group.engine is None:
             return self._rng.uniform(*RETRY_AFTER_S)
         return self._rng.uniform(*RETRY_AFTER_TARGET_SHARES) * call.route.target_ms / 1_000
--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -44,6 +44,7 @@
     from boragetiller.tables.store_view import StoredItem
 
 REPORT_INTERVAL_MS = 100  # shorter than the prefill of a long prompt, so that peers see each one
+MIN_REPORT_INTERVAL_MS = 20  # also for changes that peers must know at once
 REPORT_MS_PER_PEER = 10  # limits a router to 100 received reports per second in a large fleet
 KEEPALIVE_INTERVAL_MS = 500  # between reports without changes
 CONNECT_TIMEOUT_MS = 1_000
@@ -218,7 +219,7 @@
         self._update_peer_counts()
 
     def _send_first_report(self, endpoint: Endpoint, writer: asyncio.StreamWriter) -> None:
-        """Send a hello and a report of all current loads; later reports hold only changes."""
+        """Send a hello and a report of the whole state; later reports hold only changes."""
         assert self.endpoint is not None
         hello = PeerHello(
             name=self._settings.name,
@@ -226,8 +227,8 @@
             address=self.endpoint.address,
             port=self.endpoint.port,
         )
-        full_report = self._state_sync.build_report(self._state_sync.create_cursor())
-        writer.write(encode_frame(hello) + encode_frame(full_report))
+        first_report = self._state_sync.build_first_report()
+        writer.write(encode_frame(hello) + encode_frame(first_report))
         self._outbound_peers[endpoint] = OutboundPeer(writer)
 
     async def _send_reports(self) -> None:
@@ -236,7 +237,7 @@
         sent: PeerReport | None = None
         sent_ms = 0
         while True:
-            await asyncio.sleep(report_interval_ms(len(self._outbound_peers)) / 1_000)
+            await self._wait_for_report_time()
             report = self._state_sync.build_report(cursor)
             now_ms = self._clock.now_ms()
             frame = b""
@@ -246,6 +247,14 @@
             for peer in list(self._outbound_peers.values()):
                 self._send_report(peer, frame)
 
+    async def _wait_for_report_time(self) -> None:
+        """Wait for the next interval, or for a state change that peers must know at once."""
+        await asyncio.sleep(MIN_REPORT_INTERVAL_MS / 1_000)
+        interval_ms = report_interval_ms(len(self._outbound_peers)) - MIN_REPORT_INTERVAL_MS
+        with suppress(TimeoutError):
+            await wait_with_timeout(interval_ms / 1_000, self._state_sync.report_due.wait())
+        self._state_sync.report_due.clear()
+
     def _send_report(self, peer: OutboundPeer, frame: bytes) -> None:
         writer = peer.writer
         if writer.transport.is_closing():
--- a/src/boragetiller/gateway/peer_messages.py
+++ b/src/boragetiller/gateway/peer_messages.py
@@ -14,6 +14,7 @@
 from boragetiller.gateway.settings import Endpoint
 from boragetiller.tables.call_metadata import Prompt, PromptPart
 from boragetiller.tables.failure_history import FailureKind, RequestFailure
+from boragetiller.tables.part_crashes import PartCrashReport
 from boragetiller.tables.store_view import StoredItem
 
 LENGTH_BYTES = 4
@@ -61,6 +62,7 @@
     loads: tuple[ReportedLoad, ...] = ()  # only those that changed since the last report
     prompts: tuple[CachedPrompt, ...] = ()
     failures: tuple[RequestFailure, ...] = ()
+    part_crashes: tuple[PartCrashReport, ...] = ()
     store_reads: int = 0  # number of times that the sender polled the store
     reaches_store: bool = False  # whether its last call to the store succeeded
     watches: bool = False  # whether it watches the list of backend servers in the store itself
@@ -70,9 +72,9 @@
         Check whether the report differs from the last one.
 
         :param last: the last report that was sent, None if there is none
-        :return: whether it has loads, prompts or failures, or another state of the store
+        :return: whether it has loads, prompts, failures or crashes, or another state of the store
         """
-        if last is None or self.loads or self.prompts or self.failures:
+        if last is None or self.loads or self.prompts or self.failures or self.part_crashes:
             return True
         return self._store_state() != last._store_state()  # noqa: SLF001
 
@@ -143,7 +145,9 @@
         return ENVELOPE_WORDS + ITEM_WORDS * len(message.endpoints)
     if isinstance(message, PeerReport):
         parts = sum(len(read.prompt.parts) for read in message.prompts)
+        parts += sum(len(crash.companions) for crash in message.part_crashes)
         entries = len(message.loads) + len(message.prompts) + parts + len(message.failures)
+        entries += len(message.part_crashes)
         return ENVELOPE_WORDS + ITEM_WORDS * entries
     return ENVELOPE_WORDS
 
@@ -186,6 +190,7 @@
         loads=tuple(loads),
         prompts=tuple(prompts),
         failures=tuple(_read_failure(failure) for failure in report.failures),
+        part_crashes=tuple(_read_part_crash(crash) for crash in report.partCrashes),
         store_reads=report.storeReads,
         reaches_store=report.reachesStore,
         watches=report.watches,
@@ -197,6 +202,17 @@
     return RequestFailure(bytes(failure.fingerprint), failure.server, kind)
 
 
+def _read_part_crash(crash: Any) -> PartCrashReport:
+    return PartCrashReport(
+        part=crash.part,
+        crash_id=crash.crashId,
+        companions=frozenset(crash.companions),
+        weight=crash.weight,
+        age_ms=crash.ageMs,
+        cleared=crash.cleared,
+    )
+
+
 def _read_prompt(prompt: Any) -> Prompt:
     return Prompt(
         model=prompt.model,
@@ -255,6 +271,17 @@
             }
             for failure in message.failures
         ],
+        "partCrashes": [
+            {
+                "part": crash.part,
+                "crashId": crash.crash_id,
+                "companions": sorted(crash.companions),
+                "weight": crash.weight,
+                "ageMs": crash.age_ms,
+                "cleared": crash.cleared,
+            }
+            for crash in message.part_crashes
+        ],
         "storeReads": message.store_reads,
         "reachesStore": message.reaches_store,
         "watches": message.watches,
--- a/src/boragetiller/gateway/peers.capnp
+++ b/src/boragetiller/gateway/peers.capnp
@@ -31,6 +31,16 @@
   storeReads @5 :UInt32;
   reachesStore @6 :Bool;
   watches @7 :Bool;  # whether the sender watches the list of backend servers itself
+  partCrashes @8 :List(PartCrash);
+}
+
+struct PartCrash {
+  part @0 :Text;
+  crashId @1 :Text;  # name and start time of the engine
+  companions @2 :List(Text);
+  weight @3 :UInt16;
+  ageMs @4 :UInt32;
+  cleared @5 :Bool;
 }
 
 struct Failure {
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -61,11 +61,13 @@
         self.registry = BackendRegistry(settings, dialect, clock, self.metrics)
         self.state_sync = StateSync(settings.name, self.registry, costs, clock)
         rng = random.Random(settings.name)
-        dispatcher = CallDispatcher(
+        self._dispatcher = CallDispatcher(
             settings, self.registry, self.state_sync, dialect, clock, self.metrics, rng
         )
         self.peer_exchange = PeerExchange(settings, self.state_sync, clock, self.metrics)
-        self.call_handler = CallHandler(self.registry, dispatcher, dialect, clock, self.metrics)
+        self.call_handler = CallHandler(
+            self.registry, self._dispatcher, dialect, clock, self.metrics
+        )
         self._store_watcher = StoreWatcher(
             settings, store, self.registry, dialect, self.state_sync, clock, self.metrics, rng
         )
@@ -119,6 +121,7 @@
         """Close everything at once and abort calls in progress."""
         for listener in self._listeners:
             await listener.close()
+        await self._dispatcher.close()
         await self._prefix_cache_reader.close()
         await self._store_watcher.close()
         await self.peer_exchange.close()
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -13,6 +13,7 @@
 from boragetiller.gateway.event_stream import EventSplitter, EventTooLarge
 from boragetiller.gateway.responses import EventWriter
 from boragetiller.gateway.server_client import NOT_SENT_ERRORS, TRANSPORT_ERRORS, OutgoingRequest
+from boragetiller.systems.part_quarantine import has_survived_start
 from boragetiller.systems.prefix_cache import estimate_uncached_tokens
 from boragetiller.systems.response_timeouts import compute_stream_timeouts
 from boragetiller.systems.server_placement import compute_stream_sensitivity
@@ -245,11 +246,14 @@
             await stream.event_writer.write(response.metadata.status, headers, events.data)
             attempt.progress.relayed_events += events.count
             attempt.response_progress.events += events.count
+            if has_survived_start(attempt.response_progress, self._clock.now_ms()):
+                self._registry.clear_parts(attempt.call.metadata.prompt, attempt.response_progress)
             stream.last_event_id = events.last_id
         if splitter.has_partial_event:
             return DirectAttemptResult(
                 DirectAttemptOutcome.GARBLED, detail="stream ended inside an event"
             )
+        self._registry.clear_parts(attempt.call.metadata.prompt, attempt.response_progress)
         stream.complete = True
         complete = CompleteResponse(status=response.metadata.status, headers=headers, body=b"")
         return DirectAttemptResult(DirectAttemptOutcome.ANSWERED, complete)
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
 
+from boragetiller.events import Event, log_event
 from boragetiller.gateway.peer_messages import CachedPrompt, PeerReport, ReportedLoad
-from boragetiller.systems.failure_history import apply_failure
+from boragetiller.systems.failure_history import apply_failure, list_crashes
+from boragetiller.systems.part_quarantine import apply_report, list_reports
 from boragetiller.systems.peer_loads import record_report, remove_load, remove_peer, set_load
 from boragetiller.systems.prefix_cache import estimate_cache_tokens, record_prefill
 from boragetiller.systems.store_polling import StorePollSchedule
@@ -46,6 +49,7 @@
 
     prompts: int = 0
     failures: int = 0
+    part_crashes: int = 0
     loads: dict[str, ReportedLoad] = attrs.field(factory=dict)  # by server, without idle ones
 
 
@@ -67,7 +71,9 @@
         self.store_polls = StorePollSchedule()
         self.watcher_election = WatcherElection(name)
         self.reporting_share = 1.0  # see systems.report_peers
+        self.report_due = asyncio.Event()  # set by what peers must know before the next interval
         self._registry = registry
+        self._registry.on_crash_recorded = self.report_due.set
         self._costs = costs
         self._clock = clock
         self._recent_prompts: RecentItems[CachedPrompt] = RecentItems.with_capacity(
@@ -108,7 +114,19 @@
 
     def create_cursor(self) -> ReportCursor:
         """:return: cursor of a new connection, which skips earlier prompts and failures"""
-        return ReportCursor(self._recent_prompts.count, self._registry.failure_history.recent.count)
+        history = self._registry.failure_history
+        return ReportCursor(
+            self._recent_prompts.count, history.recent.count, history.part_crashes.recent.count
+        )
+
+    def build_first_report(self) -> PeerReport:
+        """:return: report for a new connection, with all current loads and all recorded crashes"""
+        history = self._registry.failure_history
+        return attrs.evolve(
+            self.build_report(self.create_cursor()),
+            failures=list_crashes(history),
+            part_crashes=list_reports(history.part_crashes, self._clock.now_ms()),
+        )
 
     def build_report(self, cursor: ReportCursor) -> PeerReport:
         """
@@ -119,18 +137,21 @@
         """
         revisions = self.get_revisions()
         failures = self._registry.failure_history.recent
+        part_crashes = self._registry.failure_history.part_crashes.recent
         report = PeerReport(
             config_revision=revisions.config,
             servers_revision=revisions.servers,
             loads=self._list_changed_loads(cursor),
             prompts=self._recent_prompts.since(cursor.prompts),
             failures=failures.since(cursor.failures),
+            part_crashes=part_crashes.since(cursor.part_crashes),
             store_reads=self.store_polls.own_polls,
             reaches_store=self.watcher_election.own_store_reachable,
             watches=self.watcher_election.own_store_reachable
             and self.watcher_election.is_watcher(self._clock.now_ms()),
         )
         cursor.prompts, cursor.failures = self._recent_prompts.count, failures.count
+        cursor.part_crashes = part_crashes.count
         return report
 
     def apply_report(self, peer: str, report: PeerReport) -> None:
@@ -150,8 +171,7 @@
                 set_load(peer_loads, server, _to_peer_load(load))
         for prompt in report.prompts:
             self._apply_prompt(prompt)
-        for failure in report.failures:
-            apply_failure(self._registry.failure_history, failure, now_ms)
+        self._apply_failures(peer, report, now_ms)
         self.store_polls.record_peer_polls(peer, report.store_reads, now_ms)
         self.watcher_election.record_peer(peer, now_ms, reaches_store=report.reaches_store)
 
@@ -177,6 +197,21 @@
         self.store_polls.peer_polls.pop(peer, None)
         self.watcher_election.remove_peer(peer)
 
+    def _apply_failures(self, peer: str, report: PeerReport, now_ms: int) -> None:
+        history = self._registry.failure_history
+        known = history.part_crashes.recent.count
+        for failure in report.failures:
+            apply_failure(history, failure, now_ms)
+        quarantined = [
+            part_crash.part
+            for part_crash in report.part_crashes
+            if apply_report(history.part_crashes, part_crash, now_ms)
+        ]
+        if quarantined:
+            log_event(Event.PARTS_QUARANTINED, parts=quarantined, source=peer)
+        if history.part_crashes.recent.count > known:
+            self.report_due.set()
+
     def _list_changed_loads(self, cursor: ReportCursor) -> tuple[ReportedLoad, ...]:
         servers = self._registry.servers.by_name.values()
         loads = {server.name: _to_reported_load(server) for server in servers if server.in_flight}
--- a/src/boragetiller/systems/crash_quarantine.py
+++ b/src/boragetiller/systems/crash_quarantine.py
@@ -8,7 +8,7 @@
 from boragetiller.tables.crash_quarantine import Containment, CrashTable, ServerCrashes
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Set
 
     from boragetiller.settings import CrashQuarantineSettings
     from boragetiller.tables.crash_quarantine import CrashRetention
@@ -60,18 +60,21 @@
         del table.by_fingerprint[next(iter(table.by_fingerprint))]
 
 
-def choose_containment(table: CrashTable, fingerprint: bytes) -> Containment:
+def choose_containment(
+    table: CrashTable, fingerprint: bytes, explained: Set[str] = frozenset()
+) -> Containment:
     """
     Decide how a body may run.
 
     :param table: recorded crashes
     :param fingerprint: fingerprint of the body
+    :param explained: backend servers whose crash has another cause
     :return: without restriction, in isolation only, or not at all
     """
-    servers = table.by_fingerprint.get(fingerprint)
-    if not servers:
+    servers = table.by_fingerprint.get(fingerprint, {})
+    crashes = sum(known.crashes for name, known in servers.items() if name not in explained)
+    if not crashes:
         return Containment.NONE
-    crashes = sum(server.crashes for server in servers.values())
     return Containment.QUARANTINE if crashes >= QUARANTINE_AFTER_CRASHES else Containment.ISOLATE
 
 
--- a/src/boragetiller/systems/failure_history.py
+++ b/src/boragetiller/systems/failure_history.py
@@ -15,6 +15,7 @@
 
 import attrs
 
+from boragetiller.systems import part_quarantine
 from boragetiller.systems.crash_quarantine import (
     choose_containment,
     clear_crashes,
@@ -32,12 +33,14 @@
 )
 
 if TYPE_CHECKING:
+    from boragetiller.tables.call_metadata import Prompt
     from boragetiller.tables.servers import BackendServer
 
 FINGERPRINT_BYTES = 12  # makes a collision among some thousand requests very unlikely
 ERROR_TTL_MS = 15_000  # callers wait up to 12 s and retry within that time
 # A crashed server is deregistered after three missed heartbeats of 1.2 s and a delivery delay.
 CRASH_CONFIRM_MS = 6_000
+MAX_LISTED_CRASHES = 1_024  # fits into one frame
 MAX_REQUESTS = 2_048  # bounds memory; ten times the failures of a minute with many errors
 
 
@@ -80,21 +83,17 @@
     history.recent.add(failure)
 
 
-def record_connection_loss(
-    history: FailureHistory, fingerprint: bytes, server: str, sent_ms: int, now_ms: int
-) -> None:
+def record_connection_loss(history: FailureHistory, server: str, attempt: LostAttempt) -> None:
     """
     Record that a connection broke while the server may have been running a request.
 
     :param history: failures known to this router
-    :param fingerprint: fingerprint of the request
     :param server: name of the server
-    :param sent_ms: monotonic time at which the request was sent
-    :param now_ms: monotonic time in milliseconds
+    :param attempt: the attempt that was lost
     """
     lost = history.lost.setdefault(server, [])
-    lost[:] = [attempt for attempt in lost if now_ms - attempt.lost_ms < CRASH_CONFIRM_MS]
-    lost.append(LostAttempt(fingerprint, sent_ms, now_ms))
+    lost[:] = [known for known in lost if attempt.lost_ms - known.lost_ms < CRASH_CONFIRM_MS]
+    lost.append(attempt)
 
 
 def clear_request_crashes(history: FailureHistory, fingerprint: bytes) -> None:
@@ -109,24 +108,36 @@
     clear_crashes(history.crashes, fingerprint)
 
 
-def confirm_crash(history: FailureHistory, server: str, now_ms: int) -> list[RequestFailure]:
+@attrs.frozen
+class ConfirmedCrash:
+    """What the crash of a server added to the failure history."""
+
+    failures: tuple[RequestFailure, ...] = ()  # requests for which the crash is recorded now
+    quarantined_parts: tuple[str, ...] = ()  # prompt parts that it put into quarantine
+
+
+def confirm_crash(history: FailureHistory, server: str, now_ms: int) -> ConfirmedCrash:
     """
     Record a crash for the requests whose connections broke shortly before a server was found down.
 
     :param history: failures known to this router
     :param server: name of the server, which refuses connections or whose incarnation has ended
     :param now_ms: monotonic time in milliseconds
-    :return: crashes that were not recorded before
+    :return: what was not recorded before
     """
-    crashes = []
+    failures, quarantined = [], []
     for attempt in history.lost.pop(server, ()):
         if now_ms - attempt.lost_ms >= CRASH_CONFIRM_MS:
             continue
         if record_crash(history.crashes, attempt.fingerprint, server, attempt.sent_ms, now_ms):
-            crashes.append(RequestFailure(attempt.fingerprint, server, FailureKind.CRASH))
-    for failure in crashes:
+            failures.append(RequestFailure(attempt.fingerprint, server, FailureKind.CRASH))
+        if attempt.suspect is not None:
+            quarantined += part_quarantine.record_crash(
+                history.part_crashes, attempt.crash_id, [attempt.suspect], now_ms
+            )
+    for failure in failures:
         history.recent.add(failure)
-    return crashes
+    return ConfirmedCrash(tuple(failures), tuple(quarantined))
 
 
 def apply_failure(history: FailureHistory, failure: RequestFailure, now_ms: int) -> None:
@@ -148,6 +159,21 @@
         history.errors.popitem(last=False)
 
 
+def list_crashes(history: FailureHistory) -> tuple[RequestFailure, ...]:
+    """
+    List the recorded crashes of requests, for a peer that may know none of them.
+
+    :param history: failures known to this router
+    :return: a failure for each request and server that it crashed, MAX_LISTED_CRASHES at most
+    """
+    crashes = [
+        RequestFailure(fingerprint, server, FailureKind.CRASH)
+        for fingerprint, servers in history.crashes.by_fingerprint.items()
+        for server in servers
+    ]
+    return tuple(crashes[-MAX_LISTED_CRASHES:])
+
+
 def exclude_failed_servers(
     servers: list[BackendServer], history: FailureHistory, fingerprint: bytes, now_ms: int
 ) -> list[BackendServer]:
@@ -166,10 +192,33 @@
     return [server for server in servers if server.name not in failed.names] or servers
 
 
+def quarantine_left_ms(
+    history: FailureHistory, fingerprint: bytes, prompt: Prompt | None, now_ms: int
+) -> int:
+    """
+    Compute for how long a request is refused because it, or a part of its prompt, crashed servers.
+
+    :param history: failures known to this router
+    :param fingerprint: fingerprint of the request
+    :param prompt: its prompt, None for a request to a plain service
+    :param now_ms: monotonic time in milliseconds
+    :return: milliseconds until the quarantine ends, 0 if the request may run
+    """
+    left_ms = part_quarantine.quarantine_left_ms(history.part_crashes, prompt, now_ms)
+    if is_quarantined(history, fingerprint, now_ms):
+        servers = history.crashes.by_fingerprint[fingerprint].values()
+        last_ms = max(server.last_ms for server in servers)
+        left_ms = max(left_ms, last_ms + CRASH_RETENTION.expire_ms - now_ms)
+    return left_ms
+
+
 def is_quarantined(history: FailureHistory, fingerprint: bytes, now_ms: int) -> bool:
     """
     Check whether a request has crashed too many servers to be sent to another one.
 
+    Crashes that a quarantined prompt part explains do not count: the requests that ran beside the
+    cause are not to blame.
+
     :param history: failures known to this router
     :param fingerprint: fingerprint of the request
     :param now_ms: monotonic time in milliseconds
@@ -178,7 +227,8 @@
     if fingerprint not in history.crashes.by_fingerprint:
         return False
     expire_crashes(history.crashes, CRASH_RETENTION, now_ms)
-    return choose_containment(history.crashes, fingerprint) is Containment.QUARANTINE
+    explained = part_quarantine.list_explained_crashes(history.part_crashes, now_ms)
+    return choose_containment(history.crashes, fingerprint, explained) is Containment.QUARANTINE
 
 
 def _has_expired_error(history: FailureHistory, now_ms: int) -> bool:
@@ -190,12 +240,15 @@
 
 __all__ = [
     "FINGERPRINT_BYTES",
+    "ConfirmedCrash",
     "apply_failure",
     "clear_request_crashes",
     "compute_fingerprint",
     "confirm_crash",
     "exclude_failed_servers",
     "is_quarantined",
+    "list_crashes",
+    "quarantine_left_ms",
     "record_connection_loss",
     "record_error",
 ]
--- a/src/boragetiller/tables/failure_history.py
+++ b/src/boragetiller/tables/failure_history.py
@@ -8,6 +8,7 @@
 import attrs
 
 from boragetiller.tables.crash_quarantine import CrashTable
+from boragetiller.tables.part_crashes import CrashSuspect, PartCrashTable
 from boragetiller.tables.recent_items import RecentItems
 
 MAX_RECENT_FAILURES = 256  # enough for the failures between two reports, 100 ms apart
@@ -44,6 +45,8 @@
     fingerprint: bytes
     sent_ms: int  # monotonic time
     lost_ms: int  # monotonic time
+    crash_id: str = ""  # of the crash, if it was one
+    suspect: CrashSuspect | None = None  # None if the request cannot have crashed an engine
 
 
 @attrs.define
@@ -51,6 +54,7 @@
     """Failures of requests at this and at other routers."""
 
     crashes: CrashTable = attrs.field(factory=CrashTable)
+    part_crashes: PartCrashTable = attrs.field(factory=PartCrashTable)
     errors: OrderedDict[bytes, FailedServers] = attrs.field(factory=OrderedDict)
     lost: dict[str, list[LostAttempt]] = attrs.field(factory=dict)  # by server name
     recent: RecentItems[RequestFailure] = attrs.field(
--- a/tests/gateway/crashing_engine.py
+++ b/tests/gateway/crashing_engine.py
@@ -1,4 +1,4 @@
-"""A fake engine that crashes as soon as it begins to answer a request with a certain prompt part."""
+"""A fake engine that crashes when it begins to answer a request with a certain prompt part."""
 
 from __future__ import annotations
 
--- a/tests/gateway/test_crashing_prompt_part.py
+++ b/tests/gateway/test_crashing_prompt_part.py
@@ -70,6 +70,30 @@
         self.assertEqual(await self.crash_until_refused("/gauges/"), 503)
         self.assertLessEqual(self.engines.deadly_requests, MAX_CRASHES + MAX_LATER_REQUESTS)
 
+    async def test_sound_requests_with_the_same_first_part_are_answered(self) -> None:
+        await self.crash_until_refused()
+        for number in range(4):
+            status = await self.call(self.routers[number % 2], f"aa:500,own{number}:100")
+            self.assertEqual(status, 200)
+
+    async def test_router_that_starts_later_refuses_the_part(self) -> None:
+        await self.crash_until_refused()
+        seeds = tuple(harness.router.peer_exchange.endpoint for harness in self.routers)
+        late = await self.start_router(0, "router-3", seeds=seeds)
+        table = late.router.registry.failure_history.part_crashes
+        await wait_until(lambda: "dead" in table.by_part)
+        self.assertEqual(await self.call(late, "aa:500,dead:300,late:100"), 503)
+
+    async def test_refusal_names_the_end_of_the_quarantine(self) -> None:
+        await self.crash_until_refused()
+        headers = {
+            "X_Boragetiller_Token_Counts": "900,16",
+            "X_Boragetiller_Prefix_Hash": "aa:500,dead:300,own:100",
+        }
+        async with self.routers[0].call("/quotes/", **headers) as response:
+            self.assertEqual((await response.json())["error"]["code"], "quarantined")
+            self.assertGreater(float(response.headers["Retry-After"]), 500)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/systems/test_failure_history.py
+++ b/tests/systems/test_failure_history.py
@@ -8,17 +8,25 @@
     CRASH_CONFIRM_MS,
     ERROR_TTL_MS,
     MAX_REQUESTS,
+    ConfirmedCrash,
     apply_failure,
     clear_request_crashes,
     compute_fingerprint,
     confirm_crash,
     exclude_failed_servers,
     is_quarantined,
+    list_crashes,
     record_connection_loss,
     record_error,
 )
 from boragetiller.systems.store_polling import POLL_INTERVAL_MS, StorePollSchedule
-from boragetiller.tables.failure_history import FailureHistory, FailureKind, RequestFailure
+from boragetiller.tables.failure_history import (
+    FailureHistory,
+    FailureKind,
+    LostAttempt,
+    RequestFailure,
+)
+from boragetiller.tables.part_crashes import CrashSuspect
 from boragetiller.tables.servers import BackendServer, ServerRecord
 
 BODY = compute_fingerprint("north", "GET", "/stock/1?page=2", b"")
@@ -50,7 +58,8 @@
         return [each.name for each in found]
 
     def crash(self, name: str, now_ms: int, fingerprint: bytes = BODY) -> None:
-        record_connection_loss(self.history, fingerprint, name, now_ms - 50, now_ms)
+        attempt = LostAttempt(fingerprint, sent_ms=now_ms - 50, lost_ms=now_ms)
+        record_connection_loss(self.history, name, attempt)
         confirm_crash(self.history, name, now_ms + 100)
 
     def test_fingerprint_depends_on_customer_method_path_and_body(self) -> None:
@@ -85,7 +94,7 @@
 
     def test_lost_connection_alone_does_not_count_as_a_crash(self) -> None:
         for name in "abc":
-            record_connection_loss(self.history, BODY, name, 0, 10)
+            record_connection_loss(self.history, name, LostAttempt(BODY, sent_ms=0, lost_ms=10))
         self.assertFalse(is_quarantined(self.history, BODY, 20))
 
     def test_second_crash_quarantines(self) -> None:
@@ -96,8 +105,25 @@
         self.assertFalse(is_quarantined(self.history, OTHER, 1_200))
 
     def test_crash_confirmed_too_late_is_not_recorded(self) -> None:
-        record_connection_loss(self.history, BODY, "a", 0, 10)
-        self.assertEqual(confirm_crash(self.history, "a", 10 + CRASH_CONFIRM_MS), [])
+        record_connection_loss(self.history, "a", LostAttempt(BODY, sent_ms=0, lost_ms=10))
+        crash = confirm_crash(self.history, "a", 10 + CRASH_CONFIRM_MS)
+        self.assertEqual(crash, ConfirmedCrash())
+
+    def test_request_beside_a_quarantined_part_is_not_blamed(self) -> None:
+        for number, server in enumerate("ab"):
+            suspect = CrashSuspect(parts=("dead",), weight=2)
+            beside = LostAttempt(BODY, sent_ms=0, lost_ms=10)
+            cause = LostAttempt(OTHER, 0, 10, crash_id=f"{server}@0", suspect=suspect)
+            record_connection_loss(self.history, server, beside)
+            record_connection_loss(self.history, server, cause)
+            confirm_crash(self.history, server, 20 + number)
+        self.assertFalse(is_quarantined(self.history, BODY, 30))
+
+    def test_new_peer_is_told_of_recorded_crashes(self) -> None:
+        self.crash("a", 100)
+        self.crash("b", 200)
+        told = {(each.fingerprint, each.server) for each in list_crashes(self.history)}
+        self.assertEqual(told, {(BODY, "a"), (BODY, "b")})
 
     def test_answered_request_is_cleared_of_a_crash(self) -> None:
         self.crash("a", 100)
--- /dev/null
+++ b/tests/systems/test_part_quarantine.py
@@ -0,0 +1,200 @@
+"""Quarantine of prompt parts that crash engines."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from boragetiller.systems.part_quarantine import (
+    CRASH_TTL_MS,
+    MAX_CRASHES_PER_PART,
+    MAX_LISTED_REPORTS,
+    MAX_PARTS,
+    QUARANTINE_MS,
+    START_MS,
+    STRONG_WEIGHT,
+    WEAK_WEIGHT,
+    apply_report,
+    build_crash_id,
+    clear_parts,
+    find_suspect,
+    has_survived_start,
+    is_part_quarantined,
+    list_explained_crashes,
+    list_reports,
+    quarantine_left_ms,
+    record_crash,
+)
+from boragetiller.tables.call_metadata import Prompt, PromptPart
+from boragetiller.tables.direct_attempts import ResponseProgress
+from boragetiller.tables.part_crashes import CrashSuspect, PartCrashTable
+
+
+def make_prompt(*shared: str) -> Prompt:
+    parts = tuple(PromptPart(part_id, 100) for part_id in (*shared, "own"))
+    return Prompt(model="m", input_tokens=900, output_tokens=16, parts=parts)
+
+
+def make_suspect(*parts: str, weight: int = STRONG_WEIGHT) -> CrashSuspect:
+    return CrashSuspect(parts=parts, weight=weight)
+
+
+class FindSuspectTest(unittest.TestCase):
+    def test_request_without_a_response_header_is_no_suspect(self) -> None:
+        self.assertIsNone(find_suspect(make_prompt("a"), ResponseProgress(), 5_000))
+
+    def test_request_that_has_been_written_for_long_is_no_suspect(self) -> None:
+        progress = ResponseProgress(started_ms=1_000, events=3)
+        self.assertIsNone(find_suspect(make_prompt("a"), progress, 1_000 + START_MS))
+        self.assertTrue(has_survived_start(progress, 1_000 + START_MS))
+
+    def test_each_running_request_is_a_suspect_or_has_survived_its_start(self) -> None:
+        for age_ms in (0, START_MS - 1, START_MS, 5 * START_MS):
+            for events in (0, 1):
+                progress = ResponseProgress(started_ms=0, events=events)
+                suspect = find_suspect(make_prompt("a"), progress, age_ms)
+                self.assertNotEqual(suspect is None, not has_survived_start(progress, age_ms))
+
+    def test_last_part_is_never_suspected(self) -> None:
+        progress = ResponseProgress(started_ms=0)
+        self.assertEqual(find_suspect(make_prompt("a", "b"), progress, 10), make_suspect("a", "b"))
+        self.assertIsNone(find_suspect(make_prompt(), progress, 10))
+
+    def test_request_with_events_is_suspected_less(self) -> None:
+        suspect = find_suspect(make_prompt("a"), ResponseProgress(started_ms=0, events=1), 10)
+        self.assertEqual(suspect, make_suspect("a", weight=WEAK_WEIGHT))
+
+
+class PartQuarantineTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = PartCrashTable()
+
+    def crash(self, server: str, *parts: str, now_ms: int = 0, weight: int = STRONG_WEIGHT) -> None:
+        suspect = make_suspect(*parts, weight=weight)
+        record_crash(self.table, build_crash_id(server, 7), [suspect], now_ms)
+
+    def is_refused(self, *shared: str, now_ms: int = 100) -> bool:
+        return quarantine_left_ms(self.table, make_prompt(*shared), now_ms) > 0
+
+    def test_second_crash_quarantines_whatever_else_the_request_holds(self) -> None:
+        self.crash("e1", "first", "dead")
+        self.assertFalse(self.is_refused("first", "dead"))
+        self.crash("e2", "other", "dead")
+        self.assertTrue(self.is_refused("third", "dead"))
+
+    def test_sound_request_with_one_of_two_suspected_parts_runs(self) -> None:
+        self.crash("e1", "first", "dead")
+        self.crash("e2", "first", "dead")
+        self.assertTrue(self.is_refused("first", "dead"))
+        self.assertFalse(self.is_refused("first"))
+
+    def test_part_alone_is_refused_once_its_companion_is_cleared(self) -> None:
+        self.crash("e1", "first", "dead")
+        self.crash("e2", "first", "dead")
+        clear_parts(self.table, ["first"], began_ms=10, now_ms=20)
+        self.assertTrue(self.is_refused("dead"))
+        self.assertFalse(self.is_refused("first"))
+
+    def test_same_crash_seen_by_many_requests_counts_once(self) -> None:
+        for _ in range(5):
+            self.crash("e1", "first", "dead")
+        self.assertFalse(self.is_refused("first", "dead"))
+
+    def test_restarted_engine_with_the_same_name_counts_again(self) -> None:
+        for started_ms in (7, 8):
+            crash_id = build_crash_id("e1", started_ms)
+            record_crash(self.table, crash_id, [make_suspect("dead")], 0)
+        self.assertTrue(self.is_refused("dead"))
+
+    def test_crashes_of_requests_with_events_count_half(self) -> None:
+        for number in range(3):
+            self.crash(f"e{number}", "session", weight=WEAK_WEIGHT)
+        self.assertFalse(self.is_refused("session"))
+        self.crash("e3", "session", weight=WEAK_WEIGHT)
+        self.assertTrue(self.is_refused("session"))
+
+    def test_answer_that_began_after_a_crash_clears_the_part(self) -> None:
+        self.crash("e1", "common", now_ms=0)
+        self.assertEqual(clear_parts(self.table, ["common"], began_ms=5, now_ms=10), ["common"])
+        self.crash("e2", "common", now_ms=20)
+        self.assertFalse(self.is_refused("common"))
+
+    def test_answer_that_began_before_a_crash_clears_nothing(self) -> None:
+        self.crash("e1", "dead", now_ms=10)
+        self.crash("e2", "dead", now_ms=20)
+        self.assertEqual(clear_parts(self.table, ["dead"], began_ms=5, now_ms=30), [])
+        self.assertTrue(self.is_refused("dead"))
+
+    def test_quarantine_ends_and_one_further_crash_renews_it(self) -> None:
+        self.crash("e1", "dead", now_ms=0)
+        self.crash("e2", "dead", now_ms=0)
+        self.assertEqual(quarantine_left_ms(self.table, make_prompt("dead"), 100), 599_900)
+        self.assertFalse(self.is_refused("dead", now_ms=QUARANTINE_MS))
+        self.crash("e3", "dead", now_ms=QUARANTINE_MS + 10)
+        self.assertTrue(self.is_refused("dead", now_ms=QUARANTINE_MS + 20))
+        self.assertFalse(self.is_refused("dead", now_ms=QUARANTINE_MS + 10 + CRASH_TTL_MS))
+
+    def test_crash_is_explained_by_a_quarantined_part_only(self) -> None:
+        self.crash("e1", "dead")
+        self.assertEqual(list_explained_crashes(self.table, 10), set())
+        self.crash("e2", "dead")
+        self.assertEqual(list_explained_crashes(self.table, 10), {"e1", "e2"})
+
+    def test_memory_is_bounded_and_keeps_quarantined_parts(self) -> None:
+        self.crash("e1", "dead")
+        self.crash("e2", "dead")
+        for number in range(MAX_PARTS + 50):
+            self.crash("e3", f"part-{number}")
+        for number in range(MAX_CRASHES_PER_PART + 5):
+            self.crash(f"f{number}", "often")
+        self.assertEqual(len(self.table.by_part), MAX_PARTS)
+        self.assertEqual(len(self.table.by_part["often"]), MAX_CRASHES_PER_PART)
+        self.assertTrue(self.is_refused("dead"))
+        self.assertEqual(len(list_reports(self.table, 10)), MAX_LISTED_REPORTS)
+
+
+class ReportTest(unittest.TestCase):
+    """Exchange of crashes between routers."""
+
+    def test_router_that_starts_late_learns_of_a_quarantine(self) -> None:
+        table, late = PartCrashTable(), PartCrashTable()
+        for server in ("e1@0", "e2@0"):
+            record_crash(table, server, [make_suspect("dead")], 0)
+        for report in list_reports(table, 1_000):
+            apply_report(late, report, 50_000)
+        self.assertTrue(is_part_quarantined(late, "dead", 50_000))
+        self.assertEqual(
+            quarantine_left_ms(late, make_prompt("dead"), 50_000), QUARANTINE_MS - 1_000
+        )
+
+    def test_new_report_is_relayed_once(self) -> None:
+        table, relay = PartCrashTable(), PartCrashTable()
+        record_crash(table, "e1@0", [make_suspect("dead")], 0)
+        (report,) = table.recent.since(0)
+        apply_report(relay, report, 0)
+        apply_report(relay, report, 10)
+        self.assertEqual(relay.recent.count, 1)
+
+    @given(st.permutations(range(6)), st.integers(0, 5))
+    def test_reports_in_any_order_lead_to_the_same_state(
+        self, order: list[int], again: int
+    ) -> None:
+        source = PartCrashTable()
+        record_crash(source, "e1@0", [make_suspect("first", "dead")], 0)
+        record_crash(source, "e2@0", [make_suspect("other", "dead")], 1)
+        clear_parts(source, ["first", "other"], began_ms=2, now_ms=3)
+        reports = source.recent.since(0)
+        self.assertEqual(len(reports), 6)
+        table = PartCrashTable()
+        for number in (*order, again):
+            apply_report(table, reports[number], 5)
+        self.assertEqual(
+            [part for part in ("dead", "first", "other") if is_part_quarantined(table, part, 6)],
+            ["dead"],
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
