Treat a stream without framing that ends before its first event as broken off

What callers saw: an empty 200 for a stream whose engine had ended in between. Cause: without length and chunks only the end of the connection marks the end of the stream, and the router took it for complete even if not one event had come. Such an end now counts as a lost connection, so it is retried where the route allows and counts for crash detection; so does one inside an event, which had the outcome of a garbled response. A resumed stream may still end without further events.

tests.gateway.test_close_delimited_responses covers plain and streamed responses that end or are reset; test_stream_that_ends_before_its_first_event_is_broken_off failed before (200), the other five passed.

--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -251,7 +251,12 @@
             stream.last_event_id = events.last_id
         if splitter.has_partial_event:
             return DirectAttemptResult(
-                DirectAttemptOutcome.GARBLED, detail="stream ended inside an event"
+                DirectAttemptOutcome.LOST, detail="stream ended inside an event"
+            )
+        has_begun = splitter.last_id is not None or attempt.response_progress.events > 0
+        if response.is_close_delimited and not has_begun:
+            return DirectAttemptResult(
+                DirectAttemptOutcome.LOST, detail="connection ended before the first event"
             )
         self._registry.clear_parts(attempt.call.metadata.prompt, attempt.response_progress)
         stream.complete = True
--- a/src/boragetiller/gateway/server_client.py
+++ b/src/boragetiller/gateway/server_client.py
@@ -56,6 +56,11 @@
         self.headers = response.headers
         self._response = response
 
+    @property
+    def is_close_delimited(self) -> bool:
+        """:return: whether only the end of the connection marks the end of the body"""
+        return "Content-Length" not in self.headers and "Transfer-Encoding" not in self.headers
+
     async def read(self, max_bytes: int) -> bytes:
         """
         Read the complete body.
