Do not take a reset response without a length for complete at an agent

What callers saw on the product's own interface: a truncated body of a plain service as a whole one, if the response had neither length nor chunks and its connection was reset. aiohttp ends such a body on any loss of the connection; the gateway had a handler against it, the agent did not. The handler moves to boragetiller.reset_detection and both use it. An event stream that ends inside an event after its end marker is now broken off too.

--- a/src/boragetiller/agent/backend.py
+++ b/src/boragetiller/agent/backend.py
@@ -20,6 +20,7 @@
     BackendUnreachable,
     BoragetillerError,
 )
+from boragetiller.reset_detection import ResetAwareHandler, use_handler
 from boragetiller.settings import BackendKind
 from boragetiller.verdict import Verdict
 
@@ -75,8 +76,8 @@
             if separator:
                 ended = ended or STREAM_END in events
                 yield events + separator
-        if not ended:
-            raise _ResponseTruncated("event stream ended before its end marker")
+        if not ended or rest.strip():
+            raise _ResponseTruncated("event stream ended before its end marker or inside an event")
 
 
 class BackendClient:
@@ -92,6 +93,7 @@
         # On a pooled connection aiohttp may send a request twice, which a service must not get.
         close_after_use = self._settings.kind is BackendKind.SERVICE
         connector = aiohttp.TCPConnector(limit=0, force_close=close_after_use)
+        use_handler(connector, ResetAwareHandler)
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=self._settings.connect_timeout_ms / 1_000,
--- a/src/boragetiller/gateway/backend_connections.py
+++ b/src/boragetiller/gateway/backend_connections.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import functools
 import socket
 from typing import TYPE_CHECKING
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
+
+from boragetiller.reset_detection import ResetAwareHandler, use_handler
 
 if TYPE_CHECKING:
     from asyncio import AbstractEventLoop
@@ -55,7 +55,7 @@
     return bytes(data)
 
 
-class StrictResponseHandler(ResponseHandler):
+class StrictResponseHandler(ResetAwareHandler):
     """Closes the connection on unsolicited bytes and on excessive framing."""
 
     def __init__(self, loop: AbstractEventLoop) -> None:
@@ -65,13 +65,13 @@
         self._received_bytes = 0  # since the last request was sent
 
     def set_response_params(self, **params: object) -> None:  # type: ignore[override]
-        """See :class:`ResponseHandler`; aiohttp calls this before it sends a request."""
+        """See :class:`ResetAwareHandler`; aiohttp calls this before it sends a request."""
         self.expects_response = True
         self._received_bytes = 0
         super().set_response_params(**params)  # type: ignore[arg-type]
 
     def data_received(self, data: bytes) -> None:
-        """See :class:`ResponseHandler`."""
+        """See :class:`ResetAwareHandler`."""
         if data and not self.expects_response:
             self.abort()
             return
@@ -88,13 +88,6 @@
             self.set_exception(error)
             self.abort()
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """See :class:`ResponseHandler`; a reset makes a body without a length incomplete."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"connection lost: {exc!r}"))
-        super().connection_lost(exc)
-
 
 class MatchedResponse(aiohttp.ClientResponse):
     """Skips responses to earlier requests on the same connection."""
@@ -159,8 +152,7 @@
     connector = aiohttp.TCPConnector(
         limit=0, keepalive_timeout=idle_timeout_s, socket_factory=open_keepalive_socket
     )
-    loop = connector._loop  # noqa: SLF001
-    connector._factory = functools.partial(StrictResponseHandler, loop=loop)  # type: ignore[assignment]  # noqa: SLF001
+    use_handler(connector, StrictResponseHandler)
     return connector
 
 
--- a/tests/agent/test_backend.py
+++ b/tests/agent/test_backend.py
@@ -15,7 +15,7 @@
 _DEFAULTS = {"str": "", "int": 0, "float": 1.0, "bool": False}
 
 
-def _attempt() -> Attempt:
+def build_attempt() -> Attempt:
     required = [field for field in attrs.fields(Attempt) if field.default is attrs.NOTHING]
     values = {field.name: _DEFAULTS[str(field.type)] for field in required}
     return Attempt(**{**values, "request_id": "r-1", "method": "POST", "path": "/x"})
@@ -47,7 +47,7 @@
         await client.start()
         try:
             with self.assertRaises(BoragetillerError) as caught:
-                async with client.send(_attempt(), b"{}"):
+                async with client.send(build_attempt(), b"{}"):
                     pass
         finally:
             await client.close()
