Read the limit that a server names, and log its changes

Event 818 says which router learned which limit of which server, and when. Nothing in the logs said so before, so a limit that was not known could not be told from one that was not kept. No decision uses it yet.

--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -174,6 +174,17 @@
         if self.on_crash_recorded is not None:
             self.on_crash_recorded()
 
+    def record_limit(self, server: BackendServer, limit_per_s: float | None) -> None:
+        """
+        Record the request limit that a server named in a response.
+
+        :param server: the server
+        :param limit_per_s: requests per second from all routers together, None for no limit
+        """
+        if server.limit_per_s != limit_per_s:
+            server.limit_per_s = limit_per_s
+            log_event(Event.SERVER_LIMIT_CHANGED, server=server.name, limit_per_s=limit_per_s)
+
     def clear_parts(self, prompt: Prompt | None, progress: ResponseProgress) -> None:
         """
         Clear the recorded crashes of the shared parts of a prompt that an engine has answered.
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -201,6 +201,8 @@
         if metadata.load is not None:
             reported_requests = metadata.load.running + metadata.load.waiting
             attempt.server.record_reported_load(reported_requests, self._clock.now_ms())
+        if metadata.sealed or metadata.limit_per_s is not None:
+            self._registry.record_limit(attempt.server, metadata.limit_per_s)
         succeeded = metadata.status in SUCCESS
         if metadata.not_run:
             outcome = (
--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -220,6 +220,17 @@
         )
         self.assertEqual((metadata.load, metadata.idle_timeout_s), (None, None))
 
+    def test_parse_response_head_reads_the_limit_of_a_server(self) -> None:
+        for text, limit_per_s in (
+            ("1.2", 1.2),
+            ("0", 0.0),
+            ("-1", None),
+            ("nan", None),
+            ("x", None),
+        ):
+            metadata = header_codec.parse_response_head(200, CIMultiDict({"Server-Limit": text}))
+            self.assertEqual(metadata.limit_per_s, limit_per_s)
+
     @given(st.dictionaries(st.sampled_from(list(REQUEST)), st.text(max_size=20)))
     @DETERMINISTIC
     def test_parse_call_headers_parses_or_refuses_arbitrary_headers(
