Do not quarantine a common part that begins beside the cause of crashes

Cause: eight engines crashed within 1.4 s, sooner than any answer could clear the common part, which requests with it had begun on two of them; once refused it could get no answer. Evidence: parts_quarantined names the crashing pair at 2.98 s and the common part at 3.40 s.

Why this works: the cause is a suspect of every crash, a part beside it only of some, so a crash does not count against a part if a part of another request there has more crashes in all. This needs no further message: every router comes to the same view from the crashes it knows, and a wrong view ends when the missing reports arrive. A part that was answered in the minute before needs three times the weight.

--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -193,7 +193,7 @@
         :param progress: the response, which is complete or has survived its beginning
         """
         table = self.failure_history.part_crashes
-        if not table.by_part or prompt is None or progress.started_ms is None:
+        if prompt is None or progress.started_ms is None:
             return
         parts = [part.part_id for part in prompt.shared_parts]
         cleared = clear_parts(table, parts, progress.started_ms, self._clock.now_ms())
--- a/src/boragetiller/systems/part_quarantine.py
+++ b/src/boragetiller/systems/part_quarantine.py
@@ -28,8 +28,11 @@
 STRONG_WEIGHT = 2  # no event since the header
 WEAK_WEIGHT = 1
 QUARANTINE_WEIGHT = 4  # two crashes with strong suspicion
+KNOWN_QUARANTINE_WEIGHT = 12  # for a part that engines answered shortly before its first crash
+ANSWERED_TTL_MS = 60_000
 QUARANTINE_MS = 600_000  # since the last crash; longer than callers retry
 CRASH_TTL_MS = 2 * QUARANTINE_MS  # after a quarantine a single crash renews it
+MAX_ANSWERED_PARTS = 4_096
 MAX_PARTS = 2_048  # bounds memory; a crash has a few suspects with a few parts each
 MAX_CRASHES_PER_PART = 16
 MAX_LISTED_REPORTS = 1_024  # fits into one frame
@@ -117,7 +120,8 @@
             cleared=report.cleared,
         )
         table.by_part.move_to_end(report.part)
-        _evict(table, crashes, now_ms)
+        table.parts_by_crash.setdefault(report.crash_id, set()).add(report.part)
+        _evict(table, report.part, now_ms)
     elif not _merge(known, report):
         return False
     table.recent.add(_to_report(report.part, report.crash_id, known, now_ms))
@@ -128,7 +132,7 @@
     table: PartCrashTable, parts: Iterable[str], began_ms: int, now_ms: int
 ) -> list[str]:
     """
-    Clear the crashes of parts with which a response has survived its beginning.
+    Record that a response has survived its beginning, and clear the crashes of its parts.
 
     :param table: recorded crashes
     :param parts: shared parts of the request
@@ -138,6 +142,8 @@
     """
     cleared = []
     for part in parts:
+        table.answered_ms[part] = now_ms
+        table.answered_ms.move_to_end(part)
         crashes = {
             crash_id: crash
             for crash_id, crash in table.by_part.get(part, {}).items()
@@ -148,22 +154,40 @@
             table.recent.add(_to_report(part, crash_id, crash, now_ms))
         if crashes:
             cleared.append(part)
+    while len(table.answered_ms) > MAX_ANSWERED_PARTS:
+        table.answered_ms.popitem(last=False)
     return cleared
 
 
 def is_part_quarantined(table: PartCrashTable, part: str, now_ms: int) -> bool:
     """
-    Check whether enough crashes are recorded for a part.
+    Check whether enough crashes are recorded for a part that no other part explains better.
+
+    Requests that happened to begin beside the cause have some of its crashes, the cause has all.
 
     :param table: recorded crashes
     :param part: ID of the part
     :param now_ms: monotonic time in milliseconds
     :return: whether requests with the part may crash their engines
     """
-    crashes = _list_counted_crashes(table, part, now_ms)
-    if sum(crash.weight for crash in crashes) < QUARANTINE_WEIGHT:
+    crashes = _count_crashes(table, part, now_ms)
+    weight = sum(crash.weight for crash in crashes.values())
+    if weight < QUARANTINE_WEIGHT:
+        return False
+    first_ms = min(crash.recorded_ms for crash in crashes.values())
+    answered_ms = table.answered_ms.get(part)
+    if answered_ms is not None and answered_ms > first_ms - ANSWERED_TTL_MS:
+        needed_weight = KNOWN_QUARANTINE_WEIGHT
+    else:
+        needed_weight = QUARANTINE_WEIGHT
+    unexplained_weight = sum(
+        crash.weight
+        for crash_id, crash in crashes.items()
+        if not _has_better_suspect(table, crash_id, part, weight, now_ms)
+    )
+    if unexplained_weight < needed_weight:
         return False
-    return now_ms - max(crash.recorded_ms for crash in crashes) < QUARANTINE_MS
+    return now_ms - max(crash.recorded_ms for crash in crashes.values()) < QUARANTINE_MS
 
 
 def quarantine_left_ms(table: PartCrashTable, prompt: Prompt | None, now_ms: int) -> int:
@@ -185,7 +209,7 @@
     for part in shared & table.by_part.keys():
         if not is_part_quarantined(table, part, now_ms):
             continue
-        crashes = _list_counted_crashes(table, part, now_ms)
+        crashes = _count_crashes(table, part, now_ms).values()
         always_together = frozenset.intersection(*(crash.companions for crash in crashes))
         if all(
             other in shared or not is_part_quarantined(table, other, now_ms)
@@ -254,22 +278,51 @@
     return True
 
 
-def _evict(table: PartCrashTable, crashes: dict[str, PartCrash], now_ms: int) -> None:
+def _evict(table: PartCrashTable, part: str, now_ms: int) -> None:
     """Bound the table; quarantined parts, which get no new crashes, are kept longest."""
+    crashes = table.by_part[part]
     while len(crashes) > MAX_CRASHES_PER_PART:
-        del crashes[next(iter(crashes))]
+        _forget(table, part, next(iter(crashes)))
     while len(table.by_part) > MAX_PARTS:
-        others = (part for part in table.by_part if not is_part_quarantined(table, part, now_ms))
-        del table.by_part[next(others, next(iter(table.by_part)))]
+        others = (other for other in table.by_part if not is_part_quarantined(table, other, now_ms))
+        oldest = next(others, next(iter(table.by_part)))
+        for crash_id in list(table.by_part[oldest]):
+            _forget(table, oldest, crash_id)
+        del table.by_part[oldest]
+
+
+def _forget(table: PartCrashTable, part: str, crash_id: str) -> None:
+    del table.by_part[part][crash_id]
+    parts = table.parts_by_crash[crash_id]
+    parts.discard(part)
+    if not parts:
+        del table.parts_by_crash[crash_id]
 
 
 def _is_counted(crash: PartCrash, now_ms: int) -> bool:
     return not crash.cleared and now_ms - crash.recorded_ms < CRASH_TTL_MS
 
 
-def _list_counted_crashes(table: PartCrashTable, part: str, now_ms: int) -> list[PartCrash]:
-    crashes = table.by_part.get(part, {}).values()
-    return [crash for crash in crashes if _is_counted(crash, now_ms)]
+def _count_crashes(table: PartCrashTable, part: str, now_ms: int) -> dict[str, PartCrash]:
+    """:return: the crashes of a part that count, by crash ID"""
+    return {
+        crash_id: crash
+        for crash_id, crash in table.by_part.get(part, {}).items()
+        if _is_counted(crash, now_ms)
+    }
+
+
+def _has_better_suspect(
+    table: PartCrashTable, crash_id: str, part: str, weight: int, now_ms: int
+) -> bool:
+    """:return: whether a part of another request weighs more over all crashes"""
+    companions = table.by_part[part][crash_id].companions
+    for other in table.parts_by_crash.get(crash_id, set()) - companions - {part}:
+        crashes = _count_crashes(table, other, now_ms)
+        other_weight = sum(crash.weight for crash in crashes.values())
+        if crash_id in crashes and other_weight > weight and other_weight >= QUARANTINE_WEIGHT:
+            return True
+    return False
 
 
 def _to_report(part: str, crash_id: str, crash: PartCrash, now_ms: int) -> PartCrashReport:
--- a/src/boragetiller/tables/part_crashes.py
+++ b/src/boragetiller/tables/part_crashes.py
@@ -46,6 +46,9 @@
     """Crashes by part and crash ID; parts in order of their last crash."""
 
     by_part: OrderedDict[str, dict[str, PartCrash]] = attrs.field(factory=OrderedDict)
+    parts_by_crash: dict[str, set[str]] = attrs.field(factory=dict)  # suspected parts, by crash ID
+    # Monotonic time at which a response with the part last survived its beginning.
+    answered_ms: OrderedDict[str, int] = attrs.field(factory=OrderedDict)
     recent: RecentItems[PartCrashReport] = attrs.field(
         factory=lambda: RecentItems.with_capacity(MAX_RECENT_REPORTS)
     )  # changes that peers have not been sent yet
