Keep the requests of all routers within the limit that a server names

Cause: routers passed the header on and never read it.

Why this works: each router holds a token bucket with its share of each limit and takes a token for every request that it sends, in the one place where servers are chosen, so retries, hedges and resumed streams count. Shares need no message. In fleets of more than L + 3 routers only so many hold a share of a limit L, so the buckets together never hold more than L + 3 requests. Limits and their ends are reported between routers; a router that was heard in the last 30 s keeps its share. Refused callers get the turn at which a token will be there; more urgent requests come first.

--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -13,10 +13,12 @@
 from boragetiller.systems.engine_throughput import EngineThroughput
 from boragetiller.systems.failure_history import confirm_crash
 from boragetiller.systems.part_quarantine import clear_parts
+from boragetiller.systems.server_limits import apply_limit, retain_servers
 from boragetiller.systems.windowed_retry_budget import WindowedRetryBudget
 from boragetiller.tables.failure_history import FailureHistory
 from boragetiller.tables.output_lengths import OutputLengths
 from boragetiller.tables.peer_loads import PeerLoadTable
+from boragetiller.tables.server_limits import ServerLimitTable
 from boragetiller.tables.server_placement import PlacementCostModel
 from boragetiller.tables.server_table import ServerTable
 from boragetiller.tables.store_view import StoreView
@@ -57,6 +59,7 @@
         self.servers = ServerTable()
         self.peer_loads = PeerLoadTable()
         self.failure_history = FailureHistory()
+        self.server_limits = ServerLimitTable()
         self._throughputs: dict[str, EngineThroughput] = {}
         self.output_lengths = OutputLengths()
         self.config: RouteConfig | None = None
@@ -181,9 +184,26 @@
         :param server: the server
         :param limit_per_s: requests per second from all routers together, None for no limit
         """
-        if server.limit_per_s != limit_per_s:
-            server.limit_per_s = limit_per_s
-            log_event(Event.SERVER_LIMIT_CHANGED, server=server.name, limit_per_s=limit_per_s)
+        now_ms = self._clock.now_ms()
+        if apply_limit(self.server_limits, server.name, limit_per_s, now_ms, now_ms):
+            self.log_limit(server.name, "response")
+
+    def log_limit(self, server: str, source: str) -> None:
+        """
+        Log a limit that has changed, with this router's share of it.
+
+        :param server: name of the server
+        :param source: `response`, or the peer that reported it
+        """
+        limit = self.server_limits.by_server[server]
+        log_event(
+            Event.SERVER_LIMIT_CHANGED,
+            server=server,
+            limit_per_s=limit.limit_per_s,
+            share_per_s=round(limit.share_per_s, 3),
+            routers=len(self.server_limits.membership.members),
+            source=source,
+        )
 
     def clear_parts(self, prompt: Prompt | None, progress: ResponseProgress) -> None:
         """
@@ -258,6 +278,7 @@
                 if self.on_server_added is not None:
                     self.on_server_added(self.servers.by_name[record.name])
         self._metrics.servers.set(len(records))
+        retain_servers(self.server_limits, self.servers.by_name)
         for server in removed:
             log_event(Event.SERVER_GONE, server=server.name, in_flight=server.in_flight)
             self.record_crash(server.name)
--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -40,6 +40,12 @@
     compute_hedge_delay_ms,
 )
 from boragetiller.systems.server_health import record_outcome
+from boragetiller.systems.server_limits import (
+    compute_retry_ms,
+    list_exhausted_servers,
+    list_limited_servers,
+    take_token,
+)
 from boragetiller.systems.server_placement import choose_server, compute_stream_sensitivity
 from boragetiller.tables.direct_attempts import CallProgress, DirectAttemptOutcome
 from boragetiller.tables.failure_history import LostAttempt
@@ -214,13 +220,18 @@
             is_retry=state.progress.attempts > 0,
             response_started=state.progress.relayed_events > 0,
         )
+        limits = self._registry.server_limits
+        exhausted = list_exhausted_servers(limits, call.urgency, now_ms)
         candidates = select_candidates(
-            group, placement_request, state.tried_servers, self._rng, now_ms
+            group, placement_request, state.tried_servers | exhausted, self._rng, now_ms
         )
         candidates = exclude_failed_servers(
             candidates, self._registry.failure_history, call.fingerprint, now_ms
         )
-        return choose_server(group, candidates, placement_request, costs, now_ms)
+        placement = choose_server(group, candidates, placement_request, costs, now_ms)
+        if placement is not None:
+            take_token(limits, placement.server.name)
+        return placement
 
     def _record_attempt_end(
         self, state: CallState, placement: Placement, result: DirectAttemptResult
@@ -283,7 +294,11 @@
         if progress.server_error is not None and not progress.relayed_events:
             return build_complete_response(progress.server_error)
         group = state.call.group
-        if group.engine is not None and self._registry.servers.find_accepting(group.name).servers:
+        accepting = self._registry.servers.find_accepting(group.name).servers
+        if accepting and self._is_limited(accepting):
+            limited = GiveUp(GiveUpReason.LIMITED, DirectAttemptOutcome.FULL, progress.verdict)
+            return self._fail(state, None, limited, "all servers have reached their limits")
+        if group.engine is not None and accepting:
             no_room = GiveUp(GiveUpReason.NO_ROOM, DirectAttemptOutcome.FULL, progress.verdict)
             return self._fail(state, None, no_room, "no engine can finish the stream in time")
         full = GiveUp(GiveUpReason.FULL, DirectAttemptOutcome.FULL, progress.verdict)
@@ -302,6 +317,23 @@
         )
         return self._fail(state, None, quarantined, detail)
 
+    def _is_limited(self, servers: tuple[BackendServer, ...]) -> bool:
+        """:return: whether each of the servers has a limit"""
+        limited = list_limited_servers(self._registry.server_limits)
+        return all(server.name in limited for server in servers)
+
+    def _limit_retry_ms(self, call: AdmittedCall) -> float:
+        servers = self._registry.servers.find_accepting(call.group.name).servers
+        now_ms = self._clock.now_ms()
+        return compute_retry_ms(
+            self._registry.server_limits,
+            call.group.name,
+            [server.name for server in servers],
+            call.urgency,
+            call.time_left_ms(now_ms),
+            now_ms,
+        )
+
     def _fail(
         self, state: CallState, placement: Placement | None, decision: GiveUp, detail: str
     ) -> web.StreamResponse:
@@ -326,6 +358,8 @@
     def _retry_after_s(self, call: AdmittedCall, reason: GiveUpReason) -> float:
         if reason is GiveUpReason.QUARANTINED:
             return self._quarantine_left_ms(call) / 1_000
+        if reason is GiveUpReason.LIMITED and (retry_ms := self._limit_retry_ms(call)) > 0:
+            return retry_ms / 1_000
         if call.group.engine is None:
             return self._rng.uniform(*RETRY_AFTER_S)
         return self._rng.uniform(*RETRY_AFTER_TARGET_SHARES) * call.route.target_ms / 1_000
--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -54,6 +54,7 @@
 MAX_BUFFER_BYTES = 2_000_000  # of unsent data, after which a slow peer is disconnected
 MAX_KNOWN_ROUTERS = 1_024  # more than twice the planned size of the fleet
 MIN_INBOUND_PEERS = 8  # with fewer, seeds stay connected, so that lost peers isolate no router
+MEMBER_TTL_MS = 30_000  # for which an unheard router keeps its share of limits
 REMOVE_AFTER_MS = 30_000  # an unreachable router is removed after this time unless it is a seed
 
 
@@ -116,6 +117,7 @@
         self._outbound_peers: dict[Endpoint, OutboundPeer] = {}
         self._report_task: asyncio.Task[None] | None = None
         self._inbound_writers: set[asyncio.StreamWriter] = set()
+        self._heard_ms: dict[Endpoint, int] = {}  # when a router last had a connection to this one
         self._server: asyncio.Server | None = None
         self._seeds: tuple[Endpoint, ...] = ()
         self.endpoint: Endpoint | None = None  # address that this router listens on, once started
@@ -194,9 +196,29 @@
         if share < 1.0 <= self._state_sync.reporting_share:
             log_event(Event.PEERS_BOUNDED, known=len(self._known_endpoints), peers=MAX_PEERS)
         self._state_sync.reporting_share = share
+        self._update_members()
         self._metrics.peers.set(len(self._inbound_peers))
         self._update_connections()
 
+    def _update_members(self) -> None:
+        """
+        Update the routers that share limits.
+
+        A router that was heard lately may only be cut off or restarting, so it keeps its share.
+        """
+        now_ms = self._clock.now_ms()
+        for peer in self._inbound_peers.values():
+            self._heard_ms[peer.endpoint] = now_ms
+        self._heard_ms = {
+            endpoint: heard_ms
+            for endpoint, heard_ms in self._heard_ms.items()
+            if now_ms - heard_ms < MEMBER_TTL_MS
+        }
+        members = set(self._heard_ms)
+        if len(self._known_endpoints) > MAX_PEERS:
+            members |= self._known_endpoints
+        self._state_sync.set_members(str(self.endpoint), frozenset(map(str, members)))
+
     async def _maintain_connection(self, endpoint: Endpoint) -> None:
         reached_ms = self._clock.now_ms()
         while endpoint in self._seeds or self._clock.now_ms() - reached_ms < REMOVE_AFTER_MS:
@@ -238,6 +260,7 @@
         sent_ms = 0
         while True:
             await self._wait_for_report_time()
+            self._update_members()
             report = self._state_sync.build_report(cursor)
             now_ms = self._clock.now_ms()
             frame = b""
--- a/src/boragetiller/gateway/peer_messages.py
+++ b/src/boragetiller/gateway/peer_messages.py
@@ -15,6 +15,7 @@
 from boragetiller.tables.call_metadata import Prompt, PromptPart
 from boragetiller.tables.failure_history import FailureKind, RequestFailure
 from boragetiller.tables.part_crashes import PartCrashReport
+from boragetiller.tables.server_limits import LimitReport
 from boragetiller.tables.store_view import StoredItem
 
 LENGTH_BYTES = 4
@@ -63,6 +64,7 @@
     prompts: tuple[CachedPrompt, ...] = ()
     failures: tuple[RequestFailure, ...] = ()
     part_crashes: tuple[PartCrashReport, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
     store_reads: int = 0  # number of times that the sender polled the store
     reaches_store: bool = False  # whether its last call to the store succeeded
     watches: bool = False  # whether it watches the list of backend servers in the store itself
@@ -72,9 +74,11 @@
         Check whether the report differs from the last one.
 
         :param last: the last report that was sent, None if there is none
-        :return: whether it has loads, prompts, failures or crashes, or another state of the store
+        :return: whether it has loads, prompts, failures, crashes or limits, or another state of the
+            store
         """
-        if last is None or self.loads or self.prompts or self.failures or self.part_crashes:
+        changes = (self.loads, self.prompts, self.failures, self.part_crashes, self.limits)
+        if last is None or any(changes):
             return True
         return self._store_state() != last._store_state()  # noqa: SLF001
 
@@ -147,7 +151,7 @@
         parts = sum(len(read.prompt.parts) for read in message.prompts)
         parts += sum(len(crash.companions) for crash in message.part_crashes)
         entries = len(message.loads) + len(message.prompts) + parts + len(message.failures)
-        entries += len(message.part_crashes)
+        entries += len(message.part_crashes) + len(message.limits)
         return ENVELOPE_WORDS + ITEM_WORDS * entries
     return ENVELOPE_WORDS
 
@@ -191,6 +195,7 @@
         prompts=tuple(prompts),
         failures=tuple(_read_failure(failure) for failure in report.failures),
         part_crashes=tuple(_read_part_crash(crash) for crash in report.partCrashes),
+        limits=tuple(_read_limit(limit) for limit in report.limits),
         store_reads=report.storeReads,
         reaches_store=report.reachesStore,
         watches=report.watches,
@@ -202,6 +207,11 @@
     return RequestFailure(bytes(failure.fingerprint), failure.server, kind)
 
 
+def _read_limit(limit: Any) -> LimitReport:
+    limit_per_s = None if limit.ended else limit.limitPerS
+    return LimitReport(server=limit.server, limit_per_s=limit_per_s, age_ms=limit.ageMs)
+
+
 def _read_part_crash(crash: Any) -> PartCrashReport:
     return PartCrashReport(
         part=crash.part,
@@ -282,6 +292,15 @@
             }
             for crash in message.part_crashes
         ],
+        "limits": [
+            {
+                "server": limit.server,
+                "limitPerS": limit.limit_per_s or 0.0,
+                "ended": limit.limit_per_s is None,
+                "ageMs": limit.age_ms,
+            }
+            for limit in message.limits
+        ],
         "storeReads": message.store_reads,
         "reachesStore": message.reaches_store,
         "watches": message.watches,
--- a/src/boragetiller/gateway/peers.capnp
+++ b/src/boragetiller/gateway/peers.capnp
@@ -32,6 +32,14 @@
   reachesStore @6 :Bool;
   watches @7 :Bool;  # whether the sender watches the list of backend servers itself
   partCrashes @8 :List(PartCrash);
+  limits @9 :List(Limit);
+}
+
+struct Limit {
+  server @0 :Text;
+  limitPerS @1 :Float64;
+  ended @2 :Bool;  # the server names no limit any more
+  ageMs @3 :UInt32;
 }
 
 struct PartCrash {
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -13,6 +13,8 @@
 from boragetiller.systems.part_quarantine import apply_report, list_reports
 from boragetiller.systems.peer_loads import record_report, remove_load, remove_peer, set_load
 from boragetiller.systems.prefix_cache import estimate_cache_tokens, record_prefill
+from boragetiller.systems.server_limits import apply_report as apply_limit_report
+from boragetiller.systems.server_limits import list_limits, set_members
 from boragetiller.systems.store_polling import StorePollSchedule
 from boragetiller.systems.watcher_election import WatcherElection
 from boragetiller.tables.recent_items import RecentItems
@@ -50,6 +52,7 @@
     prompts: int = 0
     failures: int = 0
     part_crashes: int = 0
+    limits: int = 0
     loads: dict[str, ReportedLoad] = attrs.field(factory=dict)  # by server, without idle ones
 
 
@@ -116,16 +119,20 @@
         """:return: cursor of a new connection, which skips earlier prompts and failures"""
         history = self._registry.failure_history
         return ReportCursor(
-            self._recent_prompts.count, history.recent.count, history.part_crashes.recent.count
+            self._recent_prompts.count,
+            history.recent.count,
+            history.part_crashes.recent.count,
+            self._registry.server_limits.recent.count,
         )
 
     def build_first_report(self) -> PeerReport:
-        """:return: report for a new connection, with all current loads and all recorded crashes"""
-        history = self._registry.failure_history
+        """:return: report for a new connection, with all loads, recorded crashes and limits"""
+        history, now_ms = self._registry.failure_history, self._clock.now_ms()
         return attrs.evolve(
             self.build_report(self.create_cursor()),
             failures=list_crashes(history),
-            part_crashes=list_reports(history.part_crashes, self._clock.now_ms()),
+            part_crashes=list_reports(history.part_crashes, now_ms),
+            limits=list_limits(self._registry.server_limits, now_ms),
         )
 
     def build_report(self, cursor: ReportCursor) -> PeerReport:
@@ -138,6 +145,7 @@
         revisions = self.get_revisions()
         failures = self._registry.failure_history.recent
         part_crashes = self._registry.failure_history.part_crashes.recent
+        limits = self._registry.server_limits.recent
         report = PeerReport(
             config_revision=revisions.config,
             servers_revision=revisions.servers,
@@ -145,13 +153,14 @@
             prompts=self._recent_prompts.since(cursor.prompts),
             failures=failures.since(cursor.failures),
             part_crashes=part_crashes.since(cursor.part_crashes),
+            limits=limits.since(cursor.limits),
             store_reads=self.store_polls.own_polls,
             reaches_store=self.watcher_election.own_store_reachable,
             watches=self.watcher_election.own_store_reachable
             and self.watcher_election.is_watcher(self._clock.now_ms()),
         )
         cursor.prompts, cursor.failures = self._recent_prompts.count, failures.count
-        cursor.part_crashes = part_crashes.count
+        cursor.part_crashes, cursor.limits = part_crashes.count, limits.count
         return report
 
     def apply_report(self, peer: str, report: PeerReport) -> None:
@@ -172,6 +181,10 @@
         for prompt in report.prompts:
             self._apply_prompt(prompt)
         self._apply_failures(peer, report, now_ms)
+        for limit in report.limits:
+            is_known = limit.server in self._registry.servers.by_name
+            if is_known and apply_limit_report(self._registry.server_limits, limit, now_ms):
+                self._registry.log_limit(limit.server, peer)
         self.store_polls.record_peer_polls(peer, report.store_reads, now_ms)
         self.watcher_election.record_peer(peer, now_ms, reaches_store=report.reaches_store)
 
@@ -187,6 +200,17 @@
             self._registry.servers.by_name
         )
 
+    def set_members(self, own: str, members: frozenset[str]) -> None:
+        """
+        Replace the routers that share the limits of servers.
+
+        :param own: address of this router
+        :param members: addresses of the others
+        """
+        limits = self._registry.server_limits
+        if (own, members | {own}) != (limits.membership.own, limits.membership.members):
+            set_members(limits, own, members)
+
     def remove_peer(self, peer: str) -> None:
         """
         Remove the loads of a disconnected peer.
--- a/src/boragetiller/systems/direct_retry_policy.py
+++ b/src/boragetiller/systems/direct_retry_policy.py
@@ -23,6 +23,7 @@
 
     FULL = "full"  # the servers refuse new requests
     NO_ROOM = "no_room"  # no engine would finish the stream in time; see systems.server_capacity
+    LIMITED = "limited"  # the limits that the servers name leave no room for the request
     NOT_REPEATABLE = "not_repeatable"
     ATTEMPTS = "attempts"
     DEADLINE = "deadline"
--- a/src/boragetiller/tables/servers.py
+++ b/src/boragetiller/tables/servers.py
@@ -101,7 +101,6 @@
     recent_prefill_tokens: float = 0.0  # exponentially decaying sum; see systems.prefix_cache
     prefill_updated_ms: int = 0  # monotonic time of the last update of recent_prefill_tokens
     health: ServerHealth = attrs.field(factory=ServerHealth)
-    limit_per_s: float | None = None  # requests that it takes from all routers together
     full_until_ms: int = 0  # no new requests before, since the server refused one as full
     # Monotonic time at which this router first saw the incarnation.
     joined_ms: int = 0
--- a/tests/gateway/test_server_limit.py
+++ b/tests/gateway/test_server_limit.py
@@ -78,10 +78,14 @@
         for number in range(count):
             await self.call(1_000 + number)
         for harness in self.routers:
-            servers = harness.router.registry.servers.by_name
+            limits = harness.router.registry.server_limits.by_server
             self.assertEqual(
-                [servers[f"e{number}"].limit_per_s for number in range(len(self.engines))],
-                [engine.limit_per_s for engine in self.engines],
+                {name: limit.limit_per_s for name, limit in limits.items()},
+                {
+                    f"e{number}": engine.limit_per_s
+                    for number, engine in enumerate(self.engines)
+                    if engine.limit_per_s is not None
+                },
             )
 
     async def test_routers_together_exceed_the_limit_of_an_engine(self) -> None:
@@ -95,6 +99,36 @@
         allowed = EXCESS_RATIO * LIMIT_PER_S * window_s + EXCESS_REQUESTS
         self.assertLessEqual(len(self.engines[0].requests) - before, allowed)
 
+    async def test_refusal_for_limits_names_when_to_come_back(self) -> None:
+        await self.serve(LIMIT_PER_S)
+        await self.call(0)
+        statuses = [await self.call(number) for number in range(6)]
+        refused = [retry_after_s for status, retry_after_s in statuses if status == 503]
+        self.assertTrue(refused)
+        own_share_per_s = LIMIT_PER_S / len(self.routers)
+        self.assertGreaterEqual(max(refused), 1 / own_share_per_s)
+
+    async def test_requests_are_sent_again_once_the_limit_has_ended(self) -> None:
+        await self.serve(1_000.0)
+        await self.call(0)
+        self.engines[0].limit_per_s = None
+        limits = [harness.router.registry.server_limits.by_server for harness in self.routers]
+        await wait_until(lambda: all("e0" in each for each in limits))
+        while any(each["e0"].limit_per_s is not None for each in limits):
+            await self.call(0)
+        self.assertEqual([(await self.call(number))[0] for number in range(6)], [200] * 6)
+
+    async def test_router_that_starts_later_keeps_to_the_limit(self) -> None:
+        await self.serve(LIMIT_PER_S)
+        await self.call(0)
+        seeds = tuple(each.router.peer_exchange.endpoint for each in self.routers)
+        late = RouterHarness(self.routers[0].store, name="router-late", seeds=seeds)
+        await late.start()
+        self.addAsyncCleanup(late.close)
+        limits = late.router.registry.server_limits
+        await wait_until(lambda: "e0" in limits.by_server and len(limits.membership.members) == 3)
+        self.assertAlmostEqual(limits.by_server["e0"].share_per_s, LIMIT_PER_S / 3)
+
 
 if __name__ == "__main__":
     unittest.main()
