Move Retry-After out of the dispatcher; clear a part once for each successful response

An engine's own error response cleared the prompt parts of its request though nothing had begun to run; now only a success does (test_error_response_does_not_clear_the_part). A long stream cleared its parts again with each event, which cost processor time. The computation of Retry-After, which had grown to four reasons, has a module of its own.

--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -16,7 +16,8 @@
     build_complete_response,
     build_error_response,
 )
-from boragetiller.gateway.sender import CallSender, StreamState
+from boragetiller.gateway.retry_after import RetryAfter
+from boragetiller.gateway.sender import SUCCESS, CallSender, StreamState
 from boragetiller.systems.candidates import select_candidates
 from boragetiller.systems.direct_retry_policy import (
     GiveUp,
@@ -29,7 +30,6 @@
 from boragetiller.systems.failure_history import (
     clear_request_crashes,
     exclude_failed_servers,
-    quarantine_left_ms,
     record_connection_loss,
     record_error,
 )
@@ -41,7 +41,6 @@
 )
 from boragetiller.systems.server_health import record_outcome
 from boragetiller.systems.server_limits import (
-    compute_retry_ms,
     list_exhausted_servers,
     list_limited_servers,
     take_token,
@@ -67,9 +66,6 @@
     from boragetiller.tables.server_placement import Placement
     from boragetiller.tables.servers import BackendServer
 
-RETRY_AFTER_S = (0.1, 0.4)  # range for plain services, whose calls take tens of ms
-RETRY_AFTER_TARGET_SHARES = (0.25, 0.75)  # range for engines; such a retry may be in time
-
 
 @attrs.define(kw_only=True)
 class CallState:
@@ -113,6 +109,7 @@
         self._rng = rng
         self._telemetry = CallTelemetry(metrics, clock)
         self._crash_detector = CrashDetector(registry)
+        self._retry_after = RetryAfter(registry, clock, rng)
         self._sender = CallSender(registry, state_sync, dialect, clock)
 
     async def close(self) -> None:
@@ -128,7 +125,7 @@
         :return: the response
         """
         state = _create_call_state(call, request)
-        if self._quarantine_left_ms(call):
+        if self._retry_after.quarantine_left_ms(call):
             return self._fail_quarantined(state)
         self._registry.get_retry_budget(call.group.name).record_request(self._clock.now_ms())
         if call.metadata.prompt is not None:
@@ -159,7 +156,7 @@
                         )
                     return build_complete_response(response)
                 case Retry():
-                    if self._quarantine_left_ms(call):
+                    if self._retry_after.quarantine_left_ms(call):
                         return self._fail_quarantined(state)
                     self._telemetry.record_retried(call, placement, result)
                 case GiveUp():
@@ -251,6 +248,8 @@
         match result.outcome:
             case DirectAttemptOutcome.ANSWERED:
                 clear_request_crashes(registry.failure_history, fingerprint)
+                if result.response is not None and result.response.status in SUCCESS:
+                    registry.clear_parts(state.call.metadata.prompt, result.progress)
             case DirectAttemptOutcome.SERVER_ERROR:
                 record_error(registry.failure_history, fingerprint, server.name, now_ms)
             case DirectAttemptOutcome.LOST:
@@ -304,10 +303,6 @@
         full = GiveUp(GiveUpReason.FULL, DirectAttemptOutcome.FULL, progress.verdict)
         return self._fail(state, None, full, "no server accepts calls")
 
-    def _quarantine_left_ms(self, call: AdmittedCall) -> int:
-        history, now_ms = self._registry.failure_history, self._clock.now_ms()
-        return quarantine_left_ms(history, call.fingerprint, call.metadata.prompt, now_ms)
-
     def _fail_quarantined(self, state: CallState) -> web.StreamResponse:
         quarantined = GiveUp(
             GiveUpReason.QUARANTINED, DirectAttemptOutcome.LOST, state.progress.verdict
@@ -322,18 +317,6 @@
         limited = list_limited_servers(self._registry.server_limits)
         return all(server.name in limited for server in servers)
 
-    def _limit_retry_ms(self, call: AdmittedCall) -> float:
-        servers = self._registry.servers.find_accepting(call.group.name).servers
-        now_ms = self._clock.now_ms()
-        return compute_retry_ms(
-            self._registry.server_limits,
-            call.group.name,
-            [server.name for server in servers],
-            call.urgency,
-            call.time_left_ms(now_ms),
-            now_ms,
-        )
-
     def _fail(
         self, state: CallState, placement: Placement | None, decision: GiveUp, detail: str
     ) -> web.StreamResponse:
@@ -348,22 +331,13 @@
 
     def _choose_error_response(self, call: AdmittedCall, decision: GiveUp) -> ErrorResponse:
         if decision.verdict is Verdict.NOT_RUN:
-            retry_after_s = self._retry_after_s(call, decision.reason)
+            retry_after_s = self._retry_after.compute_s(call, decision.reason)
             return ErrorResponse(
                 status=503, code=decision.reason.value, retry_after_s=retry_after_s
             )
         status = 504 if decision.outcome is DirectAttemptOutcome.SILENT else 502
         return ErrorResponse(status=status, code=decision.outcome.value)
 
-    def _retry_after_s(self, call: AdmittedCall, reason: GiveUpReason) -> float:
-        if reason is GiveUpReason.QUARANTINED:
-            return self._quarantine_left_ms(call) / 1_000
-        if reason is GiveUpReason.LIMITED and (retry_ms := self._limit_retry_ms(call)) > 0:
-            return retry_ms / 1_000
-        if call.group.engine is None:
-            return self._rng.uniform(*RETRY_AFTER_S)
-        return self._rng.uniform(*RETRY_AFTER_TARGET_SHARES) * call.route.target_ms / 1_000
-
 
 def _create_call_state(call: AdmittedCall, request: web.BaseRequest) -> CallState:
     route = call.route
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -248,8 +248,7 @@
             await stream.event_writer.write(response.metadata.status, headers, events.data)
             attempt.progress.relayed_events += events.count
             attempt.response_progress.events += events.count
-            if has_survived_start(attempt.response_progress, self._clock.now_ms()):
-                self._registry.clear_parts(attempt.call.metadata.prompt, attempt.response_progress)
+            self._clear_parts_once(attempt)
             stream.last_event_id = events.last_id
         if splitter.has_partial_event:
             return DirectAttemptResult(
@@ -260,11 +259,16 @@
             return DirectAttemptResult(
                 DirectAttemptOutcome.LOST, detail="connection ended before the first event"
             )
-        self._registry.clear_parts(attempt.call.metadata.prompt, attempt.response_progress)
         stream.complete = True
         complete = CompleteResponse(status=response.metadata.status, headers=headers, body=b"")
         return DirectAttemptResult(DirectAttemptOutcome.ANSWERED, complete)
 
+    def _clear_parts_once(self, attempt: OutgoingAttempt) -> None:
+        progress = attempt.response_progress
+        if not progress.survived and has_survived_start(progress, self._clock.now_ms()):
+            progress.survived = True
+            self._registry.clear_parts(attempt.call.metadata.prompt, progress)
+
     def _record_first_event(self, attempt: OutgoingAttempt) -> None:
         placement = attempt.placement
         throughput = self._registry.get_throughput(attempt.call.group.name)
@@ -316,4 +320,4 @@
     )
 
 
-__all__ = ["OutgoingAttempt", "CallSender", "EventTimeout", "StreamState"]
+__all__ = ["SUCCESS", "OutgoingAttempt", "CallSender", "EventTimeout", "StreamState"]
--- a/tests/gateway/crashing_engine.py
+++ b/tests/gateway/crashing_engine.py
@@ -10,6 +10,7 @@
     ScriptedEngine,
     build_chunk,
     build_event,
+    build_response,
     build_stream_header,
 )
 
@@ -20,7 +21,11 @@
 
 
 class CrashingEngineGroup:
-    """Engines of one group; each that crashes is replaced by one with another name."""
+    """
+    Engines of one group; each that crashes is replaced by one with another name.
+
+    A request with the part `bad` gets status 400.
+    """
 
     def __init__(self, stores: tuple[FakeStore, ...], deadly_part: str, size: int) -> None:
         """
@@ -53,6 +58,9 @@
         self._started += 1
 
         async def run(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            if "bad:" in request.headers["x-boragetiller-prefix-hash"]:
+                writer.write(build_response(request.request_id, status="400 Bad Request"))
+                return
             writer.write(build_stream_header(request.request_id))
             if self._deadly_part in request.headers["x-boragetiller-prefix-hash"]:
                 self.deadly_requests += 1
--- a/tests/gateway/test_crashing_prompt_part.py
+++ b/tests/gateway/test_crashing_prompt_part.py
@@ -76,6 +76,13 @@
             status = await self.call(self.routers[number % 2], f"aa:500,own{number}:100")
             self.assertEqual(status, 200)
 
+    async def test_error_response_does_not_clear_the_part(self) -> None:
+        await self.call(self.routers[0], "aa:500,dead:300,own:100")
+        table = self.routers[0].router.registry.failure_history.part_crashes
+        await wait_until(lambda: "dead" in table.by_part)
+        self.assertEqual(await self.call(self.routers[0], "aa:500,dead:300,bad:100"), 400)
+        self.assertFalse(any(crash.cleared for crash in table.by_part["dead"].values()))
+
     async def test_router_that_starts_later_refuses_the_part(self) -> None:
         await self.crash_until_refused()
         seeds = tuple(harness.router.peer_exchange.endpoint for harness in self.routers)
