--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -172,10 +172,10 @@
                 server=server,
                 fingerprints=[failure.fingerprint.hex() for failure in crash.failures],
             )
+            if self.on_crash_recorded is not None:
+                self.on_crash_recorded()
         if crash.quarantined_parts:
             log_event(Event.PARTS_QUARANTINED, parts=crash.quarantined_parts, source=server)
-        if self.on_crash_recorded is not None:
-            self.on_crash_recorded()
 
     def record_limit(self, server: BackendServer, limit_per_s: float | None) -> None:
         """
--- a/tests/gateway/crashing_engine.py
+++ b/tests/gateway/crashing_engine.py
@@ -27,18 +27,18 @@
     A request with the part `bad` gets status 400.
     """
 
-    def __init__(self, stores: tuple[FakeStore, ...], deadly_part: str, size: int) -> None:
+    def __init__(self, stores: tuple[FakeStore, ...], poison_part: str, size: int) -> None:
         """
         Create the group without engines.
 
         :param stores: stores in which the engines are registered
-        :param deadly_part: ID of the prompt part that crashes engines
+        :param poison_part: ID of the prompt part that crashes engines
         :param size: number of engines
         """
-        self.deadly_requests = 0  # requests with the part that reached an engine
+        self.poison_requests = 0  # requests with the part that reached an engine
         self.crashes = 0
         self._stores = stores
-        self._deadly_part = deadly_part
+        self._poison_part = poison_part
         self._size = size
         self._started = 0
         self._engines: dict[str, ScriptedEngine] = {}
@@ -62,8 +62,8 @@
                 writer.write(build_response(request.request_id, status="400 Bad Request"))
                 return
             writer.write(build_stream_header(request.request_id))
-            if self._deadly_part in request.headers["x-boragetiller-prefix-hash"]:
-                self.deadly_requests += 1
+            if self._poison_part in request.headers["x-boragetiller-prefix-hash"]:
+                self.poison_requests += 1
                 await writer.drain()
                 await asyncio.sleep(0.02)
                 await self._crash(name)
--- a/tests/gateway/test_crashing_prompt_part.py
+++ b/tests/gateway/test_crashing_prompt_part.py
@@ -16,14 +16,14 @@
 
 
 class CrashingPromptPartTest(unittest.IsolatedAsyncioTestCase):
-    """Two routers before engines that crash on the part `dead`."""
+    """Two routers before engines that crash on the part `poison`."""
 
     async def asyncSetUp(self) -> None:
         """Start the engines and two routers that report to each other."""
         self.stores = (FakeStore(), FakeStore())
         for store in self.stores:
             store.put("op/config", build_config())
-        self.engines = CrashingEngineGroup(self.stores, "dead", size=6)
+        self.engines = CrashingEngineGroup(self.stores, "poison", size=6)
         await self.engines.start()
         self.addAsyncCleanup(self.engines.close)
         self.routers = [await self.start_router(0, "router-1")]
@@ -54,21 +54,21 @@
             return 0
 
     async def crash_until_refused(self, path: str = "/quotes/") -> int:
-        """:return: status of the last of ATTEMPTS deadly requests, no two of which are alike"""
+        """:return: status of the last of ATTEMPTS poison requests, no two of which are alike"""
         status = 0
         for number in range(ATTEMPTS):
             harness = self.routers[number % 2]
-            status = await self.call(harness, f"aa:500,dead:300,own{number}:100", path)
+            status = await self.call(harness, f"aa:500,poison:300,own{number}:100", path)
             await asyncio.sleep(0.1)
         return status
 
     async def test_different_requests_with_one_part_crash_engine_after_engine(self) -> None:
         self.assertEqual(await self.crash_until_refused(), 503)
-        self.assertLessEqual(self.engines.deadly_requests, MAX_CRASHES + MAX_LATER_REQUESTS)
+        self.assertLessEqual(self.engines.poison_requests, MAX_CRASHES + MAX_LATER_REQUESTS)
 
     async def test_resumable_stream_crashes_engine_after_engine(self) -> None:
         self.assertEqual(await self.crash_until_refused("/gauges/"), 503)
-        self.assertLessEqual(self.engines.deadly_requests, MAX_CRASHES + MAX_LATER_REQUESTS)
+        self.assertLessEqual(self.engines.poison_requests, MAX_CRASHES + MAX_LATER_REQUESTS)
 
     async def test_sound_requests_with_the_same_first_part_are_answered(self) -> None:
         await self.crash_until_refused()
@@ -77,25 +77,25 @@
             self.assertEqual(status, 200)
 
     async def test_error_response_does_not_clear_the_part(self) -> None:
-        await self.call(self.routers[0], "aa:500,dead:300,own:100")
+        await self.call(self.routers[0], "aa:500,poison:300,own:100")
         table = self.routers[0].router.registry.failure_history.part_crashes
-        await wait_until(lambda: "dead" in table.by_part)
-        self.assertEqual(await self.call(self.routers[0], "aa:500,dead:300,bad:100"), 400)
-        self.assertFalse(any(crash.cleared for crash in table.by_part["dead"].values()))
+        await wait_until(lambda: "poison" in table.by_part)
+        self.assertEqual(await self.call(self.routers[0], "aa:500,poison:300,bad:100"), 400)
+        self.assertFalse(any(crash.cleared for crash in table.by_part["poison"].values()))
 
     async def test_router_that_starts_later_refuses_the_part(self) -> None:
         await self.crash_until_refused()
         seeds = tuple(harness.router.peer_exchange.endpoint for harness in self.routers)
         late = await self.start_router(0, "router-3", seeds=seeds)
         table = late.router.registry.failure_history.part_crashes
-        await wait_until(lambda: "dead" in table.by_part)
-        self.assertEqual(await self.call(late, "aa:500,dead:300,late:100"), 503)
+        await wait_until(lambda: "poison" in table.by_part)
+        self.assertEqual(await self.call(late, "aa:500,poison:300,late:100"), 503)
 
     async def test_refusal_names_the_end_of_the_quarantine(self) -> None:
         await self.crash_until_refused()
         headers = {
             "X_Boragetiller_Token_Counts": "900,16",
-            "X_Boragetiller_Prefix_Hash": "aa:500,dead:300,own:100",
+            "X_Boragetiller_Prefix_Hash": "aa:500,poison:300,own:100",
         }
         async with self.routers[0].call("/quotes/", **headers) as response:
             self.assertEqual((await response.json())["error"]["code"], "quarantined")
--- a/tests/systems/test_failure_history.py
+++ b/tests/systems/test_failure_history.py
@@ -111,7 +111,7 @@
 
     def test_request_beside_a_quarantined_part_is_not_blamed(self) -> None:
         for number, server in enumerate("ab"):
-            suspect = CrashSuspect(parts=("dead",), weight=2)
+            suspect = CrashSuspect(parts=("poison",), weight=2)
             beside = LostAttempt(BODY, sent_ms=0, lost_ms=10)
             cause = LostAttempt(OTHER, 0, 10, crash_id=f"{server}@0", suspect=suspect)
             record_connection_loss(self.history, server, beside)
--- a/tests/systems/test_part_quarantine.py
+++ b/tests/systems/test_part_quarantine.py
@@ -79,34 +79,34 @@
         return quarantine_left_ms(self.table, make_prompt(*shared), now_ms) > 0
 
     def test_second_crash_quarantines_whatever_else_the_request_holds(self) -> None:
-        self.crash("e1", "first", "dead")
-        self.assertFalse(self.is_refused("first", "dead"))
-        self.crash("e2", "other", "dead")
-        self.assertTrue(self.is_refused("third", "dead"))
+        self.crash("e1", "first", "poison")
+        self.assertFalse(self.is_refused("first", "poison"))
+        self.crash("e2", "other", "poison")
+        self.assertTrue(self.is_refused("third", "poison"))
 
     def test_sound_request_with_one_of_two_suspected_parts_runs(self) -> None:
-        self.crash("e1", "first", "dead")
-        self.crash("e2", "first", "dead")
-        self.assertTrue(self.is_refused("first", "dead"))
+        self.crash("e1", "first", "poison")
+        self.crash("e2", "first", "poison")
+        self.assertTrue(self.is_refused("first", "poison"))
         self.assertFalse(self.is_refused("first"))
 
     def test_part_alone_is_refused_once_its_companion_is_cleared(self) -> None:
-        self.crash("e1", "first", "dead")
-        self.crash("e2", "first", "dead")
+        self.crash("e1", "first", "poison")
+        self.crash("e2", "first", "poison")
         clear_parts(self.table, ["first"], began_ms=10, now_ms=20)
-        self.assertTrue(self.is_refused("dead"))
+        self.assertTrue(self.is_refused("poison"))
         self.assertFalse(self.is_refused("first"))
 
     def test_same_crash_seen_by_many_requests_counts_once(self) -> None:
         for _ in range(5):
-            self.crash("e1", "first", "dead")
-        self.assertFalse(self.is_refused("first", "dead"))
+            self.crash("e1", "first", "poison")
+        self.assertFalse(self.is_refused("first", "poison"))
 
     def test_restarted_engine_with_the_same_name_counts_again(self) -> None:
         for started_ms in (7, 8):
             crash_id = build_crash_id("e1", started_ms)
-            record_crash(self.table, crash_id, [make_suspect("dead")], 0)
-        self.assertTrue(self.is_refused("dead"))
+            record_crash(self.table, crash_id, [make_suspect("poison")], 0)
+        self.assertTrue(self.is_refused("poison"))
 
     def test_crashes_of_requests_with_events_count_half(self) -> None:
         for number in range(3):
@@ -123,23 +123,23 @@
 
     def test_answer_that_began_before_a_crash_clears_nothing(self) -> None:
         for number in range(6):
-            self.crash(f"e{number}", "dead", now_ms=10 + number)
-        self.assertEqual(clear_parts(self.table, ["dead"], began_ms=5, now_ms=30), [])
-        self.assertTrue(self.is_refused("dead"))
+            self.crash(f"e{number}", "poison", now_ms=10 + number)
+        self.assertEqual(clear_parts(self.table, ["poison"], began_ms=5, now_ms=30), [])
+        self.assertTrue(self.is_refused("poison"))
 
     def test_quarantine_ends_and_one_further_crash_renews_it(self) -> None:
-        self.crash("e1", "dead", now_ms=0)
-        self.crash("e2", "dead", now_ms=0)
-        self.assertEqual(quarantine_left_ms(self.table, make_prompt("dead"), 100), 599_900)
-        self.assertFalse(self.is_refused("dead", now_ms=QUARANTINE_MS))
-        self.crash("e3", "dead", now_ms=QUARANTINE_MS + 10)
-        self.assertTrue(self.is_refused("dead", now_ms=QUARANTINE_MS + 20))
-        self.assertFalse(self.is_refused("dead", now_ms=QUARANTINE_MS + 10 + CRASH_TTL_MS))
+        self.crash("e1", "poison", now_ms=0)
+        self.crash("e2", "poison", now_ms=0)
+        self.assertEqual(quarantine_left_ms(self.table, make_prompt("poison"), 100), 599_900)
+        self.assertFalse(self.is_refused("poison", now_ms=QUARANTINE_MS))
+        self.crash("e3", "poison", now_ms=QUARANTINE_MS + 10)
+        self.assertTrue(self.is_refused("poison", now_ms=QUARANTINE_MS + 20))
+        self.assertFalse(self.is_refused("poison", now_ms=QUARANTINE_MS + 10 + CRASH_TTL_MS))
 
     def test_crash_is_explained_by_a_quarantined_part_only(self) -> None:
-        self.crash("e1", "dead")
+        self.crash("e1", "poison")
         self.assertEqual(list_explained_crashes(self.table, 10), set())
-        self.crash("e2", "dead")
+        self.crash("e2", "poison")
         self.assertEqual(list_explained_crashes(self.table, 10), {"e1", "e2"})
 
     def test_part_that_began_beside_the_cause_runs_again(self) -> None:
@@ -147,11 +147,11 @@
             record_crash(
                 self.table,
                 build_crash_id(f"e{number}", 0),
-                [make_suspect("first", "dead"), make_suspect("common", f"s{number}")],
+                [make_suspect("first", "poison"), make_suspect("common", f"s{number}")],
                 0,
             )
-        self.crash("e9", "first", "dead")
-        self.assertTrue(self.is_refused("first", "dead"))
+        self.crash("e9", "first", "poison")
+        self.assertTrue(self.is_refused("first", "poison"))
         self.assertFalse(self.is_refused("common", "s7"))
 
     def test_part_that_was_answered_before_needs_more_crashes(self) -> None:
@@ -163,8 +163,8 @@
         self.assertTrue(self.is_refused("common", now_ms=2_100))
 
     def test_memory_is_bounded_and_keeps_quarantined_parts(self) -> None:
-        self.crash("e1", "dead")
-        self.crash("e2", "dead")
+        self.crash("e1", "poison")
+        self.crash("e2", "poison")
         for number in range(MAX_PARTS + 50):
             self.crash("e3", f"part-{number}")
         for number in range(MAX_CRASHES_PER_PART + 5):
@@ -172,7 +172,7 @@
         self.assertEqual(len(self.table.by_part), MAX_PARTS)
         self.assertEqual(len(self.table.by_part["often"]), MAX_CRASHES_PER_PART)
         self.assertLessEqual(len(self.table.parts_by_crash), MAX_CRASHES_PER_PART + 3)
-        self.assertTrue(self.is_refused("dead"))
+        self.assertTrue(self.is_refused("poison"))
         self.assertEqual(len(list_reports(self.table, 10)), MAX_LISTED_REPORTS)
 
 
@@ -182,17 +182,17 @@
     def test_router_that_starts_late_learns_of_a_quarantine(self) -> None:
         table, late = PartCrashTable(), PartCrashTable()
         for server in ("e1@0", "e2@0"):
-            record_crash(table, server, [make_suspect("dead")], 0)
+            record_crash(table, server, [make_suspect("poison")], 0)
         for report in list_reports(table, 1_000):
             apply_report(late, report, 50_000)
-        self.assertTrue(is_part_quarantined(late, "dead", 50_000))
+        self.assertTrue(is_part_quarantined(late, "poison", 50_000))
         self.assertEqual(
-            quarantine_left_ms(late, make_prompt("dead"), 50_000), QUARANTINE_MS - 1_000
+            quarantine_left_ms(late, make_prompt("poison"), 50_000), QUARANTINE_MS - 1_000
         )
 
     def test_new_report_is_relayed_once(self) -> None:
         table, relay = PartCrashTable(), PartCrashTable()
-        record_crash(table, "e1@0", [make_suspect("dead")], 0)
+        record_crash(table, "e1@0", [make_suspect("poison")], 0)
         (report,) = table.recent.since(0)
         apply_report(relay, report, 0)
         apply_report(relay, report, 10)
@@ -203,8 +203,8 @@
         self, order: list[int], again: int
     ) -> None:
         source = PartCrashTable()
-        record_crash(source, "e1@0", [make_suspect("first", "dead")], 0)
-        record_crash(source, "e2@0", [make_suspect("other", "dead")], 1)
+        record_crash(source, "e1@0", [make_suspect("first", "poison")], 0)
+        record_crash(source, "e2@0", [make_suspect("other", "poison")], 1)
         clear_parts(source, ["first", "other"], began_ms=2, now_ms=3)
         reports = source.recent.since(0)
         self.assertEqual(len(reports), 6)
@@ -212,8 +212,8 @@
         for number in (*order, again):
             apply_report(table, reports[number], 5)
         self.assertEqual(
-            [part for part in ("dead", "first", "other") if is_part_quarantined(table, part, 6)],
-            ["dead"],
+            [part for part in ("poison", "first", "other") if is_part_quarantined(table, part, 6)],
+            ["poison"],
         )
 
 
