Bound the part IDs and the suspected parts of one request

What could happen: a caller whose prompt has hundreds of parts, or IDs of some thousand characters, and which is a suspect of a crash, made the first report to each new peer too large (FrameTooLarge), so that routers stopped reporting to each other; the tables bounded the number of parts but not their size.

Part IDs of more than 64 characters are replaced by a digest where prompts are made, and 16 parts of a suspect are recorded, those that engines have not answered first. test_prompt_with_many_long_parts_does_not_fit_into_a_frame failed before.

--- a/src/boragetiller/systems/part_quarantine.py
+++ b/src/boragetiller/systems/part_quarantine.py
@@ -35,6 +35,7 @@
 MAX_ANSWERED_PARTS = 4_096
 MAX_PARTS = 2_048  # bounds memory; a crash has a few suspects with a few parts each
 MAX_CRASHES_PER_PART = 16
+MAX_SUSPECTED_PARTS = 16  # of one request
 MAX_LISTED_REPORTS = 1_024  # fits into one frame
 
 
@@ -87,11 +88,14 @@
     """
     quarantined = []
     for suspect in suspects:
-        for part in suspect.parts:
+        # Parts that engines have answered are the least likely cause.
+        parts = sorted(suspect.parts, key=lambda part: part in table.answered_ms)
+        parts = parts[:MAX_SUSPECTED_PARTS]
+        for part in parts:
             report = PartCrashReport(
                 part=part,
                 crash_id=crash_id,
-                companions=frozenset(suspect.parts) - {part},
+                companions=frozenset(parts) - {part},
                 weight=suspect.weight,
                 age_ms=0,
             )
--- a/src/boragetiller/tables/call_metadata.py
+++ b/src/boragetiller/tables/call_metadata.py
@@ -2,14 +2,26 @@
 
 from __future__ import annotations
 
+from hashlib import blake2b
+
 import attrs
 
+MAX_PART_ID_CHARS = 64  # bounds the tables and reports that hold the IDs, which callers choose
+DIGEST_BYTES = 16
+
+
+def _shorten_part_id(part_id: str) -> str:
+    """:return: the ID, or a digest of one that is too long"""
+    if len(part_id) <= MAX_PART_ID_CHARS:
+        return part_id
+    return blake2b(part_id.encode(), digest_size=DIGEST_BYTES).hexdigest()
+
 
 @attrs.frozen
 class PromptPart:
     """A part of a prompt; prompts that start with the same parts share their prefill."""
 
-    part_id: str
+    part_id: str = attrs.field(converter=_shorten_part_id)
     tokens: int
 
 
--- a/tests/systems/test_part_quarantine.py
+++ b/tests/systems/test_part_quarantine.py
@@ -7,6 +7,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from boragetiller.gateway.peer_messages import (
+    LENGTH_BYTES,
+    PeerReport,
+    decode_payload,
+    encode_frame,
+)
 from boragetiller.systems.part_quarantine import (
     CRASH_TTL_MS,
     MAX_CRASHES_PER_PART,
@@ -179,6 +185,28 @@
 class ReportTest(unittest.TestCase):
     """Exchange of crashes between routers."""
 
+    def test_prompt_with_many_long_parts_does_not_fit_into_a_frame(self) -> None:
+        table = PartCrashTable()
+        for number in range(8):
+            prompt = make_prompt(*(f"{number}-{part}-".ljust(4_000, "x") for part in range(255)))
+            suspect = find_suspect(prompt, ResponseProgress(started_ms=0), 10)
+            assert suspect is not None
+            record_crash(table, f"e{number}@0", [suspect], 10)
+        reports = list_reports(table, 20)
+        self.assertTrue(reports)
+        report = PeerReport(config_revision=1, servers_revision=1, part_crashes=reports)
+        self.assertEqual(decode_payload(encode_frame(report)[LENGTH_BYTES:]), report)
+
+    def test_long_part_is_quarantined_like_a_short_one(self) -> None:
+        table = PartCrashTable()
+        prompt = make_prompt("x" * 4_000)
+        for number in range(2):
+            suspect = find_suspect(prompt, ResponseProgress(started_ms=0), 10)
+            assert suspect is not None
+            record_crash(table, f"e{number}@0", [suspect], 10)
+        self.assertGreater(quarantine_left_ms(table, prompt, 20), 0)
+        self.assertEqual(quarantine_left_ms(table, make_prompt("x" * 4_001), 20), 0)
+
     def test_router_that_starts_late_learns_of_a_quarantine(self) -> None:
         table, late = PartCrashTable(), PartCrashTable()
         for server in ("e1@0", "e2@0"):
