Bound the requests for which this router itself recorded crashes

Only crashes that peers reported were bounded; own ones were kept until the next check of a crashed request. test_number_of_crashed_requests_is_bounded failed before (2,053 kept of 2,048 allowed).

--- a/src/boragetiller/systems/crash_quarantine.py
+++ b/src/boragetiller/systems/crash_quarantine.py
@@ -56,6 +56,16 @@
     servers = table.by_fingerprint.setdefault(fingerprint, {})
     if server not in servers:
         servers[server] = ServerCrashes(crashes=1, last_ms=crashed_ms)
+    drop_oldest_bodies(table, settings)
+
+
+def drop_oldest_bodies(table: CrashTable, settings: CrashRetention) -> None:
+    """
+    Bound the number of bodies.
+
+    :param table: recorded crashes
+    :param settings: number of bodies kept
+    """
     while len(table.by_fingerprint) > settings.max_bodies:
         del table.by_fingerprint[next(iter(table.by_fingerprint))]
 
@@ -151,6 +161,7 @@
     "choose_containment",
     "clear_crashes",
     "crashed_servers",
+    "drop_oldest_bodies",
     "expire_crashes",
     "isolation_wait_ms",
     "merge_crash",
--- a/src/boragetiller/systems/failure_history.py
+++ b/src/boragetiller/systems/failure_history.py
@@ -19,6 +19,7 @@
 from boragetiller.systems.crash_quarantine import (
     choose_containment,
     clear_crashes,
+    drop_oldest_bodies,
     expire_crashes,
     merge_crash,
     record_crash,
@@ -135,6 +136,7 @@
             quarantined += part_quarantine.record_crash(
                 history.part_crashes, attempt.crash_id, [attempt.suspect], now_ms
             )
+    drop_oldest_bodies(history.crashes, CRASH_RETENTION)
     for failure in failures:
         history.recent.add(failure)
     return ConfirmedCrash(tuple(failures), tuple(quarantined))
--- a/tests/systems/test_failure_history.py
+++ b/tests/systems/test_failure_history.py
@@ -119,6 +119,11 @@
             confirm_crash(self.history, server, 20 + number)
         self.assertFalse(is_quarantined(self.history, BODY, 30))
 
+    def test_number_of_crashed_requests_is_bounded(self) -> None:
+        for number in range(MAX_REQUESTS + 5):
+            self.crash("a", number, number.to_bytes(12, "big"))
+        self.assertEqual(len(self.history.crashes.by_fingerprint), MAX_REQUESTS)
+
     def test_new_peer_is_told_of_recorded_crashes(self) -> None:
         self.crash("a", 100)
         self.crash("b", 200)
