Split crash suspects and the recording of attempts out of two grown modules

The dispatcher decides what to try next; gateway.attempt_recorder writes down how attempts ended. Which requests a crash suspects is systems.crash_suspects, what follows for their parts systems.part_quarantine. No behaviour changes.

--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -7,8 +7,8 @@
 import attrs
 
 from boragetiller.gateway.admitted_call import AdmittedCall
+from boragetiller.gateway.attempt_recorder import AttemptRecorder
 from boragetiller.gateway.call_telemetry import CallTelemetry
-from boragetiller.gateway.crash_detector import CrashDetector
 from boragetiller.gateway.hedging import PlacedResult, send_hedged
 from boragetiller.gateway.responses import (
     ErrorResponse,
@@ -17,7 +17,7 @@
     build_error_response,
 )
 from boragetiller.gateway.retry_after import RetryAfter
-from boragetiller.gateway.sender import SUCCESS, CallSender, StreamState
+from boragetiller.gateway.sender import CallSender, StreamState
 from boragetiller.systems.candidates import select_candidates
 from boragetiller.systems.direct_retry_policy import (
     GiveUp,
@@ -28,18 +28,13 @@
     record_attempt,
 )
 from boragetiller.systems.failure_history import (
-    clear_request_crashes,
     exclude_failed_servers,
-    record_connection_loss,
-    record_error,
 )
-from boragetiller.systems.part_quarantine import build_crash_id, find_suspect
 from boragetiller.systems.peer_loads import exclude_silent_peers
 from boragetiller.systems.response_timeouts import (
     compute_caller_event_timeout_ms,
     compute_hedge_delay_ms,
 )
-from boragetiller.systems.server_health import record_outcome
 from boragetiller.systems.server_limits import (
     list_exhausted_servers,
     list_limited_servers,
@@ -47,7 +42,6 @@
 )
 from boragetiller.systems.server_placement import choose_server, compute_stream_sensitivity
 from boragetiller.tables.direct_attempts import CallProgress, DirectAttemptOutcome
-from boragetiller.tables.failure_history import LostAttempt
 from boragetiller.tables.server_placement import ServerPlacementRequest
 from boragetiller.verdict import Verdict
 
@@ -108,13 +102,13 @@
         self._clock = clock
         self._rng = rng
         self._telemetry = CallTelemetry(metrics, clock)
-        self._crash_detector = CrashDetector(registry)
+        self._recorder = AttemptRecorder(registry, self._telemetry, clock)
         self._retry_after = RetryAfter(registry, clock, rng)
         self._sender = CallSender(registry, state_sync, dialect, clock)
 
     async def close(self) -> None:
-        """Cancel the probes in progress."""
-        await self._crash_detector.close()
+        """Cancel the probes of crashed servers."""
+        await self._recorder.close()
 
     async def dispatch(self, call: AdmittedCall, request: web.BaseRequest) -> web.StreamResponse:
         """
@@ -142,7 +136,8 @@
             self._telemetry.record_placed(call, placement, throughput, oldest_ms)
             for attempt in await self._send(state, placement):
                 placement, result = attempt.placement, attempt.result
-                self._record_attempt_end(state, placement, result)
+                record_attempt(state.progress, placement.server.name, result)
+                self._recorder.record_end(call, placement, result)
             decision = self._decide_next_step(state, result)
             match decision:
                 case ReturnResponse(response=response):
@@ -230,48 +225,6 @@
             take_token(limits, placement.server.name)
         return placement
 
-    def _record_attempt_end(
-        self, state: CallState, placement: Placement, result: DirectAttemptResult
-    ) -> None:
-        record_attempt(state.progress, placement.server.name, result)
-        self._telemetry.record_attempt_end(state.call, placement, result)
-        self._record_failure(state, placement.server, result)
-        group = self._registry.servers.find_accepting(state.call.group.name)
-        if record_outcome(placement.server, group.servers, result.outcome, self._clock.now_ms()):
-            self._telemetry.record_ejected(state.call, placement, result)
-
-    def _record_failure(
-        self, state: CallState, server: BackendServer, result: DirectAttemptResult
-    ) -> None:
-        """Update the failure history that later attempts of the same request use."""
-        registry, fingerprint, now_ms = self._registry, state.call.fingerprint, self._clock.now_ms()
-        match result.outcome:
-            case DirectAttemptOutcome.ANSWERED:
-                clear_request_crashes(registry.failure_history, fingerprint)
-                if result.response is not None and result.response.status in SUCCESS:
-                    registry.clear_parts(state.call.metadata.prompt, result.progress)
-            case DirectAttemptOutcome.SERVER_ERROR:
-                record_error(registry.failure_history, fingerprint, server.name, now_ms)
-            case DirectAttemptOutcome.LOST:
-                self._record_loss(state.call, server, result)
-            case DirectAttemptOutcome.UNREACHABLE:
-                registry.record_crash(server.name)
-
-    def _record_loss(
-        self, call: AdmittedCall, server: BackendServer, result: DirectAttemptResult
-    ) -> None:
-        now_ms = self._clock.now_ms()
-        attempt = LostAttempt(
-            fingerprint=call.fingerprint,
-            sent_ms=call.arrived_ms,
-            lost_ms=now_ms,
-            crash_id=build_crash_id(server.name, server.record.started_ms),
-            suspect=find_suspect(call.metadata.prompt, result.progress, now_ms),
-        )
-        record_connection_loss(self._registry.failure_history, server.name, attempt)
-        if attempt.suspect is not None:
-            self._crash_detector.check(server)
-
     def _decide_next_step(
         self, state: CallState, result: DirectAttemptResult
     ) -> ReturnResponse | Retry | GiveUp:
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -13,7 +13,7 @@
 from boragetiller.gateway.event_stream import EventSplitter, EventTooLarge
 from boragetiller.gateway.responses import EventWriter
 from boragetiller.gateway.server_client import NOT_SENT_ERRORS, TRANSPORT_ERRORS, OutgoingRequest
-from boragetiller.systems.part_quarantine import has_survived_start
+from boragetiller.systems.crash_suspects import has_survived_start
 from boragetiller.systems.prefix_cache import estimate_uncached_tokens
 from boragetiller.systems.response_timeouts import compute_stream_timeouts
 from boragetiller.systems.server_placement import compute_stream_sensitivity
--- a/src/boragetiller/systems/part_quarantine.py
+++ b/src/boragetiller/systems/part_quarantine.py
@@ -1,9 +1,7 @@
 """
 Quarantine of prompt parts that crash the engines which answer requests with them.
 
-A crash ends every request of an engine. Only a request whose response had just begun can have
-caused it: one without a response header was not running yet, and one that has been written for a
-while has survived its beginning. The shared parts of these suspects get the crash recorded. A
+The shared parts of the suspects of a crash (systems.crash_suspects) get the crash recorded. A
 request with such a part that survives its beginning on another engine clears the part. A part
 with enough crashes that are not cleared is quarantined: requests with it are refused.
 
@@ -15,18 +13,14 @@
 
 from typing import TYPE_CHECKING
 
-from boragetiller.tables.part_crashes import CrashSuspect, PartCrash, PartCrashReport
+from boragetiller.tables.part_crashes import PartCrash, PartCrashReport
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from boragetiller.tables.call_metadata import Prompt
-    from boragetiller.tables.direct_attempts import ResponseProgress
-    from boragetiller.tables.part_crashes import PartCrashTable
+    from boragetiller.tables.part_crashes import CrashSuspect, PartCrashTable
 
-START_MS = 1_000  # a response that has been written for so long has survived its beginning
-STRONG_WEIGHT = 2  # no event since the header
-WEAK_WEIGHT = 1
 QUARANTINE_WEIGHT = 4  # two crashes with strong suspicion
 KNOWN_QUARANTINE_WEIGHT = 12  # for a part that engines answered shortly before its first crash
 ANSWERED_TTL_MS = 60_000
@@ -39,41 +33,6 @@
 MAX_LISTED_REPORTS = 1_024  # fits into one frame
 
 
-def find_suspect(
-    prompt: Prompt | None, progress: ResponseProgress, lost_ms: int
-) -> CrashSuspect | None:
-    """
-    Decide whether a request can have crashed the engine on which it was lost.
-
-    :param prompt: its prompt, None for a request to a plain service
-    :param progress: how far the engine got with its response
-    :param lost_ms: monotonic time at which the connection broke
-    :return: the suspect, None if the response had not begun or had survived its beginning
-    """
-    if prompt is None or not prompt.shared_parts or progress.started_ms is None:
-        return None
-    is_young = lost_ms - progress.started_ms < START_MS
-    if progress.events and not is_young:
-        return None
-    weight = STRONG_WEIGHT if is_young and not progress.events else WEAK_WEIGHT
-    return CrashSuspect(parts=tuple(part.part_id for part in prompt.shared_parts), weight=weight)
-
-
-def has_survived_start(progress: ResponseProgress, now_ms: int) -> bool:
-    """
-    Check whether a response that is being written has survived its beginning.
-
-    :param progress: how far the engine got with its response
-    :param now_ms: monotonic time in milliseconds
-    :return: whether it has events and began at least START_MS ago
-    """
-    return (
-        progress.started_ms is not None
-        and progress.events > 0
-        and now_ms - progress.started_ms >= START_MS
-    )
-
-
 def record_crash(
     table: PartCrashTable, crash_id: str, suspects: Iterable[CrashSuspect], now_ms: int
 ) -> list[str]:
@@ -258,17 +217,6 @@
     return tuple(reports[-MAX_LISTED_REPORTS:])
 
 
-def build_crash_id(server: str, started_ms: int) -> str:
-    """
-    Build the ID of a crash, which all routers give to the same one.
-
-    :param server: name of the engine
-    :param started_ms: its start time as registered; an engine may restart under its name
-    :return: the ID
-    """
-    return f"{server}@{started_ms}"
-
-
 def _merge(known: PartCrash, report: PartCrashReport) -> bool:
     """Add what a report says beyond a known crash; return whether that changed it."""
     merged = (
@@ -342,12 +290,8 @@
 
 __all__ = [
     "QUARANTINE_MS",
-    "START_MS",
     "apply_report",
-    "build_crash_id",
     "clear_parts",
-    "find_suspect",
-    "has_survived_start",
     "is_part_quarantined",
     "list_explained_crashes",
     "list_reports",
--- a/src/boragetiller/tables/direct_attempts.py
+++ b/src/boragetiller/tables/direct_attempts.py
@@ -43,7 +43,7 @@
 
     started_ms: int | None = None  # monotonic time at which the header arrived
     events: int = 0  # complete events of a stream
-    survived: bool = False  # its beginning, as was recorded; see systems.part_quarantine
+    survived: bool = False  # its beginning, as was recorded; see systems.crash_suspects
 
 
 @attrs.frozen
