Log and count the eras of the store, and configurations that are dropped as old

An ignored change of the configuration left no line, and no line named the era of the store, so the log could not tell a dropped change from one that never arrived.

--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -142,7 +142,10 @@
         :param items: entries and tombstones
         :param source: origin of the changes, for the log
         """
-        self._apply(self.store_view.apply(items), source)
+        items = list(items)
+        changed_items = self.store_view.apply(items)
+        self._log_ignored_config(items, source)
+        self._apply(changed_items, source)
 
     def apply_listing(
         self, prefix: str, items: list[StoredItem], revision: int, source: str
@@ -239,6 +242,18 @@
         if changed:
             self._replace_servers()
 
+    def _log_ignored_config(self, items: Iterable[StoredItem], source: str) -> None:
+        """Log a change of the configuration that is not newer than the known item."""
+        known = self.store_view.items.get(self.dialect.config_key)
+        for item in items:
+            if known is not None and item.key == known.key and item.value != known.value:
+                log_event(
+                    Event.CONFIG_IGNORED,
+                    revision=item.revision,
+                    known_revision=known.revision,
+                    source=source,
+                )
+
     def _apply_config(self, item: StoredItem, source: str) -> bool:
         assert item.value is not None
         try:
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -43,6 +43,10 @@
         self.store_reachable = self._gauge(
             "store_reachable", "1 if the last call to the store succeeded"
         )
+        self.store_era = self._gauge("store_era", "number of restores that the store names")
+        self.store_era_errors = self._counter(
+            "store_era_errors", "responses of the store without a valid era, by reason", "reason"
+        )
         self.peers = self._gauge("peers", "other routers that report to this one")
         self.first_event_seconds = self._histogram(
             "first_event_seconds", "time from arrival to the first event"
--- a/src/boragetiller/gateway/platform_interface.py
+++ b/src/boragetiller/gateway/platform_interface.py
@@ -11,6 +11,7 @@
 if TYPE_CHECKING:
     from multidict import CIMultiDict, CIMultiDictProxy
 
+    from boragetiller.store_eras import StoreEraTracker
     from boragetiller.tables.call_metadata import (
         CallMetadata,
         ForwardMetadata,
@@ -88,6 +89,8 @@
 class StoreClient(Protocol):
     """Read-only client of the platform's store; the platform counts each call."""
 
+    eras: StoreEraTracker  # eras that the responses name
+
     async def list_prefix(self, prefix: str) -> Listing:
         """
         List all entries whose key starts with the prefix.
--- a/src/boragetiller/gateway/store_watcher.py
+++ b/src/boragetiller/gateway/store_watcher.py
@@ -69,6 +69,7 @@
         self._metrics = metrics
         self._tasks: list[asyncio.Task[None]] = []
         self._store_reachable: bool | None = None
+        store.eras.on_invalid = lambda reason: metrics.store_era_errors.labels(reason).inc()
 
     async def start(self) -> None:
         """Start the watches and polls."""
@@ -163,6 +164,7 @@
         self._metrics.store_calls.labels(name).inc()
         with self._metrics.store_call_seconds.labels(name).time():
             listing = await call()
+        self._metrics.store_era.set(self._store.eras.era or 0)
         self._set_store_reachable(True, "")
         return listing
 
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -14,6 +14,7 @@
 from boragetiller.gateway.platform_interface import Listing
 from boragetiller.gateway.process import GatewayProcess
 from boragetiller.gateway.settings import Endpoint, GatewaySettings
+from boragetiller.store_eras import StoreEraTracker
 from boragetiller.tables.store_view import StoredItem
 from dialect import PlatformDialect
 
@@ -85,6 +86,7 @@
 
     def __init__(self) -> None:
         """Create an empty and reachable store."""
+        self.eras = StoreEraTracker()
         self.items: dict[str, StoredItem] = {}
         self.history: list[StoredItem] = []
         self.revision = 1
