--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from socket import socket
 
+    from boragetiller.gateway.platform_interface import StoreClient
     from tests.gateway.scripted_engine import ScriptedEngine
 
 HOST = "shop.example"
@@ -219,7 +220,7 @@
 
     def __init__(
         self,
-        store: FakeStore | None = None,
+        store: FakeStore | StoreClient | None = None,
         listening_socket: socket | None = None,
         **changes: Any,
     ) -> None:
@@ -244,7 +245,7 @@
         await self.router.start()
         self.session = aiohttp.ClientSession(auto_decompress=False)
         self.session._retry_connection = False
-        if "op/config" in self.store.items:
+        if not isinstance(self.store, FakeStore) or "op/config" in self.store.items:
             await wait_until(
                 lambda: self.router.registry.servers_listed and self.router.registry.config
             )
