Order changes of the store by its era, and keep newer versions over a restore

Cause: a restored store gives the revisions of lost changes out again, and the view of the store, the exchange between routers and the positions of watches take a revision for a number that only rises. Class: a counter of an outside system taken as an order of time across its restore.

--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -10,14 +10,17 @@
 from boragetiller.errors import EntryUnreadable
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.server_client import ServerClient
+from boragetiller.store_eras import get_era, get_store_revision
 from boragetiller.systems.engine_throughput import EngineThroughput
 from boragetiller.systems.failure_history import confirm_crash
 from boragetiller.systems.part_quarantine import clear_parts
 from boragetiller.systems.server_limits import apply_limit, retain_servers
+from boragetiller.systems.store_restores import RestoreGrace
 from boragetiller.systems.windowed_retry_budget import WindowedRetryBudget
 from boragetiller.tables.failure_history import FailureHistory
 from boragetiller.tables.output_lengths import OutputLengths
 from boragetiller.tables.peer_loads import PeerLoadTable
+from boragetiller.tables.recent_items import RecentItems
 from boragetiller.tables.server_limits import ServerLimitTable
 from boragetiller.tables.server_placement import PlacementCostModel
 from boragetiller.tables.server_table import ServerTable
@@ -34,9 +37,11 @@
     from boragetiller.tables.direct_attempts import ResponseProgress
     from boragetiller.tables.routes import RouteConfig
     from boragetiller.tables.servers import BackendServer, ServerRecord
-    from boragetiller.tables.store_view import StoredItem
+    from boragetiller.tables.store_view import EntryVersion, StoredItem
 
 MAX_ROUTERS = 8  # routers that share the fleet's retry slack, including spare ones
+MAX_RECENT_REMOVALS = 512
+MAX_LOGGED_KEYS = 20
 CLOSE_DELAY_MS = 30_000  # lets calls in progress at a removed server end
 
 
@@ -55,7 +60,12 @@
         :param metrics: gauges of the configuration version and the number of servers
         """
         self._metrics = metrics
-        self.store_view = StoreView()
+        self.store_view = StoreView(self._read_entry_version)
+        self.restore_grace = RestoreGrace()
+        # Removals that a listing after a restore has shown, for peers that do not list themselves.
+        self.recent_removals: RecentItems[StoredItem] = RecentItems.with_capacity(
+            MAX_RECENT_REMOVALS
+        )
         self.servers = ServerTable()
         self.peer_loads = PeerLoadTable()
         self.failure_history = FailureHistory()
@@ -155,13 +165,25 @@
 
         :param prefix: prefix of the keys
         :param items: entries
-        :param revision: revision of the store at the time of the listing
+        :param revision: extended revision of the store at the time of the listing
         :param source: origin of the listing, for the log
         """
-        changed_items = self.store_view.apply_listing(prefix, items, revision)
-        self.servers_listed = self.servers_listed or prefix == self.dialect.servers_prefix
+        if prefix == self.dialect.servers_prefix:
+            changed_items = self._apply_server_listing(items, revision)
+            self.servers_listed = True
+        else:
+            changed_items = self.store_view.apply_listing(
+                prefix, items, revision, keep_earlier_eras=True
+            )
         self._apply(changed_items, source)
 
+    def list_items_lost_in_restore(self) -> list[StoredItem]:
+        """:return: items in force that the restored store lacks or has in an older version"""
+        view = self.store_view
+        return view.list_from_earlier_eras(self.dialect.config_key) + view.list_from_earlier_eras(
+            self.dialect.servers_prefix
+        )
+
     def record_crash(self, server: str) -> None:
         """
         Record a crash for the requests that a server ran when it crashed.
@@ -231,6 +253,30 @@
             await client.close()
         self._clients.clear()
 
+    def _apply_server_listing(self, items: list[StoredItem], revision: int) -> list[StoredItem]:
+        prefix, now_ms = self.dialect.servers_prefix, self._clock.now_ms()
+        self.restore_grace.record_listing(revision, now_ms)
+        known = dict(self.store_view.items)
+        changed_items = self.store_view.apply_listing(
+            prefix, items, revision, keep_earlier_eras=not self.restore_grace.is_over(now_ms)
+        )
+        for item in changed_items:
+            lost = known.get(item.key)
+            if item.value is None and lost and get_era(lost.revision) < get_era(revision):
+                self.recent_removals.add(item)
+        if self.restore_grace.is_retention_over(now_ms):
+            changed_items += self.store_view.release_retained(prefix)
+        retained = [item.key for item in self.store_view.list_from_earlier_eras(prefix)]
+        if retained and changed_items:
+            log_event(Event.STORE_ENTRIES_RETAINED, keys=retained[:MAX_LOGGED_KEYS])
+        return changed_items
+
+    def _read_entry_version(self, key: str, value: bytes) -> EntryVersion | None:
+        try:
+            return self.dialect.decode_entry_version(key, value)
+        except EntryUnreadable:
+            return None
+
     def _apply(self, changed_items: list[StoredItem], source: str) -> None:
         if not changed_items:
             return
@@ -249,8 +295,10 @@
             if known is not None and item.key == known.key and item.value != known.value:
                 log_event(
                     Event.CONFIG_IGNORED,
-                    revision=item.revision,
-                    known_revision=known.revision,
+                    era=get_era(item.revision),
+                    revision=get_store_revision(item.revision),
+                    known_era=get_era(known.revision),
+                    known_revision=get_store_revision(known.revision),
                     source=source,
                 )
 
@@ -272,7 +320,13 @@
         self.output_lengths.retain_routes({route.name for route in config.routes})
         self.config_applied_ms = self._clock.now_ms()
         self._metrics.config_version.set(config.version)
-        log_event(Event.ROUTES_TAKEN, version=config.version, revision=item.revision, source=source)
+        log_event(
+            Event.ROUTES_TAKEN,
+            version=config.version,
+            era=get_era(item.revision),
+            revision=get_store_revision(item.revision),
+            source=source,
+        )
         return True
 
     def _replace_servers(self) -> None:
--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -32,10 +32,13 @@
 from boragetiller.gateway.settings import Endpoint
 from boragetiller.gateway.state_sync import StoreRevisions
 from boragetiller.gateway.supervisor import run_supervised
+from boragetiller.hashing import stable_hash
 from boragetiller.systems.report_peers import MAX_PEERS, are_peers, compute_reporting_share
 from boragetiller.timeouts import wait_with_timeout
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from boragetiller.clock import Clock
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.peer_messages import PeerMessage
@@ -51,6 +54,9 @@
 RECONNECT_DELAY_MS = 1_000
 RECEIVE_TIMEOUT_MS = 3_000  # a peer that sends nothing for so long is disconnected
 RESEND_DELAY_MS = 300  # a peer that watches the store gets missing entries only after this lag
+RESEND_STAGGER_MS = 100  # between peers that send the list to a router that missed a restore
+MAX_STAGGERED_PEERS = 8
+LOST_ITEMS_DELAY_MS = 300  # after a change of the era, in which entries arrive one by one
 MAX_BUFFER_BYTES = 2_000_000  # of unsent data, after which a slow peer is disconnected
 MAX_KNOWN_ROUTERS = 1_024  # more than twice the planned size of the fleet
 MIN_INBOUND_PEERS = 8  # with fewer, seeds stay connected, so that lost peers isolate no router
@@ -76,6 +82,7 @@
 
     writer: asyncio.StreamWriter
     routers: set[Endpoint] = attrs.field(factory=set)  # whose addresses it was sent
+    lost_items_era: int = 0  # era of which it was sent what the restored store lacks
 
 
 def report_interval_ms(peers: int) -> int:
@@ -120,6 +127,8 @@
         self._heard_ms: dict[Endpoint, int] = {}  # when a router last had a connection to this one
         self._server: asyncio.Server | None = None
         self._seeds: tuple[Endpoint, ...] = ()
+        self._era = 0  # of the newest known store entries
+        self._era_since_ms = 0
         self.endpoint: Endpoint | None = None  # address that this router listens on, once started
 
     async def start(self) -> None:
@@ -251,7 +260,8 @@
         )
         first_report = self._state_sync.build_first_report()
         writer.write(encode_frame(hello) + encode_frame(first_report))
-        self._outbound_peers[endpoint] = OutboundPeer(writer)
+        self._outbound_peers[endpoint] = peer = OutboundPeer(writer)
+        self._send_lost_items(peer)
 
     async def _send_reports(self) -> None:
         """Send reports to all peers; each one is built and encoded once for all of them."""
@@ -267,8 +277,13 @@
             if report.differs_from(sent) or now_ms - sent_ms >= KEEPALIVE_INTERVAL_MS:
                 frame = encode_frame(report)
                 sent, sent_ms = report, now_ms
+            removals = self._state_sync.take_removals(cursor)
+            lost_items_due = self._are_lost_items_due(now_ms)
             for peer in list(self._outbound_peers.values()):
                 self._send_report(peer, frame)
+                self._send_items(peer.writer, removals)
+                if lost_items_due:
+                    self._send_lost_items(peer)
 
     async def _wait_for_report_time(self) -> None:
         """Wait for the next interval, or for a state change that peers must know at once."""
@@ -305,8 +320,10 @@
             return
         now_ms = self._clock.now_ms()
         peer_revisions = peer.revisions
-        if now_ms - peer.behind_since_ms < RESEND_DELAY_MS:
-            if peer.watches or now_ms - peer.servers_sent_ms < RESEND_DELAY_MS:
+        missed_restore = self._state_sync.get_revisions().is_eras_ahead_of(peer_revisions)
+        delay_ms = RESEND_DELAY_MS + (self._get_stagger_ms(peer) if missed_restore else 0)
+        if now_ms - peer.behind_since_ms < delay_ms:
+            if peer.watches or missed_restore or now_ms - peer.servers_sent_ms < RESEND_DELAY_MS:
                 return
             peer_revisions = attrs.evolve(
                 peer_revisions, config=self._state_sync.get_revisions().config
@@ -316,7 +333,27 @@
             peer.behind_since_ms = now_ms
         self._send_items(writer, self._state_sync.list_items_newer_than(peer_revisions))
 
-    def _send_items(self, writer: asyncio.StreamWriter, items: list[StoredItem]) -> None:
+    def _get_stagger_ms(self, peer: InboundPeer) -> int:
+        """:return: delay that differs between the peers, so that one of them sends the list"""
+        peers = max(1, min(len(self._inbound_peers), MAX_STAGGERED_PEERS))
+        place = stable_hash(str(self.endpoint), str(peer.endpoint)) % peers
+        return place * RESEND_STAGGER_MS
+
+    def _are_lost_items_due(self, now_ms: int) -> bool:
+        """Check whether the era has been known for long enough to have all entries of the copy."""
+        era = self._state_sync.get_era()
+        if era != self._era:
+            self._era, self._era_since_ms = era, now_ms
+        return now_ms - self._era_since_ms >= LOST_ITEMS_DELAY_MS
+
+    def _send_lost_items(self, peer: OutboundPeer) -> None:
+        """Send the entries that a peer which joined after a restore cannot read from the store."""
+        era = self._state_sync.get_era()
+        if peer.lost_items_era != era:
+            peer.lost_items_era = era
+            self._send_items(peer.writer, self._state_sync.list_items_lost_in_restore())
+
+    def _send_items(self, writer: asyncio.StreamWriter, items: Iterable[StoredItem]) -> None:
         for item in items:  # one frame each, so that one too large blocks no other
             try:
                 writer.write(encode_frame(PeerItems((item,))))
--- a/src/boragetiller/gateway/peer_messages.py
+++ b/src/boragetiller/gateway/peer_messages.py
@@ -12,11 +12,12 @@
 from boragetiller.control.capnp_packing import WORD_BYTES, pack_message, unpack_message
 from boragetiller.control.errors import BadFrame
 from boragetiller.gateway.settings import Endpoint
+from boragetiller.store_eras import extend_revision, get_era, get_store_revision
 from boragetiller.tables.call_metadata import Prompt, PromptPart
 from boragetiller.tables.failure_history import FailureKind, RequestFailure
 from boragetiller.tables.part_crashes import PartCrashReport
 from boragetiller.tables.server_limits import LimitReport
-from boragetiller.tables.store_view import StoredItem
+from boragetiller.tables.store_view import EntryVersion, StoredItem
 
 LENGTH_BYTES = 4
 ENVELOPE_WORDS = 256
@@ -56,7 +57,7 @@
 
 @attrs.frozen(kw_only=True)
 class PeerReport:
-    """Heartbeat with the changes of the sender's state and the store revisions that it knows."""
+    """Heartbeat with the changes of the sender's state and the extended revisions that it knows."""
 
     config_revision: int
     servers_revision: int
@@ -189,8 +190,8 @@
         CachedPrompt(server=prompt.server, prompt=_read_prompt(prompt)) for prompt in report.prompts
     ]
     return PeerReport(
-        config_revision=report.configRevision,
-        servers_revision=report.serversRevision,
+        config_revision=extend_revision(report.configEra, report.configRevision),
+        servers_revision=extend_revision(report.serversEra, report.serversRevision),
         loads=tuple(loads),
         prompts=tuple(prompts),
         failures=tuple(_read_failure(failure) for failure in report.failures),
@@ -233,8 +234,14 @@
 
 
 def _read_item(item: Any) -> StoredItem:
-    value = None if item.removed else bytes(item.value)
-    return StoredItem(item.key, value, item.revision)
+    revision = extend_revision(item.era, item.revision)
+    if not item.removed:
+        return StoredItem(item.key, bytes(item.value), revision)
+    version = None
+    if item._has("removedVersion"):  # noqa: SLF001
+        stored = item.removedVersion
+        version = EntryVersion(stored.writerStartedMs, stored.number)
+    return StoredItem(item.key, None, revision, version)
 
 
 @singledispatch
@@ -269,8 +276,10 @@
         for read in message.prompts
     ]
     report = {
-        "configRevision": message.config_revision,
-        "serversRevision": message.servers_revision,
+        "configRevision": get_store_revision(message.config_revision),
+        "serversRevision": get_store_revision(message.servers_revision),
+        "configEra": get_era(message.config_revision),
+        "serversEra": get_era(message.servers_revision),
         "loads": loads,
         "prompts": prompts,
         "failures": [
@@ -310,16 +319,24 @@
 
 @_to_capnp.register
 def _(message: PeerItems) -> tuple[str, Any]:
-    items = [
-        {
-            "key": item.key,
-            "value": item.value or b"",
-            "revision": item.revision,
-            "removed": item.value is None,
+    return "items", [_build_item(item) for item in message.items]
+
+
+def _build_item(item: StoredItem) -> dict[str, Any]:
+    fields: dict[str, Any] = {
+        "key": item.key,
+        "value": item.value or b"",
+        "revision": get_store_revision(item.revision),
+        "era": get_era(item.revision),
+        "removed": item.value is None,
+    }
+    version = item.removed_version
+    if version is not None:
+        fields["removedVersion"] = {
+            "writerStartedMs": version.writer_started_ms,
+            "number": version.number,
         }
-        for item in message.items
-    ]
-    return "items", items
+    return fields
 
 
 @_to_capnp.register
--- a/src/boragetiller/gateway/peers.capnp
+++ b/src/boragetiller/gateway/peers.capnp
@@ -33,6 +33,8 @@
   watches @7 :Bool;  # whether the sender watches the list of backend servers itself
   partCrashes @8 :List(PartCrash);
   limits @9 :List(Limit);
+  configEra @10 :UInt32;  # eras of the two revisions, 0 from routers that know none
+  serversEra @11 :UInt32;
 }
 
 struct Limit {
@@ -82,4 +84,11 @@
   value @1 :Data;
   revision @2 :UInt64;
   removed @3 :Bool;
+  era @4 :UInt32;
+  removedVersion @5 :EntryVersion;  # of a removed entry, if known
+}
+
+struct EntryVersion {
+  writerStartedMs @0 :Int64;
+  number @1 :Int64;
 }
--- a/src/boragetiller/gateway/platform_interface.py
+++ b/src/boragetiller/gateway/platform_interface.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from boragetiller.tables.store_view import StoredItem
+from boragetiller.tables.store_view import EntryVersion, StoredItem
 
 if TYPE_CHECKING:
     from multidict import CIMultiDict, CIMultiDictProxy
@@ -26,7 +26,7 @@
 
 @attrs.frozen(kw_only=True)
 class Listing:
-    """Store entries with a common prefix, and the store's revision at the time of the read."""
+    """Store entries with a common prefix, and the store's extended revision at the read."""
 
     items: list[StoredItem]
     revision: int
@@ -77,6 +77,14 @@
         """:raises EntryUnreadable: the value is not a valid backend server"""
         ...
 
+    def decode_entry_version(self, key: str, value: bytes) -> EntryVersion:
+        """
+        Decode the version that the writer of an entry gave it, which a restore does not set back.
+
+        :raises EntryUnreadable: the entry has no valid version
+        """
+        ...
+
     def decode_prefix_cache(self, body: bytes) -> tuple[PromptPart, ...]:
         """
         Decode an engine's list of cached prompt parts.
@@ -95,6 +103,7 @@
         """
         List all entries whose key starts with the prefix.
 
+        :raises HistoryLost: the store was restored during the listing
         :raises StoreUnavailable: the call failed or timed out
         """
         ...
@@ -114,7 +123,8 @@
 
         :param wait_ms: longest wait in milliseconds
         :return: changes, with tombstones for removed keys; none after the longest wait
-        :raises HistoryLost: the store has compacted its history beyond the revision
+        :raises HistoryLost: the store has compacted its history beyond the revision, or was
+            restored from an older copy
         :raises StoreUnavailable: the call failed or timed out
         """
         ...
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -9,6 +9,7 @@
 
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.peer_messages import CachedPrompt, PeerReport, ReportedLoad
+from boragetiller.store_eras import get_era, get_store_revision
 from boragetiller.systems.failure_history import apply_failure, list_crashes
 from boragetiller.systems.part_quarantine import apply_report, list_reports
 from boragetiller.systems.peer_loads import record_report, remove_load, remove_peer, set_load
@@ -35,14 +36,19 @@
 
 @attrs.frozen
 class StoreRevisions:
-    """Store revisions of the newest known configuration and list of backend servers."""
+    """Extended revisions of the newest known configuration and list of backend servers."""
 
     config: int
     servers: int
 
     def is_newer_than(self, other: StoreRevisions) -> bool:
         """:return: whether either revision is higher than the other's"""
-        return self.config > other.config or self.servers > other.servers
+        return _is_newer(self.config, other.config) or _is_newer(self.servers, other.servers)
+
+    def is_eras_ahead_of(self, other: StoreRevisions) -> bool:
+        """:return: whether the other router has missed a restore of the store"""
+        pairs = ((self.config, other.config), (self.servers, other.servers))
+        return any(theirs and get_era(own) > get_era(theirs) > 0 for own, theirs in pairs)
 
 
 @attrs.define
@@ -53,6 +59,7 @@
     failures: int = 0
     part_crashes: int = 0
     limits: int = 0
+    removals: int = 0
     loads: dict[str, ReportedLoad] = attrs.field(factory=dict)  # by server, without idle ones
 
 
@@ -91,6 +98,11 @@
             view.newest_revision(dialect.config_key), view.newest_revision(dialect.servers_prefix)
         )
 
+    def get_era(self) -> int:
+        """:return: era of the newest known store entry"""
+        revisions = self.get_revisions()
+        return get_era(max(revisions.config, revisions.servers))
+
     def list_items_newer_than(self, revisions: StoreRevisions) -> list[StoredItem]:
         """
         List the store entries that a peer lacks.
@@ -100,9 +112,20 @@
         """
         dialect = self._registry.dialect
         view = self._registry.store_view
-        found = view.newer_than(dialect.config_key, revisions.config)
-        found += view.newer_than(dialect.servers_prefix, revisions.servers)
-        return found
+        pairs = (
+            (dialect.config_key, revisions.config),
+            (dialect.servers_prefix, revisions.servers),
+        )
+        return [
+            item
+            for prefix, revision in pairs
+            for item in view.newer_than(prefix, 0)
+            if _is_newer(item.revision, revision)
+        ]
+
+    def list_items_lost_in_restore(self) -> list[StoredItem]:
+        """:return: items in force that a peer cannot read from the restored store"""
+        return self._registry.list_items_lost_in_restore()
 
     def record_prompt(self, server: BackendServer, prompt: Prompt, engine: EngineProfile) -> None:
         """
@@ -123,6 +146,7 @@
             history.recent.count,
             history.part_crashes.recent.count,
             self._registry.server_limits.recent.count,
+            self._registry.recent_removals.count,
         )
 
     def build_first_report(self) -> PeerReport:
@@ -163,6 +187,21 @@
         cursor.part_crashes, cursor.limits = part_crashes.count, limits.count
         return report
 
+    def take_removals(self, cursor: ReportCursor) -> tuple[StoredItem, ...]:
+        """
+        List the removals that this router found after a restore, since the cursor.
+
+        Their revision may be known to peers already, so a peer's own reports do not tell that it
+        lacks them.
+
+        :param cursor: what has been sent; it is advanced
+        :return: tombstones
+        """
+        removals = self._registry.recent_removals
+        found = removals.since(cursor.removals)
+        cursor.removals = removals.count
+        return found
+
     def apply_report(self, peer: str, report: PeerReport) -> None:
         """
         Apply a peer's report of its loads, prompts and failures.
@@ -263,6 +302,12 @@
         record_prefill(server, prompt, self._costs, cache_tokens, self._clock.now_ms())
 
 
+def _is_newer(own: int, other: int) -> bool:
+    if get_era(other) == 0:  # of a router that knows no eras yet, or has no entries
+        return get_store_revision(own) > other
+    return own > other
+
+
 def _to_peer_load(load: ReportedLoad) -> PeerLoad:
     return PeerLoad(
         in_flight=load.in_flight,
--- a/src/boragetiller/gateway/store_watcher.py
+++ b/src/boragetiller/gateway/store_watcher.py
@@ -90,11 +90,12 @@
         retry_ms = RETRY_BASE_MS
         while True:
             try:
-                if prefix == self._dialect.servers_prefix and not self._must_watch():
+                is_servers = prefix == self._dialect.servers_prefix
+                if is_servers and not self._must_watch():
                     revision = 0  # peers send changes meanwhile
                     await asyncio.sleep(ELECTION_CHECK_MS / 1_000)
                     continue
-                if revision == 0:
+                if revision == 0 or (is_servers and self._get_relist_wait_ms() == 0):
                     revision = await self._list_prefix(prefix, "read")
                 revision = await self._watch_once(prefix, revision)
                 retry_ms = RETRY_BASE_MS
@@ -134,6 +135,8 @@
             try:
                 for prefix in (self._dialect.config_key, self._dialect.servers_prefix):
                     await self._list_prefix(prefix, "reread")
+            except HistoryLost:
+                continue  # restored during the listing; the watches list again
             except StoreUnavailable as error:
                 self._set_store_reachable(False, str(error))
             else:
@@ -145,17 +148,28 @@
         return listing.revision
 
     def _must_watch(self) -> bool:
-        return not self._registry.servers_listed or self._watcher_election.is_watcher(
-            self._clock.now_ms()
+        # After a restore each router lists the servers itself: to send the whole list to all
+        # others would cost the watchers more than the listings cost the store.
+        restored = (self._store.eras.era or 0) > self._registry.restore_grace.era
+        return (
+            not self._registry.servers_listed
+            or restored
+            or self._watcher_election.is_watcher(self._clock.now_ms())
         )
 
+    def _get_relist_wait_ms(self) -> int:
+        wait_ms = self._registry.restore_grace.compute_relist_wait_ms(self._clock.now_ms())
+        return WATCH_WAIT_MS if wait_ms is None else min(wait_ms, WATCH_WAIT_MS)
+
     async def _watch_once(self, prefix: str, revision: int) -> int:
         started_ms = self._clock.now_ms()
+        is_servers = prefix == self._dialect.servers_prefix
+        wait_ms = self._get_relist_wait_ms() if is_servers else WATCH_WAIT_MS
         listing = await self._call(
-            "watch", lambda: self._store.watch_prefix(prefix, revision, WATCH_WAIT_MS)
+            "watch", lambda: self._store.watch_prefix(prefix, revision, wait_ms)
         )
         self._registry.apply_changes(listing.items, "watch")
-        if prefix == self._dialect.servers_prefix:  # batch further changes
+        if is_servers:  # batch further changes
             took_ms = self._clock.now_ms() - started_ms
             await asyncio.sleep(max(0.0, self._watch_interval_ms - took_ms) / 1_000)
         return max(revision, listing.revision)
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -25,10 +25,11 @@
     encode_frame,
 )
 from boragetiller.gateway.settings import Endpoint
+from boragetiller.store_eras import extend_revision
 from boragetiller.systems.failure_history import exclude_failed_servers, record_error
 from boragetiller.tables.call_metadata import Prompt, PromptPart
 from boragetiller.tables.failure_history import FailureKind, RequestFailure
-from boragetiller.tables.store_view import StoredItem
+from boragetiller.tables.store_view import EntryVersion, StoredItem
 from tests.gateway.harness import FakeStore, RouterHarness, build_config, wait_until
 from tests.gateway.scripted_engine import ScriptedEngine, build_response
 
@@ -245,7 +246,11 @@
                 store_reads=3,
             ),
             PeerRouters((Endpoint("10.0.0.1", 80), Endpoint("10.0.0.2", 81))),
+            PeerReport(
+                config_revision=extend_revision(3, 1), servers_revision=extend_revision(2, 9)
+            ),
             PeerItems((StoredItem("k", b"x" * 200_000, 3), StoredItem("l", None, 4))),
+            PeerItems((StoredItem("m", None, extend_revision(2, 4), EntryVersion(1_000, 7)),)),
         ):
             with self.subTest(message=type(message).__name__):
                 self.assertEqual(decode_payload(encode_frame(message)[LENGTH_BYTES:]), message)
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import json
 import unittest
 from typing import Any
 from unittest.mock import patch
 
 import tests.platform_path  # noqa: F401
 from boragetiller.errors import StoreUnavailable
+from boragetiller.gateway.state_sync import StoreRevisions
+from boragetiller.store_eras import MAX_REVISION
+from boragetiller.tables.store_view import StoredItem
 from kv_store import KvStoreClient
 from tests.gateway.harness import KEY, RouterHarness, build_config, wait_until
 from tests.gateway.scripted_engine import ScriptedEngine, build_response
@@ -31,7 +35,7 @@
     """One store, one backend server and one or two routers."""
 
     async def asyncSetUp(self) -> None:
-        self.engine = ScriptedEngine(lambda r, w: _respond(r, w))
+        self.engine = ScriptedEngine(_respond)
         await self.engine.start()
         self.addAsyncCleanup(self.engine.close)
         self.store = PlatformStoreServer()
@@ -158,7 +162,7 @@
         self.store.register("b", self.engine, "shop")
         self.store.register("c", self.engine, "shop")
         await wait_until(lambda: self.list_accepting() == ["a", "b", "c"])
-        with patch("boragetiller.gateway.backend_registry.MISSING_GRACE_MS", 600, create=True):
+        with patch("boragetiller.systems.store_restores.MISSING_GRACE_MS", 600):
             await self.restore(copy)
             await self.wait_for_marker()
             self.assertEqual(self.list_accepting(), ["a", "b", "c"])
@@ -217,6 +221,37 @@
         await self.wait_for_version(2, second)
         await wait_until(lambda: not self.list_accepting(second))
 
+    async def test_server_removed_after_the_grace_leaves_a_router_without_store_access(
+        self,
+    ) -> None:
+        second = await self.start_peer()
+        copy = self.store.copy()
+        self.store.register("b", self.engine, "shop")
+        await wait_until(lambda: self.list_accepting(second) == ["a", "b"])
+        second.store.cut = True
+        with patch("boragetiller.systems.store_restores.MISSING_GRACE_MS", 600):
+            await self.restore(copy)
+            await wait_until(lambda: self.list_accepting() == ["a"])
+            await wait_until(lambda: self.list_accepting(second) == ["a"])
+
+    async def test_responses_without_an_era_are_applied(self) -> None:
+        for header in ("", "garbled", "99999999"):
+            self.store.era_header = header
+            version = self.store.revision
+            self.store.put("op/config", build_config(version))
+            await self.wait_for_version(version)
+
+    async def test_router_of_the_last_release_gets_changes_by_the_stores_own_revision(self) -> None:
+        sync = self.first.router.state_sync
+        revisions = sync.get_revisions()
+        without_era = StoreRevisions(revisions.config & MAX_REVISION, 0)
+        self.assertEqual(
+            [item.key for item in sync.list_items_newer_than(without_era)], ["servers/a"]
+        )
+        self.assertFalse(revisions.is_eras_ahead_of(without_era))
+        sync.apply_items((StoredItem("op/config", json.dumps(build_config(8)).encode(), 3),), "old")
+        await self.wait_for_version(8)
+
 
 async def _respond(request: Any, writer: Any) -> None:
     writer.write(build_response(request.request_id))
--- a/tests/platform_adapter/store_server.py
+++ b/tests/platform_adapter/store_server.py
@@ -43,12 +43,12 @@
         self.on_page: Any = None  # called before each page of a listing
         self.watched_after: list[int] = []
         self._changed = asyncio.Event()
-        self._runner = web.ServerRunner(web.Server(self._handle))
+        self._runner = web.ServerRunner(web.Server(self._handle), shutdown_timeout=0.1)
 
     async def start(self) -> Endpoint:
         """:return: address of the server"""
         await self._runner.setup()
-        await web.TCPSite(self._runner, "127.0.0.1", 0, shutdown_timeout=0.1).start()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
         return Endpoint("127.0.0.1", self._runner.addresses[0][1])
 
     async def close(self) -> None:
@@ -115,8 +115,8 @@
             handler = self._watch if request.path == "/kv-watch" else self._list
             status, document = await handler(request)
         if self.down:
-            assert request.transport is not None
-            request.transport.abort()
+            if request.transport is not None:
+                request.transport.abort()
             return web.Response()
         era = str(self.era) if self.era_header is None else self.era_header
         headers = {ERA_HEADER: era} if era else {}
--- a/tests/platform_adapter/test_kv_store.py
+++ b/tests/platform_adapter/test_kv_store.py
@@ -12,6 +12,7 @@
 import tests.platform_path  # noqa: F401
 from boragetiller.errors import HistoryLost, StoreUnavailable
 from boragetiller.gateway.settings import Endpoint
+from boragetiller.store_eras import extend_revision
 from boragetiller.tables.store_view import StoredItem, StoreView
 from kv_store import KvStoreClient
 
@@ -36,9 +37,10 @@
         self.requests.append((request.path, dict(request.query)))
         return self.responses.pop(0)
 
-    def queue_response(self, document: object, status: int = 200) -> None:
+    def queue_response(self, document: object, status: int = 200, era: str | None = None) -> None:
         body = document if isinstance(document, bytes) else json.dumps(document).encode()
-        self.responses.append(web.Response(status=status, body=body))
+        headers = {} if era is None else {"Store-Era": era}
+        self.responses.append(web.Response(status=status, body=body, headers=headers))
 
     async def test_list_prefix_reads_all_pages(self) -> None:
         first = {"entries": [build_entry("s/a", b"1", 3)], "has-more": True, "current-rev": 9}
@@ -73,6 +75,31 @@
             with self.assertRaises(StoreUnavailable):
                 await self.store.list_prefix("s/")
 
+    async def test_restore_between_two_pages_fails_the_listing(self) -> None:
+        first = {"entries": [build_entry("s/a", b"1", 3)], "has-more": True, "current-rev": 9}
+        second = {"entries": [build_entry("s/b", b"2", 4)], "has-more": False, "current-rev": 9}
+        self.queue_response(first, era="1")
+        self.queue_response(second, era="2")
+        with self.assertRaises(HistoryLost):
+            await self.store.list_prefix("s/")
+
+    async def test_watch_position_of_an_earlier_era_counts_as_lost(self) -> None:
+        position = extend_revision(1, 6)
+        changes = {"events": [build_entry("s/a", b"1", 7)], "current-rev": 7}
+        self.queue_response(changes, era="1")
+        listing = await self.store.watch_prefix("s/", position, 100)
+        self.assertEqual(listing.items, [StoredItem("s/a", b"1", extend_revision(1, 7))])
+        self.queue_response(changes, era="2")
+        with self.assertRaises(HistoryLost):
+            await self.store.watch_prefix("s/", position, 100)
+        self.assertEqual([query["after"] for _, query in self.requests], ["6", "6"])
+
+    async def test_revision_out_of_range_counts_as_unavailable(self) -> None:
+        for revision in (-1, 1 << 40):
+            self.queue_response({"events": [], "current-rev": revision}, era="1")
+            with self.subTest(revision=revision), self.assertRaises(StoreUnavailable):
+                await self.store.watch_prefix("s/", 1, 100)
+
     async def test_malformed_responses_count_as_unavailable(self) -> None:
         malformed = (
             b"",
@@ -112,7 +139,7 @@
 
 class StoreViewTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.view = StoreView()
+        self.view = StoreView(lambda _key, _value: None)
         self.view.apply([StoredItem("s/a", b"1", 3), StoredItem("s/b", b"2", 4)])
 
     def test_older_revision_is_ignored(self) -> None:
@@ -120,13 +147,15 @@
         self.assertEqual(self.view.items["s/a"].value, b"1")
 
     def test_listing_removes_missing_keys(self) -> None:
-        changes = self.view.apply_listing("s/", [StoredItem("s/a", b"1", 3)], 9)
+        changes = self.view.apply_listing(
+            "s/", [StoredItem("s/a", b"1", 3)], 9, keep_earlier_eras=True
+        )
         self.assertEqual(changes, [StoredItem("s/b", None, 9)])
         self.assertEqual([item.key for item in self.view.list_entries("s/")], ["s/a"])
 
     def test_listing_keeps_keys_newer_than_the_listing(self) -> None:
         self.view.apply([StoredItem("s/c", b"3", 12)])
-        self.view.apply_listing("s/", [], 9)
+        self.view.apply_listing("s/", [], 9, keep_earlier_eras=True)
         self.assertEqual([item.key for item in self.view.list_entries("s/")], ["s/c"])
 
     def test_newer_items_include_removed_keys(self) -> None:
