--- a/bench/shard_simulation.py
+++ b/bench/shard_simulation.py
@@ -72,6 +72,14 @@
     late_ms: int = 20_000
 
 
+@attrs.frozen(kw_only=True)
+class StoreCopy:
+    """Entries of the store and its revision at one moment."""
+
+    entries: dict[str, tuple[Any, int]]
+    revision: int
+
+
 @attrs.define(kw_only=True)
 class AgentState:
     """One agent process."""
@@ -120,6 +128,7 @@
         self._shard_count = shard_count
         self._tick_ms = tick_ms
         self._revision = 0
+        self._era = 1
         self._event_count = 0
         self._next_call = 0
         self._incarnations: Counter[str] = Counter()
@@ -186,6 +195,19 @@
         self._deliver(call)
         return call
 
+    def copy_store(self) -> StoreCopy:
+        """:return: copy of the store for :meth:`restore_store`"""
+        return StoreCopy(entries=dict(self.store), revision=self._revision)
+
+    def restore_store(self, copy: StoreCopy) -> None:
+        """
+        Lose all changes since a copy; their revisions are given out again.
+
+        :param copy: the state to return to
+        """
+        self.store, self._revision = dict(copy.entries), copy.revision
+        self._era += 1
+
     def find_owner(self, key: str) -> str | None:
         """:return: the running agent that owns the shard of the key, None if there is none"""
         index = shards.shard_of("acme", key, self._shard_count)
--- a/tests/systems/shard_faults.py
+++ b/tests/systems/shard_faults.py
@@ -33,6 +33,8 @@
             NAMES, self._rng, settings=SETTINGS, shard_count=4, tick_ms=100, host_list_lag_ms=500
         )
         self.calls: list[Call] = []
+        self.restores = False  # whether the store is restored from older copies
+        self._copies = [self.simulation.copy_store()]
         self._faulty_agents: set[str] = set()
 
     def run(self, steps: int) -> None:
@@ -68,6 +70,17 @@
             self.simulation.faults.store_down = not self.simulation.faults.store_down
         elif draw < 0.8:
             self._inject_agent_fault(self._rng.choice(NAMES))
+        elif self.restores and draw < 0.84:
+            self._restore_store()
+
+    def _restore_store(self) -> None:
+        """Go back to one of the last copies half of the times, else make a new one."""
+        if self._rng.random() < 0.5:
+            self._copies = [*self._copies, self.simulation.copy_store()][-3:]
+            return
+        index = self._rng.randrange(len(self._copies))
+        self.simulation.restore_store(self._copies[index])
+        self._copies = self._copies[: index + 1]
 
     def _send(self, key: str) -> None:
         owner = self.simulation.find_owner(key)
