Extend revisions and fencing tokens of the product's own store by its era

Cause: after a restore from an older copy the store counts the same revisions again. A compare-and-swap could succeed on another value with the same revision, a watch went on from a revision that meant other changes, and the tokens of new leases were lower than used ones: an agent refuses such a lease (adopt_lease) and engines refuse its orders. Change: both clients extend revisions and tokens by the era of the response. A write that expects a revision from before a known restore conflicts, one that meets the restored store first has an unknown outcome, and a watch position of an earlier era is lost history. The stand-ins (in memory and over HTTP) can be restored and name the era in Store-Era.

--- a/src/boragetiller/platform_clients/http_session.py
+++ b/src/boragetiller/platform_clients/http_session.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from boragetiller.errors import RevisionConflict, StoreUnavailable, ValueTooLarge
+from boragetiller.errors import HistoryLost, RevisionConflict, StoreUnavailable, ValueTooLarge
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -59,6 +59,7 @@
         :param options: further arguments of aiohttp's request
         :return: the response, with status 200, 404, or 304 to a conditional request
         :raises RevisionConflict: the service responded with status 409
+        :raises HistoryLost: the service responded with status 410
         :raises ValueTooLarge: the service responded with status 413
         :raises StoreUnavailable: no response, another status, or an invalid body
         """
@@ -80,6 +81,8 @@
 def _check_status(response: aiohttp.ClientResponse) -> None:
     if response.status == 409:
         raise RevisionConflict
+    if response.status == 410:
+        raise HistoryLost
     if response.status == 413:
         raise ValueTooLarge
     conditional = "If-None-Match" in response.request_info.headers
--- a/src/boragetiller/platform_clients/memory_store.py
+++ b/src/boragetiller/platform_clients/memory_store.py
@@ -9,11 +9,12 @@
 
 import attrs
 
-from boragetiller.errors import RevisionConflict, StoreUnavailable, ValueTooLarge
+from boragetiller.errors import HistoryLost, RevisionConflict, StoreUnavailable, ValueTooLarge
 from boragetiller.platform_clients.faults import CallKind, StoreFaults
 from boragetiller.platform_clients.memory_hosts import MemoryHostList
 from boragetiller.platform_clients.memory_weights import MemoryWeightStore
 from boragetiller.platform_clients.store import Entry, Lease
+from boragetiller.store_eras import extend_revision, get_era, get_store_revision
 
 if TYPE_CHECKING:
     import builtins
@@ -32,6 +33,16 @@
     expires_ms: int
 
 
+@attrs.frozen
+class StoreCopy:
+    """Entries, leases and history of a store at one moment; revisions are the store's own."""
+
+    revision: int
+    entries: dict[str, Entry]
+    leases: dict[str, _HeldLease]
+    change_log: tuple[Entry, ...]
+
+
 class MemoryStore:
     """In-memory implementation of :class:`boragetiller.platform_clients.store.Store`."""
 
@@ -45,7 +56,8 @@
         self.faults = faults or StoreFaults()
         self.counts: Counter[CallKind] = Counter()
         self._clock = clock
-        self._revision = 0
+        self._era = 0
+        self._revision = 0  # counted by the store itself, as all revisions inside of it
         self._entries: dict[str, Entry] = {}
         self._stale_entries: dict[str, Entry] = {}
         self._change_log: list[Entry] = []
@@ -68,21 +80,45 @@
         """Let one more write take effect without a reply."""
         self.inject_faults(lose_replies=self.faults.lose_replies + 1)
 
+    def copy(self) -> StoreCopy:
+        """:return: copy of the present state, for :meth:`restore`"""
+        leases = {name: attrs.evolve(held) for name, held in self._leases.items()}
+        return StoreCopy(self._revision, dict(self._entries), leases, tuple(self._change_log))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """
+        Lose all that changed since a copy, leases too, end all watches, and begin the next era.
+
+        :param copy: the state to return to
+        """
+        self._revision, self._entries = copy.revision, dict(copy.entries)
+        self._leases = {name: attrs.evolve(held) for name, held in copy.leases.items()}
+        self._change_log = list(copy.change_log)
+        self._era += 1
+        self._notify_watches()
+
+    @property
+    def era(self) -> int:
+        """See :class:`Store`."""
+        return self._era
+
     @property
     def revision(self) -> int:
-        """:return: revision of the newest change or lease"""
-        return self._revision
+        """:return: extended revision of the newest change or lease"""
+        return extend_revision(self._era, self._revision)
 
     async def get(self, key: str) -> Entry | None:
         """See :class:`Store`."""
         await self._begin_call(CallKind.GET)
-        return self._get_readable_entries().get(key)
+        entry = self._get_readable_entries().get(key)
+        return None if entry is None else self._extend_entry(entry)
 
     async def list(self, prefix: str) -> builtins.list[Entry]:
         """See :class:`Store`."""
         await self._begin_call(CallKind.LIST)
         entries = self._get_readable_entries()
-        return [entries[key] for key in sorted(entries) if key.startswith(prefix)]
+        found = [entries[key] for key in sorted(entries) if key.startswith(prefix)]
+        return [self._extend_entry(entry) for entry in found]
 
     async def put(self, key: str, value: bytes, *, expected_revision: int) -> int:
         """See :class:`Store`."""
@@ -93,7 +129,7 @@
         entry = self._append_change(key, value)
         self._entries[key] = entry
         self._end_write_call()
-        return entry.revision
+        return self._extend_entry(entry).revision
 
     async def delete(self, key: str, *, expected_revision: int) -> None:
         """See :class:`Store`."""
@@ -106,12 +142,18 @@
     async def watch(self, prefix: str, *, after_revision: int) -> AsyncIterator[Entry]:
         """See :class:`Store`; a deletion is sent as an entry with an empty value."""
         await self._begin_call(CallKind.WATCH)
-        position_revision = after_revision
+        era, position_revision = self._era, get_store_revision(after_revision)
+        if position_revision and (
+            get_era(after_revision) != era or position_revision > self._revision
+        ):
+            raise HistoryLost
         while True:
             changed = self._change_event
+            if self._era != era:
+                raise StoreUnavailable("the watch was interrupted by a restore")
             for entry in self._list_pending_changes(prefix, position_revision):
                 position_revision = max(position_revision, entry.revision)
-                yield entry
+                yield self._extend_entry(entry)
                 if self.faults.watch_end:
                     return
             if self.faults.outage:
@@ -126,7 +168,8 @@
             self._end_write_call()
             return None
         self._revision += 1
-        lease = Lease(name=name, holder=holder, token=self._revision, ttl_ms=ttl_ms)
+        token = extend_revision(self._era, self._revision)
+        lease = Lease(name=name, holder=holder, token=token, ttl_ms=ttl_ms)
         self._leases[name] = _HeldLease(lease, self._clock.now_ms() + ttl_ms)
         self._end_write_call()
         return lease
@@ -179,8 +222,15 @@
     def _check_revision(self, key: str, expected_revision: int) -> None:
         entry = self._entries.get(key)
         revision = entry.revision if entry else 0
-        if revision != expected_revision:
-            raise RevisionConflict(f"{key}: expected {expected_revision}, stored {revision}")
+        same_era = get_era(expected_revision) == self._era or not get_store_revision(
+            expected_revision
+        )
+        if revision != get_store_revision(expected_revision) or not same_era:
+            stored = extend_revision(self._era, revision)
+            raise RevisionConflict(f"{key}: expected {expected_revision}, stored {stored}")
+
+    def _extend_entry(self, entry: Entry) -> Entry:
+        return attrs.evolve(entry, revision=extend_revision(self._era, entry.revision))
 
     def _append_change(self, key: str, value: bytes) -> Entry:
         self._revision += 1
@@ -217,4 +267,11 @@
         return held
 
 
-__all__ = ["DELETED_VALUE", "MAX_VALUE_BYTES", "MemoryHostList", "MemoryStore", "MemoryWeightStore"]
+__all__ = [
+    "DELETED_VALUE",
+    "MAX_VALUE_BYTES",
+    "MemoryHostList",
+    "MemoryStore",
+    "MemoryWeightStore",
+    "StoreCopy",
+]
--- a/src/boragetiller/platform_clients/store.py
+++ b/src/boragetiller/platform_clients/store.py
@@ -13,7 +13,12 @@
 
 @attrs.frozen
 class Entry:
-    """A key, its value and its revision; revisions strictly increase over the whole store."""
+    """
+    A key, its value and its revision.
+
+    Revisions strictly increase over the whole store. They are extended by the store's era, so that
+    they do so even when it is restored from an older copy; see boragetiller.store_eras.
+    """
 
     key: str
     value: bytes
@@ -22,7 +27,7 @@
 
 @attrs.frozen
 class Lease:
-    """A lease that the store granted; the token increases with each grant."""
+    """A lease that the store granted; the token, extended by the era, increases with each grant."""
 
     name: str
     holder: str
@@ -33,6 +38,11 @@
 class Store(Protocol):
     """Key-value store with compare-and-swap, leases and watches; the platform counts each call."""
 
+    @property
+    def era(self) -> int:
+        """:return: number of times that the store was restored, as its responses named it last"""
+        ...
+
     async def get(self, key: str) -> Entry | None:
         """
         Read the entry of a key.
@@ -48,12 +58,13 @@
 
     async def put(self, key: str, value: bytes, *, expected_revision: int) -> int:
         """
-        Write a value if the stored revision is the expected one; 0 creates the key.
+        Write a value if the stored revision is the expected one; 0 in any era creates the key.
 
         :return: the new revision
         :raises RevisionConflict: the stored revision differs; nothing was written
         :raises ValueTooLarge: the value exceeds the size limit of the store
-        :raises StoreUnavailable: no valid response; the write may have taken effect
+        :raises StoreUnavailable: no valid response, or the store was restored meanwhile; the write
+            may have taken effect
         """
         ...
 
@@ -74,6 +85,7 @@
         watch at any time.
 
         :param after_revision: only entries with a higher revision are sent
+        :raises HistoryLost: the store was restored from a copy that lacks the revision
         :raises StoreUnavailable: the connection broke
         """
         ...
--- a/src/boragetiller/platform_clients/wire_format.py
+++ b/src/boragetiller/platform_clients/wire_format.py
@@ -14,6 +14,7 @@
     from aiohttp import StreamReader
 
 REVISION_HEADER = "X-Revision"
+ERA_HEADER = "Store-Era"  # in all responses of the store
 MAX_REQUEST_BYTES = 2_000_000
 _INTEGER_FIELDS = ("data_port", "control_port")
 _HOST_FIELD_TYPES = {
@@ -89,6 +90,7 @@
 
 
 __all__ = [
+    "ERA_HEADER",
     "MAX_REQUEST_BYTES",
     "REVISION_HEADER",
     "decode_host",
--- a/src/boragetiller/standin/platform_server.py
+++ b/src/boragetiller/standin/platform_server.py
@@ -14,6 +14,7 @@
 from boragetiller.clock import SystemClock
 from boragetiller.errors import (
     BoragetillerError,
+    HistoryLost,
     RevisionConflict,
     StoreUnavailable,
     ValueTooLarge,
@@ -24,8 +25,9 @@
     MemoryStore,
     MemoryWeightStore,
 )
-from boragetiller.platform_clients.store import Lease
+from boragetiller.platform_clients.store import Entry, Lease
 from boragetiller.platform_clients.wire_format import (
+    ERA_HEADER,
     MAX_REQUEST_BYTES,
     REVISION_HEADER,
     decode_host,
@@ -38,6 +40,7 @@
     reset_connection,
     serve_until_signal,
 )
+from boragetiller.store_eras import extend_revision, get_store_revision
 from boragetiller.structure import structure_yaml
 
 if TYPE_CHECKING:
@@ -93,6 +96,7 @@
 
     def _build_app(self) -> web.Application:
         app = web.Application(client_max_size=MAX_REQUEST_BYTES, middlewares=[_convert_errors])
+        app.on_response_prepare.append(self._add_era)
         app.add_routes(
             [
                 web.get("/entry", self._get_entry),
@@ -115,30 +119,41 @@
         )
         return app
 
+    async def _add_era(self, _: web.Request, response: web.StreamResponse) -> None:
+        response.headers[ERA_HEADER] = str(self.store.era)
+
+    def _extend(self, revision: str) -> int:
+        """:return: revision of a request as the store takes it; it names no era"""
+        return extend_revision(self.store.era, int(revision))
+
     async def _get_entry(self, request: web.Request) -> web.Response:
         entry = await self.store.get(request.query["key"])
         if entry is None:
             return web.Response(status=404)
-        return web.Response(body=entry.value, headers={REVISION_HEADER: str(entry.revision)})
+        return web.Response(
+            body=entry.value, headers={REVISION_HEADER: str(get_store_revision(entry.revision))}
+        )
 
     async def _list_entries(self, request: web.Request) -> web.Response:
         entries = await self.store.list(request.query["prefix"])
-        return web.Response(body=b"".join(encode_entry(entry) for entry in entries))
+        return web.Response(body=b"".join(_encode_change(entry) for entry in entries))
 
     async def _put_entry(self, request: web.Request) -> web.Response:
-        expected = int(request.query["expected_revision"])
+        expected = self._extend(request.query["expected_revision"])
         value = await request.read()
         revision = await self.store.put(request.query["key"], value, expected_revision=expected)
-        return web.json_response({"revision": revision})
+        return web.json_response({"revision": get_store_revision(revision)})
 
     async def _delete_entry(self, request: web.Request) -> web.Response:
-        expected = int(request.query["expected_revision"])
+        expected = self._extend(request.query["expected_revision"])
         await self.store.delete(request.query["key"], expected_revision=expected)
         return web.json_response({})
 
     async def _stream_changes(self, request: web.Request) -> web.StreamResponse:
         response = web.StreamResponse()
-        after_revision = int(request.query["after_revision"])
+        after_revision = self._extend(request.query["after_revision"])
+        if after_revision > self.store.revision:
+            raise HistoryLost
         changes = self.store.watch(request.query["prefix"], after_revision=after_revision)
         await response.prepare(request)
         next_change = asyncio.ensure_future(anext(changes))
@@ -153,7 +168,7 @@
                 if not next_change.done():
                     await response.write(b"\n")
                     continue
-                await response.write(encode_entry(next_change.result()))
+                await response.write(_encode_change(next_change.result()))
                 next_change = asyncio.ensure_future(anext(changes))
         except (StopAsyncIteration, ConnectionResetError):
             pass
@@ -167,17 +182,21 @@
         lease = await self.store.acquire_lease(body["name"], body["holder"], body["ttl_ms"])
         if lease is None:
             raise RevisionConflict
-        return web.json_response({"token": lease.token})
+        return web.json_response({"token": get_store_revision(lease.token)})
 
     async def _renew_lease(self, request: web.Request) -> web.Response:
-        if not await self.store.renew_lease(Lease(**await request.json())):
+        if not await self.store.renew_lease(await self._read_lease(request)):
             raise RevisionConflict
         return web.json_response({})
 
     async def _release_lease(self, request: web.Request) -> web.Response:
-        await self.store.release_lease(Lease(**await request.json()))
+        await self.store.release_lease(await self._read_lease(request))
         return web.json_response({})
 
+    async def _read_lease(self, request: web.Request) -> Lease:
+        lease = Lease(**await request.json())
+        return attrs.evolve(lease, token=extend_revision(self.store.era, lease.token))
+
     async def _list_hosts(self, request: web.Request) -> web.Response:
         hosts = [encode_host(host) for host in await self.host_list.list_hosts()]
         response = web.json_response(hosts)
@@ -225,6 +244,10 @@
         return web.json_response({kind.value: count for kind, count in counts.items()})
 
 
+def _encode_change(entry: Entry) -> bytes:
+    return encode_entry(attrs.evolve(entry, revision=get_store_revision(entry.revision)))
+
+
 @web.middleware
 async def _convert_errors(
     request: web.Request, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -234,7 +257,7 @@
     except StoreUnavailable:
         reset_connection(request.transport)
         return web.Response(status=503)
-    except (RevisionConflict, ValueTooLarge) as error:
+    except (HistoryLost, RevisionConflict, ValueTooLarge) as error:
         return _build_error_response(error)
     except (KeyError, TypeError, ValueError) as error:
         return web.json_response({"error": str(error)}, status=400)
