Follow records over a restore of the store, without going back to the copy

Operators' changes after a restore did not come into force at nodes that knew a higher page revision, and the copy could not be told from a newer page. Cause: pages are ordered by a revision that a restore sets back. Change: pages are ordered by the extended revision; a watch whose position is lost lists again; a record of an earlier era stays in force while the store has only an ancestor of it, found by the write IDs in its history. A record that was written after the restore replaces it.

--- a/src/boragetiller/router/config_sync.py
+++ b/src/boragetiller/router/config_sync.py
@@ -8,11 +8,12 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from boragetiller.errors import BoragetillerError
+from boragetiller.errors import BoragetillerError, HistoryLost
 from boragetiller.events import Event, log_event
 from boragetiller.records.pages import PAGE_COUNT, PAGE_PREFIX, parse_page_key
 from boragetiller.router.config_peers import ConfigPeers
 from boragetiller.settings import Role
+from boragetiller.store_eras import get_era, get_store_revision
 from boragetiller.systems.config_pages import (
     PageUpdate,
     apply_pages,
@@ -173,6 +174,8 @@
             try:
                 await self._read_and_watch()
                 failures = 0
+            except HistoryLost:
+                self._pages_listed = False
             except (BoragetillerError, OSError, ValueError) as error:
                 self._record_store_failure(error)
                 failures += 1
@@ -182,6 +185,7 @@
         if not self._pages_listed:
             entries = await self._store.list(PAGE_PREFIX)
             self._record_store_reached()
+            self._latest_revision = 0
             self._apply_entries(entries)
             self._pages_listed = True
             self._next_watch_revision = self._latest_revision
@@ -213,7 +217,12 @@
     def _apply(self, updates: list[PageUpdate]) -> bool:
         applied = apply_pages(self._table, updates, self._clock.now_ms())
         for update in applied:
-            log_event(Event.CONFIG_PAGE_TAKEN, page=update.index, revision=update.revision)
+            log_event(
+                Event.CONFIG_PAGE_TAKEN,
+                page=update.index,
+                era=get_era(update.revision),
+                revision=get_store_revision(update.revision),
+            )
         if applied:
             if self._table.ready:
                 self._log_record_problems()
--- a/src/boragetiller/systems/config_pages.py
+++ b/src/boragetiller/systems/config_pages.py
@@ -1,4 +1,9 @@
-"""Apply configuration pages to the configuration table; the revision of a page never decreases."""
+"""
+Apply configuration pages to the configuration table.
+
+The revision of a page never decreases, and a record never goes back to an earlier version, even
+when the store is restored from an older copy.
+"""
 
 from __future__ import annotations
 
@@ -10,14 +15,16 @@
 from boragetiller.records.build import UnreadableRecord, build_record
 from boragetiller.records.pages import build_page_key, decode_page, split_record_id
 from boragetiller.records.references import find_reference_problems
+from boragetiller.records.restores import find_newer_records
 from boragetiller.records.schema import RecordKind
+from boragetiller.store_eras import get_era
 from boragetiller.tables.config import HeldPage
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from boragetiller.records.model import Record
-    from boragetiller.records.pages import Page
+    from boragetiller.records.pages import StoredRecord
     from boragetiller.tables.config import ConfigTable
 
 
@@ -95,6 +102,7 @@
     held = table.pages.get(update.index)
     if held is not None and update.revision <= held.revision:
         return False
+    known = _list_known_records(held, update.revision)
     applied = HeldPage(revision=update.revision, data=update.data, applied_ms=now_ms)
     table.pages[update.index] = applied
     table.page_revisions[build_page_key(update.index)] = update.revision
@@ -103,17 +111,28 @@
     except SettingsInvalid as error:
         applied.problem = str(error)
         applied.record_revisions = held.record_revisions if held else {}
+        applied.retained = known
         return True
-    _apply_records(table, page, applied)
+    applied.retained = find_newer_records(known, page.records)
+    _apply_records(table, page.records | applied.retained, applied)
     if set(applied.unreadable) != set(held.unreadable if held else ()):
         table.references_changed = True
-    for record_id in set(held.record_revisions if held else ()) - set(page.records):
+    for record_id in set(held.record_revisions if held else ()) - set(applied.record_revisions):
         _set_record(table, record_id, None)
     return True
 
 
-def _apply_records(table: ConfigTable, page: Page, applied: HeldPage) -> None:
-    for record_id, stored in page.records.items():
+def _list_known_records(held: HeldPage | None, revision: int) -> dict[str, StoredRecord]:
+    """:return: records that a page of this revision may have lost in a restore, by ID"""
+    if held is None:
+        return {}
+    if get_era(revision) == get_era(held.revision) or held.problem:
+        return held.retained
+    return decode_page(held.data).records | held.retained
+
+
+def _apply_records(table: ConfigTable, records: dict[str, StoredRecord], applied: HeldPage) -> None:
+    for record_id, stored in records.items():
         applied.record_revisions[record_id] = stored.revision
         try:
             record = build_record(record_id, stored)
--- a/src/boragetiller/tables/config.py
+++ b/src/boragetiller/tables/config.py
@@ -5,6 +5,7 @@
 import attrs
 
 from boragetiller.records.model import BackendGroup, Customer, RequestClass
+from boragetiller.records.pages import StoredRecord
 from boragetiller.records.references import ReferenceProblem
 
 
@@ -12,11 +13,13 @@
 class HeldPage:
     """A configuration page held by this node; `data` is passed on to peers unchanged."""
 
-    revision: int
+    revision: int  # extended by the era; see boragetiller.store_eras
     data: bytes
     applied_ms: int  # monotonic time at which the page came into force here
     record_revisions: dict[str, int] = attrs.Factory(dict)
     unreadable: dict[str, str] = attrs.Factory(dict)  # reason by record id
+    # Records in force of which the restored store has only earlier versions, by ID.
+    retained: dict[str, StoredRecord] = attrs.Factory(dict)
     problem: str = ""  # why the page as a whole is unreadable; empty if it is readable
 
 
--- a/tests/router/test_config_sync.py
+++ b/tests/router/test_config_sync.py
@@ -73,6 +73,20 @@
         await self.node.wait_until(lambda t: t.ready)
         self.assertEqual(self.node.sync.get_not_ready_reason(), "")
 
+    async def test_records_follow_a_store_that_was_restored_from_an_older_copy(self) -> None:
+        await write_fleet(self.store)
+        await self.node.sync.start()
+        await self.node.wait_until(lambda t: t.ready)
+        copy = self.store.copy()
+        await write_fields(self.store, "class", "quote", tier=2)
+        await self.node.wait_until(lambda t: t.classes["quote"].tier == 2)
+        lost_revision = self.node.table.pages[QUOTE_PAGE].revision
+        self.store.restore(copy)
+        await self.node.wait_until(lambda t: t.pages[QUOTE_PAGE].revision > lost_revision)
+        self.assertEqual(self.node.table.classes["quote"].tier, 2)
+        await write_fields(self.store, "class", "quote", tier=1)
+        await self.node.wait_until(lambda t: t.classes["quote"].tier == 1)
+
     async def test_reachable_store_is_listed_once_and_watched(self) -> None:
         await write_fleet(self.store)
         await self.node.sync.start()
--- a/tests/systems/test_config_pages.py
+++ b/tests/systems/test_config_pages.py
@@ -9,8 +9,15 @@
 
 import attrs
 
-from boragetiller.records.pages import MAX_PAGE_BYTES, Page, encode_page, get_page_index
+from boragetiller.records.pages import (
+    MAX_PAGE_BYTES,
+    Page,
+    decode_page,
+    encode_page,
+    get_page_index,
+)
 from boragetiller.records.schema import FIELDS, MODELS, RecordKind
+from boragetiller.store_eras import extend_revision
 from boragetiller.systems.config_pages import (
     PageUpdate,
     apply_pages,
@@ -42,6 +49,37 @@
         self.assertFalse(self._apply(7, old))
         self.assertEqual(self.table.classes["quote"].tier, 3)
 
+    def test_accepted_record_does_not_go_back_to_the_version_of_a_restored_page(self) -> None:
+        copied = encode_page(self.page)
+        write(self.page, make_document("class", "quote", tier=3))
+        write(self.page, make_document("class", "note", group="pool", tier=3))
+        self._apply(extend_revision(1, 9), encode_page(self.page))
+        self._apply(extend_revision(2, 4), copied)
+        self.assertEqual(self.table.classes["quote"].tier, 3)
+        self.assertIn("note", self.table.classes)
+        self.assertEqual(self.table.pages[get_page_index(QUOTE)].record_revisions[QUOTE], 2)
+
+    def test_record_written_after_a_restore_replaces_the_lost_one(self) -> None:
+        restored = decode_page(encode_page(self.page))
+        write(self.page, make_document("class", "quote", tier=3))
+        write(self.page, make_document("class", "quote", tier=1))
+        self._apply(extend_revision(1, 9), encode_page(self.page))
+        self._apply(extend_revision(2, 4), encode_page(restored))
+        write(restored, make_document("class", "note", group="pool", tier=3))
+        self._apply(extend_revision(2, 5), encode_page(restored))
+        self.assertEqual(self.table.classes["quote"].tier, 1)
+        write(restored, make_document("class", "quote", tier=0))
+        self._apply(extend_revision(2, 6), encode_page(restored))
+        self.assertEqual(self.table.classes["quote"].tier, 0)
+
+    def test_unreadable_page_after_a_restore_keeps_the_accepted_records(self) -> None:
+        copied = encode_page(self.page)
+        write(self.page, make_document("class", "quote", tier=3))
+        self._apply(extend_revision(1, 9), encode_page(self.page))
+        self._apply(extend_revision(2, 4), b"?")
+        self._apply(extend_revision(2, 5), copied)
+        self.assertEqual(self.table.classes["quote"].tier, 3)
+
     def test_record_of_newer_schema_keeps_the_last_readable_one(self) -> None:
         self._apply(1, encode_page(self.page))
         body = json.loads(zlib.decompress(encode_page(self.page)))
