Detect an edit whose base was lost in a restore of the store

Cause: base_revision counts the writes of a record. After a restore another write can make the same revision, and an edit of the lost one was merged over it as if it had been read: its operator overwrote a change without seeing it. Change: get prints base_write, the identifier of the write that made the revision; apply answers CONFLICT when the store has another write at that revision. Documents without base_write are taken as before.

--- a/src/boragetiller/cli/read.py
+++ b/src/boragetiller/cli/read.py
@@ -42,9 +42,7 @@
             f"{record_id}: stored in schema version {record.schema_version}; "
             "install a newer boragetiller to read it"
         )
-    document = build_document(
-        kind, name, record.fields, record.revision, schema_version=schema_version
-    )
+    document = build_document(kind, name, record, schema_version=schema_version)
     if options.output is OutputFormat.JSON:
         print(json.dumps(document, indent=2, ensure_ascii=False))
     else:
--- a/src/boragetiller/records/documents.py
+++ b/src/boragetiller/records/documents.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from typing import Any, NoReturn
+from typing import TYPE_CHECKING, Any, NoReturn
 
 import attrs
 import yaml
@@ -21,9 +21,12 @@
 )
 from boragetiller.structure import structure_node
 
+if TYPE_CHECKING:
+    from boragetiller.records.pages import StoredRecord
+
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 MAX_FILE_CHARACTERS = 16_000_000
-_HEADER_KEYS = ("kind", "name", "schema_version", "base_revision", ABSENT_FIELD)
+_HEADER_KEYS = ("kind", "name", "schema_version", "base_revision", "base_write", ABSENT_FIELD)
 
 
 @attrs.frozen(kw_only=True)
@@ -35,6 +38,7 @@
     schema_version: int
     fields: dict[str, Any]
     base_revision: int | None = None
+    base_write: str | None = None  # the write that made the base revision, None if not given
     line: int = 1
 
     @property
@@ -73,15 +77,14 @@
 
 
 def build_document(
-    kind: RecordKind, name: str, stored: dict[str, Any], revision: int, *, schema_version: int
+    kind: RecordKind, name: str, record: StoredRecord, *, schema_version: int
 ) -> dict[str, Any]:
     """
     Build the document of a stored record.
 
     :param kind: kind of record
     :param name: name of the record
-    :param stored: fields in stored form
-    :param revision: revision of the record, the base revision of the next edit
+    :param record: the record; its revision is the base of the next edit
     :param schema_version: schema version of the document
     :return: the document, with the default of each field that is not set
     """
@@ -89,8 +92,11 @@
         "kind": kind.value,
         "name": name,
         "schema_version": schema_version,
-        "base_revision": revision,
+        "base_revision": record.revision,
     }
+    if record.history:
+        document["base_write"] = record.history[-1].write_id
+    stored = record.fields
     if stored.get(ABSENT_FIELD):
         document[ABSENT_FIELD] = True
     for document_name, spec in get_fields(kind, schema_version).items():
@@ -126,6 +132,9 @@
     base_revision = None
     if "base_revision" in entries:
         base_revision = _parse_header_value(entries, "base_revision", int, node, source)
+    base_write = None
+    if "base_write" in entries:
+        base_write = _parse_header_value(entries, "base_write", str, node, source)
     fields = _parse_fields(entries, kind, version, source)
     return RecordDocument(
         kind=kind,
@@ -133,6 +142,7 @@
         schema_version=version,
         fields=fields,
         base_revision=base_revision,
+        base_write=base_write,
         line=node.start_mark.line + 1,
     )
 
--- a/src/boragetiller/records/writes.py
+++ b/src/boragetiller/records/writes.py
@@ -185,6 +185,13 @@
             f"run `boragetiller get {record_id}` again"
         )
         return _build_result(write, WriteState.REFUSED, revision, message=message)
+    if _is_base_lost(record, write.document):
+        message = (
+            f"base_revision {write.base_revision} of this document was made by write "
+            f"{write.document.base_write}, which is not in the store: the store was restored from "
+            f"an older copy; run `boragetiller get {record_id}` and edit that document"
+        )
+        return _build_result(write, WriteState.CONFLICT, revision, message=message)
     if write.base is None:
         message = (
             "this run wrote nothing: the revision that your edit is based on is unknown or no "
@@ -195,6 +202,15 @@
     return None
 
 
+def _is_base_lost(record: StoredRecord | None, document: RecordDocument) -> bool:
+    """:return: whether another write made the base revision than the document names"""
+    if record is None or document.base_write is None:
+        return False
+    write_ids = {entry.revision: entry.write_id for entry in record.history}
+    made_by = write_ids.get(document.base_revision or 0)
+    return made_by is not None and made_by != document.base_write
+
+
 def _add_defaults(document: RecordDocument, stored: StoredRecord) -> dict[str, Any]:
     if stored.revision and not (stored.absent and not document.absent):
         return document.fields
--- a/tests/records/test_documents.py
+++ b/tests/records/test_documents.py
@@ -10,9 +10,14 @@
 
 from boragetiller.errors import SettingsInvalid
 from boragetiller.records.documents import build_document, format_document, parse_documents
+from boragetiller.records.pages import HistoryEntry, StoredRecord
 from boragetiller.records.schema import FIELDS, RecordKind
 from tests.records.samples import FLEET, make_document
 
+HISTORY_ENTRY = HistoryEntry(
+    write_id="w4", office="kalisz", at_ms=1, schema_version=2, revision=4, changes={}
+)
+
 
 class DocumentTest(unittest.TestCase):
     """Parsing and formatting of documents."""
@@ -65,9 +70,15 @@
         for kind in RecordKind:
             for version in (1, 2):
                 document = make_document(kind.value, "x", version, **_build_required_fields(kind))
-                shown = build_document(kind, "x", document.fields, 4, schema_version=version)
+                record = StoredRecord(
+                    schema_version=version,
+                    revision=4,
+                    fields=document.fields,
+                    history=[HISTORY_ENTRY],
+                )
+                shown = build_document(kind, "x", record, schema_version=version)
                 again = parse_documents(format_document(shown))[0]
-                self.assertEqual(again.base_revision, 4)
+                self.assertEqual((again.base_revision, again.base_write), (4, "w4"))
                 self.assertLessEqual(document.fields.items(), again.fields.items())
                 names = {s.stored_name for s in FIELDS[kind] if s.in_version(version)}
                 self.assertEqual(set(again.fields), {*names, "absent"})
--- a/tests/records/test_writes.py
+++ b/tests/records/test_writes.py
@@ -52,6 +52,23 @@
         self.assertEqual(self._get_fields()["first_token_ms"], 900)
         self.assertEqual(self.page.records["class/quote"].schema_version, 2)
 
+    def test_edit_of_a_revision_lost_in_a_restore_conflicts_with_the_one_written_since(
+        self,
+    ) -> None:
+        copied = encode_page(self.page)
+        self._write(NORTH, base_revision=1, tier=2)
+        lost_write = self.page.records["class/quote"].history[-1].write_id
+        self.page = decode_page(copied)
+        self._write(WEST, base_revision=1, tier=3)
+        edit = {"base_revision": 2, "tier": 3, "deadline_ms": 9_000}
+        result = self._write(NORTH, **edit, base_write=lost_write)
+        self.assertEqual(result.state, WriteState.CONFLICT)
+        self.assertIn(lost_write, result.message)
+        self.assertEqual(self._get_fields()["deadline_ms"], 30_000)
+        known_write = self.page.records["class/quote"].history[-1].write_id
+        result = self._write(NORTH, **edit, base_write=known_write)
+        self.assertEqual(result.state, WriteState.ACCEPTED)
+
     def test_different_fields_merge(self) -> None:
         tier = self._prepare_write(WEST, base_revision=1, tier=2)
         deadline = self._prepare_write(NORTH, base_revision=1, deadline_ms=9_000)
