Send the records that a restored store lacks to nodes that join after the restore

A router that started after a restore took the copy's records though its peers had newer accepted ones in force. Cause: its page had the same revision as theirs, so no page was missing at either side. Change: a node keeps the pages of earlier eras from which it retains records, and sends them on each new connection and to the peer from which it learned the new era. A page of an earlier era is read for the records that the held page lacks. Test: test_router_that_joins_after_a_restore_learns_the_lost_records timed out before.

--- a/src/boragetiller/control/config_page_relay.py
+++ b/src/boragetiller/control/config_page_relay.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable
 
     from boragetiller.clock import Clock
-    from boragetiller.control.interfaces import ConfigPages
+    from boragetiller.control.interfaces import ConfigPage, ConfigPages
     from boragetiller.control.messages import Message
     from boragetiller.settings import ControlSettings
 
@@ -79,12 +79,14 @@
 
     def on_connected(self, peer: str) -> None:
         """
-        Send all revisions to a new peer.
+        Send all revisions to a new peer, and what it cannot read from a restored store.
 
         :param peer: name of the peer
         """
         self._peers[peer] = _PeerPages()
         self._send_all_revisions(peer)
+        for page in self._config.list_lost_pages():
+            self._send_page(peer, page)
 
     def on_disconnected(self, peer: str) -> None:
         """
@@ -123,9 +125,7 @@
         wanted = set(message.indexes[:PAGES_PER_REQUEST])
         for page in self._config.list_newer_pages({}):
             if page.index in wanted:
-                self._send(
-                    peer, PageResponse(index=page.index, revision=page.revision, body=page.data)
-                )
+                self._send_page(peer, page)
 
     def on_page_response(self, peer: str, message: PageResponse) -> bool:
         """
@@ -138,7 +138,10 @@
         self._pending_fetches.pop(message.index, None)
         applied = self._config.apply_page(message.index, message.revision, message.body)
         if not applied:
-            self._rejected_revisions[message.index] = message.revision
+            rejected = self._rejected_revisions.get(message.index, 0)
+            self._rejected_revisions[message.index] = max(rejected, message.revision)
+        else:
+            self._send_lost_pages(peer, message)
         if not any(fetch.peer == peer for fetch in self._pending_fetches.values()):
             self._request_newer_pages(peer)
         return applied
@@ -208,6 +211,15 @@
                 {index: _PendingFetch(peer, expires_ms) for index in wanted}
             )
 
+    def _send_lost_pages(self, peer: str, received: PageResponse) -> None:
+        """Send what this node retains of a page to the peer that it received the page from."""
+        for page in self._config.list_lost_pages():
+            if page.index == received.index and page.revision < received.revision:
+                self._send_page(peer, page)
+
+    def _send_page(self, peer: str, page: ConfigPage) -> None:
+        self._send(peer, PageResponse(index=page.index, revision=page.revision, body=page.data))
+
     def _handle_equal_digest(self, peer: str, state: _PeerPages) -> None:
         state.mismatched_heartbeats = 0
         if state.revisions is self._announced_revisions:
--- a/src/boragetiller/control/interfaces.py
+++ b/src/boragetiller/control/interfaces.py
@@ -47,6 +47,10 @@
         """:return: pages that this process holds in a newer revision"""
         ...
 
+    def list_lost_pages(self) -> Sequence[ConfigPage]:
+        """:return: pages with content in force that the store lost in a restore"""
+        ...
+
     def record_peer_revisions(
         self, peer: str, revisions: dict[int, int], *, complete: bool
     ) -> list[int]:
--- a/src/boragetiller/router/config_sync.py
+++ b/src/boragetiller/router/config_sync.py
@@ -17,6 +17,7 @@
 from boragetiller.systems.config_pages import (
     PageUpdate,
     apply_pages,
+    list_lost_pages,
     list_missing_pages,
     list_newer_pages,
     list_unreadable_records,
@@ -121,6 +122,10 @@
         """:return: pages for a peer that holds these revisions"""
         return list_newer_pages(self._table, revisions)
 
+    def list_lost_pages(self) -> list[PageUpdate]:
+        """:return: pages with records in force that the store lost in a restore"""
+        return list_lost_pages(self._table)
+
     def record_peer_revisions(
         self, peer: str, revisions: dict[int, int], *, complete: bool
     ) -> list[int]:
@@ -155,7 +160,7 @@
         :param index: number of the page
         :param revision: store revision of the page
         :param data: stored bytes
-        :return: whether the page was newer than the one held
+        :return: whether the page was newer than the one held, or has records that the store lost
         """
         if not 0 <= index < PAGE_COUNT or revision <= 0:
             return False
--- a/src/boragetiller/systems/config_pages.py
+++ b/src/boragetiller/systems/config_pages.py
@@ -18,7 +18,7 @@
 from boragetiller.records.restores import find_newer_records
 from boragetiller.records.schema import RecordKind
 from boragetiller.store_eras import get_era
-from boragetiller.tables.config import HeldPage
+from boragetiller.tables.config import HeldPage, LostPage
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -79,6 +79,15 @@
     ]
 
 
+def list_lost_pages(table: ConfigTable) -> list[PageUpdate]:
+    """:return: pages of earlier eras with records in force that a restored store lacks, by index"""
+    return [
+        PageUpdate(index=index, revision=lost.revision, data=lost.data)
+        for index, page in sorted(table.pages.items())
+        for lost in page.retained_from
+    ]
+
+
 def list_missing_pages(table: ConfigTable, revisions: dict[int, int]) -> list[int]:
     """:return: indexes of the pages that a peer with these revisions holds in a newer revision"""
     return sorted(
@@ -100,6 +109,8 @@
 
 def _apply_page(table: ConfigTable, update: PageUpdate, now_ms: int) -> bool:
     held = table.pages.get(update.index)
+    if held is not None and get_era(update.revision) < get_era(held.revision):
+        return _retain_records(table, held, update)
     if held is not None and update.revision <= held.revision:
         return False
     known = _list_known_records(held, update.revision)
@@ -112,8 +123,10 @@
         applied.problem = str(error)
         applied.record_revisions = held.record_revisions if held else {}
         applied.retained = known
+        applied.retained_from = _list_lost_pages(held, applied)
         return True
     applied.retained = find_newer_records(known, page.records)
+    applied.retained_from = _list_lost_pages(held, applied)
     _apply_records(table, page.records | applied.retained, applied)
     if set(applied.unreadable) != set(held.unreadable if held else ()):
         table.references_changed = True
@@ -131,6 +144,35 @@
     return decode_page(held.data).records | held.retained
 
 
+def _list_lost_pages(held: HeldPage | None, applied: HeldPage) -> tuple[LostPage, ...]:
+    """:return: pages from which the records are that the applied page retains"""
+    if held is None or not applied.retained:
+        return ()
+    if get_era(held.revision) == get_era(applied.revision):
+        return held.retained_from
+    return (*held.retained_from, LostPage(held.revision, held.data))
+
+
+def _retain_records(table: ConfigTable, held: HeldPage, update: PageUpdate) -> bool:
+    """
+    Retain the records of a page of an earlier era that the held page has lost.
+
+    :return: whether there are any
+    """
+    try:
+        records = decode_page(update.data).records
+        present = {} if held.problem else decode_page(held.data).records
+    except SettingsInvalid:
+        return False
+    lost = find_newer_records(records, present | held.retained)
+    if not lost:
+        return False
+    held.retained |= lost
+    held.retained_from = (*held.retained_from, LostPage(update.revision, update.data))
+    _apply_records(table, lost, held)
+    return True
+
+
 def _apply_records(table: ConfigTable, records: dict[str, StoredRecord], applied: HeldPage) -> None:
     for record_id, stored in records.items():
         applied.record_revisions[record_id] = stored.revision
@@ -187,6 +229,7 @@
 __all__ = [
     "PageUpdate",
     "mark_ready",
+    "list_lost_pages",
     "list_missing_pages",
     "list_newer_pages",
     "apply_pages",
--- a/src/boragetiller/tables/config.py
+++ b/src/boragetiller/tables/config.py
@@ -9,6 +9,14 @@
 from boragetiller.records.references import ReferenceProblem
 
 
+@attrs.frozen
+class LostPage:
+    """A page of an earlier era with records that the restored store lacks."""
+
+    revision: int
+    data: bytes
+
+
 @attrs.define(kw_only=True)
 class HeldPage:
     """A configuration page held by this node; `data` is passed on to peers unchanged."""
@@ -20,6 +28,7 @@
     unreadable: dict[str, str] = attrs.Factory(dict)  # reason by record id
     # Records in force of which the restored store has only earlier versions, by ID.
     retained: dict[str, StoredRecord] = attrs.Factory(dict)
+    retained_from: tuple[LostPage, ...] = ()  # the pages that they are from
     problem: str = ""  # why the page as a whole is unreadable; empty if it is readable
 
 
--- a/tests/control/fakes.py
+++ b/tests/control/fakes.py
@@ -99,6 +99,9 @@
     def get_page_revisions(self) -> dict[int, int]:
         return {index: page.revision for index, page in self.pages.items()}
 
+    def list_lost_pages(self) -> list[Page]:
+        return []
+
     def list_newer_pages(self, revisions: dict[int, int]) -> list[Page]:
         return [p for i, p in sorted(self.pages.items()) if p.revision > revisions.get(i, 0)]
 
--- a/tests/router/test_config_relay.py
+++ b/tests/router/test_config_relay.py
@@ -54,6 +54,24 @@
         self.assertEqual(status.nodes[0].node, "router-1")
         self.assertGreater(len(status.nodes), 1)
 
+    async def test_router_that_joins_after_a_restore_learns_the_lost_records(self) -> None:
+        copy = self.store.copy()
+        await write_fields(self.store, "class", "quote", tier=2)
+        for node in self.nodes:
+            await node.wait_until(
+                lambda n=node: n.table.ready and n.table.classes["quote"].tier == 2
+            )
+        self.store.restore(copy)
+        joined = ConfigNode("router-3", Role.ROUTER, self.store, heartbeat_ms=100)
+        await joined.start()
+        self.addAsyncCleanup(joined.close)
+        await joined.wait_until(lambda: joined.table.ready)
+        apply_host_list_to_routers([*self.nodes, joined])
+        await joined.wait_until(lambda: joined.table.classes["quote"].tier == 2)
+        await write_fields(self.store, "class", "quote", tier=1)
+        for node in [*self.nodes, joined]:
+            await node.wait_until(lambda n=node: n.table.classes["quote"].tier == 1)
+
 
 if __name__ == "__main__":
     unittest.main()
