Let new groups of a store that was once restored run keys at once

Change: the first agent that sees an era marks its start in the store (claims/era). An agent that starts when the era is older than the retry horizon takes a missing page for a new one; one that has run for so long, too. Tests: test_page_of_a_new_group_is_certain_when_the_last_restore_is_long_ago and three of the claim registry.

--- a/src/boragetiller/agent/shard_store.py
+++ b/src/boragetiller/agent/shard_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -35,6 +36,8 @@
     from boragetiller.tables.shards import ShardTable, StoredClaim
 
 KEY_PREFIX = "claims"
+ERA_KEY = f"{KEY_PREFIX}/era"
+NO_ERA = -1
 
 
 def page_key(group: str, shard: int) -> str:
@@ -68,6 +71,35 @@
     return int(entry.value)
 
 
+async def read_era_age_ms(store: Store, wall_ms: int) -> int:
+    """
+    Read for how long the store has been in its present era, and mark the start of a new one.
+
+    :param store: the platform's store
+    :param wall_ms: wall-clock time in milliseconds
+    :return: milliseconds since an agent first saw the era, 0 when this one is the first
+    :raises StoreUnavailable: the store cannot be reached
+    """
+    entry = await store.get(ERA_KEY)
+    era, since_ms = _decode_era_mark(entry.value) if entry is not None else (NO_ERA, 0)
+    if store.era == 0 or era == store.era:
+        return wall_ms - since_ms
+    mark = json.dumps({"era": store.era, "since_wall_ms": wall_ms}).encode()
+    with suppress(RevisionConflict):  # another agent has marked it
+        revision = entry.revision if entry is not None else 0
+        await store.put(ERA_KEY, mark, expected_revision=revision)
+    return 0
+
+
+def _decode_era_mark(value: bytes) -> tuple[int, int]:
+    """:return: era and wall-clock time in ms; an unreadable mark is one of no era, and replaced"""
+    try:
+        mark = json.loads(value)
+        return int(mark["era"]), int(mark["since_wall_ms"])
+    except (ValueError, LookupError, TypeError):
+        return NO_ERA, 0
+
+
 class ShardStore:
     """Carries out store actions, each in a task, and applies their results to the shards."""
 
@@ -211,4 +243,4 @@
         return self._clock.now_ms(), self._wall.now_ms()
 
 
-__all__ = ["ShardStore", "page_key", "read_shard_count", "segment_key"]
+__all__ = ["ShardStore", "page_key", "read_era_age_ms", "read_shard_count", "segment_key"]
--- a/src/boragetiller/agent/store_claims.py
+++ b/src/boragetiller/agent/store_claims.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
-from boragetiller.agent.shard_store import ShardStore, read_shard_count
+from boragetiller.agent.shard_store import ShardStore, read_era_age_ms, read_shard_count
 from boragetiller.clock import SystemClock, WallClock
 from boragetiller.errors import NotOwner, OutcomeUnknown, StoreUnavailable
 from boragetiller.platform_clients.hosts import HostState
 from boragetiller.systems import shards
+from boragetiller.systems.shard_restores import get_uncertain_period_ms
 from boragetiller.tables.claims import DIGEST_BYTES, FINGERPRINT_BYTES, ShardCall
 from boragetiller.tables.shard_actions import RefuseCall, ReplayResponse, RunCall, ShardAction
 
@@ -68,6 +70,7 @@
         self._clock = clock or SystemClock()
         self._wall = wall_clock or WallClock()
         self._shard_count = shard_count
+        self._marked_era = 0  # newest era that is known to be marked in the store
         self.table: ShardTable | None = None
         self._shard_store: ShardStore | None = None
         self._calls: dict[int, asyncio.Future[StoredResponse | None]] = {}
@@ -212,10 +215,14 @@
             try:
                 async with asyncio.timeout(self._timeout_s):
                     count = await read_shard_count(self._store, self._group, self._shard_count)
+                    era_age_ms = await read_era_age_ms(self._store, self._wall.now_ms())
                 break
             except (StoreUnavailable, TimeoutError):
                 await asyncio.sleep(self._poll_s)
         self.table = shards.new_shard_table(self._name, self._incarnation, count)
+        self.table.era, self.table.era_since_ms = self._store.era, self._clock.now_ms()
+        self.table.era_is_old = era_age_ms >= get_uncertain_period_ms(self._settings)
+        self._marked_era = self._store.era
         self._shard_store = ShardStore(
             self._store,
             self._group,
@@ -237,8 +244,18 @@
                 self._metrics.increment("agent.claims.host_list_unavailable")
             else:
                 self._update_hosts(hosts, began_ms)
+            await self._mark_new_era()
             await asyncio.sleep(self._poll_s)
 
+    async def _mark_new_era(self) -> None:
+        """Let agents that start later know since when the store is in its era."""
+        if self.table is None or self.table.era <= self._marked_era:
+            return
+        with suppress(StoreUnavailable, TimeoutError):
+            async with asyncio.timeout(self._timeout_s):
+                await read_era_age_ms(self._store, self._wall.now_ms())
+            self._marked_era = self.table.era
+
     def _update_hosts(self, hosts: list[Host], began_ms: int) -> None:
         if self.table is None:
             return
--- a/src/boragetiller/systems/shard_commits.py
+++ b/src/boragetiller/systems/shard_commits.py
@@ -39,7 +39,7 @@
     """
     owned_here = (page.owner, page.incarnation) == (table.name, table.incarnation)
     advanced = page.sequence > shard.page.sequence
-    from_copy = shard_restores.is_from_copy(page, revision)
+    from_copy = shard_restores.is_from_copy(table, page, revision)
     keeps_ownership = from_copy and shard_restores.is_memory_complete(shard)
     shard.revision, shard.page_known = revision, True
     if keeps_ownership:
--- a/src/boragetiller/systems/shard_ownership.py
+++ b/src/boragetiller/systems/shard_ownership.py
@@ -7,7 +7,11 @@
 import attrs
 
 from boragetiller.hashing import mix64, stable_hash
-from boragetiller.systems.shard_restores import get_next_sequence, is_from_copy
+from boragetiller.systems.shard_restores import (
+    get_next_sequence,
+    get_uncertain_period_ms,
+    is_from_copy,
+)
 from boragetiller.tables.shards import ObservedOwner, ShardPage
 
 if TYPE_CHECKING:
@@ -129,9 +133,9 @@
     """
     page = shard.page
     uncertain_ms = page.uncertain_ms
-    from_copy = is_from_copy(page, shard.revision)
+    from_copy = is_from_copy(table, page, shard.revision)
     if from_copy or _may_have_served_from_memory(page, settings, wall_ms):
-        uncertain_ms = settings.retry_horizon_ms + settings.max_call_age_ms
+        uncertain_ms = get_uncertain_period_ms(settings)
     return attrs.evolve(
         page,
         owner=table.name,
--- a/src/boragetiller/systems/shard_restores.py
+++ b/src/boragetiller/systems/shard_restores.py
@@ -22,31 +22,43 @@
 OWNER_RENEWALS = 2  # in which an owner writes its claims again before others may take over
 
 
-def record_era(table: ShardTable, revision: int, now_ms: int) -> None:
+def record_era(table: ShardTable, revision: int, settings: ClaimSettings, now_ms: int) -> None:
     """
     Record the era of a response of the store.
 
     :param table: shards of this agent
     :param revision: extended revision of a page
+    :param settings: retry horizon and call age
     :param now_ms: monotonic time in milliseconds
     """
     era = get_era(revision)
     if era > table.era:
-        table.era, table.era_since_ms = era, now_ms
+        table.era, table.era_since_ms, table.era_is_old = era, now_ms, False
+    elif now_ms - table.era_since_ms >= get_uncertain_period_ms(settings):
+        table.era_is_old = True
 
 
-def is_from_copy(page: ShardPage, revision: int) -> bool:
+def get_uncertain_period_ms(settings: ClaimSettings) -> int:
+    """:return: longest time in which a caller may repeat a call"""
+    return settings.retry_horizon_ms + settings.max_call_age_ms
+
+
+def is_from_copy(table: ShardTable, page: ShardPage, revision: int) -> bool:
     """
     Check whether a page was written before the last restore, so that later claims may be lost.
 
     A page that does not exist may have been lost as a whole, and one without an era was written by
-    an earlier release. Both count as pages of the first era.
+    an earlier release. Both count as pages of the first era until the last restore is long ago.
 
+    :param table: age of the era
     :param page: the page
     :param revision: its extended revision
     :return: whether the page was written in an earlier era
     """
-    return max(FIRST_ERA, get_era(page.sequence)) < get_era(revision)
+    page_era = get_era(page.sequence)
+    if page_era == 0 and table.era_is_old:
+        return False
+    return max(FIRST_ERA, page_era) < get_era(revision)
 
 
 def get_next_sequence(shard: Shard) -> int:
@@ -92,11 +104,12 @@
     """
     wait_ms = OWNER_RENEWALS * settings.renew_ms
     is_new_era = now_ms - table.era_since_ms < wait_ms
-    return is_new_era and is_from_copy(shard.page, shard.revision)
+    return is_new_era and is_from_copy(table, shard.page, shard.revision)
 
 
 __all__ = [
     "get_next_sequence",
+    "get_uncertain_period_ms",
     "is_from_copy",
     "is_memory_complete",
     "keep_ownership",
--- a/src/boragetiller/systems/shards.py
+++ b/src/boragetiller/systems/shards.py
@@ -167,7 +167,7 @@
     shard.store_call_pending = False
     if shard.page_known and revision < shard.revision:  # a stale read
         return []
-    record_era(table, revision, now_ms)
+    record_era(table, revision, settings, now_ms)
     actions = apply_page(table, shard, page or ShardPage(), revision, now_ms)
     return actions + _advance_shard(table, shard, settings, now_ms, wall_ms)
 
@@ -194,7 +194,7 @@
     _record_time(table, settings, now_ms)
     shard = table.shards[action.shard]
     shard.pending_write = None
-    record_era(table, revision, now_ms)
+    record_era(table, revision, settings, now_ms)
     actions = apply_page(table, shard, action.page, revision, now_ms)
     return actions + _advance_shard(table, shard, settings, now_ms, wall_ms)
 
--- a/src/boragetiller/tables/shards.py
+++ b/src/boragetiller/tables/shards.py
@@ -105,6 +105,7 @@
     draining: bool = False
     era: int = 0  # newest known era of the store
     era_since_ms: int = 0
+    era_is_old: bool = False  # no caller repeats a call from before the last restore any more
 
     def owned_shards(self) -> tuple[int, ...]:
         """:return: shards that this agent owns and accepts keys for"""
--- a/tests/agent/test_store_claims.py
+++ b/tests/agent/test_store_claims.py
@@ -6,8 +6,9 @@
 import unittest
 
 from boragetiller.agent.claims import KeyedCall, StoredResponse
+from boragetiller.agent.shard_store import read_era_age_ms
 from boragetiller.agent.store_claims import StoreClaimRegistry
-from boragetiller.clock import SystemClock
+from boragetiller.clock import SystemClock, WallClock
 from boragetiller.errors import (
     BoragetillerError,
     KeyReused,
@@ -179,6 +180,35 @@
         restarted = await self._start("a-1", 2)
         self.assertIsInstance(await self._refused(restarted, build_call("k")), OutcomeUnknown)
 
+    async def test_key_claimed_before_a_restore_replays_and_new_keys_run(self) -> None:
+        copy = self.store.copy()
+        self.assertIsNone(await self.registry.claim(build_call("k")))
+        await self.registry.finish(build_call("k"), RESPONSE)
+        self.store.restore(copy)
+        self.store.restore(copy)  # pages are missing in an era after the first
+        self.assertIsNone(await self.registry.claim(build_call("new")))
+        self.assertEqual(await self.registry.claim(build_call("k", attempt=2)), RESPONSE)
+
+    async def test_agent_started_after_a_restore_runs_no_key_of_a_page_that_is_missing(
+        self,
+    ) -> None:
+        copy = self.store.copy()
+        await self.registry.claim(build_call("k"))
+        await self.registry.close()
+        self.hosts.remove("a-1")
+        for _ in range(2):
+            self.store.restore(copy)
+        second = await self._start("a-2", 1)
+        self.assertIsInstance(await self._refused(second, build_call("k")), OutcomeUnknown)
+        horizon_ms = CLAIMS.retry_horizon_ms + CLAIMS.max_call_age_ms
+        self.assertLess(await read_era_age_ms(self.store, WallClock().now_ms()), horizon_ms)
+
+    async def test_unreadable_mark_of_an_era_is_replaced(self) -> None:
+        self.store.restore(self.store.copy())
+        await self.store.put("claims/era", b"?", expected_revision=0)
+        self.assertEqual(await read_era_age_ms(self.store, 5_000), 0)
+        self.assertEqual(await read_era_age_ms(self.store, 6_000), 1_000)
+
     async def test_drain_moves_finished_keys_to_the_next_owner(self) -> None:
         other = await self._start("a-2", 7)
         await self._wait_until(
--- a/tests/systems/test_shard_restores.py
+++ b/tests/systems/test_shard_restores.py
@@ -8,6 +8,7 @@
 
 from boragetiller.store_eras import extend_revision, get_era
 from boragetiller.systems import shard_ownership, shards
+from boragetiller.systems.shard_restores import record_era
 from boragetiller.tables.claims import Claim, ClaimState
 from boragetiller.tables.shard_actions import WritePage
 from boragetiller.tables.shards import SegmentRef, Shard, ShardPage
@@ -92,6 +93,15 @@
             with self.subTest(era=era):
                 self.assertEqual(page.uncertain_ms == 0, is_certain)
 
+    def test_page_of_a_new_group_is_certain_when_the_last_restore_is_long_ago(self) -> None:
+        shard = self.table.shards[0]
+        horizon_ms = SETTINGS.retry_horizon_ms + SETTINGS.max_call_age_ms
+        for now_ms in (NOW_MS, NOW_MS + horizon_ms):
+            record_era(self.table, extend_revision(2, 0), SETTINGS, now_ms)
+        shard.revision = extend_revision(2, 0)
+        page = shard_ownership.build_takeover_page(self.table, shard, SETTINGS, NOW_MS)
+        self.assertEqual(page.uncertain_ms, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
