--- a/src/boragetiller/agent/shard_store.py
+++ b/src/boragetiller/agent/shard_store.py
@@ -82,7 +82,7 @@
     """
     entry = await store.get(ERA_KEY)
     era, since_ms = _decode_era_mark(entry.value) if entry is not None else (NO_ERA, 0)
-    if store.era == 0 or era == store.era:
+    if store.era in (0, era):
         return wall_ms - since_ms
     mark = json.dumps({"era": store.era, "since_wall_ms": wall_ms}).encode()
     with suppress(RevisionConflict):  # another agent has marked it
