Send the list of servers in turns to a router that missed a restore

In a fleet of 150 routers or more all of a router's up to 64 peers would have sent it the whole list (400 KB at 1,300 engines) before its next report, 640 ms later, showed that it has it: turns of 100 ms were too short. A turn takes two report intervals now. The era is read once per report instead of once per peer. By calculation; not measured.

--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -54,8 +54,7 @@
 RECONNECT_DELAY_MS = 1_000
 RECEIVE_TIMEOUT_MS = 3_000  # a peer that sends nothing for so long is disconnected
 RESEND_DELAY_MS = 300  # a peer that watches the store gets missing entries only after this lag
-RESEND_STAGGER_MS = 100  # between peers that send the list to a router that missed a restore
-MAX_STAGGERED_PEERS = 8
+RESEND_TURNS = 8  # of the peers that send the list to a router that missed a restore
 LOST_ITEMS_DELAY_MS = 300  # after a change of the era, in which entries arrive one by one
 MAX_BUFFER_BYTES = 2_000_000  # of unsent data, after which a slow peer is disconnected
 MAX_KNOWN_ROUTERS = 1_024  # more than twice the planned size of the fleet
@@ -261,7 +260,7 @@
         first_report = self._state_sync.build_first_report()
         writer.write(encode_frame(hello) + encode_frame(first_report))
         self._outbound_peers[endpoint] = peer = OutboundPeer(writer)
-        self._send_lost_items(peer)
+        self._send_lost_items(peer, self._state_sync.get_era())
 
     async def _send_reports(self) -> None:
         """Send reports to all peers; each one is built and encoded once for all of them."""
@@ -278,12 +277,13 @@
                 frame = encode_frame(report)
                 sent, sent_ms = report, now_ms
             removals = self._state_sync.take_removals(cursor)
-            lost_items_due = self._are_lost_items_due(now_ms)
+            self._update_era(now_ms)
+            lost_items_due = now_ms - self._era_since_ms >= LOST_ITEMS_DELAY_MS
             for peer in list(self._outbound_peers.values()):
                 self._send_report(peer, frame)
                 self._send_items(peer.writer, removals)
                 if lost_items_due:
-                    self._send_lost_items(peer)
+                    self._send_lost_items(peer, self._era)
 
     async def _wait_for_report_time(self) -> None:
         """Wait for the next interval, or for a state change that peers must know at once."""
@@ -321,7 +321,7 @@
         now_ms = self._clock.now_ms()
         peer_revisions = peer.revisions
         missed_restore = self._state_sync.get_revisions().is_eras_ahead_of(peer_revisions)
-        delay_ms = RESEND_DELAY_MS + (self._get_stagger_ms(peer) if missed_restore else 0)
+        delay_ms = RESEND_DELAY_MS + (self._get_resend_turn_ms(peer) if missed_restore else 0)
         if now_ms - peer.behind_since_ms < delay_ms:
             if peer.watches or missed_restore or now_ms - peer.servers_sent_ms < RESEND_DELAY_MS:
                 return
@@ -333,22 +333,26 @@
             peer.behind_since_ms = now_ms
         self._send_items(writer, self._state_sync.list_items_newer_than(peer_revisions))
 
-    def _get_stagger_ms(self, peer: InboundPeer) -> int:
-        """:return: delay that differs between the peers, so that one of them sends the list"""
-        peers = max(1, min(len(self._inbound_peers), MAX_STAGGERED_PEERS))
-        place = stable_hash(str(self.endpoint), str(peer.endpoint)) % peers
-        return place * RESEND_STAGGER_MS
+    def _get_resend_turn_ms(self, peer: InboundPeer) -> int:
+        """
+        Get the delay of this router's turn to send the list to a peer that missed a restore.
+
+        A turn takes two report intervals, in which the peer reports that it has the list.
 
-    def _are_lost_items_due(self, now_ms: int) -> bool:
-        """Check whether the era has been known for long enough to have all entries of the copy."""
+        :param peer: the peer
+        :return: delay in milliseconds
+        """
+        turns = max(1, min(len(self._inbound_peers), RESEND_TURNS))
+        turn = stable_hash(str(self.endpoint), str(peer.endpoint)) % turns
+        return turn * 2 * report_interval_ms(len(self._outbound_peers))
+
+    def _update_era(self, now_ms: int) -> None:
         era = self._state_sync.get_era()
         if era != self._era:
             self._era, self._era_since_ms = era, now_ms
-        return now_ms - self._era_since_ms >= LOST_ITEMS_DELAY_MS
 
-    def _send_lost_items(self, peer: OutboundPeer) -> None:
+    def _send_lost_items(self, peer: OutboundPeer, era: int) -> None:
         """Send the entries that a peer which joined after a restore cannot read from the store."""
-        era = self._state_sync.get_era()
         if peer.lost_items_era != era:
             peer.lost_items_era = era
             self._send_items(peer.writer, self._state_sync.list_items_lost_in_restore())
