--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -10,21 +10,19 @@
 from boragetiller.errors import EntryUnreadable
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.server_client import ServerClient
+from boragetiller.gateway.store_entries import StoreEntries
 from boragetiller.store_eras import get_era, get_store_revision
 from boragetiller.systems.engine_throughput import EngineThroughput
 from boragetiller.systems.failure_history import confirm_crash
 from boragetiller.systems.part_quarantine import clear_parts
 from boragetiller.systems.server_limits import apply_limit, retain_servers
-from boragetiller.systems.store_restores import RestoreGrace
 from boragetiller.systems.windowed_retry_budget import WindowedRetryBudget
 from boragetiller.tables.failure_history import FailureHistory
 from boragetiller.tables.output_lengths import OutputLengths
 from boragetiller.tables.peer_loads import PeerLoadTable
-from boragetiller.tables.recent_items import RecentItems
 from boragetiller.tables.server_limits import ServerLimitTable
 from boragetiller.tables.server_placement import PlacementCostModel
 from boragetiller.tables.server_table import ServerTable
-from boragetiller.tables.store_view import StoreView
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -37,11 +35,9 @@
     from boragetiller.tables.direct_attempts import ResponseProgress
     from boragetiller.tables.routes import RouteConfig
     from boragetiller.tables.servers import BackendServer, ServerRecord
-    from boragetiller.tables.store_view import EntryVersion, StoredItem
+    from boragetiller.tables.store_view import StoredItem
 
 MAX_ROUTERS = 8  # routers that share the fleet's retry slack, including spare ones
-MAX_RECENT_REMOVALS = 512
-MAX_LOGGED_KEYS = 20
 CLOSE_DELAY_MS = 30_000  # lets calls in progress at a removed server end
 
 
@@ -60,12 +56,7 @@
         :param metrics: gauges of the configuration version and the number of servers
         """
         self._metrics = metrics
-        self.store_view = StoreView(self._read_entry_version)
-        self.restore_grace = RestoreGrace()
-        # Removals that a listing after a restore has shown, for peers that do not list themselves.
-        self.recent_removals: RecentItems[StoredItem] = RecentItems.with_capacity(
-            MAX_RECENT_REMOVALS
-        )
+        self.store_entries = StoreEntries(dialect, clock)
         self.servers = ServerTable()
         self.peer_loads = PeerLoadTable()
         self.failure_history = FailureHistory()
@@ -152,10 +143,7 @@
         :param items: entries and tombstones
         :param source: origin of the changes, for the log
         """
-        items = list(items)
-        changed_items = self.store_view.apply(items)
-        self._log_ignored_config(items, source)
-        self._apply(changed_items, source)
+        self._apply(self.store_entries.apply_changes(list(items), source), source)
 
     def apply_listing(
         self, prefix: str, items: list[StoredItem], revision: int, source: str
@@ -168,22 +156,10 @@
         :param revision: extended revision of the store at the time of the listing
         :param source: origin of the listing, for the log
         """
-        if prefix == self.dialect.servers_prefix:
-            changed_items = self._apply_server_listing(items, revision)
-            self.servers_listed = True
-        else:
-            changed_items = self.store_view.apply_listing(
-                prefix, items, revision, keep_earlier_eras=True
-            )
+        changed_items = self.store_entries.apply_listing(prefix, items, revision)
+        self.servers_listed = self.servers_listed or prefix == self.dialect.servers_prefix
         self._apply(changed_items, source)
 
-    def list_items_lost_in_restore(self) -> list[StoredItem]:
-        """:return: items in force that the restored store lacks or has in an older version"""
-        view = self.store_view
-        return view.list_from_earlier_eras(self.dialect.config_key) + view.list_from_earlier_eras(
-            self.dialect.servers_prefix
-        )
-
     def record_crash(self, server: str) -> None:
         """
         Record a crash for the requests that a server ran when it crashed.
@@ -253,30 +229,6 @@
             await client.close()
         self._clients.clear()
 
-    def _apply_server_listing(self, items: list[StoredItem], revision: int) -> list[StoredItem]:
-        prefix, now_ms = self.dialect.servers_prefix, self._clock.now_ms()
-        self.restore_grace.record_listing(revision, now_ms)
-        known = dict(self.store_view.items)
-        changed_items = self.store_view.apply_listing(
-            prefix, items, revision, keep_earlier_eras=not self.restore_grace.is_over(now_ms)
-        )
-        for item in changed_items:
-            lost = known.get(item.key)
-            if item.value is None and lost and get_era(lost.revision) < get_era(revision):
-                self.recent_removals.add(item)
-        if self.restore_grace.is_retention_over(now_ms):
-            changed_items += self.store_view.release_retained(prefix)
-        retained = [item.key for item in self.store_view.list_from_earlier_eras(prefix)]
-        if retained and changed_items:
-            log_event(Event.STORE_ENTRIES_RETAINED, keys=retained[:MAX_LOGGED_KEYS])
-        return changed_items
-
-    def _read_entry_version(self, key: str, value: bytes) -> EntryVersion | None:
-        try:
-            return self.dialect.decode_entry_version(key, value)
-        except EntryUnreadable:
-            return None
-
     def _apply(self, changed_items: list[StoredItem], source: str) -> None:
         if not changed_items:
             return
@@ -288,20 +240,6 @@
         if changed:
             self._replace_servers()
 
-    def _log_ignored_config(self, items: Iterable[StoredItem], source: str) -> None:
-        """Log a change of the configuration that is not newer than the known item."""
-        known = self.store_view.items.get(self.dialect.config_key)
-        for item in items:
-            if known is not None and item.key == known.key and item.value != known.value:
-                log_event(
-                    Event.CONFIG_IGNORED,
-                    era=get_era(item.revision),
-                    revision=get_store_revision(item.revision),
-                    known_era=get_era(known.revision),
-                    known_revision=get_store_revision(known.revision),
-                    source=source,
-                )
-
     def _apply_config(self, item: StoredItem, source: str) -> bool:
         assert item.value is not None
         try:
@@ -332,7 +270,7 @@
     def _replace_servers(self) -> None:
         if self.config is None:
             return
-        items = self.store_view.list_entries(self.dialect.servers_prefix)
+        items = self.store_entries.view.list_entries(self.dialect.servers_prefix)
         records = [record for item in items if (record := self._read_server(item)) is not None]
         known = set(self.servers.by_name)
         removed = self.servers.replace(records, self._clock.now_ms())
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -93,7 +93,7 @@
     def get_revisions(self) -> StoreRevisions:
         """:return: revisions up to which this router knows the store"""
         dialect = self._registry.dialect
-        view = self._registry.store_view
+        view = self._registry.store_entries.view
         return StoreRevisions(
             view.newest_revision(dialect.config_key), view.newest_revision(dialect.servers_prefix)
         )
@@ -111,7 +111,7 @@
         :return: items, oldest first
         """
         dialect = self._registry.dialect
-        view = self._registry.store_view
+        view = self._registry.store_entries.view
         pairs = (
             (dialect.config_key, revisions.config),
             (dialect.servers_prefix, revisions.servers),
@@ -125,7 +125,7 @@
 
     def list_items_lost_in_restore(self) -> list[StoredItem]:
         """:return: items in force that a peer cannot read from the restored store"""
-        return self._registry.list_items_lost_in_restore()
+        return self._registry.store_entries.list_lost_in_restore()
 
     def record_prompt(self, server: BackendServer, prompt: Prompt, engine: EngineProfile) -> None:
         """
@@ -146,7 +146,7 @@
             history.recent.count,
             history.part_crashes.recent.count,
             self._registry.server_limits.recent.count,
-            self._registry.recent_removals.count,
+            self._registry.store_entries.recent_removals.count,
         )
 
     def build_first_report(self) -> PeerReport:
@@ -197,7 +197,7 @@
         :param cursor: what has been sent; it is advanced
         :return: tombstones
         """
-        removals = self._registry.recent_removals
+        removals = self._registry.store_entries.recent_removals
         found = removals.since(cursor.removals)
         cursor.removals = removals.count
         return found
--- a/src/boragetiller/gateway/store_watcher.py
+++ b/src/boragetiller/gateway/store_watcher.py
@@ -150,7 +150,7 @@
     def _must_watch(self) -> bool:
         # After a restore each router lists the servers itself: to send the whole list to all
         # others would cost the watchers more than the listings cost the store.
-        restored = (self._store.eras.era or 0) > self._registry.restore_grace.era
+        restored = (self._store.eras.era or 0) > self._registry.store_entries.restore_grace.era
         return (
             not self._registry.servers_listed
             or restored
@@ -158,7 +158,9 @@
         )
 
     def _get_relist_wait_ms(self) -> int:
-        wait_ms = self._registry.restore_grace.compute_relist_wait_ms(self._clock.now_ms())
+        wait_ms = self._registry.store_entries.restore_grace.compute_relist_wait_ms(
+            self._clock.now_ms()
+        )
         return WATCH_WAIT_MS if wait_ms is None else min(wait_ms, WATCH_WAIT_MS)
 
     async def _watch_once(self, prefix: str, revision: int) -> int:
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -187,13 +187,15 @@
             self.assertEqual(len(watchers), 1)
             other = next(harness for harness in routers if harness is not watchers[0])
             watchers[0].store.put("servers/z", b"{}")  # only in the watcher's store
-            await wait_until(lambda: "servers/z" in other.router.registry.store_view.items)
+            await wait_until(lambda: "servers/z" in other.router.registry.store_entries.view.items)
             await watchers[0].router.abort()
             await wait_until(
                 lambda: other.router.state_sync.watcher_election.is_watcher(SystemClock().now_ms())
             )
             other.store.put("servers/late", b"{}")
-            await wait_until(lambda: "servers/late" in other.router.registry.store_view.items)
+            await wait_until(
+                lambda: "servers/late" in other.router.registry.store_entries.view.items
+            )
 
     async def test_number_of_known_routers_is_bounded(self) -> None:
         first, _ = await self.start_pair(FakeStore())
@@ -217,7 +219,7 @@
             first.store.put("op/config", build_config(4))
             await wait_until(lambda: second.router.registry.config is not None)
             await wait_until(lambda: second.router.registry.config.version == 4)
-        self.assertNotIn("servers/large", second.router.registry.store_view.items)
+        self.assertNotIn("servers/large", second.router.registry.store_entries.view.items)
 
     async def test_connection_with_invalid_frames_is_closed(self) -> None:
         store = FakeStore()
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -80,7 +80,7 @@
         """Wait until a router has read what the store has now."""
         self.store.put("servers/marker", b"{}")
         value = self.store.items["servers/marker"]["revision"]
-        view = (harness or self.first).router.registry.store_view
+        view = (harness or self.first).router.registry.store_entries.view
         await wait_until(
             lambda: "servers/marker" in view.items
             and view.items["servers/marker"].revision & 0xFFFFFFFF == value
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -43,7 +43,7 @@
         await wait_until(lambda: self.registry.config.version == 5)
         self.store.put("op/config", build_config(4))
         self.store.put("servers/z", b"{}")
-        await wait_until(lambda: "servers/z" in self.registry.store_view.items)
+        await wait_until(lambda: "servers/z" in self.registry.store_entries.view.items)
         self.assertEqual(self.registry.config.version, 5)
 
     async def test_unreadable_configuration_is_ignored(self) -> None:
@@ -108,7 +108,9 @@
             self.store.put(f"servers/bad{number}", value)
         self.store.register("unknown-state", self.engine, "shop", state="resting")
         self.store.register("unknown-service", self.engine, "no-such-service")
-        await wait_until(lambda: "servers/unknown-service" in self.registry.store_view.items)
+        await wait_until(
+            lambda: "servers/unknown-service" in self.registry.store_entries.view.items
+        )
         self.assertEqual(set(self.registry.servers.by_name), {"a"})
 
 
