Send lost servers also when the list is read after the configuration

A router that joined after a restore could miss what the copy lacks: its peers marked it as informed of the era once the configuration had reached it, and did not send the lost servers when their own listing of servers came later than 300 ms. The eras of both are compared now. Routers that do not watch the servers list them again at the end of the grace too, since a removal may not reach them over two hops.

--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -55,7 +55,7 @@
 RECEIVE_TIMEOUT_MS = 3_000  # a peer that sends nothing for so long is disconnected
 RESEND_DELAY_MS = 300  # a peer that watches the store gets missing entries only after this lag
 RESEND_TURNS = 8  # of the peers that send the list to a router that missed a restore
-LOST_ITEMS_DELAY_MS = 300  # after a change of the era, in which entries arrive one by one
+LOST_ITEMS_DELAY_MS = 300  # after a change of an era, in which entries arrive one by one
 MAX_BUFFER_BYTES = 2_000_000  # of unsent data, after which a slow peer is disconnected
 MAX_KNOWN_ROUTERS = 1_024  # more than twice the planned size of the fleet
 MIN_INBOUND_PEERS = 8  # with fewer, seeds stay connected, so that lost peers isolate no router
@@ -81,7 +81,8 @@
 
     writer: asyncio.StreamWriter
     routers: set[Endpoint] = attrs.field(factory=set)  # whose addresses it was sent
-    lost_items_era: int = 0  # era of which it was sent what the restored store lacks
+    # Eras of the configuration and the servers of which it was sent what the restored store lacks.
+    lost_items_eras: tuple[int, int] = (0, 0)
 
 
 def report_interval_ms(peers: int) -> int:
@@ -126,8 +127,8 @@
         self._heard_ms: dict[Endpoint, int] = {}  # when a router last had a connection to this one
         self._server: asyncio.Server | None = None
         self._seeds: tuple[Endpoint, ...] = ()
-        self._era = 0  # of the newest known store entries
-        self._era_since_ms = 0
+        self._eras = (0, 0)  # of the newest known configuration and list of backend servers
+        self._eras_since_ms = 0
         self.endpoint: Endpoint | None = None  # address that this router listens on, once started
 
     async def start(self) -> None:
@@ -260,7 +261,7 @@
         first_report = self._state_sync.build_first_report()
         writer.write(encode_frame(hello) + encode_frame(first_report))
         self._outbound_peers[endpoint] = peer = OutboundPeer(writer)
-        self._send_lost_items(peer, self._state_sync.get_era())
+        self._send_lost_items(peer, self._state_sync.get_eras())
 
     async def _send_reports(self) -> None:
         """Send reports to all peers; each one is built and encoded once for all of them."""
@@ -277,13 +278,13 @@
                 frame = encode_frame(report)
                 sent, sent_ms = report, now_ms
             removals = self._state_sync.take_removals(cursor)
-            self._update_era(now_ms)
-            lost_items_due = now_ms - self._era_since_ms >= LOST_ITEMS_DELAY_MS
+            self._update_eras(now_ms)
+            lost_items_due = now_ms - self._eras_since_ms >= LOST_ITEMS_DELAY_MS
             for peer in list(self._outbound_peers.values()):
                 self._send_report(peer, frame)
                 self._send_items(peer.writer, removals)
                 if lost_items_due:
-                    self._send_lost_items(peer, self._era)
+                    self._send_lost_items(peer, self._eras)
 
     async def _wait_for_report_time(self) -> None:
         """Wait for the next interval, or for a state change that peers must know at once."""
@@ -346,15 +347,15 @@
         turn = stable_hash(str(self.endpoint), str(peer.endpoint)) % turns
         return turn * 2 * report_interval_ms(len(self._outbound_peers))
 
-    def _update_era(self, now_ms: int) -> None:
-        era = self._state_sync.get_era()
-        if era != self._era:
-            self._era, self._era_since_ms = era, now_ms
+    def _update_eras(self, now_ms: int) -> None:
+        eras = self._state_sync.get_eras()
+        if eras != self._eras:
+            self._eras, self._eras_since_ms = eras, now_ms
 
-    def _send_lost_items(self, peer: OutboundPeer, era: int) -> None:
+    def _send_lost_items(self, peer: OutboundPeer, eras: tuple[int, int]) -> None:
         """Send the entries that a peer which joined after a restore cannot read from the store."""
-        if peer.lost_items_era != era:
-            peer.lost_items_era = era
+        if peer.lost_items_eras != eras:
+            peer.lost_items_eras = eras
             self._send_items(peer.writer, self._state_sync.list_items_lost_in_restore())
 
     def _send_items(self, writer: asyncio.StreamWriter, items: Iterable[StoredItem]) -> None:
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -98,10 +98,10 @@
             view.newest_revision(dialect.config_key), view.newest_revision(dialect.servers_prefix)
         )
 
-    def get_era(self) -> int:
-        """:return: era of the newest known store entry"""
+    def get_eras(self) -> tuple[int, int]:
+        """:return: eras of the newest known configuration and list of backend servers"""
         revisions = self.get_revisions()
-        return get_era(max(revisions.config, revisions.servers))
+        return get_era(revisions.config), get_era(revisions.servers)
 
     def list_items_newer_than(self, revisions: StoreRevisions) -> list[StoredItem]:
         """
--- a/src/boragetiller/gateway/store_watcher.py
+++ b/src/boragetiller/gateway/store_watcher.py
@@ -154,6 +154,7 @@
         return (
             not self._registry.servers_listed
             or restored
+            or self._get_relist_wait_ms() == 0
             or self._watcher_election.is_watcher(self._clock.now_ms())
         )
 
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+import base64
 import json
 import unittest
 from typing import Any
 from unittest.mock import patch
 
+import attrs
+
 import tests.platform_path  # noqa: F401
 from boragetiller.errors import StoreUnavailable
+from boragetiller.gateway.peer_exchange import LOST_ITEMS_DELAY_MS
 from boragetiller.gateway.state_sync import StoreRevisions
-from boragetiller.store_eras import MAX_REVISION
+from boragetiller.store_eras import MAX_REVISION, extend_revision
 from boragetiller.tables.store_view import StoredItem
 from kv_store import KvStoreClient
 from tests.gateway.harness import KEY, RouterHarness, build_config, wait_until
@@ -234,6 +239,26 @@
             await wait_until(lambda: self.list_accepting() == ["a"])
             await wait_until(lambda: self.list_accepting(second) == ["a"])
 
+    async def test_lost_servers_are_sent_also_when_they_are_listed_after_the_configuration(
+        self,
+    ) -> None:
+        copied = self.store.items["servers/a"]
+        self.store.register("a", self.engine, "shop", state="draining", seq=7)
+        await wait_until(lambda: not self.list_accepting())
+        await self.start_peer(cut=True)
+        registry = self.first.router.registry
+        draining = registry.store_entries.view.items["servers/a"]
+        config = registry.store_entries.view.items["op/config"]
+        sent: list[StoredItem] = []
+        exchange = self.first.router.peer_exchange
+        with patch.object(exchange, "_send_items", lambda _, items: sent.extend(items)):
+            registry.apply_changes([attrs.evolve(config, revision=extend_revision(2, 2))], "test")
+            await asyncio.sleep(3 * LOST_ITEMS_DELAY_MS / 1_000)
+            revision = extend_revision(2, copied["revision"])
+            value = base64.b64decode(copied["value"])
+            registry.apply_changes([StoredItem("servers/a", value, revision)], "test")
+            await wait_until(lambda: draining in sent)
+
     async def test_responses_without_an_era_are_applied(self) -> None:
         for header in ("", "garbled", "99999999"):
             self.store.era_header = header
