Count the eras of the product's stand-in of the store from 1

Its first restore led to era 1, which counts as the era of a store that was never restored, so that a takeover from a page of the copy was taken for certain. Era 0 stands for a store that names none; a header 0 is malformed.

--- a/src/boragetiller/platform_clients/memory_store.py
+++ b/src/boragetiller/platform_clients/memory_store.py
@@ -14,7 +14,7 @@
 from boragetiller.platform_clients.memory_hosts import MemoryHostList
 from boragetiller.platform_clients.memory_weights import MemoryWeightStore
 from boragetiller.platform_clients.store import Entry, Lease
-from boragetiller.store_eras import extend_revision, get_era, get_store_revision
+from boragetiller.store_eras import FIRST_ERA, extend_revision, get_era, get_store_revision
 
 if TYPE_CHECKING:
     import builtins
@@ -56,7 +56,7 @@
         self.faults = faults or StoreFaults()
         self.counts: Counter[CallKind] = Counter()
         self._clock = clock
-        self._era = 0
+        self._era = FIRST_ERA
         self._revision = 0  # counted by the store itself, as all revisions inside of it
         self._entries: dict[str, Entry] = {}
         self._stale_entries: dict[str, Entry] = {}
--- a/src/boragetiller/store_eras.py
+++ b/src/boragetiller/store_eras.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+FIRST_ERA = 1  # of a store that was never restored
 REVISION_BITS = 40  # lasts for decades at the store's write rate
 MAX_REVISION = (1 << REVISION_BITS) - 1
 MAX_ERA = (1 << 63 - REVISION_BITS) - 1  # extended revisions fit into a signed 64-bit integer
@@ -93,10 +94,11 @@
     if header is None or not header.isascii() or not header.isdigit() or len(header) > 8:
         return None
     era = int(header)
-    return era if era <= MAX_ERA else None
+    return era if FIRST_ERA <= era <= MAX_ERA else None
 
 
 __all__ = [
+    "FIRST_ERA",
     "MAX_ERA",
     "MAX_REVISION",
     "StoreEraTracker",
--- a/src/boragetiller/systems/shard_restores.py
+++ b/src/boragetiller/systems/shard_restores.py
@@ -11,14 +11,13 @@
 
 import attrs
 
-from boragetiller.store_eras import extend_revision, get_era
+from boragetiller.store_eras import FIRST_ERA, extend_revision, get_era
 from boragetiller.tables.claims import ClaimState
 
 if TYPE_CHECKING:
     from boragetiller.settings import ClaimSettings
     from boragetiller.tables.shards import Shard, ShardPage, ShardTable
 
-FIRST_ERA = 1  # of a store that was never restored
 OWNER_RENEWALS = 2  # in which an owner writes its claims again before others may take over
 
 
