--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,12 +8,13 @@
 
 import asyncio
 import json
+import os
 import random
 import sys
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
-sys.path.insert(0, str(CASE.parent / "common"))
+sys.path.insert(0, str(CASE.parent))
 
 from standins import CONTACT_S, DRAIN_S, KEY, RESERVE, Router, Site, call, config, free_port  # noqa: E402
 from standins import build_response, run_case  # noqa: E402
@@ -125,4 +126,4 @@
 
 
 if __name__ == "__main__":
-    run_case(main)
+    run_case(main, os.environ.get("TROUBLE", "1") != "0")
--- a/review/common/standins.py
+++ b/review/standins.py
@@ -21,7 +21,7 @@
 import urllib.parse
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent.parent.parent
+ROOT = Path(__file__).resolve().parent.parent
 RUN = ["python3", "-S", "platform/router.py"]  # the `run` line of deploy/system.toml
 BEAT_S = 1.2
 CONTACT_S = 3.0
@@ -586,9 +586,8 @@
     """The case couldn't run."""
 
 
-def run_case(main) -> None:
+def run_case(main, trouble: bool) -> None:
     """Run `main(trouble)`, which returns whether the rule was kept, and exit as the issue asks."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         kept = asyncio.run(main(trouble))
     except CannotRun as error:
