Name where a background task failed, and count unreadable entries

A list of servers that is not applied could come from a decoder, from the store's response, or from the order of revisions; the lines could not tell. Change: task_failed (840) has raised_at, boragetiller_task_failures counts by task, and boragetiller_unreadable_servers is the number of entries that cannot be decoded.

--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -271,7 +271,8 @@
         if self.config is None:
             return
         items = self.store_entries.view.list_entries(self.dialect.servers_prefix)
-        records = [record for item in items if (record := self._read_server(item)) is not None]
+        readable = [record for item in items if (record := self._read_server(item)) is not None]
+        records = [record for record in readable if record.group in self.config.groups]
         known = set(self.servers.by_name)
         removed = self.servers.replace(records, self._clock.now_ms())
         for record in records:
@@ -285,6 +286,7 @@
                 if self.on_server_added is not None:
                     self.on_server_added(self.servers.by_name[record.name])
         self._metrics.servers.set(len(records))
+        self._metrics.unreadable_servers.set(len(items) - len(readable))
         retain_servers(self.server_limits, self.servers.by_name)
         for server in removed:
             log_event(Event.SERVER_GONE, server=server.name, in_flight=server.in_flight)
@@ -295,15 +297,13 @@
 
     def _read_server(self, item: StoredItem) -> ServerRecord | None:
         assert item.value is not None
-        assert self.config is not None
         try:
-            record = self.dialect.decode_server(item.key, item.value)
+            return self.dialect.decode_server(item.key, item.value)
         except EntryUnreadable as error:
             if self._unreadable_revisions.get(item.key) != item.revision:
                 log_event(Event.SERVER_UNREADABLE, key=item.key, reason=str(error))
             self._unreadable_revisions[item.key] = item.revision
             return None
-        return record if record.group in self.config.groups else None
 
     def _close_delayed(self, client: ServerClient) -> None:
         task = asyncio.create_task(_close_after_delay(client))
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -35,11 +35,17 @@
         self.ejections = self._counter("ejections", "ejections of backend servers", "group")
         self.dropped_lines = self._counter("log_lines_dropped", "log lines dropped", "event")
         self.store_calls = self._counter("store_calls", "calls to the platform's store", "call")
+        self.task_failures = self._counter(
+            "task_failures", "background tasks that failed and were restarted", "task"
+        )
         self.in_flight = self._gauge("in_flight", "calls in progress")
         self.config_version = self._gauge(
             "config_version", "version of the route configuration in force"
         )
         self.servers = self._gauge("servers", "registered backend servers")
+        self.unreadable_servers = self._gauge(
+            "unreadable_servers", "entries of the list of backend servers that cannot be decoded"
+        )
         self.store_reachable = self._gauge(
             "store_reachable", "1 if the last call to the store succeeded"
         )
--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -140,7 +140,7 @@
         port: int = self._server.sockets[0].getsockname()[1]
         self.endpoint = Endpoint(own.address, port)
         self._report_task = asyncio.create_task(
-            run_supervised("report to peers", self._send_reports)
+            run_supervised("report to peers", self._send_reports, self._metrics)
         )
         self.set_seeds(self._settings.seeds)
 
--- a/src/boragetiller/gateway/store_watcher.py
+++ b/src/boragetiller/gateway/store_watcher.py
@@ -75,8 +75,8 @@
         """Start the watches and polls."""
         for prefix in (self._dialect.config_key, self._dialect.servers_prefix):
             follow = partial(self._watch_with_retries, prefix)
-            self._tasks.append(asyncio.create_task(run_supervised(f"follow {prefix}", follow)))
-        self._tasks.append(asyncio.create_task(run_supervised("reread", self._poll)))
+            self._start_task(f"follow {prefix}", follow)
+        self._start_task("reread", self._poll)
 
     async def close(self) -> None:
         """Stop the watches and polls, and close the client of the store."""
@@ -85,6 +85,9 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._store.close()
 
+    def _start_task(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.create_task(run_supervised(name, run, self._metrics)))
+
     async def _watch_with_retries(self, prefix: str) -> None:
         revision = 0
         retry_ms = RETRY_BASE_MS
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -86,6 +86,19 @@
             self.store.put("op/config", build_config(3))
             await wait_until(lambda: self.registry.config.version == 3)
 
+    async def test_failed_task_is_counted_and_logged_with_its_origin(self) -> None:
+        failing = patch.object(self.registry, "apply_changes", side_effect=RuntimeError("no"))
+        with patch("boragetiller.gateway.supervisor.log_event") as log, failing:
+            self.store.put("servers/z", b"{}")
+            await wait_until(lambda: log.called)
+        fields = log.call_args.kwargs
+        self.assertEqual(
+            (fields["task"], fields["reason"]), ("follow servers/", repr(RuntimeError("no")))
+        )
+        self.assertRegex(fields["raised_at"], r"^mock\.py:\d+ ")
+        counter = self.harness.router.metrics.task_failures.labels("follow servers/")
+        self.assertGreaterEqual(counter._value.get(), 1)
+
     async def test_draining_server_gets_no_new_calls(self) -> None:
         self.store.register("a", self.engine, "shop", state="draining")
         await wait_until(lambda: not self.registry.servers.find_accepting("shop").servers)
@@ -112,6 +125,7 @@
             lambda: "servers/unknown-service" in self.registry.store_entries.view.items
         )
         self.assertEqual(set(self.registry.servers.by_name), {"a"})
+        self.assertEqual(self.harness.router.metrics.unreadable_servers._value.get(), 6)
 
 
 class PrefixCacheReaderTest(unittest.IsolatedAsyncioTestCase):
