--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import unittest
 from unittest.mock import patch
 
@@ -16,6 +17,8 @@
     wait_until,
 )
 from tests.gateway.scripted_engine import ScriptedEngine, build_response
+from tests.platform_adapter.messages import SERVER
+from tests.platform_adapter.unusable_values import UNUSABLE_VALUES
 
 
 class StoreWatcherTest(unittest.IsolatedAsyncioTestCase):
@@ -127,6 +130,26 @@
         self.assertEqual(set(self.registry.servers.by_name), {"a"})
         self.assertEqual(self.harness.router.metrics.unreadable_servers._value.get(), 6)
 
+    async def test_foreign_entry_with_unusable_values_does_not_stop_the_list(self) -> None:
+        # A decoder that raised another error than EntryUnreadable stopped every later change of
+        # the list, so that draining servers got calls.
+        for number, text in enumerate(UNUSABLE_VALUES):
+            for field in ("address", "born", "cold-left-ms", "service", "slots", "zone"):
+                document = json.dumps(SERVER | {"service": "unknown", field: "@"})
+                value = document.replace('"@"', text).encode()
+                self.store.put(f"servers/foreign-{number}-{field}", value)
+        self.store.register("a", self.engine, "shop", state="draining")
+        await wait_until(lambda: not self.registry.servers.find_accepting("shop").servers)
+        self.assertEqual(set(self.registry.servers.by_name), {"a"})
+        started = RouterHarness(self.store, name="router-2")
+        await started.start()
+        self.addAsyncCleanup(started.close)
+        await wait_until(lambda: started.router.registry.is_ready)
+        self.store.register("a", self.engine, "shop")
+        await wait_until(lambda: started.router.registry.servers.find_accepting("shop").servers)
+        async with started.call("/stock/") as response:
+            self.assertEqual(response.status, 200)
+
 
 class PrefixCacheReaderTest(unittest.IsolatedAsyncioTestCase):
     """Reads of the prefix cache of engines that are added to the list."""
--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -8,6 +8,7 @@
 import unittest
 from pathlib import Path
 
+import attrs
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from multidict import CIMultiDict
@@ -21,13 +22,15 @@
 from boragetiller.tables.call_metadata import ForwardMetadata, PromptPart, ServerLoad
 from boragetiller.tables.routes import RequestKind, WeightedGroup
 from tests.platform_adapter.messages import CONFIG, REQUEST, SERVER, SETTINGS
+from tests.platform_adapter.unusable_values import UNUSABLE_VALUES, WIDE_INTEGERS, WIDE_SCALARS
 
 JSON = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=9),
+    WIDE_SCALARS,
     lambda inner: st.lists(inner, max_size=3)
     | st.dictionaries(st.sampled_from([*CONFIG, *SERVER]), inner, max_size=4),
     max_leaves=12,
 )
+FIELD_VALUES = WIDE_INTEGERS | WIDE_SCALARS | JSON
 DETERMINISTIC = settings(derandomize=True, deadline=None)
 
 
@@ -35,7 +38,53 @@
     return json.dumps(document).encode()
 
 
-class ConfigTest(unittest.TestCase):
+def list_variants(document: object) -> list[bytes]:
+    """:return: copies of the document, each with one value replaced by an unusable one"""
+    variants = []
+    for path in list_paths(document):
+        changed = copy.deepcopy(document)
+        parent = changed
+        for step in path[:-1]:
+            parent = parent[step]
+        parent[path[-1]] = "@"
+        text = json.dumps(changed)
+        variants += [text.replace('"@"', value).encode() for value in UNUSABLE_VALUES]
+    return variants
+
+
+def list_paths(document: object, prefix: tuple[object, ...] = ()) -> list[tuple[object, ...]]:
+    """:return: paths of all values in a document"""
+    if not isinstance(document, (dict, list)):
+        return [prefix]
+    items = document.items() if isinstance(document, dict) else enumerate(document)
+    nested = [path for name, value in items for path in list_paths(value, (*prefix, name))]
+    return [*([prefix] if prefix else []), *nested]
+
+
+def list_scalars(value: object) -> list[object]:
+    """:return: all numbers and texts in a decoded entity"""
+    if attrs.has(type(value)):
+        value = [getattr(value, field.name) for field in attrs.fields(type(value))]
+    if isinstance(value, dict):
+        value = [*value.keys(), *value.values()]
+    if isinstance(value, (list, tuple)):
+        return [scalar for item in value for scalar in list_scalars(item)]
+    return [value]
+
+
+class DecoderTest(unittest.TestCase):
+    """Cases that all decoders of stored entries have in common."""
+
+    def assert_usable(self, decoded: object) -> None:
+        for value in list_scalars(decoded):
+            if isinstance(value, (int, float)):
+                self.assertLessEqual(abs(value), (1 << 63) - 1)
+            elif isinstance(value, str):
+                self.assertNotRegex(value, "[\\r\\n\\0]")
+                value.encode()
+
+
+class ConfigTest(DecoderTest):
     def test_decode_config_parses_the_documented_example(self) -> None:
         config = documents.decode_config(encode(CONFIG))
         self.assertEqual(config.version, 7)
@@ -75,6 +124,15 @@
                 with self.subTest(path=path, wrong=wrong), self.assertRaises(EntryUnreadable):
                     documents.decode_config(encode(document))
 
+    def test_decode_config_returns_usable_values_or_refuses(self) -> None:
+        # A value beyond the range of a float raised OverflowError, which nobody expected.
+        for value in list_variants(CONFIG):
+            try:
+                config = documents.decode_config(value)
+            except EntryUnreadable:
+                continue
+            self.assert_usable(config)
+
     @given(JSON)
     @DETERMINISTIC
     def test_decode_config_refuses_arbitrary_documents(self, document: object) -> None:
@@ -89,7 +147,7 @@
                 decode(data)
 
 
-class ServerEntryTest(unittest.TestCase):
+class ServerEntryTest(DecoderTest):
     def test_decode_prefix_cache_parses_the_documented_example(self) -> None:
         body = b'{"epoch": 3, "next": 7, "held": [["", "5c1e07a2", 800, "m"]]}'
         self.assertEqual(documents.decode_prefix_cache(body), (PromptPart("5c1e07a2", 800),))
@@ -128,7 +186,22 @@
         with self.assertRaises(EntryUnreadable):
             documents.decode_server("servers/", encode(SERVER))
 
-    @given(st.dictionaries(st.sampled_from(list(SERVER)), JSON, min_size=1, max_size=3))
+    def test_decode_server_returns_usable_values_or_refuses(self) -> None:
+        # A value beyond the range of a float raised OverflowError, which stopped the whole list.
+        for value in list_variants(SERVER):
+            for decode in (documents.decode_server, documents.decode_entry_version):
+                try:
+                    decoded = decode("servers/x", value)
+                except EntryUnreadable:
+                    continue
+                self.assert_usable(decoded)
+
+    def test_decode_server_refuses_an_id_that_cannot_be_sent(self) -> None:
+        for key in ("servers/a\r\nX-Injected: 1", "servers/\0", "servers/\ud800"):
+            with self.subTest(key=key), self.assertRaises(EntryUnreadable):
+                documents.decode_server(key, encode(SERVER))
+
+    @given(st.dictionaries(st.sampled_from(list(SERVER)), FIELD_VALUES, min_size=1, max_size=3))
     @DETERMINISTIC
     def test_decode_server_parses_or_refuses_arbitrary_fields(
         self, change: dict[str, object]
@@ -138,6 +211,7 @@
         except EntryUnreadable:
             return
         self.assertEqual(record.name, "x")
+        self.assert_usable(record)
 
 
 class HeadersTest(unittest.TestCase):
