Count a router as ready only when its list of servers is in force

Cause: servers_listed was set when the list arrived, before it was applied, and nothing recorded a failed application: entries counted as known, so that later listings found no change to apply. A router that did not watch by election never listed again. Change: the registry records that the newest list is still to be applied; such a router is not ready, watches itself, and applies the list at the next listing. A list with entries of which none can be decoded does not make a router ready either: peers that can read it serve instead. The balancer notices by /ready; operators by task_failures and unreadable_servers. Evidence: both tests of ReadinessTest failed before (never ready again after an error; 200 instead of 503).

--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -68,6 +68,8 @@
         self.on_server_added: Callable[[BackendServer], None] | None = None
         self.on_crash_recorded: Callable[[], None] | None = None
         self.servers_listed = False  # whether the list of servers was ever received
+        self.servers_outdated = False  # whether the newest list is still to be applied
+        self._list_unreadable = False  # whether the list has entries and none can be decoded
         self._settings = settings
         self.dialect = dialect
         self._clock = clock
@@ -79,8 +81,18 @@
 
     @property
     def is_ready(self) -> bool:
-        """:return: whether routes and backend servers are known, so that calls can be served"""
-        return self.config is not None and self.servers_listed
+        """
+        Check whether calls can be served.
+
+        :return: whether routes and backend servers are known and the newest list of servers is in
+            force; a list in which no entry can be decoded does not count
+        """
+        return (
+            self.config is not None
+            and self.servers_listed
+            and not self.servers_outdated
+            and not self._list_unreadable
+        )
 
     def get_client(self, server: BackendServer) -> ServerClient:
         """
@@ -230,15 +242,14 @@
         self._clients.clear()
 
     def _apply(self, changed_items: list[StoredItem], source: str) -> None:
-        if not changed_items:
-            return
-        changed = False
         for item in changed_items:
             if item.key == self.dialect.config_key and item.value is not None:
-                changed |= self._apply_config(item, source)
-            changed |= item.key.startswith(self.dialect.servers_prefix)
-        if changed:
-            self._replace_servers()
+                self.servers_outdated |= self._apply_config(item, source)
+            self.servers_outdated |= item.key.startswith(self.dialect.servers_prefix)
+        if self.servers_outdated and self.config is not None:
+            self._replace_servers(self.config)
+            # Not reached after an error, so that the next listing applies the list again.
+            self.servers_outdated = False
 
     def _apply_config(self, item: StoredItem, source: str) -> bool:
         assert item.value is not None
@@ -267,12 +278,10 @@
         )
         return True
 
-    def _replace_servers(self) -> None:
-        if self.config is None:
-            return
+    def _replace_servers(self, config: RouteConfig) -> None:
         items = self.store_entries.view.list_entries(self.dialect.servers_prefix)
         readable = [record for item in items if (record := self._read_server(item)) is not None]
-        records = [record for record in readable if record.group in self.config.groups]
+        records = [record for record in readable if record.group in config.groups]
         known = set(self.servers.by_name)
         removed = self.servers.replace(records, self._clock.now_ms())
         for record in records:
@@ -287,6 +296,7 @@
                     self.on_server_added(self.servers.by_name[record.name])
         self._metrics.servers.set(len(records))
         self._metrics.unreadable_servers.set(len(items) - len(readable))
+        self._list_unreadable = bool(items) and not readable
         retain_servers(self.server_limits, self.servers.by_name)
         for server in removed:
             log_event(Event.SERVER_GONE, server=server.name, in_flight=server.in_flight)
--- a/src/boragetiller/gateway/store_watcher.py
+++ b/src/boragetiller/gateway/store_watcher.py
@@ -156,6 +156,7 @@
         restored = (self._store.eras.era or 0) > self._registry.store_entries.restore_grace.era
         return (
             not self._registry.servers_listed
+            or self._registry.servers_outdated
             or restored
             or self._get_relist_wait_ms() == 0
             or self._watcher_election.is_watcher(self._clock.now_ms())
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -7,8 +7,11 @@
 import unittest
 from unittest.mock import patch
 
+import aiohttp
+
 from boragetiller.errors import SettingsInvalid
 from boragetiller.gateway.settings_reloader import SettingsReloader
+from boragetiller.tables.server_table import ServerTable
 from tests.gateway.harness import (
     FakeStore,
     RouterHarness,
@@ -151,6 +154,45 @@
             self.assertEqual(response.status, 200)
 
 
+class ReadinessTest(unittest.IsolatedAsyncioTestCase):
+    """Readiness of a router whose list of backend servers cannot be applied."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = FakeStore()
+        self.store.put("op/config", build_config())
+        self.harness = RouterHarness(self.store)
+        self.registry = self.harness.router.registry
+
+    async def start(self) -> None:
+        await self.harness.router.start()
+        self.harness.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.harness.close)
+
+    async def get_readiness(self) -> int:
+        port = self.harness.router.readiness_listener.port
+        async with self.harness.session.get(f"http://127.0.0.1:{port}/ready") as response:
+            return response.status
+
+    async def test_router_is_not_ready_until_the_list_is_applied(self) -> None:
+        # A router whose list had arrived but could not be applied was ready and served no call.
+        failing = patch.object(ServerTable, "replace", side_effect=RuntimeError("unexpected"))
+        with failing as replace:
+            await self.start()
+            await wait_until(lambda: replace.call_count > 1)
+            self.assertEqual(await self.get_readiness(), 503)
+        await wait_until(lambda: self.registry.is_ready)
+        self.assertEqual(await self.get_readiness(), 200)
+
+    async def test_list_without_a_readable_entry_does_not_make_a_router_ready(self) -> None:
+        self.store.put("servers/a", b"{")
+        await self.start()
+        await wait_until(lambda: "servers/a" in self.registry.store_entries.view.items)
+        self.assertEqual(await self.get_readiness(), 503)
+        self.store.put("servers/b", json.dumps(SERVER).encode())
+        await wait_until(lambda: self.registry.is_ready)
+        self.assertEqual(await self.get_readiness(), 200)
+
+
 class PrefixCacheReaderTest(unittest.IsolatedAsyncioTestCase):
     """Reads of the prefix cache of engines that are added to the list."""
 
