Keep a malformed item of a store response from costing the others

Callers would see: as long as one item of a listing or watch had a key, revision or value that cannot be decoded, each call counted as a store outage, so that no change of the list or the configuration arrived. A current-rev written as 1e999 raised OverflowError, which ended the task. Cause: the client decoded a response as a whole, and int() was applied to any number. Change: items are decoded apart; one that cannot be decoded is left out, is named by store_item_unreadable (610), and counts as missing, as an entry that names no engine.

--- a/src/boragetiller/gateway/platform_interface.py
+++ b/src/boragetiller/gateway/platform_interface.py
@@ -24,12 +24,21 @@
     Headers = CIMultiDictProxy[str]
 
 
+@attrs.frozen
+class UnreadableItem:
+    """An item of a response of the store that cannot be decoded."""
+
+    key: str | None  # None if the key itself cannot be decoded
+    reason: str
+
+
 @attrs.frozen(kw_only=True)
 class Listing:
     """Store entries with a common prefix, and the store's extended revision at the read."""
 
     items: list[StoredItem]
     revision: int
+    unreadable: tuple[UnreadableItem, ...] = ()
 
 
 class Dialect(Protocol):
@@ -134,4 +143,4 @@
         ...
 
 
-__all__ = ["Dialect", "Headers", "Listing", "StoreClient"]
+__all__ = ["Dialect", "Headers", "Listing", "StoreClient", "UnreadableItem"]
--- a/src/boragetiller/gateway/store_watcher.py
+++ b/src/boragetiller/gateway/store_watcher.py
@@ -187,6 +187,8 @@
             listing = await call()
         self._metrics.store_era.set(self._store.eras.era or 0)
         self._set_store_reachable(True, "")
+        for item in listing.unreadable:
+            log_event(Event.STORE_ITEM_UNREADABLE, key=item.key, reason=item.reason)
         return listing
 
     def _set_store_reachable(self, reachable: bool, reason: str) -> None:
