Bound what the prompt headers of a request may say

Callers saw: after one request that declared an output of 10**300 tokens, all requests of its route at that router got 503 'no_room' (the average falls by 2% a request); with 10**400 tokens, a request ID or a part ID that is not UTF-8, the caller itself got status 500 without a code. Peers: a model name of 9,000 characters, or parts of 5 * 10**9 tokens, made the report to peers fail, and with it the loads, crashes and limits in it. Cause: headers were parsed without bounds, and later steps calculate with them, hash them and put them into frames: OverflowError, UnicodeEncodeError, FrameTooLarge and KjException, none of which anyone expects there. Change: numbers of tokens are 0 to 10,000,000, model names at most 256 characters, and both must be UTF-8; a request with other prompt headers is routed without a prompt, as before with malformed ones, and the engine judges them. An ID that is not UTF-8 is refused with 400. Requests larger than the engine's memory, which engines reject, no longer count for the typical output length (systems/output_lengths.py).

--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -30,6 +30,7 @@
 from boragetiller.systems.failure_history import (
     exclude_failed_servers,
 )
+from boragetiller.systems.output_lengths import estimate_output_tokens
 from boragetiller.systems.peer_loads import exclude_silent_peers
 from boragetiller.systems.response_timeouts import (
     compute_caller_event_timeout_ms,
@@ -122,11 +123,9 @@
         if self._retry_after.quarantine_left_ms(call):
             return self._fail_quarantined(state)
         self._registry.get_retry_budget(call.group.name).record_request(self._clock.now_ms())
-        if call.metadata.prompt is not None:
-            longest = call.metadata.prompt.output_tokens
-            self._registry.output_lengths.record(
-                call.route.name, min(longest, call.metadata.length_hint_tokens or longest)
-            )
+        output_tokens = estimate_output_tokens(call.metadata, call.group.engine)
+        if output_tokens is not None:
+            self._registry.output_lengths.record(call.route.name, output_tokens)
         while True:
             placement = self._choose_server(state)
             if placement is None:
--- /dev/null
+++ b/tests/gateway/test_unusable_headers.py
@@ -0,0 +1,107 @@
+"""Headers of callers and of engines whose values cannot be calculated with, encoded or sent."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.gateway.harness import HOST, KEY, RouterHarness, wait_until
+from tests.gateway.scripted_engine import (
+    ReceivedRequest,
+    ScriptedEngine,
+    build_chunk,
+    build_event,
+    build_stream_header,
+)
+
+COUNTS = b"X-Boragetiller-Token-Counts: "
+PARTS = b"X-Boragetiller-Prefix-Hash: "
+MODEL = b"X-Boragetiller-Model: "
+PROMPT = COUNTS + b"900,16\r\n" + PARTS + b"aa:800,bb:100\r\n"
+UNUSABLE_PROMPTS = (
+    COUNTS + b"9" * 400 + b",16\r\n",
+    COUNTS + b"5000000000,16\r\n" + PARTS + b"aa:5000000000\r\n",
+    COUNTS + b"900," + b"9" * 300 + b"\r\n",
+    COUNTS + b"900," + b"9" * 400 + b"\r\n",
+    COUNTS + b"900," + b"9" * 5_000 + b"\r\n",
+    COUNTS + b"900,10000000\r\n",
+    COUNTS + b"900,16\r\n" + PARTS + b"aa:" + b"9" * 400 + b",bb:1\r\n",
+    COUNTS + b"900,16\r\n" + PARTS + b"\xff:800,bb:100\r\n",
+    COUNTS + b"900,16\r\n" + PARTS + b"\xff" * 100 + b":800,bb:100\r\n",
+    COUNTS + b"900,16\r\n" + MODEL + b"\xff\r\n",
+    COUNTS + b"900,16\r\n" + MODEL + b"m" * 9_000 + b"\r\n",
+)
+
+
+async def stream_event(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    head = build_stream_header(request.request_id)
+    writer.write(head + build_chunk(build_event(1)) + build_chunk(b""))
+
+
+async def send(harness: RouterHarness, path: str, headers: bytes, request_id: bytes = b"x1") -> int:
+    """:return: status of the response to a call whose headers are sent as given"""
+    port = harness.router.caller_listener.port
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    lines = (
+        f"POST {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Authorization: Token {KEY}",
+        "X-Boragetiller-Deadline-Ms: 4000",
+        "Content-Length: 0",
+        "Connection: close",
+    )
+    head = "\r\n".join(lines).encode() + b"\r\nX-Boragetiller-Attempt-Id: " + request_id + b"\r\n"
+    writer.write(head + headers + b"\r\n")
+    status_line = await reader.readline()
+    writer.transport.abort()
+    return int(status_line.split()[1])
+
+
+class CallerHeadersTest(unittest.IsolatedAsyncioTestCase):
+    """Two routers before one engine."""
+
+    async def asyncSetUp(self) -> None:
+        engine = ScriptedEngine(stream_event)
+        await engine.start()
+        self.addAsyncCleanup(engine.close)
+        self.harness = RouterHarness()
+        self.harness.store.register("e", engine, "engines")
+        await self.harness.start()
+        self.addAsyncCleanup(self.harness.close)
+        exchange = self.harness.router.peer_exchange
+        self.peer = RouterHarness(name="router-2", seeds=(exchange.endpoint,))
+        self.peer.store.register("e", engine, "engines")
+        await self.peer.start()
+        self.addAsyncCleanup(self.peer.close)
+        self.peers_gauge = self.peer.router.metrics.peers._value
+        await wait_until(lambda: self.peers_gauge.get() == 1)
+
+    async def test_unusable_prompt_does_not_stop_the_other_requests_of_its_route(self) -> None:
+        # A declared output of 10**300 tokens raised the route's average for thousands of requests,
+        # which were refused; other texts raised errors that the caller saw as status 500.
+        for headers in UNUSABLE_PROMPTS:
+            with self.subTest(headers=headers[:60]):
+                self.assertEqual(await send(self.harness, "/quotes/", headers), 200)
+                self.assertEqual(await send(self.harness, "/quotes/", PROMPT), 200)
+
+    async def test_unusable_prompt_does_not_stop_the_reports_to_peers(self) -> None:
+        # A report with a number or a text that a frame cannot hold was lost, with all else in it.
+        failures = self.harness.router.metrics.task_failures.labels("report to peers")
+        server = self.peer.router.registry.servers.by_name["e"]
+        for number, headers in enumerate(UNUSABLE_PROMPTS):
+            with self.subTest(headers=headers[:60]):
+                await send(self.harness, "/quotes/", headers)
+                part = f"p{number}"
+                prompt = COUNTS + b"900,16\r\n" + PARTS + f"{part}:800,bb:100\r\n".encode()
+                await send(self.harness, "/quotes/", prompt)
+                await wait_until(lambda: part in server.cached_parts)  # noqa: B023
+        self.assertEqual(failures._value.get(), 0)
+        self.assertEqual(self.peers_gauge.get(), 1)
+
+    async def test_request_id_that_is_not_utf_8_is_refused(self) -> None:
+        # Hashing the ID raised an error that the caller saw as status 500.
+        self.assertEqual(await send(self.harness, "/quotes/", PROMPT, request_id=b"\xff"), 400)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -242,10 +242,15 @@
             self.parse(X_Boragetiller_Attempt_Id=None)
 
     def test_parse_call_headers_ignores_invalid_prompt_headers(self) -> None:
-        for counts in ("1460", "a,b", "-1,5", "1,2,3"):
+        for counts in ("1460", "a,b", "-1,5", "1,2,3", "10000001,5", "5," + "9" * 5_000):
             with self.subTest(counts=counts):
                 self.assertIsNone(self.parse(X_Boragetiller_Token_Counts=counts).prompt)
-        self.assertIsNone(self.parse(X_Boragetiller_Prefix_Hash="aa:b").prompt)
+        for parts in ("aa:b", "aa:10000001", "\udcff:5"):
+            with self.subTest(parts=parts):
+                self.assertIsNone(self.parse(X_Boragetiller_Prefix_Hash=parts).prompt)
+        for model in ("m" * 257, "\udcff"):
+            with self.subTest(model=model):
+                self.assertIsNone(self.parse(X_Boragetiller_Model=model).prompt)
 
     def test_parse_call_headers_accepts_keys_of_the_token_scheme_only(self) -> None:
         for text in ("Bearer n2ctn", "n2ctn", "Token ", "token n2ctn"):
