--- a/tests/gateway/test_unusable_headers.py
+++ b/tests/gateway/test_unusable_headers.py
@@ -5,12 +5,14 @@
 import asyncio
 import unittest
 
+from boragetiller.clock import SystemClock
 from tests.gateway.harness import HOST, KEY, RouterHarness, wait_until
 from tests.gateway.scripted_engine import (
     ReceivedRequest,
     ScriptedEngine,
     build_chunk,
     build_event,
+    build_response,
     build_stream_header,
 )
 
@@ -103,5 +105,51 @@
         self.assertEqual(await send(self.harness, "/quotes/", PROMPT, request_id=b"\xff"), 400)
 
 
+class EngineHeadersTest(unittest.IsolatedAsyncioTestCase):
+    """One router before two servers of a plain service and two engines."""
+
+    async def asyncSetUp(self) -> None:
+        self.extra = ""
+        self.event = build_event(1)
+        self.harness = RouterHarness()
+        for name in ("a", "b"):
+            engine = ScriptedEngine(self.respond)
+            await engine.start()
+            self.addAsyncCleanup(engine.close)
+            self.harness.store.register(f"shop-{name}", engine, "shop")
+            self.harness.store.register(f"engine-{name}", engine, "engines")
+        await self.harness.start()
+        self.addAsyncCleanup(self.harness.close)
+
+    async def respond(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        if request.path == "/gauges/":
+            head = build_stream_header(request.request_id)
+            writer.write(head + build_chunk(self.event) + build_chunk(b""))
+        else:
+            writer.write(build_response(request.request_id, extra=self.extra))
+
+    async def test_response_with_unusable_headers_reaches_the_caller(self) -> None:
+        # Parsing the header raised an error after the booking had run: the caller got status 502
+        # or 500 instead of the response, and two such responses ejected the server.
+        servers = self.harness.router.registry.servers.by_name
+        for extra in (
+            "Keep-Alive: timeout=\u00b2",
+            "Keep-Alive: timeout=" + "9" * 5_000,
+            "X-Boragetiller-Server-Load: " + "9" * 400 + ",0,8",
+            "X-Boragetiller-Server-Load: " + "9" * 300 + ",0,8",
+            "X-Boragetiller-Server-Load: " + "9" * 5_000 + ",0,8",
+            "X-Boragetiller-Server-Load: -5,-9,8",
+            "Server-Limit: 1e400",
+            "Server-Limit: nan",
+        ):
+            self.extra = f"{extra}\r\n"
+            for _ in range(3):
+                with self.subTest(extra=extra[:60]):
+                    self.assertEqual(await send(self.harness, "/reserve/", b""), 200)
+        for server in servers.values():
+            self.assertEqual(server.health.failures, 0)
+            self.assertEqual(server.estimate_unreported_requests(SystemClock().now_ms()), 0.0)
+
+
 if __name__ == "__main__":
     unittest.main()
