Relay events whose ids have thousands of digits

Callers saw: 502 for a stream whose event id, or their own Last-Event-Id, has more than 4300 digits; each attempt counted as a lost connection of the engine. Cause: int() refuses so many digits with ValueError, which the sender takes for a transport error. Change: an id of more than 19 digits is not compared as a number; the event is relayed. Evidence: test_event_ids_of_any_length_are_relayed failed before (502).

--- a/src/boragetiller/gateway/event_stream.py
+++ b/src/boragetiller/gateway/event_stream.py
@@ -6,6 +6,7 @@
 
 EVENT_DELIMITER = b"\n\n"
 ID_FIELD = b"id:"
+MAX_ID_DIGITS = 19  # of a signed 64-bit integer
 MAX_EVENT_BYTES = 1_048_576  # an event holds a few tokens, or a store value of up to 1 MB
 
 
@@ -87,7 +88,10 @@
 
 
 def _parse_number(event_id: str | None) -> int | None:
-    return int(event_id) if event_id is not None and event_id.isdecimal() else None
+    """:return: the number; longer ids are not numbered, since int() refuses very long ones"""
+    if event_id is None or len(event_id) > MAX_ID_DIGITS or not event_id.isdecimal():
+        return None
+    return int(event_id)
 
 
 __all__ = ["MAX_EVENT_BYTES", "EventSplitter", "EventTooLarge", "StreamEvents"]
--- a/tests/gateway/test_unusable_headers.py
+++ b/tests/gateway/test_unusable_headers.py
@@ -150,6 +150,14 @@
             self.assertEqual(server.health.failures, 0)
             self.assertEqual(server.estimate_unreported_requests(SystemClock().now_ms()), 0.0)
 
+    async def test_event_ids_of_any_length_are_relayed(self) -> None:
+        # int() refuses more than 4,300 digits, and the router took the error for a lost connection.
+        number = b"9" * 5_000
+        self.event = b"id: " + number + b"\ndata: x\n\n"
+        self.assertEqual(await send(self.harness, "/gauges/", PROMPT), 200)
+        last_id = b"Last-Event-Id: " + number + b"\r\n"
+        self.assertEqual(await send(self.harness, "/gauges/", PROMPT + last_id), 200)
+
 
 if __name__ == "__main__":
     unittest.main()
