Leave out unreadable entries of a prefix cache list, and parts that exceed the cache

Callers would see: prompts placed as if an engine had nothing cached, and so read again. One entry of another type in an engine's list made the whole list unread; a part ID of more than 64 characters with a lone surrogate raised UnicodeEncodeError, which ended the read without a line. One part with more tokens than the cache, from the engine's list or a caller's header, evicted all other parts from the estimate, at peers too. Cause: entries were decoded as one, and a size was added before it was compared with the capacity. A part that exceeds the cache is not added. Evidence: test_decode_prefix_cache_leaves_out_unreadable_entries_only and test_part_that_exceeds_the_cache_evicts_no_other failed before.

--- a/src/boragetiller/gateway/platform_interface.py
+++ b/src/boragetiller/gateway/platform_interface.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from boragetiller.tables.call_metadata import PromptPart
 from boragetiller.tables.store_view import EntryVersion, StoredItem
 
 if TYPE_CHECKING:
@@ -15,7 +16,6 @@
     from boragetiller.tables.call_metadata import (
         CallMetadata,
         ForwardMetadata,
-        PromptPart,
         ResponseMetadata,
     )
     from boragetiller.tables.routes import RouteConfig
@@ -41,6 +41,14 @@
     unreadable: tuple[UnreadableItem, ...] = ()
 
 
+@attrs.frozen(kw_only=True)
+class PrefixCacheList:
+    """An engine's list of the prompt parts in its prefix cache."""
+
+    parts: tuple[PromptPart, ...]
+    unreadable: tuple[str, ...] = ()  # why entries cannot be decoded
+
+
 class Dialect(Protocol):
     """Header names and data formats of the platform, without any policy."""
 
@@ -94,7 +102,7 @@
         """
         ...
 
-    def decode_prefix_cache(self, body: bytes) -> tuple[PromptPart, ...]:
+    def decode_prefix_cache(self, body: bytes) -> PrefixCacheList:
         """
         Decode an engine's list of cached prompt parts.
 
@@ -143,4 +151,4 @@
         ...
 
 
-__all__ = ["Dialect", "Headers", "Listing", "StoreClient", "UnreadableItem"]
+__all__ = ["Dialect", "Headers", "Listing", "PrefixCacheList", "StoreClient", "UnreadableItem"]
--- a/src/boragetiller/gateway/prefix_cache_reader.py
+++ b/src/boragetiller/gateway/prefix_cache_reader.py
@@ -16,6 +16,7 @@
     from boragetiller.tables.routes import EngineProfile
     from boragetiller.tables.servers import BackendServer
 
+MAX_LOGGED_REASONS = 3
 TIMEOUT_MS = 1_000  # a call takes a few ms; a cache that cannot be read is assumed to be empty
 
 
@@ -64,12 +65,18 @@
                 body = await self._registry.get_client(server).get_body(
                     self._dialect.prefix_cache_path
                 )
-            parts = self._dialect.decode_prefix_cache(body)
+            cached = self._dialect.decode_prefix_cache(body)
         except (*TRANSPORT_ERRORS, TimeoutError, EntryUnreadable) as error:
             log_event(Event.CACHE_UNREAD, server=server.name, reason=repr(error))
             return
-        record_cached_parts(server, parts, estimate_cache_tokens(engine))
-        log_event(Event.CACHE_READ, server=server.name, parts=len(parts))
+        record_cached_parts(server, cached.parts, estimate_cache_tokens(engine))
+        log_event(
+            Event.CACHE_READ,
+            server=server.name,
+            parts=len(cached.parts),
+            unreadable=len(cached.unreadable),
+            reasons=cached.unreadable[:MAX_LOGGED_REASONS],
+        )
 
 
 __all__ = ["PrefixCacheReader"]
--- a/src/boragetiller/systems/prefix_cache.py
+++ b/src/boragetiller/systems/prefix_cache.py
@@ -109,11 +109,15 @@
     """
     Add parts to the cache estimate of an engine and evict the least recently used ones.
 
+    A part that exceeds the cache cannot be in it; to add it would evict all others.
+
     :param server: the engine
     :param parts: parts that are in its cache now
     :param cache_tokens: capacity of the cache in tokens
     """
     for part in parts:
+        if part.tokens > cache_tokens:
+            continue
         known = server.cached_parts.pop(part.part_id, 0)
         server.cached_parts[part.part_id] = part.tokens
         server.cached_tokens += part.tokens - known
--- a/src/boragetiller/tables/call_metadata.py
+++ b/src/boragetiller/tables/call_metadata.py
@@ -8,6 +8,7 @@
 
 MAX_PART_ID_CHARS = 64  # bounds the tables and reports that hold the IDs, which callers choose
 DIGEST_BYTES = 16
+MAX_TOKENS = 10_000_000  # exceeds the KV cache of any engine
 
 
 def _shorten_part_id(part_id: str) -> str:
@@ -88,6 +89,7 @@
 
 
 __all__ = [
+    "MAX_TOKENS",
     "CallMetadata",
     "ForwardMetadata",
     "Prompt",
--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -150,16 +150,37 @@
 class ServerEntryTest(DecoderTest):
     def test_decode_prefix_cache_parses_the_documented_example(self) -> None:
         body = b'{"epoch": 3, "next": 7, "held": [["", "5c1e07a2", 800, "m"]]}'
-        self.assertEqual(documents.decode_prefix_cache(body), (PromptPart("5c1e07a2", 800),))
-
-    @given(st.recursive(st.none() | st.integers() | st.text(max_size=3), st.lists, max_leaves=8))
+        cached = documents.decode_prefix_cache(body)
+        self.assertEqual((cached.parts, cached.unreadable), ((PromptPart("5c1e07a2", 800),), ()))
+
+    def test_decode_prefix_cache_leaves_out_unreadable_entries_only(self) -> None:
+        # One unreadable entry made the whole cache count as empty, or ended the read with an error
+        # that its task did not expect.
+        for text in UNUSABLE_VALUES:
+            if text.startswith("[["):
+                continue  # not JSON, or nested too deeply
+            for entry in (text, f'["", {text}, 1, "m"]', f'["", "aa", {text}, "m"]', '["", "aa"]'):
+                with self.subTest(entry=entry[:40]):
+                    body = f'{{"held": [["", "bb", 5, "m"], {entry}]}}'.encode()
+                    try:
+                        cached = documents.decode_prefix_cache(body)
+                    except EntryUnreadable:
+                        self.assertIn("9" * 4_301, entry)  # Python's parser refuses the document
+                        continue
+                    self.assertEqual(cached.parts[0], PromptPart("bb", 5))
+                    self.assertEqual(len(cached.parts) + len(cached.unreadable), 2)
+                    self.assert_usable(cached.parts)
+
+    @given(st.recursive(WIDE_SCALARS, st.lists, max_leaves=8))
     @settings(derandomize=True, deadline=None)
     def test_decode_prefix_cache_parses_or_refuses_arbitrary_entries(self, entry: object) -> None:
         body = json.dumps({"held": [["", "aa", 1, "m"], entry]}).encode()
         try:
-            self.assertEqual(len(documents.decode_prefix_cache(body)), 2)
+            cached = documents.decode_prefix_cache(body)
         except EntryUnreadable:
             return
+        self.assertEqual(len(cached.parts) + len(cached.unreadable), 2)
+        self.assertEqual(cached.parts[0], PromptPart("aa", 1))
 
     def test_decode_server_parses_the_documented_example(self) -> None:
         record = documents.decode_server("servers/i-7f3a91c2", encode(SERVER))
--- a/tests/systems/test_server_placement.py
+++ b/tests/systems/test_server_placement.py
@@ -192,6 +192,14 @@
         self.assertNotIn("p0", server.cached_parts)
         self.assertIn("p39", server.cached_parts)
 
+    def test_part_that_exceeds_the_cache_evicts_no_other(self) -> None:
+        # The declared size of one part emptied the estimate of the engine's whole cache.
+        server = make_server("a")
+        record_prefill(server, make_prompt("p", 13_000, "own", 10), COSTS, CACHE_TOKENS, 0)
+        cached = dict(server.cached_parts)
+        record_prefill(server, make_prompt("x", CACHE_TOKENS + 1, "y", 1), COSTS, CACHE_TOKENS, 0)
+        self.assertEqual(dict(server.cached_parts), cached | {"y": 1})
+
     def test_prefill_share_decays(self) -> None:
         server = make_server("e")
         record_prefill(server, make_prompt("p", 60_000, "own", 0), COSTS, CACHE_TOKENS, 0)
