Accept a gap target of nearly zero without an overflow

Change: the limit comes first; other results are the same. Evidence: test_sensitivity_to_a_gap_target_of_nearly_zero_is_one failed before (OverflowError).

--- a/src/boragetiller/systems/server_placement.py
+++ b/src/boragetiller/systems/server_placement.py
@@ -50,7 +50,7 @@
     if gap_target_ms <= 0:
         return 0.0
     stalled_ms = costs.tokens_per_event * (costs.chunk_ms + LARGE_BATCH_STEP_MS)
-    return min(1.0, (stalled_ms / gap_target_ms) ** SENSITIVITY_EXPONENT)
+    return min(1.0, stalled_ms / gap_target_ms) ** SENSITIVITY_EXPONENT
 
 
 def choose_server(
--- a/tests/systems/test_server_placement.py
+++ b/tests/systems/test_server_placement.py
@@ -212,6 +212,11 @@
         self.assertGreater(values[2], values[3])
         self.assertEqual(compute_stream_sensitivity(0, COSTS), 0.0)
 
+    def test_sensitivity_to_a_gap_target_of_nearly_zero_is_one(self) -> None:
+        # The power of the ratio raised OverflowError for every stream of the route.
+        for gap_target_ms in (1e-150, 1e-300, 5e-324):
+            self.assertEqual(compute_stream_sensitivity(gap_target_ms, COSTS), 1.0)
+
 
 class BurstReplayTest(unittest.TestCase):
     """
