Refuse peers' numbers and addresses that harm later, and send only what a report can hold

Callers would see: uneven placement, since a router's report stopped while the tokens that wait at one engine exceeded 2^32 - 1 (KjException in the task that reports to peers); a load of NaN in a sum stays NaN until no router reports there; a limit of infinity raised OverflowError outside the errors that close a connection. An address that cannot be connected to (a name, port 0) raised ValueError in its own task, which ended unseen, and the address counted as a router of the fleet from then on, also at the routers told of it. Cause: ranges were checked by the encoder only, by raising, and addresses not at all. Change: sums are reduced to the field's range; non-finite numbers are a bad frame; addresses are checked where they are added, and one that is not valid is named by peer_address_invalid (824). Evidence: the three new tests of tests/gateway/test_peer_exchange.py failed before.

--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -178,6 +178,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _add_endpoint(self, endpoint: Endpoint) -> None:
+        if not endpoint.is_valid:
+            log_event(Event.PEER_ADDRESS_INVALID, address=endpoint.address, port=endpoint.port)
+            return
         if (
             endpoint in self._known_endpoints
             or endpoint == self.endpoint
@@ -386,6 +389,8 @@
         if not isinstance(hello, PeerHello) or hello.name == self._settings.name:
             raise BadFrame("first message is not a hello of another router")
         endpoint = Endpoint(hello.address, hello.port)
+        if not endpoint.is_valid:
+            raise BadFrame(f"the hello of {hello.name} names the address {endpoint}")
         self._state_sync.peer_names[endpoint] = hello.name
         self._inbound_peers[hello.name] = peer = InboundPeer(hello.incarnation, endpoint)
         self._state_sync.remove_peer(hello.name)  # its first report holds all of its loads
--- a/src/boragetiller/gateway/peer_messages.py
+++ b/src/boragetiller/gateway/peer_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from functools import singledispatch
 from pathlib import Path
 from typing import Any
@@ -176,13 +177,20 @@
     raise BadFrame("unknown message type")
 
 
+def _read_finite(value: float) -> float:
+    """:raises ValueError: the value is infinite or not a number, which no sum recovers from"""
+    if not math.isfinite(value):
+        raise ValueError(f"got {value}; must be finite")
+    return value
+
+
 def _read_report(report: Any) -> PeerReport:
     loads = [
         ReportedLoad(
             server=load.server,
             in_flight=load.inFlight,
             unread_tokens=tuple(load.unreadTokens),
-            sensitivity=load.sensitivity,
+            sensitivity=_read_finite(load.sensitivity),
         )
         for load in report.loads
     ]
@@ -209,7 +217,7 @@
 
 
 def _read_limit(limit: Any) -> LimitReport:
-    limit_per_s = None if limit.ended else limit.limitPerS
+    limit_per_s = None if limit.ended else _read_finite(limit.limitPerS)
     return LimitReport(server=limit.server, limit_per_s=limit_per_s, age_ms=limit.ageMs)
 
 
--- a/src/boragetiller/gateway/settings.py
+++ b/src/boragetiller/gateway/settings.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import ipaddress
+
 import attrs
 
+MAX_PORT = 65_535
+
 
 @attrs.frozen
 class Endpoint:
@@ -12,6 +16,15 @@
     address: str
     port: int
 
+    @property
+    def is_valid(self) -> bool:
+        """:return: whether a connection can be opened to it, with an IP address and a port"""
+        try:
+            ipaddress.ip_address(self.address)
+        except ValueError:
+            return False
+        return 0 < self.port <= MAX_PORT
+
 
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -31,6 +31,7 @@
     from boragetiller.tables.servers import BackendServer
     from boragetiller.tables.store_view import StoredItem
 
+MAX_UINT32 = (1 << 32) - 1  # largest number of tokens that a report can hold
 MAX_RECENT_PROMPTS = 512  # enough for those sent in the 100 ms between two reports
 
 
@@ -320,7 +321,7 @@
     return ReportedLoad(
         server=server.name,
         in_flight=server.in_flight,
-        unread_tokens=tuple(server.unread_tokens),
+        unread_tokens=tuple(min(tokens, MAX_UINT32) for tokens in server.unread_tokens),
         sensitivity=round(server.sensitivity, 2),
     )
 
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -29,6 +29,7 @@
 from boragetiller.systems.failure_history import exclude_failed_servers, record_error
 from boragetiller.tables.call_metadata import Prompt, PromptPart
 from boragetiller.tables.failure_history import FailureKind, RequestFailure
+from boragetiller.tables.server_limits import LimitReport
 from boragetiller.tables.store_view import EntryVersion, StoredItem
 from tests.gateway.harness import FakeStore, RouterHarness, build_config, wait_until
 from tests.gateway.scripted_engine import ScriptedEngine, build_response
@@ -97,6 +98,7 @@
         store.down = True
         first, second = await self.start_pair(store)
         await wait_until(lambda: "e" in second.router.registry.servers.by_name)
+        await wait_until(lambda: "e" in second.router.registry.servers.by_name)
         server = first.router.registry.servers.by_name["e"]
         server.in_flight, server.sensitivity = 3, 1.5
         group = first.router.registry.config.groups["engines"]
@@ -221,6 +223,33 @@
             await wait_until(lambda: second.router.registry.config.version == 4)
         self.assertNotIn("servers/large", second.router.registry.store_entries.view.items)
 
+    async def test_invalid_addresses_are_left_out_and_the_others_hold(self) -> None:
+        # To connect to such an address raised an error that ended its task, and it counted as a
+        # router of the fleet for good.
+        first, _ = await self.start_pair(FakeStore())
+        exchange = first.router.peer_exchange
+        before = exchange.known_count
+        seeds = [Endpoint(text, 80) for text in ("host.example", "10.0.0.1\0", "", "x" * 99)]
+        exchange.set_seeds((*seeds, Endpoint("10.0.0.1", 0), Endpoint("127.0.0.1", 9)))
+        self.assertEqual(exchange.known_count, before + 1)
+        _, writer = await asyncio.open_connection(exchange.endpoint.address, exchange.endpoint.port)
+        hello = PeerHello(name="router-x", incarnation=1, address="127.0.0.1", port=1)
+        routers = PeerRouters((*seeds, Endpoint("127.0.0.1", 8)))
+        writer.write(encode_frame(hello) + encode_frame(routers))
+        await wait_until(lambda: exchange.known_count == before + 3)
+        writer.transport.abort()
+
+    async def test_sums_too_large_for_a_report_do_not_stop_the_reports(self) -> None:
+        # Token counts of many requests exceeded the field of the report, which then was not sent.
+        first, second = await self.start_pair(FakeStore())
+        await wait_until(lambda: "e" in second.router.registry.servers.by_name)
+        server = first.router.registry.servers.by_name["e"]
+        server.in_flight, server.unread_tokens[0] = 3, 1 << 33
+        peer_loads = second.router.registry.peer_loads.by_peer
+        await wait_until(lambda: "router-1" in peer_loads and peer_loads["router-1"].loads)
+        load = peer_loads["router-1"].loads["e"].load
+        self.assertEqual((load.in_flight, load.unread_tokens[0]), (3, (1 << 32) - 1))
+
     async def test_connection_with_invalid_frames_is_closed(self) -> None:
         store = FakeStore()
         first, _ = await self.start_pair(store)
@@ -257,6 +286,15 @@
             with self.subTest(message=type(message).__name__):
                 self.assertEqual(decode_payload(encode_frame(message)[LENGTH_BYTES:]), message)
 
+    def test_decode_refuses_numbers_that_no_sum_recovers_from(self) -> None:
+        for value in (float("nan"), float("inf")):
+            load = ReportedLoad(server="a", in_flight=1, unread_tokens=(), sensitivity=value)
+            limit = LimitReport(server="a", limit_per_s=value, age_ms=0)
+            for fields in ({"loads": (load,)}, {"limits": (limit,)}):
+                report = PeerReport(config_revision=1, servers_revision=2, **fields)
+                with self.subTest(fields=fields), self.assertRaises(BadFrame):
+                    decode_payload(encode_frame(report)[LENGTH_BYTES:])
+
     @given(st.binary(max_size=200))
     @settings(derandomize=True, deadline=None)
     def test_decode_of_random_bytes_raises_only_bad_frame(self, data: bytes) -> None:
