--- a/src/boragetiller/gateway/daemon.py
+++ b/src/boragetiller/gateway/daemon.py
@@ -48,7 +48,7 @@
         sys.stdout.fileno(), settings.name, SystemClock().now_ms, process.metrics.count_dropped_line
     )
     configure_json_logging(sink)
-    reloader = SettingsReloader(settings, load, process.apply)
+    reloader = SettingsReloader(settings, load, process.apply, process.metrics)
     loop.add_signal_handler(signal.SIGHUP, reloader.check)
     try:
         await process.start()
--- a/src/boragetiller/gateway/settings_reloader.py
+++ b/src/boragetiller/gateway/settings_reloader.py
@@ -9,10 +9,12 @@
 
 from boragetiller.errors import SettingsInvalid
 from boragetiller.events import Event, log_event
+from boragetiller.gateway.supervisor import run_supervised
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.settings import GatewaySettings
 
 CHECK_INTERVAL_MS = 1_000  # for changes without a SIGHUP; reading the file takes microseconds
@@ -27,6 +29,7 @@
         settings: GatewaySettings,
         load: Callable[[], GatewaySettings],
         apply: Callable[[GatewaySettings], None],
+        metrics: GatewayMetrics,
     ) -> None:
         """
         Create the reloader; it is inactive until started.
@@ -34,16 +37,20 @@
         :param settings: settings in force
         :param load: reads the settings file; raises SettingsInvalid
         :param apply: called with changed settings
+        :param metrics: counter of failed checks
         """
         self._settings = settings
         self._load = load
         self._apply = apply
+        self._metrics = metrics
         self._last_error = ""
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Start periodic checks."""
-        self._task = asyncio.create_task(self._check_periodically())
+        self._task = asyncio.create_task(
+            run_supervised("reload settings", self._check_periodically, self._metrics)
+        )
 
     async def close(self) -> None:
         """Stop periodic checks."""
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from boragetiller.errors import SettingsInvalid
+from boragetiller.gateway.metrics import GatewayMetrics
 from boragetiller.gateway.settings_reloader import SettingsReloader
 from boragetiller.tables.server_table import ServerTable
 from tests.gateway.harness import (
@@ -240,13 +241,16 @@
         )
 
 
-class SettingsReloaderTest(unittest.TestCase):
+class SettingsReloaderTest(unittest.IsolatedAsyncioTestCase):
     """Changes of the settings file while the process runs."""
 
     def setUp(self) -> None:
         self.current = build_settings()
         self.applied: list[object] = []
-        self.reloader = SettingsReloader(build_settings(), self.load, self.applied.append)
+        self.metrics = GatewayMetrics()
+        self.reloader = SettingsReloader(
+            build_settings(), self.load, self.applied.append, self.metrics
+        )
 
     def load(self) -> object:
         if isinstance(self.current, Exception):
@@ -267,6 +271,18 @@
         self.reloader.check()
         self.assertEqual(len(self.applied), 1)
 
+    async def test_unexpected_error_does_not_end_the_periodic_checks(self) -> None:
+        # The task ended unseen, and no later change of the file was read.
+        self.current = RuntimeError("unexpected")
+        quick = patch("boragetiller.gateway.settings_reloader.CHECK_INTERVAL_MS", 1)
+        with quick, patch("boragetiller.gateway.supervisor.RESTART_DELAY_MS", 1):
+            self.reloader.start()
+            failures = self.metrics.task_failures.labels("reload settings")
+            await wait_until(lambda: failures._value.get() > 0)
+            self.current = build_settings(grace_ms=1)
+            await wait_until(lambda: self.applied)
+            await self.reloader.close()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -361,6 +361,35 @@
             with self.subTest(name=name), self.assertRaises(SettingsInvalid):
                 self.load("\n".join(lines))
 
+    def test_load_refuses_unusable_values(self) -> None:
+        # Numbers beyond the range of a float and fields of another type raised errors other than
+        # SettingsInvalid, which ended the process or its checks of the file.
+        values = ("inf", "nan", "-1", "1" + "0" * 310, "9" * 5_000, "[]", "true", '"x"')
+        tables = ("listen", "contract-params", "platform")
+        for line in SETTINGS.splitlines():
+            name, _, value = line.partition(" = ")
+            if not value or name in ("seeds", "role", "machine-class", "unknown-field"):
+                continue
+            for wrong in values:
+                if value.startswith('"') and name in ("node-name", "zone"):
+                    continue
+                changed = SETTINGS.replace(line, f"{name} = {wrong}")
+                with self.subTest(name=name, wrong=wrong[:20]), self.assertRaises(SettingsInvalid):
+                    self.load(changed)
+        for name in tables:
+            with self.subTest(name=name), self.assertRaises(SettingsInvalid):
+                self.load(f"{name} = 5\n" + SETTINGS.replace(f"[{name}]", f"[other-{name}]"))
+        with self.assertRaises(SettingsInvalid):
+            self.load("deep = " + "[" * 5_000)
+
+    def test_load_keeps_the_seeds_beside_an_invalid_one(self) -> None:
+        # One invalid seed made the whole file count as invalid.
+        for wrong in ('"10.2.0.29"', '"10.2.0.29:x"', '"10.2.0.29:99999"', '"host:1"', "5", "[]"):
+            text = SETTINGS.replace('"10.2.0.29:8229"', wrong)
+            with self.subTest(wrong=wrong):
+                valid = [seed for seed in self.load(text).seeds if seed.is_valid]
+                self.assertEqual(valid, [Endpoint("10.3.0.19", 8229)])
+
     def test_load_refuses_a_truncated_or_missing_file(self) -> None:
         with self.assertRaises(SettingsInvalid):
             self.load(SETTINGS[: len(SETTINGS) // 2])
