Require the documented fields of an entry of the list of servers

Cause: cold-left-ms had a default, and version and seq were not read by the decoder of servers. The stand-ins of the tests write all of them.

--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -129,8 +129,10 @@
             "service": service,
             "address": engine.address,
             "zone": "a",
+            "version": "v1",
             "slots": 8,
             "state": "ready",
+            "cold-left-ms": 0,
             "seq": 1,
         }
         self.put(f"servers/{name}", entry | fields)
--- a/tests/platform_adapter/store_server.py
+++ b/tests/platform_adapter/store_server.py
@@ -81,9 +81,8 @@
         :return: revision of the change
         """
         entry = {"service": service, "address": engine.address, "zone": "a", "slots": 8}
-        return self.put(
-            f"servers/{name}", entry | {"state": "ready", "seq": 1, "born": 1_000} | fields
-        )
+        entry |= {"version": "v1", "state": "ready", "cold-left-ms": 0, "seq": 1, "born": 1_000}
+        return self.put(f"servers/{name}", entry | fields)
 
     def remove(self, key: str) -> int:
         """:return: revision of the removal"""
--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -207,6 +207,14 @@
         with self.assertRaises(EntryUnreadable):
             documents.decode_server("servers/", encode(SERVER))
 
+    def test_decode_server_refuses_entries_without_a_documented_field(self) -> None:
+        # An entry of another writer that lacked a field was used as a backend server.
+        for field in set(SERVER) - {"born", "stage", "models"}:
+            for change in ({}, {field: None}, {field: []}):
+                entry = {name: value for name, value in SERVER.items() if name != field}
+                with self.subTest(field=field, change=change), self.assertRaises(EntryUnreadable):
+                    documents.decode_server("servers/x", encode(entry | change))
+
     def test_decode_server_returns_usable_values_or_refuses(self) -> None:
         # A value beyond the range of a float raised OverflowError, which stopped the whole list.
         for value in list_variants(SERVER):
