Bound the numbers of records and settings, and refuse texts that UTF-8 cannot encode

Operators would see: a record or settings file with an integer of 400 digits where a number is due ended with OverflowError, not with the line and the key; a weight of .inf, a deadline of 10^300 ms or 10^9 shards was accepted, came into force on all nodes, and harmed there: infinite shares, overflows, a loop over all shards. Cause: values were checked for their type and for being above 0 only. Change: numbers are within Int64 and finite when they are read, and at most 10^9 in records (65,536 shards); texts with lone surrogates are refused. The same checks apply to stored records, each on its own. Evidence: test_parse_refuses_unusable_values failed before (OverflowError, and six values not refused).

--- a/src/boragetiller/records/build.py
+++ b/src/boragetiller/records/build.py
@@ -37,6 +37,7 @@
         return None
     try:
         kind, name = split_record_id(record_id)
+        name.encode()  # a lone surrogate could be neither logged nor sent
         values = {
             spec.model_name: _decode_value(
                 stored.fields[spec.stored_name], get_field_type(kind, spec)
@@ -45,14 +46,14 @@
             if spec.model_name is not None and spec.stored_name in stored.fields
         }
         record: Record = MODELS[kind](name=name, **values)
-    except (ValueError, TypeError, SettingsInvalid) as error:
+    except (ValueError, TypeError, OverflowError, SettingsInvalid) as error:
         raise UnreadableRecord(f"{record_id}: {error}") from error
     return record
 
 
 def _decode_value(value: Any, target: Any) -> Any:
     if isinstance(value, list):
-        return tuple(value)
+        return tuple(_check_text(item) for item in value)
     if target is float and type(value) is int:
         return float(value)
     if not isinstance(target, type):
@@ -61,6 +62,14 @@
         return _convert_enum(value, target)
     if type(value) is bool and target is not bool:
         raise TypeError("must be a number, got bool")
+    return _check_text(value) if isinstance(value, str) else value
+
+
+def _check_text(value: Any) -> str:
+    """:raises ValueError: not a text, or one that UTF-8 cannot encode"""
+    if not isinstance(value, str):
+        raise TypeError(f"must be a text, got {type(value).__name__}")
+    value.encode()
     return value
 
 
--- a/src/boragetiller/records/model.py
+++ b/src/boragetiller/records/model.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import attrs
 from attrs import validators
 
 from boragetiller.settings import BackendKind
 
 LOWEST_TIER = 3
-_POSITIVE = validators.gt(0)
+MAX_VALUE = 1_000_000_000  # of times in milliseconds, rates and weights
+MAX_SHARDS = 65_536  # each agent of a group goes through all shards
+_POSITIVE: Any = validators.and_(validators.gt(0), validators.le(MAX_VALUE))
 _KEY_HASHES = validators.deep_iterable(validators.matches_re("[0-9a-f]{64}"))
 
 
@@ -19,9 +23,9 @@
     name: str
     key_hashes: tuple[str, ...] = attrs.field(default=(), validator=_KEY_HASHES)
     classes: tuple[str, ...] = ()
-    weight: float = attrs.field(default=1.0, validator=validators.gt(0.0))
+    weight: float = attrs.field(default=1.0, validator=_POSITIVE)
     max_concurrent: int = attrs.field(default=1_000, validator=_POSITIVE)
-    requests_per_s: float = attrs.field(default=1_000.0, validator=validators.gt(0.0))
+    requests_per_s: float = attrs.field(default=1_000.0, validator=_POSITIVE)
 
 
 @attrs.frozen(kw_only=True)
@@ -36,7 +40,7 @@
     first_token_target_ms: int = attrs.field(default=680, validator=_POSITIVE)
     between_tokens_target_ms: int = attrs.field(default=45, validator=_POSITIVE)
     deadline_ms: int = attrs.field(default=30_000, validator=_POSITIVE)
-    weight: float = attrs.field(default=1.0, validator=validators.gt(0.0))
+    weight: float = attrs.field(default=1.0, validator=_POSITIVE)
 
 
 @attrs.frozen(kw_only=True)
@@ -50,7 +54,7 @@
     adapters: tuple[str, ...] = ()
     role: str = ""  # role of each engine; empty: engines keep their role
     repeatable_methods: tuple[str, ...] = ("GET", "HEAD")
-    shards: int = attrs.field(default=16, validator=_POSITIVE)
+    shards: int = attrs.field(default=16, validator=[validators.gt(0), validators.le(MAX_SHARDS)])
 
 
 Record = Customer | RequestClass | BackendGroup
--- a/src/boragetiller/structure.py
+++ b/src/boragetiller/structure.py
@@ -12,6 +12,8 @@
 
 from boragetiller.errors import SettingsInvalid
 
+MAX_NUMBER = (1 << 63) - 1  # numbers are stored and sent as Int64
+
 T = TypeVar("T")
 
 
@@ -151,11 +153,31 @@
             path,
             f"must be of type {target.__name__}, got an invalid {node.tag.rpartition(':')[2]}",
         )
-    if target is float and type(value) is int:
-        value = float(value)
+    if target in (int, float) and type(value) in (int, float):
+        value = _check_number(node, value, target, source, path)
     if type(value) is not target:
         _fail(node, source, path, f"must be of type {target.__name__}, got {type(value).__name__}")
+    if isinstance(value, str) and not _is_utf8(value):
+        _fail(node, source, path, f"got {value!r:.40}; lone surrogates are not allowed")
     return value
 
 
+def _is_utf8(text: str) -> bool:
+    """:return: whether UTF-8 can encode the text, as logs and messages require"""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _check_number(
+    node: yaml.Node, value: float, target: type[float], source: str, path: str
+) -> float:
+    # float() raises OverflowError for a large integer; a comparison with NaN is false
+    if not -MAX_NUMBER <= value <= MAX_NUMBER:
+        _fail(node, source, path, f"got {value!r:.40}; must be {-MAX_NUMBER} to {MAX_NUMBER}")
+    return float(value) if target is float else value
+
+
 __all__ = ["compose_yaml", "structure_node", "structure_yaml"]
--- a/tests/records/test_documents.py
+++ b/tests/records/test_documents.py
@@ -120,5 +120,22 @@
     return {"group": "tiller-pool"} if kind is RecordKind.CLASS else {}
 
 
+class UnusableValuesTest(unittest.TestCase):
+    """Values that YAML can write and that could not be calculated with, stored or sent."""
+
+    def test_parse_refuses_unusable_values(self) -> None:
+        # A large integer raised OverflowError; infinity was accepted and came into force.
+        values = ("9" * 400, "9" * 5_000, ".inf", ".nan", '"a\\ud800"', "1000000001")
+        for value in values:
+            for field in ("weight", "deadline_ms", "group"):
+                text = f"kind: class\nname: q\nschema_version: 2\n{field}: {value}\n"
+                case = self.subTest(field=field, value=value[:20])
+                with case, self.assertRaises(SettingsInvalid):
+                    parse_documents(text)
+        shards = "kind: group\nname: q\nschema_version: 2\nshards: 65537\n"
+        with self.assertRaises(SettingsInvalid):
+            parse_documents(shards)
+
+
 if __name__ == "__main__":
     unittest.main()
