Keep an unreadable record from freezing the other records of its page

Operators would see: while one stored record of a page cannot be decoded, changes of all records on the same page stay without effect at the nodes, and the command line could write none of them. A revision of 1e999 or a weight of 400 digits raised OverflowError, which ended the node's synchronization for good. Cause: decode_page decoded a page as a whole, by int() on any value. Change: records are decoded apart. Evidence: test_unreadable_record_costs_no_other_record_of_its_page (12 records) and test_write_keeps_the_unreadable_records_of_its_page failed before.

--- a/src/boragetiller/cli/read.py
+++ b/src/boragetiller/cli/read.py
@@ -69,7 +69,9 @@
     }
     summaries = [_build_summary(record_id, records[record_id]) for record_id in sorted(records)]
     columns = ("record", "revision", "schema_version", "office", "at")
-    problems = tuple(f"cannot be read: {s.problem}" for s in pages.values() if s.problem)
+    problems = tuple(
+        f"cannot be read: {problem}" for stored in pages.values() for problem in stored.problems
+    )
     report = Report(
         columns=columns,
         rows=[tuple(summary[column] for column in columns) for summary in summaries],
--- a/src/boragetiller/cli/store_access.py
+++ b/src/boragetiller/cli/store_access.py
@@ -35,6 +35,13 @@
     page: Page
     problem: str = ""
 
+    @property
+    def problems(self) -> tuple[str, ...]:
+        """:return: why the page, or records of it, cannot be decoded"""
+        if self.problem:
+            return (self.problem,)
+        return tuple(raw.reason for raw in self.page.raw_records.values())
+
 
 @contextlib.asynccontextmanager
 async def open_store(store_url: str, timeout_ms: int) -> AsyncIterator[HttpStore]:
@@ -98,6 +105,9 @@
     stored_page = pages.get(get_page_index(record_id))
     if stored_page is not None and stored_page.problem:
         raise SettingsInvalid(f"{record_id}: {stored_page.problem}")
+    raw = stored_page.page.raw_records.get(record_id) if stored_page else None
+    if raw is not None:
+        raise SettingsInvalid(raw.reason)
     record = stored_page.page.records.get(record_id) if stored_page else None
     if record is None:
         raise SettingsInvalid(f"{record_id}: no such record; `boragetiller list` shows all")
--- a/src/boragetiller/records/pages.py
+++ b/src/boragetiller/records/pages.py
@@ -18,6 +18,8 @@
 MAX_PAGE_BYTES = 16_000_000  # after decompression
 COMPRESSION_LEVEL = 6
 MAX_RECENT_WRITES = 256
+MAX_COUNT = (1 << 63) - 1  # revisions and versions are sent as Int64
+MAX_TIME_MS = 253_402_300_799_999  # end of the year 9999, the last that datetime can show
 MAX_RECORD_HISTORY = 8
 
 
@@ -49,6 +51,14 @@
         return bool(self.fields.get(ABSENT_FIELD))
 
 
+@attrs.frozen(kw_only=True)
+class RawRecord:
+    """A record of a page that cannot be decoded; a write of the page stores it unchanged."""
+
+    body: Any
+    reason: str
+
+
 @attrs.define(kw_only=True)
 class Page:
     """The records under one store key, and the identifiers of the page's recent writes."""
@@ -56,6 +66,7 @@
     write_count: int = 0
     recent_writes: list[str] = attrs.Factory(list)  # oldest first
     records: dict[str, StoredRecord] = attrs.Factory(dict)
+    raw_records: dict[str, RawRecord] = attrs.Factory(dict)
     extra: dict[str, Any] = attrs.Factory(dict)
 
 
@@ -104,12 +115,14 @@
 
 def encode_page(page: Page) -> bytes:
     """:return: the page as compressed JSON"""
+    records = {name: raw.body for name, raw in page.raw_records.items()}
+    records |= {name: _encode_record(record) for name, record in page.records.items()}
     body = {
         **page.extra,
         "format": PAGE_FORMAT,
         "write_count": page.write_count,
         "recent_writes": page.recent_writes,
-        "records": {name: _encode_record(page.records[name]) for name in sorted(page.records)},
+        "records": records,
     }
     text = json.dumps(body, separators=(",", ":"), sort_keys=True)
     return zlib.compress(text.encode(), COMPRESSION_LEVEL)
@@ -120,7 +133,7 @@
     Decode a page; keys that this version does not know are preserved.
 
     :param data: stored bytes, compressed or plain JSON
-    :return: the page
+    :return: the page; records that cannot be decoded are kept apart from the others
     :raises SettingsInvalid: the bytes are not a page, or the page format is not supported
     """
     try:
@@ -130,10 +143,12 @@
                 f"page format {body['format']} is not supported; must be {PAGE_FORMAT}"
             )
         known = ("format", "write_count", "recent_writes", "records")
+        records, raw_records = _decode_records(body["records"])
         return Page(
-            write_count=int(body["write_count"]),
+            write_count=_check_count(body["write_count"]),
             recent_writes=[str(write_id) for write_id in body["recent_writes"]],
-            records={name: _decode_record(item) for name, item in body["records"].items()},
+            records=records,
+            raw_records=raw_records,
             extra={key: value for key, value in body.items() if key not in known},
         )
     except (
@@ -141,7 +156,6 @@
         KeyError,
         TypeError,
         AttributeError,
-        IndexError,
         RecursionError,
         zlib.error,
     ) as error:
@@ -168,11 +182,39 @@
     }
 
 
+def _decode_records(
+    bodies: dict[str, Any],
+) -> tuple[dict[str, StoredRecord], dict[str, RawRecord]]:
+    records: dict[str, StoredRecord] = {}
+    raw_records: dict[str, RawRecord] = {}
+    for record_id, body in bodies.items():
+        try:
+            records[record_id] = _decode_record(body)
+        except (ValueError, LookupError, TypeError, AttributeError) as error:
+            reason = f"{record_id}: not a valid record: {error!r}"
+            raw_records[record_id] = RawRecord(body=body, reason=reason)
+    return records, raw_records
+
+
+def _check_count(value: Any, highest: int = MAX_COUNT) -> int:
+    """:raises ValueError: not an integer from 0 to the highest allowed one"""
+    if type(value) is not int or not 0 <= value <= highest:
+        raise ValueError(f"got {value!r:.40}; must be an integer from 0 to {highest}")
+    return value
+
+
+def _check_text(value: Any) -> str:
+    """:raises ValueError: not a text"""
+    if not isinstance(value, str):
+        raise ValueError(f"got {value!r:.40}; must be a text")
+    return value
+
+
 def _decode_record(body: dict[str, Any]) -> StoredRecord:
     known = ("schema_version", "revision", "fields", "history")
     return StoredRecord(
-        schema_version=int(body["schema_version"]),
-        revision=int(body["revision"]),
+        schema_version=_check_count(body["schema_version"]),
+        revision=_check_count(body["revision"]),
         fields=dict(body["fields"]),
         history=[_decode_entry(entry) for entry in body["history"]],
         extra={key: value for key, value in body.items() if key not in known},
@@ -182,11 +224,11 @@
 def _decode_entry(body: dict[str, Any]) -> HistoryEntry:
     changes = {name: (pair[0], pair[1]) for name, pair in body["changes"].items()}
     return HistoryEntry(
-        write_id=body["write_id"],
-        office=body["office"],
-        at_ms=body["at_ms"],
-        schema_version=body["schema_version"],
-        revision=body["revision"],
+        write_id=_check_text(body["write_id"]),
+        office=_check_text(body["office"]),
+        at_ms=_check_count(body["at_ms"], MAX_TIME_MS),
+        schema_version=_check_count(body["schema_version"]),
+        revision=_check_count(body["revision"]),
         changes=changes,
     )
 
@@ -198,6 +240,7 @@
     "PAGE_COUNT",
     "PAGE_PREFIX",
     "Page",
+    "RawRecord",
     "StoredRecord",
     "HistoryEntry",
     "decode_page",
--- a/src/boragetiller/records/writes.py
+++ b/src/boragetiller/records/writes.py
@@ -111,6 +111,9 @@
     if was_accepted(page, write):
         revision = record.revision if record else 0
         return _build_result(write, WriteState.ACCEPTED, revision, message="was accepted before")
+    raw = page.raw_records.get(document.record_id)
+    if raw is not None:
+        return _build_result(write, WriteState.REFUSED, 0, message=raw.reason)
     refusal = _find_refusal(record, write)
     if refusal is not None:
         return refusal
--- a/src/boragetiller/systems/config_pages.py
+++ b/src/boragetiller/systems/config_pages.py
@@ -24,7 +24,7 @@
     from collections.abc import Iterable
 
     from boragetiller.records.model import Record
-    from boragetiller.records.pages import StoredRecord
+    from boragetiller.records.pages import Page, StoredRecord
     from boragetiller.tables.config import ConfigTable
 
 
@@ -125,6 +125,7 @@
         applied.retained = known
         applied.retained_from = _list_lost_pages(held, applied)
         return True
+    _keep_raw_records(applied, held, page)
     applied.retained = find_newer_records(known, page.records)
     applied.retained_from = _list_lost_pages(held, applied)
     _apply_records(table, page.records | applied.retained, applied)
@@ -135,6 +136,14 @@
     return True
 
 
+def _keep_raw_records(applied: HeldPage, held: HeldPage | None, page: Page) -> None:
+    """Leave in force what is known of records that the applied page has in an unreadable form."""
+    for record_id, raw in page.raw_records.items():
+        applied.unreadable[record_id] = raw.reason
+        if held is not None and record_id in held.record_revisions:
+            applied.record_revisions[record_id] = held.record_revisions[record_id]
+
+
 def _list_known_records(held: HeldPage | None, revision: int) -> dict[str, StoredRecord]:
     """:return: records that a page of this revision may have lost in a restore, by ID"""
     if held is None:
--- a/tests/systems/test_config_pages.py
+++ b/tests/systems/test_config_pages.py
@@ -17,6 +17,7 @@
     get_page_index,
 )
 from boragetiller.records.schema import FIELDS, MODELS, RecordKind
+from boragetiller.records.writes import WriteState
 from boragetiller.store_eras import extend_revision
 from boragetiller.systems.config_pages import (
     PageUpdate,
@@ -30,6 +31,21 @@
 from tests.records.samples import KEY_HASH, make_document, write
 
 QUOTE = "class/quote"
+_STORED_RECORD = '{"schema_version": 2, "revision": 9, "history": [], "fields": %s}'
+UNUSABLE_RECORD_FIELDS = (
+    "5",
+    "null",
+    "[]",
+    '{"schema_version": 1e999, "revision": 1, "fields": {}, "history": []}',
+    '{"schema_version": 1, "revision": ' + "9" * 400 + ', "fields": {}, "history": []}',
+    '{"schema_version": 1, "revision": NaN, "fields": {}, "history": []}',
+    '{"schema_version": 1, "revision": 1, "fields": {}, "history": [[]]}',
+    _STORED_RECORD % '{"group": "pool", "deadline_ms": 1000000000001}',
+    _STORED_RECORD % ('{"group": "pool", "weight": ' + "9" * 400 + "}"),
+    _STORED_RECORD % '{"group": "pool", "weight": NaN}',
+    _STORED_RECORD % '{"group": "pool", "weight": 1e999}',
+    _STORED_RECORD % '{"group": "a\\ud800"}',
+)
 
 
 class ConfigPagesTest(unittest.TestCase):
@@ -49,6 +65,33 @@
         self.assertFalse(self._apply(7, old))
         self.assertEqual(self.table.classes["quote"].tier, 3)
 
+    def test_unreadable_record_costs_no_other_record_of_its_page(self) -> None:
+        # One record that cannot be decoded froze all records of its page, and a number beyond the
+        # range of a float raised an error that ended the synchronization of the configuration.
+        write(self.page, make_document("class", "note", group="pool", tier=1))
+        self.assertTrue(self._apply(1, encode_page(self.page)))
+        write(self.page, make_document("class", "note", tier=3))
+        for number, change in enumerate(UNUSABLE_RECORD_FIELDS):
+            with self.subTest(change=change[:40]):
+                body = json.loads(zlib.decompress(encode_page(self.page)))
+                body["records"][QUOTE] = "@"
+                data = json.dumps(body).replace('"@"', change).encode()
+                self.assertTrue(self._apply(2 + number, data))
+                self.assertEqual(self.table.classes["note"].tier, 3)
+                self.assertEqual(self.table.classes["quote"].tier, 2)
+                self.assertIn(QUOTE, list_unreadable_records(self.table))
+
+    def test_write_keeps_the_unreadable_records_of_its_page(self) -> None:
+        body = json.loads(zlib.decompress(encode_page(self.page)))
+        body["records"]["class/other"] = {"schema_version": "new"}
+        page = decode_page(json.dumps(body).encode())
+        write(page, make_document("class", "quote", tier=3))
+        result = write(page, make_document("class", "other", group="pool", tier=3))
+        self.assertEqual(result.state, WriteState.REFUSED)
+        stored = json.loads(zlib.decompress(encode_page(page)))["records"]
+        self.assertEqual(stored["class/other"], {"schema_version": "new"})
+        self.assertEqual(stored[QUOTE]["fields"]["tier"], 3)
+
     def test_accepted_record_does_not_go_back_to_the_version_of_a_restored_page(self) -> None:
         copied = encode_page(self.page)
         write(self.page, make_document("class", "quote", tier=3))
