Keep an unreadable entry of the host list from costing the other hosts

Operators would see: while one entry of the host list has a field of another type, a port out of range or an unknown state, each poll counts as an outage, so no joined, leaving or gone host is noticed. A port of 1e999 or a lone surrogate passed the decoder and failed later, where the host's URL is built or sent. Evidence: test_unreadable_host_costs_no_other_host_and_does_not_count_as_gone (new operation).

--- a/src/boragetiller/platform_clients/wire_format.py
+++ b/src/boragetiller/platform_clients/wire_format.py
@@ -15,6 +15,7 @@
 
 REVISION_HEADER = "X-Revision"
 ERA_HEADER = "Store-Era"  # in all responses of the store
+MAX_PORT = 65_535
 MAX_REQUEST_BYTES = 2_000_000
 _INTEGER_FIELDS = ("data_port", "control_port")
 _HOST_FIELD_TYPES = {
@@ -82,6 +83,10 @@
     for name, value in fields.items():
         if type(value) is not _HOST_FIELD_TYPES.get(name):
             raise ValueError(f"host field {name!r} is unknown or has the wrong type")
+        if isinstance(value, str):
+            value.encode()  # raises UnicodeEncodeError for a lone surrogate, which cannot be sent
+        elif not 0 <= value <= MAX_PORT:
+            raise ValueError(f"host field {name!r}: got {value!r:.40}; must be 0 to {MAX_PORT}")
     fields["state"] = HostState(fields["state"])
     try:
         return Host(**fields)
--- a/tests/platform_clients/test_hosts.py
+++ b/tests/platform_clients/test_hosts.py
@@ -6,6 +6,7 @@
 from unittest.mock import patch
 
 import aiohttp
+import attrs
 
 from boragetiller.clock import ManualClock
 from boragetiller.errors import StoreUnavailable
@@ -27,6 +28,17 @@
     failure_domain="vl-a",
 )
 
+UNREADABLE_HOST_FIELDS = (
+    {"data_port": 1e999},
+    {"data_port": 10**400},
+    {"control_port": -1},
+    {"control_port": "80"},
+    {"state": "resting"},
+    {"address": None},
+    {"region": "a\ud800"},
+    {"unknown": 1},
+)
+
 
 class MemoryHostListTest(unittest.IsolatedAsyncioTestCase):
     """Delay and faults of the in-memory list."""
@@ -99,6 +111,24 @@
             self.server.host_list.remove(HOST.name)
             self.assertEqual(await client.list_hosts(), [])
 
+    async def test_unreadable_host_costs_no_other_host_and_does_not_count_as_gone(self) -> None:
+        # One unreadable entry made the whole list count as unavailable; to leave its host out would
+        # make its agent look gone, and others take over its shards.
+        client = HttpHostList(self.settings)
+        first, second = encode_host(HOST), encode_host(attrs.evolve(HOST, name="tiller-pool-2"))
+        known = client._decode_list([first])
+        client._cached_hosts = known
+        for change in UNREADABLE_HOST_FIELDS:
+            with self.subTest(change=change):
+                hosts = client._decode_list([first | change, second])
+                self.assertEqual({host.name for host in hosts}, {HOST.name, "tiller-pool-2"})
+                self.assertIn(HOST, hosts)
+        for item in (5, None, [], {}, {"name": 5}):
+            with self.subTest(item=item):
+                hosts = client._decode_list([item, second])
+                self.assertEqual({host.name for host in hosts}, {HOST.name, "tiller-pool-2"})
+        self.assertEqual(client._decode_list([second])[0].name, "tiller-pool-2")
+
     async def test_client_returns_the_load_limit(self) -> None:
         client = HttpWeightStore(self.settings)
         await client.start()
