Raise only typed errors on numbers in responses of the platform's services

Operators would see: a response with a revision, a length, a token or a number of loads written as 1e999 raised OverflowError in the client; the synchronization of the configuration, which expects typed errors, ended for good. Cause: int() of a float. Change: such numbers must be integers in range, or the response is invalid. Evidence: test_invalid_responses_raise_only_typed_errors with five more bodies failed before (OverflowError). The values for such tests moved to tests/unusable_values.py.

--- a/src/boragetiller/platform_clients/http_store.py
+++ b/src/boragetiller/platform_clients/http_store.py
@@ -10,8 +10,14 @@
 from boragetiller.errors import HistoryLost, RevisionConflict, StoreUnavailable
 from boragetiller.platform_clients.http_session import HttpSession
 from boragetiller.platform_clients.store import Entry, Lease
-from boragetiller.platform_clients.wire_format import ERA_HEADER, REVISION_HEADER, read_entry
+from boragetiller.platform_clients.wire_format import (
+    ERA_HEADER,
+    REVISION_HEADER,
+    check_count,
+    read_entry,
+)
 from boragetiller.store_eras import (
+    MAX_REVISION,
     StoreEraTracker,
     extend_revision,
     get_era,
@@ -73,7 +79,8 @@
             "POST", "/put", params=params, data=io.BytesIO(value)
         ) as response:
             era = self._check_era(response, expected_revision)
-            return extend_revision(era, int((await response.json())["revision"]))
+            revision = (await response.json())["revision"]
+            return extend_revision(era, check_count(revision, MAX_REVISION))
 
     async def delete(self, key: str, *, expected_revision: int) -> None:
         """See :class:`Store`."""
@@ -103,10 +110,11 @@
         try:
             async with self._session.request("POST", "/leases/acquire", json=request) as response:
                 era = self._observe_era(response)
-                token = extend_revision(era, int((await response.json())["token"]))
+                token = (await response.json())["token"]
+                extended = extend_revision(era, check_count(token, MAX_REVISION))
         except RevisionConflict:
             return None
-        return Lease(name=name, holder=holder, token=token, ttl_ms=ttl_ms)
+        return Lease(name=name, holder=holder, token=extended, ttl_ms=ttl_ms)
 
     async def renew_lease(self, lease: Lease) -> bool:
         """See :class:`Store`."""
--- a/src/boragetiller/platform_clients/http_weights.py
+++ b/src/boragetiller/platform_clients/http_weights.py
@@ -5,10 +5,13 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.platform_clients.http_session import HttpSession
+from boragetiller.platform_clients.wire_format import check_count
 
 if TYPE_CHECKING:
     from boragetiller.settings import PlatformSettings
 
+MAX_LOADS = 10_000  # each load at once is a lease
+
 
 class HttpWeightStore:
     """HTTP implementation of :class:`boragetiller.platform_clients.weights.WeightStore`."""
@@ -35,7 +38,7 @@
     async def get_load_limit(self) -> int:
         """See :class:`WeightStore`."""
         async with self._session.request("GET", "/weights") as response:
-            return int((await response.json())["concurrent_loads"])
+            return check_count((await response.json())["concurrent_loads"], MAX_LOADS)
 
 
 __all__ = ["HttpWeightStore"]
--- a/src/boragetiller/platform_clients/wire_format.py
+++ b/src/boragetiller/platform_clients/wire_format.py
@@ -9,6 +9,7 @@
 
 from boragetiller.platform_clients.hosts import Host, HostState
 from boragetiller.platform_clients.store import Entry
+from boragetiller.store_eras import MAX_REVISION
 
 if TYPE_CHECKING:
     from aiohttp import StreamReader
@@ -16,6 +17,7 @@
 REVISION_HEADER = "X-Revision"
 ERA_HEADER = "Store-Era"  # in all responses of the store
 MAX_PORT = 65_535
+MAX_ENTRY_BYTES = 16_000_000  # several times the size limit of a value
 MAX_REQUEST_BYTES = 2_000_000
 _INTEGER_FIELDS = ("data_port", "control_port")
 _HOST_FIELD_TYPES = {
@@ -42,7 +44,6 @@
     :return: the entry, None at the end of the stream
     :raises ValueError: the metadata line is malformed
     :raises KeyError: a metadata field is missing
-    :raises TypeError: a metadata field has the wrong type
     :raises EOFError: the stream ends inside an entry
     """
     line = b"\n"
@@ -53,12 +54,25 @@
     head = json.loads(line)
     if not isinstance(head, dict):
         raise ValueError("entry metadata must be a JSON object")
-    length, revision = int(head["length"]), int(head["revision"])
-    if length < 0 or revision < 0:
-        raise ValueError("entry length and revision must not be negative")
+    length = check_count(head["length"], MAX_ENTRY_BYTES)
+    revision = check_count(head["revision"], MAX_REVISION)
     return Entry(str(head["key"]), await stream.readexactly(length), revision)
 
 
+def check_count(value: Any, highest: int) -> int:
+    """
+    Check a number of a response.
+
+    :param value: parsed JSON value
+    :param highest: highest allowed number
+    :return: the value
+    :raises ValueError: not an integer from 0 to the highest allowed one
+    """
+    if type(value) is not int or not 0 <= value <= highest:
+        raise ValueError(f"got {value!r:.40}; must be an integer from 0 to {highest}")
+    return value
+
+
 def encode_host(host: Host) -> dict[str, Any]:
     """
     Encode a host as a JSON object.
@@ -98,6 +112,7 @@
     "ERA_HEADER",
     "MAX_REQUEST_BYTES",
     "REVISION_HEADER",
+    "check_count",
     "decode_host",
     "encode_entry",
     "encode_host",
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -22,7 +22,7 @@
 )
 from tests.gateway.scripted_engine import ScriptedEngine, build_response
 from tests.platform_adapter.messages import SERVER
-from tests.platform_adapter.unusable_values import UNUSABLE_VALUES
+from tests.unusable_values import UNUSABLE_VALUES
 
 
 class StoreWatcherTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -22,7 +22,7 @@
 from boragetiller.tables.call_metadata import ForwardMetadata, PromptPart, ServerLoad
 from boragetiller.tables.routes import RequestKind, WeightedGroup
 from tests.platform_adapter.messages import CONFIG, REQUEST, SERVER, SETTINGS
-from tests.platform_adapter.unusable_values import UNUSABLE_VALUES, WIDE_INTEGERS, WIDE_SCALARS
+from tests.unusable_values import UNUSABLE_VALUES, WIDE_INTEGERS, WIDE_SCALARS
 
 JSON = st.recursive(
     WIDE_SCALARS,
--- a/tests/platform_clients/test_invalid_responses.py
+++ b/tests/platform_clients/test_invalid_responses.py
@@ -14,9 +14,10 @@
 from boragetiller.errors import BoragetillerError
 from boragetiller.platform_clients.clients import open_http_clients
 from boragetiller.platform_clients.store import Lease
-from boragetiller.platform_clients.wire_format import decode_host
+from boragetiller.platform_clients.wire_format import MAX_PORT, decode_host
 from boragetiller.settings import PlatformSettings
 from boragetiller.standin.web_server import ListenAddress, WebServer
+from tests.unusable_values import WIDE_SCALARS
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -25,7 +26,7 @@
 
 DEEPLY_NESTED = b"[" * 100_000
 JSON_VALUES = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    WIDE_SCALARS,
     lambda children: st.lists(children, max_size=3)
     | st.dictionaries(
         st.sampled_from(("name", "role", "address", "data_port", "state", "x")), children
@@ -44,6 +45,11 @@
     b'{"key": "k", "revision": "x", "length": 1}\nv',
     b'{"revision": [], "token": {}, "concurrent_loads": "many"}',
     DEEPLY_NESTED,
+    b'{"key": "k", "revision": 1e999, "length": 1}\nv',
+    b'{"key": "k", "revision": 1, "length": 1e999}\nv',
+    b'{"key": "k", "revision": ' + b"9" * 400 + b', "length": 1}\nv',
+    b'{"revision": 1e999, "token": 1e999, "concurrent_loads": 1e999}',
+    b'{"revision": NaN, "token": NaN, "concurrent_loads": NaN}',
 )
 STATUSES = (204, 302, 400, 409, 413, 500)
 RESPONSES = [*itertools.product((200, 404), BODIES), *itertools.product(STATUSES, BODIES[:1])]
@@ -90,7 +96,8 @@
             host = decode_host(json.loads(json.dumps(value)))
         except ValueError:
             return
-        self.assertIsInstance(host.data_port, int)
+        self.assertIn(host.data_port, range(MAX_PORT + 1))
+        host.region.encode()
 
 
 def _create_calls(clients: PlatformClients) -> list[Awaitable[object]]:
