Read engine events of any JSON without an unexpected error

Callers of the product's own interface would see: status 500 after their request had run, when an event of the engine is deeply nested (RecursionError), or its usage has prompt_tokens of another type (TypeError) in a resumed stream. Cause: only ValueError was expected of the parser, and one of two numbers was checked. Change: both are checked as numbers of tokens, and deep nesting is a protocol error like other malformed events. Evidence: test_event_of_any_json_is_read_or_refused failed before (13 cases).

--- a/src/boragetiller/router/engine_protocol.py
+++ b/src/boragetiller/router/engine_protocol.py
@@ -8,6 +8,7 @@
 import attrs
 
 from boragetiller.errors import ProtocolError
+from boragetiller.tables.call_metadata import MAX_TOKENS
 
 DATA_PREFIX = b"data: "
 DONE_EVENT = b"data: [DONE]"
@@ -128,7 +129,7 @@
 def _parse_event(event: bytes) -> dict[str, Any]:
     try:
         fields = json.loads(event[len(DATA_PREFIX) :])
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ProtocolError("event of the engine: must be JSON") from error
     if not isinstance(fields, dict):
         raise ProtocolError("event of the engine: must be a JSON object")
@@ -162,15 +163,20 @@
     is_opening = not (_get_event_text(fields) or _get_finish_reason(fields) or usage)
     if is_opening:
         return None
-    if isinstance(usage, dict) and isinstance(usage.get("completion_tokens"), int):
+    if isinstance(usage, dict) and _is_count(usage.get("completion_tokens")):
         fields["usage"] = _sum_usage(usage, tokens_before)
         return DATA_PREFIX + json.dumps(fields, separators=(",", ":")).encode()
     return event
 
 
+def _is_count(value: Any) -> bool:
+    """:return: whether a value is a number of tokens that can be added up and encoded"""
+    return type(value) is int and 0 <= value <= MAX_TOKENS
+
+
 def _sum_usage(usage: dict[str, Any], tokens_before: int) -> dict[str, Any]:
     completion = usage["completion_tokens"] + tokens_before
-    prompt = usage.get("prompt_tokens", 0)
+    prompt = usage["prompt_tokens"] if _is_count(usage.get("prompt_tokens")) else 0
     return {**usage, "completion_tokens": completion, "total_tokens": prompt + completion}
 
 
