Refuse numbers out of range and unencodable texts in attempt headers

Cause: float() of an integer of 400 digits raised OverflowError in the agent, which the caller saw as status 500, and a weight of NaN came into the order of the queue, where no comparison with it holds. Change: numbers are within Int64 and finite, texts UTF-8, or the header is refused as malformed.

--- a/src/boragetiller/agent_protocol/attempt.py
+++ b/src/boragetiller/agent_protocol/attempt.py
@@ -57,6 +57,7 @@
 
 
 _FIELDS = attrs.fields(Attempt)
+MAX_NUMBER = (1 << 63) - 1
 _JSON_TYPES: dict[str, type] = {"str": str, "int": int, "float": float, "bool": bool}
 
 
@@ -97,10 +98,15 @@
     if field.name == "headers":
         return _check_headers(value)
     expected = _JSON_TYPES[str(field.type)]
+    # compared before float(), which raises OverflowError; a comparison with NaN is false
+    if type(value) in (int, float) and not -MAX_NUMBER <= value <= MAX_NUMBER:
+        raise ProtocolError(f"attempt field {field.name}: got {value!r:.40}; out of range")
     if expected is float and type(value) is int:
         return float(value)
     if type(value) is not expected:
         raise ProtocolError(f"attempt field {field.name}: must be of type {expected.__name__}")
+    if isinstance(value, str):
+        value.encode()  # UnicodeEncodeError is a ValueError, as for any malformed header
     return value
 
 
--- a/tests/fuzz/test_parsers.py
+++ b/tests/fuzz/test_parsers.py
@@ -25,13 +25,14 @@
 from boragetiller.settings import Settings
 from boragetiller.structure import structure_yaml
 from tests.fleet import build_sample_records
+from tests.unusable_values import UNUSABLE_VALUES, WIDE_SCALARS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 BOUNDED = settings(derandomize=True, max_examples=100, deadline=None, database=None)
 JSON = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    WIDE_SCALARS,
     lambda inner: st.lists(inner, max_size=3)
     | st.dictionaries(st.text(max_size=8), inner, max_size=3),
     max_leaves=6,
@@ -88,6 +89,16 @@
             self.assertIsInstance(attempt, Attempt)
             self.assertEqual(type(getattr(attempt, name)), type(ATTEMPT[name]))
 
+    def test_attempt_with_an_unusable_value_is_refused(self) -> None:
+        # A weight beyond the range of a float raised OverflowError; one of NaN was used.
+        for name in ("customer_weight", "deadline_in_ms", "class_name"):
+            for value in UNUSABLE_VALUES:
+                header = json.dumps(ATTEMPT | {name: "@"}).replace('"@"', value)
+                if name == "class_name" and value.startswith('"') and "ud800" not in value:
+                    continue
+                with self.subTest(name=name, value=value[:40]), self.assertRaises(ProtocolError):
+                    parse_attempt(header)
+
     def test_attempt_without_a_required_field_is_refused(self) -> None:
         for name in ATTEMPT:
             header = json.dumps({other: ATTEMPT[other] for other in ATTEMPT if other != name})
