Check the types of stored shard pages, era marks and numbers of shards

Operators would see: a page whose owner, times or numbers have another type came into force and failed where the shard is taken over; a mark of 1e999 or a number of shards that is no number ended the agent's task without a line (OverflowError, ValueError), so that it served no keys; 10^9 shards were accepted. Cause: fields were passed on as parsed; int() was applied to whatever was stored. Change: pages are checked field by field, with unknown fields refused as before; a mark that is no pair of integers is replaced; a number of shards out of 1 to 65,536 is named by shard_count_unreadable (611) and read again.

--- a/src/boragetiller/agent/shard_store.py
+++ b/src/boragetiller/agent/shard_store.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import json
+import re
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from boragetiller.errors import ProtocolError, RevisionConflict, StoreUnavailable
+from boragetiller.events import Event, log_event
+from boragetiller.records.model import MAX_SHARDS
 from boragetiller.store_eras import extend_revision
 from boragetiller.systems import shards
 from boragetiller.systems.shard_pages import (
@@ -38,6 +41,7 @@
 KEY_PREFIX = "claims"
 ERA_KEY = f"{KEY_PREFIX}/era"
 NO_ERA = -1
+_SHARD_COUNT = re.compile(rb"[0-9]{1,9}")
 
 
 def page_key(group: str, shard: int) -> str:
@@ -58,7 +62,7 @@
     :param group: backend group
     :param count: number to write when the store has none
     :return: the stored number
-    :raises StoreUnavailable: the store cannot be reached, or holds no number after the write
+    :raises StoreUnavailable: the store cannot be reached, or holds no valid number after the write
     """
     key = f"{KEY_PREFIX}/{group}/shards"
     entry = await store.get(key)
@@ -68,6 +72,9 @@
         entry = await store.get(key)
     if entry is None:
         raise StoreUnavailable(f"no number of shards at {key}")
+    if not _SHARD_COUNT.fullmatch(entry.value) or not 0 < int(entry.value) <= MAX_SHARDS:
+        log_event(Event.SHARD_COUNT_UNREADABLE, key=key, value=f"{entry.value!r:.40}")
+        raise StoreUnavailable(f"{key}: must be 1 to {MAX_SHARDS}")
     return int(entry.value)
 
 
@@ -95,9 +102,10 @@
     """:return: era and wall-clock time in ms; an unreadable mark is one of no era, and replaced"""
     try:
         mark = json.loads(value)
-        return int(mark["era"]), int(mark["since_wall_ms"])
-    except (ValueError, LookupError, TypeError):
+        era, since_ms = mark["era"], mark["since_wall_ms"]
+    except (ValueError, LookupError, TypeError, RecursionError):
         return NO_ERA, 0
+    return (era, since_ms) if type(era) is type(since_ms) is int else (NO_ERA, 0)
 
 
 class ShardStore:
--- a/src/boragetiller/systems/shard_pages.py
+++ b/src/boragetiller/systems/shard_pages.py
@@ -5,7 +5,9 @@
 import base64
 import json
 import struct
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import attrs
 
 from boragetiller.errors import ProtocolError
 from boragetiller.systems.shard_restores import get_next_sequence
@@ -15,6 +17,11 @@
 if TYPE_CHECKING:
     from boragetiller.tables.shards import Shard, ShardTable
 
+MAX_NUMBER = (1 << 63) - 1
+
+T = TypeVar("T")
+
+_PAGE_FIELDS = {field.name for field in attrs.fields(ShardPage)}
 _CLAIM = struct.Struct(f">{DIGEST_BYTES}s{FINGERPRINT_BYTES}s?I")
 
 
@@ -96,13 +103,39 @@
     """
     try:
         fields = json.loads(value)
-        segments = tuple(SegmentRef(number=n, remaining_ms=ms) for n, ms in fields.pop("segments"))
-        claims = decode_claims(base64.b64decode(fields.pop("claims")))
-        return ShardPage(segments=segments, claims=claims, **fields)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        if unknown := set(fields) - _PAGE_FIELDS:
+            raise ValueError(f"unknown fields {sorted(unknown)}")
+        return ShardPage(
+            owner=_get_field(fields, "owner", str),
+            incarnation=_get_field(fields, "incarnation", int),
+            sequence=_get_field(fields, "sequence", int),
+            sent_wall_ms=_get_field(fields, "sent_wall_ms", int),
+            from_memory=_get_field(fields, "from_memory", bool),
+            uncertain_ms=_get_field(fields, "uncertain_ms", int),
+            next_segment=_get_field(fields, "next_segment", int),
+            segments=tuple(
+                SegmentRef(number=_check_type(number, int), remaining_ms=_check_type(ms, int))
+                for number, ms in _get_field(fields, "segments", list)
+            ),
+            claims=decode_claims(base64.b64decode(_get_field(fields, "claims", str))),
+        )
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise ProtocolError(f"invalid shard page: {error}") from error
 
 
+def _get_field(fields: dict[str, Any], name: str, kind: type[T]) -> T:
+    return _check_type(fields[name], kind)
+
+
+def _check_type(value: Any, kind: type[T]) -> T:
+    """:raises ValueError: the value has another type, or is an integer out of range"""
+    if type(value) is not kind:
+        raise ValueError(f"got {value!r:.40}; must be {kind.__name__}")
+    if isinstance(value, int) and not 0 <= value <= MAX_NUMBER:
+        raise ValueError(f"got {value!r:.40}; must be 0 to {MAX_NUMBER}")
+    return value
+
+
 def encode_claims(claims: tuple[StoredClaim, ...]) -> bytes:
     """:return: the claims, each in a fixed number of bytes"""
     return b"".join(
--- a/tests/agent/test_store_claims.py
+++ b/tests/agent/test_store_claims.py
@@ -6,7 +6,7 @@
 import unittest
 
 from boragetiller.agent.claims import KeyedCall, StoredResponse
-from boragetiller.agent.shard_store import read_era_age_ms
+from boragetiller.agent.shard_store import read_era_age_ms, read_shard_count
 from boragetiller.agent.store_claims import StoreClaimRegistry
 from boragetiller.clock import SystemClock, WallClock
 from boragetiller.errors import (
@@ -15,6 +15,7 @@
     NotOwner,
     OutcomeUnknown,
     ResponseNotStored,
+    StoreUnavailable,
 )
 from boragetiller.metrics import Metrics
 from boragetiller.platform_clients.hosts import Host, HostState
@@ -206,9 +207,21 @@
         self.store.restore(self.store.copy())
         entry = await self.store.get("claims/era")
         revision = entry.revision if entry is not None else 0
-        await self.store.put("claims/era", b"?", expected_revision=revision)
-        self.assertEqual(await read_era_age_ms(self.store, 5_000), 0)
-        self.assertEqual(await read_era_age_ms(self.store, 6_000), 1_000)
+        for mark in (b"?", b"5", b'{"era": 1e999, "since_wall_ms": 1}', b"[" * 5_000):
+            revision = await self.store.put("claims/era", mark, expected_revision=revision)
+            self.assertEqual(await read_era_age_ms(self.store, 5_000), 0)
+            self.assertEqual(await read_era_age_ms(self.store, 6_000), 1_000)
+            entry = await self.store.get("claims/era")
+            revision = entry.revision
+
+    async def test_unreadable_number_of_shards_is_not_used(self) -> None:
+        # int() raised ValueError, which ended the agent's task without a line; 10**9 shards were
+        # accepted and filled its memory.
+        for value in (b"", b"x", b"-1", b"0", b"1_0", b"9" * 5_000, b"65537", b"\xb2"):
+            key = f"claims/group-{value[:4].hex()}"
+            await self.store.put(f"{key}/shards", value, expected_revision=0)
+            with self.subTest(value=value[:9]), self.assertRaises(StoreUnavailable):
+                await read_shard_count(self.store, key.removeprefix("claims/"), 16)
 
     async def test_drain_moves_finished_keys_to_the_next_owner(self) -> None:
         other = await self._start("a-2", 7)
--- a/tests/fuzz/test_parsers.py
+++ b/tests/fuzz/test_parsers.py
@@ -24,6 +24,8 @@
 from boragetiller.records.documents import parse_documents
 from boragetiller.settings import Settings
 from boragetiller.structure import structure_yaml
+from boragetiller.systems.shard_pages import decode_page, encode_page
+from boragetiller.tables.shards import SegmentRef, ShardPage
 from tests.fleet import build_sample_records
 from tests.unusable_values import UNUSABLE_VALUES, WIDE_SCALARS
 
@@ -99,6 +101,20 @@
                 with self.subTest(name=name, value=value[:40]), self.assertRaises(ProtocolError):
                     parse_attempt(header)
 
+    def test_shard_page_with_an_unusable_value_is_refused(self) -> None:
+        # Values of another type came into force, and failed where shards are taken over.
+        page = ShardPage(owner="a", incarnation=5, segments=(SegmentRef(number=1, remaining_ms=2),))
+        fields = json.loads(encode_page(page))
+        self.assertEqual(decode_page(json.dumps(fields).encode()), page)
+        for name, good in [*fields.items(), ("segments", [[1, 2]])]:
+            for value in UNUSABLE_VALUES:
+                if (value == "true" and good is False) or (name == "owner" and value[0] == '"'):
+                    continue
+                wrong = "[[1, @]]" if good == [[1, 2]] else "@"
+                text = json.dumps(fields | {name: "#"}).replace('"#"', wrong.replace("@", value))
+                with self.subTest(name=name, value=value[:40]), self.assertRaises(ProtocolError):
+                    decode_page(text.encode())
+
     def test_attempt_without_a_required_field_is_refused(self) -> None:
         for name in ATTEMPT:
             header = json.dumps({other: ATTEMPT[other] for other in ATTEMPT if other != name})
