Refuse headers of callers that are not UTF-8 at the router of the own interface

Callers saw: status 500 for an Idempotency-Key that is not UTF-8, since the agent could not hash it, and 502 for such a Content-Type since attempt headers are checked. Cause: aiohttp decodes such bytes to lone surrogates, which no later step can encode. Change: the three headers that routing uses are refused with 400, not run. Evidence: test_header_that_is_not_utf_8_is_refused failed before (500, 403, 502).

--- a/src/boragetiller/router/server.py
+++ b/src/boragetiller/router/server.py
@@ -15,6 +15,7 @@
     BoragetillerError,
     Draining,
     HeadersTooLarge,
+    InvalidRequest,
     MethodNotAllowed,
     NotFound,
     NotReady,
@@ -265,12 +266,22 @@
 
 def _parse_caller_headers(request: web.Request) -> CallerHeaders:
     return CallerHeaders(
-        content_type=request.headers.get("Content-Type", "application/octet-stream"),
-        class_name=request.headers.get("X-Request-Class", ""),
-        idempotency_key=request.headers.get("Idempotency-Key", "").strip('"'),
+        content_type=_get_utf8_header(request, "Content-Type", "application/octet-stream"),
+        class_name=_get_utf8_header(request, "X-Request-Class", ""),
+        idempotency_key=_get_utf8_header(request, "Idempotency-Key", "").strip('"'),
     )
 
 
+def _get_utf8_header(request: web.Request, name: str, default: str) -> str:
+    """:raises InvalidRequest: the header is not UTF-8; aiohttp decodes it to lone surrogates"""
+    value = request.headers.get(name, default)
+    try:
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise InvalidRequest(f"{name}: got {value!r:.40}; must be UTF-8") from error
+    return value
+
+
 def _has_key(customer: Customer, digest: str) -> bool:
     matches = [hmac.compare_digest(known, digest) for known in customer.key_hashes]
     return any(matches)
--- a/tests/fuzz/test_callers.py
+++ b/tests/fuzz/test_callers.py
@@ -105,6 +105,22 @@
         check()
         self._check_still_serving()
 
+    def test_header_that_is_not_utf_8_is_refused(self) -> None:
+        # The agent could not hash such a key, and the caller saw status 500.
+        for name in (b"Idempotency-Key", b"X-Request-Class", b"Content-Type"):
+            lines = (
+                b"POST /services/app/x HTTP/1.1",
+                *START_LINES[1:],
+                name + b": \xff",
+                b"Content-Length: 0",
+            )
+            with self.subTest(name=name):
+                response = self.loop.run_until_complete(
+                    self._read_refusal(b"\r\n".join(lines) + b"\r\n\r\n")
+                )
+                self.assertRegex(response, rb"^HTTP/1\.[01] 400 ")
+        self._check_still_serving()
+
     def test_http_refusals_are_counted(self) -> None:
         cases = (
             (b"nonsense\r\n\r\n", "malformed_http"),
