Refuse server entries with addresses of no host, and in encodings other than UTF-8

Callers would see: requests sent to the router's own host for an entry with the address 0.0.0.0, and to nobody for a multicast or reserved one; json.loads also takes UTF-16 and UTF-32, in which no engine writes. Change: such an entry of another writer is unreadable, as it names no engine to use. Evidence: the new cases of test_decode_server_refuses_invalid_entries failed before.

--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -198,6 +198,9 @@
             {"address": "10.0.0.300:80"},
             {"address": "10.0.0.1:0"},
             {"address": "10.0.0.1:٣"},
+            {"address": "0.0.0.0:80"},
+            {"address": "224.0.0.1:80"},
+            {"address": "255.255.255.255:80"},
             {"slots": "64"},
             {"slots": True},
         )
@@ -206,6 +209,10 @@
                 documents.decode_server("servers/x", encode(SERVER | change))
         with self.assertRaises(EntryUnreadable):
             documents.decode_server("servers/", encode(SERVER))
+        for encoding in ("utf-16", "utf-32", "utf-8-sig"):
+            value = json.dumps(SERVER).encode(encoding)
+            with self.subTest(encoding=encoding), self.assertRaises(EntryUnreadable):
+                documents.decode_server("servers/x", value)
 
     def test_decode_server_refuses_entries_without_a_documented_field(self) -> None:
         # An entry of another writer that lacked a field was used as a backend server.
