Answer keys that are not UTF-8 with 401 at agents and operator ports

Cause: the key was encoded as UTF-8 for the comparison, and aiohttp decodes other bytes to lone surrogates, so that the sender saw status 500 (UnicodeEncodeError). Change: the received bytes are compared. Evidence: test_key_that_is_not_utf_8_is_refused failed before (500).

--- a/src/boragetiller/agent/server.py
+++ b/src/boragetiller/agent/server.py
@@ -154,8 +154,9 @@
         )
 
     def _authorize(self, request: web.Request) -> None:
-        given = request.headers.get("Authorization", "")
-        if not hmac.compare_digest(given.encode(), self._token.encode()):
+        # aiohttp decodes bytes that are not UTF-8 to lone surrogates
+        given = request.headers.get("Authorization", "").encode(errors="surrogateescape")
+        if not hmac.compare_digest(given, self._token.encode()):
             self._metrics.increment("agent.refused.unauthorized")
             raise web.HTTPUnauthorized(text=Unauthorized.code)
 
--- a/src/boragetiller/operator_api.py
+++ b/src/boragetiller/operator_api.py
@@ -34,7 +34,8 @@
 
     @web.middleware
     async def authorize(request: web.Request, handler: Handler) -> web.StreamResponse:
-        received = request.headers.get("Authorization", "").encode()
+        # aiohttp decodes bytes that are not UTF-8 to lone surrogates
+        received = request.headers.get("Authorization", "").encode(errors="surrogateescape")
         if not hmac.compare_digest(received, expected):
             return web.json_response({"code": "unauthorized"}, status=401)
         return await handler(request)
--- a/tests/agent/test_operator.py
+++ b/tests/agent/test_operator.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from typing import Any
 
 import aiohttp
+from yarl import URL
 
+from boragetiller.agent_protocol.attempt import ATTEMPT_PATH
 from boragetiller.cli.messages import NodeStatus, RecordStatus, parse_message
 from boragetiller.standin.engine import EngineServer, EngineSettings
 from tests.fleet import Fleet, build_sample_records
@@ -47,6 +50,15 @@
         self.assertEqual((await self._get("/status"))[0], 401)
         self.assertEqual((await self._get("/status", Authorization="Bearer x"))[0], 401)
 
+    async def test_key_that_is_not_utf_8_is_refused(self) -> None:
+        # Encoding the key raised an error that the sender saw as status 500.
+        for path, url in (
+            ("/status", self.agent.operator.base_url),
+            (ATTEMPT_PATH, self.agent.data.base_url),
+        ):
+            with self.subTest(path=path):
+                self.assertEqual(await _post_with_key(url, path, b"Bearer \xff"), 401)
+
     async def test_record_status_shows_revision_in_force(self) -> None:
         await self.fleet.add_router("r-1")
         body: Any = {}
@@ -56,5 +68,16 @@
         self.assertEqual((status.record_revision, status.nodes[0].node), (1, "pool-1"))
 
 
+async def _post_with_key(url: str, path: str, key: bytes) -> int:
+    """:return: status of the response to a request with a key as raw bytes"""
+    port = URL(url).port
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nAuthorization: ".encode()
+    writer.write(head + key + b"\r\n\r\n")
+    status_line = await reader.readline()
+    writer.transport.abort()
+    return int(status_line.split()[1])
+
+
 if __name__ == "__main__":
     unittest.main()
