Log errors of request handlers and of tasks that nobody awaits

What the logs lacked: an unexpected error in a request handler, like those of unusable headers, was counted as refused{internal} and left no line, and one in a task or callback without supervision went to standard error as a traceback when the task was collected, if at all, and to no metric. Change: request_crashed (208) and task_failed (840) with task 'event loop' name the error and where it was raised; task_failures counts the latter. Nothing is caught that was not caught before. Entries that left the list are dropped from the table of logged unreadable revisions, which grew with each foreign key. Evidence: the test of the request handler failed before (no such function to patch in http_refusals); the other is new with its function.

--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -297,6 +297,9 @@
         self._metrics.servers.set(len(records))
         self._metrics.unreadable_servers.set(len(items) - len(readable))
         self._list_unreadable = bool(items) and not readable
+        listed = {item.key for item in items}
+        for key in self._unreadable_revisions.keys() - listed:
+            del self._unreadable_revisions[key]
         retain_servers(self.server_limits, self.servers.by_name)
         for server in removed:
             log_event(Event.SERVER_GONE, server=server.name, in_flight=server.in_flight)
--- a/src/boragetiller/gateway/daemon.py
+++ b/src/boragetiller/gateway/daemon.py
@@ -12,6 +12,7 @@
 from boragetiller.gateway.exit_codes import EXIT_OK, EXIT_START
 from boragetiller.gateway.process import GatewayProcess
 from boragetiller.gateway.settings_reloader import SettingsReloader
+from boragetiller.gateway.supervisor import record_loop_errors
 from boragetiller.log_sink import LogSink
 
 if TYPE_CHECKING:
@@ -48,6 +49,7 @@
         sys.stdout.fileno(), settings.name, SystemClock().now_ms, process.metrics.count_dropped_line
     )
     configure_json_logging(sink)
+    record_loop_errors(loop, process.metrics)
     reloader = SettingsReloader(settings, load, process.apply, process.metrics)
     loop.add_signal_handler(signal.SIGHUP, reloader.check)
     try:
--- a/src/boragetiller/gateway/supervisor.py
+++ b/src/boragetiller/gateway/supervisor.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import traceback
-from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+from boragetiller.error_origin import format_origin
 from boragetiller.events import Event, log_event
 
 if TYPE_CHECKING:
@@ -34,17 +33,30 @@
         try:
             await run()
         except Exception as error:  # noqa: BLE001
-            metrics.task_failures.labels(name).inc()
-            log_event(
-                Event.TASK_FAILED, task=name, reason=repr(error), raised_at=_format_origin(error)
-            )
+            _record_failure(name, error, metrics)
         await asyncio.sleep(RESTART_DELAY_MS / 1_000)
 
 
-def _format_origin(error: Exception) -> str:
-    """:return: file, line and function that raised the error"""
-    frame = traceback.extract_tb(error.__traceback__)[-1]
-    return f"{Path(frame.filename).name}:{frame.lineno} {frame.name}"
+def record_loop_errors(loop: asyncio.AbstractEventLoop, metrics: GatewayMetrics) -> None:
+    """
+    Log and count the errors that tasks and callbacks without supervision raise.
+
+    :param loop: event loop of the process
+    :param metrics: counter of the failures
+    """
+
+    def handle(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if error is not None:
+            _record_failure("event loop", error, metrics)
+        loop.default_exception_handler(context)
+
+    loop.set_exception_handler(handle)
+
+
+def _record_failure(name: str, error: BaseException, metrics: GatewayMetrics) -> None:
+    metrics.task_failures.labels(name).inc()
+    log_event(Event.TASK_FAILED, task=name, reason=repr(error), raised_at=format_origin(error))
 
 
-__all__ = ["run_supervised"]
+__all__ = ["record_loop_errors", "run_supervised"]
--- a/src/boragetiller/http_refusals.py
+++ b/src/boragetiller/http_refusals.py
@@ -1,4 +1,4 @@
-"""Counting of requests that aiohttp refuses before a handler is called."""
+"""Counting of requests that aiohttp refuses or whose handler raises an unexpected error."""
 
 from __future__ import annotations
 
@@ -7,6 +7,9 @@
 
 from aiohttp.http_exceptions import BadHttpMessage, LineTooLong
 
+from boragetiller.error_origin import format_origin
+from boragetiller.events import Event, log_event
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -28,6 +31,7 @@
             self._count("malformed_http")
         elif error is not None and record.levelno >= logging.ERROR:
             self._count("internal")
+            log_event(Event.REQUEST_CRASHED, reason=repr(error), raised_at=format_origin(error))
 
 
 def build_refusal_logger(count: Callable[[str], None]) -> logging.Logger:
@@ -35,7 +39,7 @@
     Build the error logger of an HTTP server.
 
     :param count: called with the refusal code for each refused request
-    :return: a logger that counts refusals and writes nothing
+    :return: a logger that counts refusals and logs only unexpected errors
     """
     logger = logging.Logger("boragetiller.http", logging.DEBUG)  # not in the global hierarchy
     logger.addHandler(RefusalCounter(count))
