--- a/src/boragetiller/agent_protocol/attempt.py
+++ b/src/boragetiller/agent_protocol/attempt.py
@@ -10,6 +10,7 @@
 import attrs
 
 from boragetiller.errors import ProtocolError
+from boragetiller.value_checks import is_encodable, is_in_range
 
 ATTEMPT_HEADER = "X-Attempt"
 ATTEMPT_PATH = "/attempt"
@@ -57,7 +58,6 @@
 
 
 _FIELDS = attrs.fields(Attempt)
-MAX_NUMBER = (1 << 63) - 1
 _JSON_TYPES: dict[str, type] = {"str": str, "int": int, "float": float, "bool": bool}
 
 
@@ -98,15 +98,14 @@
     if field.name == "headers":
         return _check_headers(value)
     expected = _JSON_TYPES[str(field.type)]
-    # compared before float(), which raises OverflowError; a comparison with NaN is false
-    if type(value) in (int, float) and not -MAX_NUMBER <= value <= MAX_NUMBER:
+    if type(value) in (int, float) and not is_in_range(value):
         raise ProtocolError(f"attempt field {field.name}: got {value!r:.40}; out of range")
     if expected is float and type(value) is int:
         return float(value)
     if type(value) is not expected:
         raise ProtocolError(f"attempt field {field.name}: must be of type {expected.__name__}")
-    if isinstance(value, str):
-        value.encode()  # UnicodeEncodeError is a ValueError, as for any malformed header
+    if isinstance(value, str) and not is_encodable(value):
+        raise ProtocolError(f"attempt field {field.name}: lone surrogates are not allowed")
     return value
 
 
--- a/src/boragetiller/platform_clients/http_store.py
+++ b/src/boragetiller/platform_clients/http_store.py
@@ -13,7 +13,6 @@
 from boragetiller.platform_clients.wire_format import (
     ERA_HEADER,
     REVISION_HEADER,
-    check_count,
     read_entry,
 )
 from boragetiller.store_eras import (
@@ -23,6 +22,7 @@
     get_era,
     get_store_revision,
 )
+from boragetiller.value_checks import check_count
 
 if TYPE_CHECKING:
     import builtins
--- a/src/boragetiller/platform_clients/http_weights.py
+++ b/src/boragetiller/platform_clients/http_weights.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.platform_clients.http_session import HttpSession
-from boragetiller.platform_clients.wire_format import check_count
+from boragetiller.value_checks import check_count
 
 if TYPE_CHECKING:
     from boragetiller.settings import PlatformSettings
--- a/src/boragetiller/platform_clients/wire_format.py
+++ b/src/boragetiller/platform_clients/wire_format.py
@@ -10,6 +10,7 @@
 from boragetiller.platform_clients.hosts import Host, HostState
 from boragetiller.platform_clients.store import Entry
 from boragetiller.store_eras import MAX_REVISION
+from boragetiller.value_checks import check_count, is_encodable
 
 if TYPE_CHECKING:
     from aiohttp import StreamReader
@@ -59,20 +60,6 @@
     return Entry(str(head["key"]), await stream.readexactly(length), revision)
 
 
-def check_count(value: Any, highest: int) -> int:
-    """
-    Check a number of a response.
-
-    :param value: parsed JSON value
-    :param highest: highest allowed number
-    :return: the value
-    :raises ValueError: not an integer from 0 to the highest allowed one
-    """
-    if type(value) is not int or not 0 <= value <= highest:
-        raise ValueError(f"got {value!r:.40}; must be an integer from 0 to {highest}")
-    return value
-
-
 def encode_host(host: Host) -> dict[str, Any]:
     """
     Encode a host as a JSON object.
@@ -98,7 +85,8 @@
         if type(value) is not _HOST_FIELD_TYPES.get(name):
             raise ValueError(f"host field {name!r} is unknown or has the wrong type")
         if isinstance(value, str):
-            value.encode()  # raises UnicodeEncodeError for a lone surrogate, which cannot be sent
+            if not is_encodable(value):
+                raise ValueError(f"host field {name!r}: lone surrogates are not allowed")
         elif not 0 <= value <= MAX_PORT:
             raise ValueError(f"host field {name!r}: got {value!r:.40}; must be 0 to {MAX_PORT}")
     fields["state"] = HostState(fields["state"])
@@ -112,7 +100,6 @@
     "ERA_HEADER",
     "MAX_REQUEST_BYTES",
     "REVISION_HEADER",
-    "check_count",
     "decode_host",
     "encode_entry",
     "encode_host",
--- a/src/boragetiller/records/build.py
+++ b/src/boragetiller/records/build.py
@@ -7,6 +7,7 @@
 from boragetiller.errors import SettingsInvalid
 from boragetiller.records.pages import split_record_id
 from boragetiller.records.schema import FIELDS, MODELS, NEWEST_SCHEMA_VERSION, get_field_type
+from boragetiller.value_checks import is_encodable
 
 if TYPE_CHECKING:
     from boragetiller.records.model import Record
@@ -37,7 +38,7 @@
         return None
     try:
         kind, name = split_record_id(record_id)
-        name.encode()  # a lone surrogate could be neither logged nor sent
+        _check_text(name)
         values = {
             spec.model_name: _decode_value(
                 stored.fields[spec.stored_name], get_field_type(kind, spec)
@@ -69,7 +70,8 @@
     """:raises ValueError: not a text, or one that UTF-8 cannot encode"""
     if not isinstance(value, str):
         raise TypeError(f"must be a text, got {type(value).__name__}")
-    value.encode()
+    if not is_encodable(value):
+        raise ValueError(f"got {value!r:.40}; lone surrogates are not allowed")
     return value
 
 
--- a/src/boragetiller/records/pages.py
+++ b/src/boragetiller/records/pages.py
@@ -11,6 +11,7 @@
 
 from boragetiller.errors import SettingsInvalid
 from boragetiller.records.schema import ABSENT_FIELD, RecordKind
+from boragetiller.value_checks import check_count
 
 PAGE_COUNT = 64
 PAGE_PREFIX = "config/"
@@ -18,7 +19,6 @@
 MAX_PAGE_BYTES = 16_000_000  # after decompression
 COMPRESSION_LEVEL = 6
 MAX_RECENT_WRITES = 256
-MAX_COUNT = (1 << 63) - 1  # revisions and versions are sent as Int64
 MAX_TIME_MS = 253_402_300_799_999  # end of the year 9999, the last that datetime can show
 MAX_RECORD_HISTORY = 8
 
@@ -145,7 +145,7 @@
         known = ("format", "write_count", "recent_writes", "records")
         records, raw_records = _decode_records(body["records"])
         return Page(
-            write_count=_check_count(body["write_count"]),
+            write_count=check_count(body["write_count"]),
             recent_writes=[str(write_id) for write_id in body["recent_writes"]],
             records=records,
             raw_records=raw_records,
@@ -196,13 +196,6 @@
     return records, raw_records
 
 
-def _check_count(value: Any, highest: int = MAX_COUNT) -> int:
-    """:raises ValueError: not an integer from 0 to the highest allowed one"""
-    if type(value) is not int or not 0 <= value <= highest:
-        raise ValueError(f"got {value!r:.40}; must be an integer from 0 to {highest}")
-    return value
-
-
 def _check_text(value: Any) -> str:
     """:raises ValueError: not a text"""
     if not isinstance(value, str):
@@ -213,8 +206,8 @@
 def _decode_record(body: dict[str, Any]) -> StoredRecord:
     known = ("schema_version", "revision", "fields", "history")
     return StoredRecord(
-        schema_version=_check_count(body["schema_version"]),
-        revision=_check_count(body["revision"]),
+        schema_version=check_count(body["schema_version"]),
+        revision=check_count(body["revision"]),
         fields=dict(body["fields"]),
         history=[_decode_entry(entry) for entry in body["history"]],
         extra={key: value for key, value in body.items() if key not in known},
@@ -226,9 +219,9 @@
     return HistoryEntry(
         write_id=_check_text(body["write_id"]),
         office=_check_text(body["office"]),
-        at_ms=_check_count(body["at_ms"], MAX_TIME_MS),
-        schema_version=_check_count(body["schema_version"]),
-        revision=_check_count(body["revision"]),
+        at_ms=check_count(body["at_ms"], MAX_TIME_MS),
+        schema_version=check_count(body["schema_version"]),
+        revision=check_count(body["revision"]),
         changes=changes,
     )
 
--- a/src/boragetiller/router/request.py
+++ b/src/boragetiller/router/request.py
@@ -11,6 +11,7 @@
 from boragetiller.errors import Forbidden, InvalidRequest, NotFound
 from boragetiller.records.model import BackendGroup, Customer, RequestClass
 from boragetiller.settings import BackendKind
+from boragetiller.value_checks import is_encodable
 
 if TYPE_CHECKING:
     from boragetiller.tables.config import ConfigTable
@@ -198,10 +199,8 @@
 
 
 def _check_text(text: str) -> None:
-    try:
-        text.encode()
-    except UnicodeEncodeError as error:
-        raise InvalidRequest("body: text must not contain lone surrogates") from error
+    if not is_encodable(text):
+        raise InvalidRequest("body: text must not contain lone surrogates")
 
 
 def _find_class(
--- a/src/boragetiller/router/server.py
+++ b/src/boragetiller/router/server.py
@@ -33,6 +33,7 @@
     parse_service_request,
 )
 from boragetiller.router.response_writers import BufferedResponseWriter, StreamingResponseWriter
+from boragetiller.value_checks import is_encodable
 from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -273,12 +274,10 @@
 
 
 def _get_utf8_header(request: web.Request, name: str, default: str) -> str:
-    """:raises InvalidRequest: the header is not UTF-8; aiohttp decodes it to lone surrogates"""
+    """:raises InvalidRequest: the header is not UTF-8"""
     value = request.headers.get(name, default)
-    try:
-        value.encode()
-    except UnicodeEncodeError as error:
-        raise InvalidRequest(f"{name}: got {value!r:.40}; must be UTF-8") from error
+    if not is_encodable(value):
+        raise InvalidRequest(f"{name}: got {value!r:.40}; must be UTF-8")
     return value
 
 
--- a/src/boragetiller/structure.py
+++ b/src/boragetiller/structure.py
@@ -11,8 +11,7 @@
 import yaml
 
 from boragetiller.errors import SettingsInvalid
-
-MAX_NUMBER = (1 << 63) - 1  # numbers are stored and sent as Int64
+from boragetiller.value_checks import MAX_INT64, is_encodable, is_in_range
 
 T = TypeVar("T")
 
@@ -157,26 +156,16 @@
         value = _check_number(node, value, target, source, path)
     if type(value) is not target:
         _fail(node, source, path, f"must be of type {target.__name__}, got {type(value).__name__}")
-    if isinstance(value, str) and not _is_utf8(value):
+    if isinstance(value, str) and not is_encodable(value):
         _fail(node, source, path, f"got {value!r:.40}; lone surrogates are not allowed")
     return value
 
 
-def _is_utf8(text: str) -> bool:
-    """:return: whether UTF-8 can encode the text, as logs and messages require"""
-    try:
-        text.encode()
-    except UnicodeEncodeError:
-        return False
-    return True
-
-
 def _check_number(
     node: yaml.Node, value: float, target: type[float], source: str, path: str
 ) -> float:
-    # float() raises OverflowError for a large integer; a comparison with NaN is false
-    if not -MAX_NUMBER <= value <= MAX_NUMBER:
-        _fail(node, source, path, f"got {value!r:.40}; must be {-MAX_NUMBER} to {MAX_NUMBER}")
+    if not is_in_range(value):
+        _fail(node, source, path, f"got {value!r:.40}; must be {-MAX_INT64} to {MAX_INT64}")
     return float(value) if target is float else value
 
 
--- a/src/boragetiller/systems/shard_pages.py
+++ b/src/boragetiller/systems/shard_pages.py
@@ -13,12 +13,11 @@
 from boragetiller.systems.shard_restores import get_next_sequence
 from boragetiller.tables.claims import DIGEST_BYTES, FINGERPRINT_BYTES, ClaimState
 from boragetiller.tables.shards import SegmentRef, ShardPage, StoredClaim
+from boragetiller.value_checks import check_count
 
 if TYPE_CHECKING:
     from boragetiller.tables.shards import Shard, ShardTable
 
-MAX_NUMBER = (1 << 63) - 1
-
 T = TypeVar("T")
 
 _PAGE_FIELDS = {field.name for field in attrs.fields(ShardPage)}
@@ -106,33 +105,27 @@
         if unknown := set(fields) - _PAGE_FIELDS:
             raise ValueError(f"unknown fields {sorted(unknown)}")
         return ShardPage(
-            owner=_get_field(fields, "owner", str),
-            incarnation=_get_field(fields, "incarnation", int),
-            sequence=_get_field(fields, "sequence", int),
-            sent_wall_ms=_get_field(fields, "sent_wall_ms", int),
-            from_memory=_get_field(fields, "from_memory", bool),
-            uncertain_ms=_get_field(fields, "uncertain_ms", int),
-            next_segment=_get_field(fields, "next_segment", int),
+            owner=_check_type(fields["owner"], str),
+            incarnation=check_count(fields["incarnation"]),
+            sequence=check_count(fields["sequence"]),
+            sent_wall_ms=check_count(fields["sent_wall_ms"]),
+            from_memory=_check_type(fields["from_memory"], bool),
+            uncertain_ms=check_count(fields["uncertain_ms"]),
+            next_segment=check_count(fields["next_segment"]),
             segments=tuple(
-                SegmentRef(number=_check_type(number, int), remaining_ms=_check_type(ms, int))
-                for number, ms in _get_field(fields, "segments", list)
+                SegmentRef(number=check_count(number), remaining_ms=check_count(ms))
+                for number, ms in _check_type(fields["segments"], list)
             ),
-            claims=decode_claims(base64.b64decode(_get_field(fields, "claims", str))),
+            claims=decode_claims(base64.b64decode(_check_type(fields["claims"], str))),
         )
     except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise ProtocolError(f"invalid shard page: {error}") from error
 
 
-def _get_field(fields: dict[str, Any], name: str, kind: type[T]) -> T:
-    return _check_type(fields[name], kind)
-
-
 def _check_type(value: Any, kind: type[T]) -> T:
-    """:raises ValueError: the value has another type, or is an integer out of range"""
+    """:raises ValueError: the value has another type"""
     if type(value) is not kind:
         raise ValueError(f"got {value!r:.40}; must be {kind.__name__}")
-    if isinstance(value, int) and not 0 <= value <= MAX_NUMBER:
-        raise ValueError(f"got {value!r:.40}; must be 0 to {MAX_NUMBER}")
     return value
 
 
