Refuse an engine profile without fields

Callers would see: status 500 for each call to a group whose configuration says engine: {}. Cause: the decoder tested the object for truth, so an empty one was passed on undecoded.

--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -124,6 +124,13 @@
                 with self.subTest(path=path, wrong=wrong), self.assertRaises(EntryUnreadable):
                     documents.decode_config(encode(document))
 
+    def test_decode_config_refuses_an_engine_profile_without_fields(self) -> None:
+        # It came into force as it was written, and each call to the group got status 500.
+        document = copy.deepcopy(CONFIG)
+        document["services"][0]["engine"] = {}
+        with self.assertRaises(EntryUnreadable):
+            documents.decode_config(encode(document))
+
     def test_decode_config_returns_usable_values_or_refuses(self) -> None:
         # A value beyond the range of a float raised OverflowError, which nobody expected.
         for value in list_variants(CONFIG):
