Leave out response headers that aiohttp cannot write

Callers saw: a closed connection in place of the response to a booking that had run, when the engine sent a header with a control character (DEL); in streams the engine was blamed for a lost connection. Cause: aiohttp's parser of responses takes such characters and its writer raises ValueError, after the response was complete, or inside the attempt, where ValueError counts as a transport error.

--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from boragetiller.events import Event, log_event
 from boragetiller.gateway.admitted_call import AdmittedCall
 from boragetiller.gateway.backend_connections import ResponseTooLarge
 from boragetiller.gateway.event_stream import EventSplitter, EventTooLarge
@@ -27,10 +28,13 @@
 )
 from boragetiller.tables.server_placement import Placement
 from boragetiller.tables.servers import PendingPrompt
+from boragetiller.value_checks import is_sendable_header
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from multidict import CIMultiDict
+
     from boragetiller.clock import Clock
     from boragetiller.gateway.backend_registry import BackendRegistry
     from boragetiller.gateway.platform_interface import Dialect
@@ -222,7 +226,7 @@
             return DirectAttemptResult(
                 DirectAttemptOutcome.LOST, detail=f"status {metadata.status} to a resumed stream"
             )
-        headers = self._dialect.build_response_headers(response.headers)
+        headers = self._build_response_headers(attempt, response)
         assert self._registry.config is not None
         body = await response.read(
             MAX_RESPONSE_BODY_RATIO * self._registry.config.limits.max_body_bytes
@@ -235,7 +239,7 @@
         self, attempt: OutgoingAttempt, stream: StreamState, response: ServerResponse
     ) -> DirectAttemptResult:
         splitter = EventSplitter(stream.last_event_id)
-        headers = self._dialect.build_response_headers(response.headers)
+        headers = self._build_response_headers(attempt, response)
         async for chunk in response.iter_chunks():
             events = splitter.feed(chunk)
             if not events.count:
@@ -263,6 +267,23 @@
         complete = CompleteResponse(status=response.metadata.status, headers=headers, body=b"")
         return DirectAttemptResult(DirectAttemptOutcome.ANSWERED, complete)
 
+    def _build_response_headers(
+        self, attempt: OutgoingAttempt, response: ServerResponse
+    ) -> CIMultiDict[str]:
+        """Build the headers for the caller, without those that cannot be sent."""
+        headers = self._dialect.build_response_headers(response.headers)
+        unsendable = {name for name, value in headers.items() if not is_sendable_header(value)}
+        if unsendable:
+            log_event(
+                Event.RESPONSE_HEADERS_DROPPED,
+                request_id=attempt.call.metadata.request_id,
+                server=attempt.server.name,
+                names=sorted(unsendable),
+            )
+        for name in unsendable:
+            headers.popall(name, None)
+        return headers
+
     def _clear_parts_once(self, attempt: OutgoingAttempt) -> None:
         progress = attempt.response_progress
         if not progress.survived and has_survived_start(progress, self._clock.now_ms()):
--- a/src/boragetiller/value_checks.py
+++ b/src/boragetiller/value_checks.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 MAX_INT64 = (1 << 63) - 1  # numbers are stored and exchanged as Int64
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 def is_encodable(text: str) -> bool:
@@ -24,6 +26,18 @@
     return True
 
 
+def is_sendable_header(value: str) -> bool:
+    """
+    Check whether aiohttp can write a header value that it has parsed.
+
+    Its parser of responses accepts control characters that its writer refuses.
+
+    :param value: value of the header
+    :return: whether it has no control character but tabs
+    """
+    return _CONTROL_CHARACTER.search(value) is None
+
+
 def is_in_range(number: float) -> bool:
     """
     Check whether a number can be calculated with and sent.
@@ -51,4 +65,4 @@
     return value
 
 
-__all__ = ["MAX_INT64", "check_count", "is_encodable", "is_in_range"]
+__all__ = ["MAX_INT64", "check_count", "is_encodable", "is_in_range", "is_sendable_header"]
--- a/tests/gateway/test_unusable_headers.py
+++ b/tests/gateway/test_unusable_headers.py
@@ -124,6 +124,7 @@
     async def respond(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         if request.path == "/gauges/":
             head = build_stream_header(request.request_id)
+            head = head.replace(b"\r\n\r\n", f"\r\n{self.extra}\r\n".encode(), 1)
             writer.write(head + build_chunk(self.event) + build_chunk(b""))
         else:
             writer.write(build_response(request.request_id, extra=self.extra))
@@ -141,11 +142,14 @@
             "X-Boragetiller-Server-Load: -5,-9,8",
             "Server-Limit: 1e400",
             "Server-Limit: nan",
+            "X-Note: a\x7fb",
+            "Server-Limit: \x7f",
         ):
             self.extra = f"{extra}\r\n"
             for _ in range(3):
                 with self.subTest(extra=extra[:60]):
                     self.assertEqual(await send(self.harness, "/reserve/", b""), 200)
+                    self.assertEqual(await send(self.harness, "/gauges/", PROMPT), 200)
         for server in servers.values():
             self.assertEqual(server.health.failures, 0)
             self.assertEqual(server.estimate_unreported_requests(SystemClock().now_ms()), 0.0)
