--- a/tests/agent/test_operator.py
+++ b/tests/agent/test_operator.py
@@ -51,7 +51,7 @@
         self.assertEqual((await self._get("/status", Authorization="Bearer x"))[0], 401)
 
     async def test_key_that_is_not_utf_8_is_refused(self) -> None:
-        # Encoding the key raised an error that the sender saw as status 500.
+        # Guards against an encoding error of the key, which the sender sees as status 500.
         for path, url in (
             ("/status", self.agent.operator.base_url),
             (ATTEMPT_PATH, self.agent.data.base_url),
--- a/tests/agent/test_store_claims.py
+++ b/tests/agent/test_store_claims.py
@@ -215,8 +215,7 @@
             revision = entry.revision
 
     async def test_unreadable_number_of_shards_is_not_used(self) -> None:
-        # int() raised ValueError, which ended the agent's task without a line; 10**9 shards were
-        # accepted and filled its memory.
+        # Guards against an agent whose task ends at the number, or whose memory is filled by it.
         for value in (b"", b"x", b"-1", b"0", b"1_0", b"9" * 5_000, b"65537", b"\xb2"):
             key = f"claims/group-{value[:4].hex()}"
             await self.store.put(f"{key}/shards", value, expected_revision=0)
--- a/tests/fuzz/test_callers.py
+++ b/tests/fuzz/test_callers.py
@@ -106,7 +106,7 @@
         self._check_still_serving()
 
     def test_header_that_is_not_utf_8_is_refused(self) -> None:
-        # The agent could not hash such a key, and the caller saw status 500.
+        # Guards against headers that the agent cannot hash, which the caller sees as status 500.
         for name in (b"Idempotency-Key", b"X-Request-Class", b"Content-Type"):
             lines = (
                 b"POST /services/app/x HTTP/1.1",
--- a/tests/fuzz/test_parsers.py
+++ b/tests/fuzz/test_parsers.py
@@ -92,7 +92,7 @@
             self.assertEqual(type(getattr(attempt, name)), type(ATTEMPT[name]))
 
     def test_attempt_with_an_unusable_value_is_refused(self) -> None:
-        # A weight beyond the range of a float raised OverflowError; one of NaN was used.
+        # Guards against an OverflowError in the agent, and against weights of NaN in its queue.
         for name in ("customer_weight", "deadline_in_ms", "class_name"):
             for value in UNUSABLE_VALUES:
                 header = json.dumps(ATTEMPT | {name: "@"}).replace('"@"', value)
@@ -102,7 +102,7 @@
                     parse_attempt(header)
 
     def test_shard_page_with_an_unusable_value_is_refused(self) -> None:
-        # Values of another type came into force, and failed where shards are taken over.
+        # Guards against pages that come into force and fail where their shard is taken over.
         page = ShardPage(owner="a", incarnation=5, segments=(SegmentRef(number=1, remaining_ms=2),))
         fields = json.loads(encode_page(page))
         self.assertEqual(decode_page(json.dumps(fields).encode()), page)
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -224,8 +224,7 @@
         self.assertNotIn("servers/large", second.router.registry.store_entries.view.items)
 
     async def test_invalid_addresses_are_left_out_and_the_others_hold(self) -> None:
-        # To connect to such an address raised an error that ended its task, and it counted as a
-        # router of the fleet for good.
+        # Guards against addresses whose connection task fails and that count as routers for good.
         first, _ = await self.start_pair(FakeStore())
         exchange = first.router.peer_exchange
         before = exchange.known_count
@@ -240,7 +239,7 @@
         writer.transport.abort()
 
     async def test_sums_too_large_for_a_report_do_not_stop_the_reports(self) -> None:
-        # Token counts of many requests exceeded the field of the report, which then was not sent.
+        # Guards against reports that are not sent because a sum exceeds their field.
         first, second = await self.start_pair(FakeStore())
         await wait_until(lambda: "e" in second.router.registry.servers.by_name)
         server = first.router.registry.servers.by_name["e"]
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -135,8 +135,7 @@
         self.assertEqual(self.harness.router.metrics.unreadable_servers._value.get(), 6)
 
     async def test_foreign_entry_with_unusable_values_does_not_stop_the_list(self) -> None:
-        # A decoder that raised another error than EntryUnreadable stopped every later change of
-        # the list, so that draining servers got calls.
+        # Guards against calls to draining servers after a decoding error has stopped the list.
         for number, text in enumerate(UNUSABLE_VALUES):
             for field in ("address", "born", "cold-left-ms", "service", "slots", "zone"):
                 document = json.dumps(SERVER | {"service": "unknown", field: "@"})
@@ -175,7 +174,7 @@
             return response.status
 
     async def test_router_is_not_ready_until_the_list_is_applied(self) -> None:
-        # A router whose list had arrived but could not be applied was ready and served no call.
+        # Guards against a router that is ready and serves no call, since its list is not applied.
         failing = patch.object(ServerTable, "replace", side_effect=RuntimeError("unexpected"))
         with failing as replace:
             await self.start()
@@ -272,7 +271,7 @@
         self.assertEqual(len(self.applied), 1)
 
     async def test_unexpected_error_does_not_end_the_periodic_checks(self) -> None:
-        # The task ended unseen, and no later change of the file was read.
+        # Guards against a task that ends unseen, so that no later change of the file is read.
         self.current = RuntimeError("unexpected")
         quick = patch("boragetiller.gateway.settings_reloader.CHECK_INTERVAL_MS", 1)
         with quick, patch("boragetiller.gateway.supervisor.RESTART_DELAY_MS", 1):
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -18,7 +18,7 @@
 
 class UnexpectedErrorsTest(unittest.IsolatedAsyncioTestCase):
     async def test_error_of_a_request_handler_is_logged_with_its_origin(self) -> None:
-        # The caller saw status 500, and nothing but a counter told of the error.
+        # Guards against a status 500 of which only a counter tells.
         harness = RouterHarness()
         await harness.start()
         self.addAsyncCleanup(harness.close)
@@ -34,7 +34,7 @@
         self.assertEqual(harness.router.metrics.refused.labels("internal")._value.get(), 1)
 
     async def test_error_of_a_task_that_nobody_awaits_is_logged_and_counted(self) -> None:
-        # The event loop wrote such an error to standard error only, when the task was collected.
+        # Guards against errors that appear on standard error only, when the task is collected.
         metrics, loop = GatewayMetrics(), asyncio.get_running_loop()
         with (
             patch.object(loop, "default_exception_handler"),
--- a/tests/gateway/test_unusable_headers.py
+++ b/tests/gateway/test_unusable_headers.py
@@ -79,15 +79,14 @@
         await wait_until(lambda: self.peers_gauge.get() == 1)
 
     async def test_unusable_prompt_does_not_stop_the_other_requests_of_its_route(self) -> None:
-        # A declared output of 10**300 tokens raised the route's average for thousands of requests,
-        # which were refused; other texts raised errors that the caller saw as status 500.
+        # Guards against averages that refuse a route's requests, and against status 500.
         for headers in UNUSABLE_PROMPTS:
             with self.subTest(headers=headers[:60]):
                 self.assertEqual(await send(self.harness, "/quotes/", headers), 200)
                 self.assertEqual(await send(self.harness, "/quotes/", PROMPT), 200)
 
     async def test_unusable_prompt_does_not_stop_the_reports_to_peers(self) -> None:
-        # A report with a number or a text that a frame cannot hold was lost, with all else in it.
+        # Guards against reports that are lost because a frame cannot hold one of their values.
         failures = self.harness.router.metrics.task_failures.labels("report to peers")
         server = self.peer.router.registry.servers.by_name["e"]
         for number, headers in enumerate(UNUSABLE_PROMPTS):
@@ -101,7 +100,7 @@
         self.assertEqual(self.peers_gauge.get(), 1)
 
     async def test_request_id_that_is_not_utf_8_is_refused(self) -> None:
-        # Hashing the ID raised an error that the caller saw as status 500.
+        # Guards against an encoding error of the ID, which the caller sees as status 500.
         self.assertEqual(await send(self.harness, "/quotes/", PROMPT, request_id=b"\xff"), 400)
 
 
@@ -130,8 +129,7 @@
             writer.write(build_response(request.request_id, extra=self.extra))
 
     async def test_response_with_unusable_headers_reaches_the_caller(self) -> None:
-        # Parsing the header raised an error after the booking had run: the caller got status 502
-        # or 500 instead of the response, and two such responses ejected the server.
+        # Guards against errors in place of responses to bookings that ran, and ejected servers.
         servers = self.harness.router.registry.servers.by_name
         for extra in (
             "Keep-Alive: timeout=\u00b2",
@@ -155,7 +153,7 @@
             self.assertEqual(server.estimate_unreported_requests(SystemClock().now_ms()), 0.0)
 
     async def test_event_ids_of_any_length_are_relayed(self) -> None:
-        # int() refuses more than 4,300 digits, and the router took the error for a lost connection.
+        # Guards against the ValueError of int() above 4,300 digits, taken for a lost connection.
         number = b"9" * 5_000
         self.event = b"id: " + number + b"\ndata: x\n\n"
         self.assertEqual(await send(self.harness, "/gauges/", PROMPT), 200)
--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -125,14 +125,14 @@
                     documents.decode_config(encode(document))
 
     def test_decode_config_refuses_an_engine_profile_without_fields(self) -> None:
-        # It came into force as it was written, and each call to the group got status 500.
+        # Guards against an undecoded profile in force, with status 500 for each call to the group.
         document = copy.deepcopy(CONFIG)
         document["services"][0]["engine"] = {}
         with self.assertRaises(EntryUnreadable):
             documents.decode_config(encode(document))
 
     def test_decode_config_returns_usable_values_or_refuses(self) -> None:
-        # A value beyond the range of a float raised OverflowError, which nobody expected.
+        # Guards against errors of arithmetic and encoding, in the decoder or later.
         for value in list_variants(CONFIG):
             try:
                 config = documents.decode_config(value)
@@ -161,8 +161,7 @@
         self.assertEqual((cached.parts, cached.unreadable), ((PromptPart("5c1e07a2", 800),), ()))
 
     def test_decode_prefix_cache_leaves_out_unreadable_entries_only(self) -> None:
-        # One unreadable entry made the whole cache count as empty, or ended the read with an error
-        # that its task did not expect.
+        # Guards against a whole list that counts as unread because of one entry.
         for text in UNUSABLE_VALUES:
             if text.startswith("[["):
                 continue  # not JSON, or nested too deeply
@@ -222,7 +221,7 @@
                 documents.decode_server("servers/x", value)
 
     def test_decode_server_refuses_entries_without_a_documented_field(self) -> None:
-        # An entry of another writer that lacked a field was used as a backend server.
+        # Guards against calls to what entries of other writers name.
         for field in set(SERVER) - {"born", "stage", "models"}:
             for change in ({}, {field: None}, {field: []}):
                 entry = {name: value for name, value in SERVER.items() if name != field}
@@ -230,7 +229,7 @@
                     documents.decode_server("servers/x", encode(entry | change))
 
     def test_decode_server_returns_usable_values_or_refuses(self) -> None:
-        # A value beyond the range of a float raised OverflowError, which stopped the whole list.
+        # Guards against errors of arithmetic and encoding, which would stop the whole list.
         for value in list_variants(SERVER):
             for decode in (documents.decode_server, documents.decode_entry_version):
                 try:
@@ -384,8 +383,7 @@
                 self.load("\n".join(lines))
 
     def test_load_refuses_unusable_values(self) -> None:
-        # Numbers beyond the range of a float and fields of another type raised errors other than
-        # SettingsInvalid, which ended the process or its checks of the file.
+        # Guards against errors other than SettingsInvalid, which end the process or its checks.
         values = ("inf", "nan", "-1", "1" + "0" * 310, "9" * 5_000, "[]", "true", '"x"')
         tables = ("listen", "contract-params", "platform")
         for line in SETTINGS.splitlines():
@@ -405,7 +403,7 @@
             self.load("deep = " + "[" * 5_000)
 
     def test_load_keeps_the_seeds_beside_an_invalid_one(self) -> None:
-        # One invalid seed made the whole file count as invalid.
+        # Guards against a file that counts as invalid because of one seed.
         for wrong in ('"10.2.0.29"', '"10.2.0.29:x"', '"10.2.0.29:99999"', '"host:1"', "5", "[]"):
             text = SETTINGS.replace('"10.2.0.29:8229"', wrong)
             with self.subTest(wrong=wrong):
--- a/tests/platform_adapter/test_kv_store.py
+++ b/tests/platform_adapter/test_kv_store.py
@@ -119,8 +119,7 @@
                 await self.store.list_prefix("s/")
 
     async def test_malformed_item_is_left_out_and_the_others_hold(self) -> None:
-        # One malformed item made the whole response count as unavailable, so that no listing and
-        # no watch got the changes of the others.
+        # Guards against a store that counts as unavailable because of one item.
         good = build_entry("s/m", b"1", 3)
         malformed = (
             5,
--- a/tests/platform_clients/test_hosts.py
+++ b/tests/platform_clients/test_hosts.py
@@ -112,8 +112,7 @@
             self.assertEqual(await client.list_hosts(), [])
 
     async def test_unreadable_host_costs_no_other_host_and_does_not_count_as_gone(self) -> None:
-        # One unreadable entry made the whole list count as unavailable; to leave its host out would
-        # make its agent look gone, and others take over its shards.
+        # Guards against an unusable list, and against shards taken over from a host that lives.
         client = HttpHostList(self.settings)
         first, second = encode_host(HOST), encode_host(attrs.evolve(HOST, name="tiller-pool-2"))
         known = client._decode_list([first])
--- a/tests/records/test_documents.py
+++ b/tests/records/test_documents.py
@@ -124,7 +124,7 @@
     """Values that YAML can write and that could not be calculated with, stored or sent."""
 
     def test_parse_refuses_unusable_values(self) -> None:
-        # A large integer raised OverflowError; infinity was accepted and came into force.
+        # Guards against an OverflowError without line and key, and against infinity in force.
         values = ("9" * 400, "9" * 5_000, ".inf", ".nan", '"a\\ud800"', "1000000001")
         for value in values:
             for field in ("weight", "deadline_ms", "group"):
--- a/tests/router/test_engine_protocol.py
+++ b/tests/router/test_engine_protocol.py
@@ -16,8 +16,7 @@
 
 class UnusableEventsTest(unittest.TestCase):
     def test_event_of_any_json_is_read_or_refused(self) -> None:
-        # A deeply nested event raised RecursionError, and a number of prompt tokens of another type
-        # raised TypeError, after the request had run.
+        # Guards against RecursionError and TypeError after a request has run.
         for value in UNUSABLE_VALUES:
             choice = '{"choices": [{"text": "x", "finish_reason": "stop"}], "usage": %s}'
             for event in (
--- a/tests/systems/test_config_pages.py
+++ b/tests/systems/test_config_pages.py
@@ -66,8 +66,7 @@
         self.assertEqual(self.table.classes["quote"].tier, 3)
 
     def test_unreadable_record_costs_no_other_record_of_its_page(self) -> None:
-        # One record that cannot be decoded froze all records of its page, and a number beyond the
-        # range of a float raised an error that ended the synchronization of the configuration.
+        # Guards against a frozen page of records, and against an end of the synchronization.
         write(self.page, make_document("class", "note", group="pool", tier=1))
         self.assertTrue(self._apply(1, encode_page(self.page)))
         write(self.page, make_document("class", "note", tier=3))
--- a/tests/systems/test_server_placement.py
+++ b/tests/systems/test_server_placement.py
@@ -193,7 +193,7 @@
         self.assertIn("p39", server.cached_parts)
 
     def test_part_that_exceeds_the_cache_evicts_no_other(self) -> None:
-        # The declared size of one part emptied the estimate of the engine's whole cache.
+        # Guards against an estimate of the cache that the declared size of one part empties.
         server = make_server("a")
         record_prefill(server, make_prompt("p", 13_000, "own", 10), COSTS, CACHE_TOKENS, 0)
         cached = dict(server.cached_parts)
@@ -213,7 +213,7 @@
         self.assertEqual(compute_stream_sensitivity(0, COSTS), 0.0)
 
     def test_sensitivity_to_a_gap_target_of_nearly_zero_is_one(self) -> None:
-        # The power of the ratio raised OverflowError for every stream of the route.
+        # Guards against the OverflowError of a float power, for every stream of the route.
         for gap_target_ms in (1e-150, 1e-300, 5e-324):
             self.assertEqual(compute_stream_sensitivity(gap_target_ms, COSTS), 1.0)
 
