Bound the number of parts in the estimate of an engine's cache

Callers would see: a router killed for its memory, since the estimate was bounded by tokens only and callers choose the sizes: 256 parts of no tokens in each request were kept for good, at peers too, and parts of one token up to the capacity. Change: parts without tokens are not kept, and count as cached; 40,000 parts an engine at most. Evidence: test_number_of_cached_parts_is_bounded is new with its constant; on the old code the estimate holds all 120 parts of it (by reading, not run).

--- a/src/boragetiller/systems/prefix_cache.py
+++ b/src/boragetiller/systems/prefix_cache.py
@@ -13,6 +13,7 @@
     from boragetiller.tables.server_placement import PlacementCostModel
     from boragetiller.tables.servers import BackendServer
 
+MAX_CACHED_PARTS = 40_000  # of an engine; callers choose the sizes of the parts
 CACHE_SHARE = 0.8  # of an engine's memory; the rest holds the output of its running requests
 PREFILL_AVERAGE_MS = 2_000.0  # time constant of the moving average of the prefill share
 
@@ -32,7 +33,7 @@
     """
     saved = 0.0
     for part in prompt.parts:
-        if part.part_id not in server.cached_parts:
+        if part.tokens and part.part_id not in server.cached_parts:
             break
         saved += part.tokens
     if saved == 0 and is_owner:
@@ -109,19 +110,22 @@
     """
     Add parts to the cache estimate of an engine and evict the least recently used ones.
 
-    A part that exceeds the cache cannot be in it; to add it would evict all others.
+    A part that exceeds the cache cannot be in it; to add it would evict all others. Parts without
+    tokens are not added, since no number of them would fill the cache.
 
     :param server: the engine
     :param parts: parts that are in its cache now
     :param cache_tokens: capacity of the cache in tokens
     """
     for part in parts:
-        if part.tokens > cache_tokens:
+        if not 0 < part.tokens <= cache_tokens:
             continue
         known = server.cached_parts.pop(part.part_id, 0)
         server.cached_parts[part.part_id] = part.tokens
         server.cached_tokens += part.tokens - known
-    while server.cached_tokens > cache_tokens and server.cached_parts:
+    while server.cached_parts and (
+        server.cached_tokens > cache_tokens or len(server.cached_parts) > MAX_CACHED_PARTS
+    ):
         _, tokens = server.cached_parts.popitem(last=False)
         server.cached_tokens -= tokens
 
--- a/tests/systems/test_server_placement.py
+++ b/tests/systems/test_server_placement.py
@@ -4,6 +4,7 @@
 
 import unittest
 from random import Random
+from unittest.mock import patch
 
 import attrs
 
@@ -200,6 +201,23 @@
         record_prefill(server, make_prompt("x", CACHE_TOKENS + 1, "y", 1), COSTS, CACHE_TOKENS, 0)
         self.assertEqual(dict(server.cached_parts), cached | {"y": 1})
 
+    def test_number_of_cached_parts_is_bounded(self) -> None:
+        # Guards against an estimate that grows without bound by parts of no or few tokens.
+        server = make_server("a")
+        with patch("boragetiller.systems.prefix_cache.MAX_CACHED_PARTS", 50):
+            for number in range(40):
+                for tokens in (0, 1):
+                    prompt = make_prompt(f"p{number}-{tokens}", tokens, f"own{number}", 1)
+                    record_prefill(server, prompt, COSTS, CACHE_TOKENS, 0)
+        self.assertEqual(len(server.cached_parts), 50)
+        self.assertEqual(server.cached_tokens, 50)
+
+    def test_part_without_tokens_does_not_hide_the_cached_parts_after_it(self) -> None:
+        server = make_server("a")
+        prompt = make_prompt("empty", 0, "own", 10)
+        record_prefill(server, prompt, COSTS, CACHE_TOKENS, 0)
+        self.assertEqual(estimate_uncached_tokens(server, prompt, COSTS), 0)
+
     def test_prefill_share_decays(self) -> None:
         server = make_server("e")
         record_prefill(server, make_prompt("p", 60_000, "own", 0), COSTS, CACHE_TOKENS, 0)
