--- a/tests/unusable_values.py
+++ b/tests/unusable_values.py
@@ -1,4 +1,4 @@
-"""JSON texts of values that parse but cannot be calculated with, encoded or sent."""
+"""JSON texts that do not parse, or whose values have another type or cannot be used or sent."""
 
 from __future__ import annotations
 
