Log the backend server's status beside the status sent and the verdict

Cause: call_answered logged one status and no verdict, call_failed no status at all, and an error of a backend server that was returned because no other server could be tried left no line and no count. Change: server_status, status and verdict in call_answered and call_failed, status and verdict in call_refused; every response of a backend server passes CallDispatcher._return_response, which logs and counts it.

--- a/src/boragetiller/gateway/call_handler.py
+++ b/src/boragetiller/gateway/call_handler.py
@@ -142,6 +142,8 @@
             Event.CALL_REFUSED,
             request_id=request_id,
             code=error.code,
+            status=error.http_status,
+            verdict=error.verdict.value,
             config_version=config.version if config else 0,
             config_age_ms=self._clock.now_ms() - self._registry.config_applied_ms,
         )
--- a/src/boragetiller/gateway/call_telemetry.py
+++ b/src/boragetiller/gateway/call_telemetry.py
@@ -14,7 +14,11 @@
     from boragetiller.gateway.sender import StreamState
     from boragetiller.systems.direct_retry_policy import GiveUp
     from boragetiller.systems.engine_throughput import EngineThroughput
-    from boragetiller.tables.direct_attempts import CallProgress, DirectAttemptResult
+    from boragetiller.tables.direct_attempts import (
+        CallProgress,
+        CompleteResponse,
+        DirectAttemptResult,
+    )
     from boragetiller.tables.server_placement import Placement
 
 
@@ -140,19 +144,17 @@
     def record_answered(
         self,
         call: AdmittedCall,
-        placement: Placement,
+        response: CompleteResponse,
         progress: CallProgress,
         stream: StreamState | None,
-        status: int,
     ) -> None:
         """
         Log and count a call that a server answered, and observe its latencies.
 
         :param call: the call
-        :param placement: the server
+        :param response: the response that is returned, not always that of the last attempt
         :param progress: the attempts of the call
         :param stream: times of the stream's events, None for a buffered response
-        :param status: HTTP status of the response
         """
         elapsed_ms = self._clock.now_ms() - call.arrived_ms
         first_ms = elapsed_ms
@@ -169,8 +171,10 @@
             Event.CALL_ANSWERED,
             request_id=call.metadata.request_id,
             route=route,
-            server=placement.server.name,
-            status=status,
+            server=response.server,
+            server_status=response.status,
+            status=response.status,
+            verdict=progress.verdict.value,
             sends=progress.attempts,
             first_event_ms=first_ms,
             elapsed_ms=elapsed_ms,
@@ -178,7 +182,13 @@
         )
 
     def record_failed(
-        self, call: AdmittedCall, placement: Placement | None, step: GiveUp, detail: str
+        self,
+        call: AdmittedCall,
+        placement: Placement | None,
+        step: GiveUp,
+        detail: str,
+        server_status: int | None,
+        status: int | None,
     ) -> None:
         """
         Log and count a call that failed.
@@ -187,6 +197,8 @@
         :param placement: server of the last attempt, None when no server accepted the call
         :param step: reason and verdict
         :param detail: error of the last attempt
+        :param server_status: HTTP status of the last attempt's response, None without a response
+        :param status: HTTP status sent to the caller, None if the connection is closed instead
         """
         self._metrics.failed.labels(step.reason.value).inc()
         log_event(
@@ -197,6 +209,8 @@
             end=step.outcome.value,
             detail=detail,
             reason=step.reason.value,
+            server_status=server_status,
+            status=status,
             verdict=step.verdict.value,
             deadline_ms=call.metadata.deadline_ms,
             timeout_ms=call.route.timeout_ms,
--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -57,7 +57,7 @@
     from boragetiller.gateway.platform_interface import Dialect
     from boragetiller.gateway.settings import GatewaySettings
     from boragetiller.gateway.state_sync import StateSync
-    from boragetiller.tables.direct_attempts import DirectAttemptResult
+    from boragetiller.tables.direct_attempts import CompleteResponse, DirectAttemptResult
     from boragetiller.tables.server_placement import Placement
     from boragetiller.tables.servers import BackendServer
 
@@ -129,7 +129,7 @@
         while True:
             placement = self._choose_server(state)
             if placement is None:
-                return self._fail_unplaced(state)
+                return await self._fail_unplaced(state)
             oldest_ms = self._registry.peer_loads.oldest_report_ms(self._clock.now_ms())
             throughput = self._registry.get_throughput(call.group.name)
             self._telemetry.record_placed(call, placement, throughput, oldest_ms)
@@ -140,15 +140,7 @@
             decision = self._decide_next_step(state, result)
             match decision:
                 case ReturnResponse(response=response):
-                    self._telemetry.record_answered(
-                        call, placement, state.progress, state.stream, response.status
-                    )
-                    self._record_event_size(state)
-                    if state.stream is not None and state.stream.complete:
-                        return await state.stream.event_writer.finish(
-                            response.status, response.headers
-                        )
-                    return build_complete_response(response)
+                    return await self._return_response(state, response)
                 case Retry():
                     if self._retry_after.quarantine_left_ms(call):
                         return self._fail_quarantined(state)
@@ -156,6 +148,16 @@
                 case GiveUp():
                     return self._fail(state, placement, decision, result.detail)
 
+    async def _return_response(
+        self, state: CallState, response: CompleteResponse
+    ) -> web.StreamResponse:
+        """Return a backend server's response to the caller."""
+        self._telemetry.record_answered(state.call, response, state.progress, state.stream)
+        if state.stream is not None and state.stream.complete:
+            self._record_event_size(state)
+            return await state.stream.event_writer.finish(response.status, response.headers)
+        return build_complete_response(response)
+
     def _record_event_size(self, state: CallState) -> None:
         """Update the estimate of tokens per event after a stream from a single server."""
         hint_tokens = state.call.metadata.length_hint_tokens
@@ -240,10 +242,10 @@
             budget.record_retry(now_ms)
         return decision
 
-    def _fail_unplaced(self, state: CallState) -> web.StreamResponse:
+    async def _fail_unplaced(self, state: CallState) -> web.StreamResponse:
         progress = state.progress
         if progress.server_error is not None and not progress.relayed_events:
-            return build_complete_response(progress.server_error)
+            return await self._return_response(state, progress.server_error)
         group = state.call.group
         accepting = self._registry.servers.find_accepting(group.name).servers
         if accepting and self._is_limited(accepting):
@@ -272,14 +274,15 @@
     def _fail(
         self, state: CallState, placement: Placement | None, decision: GiveUp, detail: str
     ) -> web.StreamResponse:
-        self._telemetry.record_failed(state.call, placement, decision, detail)
+        call, server_status = state.call, state.progress.server_status
         if state.stream is not None and state.stream.event_writer.started:
+            self._telemetry.record_failed(call, placement, decision, detail, server_status, None)
             return state.stream.event_writer.abort()
-        return build_error_response(
-            self._choose_error_response(state.call, decision),
-            state.call.metadata.request_id,
-            self._dialect,
+        response = self._choose_error_response(call, decision)
+        self._telemetry.record_failed(
+            call, placement, decision, detail, server_status, response.status
         )
+        return build_error_response(response, call.metadata.request_id, self._dialect)
 
     def _choose_error_response(self, call: AdmittedCall, decision: GiveUp) -> ErrorResponse:
         if decision.verdict is Verdict.NOT_RUN:
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -202,6 +202,7 @@
     ) -> DirectAttemptResult:
         metadata, stream = response.metadata, attempt.stream
         attempt.response_progress.started_ms = self._clock.now_ms()
+        attempt.response_progress.status = metadata.status
         if metadata.load is not None:
             reported_requests = metadata.load.running + metadata.load.waiting
             attempt.server.record_reported_load(reported_requests, self._clock.now_ms())
@@ -232,7 +233,10 @@
             MAX_RESPONSE_BODY_RATIO * self._registry.config.limits.max_body_bytes
         )
         return _build_buffered_result(
-            metadata, CompleteResponse(status=metadata.status, headers=headers, body=body)
+            metadata,
+            CompleteResponse(
+                server=attempt.server.name, status=metadata.status, headers=headers, body=body
+            ),
         )
 
     async def _relay_events(
@@ -264,7 +268,9 @@
                 DirectAttemptOutcome.LOST, detail="connection ended before the first event"
             )
         stream.complete = True
-        complete = CompleteResponse(status=response.metadata.status, headers=headers, body=b"")
+        complete = CompleteResponse(
+            server=attempt.server.name, status=response.metadata.status, headers=headers, body=b""
+        )
         return DirectAttemptResult(DirectAttemptOutcome.ANSWERED, complete)
 
     def _build_response_headers(
--- a/src/boragetiller/systems/direct_retry_policy.py
+++ b/src/boragetiller/systems/direct_retry_policy.py
@@ -66,6 +66,7 @@
     :param result: result of the attempt
     """
     progress.attempts += 1
+    progress.server_status = result.progress.status
     if result.verdict is not Verdict.NOT_RUN:
         progress.may_have_run_on.add(server)
     progress.verdict = progress.verdict.combine(result.verdict)
--- a/src/boragetiller/tables/direct_attempts.py
+++ b/src/boragetiller/tables/direct_attempts.py
@@ -32,6 +32,7 @@
 class CompleteResponse:
     """A response that was received completely."""
 
+    server: str  # name of the backend server
     status: int
     headers: CIMultiDict[str]
     body: bytes
@@ -42,6 +43,7 @@
     """How far a server got with its response in one attempt."""
 
     started_ms: int | None = None  # monotonic time at which the header arrived
+    status: int | None = None  # of the header, None before it arrived
     events: int = 0  # complete events of a stream
     survived: bool = False  # its beginning, as was recorded; see systems.crash_suspects
 
@@ -75,6 +77,7 @@
     may_have_run_on: set[str] = attrs.field(factory=set)  # names of backend servers
     relayed_events: int = 0
     verdict: Verdict = Verdict.NOT_RUN
+    server_status: int | None = None  # of the last attempt's response, None without a response
     server_error: CompleteResponse | None = None  # returned if no later attempt succeeds
 
     @property
--- a/tests/systems/test_direct_attempts.py
+++ b/tests/systems/test_direct_attempts.py
@@ -48,8 +48,8 @@
 from boragetiller.verdict import Verdict
 from tests.systems.test_server_placement import make_server
 
-RESPONSE = CompleteResponse(status=200, headers=CIMultiDict(), body=b"")
-ERROR_RESPONSE = CompleteResponse(status=500, headers=CIMultiDict(), body=b"")
+RESPONSE = CompleteResponse(server="s", status=200, headers=CIMultiDict(), body=b"")
+ERROR_RESPONSE = CompleteResponse(server="s", status=500, headers=CIMultiDict(), body=b"")
 ROUTE = Route(
     name="r",
     host="h",
