Do not pass on a 408, 429 or 503 of an engine that does not state that it did not run

Cause: the response of an engine was classified by its body's completeness and its seal alone. Below 500 it was returned as it came (so 408 and 429, sealed or not), from 500 on it was kept as the engine's own error and returned when the call could not be repeated. The verdict was known (ran) and was consulted for errors of the router only. By reading, two other hypotheses fall away: the verdict over several attempts is combined before the choice of a status, and the requests had one attempt (sends=1). Change: systems/response_outcomes classifies the head first. A status that promises, without the engine's statement, is the outcome `unavailable` (may have run): not returned, whatever its body, seal and framing; tried elsewhere where that does no harm, else 502 of the router's own, without seal and Retry-After. Errors of the router carry their verdict, and build_error_response, through which all of them go, replaces a status that the verdict does not bear; build_complete_response refuses one. Why it works: every status of a response now passes one of these two functions, and neither lets a promise out unless the verdict over all attempts is not_run. Test: tests.gateway.test_not_run_statuses failed before (9 of 9 cases: 408, 429, 503 sealed and not, and before a stream's first event; one for its error code only).

--- a/src/boragetiller/gateway/attempt_recorder.py
+++ b/src/boragetiller/gateway/attempt_recorder.py
@@ -5,13 +5,13 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.gateway.crash_detector import CrashDetector
-from boragetiller.gateway.sender import SUCCESS
 from boragetiller.systems.crash_suspects import build_crash_id, find_suspect
 from boragetiller.systems.failure_history import (
     clear_request_crashes,
     record_connection_loss,
     record_error,
 )
+from boragetiller.systems.response_outcomes import SUCCESS
 from boragetiller.systems.server_health import record_outcome
 from boragetiller.tables.direct_attempts import DirectAttemptOutcome
 from boragetiller.tables.failure_history import LostAttempt
--- a/src/boragetiller/gateway/call_handler.py
+++ b/src/boragetiller/gateway/call_handler.py
@@ -149,7 +149,10 @@
         )
         retry_after_s = NOT_READY_RETRY_AFTER_S if error.http_status == 503 else None
         response = ErrorResponse(
-            status=error.http_status, code=error.code, retry_after_s=retry_after_s
+            status=error.http_status,
+            code=error.code,
+            verdict=error.verdict,
+            retry_after_s=retry_after_s,
         )
         return build_error_response(response, request_id, self._dialect)
 
--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -288,10 +288,13 @@
         if decision.verdict is Verdict.NOT_RUN:
             retry_after_s = self._retry_after.compute_s(call, decision.reason)
             return ErrorResponse(
-                status=503, code=decision.reason.value, retry_after_s=retry_after_s
+                status=503,
+                code=decision.reason.value,
+                verdict=decision.verdict,
+                retry_after_s=retry_after_s,
             )
         status = 504 if decision.outcome is DirectAttemptOutcome.SILENT else 502
-        return ErrorResponse(status=status, code=decision.outcome.value)
+        return ErrorResponse(status=status, code=decision.outcome.value, verdict=decision.verdict)
 
 
 def _create_call_state(call: AdmittedCall, request: web.BaseRequest) -> CallState:
--- a/src/boragetiller/gateway/responses.py
+++ b/src/boragetiller/gateway/responses.py
@@ -8,6 +8,9 @@
 import attrs
 from aiohttp import web
 
+from boragetiller.status_verdicts import choose_truthful_status, implies_not_run
+from boragetiller.verdict import Verdict
+
 if TYPE_CHECKING:
     from multidict import CIMultiDict
 
@@ -21,6 +24,7 @@
 
     status: int
     code: str  # stable error code
+    verdict: Verdict  # over all attempts of the request
     retry_after_s: float | None = None
 
 
@@ -30,7 +34,13 @@
 
     :param response: the backend server's response
     :return: the response with the same status, headers and body
+    :raises ValueError: its status tells the caller that the request was not run
     """
+    if implies_not_run(response.status):
+        raise ValueError(
+            f"response of {response.server}: got status {response.status}, "
+            "which only an error response of the router may have"
+        )
     return web.Response(status=response.status, headers=response.headers, body=response.body)
 
 
@@ -40,7 +50,9 @@
     """
     Build the HTTP response for an error of the router.
 
-    :param response: status, error code and Retry-After in seconds
+    A status that tells the caller that its request was not run is sent only if none can have run.
+
+    :param response: status, error code, verdict and Retry-After in seconds
     :param request_id: id of the request, empty if it has none
     :param dialect: header names and data formats of the platform
     :return: the response, with the error code in its JSON body
@@ -49,9 +61,8 @@
     if response.retry_after_s is not None:
         headers["Retry-After"] = f"{response.retry_after_s:.3f}"
     body = json.dumps({"error": {"code": response.code, "request_id": request_id}}).encode()
-    return web.Response(
-        status=response.status, headers=headers, body=body, content_type="application/json"
-    )
+    status = choose_truthful_status(response.status, response.verdict)
+    return web.Response(status=status, headers=headers, body=body, content_type="application/json")
 
 
 class CallerDisconnected(Exception):
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -16,6 +16,7 @@
 from boragetiller.gateway.server_client import NOT_SENT_ERRORS, TRANSPORT_ERRORS, OutgoingRequest
 from boragetiller.systems.crash_suspects import has_survived_start
 from boragetiller.systems.prefix_cache import estimate_uncached_tokens
+from boragetiller.systems.response_outcomes import SUCCESS, classify_complete, classify_head
 from boragetiller.systems.response_timeouts import compute_stream_timeouts
 from boragetiller.systems.server_placement import compute_stream_sensitivity
 from boragetiller.tables.call_metadata import ForwardMetadata
@@ -43,9 +44,6 @@
     from boragetiller.tables.call_metadata import ResponseMetadata
     from boragetiller.tables.servers import BackendServer
 
-SUCCESS = range(200, 300)
-FIRST_SERVER_ERROR = 500
-MISDIRECTED = 421
 MAX_RESPONSE_BODY_RATIO = 4  # size limit of a response body, in limits of a request body
 
 
@@ -208,20 +206,10 @@
             attempt.server.record_reported_load(reported_requests, self._clock.now_ms())
         if metadata.sealed or metadata.limit_per_s is not None:
             self._registry.record_limit(attempt.server, metadata.limit_per_s)
-        succeeded = metadata.status in SUCCESS
-        if metadata.not_run:
-            outcome = (
-                DirectAttemptOutcome.MISDIRECTED
-                if metadata.status == MISDIRECTED
-                else DirectAttemptOutcome.FULL
-            )
-            return DirectAttemptResult(outcome, detail=f"status {metadata.status}")
-        if metadata.encoded or (succeeded and not metadata.sealed):
-            return DirectAttemptResult(
-                DirectAttemptOutcome.GARBLED,
-                detail=f"status {metadata.status}, encoded or without seal",
-            )
-        if stream is not None and succeeded:
+        outcome = classify_head(metadata)
+        if outcome is not None:
+            return DirectAttemptResult(outcome, detail=_describe_head(metadata))
+        if stream is not None and metadata.status in SUCCESS:
             return await self._relay_events(attempt, stream, response)
         if stream is not None and stream.event_writer.started:
             return DirectAttemptResult(
@@ -232,11 +220,11 @@
         body = await response.read(
             MAX_RESPONSE_BODY_RATIO * self._registry.config.limits.max_body_bytes
         )
-        return _build_buffered_result(
-            metadata,
-            CompleteResponse(
-                server=attempt.server.name, status=metadata.status, headers=headers, body=body
-            ),
+        complete = CompleteResponse(
+            server=attempt.server.name, status=metadata.status, headers=headers, body=body
+        )
+        return DirectAttemptResult(
+            classify_complete(metadata), complete, detail=_describe_head(metadata)
         )
 
     async def _relay_events(
@@ -335,16 +323,11 @@
     )
 
 
-def _build_buffered_result(
-    metadata: ResponseMetadata, response: CompleteResponse
-) -> DirectAttemptResult:
-    if metadata.status < FIRST_SERVER_ERROR:
-        return DirectAttemptResult(DirectAttemptOutcome.ANSWERED, response)
-    if metadata.sealed:
-        return DirectAttemptResult(DirectAttemptOutcome.SERVER_ERROR, response)
-    return DirectAttemptResult(
-        DirectAttemptOutcome.GARBLED, detail=f"status {metadata.status} without seal"
-    )
+def _describe_head(metadata: ResponseMetadata) -> str:
+    sealed = "sealed" if metadata.sealed else "not sealed"
+    encoded = ", encoded" if metadata.encoded else ""
+    not_run = ", states that it did not run" if metadata.not_run else ""
+    return f"status {metadata.status}, {sealed}{encoded}{not_run}"
 
 
-__all__ = ["SUCCESS", "OutgoingAttempt", "CallSender", "EventTimeout", "StreamState"]
+__all__ = ["OutgoingAttempt", "CallSender", "EventTimeout", "StreamState"]
--- /dev/null
+++ b/tests/gateway/test_not_run_statuses.py
@@ -0,0 +1,86 @@
+"""Statuses that tell a caller that its request was not run, beside engines that send them too."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TYPE_CHECKING
+
+from tests.gateway.harness import RouterHarness
+from tests.gateway.scripted_engine import ReceivedRequest, ScriptedEngine, build_response
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from tests.gateway.scripted_engine import Script
+
+RETRY_AFTER = "Retry-After: 1.5\r\n"
+UNCONFIRMED_STATUSES = (408, 429, 503)  # say little without a statement of the engine
+SEAL = "X-Boragetiller-Response-Seal"
+PROMPT = {
+    "X_Boragetiller_Model": "m",
+    "X_Boragetiller_Token_Counts": "900,16",
+    "X_Boragetiller_Prefix_Hash": "aa:800,bb:100",
+}
+
+
+def respond_with(status: int, *, seal: str = "seal", extra: str = "") -> Script:
+    """:return: script that answers each request with the status"""
+
+    async def respond(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        writer.write(
+            build_response(
+                request.request_id, b"busy", status=f"{status} X", seal=seal, extra=extra
+            )
+        )
+
+    return respond
+
+
+class NotRunStatusTest(unittest.IsolatedAsyncioTestCase):
+    """Engines of a plain service and of a model that all run the same script."""
+
+    async def serve(self, *scripts: Script) -> RouterHarness:
+        harness = RouterHarness()
+        self.engines = []
+        for number, script in enumerate(scripts):
+            for group in ("shop", "engines"):
+                engine = ScriptedEngine(script)
+                await engine.start()
+                self.addAsyncCleanup(engine.close)
+                harness.store.register(f"{group}-{number}", engine, group)
+                self.engines.append(engine)
+        await harness.start()
+        self.addAsyncCleanup(harness.close)
+        return harness
+
+    def count_runs(self) -> int:
+        return sum(len(engine.requests) for engine in self.engines)
+
+    async def test_booking_that_ran_is_not_reported_as_not_run(self) -> None:
+        # Guards against a booking made twice: callers repeat it after each of these statuses.
+        for status in UNCONFIRMED_STATUSES:
+            for seal in ("seal", ""):
+                with self.subTest(status=status, seal=seal):
+                    script = respond_with(status, seal=seal, extra=RETRY_AFTER)
+                    harness = await self.serve(script, script)
+                    async with harness.call("/reserve/", body=b"sheet") as response:
+                        self.assertEqual(response.status, 502)
+                        self.assertNotIn(SEAL, response.headers)
+                        self.assertNotIn("Retry-After", response.headers)
+                        error = (await response.json())["error"]
+                    self.assertEqual(error["code"], "unavailable")
+                    self.assertEqual(self.count_runs(), 1)
+
+    async def test_stream_that_ran_is_not_reported_as_not_run(self) -> None:
+        # The same before the first event of a stream that cannot be resumed.
+        for status in UNCONFIRMED_STATUSES:
+            with self.subTest(status=status):
+                harness = await self.serve(respond_with(status), respond_with(status))
+                async with harness.call("/quotes/", **PROMPT) as response:
+                    self.assertEqual(response.status, 502)
+                    self.assertNotIn(SEAL, response.headers)
+                self.assertEqual(self.count_runs(), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
