Take a 421 for a misdirection only from another server

Callers saw: a booking that an engine ran and answered with 421 was sent to another engine, and answered 503 when that did the same. Cause: the adapter took each 421 for a statement that the request had not run, whoever sent it, and each header "not executed" too, also on a success. Change: a 421 counts as not run with the header, or if it names another instance than the one asked for; otherwise it is `unavailable` like 408, 429 and 503. Test: test_not_run_statuses with 421, a 421 of the server itself, and a success with the header failed before (5 cases).

--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -206,7 +206,7 @@
             attempt.server.record_reported_load(reported_requests, self._clock.now_ms())
         if metadata.sealed or metadata.limit_per_s is not None:
             self._registry.record_limit(attempt.server, metadata.limit_per_s)
-        outcome = classify_head(metadata)
+        outcome = classify_head(metadata, attempt.server.name)
         if outcome is not None:
             return DirectAttemptResult(outcome, detail=_describe_head(metadata))
         if stream is not None and metadata.status in SUCCESS:
@@ -326,8 +326,9 @@
 def _describe_head(metadata: ResponseMetadata) -> str:
     sealed = "sealed" if metadata.sealed else "not sealed"
     encoded = ", encoded" if metadata.encoded else ""
-    not_run = ", states that it did not run" if metadata.not_run else ""
-    return f"status {metadata.status}, {sealed}{encoded}{not_run}"
+    not_run = ", not run" if metadata.not_run else ""
+    instance = f", instance {metadata.instance!r:.40}" if metadata.instance else ""
+    return f"status {metadata.status}, {sealed}{encoded}{not_run}{instance}"
 
 
 __all__ = ["OutgoingAttempt", "CallSender", "EventTimeout", "StreamState"]
--- a/src/boragetiller/systems/response_outcomes.py
+++ b/src/boragetiller/systems/response_outcomes.py
@@ -15,20 +15,37 @@
 MISDIRECTED = 421
 
 
-def classify_head(metadata: ResponseMetadata) -> DirectAttemptOutcome | None:
+def states_not_run(metadata: ResponseMetadata, server: str) -> bool:
+    """
+    Check whether a backend server states that it did not run a request.
+
+    A status alone is no statement: proxies and applications send each of them after a run too.
+
+    :param metadata: status and headers of the response
+    :param server: name of the server that the request was meant for; no other one runs it
+    :return: whether the response has the statement, or is the misdirection of another server
+    """
+    if metadata.status in SUCCESS:
+        return False
+    is_from_another = metadata.instance is not None and metadata.instance != server
+    return metadata.not_run or (metadata.status == MISDIRECTED and is_from_another)
+
+
+def classify_head(metadata: ResponseMetadata, server: str) -> DirectAttemptOutcome | None:
     """
     Classify a response that is not returned to the caller, whatever its body.
 
     :param metadata: status and headers of the response
+    :param server: name of the server that the request was meant for
     :return: the outcome, None if the response may be returned
     """
     succeeded = metadata.status in SUCCESS
-    if metadata.not_run:
+    if states_not_run(metadata, server):
         is_misdirected = metadata.status == MISDIRECTED
         return DirectAttemptOutcome.MISDIRECTED if is_misdirected else DirectAttemptOutcome.FULL
     if implies_not_run(metadata.status):
         return DirectAttemptOutcome.UNAVAILABLE
-    if metadata.encoded or (succeeded and not metadata.sealed):
+    if metadata.encoded or (succeeded and (metadata.not_run or not metadata.sealed)):
         return DirectAttemptOutcome.GARBLED
     return None
 
@@ -47,4 +64,4 @@
     return DirectAttemptOutcome.GARBLED
 
 
-__all__ = ["SUCCESS", "classify_complete", "classify_head"]
+__all__ = ["SUCCESS", "classify_complete", "classify_head", "states_not_run"]
--- a/tests/gateway/test_calls.py
+++ b/tests/gateway/test_calls.py
@@ -285,7 +285,10 @@
         async def respond_misdirected(
             request: ReceivedRequest, writer: asyncio.StreamWriter
         ) -> None:
-            writer.write(build_response(request.request_id, status="421 Misdirected", seal=""))
+            extra = "X-Boragetiller-Instance-Id: other\r\n"
+            writer.write(
+                build_response(request.request_id, status="421 Misdirected", seal="", extra=extra)
+            )
 
         harness = await self.serve(a=respond_misdirected, b=respond_ok)
         for _ in range(3):
--- a/tests/gateway/test_not_run_statuses.py
+++ b/tests/gateway/test_not_run_statuses.py
@@ -13,8 +13,9 @@
 
     from tests.gateway.scripted_engine import Script
 
+NOT_EXECUTED = "X-Boragetiller-Not-Executed: 1\r\n"
 RETRY_AFTER = "Retry-After: 1.5\r\n"
-UNCONFIRMED_STATUSES = (408, 429, 503)  # say little without a statement of the engine
+UNCONFIRMED_STATUSES = (408, 421, 429, 503)  # say little without a statement of the engine
 SEAL = "X-Boragetiller-Response-Seal"
 PROMPT = {
     "X_Boragetiller_Model": "m",
@@ -81,6 +82,21 @@
                     self.assertNotIn(SEAL, response.headers)
                 self.assertEqual(self.count_runs(), 1)
 
+    async def test_misdirection_by_the_server_itself_is_no_statement(self) -> None:
+        # A 421 that names the expected server does not show that the request was not run.
+        script = respond_with(421, extra="X-Boragetiller-Instance-Id: shop-0\r\n")
+        harness = await self.serve(script)
+        async with harness.call("/reserve/") as response:
+            self.assertEqual(response.status, 502)
+
+    async def test_success_that_claims_not_to_have_run_is_not_repeated(self) -> None:
+        # Guards against a booking made twice because of a contradictory response.
+        script = respond_with(200, extra=NOT_EXECUTED)
+        harness = await self.serve(script, script)
+        async with harness.call("/reserve/") as response:
+            self.assertEqual(response.status, 502)
+        self.assertEqual(self.count_runs(), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -324,11 +324,14 @@
         not_executed = header_codec.parse_response_head(
             503, CIMultiDict({"X-Boragetiller-Not-Executed": "1"})
         )
-        misdirected = header_codec.parse_response_head(421, CIMultiDict())
-        failed = header_codec.parse_response_head(503, CIMultiDict())
-        self.assertEqual(
-            (not_executed.not_run, misdirected.not_run, failed.not_run), (True, True, False)
+        misdirected = header_codec.parse_response_head(
+            421, CIMultiDict({"X-Boragetiller-Instance-Id": "i-2"})
         )
+        self.assertTrue(not_executed.not_run)
+        self.assertEqual(misdirected.instance, "i-2")
+        for status in (408, 421, 429, 503):
+            failed = header_codec.parse_response_head(status, CIMultiDict())
+            self.assertEqual((failed.not_run, failed.instance), (False, None))
 
     def test_parse_response_head_ignores_invalid_headers(self) -> None:
         load = "X-Boragetiller-Server-Load"
