Eject servers that answer each call with an unconfirmed refusal

Callers saw: with two servers, one of which answers 408, 421, 429 or 503 to each call without having stated that it did not run it, 12 of 12 calls in a row failed. Such a server answers fast, so it looked idle and was sent every call; nothing held against it. Cause: only lost, silent, garbled and unreachable attempts counted as failures of a server; its own errors do not, since most are due to the request. A status that says that the server takes no requests is about the server. Change: `unavailable` counts for ejection (two in a row, never more than half of a group) and is remembered for the request, so that a repeat by its caller goes elsewhere. A call that may be repeated and ended so gets 502 with the Retry-After of a refusal: its caller repeats it anyway, and at once it would meet the same servers. An engine's own Retry-After is not handed on: it speaks for one engine. Test: test_server_that_answers_each_call_so_is_ejected (12 of 12 failed before, 2 allowed), test_repeat_by_the_caller_avoids_the_server and test_repeatable_call_is_told_when_to_come_back failed before.

--- a/src/boragetiller/gateway/attempt_recorder.py
+++ b/src/boragetiller/gateway/attempt_recorder.py
@@ -71,7 +71,7 @@
                 clear_request_crashes(history, call.fingerprint)
                 if result.response is not None and result.response.status in SUCCESS:
                     self._registry.clear_parts(call.metadata.prompt, result.progress)
-            case DirectAttemptOutcome.SERVER_ERROR:
+            case DirectAttemptOutcome.SERVER_ERROR | DirectAttemptOutcome.UNAVAILABLE:
                 record_error(history, call.fingerprint, server.name, now_ms)
             case DirectAttemptOutcome.LOST:
                 self._record_loss(call, server, result)
--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -61,6 +61,9 @@
     from boragetiller.tables.server_placement import Placement
     from boragetiller.tables.servers import BackendServer
 
+# After these the servers of a group take no calls for a moment.
+BUSY_OUTCOMES = frozenset({DirectAttemptOutcome.FULL, DirectAttemptOutcome.UNAVAILABLE})
+
 
 @attrs.define(kw_only=True)
 class CallState:
@@ -286,15 +289,23 @@
 
     def _choose_error_response(self, call: AdmittedCall, decision: GiveUp) -> ErrorResponse:
         if decision.verdict is Verdict.NOT_RUN:
-            retry_after_s = self._retry_after.compute_s(call, decision.reason)
-            return ErrorResponse(
-                status=503,
-                code=decision.reason.value,
-                verdict=decision.verdict,
-                retry_after_s=retry_after_s,
-            )
-        status = 504 if decision.outcome is DirectAttemptOutcome.SILENT else 502
-        return ErrorResponse(status=status, code=decision.outcome.value, verdict=decision.verdict)
+            status, code = 503, decision.reason.value
+        else:
+            status = 504 if decision.outcome is DirectAttemptOutcome.SILENT else 502
+            code = decision.outcome.value
+        return ErrorResponse(
+            status=status,
+            code=code,
+            verdict=decision.verdict,
+            retry_after_s=self._choose_retry_after_s(call, decision),
+        )
+
+    def _choose_retry_after_s(self, call: AdmittedCall, decision: GiveUp) -> float | None:
+        """:return: seconds, None unless the caller may repeat the call and had better wait"""
+        is_busy = call.route.repeatable and decision.outcome in BUSY_OUTCOMES
+        if decision.verdict is Verdict.NOT_RUN or is_busy:
+            return self._retry_after.compute_s(call, decision.reason)
+        return None
 
 
 def _create_call_state(call: AdmittedCall, request: web.BaseRequest) -> CallState:
--- a/src/boragetiller/systems/server_health.py
+++ b/src/boragetiller/systems/server_health.py
@@ -29,6 +29,7 @@
         DirectAttemptOutcome.LOST,
         DirectAttemptOutcome.GARBLED,
         DirectAttemptOutcome.SILENT,
+        DirectAttemptOutcome.UNAVAILABLE,
     }
 )
 
@@ -43,7 +44,8 @@
     Record the outcome of an attempt, and eject the server after consecutive failures.
 
     An error response by the server itself does not count as a failure: most are caused by the
-    request, and another server would respond in the same way.
+    request, and another server would respond in the same way. One that says that the server takes
+    no requests does: such a server responds fast, so that it would be sent most requests.
 
     :param server: server of the attempt
     :param group: servers of its group that accept new requests
--- a/tests/gateway/test_not_run_statuses.py
+++ b/tests/gateway/test_not_run_statuses.py
@@ -5,6 +5,8 @@
 import unittest
 from typing import TYPE_CHECKING
 
+from boragetiller.gateway.retry_after import SERVICE_RETRY_AFTER_S
+from boragetiller.systems.server_health import EJECT_AFTER_FAILURES
 from tests.gateway.harness import RouterHarness
 from tests.gateway.scripted_engine import ReceivedRequest, ScriptedEngine, build_response
 
@@ -82,6 +84,40 @@
                     self.assertNotIn(SEAL, response.headers)
                 self.assertEqual(self.count_runs(), 1)
 
+    async def test_server_that_answers_each_call_so_is_ejected(self) -> None:
+        # Guards against a server without work that attracts calls by failing them fast.
+        for status in UNCONFIRMED_STATUSES:
+            with self.subTest(status=status):
+                harness = await self.serve(respond_with(status), respond_with(200))
+                statuses = []
+                for number in range(12):
+                    async with harness.call(f"/reserve/{number}") as response:
+                        statuses.append(response.status)
+                self.assertLessEqual(statuses.count(502), EJECT_AFTER_FAILURES)
+                self.assertGreaterEqual(statuses.count(200), 12 - EJECT_AFTER_FAILURES)
+
+    async def test_repeat_by_the_caller_avoids_the_server(self) -> None:
+        # Guards against a repeatable call that meets the same unavailable servers twice.
+        script = respond_with(503)
+        harness = await self.serve(script, script, respond_with(503, extra=NOT_EXECUTED))
+        self.assertEqual((await self.call_stock(harness))[0], 502)
+        self.engines[4].script = respond_with(200)  # the third plain service
+        self.assertEqual((await self.call_stock(harness))[0], 200)
+
+    async def test_repeatable_call_is_told_when_to_come_back(self) -> None:
+        # A caller that repeats at once would meet the same servers before they recover.
+        harness = await self.serve(respond_with(429), respond_with(503))
+        status, retry_after_s = await self.call_stock(harness)
+        self.assertEqual(status, 502)
+        shortest_s, longest_s = SERVICE_RETRY_AFTER_S
+        self.assertTrue(shortest_s <= float(retry_after_s) <= longest_s)
+        self.assertEqual(self.count_runs(), 2)
+
+    async def call_stock(self, harness: RouterHarness) -> tuple[int, str]:
+        """:return: status and Retry-After of a call that may be repeated"""
+        async with harness.call("/stock/") as response:
+            return response.status, response.headers.get("Retry-After", "")
+
     async def test_misdirection_by_the_server_itself_is_no_statement(self) -> None:
         # A 421 that names the expected server does not show that the request was not run.
         script = respond_with(421, extra="X-Boragetiller-Instance-Id: shop-0\r\n")
