Let the status of a router's own error follow its verdict

Callers would see: 503, 429, 421 or 408, after which clients repeat by themselves, beside the verdict may_have_run: of a preempted stream, of the last refusal after an attempt that was lost, and of a refusal of a call whose idempotency key may have run before. Cause: the status is fixed by the class of the error, the verdict is combined over all attempts. Change: build_error_response, through which all errors of the router go, sends 502 for such a status unless the verdict is not_run. Test: tests.router.test_error_responses, each error class with each verdict, failed before (24 of its cases, and the test of a preempted request). Shown at that function; no play of a client.

--- a/src/boragetiller/router/error_responses.py
+++ b/src/boragetiller/router/error_responses.py
@@ -6,6 +6,8 @@
 
 from aiohttp import web
 
+from boragetiller.status_verdicts import choose_truthful_status
+
 if TYPE_CHECKING:
     from boragetiller.errors import BoragetillerError
 
@@ -23,7 +25,7 @@
     return {
         "error": {
             "message": str(error),
-            "type": _get_error_type(error.http_status),
+            "type": _get_error_type(choose_truthful_status(error.http_status, error.verdict)),
             "param": None,
             "code": error.code,
             "verdict": error.verdict.value,
@@ -35,6 +37,8 @@
     """
     Build an error response.
 
+    A status that tells the caller that its request was not run is sent only with that verdict.
+
     :param error: the error
     :param request_id: id of the request that the caller receives
     :return: response, with `Retry-After` if the error has a retry delay
@@ -42,7 +46,8 @@
     headers = {"x-request-id": request_id, "x-verdict": error.verdict.value}
     if error.retry_after_s is not None:
         headers["Retry-After"] = str(error.retry_after_s)
-    return web.json_response(build_error_body(error), status=error.http_status, headers=headers)
+    status = choose_truthful_status(error.http_status, error.verdict)
+    return web.json_response(build_error_body(error), status=status, headers=headers)
 
 
 def _get_error_type(status: int) -> str:
