Answer 503 when no connection to an agent or a backend server could be made

Callers saw: 502, which says nothing, for a request that no byte was sent of, beside the verdict not_run: those that go by the status gave up a booking that they could have repeated. Change: both errors take the status of all refusals; 502 remains when an earlier attempt may have run. Test: test_failure_before_a_run_says_that_the_request_was_not_run failed before (2 cases).

--- a/src/boragetiller/errors/failures.py
+++ b/src/boragetiller/errors/failures.py
@@ -9,7 +9,6 @@
     """No connection to the backend server could be established."""
 
     code = "backend_unreachable"
-    http_status = 502
     retryable = True
 
 
@@ -55,7 +54,6 @@
     """No connection to the agent could be established."""
 
     code = "agent_unreachable"
-    http_status = 502
     retryable = True
 
 
--- a/tests/router/test_error_responses.py
+++ b/tests/router/test_error_responses.py
@@ -5,7 +5,7 @@
 import json
 import unittest
 
-from boragetiller.errors import BoragetillerError, Draining, Overloaded, Preempted
+from boragetiller.errors import BoragetillerError, Draining, NotRunError, Overloaded, Preempted
 from boragetiller.router.error_responses import build_error_response
 from boragetiller.status_verdicts import NOT_RUN_STATUSES
 from boragetiller.verdict import Verdict
@@ -28,6 +28,13 @@
         for error, status in ((Draining(retry_after_s=1), 503), (Overloaded(), 429)):
             self.assertEqual(build_error_response(error, "req-1").status, status)
 
+    def test_failure_before_a_run_says_that_the_request_was_not_run(self) -> None:
+        # Guards against callers that give up a request which they could have repeated.
+        for error_class in _list_error_classes(NotRunError):
+            status = build_error_response(error_class(), "req-1").status
+            with self.subTest(error=error_class.code):
+                self.assertTrue(status < 500 or status in NOT_RUN_STATUSES, status)
+
     def test_preempted_request_is_a_server_error(self) -> None:
         response = build_error_response(Preempted(), "req-1")
         self.assertEqual(response.status, 502)
