Do not relay a 408, 421, 429 or 503 of a backend server through the agents

Callers saw (own interface): the status of a plain service that had run a booking, or of an engine below 500, as it came and without a verdict; clients repeat these statuses by themselves. Under an idempotency key it was stored, and each repeat got it again. Cause: the agent relays every response of a plain service, and the router's writers take its status as their own. Change: RequestDispatcher._relay_head, which each response head passes, turns such a status into `backend_unavailable` (502, may_have_run): tried at another agent where that does no harm, not retried under a key, whose owner sends the stored response again. It counts against the agent's health, but not under a key, since it may be a stored response. Log lines: request_failed and request_refused of a router have the status sent and the verdict, request_failed also the backend server's.

--- a/src/boragetiller/errors/failures.py
+++ b/src/boragetiller/errors/failures.py
@@ -42,6 +42,14 @@
     retryable = True
 
 
+class BackendUnavailable(BoragetillerError):
+    """The backend server refused the request without stating that it did not run it."""
+
+    code = "backend_unavailable"
+    http_status = 502
+    retryable = True
+
+
 class Preempted(BoragetillerError):
     """The request was cancelled at the engine to free a slot for a higher tier."""
 
@@ -80,6 +88,7 @@
     "BackendFailed",
     "BackendLost",
     "BackendTimeout",
+    "BackendUnavailable",
     "BackendUnreachable",
     "Preempted",
     "ProtocolError",
--- a/src/boragetiller/router/dispatcher.py
+++ b/src/boragetiller/router/dispatcher.py
@@ -8,7 +8,13 @@
 
 from boragetiller.agent_protocol.frames import Frame, FrameKind, ResponseHead, parse_head
 from boragetiller.clock import WallClock
-from boragetiller.errors import BackendFailed, BoragetillerError, NoBackend, Preempted
+from boragetiller.errors import (
+    BackendFailed,
+    BackendUnavailable,
+    BoragetillerError,
+    NoBackend,
+    Preempted,
+)
 from boragetiller.events import Event, log_event
 from boragetiller.router.engine_protocol import (
     EngineTranscript,
@@ -23,6 +29,7 @@
     record_complete_response,
     record_failed_response,
 )
+from boragetiller.status_verdicts import choose_truthful_status, implies_not_run
 from boragetiller.systems.agent_retry_policy import (
     AttemptFailed,
     AttemptOutcome,
@@ -108,7 +115,12 @@
                         self._metrics, request.request_class, state.stream_metrics
                     )
                     self._metrics.increment("router.answered")
-                    self._trace(request, "answered", attempts=state.progress.attempts)
+                    self._trace(
+                        request,
+                        "answered",
+                        attempts=state.progress.attempts,
+                        status=state.server_status,
+                    )
                     return await response_writer.finish()
                 case RetryRequest():
                     await self._prepare_retry(state, step)
@@ -116,7 +128,7 @@
                     record_failed_response(
                         self._metrics, request.request_class, state.stream_metrics
                     )
-                    self._record_failure(request, error, reason)
+                    self._record_failure(state, error, reason)
                     return await response_writer.finish_with_error(error)
 
     def _build_state(
@@ -163,6 +175,7 @@
         self, state: RequestState, agent: AgentEntry, attempt: Attempt, resume: ResumePoint | None
     ) -> AttemptOutcome:
         sent_ms = self._clock.now_ms()
+        state.server_status = None
         self._agent_selector.record_sent(agent, attempt)
         try:
             await self._relay_attempt(state, agent, attempt, resume)
@@ -203,6 +216,12 @@
         await state.response_writer.write_data(content)
 
     async def _relay_head(self, state: RequestState, head: ResponseHead) -> None:
+        state.server_status = head.status
+        if implies_not_run(head.status):
+            raise BackendUnavailable(
+                f"backend server responded with status {head.status}, "
+                "which does not show that it did not run the request"
+            )
         if state.response_writer.response_started and not head.content_type.startswith(
             EVENT_STREAM
         ):
@@ -249,17 +268,21 @@
         self._traces.record(request.request_id, step, **details)
 
     def _record_failure(
-        self, request: RoutedRequest, error: BoragetillerError, reason: NoRetryReason
+        self, state: RequestState, error: BoragetillerError, reason: NoRetryReason
     ) -> None:
+        request_id, verdict = state.request.request_id, error.verdict.value
+        is_relayed = state.response_writer.response_started
+        status = None if is_relayed else choose_truthful_status(error.http_status, error.verdict)
         self._metrics.increment(f"router.failed.{error.code}")
         self._metrics.increment(f"router.gave_up.{reason.value}")
-        verdict = error.verdict.value
-        self._trace(request, "failed", code=error.code, verdict=verdict, reason=reason.value)
+        self._trace(state.request, "failed", code=error.code, verdict=verdict, reason=reason.value)
         log_event(
             Event.REQUEST_FAILED,
-            request_id=request.request_id,
+            request_id=request_id,
             code=error.code,
-            verdict=error.verdict.value,
+            server_status=state.server_status,
+            status=status,
+            verdict=verdict,
         )
 
 
--- a/src/boragetiller/router/load_balancer.py
+++ b/src/boragetiller/router/load_balancer.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from boragetiller.errors import BackendUnavailable
 from boragetiller.events import Event, log_event
 from boragetiller.platform_clients.hosts import Host, HostState
 from boragetiller.records.model import BackendGroup
@@ -152,6 +153,8 @@
         unreachable = error.code in ("agent_unreachable", "backend_unreachable")
         if not unreachable and (error.verdict is Verdict.NOT_RUN or error.code == "preempted"):
             return
+        if isinstance(error, BackendUnavailable) and request.idempotency_key:
+            return  # it may be the stored response of an earlier call
         group = self.list_candidates(request)
         now_ms = self._clock.now_ms()
         if agent_outliers.record_failure(agent, group, self._settings.placement, now_ms):
--- a/src/boragetiller/router/request_state.py
+++ b/src/boragetiller/router/request_state.py
@@ -28,6 +28,7 @@
     arrived_ms: int
     arrived_wall_ms: int
     stream_metrics: StreamMetrics
+    server_status: int | None = None  # of the last attempt's response, None without a response
     tried: set[str] = attrs.Factory(set)
 
 
--- a/src/boragetiller/router/server.py
+++ b/src/boragetiller/router/server.py
@@ -258,8 +258,15 @@
     def _refuse(self, error: BoragetillerError, request_id: str) -> web.Response:
         self._metrics.increment(f"router.refused.{error.code}")
         self._traces.record(request_id, "refused", code=error.code, verdict=error.verdict.value)
-        log_event(Event.REQUEST_REFUSED, request_id=request_id, code=error.code)
-        return build_error_response(error, request_id)
+        response = build_error_response(error, request_id)
+        log_event(
+            Event.REQUEST_REFUSED,
+            request_id=request_id,
+            code=error.code,
+            status=response.status,
+            verdict=error.verdict.value,
+        )
+        return response
 
     def _new_request_id(self) -> str:
         return f"req-{self._rng.getrandbits(REQUEST_ID_BITS):016x}"
--- a/src/boragetiller/systems/agent_retry_policy.py
+++ b/src/boragetiller/systems/agent_retry_policy.py
@@ -9,6 +9,7 @@
 import attrs
 
 from boragetiller.errors import (
+    BackendUnavailable,
     BackendUnreachable,
     BoragetillerError,
     ClaimNotCommitted,
@@ -166,6 +167,8 @@
     error = outcome.error
     if not error.retryable:
         return NoRetryReason.FINAL
+    if isinstance(error, BackendUnavailable) and progress.has_idempotency_key:
+        return NoRetryReason.FINAL  # the owner of the key stores the response and sends it again
     if isinstance(error, _OWNERSHIP_ERRORS) and progress.verdict is Verdict.NOT_RUN:
         deadline_passed = progress.elapsed_ms >= progress.deadline_ms
         return NoRetryReason.DEADLINE if deadline_passed else None
--- a/tests/faulty_server.py
+++ b/tests/faulty_server.py
@@ -26,6 +26,7 @@
     SILENT = "silent"
     SILENT_IN_BODY = "silent in body"
     SERVER_ERROR = "server error"
+    UNAVAILABLE = "unavailable"
 
 
 class FaultyServer:
@@ -41,6 +42,7 @@
         self.fault = fault
         self.failures_left = count
         self.requests = 0
+        self.refusal_status = 503  # of Fault.UNAVAILABLE
         self.on_request: Callable[[], Awaitable[None]] | None = None
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -93,6 +95,8 @@
                 writer.write(RESPONSE_HEAD + RESPONSE_BODY)
             case Fault.SERVER_ERROR:
                 writer.write(SERVER_ERROR_RESPONSE)
+            case Fault.UNAVAILABLE:
+                writer.write(_build_refusal(self.refusal_status))
             case Fault.RESET_BEFORE_FIRST_BYTE:
                 writer.transport.abort()
             case Fault.RESET_IN_BODY | Fault.TRUNCATED | Fault.SILENT_IN_BODY:
@@ -104,7 +108,12 @@
         if fault is Fault.RESET_IN_BODY:
             await asyncio.sleep(0.02)  # the client receives the first bytes before the reset
             writer.transport.abort()
-        return fault in (Fault.NONE, Fault.SERVER_ERROR)
+        return fault in (Fault.NONE, Fault.SERVER_ERROR, Fault.UNAVAILABLE)
+
+
+def _build_refusal(status: int) -> bytes:
+    head = f"HTTP/1.1 {status} Refused\r\nRetry-After: 1\r\nContent-Length: 4\r\n\r\n"
+    return head.encode() + b"busy"
 
 
 async def _read_request(reader: asyncio.StreamReader) -> None:
--- a/tests/test_outcomes_table.py
+++ b/tests/test_outcomes_table.py
@@ -82,6 +82,8 @@
             "reset-in-body": faulty_backend(Fault.RESET_IN_BODY, "POST"),
             "truncated-body": faulty_backend(Fault.TRUNCATED, "POST"),
             "silent-in-body": faulty_backend(Fault.SILENT_IN_BODY, "POST"),
+            "unavailable": faulty_backend(Fault.UNAVAILABLE, "POST"),
+            "unavailable-get": faulty_backend(Fault.UNAVAILABLE, "GET"),
             "engine-server-error": self._call_failing_engine,
             "agent-gone": self._call_stopped_agent,
             "agent-lost": lambda: self._call_faulty_agent(Fault.RESET_BEFORE_FIRST_BYTE),
