Tell client libraries not to repeat what may have run

Callers saw: a completion of a class that is not idempotent, answered with 429 by its engine, ran 4 times for one call of the openai library with its usual two repeats, and 3 times after 500; a booking answered with 500 by its service would be sent again too. Cause: such libraries repeat 408, 409, 429 and 5xx by themselves, with POST too; the verdict is in a header that they do not read. Relayed errors of services have it too. Test: test_openai_client_does_not_repeat_a_completion_that_may_have_run (4 and 3 runs before) and test_booking_answered_with_an_error_says_not_to_repeat_it failed before.

--- a/src/boragetiller/router/response_writers.py
+++ b/src/boragetiller/router/response_writers.py
@@ -8,12 +8,17 @@
 from aiohttp import web
 
 from boragetiller.router.engine_protocol import EngineTranscript, assemble_response
-from boragetiller.router.error_responses import build_error_body, build_error_response
+from boragetiller.router.error_responses import (
+    NO_RETRY_HEADERS,
+    build_error_body,
+    build_error_response,
+)
 
 if TYPE_CHECKING:
     from boragetiller.agent_protocol.frames import ResponseHead
     from boragetiller.errors import BoragetillerError
 
+FIRST_ERROR_STATUS = 400
 EVENT_STREAM = "text/event-stream"
 BODILESS_STATUSES = (204, 304)
 
@@ -46,15 +51,17 @@
 class StreamingResponseWriter:
     """Sends the response to the caller as it arrives."""
 
-    def __init__(self, request: web.Request, request_id: str) -> None:
+    def __init__(self, request: web.Request, request_id: str, *, may_repeat: bool) -> None:
         """
         Prepare the writer.
 
         :param request: the caller's request
         :param request_id: id of the request that the caller receives
+        :param may_repeat: whether the caller may repeat the request even if it ran
         """
         self._request = request
         self._request_id = request_id
+        self._may_repeat = may_repeat
         self._response: web.StreamResponse | None = None
 
     @property
@@ -67,6 +74,8 @@
         if self._response is not None:
             return
         headers = {**head.headers, "x-request-id": self._request_id}
+        if head.status >= FIRST_ERROR_STATUS and not self._may_repeat:
+            headers.update(NO_RETRY_HEADERS)
         if head.content_type:
             headers["Content-Type"] = head.content_type
         response = web.StreamResponse(status=head.status, headers=headers)
@@ -89,7 +98,7 @@
     async def finish_with_error(self, error: BoragetillerError) -> web.StreamResponse:
         """Send an error response, or abort the connection if the body has started."""
         if self._response is None:
-            return build_error_response(error, self._request_id)
+            return build_error_response(error, self._request_id, may_repeat=self._may_repeat)
         if self._response.content_type == EVENT_STREAM:
             event = json.dumps(build_error_body(error)).encode()
             await self._response.write(b"data: " + event + b"\n\n")
@@ -102,13 +111,15 @@
 class BufferedResponseWriter:
     """Collects an engine's events and sends one JSON body."""
 
-    def __init__(self, transcript: EngineTranscript, request_id: str) -> None:
+    def __init__(self, transcript: EngineTranscript, request_id: str, *, may_repeat: bool) -> None:
         """
         Prepare the writer.
 
         :param transcript: events of the engine, appended by the dispatcher
         :param request_id: id of the request that the caller receives
+        :param may_repeat: whether the caller may repeat the request even if it ran
         """
+        self._may_repeat = may_repeat
         self._transcript = transcript
         self._request_id = request_id
         self._head: ResponseHead | None = None
@@ -132,6 +143,8 @@
         """Send the assembled body."""
         assert self._head is not None
         headers = {"x-request-id": self._request_id}
+        if self._head.status >= FIRST_ERROR_STATUS and not self._may_repeat:
+            headers.update(NO_RETRY_HEADERS)
         if self._head.content_type.startswith(EVENT_STREAM):
             body, content_type = assemble_response(self._transcript), "application/json"
         else:
@@ -141,7 +154,7 @@
 
     async def finish_with_error(self, error: BoragetillerError) -> web.StreamResponse:
         """Send the error."""
-        return build_error_response(error, self._request_id)
+        return build_error_response(error, self._request_id, may_repeat=self._may_repeat)
 
 
 __all__ = ["ResponseWriter", "StreamingResponseWriter", "BufferedResponseWriter"]
--- a/src/boragetiller/router/server.py
+++ b/src/boragetiller/router/server.py
@@ -195,10 +195,11 @@
             routed = await self._accept(request, request_id, parse)
             transcript = EngineTranscript()
             is_buffered = routed.for_engine and not routed.streamed
+            may_repeat = routed.repeatable or bool(routed.idempotency_key)
             response_writer = (
-                BufferedResponseWriter(transcript, request_id)
+                BufferedResponseWriter(transcript, request_id, may_repeat=may_repeat)
                 if is_buffered
-                else StreamingResponseWriter(request, request_id)
+                else StreamingResponseWriter(request, request_id, may_repeat=may_repeat)
             )
             with self._limits.admit(routed.customer):
                 return await self._dispatcher.dispatch(routed, response_writer, transcript)
--- a/tests/test_unavailable_backend.py
+++ b/tests/test_unavailable_backend.py
@@ -2,16 +2,28 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from typing import Any
 
+import openai
+import yaml
+
 from boragetiller.settings import BackendKind, PlacementSettings
 from boragetiller.status_verdicts import NOT_RUN_STATUSES
 from tests.faulty_server import Fault, FaultyServer
-from tests.fleet import MODEL, Fleet, build_sample_records
+from tests.fleet import KEY, MODEL, Fleet, build_sample_records, hash_key
 
 RESERVE = "/services/app/reserve"
 MESSAGES = [{"role": "user", "content": "gauge?"}]
+ONCE_CLASS = {"kind": "class", "name": "once", "group": "pool", "tier": 3, "idempotent": False}
+CUSTOMER = {
+    "kind": "customer",
+    "name": "acme",
+    "key_hashes": [hash_key(KEY)],
+    "classes": ["quote", "note", "booking", "once"],
+}
+ONCE_RECORDS = yaml.safe_dump_all({"schema_version": 2, **each} for each in (ONCE_CLASS, CUSTOMER))
 
 
 class UnavailableBackendTest(unittest.IsolatedAsyncioTestCase):
@@ -63,6 +75,37 @@
         health = self.router.agents.entries["app-0"].health
         self.assertEqual((health.failures, health.ejections), (0, 0))
 
+    async def test_openai_client_does_not_repeat_a_completion_that_may_have_run(self) -> None:
+        # The client library repeats 408, 409, 429 and 5xx by itself unless told not to.
+        await self.fleet.apply(ONCE_RECORDS)
+        await self._wait_for_class("once")
+        client = openai.AsyncOpenAI(
+            base_url=self.router.caller_listener.base_url + "/v1", api_key=KEY, max_retries=2
+        )
+        self.addAsyncCleanup(client.close)
+        for fault, refusal in ((Fault.UNAVAILABLE, 429), (Fault.SERVER_ERROR, 0)):
+            with self.subTest(fault=fault):
+                self.set_refusal(refusal)
+                self.engine.fault = fault
+                with self.assertRaises(openai.InternalServerError):
+                    await client.chat.completions.create(
+                        model=MODEL, messages=MESSAGES, extra_headers={"X-Request-Class": "once"}
+                    )
+                self.assertEqual(self.engine.requests, 1)
+
+    async def test_booking_answered_with_an_error_says_not_to_repeat_it(self) -> None:
+        # The same for the errors of a plain service, which are relayed as they are.
+        self.service.fault = Fault.SERVER_ERROR
+        for headers, expected in (({}, "false"), ({"Idempotency_Key": "key-1"}, None)):
+            async with self.fleet.post(self.router, RESERVE, b"sheet", **headers) as response:
+                self.assertEqual(response.status, 500)
+                self.assertEqual(response.headers.get("x-should-retry"), expected)
+
+    async def _wait_for_class(self, name: str) -> None:
+        async with asyncio.timeout(5):
+            while name not in self.router.config.classes:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+
     async def test_completion_that_ran_is_not_reported_as_not_run(self) -> None:
         body = {"model": MODEL, "messages": MESSAGES}
         for refusal in sorted(NOT_RUN_STATUSES):
