Let the stand-ins of the fault run refuse requests that they ran

Change: engines and plain services refuse at random, from a generator of its own, so that the other faults of a seed stay as they were; a status that says "not run" is checked against the ledgers like the verdict.

--- a/bench/fault_callers.py
+++ b/bench/fault_callers.py
@@ -14,6 +14,7 @@
 from bench.fault_fleet import ROUTERS
 from boragetiller.standin.engine_text import build_expected_text
 from boragetiller.standin.service import compute_confirmation
+from boragetiller.status_verdicts import implies_not_run
 from tests.fleet import KEY, MODEL
 
 if TYPE_CHECKING:
@@ -175,7 +176,7 @@
         response = await self._exchange(self._fleet.caller_urls[name] + path, body, headers)
         if not response.ok:
             self.record.codes[response.code or f"status_{response.status}"] += 1
-        if response.verdict == "not_run":
+        if response.verdict == "not_run" or implies_not_run(response.status):
             self.record.not_run.append(response.request_id)
         return response
 
@@ -209,7 +210,7 @@
             record.violations.append(f"{key} ran {fleet.count_runs_of_key(key)} times")
     for request_id in record.not_run:
         if request_id and fleet.count_runs_of_request(request_id):
-            record.violations.append(f"{request_id} ran although its verdict is not_run")
+            record.violations.append(f"{request_id} ran although it was reported as not run")
     crashes, limit = fleet.count_engine_crashes(), 2 * record.poison_requests
     if crashes > limit:
         record.violations.append(f"{crashes} crashes by {record.poison_requests} poison requests")
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -28,6 +28,7 @@
     check_execution_ledgers,
 )
 from bench.fault_fleet import ENGINES, ROUTERS, SERVICES, FaultFleet
+from boragetiller.status_verdicts import NOT_RUN_STATUSES
 from tests.systems.test_shards_faults import MUTATIONS
 
 if TYPE_CHECKING:
@@ -37,6 +38,7 @@
 MEAN_THINK_TIME_S = 0.3
 SETTLE_TIME_S = 1.0
 FAULT_INTERVAL_S = (0.2, 0.8)
+REFUSAL_INTERVAL_S = (0.3, 1.0)
 RETAINED_FLEETS: list[FaultFleet] = []  # prevents that objects of killed processes are finalized
 
 
@@ -47,6 +49,7 @@
     fleet: FaultFleet
     callers: CallerWorkload
     rng: Random
+    refusal_rng: Random  # of its own, so that the other faults of a seed stay the same
     counts: Counter[str] = attrs.Factory(Counter)
     _active_faults: set[str] = attrs.Factory(set)
     _tasks: set[asyncio.Task[None]] = attrs.Factory(set)
@@ -70,6 +73,18 @@
             task.add_done_callback(self._tasks.discard)
             await asyncio.sleep(self.rng.uniform(*FAULT_INTERVAL_S))
 
+    async def run_refusals(self) -> None:
+        """Let backend servers refuse requests that they ran, until cancelled."""
+        while True:
+            await asyncio.sleep(self.refusal_rng.uniform(*REFUSAL_INTERVAL_S))
+            self.counts["refusal_after_run"] += 1
+            name = self.refusal_rng.choice((*SERVICES, *ENGINES))
+            status = self.refusal_rng.choice(sorted(NOT_RUN_STATUSES))
+            if name in SERVICES:
+                self.fleet.services[name].faults.refusals_after_run.append(status)
+            else:
+                self.fleet.engines[name].refusals_after_run.append(status)
+
     async def finish(self) -> None:
         """Wait until every fault has ended."""
         await asyncio.gather(*self._tasks)
@@ -169,15 +184,16 @@
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
     async with aiohttp.ClientSession(timeout=timeout) as session:
         callers = CallerWorkload(fleet, Random(seed), session)
-        driver = FaultInjector(fleet, callers, Random(seed + 1))
+        driver = FaultInjector(fleet, callers, Random(seed + 1), Random(seed + 3))
         await asyncio.sleep(SETTLE_TIME_S)
-        faults = asyncio.create_task(driver.run()) if with_faults else None
+        faults = [driver.run(), driver.run_refusals()] if with_faults else []
+        tasks = [asyncio.create_task(each) for each in faults]
         started_s = time.monotonic()
         await _run_workers(callers, operations, Random(seed + 2))
         duration_s = time.monotonic() - started_s
-        if faults is not None:
-            faults.cancel()
-            await asyncio.gather(faults, return_exceptions=True)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await driver.finish()
         await asyncio.gather(*callers.pending_repeats)
         await asyncio.sleep(SETTLE_TIME_S)
--- a/src/boragetiller/standin/engine.py
+++ b/src/boragetiller/standin/engine.py
@@ -61,6 +61,7 @@
             settings.simulation, clock or SystemClock(), self._record_start
         )
         self.settings = settings
+        self.refusals_after_run: list[int] = []  # statuses of responses to requests that run
         self.sequences: dict[str, Sequence] = {}
         self._body_digests: dict[Sequence, str] = {}
         self.order_executor = OrderExecutor(
@@ -155,6 +156,10 @@
         self._body_digests[sequence] = compute_body_digest(body)
         self.simulation.submit(sequence)
         try:
+            if self.refusals_after_run:
+                status = self.refusals_after_run.pop(0)
+                await sequence.tokens.get()
+                return build_error_response(status, "busy")
             if body.get("stream"):
                 return await self._stream_response(request, body, sequence, completion_format)
             return await self._send_response(sequence, completion_format)
--- a/src/boragetiller/standin/service.py
+++ b/src/boragetiller/standin/service.py
@@ -23,13 +23,14 @@
 
 @attrs.define(kw_only=True)
 class ServiceFaults:
-    """Faults of the service; each counter decreases by one with each call that it affects."""
+    """Faults of the service; each counter or list shrinks by one with each call that it affects."""
 
     delay_ms: int = 0
     reset_before_run: int = 0  # calls that do not run; the connection is reset
     reset_before_first_byte: int = 0  # calls that run and get no response
     reset_after_first_byte: int = 0  # calls that run; a reset cuts off the response
     truncate: int = 0  # calls that run; the response ends before its Content-Length
+    refusals_after_run: list[int] = attrs.Factory(list)  # statuses of responses to calls that run
 
 
 @attrs.frozen(kw_only=True)
@@ -88,6 +89,9 @@
         if self._consume_fault("reset_before_first_byte"):
             reset_connection(request.transport)
             return web.Response(status=500)
+        if self.faults.refusals_after_run:
+            status = self.faults.refusals_after_run.pop(0)
+            return web.Response(status=status, text="busy", headers={"Retry-After": "1"})
         full_response = web.json_response(
             {
                 "method": request.method,
--- a/tests/standin/test_service.py
+++ b/tests/standin/test_service.py
@@ -51,6 +51,13 @@
         async with self.session.post("/faults", json={"other": 1}) as response:
             self.assertEqual(response.status, 400)
 
+    async def test_refusal_after_a_run_is_in_the_ledger(self) -> None:
+        # Fault runs compare the statuses that callers get with this ledger.
+        self.service.faults.refusals_after_run.append(503)
+        async with self.session.post("/bookings", headers={"X-Request-Id": "r-1"}) as response:
+            self.assertEqual(response.status, 503)
+        self.assertEqual(self.service.ledger.by_request_id["r-1"], 1)
+
 
 if __name__ == "__main__":
     unittest.main()
