Fail a request whose events make up no response as one that may have run

Callers saw: a completion that must not be repeated, answered by its engine with a stream without events, ran 4 times for one call of the openai library; the router logged it as refused before any attempt. Cause: the body is put together after the last attempt was recorded as complete; the error left the dispatcher, whose errors the server takes for refusals. Change: the dispatcher fails such a request like any other, with the verdict of its attempts and x-should-retry. Test: the case NO_EVENTS of test_openai_client_does_not_repeat_a_completion_that_may_have_run failed before (4 runs).

--- a/src/boragetiller/router/dispatcher.py
+++ b/src/boragetiller/router/dispatcher.py
@@ -14,6 +14,7 @@
     BoragetillerError,
     NoBackend,
     Preempted,
+    ProtocolError,
 )
 from boragetiller.events import Event, log_event
 from boragetiller.router.engine_protocol import (
@@ -111,25 +112,31 @@
             step = decide_next_step(outcome, state.progress, self._settings.placement, self._rng)
             match step:
                 case FinishRequest():
-                    record_complete_response(
-                        self._metrics, request.request_class, state.stream_metrics
-                    )
-                    self._metrics.increment("router.answered")
-                    self._trace(
-                        request,
-                        "answered",
-                        attempts=state.progress.attempts,
-                        status=state.server_status,
-                    )
-                    return await response_writer.finish()
+                    return await self._finish(state)
                 case RetryRequest():
                     await self._prepare_retry(state, step)
                 case FailRequest(error=error, reason=reason):
-                    record_failed_response(
-                        self._metrics, request.request_class, state.stream_metrics
-                    )
-                    self._record_failure(state, error, reason)
-                    return await response_writer.finish_with_error(error)
+                    return await self._fail(state, error, reason)
+
+    async def _finish(self, state: RequestState) -> web.StreamResponse:
+        try:
+            response = await state.response_writer.finish()
+        except ProtocolError as error:  # the events of the engine make up no response
+            return await self._fail(state, error, NoRetryReason.FINAL)
+        request = state.request
+        record_complete_response(self._metrics, request.request_class, state.stream_metrics)
+        self._metrics.increment("router.answered")
+        self._trace(
+            request, "answered", attempts=state.progress.attempts, status=state.server_status
+        )
+        return response
+
+    async def _fail(
+        self, state: RequestState, error: BoragetillerError, reason: NoRetryReason
+    ) -> web.StreamResponse:
+        record_failed_response(self._metrics, state.request.request_class, state.stream_metrics)
+        self._record_failure(state, error, reason)
+        return await state.response_writer.finish_with_error(error)
 
     def _build_state(
         self, request: RoutedRequest, response_writer: ResponseWriter, transcript: EngineTranscript
--- a/tests/faulty_server.py
+++ b/tests/faulty_server.py
@@ -13,6 +13,10 @@
 LOOPBACK = "127.0.0.1"
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\n"
 SERVER_ERROR_RESPONSE = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+EMPTY_STREAM_RESPONSE = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 14\r\n\r\n"
+    b"data: [DONE]\n\n"
+)
 RESPONSE_BODY = b"0123456789"
 
 
@@ -27,6 +31,7 @@
     SILENT_IN_BODY = "silent in body"
     SERVER_ERROR = "server error"
     UNAVAILABLE = "unavailable"
+    NO_EVENTS = "no events"
 
 
 class FaultyServer:
@@ -95,6 +100,8 @@
                 writer.write(RESPONSE_HEAD + RESPONSE_BODY)
             case Fault.SERVER_ERROR:
                 writer.write(SERVER_ERROR_RESPONSE)
+            case Fault.NO_EVENTS:
+                writer.write(EMPTY_STREAM_RESPONSE)
             case Fault.UNAVAILABLE:
                 writer.write(_build_refusal(self.refusal_status))
             case Fault.RESET_BEFORE_FIRST_BYTE:
@@ -108,7 +115,7 @@
         if fault is Fault.RESET_IN_BODY:
             await asyncio.sleep(0.02)  # the client receives the first bytes before the reset
             writer.transport.abort()
-        return fault in (Fault.NONE, Fault.SERVER_ERROR, Fault.UNAVAILABLE)
+        return fault in (Fault.NONE, Fault.SERVER_ERROR, Fault.UNAVAILABLE, Fault.NO_EVENTS)
 
 
 def _build_refusal(status: int) -> bytes:
--- a/tests/test_unavailable_backend.py
+++ b/tests/test_unavailable_backend.py
@@ -83,7 +83,11 @@
             base_url=self.router.caller_listener.base_url + "/v1", api_key=KEY, max_retries=2
         )
         self.addAsyncCleanup(client.close)
-        for fault, refusal in ((Fault.UNAVAILABLE, 429), (Fault.SERVER_ERROR, 0)):
+        for fault, refusal in (
+            (Fault.UNAVAILABLE, 429),
+            (Fault.SERVER_ERROR, 0),
+            (Fault.NO_EVENTS, 0),
+        ):
             with self.subTest(fault=fault):
                 self.set_refusal(refusal)
                 self.engine.fault = fault
