Log the message of a failed request's error

Cause: an engine's status from 500 on becomes an error at its agent; the line at the router had a code only. Change: request_failed has detail, at agents and routers.

--- a/src/boragetiller/agent/server.py
+++ b/src/boragetiller/agent/server.py
@@ -151,6 +151,7 @@
             n=attempt.number,
             code=error.code,
             verdict=error.verdict.value,
+            detail=str(error),
         )
 
     def _authorize(self, request: web.Request) -> None:
--- a/src/boragetiller/router/dispatcher.py
+++ b/src/boragetiller/router/dispatcher.py
@@ -290,6 +290,7 @@
             server_status=state.server_status,
             status=status,
             verdict=verdict,
+            detail=str(error),
         )
 
 
