Tell callers that may repeat a refused request when to come back

The own interface's backend_unavailable has the Retry-After of no_backend where the request is repeatable, like the gateway's. The two writers of responses share the choice of the retry headers.

--- a/src/boragetiller/router/dispatcher.py
+++ b/src/boragetiller/router/dispatcher.py
@@ -60,6 +60,8 @@
     from boragetiller.settings import Settings
     from boragetiller.tables.agents import AgentEntry
 
+RETRY_AFTER_S = 1  # while the agents of a group take no work
+
 
 class RequestDispatcher:
     """Dispatches requests to agents and retries failed attempts."""
@@ -169,7 +171,9 @@
             return AttemptFailed(error, state.response_writer.response_started)
         agent = self._agent_selector.select_agent(state, isolated=isolated)
         if agent is None:
-            return AttemptFailed(NoBackend(retry_after_s=1), state.response_writer.response_started)
+            return AttemptFailed(
+                NoBackend(retry_after_s=RETRY_AFTER_S), state.response_writer.response_started
+            )
         resume = state.transcript.find_resume_point() if state.transcript.events else None
         crashed_servers = self._agent_selector.quarantine.crashed_servers(request.fingerprint)
         attempt = build_attempt(state, resume, crashed_servers, isolated=isolated)
@@ -227,7 +231,8 @@
         if implies_not_run(head.status):
             raise BackendUnavailable(
                 f"backend server responded with status {head.status}, "
-                "which does not show that it did not run the request"
+                "which does not show that it did not run the request",
+                retry_after_s=RETRY_AFTER_S if state.request.repeatable else None,
             )
         if state.response_writer.response_started and not head.content_type.startswith(
             EVENT_STREAM
--- a/src/boragetiller/router/response_writers.py
+++ b/src/boragetiller/router/response_writers.py
@@ -74,8 +74,7 @@
         if self._response is not None:
             return
         headers = {**head.headers, "x-request-id": self._request_id}
-        if head.status >= FIRST_ERROR_STATUS and not self._may_repeat:
-            headers.update(NO_RETRY_HEADERS)
+        headers.update(_choose_retry_headers(head, may_repeat=self._may_repeat))
         if head.content_type:
             headers["Content-Type"] = head.content_type
         response = web.StreamResponse(status=head.status, headers=headers)
@@ -143,8 +142,7 @@
         """Send the assembled body."""
         assert self._head is not None
         headers = {"x-request-id": self._request_id}
-        if self._head.status >= FIRST_ERROR_STATUS and not self._may_repeat:
-            headers.update(NO_RETRY_HEADERS)
+        headers.update(_choose_retry_headers(self._head, may_repeat=self._may_repeat))
         if self._head.content_type.startswith(EVENT_STREAM):
             body, content_type = assemble_response(self._transcript), "application/json"
         else:
@@ -157,4 +155,9 @@
         return build_error_response(error, self._request_id, may_repeat=self._may_repeat)
 
 
+def _choose_retry_headers(head: ResponseHead, *, may_repeat: bool) -> dict[str, str]:
+    is_error = head.status >= FIRST_ERROR_STATUS
+    return NO_RETRY_HEADERS if is_error and not may_repeat else {}
+
+
 __all__ = ["ResponseWriter", "StreamingResponseWriter", "BufferedResponseWriter"]
--- a/tests/test_unavailable_backend.py
+++ b/tests/test_unavailable_backend.py
@@ -117,6 +117,8 @@
                 self.set_refusal(refusal)
                 async with self.fleet.post(self.router, "/v1/chat/completions", body) as response:
                     self.assertEqual(response.status, 502)
+                    retry_after = "1" if refusal < 500 else None  # an error from 500 on has none
+                    self.assertEqual(response.headers.get("Retry-After"), retry_after)
                     self.assertEqual((await response.json())["error"]["verdict"], "may_have_run")
 
 
