--- a/src/boragetiller/tables/call_metadata.py
+++ b/src/boragetiller/tables/call_metadata.py
@@ -80,8 +80,8 @@
 
     status: int
     request_id: str | None  # of the request that the response belongs to
-    not_run: bool  # has the header by which a backend server states that it did not run it
-    instance: str | None  # name that the backend server gives of itself
+    not_run: bool  # the backend server states in a header that it did not run the request
+    instance: str | None  # name of the backend server that responded, if it gives one
     sealed: bool  # has the backend server's response seal
     encoded: bool  # has a content coding, so the body is not as the server wrote it
     load: ServerLoad | None
--- a/src/boragetiller/tables/direct_attempts.py
+++ b/src/boragetiller/tables/direct_attempts.py
@@ -17,7 +17,7 @@
     SERVER_ERROR = "server_error"  # the backend server ran the request and reported a failure
     UNREACHABLE = "unreachable"  # the request was not sent
     FULL = "full"  # the backend server refused the request and did not run it
-    UNAVAILABLE = "unavailable"  # a status of a refusal, without a statement that it did not run
+    UNAVAILABLE = "unavailable"  # refused by its status, but may have run the request
     MISDIRECTED = "misdirected"  # another server incarnation at the address; it did not run it
     LOST = "lost"  # the connection broke
     GARBLED = "garbled"  # the response is truncated or not the backend server's own
