--- a/tests/gateway/test_not_run_statuses.py
+++ b/tests/gateway/test_not_run_statuses.py
@@ -21,7 +21,7 @@
 
 NOT_EXECUTED = "X-Boragetiller-Not-Executed: 1\r\n"
 RETRY_AFTER = "Retry-After: 1.5\r\n"
-UNCONFIRMED_STATUSES = (408, 421, 429, 503)  # say little without a statement of the engine
+UNCONFIRMED_STATUSES = (408, 421, 429, 503)  # promise a caller that its request was not run
 SEAL = "X-Boragetiller-Response-Seal"
 PROMPT = {
     "X_Boragetiller_Model": "m",
