--- a/tests/standin/test_engine.py
+++ b/tests/standin/test_engine.py
@@ -183,6 +183,15 @@
         status = await self._wait_for_first_response(engine)
         self.assertEqual((status, engine.ledger.crashes), (200, 1))
 
+    async def test_engine_refuses_what_it_ran_but_not_what_crashed_it(self) -> None:
+        # Guards against a crash that fault runs see as a refusal, so that no agent counts it.
+        engine = await self._start(EngineSettings(simulation=FAST, restart_ms=60_000))
+        engine.refusals_after_run += [429, 503]
+        status, _ = await self._post(engine, "/v1/chat/completions", _build_chat("x"))
+        self.assertEqual((status, engine.ledger.by_request_id.total()), (429, 1))
+        with self.assertRaises(aiohttp.ClientError):
+            await self._post(engine, "/v1/chat/completions", _build_chat("POISON"))
+
     async def test_order_with_old_fencing_token_is_refused_if_fencing_is_honoured(self) -> None:
         honouring_engine = await self._start(EngineSettings(load_ms=0, order_key="k"))
         ignoring_engine = await self._start(EngineSettings(load_ms=0, honours_fencing=False))
