--- a/tests/gateway/test_not_run_statuses.py
+++ b/tests/gateway/test_not_run_statuses.py
@@ -144,9 +144,7 @@
             self.assertEqual(response.status, 502)
         self.assertEqual(self.count_runs(), 1)
 
-    async def test_hedged_call_with_one_unconfirmed_refusal_is_not_reported_as_not_run(
-        self,
-    ) -> None:
+    async def test_hedged_call_that_may_have_run_is_not_reported_as_not_run(self) -> None:
         # The second server states that it did not run the call, the first one does not.
         async def respond_slowly(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
             await asyncio.sleep(0.25)  # longer than the hedging delay
