--- a/tests/gateway/test_not_run_statuses.py
+++ b/tests/gateway/test_not_run_statuses.py
@@ -95,8 +95,8 @@
 
     @patch("boragetiller.systems.server_health.EJECT_MS", 60_000)
     @patch("boragetiller.systems.server_health.EJECT_MAX_MS", 60_000)
-    async def test_server_that_answers_each_call_so_is_ejected(self) -> None:
-        # Guards against a server without work that attracts calls by failing them fast.
+    async def test_server_that_refuses_every_call_is_ejected(self) -> None:
+        # Guards against a server that looks idle, and is sent most calls, as it fails them fast.
         for status in UNCONFIRMED_STATUSES:
             with self.subTest(status=status):
                 harness = await self.serve(respond_with(status), respond_with(200))
--- a/tests/gateway/test_not_run_statuses_property.py
+++ b/tests/gateway/test_not_run_statuses_property.py
@@ -90,7 +90,7 @@
         self.loop = asyncio.new_event_loop()
         self.addCleanup(self.loop.close)
         self.answers: list[Answer] = []
-        self.given: list[tuple[str, Answer]] = []  # server and answer of each attempt of a call
+        self.exchanges: list[tuple[str, Answer]] = []  # server and answer of each attempt of a call
         self.lines: list[dict[str, Any]] = []
         self.calls = 0
         sink = logger.add(lambda message: self.lines.append(message.record["extra"]))
@@ -107,12 +107,12 @@
         check()
 
     async def _check_call(self, route: str, answers: list[Answer]) -> None:
-        self.answers, self.given = list(answers), []
+        self.answers, self.exchanges = list(answers), []
         self.lines.clear()
         self._reset_health()
         self.calls += 1
         status, headers, body = await self._call(route)
-        may_have_run = [answer for _, answer in self.given if answer.may_have_run]
+        may_have_run = [answer for _, answer in self.exchanges if answer.may_have_run]
         if status in NOT_RUN_STATUSES:
             self.assertEqual(may_have_run, [])
         if not may_have_run:
@@ -121,7 +121,7 @@
         if ROUTES[route]["kind"] == "non_idempotent":
             self.assertLessEqual(len(may_have_run), 1)
         if SEAL in headers:
-            sealed = [(f"seal-{server}", answer.status) for server, answer in self.given]
+            sealed = [(f"seal-{server}", answer.status) for server, answer in self.exchanges]
             self.assertIn((headers[SEAL], status), sealed)
             self.assertEqual(body, BODY)
         self._check_log_line(status, ran=bool(may_have_run))
@@ -130,7 +130,9 @@
         (line,) = [line for line in self.lines if line.get("event") in ENDED_CALLS]
         self.assertEqual(line["status"], status)
         self.assertEqual(line["verdict"] != "not_run", ran)
-        self.assertIn(line["server_status"], {answer.status for _, answer in self.given} | {None})
+        self.assertIn(
+            line["server_status"], {answer.status for _, answer in self.exchanges} | {None}
+        )
 
     @property
     def _request_id(self) -> str:
@@ -172,7 +174,7 @@
     def _build_script(self, server: str) -> Any:
         async def respond(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
             answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
-            self.given.append((server, answer))
+            self.exchanges.append((server, answer))
             if answer.framing == "reset":
                 reset(writer)
                 return
