Tell version, source, interpreter and libraries of each started process

What was missing: two hosts could run different code, another Python or other libraries, and neither log nor metrics told it; multidict, yarl and others fall back from their extension module to Python silently. Change: process_started has version, source (digest of the source files), python, machine and libraries, with a note on those without their extension module; routers on the platform expose the same as boragetiller_build_info and boragetiller_library_info.

--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -20,8 +20,10 @@
 from boragetiller.control.node import AgentNode
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
+from boragetiller.installation.build_info import get_build_info
 from boragetiller.operator_api import build_operator_app
 from boragetiller.process import Endpoints, build_metrics
+from boragetiller.process_start import log_process_started
 from boragetiller.router.config_sync import ConfigSync
 from boragetiller.settings import BackendKind
 from boragetiller.tables.config import ConfigTable
@@ -125,7 +127,7 @@
             asyncio.create_task(self._run_ticks()),
             asyncio.create_task(self._run_keepalives()),
         ]
-        log_event(Event.PROCESS_STARTED, role="agent", name=self.settings.name)
+        log_process_started("agent", self.settings.name, get_build_info())
 
     def endpoints(self) -> Endpoints:
         """:return: ports on which the process listens"""
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+if TYPE_CHECKING:
+    from boragetiller.installation.build_info import BuildInfo
+
 LATENCY_BUCKETS_S = (
     0.01,
     0.03,
@@ -38,6 +43,12 @@
         self.task_failures = self._counter(
             "task_failures", "background tasks that failed and were restarted", "task"
         )
+        self.build = self._gauge(
+            "build_info", "1; the labels tell versions", "version", "source", "python", "machine"
+        )
+        self.libraries = self._gauge(
+            "library_info", "1; a library and its version", "name", "version"
+        )
         self.in_flight = self._gauge("in_flight", "calls in progress")
         self.config_version = self._gauge(
             "config_version", "version of the route configuration in force"
@@ -67,6 +78,16 @@
             "store_call_seconds", "duration of calls to the store", "call"
         )
 
+    def record_build(self, build: BuildInfo) -> None:
+        """
+        Expose what the process is made of.
+
+        :param build: versions of the process and of its libraries
+        """
+        self.build.labels(build.version, build.source, build.python, build.machine).set(1)
+        for name, version in build.libraries.items():
+            self.libraries.labels(name, version).set(1)
+
     def count_dropped_line(self, event: str) -> None:
         """
         Count a dropped log line.
@@ -82,8 +103,8 @@
     def _counter(self, name: str, help_text: str, label: str) -> Counter:
         return Counter(f"boragetiller_{name}", help_text, [label], registry=self.registry)
 
-    def _gauge(self, name: str, help_text: str) -> Gauge:
-        return Gauge(f"boragetiller_{name}", help_text, registry=self.registry)
+    def _gauge(self, name: str, help_text: str, *labels: str) -> Gauge:
+        return Gauge(f"boragetiller_{name}", help_text, labels, registry=self.registry)
 
     def _histogram(self, name: str, help_text: str, label: str = "route") -> Histogram:
         return Histogram(
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import inspect
 import random
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -19,6 +21,8 @@
 from boragetiller.gateway.prefix_cache_reader import PrefixCacheReader
 from boragetiller.gateway.state_sync import StateSync
 from boragetiller.gateway.store_watcher import StoreWatcher
+from boragetiller.installation.build_info import get_build_info
+from boragetiller.process_start import log_process_started
 from boragetiller.tables.server_placement import PlacementCostModel
 from boragetiller.timeouts import wait_until, wait_until_idle
 
@@ -55,6 +59,7 @@
         :param caller_socket: listening socket for callers, None to open one
         """
         self._settings = settings
+        self._adapter = Path(inspect.getfile(type(dialect))).parent
         clock = SystemClock()
         costs = PlacementCostModel()
         self.metrics = GatewayMetrics()
@@ -96,7 +101,9 @@
         await wait_until(lambda: self.registry.is_ready, self._initial_sync_timeout_ms)
         for listener in self._listeners:
             await listener.start()
-        log_event(Event.PROCESS_STARTED, role="gateway", name=self._settings.name)
+        build = get_build_info(self._adapter)
+        self.metrics.record_build(build)
+        log_process_started("gateway", self._settings.name, build)
 
     async def close(self) -> None:
         """
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -11,8 +11,10 @@
 from boragetiller.control.router_node import RouterDependencies, RouterNode
 from boragetiller.events import Event, log_event
 from boragetiller.http_server import HttpServer
+from boragetiller.installation.build_info import get_build_info
 from boragetiller.operator_api import build_operator_app
 from boragetiller.process import Endpoints, build_metrics
+from boragetiller.process_start import log_process_started
 from boragetiller.router.agent_client import AgentClient
 from boragetiller.router.agent_selector import AgentSelector
 from boragetiller.router.config_sync import ConfigSync
@@ -134,7 +136,7 @@
         self._tasks = [asyncio.create_task(self._run_maintenance())]
         await self.caller_listener.start()
         await self.operator.start()
-        log_event(Event.PROCESS_STARTED, role="router", name=self.settings.name)
+        log_process_started("router", self.settings.name, get_build_info())
 
     def endpoints(self) -> Endpoints:
         """:return: ports on which the process listens"""
--- a/tests/test_metrics_page.py
+++ b/tests/test_metrics_page.py
@@ -9,7 +9,7 @@
 from boragetiller.gateway.metrics import GatewayMetrics
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "METRICS.md"
-ROW = re.compile(r"^\| (boragetiller_\w+) \| (\w+) \| (\w*) ?\|", re.MULTILINE)
+ROW = re.compile(r"^\| (boragetiller_\w+) \| (\w+) \| ([\w, ]*?) ?\|", re.MULTILINE)
 
 
 class MetricsPageTest(unittest.TestCase):
@@ -20,7 +20,7 @@
         self.assertEqual({(name, kind) for name, kind, _ in rows}, registered)
         self.assertEqual(len(rows), len(registered))
         labels = {
-            metric._name: "".join(metric._labelnames)
+            metric._name: ", ".join(metric._labelnames)
             for metric in vars(metrics).values()
             if hasattr(metric, "_labelnames")
         }
