--- a/src/boragetiller/installation/source_digest.py
+++ b/src/boragetiller/installation/source_digest.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import hashlib
+import os
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from pathlib import Path
 
-PATTERNS = ("*.py", "*.capnp")
+SUFFIXES = (".py", ".capnp")
 DIGEST_CHARS = 16
 
 
@@ -21,11 +23,19 @@
     """
     digest = hashlib.sha256()
     for folder in sorted(folders, key=lambda path: path.name):
-        for path in sorted(file for pattern in PATTERNS for file in folder.rglob(pattern)):
-            content = hashlib.sha256(path.read_bytes()).hexdigest()
-            name = path.relative_to(folder.parent).as_posix()
-            digest.update(f"{content}  {name}\n".encode())
+        for name in sorted(_list_sources(folder)):
+            content = hashlib.sha256((folder / name).read_bytes()).hexdigest()
+            digest.update(f"{content}  {folder.name}/{name}\n".encode())
     return digest.hexdigest()[:DIGEST_CHARS]
 
 
+def _list_sources(folder: Path) -> Iterator[str]:
+    """:return: paths below the folder"""
+    prefix = len(str(folder)) + 1
+    for parent, _, names in os.walk(folder):
+        for name in names:
+            if name.endswith(SUFFIXES):
+                yield f"{parent}/{name}"[prefix:]
+
+
 __all__ = ["compute_source_digest"]
