Build: bind bytecode to the content of its source file

What callers saw: with today's sources, bookings that ran were answered as not run (review/2, exit 1), because routers ran the bytecode of other sources. Cause: compileall binds bytecode to time and size of its source file. In a tree that was copied with its times, or unpacked with one fixed time, bytecode of another source file of the same size is current. Change: the build writes bytecode with the hash of its source (PEP 552), for sources and dependencies, and the import system compares it. Bytecode that is up to date is left as it is. Test: test_bytecode_of_another_source_with_same_time_and_size_is_not_used failed with the old build line ('1' != '2').

--- a/src/boragetiller/installation/dependencies.py
+++ b/src/boragetiller/installation/dependencies.py
@@ -10,6 +10,7 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+from boragetiller.installation.bytecode import compile_folder
 from boragetiller.installation.extension_tags import get_interpreter_tag, list_extension_tags
 from boragetiller.installation.installed_files import find_damaged_file, list_distributions
 from boragetiller.installation.requirements import read_pins
@@ -42,6 +43,7 @@
         reason = find_fault(folder, pins)
         if reason is not None:
             _replace_folder(requirements, folder, pins)
+        compile_folder(folder)
         return reason
 
 
@@ -82,7 +84,7 @@
 
 def _run_pip(requirements: Path, folder: Path) -> None:
     command = [sys.executable, "-m", "pip", "install", "--quiet", "--disable-pip-version-check"]
-    command += ["--no-deps", "--target", str(folder), "-r", str(requirements)]
+    command += ["--no-deps", "--no-compile", "--target", str(folder), "-r", str(requirements)]
     code = subprocess.run(command, check=False).returncode
     if code:
         raise InstallationFailed(f"pip exited with {code}; see its messages above")
--- a/tests/installation/test_deploy_build.py
+++ b/tests/installation/test_deploy_build.py
@@ -123,6 +123,15 @@
         output = self._build(code=1)
         self.assertIn("requirements.txt:1: got 'sample>=1.0'; must be NAME==VERSION", output)
 
+    def test_bytecode_of_another_source_with_same_time_and_size_is_not_used(self) -> None:
+        """A copied tree with equal file times ran the code of the release before."""
+        source = self.root / PACKAGE / "part.py"
+        for value in "12":
+            source.write_text(f"VALUE = {value}\n")
+            os.utime(source, (OLD_S, OLD_S))
+            self._build()
+            self.assertEqual(self._import("boragetiller.part", self.root / "src"), value)
+
     def _build(self, code: int = 0) -> str:
         """:return: output of the build, after a check of its exit code"""
         deploy = tomllib.loads((self.root / "deploy" / "system.toml").read_text(encoding="utf-8"))
