--- a/tests/installation/test_deploy_build.py
+++ b/tests/installation/test_deploy_build.py
@@ -3,20 +3,19 @@
 from __future__ import annotations
 
 import os
-import shutil
 import subprocess
 import sys
-import tempfile
 import tomllib
 import unittest
-from pathlib import Path
+from typing import TYPE_CHECKING
 
 from boragetiller.installation.extension_tags import get_interpreter_tag
+from tests.installation.checkout import PACKAGE, Checkout
 from tests.installation.wheels import unpack_wheel, write_wheel
 
-ROOT = Path(__file__).resolve().parent.parent.parent
-PACKAGE = Path("src/boragetiller")
-COPIED_FILES = ("deploy/system.toml", "platform/build.py", PACKAGE / "__init__.py")
+if TYPE_CHECKING:
+    from pathlib import Path
+
 FILES = {
     "sample/__init__.py": "from sample.part import VALUE\n",
     "sample/part.py": "VALUE = '1.0'\n",
@@ -33,18 +32,8 @@
     """A checkout with one small dependency, whose package index is a folder."""
 
     def setUp(self) -> None:
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.root = Path(folder.name, "checkout")
-        self.index = Path(folder.name, "index")
-        self.index.mkdir()
-        for name in COPIED_FILES:
-            (self.root / name).parent.mkdir(parents=True, exist_ok=True)
-            shutil.copy(ROOT / name, self.root / name)
-        installation = PACKAGE / "installation"
-        shutil.copytree(
-            ROOT / installation, self.root / installation, ignore=shutil.ignore_patterns("*.pyc")
-        )
+        self.checkout = Checkout(self)
+        self.root, self.index = self.checkout.root, self.checkout.index
         self.requirements = self.root / "deploy" / "requirements.txt"
         self.requirements.write_text("sample==1.0\n")
         self.dependencies = self.root / "target" / "deps"
@@ -135,24 +124,10 @@
     def _build(self, code: int = 0) -> str:
         """:return: output of the build, after a check of its exit code"""
         deploy = tomllib.loads((self.root / "deploy" / "system.toml").read_text(encoding="utf-8"))
-        environment = {
-            "HOME": str(self.root),
-            "PATH": f"{Path(sys.executable).parent}:{os.environ['PATH']}",
-            "PIP_CONFIG_FILE": os.devnull,
-            "PIP_FIND_LINKS": str(self.index),
-            "PIP_NO_INDEX": "1",
-        }
-        result = subprocess.run(
-            ["sh", "-c", deploy["build"]],
-            cwd=self.root,
-            env=environment,
-            check=False,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-            text=True,
-        )
-        self.assertEqual(result.returncode, code, result.stdout)
-        return result.stdout
+        result = self.checkout.run(["sh", "-c", deploy["build"]])
+        output = result.stdout + result.stderr
+        self.assertEqual(result.returncode, code, output)
+        return output
 
     def _import(self, module: str, folder: Path | None = None) -> str:
         """:return: VALUE of a module, imported in a process like that of a router"""
--- a/tests/installation/wheels.py
+++ b/tests/installation/wheels.py
@@ -10,30 +10,29 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-NAME = "sample"
 
-
-def write_wheel(folder: Path, version: str, files: dict[str, str]) -> Path:
+def write_wheel(folder: Path, version: str, files: dict[str, str], name: str = "sample") -> Path:
     """
-    Write a wheel of the distribution `sample`.
+    Write a wheel.
 
     :param folder: existing folder for the wheel
     :param version: version of the distribution
     :param files: contents by path
+    :param name: name of the distribution
     :return: path of the wheel
     """
-    metadata = f"{NAME}-{version}.dist-info"
+    metadata = f"{name}-{version}.dist-info"
     files = files | {
-        f"{metadata}/METADATA": f"Metadata-Version: 2.1\nName: {NAME}\nVersion: {version}\n",
+        f"{metadata}/METADATA": f"Metadata-Version: 2.1\nName: {name}\nVersion: {version}\n",
         f"{metadata}/WHEEL": "Wheel-Version: 1.0\nRoot-Is-Purelib: true\nTag: py3-none-any\n",
     }
-    rows = [f"{name},{_hash(text)},{len(text)}" for name, text in files.items()]
+    rows = [f"{path},{_hash(text)},{len(text)}" for path, text in files.items()]
     files[f"{metadata}/RECORD"] = "\n".join([*rows, f"{metadata}/RECORD,,"]) + "\n"
-    path = folder / f"{NAME}-{version}-py3-none-any.whl"
-    with zipfile.ZipFile(path, "w") as archive:
-        for name, text in files.items():
-            archive.writestr(name, text)
-    return path
+    wheel = folder / f"{name}-{version}-py3-none-any.whl"
+    with zipfile.ZipFile(wheel, "w") as archive:
+        for path, text in files.items():
+            archive.writestr(path, text)
+    return wheel
 
 
 def unpack_wheel(wheel: Path, folder: Path) -> None:
@@ -52,4 +51,4 @@
     return "sha256=" + base64.urlsafe_b64encode(digest).rstrip(b"=").decode()
 
 
-__all__ = ["NAME", "unpack_wheel", "write_wheel"]
+__all__ = ["unpack_wheel", "write_wheel"]
