--- a/src/boragetiller/logs/incident.py
+++ b/src/boragetiller/logs/incident.py
@@ -27,6 +27,7 @@
 MIN_SERVER_ERROR_STATUS = 500
 STATE_CHANGE_EVENTS = frozenset(
     {
+        "process_not_loaded",
         "process_started",
         "process_stopping",
         "config_store_unreachable",
--- a/src/boragetiller/logs/timeline.py
+++ b/src/boragetiller/logs/timeline.py
@@ -18,6 +18,7 @@
 )
 ROUTER_EVENTS = frozenset(
     {
+        "process_not_loaded",
         "process_started",
         "process_stopping",
         "process_stopped",
