Build: a cut list of files or a crashing import is a fault like any other

What users saw: a build that ended with a traceback in place of replacing the folder, when a RECORD was cut off in a line, or when an extension module ended the interpreter without a message. Cause: rows of RECORD were taken to be whole, and the import check to print a last line. Change: rows have three fields, csv.Error counts as unreadable; without a message the exit code is named. Tests: test_cut_list_of_files_is_replaced and test_dependency_that_crashes_the_interpreter_fails_the_build failed before (IndexError in the build, both).

--- a/src/boragetiller/installation/build_info.py
+++ b/src/boragetiller/installation/build_info.py
@@ -15,7 +15,7 @@
 PACKAGE = Path(boragetiller.__file__).resolve().parent
 # Distributions whose version matters, and the extension module of those that have a fallback in
 # Python: it is used silently where the extension module cannot be loaded.
-EXTENSION_MODULES = {
+LIBRARIES = {
     "aiohttp": "aiohttp._http_parser",
     "attrs": None,
     "frozenlist": "frozenlist._frozenlist",
@@ -64,7 +64,7 @@
     installed = list_distributions(Path(module.__file__).parents[1])
     return {
         name: installed.get(name, "unknown") + _describe_fallback(extension)
-        for name, extension in EXTENSION_MODULES.items()
+        for name, extension in LIBRARIES.items()
     }
 
 
--- a/src/boragetiller/installation/dependencies.py
+++ b/src/boragetiller/installation/dependencies.py
@@ -102,7 +102,8 @@
     result = subprocess.run(command, check=False, env=environment, capture_output=True, text=True)
     if result.returncode == 0:
         return None
-    return f"cannot be imported: {result.stderr.strip().splitlines()[-1]}"
+    messages = result.stderr.strip().splitlines() or [f"exit code {result.returncode}"]
+    return f"cannot be imported: {messages[-1]}"
 
 
 @contextmanager
--- a/src/boragetiller/installation/installed_files.py
+++ b/src/boragetiller/installation/installed_files.py
@@ -49,7 +49,7 @@
     for metadata in sorted(folder.glob(f"*{METADATA_SUFFIX}")):
         try:
             listed |= _read_record(metadata / "RECORD")
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, csv.Error) as error:
             return f"{metadata.name}: the list of files cannot be read: {error}"
     for name, digest in listed.items():
         path = folder / name
@@ -65,8 +65,7 @@
     """:return: SHA-256 by path, empty for files that are listed without one"""
     files = {}
     with record.open(encoding="utf-8", newline="") as rows:
-        for row in csv.reader(rows):
-            name, digest = row[0], row[1]
+        for name, digest, _ in csv.reader(rows):
             if not name.startswith("..") and not _is_ignored(name):
                 files[name] = digest.removeprefix(HASH_PREFIX)
     return files
--- a/tests/installation/test_build_info.py
+++ b/tests/installation/test_build_info.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 import boragetiller
-from boragetiller.installation.build_info import EXTENSION_MODULES, get_build_info
+from boragetiller.installation.build_info import LIBRARIES, get_build_info
 from boragetiller.installation.extension_tags import get_interpreter_tag
 from boragetiller.installation.source_digest import compute_source_digest
 from tests.gateway.harness import RouterHarness
@@ -28,7 +28,7 @@
 
     def test_versions_are_those_of_the_loaded_libraries(self) -> None:
         libraries = get_build_info().libraries
-        self.assertEqual(libraries.keys(), EXTENSION_MODULES.keys())
+        self.assertEqual(libraries.keys(), LIBRARIES.keys())
         for name, version in libraries.items():
             self.assertEqual(version.split(" ")[0], importlib.metadata.version(name))
 
--- a/tests/installation/test_deploy_build.py
+++ b/tests/installation/test_deploy_build.py
@@ -67,6 +67,19 @@
         self.assertEqual(self._import("sample"), "1.0")
         self.assertIn("sample/part.py: changed after its installation", output)
 
+    def test_cut_list_of_files_is_replaced(self) -> None:
+        """A folder whose copy was interrupted ended the build with a traceback."""
+        unpack_wheel(self.wheel, self.dependencies)
+        record = self.dependencies / "sample-1.0.dist-info" / "RECORD"
+        record.write_text(record.read_text()[:8])
+        self.assertIn("sample-1.0.dist-info: the list of files cannot be read", self._build())
+        self.assertEqual(self._import("sample"), "1.0")
+
+    def test_dependency_that_crashes_the_interpreter_fails_the_build(self) -> None:
+        """An extension module for another processor can end the process without a message."""
+        write_wheel(self.index, "1.0", {"sample/__init__.py": "import os\nos.abort()\n"})
+        self.assertIn("cannot be imported: exit code -6", self._build(code=1))
+
     def test_other_version_is_replaced(self) -> None:
         """A folder of an earlier release passed, since it was newer than the requirements."""
         earlier = write_wheel(self.root, "0.9", FILES | {"sample/part.py": "VALUE = '0.9'\n"})
