Build: say why the dependencies were to be installed when that fails

Without a network the build ended with pip's messages only, and not with the fault of the folder that it was to replace. The test of a failed installation asks for both; it failed before.

--- a/src/boragetiller/installation/dependencies.py
+++ b/src/boragetiller/installation/dependencies.py
@@ -42,7 +42,10 @@
     with _lock(folder.with_suffix(".lock")):
         reason = find_fault(folder, pins)
         if reason is not None:
-            _replace_folder(requirements, folder, pins)
+            try:
+                _replace_folder(requirements, folder, pins)
+            except InstallationFailed as error:
+                raise InstallationFailed(f"{folder}: {reason}; {error}") from error
         compile_folder(folder)
         return reason
 
@@ -75,7 +78,7 @@
     _run_pip(requirements, new)
     fault = find_fault(new, pins)
     if fault is not None:
-        raise InstallationFailed(f"{new}: not usable after its installation: {fault}")
+        raise InstallationFailed(f"not usable after its installation: {fault}")
     if folder.exists():
         folder.rename(old)
     new.rename(folder)
--- a/tests/installation/test_deploy_build.py
+++ b/tests/installation/test_deploy_build.py
@@ -107,7 +107,10 @@
     def test_failed_installation_fails_the_build_and_leaves_no_folder_behind(self) -> None:
         """An interrupted installation must not pass as complete the next time."""
         self.wheel.unlink()
-        self.assertIn("build failed: pip exited with 1", self._build(code=1))
+        output = self._build(code=1)
+        self.assertIn(
+            f"build failed: {self.dependencies}: not installed; pip exited with 1", output
+        )
         self.assertFalse(self.dependencies.exists())
         (self.root / "target" / "deps.new").mkdir()
         write_wheel(self.index, "1.0", FILES)
