Start a process whose source files cannot be read a second time

A router would have ended with exit code 3 ("cannot listen", read) if a source file was gone between its import and the computation of the digest for process_started. The digest is then "unknown". The test failed before (FileNotFoundError).

--- a/src/boragetiller/installation/build_info.py
+++ b/src/boragetiller/installation/build_info.py
@@ -26,6 +26,7 @@
     "pycapnp": None,
     "yarl": "yarl._quoting_c",
 }
+UNKNOWN = "unknown"
 REFERENCE_MODULE = "aiohttp"  # installed in the same folder as the others
 
 
@@ -34,7 +35,7 @@
     """Versions of a process and of what it uses."""
 
     version: str
-    source: str  # digest of the source files
+    source: str  # digest of the source files, or UNKNOWN
     python: str
     machine: str  # interpreter and machine, as extension modules name them
     libraries: dict[str, str]  # version by name of the distribution
@@ -50,20 +51,27 @@
     """
     return BuildInfo(
         version=boragetiller.__version__,
-        source=compute_source_digest([PACKAGE] if adapter is None else [PACKAGE, adapter]),
+        source=_compute_digest([PACKAGE] if adapter is None else [PACKAGE, adapter]),
         python=".".join(map(str, sys.version_info[:3])),
         machine=get_interpreter_tag(),
         libraries=_list_libraries(),
     )
 
 
+def _compute_digest(folders: list[Path]) -> str:
+    try:
+        return compute_source_digest(folders)
+    except OSError:
+        return UNKNOWN  # the process has loaded its modules and can serve without the digest
+
+
 def _list_libraries() -> dict[str, str]:
     module = sys.modules.get(REFERENCE_MODULE)
     if module is None or module.__file__ is None:
         return {}
     installed = list_distributions(Path(module.__file__).parents[1])
     return {
-        name: installed.get(name, "unknown") + _describe_fallback(extension)
+        name: installed.get(name, UNKNOWN) + _describe_fallback(extension)
         for name, extension in LIBRARIES.items()
     }
 
--- a/tests/installation/test_build_info.py
+++ b/tests/installation/test_build_info.py
@@ -32,6 +32,11 @@
         for name, version in libraries.items():
             self.assertEqual(version.split(" ")[0], importlib.metadata.version(name))
 
+    def test_source_that_cannot_be_read_does_not_stop_the_process(self) -> None:
+        """The digest is computed after the modules were loaded; a file may be gone by then."""
+        with mock.patch.object(Path, "read_bytes", side_effect=FileNotFoundError):
+            self.assertEqual(get_build_info().source, "unknown")
+
     def test_library_without_its_extension_module_is_marked(self) -> None:
         """multidict, yarl and others fall back to Python silently."""
         with mock.patch.dict(sys.modules):
