--- a/src/boragetiller/installation/virtual_environment.py
+++ b/src/boragetiller/installation/virtual_environment.py
@@ -62,6 +62,7 @@
             "prefix": sys.base_prefix,
             "machine": get_interpreter_tag(),
             "arguments": arguments,
+            # The demo installs the dependencies of the project.
             "project": project.read_text(encoding="utf-8") if project.is_file() else None,
         }
     )
