--- a/src/boragetiller/daemon.py
+++ b/src/boragetiller/daemon.py
@@ -1,4 +1,4 @@
-"""Entry point of `boragetillerd`, which runs a router or an agent until a signal stops it."""
+"""Run a router or an agent until a signal stops it; `boragetillerd` starts in daemon_entry.py."""
 
 from __future__ import annotations
 
