Reports between routers: a module of their own, with fields for four new lists

Change: PeerReport, its entries and their Cap'n Proto fields move to peer_reports.py. The schema declares server speeds, usage counts, latency summaries, server announcements and committed tokens; nothing sends them yet.

--- /dev/null
+++ b/src/boragetiller/gateway/peer_reports.py
@@ -0,0 +1,293 @@
+"""Reports that routers send to each other at intervals, and their Cap'n Proto fields."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import attrs
+
+from boragetiller.store_eras import extend_revision, get_era, get_store_revision
+from boragetiller.tables.call_metadata import Prompt, PromptPart
+from boragetiller.tables.failure_history import FailureKind, RequestFailure
+from boragetiller.tables.part_crashes import PartCrashReport
+from boragetiller.tables.report_entries import (
+    CustomerCount,
+    LatencySummary,
+    ServerAnnouncement,
+    ServerSpeedReport,
+    UsageCounts,
+)
+from boragetiller.tables.server_limits import LimitReport
+
+
+@attrs.frozen(kw_only=True)
+class ReportedLoad:
+    """The sender's load at a backend server."""
+
+    server: str
+    in_flight: int  # requests; 0 after the last one has ended
+    unread_tokens: tuple[int, ...]  # prompt tokens that wait for prefill, by urgency
+    sensitivity: float  # sum over its streams; see systems.server_placement
+    committed_tokens: int = 0  # of the server's memory; 0 if the sender does not report it
+
+
+@attrs.frozen(kw_only=True)
+class CachedPrompt:
+    """A prompt that the sender sent to a backend server, which now has it in its cache."""
+
+    server: str
+    prompt: Prompt
+
+
+@attrs.frozen(kw_only=True)
+class PeerReport:
+    """Heartbeat with the changes of the sender's state and the extended revisions that it knows."""
+
+    config_revision: int
+    servers_revision: int
+    loads: tuple[ReportedLoad, ...] = ()  # only those that changed since the last report
+    prompts: tuple[CachedPrompt, ...] = ()
+    failures: tuple[RequestFailure, ...] = ()
+    part_crashes: tuple[PartCrashReport, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
+    store_reads: int = 0  # number of times that the sender polled the store
+    reaches_store: bool = False  # whether its last call to the store succeeded
+    watches: bool = False  # whether it watches the list of backend servers in the store itself
+    speeds: tuple[ServerSpeedReport, ...] = ()
+    usage: tuple[UsageCounts, ...] = ()
+    hedges: tuple[LatencySummary, ...] = ()
+    announcements: tuple[ServerAnnouncement, ...] = ()
+
+    def differs_from(self, last: PeerReport | None) -> bool:
+        """
+        Check whether the report differs from the last one.
+
+        :param last: the last report that was sent, None if there is none
+        :return: whether it has any entries, or another state of the store
+        """
+        if last is None or count_entries(self):
+            return True
+        return self._store_state() != last._store_state()  # noqa: SLF001
+
+    def _store_state(self) -> tuple[int, int, int, bool, bool]:
+        return (
+            self.config_revision,
+            self.servers_revision,
+            self.store_reads,
+            self.reaches_store,
+            self.watches,
+        )
+
+
+def count_entries(report: PeerReport) -> int:
+    """
+    Count the entries of all lists of a report, nested ones included.
+
+    :param report: the report
+    :return: number of entries; an upper bound of its size follows from it
+    """
+    lists = (
+        report.loads,
+        report.prompts,
+        report.failures,
+        report.part_crashes,
+        report.limits,
+        report.speeds,
+        report.usage,
+        report.hedges,
+        report.announcements,
+    )
+    nested = sum(len(read.prompt.parts) for read in report.prompts)
+    nested += sum(len(crash.companions) for crash in report.part_crashes)
+    nested += sum(len(usage.counts) for usage in report.usage)
+    return nested + sum(map(len, lists))
+
+
+def build_report_fields(message: PeerReport) -> dict[str, Any]:
+    """
+    Build the Cap'n Proto fields of a report.
+
+    :param message: the report
+    :return: fields by name
+    """
+    loads = [
+        {
+            "server": load.server,
+            "inFlight": load.in_flight,
+            "unreadTokens": list(load.unread_tokens),
+            "sensitivity": load.sensitivity,
+            "committedTokens": load.committed_tokens,
+        }
+        for load in message.loads
+    ]
+    prompts = [
+        {
+            "server": read.server,
+            "model": read.prompt.model,
+            "inputTokens": read.prompt.input_tokens,
+            "outputTokens": read.prompt.output_tokens,
+            "parts": [{"id": part.part_id, "tokens": part.tokens} for part in read.prompt.parts],
+        }
+        for read in message.prompts
+    ]
+    return {
+        "configRevision": get_store_revision(message.config_revision),
+        "serversRevision": get_store_revision(message.servers_revision),
+        "configEra": get_era(message.config_revision),
+        "serversEra": get_era(message.servers_revision),
+        "loads": loads,
+        "prompts": prompts,
+        "failures": [
+            {
+                "fingerprint": failure.fingerprint,
+                "server": failure.server,
+                "crashed": failure.kind is FailureKind.CRASH,
+            }
+            for failure in message.failures
+        ],
+        "partCrashes": [
+            {
+                "part": crash.part,
+                "crashId": crash.crash_id,
+                "companions": sorted(crash.companions),
+                "weight": crash.weight,
+                "ageMs": crash.age_ms,
+                "cleared": crash.cleared,
+            }
+            for crash in message.part_crashes
+        ],
+        "limits": [
+            {
+                "server": limit.server,
+                "limitPerS": limit.limit_per_s or 0.0,
+                "ended": limit.limit_per_s is None,
+                "ageMs": limit.age_ms,
+            }
+            for limit in message.limits
+        ],
+        "storeReads": message.store_reads,
+        "reachesStore": message.reaches_store,
+        "watches": message.watches,
+        "speeds": [
+            {"server": each.server, "workPercent": each.work_percent, "ageMs": each.age_ms}
+            for each in message.speeds
+        ],
+        "usage": [_build_usage(each) for each in message.usage],
+        "hedges": [attrs.asdict(each) for each in message.hedges],
+        "announcements": [attrs.asdict(each) for each in message.announcements],
+    }
+
+
+def _build_usage(usage: UsageCounts) -> dict[str, Any]:
+    return {
+        "windowNo": usage.window_no,
+        "router": usage.router,
+        "incarnation": usage.incarnation,
+        "wallClockMs": usage.wall_clock_ms,
+        "counts": [attrs.asdict(count) for count in usage.counts],
+    }
+
+
+def _read_finite(value: float) -> float:
+    """:raises ValueError: the value is infinite or not a number, which no sum recovers from"""
+    if not math.isfinite(value):
+        raise ValueError(f"got {value}; must be finite")
+    return value
+
+
+def read_report(report: Any) -> PeerReport:
+    """
+    Read a report from its Cap'n Proto message.
+
+    :param report: reader of the message
+    :return: the report
+    :raises ValueError: a number in it is infinite or not a number
+    """
+    loads = [
+        ReportedLoad(
+            server=load.server,
+            in_flight=load.inFlight,
+            unread_tokens=tuple(load.unreadTokens),
+            sensitivity=_read_finite(load.sensitivity),
+            committed_tokens=load.committedTokens,
+        )
+        for load in report.loads
+    ]
+    prompts = [
+        CachedPrompt(server=prompt.server, prompt=_read_prompt(prompt)) for prompt in report.prompts
+    ]
+    return PeerReport(
+        config_revision=extend_revision(report.configEra, report.configRevision),
+        servers_revision=extend_revision(report.serversEra, report.serversRevision),
+        loads=tuple(loads),
+        prompts=tuple(prompts),
+        failures=tuple(_read_failure(failure) for failure in report.failures),
+        part_crashes=tuple(_read_part_crash(crash) for crash in report.partCrashes),
+        limits=tuple(_read_limit(limit) for limit in report.limits),
+        store_reads=report.storeReads,
+        reaches_store=report.reachesStore,
+        watches=report.watches,
+        speeds=tuple(
+            ServerSpeedReport(server=each.server, work_percent=each.workPercent, age_ms=each.ageMs)
+            for each in report.speeds
+        ),
+        usage=tuple(_read_usage(each) for each in report.usage),
+        hedges=tuple(
+            LatencySummary(route=each.route, sketch=bytes(each.sketch)) for each in report.hedges
+        ),
+        announcements=tuple(
+            ServerAnnouncement(server=each.server, leaving=each.leaving)
+            for each in report.announcements
+        ),
+    )
+
+
+def _read_failure(failure: Any) -> RequestFailure:
+    kind = FailureKind.CRASH if failure.crashed else FailureKind.ERROR
+    return RequestFailure(bytes(failure.fingerprint), failure.server, kind)
+
+
+def _read_limit(limit: Any) -> LimitReport:
+    limit_per_s = None if limit.ended else _read_finite(limit.limitPerS)
+    return LimitReport(server=limit.server, limit_per_s=limit_per_s, age_ms=limit.ageMs)
+
+
+def _read_part_crash(crash: Any) -> PartCrashReport:
+    return PartCrashReport(
+        part=crash.part,
+        crash_id=crash.crashId,
+        companions=frozenset(crash.companions),
+        weight=crash.weight,
+        age_ms=crash.ageMs,
+        cleared=crash.cleared,
+    )
+
+
+def _read_prompt(prompt: Any) -> Prompt:
+    return Prompt(
+        model=prompt.model,
+        input_tokens=prompt.inputTokens,
+        output_tokens=prompt.outputTokens,
+        parts=tuple(PromptPart(part.id, part.tokens) for part in prompt.parts),
+    )
+
+
+def _read_usage(usage: Any) -> UsageCounts:
+    return UsageCounts(
+        window_no=usage.windowNo,
+        router=usage.router,
+        incarnation=usage.incarnation,
+        wall_clock_ms=usage.wallClockMs,
+        counts=tuple(CustomerCount(each.customer, each.requests) for each in usage.counts),
+    )
+
+
+__all__ = [
+    "CachedPrompt",
+    "PeerReport",
+    "ReportedLoad",
+    "build_report_fields",
+    "count_entries",
+    "read_report",
+]
--- a/src/boragetiller/gateway/peers.capnp
+++ b/src/boragetiller/gateway/peers.capnp
@@ -35,6 +35,39 @@
   limits @9 :List(Limit);
   configEra @10 :UInt32;  # eras of the two revisions, 0 from routers that know none
   serversEra @11 :UInt32;
+  speeds @12 :List(ServerSpeed);
+  usage @13 :List(UsageCounts);
+  hedges @14 :List(LatencySummary);
+  announcements @15 :List(Announcement);
+}
+
+struct ServerSpeed {
+  server @0 :Text;
+  workPercent @1 :UInt16;  # how long work takes there, 100 as usual
+  ageMs @2 :UInt16;
+}
+
+struct UsageCounts {
+  windowNo @0 :UInt64;
+  router @1 :Text;
+  incarnation @2 :UInt64;
+  wallClockMs @3 :UInt64;  # of the sender, when the report was built
+  counts @4 :List(CustomerCount);
+}
+
+struct CustomerCount {
+  customer @0 :Text;
+  requests @1 :UInt32;
+}
+
+struct LatencySummary {
+  route @0 :Text;
+  sketch @1 :Data;
+}
+
+struct Announcement {
+  server @0 :Text;
+  leaving @1 :Bool;
 }
 
 struct Limit {
@@ -64,6 +97,7 @@
   inFlight @1 :UInt16;
   unreadTokens @2 :List(UInt32);  # by urgency, 0 to 9
   sensitivity @3 :Float32;
+  committedTokens @4 :UInt32;  # of the memory for tokens; 0 from routers that do not report it
 }
 
 struct ReadPrompt {
