--- a/src/boragetiller/errors/__init__.py
+++ b/src/boragetiller/errors/__init__.py
@@ -23,6 +23,8 @@
     ResponseNotStored,
 )
 from boragetiller.errors.platform import (
+    DutyApiBusy,
+    DutyApiUnavailable,
     EntryUnreadable,
     HistoryLost,
     LeaseExpired,
@@ -67,6 +69,8 @@
     "BoragetillerError",
     "ClaimNotCommitted",
     "Draining",
+    "DutyApiBusy",
+    "DutyApiUnavailable",
     "Forbidden",
     "HeadersTooLarge",
     "InvalidRequest",
--- a/src/boragetiller/errors/platform.py
+++ b/src/boragetiller/errors/platform.py
@@ -73,7 +73,24 @@
     code = "stale_fencing_number"
 
 
+class DutyApiBusy(BoragetillerError):
+    """The platform's API or the own pacing of its calls did not accept the call."""
+
+    code = "duty_api_busy"
+    verdict = Verdict.NOT_RUN
+    http_status = 429
+
+
+class DutyApiUnavailable(BoragetillerError):
+    """The platform's API did not confirm the call; it may have been executed."""
+
+    code = "duty_api_unavailable"
+    http_status = 503
+
+
 __all__ = [
+    "DutyApiBusy",
+    "DutyApiUnavailable",
     "EntryUnreadable",
     "HistoryLost",
     "LeaseExpired",
--- a/src/boragetiller/gateway/settings.py
+++ b/src/boragetiller/gateway/settings.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import ipaddress
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from boragetiller.gateway.duties.settings import DutySettings
+
 MAX_PORT = 65_535
 
 
@@ -48,6 +52,7 @@
     retry_ratio: float  # retries per request in a window, over all routers
     retry_slack: float  # additional retries in a window, over all routers
     retry_window_ms: int
+    duties: DutySettings | None = None  # None for none
 
 
 __all__ = ["Endpoint", "GatewaySettings"]
--- /dev/null
+++ b/src/boragetiller/tables/duties.py
@@ -0,0 +1,71 @@
+"""Duties, which one router holds at a time, and what their holders send to the platform."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from boragetiller.tables.store_writes import ExpectedRevision
+
+
+class DutyKind(Enum):
+    """What a duty is about."""
+
+    USAGE_REPORT = "usage_report"
+    SERVER_COUNT = "server_count"
+
+
+@attrs.frozen
+class Duty:
+    """Calls to the platform that one router makes at a time."""
+
+    kind: DutyKind
+    subject: str = ""  # such as a backend group and failure domain; empty if the kind has only one
+
+
+@attrs.frozen(kw_only=True)
+class Holding:
+    """A duty that this router holds."""
+
+    duty: Duty
+    token: int  # fencing token, higher than that of every earlier holder
+    holder: str  # name of this router
+    valid_until_ms: int  # on the clock that includes suspended time
+    era: int  # of the store, for transactions with the condition below
+    # Fails once another holder has acquired the duty.
+    condition: ExpectedRevision
+
+
+class LossReason(Enum):
+    """Why a router no longer holds a duty."""
+
+    EXPIRED = "expired"  # the lease was not renewed in time
+    LEASE_ENDED = "lease_ended"  # the store no longer knows the lease
+    RESTORED = "restored"  # the store was restored from an older copy
+    UNREGISTERED = "unregistered"
+    STOPPED = "stopped"  # the process stops
+
+
+@attrs.frozen(kw_only=True)
+class UsageReport:
+    """Number of requests of each customer in one window."""
+
+    window_no: int
+    counts: Mapping[str, int]
+
+
+@attrs.frozen(kw_only=True)
+class ServerOrder:
+    """Number of servers that a backend group is to have in a failure domain."""
+
+    group: str
+    failure_domain: str
+    servers: int
+
+
+__all__ = ["Duty", "DutyKind", "Holding", "LossReason", "ServerOrder", "UsageReport"]
