--- a/src/boragetiller/gateway/duties/settings.py
+++ b/src/boragetiller/gateway/duties/settings.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import attrs
 
-if TYPE_CHECKING:
-    from boragetiller.gateway.settings import Endpoint
-    from boragetiller.tables.duties import DutyKind
+from boragetiller.gateway.endpoint import Endpoint
+from boragetiller.tables.duties import DutyKind
 
 
 @attrs.frozen(kw_only=True)
--- a/src/boragetiller/tables/duties.py
+++ b/src/boragetiller/tables/duties.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from enum import Enum
-from typing import TYPE_CHECKING
 
 import attrs
 
-if TYPE_CHECKING:
-    from collections.abc import Mapping
-
-    from boragetiller.tables.store_writes import ExpectedRevision
+from boragetiller.tables.store_writes import ExpectedRevision
 
 
 class DutyKind(Enum):
--- a/src/boragetiller/tables/store_writes.py
+++ b/src/boragetiller/tables/store_writes.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 from enum import Enum
-from typing import TYPE_CHECKING
 
 import attrs
 
-if TYPE_CHECKING:
-    from boragetiller.tables.store_view import StoredItem
+from boragetiller.tables.store_view import StoredItem
 
 NO_REVISION = 0  # expected revision of a key that must not exist
 NO_LEASE = 0
