Usage reports: count requests by window over all routers, and report them

Cause: the platform wants, for each window and customer, the number of requests that backend servers began, from one router at a time, within 5% for each customer. Change: each router counts a request once, when the first bytes of its stream arrive or the head of a response that a server wrote after a run. Counts are cumulative and go to peers in their reports. Without the duty in the settings nothing is counted or sent.

--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -65,6 +65,15 @@
             "store_era_errors", "responses of the store without a valid era, by reason", "reason"
         )
         self.peers = self._gauge("peers", "other routers that report to this one")
+        self.usage_windows = self._counter(
+            "usage_windows", "windows of usage reports, by step or reason of loss", "result"
+        )
+        self.usage_dropped = self._counter(
+            "usage_dropped", "requests that are in no usage report because they came too late"
+        )
+        self.clock_error_ms = self._gauge(
+            "clock_error_ms", "wall clock of this host less the true time"
+        )
         self.first_event_seconds = self._histogram(
             "first_event_seconds", "time from arrival to the first event"
         )
@@ -100,8 +109,8 @@
         """:return: all metrics in the Prometheus text format"""
         return generate_latest(self.registry)
 
-    def _counter(self, name: str, help_text: str, label: str) -> Counter:
-        return Counter(f"boragetiller_{name}", help_text, [label], registry=self.registry)
+    def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
+        return Counter(f"boragetiller_{name}", help_text, labels, registry=self.registry)
 
     def _gauge(self, name: str, help_text: str, *labels: str) -> Gauge:
         return Gauge(f"boragetiller_{name}", help_text, labels, registry=self.registry)
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -15,6 +15,7 @@
 from boragetiller.gateway.backend_registry import BackendRegistry
 from boragetiller.gateway.call_handler import CallHandler
 from boragetiller.gateway.dispatcher import CallDispatcher
+from boragetiller.gateway.duties.usage_counter import build_usage_counter
 from boragetiller.gateway.listener import Listener
 from boragetiller.gateway.metrics import GatewayMetrics
 from boragetiller.gateway.peer_exchange import PeerExchange
@@ -65,6 +66,7 @@
         self.metrics = GatewayMetrics()
         self.registry = BackendRegistry(settings, dialect, clock, self.metrics)
         self.state_sync = StateSync(settings.name, self.registry, costs, clock)
+        self.state_sync.usage = self._usage = build_usage_counter(settings, clock, self.metrics)
         rng = random.Random(settings.name)
         self._dispatcher = CallDispatcher(
             settings, self.registry, self.state_sync, dialect, clock, self.metrics, rng
@@ -98,6 +100,8 @@
         await self._prefix_cache_reader.start()
         await self._store_watcher.start()
         await self.peer_exchange.start()
+        if self._usage is not None:
+            await self._usage.start(self.state_sync.report_due.set)
         await wait_until(lambda: self.registry.is_ready, self._initial_sync_timeout_ms)
         for listener in self._listeners:
             await listener.start()
@@ -131,6 +135,8 @@
         await self._dispatcher.close()
         await self._prefix_cache_reader.close()
         await self._store_watcher.close()
+        if self._usage is not None:
+            await self._usage.close()
         await self.peer_exchange.close()
         await self.registry.close()
 
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -12,11 +12,16 @@
 from boragetiller.gateway.admitted_call import AdmittedCall
 from boragetiller.gateway.backend_connections import ResponseTooLarge
 from boragetiller.gateway.event_stream import EventSplitter, EventTooLarge
-from boragetiller.gateway.responses import EventWriter
 from boragetiller.gateway.server_client import NOT_SENT_ERRORS, TRANSPORT_ERRORS, OutgoingRequest
+from boragetiller.gateway.stream_state import StreamState
 from boragetiller.systems.crash_suspects import has_survived_start
 from boragetiller.systems.prefix_cache import estimate_uncached_tokens
-from boragetiller.systems.response_outcomes import SUCCESS, classify_complete, classify_head
+from boragetiller.systems.response_outcomes import (
+    SUCCESS,
+    classify_complete,
+    classify_head,
+    describe_head,
+)
 from boragetiller.systems.response_timeouts import compute_stream_timeouts
 from boragetiller.systems.server_placement import compute_stream_sensitivity
 from boragetiller.tables.call_metadata import ForwardMetadata
@@ -41,36 +46,11 @@
     from boragetiller.gateway.platform_interface import Dialect
     from boragetiller.gateway.server_client import ServerResponse
     from boragetiller.gateway.state_sync import StateSync
-    from boragetiller.tables.call_metadata import ResponseMetadata
     from boragetiller.tables.servers import BackendServer
 
 MAX_RESPONSE_BODY_RATIO = 4  # size limit of a response body, in limits of a request body
 
 
-@attrs.define(kw_only=True)
-class StreamState:
-    """Progress of a stream towards the caller."""
-
-    event_writer: EventWriter
-    last_event_id: str | None
-    first_event_ms: int | None = None  # monotonic time of the first event
-    last_event_ms: int = 0  # monotonic time of the last event
-    longest_gap_ms: int = 0  # between two events
-    complete: bool = False
-
-    def record_event(self, now_ms: int) -> None:
-        """
-        Record the arrival of an event.
-
-        :param now_ms: monotonic time in milliseconds
-        """
-        if self.first_event_ms is None:
-            self.first_event_ms = now_ms
-        else:
-            self.longest_gap_ms = max(self.longest_gap_ms, now_ms - self.last_event_ms)
-        self.last_event_ms = now_ms
-
-
 @attrs.frozen(kw_only=True)
 class EventTimeout:
     """Time limits on the first event of a stream and between events."""
@@ -206,9 +186,13 @@
             attempt.server.record_reported_load(reported_requests, self._clock.now_ms())
         if metadata.sealed or metadata.limit_per_s is not None:
             self._registry.record_limit(attempt.server, metadata.limit_per_s)
+        if self._state_sync.usage is not None:
+            self._state_sync.usage.record_head(
+                attempt.call, attempt.progress, metadata, attempt.server.name
+            )
         outcome = classify_head(metadata, attempt.server.name)
         if outcome is not None:
-            return DirectAttemptResult(outcome, detail=_describe_head(metadata))
+            return DirectAttemptResult(outcome, detail=describe_head(metadata))
         if stream is not None and metadata.status in SUCCESS:
             return await self._relay_events(attempt, stream, response)
         if stream is not None and stream.event_writer.started:
@@ -224,7 +208,7 @@
             server=attempt.server.name, status=metadata.status, headers=headers, body=body
         )
         return DirectAttemptResult(
-            classify_complete(metadata), complete, detail=_describe_head(metadata)
+            classify_complete(metadata), complete, detail=describe_head(metadata)
         )
 
     async def _relay_events(
@@ -233,6 +217,8 @@
         splitter = EventSplitter(stream.last_event_id)
         headers = self._build_response_headers(attempt, response)
         async for chunk in response.iter_chunks():
+            if self._state_sync.usage is not None:
+                self._state_sync.usage.record_begin(attempt.call, attempt.progress)
             events = splitter.feed(chunk)
             if not events.count:
                 continue
@@ -323,12 +309,4 @@
     )
 
 
-def _describe_head(metadata: ResponseMetadata) -> str:
-    sealed = "sealed" if metadata.sealed else "not sealed"
-    encoded = ", encoded" if metadata.encoded else ""
-    not_run = ", not run" if metadata.not_run else ""
-    instance = f", instance {metadata.instance!r:.40}" if metadata.instance else ""
-    return f"status {metadata.status}, {sealed}{encoded}{not_run}{instance}"
-
-
 __all__ = ["OutgoingAttempt", "CallSender", "EventTimeout", "StreamState"]
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -9,7 +9,8 @@
 
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.peer_messages import CachedPrompt, PeerReport, ReportedLoad
-from boragetiller.store_eras import get_era, get_store_revision
+from boragetiller.gateway.store_revisions import StoreRevisions, is_newer
+from boragetiller.store_eras import get_era
 from boragetiller.systems.failure_history import apply_failure, list_crashes
 from boragetiller.systems.part_quarantine import apply_report, list_reports
 from boragetiller.systems.peer_loads import record_report, remove_load, remove_peer, set_load
@@ -20,10 +21,12 @@
 from boragetiller.systems.watcher_election import WatcherElection
 from boragetiller.tables.recent_items import RecentItems
 from boragetiller.tables.servers import PeerLoad
+from boragetiller.tables.usage import UsageCursor
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
     from boragetiller.gateway.backend_registry import BackendRegistry
+    from boragetiller.gateway.duties.usage_counter import UsageCounter
     from boragetiller.gateway.settings import Endpoint
     from boragetiller.tables.call_metadata import Prompt
     from boragetiller.tables.routes import EngineProfile
@@ -35,23 +38,6 @@
 MAX_RECENT_PROMPTS = 512  # enough for those sent in the 100 ms between two reports
 
 
-@attrs.frozen
-class StoreRevisions:
-    """Extended revisions of the newest known configuration and list of backend servers."""
-
-    config: int
-    servers: int
-
-    def is_newer_than(self, other: StoreRevisions) -> bool:
-        """:return: whether either revision is higher than the other's"""
-        return _is_newer(self.config, other.config) or _is_newer(self.servers, other.servers)
-
-    def is_eras_ahead_of(self, other: StoreRevisions) -> bool:
-        """:return: whether the other router has missed a restore of the store"""
-        pairs = ((self.config, other.config), (self.servers, other.servers))
-        return any(theirs and get_era(own) > get_era(theirs) > 0 for own, theirs in pairs)
-
-
 @attrs.define
 class ReportCursor:
     """Position up to which prompts, failures and loads have been reported on a connection."""
@@ -62,6 +48,7 @@
     limits: int = 0
     removals: int = 0
     loads: dict[str, ReportedLoad] = attrs.field(factory=dict)  # by server, without idle ones
+    usage: UsageCursor = attrs.field(factory=UsageCursor)
 
 
 class StateSync:
@@ -82,6 +69,7 @@
         self.store_polls = StorePollSchedule()
         self.watcher_election = WatcherElection(name)
         self.reporting_share = 1.0  # see systems.report_peers
+        self.usage: UsageCounter | None = None  # None if usage is not reported
         self.report_due = asyncio.Event()  # set by what peers must know before the next interval
         self._registry = registry
         self._registry.on_crash_recorded = self.report_due.set
@@ -121,7 +109,7 @@
             item
             for prefix, revision in pairs
             for item in view.newer_than(prefix, 0)
-            if _is_newer(item.revision, revision)
+            if is_newer(item.revision, revision)
         ]
 
     def list_items_lost_in_restore(self) -> list[StoredItem]:
@@ -183,6 +171,7 @@
             reaches_store=self.watcher_election.own_store_reachable,
             watches=self.watcher_election.own_store_reachable
             and self.watcher_election.is_watcher(self._clock.now_ms()),
+            usage=() if self.usage is None else self.usage.build_entries(cursor.usage),
         )
         cursor.prompts, cursor.failures = self._recent_prompts.count, failures.count
         cursor.part_crashes, cursor.limits = part_crashes.count, limits.count
@@ -227,6 +216,8 @@
                 self._registry.log_limit(limit.server, peer)
         self.store_polls.record_peer_polls(peer, report.store_reads, now_ms)
         self.watcher_election.record_peer(peer, now_ms, reaches_store=report.reaches_store)
+        if self.usage is not None:
+            self.usage.apply_entries(peer, report.usage)
 
     def apply_items(self, items: tuple[StoredItem, ...], peer: str) -> None:
         """
@@ -260,6 +251,8 @@
         remove_peer(self._registry.peer_loads, peer)
         self.store_polls.peer_polls.pop(peer, None)
         self.watcher_election.remove_peer(peer)
+        if self.usage is not None:
+            self.usage.remove_peer(peer)
 
     def _apply_failures(self, peer: str, report: PeerReport, now_ms: int) -> None:
         history = self._registry.failure_history
@@ -303,12 +296,6 @@
         record_prefill(server, prompt, self._costs, cache_tokens, self._clock.now_ms())
 
 
-def _is_newer(own: int, other: int) -> bool:
-    if get_era(other) == 0:  # of a router that knows no eras yet, or has no entries
-        return get_store_revision(own) > other
-    return own > other
-
-
 def _to_peer_load(load: ReportedLoad) -> PeerLoad:
     return PeerLoad(
         in_flight=load.in_flight,
--- a/src/boragetiller/systems/response_outcomes.py
+++ b/src/boragetiller/systems/response_outcomes.py
@@ -64,4 +64,13 @@
     return DirectAttemptOutcome.GARBLED
 
 
-__all__ = ["SUCCESS", "classify_complete", "classify_head", "states_not_run"]
+def describe_head(metadata: ResponseMetadata) -> str:
+    """:return: what the classification depends on, for the log"""
+    sealed = "sealed" if metadata.sealed else "not sealed"
+    encoded = ", encoded" if metadata.encoded else ""
+    not_run = ", not run" if metadata.not_run else ""
+    instance = f", instance {metadata.instance!r:.40}" if metadata.instance else ""
+    return f"status {metadata.status}, {sealed}{encoded}{not_run}{instance}"
+
+
+__all__ = ["SUCCESS", "classify_complete", "classify_head", "describe_head", "states_not_run"]
--- a/src/boragetiller/tables/direct_attempts.py
+++ b/src/boragetiller/tables/direct_attempts.py
@@ -77,6 +77,7 @@
     attempts: int = 0
     may_have_run_on: set[str] = attrs.field(factory=set)  # names of backend servers
     relayed_events: int = 0
+    begun: bool = False  # whether it was counted for the usage reports
     verdict: Verdict = Verdict.NOT_RUN
     server_status: int | None = None  # of the last attempt's response, None without a response
     server_error: CompleteResponse | None = None  # returned if no later attempt succeeds
--- /dev/null
+++ b/tests/gateway/duties/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the duties in :mod:`boragetiller.gateway`."""
+
+from __future__ import annotations
