--- a/src/boragetiller/tables/routes.py
+++ b/src/boragetiller/tables/routes.py
@@ -60,6 +60,15 @@
     memory_tokens: int
 
 
+@attrs.frozen(kw_only=True)
+class ScalingPolicy:
+    """Limits of the number of servers that a group has in each failure domain."""
+
+    min_servers: int
+    max_servers: int
+    boot_ms: float  # time that a server takes to start
+
+
 @attrs.frozen(kw_only=True)
 class BackendGroup:
     """Backend servers that serve the same requests."""
@@ -67,6 +76,7 @@
     name: str
     max_connections: int  # accepted by one backend server from all its clients
     engine: EngineProfile | None = None  # None for a plain service
+    scaling: ScalingPolicy | None = None  # None if the number of servers is not ours to choose
 
 
 @attrs.frozen(kw_only=True)
@@ -106,5 +116,6 @@
     "Route",
     "RouteConfig",
     "RouteCustomer",
+    "ScalingPolicy",
     "WeightedGroup",
 ]
