Duties: acquire, renew and release them in the store, and call the platform's API

Cause: some calls to the platform are to be made by one router at a time. Change: settings, client of leases and transactions, client of the API, decisions in systems/duties, DutyHolder with one contender for each duty, wired into the process. HeardRouters is taken out of the exchange with peers, which gets smaller.

--- a/src/boragetiller/clock.py
+++ b/src/boragetiller/clock.py
@@ -1,4 +1,4 @@
-"""Clocks that return milliseconds: monotonic, wall-clock and manually advanced."""
+"""Clocks that return milliseconds: monotonic, boot time, wall-clock and manually advanced."""
 
 from __future__ import annotations
 
@@ -22,6 +22,14 @@
         return time.monotonic_ns() // 1_000_000
 
 
+class BoottimeClock:
+    """Monotonic time of this host that includes the time in which the host was suspended."""
+
+    def now_ms(self) -> int:
+        """:return: time in milliseconds"""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
 class WallClock:
     """Wall-clock time, for ages that are computed from timestamps of other hosts."""
 
@@ -55,4 +63,4 @@
     return time.time_ns() // 1_000
 
 
-__all__ = ["Clock", "ManualClock", "SystemClock", "WallClock", "new_incarnation"]
+__all__ = ["BoottimeClock", "Clock", "ManualClock", "SystemClock", "WallClock", "new_incarnation"]
--- a/src/boragetiller/gateway/daemon.py
+++ b/src/boragetiller/gateway/daemon.py
@@ -19,6 +19,8 @@
     from collections.abc import Callable
     from socket import socket
 
+    from boragetiller.gateway.duties.settings import DutySettings
+    from boragetiller.gateway.duty_interface import DutyClients
     from boragetiller.gateway.platform_interface import Dialect, StoreClient
     from boragetiller.gateway.settings import Endpoint, GatewaySettings
 
@@ -28,6 +30,7 @@
     load: Callable[[], GatewaySettings],
     dialect: Dialect,
     open_store: Callable[[Endpoint], StoreClient],
+    open_duty_clients: Callable[[StoreClient, DutySettings], DutyClients],
     caller_socket: socket,
 ) -> int:
     """
@@ -37,6 +40,7 @@
     :param load: reads the settings file; raises SettingsInvalid
     :param dialect: header names and data formats of the platform
     :param open_store: creates the client of the platform's store
+    :param open_duty_clients: creates the clients that duties need; called only with duties
     :param caller_socket: socket that listens for connections of callers
     :return: exit code
     """
@@ -44,7 +48,9 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    process = GatewayProcess(settings, dialect, open_store(settings.store), caller_socket)
+    store = open_store(settings.store)
+    duties = None if settings.duties is None else open_duty_clients(store, settings.duties)
+    process = GatewayProcess(settings, dialect, store, caller_socket, duties)
     sink = LogSink(
         sys.stdout.fileno(), settings.name, SystemClock().now_ms, process.metrics.count_dropped_line
     )
--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -19,6 +19,7 @@
 from boragetiller.control.errors import BadFrame, FrameTooLarge
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.backend_connections import enable_keepalive
+from boragetiller.gateway.heard_routers import HeardRouters
 from boragetiller.gateway.peer_messages import (
     LENGTH_BYTES,
     MAX_FRAME_BYTES,
@@ -59,7 +60,6 @@
 MAX_BUFFER_BYTES = 2_000_000  # of unsent data, after which a slow peer is disconnected
 MAX_KNOWN_ROUTERS = 1_024  # more than twice the planned size of the fleet
 MIN_INBOUND_PEERS = 8  # with fewer, seeds stay connected, so that lost peers isolate no router
-MEMBER_TTL_MS = 30_000  # for which an unheard router keeps its share of limits
 REMOVE_AFTER_MS = 30_000  # an unreachable router is removed after this time unless it is a seed
 
 
@@ -124,7 +124,7 @@
         self._outbound_peers: dict[Endpoint, OutboundPeer] = {}
         self._report_task: asyncio.Task[None] | None = None
         self._inbound_writers: set[asyncio.StreamWriter] = set()
-        self._heard_ms: dict[Endpoint, int] = {}  # when a router last had a connection to this one
+        self.heard_routers = HeardRouters(settings.name)
         self._server: asyncio.Server | None = None
         self._seeds: tuple[Endpoint, ...] = ()
         self._eras = (0, 0)  # of the newest known configuration and list of backend servers
@@ -213,23 +213,11 @@
         self._update_connections()
 
     def _update_members(self) -> None:
-        """
-        Update the routers that share limits.
-
-        A router that was heard lately may only be cut off or restarting, so it keeps its share.
-        """
-        now_ms = self._clock.now_ms()
-        for peer in self._inbound_peers.values():
-            self._heard_ms[peer.endpoint] = now_ms
-        self._heard_ms = {
-            endpoint: heard_ms
-            for endpoint, heard_ms in self._heard_ms.items()
-            if now_ms - heard_ms < MEMBER_TTL_MS
-        }
-        members = set(self._heard_ms)
-        if len(self._known_endpoints) > MAX_PEERS:
-            members |= self._known_endpoints
-        self._state_sync.set_members(str(self.endpoint), frozenset(map(str, members)))
+        """Update the routers that share limits and duties."""
+        connected = (peer.endpoint for peer in self._inbound_peers.values())
+        known, now_ms = self._known_endpoints, self._clock.now_ms()
+        self.heard_routers.update(self.endpoint, connected, known, now_ms)
+        self._state_sync.set_members(str(self.endpoint), self.heard_routers.view.known)
 
     async def _maintain_connection(self, endpoint: Endpoint) -> None:
         reached_ms = self._clock.now_ms()
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -15,6 +15,7 @@
 from boragetiller.gateway.backend_registry import BackendRegistry
 from boragetiller.gateway.call_handler import CallHandler
 from boragetiller.gateway.dispatcher import CallDispatcher
+from boragetiller.gateway.duties.parts import DutyParts
 from boragetiller.gateway.listener import Listener
 from boragetiller.gateway.metrics import GatewayMetrics
 from boragetiller.gateway.peer_exchange import PeerExchange
@@ -30,6 +31,7 @@
     from collections.abc import Awaitable, Callable
     from socket import socket
 
+    from boragetiller.gateway.duty_interface import DutyClients
     from boragetiller.gateway.platform_interface import Dialect, StoreClient
     from boragetiller.gateway.settings import GatewaySettings
 
@@ -49,6 +51,7 @@
         dialect: Dialect,
         store: StoreClient,
         caller_socket: socket | None = None,
+        duty_clients: DutyClients | None = None,
     ) -> None:
         """
         Create the components.
@@ -57,6 +60,7 @@
         :param dialect: header names and data formats of the platform
         :param store: the platform's store
         :param caller_socket: listening socket for callers, None to open one
+        :param duty_clients: clients that duties need, None without duties
         """
         self._settings = settings
         self._adapter = Path(inspect.getfile(type(dialect))).parent
@@ -76,6 +80,12 @@
         self._store_watcher = StoreWatcher(
             settings, store, self.registry, dialect, self.state_sync, clock, self.metrics, rng
         )
+        self.duties: DutyParts | None = None
+        if settings.duties is not None and duty_clients is not None:
+            heard = self.peer_exchange.heard_routers
+            self.duties = DutyParts(
+                settings.name, settings.duties, duty_clients, heard, clock, rng, self.metrics
+            )
         self._prefix_cache_reader = PrefixCacheReader(self.registry, dialect)
         self.caller_listener = Listener(
             self.call_handler.build_server(), settings.callers, caller_socket
@@ -98,6 +108,8 @@
         await self._prefix_cache_reader.start()
         await self._store_watcher.start()
         await self.peer_exchange.start()
+        if self.duties is not None:
+            await self.duties.start()
         await wait_until(lambda: self.registry.is_ready, self._initial_sync_timeout_ms)
         for listener in self._listeners:
             await listener.start()
@@ -115,7 +127,9 @@
         log_event(Event.PROCESS_STOPPING, role="gateway", name=self._settings.name)
         settings = self._settings
         self.call_handler.stopping = True
-        await asyncio.sleep(settings.refuse_after_ms / 1_000)
+        await asyncio.gather(
+            asyncio.sleep(settings.refuse_after_ms / 1_000), self._release_duties()
+        )
         self.call_handler.refusing = True
         left_ms = settings.grace_ms - settings.refuse_after_ms - EXIT_MARGIN_MS
         await wait_until_idle(lambda: self.call_handler.in_progress, left_ms)
@@ -129,6 +143,8 @@
         for listener in self._listeners:
             await listener.close()
         await self._dispatcher.close()
+        if self.duties is not None:
+            await self.duties.abort()
         await self._prefix_cache_reader.close()
         await self._store_watcher.close()
         await self.peer_exchange.close()
@@ -142,6 +158,11 @@
         """
         self.peer_exchange.set_seeds(settings.seeds)
 
+    async def _release_duties(self) -> None:
+        """Hand over duties while calls are drained, so that the duties do not wait for that."""
+        if self.duties is not None:
+            await self.duties.close()
+
     async def _handle_ready(self, _request: web.BaseRequest) -> web.Response:
         ready = self.registry.is_ready and not self.call_handler.stopping
         return web.Response(status=200 if ready else 503)
--- a/src/boragetiller/gateway/supervisor.py
+++ b/src/boragetiller/gateway/supervisor.py
@@ -33,7 +33,7 @@
         try:
             await run()
         except Exception as error:  # noqa: BLE001
-            _record_failure(name, error, metrics)
+            record_failure(name, error, metrics)
         await asyncio.sleep(RESTART_DELAY_MS / 1_000)
 
 
@@ -48,15 +48,22 @@
     def handle(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         error = context.get("exception")
         if error is not None:
-            _record_failure("event loop", error, metrics)
+            record_failure("event loop", error, metrics)
         loop.default_exception_handler(context)
 
     loop.set_exception_handler(handle)
 
 
-def _record_failure(name: str, error: BaseException, metrics: GatewayMetrics) -> None:
+def record_failure(name: str, error: BaseException, metrics: GatewayMetrics) -> None:
+    """
+    Log and count an unexpected error of a background task.
+
+    :param name: name of the task in the log
+    :param error: the error
+    :param metrics: counter of the failures
+    """
     metrics.task_failures.labels(name).inc()
     log_event(Event.TASK_FAILED, task=name, reason=repr(error), raised_at=format_origin(error))
 
 
-__all__ = ["record_loop_errors", "run_supervised"]
+__all__ = ["record_failure", "record_loop_errors", "run_supervised"]
--- a/src/boragetiller/tables/duties.py
+++ b/src/boragetiller/tables/duties.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from boragetiller.tables.store_writes import ExpectedRevision
+from boragetiller.tables.store_writes import ExpectedRevision, StoreLease
 
 
 class DutyKind(Enum):
@@ -48,6 +48,70 @@
     STOPPED = "stopped"  # the process stops
 
 
+@attrs.frozen(kw_only=True)
+class DutyRecord:
+    """Value of both keys of a duty: who acquired it last."""
+
+    token: int
+    holder: str
+    incarnation: int  # of the holder
+    attempt: int  # number of the attempt to acquire among those of the incarnation
+    lease_id: int
+
+
+@attrs.frozen
+class StoredRecord:
+    """A record and its extended revision in the store."""
+
+    record: DutyRecord
+    revision: int
+
+
+@attrs.frozen(kw_only=True)
+class StoredDuty:
+    """The keys of a duty as read from the store."""
+
+    era: int
+    position: int  # extended revision after which changes are to be watched
+    lease: StoredRecord | None  # None if no router holds the duty
+    token: StoredRecord | None  # None if no router has held it in this era
+
+
+@attrs.frozen(kw_only=True)
+class HeldLease:
+    """The lease under which a router holds its duties."""
+
+    lease: StoreLease
+    sent_ms: int  # when the request for it or its last renewal was sent
+    valid_until_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class HeldDuty:
+    """A duty that this router acquired."""
+
+    token: StoredRecord  # of the key that counts tokens
+    lease_revision: int  # extended revision of the key under the lease
+    era: int
+    acquired_ms: int  # when the answer to the transaction arrived
+
+
+@attrs.frozen(kw_only=True)
+class ReleasedDuty:
+    """A duty that this router gave up."""
+
+    token: int
+    released_ms: int
+
+
+@attrs.define
+class SeenEra:
+    """Era of the store, and since when this router has known it."""
+
+    era: int
+    since_ms: int
+
+
 @attrs.frozen(kw_only=True)
 class UsageReport:
     """Number of requests of each customer in one window."""
@@ -65,4 +129,18 @@
     servers: int
 
 
-__all__ = ["Duty", "DutyKind", "Holding", "LossReason", "ServerOrder", "UsageReport"]
+__all__ = [
+    "Duty",
+    "DutyKind",
+    "DutyRecord",
+    "HeldDuty",
+    "HeldLease",
+    "Holding",
+    "LossReason",
+    "ReleasedDuty",
+    "SeenEra",
+    "ServerOrder",
+    "StoredDuty",
+    "StoredRecord",
+    "UsageReport",
+]
