Duties: register the tasks, order servers, and send counts to candidates in large fleets

Cause: the reporter and the controller need a place that starts them, and beyond 64 routers a candidate hears only some of the others. Change: DutyTasks registers the tasks; ServerController stores an order before it sends it, so that a successor starts from it; UsageLinks connects to the candidates in a large fleet (Hello.usageOnly); stored windows replace the router's own sums.

--- a/src/boragetiller/event_numbers.py
+++ b/src/boragetiller/event_numbers.py
@@ -88,6 +88,8 @@
     USAGE_WINDOW_LOST = 863
     USAGE_COUNTS_DROPPED = 864
     USAGE_STORE_FAILED = 865
+    SERVERS_ORDERED = 866
+    SERVER_ORDER_NOT_STORED = 867
 
 
 __all__ = ["Event"]
--- a/src/boragetiller/gateway/call_telemetry.py
+++ b/src/boragetiller/gateway/call_telemetry.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.events import Event, log_event
+from boragetiller.systems.direct_retry_policy import GiveUpReason
 from boragetiller.tables.direct_attempts import DirectAttemptOutcome
 
 if TYPE_CHECKING:
@@ -165,6 +166,8 @@
             )
         route = call.route.name
         self._metrics.answered.labels(route).inc()
+        if first_ms > call.route.target_ms:
+            self._metrics.late.labels(call.group.name).inc()
         self._metrics.response_seconds.labels(route).observe(elapsed_ms / 1_000)
         self._metrics.first_event_seconds.labels(route).observe(first_ms / 1_000)
         log_event(
@@ -201,6 +204,8 @@
         :param status: HTTP status sent to the caller, None if the connection is closed instead
         """
         self._metrics.failed.labels(step.reason.value).inc()
+        if step.reason in {GiveUpReason.FULL, GiveUpReason.NO_ROOM}:
+            self._metrics.group_refusals.labels(call.group.name).inc()
         log_event(
             Event.CALL_FAILED,
             request_id=call.metadata.request_id,
--- a/src/boragetiller/gateway/duties/usage_counter.py
+++ b/src/boragetiller/gateway/duties/usage_counter.py
@@ -66,6 +66,7 @@
         self._wall_clock = wall_clock or WallClock()
         self._metrics = metrics
         self._true_time = TrueTime()
+        self.has_links = False  # entries are sent by UsageLinks and not in reports to all peers
         self._request_report: Callable[[], None] | None = None  # None until the start
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -127,9 +128,13 @@
         if not record_begin(self.windows, call.customer.name, self.get_true_ms()):
             self._metrics.usage_dropped.inc()
 
+    def build_report_entries(self, cursor: UsageCursor) -> tuple[UsageCounts, ...]:
+        """:return: entries of a report to all peers; see :meth:`build_entries`"""
+        return () if self.has_links else self.build_entries(cursor)
+
     def build_entries(self, cursor: UsageCursor) -> tuple[UsageCounts, ...]:
         """
-        Build the entries of a report to peers.
+        Build the entries that are due on a connection.
 
         :param cursor: what has been reported; it is advanced
         :return: the entries
--- a/src/boragetiller/gateway/duties/usage_reporter.py
+++ b/src/boragetiller/gateway/duties/usage_reporter.py
@@ -27,6 +27,7 @@
     record_stored,
     skip_window,
 )
+from boragetiller.systems.duties.usage_windows import adopt_window
 from boragetiller.tables.duties import UsageReport
 from boragetiller.tables.store_writes import CommitStatus
 from boragetiller.tables.usage import UsageReports
@@ -120,6 +121,7 @@
             except EntryUnreadable as error:
                 log_event(Event.USAGE_STORE_FAILED, window_no=None, call="list", reason=str(error))
         load_windows(self._reports, readable)
+        self._adopt_windows()
         return True
 
     async def _store_next_window(self, holding: Holding) -> None:
@@ -173,6 +175,11 @@
                     self._log_lost([skip_window(self._reports, window.window_no)])
                     return
                 record_stored(self._reports, stored)
+                self._adopt_windows()
+
+    def _adopt_windows(self) -> None:
+        for window in self._reports.stored.values():
+            adopt_window(self._counter.windows, window)
 
     async def _send_next_report(self, holding: Holding) -> bool:
         """:return: whether a report was acknowledged, so that the next one may be sent"""
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -71,6 +71,15 @@
         self.usage_dropped = self._counter(
             "usage_dropped", "requests that are in no usage report because they came too late"
         )
+        self.server_orders = self._counter(
+            "server_orders", "orders of a number of servers, by result", "result"
+        )
+        self.late = self._counter(
+            "late", "calls answered or begun after the target of their route", "group"
+        )
+        self.group_refusals = self._counter(
+            "group_refusals", "calls that found no server with room", "group"
+        )
         self.clock_error_ms = self._gauge(
             "clock_error_ms", "wall clock of this host less the true time"
         )
--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -21,15 +21,14 @@
 from boragetiller.gateway.backend_connections import enable_keepalive
 from boragetiller.gateway.heard_routers import HeardRouters
 from boragetiller.gateway.peer_messages import (
-    LENGTH_BYTES,
-    MAX_FRAME_BYTES,
     PeerHello,
     PeerItems,
     PeerReport,
     PeerRouters,
-    decode_payload,
     encode_frame,
 )
+from boragetiller.gateway.peer_reading import read_message
+from boragetiller.gateway.peer_states import OutboundPeer
 from boragetiller.gateway.settings import Endpoint
 from boragetiller.gateway.state_sync import StoreRevisions
 from boragetiller.gateway.supervisor import run_supervised
@@ -42,7 +41,6 @@
 
     from boragetiller.clock import Clock
     from boragetiller.gateway.metrics import GatewayMetrics
-    from boragetiller.gateway.peer_messages import PeerMessage
     from boragetiller.gateway.settings import GatewaySettings
     from boragetiller.gateway.state_sync import StateSync
     from boragetiller.tables.store_view import StoredItem
@@ -53,7 +51,6 @@
 KEEPALIVE_INTERVAL_MS = 500  # between reports without changes
 CONNECT_TIMEOUT_MS = 1_000
 RECONNECT_DELAY_MS = 1_000
-RECEIVE_TIMEOUT_MS = 3_000  # a peer that sends nothing for so long is disconnected
 RESEND_DELAY_MS = 300  # a peer that watches the store gets missing entries only after this lag
 RESEND_TURNS = 8  # of the peers that send the list to a router that missed a restore
 LOST_ITEMS_DELAY_MS = 300  # after a change of an era, in which entries arrive one by one
@@ -75,16 +72,6 @@
     servers_sent_ms: int = -RESEND_DELAY_MS  # when changes of it were last sent without delay
 
 
-@attrs.define
-class OutboundPeer:
-    """A connection on which this router reports to a peer."""
-
-    writer: asyncio.StreamWriter
-    routers: set[Endpoint] = attrs.field(factory=set)  # whose addresses it was sent
-    # Eras of the configuration and the servers of which it was sent what the restored store lacks.
-    lost_items_eras: tuple[int, int] = (0, 0)
-
-
 def report_interval_ms(peers: int) -> int:
     """
     Compute the interval between reports; it grows with the fleet to bound the total rate.
@@ -159,6 +146,10 @@
         """:return: number of other routers whose address is known"""
         return len(self._known_endpoints)
 
+    def list_known_endpoints(self) -> set[Endpoint]:
+        """:return: addresses of all other routers that are known"""
+        return set(self._known_endpoints)
+
     def list_dialed_endpoints(self) -> set[Endpoint]:
         """:return: addresses of routers that are connected or being connected to"""
         return set(self._connection_tasks)
@@ -373,12 +364,15 @@
             writer.transport.abort()
 
     async def _receive(self, reader: asyncio.StreamReader) -> None:
-        hello = await _read_message(reader)
+        hello = await read_message(reader)
         if not isinstance(hello, PeerHello) or hello.name == self._settings.name:
             raise BadFrame("first message is not a hello of another router")
         endpoint = Endpoint(hello.address, hello.port)
         if not endpoint.is_valid:
             raise BadFrame(f"the hello of {hello.name} names the address {endpoint}")
+        if hello.usage_only:
+            await self._handle_usage(reader, hello.name)
+            return
         self._state_sync.peer_names[endpoint] = hello.name
         self._inbound_peers[hello.name] = peer = InboundPeer(hello.incarnation, endpoint)
         self._state_sync.remove_peer(hello.name)  # its first report holds all of its loads
@@ -393,11 +387,22 @@
                 self._state_sync.remove_peer(hello.name)
             self._update_peer_counts()
 
+    async def _handle_usage(self, reader: asyncio.StreamReader, name: str) -> None:
+        """Handle a connection of a router that may be no peer; see gateway.duties.usage_links."""
+        try:
+            while True:
+                message = await read_message(reader)
+                if isinstance(message, PeerReport):
+                    self._state_sync.apply_usage(name, message)
+        finally:
+            if self._state_sync.usage is not None:
+                self._state_sync.usage.remove_peer(name)
+
     async def _handle_messages(
         self, reader: asyncio.StreamReader, name: str, peer: InboundPeer
     ) -> None:
         while True:
-            message = await _read_message(reader)
+            message = await read_message(reader)
             if isinstance(message, PeerReport):
                 self._update_revisions(peer, message)
                 self._state_sync.apply_report(name, message)
@@ -416,12 +421,4 @@
             peer.behind_since_ms = self._clock.now_ms()
 
 
-async def _read_message(reader: asyncio.StreamReader) -> PeerMessage:
-    async with asyncio.timeout(RECEIVE_TIMEOUT_MS / 1_000):
-        size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
-        if size > MAX_FRAME_BYTES:
-            raise BadFrame(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES} bytes")
-        return decode_payload(await reader.readexactly(size))
-
-
 __all__ = ["PeerExchange"]
--- a/src/boragetiller/gateway/peer_messages.py
+++ b/src/boragetiller/gateway/peer_messages.py
@@ -39,6 +39,7 @@
     incarnation: int
     address: str
     port: int
+    usage_only: bool = False  # reports on the connection have only counts of requests
 
 
 @attrs.frozen
@@ -110,6 +111,7 @@
                 incarnation=hello.incarnation,
                 address=hello.address,
                 port=hello.port,
+                usage_only=hello.usageOnly,
             )
         case "report":
             return read_report(envelope.report)
@@ -138,7 +140,9 @@
 
 @_to_capnp.register
 def _(message: PeerHello) -> tuple[str, Any]:
-    return "hello", attrs.asdict(message)
+    fields = attrs.asdict(message)
+    fields["usageOnly"] = fields.pop("usage_only")
+    return "hello", fields
 
 
 @_to_capnp.register
--- a/src/boragetiller/gateway/peers.capnp
+++ b/src/boragetiller/gateway/peers.capnp
@@ -15,6 +15,7 @@
   incarnation @1 :UInt64;
   address @2 :Text;
   port @3 :UInt16;
+  usageOnly @4 :Bool;  # reports on this connection have counts of requests and nothing else
 }
 
 struct Address {
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -16,6 +16,7 @@
 from boragetiller.gateway.call_handler import CallHandler
 from boragetiller.gateway.dispatcher import CallDispatcher
 from boragetiller.gateway.duties.parts import DutyParts
+from boragetiller.gateway.duties.tasks import DutyTasks
 from boragetiller.gateway.duties.usage_counter import build_usage_counter
 from boragetiller.gateway.listener import Listener
 from boragetiller.gateway.metrics import GatewayMetrics
@@ -88,6 +89,18 @@
             self.duties = DutyParts(
                 settings.name, settings.duties, duty_clients, heard, clock, rng, self.metrics
             )
+            self._duty_tasks = DutyTasks(
+                settings.name,
+                settings.duties,
+                self.duties,
+                store,
+                self.registry,
+                self.state_sync,
+                self.peer_exchange,
+                clock,
+                self.metrics,
+                rng,
+            )
         self._prefix_cache_reader = PrefixCacheReader(self.registry, dialect)
         self.caller_listener = Listener(
             self.call_handler.build_server(), settings.callers, caller_socket
@@ -114,6 +127,7 @@
             await self._usage.start(self.state_sync.report_due.set)
         if self.duties is not None:
             await self.duties.start()
+            await self._duty_tasks.start()
         await wait_until(lambda: self.registry.is_ready, self._initial_sync_timeout_ms)
         for listener in self._listeners:
             await listener.start()
@@ -153,6 +167,8 @@
         await self._store_watcher.close()
         if self._usage is not None:
             await self._usage.close()
+        if self.duties is not None:
+            await self._duty_tasks.close()
         await self.peer_exchange.close()
         await self.registry.close()
 
@@ -167,6 +183,7 @@
     async def _release_duties(self) -> None:
         """Hand over duties while calls are drained, so that the duties do not wait for that."""
         if self.duties is not None:
+            await self._duty_tasks.stop_updates()
             await self.duties.close()
 
     async def _handle_ready(self, _request: web.BaseRequest) -> web.Response:
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -171,7 +171,7 @@
             reaches_store=self.watcher_election.own_store_reachable,
             watches=self.watcher_election.own_store_reachable
             and self.watcher_election.is_watcher(self._clock.now_ms()),
-            usage=() if self.usage is None else self.usage.build_entries(cursor.usage),
+            usage=() if self.usage is None else self.usage.build_report_entries(cursor.usage),
         )
         cursor.prompts, cursor.failures = self._recent_prompts.count, failures.count
         cursor.part_crashes, cursor.limits = part_crashes.count, limits.count
@@ -216,6 +216,15 @@
                 self._registry.log_limit(limit.server, peer)
         self.store_polls.record_peer_polls(peer, report.store_reads, now_ms)
         self.watcher_election.record_peer(peer, now_ms, reaches_store=report.reaches_store)
+        self.apply_usage(peer, report)
+
+    def apply_usage(self, peer: str, report: PeerReport) -> None:
+        """
+        Apply the counts of requests in a router's report.
+
+        :param peer: name of the router
+        :param report: its report
+        """
         if self.usage is not None:
             self.usage.apply_entries(peer, report.usage)
 
--- a/src/boragetiller/systems/duties/usage_windows.py
+++ b/src/boragetiller/systems/duties/usage_windows.py
@@ -181,6 +181,20 @@
     return closed
 
 
+def adopt_window(windows: UsageWindows, stored: ClosedWindow) -> None:
+    """
+    Replace the sum of a window by that in the store.
+
+    If the store is restored from a copy without the window, it is stored again as it was sent.
+
+    :param windows: counts of the last windows
+    :param stored: the window in the store
+    """
+    window = windows.windows.get(stored.window_no)
+    if window is not None and _is_closed(windows, stored.window_no):
+        window.closed = stored
+
+
 def covers_window(windows: UsageWindows, window_no: int, true_ms: int, now_ms: int) -> bool:
     """
     Check whether all requests of a window were counted by a router that this one knows.
@@ -264,6 +278,7 @@
 
 
 __all__ = [
+    "adopt_window",
     "apply_entry",
     "build_entries",
     "close_windows",
