--- /dev/null
+++ b/tests/gateway/duties/test_server_controller.py
@@ -0,0 +1,123 @@
+"""Orders of servers: what is stored and sent, and what a successor starts from."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+from typing import Any
+
+from boragetiller.clock import ManualClock
+from boragetiller.errors import DutyApiBusy, DutyApiUnavailable
+from boragetiller.gateway.duties.server_controller import ServerController
+from boragetiller.gateway.metrics import GatewayMetrics
+from boragetiller.tables.duties import Duty, DutyKind, Holding, LossReason
+from boragetiller.tables.routes import ScalingPolicy
+from boragetiller.tables.server_targets import DomainLoad, ScalingConditions
+from boragetiller.tables.store_writes import ExpectedRevision
+from tests.gateway.duties.usage_fleet import TOKEN_KEY, FakeStore
+
+DUTY = Duty(DutyKind.SERVER_COUNT, "engines/a")
+
+
+class FakeApi:
+    def __init__(self) -> None:
+        self.orders: list[int] = []
+        self.error: Exception | None = None
+
+    async def order_servers(self, order: Any, _holding: Holding) -> None:
+        self.orders.append(order.servers)
+        if self.error is not None:
+            raise self.error
+
+
+class ServerControllerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock, self.store, self.api = ManualClock(), FakeStore(), FakeApi()
+        self.load = DomainLoad(ready=4, slots=0.5)
+        self.store_reachable = True
+        self.tokens = 0
+        self.holding = self.acquire()
+
+    def acquire(self) -> Holding:
+        self.tokens += 1
+        item = self.store.put(TOKEN_KEY, b"")
+        condition = ExpectedRevision(TOKEN_KEY, item.revision)
+        return Holding(
+            duty=DUTY, token=self.tokens, holder="r", valid_until_ms=0, era=0, condition=condition
+        )
+
+    def build(self) -> ServerController:
+        loads: Any = SimpleNamespace(
+            get_policy=lambda _: ScalingPolicy(min_servers=1, max_servers=20, boot_ms=20_000),
+            read=lambda *_: self.load,
+            read_conditions=lambda _g, _d, away_ms, _n: ScalingConditions(away_ms=away_ms),
+            is_store_reachable=lambda: self.store_reachable,
+        )
+        holder: Any = SimpleNamespace(get_valid=lambda *_: self.holding)
+        return ServerController(
+            DUTY, "engines", "a", loads, holder, self.store, self.api, self.clock, GatewayMetrics()
+        )
+
+    async def run_for(self, controller: ServerController, seconds: float) -> None:
+        holding = self.holding
+        for _ in range(round(seconds * 5)):
+            self.clock.advance(200)
+            await controller.run_once(holding)
+
+    async def test_successor_keeps_the_order_while_servers_start(self) -> None:
+        first = self.build()
+        await self.run_for(first, 5)
+        self.load = DomainLoad(ready=4, slots=0.9)
+        await self.run_for(first, 10)
+        self.assertEqual(self.api.orders, [5])
+        self.load = DomainLoad(ready=4, slots=0.7)
+        self.holding = self.acquire()
+        await self.run_for(self.build(), 5)
+        self.assertEqual(self.api.orders, [5, 5])  # its predecessor's call may not have arrived
+
+    async def test_nothing_is_ordered_that_is_not_stored(self) -> None:
+        # Guards against a successor that orders fewer servers than are starting.
+        controller = self.build()
+        await self.run_for(controller, 5)
+        self.store.is_down = True
+        self.load = DomainLoad(ready=4, slots=0.9)
+        await self.run_for(controller, 5)
+        self.assertEqual(self.api.orders, [])
+        self.store.is_down = False
+        self.store.lost_answers = 1
+        await self.run_for(controller, 15)
+        self.assertEqual(set(self.api.orders), {5})
+
+    async def test_deposed_holder_orders_nothing(self) -> None:
+        controller = self.build()
+        await self.run_for(controller, 5)
+        self.acquire()
+        self.load = DomainLoad(ready=4, slots=0.9)
+        await self.run_for(controller, 5)
+        self.assertEqual(self.api.orders, [])
+
+    async def test_busy_api_gets_one_call_per_second_and_a_silent_one_fewer(self) -> None:
+        for error, most in ((DutyApiBusy(), 10), (DutyApiUnavailable("timeout"), 1)):
+            with self.subTest(type(error).__name__):
+                self.setUp()
+                controller = self.build()
+                await self.run_for(controller, 5)
+                self.load, self.api.error = DomainLoad(ready=4, slots=0.9), error
+                await self.run_for(controller, 9.8)
+                self.assertLessEqual(len(self.api.orders), most)
+                self.api.error = None
+                await self.run_for(controller, 15)
+                self.assertGreater(len(self.api.orders), 1)
+                self.assertEqual(set(self.api.orders), {5})
+
+    async def test_state_is_dropped_with_the_duty(self) -> None:
+        controller = self.build()
+        await self.run_for(controller, 5)
+        await controller.on_lost(LossReason.EXPIRED)
+        self.store.put("boragetiller/servers/engines/a", b'{"servers": 7}')
+        await self.run_for(controller, 1)
+        self.assertEqual(self.api.orders, [7])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/gateway/duties/usage_fleet.py
+++ b/tests/gateway/duties/usage_fleet.py
@@ -29,7 +29,7 @@
 
 
 class FakeStore:
-    """Transactions on keys; `failure` is raised instead of an answer."""
+    """Transactions on keys, with calls that fail and answers that are lost."""
 
     def __init__(self) -> None:
         self.items: dict[str, StoredItem] = {}
@@ -48,6 +48,9 @@
         found = [item for key, item in self.items.items() if key.startswith(prefix)]
         return Listing(items=found, revision=self.revision)
 
+    async def get_key(self, key: str) -> Listing:
+        return await self.list_prefix(key)
+
     async def commit(self, transaction: Any) -> CommitResult:
         if self.is_down:
             raise StoreUnavailable("down")
