Usage reports: windows that ended before a router started are reported from its peers' counts

Cause: a router that took over right after its start gave up the window that its predecessor had not stored, although the peers had counted it, and logged the peers' counts as late. Change: such windows stay open until the peers have reported. Measured: the new test fails without the change; 22 tests in virtual time pass.

--- a/src/boragetiller/systems/duties/usage_reports.py
+++ b/src/boragetiller/systems/duties/usage_reports.py
@@ -131,11 +131,11 @@
     if closed_through is None:
         return None, []
     oldest_no = settings.find_window(true_ms - settings.late_ms) - 1
+    is_first = _is_first_holding(holding)
     first_no = reports.next_window_no
     if first_no is None:
         started_ms = true_ms - (now_ms - windows.started_ms)
-        first_no = max(oldest_no, settings.find_window(started_ms))
-    is_first = _is_first_holding(holding)
+        first_no = _find_first_counted(windows, started_ms) if is_first else oldest_no
     lost = []
     if first_no < oldest_no:
         lost.append(LostWindow(oldest_no - 1, "too_late"))
@@ -154,6 +154,12 @@
     return None, lost
 
 
+def _find_first_counted(windows: UsageWindows, started_ms: int) -> int:
+    """:return: number of the first window in which a router counted, when all have just started"""
+    counted = [number for number, window in windows.windows.items() if window.by_router]
+    return min([windows.settings.find_window(started_ms), *counted])
+
+
 def _is_first_holding(holding: Holding) -> bool:
     """:return: whether no router held the duty before, so that none counted before"""
     era, number = divmod(holding.token, 1 << TOKEN_BITS)
--- a/src/boragetiller/systems/duties/usage_windows.py
+++ b/src/boragetiller/systems/duties/usage_windows.py
@@ -25,6 +25,7 @@
 REPORT_INTERVAL_MS = 500  # of changed counts; a killed router loses what it counted since
 CLOSE_DELAY_MS = 1_500  # reports take 100 to 640 ms; the rest is for a loaded network
 LONGEST_CLOSE_SHARE = 0.5  # of the time for reporting; leaves the other half for repeated calls
+JOIN_MS = 2_000  # after its start a router has the counts of its peers, which it lacked before
 STOPPED_WINDOW_NO = (1 << 64) - 1  # in the last entry of a router that stops and counts no more
 ROUTER_TTL_MS = 30_000  # for which the counts of a silent router are waited for
 
@@ -168,10 +169,14 @@
     for name in silent:
         del windows.routers[name]
     if windows.closed_through is None:
-        windows.closed_through = settings.find_window(_started_ms(windows, true_ms, now_ms)) - 1
+        windows.closed_through = oldest_no - 1
+    is_joining = now_ms - windows.started_ms < JOIN_MS
+    started_ms = _started_ms(windows, true_ms, now_ms)
     closed = []
     for number in range(max(windows.closed_through + 1, oldest_no), current_no):
         missing = _list_missing(windows, number)
+        if is_joining and settings.start_ms(number) < started_ms:
+            break
         if true_ms < settings.end_ms(number) + _close_delay_ms(windows, is_complete=not missing):
             break
         window = windows.windows.setdefault(number, UsageWindow())
--- a/tests/gateway/duties/test_usage_reports.py
+++ b/tests/gateway/duties/test_usage_reports.py
@@ -176,6 +176,19 @@
         self.fleet.run_to(5, 0)
         self.assert_exact(range(4))
 
+    def test_successor_that_starts_after_the_window_has_ended(self) -> None:
+        # Guards against the loss of a window that the killed holder had not stored.
+        self.fleet.run_to(3, 400)
+        self.fleet.kill("a")
+        self.fleet.rates_per_s = {}
+        self.fleet.add("d")
+        self.fleet.run(0.1)
+        self.fleet.elect("d")
+        self.fleet.run_to(5, 0)
+        self.assert_exact(range(3))
+        dropped = self.fleet.routers["d"].metrics.usage_dropped
+        self.assertEqual(dropped._value.get(), 0)
+
     def test_restarted_single_router_does_not_report_what_it_has_not_counted(self) -> None:
         self.fleet = Fleet(("a",))
         self.fleet.run_to(2, 3_000)
