--- a/src/boragetiller/gateway/call_telemetry.py
+++ b/src/boragetiller/gateway/call_telemetry.py
@@ -166,7 +166,7 @@
             )
         route = call.route.name
         self._metrics.answered.labels(route).inc()
-        if first_ms > call.route.target_ms:
+        if call.group.scaling is not None and first_ms > call.route.target_ms:
             self._metrics.late.labels(call.group.name).inc()
         self._metrics.response_seconds.labels(route).observe(elapsed_ms / 1_000)
         self._metrics.first_event_seconds.labels(route).observe(first_ms / 1_000)
@@ -204,7 +204,8 @@
         :param status: HTTP status sent to the caller, None if the connection is closed instead
         """
         self._metrics.failed.labels(step.reason.value).inc()
-        if step.reason in {GiveUpReason.FULL, GiveUpReason.NO_ROOM}:
+        lacks_room = step.reason in {GiveUpReason.FULL, GiveUpReason.NO_ROOM}
+        if call.group.scaling is not None and lacks_room:
             self._metrics.group_refusals.labels(call.group.name).inc()
         log_event(
             Event.CALL_FAILED,
