--- a/src/boragetiller/gateway/duties/usage_counter.py
+++ b/src/boragetiller/gateway/duties/usage_counter.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from boragetiller.clock import WallClock, new_incarnation
+from boragetiller.clock import BoottimeClock, WallClock, new_incarnation
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.supervisor import run_supervised
 from boragetiller.systems.duties.true_time import compute_true_time, record_peer_clock
@@ -57,7 +57,7 @@
         Create the counter.
 
         :param windows: counts of the last windows
-        :param clock: monotonic clock
+        :param clock: clock of the time since boot, which goes on while the host is suspended
         :param metrics: counters of dropped requests, gauge of the clock's error
         :param wall_clock: wall clock of this host, None for that of the system
         """
@@ -93,6 +93,10 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def now_ms(self) -> int:
+        """:return: time since boot in milliseconds"""
+        return self._clock.now_ms()
+
     def get_true_ms(self) -> int:
         """:return: true time in milliseconds since the epoch"""
         return compute_true_time(self._true_time, self._wall_clock.now_ms(), self._clock.now_ms())
@@ -210,20 +214,18 @@
                 self._request_report()
 
 
-def build_usage_counter(
-    settings: GatewaySettings, clock: Clock, metrics: GatewayMetrics
-) -> UsageCounter | None:
+def build_usage_counter(settings: GatewaySettings, metrics: GatewayMetrics) -> UsageCounter | None:
     """
     Build the counter if the settings name the duty of usage reports.
 
     :param settings: settings of the process
-    :param clock: monotonic clock
     :param metrics: metrics of the process
     :return: the counter, None if nothing is to be counted
     """
     duties = settings.duties
     if duties is None or DutyKind.USAGE_REPORT not in duties.kinds:
         return None
+    clock = BoottimeClock()
     windows = UsageWindows(
         own=RouterStart(settings.name, new_incarnation()),
         started_ms=clock.now_ms(),
--- a/src/boragetiller/gateway/duties/usage_reporter.py
+++ b/src/boragetiller/gateway/duties/usage_reporter.py
@@ -96,9 +96,8 @@
 
     async def run_once(self, holding: Holding) -> None:
         """See :class:`boragetiller.gateway.duties.holder.DutyTask`."""
-        if not self._reports.loaded and not await self._load():
-            return
-        await self._store_next_window(holding)
+        if self._reports.loaded or await self._load():
+            await self._store_next_window(holding)
         for _ in range(MAX_REPORTS_AT_ONCE):
             if not await self._send_next_report(holding):
                 return
@@ -131,7 +130,7 @@
             self._counter.windows,
             holding,
             self._counter.get_true_ms(),
-            self._clock.now_ms(),
+            self._counter.now_ms(),
         )
         self._log_lost(lost)
         held = self._holder.get_valid(holding.duty, FLIGHT_MS)
@@ -141,8 +140,9 @@
         try:
             result = await self._store.commit(transaction)
         except (StoreUnavailable, HistoryLost) as error:
-            # It may have been executed. The same transaction is sent again; if the window is in the
-            # store by then, that fails, and the stored counts are used.
+            # It may have been executed, now or later. The windows are listed again; if the window
+            # is not among them yet, the next transaction fails where this one succeeds.
+            self._reports.loaded = False
             log_event(
                 Event.USAGE_STORE_FAILED,
                 window_no=window.window_no,
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -71,7 +71,7 @@
         self.metrics = GatewayMetrics()
         self.registry = BackendRegistry(settings, dialect, clock, self.metrics)
         self.state_sync = StateSync(settings.name, self.registry, costs, clock)
-        self.state_sync.usage = self._usage = build_usage_counter(settings, clock, self.metrics)
+        self.state_sync.usage = self._usage = build_usage_counter(settings, self.metrics)
         rng = random.Random(settings.name)
         self._dispatcher = CallDispatcher(
             settings, self.registry, self.state_sync, dialect, clock, self.metrics, rng
--- a/src/boragetiller/systems/duties/usage_reports.py
+++ b/src/boragetiller/systems/duties/usage_reports.py
@@ -68,11 +68,12 @@
 
 def load_windows(reports: UsageReports, items: Iterable[StoredItem]) -> None:
     """
-    Start from the windows in the store.
+    Replace the known windows by those in the store.
 
     :param reports: progress of the reports
     :param items: all entries below WINDOWS_PREFIX that can be decoded
     """
+    reports.stored.clear()
     for item in items:
         add_stored_window(reports, item)
     reports.loaded = True
@@ -123,7 +124,7 @@
     :param windows: counts of the last windows
     :param holding: the held duty; its first holder knows that no router counted before
     :param true_ms: true time in milliseconds
-    :param now_ms: monotonic time in milliseconds
+    :param now_ms: time since boot in milliseconds
     :return: the oldest closed window that is not in the store, and windows that are given up
     """
     settings = windows.settings
--- a/src/boragetiller/systems/duties/usage_windows.py
+++ b/src/boragetiller/systems/duties/usage_windows.py
@@ -70,7 +70,7 @@
     :param cursor: what has been reported; it is advanced
     :param true_ms: true time in milliseconds
     :param wall_clock_ms: this router's time since the epoch in milliseconds
-    :param now_ms: monotonic time in milliseconds
+    :param now_ms: time since boot in milliseconds
     :param is_last: whether the router stops, so that all changes are reported now
     :return: entries with complete counts, for the windows that changed
     """
@@ -106,7 +106,7 @@
     :param peer: name of the peer that sent it; the counts may be those of another router
     :param entry: the entry
     :param true_ms: true time in milliseconds
-    :param now_ms: monotonic time in milliseconds
+    :param now_ms: time since boot in milliseconds
     :return: number of requests that were dropped because the window is closed
     """
     settings = windows.settings
@@ -153,7 +153,7 @@
 
     :param windows: counts of the last windows
     :param true_ms: true time in milliseconds
-    :param now_ms: monotonic time in milliseconds
+    :param now_ms: time since boot in milliseconds
     :return: windows closed now, oldest first; also those without requests
     """
     settings = windows.settings
@@ -207,7 +207,7 @@
     :param windows: counts of the last windows
     :param window_no: number of the window
     :param true_ms: true time in milliseconds
-    :param now_ms: monotonic time in milliseconds
+    :param now_ms: time since boot in milliseconds
     :return: whether this router, or one whose counts it has, ran during the whole window
     """
     start_ms = windows.settings.start_ms(window_no)
--- a/src/boragetiller/tables/usage.py
+++ b/src/boragetiller/tables/usage.py
@@ -8,7 +8,7 @@
 import attrs
 
 MIN_KEPT_WINDOWS = 4
-CLOCK_SAMPLES = 4  # of a peer; the largest has the shortest delay on the network
+CLOCK_SAMPLES = 4  # of the clock of a peer; the largest has the shortest delay on the network
 
 
 @attrs.frozen(kw_only=True)
@@ -78,7 +78,7 @@
     """Another router that reports its counts here."""
 
     newest_window_no: int
-    heard_ms: int  # monotonic time of its last report
+    heard_ms: int  # time since boot of its last report
     connected: bool = True
 
 
@@ -87,7 +87,7 @@
     """Counts of the last windows, of this router and of those that report to it."""
 
     own: RouterStart
-    started_ms: int  # monotonic time
+    started_ms: int  # time since boot
     settings: UsageSettings
     version: int = 0  # incremented by each change of the own counts
     windows: dict[int, UsageWindow] = attrs.field(factory=dict)  # by number
@@ -101,24 +101,26 @@
 
     version: int = -1  # of the counts
     window_no: int | None = None  # in which the last report was built
-    sent_ms: int = 0  # monotonic time
+    sent_ms: int = 0  # time since boot
 
 
 @attrs.define
-class PeerClock:
-    """Wall clock of another router: its distance from this router's monotonic clock."""
+class RouterClock:
+    """Wall clock of a router: its distance from this router's clock of the time since boot."""
 
+    offset_ms: int | None = None
+    jumped_ms: int | None = None  # time since boot since which a jump is not followed
     samples_ms: deque[int] = attrs.field(factory=lambda: deque(maxlen=CLOCK_SAMPLES))
-    heard_ms: int = 0  # monotonic time
+    heard_ms: int = 0  # time since boot
 
 
 @attrs.define
 class TrueTime:
     """Estimate of the true time from the wall clocks of all routers."""
 
-    peers: dict[str, PeerClock] = attrs.field(factory=dict)
-    offset_ms: int | None = None  # of the true time from the monotonic clock
-    jumped_ms: int | None = None  # monotonic time since which the own wall clock is not followed
+    own: RouterClock = attrs.field(factory=RouterClock)
+    peers: dict[str, RouterClock] = attrs.field(factory=dict)  # by name
+    offset_ms: int | None = None  # of the true time from the time since boot
 
 
 @attrs.define
@@ -137,7 +139,7 @@
 __all__ = [
     "ClosedWindow",
     "KnownRouter",
-    "PeerClock",
+    "RouterClock",
     "RouterStart",
     "TrueTime",
     "UsageCursor",
--- a/tests/gateway/duties/test_usage_reports.py
+++ b/tests/gateway/duties/test_usage_reports.py
@@ -96,8 +96,7 @@
         self.fleet.run_to(2, 0)
         self.fleet.cut.add("c")
         self.fleet.run_to(3, 5_200)  # window 2 closes without the counts of c
-        self.fleet.routers["c"].cursor.version = -1
-        self.fleet.cut.clear()
+        self.fleet.heal()
         self.fleet.run(12)
         reported = self.fleet.reported(2)
         assert reported is not None
@@ -111,8 +110,7 @@
         self.fleet.run_to(2, 4_000)
         self.fleet.cut.add("c")
         self.fleet.run_to(3, 3_000)
-        self.fleet.routers["c"].cursor.version = -1
-        self.fleet.cut.clear()
+        self.fleet.heal()
         self.fleet.run_to(6, 0)
         self.assert_exact(range(4))
 
--- a/tests/gateway/duties/usage_fleet.py
+++ b/tests/gateway/duties/usage_fleet.py
@@ -200,6 +200,12 @@
         self._send_reports(self.routers[name])
         self.kill(name)
 
+    def heal(self) -> None:
+        """Connect routers again that were cut off; they report their whole state."""
+        for name in self.cut:
+            self.routers[name].cursor = UsageCursor()
+        self.cut.clear()
+
     def run(self, seconds: float) -> None:
         """Advance the virtual time."""
         for _ in range(round(seconds * 1_000 / STEP_MS)):
