--- /dev/null
+++ b/tests/gateway/test_duty_holder.py
@@ -0,0 +1,341 @@
+"""Tests of duties among several routers in virtual time."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+from typing import TYPE_CHECKING
+
+from boragetiller.systems.duties.candidates import list_candidates
+from boragetiller.tables.duties import LossReason
+from boragetiller.tables.known_routers import KnownRouters
+from tests.gateway.duty_fakes import SETTINGS, USAGE, DutyFleet, sleep_ms
+from tests.gateway.harness import FakeStore, RouterHarness
+from tests.virtual_time import VirtualClock, run_virtually
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+NAMES = ("router-1", "router-2", "router-3")
+RANKED = list_candidates(USAGE, KnownRouters(own="", known=frozenset(NAMES)))
+TICK_MS = 250
+SEEDS = 40
+FUZZ_STEPS = 80
+FAULT_WEIGHTS = {
+    "store": 3,
+    "restore": 1,
+    "copy": 2,
+    "start": 6,
+    "kill": 1,
+    "stop": 3,
+    "freeze": 2,
+    "thaw": 6,
+    "cut": 1,
+    "lose": 6,
+}
+
+
+def run_fleet(
+    scenario: Callable[[DutyFleet], Awaitable[None]], names: tuple[str, ...] = NAMES
+) -> DutyFleet:
+    """Run a scenario with a fleet, then kill all routers."""
+
+    async def run() -> DutyFleet:
+        fleet = DutyFleet(names)
+        await fleet.start()
+        await scenario(fleet)
+        await sleep_ms(1_000)
+        await fleet.kill()
+        return fleet
+
+    return run_virtually(run())
+
+
+class DutyHolderTest(unittest.TestCase):
+    def check(self, scenario: Callable[[DutyFleet], Awaitable[None]]) -> DutyFleet:
+        fleet = run_fleet(scenario)
+        self.assertEqual(fleet.find_violations(), [])
+        return fleet
+
+    def test_first_candidate_holds_the_duty_and_renews_its_lease(self) -> None:
+        # Guards against an election that goes on, or more calls to the store than planned.
+        async def scenario(fleet: DutyFleet) -> None:
+            self.assertEqual((await fleet.find_holder()).name, RANKED[0])
+            for router in fleet.routers.values():
+                router.link.calls.clear()
+            await sleep_ms(60_000)
+            calls = {name: dict(router.link.calls) for name, router in fleet.routers.items()}
+            self.assertEqual(calls.pop(RANKED[0]), {"renew": 60})
+            self.assertTrue(all(c == {"watch": 3} for c in calls.values()), calls)
+
+        fleet = self.check(scenario)
+        self.assertEqual(len({arrival.token for arrival in fleet.arrivals}), 1)
+
+    def test_killed_holder_is_replaced_within_its_lease(self) -> None:
+        async def scenario(fleet: DutyFleet) -> None:
+            holder = await fleet.find_holder()
+            await fleet.kill(holder.name)
+            killed_ms = VirtualClock().now_ms()
+            self.assertEqual((await fleet.find_holder()).name, RANKED[1])
+            took_ms = VirtualClock().now_ms() - killed_ms
+            self.assertLessEqual(took_ms, SETTINGS.lease_ms + 500 + TICK_MS)
+
+        self.check(scenario)
+
+    def test_all_candidates_killed_are_replaced_by_others(self) -> None:
+        # Guards against a duty without holder while lost routers still count as known.
+        names = tuple(f"router-{number}" for number in range(7))
+
+        async def scenario(fleet: DutyFleet) -> None:
+            lost = list_candidates(USAGE, KnownRouters(own="", known=fleet.known))
+            await fleet.find_holder()
+            await fleet.kill(*lost)
+            for name in fleet.known - set(lost):
+                fleet.views[name] = KnownRouters(
+                    own=name, known=fleet.known, lost=frozenset(lost), heard=3
+                )
+            await fleet.find_holder()
+
+        self.assertEqual(run_fleet(scenario, names).find_violations(), [])
+
+    def test_lost_answer_at_acquiring_is_resolved(self) -> None:
+        # Guards against a duty that the store gave to a router that does not know it.
+        async def scenario(fleet: DutyFleet) -> None:
+            first = fleet.routers[RANKED[0]]
+            first.link.lose = ["commit"]
+            self.assertIs(await fleet.find_holder(), first)
+            self.assertEqual(first.link.calls["commit"], 1)
+            await sleep_ms(10_000)
+
+        self.check(scenario)
+
+    def test_late_execution_of_an_abandoned_attempt_is_resolved(self) -> None:
+        async def scenario(fleet: DutyFleet) -> None:
+            first = fleet.routers[RANKED[0]]
+            first.link.lose, first.link.late_ms = ["commit"], 2_000
+            await fleet.find_holder()
+            await sleep_ms(20_000)
+            await fleet.find_holder(500)
+
+        self.check(scenario)
+
+    def test_lost_renewals_do_not_end_a_duty(self) -> None:
+        async def scenario(fleet: DutyFleet) -> None:
+            holder = await fleet.find_holder()
+            holder.link.lose = ["renew"] * 2
+            await sleep_ms(10_000)
+            self.assertIs(await fleet.find_holder(TICK_MS), holder)
+            self.assertEqual(holder.lost, [])
+
+        self.check(scenario)
+
+    def test_frozen_holder_does_not_act_after_its_lease(self) -> None:
+        async def scenario(fleet: DutyFleet) -> None:
+            holder = await fleet.find_holder()
+            holder.link.running.clear()
+            await sleep_ms(6_000)
+            self.assertNotEqual((await fleet.find_holder()).name, holder.name)
+            holder.link.running.set()
+            await sleep_ms(3_000)
+            self.assertEqual(len(holder.lost), 1)
+
+        fleet = self.check(scenario)
+        self.assertEqual({arrival.holder for arrival in fleet.arrivals}, set(RANKED[:2]))
+
+    def test_holder_that_is_cut_from_the_store_stops_and_is_replaced(self) -> None:
+        async def scenario(fleet: DutyFleet) -> None:
+            holder = await fleet.find_holder()
+            holder.link.cut = True
+            await sleep_ms(5_000)
+            self.assertEqual(holder.lost, [LossReason.EXPIRED])
+            self.assertNotEqual((await fleet.find_holder()).name, holder.name)
+
+        self.check(scenario)
+
+    def test_no_router_acts_while_the_store_is_away(self) -> None:
+        for pauses_leases in (True, False):
+
+            async def scenario(fleet: DutyFleet, pauses_leases: bool = pauses_leases) -> None:
+                await fleet.find_holder()
+                fleet.store.pauses_leases = pauses_leases
+                fleet.store.set_down(True)
+                await sleep_ms(SETTINGS.lease_ms)
+                before = len(fleet.arrivals)
+                await sleep_ms(10_000 - SETTINGS.lease_ms)
+                self.assertLessEqual(len(fleet.arrivals), before + 1)
+                fleet.store.set_down(False)
+                await fleet.find_holder(SETTINGS.lease_ms + 3_000)
+
+            with self.subTest(pauses_leases=pauses_leases):
+                self.check(scenario)
+
+    def test_restored_store_ends_the_duty_and_raises_the_token(self) -> None:
+        # Guards against a token of the lost writes that is given out again.
+        async def scenario(fleet: DutyFleet) -> None:
+            copy = fleet.store.copy()
+            holder = await fleet.find_holder()
+            await sleep_ms(1_000)
+            token = fleet.arrivals[-1].token
+            fleet.store.restore(copy)
+            await sleep_ms(2_000)
+            self.assertEqual(holder.lost, [LossReason.RESTORED])
+            await fleet.find_holder()
+            await sleep_ms(1_000)
+            self.assertGreater(fleet.arrivals[-1].token, token)
+
+        self.check(scenario)
+
+    def test_restored_store_that_the_holder_cannot_reach(self) -> None:
+        # Guards against a successor in the new era that acts while the old holder still may.
+        async def scenario(fleet: DutyFleet) -> None:
+            copy = fleet.store.copy()
+            holder = await fleet.find_holder()
+            holder.link.cut = True
+            fleet.store.restore(copy)
+            self.assertEqual((await fleet.find_holder()).name, holder.name)
+            await sleep_ms(10_000)
+            self.assertNotEqual((await fleet.find_holder()).name, holder.name)
+
+        self.check(scenario)
+
+    def test_restart_of_all_routers_raises_the_token(self) -> None:
+        async def scenario(fleet: DutyFleet) -> None:
+            await fleet.find_holder()
+            await sleep_ms(2_000)
+            await fleet.kill()
+            await fleet.start()
+            await fleet.find_holder()
+
+        fleet = self.check(scenario)
+        self.assertEqual(len({arrival.token for arrival in fleet.arrivals}), 2)
+
+    def test_routers_that_all_believe_they_rank_first(self) -> None:
+        async def scenario(fleet: DutyFleet) -> None:
+            for name in NAMES:
+                fleet.views[name] = KnownRouters(own=name, known=frozenset({name}))
+            await fleet.find_holder()
+            await sleep_ms(10_000)
+
+        fleet = self.check(scenario)
+        self.assertEqual(len({arrival.holder for arrival in fleet.arrivals}), 1)
+
+    def test_partitioned_router_acquires_nothing_but_keeps_what_it_holds(self) -> None:
+        async def scenario(fleet: DutyFleet) -> None:
+            holder = await fleet.find_holder()
+            for name in NAMES:
+                lost = fleet.known - {name}
+                fleet.views[name] = KnownRouters(own=name, known=fleet.known, lost=lost)
+            await sleep_ms(10_000)
+            self.assertIs(await fleet.find_holder(TICK_MS), holder)
+            await fleet.kill(holder.name)
+            with self.assertRaises(AssertionError):
+                await fleet.find_holder()
+
+        self.check(scenario)
+
+    def test_graceful_stop_frees_the_duty_after_the_last_call(self) -> None:
+        async def scenario(fleet: DutyFleet) -> None:
+            holder = await fleet.find_holder()
+            await sleep_ms(SETTINGS.lease_ms)
+            await fleet.routers.pop(holder.name).holder.close()
+            self.assertEqual(holder.lost, [LossReason.STOPPED])
+            self.assertEqual((await fleet.find_holder(1_000)).name, RANKED[1])
+
+        self.check(scenario)
+
+    def test_rolling_restarts_bring_no_holder_back_within_the_lease(self) -> None:
+        # Guards against the order A, B, A when B stops right after it acquired the duty from A.
+        async def scenario(fleet: DutyFleet) -> None:
+            await fleet.find_holder()
+            await sleep_ms(SETTINGS.lease_ms)
+            for _ in range(8):
+                holder = await fleet.find_holder()
+                await sleep_ms(400)
+                await fleet.routers.pop(holder.name).holder.close()
+                await fleet.start(holder.name)
+
+        self.check(scenario)
+
+    def test_unregistered_duty_goes_to_another_router_and_may_come_back(self) -> None:
+        async def scenario(fleet: DutyFleet) -> None:
+            holder = await fleet.find_holder()
+            await holder.holder.unregister(USAGE)
+            other = await fleet.find_holder()
+            holder.holder.register(USAGE, holder)
+            await sleep_ms(SETTINGS.lease_ms)
+            await fleet.kill(*(set(fleet.routers) - {holder.name}))
+            self.assertIs(await fleet.find_holder(), holder)
+            self.assertIsNot(other, holder)
+
+        self.check(scenario)
+
+    def test_random_faults_break_no_rule_of_the_contract(self) -> None:
+        holders = 0
+        for seed in range(SEEDS):
+            fleet = run_virtually(run_random_faults(seed))
+            holders += len({arrival.token for arrival in fleet.arrivals})
+            with self.subTest(seed=seed):
+                self.assertEqual(fleet.find_violations(), [])
+        self.assertGreater(holders, 2 * SEEDS)
+
+
+async def run_random_faults(seed: int) -> DutyFleet:
+    """Run a fleet under random faults, then check that it recovers."""
+    rng = Random(seed)
+    fleet = DutyFleet(NAMES, seed)
+    await fleet.start()
+    copy = fleet.store.copy()
+    for _ in range(FUZZ_STEPS):
+        await sleep_ms(rng.randrange(50, 2_500))
+        running = sorted(fleet.routers)
+        router = fleet.routers[rng.choice(running)] if running else None
+        fault = rng.choices(list(FAULT_WEIGHTS), list(FAULT_WEIGHTS.values()))[0]
+        if fault == "store":
+            fleet.store.pauses_leases = rng.random() < 0.5
+            fleet.store.set_down(not fleet.store.down and rng.random() < 0.3)
+        elif fault == "restore":
+            fleet.store.restore(copy)
+        elif fault == "copy":
+            copy = fleet.store.copy()
+        elif fault == "start":
+            for name in sorted(fleet.known - set(running)):
+                await fleet.start(name)
+        elif router is None:
+            continue
+        elif fault == "kill":
+            await fleet.kill(router.name)
+        elif fault == "stop":
+            router.link.running.set()
+            await fleet.routers.pop(router.name).holder.close()
+        elif fault == "freeze":
+            router.link.running.clear()
+        elif fault == "thaw":
+            for router in fleet.routers.values():
+                router.link.running.set()
+                router.link.cut = False
+        elif fault == "cut":
+            router.link.cut = True
+        else:
+            router.link.lose = rng.choices(["commit", "renew", "grant", "read"], k=2)
+            router.link.late_ms = rng.choice([0, 300, 2_000, 5_000])
+    fleet.store.set_down(False)
+    await fleet.kill()
+    await fleet.start()
+    await fleet.find_holder(20_000)
+    await fleet.kill()
+    return fleet
+
+
+class NoDutiesTest(unittest.IsolatedAsyncioTestCase):
+    async def test_router_without_duties_makes_no_call_for_them(self) -> None:
+        # Guards against cost of duties in deployments that have none.
+        harness = RouterHarness(FakeStore())
+        await harness.router.start()
+        self.assertIsNone(harness.router.duties)
+        self.assertNotIn(b"duty", harness.router.metrics.render())
+        self.assertLessEqual(set(harness.router._store_watcher._store.calls), {"read", "watch"})
+        await harness.router.abort()
+
+
+if __name__ == "__main__":
+    unittest.main()
