Server counts: test with three routers that duties follow the configuration

Cause: the registration of duties for scaled groups had no test. Change: a test with the holder of duties and a changed configuration.

--- a/tests/gateway/duties/test_reporting_routers.py
+++ b/tests/gateway/duties/test_reporting_routers.py
@@ -13,6 +13,7 @@
 from boragetiller.errors import StoreUnavailable
 from boragetiller.gateway.duty_interface import DutyClients
 from boragetiller.gateway.process import GatewayProcess
+from boragetiller.tables.duties import Duty, DutyKind
 from boragetiller.tables.store_view import StoredItem
 from boragetiller.tables.store_writes import CommitResult, CommitStatus, StoreLease, Transaction
 from dialect import PlatformDialect
@@ -27,9 +28,11 @@
 from tests.gateway.scripted_engine import ScriptedEngine
 
 if TYPE_CHECKING:
-    from boragetiller.tables.duties import Holding, UsageReport
+    from boragetiller.tables.duties import Holding, ServerOrder, UsageReport
 
-SETTINGS = attrs.evolve(DUTIES, lease_ms=1_000, window_ms=1_000, usage_late_ms=8_000)
+SETTINGS = attrs.evolve(
+    DUTIES, kinds=tuple(DutyKind), lease_ms=1_000, window_ms=1_000, usage_late_ms=8_000
+)
 
 
 class DutyStore(FakeStore):
@@ -97,6 +100,7 @@
     def __init__(self) -> None:
         self.reports: dict[int, dict[str, int]] = {}
         self.conflicts: list[int] = []
+        self.orders: list[ServerOrder] = []
         self.senders: list[tuple[int, str]] = []  # token and holder of each call
 
     async def send_usage(self, report: UsageReport, holding: Holding) -> None:
@@ -105,6 +109,10 @@
         if self.reports.setdefault(report.window_no, counts) != counts:
             self.conflicts.append(report.window_no)
 
+    async def order_servers(self, order: ServerOrder, holding: Holding) -> None:
+        self.senders.append((holding.token, holding.holder))
+        self.orders.append(order)
+
     async def close(self) -> None:
         """Nothing to close."""
 
@@ -167,6 +175,31 @@
         numbers = sorted(self.api.reports)
         self.assertEqual(numbers, list(range(numbers[0], numbers[-1] + 1)))  # none is missing
 
+    async def test_servers_are_ordered_for_scaled_groups_only(self) -> None:
+        # Guards against duties that do not follow the configuration, and orders by each router.
+        scaled = build_config(version=2)
+        scaled["services"][1]["scaling"] = {
+            "min-replicas": 3,
+            "max-replicas": 5,
+            "boot-time-s": 60,
+        }
+        self.store.put("op/config", scaled)
+        await wait_until(lambda: self.api.orders)
+        order = self.api.orders[0]
+        self.assertEqual((order.group, order.failure_domain, order.servers), ("shop", "a", 3))
+        duty = Duty(DutyKind.SERVER_COUNT, "shop/a")
+        duties = [harness.router.duties for harness in self.routers.values()]
+        self.assertTrue(
+            all(parts is not None and duty in parts.holder._contenders for parts in duties)
+        )
+        self.store.put("op/config", build_config(version=3))
+        await wait_until(
+            lambda: all(
+                parts is not None and duty not in parts.holder._contenders for parts in duties
+            )
+        )
+        self.assertEqual(len(self.api.orders), 1)  # its own confirmed order is not repeated
+
 
 if __name__ == "__main__":
     unittest.main()
