--- a/src/boragetiller/gateway/duties/acquirer.py
+++ b/src/boragetiller/gateway/duties/acquirer.py
@@ -154,10 +154,10 @@
         election = self._election
         now_ms = election.clock.now_ms()
         free_ms = now_ms - (self._free_since_ms if self._free_since_ms is not None else now_ms)
-        released = election.released.get(self._duty)
+        former = election.former.get(self._duty)
         return max(
             compute_rank_delay_ms(rank) - free_ms,
-            compute_reacquire_wait_ms(stored, released, election.settings.lease_ms, now_ms),
+            compute_reacquire_wait_ms(stored, former, election.settings.lease_ms, now_ms),
         )
 
     async def _watch(self, stored: StoredDuty, wait_ms: int) -> None:
@@ -211,8 +211,8 @@
         election.lease.use(self._duty)
         if stored.lease is None or stored.token is None or lease is None:
             raise EntryUnreadable("the key with the token is missing")
-        released = election.released.get(self._duty)
-        if released is not None and released.token == stored.lease.record.token:
+        former = election.former.get(self._duty)
+        if former is not None and former.freed and former.token == stored.lease.record.token:
             # An unanswered release may still be executed, so the duty is not held again.
             await election.store.commit(
                 build_release(self._duty, stored.era, stored.lease.revision)
--- a/src/boragetiller/gateway/duties/contender.py
+++ b/src/boragetiller/gateway/duties/contender.py
@@ -10,8 +10,8 @@
 from boragetiller.gateway.duties.acquirer import DutyAcquirer
 from boragetiller.gateway.supervisor import record_failure
 from boragetiller.systems.duties.acquisition import build_holding, build_release
-from boragetiller.systems.duties.validity import covers, may_free
-from boragetiller.tables.duties import HeldDuty, LossReason, ReleasedDuty
+from boragetiller.systems.duties.validity import covers
+from boragetiller.tables.duties import FormerDuty, HeldDuty, LossReason
 from boragetiller.tables.store_writes import CommitStatus
 from boragetiller.timeouts import wait_with_timeout
 
@@ -91,25 +91,19 @@
         except TimeoutError:
             return False
 
-    async def release(self, reason: LossReason, *, free: bool, wait: bool) -> None:
+    async def release(self, reason: LossReason, *, free: bool) -> None:
         """
         Give up the duty; :meth:`run` must have been cancelled.
 
         :param reason: why
-        :param free: remove the key under the lease before the lease ends, if that is safe; only
-            after all calls of the task were answered
-        :param wait: wait until that is safe, because the lease goes on for other duties
+        :param free: remove the key under the lease before the lease ends; only after all calls of
+            the task were answered
         """
         held, self.held = self.held, None
-        election = self._election
         if held is not None:
+            self._remember(held, freed=free)
+            freed = free and await self._free(held)
             token = held.token.record.token
-            lease_ms, now_ms = election.settings.lease_ms, election.clock.now_ms()
-            election.released[self._duty] = ReleasedDuty(token=token, released_ms=now_ms)
-            if wait and not may_free(held, lease_ms, now_ms):
-                await asyncio.sleep((held.acquired_ms + lease_ms - now_ms) / 1_000)
-            safe = free and may_free(held, lease_ms, election.clock.now_ms())
-            freed = safe and await self._free(held)
             log_event(
                 Event.DUTY_RELEASED,
                 **self._describe(),
@@ -118,7 +112,7 @@
                 freed=freed,
             )
             await self._end(reason)
-        election.lease.leave(self._duty)
+        self._election.lease.leave(self._duty)
 
     def _take(self, held: HeldDuty) -> None:
         self.held = held
@@ -155,6 +149,7 @@
 
     async def _lose(self, held: HeldDuty, reason: LossReason) -> None:
         self.held = None
+        self._remember(held, freed=False)
         if reason is LossReason.EXPIRED:
             self._acquirer.regain()
         else:
@@ -166,6 +161,11 @@
         )
         await self._end(reason)
 
+    def _remember(self, held: HeldDuty, *, freed: bool) -> None:
+        now_ms = self._election.clock.now_ms()
+        token = held.token.record.token
+        self._election.former[self._duty] = FormerDuty(token=token, ended_ms=now_ms, freed=freed)
+
     async def _end(self, reason: LossReason) -> None:
         kind = self._duty.kind.value
         self._election.duty_metrics.held.labels(kind).dec()
--- a/src/boragetiller/gateway/duties/election.py
+++ b/src/boragetiller/gateway/duties/election.py
@@ -14,7 +14,7 @@
 from boragetiller.gateway.metrics import GatewayMetrics
 from boragetiller.systems.duties.candidates import list_candidates
 from boragetiller.systems.duties.validity import compute_era_wait_ms, observe_era
-from boragetiller.tables.duties import Duty, ReleasedDuty, SeenEra
+from boragetiller.tables.duties import Duty, FormerDuty, SeenEra
 from boragetiller.tables.known_routers import KnownRouters
 
 
@@ -33,7 +33,7 @@
     duty_metrics: DutyMetrics
     seen_era: SeenEra
     attempts: int = 0
-    released: dict[Duty, ReleasedDuty] = attrs.field(factory=dict)
+    former: dict[Duty, FormerDuty] = attrs.field(factory=dict)
     _ranked_routers: KnownRouters | None = None  # for which the candidates were computed
     _candidates: dict[Duty, tuple[str, ...]] = attrs.field(factory=dict)
 
--- a/src/boragetiller/gateway/duties/holder.py
+++ b/src/boragetiller/gateway/duties/holder.py
@@ -12,6 +12,7 @@
 from boragetiller.gateway.duties.router_lease import RouterLease
 from boragetiller.gateway.duties.task import DutyTask
 from boragetiller.gateway.supervisor import run_supervised
+from boragetiller.systems.duties.validity import FLIGHT_MS
 from boragetiller.tables.duties import LossReason, SeenEra
 
 if TYPE_CHECKING:
@@ -93,8 +94,6 @@
         """
         Release a duty and no longer take part in the election for it.
 
-        This may take as long as a lease, until the duty may be freed.
-
         :param duty: the duty; unknown ones are ignored
         """
         contender = self._contenders.get(duty)
@@ -104,7 +103,9 @@
         await self._cancel(self._tasks.pop(duty, None))
         if self._contenders.get(duty) is contender:
             del self._contenders[duty]
-        await contender.release(LossReason.UNREGISTERED, free=finished, wait=True)
+        if not finished:
+            await asyncio.sleep(FLIGHT_MS / 1_000)  # of a call that was cut off
+        await contender.release(LossReason.UNREGISTERED, free=True)
 
     def get_valid(self, duty: Duty, flight_ms: int) -> Holding | None:
         """
@@ -148,7 +149,7 @@
         contender = self._contenders[duty]
         finished = await contender.stop_work(CLOSE_TIMEOUT_MS)
         await self._cancel(self._tasks.pop(duty, None))
-        await contender.release(LossReason.STOPPED, free=finished, wait=False)
+        await contender.release(LossReason.STOPPED, free=finished)
 
     def _start_contender(self, duty: Duty) -> None:
         self._tasks[duty] = asyncio.create_task(
--- a/src/boragetiller/systems/duties/acquisition.py
+++ b/src/boragetiller/systems/duties/acquisition.py
@@ -27,13 +27,13 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from boragetiller.tables.duties import Duty, HeldDuty, HeldLease, ReleasedDuty
+    from boragetiller.tables.duties import Duty, FormerDuty, HeldDuty, HeldLease
     from boragetiller.tables.store_view import StoredItem
 
 KEY_PREFIX = "boragetiller/duties"
 MAX_SUBJECT_BYTES = 120  # keys of the store have at most 200 bytes
 TOKEN_COUNTER_BITS = 32  # acquisitions in one era
-REACQUIRE_LEASES = 2  # duration, in leases, for which others may acquire a released duty first
+REACQUIRE_LEASES = 2  # a lease for its calls and as much for others to acquire the duty first
 
 
 def get_prefix(duty: Duty, era: int) -> str:
@@ -124,22 +124,25 @@
 
 
 def compute_reacquire_wait_ms(
-    stored: StoredDuty, released: ReleasedDuty | None, lease_ms: int, now_ms: int
+    stored: StoredDuty, former: FormerDuty | None, lease_ms: int, now_ms: int
 ) -> int:
     """
-    Compute how long this router leaves a duty that it released to the others.
+    Compute how long this router leaves a duty that it held to the others.
+
+    Another router may have held it since for any short time, and a holder must not return within
+    a lease. It may if no other router held the duty.
 
     :param stored: the keys of the duty
-    :param released: the release by this router, None if it has not released the duty
+    :param former: the duty as this process held it last, None if it never did
     :param lease_ms: duration of leases in milliseconds
     :param now_ms: time in milliseconds
-    :return: 0 or more milliseconds; 0 if no other router has held the duty since
+    :return: 0 or more milliseconds
     """
-    if released is None:
+    if former is None:
         return 0
-    if stored.token is not None and stored.token.record.token == released.token:
+    if stored.token is not None and stored.token.record.token == former.token:
         return 0
-    return max(0, released.released_ms + REACQUIRE_LEASES * lease_ms - now_ms)
+    return max(0, former.ended_ms + REACQUIRE_LEASES * lease_ms - now_ms)
 
 
 def build_record(
--- a/src/boragetiller/systems/duties/validity.py
+++ b/src/boragetiller/systems/duties/validity.py
@@ -11,9 +11,9 @@
 from boragetiller.tables.duties import HeldLease, SeenEra
 
 if TYPE_CHECKING:
-    from boragetiller.tables.duties import HeldDuty
     from boragetiller.tables.store_writes import StoreLease
 
+FLIGHT_MS = 500  # longest time of a call to the platform's API until it arrives or is given up
 MARGIN_MS = 200  # differences between the rates of clocks, and rounding, many times over
 RENEWALS_PER_LEASE = 3  # two of them may be lost
 
@@ -69,40 +69,28 @@
 
 def compute_era_wait_ms(seen: SeenEra, lease_ms: int, now_ms: int) -> int:
     """
-    Compute how long no duty may be acquired in the present era.
+    Compute how long no duty may be acquired after a restore of the store or a start.
 
     A holder of the era before may not have noticed the restore and acts until its lease ends.
     It renewed the lease before the restore, so the time counts from the first response of the era.
+    After a start it counts from the start: an earlier process of this host may have held the duty,
+    and another router since, and a holder must not return within a lease
+    after its last call arrived.
 
     :param seen: the present era
     :param lease_ms: duration of leases in milliseconds
     :param now_ms: time in milliseconds
     :return: 0 or more milliseconds
     """
-    return max(0, seen.since_ms + lease_ms + MARGIN_MS - now_ms)
-
-
-def may_free(held: HeldDuty, lease_ms: int, now_ms: int) -> bool:
-    """
-    Decide whether the key of a duty may be removed before its lease ends.
-
-    The holder before this one may acquire the duty next. Its last call was made before this router
-    acquired the duty, so a hold as long as a lease keeps its calls that far apart.
-
-    :param held: the duty
-    :param lease_ms: duration of leases in milliseconds
-    :param now_ms: time in milliseconds
-    :return: whether it was held for as long as a lease
-    """
-    return now_ms - held.acquired_ms >= lease_ms
+    return max(0, seen.since_ms + lease_ms + FLIGHT_MS + MARGIN_MS - now_ms)
 
 
 __all__ = [
+    "FLIGHT_MS",
     "MARGIN_MS",
     "compute_era_wait_ms",
     "compute_renewal_wait_ms",
     "covers",
     "hold_lease",
-    "may_free",
     "observe_era",
 ]
--- a/src/boragetiller/tables/duties.py
+++ b/src/boragetiller/tables/duties.py
@@ -97,11 +97,12 @@
 
 
 @attrs.frozen(kw_only=True)
-class ReleasedDuty:
-    """A duty that this router gave up."""
+class FormerDuty:
+    """A duty that this router held."""
 
     token: int
-    released_ms: int
+    ended_ms: int
+    freed: bool  # whether it sent a transaction that frees the duty
 
 
 @attrs.define
@@ -137,7 +138,7 @@
     "HeldLease",
     "Holding",
     "LossReason",
-    "ReleasedDuty",
+    "FormerDuty",
     "SeenEra",
     "ServerOrder",
     "StoredDuty",
