--- a/src/boragetiller/gateway/duties/holder.py
+++ b/src/boragetiller/gateway/duties/holder.py
@@ -11,7 +11,7 @@
 from boragetiller.gateway.duties.election import Election
 from boragetiller.gateway.duties.router_lease import RouterLease
 from boragetiller.gateway.duties.task import DutyTask
-from boragetiller.gateway.supervisor import run_supervised
+from boragetiller.gateway.supervisor import record_failure, run_supervised
 from boragetiller.systems.duties.validity import FLIGHT_MS
 from boragetiller.tables.duties import LossReason, SeenEra
 
@@ -134,7 +134,10 @@
 
     async def close(self) -> None:
         """Let running tasks finish, then release all duties."""
-        await asyncio.gather(*(self._close_contender(duty) for duty in list(self._contenders)))
+        closing = [self._close_contender(duty) for duty in list(self._contenders)]
+        for result in await asyncio.gather(*closing, return_exceptions=True):
+            if isinstance(result, Exception):  # which must not keep the process from stopping
+                record_failure("release duty", result, self._metrics)
         await self.abort()
 
     async def abort(self) -> None:
