Tests of duties: scenarios as coroutines of the test class

Cause: each scenario repeated the same frame. Change: a decorator runs a scenario in virtual time and checks the contract.

--- a/tests/gateway/test_duty_holder.py
+++ b/tests/gateway/test_duty_holder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from functools import partial, wraps
 from typing import TYPE_CHECKING
 
 from boragetiller.systems.duties.candidates import list_candidates
@@ -35,6 +36,18 @@
     return run_virtually(run())
 
 
+def in_fleet(
+    scenario: Callable[[DutyHolderTest, DutyFleet], Awaitable[None]],
+) -> Callable[[DutyHolderTest], None]:
+    """Make a test of a scenario, after which the contract must have been kept."""
+
+    @wraps(scenario)
+    def run(test: DutyHolderTest) -> None:
+        test.check(partial(scenario, test))
+
+    return run
+
+
 class DutyHolderTest(unittest.TestCase):
     def check(self, scenario: Callable[[DutyFleet], Awaitable[None]]) -> DutyFleet:
         fleet = run_fleet(scenario)
@@ -55,16 +68,14 @@
         fleet = self.check(scenario)
         self.assertEqual(len({arrival.token for arrival in fleet.arrivals}), 1)
 
-    def test_killed_holder_is_replaced_within_its_lease(self) -> None:
-        async def scenario(fleet: DutyFleet) -> None:
-            holder = await fleet.find_holder()
-            await fleet.kill(holder.name)
-            killed_ms = VirtualClock().now_ms()
-            self.assertEqual((await fleet.find_holder()).name, RANKED[1])
-            took_ms = VirtualClock().now_ms() - killed_ms
-            self.assertLessEqual(took_ms, SETTINGS.lease_ms + 500 + TICK_MS)
-
-        self.check(scenario)
+    @in_fleet
+    async def test_killed_holder_is_replaced_within_its_lease(self, fleet: DutyFleet) -> None:
+        holder = await fleet.find_holder()
+        await fleet.kill(holder.name)
+        killed_ms = VirtualClock().now_ms()
+        self.assertEqual((await fleet.find_holder()).name, RANKED[1])
+        took_ms = VirtualClock().now_ms() - killed_ms
+        self.assertLessEqual(took_ms, SETTINGS.lease_ms + 500 + TICK_MS)
 
     def test_all_candidates_killed_are_replaced_by_others(self) -> None:
         # Guards against a duty without holder while lost routers still count as known.
@@ -82,26 +93,22 @@
 
         self.assertEqual(run_fleet(scenario, names).find_violations(), [])
 
-    def test_lost_answer_at_acquiring_is_resolved(self) -> None:
+    @in_fleet
+    async def test_lost_answer_at_acquiring_is_resolved(self, fleet: DutyFleet) -> None:
         # Guards against a duty that the store gave to a router that does not know it.
-        async def scenario(fleet: DutyFleet) -> None:
-            first = fleet.routers[RANKED[0]]
-            first.link.lose = ["commit"]
-            self.assertIs(await fleet.find_holder(), first)
-            self.assertEqual(first.link.calls["commit"], 1)
-            await sleep_ms(10_000)
-
-        self.check(scenario)
-
-    def test_lost_renewals_do_not_end_a_duty(self) -> None:
-        async def scenario(fleet: DutyFleet) -> None:
-            holder = await fleet.find_holder()
-            holder.link.lose = ["renew"] * 2
-            await sleep_ms(10_000)
-            self.assertIs(await fleet.find_holder(TICK_MS), holder)
-            self.assertEqual(holder.lost, [])
-
-        self.check(scenario)
+        first = fleet.routers[RANKED[0]]
+        first.link.lose = ["commit"]
+        self.assertIs(await fleet.find_holder(), first)
+        self.assertEqual(first.link.calls["commit"], 1)
+        await sleep_ms(10_000)
+
+    @in_fleet
+    async def test_lost_renewals_do_not_end_a_duty(self, fleet: DutyFleet) -> None:
+        holder = await fleet.find_holder()
+        holder.link.lose = ["renew"] * 2
+        await sleep_ms(10_000)
+        self.assertIs(await fleet.find_holder(TICK_MS), holder)
+        self.assertEqual(holder.lost, [])
 
     def test_frozen_holder_does_not_act_after_its_lease(self) -> None:
         async def scenario(fleet: DutyFleet) -> None:
@@ -134,38 +141,36 @@
             with self.subTest(after_ms=after_ms):
                 self.check(scenario)
 
-    def test_holder_does_not_come_back_within_the_lease(self) -> None:
+    @in_fleet
+    async def test_holder_does_not_come_back_within_the_lease(self, fleet: DutyFleet) -> None:
         # Guards against the order A, B, A when B stops right after it acquired the duty.
-        async def scenario(fleet: DutyFleet) -> None:
-            holder = await fleet.find_holder()
-            holder.link.cut = True
-            await sleep_ms(2_500)
+        holder = await fleet.find_holder()
+        holder.link.cut = True
+        await sleep_ms(2_500)
+        other = await fleet.find_holder()
+        while other is holder:
+            await sleep_ms(10)
             other = await fleet.find_holder()
-            while other is holder:
-                await sleep_ms(10)
-                other = await fleet.find_holder()
-            holder.link.cut = False
-            await sleep_ms(600)
-            await fleet.routers.pop(other.name).holder.close()
-            self.assertIsNot(await fleet.find_holder(), holder)
-
-        self.check(scenario)
-
-    def test_attempt_that_is_executed_late_under_a_renewed_lease(self) -> None:
+        holder.link.cut = False
+        await sleep_ms(600)
+        await fleet.routers.pop(other.name).holder.close()
+        self.assertIsNot(await fleet.find_holder(), holder)
+
+    @in_fleet
+    async def test_attempt_that_is_executed_late_under_a_renewed_lease(
+        self, fleet: DutyFleet
+    ) -> None:
         # Guards against a key that a router renews without knowing that it holds the duty.
-        async def scenario(fleet: DutyFleet) -> None:
-            first, others = fleet.routers[RANKED[0]], RANKED[1:]
-            first.holder.register(Duty(DutyKind.SERVER_COUNT, "engines"), first)
-            await fleet.kill(*others)
-            first.link.lose, first.link.late_ms = ["commit"], 3_000
-            while not first.link.calls["commit"]:
-                await sleep_ms(10)
-            await sleep_ms(520)
-            fleet.views[first.name] = KnownRouters(own="other", known=fleet.known)
-            await fleet.start(*others)
-            await fleet.find_holder()
-
-        self.check(scenario)
+        first, others = fleet.routers[RANKED[0]], RANKED[1:]
+        first.holder.register(Duty(DutyKind.SERVER_COUNT, "engines"), first)
+        await fleet.kill(*others)
+        first.link.lose, first.link.late_ms = ["commit"], 3_000
+        while not first.link.calls["commit"]:
+            await sleep_ms(10)
+        await sleep_ms(520)
+        fleet.views[first.name] = KnownRouters(own="other", known=fleet.known)
+        await fleet.start(*others)
+        await fleet.find_holder()
 
     def test_no_router_acts_while_the_store_is_away(self) -> None:
         for pauses_leases in (True, False):
@@ -189,34 +194,32 @@
             with self.subTest(pauses_leases=pauses_leases):
                 self.check(scenario)
 
-    def test_restored_store_ends_the_duty_and_raises_the_token(self) -> None:
+    @in_fleet
+    async def test_restored_store_ends_the_duty_and_raises_the_token(
+        self, fleet: DutyFleet
+    ) -> None:
         # Guards against a token of the lost writes that is given out again.
-        async def scenario(fleet: DutyFleet) -> None:
-            copy = fleet.store.copy()
-            holder = await fleet.find_holder()
-            await sleep_ms(1_000)
-            token = fleet.arrivals[-1].token
-            fleet.store.restore(copy)
-            await sleep_ms(2_000)
-            self.assertEqual(holder.lost, [LossReason.RESTORED])
-            await fleet.find_holder()
-            await sleep_ms(1_000)
-            self.assertGreater(fleet.arrivals[-1].token, token)
-
-        self.check(scenario)
+        copy = fleet.store.copy()
+        holder = await fleet.find_holder()
+        await sleep_ms(1_000)
+        token = fleet.arrivals[-1].token
+        fleet.store.restore(copy)
+        await sleep_ms(2_000)
+        self.assertEqual(holder.lost, [LossReason.RESTORED])
+        await fleet.find_holder()
+        await sleep_ms(1_000)
+        self.assertGreater(fleet.arrivals[-1].token, token)
 
-    def test_restored_store_that_the_holder_cannot_reach(self) -> None:
+    @in_fleet
+    async def test_restored_store_that_the_holder_cannot_reach(self, fleet: DutyFleet) -> None:
         # Guards against a successor in the new era that acts while the old holder still may.
-        async def scenario(fleet: DutyFleet) -> None:
-            copy = fleet.store.copy()
-            holder = await fleet.find_holder()
-            holder.link.cut = True
-            fleet.store.restore(copy)
-            self.assertEqual((await fleet.find_holder()).name, holder.name)
-            await sleep_ms(10_000)
-            self.assertNotEqual((await fleet.find_holder()).name, holder.name)
-
-        self.check(scenario)
+        copy = fleet.store.copy()
+        holder = await fleet.find_holder()
+        holder.link.cut = True
+        fleet.store.restore(copy)
+        self.assertEqual((await fleet.find_holder()).name, holder.name)
+        await sleep_ms(10_000)
+        self.assertNotEqual((await fleet.find_holder()).name, holder.name)
 
     def test_restart_of_all_routers_raises_the_token(self) -> None:
         async def scenario(fleet: DutyFleet) -> None:
@@ -239,41 +242,39 @@
         fleet = self.check(scenario)
         self.assertEqual(len({arrival.holder for arrival in fleet.arrivals}), 1)
 
-    def test_partitioned_router_acquires_nothing_but_keeps_what_it_holds(self) -> None:
-        async def scenario(fleet: DutyFleet) -> None:
-            holder = await fleet.find_holder()
-            for name in NAMES:
-                lost = fleet.known - {name}
-                fleet.views[name] = KnownRouters(own=name, known=fleet.known, lost=lost)
-            await sleep_ms(10_000)
-            self.assertIs(await fleet.find_holder(TICK_MS), holder)
-            await fleet.kill(holder.name)
-            with self.assertRaises(AssertionError):
-                await fleet.find_holder()
-
-        self.check(scenario)
-
-    def test_graceful_stop_frees_the_duty_after_the_last_call(self) -> None:
-        async def scenario(fleet: DutyFleet) -> None:
-            holder = await fleet.find_holder()
-            await sleep_ms(SETTINGS.lease_ms)
-            await fleet.routers.pop(holder.name).holder.close()
-            self.assertEqual(holder.lost, [LossReason.STOPPED])
-            self.assertEqual((await fleet.find_holder(1_000)).name, RANKED[1])
-
-        self.check(scenario)
+    @in_fleet
+    async def test_partitioned_router_acquires_nothing_but_keeps_what_it_holds(
+        self, fleet: DutyFleet
+    ) -> None:
+        holder = await fleet.find_holder()
+        for name in NAMES:
+            lost = fleet.known - {name}
+            fleet.views[name] = KnownRouters(own=name, known=fleet.known, lost=lost)
+        await sleep_ms(10_000)
+        self.assertIs(await fleet.find_holder(TICK_MS), holder)
+        await fleet.kill(holder.name)
+        with self.assertRaises(AssertionError):
+            await fleet.find_holder()
 
-    def test_unregistered_duty_goes_to_another_router_and_may_come_back(self) -> None:
-        async def scenario(fleet: DutyFleet) -> None:
-            holder = await fleet.find_holder()
-            await holder.holder.unregister(USAGE)
-            self.assertIsNot(await fleet.find_holder(), holder)
-            holder.holder.register(USAGE, holder)
-            await sleep_ms(SETTINGS.lease_ms)
-            await fleet.kill(*(set(fleet.routers) - {holder.name}))
-            self.assertIs(await fleet.find_holder(), holder)
-
-        self.check(scenario)
+    @in_fleet
+    async def test_graceful_stop_frees_the_duty_after_the_last_call(self, fleet: DutyFleet) -> None:
+        holder = await fleet.find_holder()
+        await sleep_ms(SETTINGS.lease_ms)
+        await fleet.routers.pop(holder.name).holder.close()
+        self.assertEqual(holder.lost, [LossReason.STOPPED])
+        self.assertEqual((await fleet.find_holder(1_000)).name, RANKED[1])
+
+    @in_fleet
+    async def test_unregistered_duty_goes_to_another_router_and_may_come_back(
+        self, fleet: DutyFleet
+    ) -> None:
+        holder = await fleet.find_holder()
+        await holder.holder.unregister(USAGE)
+        self.assertIsNot(await fleet.find_holder(), holder)
+        holder.holder.register(USAGE, holder)
+        await sleep_ms(SETTINGS.lease_ms)
+        await fleet.kill(*(set(fleet.routers) - {holder.name}))
+        self.assertIs(await fleet.find_holder(), holder)
 
 
 if __name__ == "__main__":
