Duties: metrics of usage reports and orders exist only in a process that has the duty

Cause: without duties the metrics page had new families. Change: UsageMetrics and ServerOrderMetrics beside DutyMetrics; late and refused calls of scaled groups are counted for the decision and not exposed.

--- a/bench/usage_fleet.py
+++ b/bench/usage_fleet.py
@@ -115,10 +115,10 @@
         now_ms = fleet.clock.now_ms()
         self.name = name
         self.wall = WallClock(fleet.clock)
-        self.metrics = GatewayMetrics()
         start = RouterStart(name, self.wall.now_ms() * 1_000)
         windows = UsageWindows(own=start, started_ms=now_ms, settings=SETTINGS)
-        self.counter = UsageCounter(windows, fleet.clock, self.metrics, self.wall)
+        self.counter = UsageCounter(windows, fleet.clock, GatewayMetrics(), self.wall)
+        self.metrics = self.counter.usage_metrics
         self.holding: Holding | None = None
         self.reporter = UsageReporter(
             self.counter,
@@ -127,7 +127,6 @@
             fleet.store,
             fleet.api,
             fleet.clock,
-            self.metrics,
             random.Random(name),
         )
         self.cursor = UsageCursor()
--- a/src/boragetiller/gateway/call_telemetry.py
+++ b/src/boragetiller/gateway/call_telemetry.py
@@ -167,7 +167,7 @@
         route = call.route.name
         self._metrics.answered.labels(route).inc()
         if call.group.scaling is not None and first_ms > call.route.target_ms:
-            self._metrics.late.labels(call.group.name).inc()
+            self._metrics.late_calls[call.group.name] += 1
         self._metrics.response_seconds.labels(route).observe(elapsed_ms / 1_000)
         self._metrics.first_event_seconds.labels(route).observe(first_ms / 1_000)
         log_event(
@@ -206,7 +206,7 @@
         self._metrics.failed.labels(step.reason.value).inc()
         lacks_room = step.reason in {GiveUpReason.FULL, GiveUpReason.NO_ROOM}
         if call.group.scaling is not None and lacks_room:
-            self._metrics.group_refusals.labels(call.group.name).inc()
+            self._metrics.refused_calls[call.group.name] += 1
         log_event(
             Event.CALL_FAILED,
             request_id=call.metadata.request_id,
--- a/src/boragetiller/gateway/duties/group_loads.py
+++ b/src/boragetiller/gateway/duties/group_loads.py
@@ -41,7 +41,7 @@
         self._state_sync = state_sync
         self._metrics = metrics
         self._heard_routers = heard_routers
-        self._failures: dict[tuple[str, str], tuple[float, float]] = {}
+        self._failures: dict[tuple[str, str], tuple[int, int]] = {}
 
     def get_policy(self, group: str) -> ScalingPolicy | None:
         """:return: limits of a group in the configuration in force, None if it is not scaled"""
@@ -88,8 +88,8 @@
             slots=load.slots,
             memory=load.memory,
             prefill=load.prefill,
-            late=round(late - last_late),
-            refused=round(refused - last_refused),
+            late=late - last_late,
+            refused=refused - last_refused,
             age_ms=load.age_ms,
         )
 
@@ -148,9 +148,8 @@
             if (record.group, record.failure_domain) == (group, domain)
         )
 
-    def _read_failures(self, group: str) -> tuple[float, float]:
-        metrics = self._metrics
-        return _read(metrics.late.labels(group)), _read(metrics.group_refusals.labels(group))
+    def _read_failures(self, group: str) -> tuple[int, int]:
+        return self._metrics.late_calls[group], self._metrics.refused_calls[group]
 
 
 def _estimate_requests(server: BackendServer, costs: PlacementCostModel, now_ms: int) -> float:
@@ -167,10 +166,4 @@
     return now_ms - server.joined_ms < server.record.warm_up_left_ms
 
 
-def _read(counter: object) -> float:
-    """:return: present value of a counter"""
-    samples = next(iter(counter.collect())).samples  # type: ignore[attr-defined]
-    return float(samples[0].value)
-
-
 __all__ = ["GroupLoads"]
--- a/src/boragetiller/gateway/duties/metrics.py
+++ b/src/boragetiller/gateway/duties/metrics.py
@@ -32,4 +32,40 @@
         )
 
 
-__all__ = ["DutyMetrics"]
+class UsageMetrics:
+    """Metrics of usage reports."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """:param registry: registry of the process"""
+        self.windows = Counter(
+            "boragetiller_usage_windows",
+            "windows of usage reports, by step or reason of loss",
+            ["result"],
+            registry=registry,
+        )
+        self.dropped = Counter(
+            "boragetiller_usage_dropped",
+            "requests that are in no usage report because they came too late",
+            registry=registry,
+        )
+        self.clock_error_ms = Gauge(
+            "boragetiller_clock_error_ms",
+            "wall clock of this host less the true time",
+            registry=registry,
+        )
+
+
+class ServerOrderMetrics:
+    """Metrics of orders of servers."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """:param registry: registry of the process"""
+        self.orders = Counter(
+            "boragetiller_server_orders",
+            "orders of a number of servers, by result",
+            ["result"],
+            registry=registry,
+        )
+
+
+__all__ = ["DutyMetrics", "ServerOrderMetrics", "UsageMetrics"]
--- a/src/boragetiller/gateway/duties/server_controller.py
+++ b/src/boragetiller/gateway/duties/server_controller.py
@@ -28,8 +28,8 @@
     from boragetiller.clock import Clock
     from boragetiller.gateway.duties.group_loads import GroupLoads
     from boragetiller.gateway.duties.holder import DutyHolder
+    from boragetiller.gateway.duties.metrics import ServerOrderMetrics
     from boragetiller.gateway.duty_interface import DutyApi, LeaseStore
-    from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.tables.duties import Duty, Holding, LossReason
     from boragetiller.tables.routes import ScalingPolicy
     from boragetiller.tables.server_targets import DomainLoad, TargetDecision
@@ -53,7 +53,7 @@
         store: LeaseStore,
         api: DutyApi,
         clock: Clock,
-        metrics: GatewayMetrics,
+        metrics: ServerOrderMetrics,
     ) -> None:
         """
         Create the task of the duty.
@@ -152,7 +152,7 @@
                 self._clock.now_ms(),
                 is_confirmed=result == "confirmed",
             )
-        self._metrics.server_orders.labels(result).inc()
+        self._metrics.orders.labels(result).inc()
         log_event(
             Event.SERVERS_ORDERED,
             group=self._group,
--- a/src/boragetiller/gateway/duties/tasks.py
+++ b/src/boragetiller/gateway/duties/tasks.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.gateway.duties.group_loads import GroupLoads
+from boragetiller.gateway.duties.metrics import ServerOrderMetrics
 from boragetiller.gateway.duties.server_controller import ServerController
 from boragetiller.gateway.duties.usage_links import UsageLinks
 from boragetiller.gateway.duties.usage_reporter import UsageReporter
@@ -63,12 +64,13 @@
         self._links: UsageLinks | None = None
         self._clock = clock
         self._metrics = metrics
+        self._order_metrics = ServerOrderMetrics(metrics.registry)
         self._loads = GroupLoads(registry, state_sync, peer_exchange.heard_routers, metrics)
         self._subjects: dict[tuple[str, str], Duty] = {}
         self._update_task: asyncio.Task[None] | None = None
         if state_sync.usage is not None:
             reporter = UsageReporter(
-                state_sync.usage, parts.holder, parts.store, store, parts.api, clock, metrics, rng
+                state_sync.usage, parts.holder, parts.store, store, parts.api, clock, rng
             )
             duty = Duty(DutyKind.USAGE_REPORT)
             parts.holder.register(duty, reporter)
@@ -128,7 +130,7 @@
             self._parts.store,
             self._parts.api,
             self._clock,
-            self._metrics,
+            self._order_metrics,
         )
 
 
--- a/src/boragetiller/gateway/duties/usage_counter.py
+++ b/src/boragetiller/gateway/duties/usage_counter.py
@@ -7,6 +7,7 @@
 
 from boragetiller.clock import BoottimeClock, WallClock, new_incarnation
 from boragetiller.events import Event, log_event
+from boragetiller.gateway.duties.metrics import UsageMetrics
 from boragetiller.gateway.supervisor import run_supervised
 from boragetiller.systems.duties.true_time import compute_true_time, record_peer_clock
 from boragetiller.systems.duties.usage_windows import (
@@ -58,12 +59,13 @@
 
         :param windows: counts of the last windows
         :param clock: clock of the time since boot, which goes on while the host is suspended
-        :param metrics: counters of dropped requests, gauge of the clock's error
+        :param metrics: registry of the process, and counter of failures of tasks
         :param wall_clock: wall clock of this host, None for that of the system
         """
         self.windows = windows
         self._clock = clock
         self._wall_clock = wall_clock or WallClock()
+        self.usage_metrics = UsageMetrics(metrics.registry)
         self._metrics = metrics
         self._true_time = TrueTime()
         self.has_links = False  # entries are sent by UsageLinks and not in reports to all peers
@@ -130,7 +132,7 @@
             return
         progress.begun = True
         if not record_begin(self.windows, call.customer.name, self.get_true_ms()):
-            self._metrics.usage_dropped.inc()
+            self.usage_metrics.dropped.inc()
 
     def build_report_entries(self, cursor: UsageCursor) -> tuple[UsageCounts, ...]:
         """:return: entries of a report to all peers; see :meth:`build_entries`"""
@@ -168,7 +170,7 @@
             true_ms = self.get_true_ms()
             dropped = apply_entry(self.windows, peer, entry, true_ms, now_ms)
             if dropped:
-                self._metrics.usage_dropped.inc(dropped)
+                self.usage_metrics.dropped.inc(dropped)
                 log_event(
                     Event.USAGE_COUNTS_DROPPED,
                     window_no=entry.window_no,
@@ -189,7 +191,7 @@
     def close_due_windows(self) -> None:
         """Close the windows whose time has come."""
         true_ms = self.get_true_ms()
-        self._metrics.clock_error_ms.set(self._wall_clock.now_ms() - true_ms)
+        self.usage_metrics.clock_error_ms.set(self._wall_clock.now_ms() - true_ms)
         for window in close_windows(self.windows, true_ms, self._clock.now_ms()):
             self._log_closed(window, true_ms)
 
--- a/src/boragetiller/gateway/duties/usage_reporter.py
+++ b/src/boragetiller/gateway/duties/usage_reporter.py
@@ -40,7 +40,6 @@
     from boragetiller.gateway.duties.holder import DutyHolder
     from boragetiller.gateway.duties.usage_counter import UsageCounter
     from boragetiller.gateway.duty_interface import DutyApi, LeaseStore
-    from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.platform_interface import Listing
     from boragetiller.tables.duties import Holding, LossReason
     from boragetiller.tables.store_writes import CommitResult, Transaction
@@ -69,7 +68,6 @@
         reader: PrefixReader,
         api: DutyApi,
         clock: Clock,
-        metrics: GatewayMetrics,
         rng: Random,
     ) -> None:
         """
@@ -81,7 +79,6 @@
         :param reader: lists the stored windows
         :param api: receives the reports
         :param clock: monotonic clock
-        :param metrics: counter of the windows
         :param rng: seeded random generator
         """
         self._counter = counter
@@ -90,7 +87,6 @@
         self._reader = reader
         self._api = api
         self._clock = clock
-        self._metrics = metrics
         self._rng = rng
         self._reports = UsageReports()
 
@@ -158,7 +154,7 @@
         if result.status is CommitStatus.COMMITTED:
             record_stored(self._reports, window)
             record_removed(self._reports, transaction.removals)
-            self._metrics.usage_windows.labels("stored").inc()
+            self._counter.usage_metrics.windows.labels("stored").inc()
             return
         key = build_key(window.window_no)
         for item in result.entries:
@@ -200,7 +196,7 @@
             await self._api.send_usage(report, held)
         except (DutyApiBusy, DutyApiUnavailable) as error:
             delay_ms = record_failed(self._reports, self._clock.now_ms(), self._rng)
-            self._metrics.usage_windows.labels("repeated").inc()
+            self._counter.usage_metrics.windows.labels("repeated").inc()
             log_event(
                 Event.USAGE_REPORT_REPEATED,
                 window_no=window.window_no,
@@ -211,7 +207,7 @@
             )
             return False
         record_sent(self._reports, window.window_no)
-        self._metrics.usage_windows.labels("sent").inc()
+        self._counter.usage_metrics.windows.labels("sent").inc()
         log_event(
             Event.USAGE_REPORT_SENT,
             window_no=window.window_no,
@@ -224,7 +220,7 @@
 
     def _log_lost(self, lost: list[LostWindow]) -> None:
         for window in lost:
-            self._metrics.usage_windows.labels(window.reason).inc()
+            self._counter.usage_metrics.windows.labels(window.reason).inc()
             log_event(Event.USAGE_WINDOW_LOST, window_no=window.window_no, reason=window.reason)
 
 
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter as Tally
 from typing import TYPE_CHECKING
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
@@ -29,6 +30,9 @@
     def __init__(self) -> None:
         """Create and register all metrics."""
         self.registry = CollectorRegistry(auto_describe=False)
+        # By group with scaling; inputs of systems.duties.server_targets, not exposed.
+        self.late_calls: Tally[str] = Tally()
+        self.refused_calls: Tally[str] = Tally()
         self.answered = self._counter("answered", "calls answered by a backend server", "route")
         self.refused = self._counter("refused", "calls refused, by code of the error", "code")
         self.failed = self._counter("failed", "calls failed by the router, by reason", "reason")
@@ -65,24 +69,6 @@
             "store_era_errors", "responses of the store without a valid era, by reason", "reason"
         )
         self.peers = self._gauge("peers", "other routers that report to this one")
-        self.usage_windows = self._counter(
-            "usage_windows", "windows of usage reports, by step or reason of loss", "result"
-        )
-        self.usage_dropped = self._counter(
-            "usage_dropped", "requests that are in no usage report because they came too late"
-        )
-        self.server_orders = self._counter(
-            "server_orders", "orders of a number of servers, by result", "result"
-        )
-        self.late = self._counter(
-            "late", "calls answered or begun after the target of their route", "group"
-        )
-        self.group_refusals = self._counter(
-            "group_refusals", "calls that found no server with room", "group"
-        )
-        self.clock_error_ms = self._gauge(
-            "clock_error_ms", "wall clock of this host less the true time"
-        )
         self.first_event_seconds = self._histogram(
             "first_event_seconds", "time from arrival to the first event"
         )
@@ -118,8 +104,8 @@
         """:return: all metrics in the Prometheus text format"""
         return generate_latest(self.registry)
 
-    def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
-        return Counter(f"boragetiller_{name}", help_text, labels, registry=self.registry)
+    def _counter(self, name: str, help_text: str, label: str) -> Counter:
+        return Counter(f"boragetiller_{name}", help_text, [label], registry=self.registry)
 
     def _gauge(self, name: str, help_text: str, *labels: str) -> Gauge:
         return Gauge(f"boragetiller_{name}", help_text, labels, registry=self.registry)
--- a/tests/gateway/duties/test_server_controller.py
+++ b/tests/gateway/duties/test_server_controller.py
@@ -6,11 +6,13 @@
 from types import SimpleNamespace
 from typing import Any
 
+from prometheus_client import CollectorRegistry
+
 from bench.usage_fleet import TOKEN_KEY, FakeStore
 from boragetiller.clock import ManualClock
 from boragetiller.errors import DutyApiBusy, DutyApiUnavailable
+from boragetiller.gateway.duties.metrics import ServerOrderMetrics
 from boragetiller.gateway.duties.server_controller import ServerController
-from boragetiller.gateway.metrics import GatewayMetrics
 from boragetiller.tables.duties import Duty, DutyKind, Holding, LossReason
 from boragetiller.tables.routes import ScalingPolicy
 from boragetiller.tables.server_targets import DomainLoad, ScalingConditions
@@ -55,7 +57,15 @@
         )
         holder: Any = SimpleNamespace(get_valid=lambda *_: self.holding)
         return ServerController(
-            DUTY, "engines", "a", loads, holder, self.store, self.api, self.clock, GatewayMetrics()
+            DUTY,
+            "engines",
+            "a",
+            loads,
+            holder,
+            self.store,
+            self.api,
+            self.clock,
+            ServerOrderMetrics(CollectorRegistry()),
         )
 
     async def run_for(self, controller: ServerController, seconds: float) -> None:
--- a/tests/gateway/duties/test_usage_reports.py
+++ b/tests/gateway/duties/test_usage_reports.py
@@ -102,7 +102,7 @@
         assert reported is not None
         missing = self.fleet.truth[2]["large"] - reported["large"]
         self.assertGreater(missing, 0)
-        dropped = self.fleet.routers["a"].metrics.usage_dropped
+        dropped = self.fleet.routers["a"].metrics.dropped
         self.assertGreaterEqual(dropped._value.get(), missing)
         self.assertEqual(self.fleet.api.conflicts, [])
 
@@ -184,7 +184,7 @@
         self.fleet.elect("d")
         self.fleet.run_to(5, 0)
         self.assert_exact(range(3))
-        dropped = self.fleet.routers["d"].metrics.usage_dropped
+        dropped = self.fleet.routers["d"].metrics.dropped
         self.assertEqual(dropped._value.get(), 0)
 
     def test_restarted_single_router_does_not_report_what_it_has_not_counted(self) -> None:
@@ -196,7 +196,7 @@
         self.fleet.run_to(6, 0)
         self.assertIsNone(self.fleet.reported(2))
         self.assert_exact(range(3, 4))
-        lost = self.fleet.routers["a"].metrics.usage_windows.labels("not_counted")
+        lost = self.fleet.routers["a"].metrics.windows.labels("not_counted")
         self.assertGreaterEqual(lost._value.get(), 1)
 
     def test_busy_and_silent_api(self) -> None:
@@ -219,7 +219,7 @@
         self.fleet.api.mode = "ok"
         self.fleet.run(6)
         self.assertIsNone(self.fleet.reported(1))
-        late = self.fleet.routers["a"].metrics.usage_windows.labels("too_late")
+        late = self.fleet.routers["a"].metrics.windows.labels("too_late")
         self.assertGreaterEqual(late._value.get(), 1)
 
     def test_restored_store_changes_no_report(self) -> None:
