--- a/bench/gateway_scale.py
+++ b/bench/gateway_scale.py
@@ -30,6 +30,7 @@
 )
 from boragetiller.gateway.state_sync import StateSync
 from boragetiller.systems.candidates import select_candidates
+from boragetiller.systems.overload.server_speed import record_work_time
 from boragetiller.systems.report_peers import MAX_PEERS
 from boragetiller.systems.server_placement import choose_server
 from boragetiller.tables.call_metadata import Prompt, PromptPart
@@ -50,6 +51,7 @@
 LOADS_PER_REPORT = 8  # servers whose load changes between two reports
 PROMPTS_PER_REPORT = 3
 PARTS = 3_000
+SPEEDS = (0.7, 0.7, 1.7)  # observed work times of the servers
 
 
 def main() -> int:
@@ -102,6 +104,7 @@
         "routers": routers,
         "servers": servers,
         "choice_ms": _measure_choice_ms(registry, rng, servers),
+        "choice_observed_ms": _measure_choice_ms(registry, rng, servers, observed=True),
         "report_taken_ms": apply_report_ms,
         "report_built_ms": build_report_ms,
         "control_share_of_core": control_share,
@@ -124,8 +127,13 @@
     return registry, state_sync
 
 
-def _measure_choice_ms(registry: BackendRegistry, rng: Random, servers: int) -> float:
+def _measure_choice_ms(
+    registry: BackendRegistry, rng: Random, servers: int, *, observed: bool = False
+) -> float:
     group = registry.servers.find_accepting("engines")
+    if observed:
+        for number, server in enumerate(group.servers):
+            record_work_time(server.speed, SPEEDS[number % len(SPEEDS)], 900, 1_000)
     costs = PlacementCostModel()
 
     def choose() -> None:
@@ -193,8 +201,10 @@
         "service": "engines",
         "address": f"10.0.{number // 250}.{number % 250 + 1}:8500",
         "zone": f"z{number % DOMAINS}",
+        "version": "v1",
         "slots": slots,
         "state": "ready",
+        "cold-left-ms": 0,
         "seq": 1,
     }
     return StoredItem(
--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 import attrs
 
 from boragetiller.errors import EntryUnreadable
 from boragetiller.events import Event, log_event
-from boragetiller.gateway.server_client import ServerClient
+from boragetiller.gateway.server_clients import ServerClients
 from boragetiller.gateway.store_entries import StoreEntries
 from boragetiller.store_eras import get_era, get_store_revision
 from boragetiller.systems.engine_throughput import EngineThroughput
@@ -30,6 +29,7 @@
     from boragetiller.clock import Clock
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.platform_interface import Dialect
+    from boragetiller.gateway.server_client import ServerClient
     from boragetiller.gateway.settings import GatewaySettings
     from boragetiller.tables.call_metadata import Prompt
     from boragetiller.tables.direct_attempts import ResponseProgress
@@ -38,7 +38,6 @@
     from boragetiller.tables.store_view import StoredItem
 
 MAX_ROUTERS = 8  # routers that share the fleet's retry slack, including spare ones
-CLOSE_DELAY_MS = 30_000  # lets calls in progress at a removed server end
 
 
 class BackendRegistry:
@@ -55,7 +54,7 @@
         :param clock: monotonic clock
         :param metrics: gauges of the configuration version and the number of servers
         """
-        self._metrics = metrics
+        self.metrics = metrics
         self.store_entries = StoreEntries(dialect, clock)
         self.servers = ServerTable()
         self.peer_loads = PeerLoadTable()
@@ -74,10 +73,9 @@
         self.dialect = dialect
         self._clock = clock
         self._default_cost_model = PlacementCostModel()
-        self._clients: dict[str, ServerClient] = {}
+        self._clients = ServerClients(dialect)
         self._budgets: dict[str, WindowedRetryBudget] = {}
         self._unreadable_revisions: dict[str, int] = {}
-        self._close_tasks: set[asyncio.Task[None]] = set()
 
     @property
     def is_ready(self) -> bool:
@@ -101,10 +99,7 @@
         :param server: the server
         :return: its client
         """
-        name = server.name
-        if name not in self._clients:
-            self._clients[name] = ServerClient(server.record, self.dialect)
-        return self._clients[name]
+        return self._clients.get(server)
 
     def get_throughput(self, group: str) -> EngineThroughput:
         """
@@ -235,11 +230,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for task in self._close_tasks:
-            task.cancel()
-        for client in self._clients.values():
-            await client.close()
-        self._clients.clear()
+        await self._clients.close()
 
     def _apply(self, changed_items: list[StoredItem], source: str) -> None:
         for item in changed_items:
@@ -268,7 +259,7 @@
         }
         self.output_lengths.retain_routes({route.name for route in config.routes})
         self.config_applied_ms = self._clock.now_ms()
-        self._metrics.config_version.set(config.version)
+        self.metrics.config_version.set(config.version)
         log_event(
             Event.ROUTES_TAKEN,
             version=config.version,
@@ -294,8 +285,8 @@
                 )
                 if self.on_server_added is not None:
                     self.on_server_added(self.servers.by_name[record.name])
-        self._metrics.servers.set(len(records))
-        self._metrics.unreadable_servers.set(len(items) - len(readable))
+        self.metrics.servers.set(len(records))
+        self.metrics.unreadable_servers.set(len(items) - len(readable))
         self._list_unreadable = bool(items) and not readable
         listed = {item.key for item in items}
         for key in self._unreadable_revisions.keys() - listed:
@@ -304,9 +295,7 @@
         for server in removed:
             log_event(Event.SERVER_GONE, server=server.name, in_flight=server.in_flight)
             self.record_crash(server.name)
-            client = self._clients.pop(server.name, None)
-            if client is not None:
-                self._close_delayed(client)
+            self._clients.remove(server.name)
 
     def _read_server(self, item: StoredItem) -> ServerRecord | None:
         assert item.value is not None
@@ -318,17 +307,5 @@
             self._unreadable_revisions[item.key] = item.revision
             return None
 
-    def _close_delayed(self, client: ServerClient) -> None:
-        task = asyncio.create_task(_close_after_delay(client))
-        self._close_tasks.add(task)
-        task.add_done_callback(self._close_tasks.discard)
-
-
-async def _close_after_delay(client: ServerClient) -> None:
-    try:
-        await asyncio.sleep(CLOSE_DELAY_MS / 1_000)
-    finally:
-        await client.close()
-
 
 __all__ = ["BackendRegistry"]
--- a/src/boragetiller/gateway/call_telemetry.py
+++ b/src/boragetiller/gateway/call_telemetry.py
@@ -11,7 +11,7 @@
     from boragetiller.clock import Clock
     from boragetiller.gateway.admitted_call import AdmittedCall
     from boragetiller.gateway.metrics import GatewayMetrics
-    from boragetiller.gateway.sender import StreamState
+    from boragetiller.gateway.outgoing_attempts import StreamState
     from boragetiller.systems.direct_retry_policy import GiveUp
     from boragetiller.systems.engine_throughput import EngineThroughput
     from boragetiller.tables.direct_attempts import (
--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -10,14 +10,14 @@
 from boragetiller.gateway.attempt_recorder import AttemptRecorder
 from boragetiller.gateway.call_telemetry import CallTelemetry
 from boragetiller.gateway.hedging import PlacedResult, send_hedged
+from boragetiller.gateway.outgoing_attempts import StreamState
 from boragetiller.gateway.responses import (
-    ErrorResponse,
     EventWriter,
     build_complete_response,
     build_error_response,
 )
 from boragetiller.gateway.retry_after import RetryAfter
-from boragetiller.gateway.sender import CallSender, StreamState
+from boragetiller.gateway.sender import CallSender
 from boragetiller.systems.candidates import select_candidates
 from boragetiller.systems.direct_retry_policy import (
     GiveUp,
@@ -44,7 +44,6 @@
 from boragetiller.systems.server_placement import choose_server, compute_stream_sensitivity
 from boragetiller.tables.direct_attempts import CallProgress, DirectAttemptOutcome
 from boragetiller.tables.server_placement import ServerPlacementRequest
-from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
     from random import Random
@@ -61,9 +60,6 @@
     from boragetiller.tables.server_placement import Placement
     from boragetiller.tables.servers import BackendServer
 
-# After these the servers of a group take no calls for a moment.
-BUSY_OUTCOMES = frozenset({DirectAttemptOutcome.FULL, DirectAttemptOutcome.UNAVAILABLE})
-
 
 @attrs.define(kw_only=True)
 class CallState:
@@ -281,32 +277,12 @@
         if state.stream is not None and state.stream.event_writer.started:
             self._telemetry.record_failed(call, placement, decision, detail, server_status, None)
             return state.stream.event_writer.abort()
-        response = self._choose_error_response(call, decision)
+        response = self._retry_after.choose_response(call, decision)
         self._telemetry.record_failed(
             call, placement, decision, detail, server_status, response.status
         )
         return build_error_response(response, call.metadata.request_id, self._dialect)
 
-    def _choose_error_response(self, call: AdmittedCall, decision: GiveUp) -> ErrorResponse:
-        if decision.verdict is Verdict.NOT_RUN:
-            status, code = 503, decision.reason.value
-        else:
-            status = 504 if decision.outcome is DirectAttemptOutcome.SILENT else 502
-            code = decision.outcome.value
-        return ErrorResponse(
-            status=status,
-            code=code,
-            verdict=decision.verdict,
-            retry_after_s=self._choose_retry_after_s(call, decision),
-        )
-
-    def _choose_retry_after_s(self, call: AdmittedCall, decision: GiveUp) -> float | None:
-        """:return: seconds, None unless the caller may repeat the call and had better wait"""
-        is_busy = call.route.repeatable and decision.outcome in BUSY_OUTCOMES
-        if decision.verdict is Verdict.NOT_RUN or is_busy:
-            return self._retry_after.compute_s(call, decision.reason)
-        return None
-
 
 def _create_call_state(call: AdmittedCall, request: web.BaseRequest) -> CallState:
     route = call.route
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -57,6 +57,12 @@
         self.unreadable_servers = self._gauge(
             "unreadable_servers", "entries of the list of backend servers that cannot be decoded"
         )
+        self.speed_changes = self._counter(
+            "server_speed_changes", "lasting changes of the work time of backend servers", "group"
+        )
+        self.slow_servers = self._gauge(
+            "slow_servers", "backend servers where work lastingly takes 1.5 times the usual or more"
+        )
         self.store_reachable = self._gauge(
             "store_reachable", "1 if the last call to the store succeeded"
         )
--- a/src/boragetiller/gateway/retry_after.py
+++ b/src/boragetiller/gateway/retry_after.py
@@ -1,12 +1,15 @@
-"""When a caller whose request was refused should come back."""
+"""Error responses to calls that failed, and when their callers should come back."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from boragetiller.systems.direct_retry_policy import GiveUpReason
+from boragetiller.gateway.responses import ErrorResponse
+from boragetiller.systems.direct_retry_policy import GiveUp, GiveUpReason
 from boragetiller.systems.failure_history import quarantine_left_ms
 from boragetiller.systems.server_limits import compute_retry_ms
+from boragetiller.tables.direct_attempts import DirectAttemptOutcome
+from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
     from random import Random
@@ -17,6 +20,8 @@
 
 SERVICE_RETRY_AFTER_S = (0.1, 0.4)  # range for plain services, whose calls take tens of ms
 TARGET_SHARES = (0.25, 0.75)  # range for engines; such a retry may be in time
+# After these the servers of a group take no calls for a moment.
+BUSY_OUTCOMES = frozenset({DirectAttemptOutcome.FULL, DirectAttemptOutcome.UNAVAILABLE})
 
 
 class RetryAfter:
@@ -34,6 +39,31 @@
         self._clock = clock
         self._rng = rng
 
+    def choose_response(self, call: AdmittedCall, decision: GiveUp) -> ErrorResponse:
+        """
+        Choose the error response to a call that failed before any part of its response was sent.
+
+        :param call: the call
+        :param decision: why it failed
+        :return: the response, with a Retry-After if the caller may repeat the call
+        """
+        if decision.verdict is Verdict.NOT_RUN:
+            status, code = 503, decision.reason.value
+        else:
+            status = 504 if decision.outcome is DirectAttemptOutcome.SILENT else 502
+            code = decision.outcome.value
+        is_busy = call.route.repeatable and decision.outcome in BUSY_OUTCOMES
+        return ErrorResponse(
+            status=status,
+            code=code,
+            verdict=decision.verdict,
+            retry_after_s=(
+                self.compute_s(call, decision.reason)
+                if decision.verdict is Verdict.NOT_RUN or is_busy
+                else None
+            ),
+        )
+
     def compute_s(self, call: AdmittedCall, reason: GiveUpReason) -> float:
         """
         Compute the Retry-After of a refusal.
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -9,25 +9,24 @@
 import attrs
 
 from boragetiller.events import Event, log_event
-from boragetiller.gateway.admitted_call import AdmittedCall
 from boragetiller.gateway.backend_connections import ResponseTooLarge
 from boragetiller.gateway.event_stream import EventSplitter, EventTooLarge
-from boragetiller.gateway.responses import EventWriter
+from boragetiller.gateway.outgoing_attempts import (
+    OutgoingAttempt,
+    StreamState,
+    build_event_timeout,
+)
 from boragetiller.gateway.server_client import NOT_SENT_ERRORS, TRANSPORT_ERRORS, OutgoingRequest
 from boragetiller.systems.crash_suspects import has_survived_start
 from boragetiller.systems.prefix_cache import estimate_uncached_tokens
 from boragetiller.systems.response_outcomes import SUCCESS, classify_complete, classify_head
-from boragetiller.systems.response_timeouts import compute_stream_timeouts
 from boragetiller.systems.server_placement import compute_stream_sensitivity
 from boragetiller.tables.call_metadata import ForwardMetadata
 from boragetiller.tables.direct_attempts import (
-    CallProgress,
     CompleteResponse,
     DirectAttemptOutcome,
     DirectAttemptResult,
-    ResponseProgress,
 )
-from boragetiller.tables.server_placement import Placement
 from boragetiller.tables.servers import PendingPrompt
 from boragetiller.value_checks import is_sendable_header
 
@@ -37,71 +36,18 @@
     from multidict import CIMultiDict
 
     from boragetiller.clock import Clock
+    from boragetiller.gateway.admitted_call import AdmittedCall
     from boragetiller.gateway.backend_registry import BackendRegistry
     from boragetiller.gateway.platform_interface import Dialect
     from boragetiller.gateway.server_client import ServerResponse
     from boragetiller.gateway.state_sync import StateSync
     from boragetiller.tables.call_metadata import ResponseMetadata
-    from boragetiller.tables.servers import BackendServer
+    from boragetiller.tables.direct_attempts import CallProgress
+    from boragetiller.tables.server_placement import Placement
 
 MAX_RESPONSE_BODY_RATIO = 4  # size limit of a response body, in limits of a request body
 
 
-@attrs.define(kw_only=True)
-class StreamState:
-    """Progress of a stream towards the caller."""
-
-    event_writer: EventWriter
-    last_event_id: str | None
-    first_event_ms: int | None = None  # monotonic time of the first event
-    last_event_ms: int = 0  # monotonic time of the last event
-    longest_gap_ms: int = 0  # between two events
-    complete: bool = False
-
-    def record_event(self, now_ms: int) -> None:
-        """
-        Record the arrival of an event.
-
-        :param now_ms: monotonic time in milliseconds
-        """
-        if self.first_event_ms is None:
-            self.first_event_ms = now_ms
-        else:
-            self.longest_gap_ms = max(self.longest_gap_ms, now_ms - self.last_event_ms)
-        self.last_event_ms = now_ms
-
-
-@attrs.frozen(kw_only=True)
-class EventTimeout:
-    """Time limits on the first event of a stream and between events."""
-
-    timer: asyncio.Timeout
-    between_events_s: float | None  # None for no limit
-
-    def restart(self) -> None:
-        """Restart the timer after an event."""
-        if self.between_events_s is not None:
-            self.timer.reschedule(asyncio.get_running_loop().time() + self.between_events_s)
-
-
-@attrs.frozen(kw_only=True)
-class OutgoingAttempt:
-    """An attempt in progress."""
-
-    call: AdmittedCall
-    placement: Placement  # the server and its estimated latency
-    progress: CallProgress  # of the call; relayed events are counted in it
-    stream: StreamState | None  # None for a buffered response
-    event_timeout: EventTimeout
-    started_ms: int  # monotonic time of the start
-    response_progress: ResponseProgress = attrs.field(factory=ResponseProgress)
-
-    @property
-    def server(self) -> BackendServer:
-        """:return: the server of the attempt"""
-        return self.placement.server
-
-
 class CallSender:
     """Sends calls to backend servers and tracks the load in flight at each of them."""
 
@@ -147,7 +93,7 @@
             placement=placement,
             progress=progress,
             stream=stream,
-            event_timeout=_build_event_timeout(call, placement),
+            event_timeout=build_event_timeout(call, placement),
             started_ms=self._clock.now_ms(),
         )
         with self._track_in_flight(attempt):
@@ -204,6 +150,8 @@
         if metadata.load is not None:
             reported_requests = metadata.load.running + metadata.load.waiting
             attempt.server.record_reported_load(reported_requests, self._clock.now_ms())
+            if metadata.load.work_time is not None:
+                self._state_sync.speeds.record_response(attempt.server, metadata.load.work_time)
         if metadata.sealed or metadata.limit_per_s is not None:
             self._registry.record_limit(attempt.server, metadata.limit_per_s)
         outcome = classify_head(metadata, attempt.server.name)
@@ -310,19 +258,6 @@
             server.remove_pending_prompt(request_id)
 
 
-def _build_event_timeout(call: AdmittedCall, placement: Placement) -> EventTimeout:
-    """Limit the silence of resumable streams, which can continue at another server."""
-    if not (call.route.streamed and call.route.resumable):
-        return EventTimeout(timer=asyncio.timeout(None), between_events_s=None)
-    timeouts = compute_stream_timeouts(
-        call.route.target_ms, call.route.gap_target_ms, placement.first_event_ms
-    )
-    return EventTimeout(
-        timer=asyncio.timeout(timeouts.first_event_ms / 1_000),
-        between_events_s=timeouts.between_events_ms / 1_000,
-    )
-
-
 def _describe_head(metadata: ResponseMetadata) -> str:
     sealed = "sealed" if metadata.sealed else "not sealed"
     encoded = ", encoded" if metadata.encoded else ""
@@ -331,4 +266,4 @@
     return f"status {metadata.status}, {sealed}{encoded}{not_run}{instance}"
 
 
-__all__ = ["OutgoingAttempt", "CallSender", "EventTimeout", "StreamState"]
+__all__ = ["CallSender"]
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -8,18 +8,20 @@
 import attrs
 
 from boragetiller.events import Event, log_event
+from boragetiller.gateway.load_reports import apply_loads, list_changed_loads
 from boragetiller.gateway.peer_messages import CachedPrompt, PeerReport, ReportedLoad
-from boragetiller.store_eras import get_era, get_store_revision
+from boragetiller.gateway.server_speeds import ServerSpeeds
+from boragetiller.gateway.store_revisions import StoreRevisions, is_newer
+from boragetiller.store_eras import get_era
 from boragetiller.systems.failure_history import apply_failure, list_crashes
 from boragetiller.systems.part_quarantine import apply_report, list_reports
-from boragetiller.systems.peer_loads import record_report, remove_load, remove_peer, set_load
+from boragetiller.systems.peer_loads import record_report, remove_peer
 from boragetiller.systems.prefix_cache import estimate_cache_tokens, record_prefill
 from boragetiller.systems.server_limits import apply_report as apply_limit_report
 from boragetiller.systems.server_limits import list_limits, set_members
 from boragetiller.systems.store_polling import StorePollSchedule
 from boragetiller.systems.watcher_election import WatcherElection
 from boragetiller.tables.recent_items import RecentItems
-from boragetiller.tables.servers import PeerLoad
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
@@ -31,27 +33,9 @@
     from boragetiller.tables.servers import BackendServer
     from boragetiller.tables.store_view import StoredItem
 
-MAX_UINT32 = (1 << 32) - 1  # largest number of tokens that a report can hold
 MAX_RECENT_PROMPTS = 512  # enough for those sent in the 100 ms between two reports
 
 
-@attrs.frozen
-class StoreRevisions:
-    """Extended revisions of the newest known configuration and list of backend servers."""
-
-    config: int
-    servers: int
-
-    def is_newer_than(self, other: StoreRevisions) -> bool:
-        """:return: whether either revision is higher than the other's"""
-        return _is_newer(self.config, other.config) or _is_newer(self.servers, other.servers)
-
-    def is_eras_ahead_of(self, other: StoreRevisions) -> bool:
-        """:return: whether the other router has missed a restore of the store"""
-        pairs = ((self.config, other.config), (self.servers, other.servers))
-        return any(theirs and get_era(own) > get_era(theirs) > 0 for own, theirs in pairs)
-
-
 @attrs.define
 class ReportCursor:
     """Position up to which prompts, failures and loads have been reported on a connection."""
@@ -61,6 +45,7 @@
     part_crashes: int = 0
     limits: int = 0
     removals: int = 0
+    speeds: int = 0
     loads: dict[str, ReportedLoad] = attrs.field(factory=dict)  # by server, without idle ones
 
 
@@ -82,6 +67,7 @@
         self.store_polls = StorePollSchedule()
         self.watcher_election = WatcherElection(name)
         self.reporting_share = 1.0  # see systems.report_peers
+        self.speeds = ServerSpeeds(registry.servers, registry.metrics, clock)
         self.report_due = asyncio.Event()  # set by what peers must know before the next interval
         self._registry = registry
         self._registry.on_crash_recorded = self.report_due.set
@@ -121,7 +107,7 @@
             item
             for prefix, revision in pairs
             for item in view.newer_than(prefix, 0)
-            if _is_newer(item.revision, revision)
+            if is_newer(item.revision, revision)
         ]
 
     def list_items_lost_in_restore(self) -> list[StoredItem]:
@@ -148,6 +134,7 @@
             history.part_crashes.recent.count,
             self._registry.server_limits.recent.count,
             self._registry.store_entries.recent_removals.count,
+            self.speeds.count,
         )
 
     def build_first_report(self) -> PeerReport:
@@ -174,7 +161,7 @@
         report = PeerReport(
             config_revision=revisions.config,
             servers_revision=revisions.servers,
-            loads=self._list_changed_loads(cursor),
+            loads=list_changed_loads(self._registry.servers.by_name.values(), cursor.loads),
             prompts=self._recent_prompts.since(cursor.prompts),
             failures=failures.since(cursor.failures),
             part_crashes=part_crashes.since(cursor.part_crashes),
@@ -183,9 +170,12 @@
             reaches_store=self.watcher_election.own_store_reachable,
             watches=self.watcher_election.own_store_reachable
             and self.watcher_election.is_watcher(self._clock.now_ms()),
+            speeds=self.speeds.list_reports(cursor.speeds),
         )
+        self.speeds.update_ranks()
         cursor.prompts, cursor.failures = self._recent_prompts.count, failures.count
         cursor.part_crashes, cursor.limits = part_crashes.count, limits.count
+        cursor.speeds = self.speeds.count
         return report
 
     def take_removals(self, cursor: ReportCursor) -> tuple[StoredItem, ...]:
@@ -212,12 +202,8 @@
         """
         now_ms = self._clock.now_ms()
         peer_loads = record_report(self._registry.peer_loads, peer, now_ms)
-        for load in report.loads:
-            server = self._registry.servers.by_name.get(load.server)
-            if server is None:
-                remove_load(peer_loads, load.server)
-            else:
-                set_load(peer_loads, server, _to_peer_load(load))
+        apply_loads(peer_loads, self._registry.servers.by_name, report.loads)
+        self.speeds.apply_reports(peer, report.speeds)
         for prompt in report.prompts:
             self._apply_prompt(prompt)
         self._apply_failures(peer, report, now_ms)
@@ -276,18 +262,6 @@
         if history.part_crashes.recent.count > known:
             self.report_due.set()
 
-    def _list_changed_loads(self, cursor: ReportCursor) -> tuple[ReportedLoad, ...]:
-        servers = self._registry.servers.by_name.values()
-        loads = {server.name: _to_reported_load(server) for server in servers if server.in_flight}
-        ended = [
-            attrs.evolve(load, in_flight=0)
-            for name, load in cursor.loads.items()
-            if name not in loads
-        ]
-        changed = [load for name, load in loads.items() if cursor.loads.get(name) != load]
-        cursor.loads = loads
-        return (*changed, *ended)
-
     def _apply_prompt(self, prompt: CachedPrompt) -> None:
         server = self._registry.servers.by_name.get(prompt.server)
         if server is None or self._registry.config is None:
@@ -303,27 +277,4 @@
         record_prefill(server, prompt, self._costs, cache_tokens, self._clock.now_ms())
 
 
-def _is_newer(own: int, other: int) -> bool:
-    if get_era(other) == 0:  # of a router that knows no eras yet, or has no entries
-        return get_store_revision(own) > other
-    return own > other
-
-
-def _to_peer_load(load: ReportedLoad) -> PeerLoad:
-    return PeerLoad(
-        in_flight=load.in_flight,
-        unread_tokens=load.unread_tokens,
-        sensitivity=load.sensitivity,
-    )
-
-
-def _to_reported_load(server: BackendServer) -> ReportedLoad:
-    return ReportedLoad(
-        server=server.name,
-        in_flight=server.in_flight,
-        unread_tokens=tuple(min(tokens, MAX_UINT32) for tokens in server.unread_tokens),
-        sensitivity=round(server.sensitivity, 2),
-    )
-
-
 __all__ = ["StateSync", "StoreRevisions", "ReportCursor"]
--- a/src/boragetiller/systems/candidates.py
+++ b/src/boragetiller/systems/candidates.py
@@ -112,7 +112,8 @@
     if prompt is None:
         return []
     for part in reversed(prompt.parts[:-1]):
-        cached = [server for server in group.servers if part.part_id in server.cached_parts]
+        part_id = part.part_id
+        cached = [server for server in group.servers if part_id in server.cached_parts]
         if cached:
             return rng.sample(cached, min(MAX_CACHED_CANDIDATES, len(cached)))
     return []
--- /dev/null
+++ b/src/boragetiller/systems/overload/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions under overload and on servers of different speed."""
+
+from __future__ import annotations
--- a/src/boragetiller/systems/prefix_cache.py
+++ b/src/boragetiller/systems/prefix_cache.py
@@ -41,20 +41,21 @@
     return max(0.0, prompt.input_tokens - saved)
 
 
-def estimate_prefill_share(server: BackendServer, costs: PlacementCostModel, now_ms: int) -> float:
+def estimate_prefill_share(
+    server: BackendServer, costs: PlacementCostModel, now_ms: int, work_time: float = 1.0
+) -> float:
     """
     Estimate the share of its time that an engine has recently spent on prefill.
 
     :param server: the engine
     :param costs: cost model, with the prefill speed
     :param now_ms: monotonic time in milliseconds
+    :param work_time: of the engine, relative to the usual
     :return: 0 to 1
     """
     decay = math.exp(-max(0, now_ms - server.prefill_updated_ms) / PREFILL_AVERAGE_MS)
-    return min(
-        1.0,
-        server.recent_prefill_tokens * decay / (PREFILL_AVERAGE_MS * costs.prefill_tokens_per_ms),
-    )
+    capacity_tokens = PREFILL_AVERAGE_MS * costs.prefill_tokens_per_ms
+    return min(1.0, server.recent_prefill_tokens * decay * work_time / capacity_tokens)
 
 
 def record_prefill(
--- a/src/boragetiller/systems/server_capacity.py
+++ b/src/boragetiller/systems/server_capacity.py
@@ -61,7 +61,8 @@
     if placement.first_event_ms > FIRST_EVENT_SHARE * request.caller_event_timeout_ms:
         return False
     step_ms = estimate_step_ms(placement.in_flight, placement.prefill_share, costs)
-    finish_ms = placement.first_event_ms + request.typical_output_tokens * step_ms
+    decode_ms = request.typical_output_tokens * step_ms * placement.lasting_work_time
+    finish_ms = placement.first_event_ms + decode_ms
     is_short = placement.new_tokens <= costs.chunk_tokens
     return finish_ms <= _get_finish_share(request.urgency, is_short=is_short) * request.time_left_ms
 
--- a/src/boragetiller/systems/server_placement.py
+++ b/src/boragetiller/systems/server_placement.py
@@ -15,6 +15,7 @@
 import attrs
 
 from boragetiller.systems.candidates import filter_usable, find_prefix_owner
+from boragetiller.systems.overload.server_speed import current_work_time, lasting_work_time
 from boragetiller.systems.prefix_cache import estimate_prefill_share, estimate_uncached_tokens
 from boragetiller.systems.routing import ROUTE_TIERS
 from boragetiller.systems.server_capacity import estimate_step_ms, has_capacity, may_use_reserved
@@ -36,6 +37,13 @@
 MAX_UNREPORTED_RATIO = 20.0  # unreported requests per known one
 SENSITIVITY_EXPONENT = 3  # streams with a gap target half as long again are hardly ever late
 
+# By whether the server is the owner and whether it is reserved; shared by all choices, since each
+# would otherwise create one for each candidate.
+_ASSIGNMENTS = tuple(
+    tuple(ServerAssignment(is_owner=owner, is_reserved=reserved) for reserved in (False, True))
+    for owner in (False, True)
+)
+
 
 def compute_stream_sensitivity(gap_target_ms: float, costs: PlacementCostModel) -> float:
     """
@@ -80,9 +88,7 @@
     )
     placements = []
     for server in usable:
-        assignment = ServerAssignment(
-            is_owner=server is owner, is_reserved=ranks[server.name] < reserved_count
-        )
+        assignment = _ASSIGNMENTS[server is owner][ranks[server.name] < reserved_count]
         placements.append(estimate_placement(server, request, costs, now_ms, assignment))
     if request.prompt is not None:
         reserved_names = {server.name for server in usable if ranks[server.name] < reserved_count}
@@ -130,7 +136,9 @@
     :param assignment: role of the server for the request
     :return: the cost and the estimates behind it
     """
-    load = _estimate_load(server, costs, now_ms)
+    work_time = current_work_time(server.speed, now_ms)
+    lasting = lasting_work_time(server.speed, now_ms)
+    load = _estimate_load(server, costs, now_ms, lasting)
     wait_ms = _estimate_wait_ms(server, load.in_flight, costs, now_ms)
     first_ms, interference_ms, new_tokens = wait_ms, 0.0, 0.0
     if request.prompt is not None:
@@ -138,12 +146,12 @@
             server, request.prompt, costs, is_owner=assignment.is_owner
         )
         ahead = sum(load.unread_tokens[: _next_tier_urgency(request.urgency)])
-        first_ms += (ahead + new_tokens) / costs.prefill_tokens_per_ms
-        first_ms += costs.tokens_per_event * estimate_step_ms(
-            load.in_flight, load.prefill_share, costs
-        )
+        step_ms = estimate_step_ms(load.in_flight, load.prefill_share, costs)
+        first_ms += work_time * (ahead + new_tokens) / costs.prefill_tokens_per_ms
+        first_ms += work_time * costs.tokens_per_event * step_ms
         interference_ms = costs.prefill_weight * new_tokens / costs.prefill_tokens_per_ms
         interference_ms += _estimate_stall_ms(request, costs, load, new_tokens, assignment)
+        interference_ms *= work_time
     delay_weight = min(MAX_DELAY_WEIGHT, costs.reference_target_ms / request.target_ms)
     return Placement(
         server=server,
@@ -156,6 +164,7 @@
         prefill_share=load.prefill_share,
         sensitivity=load.sensitivity,
         reporting_peers=server.peer_load.routers,
+        lasting_work_time=lasting,
     )
 
 
@@ -196,7 +205,7 @@
     new_tokens: float,
     assignment: ServerAssignment,
 ) -> float:
-    """:return: weighted time for which prefills stall this stream and its prefill stalls others"""
+    """:return: weighted time, at the usual speed, of the stalls of this stream and of others"""
     assert request.prompt is not None
     other_sensitivity, prefill_share = load.sensitivity, load.prefill_share
     if assignment.is_reserved:
@@ -216,7 +225,9 @@
     return 0.0 if is_own_domain else costs.other_domain_ms
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(
+    kw_only=True
+)  # not frozen: one is created for each candidate, which takes longer then
 class _EstimatedLoad:
     """Estimated load of all routers together at a server."""
 
@@ -226,7 +237,9 @@
     prefill_share: float  # share of its time that the server spends on prefill, 0 to 1
 
 
-def _estimate_load(server: BackendServer, costs: PlacementCostModel, now_ms: int) -> _EstimatedLoad:
+def _estimate_load(
+    server: BackendServer, costs: PlacementCostModel, now_ms: int, work_time: float
+) -> _EstimatedLoad:
     """
     Estimate the load of all routers at a server.
 
@@ -240,6 +253,7 @@
     unreported = server.estimate_unreported_requests(now_ms)
     unreported_factor = 1.0 + min(MAX_UNREPORTED_RATIO, unreported / max(1.0, known))
     pending_tokens = zip(server.unread_tokens, peer_load.unread_tokens, strict=True)
+    prefill_share = estimate_prefill_share(server, costs, now_ms, work_time)
     return _EstimatedLoad(
         in_flight=round(known + unreported),
         unread_tokens=[
@@ -247,7 +261,7 @@
         ],
         sensitivity=unreported_factor
         * (server.sensitivity + extrapolation * peer_load.sensitivity),
-        prefill_share=min(1.0, unreported_factor * estimate_prefill_share(server, costs, now_ms)),
+        prefill_share=min(1.0, unreported_factor * prefill_share),
     )
 
 
--- a/src/boragetiller/tables/server_groups.py
+++ b/src/boragetiller/tables/server_groups.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from boragetiller.hashing import stable_hash
 from boragetiller.tables.servers import BackendServer
 
 if TYPE_CHECKING:
@@ -38,13 +37,22 @@
         for server in found:
             domains.setdefault(server.record.failure_domain, []).append(server)
             buckets[server.name_hash % BUCKETS].append(server)
-        ranked = sorted(found, key=lambda server: stable_hash("quiet", server.name))
         return cls(
             servers=found,
             by_domain={name: tuple(members) for name, members in domains.items()},
-            reservation_ranks={server.name: rank for rank, server in enumerate(ranked)},
+            reservation_ranks=_rank_servers(found),
             buckets=tuple(tuple(bucket) for bucket in buckets),
         )
 
+    def rank_again(self) -> GroupServers:
+        """:return: the group with ranks by the present speeds of its servers"""
+        return attrs.evolve(self, reservation_ranks=_rank_servers(self.servers))
+
+
+def _rank_servers(servers: tuple[BackendServer, ...]) -> dict[str, int]:
+    """:return: ranks by name; the fastest servers come first, on all routers in the same order"""
+    ranked = sorted(servers, key=lambda server: (server.speed.rank_step, server.reservation_hash))
+    return {server.name: rank for rank, server in enumerate(ranked)}
+
 
 __all__ = ["BUCKETS", "GroupServers"]
--- a/src/boragetiller/tables/server_placement.py
+++ b/src/boragetiller/tables/server_placement.py
@@ -70,6 +70,7 @@
     prefill_share: float  # share of its time that the server spends on prefill, 0 to 1
     sensitivity: float  # to stalls, summed over the streams at the server
     reporting_peers: int  # number of routers whose load at the server is known
+    lasting_work_time: float = 1.0  # of the server; see systems.overload.server_speed
 
 
 __all__ = ["Placement", "PlacementCostModel", "ServerAssignment", "ServerPlacementRequest"]
--- a/src/boragetiller/tables/server_table.py
+++ b/src/boragetiller/tables/server_table.py
@@ -35,6 +35,15 @@
             self._groups[group] = GroupServers.build(found)
         return self._groups[group]
 
+    def update_ranks(self, group: str) -> None:
+        """
+        Rank the servers of a group again after their speed has changed.
+
+        :param group: name of the backend group
+        """
+        if group in self._groups:
+            self._groups[group] = self._groups[group].rank_again()
+
     def replace(self, records: Iterable[ServerRecord], now_ms: int) -> list[BackendServer]:
         """
         Replace the list of registered servers.
--- a/src/boragetiller/tables/servers.py
+++ b/src/boragetiller/tables/servers.py
@@ -7,6 +7,7 @@
 import attrs
 
 from boragetiller.hashing import stable_hash
+from boragetiller.tables.server_speed import ServerSpeed
 
 URGENCY_LEVELS = 10  # 0 is the most urgent; see systems.routing
 
@@ -101,6 +102,7 @@
     recent_prefill_tokens: float = 0.0  # exponentially decaying sum; see systems.prefix_cache
     prefill_updated_ms: int = 0  # monotonic time of the last update of recent_prefill_tokens
     health: ServerHealth = attrs.field(factory=ServerHealth)
+    speed: ServerSpeed = attrs.field(factory=ServerSpeed)
     full_until_ms: int = 0  # no new requests before, since the server refused one as full
     # Monotonic time at which this router first saw the incarnation.
     joined_ms: int = 0
@@ -109,6 +111,9 @@
     name_hash: int = attrs.field(
         init=False, default=attrs.Factory(lambda self: stable_hash(self.record.name), True)
     )
+    reservation_hash: int = attrs.field(  # ranks servers of equal speed; see GroupServers
+        init=False, default=attrs.Factory(lambda self: stable_hash("quiet", self.record.name), True)
+    )
 
     @property
     def name(self) -> str:
--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -344,6 +344,22 @@
         )
         self.assertEqual((metadata.load, metadata.idle_timeout_s), (None, None))
 
+    def test_invalid_work_time_leaves_the_other_figures_of_the_load(self) -> None:
+        # Guards against the loss of all load reports where servers name their work time.
+        for text, load in {
+            "3,0,8,170": ServerLoad(3, 0, 8, 1.7),
+            "3,0,8,1": ServerLoad(3, 0, 8, 0.01),
+            "3,0,8,0": ServerLoad(3, 0, 8),
+            "3,0,8,10001": ServerLoad(3, 0, 8),
+            "3,0,8,1.5": ServerLoad(3, 0, 8),
+            "3,0,8,": ServerLoad(3, 0, 8),
+            "3,0,8,70,1": None,
+            "3,0": None,
+        }.items():
+            headers = CIMultiDict({"X-Boragetiller-Server-Load": text})
+            with self.subTest(load=text):
+                self.assertEqual(header_codec.parse_response_head(200, headers).load, load)
+
     def test_parse_response_head_reads_the_limit_of_a_server(self) -> None:
         for text, limit_per_s in (
             ("1.2", 1.2),
--- a/tests/systems/engine_model.py
+++ b/tests/systems/engine_model.py
@@ -16,6 +16,8 @@
     output_tokens: int
     deadline_ms: float  # the caller closes the stream at this time
     generated_tokens: int = 0
+    last_event_ms: float | None = None
+    longest_pause_ms: float = 0.0  # between two events
     first_token_ms: float | None = None
 
 
@@ -26,6 +28,8 @@
     prefill_tokens_per_ms: float = 48.0
     step_ms: float = 2.6
     step_ms_per_stream: float = 0.15
+    work_time: float = 1.0  # factor on the duration of all work
+    tokens_per_event: int = 4
     now_ms: float = 0.0
     streams: list[ModelStream] = attrs.field(factory=list)
     completed: list[ModelStream] = attrs.field(factory=list)  # before their deadline
@@ -50,11 +54,15 @@
             prefilled = min(chunk_left, max(0.0, stream.unread_tokens))
             stream.unread_tokens -= prefilled
             chunk_left -= prefilled
-        self.now_ms += self.step_ms + self.step_ms_per_stream * len(running)
-        self.now_ms += (CHUNK_TOKENS - chunk_left) / self.prefill_tokens_per_ms
+        self.now_ms += self.work_time * (self.step_ms + self.step_ms_per_stream * len(running))
+        self.now_ms += self.work_time * (CHUNK_TOKENS - chunk_left) / self.prefill_tokens_per_ms
         for stream in running:
             stream.generated_tokens += 1
             stream.first_token_ms = stream.first_token_ms or self.now_ms
+            if stream.generated_tokens % self.tokens_per_event == 0:
+                pause_ms = self.now_ms - (stream.last_event_ms or self.now_ms)
+                stream.longest_pause_ms = max(stream.longest_pause_ms, pause_ms)
+                stream.last_event_ms = self.now_ms
         for stream in list(self.streams):
             if stream.generated_tokens >= stream.output_tokens:
                 self.completed.append(stream)
