--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -210,6 +210,7 @@
             ),
             typical_output_tokens=self._registry.output_lengths.average(call.route.name),
             is_retry=state.progress.attempts > 0,
+            was_refused=state.progress.was_refused,
             response_started=state.progress.relayed_events > 0,
         )
         limits = self._registry.server_limits
--- a/src/boragetiller/systems/candidates.py
+++ b/src/boragetiller/systems/candidates.py
@@ -9,7 +9,9 @@
 
 When an engine crashes, all routers retry its prompts at the same time, before their load reports
 can show each other's choices. A retried prompt therefore gets only a few random candidates;
-otherwise all retries would go to the same engine.
+otherwise all retries would go to the same engine. A refusal by a full engine concerns one request,
+so its retry also gets a few engines that have the shared prefix cached and need not prefill it
+again.
 """
 
 from __future__ import annotations
@@ -20,7 +22,7 @@
 from boragetiller.tables.server_groups import BUCKETS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Set
+    from collections.abc import Callable, Sequence, Set
     from random import Random
 
     from boragetiller.tables.call_metadata import Prompt
@@ -31,6 +33,7 @@
 MAX_CANDIDATES = 24
 MAX_CACHED_CANDIDATES = 6  # sampled when more engines have the prefix cached
 RETRY_CANDIDATES = 3
+RETRY_CACHED_CANDIDATES = 2  # in addition, after a refusal
 OWN_DOMAIN_SHARE = 0.5  # of the random sample
 
 _BUCKET_SEEDS = tuple(stable_hash("bucket", str(number)) for number in range(BUCKETS))
@@ -55,10 +58,15 @@
     """
     if request.is_retry and request.prompt is not None:
         left = filter_usable([s for s in group.servers if s.name not in excluded], now_ms)
-        return rng.sample(left, min(RETRY_CANDIDATES, len(left)))
+        retried = rng.sample(left, min(RETRY_CANDIDATES, len(left)))
+        if request.was_refused:
+            cached = _sample_cached(left, request.prompt, rng, RETRY_CACHED_CANDIDATES)
+            retried += [server for server in cached if server not in retried]
+        return retried
     if len(group.servers) <= MAX_CANDIDATES:
         return [server for server in group.servers if server.name not in excluded]
-    picked = {server.name: server for server in _sample_cached(group, request.prompt, rng)}
+    cached = _sample_cached(group.servers, request.prompt, rng, MAX_CACHED_CANDIDATES)
+    picked = {server.name: server for server in cached}
     owner = find_prefix_owner(group, request.prompt, lambda _: True)
     if owner is not None:
         picked[owner.name] = owner
@@ -107,15 +115,17 @@
     return None
 
 
-def _sample_cached(group: GroupServers, prompt: Prompt | None, rng: Random) -> list[BackendServer]:
+def _sample_cached(
+    servers: Sequence[BackendServer], prompt: Prompt | None, rng: Random, count: int
+) -> list[BackendServer]:
     """:return: servers whose cache holds the longest shared prefix that any cache holds"""
     if prompt is None:
         return []
     for part in reversed(prompt.parts[:-1]):
         part_id = part.part_id
-        cached = [server for server in group.servers if part_id in server.cached_parts]
+        cached = [server for server in servers if part_id in server.cached_parts]
         if cached:
-            return rng.sample(cached, min(MAX_CACHED_CANDIDATES, len(cached)))
+            return rng.sample(cached, min(count, len(cached)))
     return []
 
 
--- a/src/boragetiller/systems/direct_retry_policy.py
+++ b/src/boragetiller/systems/direct_retry_policy.py
@@ -67,6 +67,7 @@
     """
     progress.attempts += 1
     progress.server_status = result.progress.status
+    progress.last_outcome = result.outcome
     if result.verdict is not Verdict.NOT_RUN:
         progress.may_have_run_on.add(server)
     progress.verdict = progress.verdict.combine(result.verdict)
--- a/src/boragetiller/tables/direct_attempts.py
+++ b/src/boragetiller/tables/direct_attempts.py
@@ -79,8 +79,14 @@
     relayed_events: int = 0
     verdict: Verdict = Verdict.NOT_RUN
     server_status: int | None = None  # of the last attempt's response, None without a response
+    last_outcome: DirectAttemptOutcome | None = None  # None before the first attempt
     server_error: CompleteResponse | None = None  # returned if no later attempt succeeds
 
+    @property
+    def was_refused(self) -> bool:
+        """:return: whether the last attempt's server was alive and refused the call as full"""
+        return self.last_outcome is DirectAttemptOutcome.FULL
+
     @property
     def server_limit_reached(self) -> bool:
         """:return: whether no further backend server may run the call"""
--- a/tests/systems/test_candidates.py
+++ b/tests/systems/test_candidates.py
@@ -13,7 +13,13 @@
     find_prefix_owner,
     select_candidates,
 )
+from boragetiller.systems.direct_retry_policy import record_attempt
 from boragetiller.systems.server_placement import choose_server
+from boragetiller.tables.direct_attempts import (
+    CallProgress,
+    DirectAttemptOutcome,
+    DirectAttemptResult,
+)
 from boragetiller.tables.server_groups import GroupServers
 from tests.systems.test_server_placement import COSTS, make_prompt, make_request, make_server
 
@@ -74,6 +80,30 @@
             else:
                 self.assertEqual(max(chosen.values()), 120)
 
+    def test_refused_prompt_goes_back_to_engines_that_have_its_shared_parts(self) -> None:
+        # Guards against retries that make engines prefill what another engine has cached.
+        group = make_group(28)
+        for server in group.servers[3:7]:
+            server.cached_parts["part"] = 13_000
+        tokens: Counter[bool] = Counter()
+        for was_refused in (False, True):
+            request = make_request(PROMPT, is_retry=True, was_refused=was_refused)
+            for number in range(100):
+                found = select_candidates(group, request, {"e3"}, Random(number), 0)
+                self.assertNotIn(group.servers[3], found)
+                self.assertLessEqual(len(found), RETRY_CANDIDATES + 2 * was_refused)
+                placement = choose_server(group, found, request, COSTS, 0)
+                assert placement is not None
+                tokens[was_refused] += placement.new_tokens
+        self.assertLess(tokens[True], tokens[False] / 3)
+
+    def test_only_a_refusal_as_full_counts_as_refused(self) -> None:
+        # Guards against retries after a crash that all go to the engine with the cached parts.
+        for outcome in DirectAttemptOutcome:
+            progress = CallProgress(repeatable=True, max_servers=2)
+            record_attempt(progress, "e0", DirectAttemptResult(outcome))
+            self.assertEqual(progress.was_refused, outcome is DirectAttemptOutcome.FULL)
+
     def test_owner_changes_only_when_it_is_removed(self) -> None:
         group = make_group(300)
         prompts = [make_prompt(f"p{number}", 9, "own", 1) for number in range(400)]
