--- a/bench/gateway_scale.py
+++ b/bench/gateway_scale.py
@@ -146,6 +146,7 @@
             time_left_ms=10_000.0,
             caller_event_timeout_ms=4_000.0,
             typical_output_tokens=100.0,
+            memory_tokens=500_000,
         )
         candidates = select_candidates(group, request, set(), rng, 1_000)
         choose_server(group, candidates, request, costs, 1_000)
--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -27,9 +27,7 @@
     decide_next_step,
     record_attempt,
 )
-from boragetiller.systems.failure_history import (
-    exclude_failed_servers,
-)
+from boragetiller.systems.failure_history import exclude_failed_servers
 from boragetiller.systems.output_lengths import estimate_output_tokens
 from boragetiller.systems.peer_loads import exclude_silent_peers
 from boragetiller.systems.response_timeouts import (
@@ -60,6 +58,8 @@
     from boragetiller.tables.server_placement import Placement
     from boragetiller.tables.servers import BackendServer
 
+NO_ROOM_DETAIL = "no engine can finish the stream in time or has memory for it"
+
 
 @attrs.define(kw_only=True)
 class CallState:
@@ -209,6 +209,7 @@
                 call.route.target_ms, call.route.gap_target_ms
             ),
             typical_output_tokens=self._registry.output_lengths.average(call.route.name),
+            memory_tokens=call.group.engine.memory_tokens if call.group.engine else 0,
             is_retry=state.progress.attempts > 0,
             was_refused=state.progress.was_refused,
             response_started=state.progress.relayed_events > 0,
@@ -253,7 +254,7 @@
             return self._fail(state, None, limited, "all servers have reached their limits")
         if group.engine is not None and accepting:
             no_room = GiveUp(GiveUpReason.NO_ROOM, DirectAttemptOutcome.FULL, progress.verdict)
-            return self._fail(state, None, no_room, "no engine can finish the stream in time")
+            return self._fail(state, None, no_room, NO_ROOM_DETAIL)
         full = GiveUp(GiveUpReason.FULL, DirectAttemptOutcome.FULL, progress.verdict)
         return self._fail(state, None, full, "no server accepts calls")
 
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -18,6 +18,7 @@
 )
 from boragetiller.gateway.server_client import NOT_SENT_ERRORS, TRANSPORT_ERRORS, OutgoingRequest
 from boragetiller.systems.crash_suspects import has_survived_start
+from boragetiller.systems.overload.committed_memory import commit_request, release_request
 from boragetiller.systems.prefix_cache import estimate_uncached_tokens
 from boragetiller.systems.response_outcomes import SUCCESS, classify_complete, classify_head
 from boragetiller.systems.server_placement import compute_stream_sensitivity
@@ -244,11 +245,14 @@
         request_id, prompt = call.metadata.request_id, call.metadata.prompt
         costs = self._registry.get_cost_model(call.group.name)
         sensitivity = compute_stream_sensitivity(call.route.gap_target_ms, costs)
+        commitment = None
         server.in_flight += 1
         server.sensitivity += sensitivity
         if prompt is not None and call.group.engine is not None:
             tokens = int(estimate_uncached_tokens(server, prompt, costs))
             server.add_pending_prompt(request_id, PendingPrompt(tokens, call.urgency))
+            output_tokens = self._registry.output_lengths.average(call.route.name)
+            commitment = commit_request(server.memory, prompt, output_tokens, self._clock.now_ms())
             self._state_sync.record_prompt(server, prompt, call.group.engine)
         try:
             yield
@@ -256,6 +260,8 @@
             server.in_flight -= 1
             server.sensitivity -= sensitivity
             server.remove_pending_prompt(request_id)
+            if commitment is not None:
+                release_request(server.memory, commitment)
 
 
 def _describe_head(metadata: ResponseMetadata) -> str:
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -14,6 +14,7 @@
 from boragetiller.gateway.store_revisions import StoreRevisions, is_newer
 from boragetiller.store_eras import get_era
 from boragetiller.systems.failure_history import apply_failure, list_crashes
+from boragetiller.systems.overload.committed_memory import record_peer_parts
 from boragetiller.systems.part_quarantine import apply_report, list_reports
 from boragetiller.systems.peer_loads import record_report, remove_peer
 from boragetiller.systems.prefix_cache import estimate_cache_tokens, record_prefill
@@ -161,7 +162,9 @@
         report = PeerReport(
             config_revision=revisions.config,
             servers_revision=revisions.servers,
-            loads=list_changed_loads(self._registry.servers.by_name.values(), cursor.loads),
+            loads=list_changed_loads(
+                self._registry.servers.by_name.values(), cursor.loads, self._clock.now_ms()
+            ),
             prompts=self._recent_prompts.since(cursor.prompts),
             failures=failures.since(cursor.failures),
             part_crashes=part_crashes.since(cursor.part_crashes),
@@ -269,6 +272,7 @@
         group = self._registry.config.groups.get(server.record.group)
         if group is not None and group.engine is not None:
             self._record_prompt_prefill(server, prompt.prompt, group.engine)
+            record_peer_parts(server.memory, prompt.prompt, self._clock.now_ms())
 
     def _record_prompt_prefill(
         self, server: BackendServer, prompt: Prompt, engine: EngineProfile
--- a/src/boragetiller/systems/server_placement.py
+++ b/src/boragetiller/systems/server_placement.py
@@ -15,6 +15,7 @@
 import attrs
 
 from boragetiller.systems.candidates import filter_usable, find_prefix_owner
+from boragetiller.systems.overload.committed_memory import has_memory
 from boragetiller.systems.overload.server_speed import current_work_time, lasting_work_time
 from boragetiller.systems.prefix_cache import estimate_prefill_share, estimate_uncached_tokens
 from boragetiller.systems.routing import ROUTE_TIERS
@@ -27,6 +28,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from boragetiller.tables.server_groups import GroupServers
     from boragetiller.tables.servers import BackendServer
 
@@ -76,7 +79,7 @@
     :param request: the request
     :param costs: cost model of the group
     :param now_ms: monotonic time in milliseconds
-    :return: the server with its estimates, None if no candidate has capacity for the request now
+    :return: the server with its estimates, None if no candidate has capacity and memory for it now
     """
     usable = filter_usable(candidates, now_ms)
     if not usable:
@@ -90,30 +93,38 @@
     for server in usable:
         assignment = _ASSIGNMENTS[server is owner][ranks[server.name] < reserved_count]
         placements.append(estimate_placement(server, request, costs, now_ms, assignment))
-    if request.prompt is not None:
-        reserved_names = {server.name for server in usable if ranks[server.name] < reserved_count}
-        placements = _filter_by_capacity(placements, reserved_names, request, costs) or (
-            placements if request.response_started else []
-        )
-    return min(placements, key=lambda placement: placement.cost_ms, default=None)
+    if request.prompt is None:
+        return min(placements, key=lambda placement: placement.cost_ms)
+    placements.sort(key=lambda placement: placement.cost_ms)
+    return _find_with_room(
+        placements, lambda server: ranks[server.name] < reserved_count, request, costs, now_ms
+    ) or (placements[0] if request.response_started else None)
 
 
-def _filter_by_capacity(
+def _find_with_room(
     placements: list[Placement],
-    reserved_names: set[str],
+    is_reserved: Callable[[BackendServer], bool],
     request: ServerPlacementRequest,
     costs: PlacementCostModel,
-) -> list[Placement]:
+    now_ms: int,
+) -> Placement | None:
     """
-    Filter out engines without capacity.
+    Find the first engine with capacity and memory for a request.
 
-    If only reserved engines have capacity, they take just the requests that do not stall their
+    If only reserved engines have both, they take just the requests that do not stall their
     streams, so that the overflow of the other engines does not fill them.
     """
-    fitting = [placement for placement in placements if has_capacity(placement, request, costs)]
-    if all(placement.server.name in reserved_names for placement in fitting):
-        return [placement for placement in fitting if may_use_reserved(placement, request, costs)]
-    return fitting
+    reserved: list[Placement] = []
+    for placement in placements:
+        if not has_capacity(placement, request, costs):
+            continue
+        if not has_memory(placement.server, request, costs, now_ms):
+            continue
+        if not is_reserved(placement.server):
+            return reserved[0] if reserved else placement
+        reserved.append(placement)
+    usable = (placement for placement in reserved if may_use_reserved(placement, request, costs))
+    return next(usable, None)
 
 
 def estimate_placement(
--- a/src/boragetiller/tables/servers.py
+++ b/src/boragetiller/tables/servers.py
@@ -7,6 +7,7 @@
 import attrs
 
 from boragetiller.hashing import stable_hash
+from boragetiller.tables.committed_memory import CommittedMemory
 from boragetiller.tables.server_speed import ServerSpeed
 
 URGENCY_LEVELS = 10  # 0 is the most urgent; see systems.routing
@@ -57,6 +58,7 @@
     in_flight: int
     unread_tokens: tuple[int, ...]  # prompt tokens that wait for prefill, by urgency
     sensitivity: float  # to stalls, summed over its streams
+    committed_tokens: int = 0  # of the server's memory; see systems.overload.committed_memory
 
 
 @attrs.define
@@ -66,6 +68,7 @@
     routers: int = 0  # number of routers whose loads are included
     in_flight: int = 0
     sensitivity: float = 0.0  # to stalls
+    committed_tokens: int = 0
     unread_tokens: list[int] = attrs.field(factory=lambda: [0] * URGENCY_LEVELS)
 
     def add(self, load: PeerLoad) -> None:
@@ -82,6 +85,7 @@
         self.routers += sign
         self.in_flight += sign * load.in_flight
         self.sensitivity += sign * load.sensitivity
+        self.committed_tokens += sign * load.committed_tokens
         for urgency, tokens in enumerate(load.unread_tokens[:URGENCY_LEVELS]):
             self.unread_tokens[urgency] += sign * tokens
 
@@ -103,6 +107,7 @@
     prefill_updated_ms: int = 0  # monotonic time of the last update of recent_prefill_tokens
     health: ServerHealth = attrs.field(factory=ServerHealth)
     speed: ServerSpeed = attrs.field(factory=ServerSpeed)
+    memory: CommittedMemory = attrs.field(factory=CommittedMemory)
     full_until_ms: int = 0  # no new requests before, since the server refused one as full
     # Monotonic time at which this router first saw the incarnation.
     joined_ms: int = 0
