--- a/bench/committed_memory.py
+++ b/bench/committed_memory.py
@@ -23,8 +23,14 @@
     record_peer_parts,
     release_request,
 )
+from boragetiller.systems.peer_loads import record_report, set_load
+from boragetiller.systems.server_placement import choose_server
 from boragetiller.tables.call_metadata import Prompt, PromptPart
 from boragetiller.tables.committed_memory import Commitment, CommittedMemory
+from boragetiller.tables.peer_loads import PeerLoadTable
+from boragetiller.tables.server_groups import GroupServers
+from boragetiller.tables.server_placement import PlacementCostModel, ServerPlacementRequest
+from boragetiller.tables.servers import BackendServer, PeerLoad, ServerRecord
 
 ROUTERS, ENGINES = 30, 28
 MEMORY_TOKENS = 536_382
@@ -32,6 +38,8 @@
 AFFINITY = 0.8
 LAG_MS = 100
 WARM_UP_MS, END_MS, SAMPLE_MS = 20_000, 60_000, 500
+BURST_ROUTERS, BURST_ENGINES, BURST_PARTS = 6, 3, 8
+BURST_MS, BURST_INTERVAL_MS, BURST_MEMORY_TOKENS = 12_000, 50, 300_000
 # Prompts per second at each engine, seconds that each is in flight, number of shared parts.
 CASES = ((3, 5, 64), (8, 5, 64), (8, 8, 64), (8, 5, 400), (8, 1, 64), (8, 3, 1_000_000))
 
@@ -97,6 +105,80 @@
     return errors
 
 
+def replay_burst(memory_tokens: int) -> tuple[int, int]:
+    """
+    Replay a burst of prompts with eight shared parts that six routers send to three engines.
+
+    Reports are 50 ms late, and no request ends.
+
+    :param memory_tokens: memory of an engine, 0 for no limit
+    :return: largest number of tokens that an engine ever held, number of requests sent
+    """
+    rng, peers = Random(5), [PeerLoadTable() for _ in range(BURST_ROUTERS)]
+    routers = [[_build_server(number) for number in range(BURST_ENGINES)] for _ in peers]
+    held: list[list[str]] = [[] for _ in range(BURST_ENGINES)]
+    most = sent = 0
+    for now_ms in range(0, BURST_MS, BURST_INTERVAL_MS):
+        _exchange_loads(routers, peers, now_ms)
+        prompt, index = _build_prompt(str(rng.randrange(BURST_PARTS))), rng.randrange(len(routers))
+        request = ServerPlacementRequest(
+            prompt=prompt,
+            urgency=2,
+            target_ms=600.0,
+            sensitivity=0.0,
+            failure_domain="a",
+            time_left_ms=60_000.0,
+            caller_event_timeout_ms=60_000.0,
+            typical_output_tokens=OUTPUT_TOKENS,
+            memory_tokens=memory_tokens,
+        )
+        group, costs = GroupServers.build(routers[index]), PlacementCostModel()
+        placement = choose_server(group, routers[index], request, costs, now_ms)
+        if placement is None:
+            continue
+        sent += 1
+        number = routers[index].index(placement.server)
+        placement.server.in_flight += 1
+        commit_request(placement.server.memory, prompt, OUTPUT_TOKENS, now_ms)
+        for servers in routers:
+            if servers is not routers[index]:
+                record_peer_parts(servers[number].memory, prompt, now_ms)
+        held[number].append(prompt.parts[0].part_id)
+        most = max(most, *map(_count_held, held))
+    return most, sent
+
+
+def _exchange_loads(
+    routers: list[list[BackendServer]], peers: list[PeerLoadTable], now_ms: int
+) -> None:
+    for index, servers in enumerate(routers):
+        for number, server in enumerate(servers):
+            load = PeerLoad(
+                in_flight=server.in_flight,
+                unread_tokens=(),
+                sensitivity=0.0,
+                committed_tokens=count_own_tokens(server.memory, now_ms),
+            )
+            for other, table in enumerate(peers):
+                if other != index:
+                    peer_loads = record_report(table, f"r{index}", now_ms)
+                    set_load(peer_loads, routers[other][number], load)
+
+
+def _build_server(number: int) -> BackendServer:
+    record = ServerRecord(
+        name=f"e{number}",
+        group="g",
+        address="10.0.0.1:80",
+        failure_domain="a",
+        slots=64,
+        draining=False,
+        started_ms=0,
+        warm_up_left_ms=0.0,
+    )
+    return BackendServer(record)
+
+
 def _apply(event: Ended | Reported, memories: list[list[CommittedMemory]], held: list) -> None:
     if isinstance(event, Ended):
         release_request(memories[event.engine][event.router], event.commitment)
@@ -134,6 +216,9 @@
     for case in CASES:
         found = (_describe(measure(*case, reported=reported)) for reported in (False, True))
         print(f"| {' | '.join(map(str, case))} | {' | '.join(found)} |")
+    for tokens in (0, BURST_MEMORY_TOKENS):
+        most, sent = replay_burst(tokens)
+        print(f"burst, memory of {tokens} tokens: {most} tokens at an engine, {sent} prompts sent")
     return 0
 
 
