A: Test the wiring between calls, reports and placement

Cause: With five of eleven lines of part A removed one at a time, its tests still passed: the current work time in placement, the shared parts and the committed tokens of peers, the mark of a refused retry, and the check against reports about an earlier incarnation.

Change: Tests for these. Two test modules of part A are named for what they hold.

--- a/tests/gateway/test_committed_memory.py
+++ b/tests/gateway/test_engine_calls.py
@@ -1,4 +1,4 @@
-"""Memory that calls commit at engines, and the work time that engines state in responses."""
+"""Calls to engines: memory that they commit, work times in responses, retries when refused."""
 
 from __future__ import annotations
 
@@ -11,11 +11,12 @@
     ScriptedEngine,
     build_chunk,
     build_event,
+    build_response,
     build_stream_header,
 )
 
 
-class CommittedMemoryTest(unittest.IsolatedAsyncioTestCase):
+class EngineCallTest(unittest.IsolatedAsyncioTestCase):
     """One engine with memory for 100,000 tokens, whose stream waits in the middle."""
 
     async def asyncSetUp(self) -> None:
@@ -58,5 +59,40 @@
         self.assertEqual(self.engine.requests, [])
 
 
+class RefusedPromptTest(unittest.IsolatedAsyncioTestCase):
+    async def test_refused_prompt_is_sent_to_another_engine_with_its_shared_part(self) -> None:
+        # Guards against retries that make engines prefill what another engine has cached.
+        refusal = "X-Boragetiller-Not-Executed: 1\r\n"
+        names: list[str] = []
+
+        async def respond(request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            names.append(request.headers["x-boragetiller-expect-instance"])
+            if len(names) % 2:
+                status = "503 Full"
+                writer.write(build_response(request.request_id, status=status, extra=refusal))
+                return
+            head = build_stream_header(request.request_id)
+            writer.write(head + build_chunk(build_event(1)) + build_chunk(b""))
+
+        engine, harness = ScriptedEngine(respond), RouterHarness()
+        await engine.start()
+        self.addAsyncCleanup(engine.close)
+        for number in range(20):
+            harness.store.register(f"e{number}", engine, "engines")
+        await harness.start()
+        self.addAsyncCleanup(harness.close)
+        servers = harness.router.registry.servers.by_name
+        for number in range(0, 8, 2):
+            for server in (f"e{number}", f"e{number + 1}"):
+                servers[server].cached_parts[f"part{number}"] = 13_000
+            headers = {
+                "X_Boragetiller_Token_Counts": "16000,16",
+                "X_Boragetiller_Prefix_Hash": f"part{number}:13000,own:3000",
+            }
+            async with harness.call("/quotes/", **headers) as response:
+                await response.read()
+            self.assertEqual(set(names[-2:]), {f"e{number}", f"e{number + 1}"})
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_server_speeds.py
+++ b/tests/gateway/test_engine_reports.py
@@ -1,23 +1,26 @@
-"""Work times of servers in responses and in reports of peers."""
+"""Work times and committed memory of servers in reports between routers."""
 
 from __future__ import annotations
 
 import unittest
+from random import Random
 from typing import TYPE_CHECKING
 
 import attrs
 
-from bench.gateway_scale import _build_router
+from bench.gateway_scale import _build_prompt, _build_router
 from boragetiller.clock import ManualClock
 from boragetiller.gateway.peer_messages import decode_payload, encode_frame
+from boragetiller.systems.overload.committed_memory import commit_request
 from boragetiller.systems.overload.server_speed import lasting_work_time
 from boragetiller.tables.report_entries import ServerSpeedReport
+from boragetiller.tables.routes import EngineProfile
 
 if TYPE_CHECKING:
     from boragetiller.gateway.state_sync import StateSync
 
 
-class ServerSpeedsTest(unittest.TestCase):
+class EngineReportsTest(unittest.TestCase):
     """Two routers before the same eight servers; reports pass through their encoding."""
 
     def setUp(self) -> None:
@@ -67,8 +70,21 @@
         self.assertEqual(self.exchange(), ())
         self.assertEqual(self.peer_sync.build_report(self.peer_sync.create_cursor()).speeds, ())
 
+    def test_commitments_and_shared_parts_reach_a_peer(self) -> None:
+        # Guards against an engine that each router fills up to its whole memory.
+        prompt, engine = _build_prompt(Random(1)), EngineProfile(slots=8, memory_tokens=500_000)
+        server = self.registry.servers.by_name[self.names[0]]
+        server.in_flight = 1
+        commit_request(server.memory, prompt, 100.0, self.clock.now_ms())
+        self.sync.record_prompt(server, prompt, engine)
+        self.exchange()
+        seen = self.peer_registry.servers.by_name[server.name]
+        self.assertEqual(seen.peer_load.committed_tokens, 8_600)
+        self.assertEqual(list(seen.memory.peer_parts), [p.part_id for p in prompt.shared_parts])
+
     def test_reports_of_unknown_servers_earlier_incarnations_and_absurd_values(self) -> None:
-        old = ServerSpeedReport(server=self.names[0], work_percent=170, age_ms=60_000)
+        self.clock.advance(200)
+        old = ServerSpeedReport(server=self.names[0], work_percent=170, age_ms=500)
         unknown = attrs.evolve(old, server="gone", age_ms=0)
         zero = attrs.evolve(old, server=self.names[1], work_percent=0, age_ms=0)
         self.peer_sync.speeds.apply_reports("r0", (old, unknown, zero))
--- a/tests/systems/test_server_speed.py
+++ b/tests/systems/test_server_speed.py
@@ -78,6 +78,18 @@
         found = sorted(ranks, key=group.reservation_ranks.__getitem__)
         self.assertEqual(found, [ranked[1], *ranked[3:], ranked[0], ranked[2]])
 
+    def test_request_avoids_an_engine_that_is_slow_at_this_moment(self) -> None:
+        # Guards against prompts that wait for an engine that other work on its host slows down.
+        self.slow()
+        request = make_request(make_prompt("part", 13_000, "own", 3_000))
+        names = []
+        for _ in range(2):
+            chosen = choose(self.servers, request)
+            assert chosen is not None
+            names.append(chosen.server.name)
+            record_work_time(chosen.server.speed, 1.75, 0, 0)
+        self.assertNotEqual(*names)
+
     def test_capacity_counts_the_lasting_work_time_of_the_response(self) -> None:
         # Guards against streams that are admitted and then miss their deadline.
         request = make_request(
