--- a/src/boragetiller/systems/overload/committed_memory.py
+++ b/src/boragetiller/systems/overload/committed_memory.py
@@ -44,9 +44,11 @@
     for part_id, tokens in shared.items():
         memory.peer_parts.pop(part_id, None)
         if part_id not in memory.shared_parts:
-            memory.shared_parts[part_id] = SharedPart(tokens, now_ms)
-            memory.shared_tokens += tokens
+            memory.shared_parts[part_id] = SharedPart(0, now_ms)
         part = memory.shared_parts[part_id]
+        # Callers declare the sizes; a request that declares less must not hide those of others.
+        memory.shared_tokens += max(0, tokens - part.tokens)
+        part.tokens = max(part.tokens, tokens)
         part.requests += 1
         part.sent_ms = now_ms
     return Commitment(own_tokens, tuple(shared))
@@ -131,11 +133,13 @@
     if not known and unreported < 1.0:
         return request_tokens <= request.memory_tokens
     own_shared = count_own_tokens(memory, now_ms) - memory.tokens
-    held = sum(
-        tokens
-        for part_id, tokens in _limit_shared_parts(request.prompt).items()
-        if part_id in memory.shared_parts or part_id in memory.peer_parts
-    )
+    held = 0
+    for part_id, tokens in _limit_shared_parts(request.prompt).items():
+        own = memory.shared_parts.get(part_id)
+        if own is not None:
+            held += min(tokens, own.tokens)
+        elif part_id in memory.peer_parts:
+            held += tokens
     return committed + own_shared + request_tokens - held < limit
 
 
--- a/tests/systems/test_committed_memory.py
+++ b/tests/systems/test_committed_memory.py
@@ -67,6 +67,19 @@
         release_request(memory, commitment)
         self.assertEqual((memory.tokens, memory.shared_tokens, memory.shared_parts), (0, 0, {}))
 
+    def test_part_counts_at_the_largest_size_that_a_request_declares(self) -> None:
+        # Guards against a caller that hides the tokens of later requests behind a small part.
+        server = make_server("e0")
+        server.in_flight = 1
+        small = commit_request(server.memory, make_prompt("part", 1, "own", 1), 0.0, 0)
+        request = attrs.evolve(REQUEST, prompt=make_prompt("part", 89_500, "own", 500))
+        self.assertFalse(has_memory(server, request, COSTS, 0))
+        large = commit_request(server.memory, PROMPT, 0.0, 0)
+        self.assertEqual(count_own_tokens(server.memory, 0), 13_000 + 3_000 + 1)
+        for commitment in (large, small):
+            release_request(server.memory, commitment)
+        self.assertEqual((server.memory.tokens, server.memory.shared_tokens), (0, 0))
+
 
 class HasMemoryTest(unittest.TestCase):
     def setUp(self) -> None:
