--- a/src/boragetiller/systems/server_placement.py
+++ b/src/boragetiller/systems/server_placement.py
@@ -236,9 +236,8 @@
     return 0.0 if is_own_domain else costs.other_domain_ms
 
 
-@attrs.define(
-    kw_only=True
-)  # not frozen: one is created for each candidate, which takes longer then
+# Not frozen, because frozen instances take longer to create and each candidate needs one.
+@attrs.define(kw_only=True)
 class _EstimatedLoad:
     """Estimated load of all routers together at a server."""
 
--- a/src/boragetiller/tables/call_metadata.py
+++ b/src/boragetiller/tables/call_metadata.py
@@ -72,7 +72,7 @@
     running: int
     waiting: int
     slots: int
-    work_time: float | None = None  # relative to the usual 1.0, None if the server names none
+    work_time: float | None = None  # relative to the usual 1.0, None if absent
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/systems/test_server_speed.py
+++ b/tests/systems/test_server_speed.py
@@ -12,9 +12,17 @@
     lasting_work_time,
     record_work_time,
 )
+from boragetiller.systems.server_placement import estimate_placement
 from boragetiller.tables.server_groups import GroupServers
+from boragetiller.tables.server_placement import ServerAssignment
 from boragetiller.tables.server_speed import ServerSpeed
-from tests.systems.test_server_placement import choose, make_prompt, make_request, make_server
+from tests.systems.test_server_placement import (
+    COSTS,
+    choose,
+    make_prompt,
+    make_request,
+    make_server,
+)
 
 
 def record(speed: ServerSpeed, *observations: tuple[int, float], now_ms: int = 98_000) -> None:
@@ -52,7 +60,8 @@
             self.assertEqual(values, expected)
         self.assertEqual(expected, (1.8, 0.7))
 
-    def test_server_that_stops_naming_its_work_time_returns_to_usual(self) -> None:
+    def test_server_that_stops_stating_its_work_time_returns_to_usual(self) -> None:
+        # Guards against a server that counts as slow for ever after it no longer sends the header.
         record(self.speed, (90_000, 1.7))
         self.assertEqual(lasting_work_time(self.speed, 99_999), 1.7)
         self.assertEqual(lasting_work_time(self.speed, 100_000), 1.0)
@@ -90,6 +99,18 @@
             record_work_time(chosen.server.speed, 1.75, 0, 0)
         self.assertNotEqual(*names)
 
+    def test_work_time_multiplies_delay_and_interference(self) -> None:
+        # Guards against a work time that counts for only one of the two.
+        server = self.servers[0]
+        request = make_request(make_prompt("part", 13_000, "own", 3_000))
+        placements = []
+        for work_time in (1.0, 2.0):
+            record_work_time(server.speed, work_time, 0, 0)
+            placements.append(estimate_placement(server, request, COSTS, 0, ServerAssignment()))
+        usual, slow = placements
+        self.assertAlmostEqual(slow.first_event_ms, 2 * usual.first_event_ms)
+        self.assertAlmostEqual(slow.cost_ms, 2 * usual.cost_ms)
+
     def test_capacity_counts_the_lasting_work_time_of_the_response(self) -> None:
         # Guards against streams that are admitted and then miss their deadline.
         request = make_request(
