--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -10,14 +10,14 @@
 from boragetiller.gateway.attempt_recorder import AttemptRecorder
 from boragetiller.gateway.call_telemetry import CallTelemetry
 from boragetiller.gateway.hedging import PlacedResult, send_hedged
+from boragetiller.gateway.outgoing_attempts import StreamState
 from boragetiller.gateway.responses import (
-    ErrorResponse,
     EventWriter,
     build_complete_response,
     build_error_response,
 )
 from boragetiller.gateway.retry_after import RetryAfter
-from boragetiller.gateway.sender import CallSender, StreamState
+from boragetiller.gateway.sender import CallSender
 from boragetiller.systems.candidates import select_candidates
 from boragetiller.systems.direct_retry_policy import (
     GiveUp,
@@ -27,9 +27,7 @@
     decide_next_step,
     record_attempt,
 )
-from boragetiller.systems.failure_history import (
-    exclude_failed_servers,
-)
+from boragetiller.systems.failure_history import exclude_failed_servers
 from boragetiller.systems.output_lengths import estimate_output_tokens
 from boragetiller.systems.peer_loads import exclude_silent_peers
 from boragetiller.systems.response_timeouts import (
@@ -44,7 +42,6 @@
 from boragetiller.systems.server_placement import choose_server, compute_stream_sensitivity
 from boragetiller.tables.direct_attempts import CallProgress, DirectAttemptOutcome
 from boragetiller.tables.server_placement import ServerPlacementRequest
-from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
     from random import Random
@@ -61,8 +58,7 @@
     from boragetiller.tables.server_placement import Placement
     from boragetiller.tables.servers import BackendServer
 
-# After these the servers of a group take no calls for a moment.
-BUSY_OUTCOMES = frozenset({DirectAttemptOutcome.FULL, DirectAttemptOutcome.UNAVAILABLE})
+NO_ROOM_DETAIL = "no engine can finish the stream in time or has memory for it"
 
 
 @attrs.define(kw_only=True)
@@ -213,7 +209,9 @@
                 call.route.target_ms, call.route.gap_target_ms
             ),
             typical_output_tokens=self._registry.output_lengths.average(call.route.name),
+            memory_tokens=call.group.engine.memory_tokens if call.group.engine else 0,
             is_retry=state.progress.attempts > 0,
+            was_refused=state.progress.was_refused,
             response_started=state.progress.relayed_events > 0,
         )
         limits = self._registry.server_limits
@@ -256,7 +254,7 @@
             return self._fail(state, None, limited, "all servers have reached their limits")
         if group.engine is not None and accepting:
             no_room = GiveUp(GiveUpReason.NO_ROOM, DirectAttemptOutcome.FULL, progress.verdict)
-            return self._fail(state, None, no_room, "no engine can finish the stream in time")
+            return self._fail(state, None, no_room, NO_ROOM_DETAIL)
         full = GiveUp(GiveUpReason.FULL, DirectAttemptOutcome.FULL, progress.verdict)
         return self._fail(state, None, full, "no server accepts calls")
 
@@ -281,32 +279,12 @@
         if state.stream is not None and state.stream.event_writer.started:
             self._telemetry.record_failed(call, placement, decision, detail, server_status, None)
             return state.stream.event_writer.abort()
-        response = self._choose_error_response(call, decision)
+        response = self._retry_after.choose_response(call, decision)
         self._telemetry.record_failed(
             call, placement, decision, detail, server_status, response.status
         )
         return build_error_response(response, call.metadata.request_id, self._dialect)
 
-    def _choose_error_response(self, call: AdmittedCall, decision: GiveUp) -> ErrorResponse:
-        if decision.verdict is Verdict.NOT_RUN:
-            status, code = 503, decision.reason.value
-        else:
-            status = 504 if decision.outcome is DirectAttemptOutcome.SILENT else 502
-            code = decision.outcome.value
-        return ErrorResponse(
-            status=status,
-            code=code,
-            verdict=decision.verdict,
-            retry_after_s=self._choose_retry_after_s(call, decision),
-        )
-
-    def _choose_retry_after_s(self, call: AdmittedCall, decision: GiveUp) -> float | None:
-        """:return: seconds, None unless the caller may repeat the call and had better wait"""
-        is_busy = call.route.repeatable and decision.outcome in BUSY_OUTCOMES
-        if decision.verdict is Verdict.NOT_RUN or is_busy:
-            return self._retry_after.compute_s(call, decision.reason)
-        return None
-
 
 def _create_call_state(call: AdmittedCall, request: web.BaseRequest) -> CallState:
     route = call.route
--- a/src/boragetiller/systems/server_placement.py
+++ b/src/boragetiller/systems/server_placement.py
@@ -15,6 +15,8 @@
 import attrs
 
 from boragetiller.systems.candidates import filter_usable, find_prefix_owner
+from boragetiller.systems.overload.committed_memory import has_memory
+from boragetiller.systems.overload.server_speed import current_work_time, lasting_work_time
 from boragetiller.systems.prefix_cache import estimate_prefill_share, estimate_uncached_tokens
 from boragetiller.systems.routing import ROUTE_TIERS
 from boragetiller.systems.server_capacity import estimate_step_ms, has_capacity, may_use_reserved
@@ -26,6 +28,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from boragetiller.tables.server_groups import GroupServers
     from boragetiller.tables.servers import BackendServer
 
@@ -36,6 +40,13 @@
 MAX_UNREPORTED_RATIO = 20.0  # unreported requests per known one
 SENSITIVITY_EXPONENT = 3  # streams with a gap target half as long again are hardly ever late
 
+# By whether the server is the owner and whether it is reserved; shared by all choices, since each
+# would otherwise create one for each candidate.
+_ASSIGNMENTS = tuple(
+    tuple(ServerAssignment(is_owner=owner, is_reserved=reserved) for reserved in (False, True))
+    for owner in (False, True)
+)
+
 
 def compute_stream_sensitivity(gap_target_ms: float, costs: PlacementCostModel) -> float:
     """
@@ -68,7 +79,7 @@
     :param request: the request
     :param costs: cost model of the group
     :param now_ms: monotonic time in milliseconds
-    :return: the server with its estimates, None if no candidate has capacity for the request now
+    :return: the server with its estimates, None if no candidate has capacity and memory for it now
     """
     usable = filter_usable(candidates, now_ms)
     if not usable:
@@ -80,34 +91,40 @@
     )
     placements = []
     for server in usable:
-        assignment = ServerAssignment(
-            is_owner=server is owner, is_reserved=ranks[server.name] < reserved_count
-        )
+        assignment = _ASSIGNMENTS[server is owner][ranks[server.name] < reserved_count]
         placements.append(estimate_placement(server, request, costs, now_ms, assignment))
-    if request.prompt is not None:
-        reserved_names = {server.name for server in usable if ranks[server.name] < reserved_count}
-        placements = _filter_by_capacity(placements, reserved_names, request, costs) or (
-            placements if request.response_started else []
-        )
-    return min(placements, key=lambda placement: placement.cost_ms, default=None)
+    if request.prompt is None:
+        return min(placements, key=lambda placement: placement.cost_ms)
+    placements.sort(key=lambda placement: placement.cost_ms)
+    return _find_with_room(
+        placements, lambda server: ranks[server.name] < reserved_count, request, costs, now_ms
+    ) or (placements[0] if request.response_started else None)
 
 
-def _filter_by_capacity(
+def _find_with_room(
     placements: list[Placement],
-    reserved_names: set[str],
+    is_reserved: Callable[[BackendServer], bool],
     request: ServerPlacementRequest,
     costs: PlacementCostModel,
-) -> list[Placement]:
+    now_ms: int,
+) -> Placement | None:
     """
-    Filter out engines without capacity.
+    Find the first engine with capacity and memory for a request.
 
-    If only reserved engines have capacity, they take just the requests that do not stall their
+    If only reserved engines have both, they take just the requests that do not stall their
     streams, so that the overflow of the other engines does not fill them.
     """
-    fitting = [placement for placement in placements if has_capacity(placement, request, costs)]
-    if all(placement.server.name in reserved_names for placement in fitting):
-        return [placement for placement in fitting if may_use_reserved(placement, request, costs)]
-    return fitting
+    reserved: list[Placement] = []
+    for placement in placements:
+        if not has_capacity(placement, request, costs):
+            continue
+        if not has_memory(placement.server, request, costs, now_ms):
+            continue
+        if not is_reserved(placement.server):
+            return reserved[0] if reserved else placement
+        reserved.append(placement)
+    usable = (placement for placement in reserved if may_use_reserved(placement, request, costs))
+    return next(usable, None)
 
 
 def estimate_placement(
@@ -130,7 +147,9 @@
     :param assignment: role of the server for the request
     :return: the cost and the estimates behind it
     """
-    load = _estimate_load(server, costs, now_ms)
+    work_time = current_work_time(server.speed, now_ms)
+    lasting = lasting_work_time(server.speed, now_ms)
+    load = _estimate_load(server, costs, now_ms, lasting)
     wait_ms = _estimate_wait_ms(server, load.in_flight, costs, now_ms)
     first_ms, interference_ms, new_tokens = wait_ms, 0.0, 0.0
     if request.prompt is not None:
@@ -138,12 +157,12 @@
             server, request.prompt, costs, is_owner=assignment.is_owner
         )
         ahead = sum(load.unread_tokens[: _next_tier_urgency(request.urgency)])
-        first_ms += (ahead + new_tokens) / costs.prefill_tokens_per_ms
-        first_ms += costs.tokens_per_event * estimate_step_ms(
-            load.in_flight, load.prefill_share, costs
-        )
+        step_ms = estimate_step_ms(load.in_flight, load.prefill_share, costs)
+        first_ms += work_time * (ahead + new_tokens) / costs.prefill_tokens_per_ms
+        first_ms += work_time * costs.tokens_per_event * step_ms
         interference_ms = costs.prefill_weight * new_tokens / costs.prefill_tokens_per_ms
         interference_ms += _estimate_stall_ms(request, costs, load, new_tokens, assignment)
+        interference_ms *= work_time
     delay_weight = min(MAX_DELAY_WEIGHT, costs.reference_target_ms / request.target_ms)
     return Placement(
         server=server,
@@ -156,6 +175,7 @@
         prefill_share=load.prefill_share,
         sensitivity=load.sensitivity,
         reporting_peers=server.peer_load.routers,
+        lasting_work_time=lasting,
     )
 
 
@@ -196,7 +216,7 @@
     new_tokens: float,
     assignment: ServerAssignment,
 ) -> float:
-    """:return: weighted time for which prefills stall this stream and its prefill stalls others"""
+    """:return: weighted time, at the usual speed, of the stalls of this stream and of others"""
     assert request.prompt is not None
     other_sensitivity, prefill_share = load.sensitivity, load.prefill_share
     if assignment.is_reserved:
@@ -216,7 +236,8 @@
     return 0.0 if is_own_domain else costs.other_domain_ms
 
 
-@attrs.frozen(kw_only=True)
+# Not frozen, because frozen instances take longer to create and each candidate needs one.
+@attrs.define(kw_only=True)
 class _EstimatedLoad:
     """Estimated load of all routers together at a server."""
 
@@ -226,7 +247,9 @@
     prefill_share: float  # share of its time that the server spends on prefill, 0 to 1
 
 
-def _estimate_load(server: BackendServer, costs: PlacementCostModel, now_ms: int) -> _EstimatedLoad:
+def _estimate_load(
+    server: BackendServer, costs: PlacementCostModel, now_ms: int, work_time: float
+) -> _EstimatedLoad:
     """
     Estimate the load of all routers at a server.
 
@@ -240,6 +263,7 @@
     unreported = server.estimate_unreported_requests(now_ms)
     unreported_factor = 1.0 + min(MAX_UNREPORTED_RATIO, unreported / max(1.0, known))
     pending_tokens = zip(server.unread_tokens, peer_load.unread_tokens, strict=True)
+    prefill_share = estimate_prefill_share(server, costs, now_ms, work_time)
     return _EstimatedLoad(
         in_flight=round(known + unreported),
         unread_tokens=[
@@ -247,7 +271,7 @@
         ],
         sensitivity=unreported_factor
         * (server.sensitivity + extrapolation * peer_load.sensitivity),
-        prefill_share=min(1.0, unreported_factor * estimate_prefill_share(server, costs, now_ms)),
+        prefill_share=min(1.0, unreported_factor * prefill_share),
     )
 
 
