--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -389,14 +389,15 @@
 
     async def _handle_usage(self, reader: asyncio.StreamReader, name: str) -> None:
         """Handle a connection of a router that may be no peer; see gateway.duties.usage_links."""
+        usage = self._state_sync.usage
         try:
             while True:
                 message = await read_message(reader)
-                if isinstance(message, PeerReport):
-                    self._state_sync.apply_usage(name, message)
+                if isinstance(message, PeerReport) and usage is not None:
+                    usage.apply_entries(name, message.usage)
         finally:
-            if self._state_sync.usage is not None:
-                self._state_sync.usage.remove_peer(name)
+            if usage is not None:
+                usage.remove_peer(name)
 
     async def _handle_messages(
         self, reader: asyncio.StreamReader, name: str, peer: InboundPeer
