Server counts: memory in use from committed tokens

Cause: The share of memory in use was always 0, so that engines with full memory and free slots got no further servers. Change: Sum the committed tokens of this router, of peers and, at the average size, of unreported requests over the memory of the ready engines. Measured: tests.gateway.duties.test_server_controller passed.

--- a/src/boragetiller/gateway/duties/group_loads.py
+++ b/src/boragetiller/gateway/duties/group_loads.py
@@ -4,10 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from boragetiller.systems.overload.committed_memory import count_own_tokens
 from boragetiller.systems.peer_loads import exclude_silent_peers
 from boragetiller.tables.server_targets import DomainLoad, ScalingConditions
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from boragetiller.gateway.backend_registry import BackendRegistry
     from boragetiller.gateway.heard_routers import HeardRouters
     from boragetiller.gateway.metrics import GatewayMetrics
@@ -136,10 +139,25 @@
             warming=sum(_is_warming(server, now_ms) for server in servers),
             ejected=sum(server.health.is_ejected(now_ms) for server in servers),
             slots=requests / max(1, slots),
+            memory=self._read_memory(group, servers, costs, now_ms),
             prefill=backlog_ms / (count * PREFILL_HORIZON_MS),
             age_ms=registry.peer_loads.oldest_report_ms(now_ms),
         )
 
+    def _read_memory(
+        self,
+        group: str,
+        servers: Collection[BackendServer],
+        costs: PlacementCostModel,
+        now_ms: int,
+    ) -> float:
+        config = self._registry.config
+        known = None if config is None else config.groups.get(group)
+        if known is None or known.engine is None or not known.engine.memory_tokens:
+            return 0.0
+        tokens = sum(_estimate_committed_tokens(server, costs, now_ms) for server in servers)
+        return tokens / (max(1, len(servers)) * known.engine.memory_tokens)
+
     def _count_draining(self, group: str, domain: str) -> int:
         records = (server.record for server in self._registry.servers.by_name.values())
         return sum(
@@ -162,6 +180,17 @@
     return (sum(server.unread_tokens) + peers) / costs.prefill_tokens_per_ms
 
 
+def _estimate_committed_tokens(
+    server: BackendServer, costs: PlacementCostModel, now_ms: int
+) -> float:
+    """Estimate as placement does: unreported requests count at the average of the known ones."""
+    tokens = server.memory.tokens + server.peer_load.committed_tokens / costs.reporting_share
+    requests = server.in_flight + server.peer_load.in_flight / costs.reporting_share
+    unreported = server.estimate_unreported_requests(now_ms)
+    shared = count_own_tokens(server.memory, now_ms) - server.memory.tokens
+    return tokens + shared + (unreported * tokens / requests if requests else 0.0)
+
+
 def _is_warming(server: BackendServer, now_ms: int) -> bool:
     return now_ms - server.joined_ms < server.record.warm_up_left_ms
 
--- a/tests/gateway/duties/test_server_controller.py
+++ b/tests/gateway/duties/test_server_controller.py
@@ -3,19 +3,24 @@
 from __future__ import annotations
 
 import unittest
+from random import Random
 from types import SimpleNamespace
 from typing import Any
 
 from prometheus_client import CollectorRegistry
 
+from bench.gateway_scale import _build_prompt, _build_router
 from bench.usage_fleet import TOKEN_KEY, FakeStore
 from boragetiller.clock import ManualClock
 from boragetiller.errors import DutyApiBusy, DutyApiUnavailable
+from boragetiller.gateway.duties.group_loads import GroupLoads
 from boragetiller.gateway.duties.metrics import ServerOrderMetrics
 from boragetiller.gateway.duties.server_controller import ServerController
+from boragetiller.systems.overload.committed_memory import commit_request
 from boragetiller.tables.duties import Duty, DutyKind, Holding, LossReason
 from boragetiller.tables.routes import ScalingPolicy
 from boragetiller.tables.server_targets import DomainLoad, ScalingConditions
+from boragetiller.tables.servers import PeerLoad
 from boragetiller.tables.store_writes import ExpectedRevision
 
 DUTY = Duty(DutyKind.SERVER_COUNT, "engines/a")
@@ -129,5 +134,35 @@
         self.assertEqual(self.api.orders, [7])
 
 
+class GroupLoadsTest(unittest.TestCase):
+    def test_memory_is_that_of_all_routers(self) -> None:
+        # Guards against engines whose memory is full while their slots are free.
+        clock = ManualClock(1_000)
+        registry, sync = _build_router(8, clock)
+        heard: Any = SimpleNamespace()
+        loads = GroupLoads(registry, sync, heard, registry.metrics)
+        server = next(iter(registry.servers.by_name.values()))
+        domain = server.record.failure_domain
+
+        def read() -> float:
+            load = loads.read("engines", domain, clock.now_ms())
+            assert load is not None
+            return load.memory
+
+        assert registry.config is not None
+        engine = registry.config.groups["engines"].engine
+        assert engine is not None
+        count = len(registry.servers.find_accepting("engines").by_domain[domain])
+        total = count * engine.memory_tokens
+        self.assertEqual(read(), 0.0)
+        server.in_flight = 1
+        commit_request(server.memory, _build_prompt(Random(1)), 100.0, clock.now_ms())
+        self.assertAlmostEqual(read(), 8_600 / total)
+        server.peer_load.add(
+            PeerLoad(in_flight=2, unread_tokens=(0,), sensitivity=0.0, committed_tokens=30_000)
+        )
+        self.assertAlmostEqual(read(), 38_600 / total)
+
+
 if __name__ == "__main__":
     unittest.main()
