--- a/tests/platform_adapter/test_duty_clients.py
+++ b/tests/platform_adapter/test_duty_clients.py
@@ -190,6 +190,8 @@
         duties = self.load(api + "duty-per-s = 7.5\n", "lease-ms = 400\nusage-late-s = 20\n")
         self.assertEqual((duties.calls_per_s, duties.usage_late_ms), (7.5, 20_000))
         self.assertEqual(duties.lease_ms, 1_000)  # the shortest that the store allows
+        with self.assertRaises(SettingsInvalid):  # 0 ms, by which true time would be divided
+            self.load(api, "report-window-s = 0.0009\n")
         for wrong in ('duties = "usage_report"', 'duties = ["usage_report"]'):
             with self.assertRaises(SettingsInvalid):  # no list, no address
                 self.load("[cloud-api]\n" + wrong)
