Server counts: a stored order with an infinite number is unreadable

Cause: int() of an infinite JSON number raises OverflowError, with which the task ended each time. Change: Such an order counts as none. Measured: the new test failed with OverflowError without the change and passes with it.

--- a/src/boragetiller/gateway/duties/server_controller.py
+++ b/src/boragetiller/gateway/duties/server_controller.py
@@ -216,7 +216,7 @@
     """:return: number of servers in a stored order, None if it cannot be decoded"""
     try:
         return int(json.loads(value)["servers"])
-    except (ValueError, KeyError, TypeError, RecursionError):
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
         return None
 
 
--- a/tests/gateway/duties/test_server_controller.py
+++ b/tests/gateway/duties/test_server_controller.py
@@ -133,6 +133,12 @@
         await self.run_for(controller, 1)
         self.assertEqual(self.api.orders, [7])
 
+    async def test_infinite_number_in_the_store_counts_as_no_order(self) -> None:
+        # Guards against a task that ends with an error each time it reads the entry.
+        self.store.put("boragetiller/servers/engines/a", b'{"servers": Infinity}')
+        await self.run_for(self.build(), 5)
+        self.assertEqual(self.api.orders, [])
+
 
 class GroupLoadsTest(unittest.TestCase):
     def test_memory_is_that_of_all_routers(self) -> None:
