Usage reports: stored windows of the future do not end the reports

Cause: The next window to store followed the highest stored number. After report-window-s was raised, or a clock was ahead, that number was in the future, and nothing was reported any more. Change: Such numbers are neither sent nor followed.

--- a/src/boragetiller/systems/duties/usage_reports.py
+++ b/src/boragetiller/systems/duties/usage_reports.py
@@ -13,8 +13,11 @@
 import attrs
 
 from boragetiller.errors import EntryUnreadable
-from boragetiller.store_eras import FIRST_ERA
-from boragetiller.systems.duties.window_coverage import compute_started_ms, covers_window
+from boragetiller.systems.duties.window_coverage import (
+    compute_started_ms,
+    covers_window,
+    is_first_holding,
+)
 from boragetiller.tables.store_writes import (
     NO_REVISION,
     ExpectedRevision,
@@ -35,8 +38,6 @@
 MAX_REMOVALS = 20  # a transaction has at most 32 entries
 FIRST_BACKOFF_MS = 200
 LONGEST_BACKOFF_MS = 1_600  # several calls still fit into the time for reporting
-TOKEN_BITS = 32  # of a fencing token; the higher ones are the era of the store
-FIRST_TOKEN = 1  # of an era
 
 
 @attrs.frozen
@@ -61,7 +62,14 @@
         counts = {str(name): int(number) for name, number in document["counts"].items()}
         sent = frozenset(int(number) for number in document["sent"])
         window_no = int(item.key.removeprefix(WINDOWS_PREFIX))
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise EntryUnreadable(f"{item.key}: is not a stored window: {error!r}") from error
     return ClosedWindow(window_no=window_no, counts=counts), sent
 
@@ -132,9 +140,10 @@
     if closed_through is None:
         return None, []
     oldest_no = settings.find_window(true_ms - settings.late_ms) - 1
-    is_first = _is_first_holding(holding)
+    is_first = is_first_holding(holding)
     first_no = reports.next_window_no
-    if first_no is None:
+    # Stored windows have later numbers if they were shorter, or stored with a clock that was ahead.
+    if first_no is None or first_no > settings.find_window(true_ms) + 1:
         started_ms = compute_started_ms(windows, true_ms, now_ms)
         first_no = _find_first_counted(windows, started_ms) if is_first else oldest_no
     lost = []
@@ -161,12 +170,6 @@
     return min([windows.settings.find_window(started_ms), *counted])
 
 
-def _is_first_holding(holding: Holding) -> bool:
-    """:return: whether no router held the duty before, so that none counted before"""
-    era, number = divmod(holding.token, 1 << TOKEN_BITS)
-    return era <= FIRST_ERA and number == FIRST_TOKEN
-
-
 def build_transaction(
     reports: UsageReports, window: ClosedWindow, holding: Holding, settings: UsageSettings
 ) -> Transaction:
@@ -237,7 +240,11 @@
     :return: the oldest window in the store that was not sent, None if there is none or calls are
         delayed after a failure; and windows whose report would now arrive too late
     """
-    unsent = sorted(number for number in reports.stored if number not in reports.sent)
+    unsent = sorted(
+        number
+        for number in reports.stored
+        if number not in reports.sent and settings.end_ms(number) <= true_ms
+    )
     late = [number for number in unsent if true_ms + flight_ms >= settings.due_ms(number)]
     reports.sent.update(late)  # not sent, but done with
     lost = [LostWindow(number, "too_late") for number in late if number in reports.attempts]
@@ -256,8 +263,7 @@
     :param window_no: number of the window
     """
     reports.sent.add(window_no)
-    reports.failures = 0
-    reports.retry_at_ms = 0
+    reports.failures = reports.retry_at_ms = 0
 
 
 def record_failed(reports: UsageReports, now_ms: int, rng: Random) -> int:
--- a/src/boragetiller/systems/duties/window_coverage.py
+++ b/src/boragetiller/systems/duties/window_coverage.py
@@ -4,9 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+from boragetiller.store_eras import FIRST_ERA
+
 if TYPE_CHECKING:
+    from boragetiller.tables.duties import Holding
     from boragetiller.tables.usage import ClosedWindow, UsageWindows
 
+TOKEN_BITS = 32  # of a fencing token; the higher ones are the era of the store
+FIRST_TOKEN = 1  # of an era
+
 
 def compute_started_ms(windows: UsageWindows, true_ms: int, now_ms: int) -> int:
     """
@@ -54,4 +60,10 @@
     )
 
 
-__all__ = ["adopt_window", "compute_started_ms", "covers_window"]
+def is_first_holding(holding: Holding) -> bool:
+    """:return: whether no router held the duty before, so that none counted before"""
+    era, number = divmod(holding.token, 1 << TOKEN_BITS)
+    return era <= FIRST_ERA and number == FIRST_TOKEN
+
+
+__all__ = ["adopt_window", "compute_started_ms", "covers_window", "is_first_holding"]
--- a/tests/gateway/duties/test_usage_reports.py
+++ b/tests/gateway/duties/test_usage_reports.py
@@ -243,6 +243,14 @@
         self.assertIsNone(self.fleet.reported(2))
         self.assert_exact(range(3, 5))
 
+    def test_stored_window_of_the_future_blocks_no_report(self) -> None:
+        # Guards against reports that end when windows become longer, so that their numbers fall.
+        key = f"{WINDOWS_PREFIX}{self.number(1_000_000)}"
+        self.fleet.store.put(key, b'{"counts": {"small": 1}, "sent": []}')
+        self.fleet.run_to(4, 0)
+        self.assert_exact(range(3))
+        self.assertIsNone(self.fleet.reported(1_000_000))
+
     def number(self, window_no: int) -> int:
         """:return: number of a window since 1970"""
         return window_no + EPOCH_MS // SETTINGS.window_ms
