Usage reports: counts of a restarted router reach routers that connect later

Cause: Counts were relayed only of routers without a connection, by name. A router that connected after another one had restarted lacked the counts of that one's earlier incarnation. Change: The incarnation that reported last is known, and counts of earlier ones are relayed. Measured: the new test failed without the change; tests.gateway.duties (42) passed.

--- a/src/boragetiller/systems/duties/usage_windows.py
+++ b/src/boragetiller/systems/duties/usage_windows.py
@@ -129,6 +129,7 @@
         router = windows.routers.setdefault(peer, KnownRouter(entry.window_no, now_ms))
         router.newest_window_no = max(router.newest_window_no, entry.window_no)
         router.heard_ms, router.connected = now_ms, True
+        router.incarnation = entry.incarnation
     window = windows.windows.setdefault(entry.window_no, UsageWindow())
     known = window.by_router.get(start, {})
     counts = {
@@ -237,12 +238,13 @@
         _build_entry(number, start, counts, wall_clock_ms)
         for number, window in sorted(windows.windows.items())
         for start, counts in window.by_router.items()
-        if start != windows.own and not _is_connected(windows, start.router)
+        if start != windows.own and not _is_connected(windows, start)
     ]
 
 
-def _is_connected(windows: UsageWindows, router: str) -> bool:
-    return router in windows.routers and windows.routers[router].connected
+def _is_connected(windows: UsageWindows, start: RouterStart) -> bool:
+    known = windows.routers.get(start.router)
+    return known is not None and known.connected and known.incarnation == start.incarnation
 
 
 def _build_entry(
--- a/src/boragetiller/tables/usage.py
+++ b/src/boragetiller/tables/usage.py
@@ -81,6 +81,7 @@
     newest_window_no: int
     heard_ms: int  # time since boot of its last report
     connected: bool = True
+    incarnation: int = 0  # that reported last; counts of earlier ones are relayed to new peers
 
 
 @attrs.define
--- a/tests/gateway/duties/test_usage_reports.py
+++ b/tests/gateway/duties/test_usage_reports.py
@@ -8,7 +8,7 @@
 from bench.usage_fleet import EPOCH_MS, SETTINGS, Fleet
 from boragetiller.systems.duties.usage_reports import WINDOWS_PREFIX
 from boragetiller.tables.direct_attempts import CallProgress
-from boragetiller.tables.usage import ClosedWindow
+from boragetiller.tables.usage import ClosedWindow, RouterStart, UsageCursor
 
 
 class UsageReportsTest(unittest.TestCase):
@@ -251,6 +251,18 @@
         self.assert_exact(range(3))
         self.assertIsNone(self.fleet.reported(1_000_000))
 
+    def test_counts_of_a_restarted_router_reach_one_that_starts_after_it(self) -> None:
+        # Guards against a sum without the counts of an earlier incarnation.
+        self.fleet.run(2)
+        before = self.fleet.routers["c"].counter.windows.own
+        self.fleet.kill("c")
+        self.fleet.add("c")
+        self.fleet.run(1)
+        entries = self.fleet.routers["a"].counter.build_entries(UsageCursor())
+        sent = [RouterStart(entry.router, entry.incarnation) for entry in entries]
+        self.assertIn(before, sent)
+        self.assertNotIn(self.fleet.routers["c"].counter.windows.own, sent)
+
     def number(self, window_no: int) -> int:
         """:return: number of a window since 1970"""
         return window_no + EPOCH_MS // SETTINGS.window_ms
