--- a/src/boragetiller/gateway/call_telemetry.py
+++ b/src/boragetiller/gateway/call_telemetry.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.events import Event, log_event
+from boragetiller.systems.direct_retry_policy import GiveUpReason
 from boragetiller.tables.direct_attempts import DirectAttemptOutcome
 
 if TYPE_CHECKING:
@@ -165,6 +166,8 @@
             )
         route = call.route.name
         self._metrics.answered.labels(route).inc()
+        if call.group.scaling is not None and first_ms > call.route.target_ms:
+            self._metrics.late_calls[call.group.name] += 1
         self._metrics.response_seconds.labels(route).observe(elapsed_ms / 1_000)
         self._metrics.first_event_seconds.labels(route).observe(first_ms / 1_000)
         log_event(
@@ -201,6 +204,9 @@
         :param status: HTTP status sent to the caller, None if the connection is closed instead
         """
         self._metrics.failed.labels(step.reason.value).inc()
+        lacks_room = step.reason in {GiveUpReason.FULL, GiveUpReason.NO_ROOM}
+        if call.group.scaling is not None and lacks_room:
+            self._metrics.refused_calls[call.group.name] += 1
         log_event(
             Event.CALL_FAILED,
             request_id=call.metadata.request_id,
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter as Tally
 from typing import TYPE_CHECKING
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
@@ -29,6 +30,9 @@
     def __init__(self) -> None:
         """Create and register all metrics."""
         self.registry = CollectorRegistry(auto_describe=False)
+        # By group with scaling; inputs of systems.duties.server_targets, not exposed.
+        self.late_calls: Tally[str] = Tally()
+        self.refused_calls: Tally[str] = Tally()
         self.answered = self._counter("answered", "calls answered by a backend server", "route")
         self.refused = self._counter("refused", "calls refused, by code of the error", "code")
         self.failed = self._counter("failed", "calls failed by the router, by reason", "reason")
--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -19,16 +19,16 @@
 from boragetiller.control.errors import BadFrame, FrameTooLarge
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.backend_connections import enable_keepalive
+from boragetiller.gateway.heard_routers import HeardRouters
 from boragetiller.gateway.peer_messages import (
-    LENGTH_BYTES,
-    MAX_FRAME_BYTES,
     PeerHello,
     PeerItems,
     PeerReport,
     PeerRouters,
-    decode_payload,
     encode_frame,
 )
+from boragetiller.gateway.peer_reading import read_message
+from boragetiller.gateway.peer_states import OutboundPeer
 from boragetiller.gateway.settings import Endpoint
 from boragetiller.gateway.state_sync import StoreRevisions
 from boragetiller.gateway.supervisor import run_supervised
@@ -41,7 +41,6 @@
 
     from boragetiller.clock import Clock
     from boragetiller.gateway.metrics import GatewayMetrics
-    from boragetiller.gateway.peer_messages import PeerMessage
     from boragetiller.gateway.settings import GatewaySettings
     from boragetiller.gateway.state_sync import StateSync
     from boragetiller.tables.store_view import StoredItem
@@ -52,14 +51,12 @@
 KEEPALIVE_INTERVAL_MS = 500  # between reports without changes
 CONNECT_TIMEOUT_MS = 1_000
 RECONNECT_DELAY_MS = 1_000
-RECEIVE_TIMEOUT_MS = 3_000  # a peer that sends nothing for so long is disconnected
 RESEND_DELAY_MS = 300  # a peer that watches the store gets missing entries only after this lag
 RESEND_TURNS = 8  # of the peers that send the list to a router that missed a restore
 LOST_ITEMS_DELAY_MS = 300  # after a change of an era, in which entries arrive one by one
 MAX_BUFFER_BYTES = 2_000_000  # of unsent data, after which a slow peer is disconnected
 MAX_KNOWN_ROUTERS = 1_024  # more than twice the planned size of the fleet
 MIN_INBOUND_PEERS = 8  # with fewer, seeds stay connected, so that lost peers isolate no router
-MEMBER_TTL_MS = 30_000  # for which an unheard router keeps its share of limits
 REMOVE_AFTER_MS = 30_000  # an unreachable router is removed after this time unless it is a seed
 
 
@@ -75,16 +72,6 @@
     servers_sent_ms: int = -RESEND_DELAY_MS  # when changes of it were last sent without delay
 
 
-@attrs.define
-class OutboundPeer:
-    """A connection on which this router reports to a peer."""
-
-    writer: asyncio.StreamWriter
-    routers: set[Endpoint] = attrs.field(factory=set)  # whose addresses it was sent
-    # Eras of the configuration and the servers of which it was sent what the restored store lacks.
-    lost_items_eras: tuple[int, int] = (0, 0)
-
-
 def report_interval_ms(peers: int) -> int:
     """
     Compute the interval between reports; it grows with the fleet to bound the total rate.
@@ -124,7 +111,7 @@
         self._outbound_peers: dict[Endpoint, OutboundPeer] = {}
         self._report_task: asyncio.Task[None] | None = None
         self._inbound_writers: set[asyncio.StreamWriter] = set()
-        self._heard_ms: dict[Endpoint, int] = {}  # when a router last had a connection to this one
+        self.heard_routers = HeardRouters(settings.name)
         self._server: asyncio.Server | None = None
         self._seeds: tuple[Endpoint, ...] = ()
         self._eras = (0, 0)  # of the newest known configuration and list of backend servers
@@ -159,6 +146,10 @@
         """:return: number of other routers whose address is known"""
         return len(self._known_endpoints)
 
+    def list_known_endpoints(self) -> set[Endpoint]:
+        """:return: addresses of all other routers that are known"""
+        return set(self._known_endpoints)
+
     def list_dialed_endpoints(self) -> set[Endpoint]:
         """:return: addresses of routers that are connected or being connected to"""
         return set(self._connection_tasks)
@@ -213,23 +204,11 @@
         self._update_connections()
 
     def _update_members(self) -> None:
-        """
-        Update the routers that share limits.
-
-        A router that was heard lately may only be cut off or restarting, so it keeps its share.
-        """
-        now_ms = self._clock.now_ms()
-        for peer in self._inbound_peers.values():
-            self._heard_ms[peer.endpoint] = now_ms
-        self._heard_ms = {
-            endpoint: heard_ms
-            for endpoint, heard_ms in self._heard_ms.items()
-            if now_ms - heard_ms < MEMBER_TTL_MS
-        }
-        members = set(self._heard_ms)
-        if len(self._known_endpoints) > MAX_PEERS:
-            members |= self._known_endpoints
-        self._state_sync.set_members(str(self.endpoint), frozenset(map(str, members)))
+        """Update the routers that share limits and duties."""
+        connected = (peer.endpoint for peer in self._inbound_peers.values())
+        known, now_ms = self._known_endpoints, self._clock.now_ms()
+        self.heard_routers.update(self.endpoint, connected, known, now_ms)
+        self._state_sync.set_members(str(self.endpoint), self.heard_routers.view.known)
 
     async def _maintain_connection(self, endpoint: Endpoint) -> None:
         reached_ms = self._clock.now_ms()
@@ -385,12 +364,15 @@
             writer.transport.abort()
 
     async def _receive(self, reader: asyncio.StreamReader) -> None:
-        hello = await _read_message(reader)
+        hello = await read_message(reader)
         if not isinstance(hello, PeerHello) or hello.name == self._settings.name:
             raise BadFrame("first message is not a hello of another router")
         endpoint = Endpoint(hello.address, hello.port)
         if not endpoint.is_valid:
             raise BadFrame(f"the hello of {hello.name} names the address {endpoint}")
+        if hello.usage_only:
+            await self._handle_usage(reader, hello.name)
+            return
         self._state_sync.peer_names[endpoint] = hello.name
         self._inbound_peers[hello.name] = peer = InboundPeer(hello.incarnation, endpoint)
         self._state_sync.remove_peer(hello.name)  # its first report holds all of its loads
@@ -405,11 +387,23 @@
                 self._state_sync.remove_peer(hello.name)
             self._update_peer_counts()
 
+    async def _handle_usage(self, reader: asyncio.StreamReader, name: str) -> None:
+        """Handle a connection of a router that may be no peer; see gateway.duties.usage_links."""
+        usage = self._state_sync.usage
+        try:
+            while True:
+                message = await read_message(reader)
+                if isinstance(message, PeerReport) and usage is not None:
+                    usage.apply_entries(name, message.usage)
+        finally:
+            if usage is not None:
+                usage.remove_peer(name)
+
     async def _handle_messages(
         self, reader: asyncio.StreamReader, name: str, peer: InboundPeer
     ) -> None:
         while True:
-            message = await _read_message(reader)
+            message = await read_message(reader)
             if isinstance(message, PeerReport):
                 self._update_revisions(peer, message)
                 self._state_sync.apply_report(name, message)
@@ -428,12 +422,4 @@
             peer.behind_since_ms = self._clock.now_ms()
 
 
-async def _read_message(reader: asyncio.StreamReader) -> PeerMessage:
-    async with asyncio.timeout(RECEIVE_TIMEOUT_MS / 1_000):
-        size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
-        if size > MAX_FRAME_BYTES:
-            raise BadFrame(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES} bytes")
-        return decode_payload(await reader.readexactly(size))
-
-
 __all__ = ["PeerExchange"]
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -20,7 +20,12 @@
 from boragetiller.systems.crash_suspects import has_survived_start
 from boragetiller.systems.overload.committed_memory import commit_request, release_request
 from boragetiller.systems.prefix_cache import estimate_uncached_tokens
-from boragetiller.systems.response_outcomes import SUCCESS, classify_complete, classify_head
+from boragetiller.systems.response_outcomes import (
+    SUCCESS,
+    classify_complete,
+    classify_head,
+    describe_head,
+)
 from boragetiller.systems.server_placement import compute_stream_sensitivity
 from boragetiller.tables.call_metadata import ForwardMetadata
 from boragetiller.tables.direct_attempts import (
@@ -42,7 +47,6 @@
     from boragetiller.gateway.platform_interface import Dialect
     from boragetiller.gateway.server_client import ServerResponse
     from boragetiller.gateway.state_sync import StateSync
-    from boragetiller.tables.call_metadata import ResponseMetadata
     from boragetiller.tables.direct_attempts import CallProgress
     from boragetiller.tables.server_placement import Placement
 
@@ -155,9 +159,13 @@
                 self._state_sync.speeds.record_response(attempt.server, metadata.load.work_time)
         if metadata.sealed or metadata.limit_per_s is not None:
             self._registry.record_limit(attempt.server, metadata.limit_per_s)
+        if self._state_sync.usage is not None:
+            self._state_sync.usage.record_head(
+                attempt.call, attempt.progress, metadata, attempt.server.name
+            )
         outcome = classify_head(metadata, attempt.server.name)
         if outcome is not None:
-            return DirectAttemptResult(outcome, detail=_describe_head(metadata))
+            return DirectAttemptResult(outcome, detail=describe_head(metadata))
         if stream is not None and metadata.status in SUCCESS:
             return await self._relay_events(attempt, stream, response)
         if stream is not None and stream.event_writer.started:
@@ -173,7 +181,7 @@
             server=attempt.server.name, status=metadata.status, headers=headers, body=body
         )
         return DirectAttemptResult(
-            classify_complete(metadata), complete, detail=_describe_head(metadata)
+            classify_complete(metadata), complete, detail=describe_head(metadata)
         )
 
     async def _relay_events(
@@ -182,6 +190,8 @@
         splitter = EventSplitter(stream.last_event_id)
         headers = self._build_response_headers(attempt, response)
         async for chunk in response.iter_chunks():
+            if self._state_sync.usage is not None:
+                self._state_sync.usage.record_begin(attempt.call, attempt.progress)
             events = splitter.feed(chunk)
             if not events.count:
                 continue
@@ -264,12 +274,4 @@
                 release_request(server.memory, commitment)
 
 
-def _describe_head(metadata: ResponseMetadata) -> str:
-    sealed = "sealed" if metadata.sealed else "not sealed"
-    encoded = ", encoded" if metadata.encoded else ""
-    not_run = ", not run" if metadata.not_run else ""
-    instance = f", instance {metadata.instance!r:.40}" if metadata.instance else ""
-    return f"status {metadata.status}, {sealed}{encoded}{not_run}{instance}"
-
-
 __all__ = ["CallSender"]
--- a/src/boragetiller/gateway/settings.py
+++ b/src/boragetiller/gateway/settings.py
@@ -2,28 +2,10 @@
 
 from __future__ import annotations
 
-import ipaddress
-
 import attrs
 
-MAX_PORT = 65_535
-
-
-@attrs.frozen
-class Endpoint:
-    """An IP address and a TCP port."""
-
-    address: str
-    port: int
-
-    @property
-    def is_valid(self) -> bool:
-        """:return: whether a connection can be opened to it, with an IP address and a port"""
-        try:
-            ipaddress.ip_address(self.address)
-        except ValueError:
-            return False
-        return 0 < self.port <= MAX_PORT
+from boragetiller.gateway.duties.settings import DutySettings
+from boragetiller.gateway.endpoint import Endpoint
 
 
 @attrs.frozen(kw_only=True)
@@ -48,6 +30,7 @@
     retry_ratio: float  # retries per request in a window, over all routers
     retry_slack: float  # additional retries in a window, over all routers
     retry_window_ms: int
+    duties: DutySettings | None = None  # None for none
 
 
 __all__ = ["Endpoint", "GatewaySettings"]
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -23,10 +23,12 @@
 from boragetiller.systems.store_polling import StorePollSchedule
 from boragetiller.systems.watcher_election import WatcherElection
 from boragetiller.tables.recent_items import RecentItems
+from boragetiller.tables.usage import UsageCursor
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
     from boragetiller.gateway.backend_registry import BackendRegistry
+    from boragetiller.gateway.duties.usage_counter import UsageCounter
     from boragetiller.gateway.settings import Endpoint
     from boragetiller.tables.call_metadata import Prompt
     from boragetiller.tables.routes import EngineProfile
@@ -48,6 +50,7 @@
     removals: int = 0
     speeds: int = 0
     loads: dict[str, ReportedLoad] = attrs.field(factory=dict)  # by server, without idle ones
+    usage: UsageCursor = attrs.field(factory=UsageCursor)
 
 
 class StateSync:
@@ -68,6 +71,7 @@
         self.store_polls = StorePollSchedule()
         self.watcher_election = WatcherElection(name)
         self.reporting_share = 1.0  # see systems.report_peers
+        self.usage: UsageCounter | None = None  # None if usage is not reported
         self.speeds = ServerSpeeds(registry.servers, registry.metrics, clock)
         self.report_due = asyncio.Event()  # set by what peers must know before the next interval
         self._registry = registry
@@ -173,6 +177,7 @@
             reaches_store=self.watcher_election.own_store_reachable,
             watches=self.watcher_election.own_store_reachable
             and self.watcher_election.is_watcher(self._clock.now_ms()),
+            usage=() if self.usage is None else self.usage.build_report_entries(cursor.usage),
             speeds=self.speeds.list_reports(cursor.speeds),
         )
         self.speeds.update_ranks()
@@ -216,6 +221,8 @@
                 self._registry.log_limit(limit.server, peer)
         self.store_polls.record_peer_polls(peer, report.store_reads, now_ms)
         self.watcher_election.record_peer(peer, now_ms, reaches_store=report.reaches_store)
+        if self.usage is not None:
+            self.usage.apply_entries(peer, report.usage)
 
     def apply_items(self, items: tuple[StoredItem, ...], peer: str) -> None:
         """
@@ -249,6 +256,8 @@
         remove_peer(self._registry.peer_loads, peer)
         self.store_polls.peer_polls.pop(peer, None)
         self.watcher_election.remove_peer(peer)
+        if self.usage is not None:
+            self.usage.remove_peer(peer)
 
     def _apply_failures(self, peer: str, report: PeerReport, now_ms: int) -> None:
         history = self._registry.failure_history
--- a/src/boragetiller/gateway/store_revisions.py
+++ b/src/boragetiller/gateway/store_revisions.py
@@ -1,4 +1,4 @@
-"""Revisions up to which a router knows the store."""
+"""Revisions up to which routers know the store."""
 
 from __future__ import annotations
 
@@ -26,11 +26,11 @@
 
 def is_newer(own: int, other: int) -> bool:
     """
-    Compare two extended revisions.
+    Compare the revisions that two routers know.
 
-    :param own: revision that this router knows
-    :param other: revision that another router knows
-    :return: whether the own one is newer
+    :param own: extended revision of this router
+    :param other: extended revision of the other router; 0 if it has no entries
+    :return: whether this router knows more
     """
     if get_era(other) == 0:  # of a router that knows no eras yet, or has no entries
         return get_store_revision(own) > other
