Duties: a duty stays registered until its release begins

Change: the contender is removed after the wait, immediately before the release. Measured: not measured.

--- a/src/boragetiller/gateway/duties/holder.py
+++ b/src/boragetiller/gateway/duties/holder.py
@@ -101,10 +101,12 @@
             return
         finished = await contender.stop_work(RUN_TIMEOUT_MS)
         await self._cancel(self._tasks.pop(duty, None))
-        if self._contenders.get(duty) is contender:
-            del self._contenders[duty]
         if not finished:
             await asyncio.sleep(FLIGHT_MS / 1_000)  # of a call that was cut off
+        # No wait between this and the release: a contender that is registered in between would hold
+        # the duty again by the key that the release removes.
+        if self._contenders.get(duty) is contender:
+            del self._contenders[duty]
         await contender.release(LossReason.UNREGISTERED, free=True)
 
     def get_valid(self, duty: Duty, flight_ms: int) -> Holding | None:
