Duties: renew the lease by the time that counts

Cause: the interval was a third of the time to live that the store gave, but at most the requested time counts. With three times the requested time or more, each lease ended by the own clock before its renewal. Change: the interval is a third of the time that counts. Measured: not measured.

--- a/src/boragetiller/systems/duties/validity.py
+++ b/src/boragetiller/systems/duties/validity.py
@@ -51,7 +51,8 @@
     :param now_ms: time in milliseconds
     :return: 0 or more milliseconds
     """
-    interval_ms = held.lease.ttl_ms // RENEWALS_PER_LEASE
+    # The store may give a longer time to live than the one that counts.
+    interval_ms = (held.valid_until_ms + MARGIN_MS - held.sent_ms) // RENEWALS_PER_LEASE
     return max(0, held.sent_ms + interval_ms - now_ms)
 
 
--- a/tests/systems/test_duties.py
+++ b/tests/systems/test_duties.py
@@ -5,10 +5,11 @@
 import unittest
 
 from boragetiller.errors import EntryUnreadable
-from boragetiller.systems.duties import acquisition
+from boragetiller.systems.duties import acquisition, validity
 from boragetiller.systems.duties.candidates import list_candidates
 from boragetiller.tables.duties import Duty, DutyKind, DutyRecord, StoredDuty
 from boragetiller.tables.known_routers import KnownRouters
+from boragetiller.tables.store_writes import StoreLease
 
 DUTY = Duty(DutyKind.SERVER_COUNT, "group/a")
 RECORD = DutyRecord(token=1, holder="router-1", incarnation=2, attempt=3, lease_id=4)
@@ -31,6 +32,12 @@
         self.assertEqual(len(set(keys)), len(subjects))
         self.assertLessEqual(max(len(key.encode()) for key in keys), 200)
 
+    def test_longer_time_to_live_does_not_delay_renewals(self) -> None:
+        # Guards against a renewal that is due only after the lease has ended by the own clock.
+        lease = StoreLease(lease_id=1, ttl_ms=30_000, era=1)
+        held = validity.hold_lease(lease, requested_ms=3_000, sent_ms=0)
+        self.assertEqual(validity.compute_renewal_wait_ms(held, now_ms=0), 1_000)
+
     def test_unusable_record_is_refused(self) -> None:
         # Guards against a token that starts again because a key cannot be decoded.
         good = acquisition.encode_record(RECORD)
