Duties: wait before keys that did not fit are read again

Cause: after a conflict, an ended lease or two keys that differ, the keys were read again at once. A store that serves outdated reads would have got calls without pause. Change: 100 ms before the next step.

--- a/src/boragetiller/gateway/duties/acquirer.py
+++ b/src/boragetiller/gateway/duties/acquirer.py
@@ -36,6 +36,9 @@
     from boragetiller.tables.duties import Duty, HeldLease
 
 CHECK_INTERVAL_MS = 500  # whether this router has become a candidate
+# Before keys that did not fit are read again. Without it, a store that refuses each transaction, or
+# serves outdated reads, would get calls without pause.
+CONFLICT_WAIT_MS = 100
 RENEWAL_WAIT_MS = 200  # between checks whether an expired lease was renewed
 WATCH_WAIT_MS = 20_000  # the longest that the store allows, so an idle watch costs the least
 
@@ -203,6 +206,7 @@
             return self._take(StoredRecord(record, result.revision), result.revision, stored.era)
         if result.status is CommitStatus.LEASE_ENDED:
             election.lease.drop(lease.lease.lease_id)
+        await asyncio.sleep(CONFLICT_WAIT_MS / 1_000)
         return None
 
     async def _adopt(self, stored: StoredDuty, lease: HeldLease | None) -> HeldDuty | None:
@@ -218,9 +222,11 @@
                 build_release(self._duty, stored.era, stored.lease.revision)
             )
             self._stored = None
+            await asyncio.sleep(CONFLICT_WAIT_MS / 1_000)
             return None
         if stored.token.record != stored.lease.record:
             self._stored = None  # acquired between the reads of the two keys
+            await asyncio.sleep(CONFLICT_WAIT_MS / 1_000)
             return None
         if not covers(lease, 0, election.clock.now_ms()):
             await asyncio.sleep(RENEWAL_WAIT_MS / 1_000)
