Test of a duty that is registered again during its release

Cause: no test had a contender registered while unregister waits for a call that was cut off. Change: the test; the task of a router in the tests can hang.

--- a/tests/gateway/duty_fleet.py
+++ b/tests/gateway/duty_fleet.py
@@ -58,6 +58,7 @@
             metrics,
             DutyMetrics(metrics.registry),
         )
+        self.hanging = False  # whether runs of the task do not end
         self.lost: list[LossReason] = []
         self._fleet = fleet
         self.holder.register(USAGE, self)
@@ -65,6 +66,8 @@
     async def run_once(self, holding: Holding) -> None:
         """See :class:`DutyTask`."""
         await self.link.running.wait()
+        if self.hanging:
+            await sleep_ms(60_000)
         valid = self.holder.get_valid(USAGE, FLIGHT_MS)
         if valid is None:
             return
--- a/tests/gateway/test_duty_holder.py
+++ b/tests/gateway/test_duty_holder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from functools import partial, wraps
 from typing import TYPE_CHECKING
@@ -276,6 +277,21 @@
         await fleet.kill(*(set(fleet.routers) - {holder.name}))
         self.assertIs(await fleet.find_holder(), holder)
 
+    @in_fleet
+    async def test_duty_registered_again_during_its_release(self, fleet: DutyFleet) -> None:
+        # Guards against a holder whose key is removed by the release of its predecessor.
+        holder = await fleet.find_holder()
+        holder.hanging = True
+        await sleep_ms(1_000)
+        leaving = asyncio.ensure_future(holder.holder.unregister(USAGE))
+        while not leaving.done():
+            holder.holder.register(USAGE, holder)
+            await sleep_ms(20)
+        holder.hanging = False
+        await sleep_ms(2_000)
+        held = [router for router in fleet.routers.values() if router.holder.get_valid(USAGE, 0)]
+        self.assertEqual(len(held), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
