Process: duties that are released late do not delay the refusal of calls

Cause: the release of duties takes up to 4 s while the store does not answer, and calls were refused only after it; the time was not taken from the grace period, so SIGKILL could come before the calls were drained. Change: the release runs beside the drain and is awaited after it. Measured: 181 tests of duties, calls, streams and restored stores pass.

--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -127,12 +127,12 @@
         log_event(Event.PROCESS_STOPPING, role="gateway", name=self._settings.name)
         settings = self._settings
         self.call_handler.stopping = True
-        await asyncio.gather(
-            asyncio.sleep(settings.refuse_after_ms / 1_000), self._release_duties()
-        )
+        releasing = asyncio.create_task(self._release_duties())
+        await asyncio.sleep(settings.refuse_after_ms / 1_000)
         self.call_handler.refusing = True
         left_ms = settings.grace_ms - settings.refuse_after_ms - EXIT_MARGIN_MS
         await wait_until_idle(lambda: self.call_handler.in_progress, left_ms)
+        await releasing  # takes up to 4 s if the store and the API do not answer
         await asyncio.sleep(CLOSE_DELAY_MS / 1_000)
         await self.caller_listener.stop_listening()
         await self.abort()
