Hedge slow calls within the operators' limits

Change: A policy file (BORAGETILLER_POLICY) sets shares of requests and of prompt tokens. Within them a slow call that may be repeated, also a resumable stream before its first event, is sent to a second server after the (1 - share) quantile of the recent response times of its route. The first attempt that responds wins, the other is cancelled in the same step. The choice of a server moves out of the dispatcher, which is smaller now.

--- a/src/boragetiller/event_numbers.py
+++ b/src/boragetiller/event_numbers.py
@@ -72,6 +72,9 @@
     SETTINGS_RELOADED = 830
     SETTINGS_REFUSED = 831
     TASK_FAILED = 840
+    HEDGING_ENABLED = 880
+    HEDGE_ENDED = 881
+    LATENCY_SUMMARY_INVALID = 882
 
 
 __all__ = ["Event"]
--- /dev/null
+++ b/src/boragetiller/gateway/call_state.py
@@ -0,0 +1,46 @@
+"""State of one call over all its attempts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.gateway.admitted_call import AdmittedCall
+from boragetiller.gateway.responses import EventWriter
+from boragetiller.gateway.sender import StreamState
+from boragetiller.tables.direct_attempts import CallProgress
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+
+@attrs.define(kw_only=True)
+class CallState:
+    """A call with its attempts so far."""
+
+    call: AdmittedCall
+    progress: CallProgress
+    stream: StreamState | None  # None for a buffered response
+    tried_servers: set[str] = attrs.field(factory=set)  # names of servers that it was sent to
+
+
+def create_call_state(call: AdmittedCall, request: web.BaseRequest) -> CallState:
+    """
+    Create the state of a call without any attempt.
+
+    :param call: the admitted call
+    :param request: HTTP request of the caller
+    :return: the state
+    """
+    route = call.route
+    stream = None
+    if route.streamed:
+        stream = StreamState(
+            event_writer=EventWriter(request), last_event_id=call.metadata.last_event_id
+        )
+    progress = CallProgress(repeatable=route.repeatable, max_servers=route.max_attempts)
+    return CallState(call=call, progress=progress, stream=stream)
+
+
+__all__ = ["CallState", "create_call_state"]
--- a/src/boragetiller/gateway/call_telemetry.py
+++ b/src/boragetiller/gateway/call_telemetry.py
@@ -19,6 +19,7 @@
         CompleteResponse,
         DirectAttemptResult,
     )
+    from boragetiller.tables.hedging import HedgeRefusal
     from boragetiller.tables.server_placement import Placement
 
 
@@ -80,6 +81,53 @@
             Event.CALL_HEDGED, request_id=call.metadata.request_id, server=placement.server.name
         )
 
+    def record_hedge_sent(self, call: AdmittedCall, prompt_tokens: int) -> None:
+        """
+        Count a hedged attempt that the operators' limits include.
+
+        :param call: the call
+        :param prompt_tokens: tokens that the additional attempt costs an engine
+        """
+        self._metrics.hedged_prompt_tokens.labels(call.route.name).inc(prompt_tokens)
+
+    def record_hedge_withheld(self, call: AdmittedCall, refusal: HedgeRefusal) -> None:
+        """
+        Count a slow call that got no hedged attempt.
+
+        :param call: the call
+        :param refusal: why not
+        """
+        self._metrics.hedges_withheld.labels(call.route.name, refusal.value).inc()
+
+    def record_hedge_ended(
+        self,
+        call: AdmittedCall,
+        first: Placement,
+        second: Placement,
+        winner: Placement | None,
+        delay_ms: float,
+    ) -> None:
+        """
+        Log and count the result of a hedged attempt within the operators' limits.
+
+        :param call: the call
+        :param first: server of the first attempt
+        :param second: server of the hedged attempt
+        :param winner: which of them responded first, None if both failed
+        :param delay_ms: milliseconds after which the hedged attempt was sent
+        """
+        result = "failed" if winner is None else "won" if winner is second else "lost"
+        self._metrics.hedges.labels(call.route.name, result).inc()
+        log_event(
+            Event.HEDGE_ENDED,
+            request_id=call.metadata.request_id,
+            route=call.route.name,
+            first=first.server.name,
+            second=second.server.name,
+            result=result,
+            delay_ms=round(delay_ms),
+        )
+
     def record_attempt_end(
         self, call: AdmittedCall, placement: Placement, result: DirectAttemptResult
     ) -> None:
--- a/src/boragetiller/gateway/daemon.py
+++ b/src/boragetiller/gateway/daemon.py
@@ -20,12 +20,14 @@
     from socket import socket
 
     from boragetiller.gateway.platform_interface import Dialect, StoreClient
+    from boragetiller.gateway.policy_file import Policy
     from boragetiller.gateway.settings import Endpoint, GatewaySettings
 
 
 async def serve(
     settings: GatewaySettings,
     load: Callable[[], GatewaySettings],
+    policy: Policy,
     dialect: Dialect,
     open_store: Callable[[Endpoint], StoreClient],
     caller_socket: socket,
@@ -35,6 +37,7 @@
 
     :param settings: settings of the process
     :param load: reads the settings file; raises SettingsInvalid
+    :param policy: settings of the policy file
     :param dialect: header names and data formats of the platform
     :param open_store: creates the client of the platform's store
     :param caller_socket: socket that listens for connections of callers
@@ -44,7 +47,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    process = GatewayProcess(settings, dialect, open_store(settings.store), caller_socket)
+    process = GatewayProcess(settings, dialect, open_store(settings.store), caller_socket, policy)
     sink = LogSink(
         sys.stdout.fileno(), settings.name, SystemClock().now_ms, process.metrics.count_dropped_line
     )
--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -4,21 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
-from boragetiller.gateway.admitted_call import AdmittedCall
 from boragetiller.gateway.attempt_recorder import AttemptRecorder
+from boragetiller.gateway.call_state import CallState, create_call_state
 from boragetiller.gateway.call_telemetry import CallTelemetry
 from boragetiller.gateway.hedging import PlacedResult, send_hedged
 from boragetiller.gateway.responses import (
     ErrorResponse,
-    EventWriter,
     build_complete_response,
     build_error_response,
 )
 from boragetiller.gateway.retry_after import RetryAfter
-from boragetiller.gateway.sender import CallSender, StreamState
-from boragetiller.systems.candidates import select_candidates
+from boragetiller.gateway.sender import CallSender
 from boragetiller.systems.direct_retry_policy import (
     GiveUp,
     GiveUpReason,
@@ -27,88 +23,87 @@
     decide_next_step,
     record_attempt,
 )
-from boragetiller.systems.failure_history import (
-    exclude_failed_servers,
-)
-from boragetiller.systems.output_lengths import estimate_output_tokens
-from boragetiller.systems.peer_loads import exclude_silent_peers
-from boragetiller.systems.response_timeouts import (
-    compute_caller_event_timeout_ms,
-    compute_hedge_delay_ms,
-)
-from boragetiller.systems.server_limits import (
-    list_exhausted_servers,
-    list_limited_servers,
-    take_token,
-)
-from boragetiller.systems.server_placement import choose_server, compute_stream_sensitivity
-from boragetiller.tables.direct_attempts import CallProgress, DirectAttemptOutcome
-from boragetiller.tables.server_placement import ServerPlacementRequest
+from boragetiller.systems.response_timeouts import compute_hedge_delay_ms
+from boragetiller.tables.direct_attempts import DirectAttemptOutcome
 from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
-    from random import Random
-
     from aiohttp import web
 
     from boragetiller.clock import Clock
+    from boragetiller.gateway.admitted_call import AdmittedCall
     from boragetiller.gateway.backend_registry import BackendRegistry
+    from boragetiller.gateway.hedge_controller import HedgeController
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.platform_interface import Dialect
-    from boragetiller.gateway.settings import GatewaySettings
+    from boragetiller.gateway.server_choice import ServerChooser
     from boragetiller.gateway.state_sync import StateSync
     from boragetiller.tables.direct_attempts import CompleteResponse, DirectAttemptResult
+    from boragetiller.tables.hedging import HedgingSettings
     from boragetiller.tables.server_placement import Placement
-    from boragetiller.tables.servers import BackendServer
 
 # After these the servers of a group take no calls for a moment.
 BUSY_OUTCOMES = frozenset({DirectAttemptOutcome.FULL, DirectAttemptOutcome.UNAVAILABLE})
 
 
-@attrs.define(kw_only=True)
-class CallState:
-    """A call with its attempts so far."""
-
-    call: AdmittedCall
-    progress: CallProgress
-    stream: StreamState | None  # None for a buffered response
-    tried_servers: set[str] = attrs.field(factory=set)  # names of servers that it was sent to
-
-
 class CallDispatcher:
     """Dispatches calls to the backend servers."""
 
     def __init__(
         self,
-        settings: GatewaySettings,
+        chooser: ServerChooser,
         registry: BackendRegistry,
         state_sync: StateSync,
         dialect: Dialect,
         clock: Clock,
         metrics: GatewayMetrics,
-        rng: Random,
     ) -> None:
         """
         Create the dispatcher.
 
-        :param settings: settings of the process
+        :param chooser: chooses the server of each attempt
         :param registry: backend servers and route configuration
         :param state_sync: state shared with peers; records prompts that are sent
         :param dialect: header names and data formats of the platform
         :param clock: monotonic clock
         :param metrics: counters
-        :param rng: seeded random generator
         """
-        self._settings = settings
         self._registry = registry
-        self._state_sync = state_sync
         self._dialect = dialect
-        self._clock = clock
-        self._rng = rng
         self._telemetry = CallTelemetry(metrics, clock)
         self._recorder = AttemptRecorder(registry, self._telemetry, clock)
-        self._retry_after = RetryAfter(registry, clock, rng)
+        self._retry_after = RetryAfter(registry, clock)
         self._sender = CallSender(registry, state_sync, dialect, clock)
+        self._chooser = chooser
+        self._clock = clock
+        self._hedging: HedgeController | None = None
+
+    def enable_hedging(self, settings: HedgingSettings, state_sync: StateSync) -> None:
+        """
+        Hedge slow calls within limits.
+
+        :param settings: the operators' limits
+        :param state_sync: exchanges recent response times with peers
+        """
+        # Loaded only if it is configured, since start-up time counts.
+        from boragetiller.gateway.hedge_controller import HedgeController  # noqa: PLC0415
+        from boragetiller.gateway.latency_exchange import LatencyExchange  # noqa: PLC0415
+
+        state_sync.latencies = LatencyExchange(self._registry, self._clock)
+        self._hedging = HedgeController(
+            settings,
+            self._registry,
+            self._chooser,
+            self._sender,
+            state_sync.latencies,
+            self._telemetry,
+            self._clock,
+        )
+
+    def log_settings(self) -> None:
+        """Log the limits on hedged attempts, if there are any."""
+        if self._hedging is not None:
+            self._hedging.log_settings()
 
     async def close(self) -> None:
         """Cancel the probes of crashed servers."""
@@ -122,15 +117,13 @@
         :param request: HTTP request of the caller
         :return: the response
         """
-        state = _create_call_state(call, request)
+        state = create_call_state(call, request)
         if self._retry_after.quarantine_left_ms(call):
             return self._fail_quarantined(state)
         self._registry.get_retry_budget(call.group.name).record_request(self._clock.now_ms())
-        output_tokens = estimate_output_tokens(call.metadata, call.group.engine)
-        if output_tokens is not None:
-            self._registry.output_lengths.record(call.route.name, output_tokens)
+        self._chooser.record_arrival(call, self._chooser.state)
         while True:
-            placement = self._choose_server(state)
+            placement = self._chooser.choose(state)
             if placement is None:
                 return await self._fail_unplaced(state)
             oldest_ms = self._registry.peer_loads.oldest_report_ms(self._clock.now_ms())
@@ -172,6 +165,8 @@
     async def _send(self, state: CallState, placement: Placement) -> list[PlacedResult]:
         """Make an attempt at a server, hedged if the call allows it; see send_hedged."""
         state.tried_servers.add(placement.server.name)
+        if self._hedging is not None:
+            return await self._hedging.send(state, placement)
         if state.stream is not None or not state.call.route.repeatable:
             result = await self._sender.send(state.call, placement, state.progress, state.stream)
             return [PlacedResult(placement, result)]
@@ -189,46 +184,13 @@
             state.progress.may_have_run_on
         ) + 1 >= state.progress.max_servers or not budget.allows(now_ms):
             return None
-        placement = self._choose_server(state)
+        placement = self._chooser.choose(state)
         if placement is not None:
             state.tried_servers.add(placement.server.name)
             budget.record_retry(now_ms)
             self._telemetry.record_hedged(state.call, placement)
         return placement
 
-    def _choose_server(self, state: CallState) -> Placement | None:
-        call = state.call
-        group = self._registry.servers.find_accepting(call.group.name)
-        costs = self._registry.get_cost_model(call.group.name, self._state_sync.reporting_share)
-        now_ms = self._clock.now_ms()
-        exclude_silent_peers(self._registry.peer_loads, now_ms)
-        placement_request = ServerPlacementRequest(
-            prompt=call.metadata.prompt if call.group.engine else None,
-            urgency=call.urgency,
-            target_ms=max(1.0, call.route.target_ms),
-            sensitivity=compute_stream_sensitivity(call.route.gap_target_ms, costs),
-            failure_domain=self._settings.failure_domain,
-            time_left_ms=call.time_left_ms(now_ms),
-            caller_event_timeout_ms=compute_caller_event_timeout_ms(
-                call.route.target_ms, call.route.gap_target_ms
-            ),
-            typical_output_tokens=self._registry.output_lengths.average(call.route.name),
-            is_retry=state.progress.attempts > 0,
-            response_started=state.progress.relayed_events > 0,
-        )
-        limits = self._registry.server_limits
-        exhausted = list_exhausted_servers(limits, call.urgency, now_ms)
-        candidates = select_candidates(
-            group, placement_request, state.tried_servers | exhausted, self._rng, now_ms
-        )
-        candidates = exclude_failed_servers(
-            candidates, self._registry.failure_history, call.fingerprint, now_ms
-        )
-        placement = choose_server(group, candidates, placement_request, costs, now_ms)
-        if placement is not None:
-            take_token(limits, placement.server.name)
-        return placement
-
     def _decide_next_step(
         self, state: CallState, result: DirectAttemptResult
     ) -> ReturnResponse | Retry | GiveUp:
@@ -249,16 +211,9 @@
         progress = state.progress
         if progress.server_error is not None and not progress.relayed_events:
             return await self._return_response(state, progress.server_error)
-        group = state.call.group
-        accepting = self._registry.servers.find_accepting(group.name).servers
-        if accepting and self._is_limited(accepting):
-            limited = GiveUp(GiveUpReason.LIMITED, DirectAttemptOutcome.FULL, progress.verdict)
-            return self._fail(state, None, limited, "all servers have reached their limits")
-        if group.engine is not None and accepting:
-            no_room = GiveUp(GiveUpReason.NO_ROOM, DirectAttemptOutcome.FULL, progress.verdict)
-            return self._fail(state, None, no_room, "no engine can finish the stream in time")
-        full = GiveUp(GiveUpReason.FULL, DirectAttemptOutcome.FULL, progress.verdict)
-        return self._fail(state, None, full, "no server accepts calls")
+        refusal = self._chooser.find_refusal(state.call)
+        decision = GiveUp(refusal.reason, DirectAttemptOutcome.FULL, progress.verdict)
+        return self._fail(state, None, decision, refusal.detail)
 
     def _fail_quarantined(self, state: CallState) -> web.StreamResponse:
         quarantined = GiveUp(
@@ -269,11 +224,6 @@
         )
         return self._fail(state, None, quarantined, detail)
 
-    def _is_limited(self, servers: tuple[BackendServer, ...]) -> bool:
-        """:return: whether each of the servers has a limit"""
-        limited = list_limited_servers(self._registry.server_limits)
-        return all(server.name in limited for server in servers)
-
     def _fail(
         self, state: CallState, placement: Placement | None, decision: GiveUp, detail: str
     ) -> web.StreamResponse:
@@ -304,19 +254,8 @@
         """:return: seconds, None unless the caller may repeat the call and had better wait"""
         is_busy = call.route.repeatable and decision.outcome in BUSY_OUTCOMES
         if decision.verdict is Verdict.NOT_RUN or is_busy:
-            return self._retry_after.compute_s(call, decision.reason)
+            return self._retry_after.compute_s(call, decision.reason, self._chooser.state)
         return None
 
 
-def _create_call_state(call: AdmittedCall, request: web.BaseRequest) -> CallState:
-    route = call.route
-    stream = None
-    if route.streamed:
-        stream = StreamState(
-            event_writer=EventWriter(request), last_event_id=call.metadata.last_event_id
-        )
-    progress = CallProgress(repeatable=route.repeatable, max_servers=route.max_attempts)
-    return CallState(call=call, progress=progress, stream=stream)
-
-
-__all__ = ["CallState", "CallDispatcher"]
+__all__ = ["CallDispatcher"]
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -34,6 +34,15 @@
         self.failed = self._counter("failed", "calls failed by the router, by reason", "reason")
         self.attempts = self._counter("sends", "attempts at backend servers, by result", "end")
         self.retries = self._counter("repeats", "retries and hedged attempts, by reason", "reason")
+        self.hedges = self._counter(
+            "hedges", "hedged attempts within a limit, by result", "route", "result"
+        )
+        self.hedges_withheld = self._counter(
+            "hedges_withheld", "slow calls that got no hedged attempt", "route", "reason"
+        )
+        self.hedged_prompt_tokens = self._counter(
+            "hedged_prompt_tokens", "prompt tokens of hedged attempts within a limit", "route"
+        )
         self.callers_left = self._counter(
             "callers_left", "callers that disconnected before the response was complete", "route"
         )
@@ -100,8 +109,8 @@
         """:return: all metrics in the Prometheus text format"""
         return generate_latest(self.registry)
 
-    def _counter(self, name: str, help_text: str, label: str) -> Counter:
-        return Counter(f"boragetiller_{name}", help_text, [label], registry=self.registry)
+    def _counter(self, name: str, help_text: str, *labels: str) -> Counter:
+        return Counter(f"boragetiller_{name}", help_text, labels, registry=self.registry)
 
     def _gauge(self, name: str, help_text: str, *labels: str) -> Gauge:
         return Gauge(f"boragetiller_{name}", help_text, labels, registry=self.registry)
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -19,6 +19,7 @@
 from boragetiller.gateway.metrics import GatewayMetrics
 from boragetiller.gateway.peer_exchange import PeerExchange
 from boragetiller.gateway.prefix_cache_reader import PrefixCacheReader
+from boragetiller.gateway.server_choice import ServerChooser
 from boragetiller.gateway.state_sync import StateSync
 from boragetiller.gateway.store_watcher import StoreWatcher
 from boragetiller.installation.build_info import get_build_info
@@ -31,6 +32,7 @@
     from socket import socket
 
     from boragetiller.gateway.platform_interface import Dialect, StoreClient
+    from boragetiller.gateway.policy_file import Policy
     from boragetiller.gateway.settings import GatewaySettings
 
     Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -49,6 +51,7 @@
         dialect: Dialect,
         store: StoreClient,
         caller_socket: socket | None = None,
+        policy: Policy | None = None,
     ) -> None:
         """
         Create the components.
@@ -57,6 +60,7 @@
         :param dialect: header names and data formats of the platform
         :param store: the platform's store
         :param caller_socket: listening socket for callers, None to open one
+        :param policy: settings of the policy file, None for none
         """
         self._settings = settings
         self._adapter = Path(inspect.getfile(type(dialect))).parent
@@ -66,9 +70,12 @@
         self.registry = BackendRegistry(settings, dialect, clock, self.metrics)
         self.state_sync = StateSync(settings.name, self.registry, costs, clock)
         rng = random.Random(settings.name)
+        chooser = ServerChooser(settings, self.registry, self.state_sync, clock, rng)
         self._dispatcher = CallDispatcher(
-            settings, self.registry, self.state_sync, dialect, clock, self.metrics, rng
+            chooser, self.registry, self.state_sync, dialect, clock, self.metrics
         )
+        if policy is not None and policy.hedging is not None:
+            self._dispatcher.enable_hedging(policy.hedging, self.state_sync)
         self.peer_exchange = PeerExchange(settings, self.state_sync, clock, self.metrics)
         self.call_handler = CallHandler(
             self.registry, self._dispatcher, dialect, clock, self.metrics
@@ -104,6 +111,7 @@
         build = get_build_info(self._adapter)
         self.metrics.record_build(build)
         log_process_started("gateway", self._settings.name, build)
+        self._dispatcher.log_settings()
 
     async def close(self) -> None:
         """
--- a/src/boragetiller/gateway/retry_after.py
+++ b/src/boragetiller/gateway/retry_after.py
@@ -9,11 +9,10 @@
 from boragetiller.systems.server_limits import compute_retry_ms
 
 if TYPE_CHECKING:
-    from random import Random
-
     from boragetiller.clock import Clock
     from boragetiller.gateway.admitted_call import AdmittedCall
     from boragetiller.gateway.backend_registry import BackendRegistry
+    from boragetiller.gateway.server_choice import ChoiceState
 
 SERVICE_RETRY_AFTER_S = (0.1, 0.4)  # range for plain services, whose calls take tens of ms
 TARGET_SHARES = (0.25, 0.75)  # range for engines; such a retry may be in time
@@ -22,33 +21,32 @@
 class RetryAfter:
     """Computes the Retry-After of refusals."""
 
-    def __init__(self, registry: BackendRegistry, clock: Clock, rng: Random) -> None:
+    def __init__(self, registry: BackendRegistry, clock: Clock) -> None:
         """
         Create the computation for one process.
 
         :param registry: backend servers with their limits, and the failure history
         :param clock: monotonic clock
-        :param rng: seeded random generator
         """
         self._registry = registry
         self._clock = clock
-        self._rng = rng
 
-    def compute_s(self, call: AdmittedCall, reason: GiveUpReason) -> float:
+    def compute_s(self, call: AdmittedCall, reason: GiveUpReason, state: ChoiceState) -> float:
         """
         Compute the Retry-After of a refusal.
 
         :param call: the call
         :param reason: why it is refused
+        :param state: random generator and limits of the router, or a copy
         :return: time in seconds
         """
         if reason is GiveUpReason.QUARANTINED:
             return self.quarantine_left_ms(call) / 1_000
-        if reason is GiveUpReason.LIMITED and (turn_ms := self._compute_turn_ms(call)) > 0:
+        if reason is GiveUpReason.LIMITED and (turn_ms := self._compute_turn_ms(call, state)) > 0:
             return turn_ms / 1_000
         if call.group.engine is None:
-            return self._rng.uniform(*SERVICE_RETRY_AFTER_S)
-        return self._rng.uniform(*TARGET_SHARES) * call.route.target_ms / 1_000
+            return state.rng.uniform(*SERVICE_RETRY_AFTER_S)
+        return state.rng.uniform(*TARGET_SHARES) * call.route.target_ms / 1_000
 
     def quarantine_left_ms(self, call: AdmittedCall) -> int:
         """
@@ -60,11 +58,11 @@
         history, now_ms = self._registry.failure_history, self._clock.now_ms()
         return quarantine_left_ms(history, call.fingerprint, call.metadata.prompt, now_ms)
 
-    def _compute_turn_ms(self, call: AdmittedCall) -> float:
+    def _compute_turn_ms(self, call: AdmittedCall, state: ChoiceState) -> float:
         servers = self._registry.servers.find_accepting(call.group.name).servers
         now_ms = self._clock.now_ms()
         return compute_retry_ms(
-            self._registry.server_limits,
+            state.limits,
             call.group.name,
             [server.name for server in servers],
             call.urgency,
--- /dev/null
+++ b/src/boragetiller/gateway/server_choice.py
@@ -0,0 +1,202 @@
+"""Choice of the backend server of an attempt, from the state of this router."""
+
+from __future__ import annotations
+
+import copy
+from collections.abc import Callable
+from random import Random
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.systems.candidates import select_candidates
+from boragetiller.systems.direct_retry_policy import GiveUpReason
+from boragetiller.systems.failure_history import exclude_failed_servers
+from boragetiller.systems.output_lengths import estimate_output_tokens
+from boragetiller.systems.peer_loads import exclude_silent_peers
+from boragetiller.systems.response_timeouts import compute_caller_event_timeout_ms
+from boragetiller.systems.server_limits import (
+    list_exhausted_servers,
+    list_limited_servers,
+    take_token,
+)
+from boragetiller.systems.server_placement import compare_candidates, compute_stream_sensitivity
+from boragetiller.tables.output_lengths import OutputLengths
+from boragetiller.tables.server_groups import GroupServers
+from boragetiller.tables.server_limits import ServerLimitTable
+from boragetiller.tables.server_placement import (
+    ComparedPlacements,
+    Placement,
+    ServerPlacementRequest,
+)
+from boragetiller.tables.servers import BackendServer
+
+if TYPE_CHECKING:
+    from boragetiller.clock import Clock
+    from boragetiller.gateway.admitted_call import AdmittedCall
+    from boragetiller.gateway.backend_registry import BackendRegistry
+    from boragetiller.gateway.call_state import CallState
+    from boragetiller.gateway.settings import GatewaySettings
+    from boragetiller.gateway.state_sync import StateSync
+
+Restriction = Callable[[list[BackendServer], GroupServers], list[BackendServer]]
+
+
+@attrs.frozen
+class ChoiceState:
+    """State that a choice changes; a query uses a copy."""
+
+    rng: Random
+    limits: ServerLimitTable
+    output_lengths: OutputLengths
+
+    def copy(self) -> ChoiceState:
+        """:return: a copy that shares nothing with this state"""
+        return copy.deepcopy(self)
+
+
+@attrs.frozen(kw_only=True)
+class ServerChoice:
+    """The chosen server, and the servers left at each step of the choice."""
+
+    group: GroupServers  # those that accept new requests
+    exhausted: set[str]  # names of those whose limits leave no room now
+    selected: list[BackendServer]  # candidates; see systems.candidates
+    candidates: list[BackendServer]  # those that have not failed the request
+    compared: ComparedPlacements
+
+    @property
+    def placement(self) -> Placement | None:
+        """:return: the chosen server, None if no server has capacity"""
+        return self.compared.best
+
+
+@attrs.frozen
+class Refusal:
+    """Why no server can be chosen."""
+
+    reason: GiveUpReason
+    detail: str
+
+
+class ServerChooser:
+    """Chooses servers for calls."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        registry: BackendRegistry,
+        state_sync: StateSync,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        """
+        Create the chooser of one process.
+
+        :param settings: settings of the process
+        :param registry: backend servers and route configuration
+        :param state_sync: share of the routers whose load is known
+        :param clock: monotonic clock
+        :param rng: seeded random generator
+        """
+        self.state = ChoiceState(rng, registry.server_limits, registry.output_lengths)
+        self._settings = settings
+        self._registry = registry
+        self._state_sync = state_sync
+        self._clock = clock
+
+    def choose(self, state: CallState) -> Placement | None:
+        """
+        Choose a server for the next attempt of a call, and count the attempt in its limit.
+
+        :param state: the call with its attempts
+        :return: the server with its estimates, None if no server has capacity
+        """
+        exclude_silent_peers(self._registry.peer_loads, self._clock.now_ms())
+        placement = self.evaluate(state, self.state).placement
+        if placement is not None:
+            self.count_attempt(placement)
+        return placement
+
+    def count_attempt(self, placement: Placement) -> None:
+        """:param placement: server whose limit an attempt is counted in"""
+        take_token(self.state.limits, placement.server.name)
+
+    def record_arrival(self, call: AdmittedCall, choice_state: ChoiceState) -> None:
+        """
+        Include a call in the typical output length of its route.
+
+        :param call: the call
+        :param choice_state: the state of the router, or a copy
+        """
+        output_tokens = estimate_output_tokens(call.metadata, call.group.engine)
+        if output_tokens is not None:
+            choice_state.output_lengths.record(call.route.name, output_tokens)
+
+    def evaluate(
+        self, state: CallState, choice_state: ChoiceState, restrict: Restriction | None = None
+    ) -> ServerChoice:
+        """
+        Choose a server, and change nothing but the given state.
+
+        :param state: the call with its attempts
+        :param choice_state: the state of the router, or a copy
+        :param restrict: narrows the candidates down, None for no restriction
+        :return: the choice
+        """
+        call = state.call
+        group = self._registry.servers.find_accepting(call.group.name)
+        costs = self._registry.get_cost_model(call.group.name, self._state_sync.reporting_share)
+        now_ms = self._clock.now_ms()
+        placement_request = ServerPlacementRequest(
+            prompt=call.metadata.prompt if call.group.engine else None,
+            urgency=call.urgency,
+            target_ms=max(1.0, call.route.target_ms),
+            sensitivity=compute_stream_sensitivity(call.route.gap_target_ms, costs),
+            failure_domain=self._settings.failure_domain,
+            time_left_ms=call.time_left_ms(now_ms),
+            caller_event_timeout_ms=compute_caller_event_timeout_ms(
+                call.route.target_ms, call.route.gap_target_ms
+            ),
+            typical_output_tokens=choice_state.output_lengths.average(call.route.name),
+            is_retry=state.progress.attempts > 0,
+            response_started=state.progress.relayed_events > 0,
+        )
+        exhausted = list_exhausted_servers(choice_state.limits, call.urgency, now_ms)
+        selected = select_candidates(
+            group, placement_request, state.tried_servers | exhausted, choice_state.rng, now_ms
+        )
+        if restrict is not None:
+            selected = restrict(selected, group)
+        candidates = exclude_failed_servers(
+            selected, self._registry.failure_history, call.fingerprint, now_ms
+        )
+        return ServerChoice(
+            group=group,
+            exhausted=exhausted,
+            selected=selected,
+            candidates=candidates,
+            compared=compare_candidates(group, candidates, placement_request, costs, now_ms),
+        )
+
+    def find_refusal(self, call: AdmittedCall) -> Refusal:
+        """
+        Find why no server could be chosen for a call.
+
+        :param call: the call
+        :return: reason and detail
+        """
+        accepting = self._registry.servers.find_accepting(call.group.name).servers
+        if accepting and self._is_limited(accepting):
+            return Refusal(GiveUpReason.LIMITED, "all servers have reached their limits")
+        if call.group.engine is not None and accepting:
+            return Refusal(GiveUpReason.NO_ROOM, "no engine can finish the stream in time")
+        return Refusal(GiveUpReason.FULL, "no server accepts calls")
+
+    def _is_limited(self, servers: tuple[BackendServer, ...]) -> bool:
+        """:return: whether each of the servers has a limit"""
+        limited = list_limited_servers(self.state.limits)
+        return all(server.name in limited for server in servers)
+
+
+__all__ = ["ChoiceState", "Refusal", "ServerChoice", "ServerChooser"]
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -9,7 +9,8 @@
 
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.peer_messages import CachedPrompt, PeerReport, ReportedLoad
-from boragetiller.store_eras import get_era, get_store_revision
+from boragetiller.gateway.store_revisions import StoreRevisions, is_newer_revision
+from boragetiller.store_eras import get_era
 from boragetiller.systems.failure_history import apply_failure, list_crashes
 from boragetiller.systems.part_quarantine import apply_report, list_reports
 from boragetiller.systems.peer_loads import record_report, remove_load, remove_peer, set_load
@@ -24,6 +25,7 @@
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
     from boragetiller.gateway.backend_registry import BackendRegistry
+    from boragetiller.gateway.latency_exchange import LatencyExchange
     from boragetiller.gateway.settings import Endpoint
     from boragetiller.tables.call_metadata import Prompt
     from boragetiller.tables.routes import EngineProfile
@@ -35,23 +37,6 @@
 MAX_RECENT_PROMPTS = 512  # enough for those sent in the 100 ms between two reports
 
 
-@attrs.frozen
-class StoreRevisions:
-    """Extended revisions of the newest known configuration and list of backend servers."""
-
-    config: int
-    servers: int
-
-    def is_newer_than(self, other: StoreRevisions) -> bool:
-        """:return: whether either revision is higher than the other's"""
-        return _is_newer(self.config, other.config) or _is_newer(self.servers, other.servers)
-
-    def is_eras_ahead_of(self, other: StoreRevisions) -> bool:
-        """:return: whether the other router has missed a restore of the store"""
-        pairs = ((self.config, other.config), (self.servers, other.servers))
-        return any(theirs and get_era(own) > get_era(theirs) > 0 for own, theirs in pairs)
-
-
 @attrs.define
 class ReportCursor:
     """Position up to which prompts, failures and loads have been reported on a connection."""
@@ -61,6 +46,7 @@
     part_crashes: int = 0
     limits: int = 0
     removals: int = 0
+    latencies: int = 0
     loads: dict[str, ReportedLoad] = attrs.field(factory=dict)  # by server, without idle ones
 
 
@@ -83,6 +69,7 @@
         self.watcher_election = WatcherElection(name)
         self.reporting_share = 1.0  # see systems.report_peers
         self.report_due = asyncio.Event()  # set by what peers must know before the next interval
+        self.latencies: LatencyExchange | None = None  # None if hedging is not configured
         self._registry = registry
         self._registry.on_crash_recorded = self.report_due.set
         self._costs = costs
@@ -121,7 +108,7 @@
             item
             for prefix, revision in pairs
             for item in view.newer_than(prefix, 0)
-            if _is_newer(item.revision, revision)
+            if is_newer_revision(item.revision, revision)
         ]
 
     def list_items_lost_in_restore(self) -> list[StoredItem]:
@@ -148,6 +135,7 @@
             history.part_crashes.recent.count,
             self._registry.server_limits.recent.count,
             self._registry.store_entries.recent_removals.count,
+            self.latencies.published if self.latencies is not None else 0,
         )
 
     def build_first_report(self) -> PeerReport:
@@ -184,6 +172,9 @@
             watches=self.watcher_election.own_store_reachable
             and self.watcher_election.is_watcher(self._clock.now_ms()),
         )
+        if self.latencies is not None:
+            report = attrs.evolve(report, hedges=self.latencies.list_since(cursor.latencies))
+            cursor.latencies = self.latencies.published
         cursor.prompts, cursor.failures = self._recent_prompts.count, failures.count
         cursor.part_crashes, cursor.limits = part_crashes.count, limits.count
         return report
@@ -225,6 +216,8 @@
             is_known = limit.server in self._registry.servers.by_name
             if is_known and apply_limit_report(self._registry.server_limits, limit, now_ms):
                 self._registry.log_limit(limit.server, peer)
+        if self.latencies is not None:
+            self.latencies.apply(peer, report.hedges)
         self.store_polls.record_peer_polls(peer, report.store_reads, now_ms)
         self.watcher_election.record_peer(peer, now_ms, reaches_store=report.reaches_store)
 
@@ -303,12 +296,6 @@
         record_prefill(server, prompt, self._costs, cache_tokens, self._clock.now_ms())
 
 
-def _is_newer(own: int, other: int) -> bool:
-    if get_era(other) == 0:  # of a router that knows no eras yet, or has no entries
-        return get_store_revision(own) > other
-    return own > other
-
-
 def _to_peer_load(load: ReportedLoad) -> PeerLoad:
     return PeerLoad(
         in_flight=load.in_flight,
--- a/src/boragetiller/systems/server_placement.py
+++ b/src/boragetiller/systems/server_placement.py
@@ -19,6 +19,7 @@
 from boragetiller.systems.routing import ROUTE_TIERS
 from boragetiller.systems.server_capacity import estimate_step_ms, has_capacity, may_use_reserved
 from boragetiller.tables.server_placement import (
+    ComparedPlacements,
     Placement,
     PlacementCostModel,
     ServerAssignment,
@@ -70,9 +71,29 @@
     :param now_ms: monotonic time in milliseconds
     :return: the server with its estimates, None if no candidate has capacity for the request now
     """
+    return compare_candidates(group, candidates, request, costs, now_ms).best
+
+
+def compare_candidates(
+    group: GroupServers,
+    candidates: list[BackendServer],
+    request: ServerPlacementRequest,
+    costs: PlacementCostModel,
+    now_ms: int,
+) -> ComparedPlacements:
+    """
+    Estimate the cost of a request at each candidate.
+
+    :param group: servers that accept new requests
+    :param candidates: servers of the group to compare; see systems.candidates
+    :param request: the request
+    :param costs: cost model of the group
+    :param now_ms: monotonic time in milliseconds
+    :return: the estimates, and which candidates have capacity
+    """
     usable = filter_usable(candidates, now_ms)
     if not usable:
-        return None
+        return ComparedPlacements((), ())
     reserved_count = count_reserved_servers(group, costs) if request.prompt else 0
     ranks = group.reservation_ranks
     owner = find_prefix_owner(
@@ -84,12 +105,13 @@
             is_owner=server is owner, is_reserved=ranks[server.name] < reserved_count
         )
         placements.append(estimate_placement(server, request, costs, now_ms, assignment))
+    fitting = placements
     if request.prompt is not None:
         reserved_names = {server.name for server in usable if ranks[server.name] < reserved_count}
-        placements = _filter_by_capacity(placements, reserved_names, request, costs) or (
+        fitting = _filter_by_capacity(placements, reserved_names, request, costs) or (
             placements if request.response_started else []
         )
-    return min(placements, key=lambda placement: placement.cost_ms, default=None)
+    return ComparedPlacements(placements, fitting)
 
 
 def _filter_by_capacity(
@@ -253,6 +275,7 @@
 
 __all__ = [
     "choose_server",
+    "compare_candidates",
     "compute_stream_sensitivity",
     "count_reserved_servers",
     "estimate_placement",
--- a/src/boragetiller/tables/direct_attempts.py
+++ b/src/boragetiller/tables/direct_attempts.py
@@ -22,6 +22,7 @@
     LOST = "lost"  # the connection broke
     GARBLED = "garbled"  # the response is truncated or not the backend server's own
     SILENT = "silent"  # timeout without a response
+    CANCELLED = "cancelled"  # by the router, since a second attempt responded first
 
 
 NOT_RUN_OUTCOMES = frozenset(
--- a/src/boragetiller/tables/server_placement.py
+++ b/src/boragetiller/tables/server_placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import attrs
 
 from boragetiller.tables.call_metadata import Prompt
@@ -72,4 +74,23 @@
     reporting_peers: int  # number of routers whose load at the server is known
 
 
-__all__ = ["Placement", "PlacementCostModel", "ServerAssignment", "ServerPlacementRequest"]
+@attrs.frozen
+class ComparedPlacements:
+    """Placements of a request at the candidates that are neither ejected nor full."""
+
+    placements: Sequence[Placement]
+    fitting: Sequence[Placement]  # those with capacity for the request
+
+    @property
+    def best(self) -> Placement | None:
+        """:return: the placement with the lowest cost, None if no candidate has capacity"""
+        return min(self.fitting, key=lambda placement: placement.cost_ms, default=None)
+
+
+__all__ = [
+    "ComparedPlacements",
+    "Placement",
+    "PlacementCostModel",
+    "ServerAssignment",
+    "ServerPlacementRequest",
+]
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -22,6 +22,7 @@
     from socket import socket
 
     from boragetiller.gateway.platform_interface import StoreClient
+    from boragetiller.gateway.policy_file import Policy
     from tests.gateway.scripted_engine import ScriptedEngine
 
 HOST = "shop.example"
@@ -224,6 +225,7 @@
         self,
         store: FakeStore | StoreClient | None = None,
         listening_socket: socket | None = None,
+        policy: Policy | None = None,
         **changes: Any,
     ) -> None:
         """
@@ -231,13 +233,14 @@
 
         :param store: the store, None for a new one with a configuration
         :param listening_socket: listening socket for callers, None to open one
+        :param policy: settings of the policy file, None for none
         :param changes: replaced settings
         """
         self.store = store or FakeStore()
         if store is None:
             self.store.put("op/config", build_config())
         self.router = GatewayProcess(
-            build_settings(**changes), PlatformDialect(), self.store, listening_socket
+            build_settings(**changes), PlatformDialect(), self.store, listening_socket, policy
         )
         self.session: aiohttp.ClientSession | None = None
         self._sent = 0
