Placement query: where a request would go now, and why

Cause: Operators see only afterwards, in call_placed, where a request went, and not what else was compared or left out.

Change: POST /where on the gateway's metrics listener (with the operator key of the policy file) and on the operator port of routers with agents; boragetiller where prints the answers as a table or JSON. The query uses the code of the real choice on a copy of the state that a choice changes. Commands about routers move out of cli/main.py, headers of callers out of router/server.py.

Measured: not measured; the new tests, tests.cli.test_main and tests.test_end_to_end pass.

--- a/src/boragetiller/cli/main.py
+++ b/src/boragetiller/cli/main.py
@@ -4,18 +4,17 @@
 
 import asyncio
 import sys
-from typing import TYPE_CHECKING, Any
 
 import fire
 
 from boragetiller.cli import apply as apply_command
-from boragetiller.cli import check, read, status
+from boragetiller.cli import check, read
 from boragetiller.cli.exit_codes import ExitCode
-from boragetiller.cli.logs import explain_from_logs, parse_log_files, show_incident
+from boragetiller.cli.invocation import DEFAULT_TIMEOUT_MS, Invocation
 from boragetiller.cli.operator_client import OperatorUnreachable
+from boragetiller.cli.operator_commands import OperatorCommands
 from boragetiller.cli.options import (
     parse_office,
-    parse_operator_options,
     parse_positive,
     parse_store_options,
     read_file,
@@ -24,22 +23,8 @@
 from boragetiller.errors import BoragetillerError, SettingsInvalid, StoreUnavailable
 from boragetiller.records.schema import NEWEST_SCHEMA_VERSION
 
-if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
 
-DEFAULT_TIMEOUT_MS = 2_000
-
-
-class _Invocation:
-    """A command with its arguments, run only after the whole command line has been parsed."""
-
-    __slots__ = ("_create_coroutine",)
-
-    def __init__(self, create_coroutine: Callable[[], Coroutine[Any, Any, ExitCode]]) -> None:
-        self._create_coroutine = create_coroutine
-
-
-class Commands:
+class Commands(OperatorCommands):
     """Write and read records, and query the state of routers."""
 
     def apply(
@@ -49,7 +34,7 @@
         office: str | None = None,
         output: str = "table",
         timeout_ms: int = DEFAULT_TIMEOUT_MS,
-    ) -> _Invocation:
+    ) -> Invocation:
         """
         Write the records of FILE (`-` for standard input); safe to run again.
 
@@ -58,7 +43,7 @@
         :param output: table or json
         :param timeout_ms: time limit of one call to the store
         """
-        return _Invocation(
+        return Invocation(
             lambda: apply_command.apply_records(
                 read_file(file),
                 str(file),
@@ -74,7 +59,7 @@
         schema_version: int = NEWEST_SCHEMA_VERSION,
         output: str = "table",
         timeout_ms: int = DEFAULT_TIMEOUT_MS,
-    ) -> _Invocation:
+    ) -> Invocation:
         """
         Print RECORD (kind/name) as a YAML document that `apply` accepts.
 
@@ -83,7 +68,7 @@
         :param output: table (YAML) or json
         :param timeout_ms: time limit of one call to the store
         """
-        return _Invocation(
+        return Invocation(
             lambda: read.get_record(
                 str(record),
                 parse_positive("--schema-version", schema_version),
@@ -97,7 +82,7 @@
         store_url: str | None = None,
         output: str = "table",
         timeout_ms: int = DEFAULT_TIMEOUT_MS,
-    ) -> _Invocation:
+    ) -> Invocation:
         """
         List all records, or those of KIND (customer, class or group).
 
@@ -105,7 +90,7 @@
         :param output: table or json
         :param timeout_ms: time limit of one call to the store
         """
-        return _Invocation(
+        return Invocation(
             lambda: read.list_records(kind, parse_store_options(store_url, timeout_ms, output))
         )
 
@@ -115,7 +100,7 @@
         store_url: str | None = None,
         output: str = "table",
         timeout_ms: int = DEFAULT_TIMEOUT_MS,
-    ) -> _Invocation:
+    ) -> Invocation:
         """
         Print the recent writes of RECORD (kind/name): office, time, version, changed fields.
 
@@ -123,7 +108,7 @@
         :param output: table or json
         :param timeout_ms: time limit of one call to the store
         """
-        return _Invocation(
+        return Invocation(
             lambda: read.show_history(
                 str(record), parse_store_options(store_url, timeout_ms, output)
             )
@@ -136,7 +121,7 @@
         office: str | None = None,
         output: str = "table",
         timeout_ms: int = DEFAULT_TIMEOUT_MS,
-    ) -> _Invocation:
+    ) -> Invocation:
         """
         Print what `apply FILE` would change, without writing; exit code 8 if there are changes.
 
@@ -145,7 +130,7 @@
         :param output: table or json
         :param timeout_ms: time limit of one call to the store
         """
-        return _Invocation(
+        return Invocation(
             lambda: check.diff_file(
                 read_file(file),
                 str(file),
@@ -154,103 +139,23 @@
             )
         )
 
-    def validate(self, file: str, output: str = "table") -> _Invocation:
+    def validate(self, file: str, output: str = "table") -> Invocation:
         """
         Check the records of FILE without access to the store.
 
         :param output: table or json
         """
-        return _Invocation(
+        return Invocation(
             lambda: check.validate_file(read_file(file), str(file), parse_output_format(output))
         )
 
-    def status(
-        self,
-        record: str | None = None,
-        operator_url: str | None = None,
-        operator_key: str | None = None,
-        output: str = "table",
-        timeout_ms: int = DEFAULT_TIMEOUT_MS,
-    ) -> _Invocation:
-        """
-        Print the state of routers and agents, or which nodes have applied a record.
-
-        :param record: kind/name of a record
-        :param operator_url: comma-separated operator URLs; default BORAGETILLER_OPERATOR_URL
-        :param operator_key: their bearer key; default BORAGETILLER_OPERATOR_KEY
-        :param output: table or json
-        :param timeout_ms: time limit of one request
-        """
-        if record is None:
-            return _Invocation(
-                lambda: status.show_status(
-                    parse_operator_options(operator_url, operator_key, timeout_ms, output)
-                )
-            )
-        return _Invocation(
-            lambda: status.show_record_status(
-                str(record), parse_operator_options(operator_url, operator_key, timeout_ms, output)
-            )
-        )
-
-    def explain(
-        self,
-        request_id: str,
-        logs: str | None = None,
-        operator_url: str | None = None,
-        operator_key: str | None = None,
-        output: str = "table",
-        timeout_ms: int = DEFAULT_TIMEOUT_MS,
-    ) -> _Invocation:
-        """
-        Print each decision about REQUEST_ID (the response's x-request-id) with its reason.
-
-        :param logs: comma-separated log files to read instead of asking routers; - for stdin
-        :param operator_url: comma-separated operator URLs; default BORAGETILLER_OPERATOR_URL
-        :param operator_key: their bearer key; default BORAGETILLER_OPERATOR_KEY
-        :param output: table or json
-        :param timeout_ms: time limit of one request
-        """
-        if logs is not None:
-            return _Invocation(
-                lambda: explain_from_logs(
-                    str(request_id), parse_log_files(logs), parse_output_format(output)
-                )
-            )
-        return _Invocation(
-            lambda: status.explain_request(
-                str(request_id),
-                parse_operator_options(operator_url, operator_key, timeout_ms, output),
-            )
-        )
-
-    def incident(
-        self,
-        logs: str,
-        start_ms: int | None = None,
-        end_ms: int | None = None,
-        output: str = "table",
-    ) -> _Invocation:
-        """
-        Summarize LOGS (comma-separated, - for stdin): failures, outliers and state changes.
-
-        :param start_ms: start in milliseconds since the epoch; default the first line
-        :param end_ms: end in milliseconds since the epoch; default the last line
-        :param output: table or json
-        """
-        return _Invocation(
-            lambda: show_incident(
-                parse_log_files(logs), start_ms, end_ms, parse_output_format(output)
-            )
-        )
-
-    def demo(self, port: int | None = None) -> _Invocation:
+    def demo(self, port: int | None = None) -> Invocation:
         """
         Run small versions of both users' deployments in one process until Ctrl-C.
 
         :param port: first of five consecutive ports, 0 for free ports
         """
-        return _Invocation(lambda: _run_demo(port))
+        return Invocation(lambda: _run_demo(port))
 
 
 async def _run_demo(port: int | None) -> ExitCode:
@@ -275,9 +180,9 @@
         invocation = fire.Fire(
             Commands, command=arguments, name="boragetiller", serialize=_hide_invocation
         )
-        if not isinstance(invocation, _Invocation):
+        if not isinstance(invocation, Invocation):
             return ExitCode.INVALID if arguments else ExitCode.DONE
-        return asyncio.run(invocation._create_coroutine())
+        return asyncio.run(invocation.create_coroutine())
     except SettingsInvalid as error:
         return _fail(ExitCode.INVALID, str(error))
     except StoreUnavailable:
@@ -297,7 +202,7 @@
 
 
 def _hide_invocation(result: object) -> object:
-    return None if isinstance(result, _Invocation) else result
+    return None if isinstance(result, Invocation) else result
 
 
 def _fail(code: ExitCode, message: str) -> ExitCode:
--- a/src/boragetiller/cli/operator_client.py
+++ b/src/boragetiller/cli/operator_client.py
@@ -40,12 +40,32 @@
     :raises OperatorRefused: the response has an error status
     :raises InvalidResponse: the response is not JSON
     """
+    return await _send("GET", url, path, None, options)
+
+
+async def post_json(url: str, path: str, document: Any, options: OperatorOptions) -> Any:
+    """
+    Send a POST request with a JSON document and decode its JSON response.
+
+    :param url: base URL of the operator port
+    :param path: path with a leading slash
+    :param document: what to send
+    :param options: bearer key and time limit
+    :return: decoded JSON
+    :raises OperatorUnreachable: no response within the time limit
+    :raises OperatorRefused: the response has an error status
+    :raises InvalidResponse: the response is not JSON
+    """
+    return await _send("POST", url, path, document, options)
+
+
+async def _send(method: str, url: str, path: str, document: Any, options: OperatorOptions) -> Any:
     timeout = aiohttp.ClientTimeout(total=options.timeout_ms / MS_PER_S)
     headers = {"Authorization": f"Bearer {options.operator_key}"}
     try:
         async with (
             aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
-            session.get(url + path) as response,
+            session.request(method, url + path, json=document) as response,
         ):
             body = await response.read()
             status = response.status
@@ -65,8 +85,12 @@
         raise OperatorRefused(f"{url}: the operator key is not accepted; check --operator-key")
     if status == 404:
         raise OperatorRefused(f"{url}{path}: not found; ask another router")
+    if status == 400:
+        raise OperatorRefused(f"{url}{path}: the router does not understand the query")
+    if status == 429:
+        raise OperatorRefused(f"{url}{path}: too many queries in a second; try again")
     if status != 200:
         raise OperatorRefused(f"{url}{path}: unexpected HTTP status {status}")
 
 
-__all__ = ["OperatorRefused", "OperatorUnreachable", "fetch_json"]
+__all__ = ["OperatorRefused", "OperatorUnreachable", "fetch_json", "post_json"]
--- a/src/boragetiller/event_numbers.py
+++ b/src/boragetiller/event_numbers.py
@@ -75,6 +75,7 @@
     HEDGING_ENABLED = 880
     HEDGE_ENDED = 881
     LATENCY_SUMMARY_INVALID = 882
+    PLACEMENT_QUERIED = 885
 
 
 __all__ = ["Event"]
--- a/src/boragetiller/gateway/call_handler.py
+++ b/src/boragetiller/gateway/call_handler.py
@@ -20,6 +20,8 @@
 from boragetiller.http_refusals import build_refusal_logger
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from aiohttp import web
 
     from boragetiller.clock import Clock
@@ -108,7 +110,7 @@
             arrived_ms = self._clock.now_ms()
             metadata = self._dialect.parse_call_headers(request.headers)
             request_id = metadata.request_id
-            _check_header_size(request, config.limits)
+            check_header_size(request.raw_path, request.raw_headers, config.limits)
             body = await _read_body(request, config.limits)
             call = admit_call(
                 config,
@@ -157,11 +159,19 @@
         return build_error_response(response, request_id, self._dialect)
 
 
-def _check_header_size(request: web.BaseRequest, limits: CallerLimits) -> None:
-    headers = sum(
-        len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in request.raw_headers
-    )
-    if len(request.raw_path) + headers > limits.max_header_bytes:
+def check_header_size(
+    raw_path: str, raw_headers: Sequence[tuple[bytes, bytes]], limits: CallerLimits
+) -> None:
+    """
+    Check the size of the head of a call.
+
+    :param raw_path: path and query as received
+    :param raw_headers: names and values as received
+    :param limits: limits in force
+    :raises HeadersTooLarge: it exceeds the limit
+    """
+    headers = sum(len(name) + len(value) + HEADER_OVERHEAD_BYTES for name, value in raw_headers)
+    if len(raw_path) + headers > limits.max_header_bytes:
         raise HeadersTooLarge
 
 
@@ -182,4 +192,4 @@
     return b"".join(chunks)
 
 
-__all__ = ["CallHandler"]
+__all__ = ["CallHandler", "check_header_size"]
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -31,6 +31,7 @@
     from collections.abc import Awaitable, Callable
     from socket import socket
 
+    from boragetiller.gateway.placement_query import PlacementQueries
     from boragetiller.gateway.platform_interface import Dialect, StoreClient
     from boragetiller.gateway.policy_file import Policy
     from boragetiller.gateway.settings import GatewaySettings
@@ -39,6 +40,7 @@
 
 EXIT_MARGIN_MS = 600  # left for closing connections before SIGKILL
 INITIAL_SYNC_TIMEOUT_MS = 300  # a listing takes a few ms; callers give up an unread call after 1 s
+QUERY_PATH = "/where"  # on the metrics listener
 CLOSE_DELAY_MS = 200  # between the end of the last call and closing the ports
 
 
@@ -90,8 +92,21 @@
         self.readiness_listener = Listener(_build_server(self._handle_ready), settings.readiness)
         self._listeners = [self.readiness_listener, self.caller_listener]
         if settings.metrics is not None:
-            metrics = Listener(_build_server(self._handle_metrics), settings.metrics)
-            self._listeners.insert(0, metrics)
+            self.metrics_listener = Listener(_build_server(self._handle_metrics), settings.metrics)
+            self._listeners.insert(0, self.metrics_listener)
+        self._queries: PlacementQueries | None = None  # None if operators may not ask
+        if policy is not None and policy.operator_key is not None:
+            from boragetiller.gateway.placement_query import PlacementQueries  # noqa: PLC0415
+
+            self._queries = PlacementQueries(
+                settings.name,
+                policy.operator_key,
+                self.registry,
+                chooser,
+                self.call_handler,
+                dialect,
+                clock,
+            )
         self._initial_sync_timeout_ms = INITIAL_SYNC_TIMEOUT_MS if caller_socket is not None else 0
 
     async def start(self) -> None:
@@ -154,7 +169,9 @@
         ready = self.registry.is_ready and not self.call_handler.stopping
         return web.Response(status=200 if ready else 503)
 
-    async def _handle_metrics(self, _request: web.BaseRequest) -> web.Response:
+    async def _handle_metrics(self, request: web.BaseRequest) -> web.Response:
+        if self._queries is not None and request.path == QUERY_PATH:
+            return await self._queries.handle(request)
         return web.Response(body=self.metrics.render(), content_type="text/plain")
 
 
--- a/src/boragetiller/router/agent_selector.py
+++ b/src/boragetiller/router/agent_selector.py
@@ -7,9 +7,12 @@
 from boragetiller.errors import BoragetillerError, NotOwner
 
 if TYPE_CHECKING:
+    from random import Random
+
     from boragetiller.agent_protocol.attempt import Attempt
     from boragetiller.router.load_balancer import LoadBalancer
     from boragetiller.router.quarantine import Quarantine
+    from boragetiller.router.request import RoutedRequest
     from boragetiller.router.request_state import RequestState
     from boragetiller.router.shard_owners import ShardOwners
     from boragetiller.tables.agents import AgentEntry
@@ -40,15 +43,30 @@
         :param isolated: whether the body must run in isolation because it crashed a backend server
         :return: an agent that accepts work, or None
         """
-        owner = self._find_owner(state)
+        owner = self._find_owner(state.request)
         if owner is not None:
             return owner
-        agent = self._find_agent_for_copies(state, isolated=isolated)
-        agent = agent or self.load_balancer.choose_agent(state.request, state.tried)
+        rng = self.load_balancer.rng
+        agent = self._place(state.request, state.tried, isolated=isolated, rng=rng)
         if agent is not None:
             state.tried.add(agent.name)
         return agent
 
+    def find_agent(
+        self, request: RoutedRequest, tried: set[str], *, isolated: bool, rng: Random
+    ) -> AgentEntry | None:
+        """
+        Find the agent for a request, and change nothing but the generator.
+
+        :param request: the request
+        :param tried: names of agents that failed it
+        :param isolated: whether the body must run in isolation because it crashed a backend server
+        :param rng: seeded generator; a query uses a copy
+        :return: an agent that accepts work, or None
+        """
+        owner = self._find_owner(request)
+        return owner or self._place(request, tried, isolated=isolated, rng=rng)
+
     def record_sent(self, agent: AgentEntry, attempt: Attempt) -> None:
         """Record that an attempt is sent to an agent."""
         agent.add_in_flight(attempt.tier)
@@ -93,20 +111,26 @@
         if attempt.isolated:
             self.quarantine.record_success(attempt.fingerprint)
 
-    def _find_agent_for_copies(self, state: RequestState, *, isolated: bool) -> AgentEntry | None:
+    def _place(
+        self, request: RoutedRequest, tried: set[str], *, isolated: bool, rng: Random
+    ) -> AgentEntry | None:
+        agent = self._find_agent_for_copies(request, tried, isolated=isolated)
+        return agent or self.load_balancer.choose_agent(request, tried, rng)
+
+    def _find_agent_for_copies(
+        self, request: RoutedRequest, tried: set[str], *, isolated: bool
+    ) -> AgentEntry | None:
         """Find the agent that runs copies of this body, so that the body can crash few servers."""
-        request = state.request
         members = self.load_balancer.list_candidates(request)
         body = request.fingerprint
         if isolated:
             key = request.prefix_hash or int(body[:16], 16)
-            return self.quarantine.choose_isolation_agent(body, key, members, state.tried)
+            return self.quarantine.choose_isolation_agent(body, key, members, tried)
         name = self.quarantine.get_agent_in_use(body)
         usable = (a for a in members if a.name == name and a.accepts_work())
-        return next((a for a in usable if a.name not in state.tried), None)
+        return next((a for a in usable if a.name not in tried), None)
 
-    def _find_owner(self, state: RequestState) -> AgentEntry | None:
-        request = state.request
+    def _find_owner(self, request: RoutedRequest) -> AgentEntry | None:
         if not request.idempotency_key:
             return None
         name = self._shard_owners.get_owner(
--- a/src/boragetiller/router/load_balancer.py
+++ b/src/boragetiller/router/load_balancer.py
@@ -63,7 +63,7 @@
         self._members = members
         self._config = config
         self._clock = clock
-        self._rng = rng
+        self.rng = rng
         self._retry_budgets: dict[str, RetryBudget] = {}
         self._member_sets: dict[str, _MemberSet] = {}
         self._counted_hosts: dict[str, Host] = {}
@@ -80,15 +80,36 @@
         retry_budget.deposit(budget, self._settings.placement)
         return budget
 
-    def choose_agent(self, request: RoutedRequest, tried: set[str]) -> AgentEntry | None:
+    def choose_agent(
+        self, request: RoutedRequest, tried: set[str], rng: Random
+    ) -> AgentEntry | None:
         """
         Choose an agent for a request.
 
         :param request: the request
         :param tried: agents that failed the request, used again only if no other accepts work
+        :param rng: seeded generator; a query uses a copy
         :return: an agent that accepts work, or None
         """
-        placement_request = AgentPlacementRequest(
+        placement_request = self.build_placement_request(request, tried)
+        candidates = self.list_candidates(request)
+        chosen = self._place(candidates, placement_request, rng)
+        if chosen is None and tried:
+            retried = attrs.evolve(placement_request, excluded=frozenset())
+            chosen = self._place(candidates, retried, rng)
+        return chosen
+
+    def build_placement_request(
+        self, request: RoutedRequest, tried: set[str]
+    ) -> AgentPlacementRequest:
+        """
+        Build what the placement of a request depends on.
+
+        :param request: the request
+        :param tried: agents that failed the request
+        :return: input of systems.agent_placement
+        """
+        return AgentPlacementRequest(
             group=request.group.name,
             tier=request.request_class.tier,
             prefix_hash=request.prefix_hash,
@@ -98,11 +119,6 @@
             failure_domain=self._settings.failure_domain,
             router_count=self._estimate_routers_per_agent(),
         )
-        candidates = self.list_candidates(request)
-        chosen = self._place(candidates, placement_request)
-        if chosen is None and tried:
-            chosen = self._place(candidates, attrs.evolve(placement_request, excluded=frozenset()))
-        return chosen
 
     def list_candidates(self, request: RoutedRequest) -> list[AgentEntry]:
         """
@@ -198,12 +214,13 @@
         return self._routers_per_agent
 
     def _place(
-        self, candidates: list[AgentEntry], placement_request: AgentPlacementRequest
+        self,
+        candidates: list[AgentEntry],
+        placement_request: AgentPlacementRequest,
+        rng: Random,
     ) -> AgentEntry | None:
         now_ms = self._clock.now_ms()
-        return choose_agent(
-            candidates, placement_request, self._settings.placement, self._rng, now_ms
-        )
+        return choose_agent(candidates, placement_request, self._settings.placement, rng, now_ms)
 
 
 def _build_entry(host: Host) -> AgentEntry:
--- a/src/boragetiller/router/operator.py
+++ b/src/boragetiller/router/operator.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -9,7 +10,9 @@
 
 from boragetiller.cli.messages import AgentStatus, ExplainStep, Explanation, NodeStatus
 from boragetiller.operator_api import add_record_status_route
+from boragetiller.placement_queries import QueryLimiter, respond_to_query
 from boragetiller.router.config_status import build_config_status
+from boragetiller.router.placement_query import answer_query
 
 if TYPE_CHECKING:
     from boragetiller.router.process import RouterProcess
@@ -39,6 +42,12 @@
         explanation = Explanation(request_id=request_id, router=router.settings.name, steps=steps)
         return web.json_response(attrs.asdict(explanation))
 
+    limiter = QueryLimiter()
+
+    async def show_placement(request: web.Request) -> web.Response:
+        return await respond_to_query(request, partial(answer_query, router), limiter, router.clock)
+
+    app.router.add_post("/where", show_placement)
     app.router.add_get("/status", show_status)
     add_record_status_route(app, router.sync, router.config, router.settings.name, router.clock)
     app.router.add_get("/explain/{request_id}", explain)
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -90,9 +90,10 @@
         self.load_balancer = LoadBalancer(
             settings, self.agents, self.node.members, self.config, self.clock, self.rng
         )
+        self.agent_selector = AgentSelector(self.load_balancer, self.shard_owners, self.quarantine)
         self.dispatcher = RequestDispatcher(
             settings,
-            AgentSelector(self.load_balancer, self.shard_owners, self.quarantine),
+            self.agent_selector,
             self.client,
             self.traces,
             self.clock,
--- a/src/boragetiller/router/server.py
+++ b/src/boragetiller/router/server.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
-import hmac
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,25 +13,21 @@
     BoragetillerError,
     Draining,
     HeadersTooLarge,
-    InvalidRequest,
     MethodNotAllowed,
     NotFound,
-    NotReady,
     RequestTimeout,
     RequestTooLarge,
-    Unauthorized,
 )
 from boragetiller.events import Event, log_event
+from boragetiller.router.caller_headers import authenticate, parse_caller_headers
 from boragetiller.router.engine_protocol import EngineTranscript
 from boragetiller.router.error_responses import build_error_response
 from boragetiller.router.request import (
-    CallerHeaders,
     RoutedRequest,
     parse_engine_request,
     parse_service_request,
 )
 from boragetiller.router.response_writers import BufferedResponseWriter, StreamingResponseWriter
-from boragetiller.value_checks import is_encodable
 from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -52,7 +46,6 @@
     Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
     Parse = Callable[[str, Customer, bytes], RoutedRequest]
 
-BEARER = "Bearer "
 REQUEST_ID_BITS = 64
 
 
@@ -130,7 +123,7 @@
     async def handle_models(self, request: web.Request) -> web.Response:
         """:return: the models that the customer may use"""
         try:
-            customer = self._authenticate(request)
+            customer = authenticate(request.headers, self._config)
         except BoragetillerError as error:
             return self._refuse(error, self._new_request_id())
         classes = [self._config.classes.get(name) for name in customer.classes]
@@ -148,7 +141,7 @@
         """
 
         def parse(request_id: str, customer: Customer, body: bytes) -> RoutedRequest:
-            headers = _parse_caller_headers(request)
+            headers = parse_caller_headers(request.headers)
             return parse_engine_request(
                 request_id, request.path, headers, body, customer, self._config
             )
@@ -166,7 +159,7 @@
         def parse(request_id: str, customer: Customer, body: bytes) -> RoutedRequest:
             group = request.match_info["group"]
             path = request.raw_path.removeprefix(f"/services/{group}")
-            headers = _parse_caller_headers(request)
+            headers = parse_caller_headers(request.headers)
             forwarded = filter_request_headers(request.headers)
             if sum(map(len, forwarded.values())) > self._settings.limits.max_header_bytes:
                 raise HeadersTooLarge
@@ -219,7 +212,7 @@
     async def _accept(self, request: web.Request, request_id: str, parse: Parse) -> RoutedRequest:
         if self.refusing:
             raise Draining(retry_after_s=1)
-        customer = self._authenticate(request)
+        customer = authenticate(request.headers, self._config)
         body = await self._read_body(request)
         routed = parse(request_id, customer, body)
         self._traces.record(
@@ -232,21 +225,6 @@
         )
         return routed
 
-    def _authenticate(self, request: web.Request) -> Customer:
-        if not self._config.ready:
-            raise NotReady(retry_after_s=1)
-        authorization = request.headers.get("Authorization", "")
-        if not authorization.startswith(BEARER):
-            raise Unauthorized
-        digest = hashlib.sha256(
-            authorization.removeprefix(BEARER).encode("utf-8", "replace")
-        ).hexdigest()
-        name = self._config.customers_by_key.get(digest)
-        customer = self._config.customers.get(name) if name else None
-        if customer is None or not _has_key(customer, digest):
-            raise Unauthorized
-        return customer
-
     async def _read_body(self, request: web.Request) -> bytes:
         try:
             async with asyncio.timeout(self._settings.limits.body_timeout_ms / 1_000):
@@ -273,25 +251,4 @@
         return f"req-{self._rng.getrandbits(REQUEST_ID_BITS):016x}"
 
 
-def _parse_caller_headers(request: web.Request) -> CallerHeaders:
-    return CallerHeaders(
-        content_type=_get_utf8_header(request, "Content-Type", "application/octet-stream"),
-        class_name=_get_utf8_header(request, "X-Request-Class", ""),
-        idempotency_key=_get_utf8_header(request, "Idempotency-Key", "").strip('"'),
-    )
-
-
-def _get_utf8_header(request: web.Request, name: str, default: str) -> str:
-    """:raises InvalidRequest: the header is not UTF-8"""
-    value = request.headers.get(name, default)
-    if not is_encodable(value):
-        raise InvalidRequest(f"{name}: got {value!r:.40}; must be UTF-8")
-    return value
-
-
-def _has_key(customer: Customer, digest: str) -> bool:
-    matches = [hmac.compare_digest(known, digest) for known in customer.key_hashes]
-    return any(matches)
-
-
 __all__ = ["CallerServer"]
--- a/src/boragetiller/systems/peer_loads.py
+++ b/src/boragetiller/systems/peer_loads.py
@@ -7,11 +7,15 @@
 
 from __future__ import annotations
 
+import copy
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from boragetiller.tables.peer_loads import IncarnationLoad, PeerLoads, PeerLoadTable
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from boragetiller.tables.servers import BackendServer, PeerLoad
 
 LOAD_REPORT_TTL_MS = 1_000  # a router sends a report at least every 500 ms
@@ -75,6 +79,33 @@
         _exclude(peer_loads)
 
 
+@contextmanager
+def silent_peers_excluded(table: PeerLoadTable, now_ms: int) -> Iterator[None]:
+    """
+    Exclude silent routers like :func:`exclude_silent_peers` while the context is open.
+
+    :param table: loads of all routers
+    :param now_ms: monotonic time in milliseconds
+    """
+    silent = [
+        peer_loads
+        for peer_loads in table.by_peer.values()
+        if peer_loads.is_counted and now_ms - peer_loads.last_report_ms >= LOAD_REPORT_TTL_MS
+    ]
+    servers = {entry.server for peer_loads in silent for entry in peer_loads.loads.values()}
+    sums = {server: server.peer_load for server in servers}
+    for server in servers:
+        server.peer_load = copy.deepcopy(server.peer_load)
+    try:
+        exclude_silent_peers(table, now_ms)
+        yield
+    finally:
+        for peer_loads in silent:
+            peer_loads.is_counted = True
+        for server, peer_load in sums.items():
+            server.peer_load = peer_load
+
+
 def remove_peer(table: PeerLoadTable, peer: str) -> None:
     """
     Remove a router with its loads.
@@ -102,4 +133,5 @@
     "remove_load",
     "remove_peer",
     "set_load",
+    "silent_peers_excluded",
 ]
--- a/src/boragetiller/tables/servers.py
+++ b/src/boragetiller/tables/servers.py
@@ -127,6 +127,16 @@
         self._unreported_requests = average + REPORTED_LOAD_WEIGHT * (latest - average)
         self._load_reported_ms = now_ms
 
+    def reported_load_age_ms(self, now_ms: int) -> int | None:
+        """
+        Compute how long ago the server last reported its number of requests.
+
+        :param now_ms: monotonic time in milliseconds
+        :return: age in milliseconds, None if it is too old to count
+        """
+        age_ms = now_ms - self._load_reported_ms
+        return age_ms if age_ms < REPORTED_LOAD_TTL_MS else None
+
     def estimate_unreported_requests(self, now_ms: int) -> float:
         """
         Estimate the number of requests at the server that no router has reported.
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -32,6 +32,11 @@
     RecordStatus,
     parse_message,
 )
+from boragetiller.placement_queries import (
+    PlacementAnswer,
+    PlacementCandidate,
+    PlacementExclusion,
+)
 from boragetiller.records.writes import WriteState
 from boragetiller.standin.platform_server import PlatformServer, PlatformServerSettings
 from tests.cli.sample_writes import write_fields
@@ -60,6 +65,27 @@
 )
 
 
+PLACED = PlacementAnswer(
+    router="router-1",
+    outcome="placed",
+    server="e1",
+    candidates=(
+        PlacementCandidate(
+            server="e1",
+            failure_domain="a",
+            chosen=True,
+            has_room=True,
+            cost_ms=12.5,
+            first_event_ms=9,
+            in_flight=3,
+            slots=8,
+        ),
+    ),
+    excluded=(PlacementExclusion(server="e2", reason="ejected"),),
+)
+REFUSED = PlacementAnswer(router="router-1", outcome="refused", code="no_room", retry_after_s=0.3)
+
+
 class LocalServices:
     """The platform's services and an operator port, on an event loop in a thread of its own."""
 
@@ -91,12 +117,18 @@
         unknown = attrs.evolve(RECORD, record_revision=None)
         app.router.add_get("/status/record/class/unknown", _build_handler(unknown))
         app.router.add_get("/explain/r-1", _build_handler(EXPLANATION))
+        app.router.add_post("/where", self._answer_query)
         self.runner = web.AppRunner(app)
         await self.runner.setup()
         site = web.TCPSite(self.runner, "127.0.0.1", 0)
         await site.start()
         return f"http://127.0.0.1:{self.runner.addresses[0][1]}"
 
+    async def _answer_query(self, request: web.Request) -> web.Response:
+        self.query = await request.json()
+        answer = PLACED if self.query["path"] == "/stock/1" else REFUSED
+        return web.json_response(attrs.asdict(answer))
+
 
 class MainTest(unittest.TestCase):
     """Each command, and each kind of failure."""
@@ -136,6 +168,20 @@
         self.assertEqual([h["schema_version"] for h in history], [2, 1])
         self.assertEqual(history[1]["changes"], {"tier": [0, 2]})
 
+    def test_where_prints_the_decision_and_tells_a_refusal_by_its_exit_code(self) -> None:
+        # Guards against a script that takes a refusal for a placement.
+        headers = self.file.with_name("headers")
+        headers.write_text("Host: shop.example\n\nX-Id: a:b\n", encoding="utf-8")
+        command = ("where", "/stock/1", "--headers", str(headers))
+        table = self.run_command(ExitCode.DONE, *command)
+        self.assertRegex(table, r"router-1 +e1 +chosen +12.5")
+        self.assertRegex(table, r"router-1 +e2 +ejected")
+        self.assertEqual(self.services.query["headers"], {"Host": "shop.example", "X-Id": "a:b"})
+        output = self.run_command(ExitCode.REFUSED, "where", "/gauges/", "--output", "json")
+        self.assertEqual(json.loads(output)[0]["retry_after_s"], 0.3)
+        headers.write_text("no header", encoding="utf-8")
+        self.assertNotIn("no header", self.run_command(ExitCode.INVALID, *command))
+
     def test_apply_conflict_shows_three_values(self) -> None:
         self.run_command(ExitCode.DONE, "apply", str(self.file))
         document = self.run_command(ExitCode.DONE, "get", "class/quote")
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -47,6 +47,28 @@
 PROMPT = {"X-Boragetiller-Token-Counts": "900,16", "X-Boragetiller-Prefix-Hash": "aa:800,bb:100"}
 
 
+def build_headers(route: str, request_id: str) -> CIMultiDict[str]:
+    """
+    Build the headers of a call.
+
+    :param route: name of its route; a prompt is added for an engine's
+    :param request_id: its ID
+    :return: the headers
+    """
+    headers = CIMultiDict(
+        {
+            "Host": HOST,
+            "X-Boragetiller-Attempt-Id": request_id,
+            "X-Boragetiller-Deadline-Ms": "4000",
+            "X-Boragetiller-Model": "m",
+            "Authorization": f"Token {KEY}",
+        }
+    )
+    if route in ("gauges", "quotes"):
+        headers.update(PROMPT)
+    return headers
+
+
 class CallerStub:
     """Stands for the connection to one caller."""
 
@@ -100,9 +122,9 @@
 
 
 class Router:
-    """What a router needs for hedging, with four servers for each group."""
+    """What a router needs for placement and hedging, with some servers for each group."""
 
-    def __init__(self, shares: HedgeShares, slots: int = 64) -> None:
+    def __init__(self, shares: HedgeShares, slots: int = 64, servers: int = 4) -> None:
         clock, settings, dialect = LoopClock(), build_settings(), PlatformDialect()
         self.metrics = GatewayMetrics()
         self.registry = BackendRegistry(settings, dialect, clock, self.metrics)
@@ -120,7 +142,7 @@
                 warm_up_left_ms=0,
             )
             for group in ("engines", "shop")
-            for number in range(4)
+            for number in range(servers)
         ]
         self.registry.servers.replace(records, 0)
         sync = Mock(reporting_share=1.0)
@@ -136,17 +158,7 @@
 
     def build_state(self, route: str) -> CallState:
         self.calls += 1
-        headers = CIMultiDict(
-            {
-                "Host": HOST,
-                "X-Boragetiller-Attempt-Id": f"id-{self.calls}",
-                "X-Boragetiller-Deadline-Ms": "4000",
-                "X-Boragetiller-Model": "m",
-                "Authorization": f"Token {KEY}",
-            }
-        )
-        if route in ("gauges", "quotes"):
-            headers.update(PROMPT)
+        headers = build_headers(route, f"id-{self.calls}")
         proxy, dialect = CIMultiDictProxy(headers), PlatformDialect()
         metadata = dialect.parse_call_headers(proxy)
         assert self.registry.config is not None
