Test where and when no hedged attempt is sent

Cause: A change that broke the filter of failure domains or the check of the time left broke no test.

Change: A test with an ejected server and with calls that have little time left.

Measured: tests.gateway.test_hedging passes (9 tests).

--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -28,7 +28,7 @@
     DirectAttemptOutcome,
     DirectAttemptResult,
 )
-from boragetiller.tables.hedging import HedgeShares, HedgingSettings
+from boragetiller.tables.hedging import HedgeRefusal, HedgeShares, HedgingSettings
 from boragetiller.tables.servers import ServerRecord
 from boragetiller.tables.store_view import StoredItem
 from dialect import PlatformDialect
@@ -255,6 +255,32 @@
         self.assertEqual(router.hedges, 0)
         self.assertGreater(router.count("hedges_withheld")["overload"], 0)
 
+    def test_no_hedge_near_an_ejected_server_or_without_time(self) -> None:
+        # Guards against a second attempt that fails for the same reason, or ends after the caller.
+        async def main(time_left_ms: int) -> tuple[set[str], dict[str, float]]:
+            router = Router(HedgeShares(request_share=0.5))
+            await router.serve_many("stock", calls=100)
+            servers = router.registry.servers.by_name
+            router.registry.get_retry_budget("shop").slack = 1_000.0
+            servers["shop-1"].health.ejected_until_ms = LoopClock().now_ms() + 60_000
+            servers["shop-2"].in_flight = 1  # so that shop-0 gets the first attempts
+            seconds = set()
+            for _ in range(5):
+                router.servers.durations_ms = [SLOW_MS, FAST_MS]
+                state, results = await router.serve("stock")
+                seconds |= {each.placement.server.name for each in results}
+                spent_ms = state.call.time_limit_ms - time_left_ms
+                late = attrs.evolve(state.call, arrived_ms=LoopClock().now_ms() - int(spent_ms))
+                state.call, state.tried_servers = late, {"shop-0"}
+                refusal = router.hedging._choose_second(state, FAST_MS)  # noqa: SLF001
+                self.assertEqual(refusal is HedgeRefusal.TOO_LATE, time_left_ms < FAST_MS)
+            return seconds, router.count("hedges")
+
+        seconds, results = run_in_virtual_time(main(FAST_MS - 1))
+        self.assertEqual(seconds, {"shop-0", "shop-2"})
+        self.assertGreater(results["won"], 0)
+        run_in_virtual_time(main(1_000))
+
     def test_half_of_the_retry_budget_is_left_for_failures(self) -> None:
         # Guards against hedges after which failed requests cannot be retried.
         async def main() -> tuple[int, float]:
