Tests of hedging: spending in a slowdown, failure domains, share of won attempts

Cause: With the accounting of the limit, the filter of failure domains or the upper end of the bin removed on a scratch copy, all tests still passed, since the tail of the test was smaller than the share.

Change: The tests include a slowdown beyond the share, ejected servers in each domain, and the share of hedged attempts that win.

Measured: on scratch copies with one such rule removed at a time, tests.gateway.test_hedging fails for each of six rules; unchanged it passes (10 tests, 6.5 s).

--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -22,6 +22,7 @@
 from boragetiller.gateway.metrics import GatewayMetrics
 from boragetiller.gateway.sender import StreamState
 from boragetiller.gateway.server_choice import ServerChooser
+from boragetiller.systems.hedging.decision import compute_hedge_share
 from boragetiller.tables.direct_attempts import (
     CallProgress,
     CompleteResponse,
@@ -88,6 +89,7 @@
 
     def __init__(self, rng: Random) -> None:
         self._rng = rng
+        self.slow_share = SLOW_SHARE
         self.durations_ms: list[float] = []  # of the next attempts, before any is drawn
         self.cancelled: list[tuple[str, int]] = []  # server and time
         self.sends = 0
@@ -98,7 +100,9 @@
     ) -> DirectAttemptResult:
         self.sends += 1
         server = placement.server
-        took_ms = SLOW_MS if self._rng.random() < SLOW_SHARE else FAST_MS * self._rng.uniform(1, 2)
+        took_ms = (
+            SLOW_MS if self._rng.random() < self.slow_share else FAST_MS * self._rng.uniform(1, 2)
+        )
         if self.durations_ms:
             took_ms = self.durations_ms.pop(0)
         server.in_flight += 1
@@ -188,7 +192,7 @@
         for _ in range(calls):
             tasks.append(asyncio.create_task(self.serve(route)))
             await asyncio.sleep(ARRIVAL_MS / 1_000)
-            self.budget_checks.append(self.hedges <= SHARE * len(tasks))
+            self.budget_checks.append(self.hedges <= SHARE * self.calls)
         await asyncio.gather(*tasks)
 
     @property
@@ -233,8 +237,26 @@
                 self.assertLessEqual(some.quantile_ms(0.95), 1.1 * none.quantile_ms(0.95))
                 self.assertTrue(all(some.budget_checks))
                 self.assertGreater(some.hedges, SLOW_SHARE * CALLS / 2)
-                tokens = some.count("hedged_prompt_tokens")[route]
-                self.assertLessEqual(tokens, SHARE * 900 * CALLS)
+                results = some.count("hedges")
+                self.assertGreater(results["won"], 4 * results["lost"])
+
+    def test_spending_stops_at_the_limit_when_more_requests_are_slow(self) -> None:
+        # Guards against hedges that go on when the tail is larger than the share.
+        only_tokens_bind = HedgeShares(request_share=0.5, prompt_token_share=SHARE)
+        for route, shares in (("stock", LIMIT), ("gauges", only_tokens_bind)):
+            router = run_in_virtual_time(self.serve_before_and_in_a_slowdown(shares, route))
+            self.assertTrue(all(router.budget_checks))
+            self.assertGreater(router.hedges, 0.6 * SHARE * router.calls)
+            self.assertGreater(router.quantile_ms(0.9), FAST_MS * 2)
+            tokens = router.count("hedged_prompt_tokens")[route]
+            self.assertEqual(tokens, 900 * router.hedges if route == "gauges" else 0)
+
+    async def serve_before_and_in_a_slowdown(self, shares: HedgeShares, route: str) -> Router:
+        router = Router(shares)
+        await router.serve_many(route, calls=1_000)
+        router.servers.slow_share = 0.3
+        await router.serve_many(route, calls=1_000)
+        return router
 
     def test_each_limit_alone_forbids_what_it_counts(self) -> None:
         # Guards against prompts that are hedged although the operators allow no further tokens.
@@ -243,6 +265,9 @@
         self.assertEqual(serve_many(only_requests, "gauges").hedges, 0)
         self.assertEqual(serve_many(only_tokens, "gauges").hedges, 0)
         self.assertGreater(serve_many(only_requests, "stock").hedges, 0)
+        both = HedgeShares(request_share=0.3, prompt_token_share=0.1)
+        shares = [compute_hedge_share(both, for_engine=each) for each in (False, True)]
+        self.assertEqual(shares, [0.3, 0.1])
 
     def test_requests_that_may_not_be_repeated_are_never_hedged(self) -> None:
         # Guards against a booking or a stream without resumption that runs twice.
@@ -257,29 +282,28 @@
 
     def test_no_hedge_near_an_ejected_server_or_without_time(self) -> None:
         # Guards against a second attempt that fails for the same reason, or ends after the caller.
-        async def main(time_left_ms: int) -> tuple[set[str], dict[str, float]]:
+        async def main() -> None:
             router = Router(HedgeShares(request_share=0.5))
             await router.serve_many("stock", calls=100)
-            servers = router.registry.servers.by_name
             router.registry.get_retry_budget("shop").slack = 1_000.0
-            servers["shop-1"].health.ejected_until_ms = LoopClock().now_ms() + 60_000
-            servers["shop-2"].in_flight = 1  # so that shop-0 gets the first attempts
-            seconds = set()
-            for _ in range(5):
-                router.servers.durations_ms = [SLOW_MS, FAST_MS]
-                state, results = await router.serve("stock")
-                seconds |= {each.placement.server.name for each in results}
-                spent_ms = state.call.time_limit_ms - time_left_ms
-                late = attrs.evolve(state.call, arrived_ms=LoopClock().now_ms() - int(spent_ms))
-                state.call, state.tried_servers = late, {"shop-0"}
-                refusal = router.hedging._choose_second(state, FAST_MS)  # noqa: SLF001
-                self.assertEqual(refusal is HedgeRefusal.TOO_LATE, time_left_ms < FAST_MS)
-            return seconds, router.count("hedges")
-
-        seconds, results = run_in_virtual_time(main(FAST_MS - 1))
-        self.assertEqual(seconds, {"shop-0", "shop-2"})
-        self.assertGreater(results["won"], 0)
-        run_in_virtual_time(main(1_000))
+            servers = router.registry.servers.by_name
+            for time_left_ms, ejected, expected in (
+                (FAST_MS - 1, (), HedgeRefusal.TOO_LATE),
+                (SLOW_MS, (), None),
+                (SLOW_MS, ("shop-1", "shop-2"), HedgeRefusal.NO_SERVER),  # one in each domain
+            ):
+                now_ms = LoopClock().now_ms()
+                for name in ejected:
+                    servers[name].health.ejected_until_ms = now_ms + 1_000
+                state = router.build_state("stock")
+                arrived_ms = now_ms + time_left_ms - int(state.call.time_limit_ms)
+                state.call = attrs.evolve(state.call, arrived_ms=arrived_ms)
+                state.tried_servers = {"shop-0"}
+                second = router.hedging._choose_second(state, FAST_MS)  # noqa: SLF001
+                refusal = second if isinstance(second, HedgeRefusal) else None
+                self.assertIs(refusal, expected)
+
+        run_in_virtual_time(main())
 
     def test_half_of_the_retry_budget_is_left_for_failures(self) -> None:
         # Guards against hedges after which failed requests cannot be retried.
