--- a/src/boragetiller/gateway/call_state.py
+++ b/src/boragetiller/gateway/call_state.py
@@ -7,8 +7,8 @@
 import attrs
 
 from boragetiller.gateway.admitted_call import AdmittedCall
+from boragetiller.gateway.outgoing_attempts import StreamState
 from boragetiller.gateway.responses import EventWriter
-from boragetiller.gateway.sender import StreamState
 from boragetiller.tables.direct_attempts import CallProgress
 
 if TYPE_CHECKING:
--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -9,7 +9,6 @@
 from boragetiller.gateway.call_telemetry import CallTelemetry
 from boragetiller.gateway.hedging import PlacedResult, send_hedged
 from boragetiller.gateway.responses import (
-    ErrorResponse,
     build_complete_response,
     build_error_response,
 )
@@ -25,7 +24,6 @@
 )
 from boragetiller.systems.response_timeouts import compute_hedge_delay_ms
 from boragetiller.tables.direct_attempts import DirectAttemptOutcome
-from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -42,9 +40,6 @@
     from boragetiller.tables.hedging import HedgingSettings
     from boragetiller.tables.server_placement import Placement
 
-# After these the servers of a group take no calls for a moment.
-BUSY_OUTCOMES = frozenset({DirectAttemptOutcome.FULL, DirectAttemptOutcome.UNAVAILABLE})
-
 
 class CallDispatcher:
     """Dispatches calls to the backend servers."""
@@ -231,31 +226,11 @@
         if state.stream is not None and state.stream.event_writer.started:
             self._telemetry.record_failed(call, placement, decision, detail, server_status, None)
             return state.stream.event_writer.abort()
-        response = self._choose_error_response(call, decision)
+        response = self._retry_after.choose_response(call, decision, self._chooser.state)
         self._telemetry.record_failed(
             call, placement, decision, detail, server_status, response.status
         )
         return build_error_response(response, call.metadata.request_id, self._dialect)
 
-    def _choose_error_response(self, call: AdmittedCall, decision: GiveUp) -> ErrorResponse:
-        if decision.verdict is Verdict.NOT_RUN:
-            status, code = 503, decision.reason.value
-        else:
-            status = 504 if decision.outcome is DirectAttemptOutcome.SILENT else 502
-            code = decision.outcome.value
-        return ErrorResponse(
-            status=status,
-            code=code,
-            verdict=decision.verdict,
-            retry_after_s=self._choose_retry_after_s(call, decision),
-        )
-
-    def _choose_retry_after_s(self, call: AdmittedCall, decision: GiveUp) -> float | None:
-        """:return: seconds, None unless the caller may repeat the call and had better wait"""
-        is_busy = call.route.repeatable and decision.outcome in BUSY_OUTCOMES
-        if decision.verdict is Verdict.NOT_RUN or is_busy:
-            return self._retry_after.compute_s(call, decision.reason, self._chooser.state)
-        return None
-
 
 __all__ = ["CallDispatcher"]
--- a/src/boragetiller/gateway/hedge_controller.py
+++ b/src/boragetiller/gateway/hedge_controller.py
@@ -27,7 +27,8 @@
     from boragetiller.gateway.call_state import CallState
     from boragetiller.gateway.call_telemetry import CallTelemetry
     from boragetiller.gateway.latency_exchange import LatencyExchange
-    from boragetiller.gateway.sender import CallSender, StreamState
+    from boragetiller.gateway.outgoing_attempts import StreamState
+    from boragetiller.gateway.sender import CallSender
     from boragetiller.gateway.server_choice import ServerChooser
     from boragetiller.tables.direct_attempts import DirectAttemptResult
     from boragetiller.tables.hedging import HedgingSettings
--- a/src/boragetiller/gateway/hedge_race.py
+++ b/src/boragetiller/gateway/hedge_race.py
@@ -13,8 +13,8 @@
 import attrs
 
 from boragetiller.gateway.hedging import PlacedResult
+from boragetiller.gateway.outgoing_attempts import StreamState
 from boragetiller.gateway.responses import EventWriter
-from boragetiller.gateway.sender import StreamState
 from boragetiller.tables.direct_attempts import DirectAttemptOutcome, DirectAttemptResult
 from boragetiller.tables.server_placement import Placement
 
--- a/src/boragetiller/gateway/placement_query.py
+++ b/src/boragetiller/gateway/placement_query.py
@@ -221,7 +221,7 @@
         return "full"
     if all(each.server is not server for each in choice.compared.placements):
         return "ejected"
-    if all(each.server is not server for each in choice.compared.fitting):
+    if all(each.server is not server for each in choice.list_fitting()):
         return "no_room"
     return None
 
@@ -234,7 +234,7 @@
         server=server.name,
         failure_domain=server.record.failure_domain,
         chosen=best is not None and server is best.server,
-        has_room=any(each is placement for each in choice.compared.fitting),
+        has_room=any(each is placement for each in choice.list_fitting()),
         cost_ms=round(placement.cost_ms, 1),
         first_event_ms=round(placement.first_event_ms, 1),
         in_flight=placement.in_flight,
--- a/src/boragetiller/gateway/server_choice.py
+++ b/src/boragetiller/gateway/server_choice.py
@@ -15,18 +15,24 @@
 from boragetiller.systems.output_lengths import estimate_output_tokens
 from boragetiller.systems.peer_loads import exclude_silent_peers
 from boragetiller.systems.response_timeouts import compute_caller_event_timeout_ms
+from boragetiller.systems.server_capacity import list_fitting
 from boragetiller.systems.server_limits import (
     list_exhausted_servers,
     list_limited_servers,
     take_token,
 )
-from boragetiller.systems.server_placement import compare_candidates, compute_stream_sensitivity
+from boragetiller.systems.server_placement import (
+    compare_candidates,
+    compute_stream_sensitivity,
+    count_reserved_servers,
+)
 from boragetiller.tables.output_lengths import OutputLengths
 from boragetiller.tables.server_groups import GroupServers
 from boragetiller.tables.server_limits import ServerLimitTable
 from boragetiller.tables.server_placement import (
     ComparedPlacements,
     Placement,
+    PlacementCostModel,
     ServerPlacementRequest,
 )
 from boragetiller.tables.servers import BackendServer
@@ -39,6 +45,8 @@
     from boragetiller.gateway.settings import GatewaySettings
     from boragetiller.gateway.state_sync import StateSync
 
+NO_ROOM_DETAIL = "no engine can finish the stream in time or has memory for it"
+
 Restriction = Callable[[list[BackendServer], GroupServers], list[BackendServer]]
 
 
@@ -64,12 +72,29 @@
     selected: list[BackendServer]  # candidates; see systems.candidates
     candidates: list[BackendServer]  # those that have not failed the request
     compared: ComparedPlacements
+    request: ServerPlacementRequest
+    costs: PlacementCostModel
+    now_ms: int  # monotonic time of the choice
 
     @property
     def placement(self) -> Placement | None:
         """:return: the chosen server, None if no server has capacity"""
         return self.compared.best
 
+    def list_fitting(self) -> list[Placement]:
+        """:return: the compared placements with capacity and memory"""
+        if self.request.prompt is None:
+            return list(self.compared.placements)
+        reserved_count = count_reserved_servers(self.group, self.costs)
+        ranks = self.group.reservation_ranks
+        return list_fitting(
+            self.compared.placements,
+            lambda server: ranks[server.name] < reserved_count,
+            self.request,
+            self.costs,
+            self.now_ms,
+        )
+
 
 @attrs.frozen
 class Refusal:
@@ -159,7 +184,9 @@
                 call.route.target_ms, call.route.gap_target_ms
             ),
             typical_output_tokens=choice_state.output_lengths.average(call.route.name),
+            memory_tokens=call.group.engine.memory_tokens if call.group.engine else 0,
             is_retry=state.progress.attempts > 0,
+            was_refused=state.progress.was_refused,
             response_started=state.progress.relayed_events > 0,
         )
         exhausted = list_exhausted_servers(choice_state.limits, call.urgency, now_ms)
@@ -177,6 +204,9 @@
             selected=selected,
             candidates=candidates,
             compared=compare_candidates(group, candidates, placement_request, costs, now_ms),
+            request=placement_request,
+            costs=costs,
+            now_ms=now_ms,
         )
 
     def find_refusal(self, call: AdmittedCall) -> Refusal:
@@ -190,7 +220,7 @@
         if accepting and self._is_limited(accepting):
             return Refusal(GiveUpReason.LIMITED, "all servers have reached their limits")
         if call.group.engine is not None and accepting:
-            return Refusal(GiveUpReason.NO_ROOM, "no engine can finish the stream in time")
+            return Refusal(GiveUpReason.NO_ROOM, NO_ROOM_DETAIL)
         return Refusal(GiveUpReason.FULL, "no server accepts calls")
 
     def _is_limited(self, servers: tuple[BackendServer, ...]) -> bool:
--- a/src/boragetiller/gateway/store_revisions.py
+++ b/src/boragetiller/gateway/store_revisions.py
@@ -1,4 +1,4 @@
-"""Revisions of the store up to which a router knows its entries."""
+"""Revisions up to which a router knows the store."""
 
 from __future__ import annotations
 
@@ -16,9 +16,7 @@
 
     def is_newer_than(self, other: StoreRevisions) -> bool:
         """:return: whether either revision is higher than the other's"""
-        return is_newer_revision(self.config, other.config) or is_newer_revision(
-            self.servers, other.servers
-        )
+        return is_newer(self.config, other.config) or is_newer(self.servers, other.servers)
 
     def is_eras_ahead_of(self, other: StoreRevisions) -> bool:
         """:return: whether the other router has missed a restore of the store"""
@@ -26,17 +24,17 @@
         return any(theirs and get_era(own) > get_era(theirs) > 0 for own, theirs in pairs)
 
 
-def is_newer_revision(own: int, other: int) -> bool:
+def is_newer(own: int, other: int) -> bool:
     """
-    Check whether a revision is newer than that of another router.
+    Compare two extended revisions.
 
-    :param own: extended revision
-    :param other: extended revision of the other router
-    :return: whether it is newer
+    :param own: revision that this router knows
+    :param other: revision that another router knows
+    :return: whether the own one is newer
     """
     if get_era(other) == 0:  # of a router that knows no eras yet, or has no entries
         return get_store_revision(own) > other
     return own > other
 
 
-__all__ = ["StoreRevisions", "is_newer_revision"]
+__all__ = ["StoreRevisions", "is_newer"]
--- a/src/boragetiller/systems/server_capacity.py
+++ b/src/boragetiller/systems/server_capacity.py
@@ -13,12 +13,17 @@
 
 from typing import TYPE_CHECKING
 
+from boragetiller.systems.overload.committed_memory import has_memory
+
 if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
     from boragetiller.tables.server_placement import (
         Placement,
         PlacementCostModel,
         ServerPlacementRequest,
     )
+    from boragetiller.tables.servers import BackendServer
 
 FINISH_SHARE = 0.6  # of the time left in which the most urgent streams must be expected to finish
 FINISH_SHARE_STEP = 0.02  # decrease per urgency level, so that the most urgent are refused last
@@ -61,7 +66,8 @@
     if placement.first_event_ms > FIRST_EVENT_SHARE * request.caller_event_timeout_ms:
         return False
     step_ms = estimate_step_ms(placement.in_flight, placement.prefill_share, costs)
-    finish_ms = placement.first_event_ms + request.typical_output_tokens * step_ms
+    decode_ms = request.typical_output_tokens * step_ms * placement.lasting_work_time
+    finish_ms = placement.first_event_ms + decode_ms
     is_short = placement.new_tokens <= costs.chunk_tokens
     return finish_ms <= _get_finish_share(request.urgency, is_short=is_short) * request.time_left_ms
 
@@ -85,8 +91,76 @@
     return placement.sensitivity <= request.sensitivity
 
 
+def find_with_room(
+    placements: list[Placement],
+    is_reserved: Callable[[BackendServer], bool],
+    request: ServerPlacementRequest,
+    costs: PlacementCostModel,
+    now_ms: int,
+) -> Placement | None:
+    """
+    Find the first engine with capacity and memory for a request.
+
+    If only reserved engines have both, they take just the requests that do not stall their
+    streams, so that the overflow of the other engines does not fill them.
+
+    :param placements: placements of the request at the candidates, the lowest cost first
+    :param is_reserved: whether an engine is reserved for stall-sensitive streams
+    :param request: the request
+    :param costs: cost model of the group
+    :param now_ms: monotonic time in milliseconds
+    :return: the placement, None if no engine has both
+    """
+    reserved: list[Placement] = []
+    for placement in placements:
+        if not has_capacity(placement, request, costs):
+            continue
+        if not has_memory(placement.server, request, costs, now_ms):
+            continue
+        if not is_reserved(placement.server):
+            return reserved[0] if reserved else placement
+        reserved.append(placement)
+    usable = (placement for placement in reserved if may_use_reserved(placement, request, costs))
+    return next(usable, None)
+
+
+def list_fitting(
+    placements: Sequence[Placement],
+    is_reserved: Callable[[BackendServer], bool],
+    request: ServerPlacementRequest,
+    costs: PlacementCostModel,
+    now_ms: int,
+) -> list[Placement]:
+    """
+    List the engines that a request could go to.
+
+    It checks the memory of each one, which :func:`find_with_room` does only up to its choice.
+
+    :param placements: placements of the request at the candidates
+    :param is_reserved: whether an engine is reserved for stall-sensitive streams
+    :param request: the request
+    :param costs: cost model of the group
+    :param now_ms: monotonic time in milliseconds
+    :return: those with capacity and memory
+    """
+    fitting = [
+        each
+        for each in placements
+        if has_capacity(each, request, costs) and has_memory(each.server, request, costs, now_ms)
+    ]
+    if all(is_reserved(each.server) for each in fitting):
+        return [each for each in fitting if may_use_reserved(each, request, costs)]
+    return fitting
+
+
 def _get_finish_share(urgency: int, *, is_short: bool) -> float:
     return SHORT_FINISH_SHARE if is_short else FINISH_SHARE - FINISH_SHARE_STEP * urgency
 
 
-__all__ = ["estimate_step_ms", "has_capacity", "may_use_reserved"]
+__all__ = [
+    "estimate_step_ms",
+    "find_with_room",
+    "has_capacity",
+    "list_fitting",
+    "may_use_reserved",
+]
--- a/src/boragetiller/systems/server_placement.py
+++ b/src/boragetiller/systems/server_placement.py
@@ -15,9 +15,10 @@
 import attrs
 
 from boragetiller.systems.candidates import filter_usable, find_prefix_owner
+from boragetiller.systems.overload.server_speed import current_work_time, lasting_work_time
 from boragetiller.systems.prefix_cache import estimate_prefill_share, estimate_uncached_tokens
 from boragetiller.systems.routing import ROUTE_TIERS
-from boragetiller.systems.server_capacity import estimate_step_ms, has_capacity, may_use_reserved
+from boragetiller.systems.server_capacity import estimate_step_ms, find_with_room
 from boragetiller.tables.server_placement import (
     ComparedPlacements,
     Placement,
@@ -37,6 +38,13 @@
 MAX_UNREPORTED_RATIO = 20.0  # unreported requests per known one
 SENSITIVITY_EXPONENT = 3  # streams with a gap target half as long again are hardly ever late
 
+# By whether the server is the owner and whether it is reserved; shared by all choices, since each
+# would otherwise create one for each candidate.
+_ASSIGNMENTS = tuple(
+    tuple(ServerAssignment(is_owner=owner, is_reserved=reserved) for reserved in (False, True))
+    for owner in (False, True)
+)
+
 
 def compute_stream_sensitivity(gap_target_ms: float, costs: PlacementCostModel) -> float:
     """
@@ -69,7 +77,7 @@
     :param request: the request
     :param costs: cost model of the group
     :param now_ms: monotonic time in milliseconds
-    :return: the server with its estimates, None if no candidate has capacity for the request now
+    :return: the server with its estimates, None if no candidate has capacity and memory for it now
     """
     return compare_candidates(group, candidates, request, costs, now_ms).best
 
@@ -82,18 +90,18 @@
     now_ms: int,
 ) -> ComparedPlacements:
     """
-    Estimate the cost of a request at each candidate.
+    Estimate the cost of a request at each candidate, and choose the lowest.
 
     :param group: servers that accept new requests
     :param candidates: servers of the group to compare; see systems.candidates
     :param request: the request
     :param costs: cost model of the group
     :param now_ms: monotonic time in milliseconds
-    :return: the estimates, and which candidates have capacity
+    :return: the estimates, and the server with capacity and memory
     """
     usable = filter_usable(candidates, now_ms)
     if not usable:
-        return ComparedPlacements((), ())
+        return ComparedPlacements((), None)
     reserved_count = count_reserved_servers(group, costs) if request.prompt else 0
     ranks = group.reservation_ranks
     owner = find_prefix_owner(
@@ -101,35 +109,18 @@
     )
     placements = []
     for server in usable:
-        assignment = ServerAssignment(
-            is_owner=server is owner, is_reserved=ranks[server.name] < reserved_count
-        )
+        assignment = _ASSIGNMENTS[server is owner][ranks[server.name] < reserved_count]
         placements.append(estimate_placement(server, request, costs, now_ms, assignment))
-    fitting = placements
-    if request.prompt is not None:
-        reserved_names = {server.name for server in usable if ranks[server.name] < reserved_count}
-        fitting = _filter_by_capacity(placements, reserved_names, request, costs) or (
-            placements if request.response_started else []
-        )
-    return ComparedPlacements(placements, fitting)
-
-
-def _filter_by_capacity(
-    placements: list[Placement],
-    reserved_names: set[str],
-    request: ServerPlacementRequest,
-    costs: PlacementCostModel,
-) -> list[Placement]:
-    """
-    Filter out engines without capacity.
-
-    If only reserved engines have capacity, they take just the requests that do not stall their
-    streams, so that the overflow of the other engines does not fill them.
-    """
-    fitting = [placement for placement in placements if has_capacity(placement, request, costs)]
-    if all(placement.server.name in reserved_names for placement in fitting):
-        return [placement for placement in fitting if may_use_reserved(placement, request, costs)]
-    return fitting
+    if request.prompt is None:
+        best = min(placements, key=lambda placement: placement.cost_ms)
+        return ComparedPlacements(placements, best)
+    placements.sort(key=lambda placement: placement.cost_ms)
+    found = find_with_room(
+        placements, lambda server: ranks[server.name] < reserved_count, request, costs, now_ms
+    )
+    return ComparedPlacements(
+        placements, found or (placements[0] if request.response_started else None)
+    )
 
 
 def estimate_placement(
@@ -152,7 +143,9 @@
     :param assignment: role of the server for the request
     :return: the cost and the estimates behind it
     """
-    load = _estimate_load(server, costs, now_ms)
+    work_time = current_work_time(server.speed, now_ms)
+    lasting = lasting_work_time(server.speed, now_ms)
+    load = _estimate_load(server, costs, now_ms, lasting)
     wait_ms = _estimate_wait_ms(server, load.in_flight, costs, now_ms)
     first_ms, interference_ms, new_tokens = wait_ms, 0.0, 0.0
     if request.prompt is not None:
@@ -160,12 +153,12 @@
             server, request.prompt, costs, is_owner=assignment.is_owner
         )
         ahead = sum(load.unread_tokens[: _next_tier_urgency(request.urgency)])
-        first_ms += (ahead + new_tokens) / costs.prefill_tokens_per_ms
-        first_ms += costs.tokens_per_event * estimate_step_ms(
-            load.in_flight, load.prefill_share, costs
-        )
+        step_ms = estimate_step_ms(load.in_flight, load.prefill_share, costs)
+        first_ms += work_time * (ahead + new_tokens) / costs.prefill_tokens_per_ms
+        first_ms += work_time * costs.tokens_per_event * step_ms
         interference_ms = costs.prefill_weight * new_tokens / costs.prefill_tokens_per_ms
         interference_ms += _estimate_stall_ms(request, costs, load, new_tokens, assignment)
+        interference_ms *= work_time
     delay_weight = min(MAX_DELAY_WEIGHT, costs.reference_target_ms / request.target_ms)
     return Placement(
         server=server,
@@ -178,6 +171,7 @@
         prefill_share=load.prefill_share,
         sensitivity=load.sensitivity,
         reporting_peers=server.peer_load.routers,
+        lasting_work_time=lasting,
     )
 
 
@@ -218,7 +212,7 @@
     new_tokens: float,
     assignment: ServerAssignment,
 ) -> float:
-    """:return: weighted time for which prefills stall this stream and its prefill stalls others"""
+    """:return: weighted time, at the usual speed, of the stalls of this stream and of others"""
     assert request.prompt is not None
     other_sensitivity, prefill_share = load.sensitivity, load.prefill_share
     if assignment.is_reserved:
@@ -238,7 +232,8 @@
     return 0.0 if is_own_domain else costs.other_domain_ms
 
 
-@attrs.frozen(kw_only=True)
+# Not frozen, because frozen instances take longer to create and each candidate needs one.
+@attrs.define(kw_only=True)
 class _EstimatedLoad:
     """Estimated load of all routers together at a server."""
 
@@ -248,7 +243,9 @@
     prefill_share: float  # share of its time that the server spends on prefill, 0 to 1
 
 
-def _estimate_load(server: BackendServer, costs: PlacementCostModel, now_ms: int) -> _EstimatedLoad:
+def _estimate_load(
+    server: BackendServer, costs: PlacementCostModel, now_ms: int, work_time: float
+) -> _EstimatedLoad:
     """
     Estimate the load of all routers at a server.
 
@@ -262,6 +259,7 @@
     unreported = server.estimate_unreported_requests(now_ms)
     unreported_factor = 1.0 + min(MAX_UNREPORTED_RATIO, unreported / max(1.0, known))
     pending_tokens = zip(server.unread_tokens, peer_load.unread_tokens, strict=True)
+    prefill_share = estimate_prefill_share(server, costs, now_ms, work_time)
     return _EstimatedLoad(
         in_flight=round(known + unreported),
         unread_tokens=[
@@ -269,7 +267,7 @@
         ],
         sensitivity=unreported_factor
         * (server.sensitivity + extrapolation * peer_load.sensitivity),
-        prefill_share=min(1.0, unreported_factor * estimate_prefill_share(server, costs, now_ms)),
+        prefill_share=min(1.0, unreported_factor * prefill_share),
     )
 
 
--- a/src/boragetiller/tables/server_placement.py
+++ b/src/boragetiller/tables/server_placement.py
@@ -56,7 +56,9 @@
     time_left_ms: float  # until the deadline
     caller_event_timeout_ms: float  # without an event, after which the caller closes the stream
     typical_output_tokens: float  # of the requests of its route
+    memory_tokens: int = 0  # of an engine of the group, 0 for no limit
     is_retry: bool = False  # an earlier attempt has failed
+    was_refused: bool = False  # the last attempt, by a server that was full and did not crash
     response_started: bool = False  # part of it was relayed, so capacity limits do not apply
 
 
@@ -72,6 +74,7 @@
     prefill_share: float  # share of its time that the server spends on prefill, 0 to 1
     sensitivity: float  # to stalls, summed over the streams at the server
     reporting_peers: int  # number of routers whose load at the server is known
+    lasting_work_time: float = 1.0  # of the server; see systems.overload.server_speed
 
 
 @attrs.frozen
@@ -79,12 +82,7 @@
     """Placements of a request at the candidates that are neither ejected nor full."""
 
     placements: Sequence[Placement]
-    fitting: Sequence[Placement]  # those with capacity for the request
-
-    @property
-    def best(self) -> Placement | None:
-        """:return: the placement with the lowest cost, None if no candidate has capacity"""
-        return min(self.fitting, key=lambda placement: placement.cost_ms, default=None)
+    best: Placement | None  # None if no candidate has capacity and memory
 
 
 __all__ = [
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -20,7 +20,7 @@
 from boragetiller.gateway.hedge_controller import HedgeController
 from boragetiller.gateway.latency_exchange import LatencyExchange
 from boragetiller.gateway.metrics import GatewayMetrics
-from boragetiller.gateway.sender import StreamState
+from boragetiller.gateway.outgoing_attempts import StreamState
 from boragetiller.gateway.server_choice import ServerChooser
 from boragetiller.systems.hedging.decision import compute_hedge_share
 from boragetiller.tables.direct_attempts import (
