Leave old response times out of summaries for peers

Cause: A router without peers collected its response times without a bound in time, and a peer that connected later counted all of them as recent. The test of malformed summaries compared a value cached for 500 ms, so it could not fail. Change: Drop samples collected for 60 s without a publication, and let the test wait for new quantiles. A test covers the dropped samples. Measured: tests.gateway.test_hedging, 11 tests passed; the new test fails without the change.

--- a/src/boragetiller/gateway/latency_exchange.py
+++ b/src/boragetiller/gateway/latency_exchange.py
@@ -22,6 +22,8 @@
 MAX_BYTES_PER_MS = 1.5
 ENTRY_BYTES = 24  # of a report, in addition to name and sketch
 MAX_SUMMARIES = 8  # of one publication; the next one begins with the routes left out
+# Peers count a summary as recent. Without peers, or with many routes, response times wait longer.
+MAX_UNPUBLISHED_MS = 60_000
 MAX_RECENT = 64  # kept for peers that are behind
 INVALID_LOG_INTERVAL_MS = 10_000
 
@@ -39,7 +41,8 @@
         self._registry = registry
         self._clock = clock
         self._windows: dict[str, LatencyWindows] = {}  # by route
-        self._unpublished: dict[str, LatencySketch] = {}  # by route, the longest unpublished first
+        # By route, the longest unpublished first; each with the monotonic time of its first sample.
+        self._unpublished: dict[str, tuple[int, LatencySketch]] = {}
         self._recent: RecentItems[LatencySummary] = RecentItems.with_capacity(MAX_RECENT)
         self._publish_ms = 0  # monotonic time of the next publication
         self._invalid_log_ms = 0  # monotonic time before which no invalid summary is logged
@@ -56,8 +59,13 @@
         :param route: name of the route
         :param took_ms: milliseconds from sending to the first event or the complete response
         """
-        self._get_windows(route).get_current(self._clock.now_ms()).record(took_ms)
-        self._unpublished.setdefault(route, LatencySketch()).record(took_ms)
+        now_ms = self._clock.now_ms()
+        self._get_windows(route).get_current(now_ms).record(took_ms)
+        started_ms, sketch = self._unpublished.get(route, (now_ms, LatencySketch()))
+        if now_ms - started_ms >= MAX_UNPUBLISHED_MS:
+            started_ms, sketch = now_ms, LatencySketch()
+        sketch.record(took_ms)
+        self._unpublished[route] = (started_ms, sketch)
 
     def compute_quantiles(self, route: str, share: float) -> LatencyQuantiles:
         """
@@ -112,8 +120,10 @@
         self._retain_routes()
         size = 0
         for route in list(self._unpublished)[:MAX_SUMMARIES]:
-            sketch = encode_sketch(self._unpublished.pop(route))
-            summary = LatencySummary(route=route, sketch=sketch)
+            started_ms, sketch = self._unpublished.pop(route)
+            if now_ms - started_ms >= MAX_UNPUBLISHED_MS:
+                continue
+            summary = LatencySummary(route=route, sketch=encode_sketch(sketch))
             size += len(summary.sketch) + len(route.encode()) + ENTRY_BYTES
             self._recent.add(summary)
         peers = max(1, len(self._registry.peer_loads.by_peer))
@@ -123,9 +133,10 @@
         """Drop routes that are not configured any more, which bounds the memory."""
         assert self._registry.config is not None
         routes = {route.name for route in self._registry.config.routes}
-        for known in (self._windows, self._unpublished):
-            for route in known.keys() - routes:
-                del known[route]
+        for route in self._windows.keys() - routes:
+            del self._windows[route]
+        for route in self._unpublished.keys() - routes:
+            del self._unpublished[route]
 
     def _log_invalid(self, peer: str, summary: LatencySummary, reason: str) -> None:
         now_ms = self._clock.now_ms()
--- a/tests/gateway/test_hedging.py
+++ b/tests/gateway/test_hedging.py
@@ -23,6 +23,7 @@
 from boragetiller.gateway.outgoing_attempts import StreamState
 from boragetiller.gateway.server_choice import ServerChooser
 from boragetiller.systems.hedging.decision import compute_hedge_share
+from boragetiller.systems.hedging.summary_codec import decode_sketch
 from boragetiller.tables.direct_attempts import (
     CallProgress,
     CompleteResponse,
@@ -364,12 +365,28 @@
             self.assertAlmostEqual(own.hedge_ms, other.hedge_ms, delta=0.1 * own.hedge_ms)
             malformed = [attrs.evolve(summaries[0], sketch=data) for data in (b"", b"\1\xff", b"9")]
             routers[1].latencies.apply("peer", tuple(malformed))
+            await asyncio.sleep(1)  # quantiles are computed anew
             self.assertEqual(
                 routers[1].latencies.compute_quantiles("stock", 0.05).samples, other.samples
             )
 
         run_in_virtual_time(main())
 
+    def test_response_times_from_long_before_a_peer_connects_are_not_published(self) -> None:
+        # Guards against a router that was cut off and reports an hour of response times as recent.
+        async def main() -> None:
+            latencies = Router(LIMIT).latencies
+            latencies.record("stock", 900.0)
+            await asyncio.sleep(61)
+            self.assertEqual(latencies.list_since(0), ())
+            latencies.record("stock", 900.0)
+            await asyncio.sleep(61)
+            latencies.record("stock", 5.0)
+            summaries = latencies.list_since(0)
+            self.assertEqual([decode_sketch(each.sketch).count for each in summaries], [1.0])
+
+        run_in_virtual_time(main())
+
 
 if __name__ == "__main__":
     unittest.main()
