Hedge on current peer loads, and log when a hedged attempt was sent

Cause: The choice of the second server counted routers that fell silent after the first choice, and hedge_ended reported the delay of the first decision also if the attempt was sent up to eight delays later. Change: Exclude silent routers before the choice, and log the time between both attempts. Measured: tests.gateway.test_hedging, test_hedged_streams and test_placement_query, 20 tests passed; no test covers the two changes.

--- a/src/boragetiller/gateway/hedge_controller.py
+++ b/src/boragetiller/gateway/hedge_controller.py
@@ -17,6 +17,7 @@
     has_enough_samples,
     list_check_intervals_ms,
 )
+from boragetiller.systems.peer_loads import exclude_silent_peers
 from boragetiller.systems.response_timeouts import compute_hedge_delay_ms
 from boragetiller.tables.hedging import HedgeAllowance, HedgeRefusal
 
@@ -92,10 +93,11 @@
         if share <= 0.0 or state.progress.relayed_events:
             result = await self._sender.send(state.call, placement, state.progress, state.stream)
             return [PlacedResult(placement, result)]
+        started_ms = self._clock.now_ms()
         race = HedgeRace(
             partial(self._send_one, state),
             state.stream,
-            partial(self._record_response, state, self._clock.now_ms()),
+            partial(self._record_response, state, started_ms),
         )
         route = state.call.route
         quantiles = self._latencies.compute_quantiles(route.name, share)
@@ -117,9 +119,12 @@
                 self._telemetry.record_hedge_withheld(state.call, second)
                 return await race.finish()
             race.start(second)
+            hedged_after_ms = self._clock.now_ms() - started_ms
             results = await race.finish()
             winner = race.winner.placement if race.winner is not None else None
-            self._telemetry.record_hedge_ended(state.call, placement, second, winner, delay_ms)
+            self._telemetry.record_hedge_ended(
+                state.call, placement, second, winner, hedged_after_ms
+            )
             return results
         finally:
             await race.close()
@@ -166,6 +171,7 @@
         def restrict(selected: list[BackendServer], group: GroupServers) -> list[BackendServer]:
             return filter_hedge_candidates(selected, group.servers, now_ms)
 
+        exclude_silent_peers(self._registry.peer_loads, now_ms)
         choice = self._chooser.evaluate(state, self._chooser.state, restrict)
         refusal = find_refusal(choice.compared, call.time_left_ms(now_ms), usual_ms)
         if refusal is not None:
