--- a/src/boragetiller/cli/where.py
+++ b/src/boragetiller/cli/where.py
@@ -25,6 +25,9 @@
     "new_tokens",
     "prefill_share",
     "sensitivity",
+    "work_time",
+    "work_time_age_ms",
+    "committed_tokens",
     "peers_heard",
     "load_age_ms",
 )
--- a/src/boragetiller/gateway/placement_query.py
+++ b/src/boragetiller/gateway/placement_query.py
@@ -25,6 +25,7 @@
     respond_to_query,
 )
 from boragetiller.systems.direct_retry_policy import GiveUpReason
+from boragetiller.systems.overload.server_speed import current_work_time
 from boragetiller.systems.peer_loads import silent_peers_excluded
 from boragetiller.systems.routing import ROUTE_TIERS
 from boragetiller.tables.direct_attempts import CallProgress
@@ -230,6 +231,7 @@
     placement: Placement, choice: ServerChoice, best: Placement | None, now_ms: int
 ) -> PlacementCandidate:
     server = placement.server
+    observed_ms = server.speed.newest_ms
     return PlacementCandidate(
         server=server.name,
         failure_domain=server.record.failure_domain,
@@ -242,6 +244,11 @@
         new_tokens=placement.new_tokens,
         prefill_share=round(placement.prefill_share, 3),
         sensitivity=round(placement.sensitivity, 2),
+        work_time=round(current_work_time(server.speed, now_ms), 2),
+        work_time_age_ms=None if observed_ms is None else now_ms - observed_ms,
+        committed_tokens=server.memory.tokens
+        + server.memory.shared_tokens
+        + server.peer_load.committed_tokens,
         peers_heard=placement.reporting_peers,
         load_age_ms=server.reported_load_age_ms(now_ms),
     )
--- a/src/boragetiller/placement_queries.py
+++ b/src/boragetiller/placement_queries.py
@@ -50,6 +50,9 @@
     new_tokens: int | None = None  # prompt tokens that it would have to prefill
     prefill_share: float | int | None = None  # of its time, 0 to 1
     sensitivity: float | int | None = None  # of its streams to stalls
+    work_time: float | int | None = None  # relative to the usual, see systems.overload.server_speed
+    work_time_age_ms: int | None = None  # age of its newest observation, None without any
+    committed_tokens: int | None = None  # of the requests that routers have there
     peers_heard: int | None = None  # routers whose load there is known
     load_age_ms: int | None = None  # age of its last load report to this router, None for none
 
--- a/tests/gateway/test_placement_query.py
+++ b/tests/gateway/test_placement_query.py
@@ -14,6 +14,7 @@
 from boragetiller.gateway.policy_file import Policy
 from boragetiller.gateway.retry_after import RetryAfter
 from boragetiller.placement_queries import MAX_QUERIES_PER_S, PlacementQuery, QueryLimiter
+from boragetiller.systems.overload.server_speed import record_work_time
 from boragetiller.systems.peer_loads import record_report, set_load
 from boragetiller.systems.server_limits import apply_limit, set_members
 from boragetiller.tables.hedging import HedgeShares
@@ -65,6 +66,11 @@
         # Guards against an explanation of another decision than the real one.
         async def main() -> None:
             router, queries = build_router()
+            slow = list(router.registry.servers.by_name.values())[::2]
+            now_ms = LoopClock().now_ms()
+            for server in slow:
+                record_work_time(server.speed, 1.5, now_ms - 200, now_ms)
+                server.memory.tokens = 700
             for number in range(1, 61):
                 route = ("stock", "gauges", "quotes")[number % 3]
                 before = list_state(router)
@@ -79,6 +85,9 @@
                 figures = next(each for each in answer.candidates if each.chosen)
                 self.assertEqual(figures.cost_ms, round(placement.cost_ms, 1))
                 self.assertEqual(answer.customer, "north")
+                server = placement.server
+                known = (figures.work_time, figures.work_time_age_ms, figures.committed_tokens)
+                self.assertEqual(known, (1.5, 200, 700) if server in slow else (1.0, None, 0))
                 placement.server.in_flight += number % 5
 
         run_in_virtual_time(main())
