--- a/src/boragetiller/gateway/daemon.py
+++ b/src/boragetiller/gateway/daemon.py
@@ -22,12 +22,14 @@
     from boragetiller.gateway.duties.settings import DutySettings
     from boragetiller.gateway.duty_interface import DutyClients
     from boragetiller.gateway.platform_interface import Dialect, StoreClient
+    from boragetiller.gateway.policy_file import Policy
     from boragetiller.gateway.settings import Endpoint, GatewaySettings
 
 
 async def serve(
     settings: GatewaySettings,
     load: Callable[[], GatewaySettings],
+    policy: Policy,
     dialect: Dialect,
     open_store: Callable[[Endpoint], StoreClient],
     open_duty_clients: Callable[[StoreClient, DutySettings], DutyClients],
@@ -38,6 +40,7 @@
 
     :param settings: settings of the process
     :param load: reads the settings file; raises SettingsInvalid
+    :param policy: settings of the policy file
     :param dialect: header names and data formats of the platform
     :param open_store: creates the client of the platform's store
     :param open_duty_clients: creates the clients that duties need; called only with duties
@@ -50,7 +53,7 @@
         loop.add_signal_handler(number, stop.set)
     store = open_store(settings.store)
     duties = None if settings.duties is None else open_duty_clients(store, settings.duties)
-    process = GatewayProcess(settings, dialect, store, caller_socket, duties)
+    process = GatewayProcess(settings, dialect, store, caller_socket, duties, policy)
     sink = LogSink(
         sys.stdout.fileno(), settings.name, SystemClock().now_ms, process.metrics.count_dropped_line
     )
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -22,6 +22,7 @@
 from boragetiller.gateway.metrics import GatewayMetrics
 from boragetiller.gateway.peer_exchange import PeerExchange
 from boragetiller.gateway.prefix_cache_reader import PrefixCacheReader
+from boragetiller.gateway.server_choice import ServerChooser
 from boragetiller.gateway.state_sync import StateSync
 from boragetiller.gateway.store_watcher import StoreWatcher
 from boragetiller.installation.build_info import get_build_info
@@ -34,13 +35,16 @@
     from socket import socket
 
     from boragetiller.gateway.duty_interface import DutyClients
+    from boragetiller.gateway.placement_query import PlacementQueries
     from boragetiller.gateway.platform_interface import Dialect, StoreClient
+    from boragetiller.gateway.policy_file import Policy
     from boragetiller.gateway.settings import GatewaySettings
 
     Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 EXIT_MARGIN_MS = 600  # left for closing connections before SIGKILL
 INITIAL_SYNC_TIMEOUT_MS = 300  # a listing takes a few ms; callers give up an unread call after 1 s
+QUERY_PATH = "/where"  # on the metrics listener
 CLOSE_DELAY_MS = 200  # between the end of the last call and closing the ports
 
 
@@ -54,6 +58,7 @@
         store: StoreClient,
         caller_socket: socket | None = None,
         duty_clients: DutyClients | None = None,
+        policy: Policy | None = None,
     ) -> None:
         """
         Create the components.
@@ -63,6 +68,7 @@
         :param store: the platform's store
         :param caller_socket: listening socket for callers, None to open one
         :param duty_clients: clients that duties need, None without duties
+        :param policy: settings of the policy file, None for none
         """
         self._settings = settings
         self._adapter = Path(inspect.getfile(type(dialect))).parent
@@ -73,9 +79,12 @@
         self.state_sync = StateSync(settings.name, self.registry, costs, clock)
         self.state_sync.usage = self._usage = build_usage_counter(settings, self.metrics)
         rng = random.Random(settings.name)
+        chooser = ServerChooser(settings, self.registry, self.state_sync, clock, rng)
         self._dispatcher = CallDispatcher(
-            settings, self.registry, self.state_sync, dialect, clock, self.metrics, rng
+            chooser, self.registry, self.state_sync, dialect, clock, self.metrics
         )
+        if policy is not None and policy.hedging is not None:
+            self._dispatcher.enable_hedging(policy.hedging, self.state_sync)
         self.peer_exchange = PeerExchange(settings, self.state_sync, clock, self.metrics)
         self.call_handler = CallHandler(
             self.registry, self._dispatcher, dialect, clock, self.metrics
@@ -108,8 +117,21 @@
         self.readiness_listener = Listener(_build_server(self._handle_ready), settings.readiness)
         self._listeners = [self.readiness_listener, self.caller_listener]
         if settings.metrics is not None:
-            metrics = Listener(_build_server(self._handle_metrics), settings.metrics)
-            self._listeners.insert(0, metrics)
+            self.metrics_listener = Listener(_build_server(self._handle_metrics), settings.metrics)
+            self._listeners.insert(0, self.metrics_listener)
+        self._queries: PlacementQueries | None = None  # None if operators may not ask
+        if policy is not None and policy.operator_key is not None:
+            from boragetiller.gateway.placement_query import PlacementQueries  # noqa: PLC0415
+
+            self._queries = PlacementQueries(
+                settings.name,
+                policy.operator_key,
+                self.registry,
+                chooser,
+                self.call_handler,
+                dialect,
+                clock,
+            )
         self._initial_sync_timeout_ms = INITIAL_SYNC_TIMEOUT_MS if caller_socket is not None else 0
 
     async def start(self) -> None:
@@ -134,6 +156,7 @@
         build = get_build_info(self._adapter)
         self.metrics.record_build(build)
         log_process_started("gateway", self._settings.name, build)
+        self._dispatcher.log_settings()
 
     async def close(self) -> None:
         """
@@ -190,7 +213,9 @@
         ready = self.registry.is_ready and not self.call_handler.stopping
         return web.Response(status=200 if ready else 503)
 
-    async def _handle_metrics(self, _request: web.BaseRequest) -> web.Response:
+    async def _handle_metrics(self, request: web.BaseRequest) -> web.Response:
+        if self._queries is not None and request.path == QUERY_PATH:
+            return await self._queries.handle(request)
         return web.Response(body=self.metrics.render(), content_type="text/plain")
 
 
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -29,6 +29,7 @@
     from boragetiller.clock import Clock
     from boragetiller.gateway.backend_registry import BackendRegistry
     from boragetiller.gateway.duties.usage_counter import UsageCounter
+    from boragetiller.gateway.latency_exchange import LatencyExchange
     from boragetiller.gateway.settings import Endpoint
     from boragetiller.tables.call_metadata import Prompt
     from boragetiller.tables.routes import EngineProfile
@@ -49,6 +50,7 @@
     limits: int = 0
     removals: int = 0
     speeds: int = 0
+    latencies: int = 0
     loads: dict[str, ReportedLoad] = attrs.field(factory=dict)  # by server, without idle ones
     usage: UsageCursor = attrs.field(factory=UsageCursor)
 
@@ -74,6 +76,7 @@
         self.usage: UsageCounter | None = None  # None if usage is not reported
         self.speeds = ServerSpeeds(registry.servers, registry.metrics, clock)
         self.report_due = asyncio.Event()  # set by what peers must know before the next interval
+        self.latencies: LatencyExchange | None = None  # None if hedging is not configured
         self._registry = registry
         self._registry.on_crash_recorded = self.report_due.set
         self._costs = costs
@@ -140,6 +143,7 @@
             self._registry.server_limits.recent.count,
             self._registry.store_entries.recent_removals.count,
             self.speeds.count,
+            self.latencies.published if self.latencies is not None else 0,
         )
 
     def build_first_report(self) -> PeerReport:
@@ -181,6 +185,9 @@
             speeds=self.speeds.list_reports(cursor.speeds),
         )
         self.speeds.update_ranks()
+        if self.latencies is not None:
+            report = attrs.evolve(report, hedges=self.latencies.list_since(cursor.latencies))
+            cursor.latencies = self.latencies.published
         cursor.prompts, cursor.failures = self._recent_prompts.count, failures.count
         cursor.part_crashes, cursor.limits = part_crashes.count, limits.count
         cursor.speeds = self.speeds.count
@@ -219,6 +226,8 @@
             is_known = limit.server in self._registry.servers.by_name
             if is_known and apply_limit_report(self._registry.server_limits, limit, now_ms):
                 self._registry.log_limit(limit.server, peer)
+        if self.latencies is not None:
+            self.latencies.apply(peer, report.hedges)
         self.store_polls.record_peer_polls(peer, report.store_reads, now_ms)
         self.watcher_election.record_peer(peer, now_ms, reaches_store=report.reaches_store)
         if self.usage is not None:
--- a/src/boragetiller/systems/server_placement.py
+++ b/src/boragetiller/systems/server_placement.py
@@ -15,12 +15,12 @@
 import attrs
 
 from boragetiller.systems.candidates import filter_usable, find_prefix_owner
-from boragetiller.systems.overload.committed_memory import has_memory
 from boragetiller.systems.overload.server_speed import current_work_time, lasting_work_time
 from boragetiller.systems.prefix_cache import estimate_prefill_share, estimate_uncached_tokens
 from boragetiller.systems.routing import ROUTE_TIERS
-from boragetiller.systems.server_capacity import estimate_step_ms, has_capacity, may_use_reserved
+from boragetiller.systems.server_capacity import estimate_step_ms, find_with_room
 from boragetiller.tables.server_placement import (
+    ComparedPlacements,
     Placement,
     PlacementCostModel,
     ServerAssignment,
@@ -28,8 +28,6 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from boragetiller.tables.server_groups import GroupServers
     from boragetiller.tables.servers import BackendServer
 
@@ -81,9 +79,29 @@
     :param now_ms: monotonic time in milliseconds
     :return: the server with its estimates, None if no candidate has capacity and memory for it now
     """
+    return compare_candidates(group, candidates, request, costs, now_ms).best
+
+
+def compare_candidates(
+    group: GroupServers,
+    candidates: list[BackendServer],
+    request: ServerPlacementRequest,
+    costs: PlacementCostModel,
+    now_ms: int,
+) -> ComparedPlacements:
+    """
+    Estimate the cost of a request at each candidate, and choose the lowest.
+
+    :param group: servers that accept new requests
+    :param candidates: servers of the group to compare; see systems.candidates
+    :param request: the request
+    :param costs: cost model of the group
+    :param now_ms: monotonic time in milliseconds
+    :return: the estimates, and the server with capacity and memory
+    """
     usable = filter_usable(candidates, now_ms)
     if not usable:
-        return None
+        return ComparedPlacements((), None)
     reserved_count = count_reserved_servers(group, costs) if request.prompt else 0
     ranks = group.reservation_ranks
     owner = find_prefix_owner(
@@ -94,37 +112,15 @@
         assignment = _ASSIGNMENTS[server is owner][ranks[server.name] < reserved_count]
         placements.append(estimate_placement(server, request, costs, now_ms, assignment))
     if request.prompt is None:
-        return min(placements, key=lambda placement: placement.cost_ms)
+        best = min(placements, key=lambda placement: placement.cost_ms)
+        return ComparedPlacements(placements, best)
     placements.sort(key=lambda placement: placement.cost_ms)
-    return _find_with_room(
+    found = find_with_room(
         placements, lambda server: ranks[server.name] < reserved_count, request, costs, now_ms
-    ) or (placements[0] if request.response_started else None)
-
-
-def _find_with_room(
-    placements: list[Placement],
-    is_reserved: Callable[[BackendServer], bool],
-    request: ServerPlacementRequest,
-    costs: PlacementCostModel,
-    now_ms: int,
-) -> Placement | None:
-    """
-    Find the first engine with capacity and memory for a request.
-
-    If only reserved engines have both, they take just the requests that do not stall their
-    streams, so that the overflow of the other engines does not fill them.
-    """
-    reserved: list[Placement] = []
-    for placement in placements:
-        if not has_capacity(placement, request, costs):
-            continue
-        if not has_memory(placement.server, request, costs, now_ms):
-            continue
-        if not is_reserved(placement.server):
-            return reserved[0] if reserved else placement
-        reserved.append(placement)
-    usable = (placement for placement in reserved if may_use_reserved(placement, request, costs))
-    return next(usable, None)
+    )
+    return ComparedPlacements(
+        placements, found or (placements[0] if request.response_started else None)
+    )
 
 
 def estimate_placement(
@@ -277,6 +273,7 @@
 
 __all__ = [
     "choose_server",
+    "compare_candidates",
     "compute_stream_sensitivity",
     "count_reserved_servers",
     "estimate_placement",
--- a/src/boragetiller/tables/server_placement.py
+++ b/src/boragetiller/tables/server_placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import attrs
 
 from boragetiller.tables.call_metadata import Prompt
@@ -75,4 +77,18 @@
     lasting_work_time: float = 1.0  # of the server; see systems.overload.server_speed
 
 
-__all__ = ["Placement", "PlacementCostModel", "ServerAssignment", "ServerPlacementRequest"]
+@attrs.frozen
+class ComparedPlacements:
+    """Placements of a request at the candidates that are neither ejected nor full."""
+
+    placements: Sequence[Placement]
+    best: Placement | None  # None if no candidate has capacity and memory
+
+
+__all__ = [
+    "ComparedPlacements",
+    "Placement",
+    "PlacementCostModel",
+    "ServerAssignment",
+    "ServerPlacementRequest",
+]
