--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -16,10 +16,11 @@
 from boragetiller.agent.state import AgentState
 from boragetiller.agent.store_claims import StoreClaimRegistry
 from boragetiller.agent_protocol.attempt import MAX_ATTEMPT_HEADER_BYTES
+from boragetiller.caller_limits.server import INTERNAL_PORT_CONNECTIONS
 from boragetiller.clock import SystemClock, new_incarnation
 from boragetiller.control.node import AgentNode
 from boragetiller.events import Event, log_event
-from boragetiller.http_server import HttpServer
+from boragetiller.http_server import HttpServer, build_caller_budget
 from boragetiller.installation.build_info import get_build_info
 from boragetiller.operator_api import build_operator_app
 from boragetiller.process import Endpoints, build_metrics
@@ -94,6 +95,7 @@
             self.metrics,
             self.crash_isolation,
         )
+        budget = build_caller_budget(settings.limits, self.metrics, "agent")
         self.data = HttpServer(
             self.server.build_app(),
             settings.listen.address,
@@ -101,6 +103,7 @@
             limits=settings.limits,
             tls=settings.peer_tls,
             max_field_bytes=MAX_ATTEMPT_HEADER_BYTES,
+            budget=budget,
         )
         operator_routes = build_operator_app(settings.operator, self.metrics)
         add_agent_routes(operator_routes, self)
@@ -109,6 +112,8 @@
             settings.operator.address,
             settings.operator.port,
             limits=settings.limits,
+            budget=budget,
+            max_connections=INTERNAL_PORT_CONNECTIONS,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/src/boragetiller/agent/server.py
+++ b/src/boragetiller/agent/server.py
@@ -20,6 +20,8 @@
     derive_data_path_token,
     parse_attempt,
 )
+from boragetiller.caller_limits.body import read_body
+from boragetiller.caller_limits.server import refuse_without_reading
 from boragetiller.errors import BoragetillerError, Draining, Unauthorized
 from boragetiller.events import Event, log_event
 
@@ -93,7 +95,11 @@
         """
         self._authorize(request)
         attempt = parse_attempt(request.headers.get(ATTEMPT_HEADER, ""))
-        body = await request.read()
+        limits = self._settings.limits
+        try:
+            body = await read_body(request, limits.max_body_bytes, limits.body_timeout_ms / 1_000)
+        except BoragetillerError as error:
+            return await self._refuse_body(request, error)
         response = web.StreamResponse(headers={"Content-Type": FRAMES_CONTENT_TYPE})
         response.enable_chunked_encoding()
         await response.prepare(request)
@@ -154,6 +160,13 @@
             detail=str(error),
         )
 
+    async def _refuse_body(
+        self, request: web.Request, error: BoragetillerError
+    ) -> web.StreamResponse:
+        self._metrics.increment(f"agent.refused.{error.code}")
+        response = web.Response(status=error.http_status, text=error.code)
+        return await refuse_without_reading(request, response)
+
     def _authorize(self, request: web.Request) -> None:
         # aiohttp decodes bytes that are not UTF-8 to lone surrogates
         given = request.headers.get("Authorization", "").encode(errors="surrogateescape")
--- /dev/null
+++ b/src/boragetiller/caller_limits/body.py
@@ -0,0 +1,110 @@
+"""Reading of bodies into memory as far as the budget has room."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from boragetiller.caller_limits.budget import current_connection
+from boragetiller.errors import RequestTimeout, RequestTooLarge
+from boragetiller.systems.overload.caller_budget import ORDINARY_BYTES
+
+if TYPE_CHECKING:
+    from aiohttp import StreamReader, web
+
+    from boragetiller.caller_limits.connection import BudgetedRequestHandler
+
+FIRST_BYTES = 65_536  # reserved for a body whose size is not known
+MAX_WAIT_S = 3.0  # for room; a caller gives up, and another router may have room
+
+
+async def read_body(request: web.BaseRequest, max_bytes: int, timeout_s: float) -> bytes:
+    """
+    Read the body of a request.
+
+    What is reserved for it stays reserved until the response has been written.
+
+    :param request: the request
+    :param max_bytes: size limit
+    :param timeout_s: time limit in seconds
+    :return: the body
+    :raises RequestTooLarge: the body exceeds the limit, or is announced to
+    :raises RequestTimeout: the body did not arrive in time
+    :raises CallerBudgetExhausted: the process has no room for it
+    """
+    if not request.body_exists:
+        return b""
+    if (request.content_length or 0) > max_bytes:
+        raise RequestTooLarge
+    connection: BudgetedRequestHandler = request.protocol  # type: ignore[assignment]
+    try:
+        async with asyncio.timeout(timeout_s):
+            return await _collect(connection, request, max_bytes)
+    except TimeoutError as error:
+        raise RequestTimeout from error
+
+
+async def _collect(
+    connection: BudgetedRequestHandler, request: web.BaseRequest, max_bytes: int
+) -> bytes:
+    reserved = request.content_length or min(FIRST_BYTES, max_bytes)
+    await connection.budget.reserve(connection, reserved, MAX_WAIT_S)
+    connection.start_body()
+    body = bytearray()
+    async for chunk in request.content.iter_any():
+        size = len(body) + len(chunk)
+        if size > max_bytes:
+            raise RequestTooLarge
+        if size > reserved:
+            wanted = _choose_reservation(size, max_bytes)
+            await connection.budget.reserve(connection, wanted - reserved, MAX_WAIT_S)
+            reserved = wanted
+        body += chunk
+    connection.finish_body()
+    connection.budget.release(connection, reserved - len(body))
+    return bytes(body)
+
+
+async def read_response(content: StreamReader, length: int | None, max_bytes: int) -> bytes | None:
+    """
+    Read the body of a server's response for the caller whose request is being handled.
+
+    A response exists twice while it is written, so twice its size is reserved. It waits until
+    there is room, at the longest until the time limit of the request.
+
+    :param content: the body
+    :param length: its announced size, None if unknown
+    :param max_bytes: size limit
+    :return: the body, None if it exceeds the limit
+    :raises CallerBudgetExhausted: the caller was cut off to make room
+    """
+    connection = current_connection.get()
+    reserved = min(length or 0, max_bytes)
+    body = bytearray()
+    if connection is not None and reserved:
+        await connection.budget.reserve(connection, 2 * reserved, None)
+    async for chunk in content.iter_any():
+        size = len(body) + len(chunk)
+        if size > max_bytes:
+            return None
+        if size > reserved and connection is not None:
+            wanted = _choose_reservation(size, max_bytes)
+            await connection.budget.reserve(connection, 2 * (wanted - reserved), None)
+            reserved = wanted
+        body += chunk
+    if connection is not None:
+        connection.budget.release(connection, 2 * (reserved - len(body)))
+    return bytes(body)
+
+
+def _choose_reservation(size: int, max_bytes: int) -> int:
+    """
+    Choose what to reserve for a body of unknown size.
+
+    One that outgrows an ordinary body gets all that it may need at once. Callers that each have a
+    part of the budget could otherwise all wait for one another.
+    """
+    return min(2 * size, max_bytes) if size <= ORDINARY_BYTES // 2 else max_bytes
+
+
+__all__ = ["read_body", "read_response"]
--- /dev/null
+++ b/src/boragetiller/caller_limits/connection.py
@@ -0,0 +1,294 @@
+"""A connection of a caller, which reads no more than its limits and the budget allow."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+from aiohttp.web_protocol import RequestHandler
+
+from boragetiller.caller_limits.budget import current_connection
+from boragetiller.errors import CallerBudgetExhausted, RequestTooLarge
+from boragetiller.systems.overload.caller_budget import (
+    HEAD_SLACK_BYTES,
+    exceeds_chunk_overhead,
+    record_progress,
+)
+from boragetiller.tables.caller_budget import ConnectionPhase, ConnectionUse
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Awaitable, Callable
+
+    from aiohttp import StreamReader, web
+
+    from boragetiller.caller_limits.budget import CallerBudget
+    from boragetiller.caller_limits.server import BudgetedServer
+
+MS_PER_S = 1_000
+IDLE_MARGIN_MS = 500.0  # for a request that was sent just before the timeout
+CLOSE_DELAY_S = 0.3  # for the caller to read its refusal; a close with unread input resets
+READ_BUFFER_BYTES = 16_384  # aiohttp keeps up to twice as much of a body before it stops reading
+PAUSED_WRITE_BYTES = 131_072  # of a response: buffers of both connections once the caller is slow
+# The kernel keeps up to twice these sizes of what a process has not read.
+RECEIVE_BUFFER_BYTES = 65_536
+SMALL_RECEIVE_BUFFER_BYTES = 8_192
+LARGE_BUFFER_CONNECTIONS = 64
+MAX_PIPELINED_BYTES = 65_536
+STATUS_LINES = {
+    400: "Bad Request",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    503: "Service Unavailable",
+}
+
+
+class BudgetedRequestHandler(RequestHandler):
+    """Counts what it receives, and refuses or ends what exceeds a limit."""
+
+    __slots__ = (
+        "_body_raw_bytes",
+        "_budget_paused",
+        "_head_bytes",
+        "_head_timer",
+        "_payload",
+        "_pipelined_bytes",
+        "_refused",
+        "_server",
+        "budget",
+        "use",
+    )
+
+    def set_limits(self, server: BudgetedServer, budget: CallerBudget) -> None:
+        """
+        Set the limits; must be called once before the connection is made.
+
+        :param server: has the limits in force and the other connections
+        :param budget: budget of the process
+        """
+        self._server = server
+        self.budget = budget
+        self.use = ConnectionUse(address="", phase_since_ms=budget.now_ms())
+        self._head_timer: asyncio.TimerHandle | None = None
+        self._head_bytes = self._body_raw_bytes = self._pipelined_bytes = 0
+        self._payload: StreamReader | None = None  # of the newest request
+        self._refused = False
+        self._budget_paused = False
+        self._keepalive_timeout = self._get_idle_timeout_s()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See :class:`RequestHandler`."""
+        super().connection_made(transport)
+        self.use.address = str((transport.get_extra_info("peername") or ("",))[0])
+        self._bound_receive_buffer(transport.get_extra_info("socket"))
+        cause = self._server.admit(self)
+        if cause is not None:
+            self._refuse(503, cause)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """See :class:`RequestHandler`."""
+        self._stop_timer()
+        self.use.is_ended = True
+        self._server.remove(self)
+        self.budget.release(self)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """See :class:`RequestHandler`."""
+        if self._refused:
+            return
+        self._keepalive_timeout = self._get_idle_timeout_s()
+        in_head = self._payload is None or self._payload.is_eof()
+        requests = self._request_count
+        super().data_received(data)
+        if self._request_count != requests:
+            self._start_request()
+        elif in_head:
+            self._count_head(len(data))
+        else:
+            self._count_body(len(data))
+        if self._waiter is None or self._waiter.done():
+            self._stop_timer()  # the head is complete
+        elif data and self._head_timer is None and not self._refused:
+            timeout_s = self._server.limits.header_timeout_ms / MS_PER_S
+            self._head_timer = self._loop.call_later(timeout_s, self._reject_slow_head)
+
+    def start_body(self) -> None:
+        """Read the body of the request; the budget has room for it."""
+        if self._budget_paused:
+            self._budget_paused = False
+            if not self._reading_paused and not self._buffer_paused:
+                self._resume_transport_reading()
+
+    def finish_body(self) -> None:
+        """Record that the request has arrived in full."""
+        self._set_phase(ConnectionPhase.SERVED)
+
+    def close_without_reading(self) -> None:
+        """Close the connection after the response; what the caller still sends is not read."""
+        self._refused = True
+        self._lingering_time = 0.0
+        self._pause_transport_reading()
+
+    def end_for_room(self) -> None:
+        """See :class:`Holder`."""
+        if self.use.phase is ConnectionPhase.BODY and self._payload is not None:
+            self._pause_transport_reading()
+            self._payload.set_exception(CallerBudgetExhausted())
+        elif self.transport is not None:
+            self.transport.abort()
+
+    def end_for_connections(self, cause: str) -> None:
+        """
+        Close an idle or unfinished connection in favor of another one.
+
+        :param cause: name of the limit
+        """
+        self.use.is_ended = True
+        self.budget.record_limit(cause)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def count_unread(self) -> int:
+        """See :class:`Holder`."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+
+    def pause_writing(self) -> None:
+        """See :class:`asyncio.Protocol`: the caller takes its response slowly."""
+        super().pause_writing()
+        self.use.unread_bytes = self.count_unread()
+        self.budget.charge(self, PAUSED_WRITE_BYTES)
+
+    def resume_writing(self) -> None:
+        """See :class:`asyncio.Protocol`."""
+        super().resume_writing()
+        record_progress(self.use, self.use.unread_bytes, self.budget.now_ms())
+        self.use.unread_bytes = 0
+        self.budget.release(self, PAUSED_WRITE_BYTES)
+
+    async def _handle_request(
+        self,
+        request: web.BaseRequest,
+        start_time: float | None,
+        request_handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> tuple[web.StreamResponse, bool]:
+        current_connection.set(self)  # the task is that of this request only
+        is_complete = request.content.is_eof()
+        self._set_phase(ConnectionPhase.SERVED if is_complete else ConnectionPhase.BODY)
+        self._pipelined_bytes = 0
+        try:
+            return await super()._handle_request(request, start_time, request_handler)
+        finally:
+            self.use.urgency = None
+            self.budget.release(self)
+            self.start_body()  # what is left of the body is read and dropped
+            self._set_phase(ConnectionPhase.IDLE)
+
+    def _resume_transport_reading(self) -> None:
+        if not self._budget_paused and not self._refused:
+            super()._resume_transport_reading()
+
+    def _get_idle_timeout_s(self) -> float:
+        return (self._server.limits.idle_timeout_ms + IDLE_MARGIN_MS) / MS_PER_S
+
+    def _bound_receive_buffer(self, sock: socket.socket | None) -> None:
+        if sock is None:
+            return
+        few = self.budget.connections < LARGE_BUFFER_CONNECTIONS
+        size = RECEIVE_BUFFER_BYTES if few else SMALL_RECEIVE_BUFFER_BYTES
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+    def _set_phase(self, phase: ConnectionPhase) -> None:
+        if self.use.phase is not phase:
+            self.use.phase = phase
+            self.use.phase_since_ms = self.budget.now_ms()
+            self._server.update(self)
+
+    def _start_request(self) -> None:
+        self._payload = self._messages[-1][1] if self._messages else None
+        self._head_bytes = self._body_raw_bytes = 0
+        if self._payload is None or self._payload.is_eof():
+            return
+        if self._current_request is None:
+            self._set_phase(ConnectionPhase.BODY)
+            record_progress(self.use, 0, self.budget.now_ms())
+        if self.budget.is_short:
+            self._budget_paused = True  # until its body gets room
+            self._pause_transport_reading()
+
+    def _count_head(self, size: int) -> None:
+        if not size:
+            return
+        self._head_bytes += size
+        if self._head_bytes > self._server.limits.max_header_bytes + HEAD_SLACK_BYTES:
+            self._refuse(431, "head_bytes")
+        elif self._current_request is None and not self._messages:
+            self._set_phase(ConnectionPhase.HEAD)
+        else:
+            self._count_pipelined(size)
+
+    def _count_pipelined(self, size: int) -> None:
+        """Stop reading requests that were sent before the response to an earlier one."""
+        self._pipelined_bytes += size
+        if self._pipelined_bytes > MAX_PIPELINED_BYTES and self._messages:
+            self._pipelined_bytes = 0
+            self._pause_reading_for_buffer()  # aiohttp resumes when it handles the next one
+
+    def _count_body(self, size: int) -> None:
+        assert self._payload is not None
+        self._body_raw_bytes += size
+        record_progress(self.use, size, self.budget.now_ms())
+        if self._reading_paused:
+            return  # a part of what was received is not parsed yet
+        useful = max(self._payload.total_bytes, self._payload.total_raw_bytes)
+        if exceeds_chunk_overhead(self._body_raw_bytes, useful):
+            self._end_body("chunk_overhead")
+        elif self._current_request is None and not self._messages:
+            self._count_dropped_body()
+
+    def _count_dropped_body(self) -> None:
+        """Limit what is read and dropped of a body after the response was sent."""
+        if self._body_raw_bytes > 2 * self._server.limits.max_body_bytes:
+            self._end_body("dropped_body")
+
+    def _end_body(self, cause: str) -> None:
+        self.budget.record_limit(cause)
+        self._pause_transport_reading()
+        self._refused = True
+        if self._current_request is None:
+            if self.transport is not None:
+                self.transport.abort()
+        elif self._payload is not None:
+            self._payload.set_exception(RequestTooLarge())
+
+    def _stop_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _reject_slow_head(self) -> None:
+        self._head_timer = None
+        self._refuse(408, "head_timeout")
+
+    def _refuse(self, status: int, cause: str) -> None:
+        """Answer a request whose head has not arrived, and close the connection."""
+        self._stop_timer()
+        self._refused = True
+        self._server.count_refusal(cause)
+        self.budget.record_limit(cause)
+        self._pause_transport_reading()
+        if self.transport is None:
+            return
+        if self._current_request is not None or self._messages:
+            self.close()  # after the responses to the requests before it
+            return
+        reason = STATUS_LINES[status]
+        head = f"HTTP/1.1 {status} {reason}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        self.transport.write(head.encode())
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self._loop.call_later(CLOSE_DELAY_S, self.force_close)
+
+
+__all__ = ["CLOSE_DELAY_S", "BudgetedRequestHandler"]
--- a/src/boragetiller/errors/__init__.py
+++ b/src/boragetiller/errors/__init__.py
@@ -34,6 +34,7 @@
     ValueTooLarge,
 )
 from boragetiller.errors.refusals import (
+    CallerBudgetExhausted,
     Draining,
     Forbidden,
     HeadersTooLarge,
@@ -53,6 +54,7 @@
 )
 
 __all__ = [
+    "CallerBudgetExhausted",
     "EntryUnreadable",
     "HistoryLost",
     "AgentLost",
--- a/src/boragetiller/errors/refusals.py
+++ b/src/boragetiller/errors/refusals.py
@@ -89,6 +89,12 @@
     retryable = True
 
 
+class CallerBudgetExhausted(NotRunError):
+    """The process has no memory to receive the request at present."""
+
+    code = "caller_budget"
+
+
 class RateLimited(NotRunError):
     """The customer exceeded its rate or concurrency limit."""
 
@@ -121,6 +127,7 @@
 __all__ = [
     "Draining",
     "Forbidden",
+    "CallerBudgetExhausted",
     "HeadersTooLarge",
     "InvalidRequest",
     "MethodNotAllowed",
--- a/src/boragetiller/event_numbers.py
+++ b/src/boragetiller/event_numbers.py
@@ -72,6 +72,7 @@
     SETTINGS_RELOADED = 830
     SETTINGS_REFUSED = 831
     TASK_FAILED = 840
+    CALLER_LIMIT_MET = 870
 
 
 __all__ = ["Event"]
--- a/src/boragetiller/gateway/call_handler.py
+++ b/src/boragetiller/gateway/call_handler.py
@@ -5,8 +5,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from boragetiller.caller_limits.body import read_body
+from boragetiller.caller_limits.server import BudgetedServer, refuse_without_reading
 from boragetiller.errors import (
     BoragetillerError,
+    CallerBudgetExhausted,
     Draining,
     HeadersTooLarge,
     NotReady,
@@ -15,24 +18,33 @@
 )
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.admitted_call import admit_call
-from boragetiller.gateway.caller_timeouts import CallerServer
 from boragetiller.gateway.responses import CallerDisconnected, ErrorResponse, build_error_response
 from boragetiller.http_refusals import build_refusal_logger
+from boragetiller.tables.routes import CallerLimits
 
 if TYPE_CHECKING:
     from aiohttp import web
 
+    from boragetiller.caller_limits.budget import CallerBudget
+    from boragetiller.caller_limits.connection import BudgetedRequestHandler
     from boragetiller.clock import Clock
     from boragetiller.gateway.backend_registry import BackendRegistry
     from boragetiller.gateway.dispatcher import CallDispatcher
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.platform_interface import Dialect
-    from boragetiller.tables.routes import CallerLimits
 
 NOT_READY_RETRY_AFTER_S = 0.3
 MAX_LINE_BYTES = 65_536  # one header line; the configured limit applies to the whole header
 HEADER_OVERHEAD_BYTES = 4  # colon, space, CR and LF of each header line
 BODY_TIMEOUT_S = 10.0
+DEFAULT_LIMITS = CallerLimits(  # until a configuration is in force
+    max_header_bytes=16_384,
+    max_body_bytes=4_194_304,
+    header_timeout_ms=10_000.0,
+    idle_timeout_ms=75_000.0,
+)
+# Refusals after which the rest of the request is not read
+UNREAD_REFUSALS = (CallerBudgetExhausted, HeadersTooLarge, RequestTimeout, RequestTooLarge)
 
 
 class CallHandler:
@@ -45,6 +57,7 @@
         dialect: Dialect,
         clock: Clock,
         metrics: GatewayMetrics,
+        budget: CallerBudget,
     ) -> None:
         """
         Create the handler.
@@ -54,7 +67,9 @@
         :param dialect: header names and data formats of the platform
         :param clock: monotonic clock
         :param metrics: counters and gauges
+        :param budget: memory and connections that callers may use
         """
+        self._budget = budget
         self._registry = registry
         self._dispatcher = dispatcher
         self._dialect = dialect
@@ -66,8 +81,9 @@
 
     def build_server(self) -> web.Server:
         """:return: an HTTP server that handles calls"""
-        return CallerServer(
+        return BudgetedServer(
             self._handle,
+            self._budget,
             self._get_limits,
             self._count_refusal,
             handler_cancellation=True,
@@ -78,8 +94,9 @@
             logger=build_refusal_logger(self._count_refusal),
         )
 
-    def _get_limits(self) -> CallerLimits | None:
-        return self._registry.config.limits if self._registry.config is not None else None
+    def _get_limits(self) -> CallerLimits:
+        config = self._registry.config
+        return config.limits if config is not None else DEFAULT_LIMITS
 
     def _count_refusal(self, code: str) -> None:
         self._metrics.refused.labels(code).inc()
@@ -109,7 +126,7 @@
             metadata = self._dialect.parse_call_headers(request.headers)
             request_id = metadata.request_id
             _check_header_size(request, config.limits)
-            body = await _read_body(request, config.limits)
+            body = await read_body(request, config.limits.max_body_bytes, BODY_TIMEOUT_S)
             call = admit_call(
                 config,
                 metadata,
@@ -120,7 +137,12 @@
                 arrived_ms,
             )
         except BoragetillerError as error:
-            return self._refuse(error, request_id)
+            response = self._refuse(error, request_id)
+            if isinstance(error, UNREAD_REFUSALS) and not request.content.is_eof():
+                return await refuse_without_reading(request, response)
+            return response
+        connection: BudgetedRequestHandler = request.protocol  # type: ignore[assignment]
+        connection.use.urgency = call.urgency
         try:
             return await self._dispatcher.dispatch(call, request)
         except (asyncio.CancelledError, ConnectionError, CallerDisconnected) as error:
@@ -165,21 +187,4 @@
         raise HeadersTooLarge
 
 
-async def _read_body(request: web.BaseRequest, limits: CallerLimits) -> bytes:
-    if not request.body_exists:
-        return b""
-    chunks = []
-    size = 0
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            async for chunk in request.content.iter_any():
-                size += len(chunk)
-                if size > limits.max_body_bytes:
-                    raise RequestTooLarge
-                chunks.append(chunk)
-    except TimeoutError as error:
-        raise RequestTimeout from error
-    return b"".join(chunks)
-
-
 __all__ = ["CallHandler"]
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 if TYPE_CHECKING:
+    from boragetiller.caller_limits.budget import CallerBudget
     from boragetiller.installation.build_info import BuildInfo
 
 LATENCY_BUCKETS_S = (
@@ -64,6 +65,14 @@
         self.store_era_errors = self._counter(
             "store_era_errors", "responses of the store without a valid era, by reason", "reason"
         )
+        self.caller_limits = self._counter(
+            "caller_limits_met", "callers that met a limit, by limit", "limit"
+        )
+        self.caller_connections = self._gauge("caller_connections", "connections of callers")
+        self.held_bytes = self._gauge(
+            "held_bytes", "bytes reserved for bodies and responses of callers"
+        )
+        self.held_bytes_limit = self._gauge("held_bytes_limit", "limit of held_bytes")
         self.peers = self._gauge("peers", "other routers that report to this one")
         self.first_event_seconds = self._histogram(
             "first_event_seconds", "time from arrival to the first event"
@@ -96,6 +105,24 @@
         """
         self.dropped_lines.labels(event).inc()
 
+    def count_caller_limit(self, limit: str) -> None:
+        """
+        Count a caller that met a limit.
+
+        :param limit: name of the limit
+        """
+        self.caller_limits.labels(limit).inc()
+
+    def show_budget(self, budget: CallerBudget) -> None:
+        """
+        Expose what callers use.
+
+        :param budget: budget of the process
+        """
+        self.caller_connections.set_function(lambda: budget.connections)
+        self.held_bytes.set_function(lambda: budget.held_bytes)
+        self.held_bytes_limit.set(budget.limits.held_bytes)
+
     def render(self) -> bytes:
         """:return: all metrics in the Prometheus text format"""
         return generate_latest(self.registry)
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -10,10 +10,12 @@
 
 from aiohttp import web
 
+from boragetiller.caller_limits.budget import CallerBudget
+from boragetiller.caller_limits.server import INTERNAL_PORT_CONNECTIONS, BudgetedServer
 from boragetiller.clock import SystemClock
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.backend_registry import BackendRegistry
-from boragetiller.gateway.call_handler import CallHandler
+from boragetiller.gateway.call_handler import DEFAULT_LIMITS, CallHandler
 from boragetiller.gateway.dispatcher import CallDispatcher
 from boragetiller.gateway.listener import Listener
 from boragetiller.gateway.metrics import GatewayMetrics
@@ -23,6 +25,7 @@
 from boragetiller.gateway.store_watcher import StoreWatcher
 from boragetiller.installation.build_info import get_build_info
 from boragetiller.process_start import log_process_started
+from boragetiller.systems.overload.caller_budget import derive_limits
 from boragetiller.tables.server_placement import PlacementCostModel
 from boragetiller.timeouts import wait_until, wait_until_idle
 
@@ -63,6 +66,9 @@
         clock = SystemClock()
         costs = PlacementCostModel()
         self.metrics = GatewayMetrics()
+        limits = derive_limits(settings.memory_bytes, settings.max_descriptors)
+        self.budget = CallerBudget(limits, clock.now_ms, self.metrics.count_caller_limit)
+        self.metrics.show_budget(self.budget)
         self.registry = BackendRegistry(settings, dialect, clock, self.metrics)
         self.state_sync = StateSync(settings.name, self.registry, costs, clock)
         rng = random.Random(settings.name)
@@ -71,7 +77,7 @@
         )
         self.peer_exchange = PeerExchange(settings, self.state_sync, clock, self.metrics)
         self.call_handler = CallHandler(
-            self.registry, self._dispatcher, dialect, clock, self.metrics
+            self.registry, self._dispatcher, dialect, clock, self.metrics, self.budget
         )
         self._store_watcher = StoreWatcher(
             settings, store, self.registry, dialect, self.state_sync, clock, self.metrics, rng
@@ -80,10 +86,12 @@
         self.caller_listener = Listener(
             self.call_handler.build_server(), settings.callers, caller_socket
         )
-        self.readiness_listener = Listener(_build_server(self._handle_ready), settings.readiness)
+        self.readiness_listener = Listener(
+            self._build_server(self._handle_ready), settings.readiness
+        )
         self._listeners = [self.readiness_listener, self.caller_listener]
         if settings.metrics is not None:
-            metrics = Listener(_build_server(self._handle_metrics), settings.metrics)
+            metrics = Listener(self._build_server(self._handle_metrics), settings.metrics)
             self._listeners.insert(0, metrics)
         self._initial_sync_timeout_ms = INITIAL_SYNC_TIMEOUT_MS if caller_socket is not None else 0
 
@@ -142,6 +150,16 @@
         """
         self.peer_exchange.set_seeds(settings.seeds)
 
+    def _build_server(self, handler: Handler) -> web.Server:
+        return BudgetedServer(
+            handler,
+            self.budget,
+            lambda: DEFAULT_LIMITS,
+            lambda code: self.metrics.refused.labels(code).inc(),
+            max_connections=INTERNAL_PORT_CONNECTIONS,
+            access_log=None,
+        )
+
     async def _handle_ready(self, _request: web.BaseRequest) -> web.Response:
         ready = self.registry.is_ready and not self.call_handler.stopping
         return web.Response(status=200 if ready else 503)
@@ -150,8 +168,4 @@
         return web.Response(body=self.metrics.render(), content_type="text/plain")
 
 
-def _build_server(handler: Handler) -> web.Server:
-    return web.Server(handler, access_log=None)
-
-
 __all__ = ["GatewayProcess"]
--- a/src/boragetiller/gateway/settings.py
+++ b/src/boragetiller/gateway/settings.py
@@ -7,6 +7,8 @@
 import attrs
 
 MAX_PORT = 65_535
+DEFAULT_MEMORY_BYTES = 268_435_456  # where the settings name none; between the hosts in use
+DEFAULT_MAX_DESCRIPTORS = 1_024  # the usual limit of a process
 
 
 @attrs.frozen
@@ -48,6 +50,8 @@
     retry_ratio: float  # retries per request in a window, over all routers
     retry_slack: float  # additional retries in a window, over all routers
     retry_window_ms: int
+    memory_bytes: int = DEFAULT_MEMORY_BYTES  # of the host
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS  # that the process may have open
 
 
 __all__ = ["Endpoint", "GatewaySettings"]
--- a/src/boragetiller/http_server.py
+++ b/src/boragetiller/http_server.py
@@ -3,22 +3,101 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from functools import partial
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 from aiohttp.log import server_logger
 
+from boragetiller.caller_limits.budget import CallerBudget
+from boragetiller.caller_limits.server import BudgetedServer
+from boragetiller.clock import SystemClock
 from boragetiller.http_refusals import build_refusal_logger
+from boragetiller.systems.overload.caller_budget import derive_limits
+from boragetiller.tables.routes import CallerLimits
 from boragetiller.tls import build_server_tls_context
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from boragetiller.metrics import Metrics
     from boragetiller.settings import LimitSettings, TlsSettings
 
 SHUTDOWN_TIMEOUT_S = 5.0
 CONNECTION_CLOSE_TIMEOUT_MS = 500
 CONNECTION_POLL_INTERVAL_MS = 5
+HEAD_FIELDS = 2  # a head may be as large as this many of the largest fields
+TLS_HANDSHAKE_TIMEOUT_S = 5.0  # a handshake takes two round trips
+
+
+class _BudgetedRunner(web.AppRunner):
+    """Serves an application on connections that share the budget of the process."""
+
+    __slots__ = ("_build_server",)
+
+    def __init__(
+        self,
+        app: web.Application,
+        build_server: Callable[..., BudgetedServer],
+        **options: Any,
+    ) -> None:
+        """
+        Create the runner.
+
+        :param app: application to serve
+        :param build_server: builds the server from its handler and options
+        :param options: see :class:`web.AppRunner`
+        """
+        super().__init__(app, **options)
+        self._build_server = build_server
+
+    async def _make_server(self) -> web.Server:
+        plain = await super()._make_server()
+        return self._build_server(
+            plain.request_handler,
+            request_factory=plain.request_factory,
+            handler_cancellation=plain.handler_cancellation,
+            **plain._kwargs,  # noqa: SLF001
+        )
+
+
+class _TimedSite(web.TCPSite):
+    """A listening port whose TLS handshakes end in time."""
+
+    async def start(self) -> None:
+        """Start to listen."""
+        await super(web.TCPSite, self).start()
+        server = self._runner.server
+        assert server is not None
+        timeout_s = TLS_HANDSHAKE_TIMEOUT_S if self._ssl_context else None
+        self._server = await asyncio.get_running_loop().create_server(
+            server,
+            self._host,
+            self._port,
+            ssl=self._ssl_context,
+            backlog=self._backlog,
+            ssl_handshake_timeout=timeout_s,
+        )
+
+
+def build_caller_budget(
+    limits: LimitSettings, metrics: Metrics | None = None, prefix: str = ""
+) -> CallerBudget:
+    """
+    Build the budget that all HTTP ports of a process share.
+
+    :param limits: memory and descriptors of the process
+    :param metrics: counts callers that meet a limit, None to count nothing
+    :param prefix: prepended to the names of the counters
+    :return: the budget
+    """
+
+    def count(limit: str) -> None:
+        if metrics is not None:
+            metrics.increment(f"{prefix}.limit.{limit}")
+
+    budget_limits = derive_limits(limits.memory_bytes, limits.max_descriptors)
+    return CallerBudget(budget_limits, SystemClock().now_ms, count)
 
 
 class HttpServer:
@@ -34,6 +113,8 @@
         tls: TlsSettings | None = None,
         max_field_bytes: int | None = None,
         count_refusal: Callable[[str], None] | None = None,
+        budget: CallerBudget | None = None,
+        max_connections: int | None = None,
     ) -> None:
         """
         Create the server; :meth:`start` opens its port.
@@ -41,11 +122,20 @@
         :param app: application to serve
         :param address: IP address to listen on
         :param port: TCP port, 0 for a free one
-        :param limits: limits of a request; only `max_header_bytes` applies here
+        :param limits: limits of a request
         :param tls: certificate and key, None for plain TCP
         :param max_field_bytes: limit of the size of one header field, by default that of `limits`
         :param count_refusal: called with a code for each request that aiohttp refuses
+        :param budget: budget of the process, None for one of this port alone
+        :param max_connections: limit of connections of this port, None for that of the budget
         """
+        max_field = max_field_bytes or limits.max_header_bytes
+        caller_limits = CallerLimits(
+            max_header_bytes=HEAD_FIELDS * max(max_field, limits.max_header_bytes),
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_ms=limits.header_timeout_ms,
+            idle_timeout_ms=limits.idle_timeout_ms,
+        )
         self.address = address
         self.port = port
         self._tls = tls
@@ -53,12 +143,19 @@
         self._site: web.TCPSite | None = None
         app.on_response_prepare.append(self._close_after_response)
         logger = build_refusal_logger(count_refusal) if count_refusal else server_logger
-        self._runner = web.AppRunner(
+        self._runner = _BudgetedRunner(
             app,
+            partial(
+                BudgetedServer,
+                budget=budget or build_caller_budget(limits),
+                get_limits=lambda: caller_limits,
+                count_refusal=count_refusal or (lambda _code: None),
+                max_connections=max_connections,
+            ),
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-            max_field_size=max_field_bytes or limits.max_header_bytes,
+            max_field_size=max_field,
             max_line_size=limits.max_header_bytes,
             logger=logger,
         )
@@ -67,7 +164,7 @@
         """Start to listen; :attr:`port` then is the actual port."""
         await self._runner.setup()
         context = build_server_tls_context(self._tls) if self._tls else None
-        self._site = web.TCPSite(self._runner, self.address, self.port, ssl_context=context)
+        self._site = _TimedSite(self._runner, self.address, self.port, ssl_context=context)
         await self._site.start()
         self.port = self._runner.addresses[0][1]
 
@@ -105,4 +202,4 @@
         return f"{scheme}://{self.address}:{self.port}"
 
 
-__all__ = ["HttpServer"]
+__all__ = ["HttpServer", "build_caller_budget"]
--- a/src/boragetiller/router/process.py
+++ b/src/boragetiller/router/process.py
@@ -7,10 +7,11 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from boragetiller.caller_limits.server import INTERNAL_PORT_CONNECTIONS
 from boragetiller.clock import SystemClock, new_incarnation
 from boragetiller.control.router_node import RouterDependencies, RouterNode
 from boragetiller.events import Event, log_event
-from boragetiller.http_server import HttpServer
+from boragetiller.http_server import HttpServer, build_caller_budget
 from boragetiller.installation.build_info import get_build_info
 from boragetiller.operator_api import build_operator_app
 from boragetiller.process import Endpoints, build_metrics
@@ -109,6 +110,7 @@
             self.metrics,
             self.rng,
         )
+        budget = build_caller_budget(settings.limits, self.metrics, "router")
         self.caller_listener = HttpServer(
             self.server.build_app(),
             settings.listen.address,
@@ -116,6 +118,7 @@
             limits=settings.limits,
             tls=settings.listen.tls,
             count_refusal=self.server.count_refusal,
+            budget=budget,
         )
         operator_routes = build_operator_app(settings.operator, self.metrics)
         add_router_routes(operator_routes, self)
@@ -124,6 +127,8 @@
             settings.operator.address,
             settings.operator.port,
             limits=settings.limits,
+            budget=budget,
+            max_connections=INTERNAL_PORT_CONNECTIONS,
         )
         self._tasks: list[asyncio.Task[None]] = []
 
--- a/src/boragetiller/router/server.py
+++ b/src/boragetiller/router/server.py
@@ -11,8 +11,11 @@
 from aiohttp import web
 
 from boragetiller.agent_protocol.headers import filter_request_headers
+from boragetiller.caller_limits.body import read_body
+from boragetiller.caller_limits.server import refuse_without_reading
 from boragetiller.errors import (
     BoragetillerError,
+    CallerBudgetExhausted,
     Draining,
     HeadersTooLarge,
     InvalidRequest,
@@ -53,6 +56,8 @@
     Parse = Callable[[str, Customer, bytes], RoutedRequest]
 
 BEARER = "Bearer "
+# Refusals after which the rest of the request is not read
+UNREAD_REFUSALS = (CallerBudgetExhausted, HeadersTooLarge, RequestTimeout, RequestTooLarge)
 REQUEST_ID_BITS = 64
 
 
@@ -207,7 +212,10 @@
             if "group" in request.match_info and "Idempotency-Key" in request.headers:
                 # an earlier request with this key may have run
                 error.verdict = Verdict.MAY_HAVE_RUN
-            return self._refuse(error, request_id)
+            response = self._refuse(error, request_id)
+            if isinstance(error, UNREAD_REFUSALS) and not request.content.is_eof():
+                return await refuse_without_reading(request, response)
+            return response
         except (asyncio.CancelledError, ConnectionError):
             self._traces.record(request_id, "caller left")
             self._metrics.increment("router.cancelled")
@@ -248,13 +256,8 @@
         return customer
 
     async def _read_body(self, request: web.Request) -> bytes:
-        try:
-            async with asyncio.timeout(self._settings.limits.body_timeout_ms / 1_000):
-                return await request.read()
-        except web.HTTPRequestEntityTooLarge as error:
-            raise RequestTooLarge from error
-        except TimeoutError as error:
-            raise RequestTimeout from error
+        limits = self._settings.limits
+        return await read_body(request, limits.max_body_bytes, limits.body_timeout_ms / 1_000)
 
     def _refuse(self, error: BoragetillerError, request_id: str) -> web.Response:
         self._metrics.increment(f"router.refused.{error.code}")
--- a/src/boragetiller/settings/network.py
+++ b/src/boragetiller/settings/network.py
@@ -73,11 +73,15 @@
 
 @attrs.frozen(kw_only=True)
 class LimitSettings:
-    """Limits on a caller's request."""
+    """Limits on a caller's request, and on what all callers use together."""
 
     max_body_bytes: int = attrs.field(default=4_000_000, validator=POSITIVE)
     max_header_bytes: int = attrs.field(default=32_768, validator=POSITIVE)
     body_timeout_ms: int = attrs.field(default=10_000, validator=POSITIVE)
+    header_timeout_ms: int = attrs.field(default=10_000, validator=POSITIVE)
+    idle_timeout_ms: int = attrs.field(default=3_630_000, validator=POSITIVE)
+    memory_bytes: int = attrs.field(default=268_435_456, validator=POSITIVE)  # of the process
+    max_descriptors: int = attrs.field(default=1_024, validator=POSITIVE)  # open at a time
 
 
 __all__ = [
