Untrusted callers: bounded accepts, TLS handshakes, hellos of peers, buffers for servers

Cause: asyncio accepts a whole backlog before any connection can be refused; handshakes and hellos that never end were not bounded in number.

--- a/src/boragetiller/caller_limits/budget.py
+++ b/src/boragetiller/caller_limits/budget.py
@@ -28,6 +28,7 @@
     """A connection that holds bytes."""
 
     use: ConnectionUse
+    budget: CallerBudget
 
     def end_for_room(self) -> None:
         """End its request to make room."""
@@ -172,12 +173,12 @@
             if unread < use.unread_bytes:
                 record_progress(use, use.unread_bytes - unread, now_ms)
             use.unread_bytes = unread
-        use = choose_holder_to_end(self.holders, now_ms, for_ordinary=is_ordinary)
-        if use is None:
+        chosen = choose_holder_to_end(self.holders, now_ms, for_ordinary=is_ordinary)
+        if chosen is None:
             return
-        use.is_ended = True
-        self.record_limit("memory_unread" if use.unread_bytes else "memory_body")
-        holder = self.holders[use]
+        chosen.is_ended = True
+        self.record_limit("memory_unread" if chosen.unread_bytes else "memory_body")
+        holder = self.holders[chosen]
         self.release(holder)
         holder.end_for_room()
 
--- a/src/boragetiller/caller_limits/connection.py
+++ b/src/boragetiller/caller_limits/connection.py
@@ -86,6 +86,7 @@
         cause = self._server.admit(self)
         if cause is not None:
             self._refuse(503, cause)
+            self.force_close()  # nothing was read that could be lost with the refusal
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """See :class:`RequestHandler`."""
--- a/src/boragetiller/caller_limits/server.py
+++ b/src/boragetiller/caller_limits/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -25,6 +26,9 @@
     from boragetiller.tables.routes import CallerLimits
 
 MAX_HEADER_LINES = 4_096  # as many as fit into a head within the limit; aiohttp has 128
+MAX_HANDSHAKES = 64  # unfinished ones, above which descriptors are counted
+HANDSHAKE_TTL_MS = 6_000  # after their time limit; failed ones are counted until then
+DESCRIPTORS_PATH = "/proc/self/fd"
 INTERNAL_PORT_CONNECTIONS = 32  # of a port for probes and operators
 
 
@@ -61,13 +65,33 @@
         self._uses: dict[ConnectionUse, BudgetedRequestHandler] = {}
         self._addresses: Counter[str] = Counter()
         self._unfinished: set[ConnectionUse] = set()
+        self._handshakes: dict[ConnectionUse, None] = {}  # oldest first
 
     def __call__(self) -> RequestHandler:
         """See :class:`web.Server`."""
         connection = BudgetedRequestHandler(self, loop=self._loop, **self._kwargs)
         connection.set_limits(self, self._budget)
+        self._count_handshake(connection.use)
         return connection
 
+    def _count_handshake(self, use: ConnectionUse) -> None:
+        """
+        Count a connection that may begin with a TLS handshake; asyncio reports no failed ones.
+
+        :raises ConnectionAbortedError: too many are unfinished, and the process has few descriptors
+        """
+        now_ms = self._budget.now_ms()
+        while self._handshakes:
+            oldest = next(iter(self._handshakes))
+            if now_ms - oldest.phase_since_ms < HANDSHAKE_TTL_MS:
+                break
+            del self._handshakes[oldest]
+        are_many = len(self._handshakes) >= MAX_HANDSHAKES
+        if are_many and len(os.listdir(DESCRIPTORS_PATH)) >= self._budget.limits.descriptors:
+            self._budget.record_limit("handshakes")
+            raise ConnectionAbortedError
+        self._handshakes[use] = None
+
     @property
     def limits(self) -> CallerLimits:
         """:return: the limits in force"""
@@ -80,6 +104,7 @@
         :param connection: the new connection
         :return: the limit that refuses it, None if it is accepted
         """
+        self._handshakes.pop(connection.use, None)
         limits, address = self._budget.limits, connection.use.address
         cause = None
         if len(self._uses) >= (self._max_connections or limits.connections):
--- a/src/boragetiller/gateway/backend_connections.py
+++ b/src/boragetiller/gateway/backend_connections.py
@@ -25,6 +25,7 @@
     AddressInfo = tuple[int, int, int, str, tuple[str, int]]
 
 TCP_USER_TIMEOUT_MS = 2_000  # the kernel resets a connection after so long without an ACK
+RECEIVE_BUFFER_BYTES = 131_072  # the kernel keeps up to twice as much that is not read
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -178,6 +179,7 @@
     """
     family, kind, protocol, _, _ = info
     sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     enable_keepalive(sock)
     return sock
 
--- a/src/boragetiller/gateway/listener.py
+++ b/src/boragetiller/gateway/listener.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from boragetiller.gateway.listening_socket import BACKLOG
+from boragetiller.caller_limits.listening import BoundedSite, open_socket
 
 if TYPE_CHECKING:
     from socket import socket
@@ -37,11 +37,9 @@
     async def start(self) -> None:
         """Start to listen."""
         await self._runner.setup()
-        if self._listening_socket is not None:
-            self._site = web.SockSite(self._runner, self._listening_socket, backlog=BACKLOG)
-        else:
-            address, port = self._endpoint.address, self._endpoint.port
-            self._site = web.TCPSite(self._runner, address, port, backlog=BACKLOG)
+        if self._listening_socket is None:
+            self._listening_socket = open_socket(self._endpoint.address, self._endpoint.port)
+        self._site = BoundedSite(self._runner, self._listening_socket)
         await self._site.start()
 
     @property
--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -20,15 +20,13 @@
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.backend_connections import enable_keepalive
 from boragetiller.gateway.peer_messages import (
-    LENGTH_BYTES,
-    MAX_FRAME_BYTES,
     PeerHello,
     PeerItems,
     PeerReport,
     PeerRouters,
-    decode_payload,
     encode_frame,
 )
+from boragetiller.gateway.peer_reader import HelloReader, read_message
 from boragetiller.gateway.settings import Endpoint
 from boragetiller.gateway.state_sync import StoreRevisions
 from boragetiller.gateway.supervisor import run_supervised
@@ -41,7 +39,6 @@
 
     from boragetiller.clock import Clock
     from boragetiller.gateway.metrics import GatewayMetrics
-    from boragetiller.gateway.peer_messages import PeerMessage
     from boragetiller.gateway.settings import GatewaySettings
     from boragetiller.gateway.state_sync import StateSync
     from boragetiller.tables.store_view import StoredItem
@@ -52,7 +49,6 @@
 KEEPALIVE_INTERVAL_MS = 500  # between reports without changes
 CONNECT_TIMEOUT_MS = 1_000
 RECONNECT_DELAY_MS = 1_000
-RECEIVE_TIMEOUT_MS = 3_000  # a peer that sends nothing for so long is disconnected
 RESEND_DELAY_MS = 300  # a peer that watches the store gets missing entries only after this lag
 RESEND_TURNS = 8  # of the peers that send the list to a router that missed a restore
 LOST_ITEMS_DELAY_MS = 300  # after a change of an era, in which entries arrive one by one
@@ -123,6 +119,7 @@
         self._known_endpoints: set[Endpoint] = set()  # of other routers, connected or not
         self._outbound_peers: dict[Endpoint, OutboundPeer] = {}
         self._report_task: asyncio.Task[None] | None = None
+        self._hello_reader = HelloReader()
         self._inbound_writers: set[asyncio.StreamWriter] = set()
         self._heard_ms: dict[Endpoint, int] = {}  # when a router last had a connection to this one
         self._server: asyncio.Server | None = None
@@ -385,10 +382,12 @@
             writer.transport.abort()
 
     async def _receive(self, reader: asyncio.StreamReader) -> None:
-        hello = await _read_message(reader)
+        hello = await self._hello_reader.read(reader)
         if not isinstance(hello, PeerHello) or hello.name == self._settings.name:
             raise BadFrame("first message is not a hello of another router")
         endpoint = Endpoint(hello.address, hello.port)
+        if len(self._inbound_peers) >= MAX_KNOWN_ROUTERS:
+            raise BadFrame("more peers than routers")
         if not endpoint.is_valid:
             raise BadFrame(f"the hello of {hello.name} names the address {endpoint}")
         self._state_sync.peer_names[endpoint] = hello.name
@@ -409,7 +408,7 @@
         self, reader: asyncio.StreamReader, name: str, peer: InboundPeer
     ) -> None:
         while True:
-            message = await _read_message(reader)
+            message = await read_message(reader)
             if isinstance(message, PeerReport):
                 self._update_revisions(peer, message)
                 self._state_sync.apply_report(name, message)
@@ -428,12 +427,4 @@
             peer.behind_since_ms = self._clock.now_ms()
 
 
-async def _read_message(reader: asyncio.StreamReader) -> PeerMessage:
-    async with asyncio.timeout(RECEIVE_TIMEOUT_MS / 1_000):
-        size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
-        if size > MAX_FRAME_BYTES:
-            raise BadFrame(f"frame of {size} bytes exceeds {MAX_FRAME_BYTES} bytes")
-        return decode_payload(await reader.readexactly(size))
-
-
 __all__ = ["PeerExchange"]
--- a/src/boragetiller/gateway/server_client.py
+++ b/src/boragetiller/gateway/server_client.py
@@ -30,6 +30,7 @@
 IDLE_TIMEOUT_S = 4.0  # shorter than that of backend servers, so that the client closes first
 SKIPPED_AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 MAX_HEADER_BYTES = 65_536
+READ_BUFFER_BYTES = 65_536  # up to twice as much of a response is kept for a slow caller
 MAX_STATUS_BODY_BYTES = 4_194_304  # a cache list of 40,000 parts at 100 bytes each
 
 NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
@@ -116,6 +117,7 @@
             skip_auto_headers=SKIPPED_AUTO_HEADERS,
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_MS / 1_000),
+            read_bufsize=READ_BUFFER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
             max_line_size=MAX_HEADER_BYTES,
         )
--- a/src/boragetiller/http_server.py
+++ b/src/boragetiller/http_server.py
@@ -10,6 +10,7 @@
 from aiohttp.log import server_logger
 
 from boragetiller.caller_limits.budget import CallerBudget
+from boragetiller.caller_limits.listening import BoundedSite, open_socket
 from boragetiller.caller_limits.server import BudgetedServer
 from boragetiller.clock import SystemClock
 from boragetiller.http_refusals import build_refusal_logger
@@ -27,7 +28,6 @@
 CONNECTION_CLOSE_TIMEOUT_MS = 500
 CONNECTION_POLL_INTERVAL_MS = 5
 HEAD_FIELDS = 2  # a head may be as large as this many of the largest fields
-TLS_HANDSHAKE_TIMEOUT_S = 5.0  # a handshake takes two round trips
 
 
 class _BudgetedRunner(web.AppRunner):
@@ -61,25 +61,6 @@
         )
 
 
-class _TimedSite(web.TCPSite):
-    """A listening port whose TLS handshakes end in time."""
-
-    async def start(self) -> None:
-        """Start to listen."""
-        await super(web.TCPSite, self).start()
-        server = self._runner.server
-        assert server is not None
-        timeout_s = TLS_HANDSHAKE_TIMEOUT_S if self._ssl_context else None
-        self._server = await asyncio.get_running_loop().create_server(
-            server,
-            self._host,
-            self._port,
-            ssl=self._ssl_context,
-            backlog=self._backlog,
-            ssl_handshake_timeout=timeout_s,
-        )
-
-
 def build_caller_budget(
     limits: LimitSettings, metrics: Metrics | None = None, prefix: str = ""
 ) -> CallerBudget:
@@ -140,7 +121,7 @@
         self.port = port
         self._tls = tls
         self._closing = False
-        self._site: web.TCPSite | None = None
+        self._site: web.BaseSite | None = None
         app.on_response_prepare.append(self._close_after_response)
         logger = build_refusal_logger(count_refusal) if count_refusal else server_logger
         self._runner = _BudgetedRunner(
@@ -164,7 +145,9 @@
         """Start to listen; :attr:`port` then is the actual port."""
         await self._runner.setup()
         context = build_server_tls_context(self._tls) if self._tls else None
-        self._site = _TimedSite(self._runner, self.address, self.port, ssl_context=context)
+        self._site = BoundedSite(
+            self._runner, open_socket(self.address, self.port), ssl_context=context
+        )
         await self._site.start()
         self.port = self._runner.addresses[0][1]
 
--- a/src/boragetiller/systems/overload/caller_budget.py
+++ b/src/boragetiller/systems/overload/caller_budget.py
@@ -12,18 +12,19 @@
     from boragetiller.tables.caller_budget import ConnectionUse
 
 MB = 1_048_576
-BASE_MEMORY_BYTES = 80 * MB  # a router of the platform without callers has about 60 MB
+BASE_MEMORY_BYTES = 80 * MB  # a router of the platform has 47 MB at start, more in large fleets
 MIN_HELD_BYTES = 16 * MB  # four bodies of the largest size, on hosts of any size
 # A held byte exists twice for a moment: when a body is put together and while it is sent on.
 COPIES = 2
 LARGE_SHARE = 0.75  # of the budget; the rest is always left for ordinary requests
 ORDINARY_BYTES = 262_144  # ordinary bodies have at most 100 KB
 CONNECTION_MEMORY_SHARE = 0.125
-CONNECTION_BYTES = 36_864  # objects of a connection, and a head that has arrived in part
+CONNECTION_BYTES = 24_576  # a kept-alive connection takes 13 to 17 KB, a partial head the rest
 WAITING_MEMORY_SHARE = 0.0625
 WAITING_BYTES = 131_072  # kept by the kernel for a connection that is not read
 FILE_DESCRIPTORS = 200  # reserved for files
 CALLER_DESCRIPTOR_SHARE = 0.75  # the rest is for servers, the store, peers and other ports
+DESCRIPTOR_SHARE = 0.9  # above which no further TLS handshake begins
 MIN_CONNECTIONS = 16
 ADDRESS_SHARE = 0.9  # of the connections; a load balancer may be the only address
 UNFINISHED_SHARE = 0.75  # of the connections
@@ -52,6 +53,7 @@
         connections=connections,
         connections_per_address=int(connections * ADDRESS_SHARE),
         unfinished=int(connections * UNFINISHED_SHARE),
+        descriptors=int(max_descriptors * DESCRIPTOR_SHARE),
         waiting=int(memory_bytes * WAITING_MEMORY_SHARE) // WAITING_BYTES,
     )
 
--- a/src/boragetiller/tables/caller_budget.py
+++ b/src/boragetiller/tables/caller_budget.py
@@ -17,6 +17,7 @@
     connections_per_address: int
     unfinished: int  # connections whose request has not arrived in full
     waiting: int  # connections that wait for room
+    descriptors: int  # that the process may have open, less a margin
 
 
 class ConnectionPhase(Enum):
