--- a/src/boragetiller/caller_limits/budget.py
+++ b/src/boragetiller/caller_limits/budget.py
@@ -72,12 +72,16 @@
         """
         self.log.record(cause)
         if self._flush_timer is None:
-            loop = asyncio.get_running_loop()
-            self._flush_timer = loop.call_later(FLUSH_INTERVAL_S, self._flush)
+            self._schedule_flush()
+
+    def _schedule_flush(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._flush_timer = loop.call_later(FLUSH_INTERVAL_S, self._flush)
 
     def _flush(self) -> None:
         self._flush_timer = None
-        self.log.flush()
+        if self.log.flush():
+            self._schedule_flush()
 
     async def reserve(self, holder: Holder, size: int, wait_s: float | None) -> None:
         """
--- a/src/boragetiller/caller_limits/limit_log.py
+++ b/src/boragetiller/caller_limits/limit_log.py
@@ -38,10 +38,15 @@
         self._pending[cause] += 1
         self._write(cause)
 
-    def flush(self) -> None:
-        """Log the counts whose interval is over; to be called about once per second."""
+    def flush(self) -> bool:
+        """
+        Log the counts whose interval is over; to be called about once per second.
+
+        :return: whether counts are left whose interval is not over
+        """
         for cause in list(self._pending):
             self._write(cause)
+        return bool(self._pending)
 
     def _write(self, cause: str) -> None:
         now_ms = self._now_ms()
