Untrusted callers: bound what is received ahead, queued and kept by refused requests

Cause: with 400 callers at 160 MB unread input, pipelined requests and bodies kept by tracebacks went over the memory of the host; callers cut off for room were logged as crashed requests. Change: unread input is reserved with each body, at most 4 requests are queued, refused bodies are freed at once, a response waits until its call is cancelled.

--- a/src/boragetiller/caller_limits/body.py
+++ b/src/boragetiller/caller_limits/body.py
@@ -7,7 +7,6 @@
 
 from boragetiller.caller_limits.budget import current_connection
 from boragetiller.errors import RequestTimeout, RequestTooLarge
-from boragetiller.systems.overload.caller_budget import ORDINARY_BYTES
 
 if TYPE_CHECKING:
     from aiohttp import StreamReader, web
@@ -15,6 +14,8 @@
     from boragetiller.caller_limits.connection import BudgetedRequestHandler
 
 FIRST_BYTES = 65_536  # reserved for a body whose size is not known
+ORDINARY_BODY_BYTES = 262_144  # ordinary bodies have at most 100 KB
+UNREAD_BYTES = 65_536  # received and not yet a part of the body, while it arrives
 MAX_WAIT_S = 3.0  # for room; a caller gives up, and another router may have room
 
 
@@ -48,20 +49,25 @@
     connection: BudgetedRequestHandler, request: web.BaseRequest, max_bytes: int
 ) -> bytes:
     reserved = request.content_length or min(FIRST_BYTES, max_bytes)
-    await connection.budget.reserve(connection, reserved, MAX_WAIT_S)
+    unread = 0 if request.content.is_eof() else UNREAD_BYTES
+    await connection.budget.reserve(connection, reserved + unread, MAX_WAIT_S)
     connection.start_body()
     body = bytearray()
-    async for chunk in request.content.iter_any():
-        size = len(body) + len(chunk)
-        if size > max_bytes:
-            raise RequestTooLarge
-        if size > reserved:
-            wanted = _choose_reservation(size, max_bytes)
-            await connection.budget.reserve(connection, wanted - reserved, MAX_WAIT_S)
-            reserved = wanted
-        body += chunk
+    try:
+        async for chunk in request.content.iter_any():
+            size = len(body) + len(chunk)
+            if size > max_bytes:
+                raise RequestTooLarge
+            if size > reserved:
+                wanted = _choose_reservation(size, max_bytes)
+                await connection.budget.reserve(connection, wanted - reserved, MAX_WAIT_S)
+                reserved = wanted
+            body += chunk
+    except BaseException:
+        body.clear()  # the traceback would keep it until the caller has got its refusal
+        raise
     connection.finish_body()
-    connection.budget.release(connection, reserved - len(body))
+    connection.budget.release(connection, reserved + unread - len(body))
     return bytes(body)
 
 
@@ -76,7 +82,6 @@
     :param length: its announced size, None if unknown
     :param max_bytes: size limit
     :return: the body, None if it exceeds the limit
-    :raises CallerBudgetExhausted: the caller was cut off to make room
     """
     connection = current_connection.get()
     reserved = min(length or 0, max_bytes)
@@ -104,7 +109,7 @@
     One that outgrows an ordinary body gets all that it may need at once. Callers that each have a
     part of the budget could otherwise all wait for one another.
     """
-    return min(2 * size, max_bytes) if size <= ORDINARY_BYTES // 2 else max_bytes
+    return min(2 * size, max_bytes) if size <= ORDINARY_BODY_BYTES // 2 else max_bytes
 
 
 __all__ = ["read_body", "read_response"]
--- a/src/boragetiller/caller_limits/budget.py
+++ b/src/boragetiller/caller_limits/budget.py
@@ -89,14 +89,14 @@
 
         :param holder: the connection
         :param size: bytes that it needs in addition
-        :param wait_s: longest wait, None for no limit
+        :param wait_s: longest wait; None for a response, which waits until its call is cancelled
         :raises CallerBudgetExhausted: there was no room in that time, too many wait already, or the
             connection was ended
         """
         use = holder.use
         if self._try_reserve(holder, size):
             return
-        if self._waiting >= self.limits.waiting:
+        if wait_s is not None and self._waiting >= self.limits.waiting:
             self.record_limit("memory_waiting_requests")
             raise CallerBudgetExhausted
         self.record_limit("memory_wait")
@@ -108,9 +108,8 @@
                 self._make_room(is_ordinary=use.held_bytes + size <= ORDINARY_BYTES)
                 if self._try_reserve(holder, size):
                     return
-                if use.is_ended or (
-                    ends_s is not None and asyncio.get_running_loop().time() >= ends_s
-                ):
+                is_late = ends_s is not None and asyncio.get_running_loop().time() >= ends_s
+                if is_late or (use.is_ended and ends_s is not None):
                     raise CallerBudgetExhausted
                 await asyncio.sleep(POLL_S)
         finally:
--- a/src/boragetiller/caller_limits/connection.py
+++ b/src/boragetiller/caller_limits/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -31,7 +32,7 @@
 CLOSE_DELAY_S = 0.3  # for the caller to read its refusal; a close with unread input resets
 READ_BUFFER_BYTES = 16_384  # aiohttp keeps up to twice as much of a body before it stops reading
 PAUSED_WRITE_BYTES = 131_072  # of a response: buffers of both connections once the caller is slow
-MAX_PIPELINED_BYTES = 65_536
+MAX_QUEUED_REQUESTS = 4  # that a caller sent before the response to an earlier one
 HEADER_LINE_BYTES = 384  # objects of a parsed line; 345 were measured
 FREE_HEADER_LINES = 128  # of a request that arrives in full, not charged
 
@@ -45,7 +46,6 @@
         "_head_bytes",
         "_head_timer",
         "_payload",
-        "_pipelined_bytes",
         "_refused",
         "_server",
         "budget",
@@ -63,10 +63,11 @@
         self.budget = budget
         self.use = ConnectionUse(address="", phase_since_ms=budget.now_ms())
         self._head_timer: asyncio.TimerHandle | None = None
-        self._head_bytes = self._body_raw_bytes = self._pipelined_bytes = 0
+        self._head_bytes = self._body_raw_bytes = 0
         self._payload: StreamReader | None = None  # of the newest request
         self._refused = False
         self._budget_paused = False
+        self._max_msg_queue_size, self._msg_queue_resume_size = MAX_QUEUED_REQUESTS, 1
         self._keepalive_timeout = self._get_idle_timeout_s()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -110,7 +111,7 @@
         requests = self._request_count
         super().data_received(data)
         if self._request_count != requests:
-            self._start_request()
+            self._start_request(len(data))
         elif in_head:
             self._count_head(data)
         else:
@@ -137,6 +138,9 @@
         self._refused = True
         self._lingering_time = 0.0
         self._pause_transport_reading()
+        if self._payload is not None:
+            with suppress(Exception):  # an error that is set for the reader of the body
+                self._payload.read_nowait()
 
     def end_for_room(self) -> None:
         """See :class:`Holder`."""
@@ -144,6 +148,8 @@
             self._pause_transport_reading()
             self._payload.set_exception(CallerBudgetExhausted())
         elif self.transport is not None:
+            if self.use.phase is ConnectionPhase.HEAD:
+                self._parser = None  # frees the lines that it has parsed
             self.transport.abort()
 
     def end_for_connections(self, cause: str) -> None:
@@ -183,7 +189,6 @@
         current_connection.set(self)  # the task is that of this request only
         is_complete = request.content.is_eof()
         self._set_phase(ConnectionPhase.SERVED if is_complete else ConnectionPhase.BODY)
-        self._pipelined_bytes = 0
         try:
             return await super()._handle_request(request, start_time, request_handler)
         finally:
@@ -205,11 +210,13 @@
             self.use.phase_since_ms = self.budget.now_ms()
             self._server.update(self)
 
-    def _start_request(self) -> None:
+    def _start_request(self, size: int) -> None:
         message, self._payload = self._messages[-1]
         self._head_bytes = self._body_raw_bytes = 0
         if self._current_request is None:
             self.budget.release(self)
+        else:
+            self.budget.charge(self, size)  # until the response before it has been sent
         lines = len(getattr(message, "raw_headers", ()))
         if lines > FREE_HEADER_LINES:
             self.budget.charge(self, lines * HEADER_LINE_BYTES)
@@ -229,15 +236,6 @@
         if self._current_request is None and not self._messages:
             self._set_phase(ConnectionPhase.HEAD)
             self.budget.charge(self, data.count(b"\n") * HEADER_LINE_BYTES)
-        else:
-            self._count_pipelined(len(data))
-
-    def _count_pipelined(self, size: int) -> None:
-        """Stop reading requests that were sent before the response to an earlier one."""
-        self._pipelined_bytes += size
-        if self._pipelined_bytes > MAX_PIPELINED_BYTES and self._messages:
-            self._pipelined_bytes = 0
-            self._pause_reading_for_buffer()  # aiohttp resumes when it handles the next one
 
     def _count_body(self, size: int) -> None:
         assert self._payload is not None
--- a/src/boragetiller/gateway/server_client.py
+++ b/src/boragetiller/gateway/server_client.py
@@ -10,14 +10,12 @@
 from yarl import URL
 
 from boragetiller.caller_limits.body import read_response
-from boragetiller.errors import CallerBudgetExhausted
 from boragetiller.gateway.backend_connections import (
     ResponseTooLarge,
     build_matched_response_class,
     build_strict_connector,
     read_bounded,
 )
-from boragetiller.gateway.responses import CallerDisconnected
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -73,14 +71,10 @@
         :param max_bytes: size limit
         :return: the body
         :raises ResponseTooLarge: the body exceeds the limit
-        :raises CallerDisconnected: the caller was cut off while its response waited for room
         :raises aiohttp.ClientError: the body is incomplete
         """
         length = self._response.content_length
-        try:
-            body = await read_response(self._response.content, length, max_bytes)
-        except CallerBudgetExhausted as error:
-            raise CallerDisconnected from error
+        body = await read_response(self._response.content, length, max_bytes)
         if body is None:
             raise ResponseTooLarge(f"response body exceeds {max_bytes} bytes")
         return body
--- a/src/boragetiller/systems/overload/caller_budget.py
+++ b/src/boragetiller/systems/overload/caller_budget.py
@@ -17,7 +17,7 @@
 # A held byte exists twice for a moment: when a body is put together and while it is sent on.
 COPIES = 2
 LARGE_SHARE = 0.75  # of the budget; the rest is always left for ordinary requests
-ORDINARY_BYTES = 262_144  # ordinary bodies have at most 100 KB
+ORDINARY_BYTES = 327_680  # a body of 256 KiB and what is received ahead; ordinary ones have 100 KB
 CONNECTION_MEMORY_SHARE = 0.125
 CONNECTION_BYTES = 24_576  # a kept-alive connection takes 13 to 17 KB, a partial head the rest
 WAITING_MEMORY_SHARE = 0.0625
