Untrusted callers: ports are opened as before; paused input resumes for other handlers

Cause: the table of outcomes failed in a whole run (3 rows): with ports opened from a ready socket a router starts in fewer turns of the event loop, and the test met its first announcements later. Change: asyncio opens the ports again; a paused body is read after 3.5 s by handlers that reserve nothing.

--- a/src/boragetiller/caller_limits/connection.py
+++ b/src/boragetiller/caller_limits/connection.py
@@ -32,6 +32,7 @@
 CLOSE_DELAY_S = 0.3  # for the caller to read its refusal; a close with unread input resets
 READ_BUFFER_BYTES = 16_384  # aiohttp keeps up to twice as much of a body before it stops reading
 PAUSED_WRITE_BYTES = 131_072  # of a response: buffers of both connections once the caller is slow
+MAX_PAUSE_S = 3.5  # longer than a body waits for room
 MAX_QUEUED_REQUESTS = 4  # that a caller sent before the response to an earlier one
 HEADER_LINE_BYTES = 384  # objects of a parsed line; 345 were measured
 FREE_HEADER_LINES = 128  # of a request that arrives in full, not charged
@@ -228,6 +229,7 @@
         if self.budget.is_short:
             self._budget_paused = True  # until its body gets room
             self._pause_transport_reading()
+            self._loop.call_later(MAX_PAUSE_S, self.start_body)  # for handlers that reserve nothing
 
     def _count_head(self, data: bytes) -> None:
         if not data:
--- a/src/boragetiller/caller_limits/listening.py
+++ b/src/boragetiller/caller_limits/listening.py
@@ -4,9 +4,13 @@
 
 import asyncio
 import socket
+from typing import TYPE_CHECKING, Any
 
 from aiohttp import web
 
+if TYPE_CHECKING:
+    from ssl import SSLContext
+
 BACKLOG = 1_024  # connections; when it is full, callers retransmit SYNs for seconds
 # asyncio accepts as many connections as the backlog before it serves the first one. All of them
 # would have a descriptor before any could be refused.
@@ -19,21 +23,6 @@
 LARGE_BUFFER_CONNECTIONS = 256
 
 
-def open_socket(address: str, port: int) -> socket.socket:
-    """
-    Open a listening TCP socket.
-
-    :param address: IP address
-    :param port: TCP port, 0 for a free one
-    :return: the non-blocking socket
-    :raises OSError: the address cannot be bound
-    """
-    family = socket.AF_INET6 if ":" in address else socket.AF_INET
-    sock = socket.create_server((address, port), family=family, backlog=BACKLOG)
-    sock.setblocking(False)
-    return sock
-
-
 def bound_receive_buffer(sock: socket.socket | None, connections: int) -> None:
     """
     Bound what the kernel keeps of a connection that is not read.
@@ -47,24 +36,53 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
 
-class BoundedSite(web.SockSite):
-    """Accepts connections on a socket; a TLS handshake that takes too long ends."""
+class BoundedSite(web.BaseSite):
+    """Accepts connections; a TLS handshake that takes too long ends."""
+
+    __slots__ = ("_where",)
+
+    def __init__(
+        self,
+        runner: web.BaseRunner,
+        where: socket.socket | tuple[str, int],
+        *,
+        ssl_context: SSLContext | None = None,
+    ) -> None:
+        """
+        Create the site; it is inactive until started.
+
+        :param runner: runner of the server
+        :param where: socket that already listens, or IP address and TCP port, 0 for a free one
+        :param ssl_context: certificate and key, None for plain TCP
+        """
+        super().__init__(runner, ssl_context=ssl_context, backlog=ACCEPTS_PER_TURN)
+        self._where = where
 
-    __slots__ = ()
+    @property
+    def name(self) -> str:
+        """:return: name of the site, unique in its runner"""
+        return str(self._where)
 
     async def start(self) -> None:
         """Start to accept."""
-        await web.BaseSite.start(self)
+        await super().start()
         server = self._runner.server
         assert server is not None
-        self._server = await asyncio.get_running_loop().create_server(
+        where: dict[str, Any]
+        if isinstance(self._where, socket.socket):
+            where = {"sock": self._where}
+        else:
+            where = {"host": self._where[0], "port": self._where[1]}
+        self._server = listener = await asyncio.get_running_loop().create_server(
             server,
-            sock=self._sock,
+            **where,
             ssl=self._ssl_context,
-            backlog=ACCEPTS_PER_TURN,
+            backlog=self._backlog,
             ssl_handshake_timeout=TLS_HANDSHAKE_TIMEOUT_S if self._ssl_context else None,
         )
-        self._sock.listen(BACKLOG)  # asyncio has set it to the number of accepts
+        for each in listener.sockets:  # asyncio has set the backlog to the number of accepts
+            with each.dup() as sock:
+                sock.listen(BACKLOG)
 
 
-__all__ = ["BoundedSite", "bound_receive_buffer", "open_socket"]
+__all__ = ["BoundedSite", "bound_receive_buffer"]
--- a/src/boragetiller/gateway/listener.py
+++ b/src/boragetiller/gateway/listener.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from boragetiller.caller_limits.listening import BoundedSite, open_socket
+from boragetiller.caller_limits.listening import BoundedSite
 
 if TYPE_CHECKING:
     from socket import socket
@@ -37,9 +37,8 @@
     async def start(self) -> None:
         """Start to listen."""
         await self._runner.setup()
-        if self._listening_socket is None:
-            self._listening_socket = open_socket(self._endpoint.address, self._endpoint.port)
-        self._site = BoundedSite(self._runner, self._listening_socket)
+        where = self._listening_socket or (self._endpoint.address, self._endpoint.port)
+        self._site = BoundedSite(self._runner, where)
         await self._site.start()
 
     @property
--- a/src/boragetiller/http_server.py
+++ b/src/boragetiller/http_server.py
@@ -10,7 +10,7 @@
 from aiohttp.log import server_logger
 
 from boragetiller.caller_limits.budget import CallerBudget
-from boragetiller.caller_limits.listening import BoundedSite, open_socket
+from boragetiller.caller_limits.listening import BoundedSite
 from boragetiller.caller_limits.server import BudgetedServer
 from boragetiller.clock import SystemClock
 from boragetiller.http_refusals import build_refusal_logger
@@ -145,9 +145,7 @@
         """Start to listen; :attr:`port` then is the actual port."""
         await self._runner.setup()
         context = build_server_tls_context(self._tls) if self._tls else None
-        self._site = BoundedSite(
-            self._runner, open_socket(self.address, self.port), ssl_context=context
-        )
+        self._site = BoundedSite(self._runner, (self.address, self.port), ssl_context=context)
         await self._site.start()
         self.port = self._runner.addresses[0][1]
 
--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -379,6 +379,12 @@
         self.assertEqual(loaded.seeds, (Endpoint("10.2.0.29", 8229), Endpoint("10.3.0.19", 8229)))
         self.assertEqual((loaded.grace_ms, loaded.retry_window_ms), (8_000, 10_000))
 
+    def test_load_reads_limits_of_the_host_where_they_are_set(self) -> None:
+        # Guards against a budget that does not follow from the host.
+        limits = self.load(SETTINGS + "\n[limits]\nmemory-mb = 160\nmax-fds = 1638\n")
+        self.assertEqual((limits.memory_bytes, limits.max_descriptors), (167_772_160, 1_638))
+        self.assertEqual(self.load(SETTINGS).memory_bytes, 268_435_456)
+
     def test_load_refuses_missing_required_fields(self) -> None:
         for name in ("node-name", "zone", "front", "ready", "grace-s", "address", "port-range"):
             lines = [line for line in SETTINGS.splitlines() if not line.startswith(name)]
