--- a/src/boragetiller/errors/__init__.py
+++ b/src/boragetiller/errors/__init__.py
@@ -36,6 +36,7 @@
     ValueTooLarge,
 )
 from boragetiller.errors.refusals import (
+    CallerBudgetExhausted,
     Draining,
     Forbidden,
     HeadersTooLarge,
@@ -55,6 +56,7 @@
 )
 
 __all__ = [
+    "CallerBudgetExhausted",
     "EntryUnreadable",
     "HistoryLost",
     "AgentLost",
--- a/src/boragetiller/event_numbers.py
+++ b/src/boragetiller/event_numbers.py
@@ -95,6 +95,7 @@
     HEDGE_ENDED = 881
     LATENCY_SUMMARY_INVALID = 882
     PLACEMENT_QUERIED = 885
+    CALLER_LIMIT_MET = 870
 
 
 __all__ = ["Event"]
--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -27,7 +27,7 @@
     PeerRouters,
     encode_frame,
 )
-from boragetiller.gateway.peer_reading import read_message
+from boragetiller.gateway.peer_reader import HelloReader, read_message
 from boragetiller.gateway.peer_states import OutboundPeer
 from boragetiller.gateway.settings import Endpoint
 from boragetiller.gateway.state_sync import StoreRevisions
@@ -110,6 +110,7 @@
         self._known_endpoints: set[Endpoint] = set()  # of other routers, connected or not
         self._outbound_peers: dict[Endpoint, OutboundPeer] = {}
         self._report_task: asyncio.Task[None] | None = None
+        self._hello_reader = HelloReader()
         self._inbound_writers: set[asyncio.StreamWriter] = set()
         self.heard_routers = HeardRouters(settings.name)
         self._server: asyncio.Server | None = None
@@ -364,10 +365,12 @@
             writer.transport.abort()
 
     async def _receive(self, reader: asyncio.StreamReader) -> None:
-        hello = await read_message(reader)
+        hello = await self._hello_reader.read(reader)
         if not isinstance(hello, PeerHello) or hello.name == self._settings.name:
             raise BadFrame("first message is not a hello of another router")
         endpoint = Endpoint(hello.address, hello.port)
+        if len(self._inbound_peers) >= MAX_KNOWN_ROUTERS:
+            raise BadFrame("more peers than routers")
         if not endpoint.is_valid:
             raise BadFrame(f"the hello of {hello.name} names the address {endpoint}")
         if hello.usage_only:
--- a/src/boragetiller/gateway/settings.py
+++ b/src/boragetiller/gateway/settings.py
@@ -7,6 +7,9 @@
 from boragetiller.gateway.duties.settings import DutySettings
 from boragetiller.gateway.endpoint import Endpoint
 
+DEFAULT_MEMORY_BYTES = 268_435_456  # where the settings name none; between the hosts in use
+DEFAULT_MAX_DESCRIPTORS = 1_024  # the usual limit of a process
+
 
 @attrs.frozen(kw_only=True)
 class GatewaySettings:
@@ -31,6 +34,8 @@
     retry_slack: float  # additional retries in a window, over all routers
     retry_window_ms: int
     duties: DutySettings | None = None  # None for none
+    memory_bytes: int = DEFAULT_MEMORY_BYTES  # of the host
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS  # that the process may have open
 
 
 __all__ = ["Endpoint", "GatewaySettings"]
--- a/src/boragetiller/systems/overload/__init__.py
+++ b/src/boragetiller/systems/overload/__init__.py
@@ -1,3 +1,3 @@
-"""Decisions under overload and on servers of different speed."""
+"""Decisions of a process, and of routers, under more load than can be taken."""
 
 from __future__ import annotations
