--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -18,6 +18,7 @@
 from boragetiller.systems.windowed_retry_budget import WindowedRetryBudget
 from boragetiller.tables.failure_history import FailureHistory
 from boragetiller.tables.output_lengths import OutputLengths
+from boragetiller.tables.part_uses import PartUseTable
 from boragetiller.tables.peer_loads import PeerLoadTable
 from boragetiller.tables.server_limits import ServerLimitTable
 from boragetiller.tables.server_placement import PlacementCostModel
@@ -60,6 +61,7 @@
         self.peer_loads = PeerLoadTable()
         self.failure_history = FailureHistory()
         self.server_limits = ServerLimitTable()
+        self.part_uses = PartUseTable()
         self._throughputs: dict[str, EngineThroughput] = {}
         self.output_lengths = OutputLengths()
         self.config: RouteConfig | None = None
--- a/src/boragetiller/gateway/placement_query.py
+++ b/src/boragetiller/gateway/placement_query.py
@@ -26,6 +26,7 @@
 )
 from boragetiller.systems.direct_retry_policy import GiveUpReason
 from boragetiller.systems.overload.server_speed import current_work_time
+from boragetiller.systems.overload.shared_part_copies import may_copy_part
 from boragetiller.systems.peer_loads import silent_peers_excluded
 from boragetiller.systems.routing import ROUTE_TIERS
 from boragetiller.tables.direct_attempts import CallProgress
@@ -220,8 +221,11 @@
         return "failed_this_request"
     if server.full_until_ms > now_ms:
         return "full"
-    if all(each.server is not server for each in choice.compared.placements):
+    placement = next((p for p in choice.compared.placements if p.server is server), None)
+    if placement is None:
         return "ejected"
+    if not may_copy_part(placement, choice.request.held_part):
+        return "shared_part_elsewhere"
     if all(each.server is not server for each in choice.list_fitting()):
         return "no_room"
     return None
--- a/src/boragetiller/gateway/server_choice.py
+++ b/src/boragetiller/gateway/server_choice.py
@@ -13,6 +13,7 @@
 from boragetiller.systems.direct_retry_policy import GiveUpReason
 from boragetiller.systems.failure_history import exclude_failed_servers
 from boragetiller.systems.output_lengths import estimate_output_tokens
+from boragetiller.systems.overload.shared_part_copies import find_held_part
 from boragetiller.systems.peer_loads import exclude_silent_peers
 from boragetiller.systems.response_timeouts import compute_caller_event_timeout_ms
 from boragetiller.systems.server_capacity import list_fitting
@@ -198,6 +199,10 @@
         candidates = exclude_failed_servers(
             selected, self._registry.failure_history, call.fingerprint, now_ms
         )
+        prompt = placement_request.prompt
+        if prompt is not None and call.group.name in self._registry.servers.timed_groups:
+            held_part = find_held_part(candidates, prompt, self._registry.part_uses, now_ms)
+            placement_request = attrs.evolve(placement_request, held_part=held_part)
         return ServerChoice(
             group=group,
             exhausted=exhausted,
--- a/src/boragetiller/gateway/server_speeds.py
+++ b/src/boragetiller/gateway/server_speeds.py
@@ -66,6 +66,7 @@
         record_work_time(server.speed, work_time, now_ms, now_ms)
         if self._servers.by_name.get(server.name) is server:
             self._observed[server.name] = server
+            self._servers.timed_groups.add(server.record.group)
             self._recent.add((server.name, work_time, now_ms))
         self.update_ranks()
 
@@ -107,6 +108,7 @@
                 work_time = report.work_percent / 100
                 record_work_time(server.speed, work_time, observed_ms, now_ms, peer)
                 self._observed[server.name] = server
+                self._servers.timed_groups.add(server.record.group)
         self.update_ranks()
 
     def update_ranks(self) -> None:
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -15,6 +15,7 @@
 from boragetiller.store_eras import get_era
 from boragetiller.systems.failure_history import apply_failure, list_crashes
 from boragetiller.systems.overload.committed_memory import record_peer_parts
+from boragetiller.systems.overload.shared_part_copies import record_use
 from boragetiller.systems.part_quarantine import apply_report, list_reports
 from boragetiller.systems.peer_loads import record_report, remove_peer
 from boragetiller.systems.prefix_cache import estimate_cache_tokens, record_prefill
@@ -296,6 +297,7 @@
         self, server: BackendServer, prompt: Prompt, engine: EngineProfile
     ) -> None:
         cache_tokens = estimate_cache_tokens(engine)
+        record_use(self._registry.part_uses, prompt, self._clock.now_ms())
         record_prefill(server, prompt, self._costs, cache_tokens, self._clock.now_ms())
 
 
--- a/src/boragetiller/systems/server_capacity.py
+++ b/src/boragetiller/systems/server_capacity.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.systems.overload.committed_memory import has_memory
+from boragetiller.systems.overload.shared_part_copies import may_copy_part
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -113,6 +114,8 @@
     """
     reserved: list[Placement] = []
     for placement in placements:
+        if not may_copy_part(placement, request.held_part):
+            continue
         if not has_capacity(placement, request, costs):
             continue
         if not has_memory(placement.server, request, costs, now_ms):
@@ -146,7 +149,9 @@
     fitting = [
         each
         for each in placements
-        if has_capacity(each, request, costs) and has_memory(each.server, request, costs, now_ms)
+        if may_copy_part(each, request.held_part)
+        and has_capacity(each, request, costs)
+        and has_memory(each.server, request, costs, now_ms)
     ]
     if all(is_reserved(each.server) for each in fitting):
         return [each for each in fitting if may_use_reserved(each, request, costs)]
--- a/src/boragetiller/tables/server_placement.py
+++ b/src/boragetiller/tables/server_placement.py
@@ -57,6 +57,7 @@
     caller_event_timeout_ms: float  # without an event, after which the caller closes the stream
     typical_output_tokens: float  # of the requests of its route
     memory_tokens: int = 0  # of an engine of the group, 0 for no limit
+    held_part: str | None = None  # shared part that is not copied to busy engines
     is_retry: bool = False  # an earlier attempt has failed
     was_refused: bool = False  # the last attempt, by a server that was full and did not crash
     response_started: bool = False  # part of it was relayed, so capacity limits do not apply
--- a/src/boragetiller/tables/server_table.py
+++ b/src/boragetiller/tables/server_table.py
@@ -20,6 +20,8 @@
     """All registered backend servers."""
 
     by_name: dict[str, BackendServer] = attrs.field(factory=dict)
+    # Groups of which a server has reported a work time; the rules for overload apply to them.
+    timed_groups: set[str] = attrs.field(factory=set)
     _groups: dict[str, GroupServers] = attrs.field(factory=dict, init=False)
 
     def find_accepting(self, group: str) -> GroupServers:
@@ -55,6 +57,7 @@
         self._groups.clear()
         removed = []
         named = {record.name: record for record in records}
+        self.timed_groups &= {record.group for record in named.values()}
         for name, server in list(self.by_name.items()):
             record = named.get(name)
             if record is None or _is_other_incarnation(server.record, record):
