Apply committed memory and the candidates of refused retries only with work times

Cause: both applied to every group of engines, but deployments whose servers state no work time are to be served as before. Change: the request has the memory and the refusal only in a group of which a server has stated a work time. The two tests of calls state one; the first also checks that a group without is served as before.

--- a/src/boragetiller/gateway/server_choice.py
+++ b/src/boragetiller/gateway/server_choice.py
@@ -174,8 +174,11 @@
         group = self._registry.servers.find_accepting(call.group.name)
         costs = self._registry.get_cost_model(call.group.name, self._state_sync.reporting_share)
         now_ms = self._clock.now_ms()
+        engine = call.group.engine
+        # The rules for overload apply to groups whose servers state how long work takes.
+        is_timed = call.group.name in self._registry.servers.timed_groups
         placement_request = ServerPlacementRequest(
-            prompt=call.metadata.prompt if call.group.engine else None,
+            prompt=call.metadata.prompt if engine else None,
             urgency=call.urgency,
             target_ms=max(1.0, call.route.target_ms),
             sensitivity=compute_stream_sensitivity(call.route.gap_target_ms, costs),
@@ -185,9 +188,9 @@
                 call.route.target_ms, call.route.gap_target_ms
             ),
             typical_output_tokens=choice_state.output_lengths.average(call.route.name),
-            memory_tokens=call.group.engine.memory_tokens if call.group.engine else 0,
+            memory_tokens=engine.memory_tokens if engine and is_timed else 0,
             is_retry=state.progress.attempts > 0,
-            was_refused=state.progress.was_refused,
+            was_refused=is_timed and state.progress.was_refused,
             response_started=state.progress.relayed_events > 0,
         )
         exhausted = list_exhausted_servers(choice_state.limits, call.urgency, now_ms)
@@ -200,7 +203,7 @@
             selected, self._registry.failure_history, call.fingerprint, now_ms
         )
         prompt = placement_request.prompt
-        if prompt is not None and call.group.name in self._registry.servers.timed_groups:
+        if prompt is not None and is_timed:
             held_part = find_held_part(candidates, prompt, self._registry.part_uses, now_ms)
             placement_request = attrs.evolve(placement_request, held_part=held_part)
         return ServerChoice(
