--- a/tests/untrusted_callers/crowd.py
+++ b/tests/untrusted_callers/crowd.py
@@ -94,6 +94,12 @@
     yield b"POST /stock/1 HTTP/1.1\r\n"
 
 
+def pipelined_head(target: Target) -> Iterator[bytes]:
+    """:return: a complete request and, in the same write, most of a head within the limit"""
+    lines = b"A:\r\n" * (MAX_HEAD_BYTES // 4 - 196)
+    yield target.head + b"Content-Length: 0\r\n\r\nPOST /stock/1 HTTP/1.1\r\n" + lines
+
+
 def unread_response(target: Target) -> Iterator[bytes]:
     """:return: a request whose response the caller does not read"""
     head = target.head.replace(b"/stock/1 ", b"/stock/large ")
--- a/tests/untrusted_callers/test_platform_router.py
+++ b/tests/untrusted_callers/test_platform_router.py
@@ -24,6 +24,7 @@
     Crowd,
     Target,
     count_descriptors,
+    pipelined_head,
     read_memory_kb,
     receive_status,
     unfinished_head,
@@ -51,8 +52,10 @@
     writer.write(head + echo + seal + b"\r\n" + body)
 
 
-class PlatformRouterTest(unittest.IsolatedAsyncioTestCase):
-    """One router process on loopback, one form of untrusted caller in each test."""
+class RouterProcessTestCase(unittest.IsolatedAsyncioTestCase):
+    """One router process on loopback."""
+
+    max_descriptors = MAX_DESCRIPTORS
 
     async def asyncSetUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -78,7 +81,7 @@
         router.write_settings([])
         path = Path(folder.name) / f"{router.name}.toml"
         text = path.read_text().replace("memory-mb = 300", f"memory-mb = {MEMORY_MB}")
-        path.write_text(text.replace("max-fds = 4100", f"max-fds = {MAX_DESCRIPTORS}"))
+        path.write_text(text.replace("max-fds = 4100", f"max-fds = {self.max_descriptors}"))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             str(ROOT / "platform" / "router.py"),
@@ -110,6 +113,10 @@
                 await asyncio.sleep(CHECK_INTERVAL_S)
         self.assertEqual(await receive_status(self.target, b"{}"), 200)
 
+
+class PlatformRouterTest(RouterProcessTestCase):
+    """One form of untrusted caller in each test."""
+
     async def _check_survives(self, form: str, *, cut_off: bool = False) -> None:
         crowd = Crowd(self.target)
         self.addCleanup(crowd.close)
@@ -160,5 +167,23 @@
         self.assertEqual(status, 200)
 
 
+class PipelinedHeadTest(RouterProcessTestCase):
+    """As many descriptors as the smallest host of a router has, so that many callers fit."""
+
+    max_descriptors = 1_638
+
+    async def test_unfinished_heads_behind_complete_requests_stay_within_memory(self) -> None:
+        # Guards against lines that the parser keeps for a second head, which nothing counts.
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 4 * CONNECTIONS)), hard))
+        crowd = Crowd(self.target)
+        self.addCleanup(crowd.close)
+        await crowd.send(pipelined_head, CONNECTIONS)
+        status = await receive_status(self.target, b"{}")
+        self.assertIsNone(self.process.returncode, "the process ended")
+        self.assertLess(read_memory_kb(self.process.pid, "VmHWM"), MEMORY_MB * 1_024)
+        self.assertEqual(status, 200)
+
+
 if __name__ == "__main__":
     unittest.main()
