--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -240,7 +240,7 @@
                 self.servers_outdated |= self._apply_config(item, source)
             self.servers_outdated |= item.key.startswith(self.dialect.servers_prefix)
         if self.servers_outdated and self.config is not None:
-            self._replace_servers(self.config)
+            self._replace_servers(self.config, source)
             # Not reached after an error, so that the next listing applies the list again.
             self.servers_outdated = False
 
@@ -252,6 +252,14 @@
             log_event(Event.CONFIG_UNREADABLE, reason=str(error))
             return False
         if self.config is not None and config.version <= self.config.version:
+            if config.version < self.config.version:
+                log_event(
+                    Event.CONFIG_VERSION_IGNORED,
+                    version=config.version,
+                    known_version=self.config.version,
+                    revision=get_store_revision(item.revision),
+                    source=source,
+                )
             return False
         self.config = config
         self._throughputs = {
@@ -271,11 +279,11 @@
         )
         return True
 
-    def _replace_servers(self, config: RouteConfig) -> None:
+    def _replace_servers(self, config: RouteConfig, source: str) -> None:
         items = self.store_entries.view.list_entries(self.dialect.servers_prefix)
         readable = [record for item in items if (record := self._read_server(item)) is not None]
         records = [record for record in readable if record.group in config.groups]
-        known = set(self.servers.by_name)
+        known = {server.name: server.record for server in self.servers.by_name.values()}
         removed = self.servers.replace(records, self._clock.now_ms())
         for record in records:
             if record.name not in known:
@@ -287,6 +295,7 @@
                 )
                 if self.on_server_added is not None:
                     self.on_server_added(self.servers.by_name[record.name])
+            self._log_state_change(known.get(record.name), record, source)
         self.metrics.servers.set(len(records))
         self.metrics.unreadable_servers.set(len(items) - len(readable))
         self._list_unreadable = bool(items) and not readable
@@ -299,6 +308,24 @@
             self.record_crash(server.name)
             self._clients.remove(server.name)
 
+    def _log_state_change(
+        self, before: ServerRecord | None, record: ServerRecord, source: str
+    ) -> None:
+        was_draining = before is not None and before.draining
+        if record.draining == was_draining:
+            return
+        item = self.store_entries.view.get_in_force(self.dialect.servers_prefix + record.name)
+        fields = {
+            "server": record.name,
+            "started_ms": record.started_ms,
+            "revision": get_store_revision(item.revision) if item is not None else None,
+            "source": source,
+        }
+        if record.draining:
+            log_event(Event.SERVER_DRAINING, **fields)
+        else:
+            log_event(Event.SERVER_ACCEPTING, **fields)
+
     def _read_server(self, item: StoredItem) -> ServerRecord | None:
         assert item.value is not None
         try:
