--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -198,6 +198,20 @@
         if apply_limit(self.server_limits, server.name, limit_per_s, now_ms, now_ms):
             self.log_limit(server.name, "response")
 
+    def record_leaving(self, name: str, started_ms: int, source: str) -> bool:
+        """
+        Record that an incarnation of a server has said in a response that it leaves.
+
+        :param name: name of the server
+        :param started_ms: wall-clock time of the start of the incarnation
+        :param source: `response`, or the peer that reported it
+        :return: whether it is news
+        """
+        is_new = self.servers.record_leaving(name, started_ms)
+        if is_new:
+            log_event(Event.SERVER_LEAVING, server=name, started_ms=started_ms, source=source)
+        return is_new
+
     def log_limit(self, server: str, source: str) -> None:
         """
         Log a limit that has changed, with this router's share of it.
--- a/src/boragetiller/gateway/peer_reports.py
+++ b/src/boragetiller/gateway/peer_reports.py
@@ -175,7 +175,10 @@
         ],
         "usage": [_build_usage(each) for each in message.usage],
         "hedges": [attrs.asdict(each) for each in message.hedges],
-        "announcements": [attrs.asdict(each) for each in message.announcements],
+        "announcements": [
+            {"server": each.server, "startedMs": each.started_ms, "leaving": each.leaving}
+            for each in message.announcements
+        ],
     }
 
 
@@ -237,7 +240,7 @@
             LatencySummary(route=each.route, sketch=bytes(each.sketch)) for each in report.hedges
         ),
         announcements=tuple(
-            ServerAnnouncement(server=each.server, leaving=each.leaving)
+            ServerAnnouncement(server=each.server, started_ms=each.startedMs, leaving=each.leaving)
             for each in report.announcements
         ),
     )
--- a/src/boragetiller/gateway/peers.capnp
+++ b/src/boragetiller/gateway/peers.capnp
@@ -69,6 +69,7 @@
 struct Announcement {
   server @0 :Text;
   leaving @1 :Bool;
+  startedMs @2 :Int64;  # of the incarnation, as its entry in the list names it
 }
 
 struct Limit {
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -157,6 +157,8 @@
             attempt.server.record_reported_load(reported_requests, self._clock.now_ms())
             if metadata.load.work_time is not None:
                 self._state_sync.speeds.record_response(attempt.server, metadata.load.work_time)
+        if metadata.leaving and metadata.instance in (None, attempt.server.name):
+            self._state_sync.record_leaving(attempt.server)
         if metadata.sealed or metadata.limit_per_s is not None:
             self._registry.record_limit(attempt.server, metadata.limit_per_s)
         if self._state_sync.usage is not None:
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -50,6 +50,7 @@
     part_crashes: int = 0
     limits: int = 0
     removals: int = 0
+    announcements: int = 0
     speeds: int = 0
     latencies: int = 0
     loads: dict[str, ReportedLoad] = attrs.field(factory=dict)  # by server, without idle ones
@@ -134,6 +135,16 @@
         self._record_prompt_prefill(server, prompt, engine)
         self._recent_prompts.add(CachedPrompt(server=server.name, prompt=prompt))
 
+    def record_leaving(self, server: BackendServer) -> None:
+        """
+        Record that a server said in a response to this router that it leaves, and tell the peers.
+
+        :param server: the server
+        """
+        record = server.record
+        if self._registry.record_leaving(record.name, record.started_ms, "response"):
+            self.report_due.set()
+
     def create_cursor(self) -> ReportCursor:
         """:return: cursor of a new connection, which skips earlier prompts and failures"""
         history = self._registry.failure_history
@@ -143,6 +154,7 @@
             history.part_crashes.recent.count,
             self._registry.server_limits.recent.count,
             self._registry.store_entries.recent_removals.count,
+            self._registry.servers.leaving.recent.count,
             self.speeds.count,
             self.latencies.published if self.latencies is not None else 0,
         )
@@ -155,6 +167,7 @@
             failures=list_crashes(history),
             part_crashes=list_reports(history.part_crashes, now_ms),
             limits=list_limits(self._registry.server_limits, now_ms),
+            announcements=self._registry.servers.leaving.list_announcements(),
         )
 
     def build_report(self, cursor: ReportCursor) -> PeerReport:
@@ -168,6 +181,7 @@
         failures = self._registry.failure_history.recent
         part_crashes = self._registry.failure_history.part_crashes.recent
         limits = self._registry.server_limits.recent
+        announcements = self._registry.servers.leaving.recent
         report = PeerReport(
             config_revision=revisions.config,
             servers_revision=revisions.servers,
@@ -178,6 +192,7 @@
             failures=failures.since(cursor.failures),
             part_crashes=part_crashes.since(cursor.part_crashes),
             limits=limits.since(cursor.limits),
+            announcements=announcements.since(cursor.announcements),
             store_reads=self.store_polls.own_polls,
             reaches_store=self.watcher_election.own_store_reachable,
             watches=self.watcher_election.own_store_reachable
@@ -191,6 +206,7 @@
             cursor.latencies = self.latencies.published
         cursor.prompts, cursor.failures = self._recent_prompts.count, failures.count
         cursor.part_crashes, cursor.limits = part_crashes.count, limits.count
+        cursor.announcements = announcements.count
         cursor.speeds = self.speeds.count
         return report
 
@@ -227,6 +243,11 @@
             is_known = limit.server in self._registry.servers.by_name
             if is_known and apply_limit_report(self._registry.server_limits, limit, now_ms):
                 self._registry.log_limit(limit.server, peer)
+        for announcement in report.announcements:
+            if announcement.leaving:
+                self._registry.record_leaving(
+                    announcement.server, announcement.started_ms, f"peer {peer}"
+                )
         if self.latencies is not None:
             self.latencies.apply(peer, report.hedges)
         self.store_polls.record_peer_polls(peer, report.store_reads, now_ms)
--- a/src/boragetiller/tables/call_metadata.py
+++ b/src/boragetiller/tables/call_metadata.py
@@ -86,6 +86,7 @@
     sealed: bool  # has the backend server's response seal
     encoded: bool  # has a content coding, so the body is not as the server wrote it
     load: ServerLoad | None
+    leaving: bool  # the backend server states that it is leaving
     limit_per_s: float | None  # requests that the server takes from all routers together
     idle_timeout_s: int | None  # after which the server closes an idle connection
 
--- a/src/boragetiller/tables/report_entries.py
+++ b/src/boragetiller/tables/report_entries.py
@@ -46,6 +46,7 @@
     """What an incarnation of a backend server has said of itself."""
 
     server: str
+    started_ms: int  # wall-clock time of its start, which tells incarnations apart
     leaving: bool
 
 
--- a/src/boragetiller/tables/server_table.py
+++ b/src/boragetiller/tables/server_table.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from boragetiller.tables.leaving_servers import LeavingServers
 from boragetiller.tables.server_groups import GroupServers
 from boragetiller.tables.servers import BackendServer
 
@@ -22,6 +23,7 @@
     by_name: dict[str, BackendServer] = attrs.field(factory=dict)
     # Groups of which a server has reported a work time; the rules for overload apply to them.
     timed_groups: set[str] = attrs.field(factory=set)
+    leaving: LeavingServers = attrs.field(factory=LeavingServers)
     _groups: dict[str, GroupServers] = attrs.field(factory=dict, init=False)
 
     def find_accepting(self, group: str) -> GroupServers:
@@ -29,14 +31,35 @@
         Return the servers of a group that accept new requests.
 
         :param group: name of the backend group
-        :return: servers that are registered and not draining
+        :return: servers that are registered, not draining, and have not said that they leave
         """
         if group not in self._groups:
             servers = self.by_name.values()
-            found = [s for s in servers if s.record.group == group and not s.record.draining]
+            found = [
+                server
+                for server in servers
+                if server.record.group == group
+                and not server.record.draining
+                and server.record not in self.leaving
+            ]
             self._groups[group] = GroupServers.build(found)
         return self._groups[group]
 
+    def record_leaving(self, name: str, started_ms: int) -> bool:
+        """
+        Record that an incarnation of a server has said that it leaves; nothing takes this back.
+
+        :param name: name of the server, which need not be registered yet
+        :param started_ms: wall-clock time of the start of the incarnation
+        :return: whether it is news
+        """
+        if not started_ms and name not in self.by_name:
+            return False  # nothing would tell it from a later incarnation
+        is_new = self.leaving.add(name, started_ms)
+        if is_new:
+            self._groups.clear()
+        return is_new
+
     def update_ranks(self, group: str) -> None:
         """
         Rank the servers of a group again after their speed has changed.
@@ -62,6 +85,8 @@
             record = named.get(name)
             if record is None or _is_other_incarnation(server.record, record):
                 removed.append(self.by_name.pop(name))
+                if not server.record.started_ms:  # its successor has the same name and no time
+                    self.leaving.remove(server.record)
         for name, record in named.items():
             known = self.by_name.get(name)
             if known is None:
--- a/tests/gateway/test_leaving_servers.py
+++ b/tests/gateway/test_leaving_servers.py
@@ -136,6 +136,18 @@
         self.register_again("a", born=2)
         await wait_until(lambda: "a" in list_accepting(self.routers[0]))
 
+    async def test_relisted_server_without_a_start_time_is_used_again(self) -> None:
+        self.register_again("a")
+        registry = self.routers[0].router.registry
+        await wait_until(lambda: not registry.servers.by_name["a"].record.started_ms)
+        self.routers[0].router.state_sync.record_leaving(registry.servers.by_name["a"])
+        await self.wait_until_avoided(self.routers[0], "a")
+        for store in self.stores:
+            store.remove("servers/a")
+        await wait_until(lambda: "a" not in registry.servers.by_name)
+        self.register_again("a")
+        await wait_until(lambda: "a" in list_accepting(self.routers[0]))
+
     async def test_group_whose_servers_all_leave_refuses_truly(self) -> None:
         for server in self.servers.values():
             server.leaving = True
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -29,6 +29,7 @@
 from boragetiller.systems.failure_history import exclude_failed_servers, record_error
 from boragetiller.tables.call_metadata import Prompt, PromptPart
 from boragetiller.tables.failure_history import FailureKind, RequestFailure
+from boragetiller.tables.report_entries import ServerAnnouncement
 from boragetiller.tables.server_limits import LimitReport
 from boragetiller.tables.store_view import EntryVersion, StoredItem
 from tests.gateway.harness import FakeStore, RouterHarness, build_config, wait_until
@@ -274,6 +275,7 @@
                 prompts=(CachedPrompt(server="a", prompt=PROMPT),),
                 failures=(RequestFailure(b"f" * 12, "a", FailureKind.CRASH),),
                 store_reads=3,
+                announcements=(ServerAnnouncement(server="a", started_ms=1_700, leaving=True),),
             ),
             PeerRouters((Endpoint("10.0.0.1", 80), Endpoint("10.0.0.2", 81))),
             PeerReport(
