--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -6,6 +6,7 @@
 import unittest
 from unittest.mock import patch
 
+import attrs
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -47,6 +48,7 @@
         )
         await engine.start()
         self.addAsyncCleanup(engine.close)
+        self.engine = engine
         first = RouterHarness(name="router-1")
         first.store.register("a", engine, "shop")
         first.store.register("e", engine, "engines")
@@ -86,6 +88,33 @@
         first.store.remove("servers/a")
         await wait_until(lambda: "a" not in second.router.registry.servers.by_name)
 
+    async def test_change_that_a_router_missed_reaches_it_though_it_knows_a_later_one(self) -> None:
+        first, second = await self.start_pair(FakeStore())
+        await wait_until(lambda: "a" in second.router.registry.servers.by_name)
+        second.store.down = True
+        store = first.store
+        later = attrs.evolve(store.items["servers/e"], revision=store.revision + 2)
+        second.router.state_sync.apply_items((later,), "watch")
+        engine = self.engine
+        store.register("a", engine, "shop", state="draining")
+        store.register("e", engine, "engines")
+        servers = second.router.registry.servers
+        await wait_until(lambda: servers.by_name["a"].record.draining)
+
+    async def test_configuration_that_a_router_missed_reaches_it_though_it_knows_a_later_key(
+        self,
+    ) -> None:
+        first, second = await self.start_pair(FakeStore())
+        await wait_until(lambda: second.router.registry.config is not None)
+        second.store.down = True
+        store = first.store
+        note = StoredItem("op/config.note", b"{}", store.revision + 2)
+        second.router.state_sync.apply_items((note,), "watch")
+        store.put("op/config", build_config(2))
+        store.put("op/config.note", b"{}")
+        registry = second.router.registry
+        await wait_until(lambda: registry.config is not None and registry.config.version == 2)
+
     async def test_older_configuration_of_a_peer_is_ignored(self) -> None:
         store = FakeStore()
         store.put("op/config", build_config(9))
