--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -52,7 +52,8 @@
 CONNECT_TIMEOUT_MS = 1_000
 RECONNECT_DELAY_MS = 1_000
 RESEND_DELAY_MS = 300  # a peer that watches the store gets missing entries only after this lag
-RESEND_TURNS = 8  # of the peers that send the list to a router that missed a restore
+RESEND_TURNS = 8  # of the peers that send the list to a router that missed changes
+RESEND_ALL_INTERVAL_MS = 1_000  # bounds what two routers send that never agree
 LOST_ITEMS_DELAY_MS = 300  # after a change of an era, in which entries arrive one by one
 MAX_BUFFER_BYTES = 2_000_000  # of unsent data, after which a slow peer is disconnected
 MAX_KNOWN_ROUTERS = 1_024  # more than twice the planned size of the fleet
@@ -68,6 +69,7 @@
     endpoint: Endpoint
     revisions: StoreRevisions = StoreRevisions(0, 0)
     behind_since_ms: int | None = None
+    differs_since_ms: int | None = None  # with the same revisions, but other entries
     watches: bool = False  # whether it watches the list of backend servers in the store itself
     servers_sent_ms: int = -RESEND_DELAY_MS  # when changes of it were last sent without delay
 
@@ -300,7 +302,10 @@
     def _send_missing_items(self, writer: asyncio.StreamWriter) -> None:
         """Send store entries that the peer lacks according to its own reports."""
         peer = self._find_peer(writer.get_extra_info("peername"))
-        if peer is None or peer.behind_since_ms is None:
+        if peer is None:
+            return
+        self._resend_all_items(peer, writer)
+        if peer.behind_since_ms is None:
             return
         now_ms = self._clock.now_ms()
         peer_revisions = peer.revisions
@@ -317,9 +322,19 @@
             peer.behind_since_ms = now_ms
         self._send_items(writer, self._state_sync.list_items_newer_than(peer_revisions))
 
+    def _resend_all_items(self, peer: InboundPeer, writer: asyncio.StreamWriter) -> None:
+        """Send all entries to a peer that knows the same revisions and other entries for long."""
+        if peer.differs_since_ms is None:
+            return
+        now_ms = self._clock.now_ms()
+        delay_ms = RESEND_DELAY_MS + self._get_resend_turn_ms(peer)
+        if now_ms - peer.differs_since_ms >= delay_ms:
+            peer.differs_since_ms = now_ms + RESEND_ALL_INTERVAL_MS
+            self._send_items(writer, self._state_sync.list_items_newer_than(StoreRevisions(0, 0)))
+
     def _get_resend_turn_ms(self, peer: InboundPeer) -> int:
         """
-        Get the delay of this router's turn to send the list to a peer that missed a restore.
+        Get the delay of this router's turn to send the list to a peer that missed changes.
 
         A turn takes two report intervals, in which the peer reports that it has the list.
 
@@ -417,9 +432,16 @@
                     self._add_endpoint(endpoint)
 
     def _update_revisions(self, peer: InboundPeer, report: PeerReport) -> None:
-        peer.revisions = StoreRevisions(report.config_revision, report.servers_revision)
+        peer.revisions = StoreRevisions(
+            report.config_revision, report.servers_revision, report.entries_digest
+        )
         peer.watches = report.watches
-        if not self._state_sync.get_revisions().is_newer_than(peer.revisions):
+        own_revisions = self._state_sync.get_revisions()
+        if not own_revisions.knows_other_entries_than(peer.revisions):
+            peer.differs_since_ms = None
+        elif peer.differs_since_ms is None:
+            peer.differs_since_ms = self._clock.now_ms()
+        if not own_revisions.is_newer_than(peer.revisions):
             peer.behind_since_ms = None
         elif peer.behind_since_ms is None:
             peer.behind_since_ms = self._clock.now_ms()
--- a/src/boragetiller/gateway/peer_reports.py
+++ b/src/boragetiller/gateway/peer_reports.py
@@ -58,6 +58,7 @@
     usage: tuple[UsageCounts, ...] = ()
     hedges: tuple[LatencySummary, ...] = ()
     announcements: tuple[ServerAnnouncement, ...] = ()
+    entries_digest: int = 0  # of the store entries that the sender knows; see StoreView
 
     def differs_from(self, last: PeerReport | None) -> bool:
         """
@@ -70,10 +71,11 @@
             return True
         return self._store_state() != last._store_state()  # noqa: SLF001
 
-    def _store_state(self) -> tuple[int, int, int, bool, bool]:
+    def _store_state(self) -> tuple[int, int, int, int, bool, bool]:
         return (
             self.config_revision,
             self.servers_revision,
+            self.entries_digest,
             self.store_reads,
             self.reaches_store,
             self.watches,
@@ -166,6 +168,7 @@
             }
             for limit in message.limits
         ],
+        "entriesDigest": message.entries_digest,
         "storeReads": message.store_reads,
         "reachesStore": message.reaches_store,
         "watches": message.watches,
@@ -228,6 +231,7 @@
         failures=tuple(_read_failure(failure) for failure in report.failures),
         part_crashes=tuple(_read_part_crash(crash) for crash in report.partCrashes),
         limits=tuple(_read_limit(limit) for limit in report.limits),
+        entries_digest=report.entriesDigest,
         store_reads=report.storeReads,
         reaches_store=report.reachesStore,
         watches=report.watches,
--- a/src/boragetiller/gateway/peers.capnp
+++ b/src/boragetiller/gateway/peers.capnp
@@ -40,6 +40,7 @@
   usage @13 :List(UsageCounts);
   hedges @14 :List(LatencySummary);
   announcements @15 :List(Announcement);
+  entriesDigest @16 :UInt64;  # of the known configuration and servers; 0 from older routers
 }
 
 struct ServerSpeed {
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -92,7 +92,9 @@
         dialect = self._registry.dialect
         view = self._registry.store_entries.view
         return StoreRevisions(
-            view.newest_revision(dialect.config_key), view.newest_revision(dialect.servers_prefix)
+            view.newest_revision(dialect.config_key),
+            view.newest_revision(dialect.servers_prefix),
+            view.digest,
         )
 
     def get_eras(self) -> tuple[int, int]:
@@ -185,6 +187,7 @@
         report = PeerReport(
             config_revision=revisions.config,
             servers_revision=revisions.servers,
+            entries_digest=revisions.digest,
             loads=list_changed_loads(
                 self._registry.servers.by_name.values(), cursor.loads, self._clock.now_ms()
             ),
--- a/src/boragetiller/gateway/store_revisions.py
+++ b/src/boragetiller/gateway/store_revisions.py
@@ -13,11 +13,18 @@
 
     config: int
     servers: int
+    digest: int = 0  # of all known entries; 0 if it is not known
 
     def is_newer_than(self, other: StoreRevisions) -> bool:
         """:return: whether either revision is higher than the other's"""
         return is_newer(self.config, other.config) or is_newer(self.servers, other.servers)
 
+    def knows_other_entries_than(self, other: StoreRevisions) -> bool:
+        """:return: whether one of two routers with the same revisions has missed a change"""
+        if not self.digest or not other.digest or self.digest == other.digest:
+            return False
+        return not self.is_newer_than(other) and not other.is_newer_than(self)
+
     def is_eras_ahead_of(self, other: StoreRevisions) -> bool:
         """:return: whether the other router has missed a restore of the store"""
         pairs = ((self.config, other.config), (self.servers, other.servers))
--- a/src/boragetiller/tables/store_view.py
+++ b/src/boragetiller/tables/store_view.py
@@ -7,7 +7,8 @@
 
 import attrs
 
-from boragetiller.store_eras import get_era
+from boragetiller.hashing import stable_hash
+from boragetiller.store_eras import get_era, get_store_revision
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -45,6 +46,9 @@
     read_version: Callable[[str, bytes], EntryVersion | None]
     items: dict[str, StoredItem] = attrs.field(factory=dict)
     retained: dict[str, StoredItem] = attrs.field(factory=dict)  # in force instead of `items`
+    # Hash of the keys and revisions of all existing entries, in any order. Equal highest revisions
+    # do not show that two views hold the same changes, equal digests do.
+    digest: int = 0
 
     def apply(self, items: Iterable[StoredItem]) -> list[StoredItem]:
         """
@@ -149,9 +153,9 @@
     def _apply_item(self, item: StoredItem, in_force: StoredItem | None) -> None:
         newest = self.items.get(item.key)
         if newest is None or in_force is None:
-            self.items[item.key] = item
+            self._replace_newest(newest, item)
         elif item.revision > newest.revision:
-            self.items[item.key] = self._add_removed_version(item, in_force)
+            self._replace_newest(newest, self._add_removed_version(item, in_force))
             if self._is_newer_version(in_force, item):
                 self.retained[item.key] = in_force
             else:
@@ -161,6 +165,10 @@
         ):
             self.retained[item.key] = item
 
+    def _replace_newest(self, newest: StoredItem | None, item: StoredItem) -> None:
+        self.items[item.key] = item
+        self.digest ^= _hash_entry(newest) ^ _hash_entry(item)
+
     def _add_removed_version(self, item: StoredItem, removed: StoredItem) -> StoredItem:
         if item.value is not None or item.removed_version is not None:
             return item
@@ -181,4 +189,11 @@
         return self.read_version(item.key, item.value)
 
 
+def _hash_entry(item: StoredItem | None) -> int:
+    """:return: hash of an entry; 0 without one, since routers keep tombstones of different age"""
+    if item is None or item.value is None:
+        return 0
+    return stable_hash(item.key, str(get_store_revision(item.revision)))
+
+
 __all__ = ["EntryVersion", "StoreView", "StoredItem"]
