--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -309,7 +309,9 @@
                 )
                 if self.on_server_added is not None:
                     self.on_server_added(self.servers.by_name[record.name])
-            self._log_state_change(known.get(record.name), record, source)
+            self._log_state_change(
+                known.get(record.name), self.servers.by_name[record.name].record, source
+            )
         self.metrics.servers.set(len(records))
         self.metrics.unreadable_servers.set(len(items) - len(readable))
         self._list_unreadable = bool(items) and not readable
--- a/src/boragetiller/tables/server_table.py
+++ b/src/boragetiller/tables/server_table.py
@@ -92,10 +92,18 @@
             if known is None:
                 self.by_name[name] = BackendServer(record, joined_ms=now_ms)
             else:
-                known.record = record
+                known.record = _keep_draining(known.record, record)
         return removed
 
 
+def _keep_draining(old: ServerRecord, new: ServerRecord) -> ServerRecord:
+    """Keep a server draining if the store applied an older entry of its incarnation later."""
+    is_older = old.started_ms > 0 and new.sequence <= old.sequence
+    if is_older and old.draining and not new.draining:
+        return old
+    return new
+
+
 def _is_other_incarnation(old: ServerRecord, new: ServerRecord) -> bool:
     return (old.started_ms, old.address, old.group) != (new.started_ms, new.address, new.group)
 
--- a/tests/gateway/test_store_watcher.py
+++ b/tests/gateway/test_store_watcher.py
@@ -113,6 +113,17 @@
             self.assertEqual(response.status, 503)
         self.assertFalse(self.engine.requests)
 
+    async def test_delayed_older_entry_does_not_bring_a_draining_server_back(self) -> None:
+        self.store.register("a", self.engine, "shop", born=12, seq=8, state="draining")
+        await wait_until(lambda: not self.registry.servers.find_accepting("shop").servers)
+        self.store.register("a", self.engine, "shop", born=12, seq=7)
+        revision = self.store.revision
+        view = self.registry.store_entries.view
+        await wait_until(lambda: view.items["servers/a"].revision == revision)
+        self.assertFalse(self.registry.servers.find_accepting("shop").servers)
+        self.store.register("a", self.engine, "shop", born=12, seq=9)
+        await wait_until(lambda: self.registry.servers.find_accepting("shop").servers)
+
     async def test_server_that_changes_its_group_leaves_the_old_one(self) -> None:
         self.store.register("a", self.engine, "engines")
         await wait_until(lambda: not self.registry.servers.find_accepting("shop").servers)
