--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -306,6 +306,7 @@
                     server=record.name,
                     group=record.group,
                     failure_domain=record.failure_domain,
+                    software_version=record.software_version,
                 )
                 if self.on_server_added is not None:
                     self.on_server_added(self.servers.by_name[record.name])
--- a/src/boragetiller/gateway/call_telemetry.py
+++ b/src/boragetiller/gateway/call_telemetry.py
@@ -58,6 +58,8 @@
             route=call.route.name,
             urgency=call.urgency,
             server=placement.server.name,
+            software_version=placement.server.record.software_version,
+            resumes=call.metadata.resumed_request_id,
             cost_ms=round(placement.cost_ms),
             first_event_ms=round(placement.first_event_ms),
             new_tokens=placement.new_tokens,
--- a/src/boragetiller/tables/call_metadata.py
+++ b/src/boragetiller/tables/call_metadata.py
@@ -51,6 +51,8 @@
     key: str | None
     prompt: Prompt | None
     last_event_id: str | None  # set if the caller resumes a stream
+    # Request of the caller that brought the first event of the resumed stream, None if not named.
+    resumed_request_id: str | None = None
     length_hint_tokens: float | None = None  # the caller's estimate of the output length
 
 
--- a/src/boragetiller/tables/servers.py
+++ b/src/boragetiller/tables/servers.py
@@ -27,6 +27,7 @@
     slots: int
     draining: bool
     started_ms: int  # wall-clock time of its start since the epoch, 0 if not given
+    software_version: str = ""  # what two versions write does not fit together
     sequence: int = 0  # rises with each entry that the incarnation writes
     warm_up_left_ms: float  # how long the server will remain slow after its start
 
