--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -16,6 +16,13 @@
 from boragetiller.gateway.settings import Endpoint, GatewaySettings
 from boragetiller.store_eras import StoreEraTracker
 from boragetiller.tables.store_view import StoredItem
+from boragetiller.tables.store_writes import (
+    NO_REVISION,
+    CommitResult,
+    CommitStatus,
+    StoreLease,
+    Transaction,
+)
 from dialect import PlatformDialect
 
 if TYPE_CHECKING:
@@ -96,6 +103,7 @@
         self.watches_stalled = False  # watches return no changes
         self.compacted_at = 0  # revision up to which the history is compacted
         self.calls: list[str] = []
+        self.granted_ttls_ms: list[int] = []  # of leases, which never end here
         self._changed = asyncio.Event()
 
     def put(self, key: str, document: Any) -> None:
@@ -147,7 +155,37 @@
 
     async def get_key(self, key: str) -> Listing:
         """See :class:`StoreClient`."""
-        return await self.list_prefix(key)
+        self.calls.append("read")
+        self._check_reachable()
+        found = [self.items[key]] if key in self.items else []
+        return Listing(items=found, revision=self.revision)
+
+    async def grant_lease(self, ttl_ms: int) -> StoreLease:
+        """See :class:`LeaseStore`."""
+        self.calls.append("grant")
+        self._check_reachable()
+        self.granted_ttls_ms.append(ttl_ms)
+        return StoreLease(lease_id=len(self.granted_ttls_ms), ttl_ms=ttl_ms, era=0)
+
+    async def renew_lease(self, lease: StoreLease) -> StoreLease | None:
+        """See :class:`LeaseStore`."""
+        raise NotImplementedError
+
+    async def end_lease(self, lease: StoreLease) -> None:
+        """See :class:`LeaseStore`."""
+        raise NotImplementedError
+
+    async def commit(self, transaction: Transaction) -> CommitResult:
+        """See :class:`LeaseStore`."""
+        self.calls.append("commit")
+        self._check_reachable()
+        for condition in transaction.expected:
+            item = self.items.get(condition.key)
+            if (item.revision if item else NO_REVISION) != condition.revision:
+                return CommitResult(status=CommitStatus.CONFLICT)
+        for write in transaction.writes:
+            self._append_item(StoredItem(write.key, write.value, self.revision + 1))
+        return CommitResult(status=CommitStatus.COMMITTED, revision=self.revision)
 
     async def watch_prefix(self, prefix: str, after_revision: int, wait_ms: int) -> Listing:
         """See :class:`StoreClient`."""
