--- a/src/boragetiller/gateway/admitted_call.py
+++ b/src/boragetiller/gateway/admitted_call.py
@@ -76,7 +76,9 @@
     """
     route = find_route(config, metadata.host, raw_path.partition("?")[0])
     customer = find_customer(config, route, metadata.key)
-    group = config.groups.get(choose_group(route, metadata.request_id))
+    # A resumed stream goes to the group that began it also where a route is split by weights.
+    group_key = metadata.resumed_request_id or metadata.request_id
+    group = config.groups.get(choose_group(route, group_key))
     if group is None:
         raise NotFound("the route's backend group does not exist")
     return AdmittedCall(
--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -23,6 +23,7 @@
 from boragetiller.tables.server_limits import ServerLimitTable
 from boragetiller.tables.server_placement import PlacementCostModel
 from boragetiller.tables.server_table import ServerTable
+from boragetiller.tables.stream_versions import StreamVersionTable, VersionHistory
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -62,11 +63,14 @@
         self.failure_history = FailureHistory()
         self.server_limits = ServerLimitTable()
         self.part_uses = PartUseTable()
+        self.stream_versions = StreamVersionTable()
+        self.version_history = VersionHistory()
         self._throughputs: dict[str, EngineThroughput] = {}
         self.output_lengths = OutputLengths()
         self.config: RouteConfig | None = None
         self.config_applied_ms = 0  # monotonic time since which the configuration is in force
         self.on_server_added: Callable[[BackendServer], None] | None = None
+        self.on_servers_changed: Callable[[], None] | None = None
         self.on_crash_recorded: Callable[[], None] | None = None
         self.servers_listed = False  # whether the list of servers was ever received
         self.servers_outdated = False  # whether the newest list is still to be applied
@@ -212,6 +216,34 @@
             log_event(Event.SERVER_LEAVING, server=name, started_ms=started_ms, source=source)
         return is_new
 
+    def list_resumable_groups(self) -> set[str]:
+        """:return: names of the groups with streams that callers may take up again"""
+        routes = self.config.routes if self.config is not None else ()
+        weighted = [route.weighted_groups for route in routes if route.resumable]
+        return {each.group for groups in weighted for each in groups}
+
+    def list_recent_versions(self, group: str) -> frozenset[str]:
+        """
+        List the software versions that may have begun a stream which is still resumed.
+
+        :param group: name of the backend group
+        :return: versions of the servers that are registered, or were lately
+        """
+        now_ms = self._clock.now_ms()
+        for version in self.servers.find_versions(group):
+            self.version_history.observe(group, version, now_ms)
+        return self.version_history.list_recent(group, now_ms)
+
+    def observe_stored_version(self, group: str, version: str) -> None:
+        """
+        Take note of a version that served a group before this router knew the group.
+
+        :param group: name of the backend group
+        :param version: software version
+        """
+        if not self.version_history.has_ever_seen(group, version):
+            self.version_history.observe(group, version, self._clock.now_ms())
+
     def log_limit(self, server: str, source: str) -> None:
         """
         Log a limit that has changed, with this router's share of it.
@@ -298,6 +330,8 @@
         readable = [record for item in items if (record := self._read_server(item)) is not None]
         records = [record for record in readable if record.group in config.groups]
         known = {server.name: server.record for server in self.servers.by_name.values()}
+        for group in {record.group for record in known.values()}:
+            self.list_recent_versions(group)  # of servers that may be removed now
         removed = self.servers.replace(records, self._clock.now_ms())
         for record in records:
             if record.name not in known:
@@ -319,6 +353,8 @@
         listed = {item.key for item in items}
         for key in self._unreadable_revisions.keys() - listed:
             del self._unreadable_revisions[key]
+        if self.on_servers_changed is not None:
+            self.on_servers_changed()
         retain_servers(self.server_limits, self.servers.by_name)
         for server in removed:
             log_event(Event.SERVER_GONE, server=server.name, in_flight=server.in_flight)
--- a/src/boragetiller/gateway/call_state.py
+++ b/src/boragetiller/gateway/call_state.py
@@ -24,6 +24,16 @@
     stream: StreamState | None  # None for a buffered response
     tried_servers: set[str] = attrs.field(factory=set)  # names of servers that it was sent to
 
+    @property
+    def software_version(self) -> str | None:
+        """:return: version that the stream is bound to, None before its first event"""
+        return self.stream.software_version if self.stream is not None else None
+
+    @property
+    def resumes_stream(self) -> bool:
+        """:return: whether the caller takes up a stream of which it has events already"""
+        return self.call.route.resumable and self.call.metadata.last_event_id is not None
+
 
 def create_call_state(call: AdmittedCall, request: web.BaseRequest) -> CallState:
     """
--- a/src/boragetiller/gateway/daemon.py
+++ b/src/boragetiller/gateway/daemon.py
@@ -20,7 +20,7 @@
     from socket import socket
 
     from boragetiller.gateway.duties.settings import DutySettings
-    from boragetiller.gateway.duty_interface import DutyClients
+    from boragetiller.gateway.duty_interface import DutyClients, LeaseStore
     from boragetiller.gateway.platform_interface import Dialect, StoreClient
     from boragetiller.gateway.policy_file import Policy
     from boragetiller.gateway.settings import Endpoint, GatewaySettings
@@ -32,6 +32,7 @@
     policy: Policy,
     dialect: Dialect,
     open_store: Callable[[Endpoint], StoreClient],
+    open_lease_store: Callable[[StoreClient], LeaseStore],
     open_duty_clients: Callable[[StoreClient, DutySettings], DutyClients],
     caller_socket: socket,
 ) -> int:
@@ -43,6 +44,7 @@
     :param policy: settings of the policy file
     :param dialect: header names and data formats of the platform
     :param open_store: creates the client of the platform's store
+    :param open_lease_store: creates the client that writes to the store
     :param open_duty_clients: creates the clients that duties need; called only with duties
     :param caller_socket: socket that listens for connections of callers
     :return: exit code
@@ -53,7 +55,9 @@
         loop.add_signal_handler(number, stop.set)
     store = open_store(settings.store)
     duties = None if settings.duties is None else open_duty_clients(store, settings.duties)
-    process = GatewayProcess(settings, dialect, store, caller_socket, duties, policy)
+    process = GatewayProcess(
+        settings, dialect, store, caller_socket, duties, open_lease_store(store), policy
+    )
     sink = LogSink(
         sys.stdout.fileno(), settings.name, SystemClock().now_ms, process.metrics.count_dropped_line
     )
--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -23,6 +23,7 @@
     record_attempt,
 )
 from boragetiller.systems.response_timeouts import compute_hedge_delay_ms
+from boragetiller.systems.stream_resumption import UnknownVersion
 from boragetiller.tables.direct_attempts import DirectAttemptOutcome
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
     from boragetiller.gateway.platform_interface import Dialect
     from boragetiller.gateway.server_choice import ServerChooser
     from boragetiller.gateway.state_sync import StateSync
+    from boragetiller.gateway.streams.stream_versions import StreamVersions
     from boragetiller.tables.direct_attempts import CompleteResponse, DirectAttemptResult
     from boragetiller.tables.hedging import HedgingSettings
     from boragetiller.tables.server_placement import Placement
@@ -50,6 +52,7 @@
         registry: BackendRegistry,
         state_sync: StateSync,
         dialect: Dialect,
+        stream_versions: StreamVersions,
         clock: Clock,
         metrics: GatewayMetrics,
     ) -> None:
@@ -60,6 +63,7 @@
         :param registry: backend servers and route configuration
         :param state_sync: state shared with peers; records prompts that are sent
         :param dialect: header names and data formats of the platform
+        :param stream_versions: keeps streams at the software version that began them
         :param clock: monotonic clock
         :param metrics: counters
         """
@@ -68,7 +72,8 @@
         self._telemetry = CallTelemetry(metrics, clock)
         self._recorder = AttemptRecorder(registry, self._telemetry, clock)
         self._retry_after = RetryAfter(registry, clock)
-        self._sender = CallSender(registry, state_sync, dialect, clock)
+        self._stream_versions = stream_versions
+        self._sender = CallSender(registry, state_sync, dialect, stream_versions, clock)
         self._chooser = chooser
         self._clock = clock
         self._hedging: HedgeController | None = None
@@ -117,6 +122,11 @@
             return self._fail_quarantined(state)
         self._registry.get_retry_budget(call.group.name).record_request(self._clock.now_ms())
         self._chooser.record_arrival(call, self._chooser.state)
+        if state.stream is not None and state.resumes_stream:
+            found = await self._stream_versions.find(call)
+            if isinstance(found, UnknownVersion):
+                return self._fail_unknown_version(state, found)
+            state.stream.software_version = found.version
         while True:
             placement = self._chooser.choose(state)
             if placement is None:
@@ -206,7 +216,7 @@
         progress = state.progress
         if progress.server_error is not None and not progress.relayed_events:
             return await self._return_response(state, progress.server_error)
-        refusal = self._chooser.find_refusal(state.call)
+        refusal = self._chooser.find_refusal(state)
         decision = GiveUp(refusal.reason, DirectAttemptOutcome.FULL, progress.verdict)
         return self._fail(state, None, decision, refusal.detail)
 
@@ -219,6 +229,15 @@
         )
         return self._fail(state, None, quarantined, detail)
 
+    def _fail_unknown_version(
+        self, state: CallState, unknown: UnknownVersion
+    ) -> web.StreamResponse:
+        decision = GiveUp(
+            GiveUpReason.UNKNOWN_VERSION, DirectAttemptOutcome.FULL, state.progress.verdict
+        )
+        detail = f"the software version that began the stream: {unknown.reason.value}"
+        return self._fail(state, None, decision, detail)
+
     def _fail(
         self, state: CallState, placement: Placement | None, decision: GiveUp, detail: str
     ) -> web.StreamResponse:
--- a/src/boragetiller/gateway/hedge_race.py
+++ b/src/boragetiller/gateway/hedge_race.py
@@ -163,7 +163,13 @@
     def _adopt_stream(self, attempt: RacingAttempt) -> None:
         if self._stream is None or attempt.stream is None:
             return
-        for name in ("last_event_id", "first_event_ms", "last_event_ms", "longest_gap_ms"):
+        for name in (
+            "last_event_id",
+            "software_version",
+            "first_event_ms",
+            "last_event_ms",
+            "longest_gap_ms",
+        ):
             setattr(self._stream, name, getattr(attempt.stream, name))
         self._stream.complete = attempt.stream.complete
 
--- a/src/boragetiller/gateway/placement_query.py
+++ b/src/boragetiller/gateway/placement_query.py
@@ -161,7 +161,7 @@
             answer = self._describe_choice(answer, call, choice)
             if choice.placement is not None:
                 return answer
-            refusal = self._chooser.find_refusal(call)
+            refusal = self._chooser.find_refusal(state)
         return attrs.evolve(
             answer,
             outcome="refused",
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -27,6 +27,7 @@
 from boragetiller.gateway.server_choice import ServerChooser
 from boragetiller.gateway.state_sync import StateSync
 from boragetiller.gateway.store_watcher import StoreWatcher
+from boragetiller.gateway.streams.stream_versions import StreamVersions
 from boragetiller.installation.build_info import get_build_info
 from boragetiller.process_start import log_process_started
 from boragetiller.systems.overload.caller_budget import derive_limits
@@ -37,7 +38,7 @@
     from collections.abc import Awaitable, Callable
     from socket import socket
 
-    from boragetiller.gateway.duty_interface import DutyClients
+    from boragetiller.gateway.duty_interface import DutyClients, LeaseStore
     from boragetiller.gateway.placement_query import PlacementQueries
     from boragetiller.gateway.platform_interface import Dialect, StoreClient
     from boragetiller.gateway.policy_file import Policy
@@ -61,6 +62,7 @@
         store: StoreClient,
         caller_socket: socket | None = None,
         duty_clients: DutyClients | None = None,
+        lease_store: LeaseStore | None = None,
         policy: Policy | None = None,
     ) -> None:
         """
@@ -71,6 +73,7 @@
         :param store: the platform's store
         :param caller_socket: listening socket for callers, None to open one
         :param duty_clients: clients that duties need, None without duties
+        :param lease_store: the platform's store for writes, None to write nothing but duties
         :param policy: settings of the policy file, None for none
         """
         self._settings = settings
@@ -86,8 +89,17 @@
         self.state_sync.usage = self._usage = build_usage_counter(settings, self.metrics)
         rng = random.Random(settings.name)
         chooser = ServerChooser(settings, self.registry, self.state_sync, clock, rng)
+        self._stream_versions = StreamVersions(
+            self.registry, self.state_sync, lease_store, clock, self.metrics
+        )
         self._dispatcher = CallDispatcher(
-            chooser, self.registry, self.state_sync, dialect, clock, self.metrics
+            chooser,
+            self.registry,
+            self.state_sync,
+            dialect,
+            self._stream_versions,
+            clock,
+            self.metrics,
         )
         if policy is not None and policy.hedging is not None:
             self._dispatcher.enable_hedging(policy.hedging, self.state_sync)
@@ -155,6 +167,7 @@
         await self._prefix_cache_reader.start()
         await self._store_watcher.start()
         await self.peer_exchange.start()
+        await self._stream_versions.start()
         if self._usage is not None:
             await self._usage.start(self.state_sync.report_due.set)
         if self.duties is not None:
@@ -197,6 +210,7 @@
         if self.duties is not None:
             await self.duties.abort()
         await self._prefix_cache_reader.close()
+        await self._stream_versions.close()
         await self._store_watcher.close()
         if self._usage is not None:
             await self._usage.close()
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -47,6 +47,7 @@
     from boragetiller.gateway.platform_interface import Dialect
     from boragetiller.gateway.server_client import ServerResponse
     from boragetiller.gateway.state_sync import StateSync
+    from boragetiller.gateway.streams.stream_versions import StreamVersions
     from boragetiller.tables.direct_attempts import CallProgress
     from boragetiller.tables.server_placement import Placement
 
@@ -61,6 +62,7 @@
         registry: BackendRegistry,
         state_sync: StateSync,
         dialect: Dialect,
+        stream_versions: StreamVersions,
         clock: Clock,
     ) -> None:
         """
@@ -69,11 +71,13 @@
         :param registry: backend servers and their clients
         :param state_sync: records prompts that are sent
         :param dialect: header names and data formats of the platform
+        :param stream_versions: records which software version begins a stream
         :param clock: monotonic clock
         """
         self._registry = registry
         self._state_sync = state_sync
         self._dialect = dialect
+        self._stream_versions = stream_versions
         self._clock = clock
 
     async def send(
@@ -116,6 +120,7 @@
             return DirectAttemptResult(DirectAttemptOutcome.SILENT, detail="response timeout")
 
     async def _exchange(self, attempt: OutgoingAttempt) -> DirectAttemptResult:
+        self._stream_versions.record_sent(attempt.call, attempt.stream, attempt.server)
         outgoing = self._build_request(attempt)
         try:
             response = await self._registry.get_client(attempt.server).send(outgoing)
@@ -200,6 +205,7 @@
             attempt.event_timeout.restart()
             if stream.first_event_ms is None:
                 self._record_first_event(attempt)
+                self._stream_versions.record_begun(attempt.call, stream, attempt.server)
             stream.record_event(self._clock.now_ms())
             attempt.server.remove_pending_prompt(attempt.call.metadata.request_id)
             await stream.event_writer.write(response.metadata.status, headers, events.data)
--- a/src/boragetiller/gateway/server_choice.py
+++ b/src/boragetiller/gateway/server_choice.py
@@ -171,7 +171,10 @@
         :return: the choice
         """
         call = state.call
-        group = self._registry.servers.find_accepting(call.group.name)
+        servers = self._registry.servers
+        group = servers.find_accepting(call.group.name)
+        eligible = servers.find_accepting(call.group.name, state.software_version)
+        is_bound = len(eligible.servers) < len(group.servers)  # to one of several versions
         costs = self._registry.get_cost_model(call.group.name, self._state_sync.reporting_share)
         now_ms = self._clock.now_ms()
         engine = call.group.engine
@@ -191,11 +194,16 @@
             memory_tokens=engine.memory_tokens if engine and is_timed else 0,
             is_retry=state.progress.attempts > 0,
             was_refused=is_timed and state.progress.was_refused,
-            response_started=state.progress.relayed_events > 0,
+            # A part of the stream was written in vain if it does not go on.
+            response_started=state.progress.relayed_events > 0 or is_bound,
         )
         exhausted = list_exhausted_servers(choice_state.limits, call.urgency, now_ms)
         selected = select_candidates(
-            group, placement_request, state.tried_servers | exhausted, choice_state.rng, now_ms
+            eligible,
+            placement_request,
+            state.tried_servers | exhausted,
+            choice_state.rng,
+            now_ms,
         )
         if restrict is not None:
             selected = restrict(selected, group)
@@ -217,14 +225,21 @@
             now_ms=now_ms,
         )
 
-    def find_refusal(self, call: AdmittedCall) -> Refusal:
+    def find_refusal(self, state: CallState) -> Refusal:
         """
         Find why no server could be chosen for a call.
 
-        :param call: the call
+        :param state: the call with its attempts
         :return: reason and detail
         """
+        call, version = state.call, state.software_version
         accepting = self._registry.servers.find_accepting(call.group.name).servers
+        if version is not None and accepting:
+            eligible = self._registry.servers.find_accepting(call.group.name, version).servers
+            is_bound = len(eligible) < len(accepting)
+            if is_bound and all(server.name in state.tried_servers for server in eligible):
+                detail = f"no other server of version {version} accepts calls"
+                return Refusal(GiveUpReason.VERSION_GONE, detail)
         if accepting and self._is_limited(accepting):
             return Refusal(GiveUpReason.LIMITED, "all servers have reached their limits")
         if call.group.engine is not None and accepting:
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -270,6 +270,10 @@
             self._registry.servers.by_name
         )
 
+    def is_server_list_current(self) -> bool:
+        """:return: whether this router, or a peer that reports to it, reaches the store"""
+        return self.watcher_election.reaches_store(self._clock.now_ms())
+
     def set_members(self, own: str, members: frozenset[str]) -> None:
         """
         Replace the routers that share the limits of servers.
--- /dev/null
+++ b/src/boragetiller/gateway/streams/stream_versions.py
@@ -0,0 +1,145 @@
+"""Keeps each stream at the software version that began it, over all requests of its caller."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from boragetiller.events import Event, log_event
+from boragetiller.gateway.streams.version_journal import VersionJournal
+from boragetiller.gateway.supervisor import run_supervised
+from boragetiller.systems.stream_resumption import (
+    KnownVersion,
+    UnknownReason,
+    UnknownVersion,
+    decide_resumption,
+)
+from boragetiller.tables.stream_versions import StreamOrigin
+
+if TYPE_CHECKING:
+    from boragetiller.clock import Clock
+    from boragetiller.gateway.admitted_call import AdmittedCall
+    from boragetiller.gateway.backend_registry import BackendRegistry
+    from boragetiller.gateway.duty_interface import LeaseStore
+    from boragetiller.gateway.metrics import GatewayMetrics
+    from boragetiller.gateway.outgoing_attempts import StreamState
+    from boragetiller.gateway.state_sync import StateSync
+    from boragetiller.tables.servers import BackendServer
+
+
+class StreamVersions:
+    """Records which version began each stream, and finds it when a caller takes the stream up."""
+
+    def __init__(
+        self,
+        registry: BackendRegistry,
+        state_sync: StateSync,
+        store: LeaseStore | None,
+        clock: Clock,
+        metrics: GatewayMetrics,
+    ) -> None:
+        """
+        Create the records; nothing is written to the store until started.
+
+        :param registry: backend servers, with the versions and streams that this router knows
+        :param state_sync: tells whether the list of servers is current
+        :param store: the platform's store, None to keep the records in memory only
+        :param clock: monotonic clock
+        :param metrics: counter of failed tasks
+        """
+        self._registry = registry
+        self._state_sync = state_sync
+        self._journal = None if store is None else VersionJournal(registry, store, clock)
+        self._clock = clock
+        self._metrics = metrics
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Start to write to the store."""
+        if self._journal is not None:
+            self._task = asyncio.create_task(
+                run_supervised("store stream versions", self._journal.run, self._metrics)
+            )
+
+    async def close(self) -> None:
+        """Stop writing."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def record_sent(
+        self, call: AdmittedCall, stream: StreamState | None, server: BackendServer
+    ) -> None:
+        """
+        Write the version to the store before the stream's first event, if several serve.
+
+        :param call: call that is sent to the server
+        :param stream: progress of the stream, None for a buffered response
+        :param server: the server
+        """
+        if stream is None or not call.route.resumable or stream.software_version is not None:
+            return
+        self._store_if_mixed(call, stream, self._build_origin(call, server))
+
+    def record_begun(self, call: AdmittedCall, stream: StreamState, server: BackendServer) -> None:
+        """
+        Bind a stream to the version of the server that sent its first event.
+
+        :param call: the call
+        :param stream: progress of the stream
+        :param server: the server
+        """
+        if stream.software_version is not None or not call.route.resumable:
+            return
+        stream.software_version = server.record.software_version
+        origin = self._build_origin(call, server)
+        self._registry.stream_versions.record(call.metadata.request_id, origin)
+        self._store_if_mixed(call, stream, origin)
+
+    async def find(self, call: AdmittedCall) -> KnownVersion | UnknownVersion:
+        """
+        Find the version at which a stream goes on that a caller takes up again.
+
+        :param call: the call, with the last event that the caller has
+        :return: the version, or why none is known
+        """
+        group, resumed_id = call.group.name, call.metadata.resumed_request_id
+        origin = None if resumed_id is None else self._registry.stream_versions.find(resumed_id)
+        if origin is not None and origin.group == group:
+            return KnownVersion(origin.version)
+        stored = None if self._journal is None else await self._journal.read(group, resumed_id)
+        recent = self._registry.list_recent_versions(group)
+        decision = decide_resumption(
+            stored, recent, is_current=self._state_sync.is_server_list_current()
+        )
+        if origin is not None:  # another service began it
+            decision = UnknownVersion(UnknownReason.NOT_RECORDED)
+        match decision:
+            case KnownVersion(version=version) if resumed_id is not None:
+                found = StreamOrigin(group, version, self._clock.now_ms())
+                self._registry.stream_versions.record(resumed_id, found)
+            case UnknownVersion(reason=reason):
+                log_event(
+                    Event.STREAM_VERSION_UNKNOWN,
+                    request_id=call.metadata.request_id,
+                    resumes=resumed_id,
+                    reason=reason.value,
+                    versions=sorted(recent),
+                )
+        return decision
+
+    def _store_if_mixed(
+        self, call: AdmittedCall, stream: StreamState, origin: StreamOrigin
+    ) -> None:
+        if self._journal is None or stream.stored_version == origin.version:
+            return
+        if len(self._registry.list_recent_versions(origin.group)) > 1:
+            stream.stored_version = origin.version
+            self._journal.note(call.metadata.request_id, origin)
+
+    def _build_origin(self, call: AdmittedCall, server: BackendServer) -> StreamOrigin:
+        version = server.record.software_version
+        return StreamOrigin(call.group.name, version, self._clock.now_ms())
+
+
+__all__ = ["StreamVersions"]
--- a/src/boragetiller/systems/direct_retry_policy.py
+++ b/src/boragetiller/systems/direct_retry_policy.py
@@ -29,6 +29,8 @@
     DEADLINE = "deadline"
     RETRY_BUDGET = "retry_budget"
     QUARANTINED = "quarantined"
+    UNKNOWN_VERSION = "unknown_version"  # no record of the software version that began the stream
+    VERSION_GONE = "version_gone"  # no server of the version that began the stream accepts calls
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/boragetiller/systems/stream_resumption.py
@@ -0,0 +1,74 @@
+"""
+Decide at which software version a stream may go on.
+
+What two versions write does not fit together, and engines do not check it. A stream goes on only
+if the version that began it is known, or if no other version can have begun it.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import attrs
+
+
+class UnknownReason(Enum):
+    """Why the version of a stream is not known; the value is a metric label and log field."""
+
+    NOT_RECORDED = "not_recorded"  # several versions served, and no record names the stream's
+    STORE_UNREACHABLE = "store_unreachable"  # records and versions could not be read
+
+
+@attrs.frozen
+class KnownVersion:
+    """The stream goes on at a version only."""
+
+    version: str
+
+
+@attrs.frozen
+class UnknownVersion:
+    """The stream goes on nowhere."""
+
+    reason: UnknownReason
+
+
+@attrs.frozen
+class StoredVersions:
+    """What the store says of a stream and its group."""
+
+    stream_version: str | None  # None without a record of the stream
+    group_versions: frozenset[str]  # that served the group recently; empty if none were stored
+
+
+def decide_resumption(
+    stored: StoredVersions | None, recent: frozenset[str], *, is_current: bool
+) -> KnownVersion | UnknownVersion:
+    """
+    Decide at which version a stream goes on that this router does not know.
+
+    :param stored: what the store says, None if it could not be read
+    :param recent: versions that this router has seen recently in the group, those of the present
+        list included
+    :param is_current: whether this router would know by now of a version that began to serve
+    :return: the version, or why none is known
+    """
+    if stored is None:
+        if is_current and len(recent) == 1:
+            return KnownVersion(next(iter(recent)))
+        return UnknownVersion(UnknownReason.STORE_UNREACHABLE)
+    if stored.stream_version is not None:
+        return KnownVersion(stored.stream_version)
+    versions = recent | stored.group_versions
+    if len(versions) == 1:
+        return KnownVersion(next(iter(versions)))
+    return UnknownVersion(UnknownReason.NOT_RECORDED)
+
+
+__all__ = [
+    "KnownVersion",
+    "StoredVersions",
+    "UnknownReason",
+    "UnknownVersion",
+    "decide_resumption",
+]
--- a/src/boragetiller/systems/watcher_election.py
+++ b/src/boragetiller/systems/watcher_election.py
@@ -43,6 +43,17 @@
         """:param peer: name of a router that no longer sends reports"""
         self.store_report_ms.pop(peer, None)
 
+    def reaches_store(self, now_ms: int) -> bool:
+        """
+        Check whether changes of the store reach this router.
+
+        :param now_ms: monotonic time in milliseconds
+        :return: whether it or a peer that was heard lately reaches the store
+        """
+        return self.own_store_reachable or any(
+            now_ms - report_ms < STORE_REPORT_TTL_MS for report_ms in self.store_report_ms.values()
+        )
+
     def is_watcher(self, now_ms: int) -> bool:
         """
         Check whether this router is one of the watchers.
--- a/src/boragetiller/tables/server_table.py
+++ b/src/boragetiller/tables/server_table.py
@@ -24,16 +24,19 @@
     # Groups of which a server has reported a work time; the rules for overload apply to them.
     timed_groups: set[str] = attrs.field(factory=set)
     leaving: LeavingServers = attrs.field(factory=LeavingServers)
-    _groups: dict[str, GroupServers] = attrs.field(factory=dict, init=False)
+    # Groups by name, and by name and software version.
+    _groups: dict[tuple[str, str | None], GroupServers] = attrs.field(factory=dict, init=False)
+    _versions: dict[str, frozenset[str]] = attrs.field(factory=dict, init=False)  # by group
 
-    def find_accepting(self, group: str) -> GroupServers:
+    def find_accepting(self, group: str, version: str | None = None) -> GroupServers:
         """
         Return the servers of a group that accept new requests.
 
         :param group: name of the backend group
+        :param version: software version of the servers, None for all
         :return: servers that are registered, not draining, and have not said that they leave
         """
-        if group not in self._groups:
+        if (group, version) not in self._groups:
             servers = self.by_name.values()
             found = [
                 server
@@ -41,9 +44,24 @@
                 if server.record.group == group
                 and not server.record.draining
                 and server.record not in self.leaving
+                and version in (None, server.record.software_version)
             ]
-            self._groups[group] = GroupServers.build(found)
-        return self._groups[group]
+            self._groups[group, version] = GroupServers.build(found)
+        return self._groups[group, version]
+
+    def find_versions(self, group: str) -> frozenset[str]:
+        """
+        Find the software versions of a group.
+
+        :param group: name of the backend group
+        :return: versions of all registered servers, also of those that accept no requests
+        """
+        if group not in self._versions:
+            records = [server.record for server in self.by_name.values()]
+            self._versions[group] = frozenset(
+                record.software_version for record in records if record.group == group
+            )
+        return self._versions[group]
 
     def record_leaving(self, name: str, started_ms: int) -> bool:
         """
@@ -66,8 +84,9 @@
 
         :param group: name of the backend group
         """
-        if group in self._groups:
-            self._groups[group] = self._groups[group].rank_again()
+        for key, servers in self._groups.items():
+            if key[0] == group:
+                self._groups[key] = servers.rank_again()
 
     def replace(self, records: Iterable[ServerRecord], now_ms: int) -> list[BackendServer]:
         """
@@ -78,6 +97,7 @@
         :return: removed incarnations, whose state is dropped from the table
         """
         self._groups.clear()
+        self._versions.clear()
         removed = []
         named = {record.name: record for record in records}
         self.timed_groups &= {record.group for record in named.values()}
--- /dev/null
+++ b/src/boragetiller/tables/stream_versions.py
@@ -0,0 +1,108 @@
+"""Software versions that began streams, and those that served a group recently."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import attrs
+
+# Longer than the deadline of any stream, over all requests of its caller that take it up again.
+STREAM_LIFETIME_MS = 30_000
+MAX_STREAMS = 16_384
+
+
+@attrs.frozen
+class StreamOrigin:
+    """Which software version began a stream."""
+
+    group: str
+    version: str
+    began_ms: int  # monotonic time
+
+
+@attrs.define
+class StreamVersionTable:
+    """Origins of the recent streams that this router began or resumed, by request ID."""
+
+    _origins: OrderedDict[str, StreamOrigin] = attrs.field(factory=OrderedDict)
+
+    def record(self, request_id: str, origin: StreamOrigin) -> None:
+        """
+        Record the origin of a stream; the oldest are dropped when they are too many or too old.
+
+        :param request_id: request of the caller that brought its first event
+        :param origin: group and software version
+        """
+        self._origins.pop(request_id, None)
+        self._origins[request_id] = origin
+        while self._origins:
+            oldest = next(iter(self._origins.values()))
+            is_old = origin.began_ms - oldest.began_ms >= STREAM_LIFETIME_MS
+            if not is_old and len(self._origins) <= MAX_STREAMS:
+                break
+            self._origins.popitem(last=False)
+
+    def find(self, request_id: str) -> StreamOrigin | None:
+        """:return: origin of the stream, None if this router does not know it"""
+        return self._origins.get(request_id)
+
+    def list_recent(self, group: str, now_ms: int) -> dict[str, StreamOrigin]:
+        """
+        List the streams of a group that may still be resumed.
+
+        :param group: name of the backend group
+        :param now_ms: monotonic time in milliseconds
+        :return: origins by request ID
+        """
+        return {
+            request_id: origin
+            for request_id, origin in self._origins.items()
+            if origin.group == group and now_ms - origin.began_ms < STREAM_LIFETIME_MS
+        }
+
+
+@attrs.define
+class VersionHistory:
+    """Software versions of each group and when a server of each was last registered."""
+
+    _last_seen_ms: dict[str, dict[str, int]] = attrs.field(factory=dict)  # by group and version
+
+    def observe(self, group: str, version: str, now_ms: int) -> None:
+        """
+        Record that a version serves a group, or served it until now.
+
+        :param group: name of the backend group
+        :param version: software version
+        :param now_ms: monotonic time in milliseconds
+        """
+        self._last_seen_ms.setdefault(group, {})[version] = now_ms
+
+    def has_ever_seen(self, group: str, version: str) -> bool:
+        """:return: whether a version served a group at any time that is known"""
+        return version in self._last_seen_ms.get(group, {})
+
+    def list_recent(self, group: str, now_ms: int) -> frozenset[str]:
+        """
+        List the versions that may have begun a stream which is still resumed.
+
+        :param group: name of the backend group
+        :param now_ms: monotonic time in milliseconds
+        :return: versions
+        """
+        seen = self._last_seen_ms.get(group, {})
+        return frozenset(
+            version for version, seen_ms in seen.items() if now_ms - seen_ms < STREAM_LIFETIME_MS
+        )
+
+    def list_groups(self) -> list[str]:
+        """:return: names of the groups with a known version"""
+        return list(self._last_seen_ms)
+
+
+__all__ = [
+    "MAX_STREAMS",
+    "STREAM_LIFETIME_MS",
+    "StreamOrigin",
+    "StreamVersionTable",
+    "VersionHistory",
+]
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -282,6 +282,7 @@
             PlatformDialect(),
             self.store,
             listening_socket,
+            lease_store=self.store if isinstance(self.store, FakeStore) else None,
             policy=policy,
         )
         self.session: aiohttp.ClientSession | None = None
--- a/tests/gateway/test_placement_query.py
+++ b/tests/gateway/test_placement_query.py
@@ -105,7 +105,7 @@
             self.assertEqual(list_state(router), before)
             state = router.build_state("stock")
             self.assertIsNone(router.chooser.choose(state))
-            refusal = router.chooser.find_refusal(state.call)
+            refusal = router.chooser.find_refusal(state)
             retry_after = RetryAfter(router.registry, LoopClock())
             expected_s = retry_after.compute_s(state.call, refusal.reason, router.chooser.state)
             self.assertEqual((answer.outcome, answer.status), ("refused", 503))
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import unittest
 from contextlib import suppress
 from unittest.mock import patch
 
 import aiohttp
 
+from boragetiller.gateway.streams.version_journal import STREAMS_PREFIX, VERSIONS_PREFIX
+from boragetiller.tables.stream_versions import StreamOrigin
 from tests.gateway.harness import FakeStore, RouterHarness, build_config, wait_until
 from tests.gateway.scripted_engine import (
     ReceivedRequest,
@@ -111,7 +114,7 @@
         task = await self.begin(harness, request_id)
         await self.register("new", "v2")
         await wait_until(lambda: "new" in harness.router.registry.servers.by_name)
-        await wait_until(lambda: self.is_recorded(request_id))
+        await wait_until(lambda: self.is_stored(STREAMS_PREFIX))
         with patch.object(harness.router.registry, "get_retry_budget") as budget:
             budget.return_value.allows.return_value = False  # the router does not resume it itself
             old.breaks.set()
@@ -119,9 +122,9 @@
         old.pauses = False
         old.breaks.clear()
 
-    def is_recorded(self, _request_id: str) -> bool:
-        """:return: whether the store has what another router needs to resume the stream"""
-        return True
+    def is_stored(self, prefix: str) -> bool:
+        """:return: whether the store has an entry of the routers with the prefix"""
+        return any(key.startswith(prefix) for key in self.store.items)
 
     async def test_stream_that_breaks_goes_on_at_its_version_within_an_answer(self) -> None:
         for _ in range(RESUMPTIONS):
@@ -201,7 +204,7 @@
         ) as response:
             with suppress(aiohttp.ClientError):
                 await response.read()
-        await wait_until(lambda: self.is_recorded("first"))
+        await wait_until(lambda: self.is_stored(VERSIONS_PREFIX))
         await harness.router.abort()
         self.store.remove("servers/old")
         await self.register("new", "v2")
@@ -212,6 +215,8 @@
         await self.register("old", "v1")
         harness = await self.start_router()
         self.assertEqual(await self.resume(harness, "unknown"), (200, ["v1", "v1"]))
+        await wait_until(lambda: self.is_stored(VERSIONS_PREFIX))
+        self.assertFalse(self.is_stored(STREAMS_PREFIX))
 
     async def test_stream_of_another_router_does_not_go_on_without_the_store(self) -> None:
         await self.register("old", "v1")
@@ -224,6 +229,66 @@
             self.assertEqual(await self.resume(other, "first"), (503, []))
             self.assertEqual(await self.resume(harness, "first"), (200, ["v1", "v1"]))
 
+    async def test_stream_of_another_service_does_not_go_on(self) -> None:
+        await self.register("old", "v1")
+        harness = await self.start_router()
+        origin = StreamOrigin("another", "v1", 0)
+        harness.router.registry.stream_versions.record("first", origin)
+        self.assertEqual(await self.resume(harness, "first"), (503, []))
+
+    async def test_caller_that_names_no_request_does_not_resume_beside_two_versions(self) -> None:
+        await self.register("old", "v1")
+        await self.register("new", "v2")
+        harness = await self.start_router()
+        async with harness.call("/gauges/", **PROMPT, Last_Event_Id="2") as response:
+            self.assertEqual(response.status, 503)
+
+    async def test_versions_of_streams_are_written_after_an_outage(self) -> None:
+        await self.register("old", "v1")
+        await self.register("new", "v2")
+        harness = await self.start_router()
+        self.store.down = True
+        async with harness.call(
+            "/gauges/", **PROMPT, X_Boragetiller_Attempt_Id="first"
+        ) as response:
+            versions = find_versions(await response.read())
+        self.store.down = False
+        await wait_until(lambda: self.is_stored(STREAMS_PREFIX))
+        other = await self.start_router("router-2")
+        for _ in range(RESUMPTIONS):
+            self.assertEqual(await self.resume(other, "first"), (200, versions[:2]))
+
+    async def test_entry_of_a_group_loses_versions_whose_streams_have_ended(self) -> None:
+        await self.register("old", "v1")
+        await self.register("new", "v2")
+        harness = await self.start_router()
+        await wait_until(lambda: self.list_stored_versions() == ["v1", "v2"])
+        with patch("boragetiller.tables.stream_versions.STREAM_LIFETIME_MS", 100):
+            self.store.remove("servers/old")
+            await wait_until(lambda: self.list_stored_versions() == ["v2"])
+        self.assertEqual(await self.resume(harness, "unknown"), (503, []))  # of the last moment
+
+    async def test_unreadable_entry_of_a_group_is_replaced(self) -> None:
+        await self.register("old", "v1")
+        harness = await self.start_router()
+        await wait_until(lambda: self.is_stored(VERSIONS_PREFIX))
+        await harness.router.abort()
+        key = next(key for key in self.store.items if key.startswith(VERSIONS_PREFIX))
+        self.store.put(key, b"[1, {}")
+        await self.start_router()
+        await wait_until(lambda: self.list_stored_versions() == ["v1"])
+
+    def list_stored_versions(self) -> list[str]:
+        """:return: versions in the entry of the group"""
+        found = [key for key in self.store.items if key.startswith(VERSIONS_PREFIX)]
+        if not found:
+            return []
+        try:
+            versions: list[str] = json.loads(self.store.items[found[0]].value or b"")
+        except ValueError:
+            return []
+        return versions
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/systems/test_stream_resumption.py
@@ -0,0 +1,89 @@
+"""At which software version a stream may go on."""
+
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from boragetiller.systems.stream_resumption import (
+    KnownVersion,
+    StoredVersions,
+    UnknownReason,
+    UnknownVersion,
+    decide_resumption,
+)
+from boragetiller.tables.stream_versions import (
+    MAX_STREAMS,
+    STREAM_LIFETIME_MS,
+    StreamOrigin,
+    StreamVersionTable,
+    VersionHistory,
+)
+
+VERSIONS = st.sampled_from(["v1", "v1.1", "v2"])
+SETS = st.frozensets(VERSIONS, max_size=3)
+
+
+class ResumptionTest(unittest.TestCase):
+    """Decisions for a stream that the router does not know."""
+
+    @given(began=VERSIONS, served=SETS, recorded=st.booleans(), data=st.data())
+    def test_stream_goes_on_only_at_the_version_that_began_it(
+        self, began: str, served: frozenset[str], recorded: bool, data: st.DataObject
+    ) -> None:
+        # Each version that served is in the entry of the group or known to the router itself.
+        seen = data.draw(st.frozensets(st.sampled_from(sorted(served | {began}))))
+        stored = StoredVersions(began if recorded else None, (served | {began}) - seen)
+        for is_current in (False, True):
+            decision = decide_resumption(stored, seen, is_current=is_current)
+            if isinstance(decision, KnownVersion):
+                self.assertEqual(decision.version, began)
+            else:
+                self.assertGreater(len(served | {began}), 1)
+                self.assertFalse(recorded)
+
+    def test_without_the_store_one_version_of_a_current_list_is_enough(self) -> None:
+        known = decide_resumption(None, frozenset({"v1"}), is_current=True)
+        self.assertEqual(known, KnownVersion("v1"))
+
+    def test_without_the_store_nothing_else_is_enough(self) -> None:
+        for recent, is_current in ((frozenset({"v1"}), False), (frozenset({"v1", "v2"}), True)):
+            decision = decide_resumption(None, recent, is_current=is_current)
+            self.assertEqual(decision, UnknownVersion(UnknownReason.STORE_UNREACHABLE))
+
+    def test_service_of_which_nothing_is_known_is_unknown(self) -> None:
+        decision = decide_resumption(
+            StoredVersions(None, frozenset()), frozenset(), is_current=True
+        )
+        self.assertEqual(decision, UnknownVersion(UnknownReason.NOT_RECORDED))
+
+
+class StreamVersionTableTest(unittest.TestCase):
+    """Origins of streams in memory."""
+
+    def test_old_streams_are_dropped(self) -> None:
+        table = StreamVersionTable()
+        table.record("a", StreamOrigin("g", "v1", 0))
+        table.record("b", StreamOrigin("g", "v1", STREAM_LIFETIME_MS))
+        self.assertIsNone(table.find("a"))
+        self.assertEqual(set(table.list_recent("g", STREAM_LIFETIME_MS)), {"b"})
+
+    def test_number_of_streams_is_bounded(self) -> None:
+        table = StreamVersionTable()
+        for number in range(MAX_STREAMS + 1):
+            table.record(str(number), StreamOrigin("g", "v1", 0))
+        self.assertIsNone(table.find("0"))
+        self.assertIsNotNone(table.find("1"))
+
+    def test_version_is_recent_until_its_streams_have_ended(self) -> None:
+        history = VersionHistory()
+        history.observe("g", "v1", 0)
+        history.observe("g", "v2", 1)
+        self.assertEqual(history.list_recent("g", STREAM_LIFETIME_MS), {"v2"})
+        self.assertTrue(history.has_ever_seen("g", "v1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
