--- a/bench/gateway_scale.py
+++ b/bench/gateway_scale.py
@@ -20,7 +20,6 @@
 from boragetiller.clock import ManualClock
 from boragetiller.gateway.backend_registry import BackendRegistry
 from boragetiller.gateway.metrics import GatewayMetrics
-from boragetiller.gateway.peer_exchange import report_interval_ms
 from boragetiller.gateway.peer_messages import (
     CachedPrompt,
     PeerReport,
@@ -31,7 +30,7 @@
 from boragetiller.gateway.state_sync import StateSync
 from boragetiller.systems.candidates import select_candidates
 from boragetiller.systems.overload.server_speed import record_work_time
-from boragetiller.systems.report_peers import MAX_PEERS
+from boragetiller.systems.report_peers import MAX_PEERS, report_interval_ms
 from boragetiller.systems.server_placement import choose_server
 from boragetiller.tables.call_metadata import Prompt, PromptPart
 from boragetiller.tables.server_placement import PlacementCostModel, ServerPlacementRequest
--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -9,12 +9,15 @@
 from boragetiller.errors import EntryUnreadable
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.server_clients import ServerClients
+from boragetiller.gateway.server_list import ServerList
+from boragetiller.gateway.server_notices import ServerNotices
 from boragetiller.gateway.store_entries import StoreEntries
+from boragetiller.gateway.streams.group_versions import GroupVersions
 from boragetiller.store_eras import get_era, get_store_revision
 from boragetiller.systems.engine_throughput import EngineThroughput
 from boragetiller.systems.failure_history import confirm_crash
 from boragetiller.systems.part_quarantine import clear_parts
-from boragetiller.systems.server_limits import apply_limit, retain_servers
+from boragetiller.systems.server_limits import retain_servers
 from boragetiller.systems.windowed_retry_budget import WindowedRetryBudget
 from boragetiller.tables.failure_history import FailureHistory
 from boragetiller.tables.output_lengths import OutputLengths
@@ -23,7 +26,7 @@
 from boragetiller.tables.server_limits import ServerLimitTable
 from boragetiller.tables.server_placement import PlacementCostModel
 from boragetiller.tables.server_table import ServerTable
-from boragetiller.tables.stream_versions import StreamVersionTable, VersionHistory
+from boragetiller.tables.stream_versions import StreamVersionTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -36,7 +39,7 @@
     from boragetiller.tables.call_metadata import Prompt
     from boragetiller.tables.direct_attempts import ResponseProgress
     from boragetiller.tables.routes import RouteConfig
-    from boragetiller.tables.servers import BackendServer, ServerRecord
+    from boragetiller.tables.servers import BackendServer
     from boragetiller.tables.store_view import StoredItem
 
 MAX_ROUTERS = 8  # routers that share the fleet's retry slack, including spare ones
@@ -58,13 +61,15 @@
         """
         self.metrics = metrics
         self.store_entries = StoreEntries(dialect, clock)
+        self._server_list = ServerList(self.store_entries, dialect, metrics)
         self.servers = ServerTable()
         self.peer_loads = PeerLoadTable()
         self.failure_history = FailureHistory()
         self.server_limits = ServerLimitTable()
+        self.notices = ServerNotices(self.servers, self.server_limits, clock)
         self.part_uses = PartUseTable()
         self.stream_versions = StreamVersionTable()
-        self.version_history = VersionHistory()
+        self.group_versions = GroupVersions(self.servers, clock)
         self._throughputs: dict[str, EngineThroughput] = {}
         self.output_lengths = OutputLengths()
         self.config: RouteConfig | None = None
@@ -74,14 +79,12 @@
         self.on_crash_recorded: Callable[[], None] | None = None
         self.servers_listed = False  # whether the list of servers was ever received
         self.servers_outdated = False  # whether the newest list is still to be applied
-        self._list_unreadable = False  # whether the list has entries and none can be decoded
         self._settings = settings
         self.dialect = dialect
         self._clock = clock
         self._default_cost_model = PlacementCostModel()
         self._clients = ServerClients(dialect)
         self._budgets: dict[str, WindowedRetryBudget] = {}
-        self._unreadable_revisions: dict[str, int] = {}
 
     @property
     def is_ready(self) -> bool:
@@ -95,7 +98,7 @@
             self.config is not None
             and self.servers_listed
             and not self.servers_outdated
-            and not self._list_unreadable
+            and not self._server_list.is_unreadable
         )
 
     def get_client(self, server: BackendServer) -> ServerClient:
@@ -191,76 +194,6 @@
         if crash.quarantined_parts:
             log_event(Event.PARTS_QUARANTINED, parts=crash.quarantined_parts, source=server)
 
-    def record_limit(self, server: BackendServer, limit_per_s: float | None) -> None:
-        """
-        Record the request limit that a server named in a response.
-
-        :param server: the server
-        :param limit_per_s: requests per second from all routers together, None for no limit
-        """
-        now_ms = self._clock.now_ms()
-        if apply_limit(self.server_limits, server.name, limit_per_s, now_ms, now_ms):
-            self.log_limit(server.name, "response")
-
-    def record_leaving(self, name: str, started_ms: int, source: str) -> bool:
-        """
-        Record that an incarnation of a server has said in a response that it leaves.
-
-        :param name: name of the server
-        :param started_ms: wall-clock time of the start of the incarnation
-        :param source: `response`, or the peer that reported it
-        :return: whether it is news
-        """
-        is_new = self.servers.record_leaving(name, started_ms)
-        if is_new:
-            log_event(Event.SERVER_LEAVING, server=name, started_ms=started_ms, source=source)
-        return is_new
-
-    def list_resumable_groups(self) -> set[str]:
-        """:return: names of the groups with streams that callers may take up again"""
-        routes = self.config.routes if self.config is not None else ()
-        weighted = [route.weighted_groups for route in routes if route.resumable]
-        return {each.group for groups in weighted for each in groups}
-
-    def list_recent_versions(self, group: str) -> frozenset[str]:
-        """
-        List the software versions that may have begun a stream which is still resumed.
-
-        :param group: name of the backend group
-        :return: versions of the servers that are registered, or were lately
-        """
-        now_ms = self._clock.now_ms()
-        for version in self.servers.find_versions(group):
-            self.version_history.observe(group, version, now_ms)
-        return self.version_history.list_recent(group, now_ms)
-
-    def observe_stored_version(self, group: str, version: str) -> None:
-        """
-        Take note of a version that served a group before this router knew the group.
-
-        :param group: name of the backend group
-        :param version: software version
-        """
-        if not self.version_history.has_ever_seen(group, version):
-            self.version_history.observe(group, version, self._clock.now_ms())
-
-    def log_limit(self, server: str, source: str) -> None:
-        """
-        Log a limit that has changed, with this router's share of it.
-
-        :param server: name of the server
-        :param source: `response`, or the peer that reported it
-        """
-        limit = self.server_limits.by_server[server]
-        log_event(
-            Event.SERVER_LIMIT_CHANGED,
-            server=server,
-            limit_per_s=limit.limit_per_s,
-            share_per_s=round(limit.share_per_s, 3),
-            routers=len(self.server_limits.membership.members),
-            source=source,
-        )
-
     def clear_parts(self, prompt: Prompt | None, progress: ResponseProgress) -> None:
         """
         Clear the recorded crashes of the shared parts of a prompt that an engine has answered.
@@ -326,33 +259,19 @@
         return True
 
     def _replace_servers(self, config: RouteConfig, source: str) -> None:
-        items = self.store_entries.view.list_entries(self.dialect.servers_prefix)
-        readable = [record for item in items if (record := self._read_server(item)) is not None]
-        records = [record for record in readable if record.group in config.groups]
+        records = [each for each in self._server_list.read() if each.group in config.groups]
         known = {server.name: server.record for server in self.servers.by_name.values()}
-        for group in {record.group for record in known.values()}:
-            self.list_recent_versions(group)  # of servers that may be removed now
+        self.group_versions.observe_all()
         removed = self.servers.replace(records, self._clock.now_ms())
         for record in records:
             if record.name not in known:
-                log_event(
-                    Event.SERVER_JOINED,
-                    server=record.name,
-                    group=record.group,
-                    failure_domain=record.failure_domain,
-                    software_version=record.software_version,
-                )
+                self._server_list.log_joined(record)
                 if self.on_server_added is not None:
                     self.on_server_added(self.servers.by_name[record.name])
-            self._log_state_change(
+            self._server_list.log_state_change(
                 known.get(record.name), self.servers.by_name[record.name].record, source
             )
         self.metrics.servers.set(len(records))
-        self.metrics.unreadable_servers.set(len(items) - len(readable))
-        self._list_unreadable = bool(items) and not readable
-        listed = {item.key for item in items}
-        for key in self._unreadable_revisions.keys() - listed:
-            del self._unreadable_revisions[key]
         if self.on_servers_changed is not None:
             self.on_servers_changed()
         retain_servers(self.server_limits, self.servers.by_name)
@@ -361,33 +280,5 @@
             self.record_crash(server.name)
             self._clients.remove(server.name)
 
-    def _log_state_change(
-        self, before: ServerRecord | None, record: ServerRecord, source: str
-    ) -> None:
-        was_draining = before is not None and before.draining
-        if record.draining == was_draining:
-            return
-        item = self.store_entries.view.get_in_force(self.dialect.servers_prefix + record.name)
-        fields = {
-            "server": record.name,
-            "started_ms": record.started_ms,
-            "revision": get_store_revision(item.revision) if item is not None else None,
-            "source": source,
-        }
-        if record.draining:
-            log_event(Event.SERVER_DRAINING, **fields)
-        else:
-            log_event(Event.SERVER_ACCEPTING, **fields)
-
-    def _read_server(self, item: StoredItem) -> ServerRecord | None:
-        assert item.value is not None
-        try:
-            return self.dialect.decode_server(item.key, item.value)
-        except EntryUnreadable as error:
-            if self._unreadable_revisions.get(item.key) != item.revision:
-                log_event(Event.SERVER_UNREADABLE, key=item.key, reason=str(error))
-            self._unreadable_revisions[item.key] = item.revision
-            return None
-
 
 __all__ = ["BackendRegistry"]
--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -13,13 +13,12 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-import attrs
-
 from boragetiller.clock import new_incarnation
-from boragetiller.control.errors import BadFrame, FrameTooLarge
+from boragetiller.control.errors import BadFrame
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.backend_connections import enable_keepalive
 from boragetiller.gateway.heard_routers import HeardRouters
+from boragetiller.gateway.item_relay import ItemRelay, compute_resend_turn_ms
 from boragetiller.gateway.peer_messages import (
     PeerHello,
     PeerItems,
@@ -28,62 +27,34 @@
     encode_frame,
 )
 from boragetiller.gateway.peer_reader import HelloReader, read_message
-from boragetiller.gateway.peer_states import OutboundPeer
+from boragetiller.gateway.peer_states import InboundPeer, OutboundPeer
 from boragetiller.gateway.settings import Endpoint
-from boragetiller.gateway.state_sync import StoreRevisions
 from boragetiller.gateway.supervisor import run_supervised
-from boragetiller.hashing import stable_hash
-from boragetiller.systems.report_peers import MAX_PEERS, are_peers, compute_reporting_share
+from boragetiller.systems.report_peers import (
+    MAX_PEERS,
+    are_peers,
+    compute_reporting_share,
+    report_interval_ms,
+)
 from boragetiller.timeouts import wait_with_timeout
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
 
     from boragetiller.clock import Clock
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.settings import GatewaySettings
     from boragetiller.gateway.state_sync import StateSync
-    from boragetiller.tables.store_view import StoredItem
 
-REPORT_INTERVAL_MS = 100  # shorter than the prefill of a long prompt, so that peers see each one
 MIN_REPORT_INTERVAL_MS = 20  # also for changes that peers must know at once
-REPORT_MS_PER_PEER = 10  # limits a router to 100 received reports per second in a large fleet
 KEEPALIVE_INTERVAL_MS = 500  # between reports without changes
 CONNECT_TIMEOUT_MS = 1_000
 RECONNECT_DELAY_MS = 1_000
-RESEND_DELAY_MS = 300  # a peer that watches the store gets missing entries only after this lag
-RESEND_TURNS = 8  # of the peers that send the list to a router that missed changes
-RESEND_ALL_INTERVAL_MS = 1_000  # bounds what two routers send that never agree
-LOST_ITEMS_DELAY_MS = 300  # after a change of an era, in which entries arrive one by one
 MAX_BUFFER_BYTES = 2_000_000  # of unsent data, after which a slow peer is disconnected
 MAX_KNOWN_ROUTERS = 1_024  # more than twice the planned size of the fleet
 MIN_INBOUND_PEERS = 8  # with fewer, seeds stay connected, so that lost peers isolate no router
 REMOVE_AFTER_MS = 30_000  # an unreachable router is removed after this time unless it is a seed
 
 
-@attrs.define
-class InboundPeer:
-    """A peer that reports to this router, with its last reported state."""
-
-    incarnation: int
-    endpoint: Endpoint
-    revisions: StoreRevisions = StoreRevisions(0, 0)
-    behind_since_ms: int | None = None
-    differs_since_ms: int | None = None  # with the same revisions, but other entries
-    watches: bool = False  # whether it watches the list of backend servers in the store itself
-    servers_sent_ms: int = -RESEND_DELAY_MS  # when changes of it were last sent without delay
-
-
-def report_interval_ms(peers: int) -> int:
-    """
-    Compute the interval between reports; it grows with the fleet to bound the total rate.
-
-    :param peers: number of routers that it reports to
-    :return: interval in milliseconds
-    """
-    return max(REPORT_INTERVAL_MS, REPORT_MS_PER_PEER * peers)
-
-
 class PeerExchange:
     """Connections to and from other routers, and the reports on them."""
 
@@ -113,12 +84,11 @@
         self._outbound_peers: dict[Endpoint, OutboundPeer] = {}
         self._report_task: asyncio.Task[None] | None = None
         self._hello_reader = HelloReader()
+        self._item_relay = ItemRelay(state_sync, clock)
         self._inbound_writers: set[asyncio.StreamWriter] = set()
         self.heard_routers = HeardRouters(settings.name)
         self._server: asyncio.Server | None = None
         self._seeds: tuple[Endpoint, ...] = ()
-        self._eras = (0, 0)  # of the newest known configuration and list of backend servers
-        self._eras_since_ms = 0
         self.endpoint: Endpoint | None = None  # address that this router listens on, once started
 
     async def start(self) -> None:
@@ -246,7 +216,7 @@
         first_report = self._state_sync.build_first_report()
         writer.write(encode_frame(hello) + encode_frame(first_report))
         self._outbound_peers[endpoint] = peer = OutboundPeer(writer)
-        self._send_lost_items(peer, self._state_sync.get_eras())
+        self._item_relay.send_lost_items(peer)
 
     async def _send_reports(self) -> None:
         """Send reports to all peers; each one is built and encoded once for all of them."""
@@ -263,13 +233,12 @@
                 frame = encode_frame(report)
                 sent, sent_ms = report, now_ms
             removals = self._state_sync.take_removals(cursor)
-            self._update_eras(now_ms)
-            lost_items_due = now_ms - self._eras_since_ms >= LOST_ITEMS_DELAY_MS
+            lost_items_due = self._item_relay.update_eras(now_ms)
             for peer in list(self._outbound_peers.values()):
                 self._send_report(peer, frame)
-                self._send_items(peer.writer, removals)
+                self._item_relay.send_items(peer.writer, removals)
                 if lost_items_due:
-                    self._send_lost_items(peer, self._eras)
+                    self._item_relay.send_lost_items(peer)
 
     async def _wait_for_report_time(self) -> None:
         """Wait for the next interval, or for a state change that peers must know at once."""
@@ -287,7 +256,9 @@
             writer.transport.abort()
             return
         writer.write(frame)
-        self._send_missing_items(writer)
+        inbound = self._find_peer(writer.get_extra_info("peername"))
+        if inbound is not None:
+            self._item_relay.send_missing_items(inbound, writer, self._get_resend_turn_ms(inbound))
         peer.routers = self._send_routers(writer, peer.routers)
 
     def _send_routers(
@@ -299,69 +270,13 @@
             writer.write(encode_frame(PeerRouters(tuple(sorted(current - already_sent, key=str)))))
         return current
 
-    def _send_missing_items(self, writer: asyncio.StreamWriter) -> None:
-        """Send store entries that the peer lacks according to its own reports."""
-        peer = self._find_peer(writer.get_extra_info("peername"))
-        if peer is None:
-            return
-        self._resend_all_items(peer, writer)
-        if peer.behind_since_ms is None:
-            return
-        now_ms = self._clock.now_ms()
-        peer_revisions = peer.revisions
-        missed_restore = self._state_sync.get_revisions().is_eras_ahead_of(peer_revisions)
-        delay_ms = RESEND_DELAY_MS + (self._get_resend_turn_ms(peer) if missed_restore else 0)
-        if now_ms - peer.behind_since_ms < delay_ms:
-            if peer.watches or missed_restore or now_ms - peer.servers_sent_ms < RESEND_DELAY_MS:
-                return
-            peer_revisions = attrs.evolve(
-                peer_revisions, config=self._state_sync.get_revisions().config
-            )
-            peer.servers_sent_ms = now_ms
-        else:
-            peer.behind_since_ms = now_ms
-        self._send_items(writer, self._state_sync.list_items_newer_than(peer_revisions))
-
-    def _resend_all_items(self, peer: InboundPeer, writer: asyncio.StreamWriter) -> None:
-        """Send all entries to a peer that knows the same revisions and other entries for long."""
-        if peer.differs_since_ms is None:
-            return
-        now_ms = self._clock.now_ms()
-        delay_ms = RESEND_DELAY_MS + self._get_resend_turn_ms(peer)
-        if now_ms - peer.differs_since_ms >= delay_ms:
-            peer.differs_since_ms = now_ms + RESEND_ALL_INTERVAL_MS
-            self._send_items(writer, self._state_sync.list_items_newer_than(StoreRevisions(0, 0)))
-
     def _get_resend_turn_ms(self, peer: InboundPeer) -> int:
-        """
-        Get the delay of this router's turn to send the list to a peer that missed changes.
-
-        A turn takes two report intervals, in which the peer reports that it has the list.
-
-        :param peer: the peer
-        :return: delay in milliseconds
-        """
-        turns = max(1, min(len(self._inbound_peers), RESEND_TURNS))
-        turn = stable_hash(str(self.endpoint), str(peer.endpoint)) % turns
-        return turn * 2 * report_interval_ms(len(self._outbound_peers))
-
-    def _update_eras(self, now_ms: int) -> None:
-        eras = self._state_sync.get_eras()
-        if eras != self._eras:
-            self._eras, self._eras_since_ms = eras, now_ms
-
-    def _send_lost_items(self, peer: OutboundPeer, eras: tuple[int, int]) -> None:
-        """Send the entries that a peer which joined after a restore cannot read from the store."""
-        if peer.lost_items_eras != eras:
-            peer.lost_items_eras = eras
-            self._send_items(peer.writer, self._state_sync.list_items_lost_in_restore())
-
-    def _send_items(self, writer: asyncio.StreamWriter, items: Iterable[StoredItem]) -> None:
-        for item in items:  # one frame each, so that one too large blocks no other
-            try:
-                writer.write(encode_frame(PeerItems((item,))))
-            except FrameTooLarge as error:
-                log_event(Event.PEER_ITEM_WITHHELD, key=item.key, reason=str(error))
+        return compute_resend_turn_ms(
+            str(self.endpoint),
+            str(peer.endpoint),
+            len(self._inbound_peers),
+            len(self._outbound_peers),
+        )
 
     def _find_peer(self, address: tuple[str, int]) -> InboundPeer | None:
         name = self._state_sync.peer_names.get(Endpoint(*address[:2]))
@@ -423,7 +338,7 @@
         while True:
             message = await read_message(reader)
             if isinstance(message, PeerReport):
-                self._update_revisions(peer, message)
+                self._item_relay.record_report(peer, message)
                 self._state_sync.apply_report(name, message)
             elif isinstance(message, PeerItems):
                 self._state_sync.apply_items(message.items, name)
@@ -431,20 +346,5 @@
                 for endpoint in message.endpoints:
                     self._add_endpoint(endpoint)
 
-    def _update_revisions(self, peer: InboundPeer, report: PeerReport) -> None:
-        peer.revisions = StoreRevisions(
-            report.config_revision, report.servers_revision, report.entries_digest
-        )
-        peer.watches = report.watches
-        own_revisions = self._state_sync.get_revisions()
-        if not own_revisions.knows_other_entries_than(peer.revisions):
-            peer.differs_since_ms = None
-        elif peer.differs_since_ms is None:
-            peer.differs_since_ms = self._clock.now_ms()
-        if not own_revisions.is_newer_than(peer.revisions):
-            peer.behind_since_ms = None
-        elif peer.behind_since_ms is None:
-            peer.behind_since_ms = self._clock.now_ms()
-
 
 __all__ = ["PeerExchange"]
--- a/src/boragetiller/gateway/peer_states.py
+++ b/src/boragetiller/gateway/peer_states.py
@@ -1,4 +1,4 @@
-"""Connections on which a router reports to its peers."""
+"""State of the connections to and from peers."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 import attrs
 
 from boragetiller.gateway.settings import Endpoint  # noqa: TC001
+from boragetiller.gateway.store_revisions import StoreRevisions
 
 
 @attrs.define
@@ -19,4 +20,17 @@
     lost_items_eras: tuple[int, int] = (0, 0)
 
 
-__all__ = ["OutboundPeer"]
+@attrs.define
+class InboundPeer:
+    """A peer that reports to this router, with its last reported state."""
+
+    incarnation: int
+    endpoint: Endpoint
+    revisions: StoreRevisions = StoreRevisions(0, 0)
+    behind_since_ms: int | None = None
+    differs_since_ms: int | None = None  # with the same revisions, but other entries
+    watches: bool = False  # whether it watches the list of backend servers in the store itself
+    servers_sent_ms: int | None = None  # when changes of it were last sent without delay
+
+
+__all__ = ["InboundPeer", "OutboundPeer"]
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -165,7 +165,7 @@
         if metadata.leaving and metadata.instance in (None, attempt.server.name):
             self._state_sync.record_leaving(attempt.server)
         if metadata.sealed or metadata.limit_per_s is not None:
-            self._registry.record_limit(attempt.server, metadata.limit_per_s)
+            self._registry.notices.record_limit(attempt.server, metadata.limit_per_s)
         if self._state_sync.usage is not None:
             self._state_sync.usage.record_head(
                 attempt.call, attempt.progress, metadata, attempt.server.name
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -7,16 +7,17 @@
 
 import attrs
 
-from boragetiller.events import Event, log_event
+from boragetiller.gateway.failure_reports import apply_failures
 from boragetiller.gateway.load_reports import apply_loads, list_changed_loads
-from boragetiller.gateway.peer_messages import CachedPrompt, PeerReport, ReportedLoad
+from boragetiller.gateway.peer_messages import CachedPrompt, PeerReport
+from boragetiller.gateway.report_cursor import ReportCursor
 from boragetiller.gateway.server_speeds import ServerSpeeds
 from boragetiller.gateway.store_revisions import StoreRevisions, is_newer
 from boragetiller.store_eras import get_era
-from boragetiller.systems.failure_history import apply_failure, list_crashes
+from boragetiller.systems.failure_history import list_crashes
 from boragetiller.systems.overload.committed_memory import record_peer_parts
 from boragetiller.systems.overload.shared_part_copies import record_use
-from boragetiller.systems.part_quarantine import apply_report, list_reports
+from boragetiller.systems.part_quarantine import list_reports
 from boragetiller.systems.peer_loads import record_report, remove_peer
 from boragetiller.systems.prefix_cache import estimate_cache_tokens, record_prefill
 from boragetiller.systems.server_limits import apply_report as apply_limit_report
@@ -24,7 +25,6 @@
 from boragetiller.systems.store_polling import StorePollSchedule
 from boragetiller.systems.watcher_election import WatcherElection
 from boragetiller.tables.recent_items import RecentItems
-from boragetiller.tables.usage import UsageCursor
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
@@ -41,22 +41,6 @@
 MAX_RECENT_PROMPTS = 512  # enough for those sent in the 100 ms between two reports
 
 
-@attrs.define
-class ReportCursor:
-    """Position up to which prompts, failures and loads have been reported on a connection."""
-
-    prompts: int = 0
-    failures: int = 0
-    part_crashes: int = 0
-    limits: int = 0
-    removals: int = 0
-    announcements: int = 0
-    speeds: int = 0
-    latencies: int = 0
-    loads: dict[str, ReportedLoad] = attrs.field(factory=dict)  # by server, without idle ones
-    usage: UsageCursor = attrs.field(factory=UsageCursor)
-
-
 class StateSync:
     """Builds this router's reports and applies the reports and store entries of its peers."""
 
@@ -144,7 +128,7 @@
         :param server: the server
         """
         record = server.record
-        if self._registry.record_leaving(record.name, record.started_ms, "response"):
+        if self._registry.notices.record_leaving(record.name, record.started_ms, "response"):
             self.report_due.set()
 
     def create_cursor(self) -> ReportCursor:
@@ -241,14 +225,15 @@
         self.speeds.apply_reports(peer, report.speeds)
         for prompt in report.prompts:
             self._apply_prompt(prompt)
-        self._apply_failures(peer, report, now_ms)
+        if apply_failures(self._registry.failure_history, report, peer, now_ms):
+            self.report_due.set()
         for limit in report.limits:
             is_known = limit.server in self._registry.servers.by_name
             if is_known and apply_limit_report(self._registry.server_limits, limit, now_ms):
-                self._registry.log_limit(limit.server, peer)
+                self._registry.notices.log_limit(limit.server, peer)
         for announcement in report.announcements:
             if announcement.leaving:
-                self._registry.record_leaving(
+                self._registry.notices.record_leaving(
                     announcement.server, announcement.started_ms, f"peer {peer}"
                 )
         if self.latencies is not None:
@@ -270,10 +255,6 @@
             self._registry.servers.by_name
         )
 
-    def is_server_list_current(self) -> bool:
-        """:return: whether this router, or a peer that reports to it, reaches the store"""
-        return self.watcher_election.reaches_store(self._clock.now_ms())
-
     def set_members(self, own: str, members: frozenset[str]) -> None:
         """
         Replace the routers that share the limits of servers.
@@ -297,21 +278,6 @@
         if self.usage is not None:
             self.usage.remove_peer(peer)
 
-    def _apply_failures(self, peer: str, report: PeerReport, now_ms: int) -> None:
-        history = self._registry.failure_history
-        known = history.part_crashes.recent.count
-        for failure in report.failures:
-            apply_failure(history, failure, now_ms)
-        quarantined = [
-            part_crash.part
-            for part_crash in report.part_crashes
-            if apply_report(history.part_crashes, part_crash, now_ms)
-        ]
-        if quarantined:
-            log_event(Event.PARTS_QUARANTINED, parts=quarantined, source=peer)
-        if history.part_crashes.recent.count > known:
-            self.report_due.set()
-
     def _apply_prompt(self, prompt: CachedPrompt) -> None:
         server = self._registry.servers.by_name.get(prompt.server)
         if server is None or self._registry.config is None:
--- a/src/boragetiller/gateway/streams/stream_versions.py
+++ b/src/boragetiller/gateway/streams/stream_versions.py
@@ -108,10 +108,9 @@
         if origin is not None and origin.group == group:
             return KnownVersion(origin.version)
         stored = None if self._journal is None else await self._journal.read(group, resumed_id)
-        recent = self._registry.list_recent_versions(group)
-        decision = decide_resumption(
-            stored, recent, is_current=self._state_sync.is_server_list_current()
-        )
+        recent = self._registry.group_versions.list_recent(group)
+        is_current = self._state_sync.watcher_election.reaches_store(self._clock.now_ms())
+        decision = decide_resumption(stored, recent, is_current=is_current)
         if origin is not None:  # another service began it
             decision = UnknownVersion(UnknownReason.NOT_RECORDED)
         match decision:
@@ -133,7 +132,7 @@
     ) -> None:
         if self._journal is None or stream.stored_version == origin.version:
             return
-        if len(self._registry.list_recent_versions(origin.group)) > 1:
+        if len(self._registry.group_versions.list_recent(origin.group)) > 1:
             stream.stored_version = origin.version
             self._journal.note(call.metadata.request_id, origin)
 
--- a/src/boragetiller/gateway/streams/version_journal.py
+++ b/src/boragetiller/gateway/streams/version_journal.py
@@ -100,7 +100,7 @@
             if self._store.eras.era != self._era:
                 self._start_again()
             try:
-                for group in self._registry.list_resumable_groups():
+                for group in self._list_resumable_groups():
                     await self._update_group(group)
                 await self._write_streams()
             except HistoryLost:
@@ -128,6 +128,13 @@
         except (StoreUnavailable, HistoryLost, TimeoutError):
             return None
 
+    def _list_resumable_groups(self) -> set[str]:
+        """:return: names of the groups with streams that callers may take up again"""
+        config = self._registry.config
+        routes = config.routes if config is not None else ()
+        weighted = [route.weighted_groups for route in routes if route.resumable]
+        return {each.group for groups in weighted for each in groups}
+
     async def _read_versions(self, group: str, request_id: str | None) -> StoredVersions:
         if request_id is not None:
             listing = await self._store.get_key(_build_stream_key(group, request_id))
@@ -138,7 +145,7 @@
 
     async def _update_group(self, group: str) -> None:
         """Write the versions of a group if they differ from what the store has."""
-        recent = self._registry.list_recent_versions(group)
+        recent = self._registry.group_versions.list_recent(group)
         if len(recent) > 1 and group not in self._mixed_groups:
             self._note_streams(group)
         self._mixed_groups = (self._mixed_groups - {group}) | (
@@ -148,7 +155,7 @@
         if not recent or (known is not None and known.versions == recent):
             return
         stored = await self._read_group(group)
-        recent = self._registry.list_recent_versions(group)
+        recent = self._registry.group_versions.list_recent(group)
         if stored.versions == recent:
             return
         key = _build_group_key(group)
@@ -176,7 +183,7 @@
         self._stored_groups[group] = stored
         # Versions that this router has seen leave may only have to be removed from the entry.
         for version in stored.versions:
-            self._registry.observe_stored_version(group, version)
+            self._registry.group_versions.observe_stored(group, version)
         return stored
 
     async def _write_streams(self) -> None:
--- a/src/boragetiller/systems/report_peers.py
+++ b/src/boragetiller/systems/report_peers.py
@@ -12,6 +12,8 @@
 from boragetiller.hashing import stable_hash
 
 MAX_PEERS = 64  # with more peers the interval between reports would exceed their TTL
+REPORT_INTERVAL_MS = 100  # shorter than the prefill of a long prompt, so that peers see each one
+REPORT_MS_PER_PEER = 10  # limits a router to 100 received reports per second in a large fleet
 _HASHES = float(1 << 64)
 
 
@@ -30,6 +32,16 @@
     return stable_hash("peers", *sorted((own, other))) / _HASHES < MAX_PEERS / known
 
 
+def report_interval_ms(peers: int) -> int:
+    """
+    Compute the interval between reports; it grows with the fleet to bound the total rate.
+
+    :param peers: number of routers that it reports to
+    :return: interval in milliseconds
+    """
+    return max(REPORT_INTERVAL_MS, REPORT_MS_PER_PEER * peers)
+
+
 def compute_reporting_share(known: int, reporting: int) -> float:
     """
     Compute the share of the other routers whose reports arrive here.
@@ -43,4 +55,4 @@
     return min(1.0, max(1, reporting) / known)
 
 
-__all__ = ["MAX_PEERS", "are_peers", "compute_reporting_share"]
+__all__ = ["MAX_PEERS", "are_peers", "compute_reporting_share", "report_interval_ms"]
--- a/tests/gateway/test_peer_exchange.py
+++ b/tests/gateway/test_peer_exchange.py
@@ -243,9 +243,7 @@
     async def test_entry_too_large_to_send_blocks_no_other(self) -> None:
         store = FakeStore()
         store.down = True
-        with patch(
-            "boragetiller.gateway.peer_exchange.encode_frame", side_effect=_encode_small_frame
-        ):
+        with patch("boragetiller.gateway.item_relay.encode_frame", side_effect=_encode_small_frame):
             first, second = await self.start_pair(store)
             first.store.put("servers/large", b"x" * 5_000)
             first.store.put("op/config", build_config(4))
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -13,7 +13,7 @@
 
 import tests.platform_path  # noqa: F401
 from boragetiller.errors import StoreUnavailable
-from boragetiller.gateway.peer_exchange import LOST_ITEMS_DELAY_MS
+from boragetiller.gateway.item_relay import LOST_ITEMS_DELAY_MS
 from boragetiller.gateway.state_sync import StoreRevisions
 from boragetiller.store_eras import MAX_REVISION, extend_revision
 from boragetiller.tables.store_view import StoredItem
@@ -251,7 +251,7 @@
         config = registry.store_entries.view.items["op/config"]
         sent: list[StoredItem] = []
         exchange = self.first.router.peer_exchange
-        with patch.object(exchange, "_send_items", lambda _, items: sent.extend(items)):
+        with patch.object(exchange._item_relay, "send_items", lambda _, items: sent.extend(items)):
             registry.apply_changes([attrs.evolve(config, revision=extend_revision(2, 2))], "test")
             await asyncio.sleep(3 * LOST_ITEMS_DELAY_MS / 1_000)
             revision = extend_revision(2, copied["revision"])
