--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -256,6 +256,9 @@
             revision=get_store_revision(item.revision),
             source=source,
         )
+        for group in config.groups.values():
+            if group.scaling_error:
+                log_event(Event.SCALING_UNREADABLE, group=group.name, reason=group.scaling_error)
         return True
 
     def _replace_servers(self, config: RouteConfig, source: str) -> None:
--- a/src/boragetiller/tables/routes.py
+++ b/src/boragetiller/tables/routes.py
@@ -77,6 +77,7 @@
     max_connections: int  # accepted by one backend server from all its clients
     engine: EngineProfile | None = None  # None for a plain service
     scaling: ScalingPolicy | None = None  # None if the number of servers is not ours to choose
+    scaling_error: str = ""  # why the operator's limits cannot be used, empty if they can
 
 
 @attrs.frozen(kw_only=True)
