--- a/src/boragetiller/gateway/streams/version_journal.py
+++ b/src/boragetiller/gateway/streams/version_journal.py
@@ -28,7 +28,11 @@
     StoreLease,
     Transaction,
 )
-from boragetiller.tables.stream_versions import STREAM_LIFETIME_MS, StreamOrigin
+from boragetiller.tables.stream_versions import (
+    MAX_REQUEST_ID_CHARS,
+    STREAM_LIFETIME_MS,
+    StreamOrigin,
+)
 from boragetiller.timeouts import wait_with_timeout
 
 if TYPE_CHECKING:
@@ -86,6 +90,8 @@
         :param request_id: request of the caller that brings its first event
         :param origin: group and software version
         """
+        if len(request_id) > MAX_REQUEST_ID_CHARS:
+            return
         if len(self._pending) >= MAX_PENDING:
             del self._pending[next(iter(self._pending))]
         self._pending[request_id] = origin
--- a/src/boragetiller/tables/stream_versions.py
+++ b/src/boragetiller/tables/stream_versions.py
@@ -9,6 +9,7 @@
 # Longer than the deadline of any stream, over all requests of its caller that take it up again.
 STREAM_LIFETIME_MS = 30_000
 MAX_STREAMS = 16_384
+MAX_REQUEST_ID_CHARS = 256  # callers choose the IDs, so this bounds the memory for them
 
 
 @attrs.frozen
@@ -30,9 +31,13 @@
         """
         Record the origin of a stream; the oldest are dropped when they are too many or too old.
 
+        A stream whose request has a longer ID is not recorded and cannot be resumed by name.
+
         :param request_id: request of the caller that brought its first event
         :param origin: group and software version
         """
+        if len(request_id) > MAX_REQUEST_ID_CHARS:
+            return
         self._origins.pop(request_id, None)
         self._origins[request_id] = origin
         while self._origins:
@@ -100,6 +105,7 @@
 
 
 __all__ = [
+    "MAX_REQUEST_ID_CHARS",
     "MAX_STREAMS",
     "STREAM_LIFETIME_MS",
     "StreamOrigin",
--- a/tests/systems/test_stream_resumption.py
+++ b/tests/systems/test_stream_resumption.py
@@ -15,6 +15,7 @@
     decide_resumption,
 )
 from boragetiller.tables.stream_versions import (
+    MAX_REQUEST_ID_CHARS,
     MAX_STREAMS,
     STREAM_LIFETIME_MS,
     StreamOrigin,
@@ -77,6 +78,11 @@
         self.assertIsNone(table.find("0"))
         self.assertIsNotNone(table.find("1"))
 
+    def test_long_ids_take_no_memory(self) -> None:
+        table = StreamVersionTable()
+        table.record("x" * (MAX_REQUEST_ID_CHARS + 1), StreamOrigin("g", "v1", 0))
+        self.assertFalse(table.list_recent("g", 0))
+
     def test_version_is_recent_until_its_streams_have_ended(self) -> None:
         history = VersionHistory()
         history.observe("g", "v1", 0)
