--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -23,6 +23,7 @@
 from tests.gateway.test_streams import PROMPT
 
 EVENTS = 4
+STREAMS = 16
 RESUMPTIONS = 6  # of one stream; a router that does not compare versions rarely guesses all right
 
 
@@ -122,9 +123,13 @@
         old.pauses = False
         old.breaks.clear()
 
+    def count_stored(self, prefix: str) -> int:
+        """:return: number of entries of the routers with the prefix"""
+        return sum(key.startswith(prefix) for key in self.store.items)
+
     def is_stored(self, prefix: str) -> bool:
         """:return: whether the store has an entry of the routers with the prefix"""
-        return any(key.startswith(prefix) for key in self.store.items)
+        return self.count_stored(prefix) > 0
 
     async def test_stream_that_breaks_goes_on_at_its_version_within_an_answer(self) -> None:
         for _ in range(RESUMPTIONS):
@@ -177,6 +182,23 @@
         for _ in range(RESUMPTIONS):
             self.assertEqual(await self.resume(restarted, "first"), (200, ["v1", "v1"]))
 
+    async def test_many_streams_go_on_each_at_its_version_after_all_routers_were_restarted(
+        self,
+    ) -> None:
+        for name, version in (("a", "v1"), ("b", "v1"), ("c", "v2"), ("d", "v2")):
+            (await self.register(name, version)).pauses = True
+        harness = await self.start_router()
+        tasks = [await self.begin(harness, f"stream-{number}") for number in range(STREAMS)]
+        await wait_until(lambda: self.count_stored(STREAMS_PREFIX) == STREAMS)
+        await harness.router.abort()
+        for engine in self.engines.values():
+            engine.pauses = False
+        restarted = await self.start_router()
+        for number, task in enumerate(tasks):
+            began = find_versions(await task)
+            status, rest = await self.resume(restarted, f"stream-{number}")
+            self.assertEqual((status, set(rest)), (200, set(began)))
+
     async def test_stream_whose_version_and_routers_are_gone_does_not_go_on(self) -> None:
         await self.register("old", "v1")
         harness = await self.start_router()
