--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -205,10 +205,11 @@
             attempt.event_timeout.restart()
             if stream.first_event_ms is None:
                 self._record_first_event(attempt)
-                self._stream_versions.record_begun(attempt.call, stream, attempt.server)
             stream.record_event(self._clock.now_ms())
             attempt.server.remove_pending_prompt(attempt.call.metadata.request_id)
             await stream.event_writer.write(response.metadata.status, headers, events.data)
+            # After the write, which only the winner of a hedged call gets past.
+            self._stream_versions.record_begun(attempt.call, stream, attempt.server)
             attempt.progress.relayed_events += events.count
             attempt.response_progress.events += events.count
             self._clear_parts_once(attempt)
--- a/src/boragetiller/gateway/streams/stream_versions.py
+++ b/src/boragetiller/gateway/streams/stream_versions.py
@@ -130,10 +130,10 @@
     def _store_if_mixed(
         self, call: AdmittedCall, stream: StreamState, origin: StreamOrigin
     ) -> None:
-        if self._journal is None or stream.stored_version == origin.version:
+        if self._journal is None or stream.stored_versions[-1:] == [origin.version]:
             return
         if len(self._registry.group_versions.list_recent(origin.group)) > 1:
-            stream.stored_version = origin.version
+            stream.stored_versions.append(origin.version)
             self._journal.note(call.metadata.request_id, origin)
 
     def _build_origin(self, call: AdmittedCall, server: BackendServer) -> StreamOrigin:
--- a/src/boragetiller/gateway/streams/version_journal.py
+++ b/src/boragetiller/gateway/streams/version_journal.py
@@ -143,7 +143,7 @@
 
     async def _read_versions(self, group: str, request_id: str | None) -> StoredVersions:
         if request_id is not None:
-            listing = await self._store.get_key(_build_stream_key(group, request_id))
+            listing = await self._store.get_key(build_stream_key(group, request_id))
             if listing.items:
                 return StoredVersions(_decode_version(listing.items[0]), frozenset())
         stored = await self._read_group(group)
@@ -198,7 +198,7 @@
             batch = dict(list(self._pending.items())[:MAX_TRANSACTION_WRITES])
             writes = tuple(
                 KeyWrite(
-                    _build_stream_key(origin.group, request_id),
+                    build_stream_key(origin.group, request_id),
                     origin.version.encode(),
                     lease.lease_id,
                 )
@@ -239,7 +239,14 @@
             self.note(request_id, origin)
 
 
-def _build_stream_key(group: str, request_id: str) -> str:
+def build_stream_key(group: str, request_id: str) -> str:
+    """
+    Build the key of a stream's version.
+
+    :param group: name of the backend group
+    :param request_id: request of the caller that brought its first event
+    :return: key in the store
+    """
     return f"{STREAMS_PREFIX}{stable_hash(group, request_id):016x}"
 
 
@@ -261,4 +268,4 @@
     return frozenset(versions) if is_list else frozenset()
 
 
-__all__ = ["STREAMS_PREFIX", "VERSIONS_PREFIX", "VersionJournal"]
+__all__ = ["STREAMS_PREFIX", "VERSIONS_PREFIX", "VersionJournal", "build_stream_key"]
--- a/tests/gateway/test_hedged_streams.py
+++ b/tests/gateway/test_hedged_streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import tempfile
 import unittest
 from pathlib import Path
@@ -9,6 +10,7 @@
 
 from boragetiller.errors import SettingsInvalid
 from boragetiller.gateway.policy_file import POLICY_VARIABLE, Policy, load_policy
+from boragetiller.gateway.streams.version_journal import build_stream_key
 from boragetiller.tables.hedging import HedgeShares, HedgingSettings
 from tests.gateway.harness import RouterHarness, wait_until
 from tests.gateway.scripted_engine import (
@@ -20,8 +22,6 @@
 from tests.gateway.test_streams import EVENTS, PROMPT, stream_all_events
 
 if TYPE_CHECKING:
-    import asyncio
-
     from tests.gateway.scripted_engine import Script
 
 POLICY = Policy(
@@ -46,7 +46,7 @@
         for number, engine in enumerate(self.engines):
             await engine.start()
             self.addAsyncCleanup(engine.close)
-            harness.store.register(f"e{number}", engine, service)
+            harness.store.register(f"e{number}", engine, service, version=f"v{number}")
         await harness.start()
         self.addAsyncCleanup(harness.close)
         return harness
@@ -71,6 +71,39 @@
         ejected = harness.router.registry.servers.by_name.values()
         self.assertEqual([server.health.failures for server in ejected], [0, 0])
 
+    async def test_version_of_a_hedged_stream_is_that_of_the_winner(self) -> None:
+        # Guards against a stream that is taken up at the version of the attempt that lost.
+        hedged = asyncio.Event()
+        winners: list[str] = []
+
+        async def respond_after_the_hedge(
+            request: ReceivedRequest, writer: asyncio.StreamWriter
+        ) -> None:
+            await hedged.wait()
+            winners.append(request.headers["x-boragetiller-expect-instance"])
+            await stream_all_events(request, writer)
+
+        async def never_respond(_: ReceivedRequest, _writer: asyncio.StreamWriter) -> None:
+            hedged.set()
+
+        scripts = (stream_all_events, stream_all_events, respond_after_the_hedge, never_respond)
+        harness = await self.serve(POLICY, "engines", *scripts)
+        for _ in range(2):
+            async with harness.call("/gauges/", **PROMPT) as response:
+                await response.read()
+        async with harness.call(
+            "/gauges/", **PROMPT, X_Boragetiller_Attempt_Id="hedged"
+        ) as response:
+            await response.read()
+        registry = harness.router.registry
+        expected = registry.servers.by_name[winners[0]].record.software_version
+        origin = registry.stream_versions.find("hedged")
+        assert origin is not None
+        self.assertEqual(origin.version, expected)
+        key = build_stream_key("engines", "hedged")
+        items = harness.store.items
+        await wait_until(lambda: key in items and items[key].value == expected.encode())
+
 
 class PolicyFileTest(unittest.TestCase):
     """Values of the policy file."""
