--- a/src/boragetiller/tables/server_table.py
+++ b/src/boragetiller/tables/server_table.py
@@ -36,6 +36,8 @@
         :param version: software version of the servers, None for all
         :return: servers that are registered, not draining, and have not said that they leave
         """
+        if version is not None and self.find_versions(group) == {version}:
+            version = None  # the usual case; the same servers, built once
         if (group, version) not in self._groups:
             servers = self.by_name.values()
             found = [
