--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -26,7 +26,7 @@
 from boragetiller.tables.server_limits import ServerLimitTable
 from boragetiller.tables.server_placement import PlacementCostModel
 from boragetiller.tables.server_table import ServerTable
-from boragetiller.tables.stream_versions import StreamVersionTable
+from boragetiller.tables.stream_versions import StreamOriginTable
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -68,7 +68,7 @@
         self.server_limits = ServerLimitTable()
         self.notices = ServerNotices(self.servers, self.server_limits, clock)
         self.part_uses = PartUseTable()
-        self.stream_versions = StreamVersionTable()
+        self.stream_origins = StreamOriginTable()
         self.group_versions = GroupVersions(self.servers, clock)
         self._throughputs: dict[str, EngineThroughput] = {}
         self.output_lengths = OutputLengths()
--- a/src/boragetiller/gateway/streams/stream_versions.py
+++ b/src/boragetiller/gateway/streams/stream_versions.py
@@ -93,7 +93,7 @@
             return
         stream.software_version = server.record.software_version
         origin = self._build_origin(call, server)
-        self._registry.stream_versions.record(call.metadata.request_id, origin)
+        self._registry.stream_origins.record(call.metadata.request_id, origin)
         self._store_if_mixed(call, stream, origin)
 
     async def find(self, call: AdmittedCall) -> KnownVersion | UnknownVersion:
@@ -104,7 +104,7 @@
         :return: the version, or why none is known
         """
         group, resumed_id = call.group.name, call.metadata.resumed_request_id
-        origin = None if resumed_id is None else self._registry.stream_versions.find(resumed_id)
+        origin = None if resumed_id is None else self._registry.stream_origins.find(resumed_id)
         if origin is not None and origin.group == group:
             return KnownVersion(origin.version)
         stored = None if self._journal is None else await self._journal.read(group, resumed_id)
@@ -116,7 +116,7 @@
         match decision:
             case KnownVersion(version=version) if resumed_id is not None:
                 found = StreamOrigin(group, version, self._clock.now_ms())
-                self._registry.stream_versions.record(resumed_id, found)
+                self._registry.stream_origins.record(resumed_id, found)
             case UnknownVersion(reason=reason):
                 log_event(
                     Event.STREAM_VERSION_UNKNOWN,
--- a/src/boragetiller/gateway/streams/version_journal.py
+++ b/src/boragetiller/gateway/streams/version_journal.py
@@ -152,32 +152,34 @@
     async def _update_group(self, group: str) -> None:
         """Write the versions of a group if they differ from what the store has."""
         recent = self._registry.group_versions.list_recent(group)
-        if len(recent) > 1 and group not in self._mixed_groups:
+        if len(recent) <= 1:
+            self._mixed_groups.discard(group)
+        elif group not in self._mixed_groups:
+            self._mixed_groups.add(group)
             self._note_streams(group)
-        self._mixed_groups = (self._mixed_groups - {group}) | (
-            {group} if len(recent) > 1 else set()
-        )
         known = self._stored_groups.get(group)
         if not recent or (known is not None and known.versions == recent):
             return
         stored = await self._read_group(group)
         recent = self._registry.group_versions.list_recent(group)
-        if stored.versions == recent:
-            return
+        if stored.versions != recent:
+            await self._store_group(group, recent, stored.revision)
+
+    async def _store_group(self, group: str, versions: frozenset[str], revision: int) -> None:
+        """Write the versions of a group, unless another router has written since the revision."""
         key = _build_group_key(group)
-        write = KeyWrite(key, json.dumps(sorted(recent)).encode())
         result = await self._store.commit(
             Transaction(
                 era=self._store.eras.era or 0,
-                expected=(ExpectedRevision(key, stored.revision),),
-                writes=(write,),
+                expected=(ExpectedRevision(key, revision),),
+                writes=(KeyWrite(key, json.dumps(sorted(versions)).encode()),),
             )
         )
         if result.status is CommitStatus.COMMITTED:
-            self._stored_groups[group] = StoredGroup(recent, result.revision)
-            log_event(Event.GROUP_VERSIONS_STORED, group=group, versions=sorted(recent))
+            self._stored_groups[group] = StoredGroup(versions, result.revision)
+            log_event(Event.GROUP_VERSIONS_STORED, group=group, versions=sorted(versions))
         else:
-            del self._stored_groups[group]  # another router was faster
+            del self._stored_groups[group]
             self._due.set()
 
     async def _read_group(self, group: str) -> StoredGroup:
@@ -234,7 +236,7 @@
 
     def _note_streams(self, group: str) -> None:
         """Note the streams that began before a further version served."""
-        streams = self._registry.stream_versions.list_recent(group, self._clock.now_ms())
+        streams = self._registry.stream_origins.list_recent(group, self._clock.now_ms())
         for request_id, origin in streams.items():
             self.note(request_id, origin)
 
--- a/src/boragetiller/tables/stream_versions.py
+++ b/src/boragetiller/tables/stream_versions.py
@@ -22,7 +22,7 @@
 
 
 @attrs.define
-class StreamVersionTable:
+class StreamOriginTable:
     """Origins of the recent streams that this router began or resumed, by request ID."""
 
     _origins: OrderedDict[str, StreamOrigin] = attrs.field(factory=OrderedDict)
@@ -109,6 +109,6 @@
     "MAX_STREAMS",
     "STREAM_LIFETIME_MS",
     "StreamOrigin",
-    "StreamVersionTable",
+    "StreamOriginTable",
     "VersionHistory",
 ]
--- a/tests/gateway/test_hedged_streams.py
+++ b/tests/gateway/test_hedged_streams.py
@@ -97,7 +97,7 @@
             await response.read()
         registry = harness.router.registry
         expected = registry.servers.by_name[winners[0]].record.software_version
-        origin = registry.stream_versions.find("hedged")
+        origin = registry.stream_origins.find("hedged")
         assert origin is not None
         self.assertEqual(origin.version, expected)
         key = build_stream_key("engines", "hedged")
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -255,7 +255,7 @@
         await self.register("old", "v1")
         harness = await self.start_router()
         origin = StreamOrigin("another", "v1", 0)
-        harness.router.registry.stream_versions.record("first", origin)
+        harness.router.registry.stream_origins.record("first", origin)
         self.assertEqual(await self.resume(harness, "first"), (503, []))
 
     async def test_caller_that_names_no_request_does_not_resume_beside_two_versions(self) -> None:
--- a/tests/systems/test_stream_resumption.py
+++ b/tests/systems/test_stream_resumption.py
@@ -19,7 +19,7 @@
     MAX_STREAMS,
     STREAM_LIFETIME_MS,
     StreamOrigin,
-    StreamVersionTable,
+    StreamOriginTable,
     VersionHistory,
 )
 
@@ -61,25 +61,25 @@
         self.assertEqual(decision, UnknownVersion(UnknownReason.NOT_RECORDED))
 
 
-class StreamVersionTableTest(unittest.TestCase):
+class StreamOriginTableTest(unittest.TestCase):
     """Origins of streams in memory."""
 
     def test_old_streams_are_dropped(self) -> None:
-        table = StreamVersionTable()
+        table = StreamOriginTable()
         table.record("a", StreamOrigin("g", "v1", 0))
         table.record("b", StreamOrigin("g", "v1", STREAM_LIFETIME_MS))
         self.assertIsNone(table.find("a"))
         self.assertEqual(set(table.list_recent("g", STREAM_LIFETIME_MS)), {"b"})
 
     def test_number_of_streams_is_bounded(self) -> None:
-        table = StreamVersionTable()
+        table = StreamOriginTable()
         for number in range(MAX_STREAMS + 1):
             table.record(str(number), StreamOrigin("g", "v1", 0))
         self.assertIsNone(table.find("0"))
         self.assertIsNotNone(table.find("1"))
 
     def test_long_ids_take_no_memory(self) -> None:
-        table = StreamVersionTable()
+        table = StreamOriginTable()
         table.record("x" * (MAX_REQUEST_ID_CHARS + 1), StreamOrigin("g", "v1", 0))
         self.assertFalse(table.list_recent("g", 0))
 
