--- a/tests/platform_adapter/store_server.py
+++ b/tests/platform_adapter/store_server.py
@@ -17,6 +17,7 @@
 
 ERA_HEADER = "Store-Era"
 PAGE_ITEMS = 3
+CLOCK_RESOLUTION_S = 1e-6  # a timer may fire that much before its time
 
 
 @attrs.frozen
@@ -142,7 +143,7 @@
             events = [i for i in self.history if i["key"].startswith(prefix)]
             events = [item for item in events if item["revision"] > after]
             left_s = end_s - asyncio.get_running_loop().time()
-            if self.down or (events and not self.watches_stalled) or left_s <= 0:
+            if self.down or (events and not self.watches_stalled) or left_s < CLOCK_RESOLUTION_S:
                 return 200, {"events": events, "current-rev": self.revision}
             await asyncio.wait([asyncio.ensure_future(self._changed.wait())], timeout=left_s)
 
