A watch of the store that is never answered ends at the deadline of the changes (CONFIG, DRAIN)

Callers were answered by an older configuration, and requests reached draining servers, for up to 3.4 s longer than allowed after the store or all channels had been silent. Cause: a watch that nobody answers looks like one without changes, and was held for 5.5 s, longer than contact-ms (3 to 5 s); a poll that fails stops the later ones until then. All routers begin their watches at the same moment, with a change, so that no peer knows better. Jitter lets watches that begin together end apart.

--- a/src/boragetiller/gateway/store_watcher.py
+++ b/src/boragetiller/gateway/store_watcher.py
@@ -10,6 +10,7 @@
 from boragetiller.errors import HistoryLost, StoreUnavailable
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.supervisor import run_supervised
+from boragetiller.systems.watch_limits import compute_watch_wait_ms
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -22,7 +23,6 @@
     from boragetiller.gateway.settings import GatewaySettings
     from boragetiller.gateway.state_sync import StateSync
 
-WATCH_WAIT_MS = 5_000  # bounds the time until a watch that was lost in an outage is renewed
 WATCH_INTERVAL_SHARE = 0.2  # of drain_ms, in which all routers must know a draining server
 ELECTION_CHECK_MS = 200  # two report intervals of the peers
 RETRY_BASE_MS = 100  # first delay of the exponential backoff of calls to the store
@@ -60,6 +60,7 @@
         self._store_polls = state_sync.store_polls
         self._watcher_election = state_sync.watcher_election
         self._watch_interval_ms = settings.drain_ms * WATCH_INTERVAL_SHARE
+        self._watch_deadline_ms = min(settings.config_apply_ms, settings.drain_ms)
         self._clock = clock
         self._rng = rng
         self._recovered = asyncio.Event()  # set and replaced when the store recovers
@@ -98,7 +99,7 @@
                     revision = 0  # peers send changes meanwhile
                     await asyncio.sleep(ELECTION_CHECK_MS / 1_000)
                     continue
-                if revision == 0 or (is_servers and self._get_relist_wait_ms() == 0):
+                if revision == 0 or (is_servers and self._compute_relist_wait_ms() == 0):
                     revision = await self._list_prefix(prefix, "read")
                 revision = await self._watch_once(prefix, revision)
                 retry_ms = RETRY_BASE_MS
@@ -158,20 +159,23 @@
             not self._registry.servers_listed
             or self._registry.servers_outdated
             or restored
-            or self._get_relist_wait_ms() == 0
+            or self._compute_relist_wait_ms() == 0
             or self._watcher_election.is_watcher(self._clock.now_ms())
         )
 
-    def _get_relist_wait_ms(self) -> int:
-        wait_ms = self._registry.store_entries.restore_grace.compute_relist_wait_ms(
-            self._clock.now_ms()
-        )
-        return WATCH_WAIT_MS if wait_ms is None else min(wait_ms, WATCH_WAIT_MS)
+    def _compute_relist_wait_ms(self) -> int | None:
+        grace = self._registry.store_entries.restore_grace
+        return grace.compute_relist_wait_ms(self._clock.now_ms())
+
+    def _compute_watch_wait_ms(self, *, is_servers: bool) -> int:
+        wait_ms = compute_watch_wait_ms(self._watch_deadline_ms, self._rng.random())
+        relist_wait_ms = self._compute_relist_wait_ms() if is_servers else None
+        return wait_ms if relist_wait_ms is None else min(wait_ms, relist_wait_ms)
 
     async def _watch_once(self, prefix: str, revision: int) -> int:
         started_ms = self._clock.now_ms()
         is_servers = prefix == self._dialect.servers_prefix
-        wait_ms = self._get_relist_wait_ms() if is_servers else WATCH_WAIT_MS
+        wait_ms = self._compute_watch_wait_ms(is_servers=is_servers)
         listing = await self._call(
             "watch", lambda: self._store.watch_prefix(prefix, revision, wait_ms)
         )
--- a/tests/platform_adapter/test_time_limits.py
+++ b/tests/platform_adapter/test_time_limits.py
@@ -9,7 +9,8 @@
 import tests.platform_path  # noqa: F401
 from boragetiller.errors import StoreUnavailable
 from boragetiller.gateway.settings import Endpoint
-from kv_store import CALL_TIMEOUT_MS, WATCH_MARGIN_MS, KvStoreClient
+from boragetiller.systems.watch_limits import WATCH_MARGIN_MS
+from kv_store import CALL_TIMEOUT_MS, KvStoreClient
 from tests.gateway.store_channels import ChannelConnector, ChannelStore
 from tests.virtual_time import VirtualClock, run_virtually
 
