--- a/tests/gateway/test_change_delays.py
+++ b/tests/gateway/test_change_delays.py
@@ -25,6 +25,7 @@
 CONTACT_MS = 3_000  # the smallest contact-ms of the deployments
 POLL_MS = 9.7  # so that no poll coincides with a time limit
 GIVE_UP_MS = 30_000
+IDLE_CHANNELS = 4
 SEEDS = 4
 STARTS_MS = (2_300, 3_100, 4_700, 5_300)  # of the first change, at different times of the polls
 GAPS_MS = (20, 150, 1_000)  # from the first change, which renews all watches, to the trouble
@@ -62,11 +63,22 @@
         dialect = PlatformDialect()
         self.registry = BackendRegistry(self.settings, dialect, clock, metrics)
         state_sync = StateSync("router-1", self.registry, PlacementCostModel(), clock)
-        client = KvStoreClient(Endpoint("127.0.0.1", 1))
+        self._client = KvStoreClient(Endpoint("127.0.0.1", 1))
         self.watcher = StoreWatcher(
-            self.settings, client, self.registry, dialect, state_sync, clock, metrics, Random(seed)
+            self.settings,
+            self._client,
+            self.registry,
+            dialect,
+            state_sync,
+            clock,
+            metrics,
+            Random(seed),
         )
 
+    async def fill_pool(self) -> None:
+        """Leave idle channels in the pool, as the duties and the versions of streams do."""
+        await asyncio.gather(*(self._client.list_prefix("duties/") for _ in range(IDLE_CHANNELS)))
+
 
 class Configurations:
     """Changes of the configuration."""
@@ -131,6 +143,7 @@
     await wait_ms(play.seed * 130)  # time limits may be rounded to whole seconds of the loop
     await router.watcher.start()
     await wait_ms(play.start_ms)
+    await router.fill_pool()
     states.put(store, 2)
     await wait_ms(play.gap_ms)
     end_ms = clock.now_ms() + play.trouble_ms
--- a/tests/platform_adapter/test_time_limits.py
+++ b/tests/platform_adapter/test_time_limits.py
@@ -14,6 +14,7 @@
 from tests.gateway.store_channels import ChannelConnector, ChannelStore
 from tests.virtual_time import VirtualClock, run_virtually
 
+IDLE_CHANNELS = 4
 START_MS = 300  # no whole second of the loop
 
 
@@ -23,13 +24,13 @@
     store.set_silent(True)
     with patch("aiohttp.TCPConnector", lambda **_options: ChannelConnector(store)):
         client = KvStoreClient(Endpoint("127.0.0.1", 1))
-    await asyncio.sleep(START_MS / 1_000)
-    try:
-        await client.watch_prefix("s/", 1, wait_ms)
-    except StoreUnavailable:
-        return clock.now_ms() - START_MS
-    finally:
-        await client.close()
+        await asyncio.sleep(START_MS / 1_000)
+        try:
+            await client.watch_prefix("s/", 1, wait_ms)
+        except StoreUnavailable:
+            return clock.now_ms() - START_MS
+        finally:
+            await client.close()
     raise AssertionError("the watch was answered")
 
 
@@ -40,21 +41,38 @@
     with patch("aiohttp.TCPConnector", lambda **_options: ChannelConnector(store)):
         client = KvStoreClient(Endpoint("127.0.0.1", 1))
 
-    async def call_forever() -> None:
+        async def call_forever() -> None:
+            while True:
+                try:
+                    await client.list_prefix("s/")
+                except StoreUnavailable:
+                    await asyncio.sleep(1.0)
+
+        task = asyncio.create_task(call_forever())
+        await asyncio.sleep(0)  # the call begins, with its time limit
+        asyncio.get_running_loop().call_at(CALL_TIMEOUT_MS / 1_000, task.cancel)
+        await asyncio.sleep(2 * CALL_TIMEOUT_MS / 1_000)
+        cancelled = task.done()
+        task.cancel()
+        await client.close()
+    return cancelled
+
+
+async def call_after_channels_fell_silent() -> int:
+    """:return: number of calls that fail before one is answered"""
+    store, failed = ChannelStore(), 0
+    with patch("aiohttp.TCPConnector", lambda **_options: ChannelConnector(store)):
+        client = KvStoreClient(Endpoint("127.0.0.1", 1))
+        await asyncio.gather(*(client.list_prefix("s/") for _ in range(IDLE_CHANNELS)))
+        store.stall_channels()
         while True:
             try:
                 await client.list_prefix("s/")
+                break
             except StoreUnavailable:
-                await asyncio.sleep(1.0)
-
-    task = asyncio.create_task(call_forever())
-    await asyncio.sleep(0)  # the call begins, with its time limit
-    asyncio.get_running_loop().call_at(CALL_TIMEOUT_MS / 1_000, task.cancel)
-    await asyncio.sleep(2 * CALL_TIMEOUT_MS / 1_000)
-    cancelled = task.done()
-    task.cancel()
-    await client.close()
-    return cancelled
+                failed += 1
+        await client.close()
+    return failed
 
 
 class TimeLimitTest(unittest.TestCase):
@@ -66,6 +84,9 @@
     def test_cancellation_at_the_time_limit_is_not_lost(self) -> None:
         self.assertTrue(run_virtually(cancel_at_time_limit()))
 
+    def test_call_after_a_silent_one_takes_no_idle_channel(self) -> None:
+        self.assertEqual(run_virtually(call_after_channels_fell_silent()), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
