A router tries a store that does not answer again after at most a second (CONFIG, DRAIN)

After a long silence of the store, a call that began just before its end fails a second later, and the next one came up to 1.6 s after that (6.4 s for the list of servers, unless another call succeeded in between): changes were known up to 2.61 s after the end of the silence, where contact-ms allows 3 s.

--- a/src/boragetiller/gateway/store_watcher.py
+++ b/src/boragetiller/gateway/store_watcher.py
@@ -26,8 +26,7 @@
 WATCH_INTERVAL_SHARE = 0.2  # of drain_ms, in which all routers must know a draining server
 ELECTION_CHECK_MS = 200  # two report intervals of the peers
 RETRY_BASE_MS = 100  # first delay of the exponential backoff of calls to the store
-RETRY_MAX_MS = 1_600  # half of the time allowed for a node to reach the store again
-SLOW_RETRY_FACTOR = 4  # for the list of servers, retried at once when the other watch recovers
+RETRY_MAX_MS = 1_000  # with the time limit of a call, within the time to reach the store again
 RETRY_NOT_READY_MS = 200  # before the first configuration, when no call can be served
 
 
@@ -109,12 +108,10 @@
                 self._set_store_reachable(False, str(error))
                 revision = 0  # a listing returns at once when the store is back
                 await self._wait_for_recovery(retry_ms)
-                retry_ms = min(self._get_max_retry_ms(prefix), 2 * retry_ms)
+                retry_ms = min(self._get_max_retry_ms(), 2 * retry_ms)
 
-    def _get_max_retry_ms(self, prefix: str) -> int:
-        if not self._registry.is_ready:
-            return RETRY_NOT_READY_MS
-        return RETRY_MAX_MS * (1 if prefix == self._dialect.config_key else SLOW_RETRY_FACTOR)
+    def _get_max_retry_ms(self) -> int:
+        return RETRY_MAX_MS if self._registry.is_ready else RETRY_NOT_READY_MS
 
     async def _wait_for_recovery(self, wait_ms: int) -> None:
         """Wait, but no longer than until another call to the store succeeds."""
