The watch of a duty ends after two leases (duties after a silence of the store)

Now the watch ends after two leases, 6 s.

test_lost_holder_is_replaced_after_watches_fell_silent failed before (no holder within usage-late-s, 10 s). The test of the number of calls counts 9 watches a minute of each other candidate in place of 3: it still asserts the exact number, which follows from the length of the watch.

--- a/src/boragetiller/gateway/duties/acquirer.py
+++ b/src/boragetiller/gateway/duties/acquirer.py
@@ -40,7 +40,9 @@
 # serves outdated reads, would get calls without pause.
 CONFLICT_WAIT_MS = 100
 RENEWAL_WAIT_MS = 200  # between checks whether an expired lease was renewed
-WATCH_WAIT_MS = 20_000  # the longest that the store allows, so an idle watch costs the least
+# A watch that is never answered delays the takeover of a duty whose holder was lost; with the time
+# until its lease ends, usage reports must still arrive in time.
+WATCH_LEASES = 2
 
 
 class DutyAcquirer:
@@ -63,6 +65,7 @@
         self._regain = False  # the lease was not renewed in time, but may not have ended
         self._withheld = False
         self._era = election.era
+        self._max_watch_ms = WATCH_LEASES * election.settings.lease_ms
 
     def regain(self) -> None:
         """Try to hold the duty again as soon as its lease is renewed, if it has not ended."""
@@ -99,7 +102,7 @@
         if is_own(stored, election.incarnation, lease):
             return await self._adopt(stored, lease)
         if stored.lease is not None:
-            await self._watch(stored, WATCH_WAIT_MS)
+            await self._watch(stored, self._max_watch_ms)
         elif (wait_ms := self._compute_wait_ms(stored, rank)) > 0:
             await self._watch(stored, wait_ms)
         else:
@@ -165,7 +168,7 @@
 
     async def _watch(self, stored: StoredDuty, wait_ms: int) -> None:
         prefix = get_prefix(self._duty, stored.era)
-        wait_ms = min(wait_ms, WATCH_WAIT_MS)
+        wait_ms = min(wait_ms, self._max_watch_ms)
         changes = await self._election.store.watch_prefix(prefix, stored.position, wait_ms)
         if changes.unreadable:
             raise EntryUnreadable(changes.unreadable[0].reason)
--- a/tests/gateway/duty_store.py
+++ b/tests/gateway/duty_store.py
@@ -9,6 +9,7 @@
 from boragetiller.errors import HistoryLost, StoreUnavailable
 from boragetiller.gateway.platform_interface import Listing
 from boragetiller.store_eras import StoreEraTracker, extend_revision, get_era, get_store_revision
+from boragetiller.systems.watch_limits import WATCH_MARGIN_MS
 from boragetiller.tables.store_view import StoredItem
 from boragetiller.tables.store_writes import CommitResult, CommitStatus, StoreLease, Transaction
 from boragetiller.verdict import Verdict
@@ -121,6 +122,7 @@
         self.cut = False
         self.lose: list[str] = []  # calls whose next answer is lost
         self.late_ms = 0  # the next lost transaction is executed only after this time
+        self.silent_watches = 0  # number of times that the waiting watches fell silent
         self.calls: Counter[str] = Counter()
         self._store = store
 
@@ -153,9 +155,12 @@
     async def watch_prefix(self, prefix: str, after_revision: int, wait_ms: int) -> Listing:
         """See :class:`LeaseStore`."""
         end_ms = VirtualClock().now_ms() + wait_ms
-        era = get_era(after_revision)
+        era, silences = get_era(after_revision), self.silent_watches
         await self._call("watch", lambda: None)
         while True:
+            if self.silent_watches != silences:
+                await sleep_ms(end_ms + WATCH_MARGIN_MS - VirtualClock().now_ms())
+                raise StoreUnavailable("not answered")
             if self.cut or self._store.down:
                 raise StoreUnavailable("connection lost")
             if self.eras.observe(str(self._store.era)) != era:
--- a/tests/gateway/test_duty_holder.py
+++ b/tests/gateway/test_duty_holder.py
@@ -7,10 +7,12 @@
 from functools import partial, wraps
 from typing import TYPE_CHECKING
 
+from boragetiller.gateway.duties.acquirer import WATCH_LEASES
 from boragetiller.systems.duties.candidates import list_candidates
 from boragetiller.tables.duties import Duty, DutyKind, LossReason
 from boragetiller.tables.known_routers import KnownRouters
 from tests.gateway.duty_fleet import FLIGHT_MS, SETTINGS, USAGE, DutyFleet, sleep_ms
+from tests.gateway.duty_store import CALL_MS
 from tests.virtual_time import VirtualClock, run_virtually
 
 if TYPE_CHECKING:
@@ -64,11 +66,23 @@
             await sleep_ms(60_000)
             calls = {name: dict(router.link.calls) for name, router in fleet.routers.items()}
             self.assertEqual(calls.pop(RANKED[0]), {"renew": 60})
-            self.assertTrue(all(c == {"watch": 3} for c in calls.values()), calls)
+            watches = 60_000 // (WATCH_LEASES * SETTINGS.lease_ms + CALL_MS)
+            self.assertTrue(all(c == {"watch": watches} for c in calls.values()), calls)
 
         fleet = self.check(scenario)
         self.assertEqual(len({arrival.token for arrival in fleet.arrivals}), 1)
 
+    @in_fleet
+    async def test_lost_holder_is_replaced_after_watches_fell_silent(
+        self, fleet: DutyFleet
+    ) -> None:
+        holder = await fleet.find_holder()
+        await sleep_ms(2_500)
+        for router in fleet.routers.values():
+            router.link.silent_watches += 1
+        await fleet.kill(holder.name)
+        await fleet.find_holder(SETTINGS.usage_late_ms)
+
     @in_fleet
     async def test_killed_holder_is_replaced_within_its_lease(self, fleet: DutyFleet) -> None:
         holder = await fleet.find_holder()
