Own clients of the platform give up idle connections after a timeout

The same cause on the product's own interface: after all connections to the store had fallen silent, four calls in turn waited for their time limit of 1 s, each on another idle connection. HttpSession now uses the same CallSession as the client of the users' store.

--- a/src/boragetiller/platform_clients/call_session.py
+++ b/src/boragetiller/platform_clients/call_session.py
@@ -41,14 +41,21 @@
 
     @asynccontextmanager
     async def request(
-        self, method: str, url: str, timeout_ms: int, **options: Any
+        self,
+        method: str,
+        url: str,
+        timeout_ms: float | None,
+        *,
+        timeout: aiohttp.ClientTimeout = NO_TIMEOUT,
+        **options: Any,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         """
         Send a request; the time limit includes what the caller does with the response.
 
         :param method: HTTP method
         :param url: URL
-        :param timeout_ms: time limit in milliseconds
+        :param timeout_ms: time limit in milliseconds, None for none
+        :param timeout: limits of parts of the call, below 5 s each
         :param options: further arguments of aiohttp's request
         :return: the response
         :raises TimeoutError: the time limit expired
@@ -58,8 +65,8 @@
         pool.calls += 1
         try:
             async with (
-                asyncio.timeout(timeout_ms / 1_000),
-                pool.session.request(method, url, timeout=NO_TIMEOUT, **options) as response,
+                asyncio.timeout(None if timeout_ms is None else timeout_ms / 1_000),
+                pool.session.request(method, url, timeout=timeout, **options) as response,
             ):
                 yield response
         except TimeoutError:
@@ -83,4 +90,4 @@
             self._replaced.add(pool)
 
 
-__all__ = ["CallSession"]
+__all__ = ["NO_TIMEOUT", "CallSession"]
--- a/src/boragetiller/platform_clients/http_session.py
+++ b/src/boragetiller/platform_clients/http_session.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from boragetiller.errors import HistoryLost, RevisionConflict, StoreUnavailable, ValueTooLarge
+from boragetiller.platform_clients.call_session import NO_TIMEOUT, CallSession
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -30,15 +31,15 @@
         """
         self._base_url = base_url.rstrip("/")
         timeout_s = settings.timeout_ms / 1_000
-        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._timeout_ms = settings.timeout_ms
         self._watch_timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=timeout_s, sock_read=timeout_s * WATCH_READ_TIMEOUT_FACTOR
         )
-        self._session: aiohttp.ClientSession | None = None
+        self._session: CallSession | None = None
 
     async def start(self) -> None:
         """Open the connection pool."""
-        self._session = aiohttp.ClientSession()
+        self._session = CallSession(aiohttp.ClientSession)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -65,10 +66,11 @@
         """
         if self._session is None:
             raise StoreUnavailable("the platform client is closed")
-        timeout = self._watch_timeout if open_ended else self._timeout
+        timeout_ms = None if open_ended else self._timeout_ms
+        timeout = self._watch_timeout if open_ended else NO_TIMEOUT
         try:
             async with self._session.request(
-                method, self._base_url + path, timeout=timeout, **options
+                method, self._base_url + path, timeout_ms, timeout=timeout, **options
             ) as response:
                 _check_status(response)
                 yield response
