--- a/src/boragetiller/agent/backend.py
+++ b/src/boragetiller/agent/backend.py
@@ -22,6 +22,7 @@
 )
 from boragetiller.reset_detection import ResetAwareHandler, use_handler
 from boragetiller.settings import BackendKind
+from boragetiller.status_verdicts import FINAL_STATUSES
 from boragetiller.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -137,6 +138,8 @@
             async with self._session.request(
                 attempt.method, url, data=body, headers=headers, allow_redirects=False
             ) as response:
+                if response.status not in FINAL_STATUSES:
+                    raise BackendFailed(f"invalid status {response.status:03}; expected 200 to 599")
                 if self._settings.kind is BackendKind.ENGINE and response.status >= 500:
                     raise BackendFailed(f"engine responded with status {response.status}")
                 yield BackendResponse(response)
--- a/src/boragetiller/errors/failures.py
+++ b/src/boragetiller/errors/failures.py
@@ -35,7 +35,7 @@
 
 
 class BackendFailed(BoragetillerError):
-    """The backend server responded with a server error (5xx)."""
+    """The backend server responded with a server error (5xx) or with an invalid status."""
 
     code = "backend_failed"
     http_status = 502
--- a/src/boragetiller/status_verdicts.py
+++ b/src/boragetiller/status_verdicts.py
@@ -6,6 +6,7 @@
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # callers may repeat any request after these
 UNKNOWN_OUTCOME_STATUS = 502
+FINAL_STATUSES = range(200, 600)  # RFC 9110, 15; nobody asks a server to switch protocols (101)
 
 
 def implies_not_run(status: int) -> bool:
@@ -32,6 +33,7 @@
 
 
 __all__ = [
+    "FINAL_STATUSES",
     "NOT_RUN_STATUSES",
     "UNKNOWN_OUTCOME_STATUS",
     "choose_truthful_status",
--- a/src/boragetiller/systems/response_outcomes.py
+++ b/src/boragetiller/systems/response_outcomes.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from boragetiller.status_verdicts import implies_not_run
+from boragetiller.status_verdicts import FINAL_STATUSES, implies_not_run
 from boragetiller.tables.direct_attempts import DirectAttemptOutcome
 
 if TYPE_CHECKING:
@@ -40,6 +40,8 @@
     :return: the outcome, None if the response may be returned
     """
     succeeded = metadata.status in SUCCESS
+    if metadata.status not in FINAL_STATUSES:
+        return DirectAttemptOutcome.GARBLED
     if states_not_run(metadata, server):
         is_misdirected = metadata.status == MISDIRECTED
         return DirectAttemptOutcome.MISDIRECTED if is_misdirected else DirectAttemptOutcome.FULL
