A call is admitted by the configuration in force once its body has arrived (CONFIG)

A caller whose key was taken away, or whose route was moved or dropped, while the body of its call arrived was served as the older configuration allows: the handler read the configuration at the head and kept it for the up to 10 s of an upload. Found by reading, while following what decides for a call that waits. The limits of the upload itself stay those at its head.

test_key_that_is_taken_away_during_the_upload_is_refused failed before (200 in place of 401).

--- a/src/boragetiller/gateway/call_handler.py
+++ b/src/boragetiller/gateway/call_handler.py
@@ -130,7 +130,7 @@
             check_header_size(request.raw_path, request.raw_headers, config.limits)
             body = await read_body(request, config.limits.max_body_bytes, BODY_TIMEOUT_S)
             call = admit_call(
-                config,
+                self._registry.config or config,  # a newer one, if it came during the upload
                 metadata,
                 request.method,
                 request.raw_path,
