Own interface: a key that is taken away during an upload is refused

The same cause as on the users' platform: the customer was found by the key in the head, and kept for the time of the upload. The key is checked again once the body has arrived.

tests.test_slow_uploads failed before (200 in place of 401).

--- a/src/boragetiller/router/server.py
+++ b/src/boragetiller/router/server.py
@@ -220,8 +220,10 @@
     async def _accept(self, request: web.Request, request_id: str, parse: Parse) -> RoutedRequest:
         if self.refusing:
             raise Draining(retry_after_s=1)
-        customer = authenticate(request.headers, self._config)
+        authenticate(request.headers, self._config)
         body = await self._read_body(request)
+        # Again, since the key may have been taken away during the upload.
+        customer = authenticate(request.headers, self._config)
         routed = parse(request_id, customer, body)
         self._traces.record(
             request_id,
