--- a/tests/gateway/store_channels.py
+++ b/tests/gateway/store_channels.py
@@ -28,6 +28,11 @@
         self.refused_status: int | None = None  # of all new calls, None to serve them
         self._channels: set[StoreChannel] = set()
 
+    @property
+    def open_channels(self) -> int:
+        """:return: number of channels that the clients have not closed"""
+        return len(self._channels)
+
     def open_channel(self, handler: ResponseHandler) -> None:
         """:param handler: protocol of the client's side of a new channel"""
         channel = StoreChannel(self, handler)
--- a/tests/platform_adapter/test_time_limits.py
+++ b/tests/platform_adapter/test_time_limits.py
@@ -58,8 +58,8 @@
     return cancelled
 
 
-async def call_after_channels_fell_silent() -> int:
-    """:return: number of calls that fail before one is answered"""
+async def call_after_channels_fell_silent() -> tuple[int, int]:
+    """:return: number of calls that fail before one is answered, and of channels that stay open"""
     store, failed = ChannelStore(), 0
     with patch("aiohttp.TCPConnector", lambda **_options: ChannelConnector(store)):
         client = KvStoreClient(Endpoint("127.0.0.1", 1))
@@ -71,8 +71,9 @@
                 break
             except StoreUnavailable:
                 failed += 1
+        open_channels = store.open_channels
         await client.close()
-    return failed
+    return failed, open_channels
 
 
 class TimeLimitTest(unittest.TestCase):
@@ -85,7 +86,7 @@
         self.assertTrue(run_virtually(cancel_at_time_limit()))
 
     def test_call_after_a_silent_one_takes_no_idle_channel(self) -> None:
-        self.assertEqual(run_virtually(call_after_channels_fell_silent()), 1)
+        self.assertEqual(run_virtually(call_after_channels_fell_silent()), (1, 1))
 
 
 if __name__ == "__main__":
