--- a/tests/gateway/test_change_delays.py
+++ b/tests/gateway/test_change_delays.py
@@ -1,4 +1,4 @@
-"""How long a router alone stays without a change after the store or its channels were silent."""
+"""How long a router alone stays without a change after trouble of the store or its channels."""
 
 from __future__ import annotations
 
@@ -52,6 +52,7 @@
     gap_ms: int
     trouble_ms: int  # 0 for channels that fall silent in a moment
     change_ms: int  # from the beginning of the trouble to the second change
+    refused_status: int | None = None  # of all new calls; None for a silence
 
 
 class WatchingRouter:
@@ -148,7 +149,11 @@
     await wait_ms(play.gap_ms)
     end_ms = clock.now_ms() + play.trouble_ms
     change_ms = clock.now_ms() + play.change_ms
-    if play.trouble_ms:
+    if play.refused_status is not None:
+        store.refused_status = play.refused_status
+        await wait_ms(play.trouble_ms)
+        store.refused_status = None
+    elif play.trouble_ms:
         store.set_silent(True)
         await wait_ms(play.trouble_ms)
         store.set_silent(False)
@@ -164,7 +169,7 @@
 
 
 class ChangeDelayTest(unittest.TestCase):
-    """A router without peers, whose store or channels are silent between two changes."""
+    """A router without peers, and trouble of its store or channels between two changes."""
 
     def test_configuration_after_a_silence_of_the_store_is_in_force_in_time(self) -> None:
         self.check(Configurations(), build_silences())
@@ -178,6 +183,10 @@
     def test_draining_server_after_channels_fell_silent_is_left_in_time(self) -> None:
         self.check(ServerStates(), build_stalls())
 
+    def test_changes_after_the_store_refused_calls_are_known_in_time(self) -> None:
+        for states in (Configurations(), ServerStates()):
+            self.check(states, build_refusals())
+
     def check(self, states: Configurations, plays: list[Play]) -> None:
         delays_ms = {play: run_virtually(measure_delay(play, states)) for play in plays}
         late = [play for play in plays if delays_ms[play] > 0]
@@ -198,6 +207,11 @@
     ]
 
 
+def build_refusals() -> list[Play]:
+    """:return: plays in which the store turns the router away, but for the watches that wait"""
+    return [attrs.evolve(play, refused_status=429) for play in build_silences()]
+
+
 def build_stalls() -> list[Play]:
     """:return: plays in which all channels fall silent, and new ones work"""
     return [
