--- a/tests/gateway/store_channels.py
+++ b/tests/gateway/store_channels.py
@@ -5,14 +5,18 @@
 import asyncio
 import json
 from types import SimpleNamespace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl, urlsplit
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from boragetiller.errors import StoreUnavailable
 from tests.platform_adapter.store_server import PlatformStoreServer
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
 CALL_MS = 4  # time that the store takes for a response
 HEAD_END = b"\r\n\r\n"
 
@@ -152,4 +156,21 @@
         return handler
 
 
-__all__ = ["ChannelConnector", "ChannelStore", "StoreChannel"]
+async def count_failed_calls(call: Callable[[], Awaitable[object]]) -> int:
+    """
+    Call the store until it answers.
+
+    :param call: makes one call
+    :return: number of calls that failed before
+    """
+    failed = 0
+    while True:
+        try:
+            await call()
+        except StoreUnavailable:
+            failed += 1
+        else:
+            return failed
+
+
+__all__ = ["count_failed_calls", "ChannelConnector", "ChannelStore", "StoreChannel"]
--- a/tests/platform_adapter/test_time_limits.py
+++ b/tests/platform_adapter/test_time_limits.py
@@ -11,7 +11,7 @@
 from boragetiller.gateway.settings import Endpoint
 from boragetiller.systems.watch_limits import WATCH_MARGIN_MS
 from kv_store import CALL_TIMEOUT_MS, KvStoreClient
-from tests.gateway.store_channels import ChannelConnector, ChannelStore
+from tests.gateway.store_channels import ChannelConnector, ChannelStore, count_failed_calls
 from tests.virtual_time import VirtualClock, run_virtually
 
 IDLE_CHANNELS = 4
@@ -60,17 +60,12 @@
 
 async def call_after_channels_fell_silent() -> tuple[int, int]:
     """:return: number of calls that fail before one is answered, and of channels that stay open"""
-    store, failed = ChannelStore(), 0
+    store = ChannelStore()
     with patch("aiohttp.TCPConnector", lambda **_options: ChannelConnector(store)):
         client = KvStoreClient(Endpoint("127.0.0.1", 1))
         await asyncio.gather(*(client.list_prefix("s/") for _ in range(IDLE_CHANNELS)))
         store.stall_channels()
-        while True:
-            try:
-                await client.list_prefix("s/")
-                break
-            except StoreUnavailable:
-                failed += 1
+        failed = await count_failed_calls(lambda: client.list_prefix("s/"))
         open_channels = store.open_channels
         await client.close()
     return failed, open_channels
--- a/tests/platform_clients/test_silent_connections.py
+++ b/tests/platform_clients/test_silent_connections.py
@@ -7,10 +7,9 @@
 from typing import Any
 from unittest.mock import patch
 
-from boragetiller.errors import StoreUnavailable
 from boragetiller.platform_clients.http_store import HttpStore
 from boragetiller.settings import PlatformSettings
-from tests.gateway.store_channels import ChannelConnector, ChannelStore
+from tests.gateway.store_channels import ChannelConnector, ChannelStore, count_failed_calls
 from tests.virtual_time import run_virtually
 
 IDLE_CONNECTIONS = 4
@@ -27,18 +26,13 @@
 
 async def call_after_connections_fell_silent() -> int:
     """:return: number of calls that fail before one is answered"""
-    server, failed = EmptyStore(), 0
+    server = EmptyStore()
     with patch("aiohttp.client.TCPConnector", lambda **_options: ChannelConnector(server)):
         store = HttpStore(PlatformSettings(store_url=URL, host_list_url=URL))
         await store.start()
         await asyncio.gather(*(store.get("a") for _ in range(IDLE_CONNECTIONS)))
         server.stall_channels()
-        while True:
-            try:
-                await store.get("a")
-                break
-            except StoreUnavailable:
-                failed += 1
+        failed = await count_failed_calls(lambda: store.get("a"))
         await store.close()
     return failed
 
