Streams: a caller that reads slowly no longer makes its engine look silent

What callers saw: one that stopped reading for some seconds got the event in progress twice, the second time perhaps from an engine of another software version, and then a reset. Its well engine was counted as silent and, the second time, ejected.

Cause: the relay wrote an event and noted the version, the event's id and the counts only once the caller had taken it, and the time limit on the engine's events ran on meanwhile. It cancelled the write, which had handed the event to the connection already, and the next attempt began after the event before it, bound to no version if it was the first one. Its own write then met the cancelled wait of the first and ended as if the caller had left.

Change: the relay is a module of its own, gateway/streams/event_relay.py. An attempt first wins the race of a hedged call, then the version, the id and the counts are noted, then the event is written. The time limit on the engine's events stops for the write and starts anew after it. An attempt whose deadline comes while the caller does not read, or whose engine cut off what stayed unread (systems/slow_callers/), ends as `unread`: verdict `ran`, no failure of the server, event 905. After a cut-off the stream goes on elsewhere at its version from the noted id, as the caller reads again.

Why it works: aiohttp passes an event to the transport before its write first waits, and nothing is awaited between the notes and that, so what is noted is handed over and what is handed over is noted. The limits measure only waits for the engine; a pause of the caller excuses a loss until the router has waited half a second in all for the engine, by when all that it sent before the pause has been read.

--- a/src/boragetiller/event_numbers.py
+++ b/src/boragetiller/event_numbers.py
@@ -103,6 +103,7 @@
     SERVER_ACCEPTING = 892
     STREAM_VERSION_UNKNOWN = 900
     GROUP_VERSIONS_STORED = 901
+    CALLER_NOT_READING = 905
 
 
 __all__ = ["Event"]
--- a/src/boragetiller/gateway/call_telemetry.py
+++ b/src/boragetiller/gateway/call_telemetry.py
@@ -135,13 +135,23 @@
         self, call: AdmittedCall, placement: Placement, result: DirectAttemptResult
     ) -> None:
         """
-        Count the end of an attempt, and log a broken connection to an engine.
+        Count the end of an attempt; log a broken connection to an engine, or a caller that stalls.
 
         :param call: the call
         :param placement: server of the attempt
         :param result: how it ended
         """
         self._metrics.attempts.labels(result.outcome.value).inc()
+        if result.outcome is DirectAttemptOutcome.UNREAD:
+            log_event(
+                Event.CALLER_NOT_READING,
+                request_id=call.metadata.request_id,
+                route=call.route.name,
+                server=placement.server.name,
+                events=result.progress.events,
+                detail=result.detail,
+                elapsed_ms=self._clock.now_ms() - call.arrived_ms,
+            )
         if result.outcome is not DirectAttemptOutcome.LOST or call.metadata.prompt is None:
             return
         started_ms = result.progress.started_ms
--- a/src/boragetiller/gateway/hedge_race.py
+++ b/src/boragetiller/gateway/hedge_race.py
@@ -49,10 +49,14 @@
         """See :class:`EventWriter`."""
         return self._writer.started
 
-    async def write(self, status: int, headers: CIMultiDict[str], data: bytes) -> None:
-        """See :class:`EventWriter`; an attempt that has lost writes nothing and ends."""
+    def claim(self) -> None:
+        """See :class:`EventWriter`; the first attempt that calls this wins."""
         if not self._claim():
             raise asyncio.CancelledError
+
+    async def write(self, status: int, headers: CIMultiDict[str], data: bytes) -> None:
+        """See :class:`EventWriter`; an attempt that has lost writes nothing and ends."""
+        self.claim()
         await self._writer.write(status, headers, data)
 
     async def finish(self, status: int, headers: CIMultiDict[str]) -> web.StreamResponse:
--- a/src/boragetiller/gateway/outgoing_attempts.py
+++ b/src/boragetiller/gateway/outgoing_attempts.py
@@ -10,7 +10,13 @@
 from boragetiller.gateway.admitted_call import AdmittedCall
 from boragetiller.gateway.responses import EventWriter
 from boragetiller.systems.response_timeouts import compute_stream_timeouts
-from boragetiller.tables.direct_attempts import CallProgress, ResponseProgress
+from boragetiller.systems.slow_callers.unread_time import UnreadTime, is_left_unread
+from boragetiller.tables.direct_attempts import (
+    CallProgress,
+    DirectAttemptOutcome,
+    DirectAttemptResult,
+    ResponseProgress,
+)
 from boragetiller.tables.server_placement import Placement
 
 if TYPE_CHECKING:
@@ -51,8 +57,13 @@
     timer: asyncio.Timeout
     between_events_s: float | None  # None for no limit
 
+    def pause(self) -> None:
+        """Stop the timer while the caller takes an event."""
+        if self.between_events_s is not None:
+            self.timer.reschedule(None)
+
     def restart(self) -> None:
-        """Restart the timer after an event."""
+        """Restart the timer once the caller has taken an event."""
         if self.between_events_s is not None:
             self.timer.reschedule(asyncio.get_running_loop().time() + self.between_events_s)
 
@@ -68,12 +79,25 @@
     event_timeout: EventTimeout
     started_ms: int  # monotonic time of the start
     response_progress: ResponseProgress = attrs.field(factory=ResponseProgress)
+    unread: UnreadTime = attrs.field(factory=UnreadTime)
 
     @property
     def server(self) -> BackendServer:
         """:return: the server of the attempt"""
         return self.placement.server
 
+    def build_failure(self, outcome: DirectAttemptOutcome, detail: str) -> DirectAttemptResult:
+        """
+        Build the result of an attempt that was lost or timed out.
+
+        :param outcome: outcome if the caller has no part in it
+        :param detail: what happened
+        :return: the result, with the outcome `UNREAD` if the caller did not read
+        """
+        if is_left_unread(self.unread):
+            outcome = DirectAttemptOutcome.UNREAD
+        return DirectAttemptResult(outcome, detail=detail)
+
 
 def build_event_timeout(call: AdmittedCall, placement: Placement) -> EventTimeout:
     """
--- a/src/boragetiller/gateway/responses.py
+++ b/src/boragetiller/gateway/responses.py
@@ -82,6 +82,13 @@
         """:return: whether a part of the response has been sent"""
         return self._response is not None
 
+    def claim(self) -> None:
+        """
+        Make sure that the events of this attempt are those that the caller gets.
+
+        :raises asyncio.CancelledError: another attempt of the call was first
+        """
+
     async def write(self, status: int, headers: CIMultiDict[str], data: bytes) -> None:
         """
         Relay complete events.
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -10,14 +10,14 @@
 
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.backend_connections import ResponseTooLarge
-from boragetiller.gateway.event_stream import EventSplitter, EventTooLarge
+from boragetiller.gateway.event_stream import EventTooLarge
 from boragetiller.gateway.outgoing_attempts import (
     OutgoingAttempt,
     StreamState,
     build_event_timeout,
 )
 from boragetiller.gateway.server_client import NOT_SENT_ERRORS, TRANSPORT_ERRORS, OutgoingRequest
-from boragetiller.systems.crash_suspects import has_survived_start
+from boragetiller.gateway.streams.event_relay import EventRelay
 from boragetiller.systems.overload.committed_memory import commit_request, release_request
 from boragetiller.systems.prefix_cache import estimate_uncached_tokens
 from boragetiller.systems.response_outcomes import (
@@ -79,6 +79,7 @@
         self._dialect = dialect
         self._stream_versions = stream_versions
         self._clock = clock
+        self._relay = EventRelay(registry, state_sync, stream_versions, clock)
 
     async def send(
         self,
@@ -115,9 +116,9 @@
             async with asyncio.timeout(left_ms / 1_000), attempt.event_timeout.timer:
                 return await self._exchange(attempt)
         except TimeoutError:
-            if attempt.event_timeout.timer.expired():
-                return DirectAttemptResult(DirectAttemptOutcome.SILENT, detail="event timeout")
-            return DirectAttemptResult(DirectAttemptOutcome.SILENT, detail="response timeout")
+            is_event = attempt.event_timeout.timer.expired()
+            detail = "event timeout" if is_event else "response timeout"
+            return attempt.build_failure(DirectAttemptOutcome.SILENT, detail)
 
     async def _exchange(self, attempt: OutgoingAttempt) -> DirectAttemptResult:
         self._stream_versions.record_sent(attempt.call, attempt.stream, attempt.server)
@@ -133,7 +134,7 @@
         except (ResponseTooLarge, EventTooLarge) as error:
             return DirectAttemptResult(DirectAttemptOutcome.GARBLED, detail=str(error))
         except TRANSPORT_ERRORS as error:
-            return DirectAttemptResult(DirectAttemptOutcome.LOST, detail=repr(error))
+            return attempt.build_failure(DirectAttemptOutcome.LOST, repr(error))
         finally:
             response.close()
 
@@ -174,7 +175,8 @@
         if outcome is not None:
             return DirectAttemptResult(outcome, detail=describe_head(metadata))
         if stream is not None and metadata.status in SUCCESS:
-            return await self._relay_events(attempt, stream, response)
+            headers = self._build_response_headers(attempt, response)
+            return await self._relay.relay(attempt, stream, response, headers)
         if stream is not None and stream.event_writer.started:
             return DirectAttemptResult(
                 DirectAttemptOutcome.LOST, detail=f"status {metadata.status} to a resumed stream"
@@ -191,44 +193,6 @@
             classify_complete(metadata), complete, detail=describe_head(metadata)
         )
 
-    async def _relay_events(
-        self, attempt: OutgoingAttempt, stream: StreamState, response: ServerResponse
-    ) -> DirectAttemptResult:
-        splitter = EventSplitter(stream.last_event_id)
-        headers = self._build_response_headers(attempt, response)
-        async for chunk in response.iter_chunks():
-            if self._state_sync.usage is not None:
-                self._state_sync.usage.record_begin(attempt.call, attempt.progress)
-            events = splitter.feed(chunk)
-            if not events.count:
-                continue
-            attempt.event_timeout.restart()
-            if stream.first_event_ms is None:
-                self._record_first_event(attempt)
-            stream.record_event(self._clock.now_ms())
-            attempt.server.remove_pending_prompt(attempt.call.metadata.request_id)
-            await stream.event_writer.write(response.metadata.status, headers, events.data)
-            # After the write, which only the winner of a hedged call gets past.
-            self._stream_versions.record_begun(attempt.call, stream, attempt.server)
-            attempt.progress.relayed_events += events.count
-            attempt.response_progress.events += events.count
-            self._clear_parts_once(attempt)
-            stream.last_event_id = events.last_id
-        if splitter.has_partial_event:
-            return DirectAttemptResult(
-                DirectAttemptOutcome.LOST, detail="stream ended inside an event"
-            )
-        has_begun = splitter.last_id is not None or attempt.response_progress.events > 0
-        if response.is_close_delimited and not has_begun:
-            return DirectAttemptResult(
-                DirectAttemptOutcome.LOST, detail="connection ended before the first event"
-            )
-        stream.complete = True
-        complete = CompleteResponse(
-            server=attempt.server.name, status=response.metadata.status, headers=headers, body=b""
-        )
-        return DirectAttemptResult(DirectAttemptOutcome.ANSWERED, complete)
-
     def _build_response_headers(
         self, attempt: OutgoingAttempt, response: ServerResponse
     ) -> CIMultiDict[str]:
@@ -246,18 +210,6 @@
             headers.popall(name, None)
         return headers
 
-    def _clear_parts_once(self, attempt: OutgoingAttempt) -> None:
-        progress = attempt.response_progress
-        if not progress.survived and has_survived_start(progress, self._clock.now_ms()):
-            progress.survived = True
-            self._registry.clear_parts(attempt.call.metadata.prompt, progress)
-
-    def _record_first_event(self, attempt: OutgoingAttempt) -> None:
-        placement = attempt.placement
-        throughput = self._registry.get_throughput(attempt.call.group.name)
-        took_ms = self._clock.now_ms() - attempt.started_ms
-        throughput.record_first_event(placement.new_tokens, placement.first_event_ms, took_ms)
-
     @contextmanager
     def _track_in_flight(self, attempt: OutgoingAttempt) -> Iterator[None]:
         call, server = attempt.call, attempt.server
--- /dev/null
+++ b/src/boragetiller/systems/slow_callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers that read their responses slowly."""
--- a/src/boragetiller/tables/direct_attempts.py
+++ b/src/boragetiller/tables/direct_attempts.py
@@ -22,6 +22,7 @@
     LOST = "lost"  # the connection broke
     GARBLED = "garbled"  # the response is truncated or not the backend server's own
     SILENT = "silent"  # timeout without a response
+    UNREAD = "unread"  # ended while or because the caller did not read; not the server's failure
     CANCELLED = "cancelled"  # by the router, since a second attempt responded first
 
 
@@ -29,6 +30,14 @@
     {DirectAttemptOutcome.UNREACHABLE, DirectAttemptOutcome.FULL, DirectAttemptOutcome.MISDIRECTED}
 )
 
+RAN_OUTCOMES = frozenset(
+    {
+        DirectAttemptOutcome.ANSWERED,
+        DirectAttemptOutcome.SERVER_ERROR,
+        DirectAttemptOutcome.UNREAD,
+    }
+)
+
 
 @attrs.frozen(kw_only=True)
 class CompleteResponse:
@@ -64,7 +73,7 @@
         """:return: whether the request may have run in this attempt"""
         if self.outcome in NOT_RUN_OUTCOMES:
             return Verdict.NOT_RUN
-        if self.outcome in {DirectAttemptOutcome.ANSWERED, DirectAttemptOutcome.SERVER_ERROR}:
+        if self.outcome in RAN_OUTCOMES:
             return Verdict.RAN
         return Verdict.MAY_HAVE_RUN
 
