Streams: an end without framing after a pause of the caller is not taken for complete

What callers saw: a stream with neither a length nor chunks that its engine cut off between two events, because it stayed unread, ended as complete.

Cause: only the end of the connection marks the end of such a stream, and a cut-off that needs no reset looks the same.

Change: if the caller kept the response unread just before, that end counts as a cut-off (`unread`): the stream goes on elsewhere after the noted id, where an engine that has nothing to add ends it, or is reset if it cannot be resumed.

Evidence: python -m unittest tests.gateway.test_slow_callers on: test_stream_without_framing_that_ends_in_a_pause_is_not_complete fails (events 1 and 2 of 8); with the change 10 of 10 pass, in 3 runs of 3. Streams whose caller reads end as before (test_close_delimited_responses).

--- a/src/boragetiller/gateway/streams/event_relay.py
+++ b/src/boragetiller/gateway/streams/event_relay.py
@@ -11,7 +11,11 @@
 
 from boragetiller.gateway.event_stream import EventSplitter
 from boragetiller.systems.crash_suspects import has_survived_start
-from boragetiller.systems.slow_callers.unread_time import record_caller_wait, record_server_wait
+from boragetiller.systems.slow_callers.unread_time import (
+    is_left_unread,
+    record_caller_wait,
+    record_server_wait,
+)
 from boragetiller.tables.direct_attempts import (
     CompleteResponse,
     DirectAttemptOutcome,
@@ -91,6 +95,11 @@
             return DirectAttemptResult(
                 DirectAttemptOutcome.LOST, detail="connection ended before the first event"
             )
+        if response.is_close_delimited and is_left_unread(attempt.unread):
+            # Such an end looks the same as that of a response which the server cut off.
+            return attempt.build_failure(
+                DirectAttemptOutcome.LOST, "connection ended after the caller's pause"
+            )
         stream.complete = True
         complete = CompleteResponse(
             server=attempt.server.name, status=status, headers=headers, body=b""
