Servers: a pause that a server asks for is kept by everything that reaches it

Cause: the routers never read Retry-After from a response. A refusal kept a server out of the choice for 50 ms only, whatever time it named, and nothing was checked between the choice of a server and the first byte of the request.

Change: the head of every response of a server is read for a pause, in the one client of its incarnation, so that hedges that lose later, status calls and responses to earlier requests on a connection count too. A table keeps the longest pause of an incarnation until it ends; a list without the server or of another incarnation does not end it. The choice leaves out servers that pause, and a request checks last, when its connection is ready. What was not sent (outcome `paused`) goes to another server without costing the retry budget. A group that pauses whole refuses at once with the code `paused` and the end of the first pause, spread over callers. Peers are not told: the server asked this router.

Why it works: every head passes one place, and every request passes the check after the last wait before its first byte.

--- a/src/boragetiller/gateway/backend_connections.py
+++ b/src/boragetiller/gateway/backend_connections.py
@@ -21,7 +21,10 @@
     from aiohttp.client_reqrep import Connection
     from multidict import CIMultiDictProxy
 
+    from boragetiller.tables.call_metadata import ResponseMetadata
+
     ResponseCheck = Callable[[CIMultiDictProxy[str], CIMultiDictProxy[str]], bool]
+    HeadReader = Callable[[int, CIMultiDictProxy[str]], ResponseMetadata]
     AddressInfo = tuple[int, int, int, str, tuple[str, int]]
 
 TCP_USER_TIMEOUT_MS = 2_000  # the kernel resets a connection after so long without an ACK
@@ -91,10 +94,19 @@
 
 
 class MatchedResponse(aiohttp.ClientResponse):
-    """Skips responses to earlier requests on the same connection."""
+    """
+    Skips responses to earlier requests on the same connection.
+
+    Their heads are read all the same, for what they say about the server.
+    """
 
+    metadata: ResponseMetadata  # from the header that was read last
     _identified = False
 
+    def read_head(self) -> ResponseMetadata:
+        """:return: metadata from the header that was read"""
+        raise NotImplementedError
+
     def matches_request(self) -> bool:
         """:return: whether the header that was read belongs to the request"""
         raise NotImplementedError
@@ -102,6 +114,7 @@
     async def start(self, connection: Connection) -> aiohttp.ClientResponse:
         """See :class:`ClientResponse`."""
         await super().start(connection)
+        self.metadata = self.read_head()
         left_bytes, skipped = MAX_SKIPPED_BYTES, 0
         while not self.matches_request():
             skipped += 1
@@ -112,6 +125,7 @@
             left_bytes -= len(await read_bounded(self.content, left_bytes))
             self._cache.clear()  # aiohttp caches the headers of the first response
             await super().start(connection)
+            self.metadata = self.read_head()
         self._identified = True
         if self.content.is_eof():
             self._response_eof()
@@ -125,17 +139,24 @@
         super()._response_eof()
 
 
-def build_matched_response_class(is_response_to: ResponseCheck) -> type[MatchedResponse]:
+def build_matched_response_class(
+    is_response_to: ResponseCheck, read_head: HeadReader
+) -> type[MatchedResponse]:
     """
     Build the response class for a dialect.
 
     :param is_response_to: checks the headers of a request and of a response for a match
+    :param read_head: parses status and headers; called for each response that arrives
     :return: a subclass that checks each response
     """
 
     class DialectResponse(MatchedResponse):
         """A response that the dialect matches with its request."""
 
+        def read_head(self) -> ResponseMetadata:
+            """See :class:`MatchedResponse`."""
+            return read_head(self.status, self.headers)
+
         def matches_request(self) -> bool:
             """See :class:`MatchedResponse`."""
             return is_response_to(self.request_info.headers, self.headers)
--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -11,6 +11,7 @@
 from boragetiller.gateway.server_clients import ServerClients
 from boragetiller.gateway.server_list import ServerList
 from boragetiller.gateway.server_notices import ServerNotices
+from boragetiller.gateway.server_pauses import ServerPauses
 from boragetiller.gateway.store_entries import StoreEntries
 from boragetiller.gateway.streams.group_versions import GroupVersions
 from boragetiller.store_eras import get_era, get_store_revision
@@ -67,6 +68,7 @@
         self.failure_history = FailureHistory()
         self.server_limits = ServerLimitTable()
         self.notices = ServerNotices(self.servers, self.server_limits, clock)
+        self.pauses = ServerPauses(self.servers, clock, metrics)
         self.part_uses = PartUseTable()
         self.stream_origins = StreamOriginTable()
         self.group_versions = GroupVersions(self.servers, clock)
@@ -83,7 +85,7 @@
         self.dialect = dialect
         self._clock = clock
         self._default_cost_model = PlacementCostModel()
-        self._clients = ServerClients(dialect)
+        self._clients = ServerClients(dialect, self.pauses)
         self._budgets: dict[str, WindowedRetryBudget] = {}
 
     @property
@@ -266,6 +268,7 @@
         known = {server.name: server.record for server in self.servers.by_name.values()}
         self.group_versions.observe_all()
         removed = self.servers.replace(records, self._clock.now_ms())
+        self.pauses.observe_incarnations()
         for record in records:
             if record.name not in known:
                 self._server_list.log_joined(record)
--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -24,7 +24,7 @@
 )
 from boragetiller.systems.response_timeouts import compute_hedge_delay_ms
 from boragetiller.systems.stream_resumption import UnknownVersion
-from boragetiller.tables.direct_attempts import DirectAttemptOutcome
+from boragetiller.tables.direct_attempts import NOT_SENT_OUTCOMES, DirectAttemptOutcome
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -208,7 +208,7 @@
             state.call.route.target_ms,
             budget_left=budget.allows(now_ms),
         )
-        if isinstance(decision, Retry) and result.outcome is not DirectAttemptOutcome.UNREACHABLE:
+        if isinstance(decision, Retry) and result.outcome not in NOT_SENT_OUTCOMES:
             budget.record_retry(now_ms)
         return decision
 
@@ -217,7 +217,9 @@
         if progress.server_error is not None and not progress.relayed_events:
             return await self._return_response(state, progress.server_error)
         refusal = self._chooser.find_refusal(state)
-        decision = GiveUp(refusal.reason, DirectAttemptOutcome.FULL, progress.verdict)
+        decision = GiveUp(
+            refusal.reason, DirectAttemptOutcome.FULL, progress.verdict, refusal.pause_left_ms
+        )
         return self._fail(state, None, decision, refusal.detail)
 
     def _fail_quarantined(self, state: CallState) -> web.StreamResponse:
--- a/src/boragetiller/gateway/hedge_controller.py
+++ b/src/boragetiller/gateway/hedge_controller.py
@@ -142,7 +142,7 @@
         """
         call = state.call
         shares = self._settings.get_shares(call.route.name)
-        if state.progress.attempts == 0:
+        if state.progress.attempts == 0 and len(state.tried_servers) <= 1:
             allowance = self._allowances.setdefault(call.route.name, HedgeAllowance())
             record_request(allowance, shares, count_prompt_tokens(call), self._clock.now_ms())
         for_engine = call.group.engine is not None
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -52,6 +52,9 @@
             "callers_left", "callers that disconnected before the response was complete", "route"
         )
         self.ejections = self._counter("ejections", "ejections of backend servers", "group")
+        self.server_pauses = self._counter(
+            "server_pauses", "pauses that backend servers asked for", "group"
+        )
         self.dropped_lines = self._counter("log_lines_dropped", "log lines dropped", "event")
         self.store_calls = self._counter("store_calls", "calls to the platform's store", "call")
         self.task_failures = self._counter(
--- a/src/boragetiller/gateway/placement_query.py
+++ b/src/boragetiller/gateway/placement_query.py
@@ -13,8 +13,8 @@
 from boragetiller.gateway.admitted_call import admit_call
 from boragetiller.gateway.call_handler import NOT_READY_RETRY_AFTER_S, check_header_size
 from boragetiller.gateway.call_state import CallState
+from boragetiller.gateway.choice_refusals import Refusal
 from boragetiller.gateway.retry_after import RetryAfter
-from boragetiller.gateway.server_choice import Refusal
 from boragetiller.placement_queries import (
     MAX_LISTED_EXCLUSIONS,
     PlacementAnswer,
@@ -168,7 +168,12 @@
             code=refusal.reason.value,
             detail=refusal.detail,
             status=REFUSAL_STATUS,
-            retry_after_s=round(self._retry_after.compute_s(call, refusal.reason, choice_state), 3),
+            retry_after_s=round(
+                self._retry_after.compute_s(
+                    call, refusal.reason, choice_state, refusal.pause_left_ms
+                ),
+                3,
+            ),
         )
 
     def _describe_choice(
@@ -213,6 +218,8 @@
     """
     if server.record.draining:
         return "draining"
+    if server.name in choice.paused:
+        return "paused"
     if server.name in choice.exhausted:
         return "limit_reached"
     if server not in choice.selected:
--- a/src/boragetiller/gateway/retry_after.py
+++ b/src/boragetiller/gateway/retry_after.py
@@ -7,6 +7,7 @@
 from boragetiller.gateway.responses import ErrorResponse
 from boragetiller.systems.direct_retry_policy import GiveUp, GiveUpReason
 from boragetiller.systems.failure_history import quarantine_left_ms
+from boragetiller.systems.overload.server_pauses import spread_return_ms
 from boragetiller.systems.server_limits import compute_retry_ms
 from boragetiller.tables.direct_attempts import DirectAttemptOutcome
 from boragetiller.verdict import Verdict
@@ -58,25 +59,36 @@
             code=code,
             verdict=decision.verdict,
             retry_after_s=(
-                self.compute_s(call, decision.reason, state)
+                self.compute_s(call, decision.reason, state, decision.pause_left_ms)
                 if decision.verdict is Verdict.NOT_RUN or is_busy
                 else None
             ),
         )
 
-    def compute_s(self, call: AdmittedCall, reason: GiveUpReason, state: ChoiceState) -> float:
+    def compute_s(
+        self,
+        call: AdmittedCall,
+        reason: GiveUpReason,
+        state: ChoiceState,
+        pause_left_ms: int = 0,
+    ) -> float:
         """
         Compute the Retry-After of a refusal.
 
         :param call: the call
         :param reason: why it is refused
         :param state: random generator and limits of the router, or a copy
+        :param pause_left_ms: until the first of the servers that pause is free, 0 if none pauses
         :return: time in seconds
         """
         if reason is GiveUpReason.QUARANTINED:
             return self.quarantine_left_ms(call) / 1_000
-        if reason is GiveUpReason.LIMITED and (turn_ms := self._compute_turn_ms(call, state)) > 0:
-            return turn_ms / 1_000
+        if reason in {GiveUpReason.LIMITED, GiveUpReason.PAUSED}:
+            times_ms = [spread_return_ms(pause_left_ms, state.rng)] if pause_left_ms else []
+            if reason is GiveUpReason.LIMITED:
+                times_ms += filter(None, [self._compute_turn_ms(call, state)])
+            if times_ms:
+                return min(times_ms) / 1_000
         if call.group.engine is None:
             return state.rng.uniform(*SERVICE_RETRY_AFTER_S)
         return state.rng.uniform(*TARGET_SHARES) * call.route.target_ms / 1_000
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -17,6 +17,7 @@
     build_event_timeout,
 )
 from boragetiller.gateway.server_client import NOT_SENT_ERRORS, TRANSPORT_ERRORS, OutgoingRequest
+from boragetiller.gateway.server_pauses import ServerPaused
 from boragetiller.gateway.streams.event_relay import EventRelay
 from boragetiller.systems.overload.committed_memory import commit_request, release_request
 from boragetiller.systems.prefix_cache import estimate_uncached_tokens
@@ -125,6 +126,8 @@
         outgoing = self._build_request(attempt)
         try:
             response = await self._registry.get_client(attempt.server).send(outgoing)
+        except ServerPaused as error:
+            return DirectAttemptResult(DirectAttemptOutcome.PAUSED, detail=str(error))
         except NOT_SENT_ERRORS as error:
             return DirectAttemptResult(DirectAttemptOutcome.UNREACHABLE, detail=repr(error))
         except TRANSPORT_ERRORS as error:
--- a/src/boragetiller/gateway/server_choice.py
+++ b/src/boragetiller/gateway/server_choice.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import copy
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from random import Random
 from typing import TYPE_CHECKING
 
 import attrs
 
+from boragetiller.gateway.choice_refusals import find_refusal
 from boragetiller.systems.candidates import select_candidates
-from boragetiller.systems.direct_retry_policy import GiveUpReason
 from boragetiller.systems.failure_history import exclude_failed_servers
 from boragetiller.systems.output_lengths import estimate_output_tokens
 from boragetiller.systems.overload.shared_part_copies import find_held_part
@@ -19,7 +19,6 @@
 from boragetiller.systems.server_capacity import list_fitting
 from boragetiller.systems.server_limits import (
     list_exhausted_servers,
-    list_limited_servers,
     take_token,
 )
 from boragetiller.systems.server_placement import (
@@ -43,11 +42,10 @@
     from boragetiller.gateway.admitted_call import AdmittedCall
     from boragetiller.gateway.backend_registry import BackendRegistry
     from boragetiller.gateway.call_state import CallState
+    from boragetiller.gateway.choice_refusals import Refusal
     from boragetiller.gateway.settings import GatewaySettings
     from boragetiller.gateway.state_sync import StateSync
 
-NO_ROOM_DETAIL = "no engine can finish the stream in time or has memory for it"
-
 Restriction = Callable[[list[BackendServer], GroupServers], list[BackendServer]]
 
 
@@ -69,6 +67,7 @@
     """The chosen server, and the servers left at each step of the choice."""
 
     group: GroupServers  # those that accept new requests
+    paused: Set[str]  # names of those that have asked for a pause
     exhausted: set[str]  # names of those whose limits leave no room now
     selected: list[BackendServer]  # candidates; see systems.candidates
     candidates: list[BackendServer]  # those that have not failed the request
@@ -97,14 +96,6 @@
         )
 
 
-@attrs.frozen
-class Refusal:
-    """Why no server can be chosen."""
-
-    reason: GiveUpReason
-    detail: str
-
-
 class ServerChooser:
     """Chooses servers for calls."""
 
@@ -197,11 +188,12 @@
             # A part of the stream was written in vain if it does not go on.
             response_started=state.progress.relayed_events > 0 or is_bound,
         )
+        paused = self._registry.pauses.list_paused()
         exhausted = list_exhausted_servers(choice_state.limits, call.urgency, now_ms)
         selected = select_candidates(
             eligible,
             placement_request,
-            state.tried_servers | exhausted,
+            state.tried_servers | exhausted | paused,
             choice_state.rng,
             now_ms,
         )
@@ -216,6 +208,7 @@
             placement_request = attrs.evolve(placement_request, held_part=held_part)
         return ServerChoice(
             group=group,
+            paused=paused,
             exhausted=exhausted,
             selected=selected,
             candidates=candidates,
@@ -232,24 +225,7 @@
         :param state: the call with its attempts
         :return: reason and detail
         """
-        call, version = state.call, state.software_version
-        accepting = self._registry.servers.find_accepting(call.group.name).servers
-        if version is not None and accepting:
-            eligible = self._registry.servers.find_accepting(call.group.name, version).servers
-            is_bound = len(eligible) < len(accepting)
-            if is_bound and all(server.name in state.tried_servers for server in eligible):
-                detail = f"no other server of version {version} accepts calls"
-                return Refusal(GiveUpReason.VERSION_GONE, detail)
-        if accepting and self._is_limited(accepting):
-            return Refusal(GiveUpReason.LIMITED, "all servers have reached their limits")
-        if call.group.engine is not None and accepting:
-            return Refusal(GiveUpReason.NO_ROOM, NO_ROOM_DETAIL)
-        return Refusal(GiveUpReason.FULL, "no server accepts calls")
-
-    def _is_limited(self, servers: tuple[BackendServer, ...]) -> bool:
-        """:return: whether each of the servers has a limit"""
-        limited = list_limited_servers(self.state.limits)
-        return all(server.name in limited for server in servers)
-
-
-__all__ = ["ChoiceState", "Refusal", "ServerChoice", "ServerChooser"]
+        return find_refusal(self._registry, state, self._clock.now_ms())
+
+
+__all__ = ["ChoiceState", "ServerChoice", "ServerChooser"]
--- a/src/boragetiller/gateway/server_client.py
+++ b/src/boragetiller/gateway/server_client.py
@@ -11,16 +11,21 @@
 
 from boragetiller.caller_limits.body import read_response
 from boragetiller.gateway.backend_connections import (
+    MatchedResponse,
     ResponseTooLarge,
     build_matched_response_class,
     build_strict_connector,
     read_bounded,
 )
+from boragetiller.gateway.server_pauses import build_checked_request_class
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from multidict import CIMultiDictProxy
+
     from boragetiller.gateway.platform_interface import Dialect
+    from boragetiller.gateway.server_pauses import ServerPauses
     from boragetiller.tables.call_metadata import ResponseMetadata
     from boragetiller.tables.servers import ServerRecord
 
@@ -95,18 +100,22 @@
 class ServerClient:
     """A connection pool to one backend server."""
 
-    def __init__(self, record: ServerRecord, dialect: Dialect) -> None:
+    def __init__(self, record: ServerRecord, dialect: Dialect, pauses: ServerPauses) -> None:
         """
         Create an empty pool.
 
         :param record: the backend server
         :param dialect: header names and data formats of the platform
+        :param pauses: pauses that servers ask for
         """
         self._base = f"http://{record.address}"
+        self._record = record
         self._dialect = dialect
+        self._pauses = pauses
         self._session = aiohttp.ClientSession(
             connector=build_strict_connector(IDLE_TIMEOUT_S),
-            response_class=build_matched_response_class(dialect.is_response_to),
+            request_class=build_checked_request_class(lambda: pauses.check(record)),
+            response_class=build_matched_response_class(dialect.is_response_to, self._read_head),
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=SKIPPED_AUTO_HEADERS,
             auto_decompress=False,
@@ -123,6 +132,7 @@
 
         :param call: the request
         :return: the response, which must be closed after use
+        :raises ServerPaused: the server pauses; no byte was sent
         :raises aiohttp.ClientError: one of NOT_SENT_ERRORS if no byte was sent
         """
         response = await self._session.request(
@@ -132,8 +142,8 @@
             data=call.body or None,
             allow_redirects=False,
         )
-        metadata = self._dialect.parse_response_head(response.status, response.headers)
-        return ServerResponse(response, metadata)
+        assert isinstance(response, MatchedResponse)
+        return ServerResponse(response, response.metadata)
 
     async def get_body(self, path: str) -> bytes:
         """
@@ -142,7 +152,8 @@
         :param path: path on the server
         :return: body of a 200 response
         :raises ResponseTooLarge: the body exceeds MAX_STATUS_BODY_BYTES
-        :raises aiohttp.ClientError: the request failed or its status is an error
+        :raises aiohttp.ClientError: the request failed, its status is an error, or the server
+            pauses
         """
         url = URL(self._base + path, encoded=True)
         async with self._session.get(url, raise_for_status=True) as response:
@@ -152,6 +163,11 @@
         """Close all connections, also those in use."""
         await self._session.close()
 
+    def _read_head(self, status: int, headers: CIMultiDictProxy[str]) -> ResponseMetadata:
+        metadata = self._dialect.parse_response_head(status, headers)
+        self._pauses.record_head(self._record, metadata)
+        return metadata
+
 
 __all__ = [
     "TRANSPORT_ERRORS",
--- a/src/boragetiller/gateway/server_clients.py
+++ b/src/boragetiller/gateway/server_clients.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from boragetiller.gateway.platform_interface import Dialect
+    from boragetiller.gateway.server_pauses import ServerPauses
     from boragetiller.tables.servers import BackendServer
 
 CLOSE_DELAY_MS = 30_000  # lets calls in progress at a removed server end
@@ -17,13 +18,15 @@
 class ServerClients:
     """Clients by server; that of a removed server is closed after a delay."""
 
-    def __init__(self, dialect: Dialect) -> None:
+    def __init__(self, dialect: Dialect, pauses: ServerPauses) -> None:
         """
         Start without clients.
 
         :param dialect: header names and data formats of the platform
+        :param pauses: pauses that servers ask for
         """
         self._dialect = dialect
+        self._pauses = pauses
         self._by_name: dict[str, ServerClient] = {}
         self._close_tasks: set[asyncio.Task[None]] = set()
 
@@ -36,7 +39,7 @@
         """
         name = server.name
         if name not in self._by_name:
-            self._by_name[name] = ServerClient(server.record, self._dialect)
+            self._by_name[name] = ServerClient(server.record, self._dialect, self._pauses)
         return self._by_name[name]
 
     def remove(self, name: str) -> None:
--- a/src/boragetiller/systems/direct_retry_policy.py
+++ b/src/boragetiller/systems/direct_retry_policy.py
@@ -7,6 +7,7 @@
 import attrs
 
 from boragetiller.tables.direct_attempts import (
+    NOT_SENT_OUTCOMES,
     CallProgress,
     CompleteResponse,
     DirectAttemptOutcome,
@@ -23,6 +24,7 @@
 
     FULL = "full"  # the servers refuse new requests
     NO_ROOM = "no_room"  # no engine would finish the stream in time; see systems.server_capacity
+    PAUSED = "paused"  # the servers have asked this router for a pause
     LIMITED = "limited"  # the limits that the servers name leave no room for the request
     NOT_REPEATABLE = "not_repeatable"
     ATTEMPTS = "attempts"
@@ -54,6 +56,7 @@
     reason: GiveUpReason
     outcome: DirectAttemptOutcome
     verdict: Verdict
+    pause_left_ms: int = 0  # until the first of the servers that pause is free
 
 
 NextStep = ReturnResponse | Retry | GiveUp
@@ -67,9 +70,11 @@
     :param server: name of the backend server
     :param result: result of the attempt
     """
+    progress.last_outcome = result.outcome
+    if result.outcome is DirectAttemptOutcome.PAUSED:
+        return  # it was no attempt
     progress.attempts += 1
     progress.server_status = result.progress.status
-    progress.last_outcome = result.outcome
     if result.verdict is not Verdict.NOT_RUN:
         progress.may_have_run_on.add(server)
     progress.verdict = progress.verdict.combine(result.verdict)
@@ -124,7 +129,7 @@
         return GiveUpReason.FULL
     if time_left_ms < MIN_TIME_LEFT_SHARE * target_ms:
         return GiveUpReason.DEADLINE
-    if result.outcome is not DirectAttemptOutcome.UNREACHABLE and not budget_left:
+    if result.outcome not in NOT_SENT_OUTCOMES and not budget_left:
         return GiveUpReason.RETRY_BUDGET
     return None
 
--- a/src/boragetiller/tables/call_metadata.py
+++ b/src/boragetiller/tables/call_metadata.py
@@ -90,6 +90,8 @@
     load: ServerLoad | None
     leaving: bool  # the backend server states that it is leaving
     limit_per_s: float | None  # requests that the server takes from all routers together
+    pause_ms: float  # for which the server wants no requests from this router, 0 if none
+    invalid_pause: str | None  # start of a text that names no pause, for the log
     idle_timeout_s: int | None  # after which the server closes an idle connection
 
 
--- a/src/boragetiller/tables/direct_attempts.py
+++ b/src/boragetiller/tables/direct_attempts.py
@@ -16,6 +16,7 @@
     ANSWERED = "answered"  # complete response that is returned to the caller
     SERVER_ERROR = "server_error"  # the backend server ran the request and reported a failure
     UNREACHABLE = "unreachable"  # the request was not sent
+    PAUSED = "paused"  # not sent, since the backend server has asked for a pause
     FULL = "full"  # the backend server refused the request and did not run it
     UNAVAILABLE = "unavailable"  # refused by its status, but may have run the request
     MISDIRECTED = "misdirected"  # another server incarnation at the address; it did not run it
@@ -27,8 +28,15 @@
 
 
 NOT_RUN_OUTCOMES = frozenset(
-    {DirectAttemptOutcome.UNREACHABLE, DirectAttemptOutcome.FULL, DirectAttemptOutcome.MISDIRECTED}
+    {
+        DirectAttemptOutcome.UNREACHABLE,
+        DirectAttemptOutcome.PAUSED,
+        DirectAttemptOutcome.FULL,
+        DirectAttemptOutcome.MISDIRECTED,
+    }
 )
+# No byte of the request was sent, so another attempt is no retry to the fleet's budget.
+NOT_SENT_OUTCOMES = frozenset({DirectAttemptOutcome.UNREACHABLE, DirectAttemptOutcome.PAUSED})
 
 RAN_OUTCOMES = frozenset(
     {
@@ -106,6 +114,7 @@
 
 __all__ = [
     "NOT_RUN_OUTCOMES",
+    "NOT_SENT_OUTCOMES",
     "CallProgress",
     "CompleteResponse",
     "DirectAttemptOutcome",
--- a/tests/gateway/scripted_engine.py
+++ b/tests/gateway/scripted_engine.py
@@ -44,6 +44,7 @@
         self.requests: list[ReceivedRequest] = []
         self.cached_parts: list[tuple[str, int]] = []  # IDs and tokens
         self.cache_reads = 0
+        self.cache_response: bytes | None = None  # instead of the list
         self.connections = 0
         self.closed_connections = 0  # connections closed by the client
         self.address = ""
@@ -70,7 +71,7 @@
                 request = await _read_request(reader, number)
                 if request.path == CACHE_PATH:
                     self.cache_reads += 1
-                    writer.write(build_cache_list(self.cached_parts))
+                    writer.write(self.cache_response or build_cache_list(self.cached_parts))
                     continue
                 self.requests.append(request)
                 await self.script(request, writer)
--- a/tests/gateway/test_placement_query.py
+++ b/tests/gateway/test_placement_query.py
@@ -14,6 +14,7 @@
 from boragetiller.gateway.policy_file import Policy
 from boragetiller.gateway.retry_after import RetryAfter
 from boragetiller.placement_queries import MAX_QUERIES_PER_S, PlacementQuery, QueryLimiter
+from boragetiller.systems.overload.server_pauses import record_pause
 from boragetiller.systems.overload.server_speed import record_work_time
 from boragetiller.systems.peer_loads import record_report, set_load
 from boragetiller.systems.server_limits import apply_limit, set_members
@@ -115,6 +116,31 @@
 
         run_in_virtual_time(main())
 
+    def test_query_names_pauses_and_when_to_come_back(self) -> None:
+        # Guards against a group called full or limited whose servers have asked for a pause.
+        async def main() -> None:
+            for limited in (0, 1):
+                router, queries = build_router()
+                registry, now_ms = router.registry, LoopClock().now_ms()
+                servers = list(registry.servers.find_accepting("shop").servers)
+                for server in servers[limited:]:
+                    record_pause(registry.pauses.table, server.record, 9_000, now_ms)
+                set_members(registry.server_limits, "r", frozenset())
+                for server in servers[:limited]:
+                    apply_limit(registry.server_limits, server.name, 0.1, now_ms, now_ms)
+                before = list_state(router)
+                answer = ask(queries, "stock", 1)
+                self.assertEqual(list_state(router), before)
+                self.assertIsNone(router.chooser.choose(router.build_state("stock")))
+                self.assertEqual(answer.code, "limited" if limited else "paused")
+                expected = ["limit_reached"] * limited + ["paused"] * (len(servers) - limited)
+                self.assertEqual(sorted(each.reason for each in answer.excluded), expected)
+                assert answer.retry_after_s is not None
+                self.assertGreaterEqual(answer.retry_after_s, 9.0)  # the limit's turn is later
+                self.assertLess(answer.retry_after_s, 14.0)
+
+        run_in_virtual_time(main())
+
     def test_loads_of_silent_routers_count_neither_in_a_query_nor_change(self) -> None:
         # Guards against a query that shows the load of a router that is gone, or removes it.
         async def main() -> None:
--- a/tests/platform_adapter/test_codecs.py
+++ b/tests/platform_adapter/test_codecs.py
@@ -371,6 +371,33 @@
             metadata = header_codec.parse_response_head(200, CIMultiDict({"Server-Limit": text}))
             self.assertEqual(metadata.limit_per_s, limit_per_s)
 
+    def test_parse_response_head_reads_the_pause_that_a_server_asks_for(self) -> None:
+        for texts, pause_ms, invalid_pause in (
+            (["2"], 2_000.0, None),
+            ([" 0.25 "], 250.0, None),
+            (["1e3"], 1_000_000.0, None),
+            (["0"], 0.0, None),
+            (["9" * 300], 1e12, None),
+            ([], 0.0, None),
+            ([""], 0.0, ""),
+            (["-1"], 0.0, "-1"),
+            (["nan"], 0.0, "nan"),
+            (["inf"], 0.0, "inf"),
+            (["1e999"], 0.0, "1e999"),
+            (["1_0"], 0.0, "1_0"),
+            (["Wed, 21 Oct 2026 07:28:00 GMT"], 0.0, "Wed, 21 Oct 2026 07:28:00 GMT"),
+            (["2", "3"], 0.0, "2, 3"),
+            (["x" * 500], 0.0, "x" * 40),
+        ):
+            headers = CIMultiDict([("retry-after", text) for text in texts])
+            with self.subTest(texts=texts):
+                metadata = header_codec.parse_response_head(503, headers)
+                self.assertEqual(
+                    (metadata.pause_ms, metadata.invalid_pause), (pause_ms, invalid_pause)
+                )
+                metadata = header_codec.parse_response_head(429, headers)
+                self.assertEqual((metadata.pause_ms, metadata.invalid_pause), (0.0, None))
+
     @given(st.dictionaries(st.sampled_from(list(REQUEST)), st.text(max_size=20)))
     @DETERMINISTIC
     def test_parse_call_headers_parses_or_refuses_arbitrary_headers(
