Candidates: a call is refused although a server of a large group takes requests

A group of more than 24 servers is sampled first, and the servers that a call must not reach are left out of the sample afterwards. If many of them pause, or have reached their limits, nothing may be left although other servers are free, and the call is refused.

The candidates are now drawn from all servers that are left if the sample has none; a choice that finds some costs what it did.

Evidence: `python -m unittest tests.systems.overload.test_server_pauses -k large_group` (one of 200 servers does not pause) fails without the change with no candidate at the first of 50 seeds, and passes with it.

--- a/src/boragetiller/systems/candidates.py
+++ b/src/boragetiller/systems/candidates.py
@@ -51,7 +51,7 @@
 
     :param group: servers that accept new requests
     :param request: the request
-    :param excluded: names of servers that the request was already sent to
+    :param excluded: names of servers that the request was already sent to or must not reach now
     :param rng: seeded generator
     :param now_ms: monotonic time in milliseconds
     :return: about MAX_CANDIDATES servers, or the whole group if it has at most that many
@@ -75,7 +75,11 @@
         count = max(0, round(share * MAX_CANDIDATES) - len(picked))
         for server in rng.sample(servers, min(count, len(servers))):
             picked[server.name] = server
-    return [server for server in picked.values() if server.name not in excluded]
+    found = [server for server in picked.values() if server.name not in excluded]
+    if not found and excluded:  # many servers may be excluded at once, for their limits or pauses
+        left = [server for server in group.servers if server.name not in excluded]
+        found = rng.sample(left, min(MAX_CANDIDATES, len(left)))
+    return found
 
 
 def filter_usable(servers: list[BackendServer], now_ms: int) -> list[BackendServer]:
--- a/tests/systems/overload/test_server_pauses.py
+++ b/tests/systems/overload/test_server_pauses.py
@@ -10,6 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from boragetiller.systems.candidates import select_candidates
 from boragetiller.systems.overload.server_pauses import (
     MAX_PAUSE_MS,
     MAX_PAUSES,
@@ -21,9 +22,10 @@
     remove_ended,
     spread_return_ms,
 )
+from boragetiller.tables.server_groups import GroupServers
 from boragetiller.tables.server_pauses import ServerPauseTable
 from boragetiller.tables.server_table import ServerTable
-from tests.systems.test_server_placement import make_server
+from tests.systems.test_server_placement import make_request, make_server
 
 if TYPE_CHECKING:
     from boragetiller.tables.servers import ServerRecord
@@ -101,6 +103,13 @@
         self.assertGreaterEqual(min(times_ms), left_ms)
         self.assertGreater(max(times_ms) - min(times_ms), 1_000)
 
+    def test_call_finds_the_one_server_of_a_large_group_that_does_not_pause(self) -> None:
+        group = GroupServers.build(make_server(f"e{number}") for number in range(200))
+        names = {server.name for server in group.servers[:-1]}
+        for seed in range(50):
+            found = select_candidates(group, make_request(None), names, Random(seed), 0)
+            self.assertEqual(found, [group.servers[-1]])
+
 
 if __name__ == "__main__":
     unittest.main()
