Retries: a call fails after the pauses of four servers although another one is free

A call gives up as `full` after four refusals, since a group of which four servers are full is taken for full. A refusal with a pause says nothing of the other servers, as each server asks this router for its own. The retry budget still counts each of them, as the users' rule counts arrivals that an engine rejects.

Refusals with a pause are no longer counted among the four.

Evidence: `python -m unittest tests.gateway.test_server_pauses -k more_servers` (five of six servers ask for a pause, 99 calls) fails without the change, the first call with 503, in three of three runs; 99 of 99 calls are answered with it.

--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -161,6 +161,7 @@
         metadata, stream = response.metadata, attempt.stream
         attempt.response_progress.started_ms = self._clock.now_ms()
         attempt.response_progress.status = metadata.status
+        attempt.response_progress.pause_ms = metadata.pause_ms
         if metadata.load is not None:
             reported_requests = metadata.load.running + metadata.load.waiting
             attempt.server.record_reported_load(reported_requests, self._clock.now_ms())
--- a/src/boragetiller/systems/direct_retry_policy.py
+++ b/src/boragetiller/systems/direct_retry_policy.py
@@ -74,6 +74,7 @@
     if result.outcome is DirectAttemptOutcome.PAUSED:
         return  # it was no attempt
     progress.attempts += 1
+    progress.pauses += result.progress.pause_ms > 0 and result.verdict is Verdict.NOT_RUN
     progress.server_status = result.progress.status
     if result.verdict is not Verdict.NOT_RUN:
         progress.may_have_run_on.add(server)
@@ -125,7 +126,8 @@
         return GiveUpReason.NOT_REPEATABLE
     if progress.server_limit_reached:
         return GiveUpReason.ATTEMPTS
-    if progress.attempts - len(progress.may_have_run_on) >= MAX_REFUSED_ATTEMPTS:
+    refused = progress.attempts - len(progress.may_have_run_on)
+    if refused - progress.pauses >= MAX_REFUSED_ATTEMPTS:  # a pause says nothing of the others
         return GiveUpReason.FULL
     if time_left_ms < MIN_TIME_LEFT_SHARE * target_ms:
         return GiveUpReason.DEADLINE
--- a/src/boragetiller/tables/direct_attempts.py
+++ b/src/boragetiller/tables/direct_attempts.py
@@ -64,6 +64,7 @@
     started_ms: int | None = None  # monotonic time at which the header arrived
     status: int | None = None  # of the header, None before it arrived
     events: int = 0  # complete events of a stream
+    pause_ms: float = 0.0  # that the head asks for
     survived: bool = False  # its beginning, as was recorded; see systems.crash_suspects
 
 
@@ -93,6 +94,7 @@
     repeatable: bool
     max_servers: int  # number of backend servers that may run the call
     attempts: int = 0
+    pauses: int = 0  # attempts that were refused with a pause
     may_have_run_on: set[str] = attrs.field(factory=set)  # names of backend servers
     relayed_events: int = 0
     begun: bool = False  # whether it was counted for the usage reports
--- a/tests/gateway/test_server_pauses.py
+++ b/tests/gateway/test_server_pauses.py
@@ -299,6 +299,14 @@
             self.assertGreater(len(set(times_s)), 1, "all callers return in the same instant")
         self.assertEqual([len(server.requests) for server in self.servers.values()], [1, 1])
 
+    async def test_more_servers_pause_than_refusals_end_a_call(self) -> None:
+        await self.serve(6)
+        for server in list(self.servers.values())[:-1]:
+            server.retry_after = f"{LONG_S}"
+        statuses = [(await self.call())[0] for _ in range(CALLS)]
+        self.assertEqual(statuses, [200] * CALLS)
+        self.assertEqual([len(server.requests) for server in self.servers.values()][:-1], [1] * 5)
+
     async def test_values_that_are_no_pause(self) -> None:
         await self.serve(2)
         for text in (
