Own interface: the pauses of callers count in no time between tokens of an agent

What callers saw: none of the streams was wrong, but an agent whose caller paused counted as slow, so that protected requests avoided it, and the agent's limit on concurrent requests fell, since the engine behind it looked slow too.

The time from one part of a stream to the next was measured over the write of the first one, which waits for a caller that does not read (at the router) or for the router (at the agent, which counted tokens after the write).

Change: the router leaves a pause out of the class's time between tokens and discards the window in which one falls; the agent counts tokens as they arrive and begins the next gap once the router has taken them.

--- a/src/boragetiller/agent/admission.py
+++ b/src/boragetiller/agent/admission.py
@@ -69,6 +69,14 @@
         """
         admission.record_tokens(self.table, ticket.work_id, self._clock.now_ms(), count)
 
+    def record_taken(self, ticket: AdmissionTicket) -> None:
+        """
+        Record that the router has taken the tokens that were counted last.
+
+        :param ticket: ticket of the work
+        """
+        admission.record_taken(self.table, ticket.work_id, self._clock.now_ms())
+
     def finish(self, ticket: AdmissionTicket) -> None:
         """
         Remove work that ended for any reason.
--- a/src/boragetiller/agent/runner.py
+++ b/src/boragetiller/agent/runner.py
@@ -178,8 +178,9 @@
         self, response: BackendResponse, stream: FrameStream, ticket: AdmissionTicket
     ) -> None:
         async for chunk in response.iter_chunks():
-            await stream.send_data(chunk)
             self._admission.record_tokens(ticket, chunk.count(TOKEN_EVENT_PREFIX))
+            await stream.send_data(chunk)
+            self._admission.record_taken(ticket)
 
     async def _relay_preemptible(
         self, response: BackendResponse, stream: FrameStream, ticket: AdmissionTicket
--- a/src/boragetiller/router/dispatcher.py
+++ b/src/boragetiller/router/dispatcher.py
@@ -6,11 +6,8 @@
 from contextlib import aclosing
 from typing import TYPE_CHECKING
 
-from boragetiller.agent_protocol.frames import Frame, FrameKind, ResponseHead, parse_head
 from boragetiller.clock import WallClock
 from boragetiller.errors import (
-    BackendFailed,
-    BackendUnavailable,
     BoragetillerError,
     NoBackend,
     Preempted,
@@ -21,16 +18,15 @@
     EngineTranscript,
     ResumePoint,
     build_engine_body,
-    rewrite_resumed_chunk,
 )
+from boragetiller.router.frame_relay import RETRY_AFTER_S, FrameRelay
 from boragetiller.router.request_state import RequestState, build_attempt
-from boragetiller.router.response_writers import EVENT_STREAM
 from boragetiller.router.stream_metrics import (
     StreamMetrics,
     record_complete_response,
     record_failed_response,
 )
-from boragetiller.status_verdicts import choose_truthful_status, implies_not_run
+from boragetiller.status_verdicts import choose_truthful_status
 from boragetiller.systems.agent_retry_policy import (
     AttemptFailed,
     AttemptOutcome,
@@ -60,8 +56,6 @@
     from boragetiller.settings import Settings
     from boragetiller.tables.agents import AgentEntry
 
-RETRY_AFTER_S = 1  # while the agents of a group take no work
-
 
 class RequestDispatcher:
     """Dispatches requests to agents and retries failed attempts."""
@@ -93,6 +87,7 @@
         self._client = client
         self._traces = traces
         self._clock = clock
+        self._frame_relay = FrameRelay(agent_selector.load_balancer, clock)
         self._metrics = metrics
         self._rng = rng
 
@@ -209,43 +204,7 @@
         state.stream_metrics.start_attempt()
         async with aclosing(self._client.send(agent, attempt, body)) as frame_lists:
             async for frames in frame_lists:
-                await self._relay_frames(state, agent, frames, attempt.resumed_tokens)
-
-    async def _relay_frames(
-        self, state: RequestState, agent: AgentEntry, frames: list[Frame], tokens_before: int
-    ) -> None:
-        content = b"".join(frame.payload for frame in frames if frame.kind is FrameKind.DATA)
-        if frames[0].kind is FrameKind.HEAD:
-            await self._relay_head(state, parse_head(frames[0].payload))
-        if tokens_before:
-            content = rewrite_resumed_chunk(content, tokens_before)
-        if not content:
-            return
-        if state.request.for_engine:
-            state.transcript.append(content)
-            self._record_tokens(state, agent, content)
-        await state.response_writer.write_data(content)
-
-    async def _relay_head(self, state: RequestState, head: ResponseHead) -> None:
-        state.server_status = head.status
-        if implies_not_run(head.status):
-            raise BackendUnavailable(
-                f"backend server responded with status {head.status}, "
-                "which does not show that it did not run the request",
-                retry_after_s=RETRY_AFTER_S if state.request.repeatable else None,
-            )
-        if state.response_writer.response_started and not head.content_type.startswith(
-            EVENT_STREAM
-        ):
-            raise BackendFailed(
-                f"engine responded to a resumed stream with status {head.status} and no events"
-            )
-        await state.response_writer.write_head(head)
-
-    def _record_tokens(self, state: RequestState, agent: AgentEntry, content: bytes) -> None:
-        gap_ms = state.stream_metrics.record_chunk(content, self._clock.now_ms())
-        if gap_ms is not None:
-            self._agent_selector.load_balancer.record_token_gap(agent, gap_ms)
+                await self._frame_relay.relay(state, agent, frames, attempt.resumed_tokens)
 
     async def _settle_verdict(
         self, state: RequestState, agent: AgentEntry, attempt: Attempt, error: BoragetillerError
--- a/src/boragetiller/router/placement_query.py
+++ b/src/boragetiller/router/placement_query.py
@@ -16,7 +16,7 @@
     describe_refusal,
 )
 from boragetiller.router.caller_headers import authenticate, parse_caller_headers
-from boragetiller.router.dispatcher import RETRY_AFTER_S
+from boragetiller.router.frame_relay import RETRY_AFTER_S
 from boragetiller.router.request import parse_engine_request, parse_service_request
 from boragetiller.router.server import REQUEST_ID_BITS
 from boragetiller.systems import rate_limits
--- a/src/boragetiller/router/stream_metrics.py
+++ b/src/boragetiller/router/stream_metrics.py
@@ -11,6 +11,7 @@
     from boragetiller.records.model import RequestClass
 
 GAP_WINDOW_TOKENS = 16
+MIN_PAUSE_MS = 50  # of a caller; a shorter one changes a window's mean gap by a few ms at most
 TOKEN_EVENT = b"data: {"
 
 
@@ -24,6 +25,8 @@
     tokens: int = 0
     window_started_ms: int = 0
     window_tokens: int = 0
+    caller_wait_ms: int = 0  # the router waited for the caller
+    last_token_wait_ms: int = 0  # caller_wait_ms at the last token
 
     def start_attempt(self) -> None:
         """Discard the unfinished window; a gap across two agents is a property of neither."""
@@ -42,7 +45,7 @@
             return None
         if self.first_token_at_ms is None:
             self.first_token_at_ms = now_ms
-        self.last_token_at_ms = now_ms
+        self.last_token_at_ms, self.last_token_wait_ms = now_ms, self.caller_wait_ms
         self.tokens += count
         if self.window_tokens == 0:
             self.window_started_ms = now_ms
@@ -55,15 +58,26 @@
         self.window_started_ms, self.window_tokens = now_ms, 1
         return mean_token_gap_ms
 
+    def record_caller_wait(self, wait_ms: int) -> None:
+        """
+        Record that the router waited for the caller, whose pace is that of no agent.
+
+        :param wait_ms: milliseconds until the caller had taken a chunk
+        """
+        self.caller_wait_ms += wait_ms
+        if wait_ms >= MIN_PAUSE_MS:
+            self.window_tokens = 0  # what was generated meanwhile arrives at once
+
     def time_to_first_token_ms(self) -> int | None:
         """:return: time from arrival to the first token in milliseconds, None before it"""
         return None if self.first_token_at_ms is None else self.first_token_at_ms - self.arrived_ms
 
     def mean_token_gap_ms(self) -> float:
-        """:return: mean time between tokens in milliseconds"""
+        """:return: mean time between tokens in milliseconds, without waits for the caller"""
         if self.first_token_at_ms is None or self.tokens < 2:
             return 0.0
-        return (self.last_token_at_ms - self.first_token_at_ms) / (self.tokens - 1)
+        took_ms = self.last_token_at_ms - self.first_token_at_ms - self.last_token_wait_ms
+        return took_ms / (self.tokens - 1)
 
 
 def record_complete_response(
--- a/src/boragetiller/systems/admission.py
+++ b/src/boragetiller/systems/admission.py
@@ -84,6 +84,19 @@
     fair_queueing.charge_tokens(table, item, count)
 
 
+def record_taken(table: WorkTable, request_id: str, now_ms: int) -> None:
+    """
+    Record that the router has taken the last tokens; its pace counts in no gap of the engine.
+
+    :param table: queued and running requests of this agent
+    :param request_id: id of the request; ignored unless it is running
+    :param now_ms: monotonic time in milliseconds
+    """
+    item = table.running.get(request_id)
+    if item is not None and item.last_token_ms is not None:
+        item.last_token_ms = now_ms
+
+
 def finish(
     table: WorkTable, request_id: str, settings: AdmissionSettings, now_ms: int
 ) -> list[AdmissionAction]:
@@ -200,4 +213,4 @@
     return (1 - _EWMA_WEIGHT) * mean + _EWMA_WEIGHT * value if mean else float(value)
 
 
-__all__ = ["finish", "record_tokens", "build_load_report", "run_tick", "submit"]
+__all__ = ["finish", "record_taken", "record_tokens", "build_load_report", "run_tick", "submit"]
