Callers: a response of which a caller takes no byte for a minute is cut off

What callers saw: nothing; but a caller of the product's own interface that stopped reading held its engine's slot, and any caller its complete response and its connection, until the process needed the memory for another request.

Cause: the deadline of a call ends its attempts on the platform. Nothing ended a write to a caller elsewhere: streams of the own interface, complete responses and the end of a stream wait for the caller without a limit.

Change: caller_limits/unread_watch.py has what a slow caller's response is charged (from connection.py) and a limit of 60 s without a byte, with the cause `unread_timeout`. Agents leave it to the routers, which pause for their own callers. Progress includes the kernel's queue, since a transport hears of progress only once a third of that is free.

--- a/src/boragetiller/agent/process.py
+++ b/src/boragetiller/agent/process.py
@@ -104,6 +104,7 @@
             tls=settings.peer_tls,
             max_field_bytes=MAX_ATTEMPT_HEADER_BYTES,
             budget=budget,
+            max_unread_s=None,  # routers pause for their callers, and limit them
         )
         operator_routes = build_operator_app(settings.operator, self.metrics)
         add_agent_routes(operator_routes, self)
--- a/src/boragetiller/caller_limits/connection.py
+++ b/src/boragetiller/caller_limits/connection.py
@@ -10,6 +10,7 @@
 
 from boragetiller.caller_limits.budget import current_connection
 from boragetiller.caller_limits.listening import bound_receive_buffer
+from boragetiller.caller_limits.unread_watch import UnreadWatch
 from boragetiller.errors import CallerBudgetExhausted, RequestTooLarge
 from boragetiller.systems.overload.caller_budget import (
     HEAD_SLACK_BYTES,
@@ -31,7 +32,6 @@
 IDLE_MARGIN_MS = 500.0  # for a request that was sent just before the timeout
 CLOSE_DELAY_S = 0.3  # for the caller to read its refusal; a close with unread input resets
 READ_BUFFER_BYTES = 16_384  # aiohttp keeps up to twice as much of a body before it stops reading
-PAUSED_WRITE_BYTES = 131_072  # of a response: buffers of both connections once the caller is slow
 MAX_PAUSE_S = 3.5  # longer than a body waits for room
 MAX_QUEUED_REQUESTS = 4  # that a caller sent before the response to an earlier one
 HEADER_LINE_BYTES = 384  # objects of a parsed line; 345 were measured
@@ -49,6 +49,7 @@
         "_payload",
         "_refused",
         "_server",
+        "_unread",
         "budget",
         "use",
     )
@@ -63,6 +64,7 @@
         self._server = server
         self.budget = budget
         self.use = ConnectionUse(address="", phase_since_ms=budget.now_ms())
+        self._unread = UnreadWatch(self, self._loop, server.max_unread_s)
         self._head_timer: asyncio.TimerHandle | None = None
         self._head_bytes = self._body_raw_bytes = 0
         self._payload: StreamReader | None = None  # of the newest request
@@ -84,6 +86,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """See :class:`RequestHandler`."""
         self._stop_timer()
+        self._unread.cancel()
         self.use.is_ended = True
         self._server.remove(self)
         self.budget.release(self)
@@ -171,15 +174,12 @@
     def pause_writing(self) -> None:
         """See :class:`asyncio.Protocol`: the caller takes its response slowly."""
         super().pause_writing()
-        self.use.unread_bytes = self.count_unread()
-        self.budget.charge(self, PAUSED_WRITE_BYTES)
+        self._unread.start()
 
     def resume_writing(self) -> None:
         """See :class:`asyncio.Protocol`."""
         super().resume_writing()
-        record_progress(self.use, self.use.unread_bytes, self.budget.now_ms())
-        self.use.unread_bytes = 0
-        self.budget.release(self, PAUSED_WRITE_BYTES)
+        self._unread.finish()
 
     async def _handle_request(
         self,
@@ -246,14 +246,10 @@
         if self._reading_paused:
             return  # a part of what was received is not parsed yet
         useful = max(self._payload.total_bytes, self._payload.total_raw_bytes)
+        is_dropped = self._current_request is None and not self._messages  # after the response
         if exceeds_chunk_overhead(self._body_raw_bytes, useful):
             self._end_body("chunk_overhead")
-        elif self._current_request is None and not self._messages:
-            self._count_dropped_body()
-
-    def _count_dropped_body(self) -> None:
-        """Limit what is read and dropped of a body after the response was sent."""
-        if self._body_raw_bytes > 2 * self._server.limits.max_body_bytes:
+        elif is_dropped and self._body_raw_bytes > 2 * self._server.limits.max_body_bytes:
             self._end_body("dropped_body")
 
     def _end_body(self, cause: str) -> None:
--- a/src/boragetiller/caller_limits/server.py
+++ b/src/boragetiller/caller_limits/server.py
@@ -14,6 +14,7 @@
     READ_BUFFER_BYTES,
     BudgetedRequestHandler,
 )
+from boragetiller.caller_limits.unread_watch import MAX_UNREAD_S
 from boragetiller.systems.overload.caller_budget import choose_connection_to_close
 
 if TYPE_CHECKING:
@@ -43,6 +44,7 @@
         count_refusal: Callable[[str], None],
         *,
         max_connections: int | None = None,
+        max_unread_s: float | None = MAX_UNREAD_S,
         **options: object,
     ) -> None:
         """
@@ -53,6 +55,8 @@
         :param get_limits: returns the limits in force
         :param count_refusal: called with a code for each request that is refused before a handler
         :param max_connections: limit of this port, None for that of the budget
+        :param max_unread_s: seconds without a byte after which a response that is not taken is cut
+            off, None for no limit
         :param options: see :class:`web.Server`
         """
         options.setdefault("read_bufsize", READ_BUFFER_BYTES)
@@ -62,6 +66,7 @@
         self._get_limits = get_limits
         self.count_refusal = count_refusal
         self._max_connections = max_connections
+        self.max_unread_s = max_unread_s
         self._uses: dict[ConnectionUse, BudgetedRequestHandler] = {}
         self._addresses: Counter[str] = Counter()
         self._unfinished: set[ConnectionUse] = set()
--- a/src/boragetiller/http_server.py
+++ b/src/boragetiller/http_server.py
@@ -12,6 +12,7 @@
 from boragetiller.caller_limits.budget import CallerBudget
 from boragetiller.caller_limits.listening import BoundedSite
 from boragetiller.caller_limits.server import BudgetedServer
+from boragetiller.caller_limits.unread_watch import MAX_UNREAD_S
 from boragetiller.clock import SystemClock
 from boragetiller.http_refusals import build_refusal_logger
 from boragetiller.systems.overload.caller_budget import derive_limits
@@ -96,6 +97,7 @@
         count_refusal: Callable[[str], None] | None = None,
         budget: CallerBudget | None = None,
         max_connections: int | None = None,
+        max_unread_s: float | None = MAX_UNREAD_S,
     ) -> None:
         """
         Create the server; :meth:`start` opens its port.
@@ -109,6 +111,7 @@
         :param count_refusal: called with a code for each request that aiohttp refuses
         :param budget: budget of the process, None for one of this port alone
         :param max_connections: limit of connections of this port, None for that of the budget
+        :param max_unread_s: see :class:`BudgetedServer`
         """
         max_field = max_field_bytes or limits.max_header_bytes
         caller_limits = CallerLimits(
@@ -132,6 +135,7 @@
                 get_limits=lambda: caller_limits,
                 count_refusal=count_refusal or (lambda _code: None),
                 max_connections=max_connections,
+                max_unread_s=max_unread_s,
             ),
             access_log=None,
             handler_cancellation=True,
--- a/tests/gateway/stalling_caller.py
+++ b/tests/gateway/stalling_caller.py
@@ -47,6 +47,7 @@
 
     body: bytes
     complete: bool  # whether the last chunk has arrived
+    raw: bytes = b""  # as received
 
     @property
     def events(self) -> list[tuple[int, str]]:
@@ -92,6 +93,15 @@
         """Wait until the router waits for this caller, the only one."""
         await wait_until(lambda: self._harness.router.budget.held_bytes)
 
+    async def take(self, size: int) -> int:
+        """
+        Read a part of the response.
+
+        :param size: bytes
+        :return: bytes that were read
+        """
+        return len(await asyncio.get_running_loop().sock_recv(self._socket, size))
+
     async def read(self) -> ReceivedStream:
         """:return: the response up to its end, or to the reset of the connection"""
         loop, received = asyncio.get_running_loop(), bytearray()
@@ -102,7 +112,8 @@
             pass
         finally:
             self.close()
-        return _parse_chunks(bytes(received).partition(b"\r\n\r\n")[2])
+        stream = _parse_chunks(bytes(received).partition(b"\r\n\r\n")[2])
+        return attrs.evolve(stream, raw=bytes(received))
 
     def close(self) -> None:
         """Close the connection."""
@@ -120,6 +131,8 @@
     body = bytearray()
     while b"\r\n" in data:
         line, _, data = data.partition(b"\r\n")
+        if not line.isalnum():
+            break  # not in chunks
         size = int(line, 16)
         if size == 0:
             return ReceivedStream(bytes(body), complete=True)
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -13,11 +13,13 @@
     ReceivedRequest,
     ScriptedEngine,
     build_chunk,
+    build_response,
     build_stream_header,
     reset,
 )
 from tests.gateway.stalling_caller import (
     DEADLINE_MS,
+    SOCKET_BUFFER_BYTES,
     SkippedTime,
     StallingCaller,
     count_metric,
@@ -49,6 +51,9 @@
         self.written = 0  # events
 
     async def _stream(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        if request.path == "/reserve/":
+            writer.write(build_response(request.request_id, b"x" * EVENT_BYTES))
+            return
         await self.begin.wait()
         after = int(request.headers.get("last-event-id", 0))
         head = build_stream_header(request.request_id)
@@ -71,11 +76,14 @@
 class SlowCallerTest(unittest.IsolatedAsyncioTestCase):
     """One router, and one caller that does not read; see `SkippedTime` for its pauses."""
 
-    async def serve(self, *versions: str, policy: Policy | None = None) -> None:
+    async def serve(
+        self, *versions: str, policy: Policy | None = None, service: str = "engines"
+    ) -> None:
         """Start a router, and an engine of each version."""
         self.time = SkippedTime(self)
         self.harness = RouterHarness(listening_socket=open_narrow_socket(), policy=policy)
         config = build_config(2)
+        config["limits"]["max-body-bytes"] = EVENT_BYTES
         for route in config["routes"]:
             route["timeout-ms"] = DEADLINE_MS
         self.harness.store.put("op/config", config)
@@ -83,7 +91,7 @@
         for name, engine in self.engines.items():
             await engine.start()
             self.addAsyncCleanup(engine.close)
-            self.harness.store.register(name, engine, "engines", version=engine.version)
+            self.harness.store.register(name, engine, service, version=engine.version)
         await self.harness.start()
         self.addAsyncCleanup(self.harness.close)
 
@@ -257,6 +265,28 @@
         await wait_until(lambda: not self.harness.router.call_handler.in_progress)
         self.assertEqual((self.count_requests(), self.list_failures()), (1, [0, 0]))
 
+    async def test_complete_response_that_is_never_read_does_not_stay(self) -> None:
+        # Guards against memory and a connection that are held for as long as the caller likes.
+        await self.serve("v1", service="shop")
+        await self.block("/reserve/")
+        for _ in range(3):  # until the first check, and from one to the next
+            await self.time.skip(DEADLINE_MS)
+        budget = self.harness.router.budget
+        await wait_until(lambda: not (budget.connections or budget.held_bytes))
+        self.assertEqual(count_metric(self.harness, "caller_limits_met", limit="unread_timeout"), 1)
+        self.assertEqual((self.count_requests(), self.list_failures()), (1, [0]))
+
+    async def test_complete_response_that_is_read_slowly_is_read_to_its_end(self) -> None:
+        await self.serve("v1", service="shop")
+        caller = await self.block("/reserve/")
+        taken = 0
+        while self.harness.router.budget.held_bytes and taken < EVENT_BYTES:
+            taken += await caller.take(2 * SOCKET_BUFFER_BYTES)
+            await asyncio.sleep(0.01)  # the kernels pass on what there is room for
+            await self.time.skip(DEADLINE_MS)
+        received = await caller.read()
+        self.assertGreater(taken + len(received.raw), EVENT_BYTES)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+import socket
 import unittest
 from typing import Any
 from unittest.mock import patch
@@ -11,10 +14,17 @@
 from boragetiller.router.response_writers import StreamingResponseWriter
 from boragetiller.standin.engine import EngineServer, EngineSettings
 from boragetiller.systems import concurrency_limit
-from tests.fleet import MODEL, Fleet, build_sample_records
+from tests.fleet import KEY, MODEL, Fleet, build_sample_records
+from tests.gateway.harness import wait_until
+from tests.gateway.scripted_engine import ReceivedRequest, ScriptedEngine
+from tests.gateway.stalling_caller import SkippedTime
 
 PAUSE_MS = 3_600_000  # in which no engine would generate so few tokens
 TOKENS = 60
+CHAT = "/v1/chat/completions"
+EVENT = b'data: {"x": "' + 100_000 * b"x" + b'"}\n\n'
+PAUSE_LIMIT_MS = 60_000  # see caller_limits/unread_watch.py
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 
 
 class SkippedClock(SystemClock):
@@ -79,5 +89,57 @@
         self.assertLess(max(gaps_ms), PAUSE_MS)
 
 
+class NeverReadingCallerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_caller_that_never_reads_holds_no_engine_for_ever(self) -> None:
+        time, fleet = SkippedTime(self), Fleet()
+        self.streams = self.written = self.ended = 0
+        engine = ScriptedEngine(self.stream_without_end)
+        await engine.start()
+        self.addAsyncCleanup(engine.close)
+        await fleet.start()
+        self.addAsyncCleanup(fleet.close)
+        await fleet.add_agent("engine-0", "pool", f"http://{engine.address}")
+        await fleet.apply(build_sample_records(("engine-0",), ()))
+        router = await fleet.add_router("router-0")
+        message = {"role": "user", "content": "a long quote"}
+        body = {"model": MODEL, "class": "quote", "messages": [message], "stream": True}
+        content = json.dumps(body).encode()
+        port = int(router.caller_listener.base_url.rpartition(":")[2])
+        caller = socket.create_connection(("127.0.0.1", port))
+        self.addCleanup(caller.close)
+        head = f"POST {CHAT} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
+        head += f"Content-Type: application/json\r\nContent-Length: {len(content)}\r\n\r\n"
+        caller.sendall(head.encode() + content)
+        await self.wait_until_blocked()
+        for _ in range(3):
+            await time.skip(PAUSE_LIMIT_MS)
+        await wait_until(lambda: self.ended)
+        self.assertEqual(self.streams, 1)
+
+    async def wait_until_blocked(self) -> None:
+        """Wait until the engine has long written nothing, since no buffer has room."""
+        quiet, written = 0, -1
+        while quiet < 20:
+            quiet = quiet + 1 if self.written == written > 0 else 0
+            written = self.written
+            await asyncio.sleep(0.01)
+
+    async def stream_without_end(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if request.method != "POST":  # polls of the agent
+            writer.write(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+            return
+        self.streams += 1
+        writer.write(STREAM_HEAD)
+        try:
+            while True:
+                writer.write(EVENT)
+                await writer.drain()
+                self.written += 1
+        except ConnectionError:
+            self.ended += 1
+
+
 if __name__ == "__main__":
     unittest.main()
