Responses: a router without room for a response does not blame the server for it

What callers saw: a 504, as before; but the server of a call whose response waited until its deadline for memory of the router counted as silent, and two such calls ejected it.

Cause: as for streams to callers that pause: the deadline ended an attempt while the router waited for something else than the server.

Change: waits for room are recorded like those for a caller (systems/slow_callers/). An attempt that ends in one, or whose server cuts off what stayed unread meanwhile, ends as `no_memory`: verdict `may_have_run`, 504 after the deadline, no failure of the server.

Evidence: python -m unittest tests.gateway.test_slow_callers, on: test_response_that_waits_for_room_is_no_failure_of_its_server fails (1 failure where 0 are due); with the change 13 of 13 pass. tests.gateway.test_calls, test_unbounded_responses and test_hedging pass.

--- a/src/boragetiller/caller_limits/body.py
+++ b/src/boragetiller/caller_limits/body.py
@@ -6,13 +6,20 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.caller_limits.budget import current_connection
+from boragetiller.clock import SystemClock
 from boragetiller.errors import RequestTimeout, RequestTooLarge
+from boragetiller.systems.slow_callers.unread_time import record_caller_wait, record_server_wait
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from aiohttp import StreamReader, web
 
+    from boragetiller.caller_limits.budget import Holder
     from boragetiller.caller_limits.connection import BudgetedRequestHandler
+    from boragetiller.systems.slow_callers.unread_time import UnreadTime
 
+CLOCK = SystemClock()
 FIRST_BYTES = 65_536  # reserved for a body whose size is not known
 ORDINARY_BODY_BYTES = 262_144  # ordinary bodies have at most 100 KB
 UNREAD_BYTES = 65_536  # received and not yet a part of the body, while it arrives
@@ -71,7 +78,9 @@
     return bytes(body)
 
 
-async def read_response(content: StreamReader, length: int | None, max_bytes: int) -> bytes | None:
+async def read_response(
+    content: StreamReader, length: int | None, max_bytes: int, unread: UnreadTime
+) -> bytes | None:
     """
     Read the body of a server's response for the caller whose request is being handled.
 
@@ -81,20 +90,23 @@
     :param content: the body
     :param length: its announced size, None if unknown
     :param max_bytes: size limit
+    :param unread: waits for room are recorded in it
     :return: the body, None if it exceeds the limit
     """
     connection = current_connection.get()
+    unread.waits_for_room = True
     reserved = min(length or 0, max_bytes)
     body = bytearray()
     if connection is not None and reserved:
-        await connection.budget.reserve(connection, 2 * reserved, None)
-    async for chunk in content.iter_any():
+        await _reserve(connection, 2 * reserved, unread)
+    chunks = content.iter_any()
+    while (chunk := await read_next(chunks, unread)) is not None:
         size = len(body) + len(chunk)
         if size > max_bytes:
             return None
         if size > reserved and connection is not None:
             wanted = _choose_reservation(size, max_bytes)
-            await connection.budget.reserve(connection, 2 * (wanted - reserved), None)
+            await _reserve(connection, 2 * (wanted - reserved), unread)
             reserved = wanted
         body += chunk
     if connection is not None:
@@ -102,6 +114,29 @@
     return bytes(body)
 
 
+async def read_next(chunks: AsyncIterator[bytes], unread: UnreadTime) -> bytes | None:
+    """
+    Read the next part of a server's response.
+
+    :param chunks: parts of the response as they arrive
+    :param unread: the wait for the part is recorded in it
+    :return: the part, None at the end
+    """
+    began_ms = CLOCK.now_ms()
+    try:
+        return await anext(chunks, None)
+    finally:
+        record_server_wait(unread, CLOCK.now_ms() - began_ms)
+
+
+async def _reserve(connection: Holder, size: int, unread: UnreadTime) -> None:
+    began_ms = CLOCK.now_ms()
+    unread.is_blocked = True  # stays so if the attempt ends meanwhile
+    await connection.budget.reserve(connection, size, None)
+    unread.is_blocked = False
+    record_caller_wait(unread, CLOCK.now_ms() - began_ms)
+
+
 def _choose_reservation(size: int, max_bytes: int) -> int:
     """
     Choose what to reserve for a body of unknown size.
@@ -112,4 +147,4 @@
     return min(2 * size, max_bytes) if size <= ORDINARY_BODY_BYTES // 2 else max_bytes
 
 
-__all__ = ["read_body", "read_response"]
+__all__ = ["read_body", "read_next", "read_response"]
--- a/src/boragetiller/gateway/outgoing_attempts.py
+++ b/src/boragetiller/gateway/outgoing_attempts.py
@@ -90,12 +90,13 @@
         """
         Build the result of an attempt that was lost or timed out.
 
-        :param outcome: outcome if the caller has no part in it
+        :param outcome: outcome if the server was at fault
         :param detail: what happened
-        :return: the result, with the outcome `UNREAD` if the caller did not read
+        :return: the result, with another outcome if the router did not read the response
         """
         if is_left_unread(self.unread):
-            outcome = DirectAttemptOutcome.UNREAD
+            for_room = self.unread.waits_for_room
+            outcome = DirectAttemptOutcome.NO_MEMORY if for_room else DirectAttemptOutcome.UNREAD
         return DirectAttemptResult(outcome, detail=detail)
 
 
--- a/src/boragetiller/gateway/retry_after.py
+++ b/src/boragetiller/gateway/retry_after.py
@@ -22,6 +22,7 @@
 TARGET_SHARES = (0.25, 0.75)  # range for engines; such a retry may be in time
 # After these the servers of a group take no calls for a moment.
 BUSY_OUTCOMES = frozenset({DirectAttemptOutcome.FULL, DirectAttemptOutcome.UNAVAILABLE})
+TIMEOUT_OUTCOMES = frozenset({DirectAttemptOutcome.SILENT, DirectAttemptOutcome.NO_MEMORY})
 
 
 class RetryAfter:
@@ -51,7 +52,7 @@
         if decision.verdict is Verdict.NOT_RUN:
             status, code = 503, decision.reason.value
         else:
-            status = 504 if decision.outcome is DirectAttemptOutcome.SILENT else 502
+            status = 504 if decision.outcome in TIMEOUT_OUTCOMES else 502
             code = decision.outcome.value
         is_busy = call.route.repeatable and decision.outcome in BUSY_OUTCOMES
         return ErrorResponse(
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -188,7 +188,7 @@
         headers = self._build_response_headers(attempt, response)
         assert self._registry.config is not None
         body = await response.read(
-            MAX_RESPONSE_BODY_RATIO * self._registry.config.limits.max_body_bytes
+            MAX_RESPONSE_BODY_RATIO * self._registry.config.limits.max_body_bytes, attempt.unread
         )
         complete = CompleteResponse(
             server=attempt.server.name, status=metadata.status, headers=headers, body=body
--- a/src/boragetiller/gateway/server_client.py
+++ b/src/boragetiller/gateway/server_client.py
@@ -26,6 +26,7 @@
 
     from boragetiller.gateway.platform_interface import Dialect
     from boragetiller.gateway.server_pauses import ServerPauses
+    from boragetiller.systems.slow_callers.unread_time import UnreadTime
     from boragetiller.tables.call_metadata import ResponseMetadata
     from boragetiller.tables.servers import ServerRecord
 
@@ -69,17 +70,18 @@
         """:return: whether only the end of the connection marks the end of the body"""
         return "Content-Length" not in self.headers and "Transfer-Encoding" not in self.headers
 
-    async def read(self, max_bytes: int) -> bytes:
+    async def read(self, max_bytes: int, unread: UnreadTime) -> bytes:
         """
         Read the complete body.
 
         :param max_bytes: size limit
+        :param unread: waits for memory are recorded in it
         :return: the body
         :raises ResponseTooLarge: the body exceeds the limit
         :raises aiohttp.ClientError: the body is incomplete
         """
         length = self._response.content_length
-        body = await read_response(self._response.content, length, max_bytes)
+        body = await read_response(self._response.content, length, max_bytes, unread)
         if body is None:
             raise ResponseTooLarge(f"response body exceeds {max_bytes} bytes")
         return body
--- a/src/boragetiller/gateway/streams/event_relay.py
+++ b/src/boragetiller/gateway/streams/event_relay.py
@@ -9,12 +9,12 @@
 
 from typing import TYPE_CHECKING
 
+from boragetiller.caller_limits.body import read_next
 from boragetiller.gateway.event_stream import EventSplitter
 from boragetiller.systems.crash_suspects import has_survived_start
 from boragetiller.systems.slow_callers.unread_time import (
     is_left_unread,
     record_caller_wait,
-    record_server_wait,
 )
 from boragetiller.tables.direct_attempts import (
     CompleteResponse,
@@ -23,8 +23,6 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from multidict import CIMultiDict
 
     from boragetiller.clock import Clock
@@ -80,7 +78,7 @@
         """
         splitter, status = EventSplitter(stream.last_event_id), response.metadata.status
         chunks = response.iter_chunks()
-        while (chunk := await self._read(attempt, chunks)) is not None:
+        while (chunk := await read_next(chunks, attempt.unread)) is not None:
             if self._state_sync.usage is not None:
                 self._state_sync.usage.record_begin(attempt.call, attempt.progress)
             events = splitter.feed(chunk)
@@ -106,14 +104,6 @@
         )
         return DirectAttemptResult(DirectAttemptOutcome.ANSWERED, complete)
 
-    async def _read(self, attempt: OutgoingAttempt, chunks: AsyncIterator[bytes]) -> bytes | None:
-        """:return: the next part of the response, None at its end"""
-        began_ms = self._clock.now_ms()
-        try:
-            return await anext(chunks, None)
-        finally:
-            record_server_wait(attempt.unread, self._clock.now_ms() - began_ms)
-
     def _note_events(
         self, attempt: OutgoingAttempt, stream: StreamState, events: StreamEvents
     ) -> None:
--- a/src/boragetiller/systems/slow_callers/unread_time.py
+++ b/src/boragetiller/systems/slow_callers/unread_time.py
@@ -1,8 +1,8 @@
 """
 Decide whether a server cut off a response because the caller had not read it.
 
-While a caller does not read, the router does not read from the server either. A server ends a
-response that stays unread for some seconds, which says nothing about the server.
+While a caller does not read, or the router has no room, it does not read from the server either.
+A server ends a response that stays unread for some seconds, which says nothing about the server.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
     unread_ms: int = 0  # the router waited for the caller
     waited_ms: int = 0  # the router waited for the server
     is_blocked: bool = False  # the router waits for the caller now
+    waits_for_room: bool = False  # in its own memory, instead of for the caller
 
 
 def record_server_wait(unread: UnreadTime, wait_ms: int) -> None:
--- a/src/boragetiller/tables/direct_attempts.py
+++ b/src/boragetiller/tables/direct_attempts.py
@@ -24,6 +24,7 @@
     GARBLED = "garbled"  # the response is truncated or not the backend server's own
     SILENT = "silent"  # timeout without a response
     UNREAD = "unread"  # ended while or because the caller did not read; not the server's failure
+    NO_MEMORY = "no_memory"  # ended while or because the router had no room for the response
     CANCELLED = "cancelled"  # by the router, since a second attempt responded first
 
 
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -265,6 +265,25 @@
         await wait_until(lambda: not self.harness.router.call_handler.in_progress)
         self.assertEqual((self.count_requests(), self.list_failures()), (1, [0, 0]))
 
+    async def test_response_that_waits_for_room_is_no_failure_of_its_server(self) -> None:
+        # Guards against servers that are ejected because the router has no memory left.
+        await self.serve("v1", service="shop")
+        budget = self.harness.router.budget
+        with patch.object(budget, "_try_reserve", lambda _, size: not size):
+            call = asyncio.create_task(self.call_reserve())
+            await wait_until(lambda: budget._waiting)
+            await self.time.skip(DEADLINE_MS)
+            self.assertEqual(await call, 504)
+        self.assertEqual((self.count_requests(), self.list_failures()), (1, [0]))
+        self.assertEqual(count_metric(self.harness, "sends", end="no_memory"), 1)
+
+    async def call_reserve(self) -> int:
+        """:return: status of a buffered response"""
+        deadline = {"X_Boragetiller_Deadline_Ms": str(DEADLINE_MS)}
+        async with self.harness.call("/reserve/", **deadline) as response:
+            await response.read()
+            return response.status
+
     async def test_complete_response_that_is_never_read_does_not_stay(self) -> None:
         # Guards against memory and a connection that are held for as long as the caller likes.
         await self.serve("v1", service="shop")
--- a/tests/systems/test_unread_time.py
+++ b/tests/systems/test_unread_time.py
@@ -47,6 +47,11 @@
         self.assertIs(result.verdict, Verdict.RAN)
         self.assertNotIn(result.outcome, FAILURES)
 
+    def test_response_without_room_may_have_run_and_is_no_failure_of_its_server(self) -> None:
+        result = DirectAttemptResult(DirectAttemptOutcome.NO_MEMORY)
+        self.assertIs(result.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertNotIn(result.outcome, FAILURES)
+
 
 if __name__ == "__main__":
     unittest.main()
