--- a/src/boragetiller/gateway/server_pauses.py
+++ b/src/boragetiller/gateway/server_pauses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -50,6 +51,8 @@
         self._servers = servers
         self._clock = clock
         self._metrics = metrics
+        self._listed: Set[str] = frozenset()
+        self._listed_until_ms = 0.0  # monotonic time until which the list holds
         self._logged_texts: set[tuple[str, str]] = set()
 
     def record_head(self, record: ServerRecord, metadata: ResponseMetadata) -> None:
@@ -67,6 +70,7 @@
             return
         now_ms = self._clock.now_ms()
         self._log_ended(remove_ended(self.table, now_ms), "elapsed")
+        self._listed_until_ms = 0.0
         pause = record_pause(self.table, record, metadata.pause_ms, now_ms)
         if pause is not None:
             self._metrics.server_pauses.labels(record.group).inc()
@@ -93,13 +97,17 @@
     def list_paused(self) -> Set[str]:
         """:return: names of the registered servers that pause"""
         now_ms = self._clock.now_ms()
-        if self.table.by_incarnation:
+        if now_ms >= self._listed_until_ms:
             self._log_ended(remove_ended(self.table, now_ms), "elapsed")
-        return list_paused(self.table, self._servers.by_name, now_ms)
+            self._listed = list_paused(self.table, self._servers.by_name, now_ms)
+            ends_ms = [pause.until_ms for pause in self.table.by_incarnation.values()]
+            self._listed_until_ms = min(ends_ms, default=math.inf)
+        return self._listed
 
     def observe_incarnations(self) -> None:
         """Note which incarnations have been replaced, after the list of servers has changed."""
         now_ms = self._clock.now_ms()
+        self._listed_until_ms = 0.0
         self._log_ended(mark_replaced(self.table, self._servers.by_name, now_ms), "replaced")
 
     def _log_ended(self, ended: list[tuple[Incarnation, ServerPause]], reason: str) -> None:
