Slow callers are watched only where the kernel tells what it keeps for them

Cause: the count of unread bytes asks the kernel for a socket's output queue. Where that is refused, the error reached the event loop's handler. Change: without an answer of the kernel, the limit on the time without a byte is off. Evidence: tests.gateway.test_slow_callers -k kernel fails without the change (an error at the event loop), and passes with it.

--- a/src/boragetiller/caller_limits/unread_watch.py
+++ b/src/boragetiller/caller_limits/unread_watch.py
@@ -61,22 +61,27 @@
             self._timer.cancel()
             self._timer = None
 
-    def _set_timer(self, unread_bytes: int) -> None:
-        if self._max_unread_s is not None:
+    def _set_timer(self, unread_bytes: int | None) -> None:
+        if self._max_unread_s is not None and unread_bytes is not None:
             self._timer = self._loop.call_later(self._max_unread_s, self._check, unread_bytes)
 
-    def _count_unread(self) -> int:
+    def _count_unread(self) -> int | None:
         """
         Count the bytes that the caller has not taken, with those that the kernel keeps for it.
 
         The transport learns of progress only once a third of the kernel's buffer is free, which
         may be a megabyte.
+
+        :return: bytes, None if the kernel does not tell
         """
         transport = self._connection.transport
         sock = None if transport is None else transport.get_extra_info("socket")
         if sock is None or sock.fileno() < 0:
             return 0
-        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT.size))
+        try:
+            queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT.size))
+        except OSError:
+            return None
         queued_bytes: int = INT.unpack(queued)[0]
         return self._connection.count_unread() + queued_bytes
 
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -295,6 +295,20 @@
         self.assertEqual(count_metric(self.harness, "caller_limits_met", limit="unread_timeout"), 1)
         self.assertEqual((self.count_requests(), self.list_failures()), (1, [0]))
 
+    async def test_slow_caller_is_served_where_the_kernel_does_not_tell_its_queue(self) -> None:
+        errors: list[object] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        ioctl = "boragetiller.caller_limits.unread_watch.fcntl.ioctl"
+        with patch(ioctl, side_effect=OSError("not supported")):
+            await self.serve("v1", service="shop")
+            caller = await self.block("/reserve/")
+            for _ in range(3):
+                await self.time.skip(DEADLINE_MS)
+            received = await caller.read()
+        self.assertGreater(len(received.raw), EVENT_BYTES)
+        self.assertEqual(errors, [])
+
     async def test_complete_response_that_is_read_slowly_is_read_to_its_end(self) -> None:
         await self.serve("v1", service="shop")
         caller = await self.block("/reserve/")
