Test: a stream whose software version only has servers in their pause

Guards against a resumption at another version, and against a refusal that hides the pause: a caller that takes the stream up again is told at once that the servers pause and when the first pause ends.

--- a/tests/gateway/test_server_pauses.py
+++ b/tests/gateway/test_server_pauses.py
@@ -299,6 +299,27 @@
             self.assertGreater(len(set(times_s)), 1, "all callers return in the same instant")
         self.assertEqual([len(server.requests) for server in self.servers.values()], [1, 1])
 
+    async def test_stream_that_only_servers_in_their_pause_may_go_on_with(self) -> None:
+        # Guards against a resumption at another version, and against a refusal for lack of servers.
+        await self.serve(2, "engines")
+        first, second = self.servers.values()
+        self.router.store.register("b", second, "engines", born=1, seq=2, version="v2")
+        versions = self.router.router.registry.servers
+        await wait_until(lambda: len(versions.find_versions("engines")) > 1)
+        began = {"X_Boragetiller_Attempt_Id": "began"}
+        async with self.router.call("/gauges/", **PROMPT, **began) as response:
+            await response.read()
+        server, other = (first, second) if first.requests else (second, first)
+        server.retry_after = f"{LONG_S}"
+        before = len(other.requests)
+        for _ in range(5):
+            headers = PROMPT | {"Last_Event_Id": "2", "Resumes": "began"}
+            async with self.router.call("/gauges/", **headers) as response:
+                self.assertEqual(response.status, 503)
+                self.assertGreater(float(response.headers["Retry-After"]), LONG_S / 2)
+                self.assertIn(b'"paused"', await response.read())
+        self.assertEqual((len(server.requests), len(other.requests)), (2, before))
+
     async def test_more_servers_pause_than_refusals_end_a_call(self) -> None:
         await self.serve(6)
         for server in list(self.servers.values())[:-1]:
