Servers: the next incarnation of a server is reached at the address of the last

A call that was placed at a server looks for the server's client a moment later. If the list of servers had replaced the incarnation in between, that created a client with the old address under the name, and the next incarnation got it: its calls failed or were misdirected until it left the list again, and with the pause of a server, which belongs to an incarnation, its pauses were kept for the old one.

Clients are now kept by incarnation (name, start, address).

--- a/src/boragetiller/gateway/server_client.py
+++ b/src/boragetiller/gateway/server_client.py
@@ -128,6 +128,11 @@
         )
         self._session._retry_connection = False  # noqa: SLF001  # the dispatcher retries and counts
 
+    @property
+    def address(self) -> str:
+        """:return: address of the server"""
+        return self._record.address
+
     async def send(self, call: OutgoingRequest) -> ServerResponse:
         """
         Send a request and wait for the header of its response.
--- a/src/boragetiller/gateway/server_clients.py
+++ b/src/boragetiller/gateway/server_clients.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.gateway.server_client import ServerClient
+from boragetiller.tables.servers import Incarnation
 
 if TYPE_CHECKING:
     from boragetiller.gateway.platform_interface import Dialect
@@ -16,7 +17,11 @@
 
 
 class ServerClients:
-    """Clients by server; that of a removed server is closed after a delay."""
+    """
+    Clients by incarnation; that of a removed server is closed after a delay.
+
+    A call may look for the client of an incarnation that was replaced a moment before.
+    """
 
     def __init__(self, dialect: Dialect, pauses: ServerPauses) -> None:
         """
@@ -27,7 +32,7 @@
         """
         self._dialect = dialect
         self._pauses = pauses
-        self._by_name: dict[str, ServerClient] = {}
+        self._by_incarnation: dict[Incarnation, ServerClient] = {}
         self._close_tasks: set[asyncio.Task[None]] = set()
 
     def get(self, server: BackendServer) -> ServerClient:
@@ -37,19 +42,21 @@
         :param server: the server
         :return: its client
         """
-        name = server.name
-        if name not in self._by_name:
-            self._by_name[name] = ServerClient(server.record, self._dialect, self._pauses)
-        return self._by_name[name]
+        incarnation = Incarnation.of(server.record)
+        client = self._by_incarnation.get(incarnation)
+        if client is None:
+            client = ServerClient(server.record, self._dialect, self._pauses)
+            self._by_incarnation[incarnation] = client
+        return client
 
     def remove(self, name: str) -> None:
         """
-        Remove the client of a server, if it has one, and close it after CLOSE_DELAY_MS.
+        Remove the clients of the incarnations of a server, and close them after CLOSE_DELAY_MS.
 
-        :param name: name of the server
+        :param name: name of a server that was removed or replaced in the list
         """
-        client = self._by_name.pop(name, None)
-        if client is not None:
+        for incarnation in [each for each in self._by_incarnation if each.name == name]:
+            client = self._by_incarnation.pop(incarnation)
             task = asyncio.create_task(_close_after_delay(client))
             self._close_tasks.add(task)
             task.add_done_callback(self._close_tasks.discard)
@@ -58,9 +65,9 @@
         """Close all clients."""
         for task in self._close_tasks:
             task.cancel()
-        for client in self._by_name.values():
+        for client in self._by_incarnation.values():
             await client.close()
-        self._by_name.clear()
+        self._by_incarnation.clear()
 
 
 async def _close_after_delay(client: ServerClient) -> None:
--- a/src/boragetiller/gateway/server_pauses.py
+++ b/src/boragetiller/gateway/server_pauses.py
@@ -25,9 +25,9 @@
     from boragetiller.clock import Clock
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.tables.call_metadata import ResponseMetadata
-    from boragetiller.tables.server_pauses import Incarnation, ServerPause
+    from boragetiller.tables.server_pauses import ServerPause
     from boragetiller.tables.server_table import ServerTable
-    from boragetiller.tables.servers import ServerRecord
+    from boragetiller.tables.servers import Incarnation, ServerRecord
 
 MAX_LOGGED_TEXTS = 1_024  # bounds memory
 
--- a/src/boragetiller/systems/overload/server_pauses.py
+++ b/src/boragetiller/systems/overload/server_pauses.py
@@ -10,7 +10,8 @@
 
 from typing import TYPE_CHECKING
 
-from boragetiller.tables.server_pauses import Incarnation, ServerPause
+from boragetiller.tables.server_pauses import ServerPause
+from boragetiller.tables.servers import Incarnation
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Set
--- a/src/boragetiller/tables/server_pauses.py
+++ b/src/boragetiller/tables/server_pauses.py
@@ -2,30 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
-
 import attrs
 
-if TYPE_CHECKING:
-    from boragetiller.tables.servers import ServerRecord
-
-
-class Incarnation(NamedTuple):
-    """What tells an incarnation of a server from others under the same name."""
-
-    name: str
-    started_ms: int  # wall-clock time of its start, 0 if not given
-    address: str
-
-    @classmethod
-    def of(cls, record: ServerRecord) -> Incarnation:
-        """
-        Build the key of a registration.
-
-        :param record: the registration
-        :return: the key of its incarnation
-        """
-        return cls(record.name, record.started_ms, record.address)
+from boragetiller.tables.servers import Incarnation
 
 
 @attrs.define(kw_only=True)
@@ -50,4 +29,4 @@
     by_incarnation: dict[Incarnation, ServerPause] = attrs.field(factory=dict)
 
 
-__all__ = ["Incarnation", "ServerPause", "ServerPauseTable"]
+__all__ = ["ServerPause", "ServerPauseTable"]
--- a/src/boragetiller/tables/servers.py
+++ b/src/boragetiller/tables/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from typing import NamedTuple
 
 import attrs
 
@@ -32,6 +33,24 @@
     warm_up_left_ms: float  # how long the server will remain slow after its start
 
 
+class Incarnation(NamedTuple):
+    """What tells an incarnation of a server from others under the same name."""
+
+    name: str
+    started_ms: int  # wall-clock time of its start, 0 if not given
+    address: str
+
+    @classmethod
+    def of(cls, record: ServerRecord) -> Incarnation:
+        """
+        Build the key of a registration.
+
+        :param record: the registration
+        :return: the key of its incarnation
+        """
+        return cls(record.name, record.started_ms, record.address)
+
+
 @attrs.define
 class PendingPrompt:
     """Prompt of a request that this router sent and that has had no event yet."""
@@ -191,6 +210,7 @@
 __all__ = [
     "URGENCY_LEVELS",
     "BackendServer",
+    "Incarnation",
     "PeerLoad",
     "PeerLoadSum",
     "PendingPrompt",
