Tests: planned stops beside a caller that pauses, and what a router takes from an engine meanwhile

The engine's socket buffer is fixed too, so that the events it can write while the caller does not read are those that the router holds.

--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
 from typing import TYPE_CHECKING
 from unittest.mock import patch
@@ -54,6 +55,8 @@
         if request.path == "/reserve/":
             writer.write(build_response(request.request_id, b"x" * EVENT_BYTES))
             return
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
         await self.begin.wait()
         after = int(request.headers.get("last-event-id", 0))
         head = build_stream_header(request.request_id)
@@ -124,11 +127,23 @@
         await self.serve("v1", "v1")
         caller = await self.block()
         await self.time.skip(PAUSE_MS)
+        self.assertLess(self.find_serving().written, EVENTS)  # the router reads no further
         received = await caller.read()
         self.assertEqual(received.events, [(number, "v1") for number in range(1, EVENTS + 1)])
         self.assertTrue(received.complete)
         self.assertEqual((self.count_requests(), self.list_failures()), (1, [0, 0]))
 
+    async def test_planned_stop_waits_for_a_caller_that_pauses(self) -> None:
+        await self.serve("v1")
+        caller = await self.block()
+        stop = asyncio.create_task(self.harness.router.close())
+        await wait_until(lambda: self.harness.router.call_handler.stopping)
+        await self.time.skip(PAUSE_MS)
+        received = await caller.read()
+        self.assertEqual(received.events, [(number, "v1") for number in range(1, EVENTS + 1)])
+        self.assertTrue(received.complete)
+        await stop
+
     async def test_versions_are_not_joined_after_a_pause_of_the_caller(self) -> None:
         await self.serve("v1", "v2")
         caller = await self.block()
