--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -45,6 +45,7 @@
     stop_s: tuple[float, float] = (1.5, 4.0)
     receive_bytes: int = 0  # receive buffer of their sockets, 0 for that of the host
     reserve_share: float = 0.4  # of the plain requests
+    hasty_share: float = 0.0  # of all requests, repeated without the wait that was asked for
     away_share: float = 0.5  # of the requests after the first that go to another router
 
 
@@ -99,7 +100,7 @@
             may_repeat = route == "stock" or attempt.status in PROMISES
             if 200 <= attempt.status < 300 and attempt.whole or not may_repeat:
                 return
-            if not await _wait_to_retry(attempt, end_s, rng):
+            if not await self._wait_to_retry(attempt, end_s, rng):
                 return
             router, session = self._choose(router, rng), self._open_session()
         if session is not kept:
@@ -130,7 +131,7 @@
                 began, last = began or attempt.request_id, attempt.events[-1].number
             if attempt.status == 200 and attempt.whole or attempt.status in FINAL_STATUSES:
                 return
-            if not attempt.left and not await _wait_to_retry(attempt, end_s, rng):
+            if not attempt.left and not await self._wait_to_retry(attempt, end_s, rng):
                 return
             router, session = self._choose(router, rng), self._open_session()
         if session is not kept:
@@ -195,6 +196,18 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return
 
+    async def _wait_to_retry(self, attempt: Attempt, end_s: float, rng: Random) -> bool:
+        """:return: whether there is time for a further request after a wait"""
+        left_s = end_s - time.monotonic()
+        wait_s = rng.uniform(*RETRY_S)
+        is_hasty = rng.random() < self._workload.hasty_share
+        if attempt.status in PROMISES and attempt.retry_after_s is not None and not is_hasty:
+            wait_s = min(attempt.retry_after_s, left_s / 3)
+        if left_s - wait_s < MIN_LEFT_S:
+            return False
+        await asyncio.sleep(wait_s)
+        return True
+
     async def _read_stream(
         self, response: aiohttp.ClientResponse, attempt: Attempt, rng: Random
     ) -> None:
@@ -230,16 +243,4 @@
     return StreamEvent(int(fields[b"id"]), version, run)
 
 
-async def _wait_to_retry(attempt: Attempt, end_s: float, rng: Random) -> bool:
-    """:return: whether there is time for a further request, after the wait that was asked for"""
-    left_s = end_s - time.monotonic()
-    wait_s = rng.uniform(*RETRY_S)
-    if attempt.status in PROMISES and attempt.retry_after_s is not None:
-        wait_s = min(attempt.retry_after_s, left_s / 3)
-    if left_s - wait_s < MIN_LEFT_S:
-        return False
-    await asyncio.sleep(wait_s)
-    return True
-
-
 __all__ = ["Callers", "Workload", "parse_event"]
--- a/bench/soak/scenarios.py
+++ b/bench/soak/scenarios.py
@@ -118,6 +118,7 @@
             stop_share=0.2,
             receive_bytes=65_536,
             away_share=0.7,
+            hasty_share=0.1,
         ),
         play=run_mix,
     ),
