--- a/bench/soak/mix.py
+++ b/bench/soak/mix.py
@@ -128,6 +128,8 @@
 async def _crash_server(fleet: SoakFleet, rng: Random) -> None:
     """A server crashes; it comes back as another one, or under its ID, perhaps at a version."""
     engine = _choose(fleet, rng)
+    if len(fleet.list_engines(engine.service)) == 1:
+        return
     version, name = engine.version, engine.name if rng.random() < 0.4 else None
     if engine.service == STREAMS and rng.random() < 0.5:
         version = rng.choice(("v1", "v2"))
