--- a/bench/soak/routers.py
+++ b/bench/soak/routers.py
@@ -14,7 +14,7 @@
 
 import aiohttp
 
-from bench.soak.ports import find_free_port
+from bench.soak.ports import find_free_ports
 from bench.soak.records import Impairment
 from boragetiller.timeouts import wait_with_timeout
 from tests.fault_proxy import FaultProxy
@@ -26,6 +26,7 @@
 GRACE_S = 4
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
+PORT_RANGE = [7_340, 7_355]  # on an address of its own, below the ports that the kernel hands out
 CONTACT_S = 3.0  # after a fault until a router counts as undisturbed again
 PARAMS = {
     "drain-ms": 2_000,
@@ -53,9 +54,8 @@
         # Another run on the host has other addresses, so that a port stays free between restarts.
         self._ip = f"127.{1 + os.getpid() % 250}.{os.getpid() // 250 % 250}.{number + 1}"
         self.callers, self._ready, self.control = (
-            f"{self._ip}:{find_free_port(self._ip)}" for _ in range(3)
+            f"{self._ip}:{port}" for port in find_free_ports(self._ip, 3)
         )
-        self._first_port = find_free_port(self._ip)
         self._folder = folder
         self._ledger = ledger
         self._link: FaultProxy | None = None
@@ -75,7 +75,7 @@
             "node-name": self.name,
             "zone": "a",
             "ip": self._ip,
-            "port-range": [self._first_port, self._first_port + 15],
+            "port-range": PORT_RANGE,
             "seeds": seeds,
             "listen": {"front": self.callers, "ready": self._ready, "control": self.control},
             "limits": {"memory-mb": 300, "max-fds": 4_100},
--- a/bench/soak/store.py
+++ b/bench/soak/store.py
@@ -12,7 +12,7 @@
 import attrs
 from aiohttp import web
 
-from bench.soak.ports import find_free_port
+from bench.soak.ports import find_free_ports
 from tests.platform_adapter.store_server import (
     CLOCK_RESOLUTION_S,
     ERA_HEADER,
@@ -54,7 +54,7 @@
 
     async def open_port(self, router: str) -> int:
         """:return: port of the store for a router"""
-        port = find_free_port("127.0.0.1")
+        port = find_free_ports("127.0.0.1", 1)[0]
         await web.TCPSite(self._runner, "127.0.0.1", port).start()
         self._router_by_port[port] = router
         return port
