Log and count how the version of a stream that goes on is known

Event 902 stream_resumed has request_id, resumes, server, software_version, version_source (own, store, inferred) and last_event_id, at the first event of each attempt that goes on; boragetiller_streams_resumed counts by source, boragetiller_streams_unknown the refusals by reason. No decision changes.

--- a/src/boragetiller/gateway/dispatcher.py
+++ b/src/boragetiller/gateway/dispatcher.py
@@ -127,6 +127,7 @@
             if isinstance(found, UnknownVersion):
                 return self._fail_unknown_version(state, found)
             state.stream.software_version = found.version
+            state.stream.version_source = found.source
         while True:
             placement = self._chooser.choose(state)
             if placement is None:
@@ -170,6 +171,8 @@
     async def _send(self, state: CallState, placement: Placement) -> list[PlacedResult]:
         """Make an attempt at a server, hedged if the call allows it; see send_hedged."""
         state.tried_servers.add(placement.server.name)
+        if state.stream is not None:
+            state.stream.attempt_begun = False
         if self._hedging is not None:
             return await self._hedging.send(state, placement)
         if state.stream is not None or not state.call.route.repeatable:
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -51,6 +51,12 @@
         self.callers_left = self._counter(
             "callers_left", "callers that disconnected before the response was complete", "route"
         )
+        self.streams_resumed = self._counter(
+            "streams_resumed", "streams that went on, by how their version is known", "source"
+        )
+        self.streams_unknown = self._counter(
+            "streams_unknown", "streams that did not go on at an unknown version", "reason"
+        )
         self.ejections = self._counter("ejections", "ejections of backend servers", "group")
         self.server_pauses = self._counter(
             "server_pauses", "pauses that backend servers asked for", "group"
--- a/src/boragetiller/gateway/outgoing_attempts.py
+++ b/src/boragetiller/gateway/outgoing_attempts.py
@@ -18,6 +18,7 @@
     ResponseProgress,
 )
 from boragetiller.tables.server_placement import Placement
+from boragetiller.tables.stream_versions import VersionSource
 
 if TYPE_CHECKING:
     from boragetiller.tables.servers import BackendServer
@@ -30,6 +31,8 @@
     event_writer: EventWriter
     last_event_id: str | None
     software_version: str | None = None  # that began the stream; no other one may go on with it
+    version_source: VersionSource = VersionSource.OWN
+    attempt_begun: bool = False  # whether the present attempt has brought an event
     # Written to the store for the stream; shared by the attempts of a hedged call.
     stored_versions: list[str] = attrs.field(factory=list)
     first_event_ms: int | None = None  # monotonic time of the first event
--- a/src/boragetiller/gateway/streams/stream_versions.py
+++ b/src/boragetiller/gateway/streams/stream_versions.py
@@ -45,7 +45,7 @@
         :param state_sync: tells whether the list of servers is current
         :param store: the platform's store, None to keep the records in memory only
         :param clock: monotonic clock
-        :param metrics: counter of failed tasks
+        :param metrics: counters of resumed streams and of failed tasks
         """
         self._registry = registry
         self._state_sync = state_sync
@@ -83,13 +83,17 @@
 
     def record_begun(self, call: AdmittedCall, stream: StreamState, server: BackendServer) -> None:
         """
-        Bind a stream to the version of the server that sent its first event.
+        Bind a stream to the version that sent its first event, or note that it goes on.
 
         :param call: the call
         :param stream: progress of the stream
         :param server: the server
         """
-        if stream.software_version is not None or not call.route.resumable:
+        if stream.attempt_begun or not call.route.resumable:
+            return
+        stream.attempt_begun = True
+        if stream.software_version is not None:
+            self._record_resumed(call, stream, server)
             return
         stream.software_version = server.record.software_version
         origin = self._build_origin(call, server)
@@ -106,7 +110,7 @@
         group, resumed_id = call.group.name, call.metadata.resumed_request_id
         origin = None if resumed_id is None else self._registry.stream_origins.find(resumed_id)
         if origin is not None and origin.group == group:
-            return KnownVersion(origin.version)
+            return KnownVersion(origin.version, origin.source)
         stored = None if self._journal is None else await self._journal.read(group, resumed_id)
         recent = self._registry.group_versions.list_recent(group)
         is_current = self._state_sync.watcher_election.reaches_store(self._clock.now_ms())
@@ -114,10 +118,11 @@
         if origin is not None:  # another service began it
             decision = UnknownVersion(UnknownReason.NOT_RECORDED)
         match decision:
-            case KnownVersion(version=version) if resumed_id is not None:
-                found = StreamOrigin(group, version, self._clock.now_ms())
+            case KnownVersion(version=version, source=source) if resumed_id is not None:
+                found = StreamOrigin(group, version, self._clock.now_ms(), source)
                 self._registry.stream_origins.record(resumed_id, found)
             case UnknownVersion(reason=reason):
+                self._metrics.streams_unknown.labels(reason.value).inc()
                 log_event(
                     Event.STREAM_VERSION_UNKNOWN,
                     request_id=call.metadata.request_id,
@@ -127,6 +132,20 @@
                 )
         return decision
 
+    def _record_resumed(
+        self, call: AdmittedCall, stream: StreamState, server: BackendServer
+    ) -> None:
+        self._metrics.streams_resumed.labels(stream.version_source.value).inc()
+        log_event(
+            Event.STREAM_RESUMED,
+            request_id=call.metadata.request_id,
+            resumes=call.metadata.resumed_request_id,
+            server=server.name,
+            software_version=server.record.software_version,
+            version_source=stream.version_source.value,
+            last_event_id=stream.last_event_id,
+        )
+
     def _store_if_mixed(
         self, call: AdmittedCall, stream: StreamState, origin: StreamOrigin
     ) -> None:
--- a/src/boragetiller/systems/stream_resumption.py
+++ b/src/boragetiller/systems/stream_resumption.py
@@ -11,6 +11,8 @@
 
 import attrs
 
+from boragetiller.tables.stream_versions import VersionSource
+
 
 class UnknownReason(Enum):
     """Why the version of a stream is not known; the value is a metric label and log field."""
@@ -24,6 +26,7 @@
     """The stream goes on at a version only."""
 
     version: str
+    source: VersionSource
 
 
 @attrs.frozen
@@ -55,13 +58,13 @@
     """
     if stored is None:
         if is_current and len(recent) == 1:
-            return KnownVersion(next(iter(recent)))
+            return KnownVersion(next(iter(recent)), VersionSource.INFERRED)
         return UnknownVersion(UnknownReason.STORE_UNREACHABLE)
     if stored.stream_version is not None:
-        return KnownVersion(stored.stream_version)
+        return KnownVersion(stored.stream_version, VersionSource.STORE)
     versions = recent | stored.group_versions
     if len(versions) == 1:
-        return KnownVersion(next(iter(versions)))
+        return KnownVersion(next(iter(versions)), VersionSource.INFERRED)
     return UnknownVersion(UnknownReason.NOT_RECORDED)
 
 
--- a/src/boragetiller/tables/stream_versions.py
+++ b/src/boragetiller/tables/stream_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from enum import Enum
 
 import attrs
 
@@ -12,6 +13,14 @@
 MAX_REQUEST_ID_CHARS = 256  # callers choose the IDs, so this bounds the memory for them
 
 
+class VersionSource(Enum):
+    """How a router knows which version began a stream; a metric label and log field."""
+
+    OWN = "own"  # it relayed the first event
+    STORE = "store"  # the record of the router that did
+    INFERRED = "inferred"  # no other version can have begun it
+
+
 @attrs.frozen
 class StreamOrigin:
     """Which software version began a stream."""
@@ -19,6 +28,7 @@
     group: str
     version: str
     began_ms: int  # monotonic time
+    source: VersionSource = VersionSource.OWN
 
 
 @attrs.define
@@ -111,4 +121,5 @@
     "StreamOrigin",
     "StreamOriginTable",
     "VersionHistory",
+    "VersionSource",
 ]
--- a/tests/systems/test_stream_resumption.py
+++ b/tests/systems/test_stream_resumption.py
@@ -21,6 +21,7 @@
     StreamOrigin,
     StreamOriginTable,
     VersionHistory,
+    VersionSource,
 )
 
 VERSIONS = st.sampled_from(["v1", "v1.1", "v2"])
@@ -47,7 +48,7 @@
 
     def test_without_the_store_one_version_of_a_current_list_is_enough(self) -> None:
         known = decide_resumption(None, frozenset({"v1"}), is_current=True)
-        self.assertEqual(known, KnownVersion("v1"))
+        self.assertEqual(known, KnownVersion("v1", VersionSource.INFERRED))
 
     def test_without_the_store_nothing_else_is_enough(self) -> None:
         for recent, is_current in ((frozenset({"v1"}), False), (frozenset({"v1", "v2"}), True)):
