Record the version of a stream once it has begun, not when it is tried

Cause: the store got a version when an attempt was sent. An attempt that brought no event, or lost against a hedged one, left its version in the record until the next write of the same key. A router that read the record before, or while the store turned the first router away, joined two versions; so did a write that the store executed late, over a newer one.

Change: a record is written at the first event, when a hedged attempt has won, and has a key for each stream and version. Records only say what has happened: none replaces another, no condition can fail and hold up the other writes of its transaction, and a late write is as true as one in time. Two versions under one stream are refused (conflicting_records).

The write follows the first event at once unless the router has just written: 50 ms or 5 ms for each router lie between two transactions (before: 100 and 15, also after a round without a write). All routers together write 200 a second at most, half of the rate of the smallest store.

The test of hedged streams had waited for the last value of the one key; it now fails if the store ever had another version for the stream, which is stricter.

The entries of groups move to a module of their own, unchanged.

--- a/src/boragetiller/gateway/daemon.py
+++ b/src/boragetiller/gateway/daemon.py
@@ -20,7 +20,7 @@
     from socket import socket
 
     from boragetiller.gateway.duties.settings import DutySettings
-    from boragetiller.gateway.duty_interface import DutyClients, LeaseStore
+    from boragetiller.gateway.duty_interface import DutyClients, RecordStore
     from boragetiller.gateway.platform_interface import Dialect, StoreClient
     from boragetiller.gateway.policy_file import Policy
     from boragetiller.gateway.settings import Endpoint, GatewaySettings
@@ -32,7 +32,7 @@
     policy: Policy,
     dialect: Dialect,
     open_store: Callable[[Endpoint], StoreClient],
-    open_lease_store: Callable[[StoreClient], LeaseStore],
+    open_lease_store: Callable[[StoreClient], RecordStore],
     open_duty_clients: Callable[[StoreClient, DutySettings], DutyClients],
     caller_socket: socket,
 ) -> int:
--- a/src/boragetiller/gateway/duty_interface.py
+++ b/src/boragetiller/gateway/duty_interface.py
@@ -67,6 +67,14 @@
         ...
 
 
+class RecordStore(LeaseStore, Protocol):
+    """A store whose entries can also be listed."""
+
+    async def list_prefix(self, prefix: str) -> Listing:
+        """See :class:`boragetiller.gateway.platform_interface.StoreClient`."""
+        ...
+
+
 class DutyApi(Protocol):
     """
     Calls of duties to the platform, each with the holder and its fencing token.
@@ -106,4 +114,4 @@
     api: DutyApi
 
 
-__all__ = ["DutyApi", "DutyClients", "LeaseStore"]
+__all__ = ["DutyApi", "DutyClients", "LeaseStore", "RecordStore"]
--- a/src/boragetiller/gateway/outgoing_attempts.py
+++ b/src/boragetiller/gateway/outgoing_attempts.py
@@ -33,8 +33,6 @@
     software_version: str | None = None  # that began the stream; no other one may go on with it
     version_source: VersionSource = VersionSource.OWN
     attempt_begun: bool = False  # whether the present attempt has brought an event
-    # Written to the store for the stream; shared by the attempts of a hedged call.
-    stored_versions: list[str] = attrs.field(factory=list)
     first_event_ms: int | None = None  # monotonic time of the first event
     last_event_ms: int = 0  # monotonic time of the last event
     longest_gap_ms: int = 0  # between two events
--- a/src/boragetiller/gateway/process.py
+++ b/src/boragetiller/gateway/process.py
@@ -38,7 +38,7 @@
     from collections.abc import Awaitable, Callable
     from socket import socket
 
-    from boragetiller.gateway.duty_interface import DutyClients, LeaseStore
+    from boragetiller.gateway.duty_interface import DutyClients, RecordStore
     from boragetiller.gateway.placement_query import PlacementQueries
     from boragetiller.gateway.platform_interface import Dialect, StoreClient
     from boragetiller.gateway.policy_file import Policy
@@ -62,7 +62,7 @@
         store: StoreClient,
         caller_socket: socket | None = None,
         duty_clients: DutyClients | None = None,
-        lease_store: LeaseStore | None = None,
+        lease_store: RecordStore | None = None,
         policy: Policy | None = None,
     ) -> None:
         """
--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -122,7 +122,6 @@
             return attempt.build_failure(DirectAttemptOutcome.SILENT, detail)
 
     async def _exchange(self, attempt: OutgoingAttempt) -> DirectAttemptResult:
-        self._stream_versions.record_sent(attempt.call, attempt.stream, attempt.server)
         outgoing = self._build_request(attempt)
         try:
             response = await self._registry.get_client(attempt.server).send(outgoing)
--- a/src/boragetiller/gateway/streams/stream_versions.py
+++ b/src/boragetiller/gateway/streams/stream_versions.py
@@ -20,7 +20,7 @@
     from boragetiller.clock import Clock
     from boragetiller.gateway.admitted_call import AdmittedCall
     from boragetiller.gateway.backend_registry import BackendRegistry
-    from boragetiller.gateway.duty_interface import LeaseStore
+    from boragetiller.gateway.duty_interface import RecordStore
     from boragetiller.gateway.metrics import GatewayMetrics
     from boragetiller.gateway.outgoing_attempts import StreamState
     from boragetiller.gateway.state_sync import StateSync
@@ -34,7 +34,7 @@
         self,
         registry: BackendRegistry,
         state_sync: StateSync,
-        store: LeaseStore | None,
+        store: RecordStore | None,
         clock: Clock,
         metrics: GatewayMetrics,
     ) -> None:
@@ -67,20 +67,6 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    def record_sent(
-        self, call: AdmittedCall, stream: StreamState | None, server: BackendServer
-    ) -> None:
-        """
-        Write the version to the store before the stream's first event, if several serve.
-
-        :param call: call that is sent to the server
-        :param stream: progress of the stream, None for a buffered response
-        :param server: the server
-        """
-        if stream is None or not call.route.resumable or stream.software_version is not None:
-            return
-        self._store_if_mixed(call, stream, self._build_origin(call, server))
-
     def record_begun(self, call: AdmittedCall, stream: StreamState, server: BackendServer) -> None:
         """
         Bind a stream to the version that sent its first event, or note that it goes on.
@@ -98,7 +84,9 @@
         stream.software_version = server.record.software_version
         origin = self._build_origin(call, server)
         self._registry.stream_origins.record(call.metadata.request_id, origin)
-        self._store_if_mixed(call, stream, origin)
+        is_mixed = len(self._registry.group_versions.list_recent(origin.group)) > 1
+        if self._journal is not None and is_mixed:
+            self._journal.note(call.metadata.request_id, origin)
 
     async def find(self, call: AdmittedCall) -> KnownVersion | UnknownVersion:
         """
@@ -146,15 +134,6 @@
             last_event_id=stream.last_event_id,
         )
 
-    def _store_if_mixed(
-        self, call: AdmittedCall, stream: StreamState, origin: StreamOrigin
-    ) -> None:
-        if self._journal is None or stream.stored_versions[-1:] == [origin.version]:
-            return
-        if len(self._registry.group_versions.list_recent(origin.group)) > 1:
-            stream.stored_versions.append(origin.version)
-            self._journal.note(call.metadata.request_id, origin)
-
     def _build_origin(self, call: AdmittedCall, server: BackendServer) -> StreamOrigin:
         version = server.record.software_version
         return StreamOrigin(call.group.name, version, self._clock.now_ms())
--- a/src/boragetiller/gateway/streams/version_journal.py
+++ b/src/boragetiller/gateway/streams/version_journal.py
@@ -1,16 +1,15 @@
 """
 Store entries from which any router learns which software version began a stream.
 
-While several versions serve a group, each router writes the version of its streams to the store,
-many in one transaction, under leases that end after the streams have. A further entry names the
-versions that served each group recently. It stays while nothing changes, so that a router which
-was restarted knows of a version whose servers are gone.
+While several versions serve a group, each router writes the version of each of its streams to the
+store once the stream has begun, many in one transaction, under leases that end after the streams
+have. The version is a part of the key, so that a record holds at any time, whenever the store
+executes its write and whatever other records of the stream there are.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -18,12 +17,11 @@
 
 from boragetiller.errors import HistoryLost, StoreUnavailable
 from boragetiller.events import Event, log_event
+from boragetiller.gateway.streams.group_entries import GroupEntries
 from boragetiller.hashing import stable_hash
 from boragetiller.systems.stream_resumption import StoredVersions
 from boragetiller.tables.store_writes import (
-    NO_REVISION,
     CommitStatus,
-    ExpectedRevision,
     KeyWrite,
     StoreLease,
     Transaction,
@@ -38,32 +36,32 @@
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
     from boragetiller.gateway.backend_registry import BackendRegistry
-    from boragetiller.gateway.duty_interface import LeaseStore
-    from boragetiller.tables.store_view import StoredItem
+    from boragetiller.gateway.duty_interface import RecordStore
 
 STREAMS_PREFIX = "boragetiller/streams/"
-VERSIONS_PREFIX = "boragetiller/versions/"
 MAX_TRANSACTION_WRITES = 32
 MAX_PENDING = 4_096  # streams that begin in a few seconds; the oldest are dropped
 CHECK_INTERVAL_MS = 500  # for versions that have not served for STREAM_LIFETIME_MS
-MIN_WRITE_INTERVAL_MS = 100  # shorter than most prompts are read, so before the first event
-WRITE_MS_PER_ROUTER = 15  # bounds the rate of transactions of a large fleet
+MIN_WRITE_INTERVAL_MS = 50  # between two transactions of a router
+WRITE_MS_PER_ROUTER = 5  # 200 transactions a second of a large fleet, half of a small store's rate
+LATE_RECORD_MS = 1_000  # in which a caller whose stream broke is likely to take it up again
+MAX_LOGGED_STREAMS = 20
 RETRY_MS = 400
 READ_TIMEOUT_MS = 300  # a read takes a few ms, and a caller waits for it
 
 
-@attrs.define
-class StoredGroup:
-    """Entry of a group's versions as it was last read or written."""
+@attrs.frozen
+class PendingRecord:
+    """Record of a stream that is still to be written."""
 
-    versions: frozenset[str]
-    revision: int  # extended revision, NO_REVISION if the entry does not exist
+    origin: StreamOrigin
+    noted_ms: int  # monotonic time
 
 
 class VersionJournal:
     """Writes the versions of groups and streams, and reads those that other routers wrote."""
 
-    def __init__(self, registry: BackendRegistry, store: LeaseStore, clock: Clock) -> None:
+    def __init__(self, registry: BackendRegistry, store: RecordStore, clock: Clock) -> None:
         """
         Create the journal; it writes nothing until it runs.
 
@@ -74,9 +72,9 @@
         self._registry = registry
         self._store = store
         self._clock = clock
-        self._pending: dict[str, StreamOrigin] = {}
+        self._groups = GroupEntries(registry, store)
+        self._pending: dict[str, PendingRecord] = {}
         self._due = asyncio.Event()
-        self._stored_groups: dict[str, StoredGroup] = {}
         self._mixed_groups: set[str] = set()
         self._era = store.eras.era
         self._lease: StoreLease | None = None
@@ -85,16 +83,17 @@
 
     def note(self, request_id: str, origin: StreamOrigin) -> None:
         """
-        Write the version of a stream soon.
+        Write the version of a stream that has begun.
 
-        :param request_id: request of the caller that brings its first event
+        :param request_id: request of the caller that brought its first event
         :param origin: group and software version
         """
         if len(request_id) > MAX_REQUEST_ID_CHARS:
             return
         if len(self._pending) >= MAX_PENDING:
-            del self._pending[next(iter(self._pending))]
-        self._pending[request_id] = origin
+            oldest = next(iter(self._pending))
+            self._log_late({oldest: self._pending.pop(oldest)}, stored=False)
+        self._pending[request_id] = PendingRecord(origin, self._clock.now_ms())
         self._due.set()
 
     async def run(self) -> None:
@@ -105,19 +104,21 @@
             self._due.clear()
             if self._store.eras.era != self._era:
                 self._start_again()
+            has_written = False
             try:
                 for group in self._list_resumable_groups():
                     await self._update_group(group)
-                await self._write_streams()
+                has_written = await self._write_streams()
             except HistoryLost:
                 self._start_again()
             except StoreUnavailable:
                 await asyncio.sleep(RETRY_MS / 1_000)
                 self._due.set()
                 continue
-            routers = len(self._registry.server_limits.membership.members)
-            interval_ms = max(MIN_WRITE_INTERVAL_MS, WRITE_MS_PER_ROUTER * routers)
-            await asyncio.sleep(interval_ms / 1_000)
+            if has_written:  # otherwise the next stream that begins is recorded at once
+                routers = len(self._registry.server_limits.membership.members)
+                interval_ms = max(MIN_WRITE_INTERVAL_MS, WRITE_MS_PER_ROUTER * routers)
+                await asyncio.sleep(interval_ms / 1_000)
 
     async def read(self, group: str, request_id: str | None) -> StoredVersions | None:
         """
@@ -143,78 +144,56 @@
 
     async def _read_versions(self, group: str, request_id: str | None) -> StoredVersions:
         if request_id is not None:
-            listing = await self._store.get_key(build_stream_key(group, request_id))
+            listing = await self._store.list_prefix(build_stream_key(group, request_id))
             if listing.items:
-                return StoredVersions(_decode_version(listing.items[0]), frozenset())
-        stored = await self._read_group(group)
-        return StoredVersions(None, stored.versions)
+                found = {(item.value or b"").decode("utf-8", "replace") for item in listing.items}
+                return StoredVersions(frozenset(found), frozenset())
+        stored = await self._groups.read(group)
+        return StoredVersions(frozenset(), stored.versions)
 
     async def _update_group(self, group: str) -> None:
-        """Write the versions of a group if they differ from what the store has."""
-        recent = self._registry.group_versions.list_recent(group)
-        if len(recent) <= 1:
+        if len(self._registry.group_versions.list_recent(group)) <= 1:
             self._mixed_groups.discard(group)
         elif group not in self._mixed_groups:
             self._mixed_groups.add(group)
             self._note_streams(group)
-        known = self._stored_groups.get(group)
-        if not recent or (known is not None and known.versions == recent):
-            return
-        stored = await self._read_group(group)
-        recent = self._registry.group_versions.list_recent(group)
-        if stored.versions != recent:
-            await self._store_group(group, recent, stored.revision)
-
-    async def _store_group(self, group: str, versions: frozenset[str], revision: int) -> None:
-        """Write the versions of a group, unless another router has written since the revision."""
-        key = _build_group_key(group)
-        result = await self._store.commit(
-            Transaction(
-                era=self._store.eras.era or 0,
-                expected=(ExpectedRevision(key, revision),),
-                writes=(KeyWrite(key, json.dumps(sorted(versions)).encode()),),
-            )
-        )
-        if result.status is CommitStatus.COMMITTED:
-            self._stored_groups[group] = StoredGroup(versions, result.revision)
-            log_event(Event.GROUP_VERSIONS_STORED, group=group, versions=sorted(versions))
-        else:
-            del self._stored_groups[group]
+        if not await self._groups.update(group):
             self._due.set()
 
-    async def _read_group(self, group: str) -> StoredGroup:
-        listing = await self._store.get_key(_build_group_key(group))
-        item = listing.items[0] if listing.items else None
-        stored = StoredGroup(
-            _decode_versions(item), item.revision if item is not None else NO_REVISION
-        )
-        self._stored_groups[group] = stored
-        # Versions that this router has seen leave may only have to be removed from the entry.
-        for version in stored.versions:
-            self._registry.group_versions.observe_stored(group, version)
-        return stored
-
-    async def _write_streams(self) -> None:
+    async def _write_streams(self) -> bool:
+        """:return: whether there was anything to write"""
+        has_written = False
         while self._pending:
+            has_written = True
             lease = await self._get_lease()
             batch = dict(list(self._pending.items())[:MAX_TRANSACTION_WRITES])
             writes = tuple(
                 KeyWrite(
-                    build_stream_key(origin.group, request_id),
-                    origin.version.encode(),
+                    _build_record_key(request_id, record.origin),
+                    record.origin.version.encode(),
                     lease.lease_id,
                 )
-                for request_id, origin in batch.items()
+                for request_id, record in batch.items()
             )
             result = await self._store.commit(
                 Transaction(era=lease.era, expected=(), writes=writes)
             )
             if result.status is not CommitStatus.COMMITTED:
                 self._lease = None
-                continue
-            for request_id, origin in batch.items():
-                if self._pending.get(request_id) is origin:
+                self._due.set()
+                break
+            for request_id, record in batch.items():
+                if self._pending.get(request_id) is record:
                     del self._pending[request_id]
+            now_ms = self._clock.now_ms()
+            late = {
+                request_id: record
+                for request_id, record in batch.items()
+                if now_ms - record.noted_ms >= LATE_RECORD_MS
+            }
+            if late:
+                self._log_late(late, stored=True)
+        return has_written
 
     async def _get_lease(self) -> StoreLease:
         """Get a lease that lasts for as long as a stream that begins now may be resumed."""
@@ -229,7 +208,7 @@
         """Write all again after a restore of the store, which has lost its latest entries."""
         self._era = self._store.eras.era
         self._lease = None
-        self._stored_groups.clear()
+        self._groups.forget()
         for group in self._mixed_groups:
             self._note_streams(group)
         self._due.set()
@@ -240,34 +219,31 @@
         for request_id, origin in streams.items():
             self.note(request_id, origin)
 
+    def _log_late(self, records: dict[str, PendingRecord], *, stored: bool) -> None:
+        oldest_ms = min(record.noted_ms for record in records.values())
+        log_event(
+            Event.STREAM_RECORDS_LATE,
+            streams=len(records),
+            request_ids=list(records)[:MAX_LOGGED_STREAMS],
+            oldest_ms=self._clock.now_ms() - oldest_ms,
+            stored=stored,
+        )
+
 
 def build_stream_key(group: str, request_id: str) -> str:
     """
-    Build the key of a stream's version.
+    Build the prefix of the keys of a stream's records.
 
     :param group: name of the backend group
     :param request_id: request of the caller that brought its first event
-    :return: key in the store
+    :return: prefix of keys in the store
     """
     return f"{STREAMS_PREFIX}{stable_hash(group, request_id):016x}"
 
 
-def _build_group_key(group: str) -> str:
-    return f"{VERSIONS_PREFIX}{stable_hash(group):016x}"
-
-
-def _decode_version(item: StoredItem) -> str:
-    return (item.value or b"").decode("utf-8", "replace")
-
-
-def _decode_versions(item: StoredItem | None) -> frozenset[str]:
-    """Decode the versions of a group; an entry that cannot be decoded counts as missing."""
-    try:
-        versions = json.loads(item.value) if item is not None and item.value else []
-    except ValueError:
-        return frozenset()
-    is_list = isinstance(versions, list) and all(isinstance(each, str) for each in versions)
-    return frozenset(versions) if is_list else frozenset()
+def _build_record_key(request_id: str, origin: StreamOrigin) -> str:
+    version_hash = stable_hash(origin.version)
+    return f"{build_stream_key(origin.group, request_id)}/{version_hash:016x}"
 
 
-__all__ = ["STREAMS_PREFIX", "VERSIONS_PREFIX", "VersionJournal", "build_stream_key"]
+__all__ = ["STREAMS_PREFIX", "VersionJournal", "build_stream_key"]
--- a/src/boragetiller/systems/stream_resumption.py
+++ b/src/boragetiller/systems/stream_resumption.py
@@ -18,6 +18,7 @@
     """Why the version of a stream is not known; the value is a metric label and log field."""
 
     NOT_RECORDED = "not_recorded"  # several versions served, and no record names the stream's
+    CONFLICTING_RECORDS = "conflicting_records"  # records name several versions
     STORE_UNREACHABLE = "store_unreachable"  # records and versions could not be read
 
 
@@ -40,7 +41,7 @@
 class StoredVersions:
     """What the store says of a stream and its group."""
 
-    stream_version: str | None  # None without a record of the stream
+    stream_versions: frozenset[str]  # empty without a record of the stream
     group_versions: frozenset[str]  # that served the group recently; empty if none were stored
 
 
@@ -60,8 +61,10 @@
         if is_current and len(recent) == 1:
             return KnownVersion(next(iter(recent)), VersionSource.INFERRED)
         return UnknownVersion(UnknownReason.STORE_UNREACHABLE)
-    if stored.stream_version is not None:
-        return KnownVersion(stored.stream_version, VersionSource.STORE)
+    if len(stored.stream_versions) > 1:
+        return UnknownVersion(UnknownReason.CONFLICTING_RECORDS)
+    if stored.stream_versions:
+        return KnownVersion(next(iter(stored.stream_versions)), VersionSource.STORE)
     versions = recent | stored.group_versions
     if len(versions) == 1:
         return KnownVersion(next(iter(versions)), VersionSource.INFERRED)
--- a/tests/gateway/test_hedged_streams.py
+++ b/tests/gateway/test_hedged_streams.py
@@ -100,9 +100,10 @@
         origin = registry.stream_origins.find("hedged")
         assert origin is not None
         self.assertEqual(origin.version, expected)
-        key = build_stream_key("engines", "hedged")
-        items = harness.store.items
-        await wait_until(lambda: key in items and items[key].value == expected.encode())
+        key, history = build_stream_key("engines", "hedged"), harness.store.history
+        await wait_until(lambda: any(item.key.startswith(key) for item in history))
+        recorded = {item.value for item in history if item.key.startswith(key)}
+        self.assertEqual(recorded, {expected.encode()})
 
 
 class PolicyFileTest(unittest.TestCase):
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -134,8 +134,10 @@
         caller = await self.block()
         began = self.find_serving().version
         key = build_stream_key("engines", "slow")
-        items = self.harness.store.items
-        await wait_until(lambda: key in items and items[key].value == began.encode())
+        history = self.harness.store.history
+        await wait_until(lambda: any(item.key.startswith(key) for item in history))
+        recorded = {item.value for item in history if item.key.startswith(key)}
+        self.assertEqual(recorded, {began.encode()})
         await self.time.skip(PAUSE_MS)
         received = await caller.read()
         self.assertEqual(received.events, [(number, began) for number in range(1, EVENTS + 1)])
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -9,7 +9,8 @@
 import aiohttp
 
 from boragetiller.event_numbers import Event
-from boragetiller.gateway.streams.version_journal import STREAMS_PREFIX, VERSIONS_PREFIX
+from boragetiller.gateway.streams.group_entries import VERSIONS_PREFIX
+from boragetiller.gateway.streams.version_journal import STREAMS_PREFIX
 from boragetiller.tables.stream_versions import StreamOrigin
 from tests.gateway.harness import FakeStore, build_config, wait_until
 from tests.gateway.test_streams import PROMPT
--- a/tests/gateway/version_fleet.py
+++ b/tests/gateway/version_fleet.py
@@ -10,7 +10,8 @@
 
 import aiohttp
 
-from boragetiller.gateway.streams.version_journal import STREAMS_PREFIX, VERSIONS_PREFIX
+from boragetiller.gateway.streams.group_entries import VERSIONS_PREFIX
+from boragetiller.gateway.streams.version_journal import STREAMS_PREFIX
 from tests.gateway.harness import FakeStore, RouterHarness, build_config, wait_until
 from tests.gateway.scripted_engine import (
     ReceivedRequest,
--- a/tests/systems/test_stream_resumption.py
+++ b/tests/systems/test_stream_resumption.py
@@ -37,7 +37,7 @@
     ) -> None:
         # Each version that served is in the entry of the group or known to the router itself.
         seen = data.draw(st.frozensets(st.sampled_from(sorted(served | {began}))))
-        stored = StoredVersions(began if recorded else None, (served | {began}) - seen)
+        stored = StoredVersions(frozenset({began} if recorded else ()), (served | {began}) - seen)
         for is_current in (False, True):
             decision = decide_resumption(stored, seen, is_current=is_current)
             if isinstance(decision, KnownVersion):
@@ -57,7 +57,7 @@
 
     def test_service_of_which_nothing_is_known_is_unknown(self) -> None:
         decision = decide_resumption(
-            StoredVersions(None, frozenset()), frozenset(), is_current=True
+            StoredVersions(frozenset(), frozenset()), frozenset(), is_current=True
         )
         self.assertEqual(decision, UnknownVersion(UnknownReason.NOT_RECORDED))
 
