Treat a server whose software version changes as restarted

Cause: an entry with the same start, address and group counted as the same incarnation, so that its record was replaced under attempts in flight, whose first event then got the version of the new entry. Entries without a start time are told apart by nothing else.

Change: the software version belongs to the identity of an incarnation. A server changes it only by a restart, and an attempt keeps the record that it was sent to.

Evidence: on the code before, 1 of 1 failed (tests.systems.test_server_placement.ServerTableTest .test_request_in_flight_keeps_the_software_version_that_it_was_sent_to).

--- a/src/boragetiller/tables/server_table.py
+++ b/src/boragetiller/tables/server_table.py
@@ -127,7 +127,12 @@
 
 
 def _is_other_incarnation(old: ServerRecord, new: ServerRecord) -> bool:
-    return (old.started_ms, old.address, old.group) != (new.started_ms, new.address, new.group)
+    return _get_identity(old) != _get_identity(new)
+
+
+def _get_identity(record: ServerRecord) -> tuple[int, str, str, str]:
+    """:return: what a server changes only by a restart"""
+    return record.started_ms, record.address, record.group, record.software_version
 
 
 __all__ = ["ServerTable"]
--- a/tests/systems/test_server_placement.py
+++ b/tests/systems/test_server_placement.py
@@ -320,6 +320,21 @@
         self.assertEqual([server.in_flight for server in removed], [2])
         self.assertEqual(table.by_name["e"].in_flight, 0)
 
+    def test_request_in_flight_keeps_the_software_version_that_it_was_sent_to(self) -> None:
+        # Guards against a stream of v1 that is recorded as v2 because its server was restarted.
+        table = ServerTable()
+        for started_ms in (0, 5):
+            record = attrs.evolve(
+                make_server("e").record, started_ms=started_ms, software_version="v1"
+            )
+            table.replace([record], 0)
+            sent_to = table.by_name["e"]
+            removed = table.replace([attrs.evolve(record, software_version="v2")], 0)
+            self.assertEqual(removed, [sent_to])
+            self.assertEqual(sent_to.record.software_version, "v1")
+            self.assertEqual(table.by_name["e"].record.software_version, "v2")
+            table.replace([], 0)
+
     def test_accepting_excludes_draining_servers_and_other_groups(self) -> None:
         table = ServerTable()
         servers = [
