Remove a version from a group's entry only while nobody else sees it

Cause: routers that knew fewer versions than had served overwrote the group's entry. A version counted as gone if the router had ever seen it, so one that saw v1 long ago, was cut off or frozen while v1 came back, and then read the entry, removed v1 from it. The store also executed such writes late, since the revision had not changed when a version came back that the entry still named.

Change: the entry has a mark for each version, which routers that see the version beside another one renew, about once in 10 s over the fleet, and at once when it appears. A version is removed only by a router with a current list that has not seen it for 30 s and whose reads show an unchanged mark for 55 s: a stream's lifetime, and the longest time in which the last router that saw the version may not have renewed it. A clock that jumps or a frozen router only delays a removal. Entries of routers that know no marks are read as before; these routers replace an entry with marks by their own view. A router's own view of the versions and that of the store are kept apart.

The tests that waited for a removal shorten the new times too; has_ever_seen is gone, and its assertion with it: test_version_that_comes_back_appears_again tests what took its place.

--- a/src/boragetiller/gateway/streams/group_entries.py
+++ b/src/boragetiller/gateway/streams/group_entries.py
@@ -10,10 +10,14 @@
 import json
 from typing import TYPE_CHECKING
 
-import attrs
-
 from boragetiller.events import Event, log_event
 from boragetiller.hashing import stable_hash
+from boragetiller.systems.group_entries import (
+    StoredEntry,
+    decide_entry,
+    is_read_due,
+    observe_entry,
+)
 from boragetiller.tables.store_writes import (
     NO_REVISION,
     CommitStatus,
@@ -23,57 +27,60 @@
 )
 
 if TYPE_CHECKING:
+    from boragetiller.clock import Clock
     from boragetiller.gateway.backend_registry import BackendRegistry
     from boragetiller.gateway.duty_interface import LeaseStore
+    from boragetiller.gateway.state_sync import StateSync
     from boragetiller.tables.store_view import StoredItem
 
 VERSIONS_PREFIX = "boragetiller/versions/"
 
 
-@attrs.define
-class StoredGroup:
-    """Entry of a group's versions as it was last read or written."""
-
-    versions: frozenset[str]
-    revision: int  # extended revision, NO_REVISION if the entry does not exist
-
-
 class GroupEntries:
     """Reads and writes the entries."""
 
-    def __init__(self, registry: BackendRegistry, store: LeaseStore) -> None:
+    def __init__(
+        self, registry: BackendRegistry, state_sync: StateSync, store: LeaseStore, clock: Clock
+    ) -> None:
         """
         Create the entries without reading any.
 
         :param registry: backend servers, with the versions that this router knows
+        :param state_sync: tells whether the list of servers is current
         :param store: the platform's store
+        :param clock: monotonic clock
         """
-        self._registry = registry
+        self._versions = registry.group_versions
+        self._election = state_sync.watcher_election
         self._store = store
-        self._stored: dict[str, StoredGroup] = {}
+        self._clock = clock
+        self._jitter = stable_hash("versions", self._election.own_name) / 2**64
+        self._known: dict[str, StoredEntry] = {}
 
     def forget(self) -> None:
         """Read all again, after a restore of the store."""
-        self._stored.clear()
+        self._known.clear()
 
     async def update(self, group: str) -> bool:
         """
-        Write the versions of a group if they differ from what the store has.
+        Write the versions of a group if the store lacks any, names one too many or is not fresh.
 
         :param group: name of the backend group
-        :return: whether the entry is up to date; if not, another router has changed it
+        :return: whether that is done; if not, another router has written meanwhile
         :raises HistoryLost: the store was restored
         :raises StoreUnavailable: a call failed
         """
-        recent = self._registry.group_versions.list_recent(group)
-        known = self._stored.get(group)
-        if not recent or (known is not None and known.versions == recent):
+        known = self._known.get(group)
+        is_due = known is None or is_read_due(
+            known, self._versions.get_sightings(group), self._clock.now_ms(), self._jitter
+        )
+        if known is not None and not is_due and self._decide(group, known) is None:
             return True
-        stored = await self.read(group)
-        recent = self._registry.group_versions.list_recent(group)
-        return stored.versions == recent or await self._store_group(group, recent, stored.revision)
+        entry = await self.read(group)
+        marks = self._decide(group, entry)
+        return marks is None or await self._write(group, marks, entry)
 
-    async def read(self, group: str) -> StoredGroup:
+    async def read(self, group: str) -> StoredEntry:
         """
         Read the entry of a group.
 
@@ -83,30 +90,36 @@
         """
         listing = await self._store.get_key(_build_group_key(group))
         item = listing.items[0] if listing.items else None
-        stored = StoredGroup(
-            _decode_versions(item), item.revision if item is not None else NO_REVISION
-        )
-        self._stored[group] = stored
-        # Versions that this router has seen leave may only have to be removed from the entry.
-        for version in stored.versions:
-            self._registry.group_versions.observe_stored(group, version)
-        return stored
-
-    async def _store_group(self, group: str, versions: frozenset[str], revision: int) -> bool:
-        """Write the versions of a group, unless another router has written since the revision."""
+        revision = item.revision if item is not None else NO_REVISION
+        return self._observe(group, _decode_marks(item), revision)
+
+    def _decide(self, group: str, entry: StoredEntry) -> dict[str, int] | None:
+        now_ms = self._clock.now_ms()
+        is_current = self._election.reaches_store(now_ms)
+        sightings = self._versions.get_sightings(group)
+        return decide_entry(entry, sightings, now_ms, is_current=is_current)
+
+    def _observe(self, group: str, marks: dict[str, int], revision: int) -> StoredEntry:
+        entry = observe_entry(self._known.get(group), marks, revision, self._clock.now_ms())
+        self._known[group] = entry
+        self._versions.record_stored(group, frozenset(marks))
+        return entry
+
+    async def _write(self, group: str, marks: dict[str, int], entry: StoredEntry) -> bool:
+        """Write the marks of a group, unless another router has written since the entry."""
         key = _build_group_key(group)
         result = await self._store.commit(
             Transaction(
                 era=self._store.eras.era or 0,
-                expected=(ExpectedRevision(key, revision),),
-                writes=(KeyWrite(key, json.dumps(sorted(versions)).encode()),),
+                expected=(ExpectedRevision(key, entry.revision),),
+                writes=(KeyWrite(key, json.dumps(marks, sort_keys=True).encode()),),
             )
         )
         if result.status is not CommitStatus.COMMITTED:
-            del self._stored[group]
             return False
-        self._stored[group] = StoredGroup(versions, result.revision)
-        log_event(Event.GROUP_VERSIONS_STORED, group=group, versions=sorted(versions))
+        self._observe(group, marks, result.revision)
+        if marks.keys() != entry.marks.keys():
+            log_event(Event.GROUP_VERSIONS_STORED, group=group, versions=sorted(marks))
         return True
 
 
@@ -114,14 +127,16 @@
     return f"{VERSIONS_PREFIX}{stable_hash(group):016x}"
 
 
-def _decode_versions(item: StoredItem | None) -> frozenset[str]:
-    """Decode the versions of a group; an entry that cannot be decoded counts as missing."""
+def _decode_marks(item: StoredItem | None) -> dict[str, int]:
+    """Decode the marks of a group; an entry that cannot be decoded counts as missing."""
     try:
-        versions = json.loads(item.value) if item is not None and item.value else []
+        marks = json.loads(item.value) if item is not None and item.value else {}
     except ValueError:
-        return frozenset()
-    is_list = isinstance(versions, list) and all(isinstance(each, str) for each in versions)
-    return frozenset(versions) if is_list else frozenset()
+        return {}
+    if isinstance(marks, list):  # written by routers that know no marks
+        marks = {each: 0 for each in marks if isinstance(each, str)}
+    is_valid = isinstance(marks, dict) and all(type(mark) is int for mark in marks.values())
+    return marks if is_valid else {}
 
 
-__all__ = ["VERSIONS_PREFIX", "GroupEntries", "StoredGroup"]
+__all__ = ["VERSIONS_PREFIX", "GroupEntries"]
--- a/src/boragetiller/gateway/streams/group_versions.py
+++ b/src/boragetiller/gateway/streams/group_versions.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from boragetiller.systems.group_entries import GroupSightings
 from boragetiller.tables.stream_versions import VersionHistory
 
 if TYPE_CHECKING:
@@ -12,7 +13,7 @@
 
 
 class GroupVersions:
-    """Follows the versions in the table of servers."""
+    """Follows the versions in the table of servers, and in the entries of the store."""
 
     def __init__(self, servers: ServerTable, clock: Clock) -> None:
         """
@@ -24,33 +25,45 @@
         self._servers = servers
         self._clock = clock
         self._history = VersionHistory()
+        self._stored: dict[str, frozenset[str]] = {}
 
-    def list_recent(self, group: str) -> frozenset[str]:
+    def list_known(self, group: str) -> frozenset[str]:
         """
         List the software versions that may have begun a stream which is still resumed.
 
         :param group: name of the backend group
-        :return: versions of the servers that are registered, or were lately
+        :return: versions of the servers that are registered, or were lately, and those that the
+            store named last
+        """
+        return self.get_sightings(group).recent | self._stored.get(group, frozenset())
+
+    def get_sightings(self, group: str) -> GroupSightings:
+        """
+        Take note of the versions that serve a group now.
+
+        :param group: name of the backend group
+        :return: the versions that this router has seen in its own list of servers
         """
         now_ms = self._clock.now_ms()
-        for version in self._servers.find_versions(group):
-            self._history.observe(group, version, now_ms)
-        return self._history.list_recent(group, now_ms)
+        self._history.observe(group, self._servers.find_versions(group), now_ms)
+        return GroupSightings(
+            self._history.list_recent(group, now_ms), self._history.get_appearances(group)
+        )
 
     def observe_all(self) -> None:
         """Take note of the versions of all registered servers, before some are removed."""
-        for group in {server.record.group for server in self._servers.by_name.values()}:
-            self.list_recent(group)
+        listed = {server.record.group for server in self._servers.by_name.values()}
+        for group in listed | set(self._history.list_groups()):
+            self.get_sightings(group)
 
-    def observe_stored(self, group: str, version: str) -> None:
+    def record_stored(self, group: str, versions: frozenset[str]) -> None:
         """
-        Take note of a version that served a group before this router knew the group.
+        Record the versions that the store names.
 
         :param group: name of the backend group
-        :param version: software version
+        :param versions: software versions, also those that this router has not seen
         """
-        if not self._history.has_ever_seen(group, version):
-            self._history.observe(group, version, self._clock.now_ms())
+        self._stored[group] = versions
 
 
 __all__ = ["GroupVersions"]
--- a/src/boragetiller/gateway/streams/stream_versions.py
+++ b/src/boragetiller/gateway/streams/stream_versions.py
@@ -49,7 +49,9 @@
         """
         self._registry = registry
         self._state_sync = state_sync
-        self._journal = None if store is None else VersionJournal(registry, store, clock)
+        self._journal = (
+            None if store is None else VersionJournal(registry, state_sync, store, clock)
+        )
         self._clock = clock
         self._metrics = metrics
         self._task: asyncio.Task[None] | None = None
@@ -84,7 +86,7 @@
         stream.software_version = server.record.software_version
         origin = self._build_origin(call, server)
         self._registry.stream_origins.record(call.metadata.request_id, origin)
-        is_mixed = len(self._registry.group_versions.list_recent(origin.group)) > 1
+        is_mixed = len(self._registry.group_versions.list_known(origin.group)) > 1
         if self._journal is not None and is_mixed:
             self._journal.note(call.metadata.request_id, origin)
 
@@ -100,9 +102,9 @@
         if origin is not None and origin.group == group:
             return KnownVersion(origin.version, origin.source)
         stored = None if self._journal is None else await self._journal.read(group, resumed_id)
-        recent = self._registry.group_versions.list_recent(group)
+        known = self._registry.group_versions.list_known(group)
         is_current = self._state_sync.watcher_election.reaches_store(self._clock.now_ms())
-        decision = decide_resumption(stored, recent, is_current=is_current)
+        decision = decide_resumption(stored, known, is_current=is_current)
         if origin is not None:  # another service began it
             decision = UnknownVersion(UnknownReason.NOT_RECORDED)
         match decision:
@@ -116,7 +118,7 @@
                     request_id=call.metadata.request_id,
                     resumes=resumed_id,
                     reason=reason.value,
-                    versions=sorted(recent),
+                    versions=sorted(known),
                 )
         return decision
 
--- a/src/boragetiller/gateway/streams/version_journal.py
+++ b/src/boragetiller/gateway/streams/version_journal.py
@@ -37,6 +37,7 @@
     from boragetiller.clock import Clock
     from boragetiller.gateway.backend_registry import BackendRegistry
     from boragetiller.gateway.duty_interface import RecordStore
+    from boragetiller.gateway.state_sync import StateSync
 
 STREAMS_PREFIX = "boragetiller/streams/"
 MAX_TRANSACTION_WRITES = 32
@@ -61,18 +62,21 @@
 class VersionJournal:
     """Writes the versions of groups and streams, and reads those that other routers wrote."""
 
-    def __init__(self, registry: BackendRegistry, store: RecordStore, clock: Clock) -> None:
+    def __init__(
+        self, registry: BackendRegistry, state_sync: StateSync, store: RecordStore, clock: Clock
+    ) -> None:
         """
         Create the journal; it writes nothing until it runs.
 
         :param registry: backend servers, with the versions and streams that this router knows
+        :param state_sync: tells whether the list of servers is current
         :param store: the platform's store
         :param clock: monotonic clock
         """
         self._registry = registry
         self._store = store
         self._clock = clock
-        self._groups = GroupEntries(registry, store)
+        self._groups = GroupEntries(registry, state_sync, store, clock)
         self._pending: dict[str, PendingRecord] = {}
         self._due = asyncio.Event()
         self._mixed_groups: set[str] = set()
@@ -149,10 +153,10 @@
                 found = {(item.value or b"").decode("utf-8", "replace") for item in listing.items}
                 return StoredVersions(frozenset(found), frozenset())
         stored = await self._groups.read(group)
-        return StoredVersions(frozenset(), stored.versions)
+        return StoredVersions(frozenset(), frozenset(stored.marks))
 
     async def _update_group(self, group: str) -> None:
-        if len(self._registry.group_versions.list_recent(group)) <= 1:
+        if len(self._registry.group_versions.list_known(group)) <= 1:
             self._mixed_groups.discard(group)
         elif group not in self._mixed_groups:
             self._mixed_groups.add(group)
--- a/src/boragetiller/systems/stream_resumption.py
+++ b/src/boragetiller/systems/stream_resumption.py
@@ -46,26 +46,26 @@
 
 
 def decide_resumption(
-    stored: StoredVersions | None, recent: frozenset[str], *, is_current: bool
+    stored: StoredVersions | None, known: frozenset[str], *, is_current: bool
 ) -> KnownVersion | UnknownVersion:
     """
     Decide at which version a stream goes on that this router does not know.
 
     :param stored: what the store says, None if it could not be read
-    :param recent: versions that this router has seen recently in the group, those of the present
-        list included
+    :param known: versions that this router has seen recently in the group, those of the present
+        list included, and those that the store named when it last read them
     :param is_current: whether this router would know by now of a version that began to serve
     :return: the version, or why none is known
     """
     if stored is None:
-        if is_current and len(recent) == 1:
-            return KnownVersion(next(iter(recent)), VersionSource.INFERRED)
+        if is_current and len(known) == 1:
+            return KnownVersion(next(iter(known)), VersionSource.INFERRED)
         return UnknownVersion(UnknownReason.STORE_UNREACHABLE)
     if len(stored.stream_versions) > 1:
         return UnknownVersion(UnknownReason.CONFLICTING_RECORDS)
     if stored.stream_versions:
         return KnownVersion(next(iter(stored.stream_versions)), VersionSource.STORE)
-    versions = recent | stored.group_versions
+    versions = known | stored.group_versions
     if len(versions) == 1:
         return KnownVersion(next(iter(versions)), VersionSource.INFERRED)
     return UnknownVersion(UnknownReason.NOT_RECORDED)
--- a/src/boragetiller/tables/stream_versions.py
+++ b/src/boragetiller/tables/stream_versions.py
@@ -4,9 +4,13 @@
 
 from collections import OrderedDict
 from enum import Enum
+from typing import TYPE_CHECKING
 
 import attrs
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
 # Longer than the deadline of any stream, over all requests of its caller that take it up again.
 STREAM_LIFETIME_MS = 30_000
 MAX_STREAMS = 16_384
@@ -78,23 +82,26 @@
 
 @attrs.define
 class VersionHistory:
-    """Software versions of each group and when a server of each was last registered."""
+    """Software versions of each group and when servers of each were registered."""
 
     _last_seen_ms: dict[str, dict[str, int]] = attrs.field(factory=dict)  # by group and version
+    _appeared_ms: dict[str, dict[str, int]] = attrs.field(factory=dict)  # of those present
 
-    def observe(self, group: str, version: str, now_ms: int) -> None:
+    def observe(self, group: str, versions: Iterable[str], now_ms: int) -> None:
         """
-        Record that a version serves a group, or served it until now.
+        Record the versions that serve a group, or served it until now.
 
         :param group: name of the backend group
-        :param version: software version
+        :param versions: versions of all its registered servers
         :param now_ms: monotonic time in milliseconds
         """
-        self._last_seen_ms.setdefault(group, {})[version] = now_ms
+        before = self._appeared_ms.get(group, {})
+        self._appeared_ms[group] = {each: before.get(each, now_ms) for each in versions}
+        self._last_seen_ms.setdefault(group, {}).update(dict.fromkeys(versions, now_ms))
 
-    def has_ever_seen(self, group: str, version: str) -> bool:
-        """:return: whether a version served a group at any time that is known"""
-        return version in self._last_seen_ms.get(group, {})
+    def get_appearances(self, group: str) -> Mapping[str, int]:
+        """:return: since which monotonic time each present version of a group is registered"""
+        return self._appeared_ms.get(group, {})
 
     def list_recent(self, group: str, now_ms: int) -> frozenset[str]:
         """
