Neither keep nor write a version that was only inferred

Cause: a router that continued a stream at the only version that it knew kept that version like one it had seen, and wrote it to the store once a second version served. If the guess was wrong, it then overrode the true record.

Change: an inferred version binds the request that was inferred for. The next request of the caller is decided anew. Versions that a record named are kept, and written again, as before.

--- a/src/boragetiller/gateway/streams/stream_versions.py
+++ b/src/boragetiller/gateway/streams/stream_versions.py
@@ -14,7 +14,7 @@
     UnknownVersion,
     decide_resumption,
 )
-from boragetiller.tables.stream_versions import StreamOrigin
+from boragetiller.tables.stream_versions import StreamOrigin, VersionSource
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
@@ -108,7 +108,7 @@
         if origin is not None:  # another service began it
             decision = UnknownVersion(UnknownReason.NOT_RECORDED)
         match decision:
-            case KnownVersion(version=version, source=source) if resumed_id is not None:
+            case KnownVersion(version, VersionSource.STORE as source) if resumed_id is not None:
                 found = StreamOrigin(group, version, self._clock.now_ms(), source)
                 self._registry.stream_origins.record(resumed_id, found)
             case UnknownVersion(reason=reason):
--- a/src/boragetiller/tables/stream_versions.py
+++ b/src/boragetiller/tables/stream_versions.py
@@ -37,7 +37,7 @@
 
 @attrs.define
 class StreamOriginTable:
-    """Origins of the recent streams that this router began or resumed, by request ID."""
+    """Origins of recent streams that this router began, or whose record it read, by request ID."""
 
     _origins: OrderedDict[str, StreamOrigin] = attrs.field(factory=OrderedDict)
 
--- a/tests/gateway/test_stream_records.py
+++ b/tests/gateway/test_stream_records.py
@@ -14,7 +14,12 @@
 from tests.gateway.harness import RouterHarness, wait_until
 from tests.gateway.scripted_engine import ReceivedRequest, reset
 from tests.gateway.test_streams import PROMPT
-from tests.gateway.version_fleet import VersionedEngine, VersionFleetTestCase, find_versions
+from tests.gateway.version_fleet import (
+    EVENTS,
+    VersionedEngine,
+    VersionFleetTestCase,
+    find_versions,
+)
 
 
 class SilentEngine(VersionedEngine):
@@ -84,6 +89,17 @@
         metrics = harness.router.metrics.render()
         self.assertIn(b'streams_unknown_total{reason="conflicting_records"} 1.0', metrics)
 
+    async def test_inferred_version_is_not_recorded(self) -> None:
+        # Guards against a guess that other routers, and this one later, take for knowledge.
+        await self.register("old", "v1")
+        harness = await self.start_router()
+        self.assertEqual(await self.resume(harness, "unknown"), (200, ["v1", "v1"]))
+        self.assertEqual(len(await self.read_stream(harness, "known")), EVENTS)
+        await self.register("new", "v2")
+        await wait_until(lambda: self.list_recorded("known"))  # in the same transaction
+        self.assertEqual(self.list_recorded("unknown"), set())
+        self.assertEqual(await self.resume(harness, "unknown"), (503, []))
+
     async def test_record_that_is_stored_late_is_logged(self) -> None:
         await self.register("old", "v1")
         await self.register("new", "v2")
