Begin streams at a new version only once other routers know of it

Cause: a router sent streams to an engine of a new version as soon as its own list showed it, which may be before the entry of the group names the version, and seconds before the last router knows.

Change: while servers of another version accept a resumable stream, it begins at a version only once the entry has named it for 1.2 x drain_ms + 1.5 s: as long as a list may count as current without it. All other requests go to the new version at once.

--- a/src/boragetiller/gateway/choice_refusals.py
+++ b/src/boragetiller/gateway/choice_refusals.py
@@ -39,7 +39,8 @@
     accepting = registry.servers.find_accepting(call.group.name).servers
     if not accepting:
         return Refusal(GiveUpReason.FULL, "no server accepts calls")
-    eligible = registry.servers.find_accepting(call.group.name, version).servers
+    versions = None if version is None else frozenset({version})
+    eligible = registry.servers.find_accepting(call.group.name, versions).servers
     paused = registry.pauses.list_paused()
     unpaused = [server for server in eligible if server.name not in paused]
     pause_left_ms = first_pause_left_ms(registry.pauses.table, eligible, now_ms)
--- a/src/boragetiller/gateway/server_choice.py
+++ b/src/boragetiller/gateway/server_choice.py
@@ -164,8 +164,9 @@
         call = state.call
         servers = self._registry.servers
         group = servers.find_accepting(call.group.name)
-        eligible = servers.find_accepting(call.group.name, state.software_version)
-        is_bound = len(eligible.servers) < len(group.servers)  # to one of several versions
+        paused = self._registry.pauses.list_paused()
+        eligible = self._find_eligible(state, paused)
+        is_bound = state.software_version is not None and len(eligible.servers) < len(group.servers)
         costs = self._registry.get_cost_model(call.group.name, self._state_sync.reporting_share)
         now_ms = self._clock.now_ms()
         engine = call.group.engine
@@ -188,7 +189,6 @@
             # A part of the stream was written in vain if it does not go on.
             response_started=state.progress.relayed_events > 0 or is_bound,
         )
-        paused = self._registry.pauses.list_paused()
         exhausted = list_exhausted_servers(choice_state.limits, call.urgency, now_ms)
         selected = select_candidates(
             eligible,
@@ -227,5 +227,18 @@
         """
         return find_refusal(self._registry, state, self._clock.now_ms())
 
+    def _find_eligible(self, state: CallState, paused: Set[str]) -> GroupServers:
+        """:return: servers of the version of a stream, or of versions at which one may begin"""
+        call, servers = state.call, self._registry.servers
+        if state.software_version is not None:
+            return servers.find_accepting(call.group.name, frozenset({state.software_version}))
+        if call.route.resumable:
+            versions = self._registry.group_versions.list_settled(call.group.name)
+            settled = servers.find_accepting(call.group.name, versions)
+            unavailable = state.tried_servers | paused
+            if any(server.name not in unavailable for server in settled.servers):
+                return settled
+        return servers.find_accepting(call.group.name)
+
 
 __all__ = ["ChoiceState", "ServerChoice", "ServerChooser"]
--- a/src/boragetiller/tables/server_table.py
+++ b/src/boragetiller/tables/server_table.py
@@ -24,21 +24,23 @@
     # Groups of which a server has reported a work time; the rules for overload apply to them.
     timed_groups: set[str] = attrs.field(factory=set)
     leaving: LeavingServers = attrs.field(factory=LeavingServers)
-    # Groups by name, and by name and software version.
-    _groups: dict[tuple[str, str | None], GroupServers] = attrs.field(factory=dict, init=False)
+    # Groups by name, and by name and software versions.
+    _groups: dict[tuple[str, frozenset[str] | None], GroupServers] = attrs.field(
+        factory=dict, init=False
+    )
     _versions: dict[str, frozenset[str]] = attrs.field(factory=dict, init=False)  # by group
 
-    def find_accepting(self, group: str, version: str | None = None) -> GroupServers:
+    def find_accepting(self, group: str, versions: frozenset[str] | None = None) -> GroupServers:
         """
         Return the servers of a group that accept new requests.
 
         :param group: name of the backend group
-        :param version: software version of the servers, None for all
+        :param versions: software versions of the servers, None for all
         :return: servers that are registered, not draining, and have not said that they leave
         """
-        if version is not None and self.find_versions(group) == {version}:
-            version = None  # the usual case; the same servers, built once
-        if (group, version) not in self._groups:
+        if versions is not None and self.find_versions(group) <= versions:
+            versions = None  # the usual case; the same servers, built once
+        if (group, versions) not in self._groups:
             servers = self.by_name.values()
             found = [
                 server
@@ -46,10 +48,10 @@
                 if server.record.group == group
                 and not server.record.draining
                 and server.record not in self.leaving
-                and version in (None, server.record.software_version)
+                and (versions is None or server.record.software_version in versions)
             ]
-            self._groups[group, version] = GroupServers.build(found)
-        return self._groups[group, version]
+            self._groups[group, versions] = GroupServers.build(found)
+        return self._groups[group, versions]
 
     def find_versions(self, group: str) -> frozenset[str]:
         """
--- /dev/null
+++ b/tests/gateway/test_new_versions.py
@@ -0,0 +1,34 @@
+"""Routers that learn of a new software version at different times."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.gateway.harness import wait_until
+from tests.gateway.test_streams import PROMPT
+from tests.gateway.version_fleet import VersionFleetTestCase, find_versions
+
+STREAMS = 16
+
+
+class NewVersionTest(VersionFleetTestCase):
+    """A version appears beside another one."""
+
+    async def test_streams_do_not_begin_at_a_version_that_other_routers_may_not_know(self) -> None:
+        # Guards against a router that infers the only version that it knows.
+        await self.register("old", "v1")
+        harness = await self.start_router()
+        await wait_until(lambda: self.list_stored_versions() == ["v1"])
+        await self.register("new", "v2")
+        await self.wait_until_listed(harness, "old", "new")
+        for _ in range(STREAMS):
+            async with harness.call("/gauges/", **PROMPT) as response:
+                self.assertEqual(set(find_versions(await response.read())), {"v1"})
+        self.store.remove("servers/old")
+        await self.wait_until_listed(harness, "new")
+        async with harness.call("/gauges/", **PROMPT) as response:
+            self.assertEqual(set(find_versions(await response.read())), {"v2"})
+
+
+if __name__ == "__main__":
+    unittest.main()
