Infer a version without the store only from a list that is known to be current

Cause: without a readable store a router went on at the only version that it had seen, if it reached the store. That was the result of its last call, however long ago: a router that was cut off, and whose watch still waited, took its old list for current. A router that was started, cut off or frozen a moment before had not seen the versions that served meanwhile either.

In an outage of the whole store nothing changes: streams that a router does not know were refused already.

--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -85,6 +85,7 @@
         self.servers_listed = False  # whether the list of servers was ever received
         self.servers_outdated = False  # whether the newest list is still to be applied
         self._settings = settings
+        self.drain_ms = settings.drain_ms
         self.dialect = dialect
         self._clock = clock
         self._default_cost_model = PlacementCostModel()
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -57,7 +57,7 @@
         """
         self.peer_names: dict[Endpoint, str] = {}
         self.store_polls = StorePollSchedule()
-        self.watcher_election = WatcherElection(name)
+        self.watcher_election = WatcherElection(name, registry.drain_ms)
         self.reporting_share = 1.0  # see systems.report_peers
         self.usage: UsageCounter | None = None  # None if usage is not reported
         self.speeds = ServerSpeeds(registry.servers, registry.metrics, clock)
--- a/src/boragetiller/gateway/store_watcher.py
+++ b/src/boragetiller/gateway/store_watcher.py
@@ -146,6 +146,8 @@
     async def _list_prefix(self, prefix: str, source: str) -> int:
         listing = await self._call("read", lambda: self._store.list_prefix(prefix))
         self._registry.apply_listing(prefix, listing.items, listing.revision, source)
+        if prefix == self._dialect.servers_prefix:
+            self._watcher_election.own_list_ms = self._clock.now_ms()
         return listing.revision
 
     def _must_watch(self) -> bool:
@@ -178,6 +180,7 @@
         )
         self._registry.apply_changes(listing.items, "watch")
         if is_servers:  # batch further changes
+            self._watcher_election.own_list_ms = self._clock.now_ms()
             took_ms = self._clock.now_ms() - started_ms
             await asyncio.sleep(max(0.0, self._watch_interval_ms - took_ms) / 1_000)
         return max(revision, listing.revision)
--- a/src/boragetiller/gateway/streams/group_entries.py
+++ b/src/boragetiller/gateway/streams/group_entries.py
@@ -95,7 +95,7 @@
 
     def _decide(self, group: str, entry: StoredEntry) -> dict[str, int] | None:
         now_ms = self._clock.now_ms()
-        is_current = self._election.reaches_store(now_ms)
+        is_current = self._election.has_current_list(now_ms)
         sightings = self._versions.get_sightings(group)
         return decide_entry(entry, sightings, now_ms, is_current=is_current)
 
--- a/src/boragetiller/gateway/streams/stream_versions.py
+++ b/src/boragetiller/gateway/streams/stream_versions.py
@@ -8,6 +8,7 @@
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.streams.version_journal import VersionJournal
 from boragetiller.gateway.supervisor import run_supervised
+from boragetiller.systems.list_coverage import OBSERVE_INTERVAL_MS, ListCoverage
 from boragetiller.systems.stream_resumption import (
     KnownVersion,
     UnknownReason,
@@ -17,6 +18,8 @@
 from boragetiller.tables.stream_versions import StreamOrigin, VersionSource
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from boragetiller.clock import Clock
     from boragetiller.gateway.admitted_call import AdmittedCall
     from boragetiller.gateway.backend_registry import BackendRegistry
@@ -54,20 +57,20 @@
         )
         self._clock = clock
         self._metrics = metrics
-        self._task: asyncio.Task[None] | None = None
+        self._coverage = ListCoverage()
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
-        """Start to write to the store."""
+        """Start to follow the list of servers and to write to the store."""
+        self._start_task("stream version coverage", self._observe_coverage)
         if self._journal is not None:
-            self._task = asyncio.create_task(
-                run_supervised("store stream versions", self._journal.run, self._metrics)
-            )
+            self._start_task("store stream versions", self._journal.run)
 
     async def close(self) -> None:
-        """Stop writing."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        """Stop following and writing."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def record_begun(self, call: AdmittedCall, stream: StreamState, server: BackendServer) -> None:
         """
@@ -103,8 +106,10 @@
             return KnownVersion(origin.version, origin.source)
         stored = None if self._journal is None else await self._journal.read(group, resumed_id)
         known = self._registry.group_versions.list_known(group)
-        is_current = self._state_sync.watcher_election.reaches_store(self._clock.now_ms())
-        decision = decide_resumption(stored, known, is_current=is_current)
+        is_certain = self._has_current_list() and self._coverage.covers_streams(
+            self._clock.now_ms()
+        )
+        decision = decide_resumption(stored, known, is_certain=is_certain)
         if origin is not None:  # another service began it
             decision = UnknownVersion(UnknownReason.NOT_RECORDED)
         match decision:
@@ -122,6 +127,17 @@
                 )
         return decision
 
+    def _start_task(self, name: str, run: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.create_task(run_supervised(name, run, self._metrics)))
+
+    def _has_current_list(self) -> bool:
+        return self._state_sync.watcher_election.has_current_list(self._clock.now_ms())
+
+    async def _observe_coverage(self) -> None:
+        while True:
+            self._coverage.observe(self._clock.now_ms(), is_current=self._has_current_list())
+            await asyncio.sleep(OBSERVE_INTERVAL_MS / 1_000)
+
     def _record_resumed(
         self, call: AdmittedCall, stream: StreamState, server: BackendServer
     ) -> None:
--- a/src/boragetiller/systems/stream_resumption.py
+++ b/src/boragetiller/systems/stream_resumption.py
@@ -46,7 +46,7 @@
 
 
 def decide_resumption(
-    stored: StoredVersions | None, known: frozenset[str], *, is_current: bool
+    stored: StoredVersions | None, known: frozenset[str], *, is_certain: bool
 ) -> KnownVersion | UnknownVersion:
     """
     Decide at which version a stream goes on that this router does not know.
@@ -54,11 +54,11 @@
     :param stored: what the store says, None if it could not be read
     :param known: versions that this router has seen recently in the group, those of the present
         list included, and those that the store named when it last read them
-    :param is_current: whether this router would know by now of a version that began to serve
+    :param is_certain: whether this router has seen each version that may have begun the stream
     :return: the version, or why none is known
     """
     if stored is None:
-        if is_current and len(known) == 1:
+        if is_certain and len(known) == 1:
             return KnownVersion(next(iter(known)), VersionSource.INFERRED)
         return UnknownVersion(UnknownReason.STORE_UNREACHABLE)
     if len(stored.stream_versions) > 1:
--- a/src/boragetiller/systems/watcher_election.py
+++ b/src/boragetiller/systems/watcher_election.py
@@ -23,8 +23,10 @@
     """State of the election at one router: the routers that are known to reach the store."""
 
     own_name: str
+    list_ttl_ms: int = 2_000  # longest time between two responses to a router that watches the list
     store_report_ms: dict[str, int] = attrs.field(factory=dict)  # last report, by name of the peer
     own_store_reachable: bool = False
+    own_list_ms: int | None = None  # last response of the store to a call for the list
 
     def record_peer(self, peer: str, now_ms: int, *, reaches_store: bool) -> None:
         """
@@ -43,14 +45,15 @@
         """:param peer: name of a router that no longer sends reports"""
         self.store_report_ms.pop(peer, None)
 
-    def reaches_store(self, now_ms: int) -> bool:
+    def has_current_list(self, now_ms: int) -> bool:
         """
-        Check whether changes of the store reach this router.
+        Check whether changes of the list of servers reach this router.
 
         :param now_ms: monotonic time in milliseconds
-        :return: whether it or a peer that was heard lately reaches the store
+        :return: whether the store responded lately, or a peer said that it reaches the store
         """
-        return self.own_store_reachable or any(
+        is_own = self.own_list_ms is not None and now_ms - self.own_list_ms <= self.list_ttl_ms
+        return is_own or any(
             now_ms - report_ms < STORE_REPORT_TTL_MS for report_ms in self.store_report_ms.values()
         )
 
--- a/tests/gateway/test_new_versions.py
+++ b/tests/gateway/test_new_versions.py
@@ -29,6 +29,16 @@
         async with harness.call("/gauges/", **PROMPT) as response:
             self.assertEqual(set(find_versions(await response.read())), {"v2"})
 
+    async def test_started_router_infers_nothing_without_the_store(self) -> None:
+        # It has not seen which versions served before it was started, and its list may be old.
+        await self.register("old", "v1")
+        harness = await self.start_router()
+        self.store.watches_stalled = True
+        await self.register("new", "v2")
+        self.assertEqual((await self.resume(harness, "other"))[0], 200)
+        self.store.down = True
+        self.assertEqual(await self.resume(harness, "unknown"), (503, []))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/systems/test_stream_resumption.py
+++ b/tests/systems/test_stream_resumption.py
@@ -38,8 +38,8 @@
         # Each version that served is in the entry of the group or known to the router itself.
         seen = data.draw(st.frozensets(st.sampled_from(sorted(served | {began}))))
         stored = StoredVersions(frozenset({began} if recorded else ()), (served | {began}) - seen)
-        for is_current in (False, True):
-            decision = decide_resumption(stored, seen, is_current=is_current)
+        for is_certain in (False, True):
+            decision = decide_resumption(stored, seen, is_certain=is_certain)
             if isinstance(decision, KnownVersion):
                 self.assertEqual(decision.version, began)
             else:
@@ -47,17 +47,17 @@
                 self.assertFalse(recorded)
 
     def test_without_the_store_one_version_of_a_current_list_is_enough(self) -> None:
-        known = decide_resumption(None, frozenset({"v1"}), is_current=True)
+        known = decide_resumption(None, frozenset({"v1"}), is_certain=True)
         self.assertEqual(known, KnownVersion("v1", VersionSource.INFERRED))
 
     def test_without_the_store_nothing_else_is_enough(self) -> None:
-        for recent, is_current in ((frozenset({"v1"}), False), (frozenset({"v1", "v2"}), True)):
-            decision = decide_resumption(None, recent, is_current=is_current)
+        for recent, is_certain in ((frozenset({"v1"}), False), (frozenset({"v1", "v2"}), True)):
+            decision = decide_resumption(None, recent, is_certain=is_certain)
             self.assertEqual(decision, UnknownVersion(UnknownReason.STORE_UNREACHABLE))
 
     def test_service_of_which_nothing_is_known_is_unknown(self) -> None:
         decision = decide_resumption(
-            StoredVersions(frozenset(), frozenset()), frozenset(), is_current=True
+            StoredVersions(frozenset(), frozenset()), frozenset(), is_certain=True
         )
         self.assertEqual(decision, UnknownVersion(UnknownReason.NOT_RECORDED))
 
