Remove a version from a group's entry only after a list was current for 30 s

Cause: while no router reaches the store, nobody renews the marks of the versions. A router that was frozen all the while woke up with a mark unchanged for long, no sight of the version in the last 30 s, since it had not run, and a list that was current from its first response on: it removed a version that had served, at routers that were cut off, until a moment before.

Change: to remove a version, a router must have followed a current list for 30 s without a gap, the same condition as to infer a version without the store.

In the model, servers respond for 10 s after their entry is gone, and an older list never replaces a newer one, as in the gateway. The tests that wait for a removal shorten the new time too.

--- a/src/boragetiller/gateway/streams/group_entries.py
+++ b/src/boragetiller/gateway/streams/group_entries.py
@@ -30,7 +30,7 @@
     from boragetiller.clock import Clock
     from boragetiller.gateway.backend_registry import BackendRegistry
     from boragetiller.gateway.duty_interface import LeaseStore
-    from boragetiller.gateway.state_sync import StateSync
+    from boragetiller.systems.list_coverage import ListCoverage
     from boragetiller.tables.store_view import StoredItem
 
 VERSIONS_PREFIX = "boragetiller/versions/"
@@ -40,21 +40,27 @@
     """Reads and writes the entries."""
 
     def __init__(
-        self, registry: BackendRegistry, state_sync: StateSync, store: LeaseStore, clock: Clock
+        self,
+        own_name: str,
+        registry: BackendRegistry,
+        coverage: ListCoverage,
+        store: LeaseStore,
+        clock: Clock,
     ) -> None:
         """
         Create the entries without reading any.
 
+        :param own_name: name of this process
         :param registry: backend servers, with the versions that this router knows
-        :param state_sync: tells whether the list of servers is current
+        :param coverage: tells for how long this router has followed the list of servers
         :param store: the platform's store
         :param clock: monotonic clock
         """
         self._versions = registry.group_versions
-        self._election = state_sync.watcher_election
+        self._coverage = coverage
         self._store = store
         self._clock = clock
-        self._jitter = stable_hash("versions", self._election.own_name) / 2**64
+        self._jitter = stable_hash("versions", own_name) / 2**64
         self._known: dict[str, StoredEntry] = {}
 
     def forget(self) -> None:
@@ -95,9 +101,9 @@
 
     def _decide(self, group: str, entry: StoredEntry) -> dict[str, int] | None:
         now_ms = self._clock.now_ms()
-        is_current = self._election.has_current_list(now_ms)
+        is_certain = self._coverage.covers_streams(now_ms)
         sightings = self._versions.get_sightings(group)
-        return decide_entry(entry, sightings, now_ms, is_current=is_current)
+        return decide_entry(entry, sightings, now_ms, is_certain=is_certain)
 
     def _observe(self, group: str, marks: dict[str, int], revision: int) -> StoredEntry:
         entry = observe_entry(self._known.get(group), marks, revision, self._clock.now_ms())
--- a/src/boragetiller/gateway/streams/stream_versions.py
+++ b/src/boragetiller/gateway/streams/stream_versions.py
@@ -52,12 +52,13 @@
         """
         self._registry = registry
         self._state_sync = state_sync
-        self._journal = (
-            None if store is None else VersionJournal(registry, state_sync, store, clock)
-        )
+        self._coverage = ListCoverage()
+        self._journal = None
+        if store is not None:
+            own_name = state_sync.watcher_election.own_name
+            self._journal = VersionJournal(own_name, registry, self._coverage, store, clock)
         self._clock = clock
         self._metrics = metrics
-        self._coverage = ListCoverage()
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
--- a/src/boragetiller/gateway/streams/version_journal.py
+++ b/src/boragetiller/gateway/streams/version_journal.py
@@ -37,7 +37,7 @@
     from boragetiller.clock import Clock
     from boragetiller.gateway.backend_registry import BackendRegistry
     from boragetiller.gateway.duty_interface import RecordStore
-    from boragetiller.gateway.state_sync import StateSync
+    from boragetiller.systems.list_coverage import ListCoverage
 
 STREAMS_PREFIX = "boragetiller/streams/"
 MAX_TRANSACTION_WRITES = 32
@@ -63,20 +63,26 @@
     """Writes the versions of groups and streams, and reads those that other routers wrote."""
 
     def __init__(
-        self, registry: BackendRegistry, state_sync: StateSync, store: RecordStore, clock: Clock
+        self,
+        own_name: str,
+        registry: BackendRegistry,
+        coverage: ListCoverage,
+        store: RecordStore,
+        clock: Clock,
     ) -> None:
         """
         Create the journal; it writes nothing until it runs.
 
+        :param own_name: name of this process
         :param registry: backend servers, with the versions and streams that this router knows
-        :param state_sync: tells whether the list of servers is current
+        :param coverage: tells for how long this router has followed the list of servers
         :param store: the platform's store
         :param clock: monotonic clock
         """
         self._registry = registry
         self._store = store
         self._clock = clock
-        self._groups = GroupEntries(registry, state_sync, store, clock)
+        self._groups = GroupEntries(own_name, registry, coverage, store, clock)
         self._pending: dict[str, PendingRecord] = {}
         self._due = asyncio.Event()
         self._mixed_groups: set[str] = set()
--- a/src/boragetiller/systems/group_entries.py
+++ b/src/boragetiller/systems/group_entries.py
@@ -69,20 +69,20 @@
 
 
 def decide_entry(
-    entry: StoredEntry, sightings: GroupSightings, now_ms: int, *, is_current: bool
+    entry: StoredEntry, sightings: GroupSightings, now_ms: int, *, is_certain: bool
 ) -> dict[str, int] | None:
     """
     Decide which marks to write over an entry.
 
     A version is removed only if this router has not seen it for as long as a stream may be resumed,
-    and its mark has not changed for longer. Routers that see a version beside another one refresh
-    its mark from time to time, and so does each one at which it appears: a removal that was decided
-    before then fails, also if the store executes it late.
+    in a list that was current, and its mark has not changed for longer. Routers that see a version
+    beside another one refresh its mark from time to time, and so does each one at which it appears:
+    a removal that was decided before then fails, also if the store executes it late.
 
     :param entry: the entry
     :param sightings: what the router has seen
     :param now_ms: monotonic time in milliseconds
-    :param is_current: whether changes of the list of servers reach the router
+    :param is_certain: whether the router has followed the list of servers for as long
     :return: marks to write at the revision of the entry, None to write nothing
     """
     marks, recent = entry.marks, sightings.recent
@@ -99,7 +99,7 @@
     removed = {
         version
         for version in marks.keys() - recent
-        if is_mixed and is_current and now_ms - entry.since_ms[version] >= REMOVAL_MS
+        if is_mixed and is_certain and now_ms - entry.since_ms[version] >= REMOVAL_MS
     }
     if not (added or refreshed or removed):
         return None
--- a/tests/gateway/version_fleet.py
+++ b/tests/gateway/version_fleet.py
@@ -125,6 +125,7 @@
         """Remove an engine, and wait until the entry of the group loses its version, in no time."""
         with (
             patch("boragetiller.tables.stream_versions.STREAM_LIFETIME_MS", 100),
+            patch("boragetiller.systems.list_coverage.STREAM_LIFETIME_MS", 100),
             patch.multiple("boragetiller.systems.group_entries", REMOVAL_MS=100, POLL_MS=0),
         ):
             self.store.remove(f"servers/{name}")
--- a/tests/systems/test_group_entries.py
+++ b/tests/systems/test_group_entries.py
@@ -15,6 +15,7 @@
     is_read_due,
     observe_entry,
 )
+from boragetiller.systems.list_coverage import ListCoverage
 from boragetiller.tables.stream_versions import STREAM_LIFETIME_MS, VersionHistory
 
 VERSIONS = ("v1", "v2", "v3")
@@ -31,6 +32,7 @@
     def __init__(self, jitter: float) -> None:
         """:param jitter: see is_read_due"""
         self.history = VersionHistory()
+        self.coverage = ListCoverage()
         self.jitter = jitter
         self.listed: frozenset[str] = frozenset()
         self.entry: StoredEntry | None = None
@@ -66,12 +68,18 @@
         """Let a router check the entry, as the gateway does."""
         if not router.cut_off:
             router.listed = self.present
+        router.coverage.observe(self.now_ms, is_current=not router.cut_off)
         router.history.observe("g", router.listed, self.now_ms)
         recent = router.history.list_recent("g", self.now_ms)
         sightings = GroupSightings(recent, router.history.get_appearances("g"))
 
         def decide(entry: StoredEntry) -> dict[str, int] | None:
-            return decide_entry(entry, sightings, self.now_ms, is_current=not router.cut_off)
+            return decide_entry(
+                entry,
+                sightings,
+                self.now_ms,
+                is_certain=router.coverage.covers_streams(self.now_ms),
+            )
 
         known = router.entry
         is_due = known is None or is_read_due(known, sightings, self.now_ms, router.jitter)
@@ -169,16 +177,24 @@
             {"v1": 1, "v2": 1}, 2, {"v1": 0, "v2": 0}, {"v1": 0, "v2": REMOVAL_MS}, REMOVAL_MS
         )
         sightings = GroupSightings(frozenset({"v2"}), {"v2": 0})
-        for is_current, expected in ((False, None), (True, {"v2": 2})):
-            decided = decide_entry(entry, sightings, REMOVAL_MS, is_current=is_current)
+        for is_certain, expected in ((False, None), (True, {"v2": 2})):
+            decided = decide_entry(entry, sightings, REMOVAL_MS, is_certain=is_certain)
             self.assertEqual(decided, expected)
 
+    def test_version_whose_mark_has_changed_lately_is_not_removed(self) -> None:
+        entry = StoredEntry({"v1": 1, "v2": 1}, 2, {"v1": 1, "v2": 0}, {"v1": 0, "v2": 9}, 9)
+        sightings = GroupSightings(frozenset({"v2"}), {"v2": 0})
+        for now_ms, expected in ((REMOVAL_MS, {"v1", "v2"}), (REMOVAL_MS + 1, {"v2"})):
+            marks = decide_entry(entry, sightings, now_ms, is_certain=True)
+            assert marks is not None  # the mark of v2 is refreshed
+            self.assertEqual(marks.keys(), expected)
+
     def test_version_that_appears_again_is_refreshed_at_once(self) -> None:
         # A removal that another router has decided meanwhile must fail.
         entry = StoredEntry({"v1": 1, "v2": 1}, 2, {"v1": 0, "v2": 0}, {"v1": 1, "v2": 1}, 2)
         for appeared_ms, expected in ((0, None), (2, {"v1": 2, "v2": 2})):
             sightings = GroupSightings(frozenset({"v1", "v2"}), {"v1": appeared_ms, "v2": 0})
-            self.assertEqual(decide_entry(entry, sightings, 3, is_current=True), expected)
+            self.assertEqual(decide_entry(entry, sightings, 3, is_certain=True), expected)
 
     def test_entry_is_read_again_only_while_several_versions_serve(self) -> None:
         entry = StoredEntry({"v1": 1}, 1, {"v1": 0}, {"v1": 0}, 0)
--- a/tests/systems/test_joined_versions.py
+++ b/tests/systems/test_joined_versions.py
@@ -25,9 +25,10 @@
 ROUTERS = 4
 STEP_MS = 250
 DRAIN_MS = 2_000
+LINGER_MS = 10_000  # for which servers go on after their entry is gone
 LAG_MS = 400  # in which a change of the list reaches a router that reaches the store
 WAIT_STEPS = (1, 2, 4, 8, 40, 80, REMOVAL_MS // STEP_MS)
-SEEDS = (*range(16), 30)
+SEEDS = (*range(16), 87, 466)
 ACTIONS = 50
 
 
@@ -63,6 +64,12 @@
         """:return: the versions that were listed at a time"""
         return [versions for since_ms, versions in self.present if since_ms <= time_ms][-1]
 
+    def list_serving(self) -> frozenset[str]:
+        """:return: versions whose servers still respond"""
+        start_ms = self.now - LINGER_MS
+        recent = [versions for since_ms, versions in self.present if since_ms > start_ms]
+        return frozenset.union(self.list_at(max(0, start_ms)), *recent)
+
     def write_entry(self, expected: int, marks: dict[str, int]) -> None:
         """Execute a write if its condition holds."""
         if expected == self.revision:
@@ -141,14 +148,14 @@
         if self.cut_off_ms is not None:
             return
         now_ms, known = self.store.now, self.entry
-        is_current = self.election.has_current_list(now_ms)
+        is_certain = self.coverage.covers_streams(now_ms)
         is_due = known is None or is_read_due(known, sightings, now_ms, 0.5)
         if (
             known is None
             or is_due
-            or decide_entry(known, sightings, now_ms, is_current=is_current) is not None
+            or decide_entry(known, sightings, now_ms, is_certain=is_certain) is not None
         ):
-            self.update_entry(is_current=is_current)
+            self.update_entry(is_certain=is_certain)
         if self.loses_writes:
             self.store.late_records += self.pending.items()
             return
@@ -156,11 +163,11 @@
             self.store.records.setdefault(stream, set()).add(version)
         self.pending.clear()
 
-    def update_entry(self, *, is_current: bool) -> None:
+    def update_entry(self, *, is_certain: bool) -> None:
         """Read the entry, and write what is due."""
         entry = self.read_entry()
         sightings = self.versions.get_sightings("g")
-        marks = decide_entry(entry, sightings, self.store.now, is_current=is_current)
+        marks = decide_entry(entry, sightings, self.store.now, is_certain=is_certain)
         if marks is not None and self.loses_writes:
             self.store.late_entries.append((entry.revision, marks))
         elif marks is not None:
@@ -177,7 +184,7 @@
     def begin(self, stream: int, rng: Random) -> str | None:
         """Begin a stream at a version that is listed; return the version."""
         settled = self.versions.list_settled("g")
-        usable = settled or self.listed.versions
+        usable = (settled or self.listed.versions) & self.store.list_serving()
         if not usable:
             return None
         version = self.own[stream] = rng.choice(sorted(usable))
