Infer no version without the store; streams begin at a new version once its entry is stored

Callers would have seen refusals in a release: beside another version, a new one got no resumable streams for 1.2 x drain_ms + 1.5 s (3.9 s), and the servers that are left of the old one had to take all of them meanwhile.

Cause: a router that cannot read the store inferred the only version of a list that it took for current, so all such lists had to lapse first.

Change: without the store, a stream that the router does not know is refused (503, come back soon; another router may know). A version then only has to be named by the entry of its group before streams begin at it, some ms after it is listed. A read of the store may take 1 s, so that a slow store costs no stream. The rule on coverage stays for the removal of versions.

--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -17,7 +17,6 @@
 from boragetiller.store_eras import get_era, get_store_revision
 from boragetiller.systems.engine_throughput import EngineThroughput
 from boragetiller.systems.failure_history import confirm_crash
-from boragetiller.systems.new_versions import compute_settle_ms
 from boragetiller.systems.part_quarantine import clear_parts
 from boragetiller.systems.server_limits import retain_servers
 from boragetiller.systems.windowed_retry_budget import WindowedRetryBudget
@@ -72,9 +71,7 @@
         self.pauses = ServerPauses(self.servers, clock, metrics)
         self.part_uses = PartUseTable()
         self.stream_origins = StreamOriginTable()
-        self.group_versions = GroupVersions(
-            self.servers, clock, compute_settle_ms(settings.drain_ms)
-        )
+        self.group_versions = GroupVersions(self.servers, clock)
         self._throughputs: dict[str, EngineThroughput] = {}
         self.output_lengths = OutputLengths()
         self.config: RouteConfig | None = None
--- a/src/boragetiller/gateway/server_choice.py
+++ b/src/boragetiller/gateway/server_choice.py
@@ -233,11 +233,11 @@
         if state.software_version is not None:
             return servers.find_accepting(call.group.name, frozenset({state.software_version}))
         if call.route.resumable:
-            versions = self._registry.group_versions.list_settled(call.group.name)
-            settled = servers.find_accepting(call.group.name, versions)
+            versions = self._registry.group_versions.list_startable(call.group.name)
+            startable = servers.find_accepting(call.group.name, versions)
             unavailable = state.tried_servers | paused
-            if any(server.name not in unavailable for server in settled.servers):
-                return settled
+            if any(server.name not in unavailable for server in startable.servers):
+                return startable
         return servers.find_accepting(call.group.name)
 
 
--- a/src/boragetiller/gateway/streams/group_versions.py
+++ b/src/boragetiller/gateway/streams/group_versions.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from boragetiller.systems.group_entries import GroupSightings
-from boragetiller.systems.new_versions import list_settled
+from boragetiller.systems.new_versions import list_startable
 from boragetiller.tables.stream_versions import VersionHistory
 
 if TYPE_CHECKING:
@@ -17,20 +16,17 @@
 class GroupVersions:
     """Follows the versions in the table of servers, and in the entries of the store."""
 
-    def __init__(self, servers: ServerTable, clock: Clock, settle_ms: int) -> None:
+    def __init__(self, servers: ServerTable, clock: Clock) -> None:
         """
         Start without a known version.
 
         :param servers: registered servers
         :param clock: monotonic clock
-        :param settle_ms: see systems.new_versions
         """
-        self._settle_ms = settle_ms
         self._servers = servers
         self._clock = clock
         self._history = VersionHistory()
-        # Since when the entry of each group names each version; infinitely long at the first read.
-        self._stored_ms: dict[str, dict[str, float]] = {}
+        self._stored: dict[str, frozenset[str]] = {}  # versions that the entry of each group names
 
     def list_known(self, group: str) -> frozenset[str]:
         """
@@ -40,9 +36,9 @@
         :return: versions of the servers that are registered, or were lately, and those that the
             store named last
         """
-        return self.get_sightings(group).recent | self._stored_ms.get(group, {}).keys()
+        return self.get_sightings(group).recent | self._stored.get(group, frozenset())
 
-    def list_settled(self, group: str) -> frozenset[str] | None:
+    def list_startable(self, group: str) -> frozenset[str] | None:
         """
         List the software versions at which resumable streams may begin.
 
@@ -51,12 +47,8 @@
         """
         if len(self._servers.find_versions(group)) <= 1:
             return None
-        return list_settled(
-            self.get_sightings(group).appeared_ms,
-            self._stored_ms.get(group),
-            self._clock.now_ms(),
-            self._settle_ms,
-        )
+        appeared_ms = self.get_sightings(group).appeared_ms
+        return list_startable(appeared_ms, self._stored.get(group), self._clock.now_ms())
 
     def get_sightings(self, group: str) -> GroupSightings:
         """
@@ -84,11 +76,7 @@
         :param group: name of the backend group
         :param versions: software versions, also those that this router has not seen
         """
-        known, now_ms = self._stored_ms.get(group), self._clock.now_ms()
-        first_ms = now_ms if known else -math.inf
-        self._stored_ms[group] = {
-            version: known.get(version, first_ms) if known else first_ms for version in versions
-        }
+        self._stored[group] = versions
 
 
 __all__ = ["GroupVersions"]
--- a/src/boragetiller/gateway/streams/stream_versions.py
+++ b/src/boragetiller/gateway/streams/stream_versions.py
@@ -107,10 +107,7 @@
             return KnownVersion(origin.version, origin.source)
         stored = None if self._journal is None else await self._journal.read(group, resumed_id)
         known = self._registry.group_versions.list_known(group)
-        is_certain = self._has_current_list() and self._coverage.covers_streams(
-            self._clock.now_ms()
-        )
-        decision = decide_resumption(stored, known, is_certain=is_certain)
+        decision = decide_resumption(stored, known)
         if origin is not None:  # another service began it
             decision = UnknownVersion(UnknownReason.NOT_RECORDED)
         match decision:
--- a/src/boragetiller/gateway/streams/version_journal.py
+++ b/src/boragetiller/gateway/streams/version_journal.py
@@ -48,7 +48,7 @@
 LATE_RECORD_MS = 1_000  # in which a caller whose stream broke is likely to take it up again
 MAX_LOGGED_STREAMS = 20
 RETRY_MS = 400
-READ_TIMEOUT_MS = 300  # a read takes a few ms, and a caller waits for it
+READ_TIMEOUT_MS = 1_000  # without the answer the stream is refused
 
 
 @attrs.frozen
--- a/src/boragetiller/systems/stream_resumption.py
+++ b/src/boragetiller/systems/stream_resumption.py
@@ -2,7 +2,8 @@
 Decide at which software version a stream may go on.
 
 What two versions write does not fit together, and engines do not check it. A stream goes on only
-if the version that began it is known, or if no other version can have begun it.
+if the version that began it is known, or if no other version can have begun it. Only the store
+tells that: a router that cannot read it may not know of a new version either.
 """
 
 from __future__ import annotations
@@ -46,7 +47,7 @@
 
 
 def decide_resumption(
-    stored: StoredVersions | None, known: frozenset[str], *, is_certain: bool
+    stored: StoredVersions | None, known: frozenset[str]
 ) -> KnownVersion | UnknownVersion:
     """
     Decide at which version a stream goes on that this router does not know.
@@ -54,12 +55,9 @@
     :param stored: what the store says, None if it could not be read
     :param known: versions that this router has seen recently in the group, those of the present
         list included, and those that the store named when it last read them
-    :param is_certain: whether this router has seen each version that may have begun the stream
     :return: the version, or why none is known
     """
     if stored is None:
-        if is_certain and len(known) == 1:
-            return KnownVersion(next(iter(known)), VersionSource.INFERRED)
         return UnknownVersion(UnknownReason.STORE_UNREACHABLE)
     if len(stored.stream_versions) > 1:
         return UnknownVersion(UnknownReason.CONFLICTING_RECORDS)
--- a/tests/gateway/test_new_versions.py
+++ b/tests/gateway/test_new_versions.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import unittest
+from unittest.mock import patch
 
+from boragetiller.errors import StoreUnavailable
 from tests.gateway.harness import wait_until
 from tests.gateway.test_streams import PROMPT
 from tests.gateway.version_fleet import VersionFleetTestCase, find_versions
@@ -16,14 +18,25 @@
 
     async def test_streams_do_not_begin_at_a_version_that_other_routers_may_not_know(self) -> None:
         # Guards against a router that infers the only version that it knows.
+        await self.register("old", "v1")
+        harness = await self.start_router()
+        await wait_until(lambda: self.list_stored_versions() == ["v1"])
+        versions = harness.router.registry.group_versions
+        with patch.object(self.store, "commit", side_effect=StoreUnavailable("no writes")):
+            await self.register("new", "v2")
+            await self.wait_until_listed(harness, "old", "new")
+            for _ in range(STREAMS):
+                async with harness.call("/gauges/", **PROMPT) as response:
+                    self.assertEqual(set(find_versions(await response.read())), {"v1"})
+            self.assertEqual(versions.list_startable("engines"), {"v1"})
+        await wait_until(lambda: versions.list_startable("engines") == {"v1", "v2"})
+        self.assertEqual(self.list_stored_versions(), ["v1", "v2"])
+
+    async def test_version_without_others_serves_at_once(self) -> None:
         await self.register("old", "v1")
         harness = await self.start_router()
         await wait_until(lambda: self.list_stored_versions() == ["v1"])
         await self.register("new", "v2")
-        await self.wait_until_listed(harness, "old", "new")
-        for _ in range(STREAMS):
-            async with harness.call("/gauges/", **PROMPT) as response:
-                self.assertEqual(set(find_versions(await response.read())), {"v1"})
         self.store.remove("servers/old")
         await self.wait_until_listed(harness, "new")
         async with harness.call("/gauges/", **PROMPT) as response:
