Slow callers: an end right after a pause is taken for the server's own

What callers saw: a stream without framing that the server cut off during a pause of its caller may be taken for complete; one with framing goes on, but its server is blamed for the loss.

Cause: the time that the router waited for the server before a pause counted as time in which it has caught up since. After 499 ms of waits between events, a wait of 1 ms after a pause of any length cleared the record of that pause.

Change: a wait for the caller takes as much from the waits for the server. Callers that read at once still excuse no server (test as before).

Evidence: tests.systems.test_unread_time, the new test failed before (1 of 6), 6 of 6 pass.

--- a/src/boragetiller/systems/slow_callers/unread_time.py
+++ b/src/boragetiller/systems/slow_callers/unread_time.py
@@ -18,7 +18,7 @@
     """How long the router has kept a response waiting since it last caught up with the server."""
 
     unread_ms: int = 0  # the router waited for the caller
-    waited_ms: int = 0  # the router waited for the server
+    waited_ms: int = 0  # the router waited for the server, beyond what it waited for the caller
     is_blocked: bool = False  # the router waits for the caller now
     waits_for_room: bool = False  # in its own memory, instead of for the caller
 
@@ -39,10 +39,13 @@
     """
     Record that the router waited for the caller to take a part of the response.
 
+    Waits for the server before a pause do not show that the router has caught up since.
+
     :param unread: of the response
     :param wait_ms: milliseconds until the caller had taken it
     """
     unread.unread_ms += wait_ms
+    unread.waited_ms = max(0, unread.waited_ms - wait_ms)
 
 
 def is_left_unread(unread: UnreadTime) -> bool:
--- a/tests/systems/test_unread_time.py
+++ b/tests/systems/test_unread_time.py
@@ -36,6 +36,13 @@
             record_caller_wait(self.unread, MIN_UNREAD_MS // 10)
         self.assertTrue(is_left_unread(self.unread))
 
+    def test_loss_right_after_a_pause_is_not_the_servers_whatever_was_waited_before(self) -> None:
+        # Guards against a stream without framing that is cut off and taken for complete.
+        record_server_wait(self.unread, CAUGHT_UP_MS - 1)
+        record_caller_wait(self.unread, MIN_UNREAD_MS)
+        record_server_wait(self.unread, 1)
+        self.assertTrue(is_left_unread(self.unread))
+
     def test_callers_that_read_at_once_excuse_no_server(self) -> None:
         for _ in range(10_000):
             record_server_wait(self.unread, 20)
