Release: streams are refused while only its new servers have room

What callers saw: while the entry of the group does not name a new version yet (some ms, up to 10 s if the store takes no writes), a resumable stream is refused with 503 `limited` or `no_room` if the servers of the other version are at their limits or have no memory, although new ones are free.

Cause: the choice fell back to the new version only if all servers of the others had been tried or pause, not if they have no room for the call.

Change: if no server of a version at which streams may begin takes the call, the choice is made again over the whole group. That holds for each reason, and costs nothing else. A hedged attempt, which no caller needs, does not fall back.

--- a/src/boragetiller/gateway/server_choice.py
+++ b/src/boragetiller/gateway/server_choice.py
@@ -161,11 +161,31 @@
         :param restrict: narrows the candidates down, None for no restriction
         :return: the choice
         """
+        urgency, now_ms = state.call.urgency, self._clock.now_ms()
+        exhausted = list_exhausted_servers(choice_state.limits, urgency, now_ms)
+        eligible = self._find_eligible(state)
+        choice = self._compare(state, choice_state, eligible, exhausted, restrict)
+        is_begin = state.software_version is None and len(eligible.servers) < len(
+            choice.group.servers
+        )
+        if choice.placement is None and is_begin and restrict is None:
+            # Better at a version that other routers may not know yet than nowhere.
+            return self._compare(state, choice_state, choice.group, exhausted, None)
+        return choice
+
+    def _compare(
+        self,
+        state: CallState,
+        choice_state: ChoiceState,
+        eligible: GroupServers,
+        exhausted: set[str],
+        restrict: Restriction | None,
+    ) -> ServerChoice:
+        """Choose one of the servers at which a call may run as far as its version goes."""
         call = state.call
         servers = self._registry.servers
         group = servers.find_accepting(call.group.name)
         paused = self._registry.pauses.list_paused()
-        eligible = self._find_eligible(state, paused)
         is_bound = state.software_version is not None and len(eligible.servers) < len(group.servers)
         costs = self._registry.get_cost_model(call.group.name, self._state_sync.reporting_share)
         now_ms = self._clock.now_ms()
@@ -189,7 +209,6 @@
             # A part of the stream was written in vain if it does not go on.
             response_started=state.progress.relayed_events > 0 or is_bound,
         )
-        exhausted = list_exhausted_servers(choice_state.limits, call.urgency, now_ms)
         selected = select_candidates(
             eligible,
             placement_request,
@@ -227,18 +246,15 @@
         """
         return find_refusal(self._registry, state, self._clock.now_ms())
 
-    def _find_eligible(self, state: CallState, paused: Set[str]) -> GroupServers:
+    def _find_eligible(self, state: CallState) -> GroupServers:
         """:return: servers of the version of a stream, or of versions at which one may begin"""
         call, servers = state.call, self._registry.servers
+        versions = None
         if state.software_version is not None:
-            return servers.find_accepting(call.group.name, frozenset({state.software_version}))
-        if call.route.resumable:
+            versions = frozenset({state.software_version})
+        elif call.route.resumable:
             versions = self._registry.group_versions.list_startable(call.group.name)
-            startable = servers.find_accepting(call.group.name, versions)
-            unavailable = state.tried_servers | paused
-            if any(server.name not in unavailable for server in startable.servers):
-                return startable
-        return servers.find_accepting(call.group.name)
+        return servers.find_accepting(call.group.name, versions)
 
 
 __all__ = ["ChoiceState", "ServerChoice", "ServerChooser"]
--- a/tests/gateway/test_new_versions.py
+++ b/tests/gateway/test_new_versions.py
@@ -32,6 +32,29 @@
         await wait_until(lambda: versions.list_startable("engines") == {"v1", "v2"})
         self.assertEqual(self.list_stored_versions(), ["v1", "v2"])
 
+    async def test_release_refuses_no_stream_while_its_new_servers_have_room(self) -> None:
+        # Guards against callers that wait for the store while the old servers take nothing.
+        await self.register("old", "v1")
+        harness = await self.start_router()
+        await wait_until(lambda: self.list_stored_versions() == ["v1"])
+        for busy in (
+            patch("boragetiller.gateway.server_choice.list_exhausted_servers", lambda *_: {"old"}),
+            patch(
+                "boragetiller.systems.server_capacity.has_memory",
+                lambda server, *_: server.name != "old",
+            ),
+        ):
+            with (
+                self.subTest(busy=busy.attribute),
+                patch.object(self.store, "commit", side_effect=StoreUnavailable("no writes")),
+                busy,
+            ):
+                await self.register("new", "v2")
+                await self.wait_until_listed(harness, "old", "new")
+                async with harness.call("/gauges/", **PROMPT) as response:
+                    self.assertEqual(response.status, 200)
+                    self.assertEqual(set(find_versions(await response.read())), {"v2"})
+
     async def test_version_without_others_serves_at_once(self) -> None:
         await self.register("old", "v1")
         harness = await self.start_router()
