Tests: wait until both events have passed the router, instead of 50 ms

Under load, the last event of the engine may take longer, and the time limit that the test checks is then not running when the clock is moved. The test now waits for the router to restart the limit after the second event.

--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 from unittest.mock import patch
 
+from boragetiller.gateway.outgoing_attempts import EventTimeout
 from boragetiller.gateway.streams.version_journal import build_stream_key
 from tests.gateway.harness import RouterHarness, build_config, wait_until
 from tests.gateway.scripted_engine import (
@@ -240,6 +241,7 @@
 
     async def test_engine_that_is_silent_after_the_pause_is_noticed(self) -> None:
         # Guards against a time limit that stays off once a caller was slow.
+        restart = EventTimeout.restart
         await self.serve("v1", "v1")
         for engine in self.engines.values():
             engine.stops_after = 2
@@ -248,10 +250,10 @@
         await self.time.skip(PAUSE_MS)
         for engine in self.engines.values():
             engine.stops_after = EVENTS if engine is not serving else 2
-        reading = asyncio.create_task(caller.read())
-        await wait_until(lambda: serving.written == 2)
-        await wait_until(lambda: not self.harness.router.budget.held_bytes)
-        await asyncio.sleep(0.05)  # the last event of the engine passes the router
+        with patch.object(EventTimeout, "restart", autospec=True, side_effect=restart) as taken:
+            reading = asyncio.create_task(caller.read())
+            await wait_until(lambda: taken.call_count == 2)  # both events have passed the router
+        self.assertEqual(serving.written, 2)
         await self.time.skip(PAUSE_MS)
         received = await reading
         self.assertEqual(received.events, [(number, "v1") for number in range(1, EVENTS + 1)])
