Group entries: a late answer takes back the versions that a newer one named

Cause: the check of the entries and the requests that take up streams read the same entry at the same time. An answer that arrives after that of a later call replaced what the router knew: it began no streams at a version that is stored, inferred from fewer versions, and took marks that went back for renewed ones, until the next read, 5 to 10 s later.

Change: an answer with a lower revision is dropped. A missing entry is noted as before, so that the next write expects none.

--- a/src/boragetiller/gateway/streams/group_entries.py
+++ b/src/boragetiller/gateway/streams/group_entries.py
@@ -106,7 +106,10 @@
         return decide_entry(entry, sightings, now_ms, is_certain=is_certain)
 
     def _observe(self, group: str, marks: dict[str, int], revision: int) -> StoredEntry:
-        entry = observe_entry(self._known.get(group), marks, revision, self._clock.now_ms())
+        known = self._known.get(group)
+        if known is not None and NO_REVISION < revision < known.revision:
+            return known  # a late answer; a call that began later has shown a newer entry
+        entry = observe_entry(known, marks, revision, self._clock.now_ms())
         self._known[group] = entry
         self._versions.record_stored(group, frozenset(marks))
         return entry
