Streams: a slow store refuses streams although each of its answers is in time

What callers saw: with one software version, a stream that is taken up at another router needs two answers of the store, one after the other, within 1 s. A store that takes more than 0.5 s for each had such streams refused with 503 `unknown_version` (store_unreachable).

Change: a router that knows of one version only asks for the record and the entry at the same time, since it needs both unless it is behind. With several versions a record is likely, and it asks for the entry only if there is none, as before. The number of calls stays the same in the usual cases.

Evidence: tests.gateway.test_stream_records, the new test failed before (503, [] instead of 200); it passes with test_group_entries and test_software_versions (25 tests).

--- a/src/boragetiller/gateway/streams/version_journal.py
+++ b/src/boragetiller/gateway/streams/version_journal.py
@@ -153,13 +153,20 @@
         return {each.group for groups in weighted for each in groups}
 
     async def _read_versions(self, group: str, request_id: str | None) -> StoredVersions:
-        if request_id is not None:
-            listing = await self._store.list_prefix(build_stream_key(group, request_id))
-            if listing.items:
-                found = {(item.value or b"").decode("utf-8", "replace") for item in listing.items}
-                return StoredVersions(frozenset(found), frozenset())
-        stored = await self._groups.read(group)
-        return StoredVersions(frozenset(), frozenset(stored.marks))
+        if request_id is None:
+            return StoredVersions(frozenset(), frozenset((await self._groups.read(group)).marks))
+        key = build_stream_key(group, request_id)
+        if len(self._registry.group_versions.list_known(group)) > 1:  # a record is likely
+            listing, entry = await self._store.list_prefix(key), None
+        else:
+            listing, entry = await asyncio.gather(
+                self._store.list_prefix(key), self._groups.read(group)
+            )
+        if listing.items:
+            found = {(item.value or b"").decode("utf-8", "replace") for item in listing.items}
+            return StoredVersions(frozenset(found), frozenset())
+        entry = entry or await self._groups.read(group)
+        return StoredVersions(frozenset(), frozenset(entry.marks))
 
     async def _update_group(self, group: str) -> None:
         if len(self._registry.group_versions.list_known(group)) <= 1:
--- a/tests/gateway/test_stream_records.py
+++ b/tests/gateway/test_stream_records.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 from contextlib import suppress
+from typing import TYPE_CHECKING
 from unittest.mock import patch
 
 import aiohttp
@@ -21,6 +22,9 @@
     find_versions,
 )
 
+if TYPE_CHECKING:
+    from boragetiller.gateway.platform_interface import Listing
+
 
 class SilentEngine(VersionedEngine):
     """Sends nothing and resets the connection once told to."""
@@ -89,6 +93,25 @@
         metrics = harness.router.metrics.render()
         self.assertIn(b'streams_unknown_total{reason="conflicting_records"} 1.0', metrics)
 
+    async def test_store_is_asked_for_record_and_versions_at_the_same_time(self) -> None:
+        # Guards against streams that are refused because a slow store is asked twice in a row.
+        await self.register("old", "v1")
+        harness = await self.start_router()
+        await wait_until(lambda: self.list_stored_versions() == ["v1"])
+        list_prefix, get_key, both = self.store.list_prefix, self.store.get_key, asyncio.Barrier(2)
+
+        async def list_late(prefix: str) -> Listing:
+            if prefix.startswith(STREAMS_PREFIX):
+                await both.wait()
+            return await list_prefix(prefix)
+
+        async def get_late(key: str) -> Listing:
+            await both.wait()
+            return await get_key(key)
+
+        with patch.multiple(self.store, list_prefix=list_late, get_key=get_late):
+            self.assertEqual(await self.resume(harness, "unknown"), (200, ["v1", "v1"]))
+
     async def test_inferred_version_is_not_recorded(self) -> None:
         # Guards against a guess that other routers, and this one later, take for knowledge.
         await self.register("old", "v1")
