Responses: a part is returned as complete after the router had no room for the rest

What callers saw: a 200 with the first part of a body. An engine cuts off a response that stays unread for some seconds. If the response has neither length nor chunks, the end of its connection looks like that of a complete one. Streams were checked for it, buffered responses were not.

Change: such an end after a wait for room counts as `no_memory`, as for streams after the caller's pause: 504, or another attempt if the request may be repeated. The server is not blamed.

--- a/src/boragetiller/gateway/sender.py
+++ b/src/boragetiller/gateway/sender.py
@@ -28,6 +28,7 @@
     describe_head,
 )
 from boragetiller.systems.server_placement import compute_stream_sensitivity
+from boragetiller.systems.slow_callers.unread_time import is_left_unread
 from boragetiller.tables.call_metadata import ForwardMetadata
 from boragetiller.tables.direct_attempts import (
     CompleteResponse,
@@ -189,6 +190,11 @@
         body = await response.read(
             MAX_RESPONSE_BODY_RATIO * self._registry.config.limits.max_body_bytes, attempt.unread
         )
+        if response.is_close_delimited and is_left_unread(attempt.unread):
+            # Such an end looks the same as that of a response which the server cut off.
+            return attempt.build_failure(
+                DirectAttemptOutcome.LOST, "connection ended after a wait for room"
+            )
         complete = CompleteResponse(
             server=attempt.server.name, status=metadata.status, headers=headers, body=body
         )
--- a/tests/gateway/test_close_delimited_responses.py
+++ b/tests/gateway/test_close_delimited_responses.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import unittest
+from unittest.mock import patch
 
 import aiohttp
 
-from tests.gateway.harness import RouterHarness
+from tests.gateway.harness import RouterHarness, wait_until
 from tests.gateway.scripted_engine import (
     ReceivedRequest,
     ScriptedEngine,
@@ -16,9 +17,11 @@
     build_stream_header,
     reset,
 )
+from tests.gateway.stalling_caller import DEADLINE_MS, SkippedTime, count_metric
 
 PROMPT = {"X_Boragetiller_Token_Counts": "900,16", "X_Boragetiller_Prefix_Hash": "aa:800,bb:100"}
 EVENTS = build_event(1) + build_event(2)
+UNREAD_MS = 4_000  # after some seconds engines cut off a response
 
 
 def build_unframed_stream(request: ReceivedRequest, data: bytes) -> bytes:
@@ -68,6 +71,21 @@
         await self.serve("shop", is_reset=True)
         self.assertEqual((await self.read("/reserve/"))[0], 502)
 
+    async def test_body_that_ends_while_the_router_has_no_room_is_incomplete(self) -> None:
+        # Guards against a part that is taken for the whole, as engines cut off what stays unread.
+        await self.serve("shop")
+        time, budget = SkippedTime(self), self.harness.router.budget
+        with patch.object(budget, "_try_reserve", lambda _, size: not size):
+            call = asyncio.create_task(
+                self.read("/reserve/", X_Boragetiller_Deadline_Ms=f"{DEADLINE_MS}")
+            )
+            await wait_until(lambda: budget._waiting)
+            await time.skip(UNREAD_MS)
+        self.assertEqual((await call)[0], 504)
+        server = self.harness.router.registry.servers.by_name["a"]
+        self.assertEqual(server.health.failures, 0)
+        self.assertEqual(count_metric(self.harness, "sends", end="no_memory"), 1)
+
     async def test_stream_that_ends_with_its_connection_is_complete(self) -> None:
         await self.serve("engines", EVENTS)
         self.assertEqual(await self.read("/quotes/", **PROMPT), (200, EVENTS))
