Server pauses: a request is sent up to a millisecond before the end of a pause

The clock counts whole milliseconds and was read as up to one less than the time at which the response had arrived; a pause was also rounded down. Both now count in favour of the server.

Evidence: tests.gateway.test_pause_clock failed before (3 of 3 values) and passes.

--- a/src/boragetiller/gateway/server_pauses.py
+++ b/src/boragetiller/gateway/server_pauses.py
@@ -71,7 +71,9 @@
         now_ms = self._clock.now_ms()
         self._log_ended(remove_ended(self.table, now_ms), "elapsed")
         self._listed_until_ms = 0.0
-        pause = record_pause(self.table, record, metadata.pause_ms, now_ms)
+        # The clock counts whole milliseconds: up to one more had passed when the response arrived.
+        pause_ms = math.ceil(metadata.pause_ms) + 1
+        pause = record_pause(self.table, record, pause_ms, now_ms)
         if pause is not None:
             self._metrics.server_pauses.labels(record.group).inc()
             log_event(
