--- a/src/boragetiller/tables/servers.py
+++ b/src/boragetiller/tables/servers.py
@@ -34,7 +34,12 @@
 
 
 class Incarnation(NamedTuple):
-    """What tells an incarnation of a server from others under the same name."""
+    """
+    What tells an incarnation of a server from others under the same name.
+
+    Its pause also holds after its entry names another group or version, for which all else that
+    the router knows of it is dropped; see `ServerTable.replace`.
+    """
 
     name: str
     started_ms: int  # wall-clock time of its start, 0 if not given
