Streams: a request id that was used twice joins two versions at the router that knows both

Cause: a router kept the last origin under a request id. A caller that uses an id twice, the second time with an answer of another version, and takes up the first stream got the rest from the second version. The store's records of both were compared, the router's own were not.

--- a/src/boragetiller/gateway/streams/stream_versions.py
+++ b/src/boragetiller/gateway/streams/stream_versions.py
@@ -103,12 +103,14 @@
         """
         group, resumed_id = call.group.name, call.metadata.resumed_request_id
         origin = None if resumed_id is None else self._registry.stream_origins.find(resumed_id)
-        if origin is not None and origin.group == group:
+        if origin is not None and origin.group == group and not origin.is_ambiguous:
             return KnownVersion(origin.version, origin.source)
         stored = None if self._journal is None else await self._journal.read(group, resumed_id)
         known = self._registry.group_versions.list_known(group)
         decision = decide_resumption(stored, known)
-        if origin is not None:  # another service began it
+        if origin is not None and origin.is_ambiguous:
+            decision = UnknownVersion(UnknownReason.CONFLICTING_RECORDS)
+        elif origin is not None:  # another service began it
             decision = UnknownVersion(UnknownReason.NOT_RECORDED)
         match decision:
             case KnownVersion(version, VersionSource.STORE as source) if resumed_id is not None:
--- a/src/boragetiller/tables/stream_versions.py
+++ b/src/boragetiller/tables/stream_versions.py
@@ -33,6 +33,7 @@
     version: str
     began_ms: int  # monotonic time
     source: VersionSource = VersionSource.OWN
+    is_ambiguous: bool = False  # whether another version began a stream under the same request ID
 
 
 @attrs.define
@@ -52,7 +53,10 @@
         """
         if len(request_id) > MAX_REQUEST_ID_CHARS:
             return
-        self._origins.pop(request_id, None)
+        known = self._origins.pop(request_id, None)
+        if known is not None and origin.began_ms - known.began_ms < STREAM_LIFETIME_MS:
+            is_other = (known.group, known.version) != (origin.group, origin.version)
+            origin = attrs.evolve(origin, is_ambiguous=known.is_ambiguous or is_other)
         self._origins[request_id] = origin
         while self._origins:
             oldest = next(iter(self._origins.values()))
--- a/tests/gateway/test_stream_records.py
+++ b/tests/gateway/test_stream_records.py
@@ -93,6 +93,17 @@
         metrics = harness.router.metrics.render()
         self.assertIn(b'streams_unknown_total{reason="conflicting_records"} 1.0', metrics)
 
+    async def test_request_id_that_two_versions_used_is_not_trusted(self) -> None:
+        # Guards against the rest of the first stream from the version of the second one.
+        await self.register("old", "v1")
+        harness = await self.start_router()
+        self.assertEqual(set(await self.read_stream(harness, "twice")), {"v1"})
+        await self.register("new", "v2")
+        self.store.remove("servers/old")
+        await self.wait_until_listed(harness, "new")
+        self.assertEqual(set(await self.read_stream(harness, "twice")), {"v2"})
+        self.assertEqual(await self.resume(harness, "twice"), (503, []))
+
     async def test_store_is_asked_for_record_and_versions_at_the_same_time(self) -> None:
         # Guards against streams that are refused because a slow store is asked twice in a row.
         await self.register("old", "v1")
