Store: a configuration that takes the link over a second never arrives

Callers saw CONFIG: keys and routes of an older version, for as long as the configuration stayed large.

Cause: the time limit of a call to the store (1 s, for a watch 0.5 s after its wait) held for the whole response. On a link of 5 Mbit/s, a configuration of 1 MB takes 2.2 s, so each call was given up, its connection closed, and the next one began from the first byte. A poll beside a watch that is bringing the change halved the link.

No poll begins while a response arrives.

--- a/src/boragetiller/gateway/platform_interface.py
+++ b/src/boragetiller/gateway/platform_interface.py
@@ -116,6 +116,11 @@
 
     eras: StoreEraTracker  # eras that the responses name
 
+    @property
+    def is_receiving(self) -> bool:
+        """:return: whether a response has begun to arrive and is not complete"""
+        ...
+
     async def list_prefix(self, prefix: str) -> Listing:
         """
         List all entries whose key starts with the prefix.
--- a/src/boragetiller/gateway/store_watcher.py
+++ b/src/boragetiller/gateway/store_watcher.py
@@ -133,6 +133,8 @@
             self._store_polls.last_ms = self._clock.now_ms()
             if not self._store_reachable:
                 continue  # the watch detects when the store is back
+            if self._store.is_receiving:
+                continue  # a change arrives, which a second transfer would delay
             try:
                 for prefix in (self._dialect.config_key, self._dialect.servers_prefix):
                     await self._list_prefix(prefix, "reread")
--- a/src/boragetiller/platform_clients/call_session.py
+++ b/src/boragetiller/platform_clients/call_session.py
@@ -3,20 +3,39 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
 import attrs
+from multidict import CIMultiDictProxy  # noqa: TC002
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, Iterator
 
 # aiohttp rounds limits of 5 s and more up to whole seconds, and loses a cancellation that comes
 # at the moment of a limit.
 NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 
 
+@attrs.frozen(kw_only=True)
+class TransferLimits:
+    """Time limits of a call whose response may be long for the link, in milliseconds."""
+
+    begin_ms: float  # until the head of the response
+    progress_ms: float  # without a byte of the body
+    total_ms: float  # for the body, also if bytes trickle in
+
+
+@attrs.frozen(kw_only=True)
+class FetchedResponse:
+    """A response with its whole body."""
+
+    status: int
+    headers: CIMultiDictProxy[str]
+    body: bytes
+
+
 @attrs.define(eq=False)
 class _Pool:
     """A session with its connections, and the number of calls on them."""
@@ -38,6 +57,7 @@
         self._open_session = open_session
         self._pool = _Pool(open_session())
         self._replaced: set[_Pool] = set()  # with calls that have not ended
+        self.receiving = 0  # fetched responses whose head has arrived and whose body has not
 
     @asynccontextmanager
     async def request(
@@ -61,14 +81,62 @@
         :raises TimeoutError: the time limit expired
         :raises aiohttp.ClientError: the call failed
         """
-        pool = self._pool
-        pool.calls += 1
+        limit = asyncio.timeout(None if timeout_ms is None else timeout_ms / 1_000)
+        async with (
+            self._use_pool() as session,
+            limit,
+            session.request(method, url, timeout=timeout, **options) as response,
+        ):
+            yield response
+
+    async def fetch(
+        self, method: str, url: str, limits: TransferLimits, **options: Any
+    ) -> FetchedResponse:
+        """
+        Send a request and read the whole response, for as long as it makes progress.
+
+        :param method: HTTP method
+        :param url: URL
+        :param limits: time limits
+        :param options: further arguments of aiohttp's request
+        :return: the response
+        :raises TimeoutError: a time limit expired; the message has how much of the body had arrived
+        :raises aiohttp.ClientError: the call failed
+        """
+        loop = asyncio.get_running_loop()
+        chunks: list[bytes] = []
         try:
             async with (
-                asyncio.timeout(None if timeout_ms is None else timeout_ms / 1_000),
-                pool.session.request(method, url, timeout=timeout, **options) as response,
+                self._use_pool() as session,
+                asyncio.timeout(limits.begin_ms / 1_000) as limit,
+                session.request(method, url, timeout=NO_TIMEOUT, **options) as response,
             ):
-                yield response
+                end_s = loop.time() + limits.total_ms / 1_000
+                limit.reschedule(min(end_s, loop.time() + limits.progress_ms / 1_000))
+                with self._count_receiving():
+                    async for chunk in response.content.iter_any():
+                        chunks.append(chunk)
+                        limit.reschedule(min(end_s, loop.time() + limits.progress_ms / 1_000))
+                return FetchedResponse(
+                    status=response.status, headers=response.headers, body=b"".join(chunks)
+                )
+        except TimeoutError as error:
+            raise TimeoutError(f"after {sum(map(len, chunks))} bytes of the body") from error
+
+    @contextmanager
+    def _count_receiving(self) -> Iterator[None]:
+        self.receiving += 1
+        try:
+            yield
+        finally:
+            self.receiving -= 1
+
+    @asynccontextmanager
+    async def _use_pool(self) -> AsyncIterator[aiohttp.ClientSession]:
+        pool = self._pool
+        pool.calls += 1
+        try:
+            yield pool.session
         except TimeoutError:
             self._replace(pool)
             raise
@@ -90,4 +158,4 @@
             self._replaced.add(pool)
 
 
-__all__ = ["NO_TIMEOUT", "CallSession"]
+__all__ = ["NO_TIMEOUT", "CallSession", "FetchedResponse", "TransferLimits"]
--- /dev/null
+++ b/tests/gateway/config_transfer/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of :mod:`boragetiller.gateway.config_transfer`."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/gateway/config_transfer/test_narrow_links.py
@@ -0,0 +1,86 @@
+"""Large configurations on narrow links: how long a change takes, and what its transfer costs."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+from typing import Any
+from unittest.mock import patch
+
+import tests.platform_path  # noqa: F401
+from tests.gateway.harness import build_config
+from tests.gateway.store_channels import ChannelConnector, ChannelStore
+from tests.gateway.test_change_delays import SERVER, WatchingRouter, wait_ms
+from tests.virtual_time import VirtualClock, run_virtually
+
+LINK_BYTES_PER_S = 625_000  # 5 Mbit/s, the narrowest link of the deployments
+MAX_VALUE_BYTES = 1_048_576  # of an entry of the store
+DEADLINE_MS = 3_000  # config-apply-ms of the deployments with narrow links
+GIVE_UP_MS = 30_000
+
+
+def build_large_config(version: int, size: int) -> dict[str, Any]:
+    """:return: a configuration of about that many bytes, with routes that are not used"""
+    rng = Random(version)
+    routes = list(build_config(version)["routes"])
+    while len(routes) * 200 < size:
+        name = f"{rng.getrandbits(40):010x}"
+        fields = {"kind": "idempotent", "timeout-ms": 5_000, "goal-ms": 200, "service": "shop"}
+        fields |= {"host": f"{name}.example", "path-prefix": f"/{name}/", "max-attempts": 2}
+        routes.append({"name": f"r-{name}", "priority": 2, **fields, "public": False})
+    return build_config(version, routes=routes)
+
+
+async def measure_change_ms(size: int, seed: int, change_after_ms: int) -> float:
+    """:return: time in milliseconds after which a change of a large configuration is in force"""
+    store = ChannelStore()
+    store.link_bytes_per_s = LINK_BYTES_PER_S
+    store.put("op/config", build_config(1))
+    store.put("servers/a", SERVER)
+    with patch("aiohttp.TCPConnector", lambda **_options: ChannelConnector(store)):
+        router, clock = WatchingRouter(seed), VirtualClock()
+        await router.watcher.start()
+        await wait_ms(change_after_ms)
+        store.put("op/config", build_large_config(2, size))
+        began_ms = clock.now_ms()
+        while clock.now_ms() - began_ms < GIVE_UP_MS:
+            await wait_ms(10)
+            if router.registry.config is not None and router.registry.config.version == 2:
+                break
+        await router.watcher.close()
+        return clock.now_ms() - began_ms
+
+
+async def measure_start_ms(size: int, seed: int) -> float:
+    """:return: time in milliseconds after which a router that starts has a large configuration"""
+    store = ChannelStore()
+    store.link_bytes_per_s = LINK_BYTES_PER_S
+    store.put("op/config", build_large_config(2, size))
+    with patch("aiohttp.TCPConnector", lambda **_options: ChannelConnector(store)):
+        router, clock = WatchingRouter(seed), VirtualClock()
+        await router.watcher.start()
+        while router.registry.config is None and clock.now_ms() < GIVE_UP_MS:
+            await wait_ms(10)
+        await router.watcher.close()
+        return clock.now_ms()
+
+
+class NarrowLinkTest(unittest.TestCase):
+    """A router without peers, whose link takes over a second for the configuration."""
+
+    def test_largest_configuration_is_in_force_in_time(self) -> None:
+        for size in (500_000, MAX_VALUE_BYTES):
+            for seed, after_ms in ((1, 2_000), (2, 3_300), (3, 4_100), (4, 5_700)):
+                with self.subTest(size=size, seed=seed):
+                    took_ms = run_virtually(measure_change_ms(size, seed, after_ms))
+                    self.assertLessEqual(took_ms, DEADLINE_MS)
+
+    def test_router_that_starts_gets_the_largest_configuration(self) -> None:
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                took_ms = run_virtually(measure_start_ms(MAX_VALUE_BYTES, seed))
+                self.assertLessEqual(took_ms, DEADLINE_MS)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -100,6 +100,7 @@
         self.history: list[StoredItem] = []
         self.revision = 1
         self.down = False
+        self.is_receiving = False
         self.watches_stalled = False  # watches return no changes
         self.compacted_at = 0  # revision up to which the history is compacted
         self.calls: list[str] = []
--- a/tests/gateway/store_channels.py
+++ b/tests/gateway/store_channels.py
@@ -1,4 +1,4 @@
-"""Virtual-time channels to the stand-in of the platform's store, which may fall silent."""
+"""Virtual-time channels to the stand-in of the platform's store: silent ones, narrow links."""
 
 from __future__ import annotations
 
@@ -18,6 +18,7 @@
     from collections.abc import Awaitable, Callable
 
 CALL_MS = 4  # time that the store takes for a response
+CHUNK_BYTES = 16_384  # of a response on a narrow link
 HEAD_END = b"\r\n\r\n"
 
 
@@ -30,6 +31,9 @@
         self.calls: list[str] = []  # paths of the calls that arrived
         self.silent = False
         self.refused_status: int | None = None  # of all new calls, None to serve them
+        self.link_bytes_per_s: int | None = None  # of the router's link, None for no limit
+        self.sent_bytes = 0  # of the bodies of responses
+        self._link_free_s = 0.0
         self._channels: set[StoreChannel] = set()
 
     @property
@@ -58,6 +62,14 @@
         for channel in self._channels:
             channel.stalled |= silent and channel.waiting
 
+    async def wait_for_link(self, size: int) -> None:
+        """:param size: bytes to wait for; all channels share the link"""
+        if self.link_bytes_per_s is None:
+            return
+        loop = asyncio.get_running_loop()
+        self._link_free_s = max(self._link_free_s, loop.time()) + size / self.link_bytes_per_s
+        await asyncio.sleep(self._link_free_s - loop.time())
+
     async def respond(self, target: str) -> tuple[int, dict[str, Any]]:
         """
         Execute a call.
@@ -135,10 +147,18 @@
         status, document = await self._store.respond(target)
         if self.stalled or self._closing:
             return
-        self.waiting = False
         body = json.dumps(document).encode()
         head = f"HTTP/1.1 {status} x\r\nStore-Era: {self._store.era}\r\nContent-Length: {len(body)}"
-        self._handler.data_received(head.encode() + HEAD_END + body)
+        data = head.encode() + HEAD_END + body
+        chunk_bytes = CHUNK_BYTES if self._store.link_bytes_per_s else len(data)
+        for start in range(0, len(data), chunk_bytes):
+            chunk = data[start : start + chunk_bytes]
+            await self._store.wait_for_link(len(chunk))
+            if self.stalled or self._closing:
+                return
+            self._store.sent_bytes += len(chunk)
+            self.waiting = start + chunk_bytes < len(data)
+            self._handler.data_received(chunk)
 
 
 class ChannelConnector(aiohttp.BaseConnector):
--- /dev/null
+++ b/tests/systems/config_transfer/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of :mod:`boragetiller.systems.config_transfer`."""
+
+from __future__ import annotations
