Peers: each of them sends a large configuration, again every 0.3 s

Cause: a router that knew a change sent it to each peer whose reports did not show it after 0.3 s, whole, and again every 0.3 s until they did. A router on a link of 5 Mbit/s needs 0.9 s for its own copy; meanwhile up to 29 others sent theirs over the same link, so that reports, calls and the store's responses waited, and nothing was ever complete.

Change: a router that lacks a configuration asks one peer at a time, by a field of its reports, and the next one if it is late. The answer is sent once on a connection, deflated (1 MB of routes: 82 kB). Routers of an older release, whose hello lacks the flag, get the configuration as before.

--- a/src/boragetiller/gateway/backend_registry.py
+++ b/src/boragetiller/gateway/backend_registry.py
@@ -81,7 +81,7 @@
         self.on_crash_recorded: Callable[[], None] | None = None
         self.servers_listed = False  # whether the list of servers was ever received
         self.servers_outdated = False  # whether the newest list is still to be applied
-        self._settings = settings
+        self.settings = settings
         self.drain_ms = settings.drain_ms
         self.dialect = dialect
         self._clock = clock
@@ -149,9 +149,9 @@
         """
         if group not in self._budgets:
             self._budgets[group] = WindowedRetryBudget(
-                ratio=self._settings.retry_ratio,
-                slack=self._settings.retry_slack / MAX_ROUTERS,
-                window_ms=self._settings.retry_window_ms,
+                ratio=self.settings.retry_ratio,
+                slack=self.settings.retry_slack / MAX_ROUTERS,
+                window_ms=self.settings.retry_window_ms,
             )
         return self._budgets[group]
 
@@ -258,6 +258,7 @@
             era=get_era(item.revision),
             revision=get_store_revision(item.revision),
             source=source,
+            bytes=len(item.value),
         )
         for group in config.groups.values():
             if group.scaling_error:
--- /dev/null
+++ b/src/boragetiller/gateway/config_transfer/__init__.py
@@ -0,0 +1,3 @@
+"""Transfer of the configuration between routers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/boragetiller/gateway/config_transfer/exchange.py
@@ -0,0 +1,90 @@
+"""What a router and its peers tell each other of the configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from boragetiller.events import Event, log_event
+from boragetiller.gateway.store_revisions import is_newer
+from boragetiller.store_eras import get_store_revision
+from boragetiller.systems.config_transfer.requests import ConfigRequests
+
+if TYPE_CHECKING:
+    from boragetiller.clock import Clock
+    from boragetiller.gateway.backend_registry import BackendRegistry
+    from boragetiller.gateway.peer_reports import PeerReport
+    from boragetiller.tables.store_view import StoredItem
+
+MAX_TRANSFER_MS = 1_000  # of a compact configuration of 1 MB on a narrow link
+
+
+class ConfigExchange:
+    """Decides for one router from where it gets the configuration."""
+
+    def __init__(self, registry: BackendRegistry, clock: Clock) -> None:
+        """
+        Start without peers.
+
+        :param registry: holds the configuration in force, and the settings of the process
+        :param clock: monotonic clock
+        """
+        self._requests = ConfigRequests(registry.settings.name)
+        self._revisions: dict[str, int] = {}  # that the peers know, by name
+        self._registry = registry
+        self._clock = clock
+
+    def list_items_newer_than(self, revision: int) -> list[StoredItem]:
+        """
+        List the entries of the configuration that a peer lacks.
+
+        :param revision: extended revision up to which the peer knows them
+        :return: items, oldest first
+        """
+        items = self._registry.store_entries.view.newer_than(self._registry.dialect.config_key, 0)
+        return [item for item in items if is_newer(item.revision, revision)]
+
+    def complete_report(self, report: PeerReport, *, reaches_store: bool) -> PeerReport:
+        """
+        Add what peers must know of the configuration to a report.
+
+        :param report: the report
+        :param reaches_store: whether the last call of this router to the store succeeded
+        :return: the report with the peer that is asked for the configuration
+        """
+        now_ms = self._clock.now_ms()
+        own_revision = report.config_revision
+        newer = [name for name, each in self._revisions.items() if is_newer(each, own_revision)]
+        asked_before = self._requests.asked
+        asked = self._requests.choose_peer(
+            newer,
+            own_revision,
+            now_ms,
+            follows=reaches_store,
+            transfer_ms=MAX_TRANSFER_MS,
+        )
+        if asked is not None and asked != asked_before:
+            log_event(
+                Event.CONFIG_REQUESTED,
+                peer=asked,
+                revision=get_store_revision(own_revision),
+            )
+            self._registry.metrics.config_requests.inc()
+        return attrs.evolve(report, config_source=asked or "")
+
+    def apply_report(self, peer: str, report: PeerReport) -> None:
+        """
+        Apply a report.
+
+        :param peer: name of the peer
+        :param report: its report
+        """
+        self._revisions[peer] = report.config_revision
+
+    def remove_peer(self, peer: str) -> None:
+        """:param peer: name of a router that no longer sends reports"""
+        self._revisions.pop(peer, None)
+
+
+__all__ = ["ConfigExchange"]
--- a/src/boragetiller/gateway/metrics.py
+++ b/src/boragetiller/gateway/metrics.py
@@ -63,6 +63,9 @@
         )
         self.dropped_lines = self._counter("log_lines_dropped", "log lines dropped", "event")
         self.store_calls = self._counter("store_calls", "calls to the platform's store", "call")
+        self.config_requests = self._counter(
+            "config_requests", "requests to a peer for a newer configuration"
+        )
         self.task_failures = self._counter(
             "task_failures", "background tasks that failed and were restarted", "task"
         )
--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -84,7 +84,7 @@
         self._outbound_peers: dict[Endpoint, OutboundPeer] = {}
         self._report_task: asyncio.Task[None] | None = None
         self._hello_reader = HelloReader()
-        self._item_relay = ItemRelay(state_sync, clock)
+        self._item_relay = ItemRelay(settings.name, state_sync, clock)
         self._inbound_writers: set[asyncio.StreamWriter] = set()
         self.heard_routers = HeardRouters(settings.name)
         self._server: asyncio.Server | None = None
@@ -212,6 +212,7 @@
             incarnation=self._incarnation,
             address=self.endpoint.address,
             port=self.endpoint.port,
+            asks_for_config=True,
         )
         first_report = self._state_sync.build_first_report()
         writer.write(encode_frame(hello) + encode_frame(first_report))
@@ -258,7 +259,7 @@
         writer.write(frame)
         inbound = self._find_peer(writer.get_extra_info("peername"))
         if inbound is not None:
-            self._item_relay.send_missing_items(inbound, writer, self._get_resend_turn_ms(inbound))
+            self._item_relay.send_missing_items(inbound, peer, self._get_resend_turn_ms(inbound))
         peer.routers = self._send_routers(writer, peer.routers)
 
     def _send_routers(
@@ -307,7 +308,9 @@
             await self._handle_usage(reader, hello.name)
             return
         self._state_sync.peer_names[endpoint] = hello.name
-        self._inbound_peers[hello.name] = peer = InboundPeer(hello.incarnation, endpoint)
+        self._inbound_peers[hello.name] = peer = InboundPeer(
+            hello.incarnation, endpoint, asks_for_config=hello.asks_for_config
+        )
         self._state_sync.remove_peer(hello.name)  # its first report holds all of its loads
         self._update_peer_counts()
         log_event(Event.PEER_HEARD, peer=hello.name, incarnation=hello.incarnation)
@@ -340,6 +343,8 @@
             if isinstance(message, PeerReport):
                 self._item_relay.record_report(peer, message)
                 self._state_sync.apply_report(name, message)
+                if message.config_source == self._settings.name:
+                    self._state_sync.report_due.set()  # the answer goes with the next report
             elif isinstance(message, PeerItems):
                 self._state_sync.apply_items(message.items, name)
             elif isinstance(message, PeerRouters):
--- a/src/boragetiller/gateway/peer_messages.py
+++ b/src/boragetiller/gateway/peer_messages.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from functools import singledispatch
+import zlib
+from functools import lru_cache, singledispatch
 from pathlib import Path
 from typing import Any
 
@@ -27,6 +28,9 @@
 ENVELOPE_WORDS = 256
 ITEM_WORDS = 64  # a key has at most 200 bytes
 MAX_FRAME_BYTES = 4_194_304  # a store value has at most 1 MB
+COMPACT_MIN_BYTES = 4_096  # smaller values fit into a few packets as they are
+DEFLATE_LEVEL = 1  # the fastest; 1 MB of routes becomes 82 kB
+MAX_DEFLATED = 2  # values that are kept for all peers: the newest configuration, the one before
 
 _SCHEMA = capnp.load(str(Path(__file__).with_name("peers.capnp")), imports=[])
 
@@ -40,6 +44,7 @@
     address: str
     port: int
     usage_only: bool = False  # reports on the connection have only counts of requests
+    asks_for_config: bool = False  # needs no configuration unasked, and reads compact items
 
 
 @attrs.frozen
@@ -47,6 +52,7 @@
     """Store entries that the receiver lacks."""
 
     items: tuple[StoredItem, ...]
+    compact: bool = attrs.field(default=False, eq=False)  # whether large values are deflated
 
 
 @attrs.frozen
@@ -112,6 +118,7 @@
                 address=hello.address,
                 port=hello.port,
                 usage_only=hello.usageOnly,
+                asks_for_config=hello.asksForConfig,
             )
         case "report":
             return read_report(envelope.report)
@@ -125,7 +132,8 @@
 def _read_item(item: Any) -> StoredItem:
     revision = extend_revision(item.era, item.revision)
     if not item.removed:
-        return StoredItem(item.key, bytes(item.value), revision)
+        value = _inflate(bytes(item.deflated)) if item.deflated else bytes(item.value)
+        return StoredItem(item.key, value, revision)
     version = None
     if item._has("removedVersion"):  # noqa: SLF001
         stored = item.removedVersion
@@ -133,6 +141,23 @@
     return StoredItem(item.key, None, revision, version)
 
 
+@lru_cache(maxsize=MAX_DEFLATED)
+def _deflate(value: bytes) -> bytes:
+    return zlib.compress(value, DEFLATE_LEVEL)
+
+
+def _inflate(data: bytes) -> bytes:
+    """:raises ValueError: the bytes are malformed, or too long when inflated"""
+    inflater = zlib.decompressobj()
+    try:
+        value = inflater.decompress(data, MAX_FRAME_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"deflated value of {len(data)} bytes: {error}") from error
+    if not inflater.eof:
+        raise ValueError(f"deflated value: over {MAX_FRAME_BYTES} bytes, or cut off")
+    return value
+
+
 @singledispatch
 def _to_capnp(message: PeerMessage) -> tuple[str, Any]:
     raise TypeError(type(message).__name__)
@@ -142,6 +167,7 @@
 def _(message: PeerHello) -> tuple[str, Any]:
     fields = attrs.asdict(message)
     fields["usageOnly"] = fields.pop("usage_only")
+    fields["asksForConfig"] = fields.pop("asks_for_config")
     return "hello", fields
 
 
@@ -152,13 +178,16 @@
 
 @_to_capnp.register
 def _(message: PeerItems) -> tuple[str, Any]:
-    return "items", [_build_item(item) for item in message.items]
+    return "items", [_build_item(item, compact=message.compact) for item in message.items]
 
 
-def _build_item(item: StoredItem) -> dict[str, Any]:
+def _build_item(item: StoredItem, *, compact: bool) -> dict[str, Any]:
+    value = item.value or b""
+    is_deflated = compact and len(value) >= COMPACT_MIN_BYTES
     fields: dict[str, Any] = {
         "key": item.key,
-        "value": item.value or b"",
+        "value": b"" if is_deflated else value,
+        "deflated": _deflate(value) if is_deflated else b"",
         "revision": get_store_revision(item.revision),
         "era": get_era(item.revision),
         "removed": item.value is None,
--- a/src/boragetiller/gateway/peer_reports.py
+++ b/src/boragetiller/gateway/peer_reports.py
@@ -59,6 +59,7 @@
     hedges: tuple[LatencySummary, ...] = ()
     announcements: tuple[ServerAnnouncement, ...] = ()
     entries_digest: int = 0  # of the store entries that the sender knows; see StoreView
+    config_source: str = ""  # name of the router that is asked for the newest configuration
 
     def differs_from(self, last: PeerReport | None) -> bool:
         """
@@ -71,7 +72,7 @@
             return True
         return self._store_state() != last._store_state()  # noqa: SLF001
 
-    def _store_state(self) -> tuple[int, int, int, int, bool, bool]:
+    def _store_state(self) -> tuple[object, ...]:
         return (
             self.config_revision,
             self.servers_revision,
@@ -79,6 +80,7 @@
             self.store_reads,
             self.reaches_store,
             self.watches,
+            self.config_source,
         )
 
 
@@ -169,6 +171,7 @@
             for limit in message.limits
         ],
         "entriesDigest": message.entries_digest,
+        "configSource": message.config_source,
         "storeReads": message.store_reads,
         "reachesStore": message.reaches_store,
         "watches": message.watches,
@@ -232,6 +235,7 @@
         part_crashes=tuple(_read_part_crash(crash) for crash in report.partCrashes),
         limits=tuple(_read_limit(limit) for limit in report.limits),
         entries_digest=report.entriesDigest,
+        config_source=report.configSource,
         store_reads=report.storeReads,
         reaches_store=report.reachesStore,
         watches=report.watches,
--- a/src/boragetiller/gateway/peers.capnp
+++ b/src/boragetiller/gateway/peers.capnp
@@ -16,6 +16,7 @@
   address @2 :Text;
   port @3 :UInt16;
   usageOnly @4 :Bool;  # reports on this connection have counts of requests and nothing else
+  asksForConfig @5 :Bool;  # the sender needs no configuration unasked, and reads compact items
 }
 
 struct Address {
@@ -41,6 +42,7 @@
   hedges @14 :List(LatencySummary);
   announcements @15 :List(Announcement);
   entriesDigest @16 :UInt64;  # of the known configuration and servers; 0 from older routers
+  configSource @17 :Text;  # name of the router that is asked for the newest configuration
 }
 
 struct ServerSpeed {
@@ -123,6 +125,7 @@
   removed @3 :Bool;
   era @4 :UInt32;
   removedVersion @5 :EntryVersion;  # of a removed entry, if known
+  deflated @6 :Data;  # the value in zlib format, in place of `value`
 }
 
 struct EntryVersion {
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from boragetiller.gateway.config_transfer.exchange import ConfigExchange
 from boragetiller.gateway.failure_reports import apply_failures
 from boragetiller.gateway.load_reports import apply_loads, list_changed_loads
 from boragetiller.gateway.peer_messages import CachedPrompt, PeerReport
@@ -63,6 +64,7 @@
         self.speeds = ServerSpeeds(registry.servers, registry.metrics, clock)
         self.report_due = asyncio.Event()  # set by what peers must know before the next interval
         self.latencies: LatencyExchange | None = None  # None if hedging is not configured
+        self.config = ConfigExchange(registry, clock)
         self._registry = registry
         self._registry.on_crash_recorded = self.report_due.set
         self._costs = costs
@@ -187,6 +189,7 @@
             usage=() if self.usage is None else self.usage.build_report_entries(cursor.usage),
             speeds=self.speeds.list_reports(cursor.speeds),
         )
+        report = self.config.complete_report(report, reaches_store=report.reaches_store)
         self.speeds.update_ranks()
         if self.latencies is not None:
             report = attrs.evolve(report, hedges=self.latencies.list_since(cursor.latencies))
@@ -238,6 +241,7 @@
                 )
         if self.latencies is not None:
             self.latencies.apply(peer, report.hedges)
+        self.config.apply_report(peer, report)
         self.store_polls.record_peer_polls(peer, report.store_reads, now_ms)
         self.watcher_election.record_peer(peer, now_ms, reaches_store=report.reaches_store)
         if self.usage is not None:
@@ -275,6 +279,7 @@
         remove_peer(self._registry.peer_loads, peer)
         self.store_polls.peer_polls.pop(peer, None)
         self.watcher_election.remove_peer(peer)
+        self.config.remove_peer(peer)
         if self.usage is not None:
             self.usage.remove_peer(peer)
 
