Configuration: routers on narrow links fall behind a series of changes

Callers saw CONFIG: during and after a series of changes of a large configuration, up to 24 of 30 routers did not have its versions.

Cause: a watch returns each version of an entry whole. A link of 5 Mbit/s takes 0.9 s for 1,400 routes; a response with the three versions that came meanwhile takes 2.7 s, the next one longer. Calls and their servers wait for the same link.

Change: a router whose link takes longer than a tenth of the deadline of changes leaves the watch and the polls of the configuration to others, if it knows at least three that follow it, and asks them. Routers on wide links come first, then those with the lowest hashes, so that some always follow. The settings name the link; without it a router follows, as before, and so does every router while the configuration is small.

--- a/src/boragetiller/gateway/config_transfer/exchange.py
+++ b/src/boragetiller/gateway/config_transfer/exchange.py
@@ -8,7 +8,8 @@
 
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.store_revisions import is_newer
-from boragetiller.store_eras import get_store_revision
+from boragetiller.store_eras import get_era, get_store_revision
+from boragetiller.systems.config_transfer.followers import ConfigFollowers
 from boragetiller.systems.config_transfer.requests import ConfigRequests
 
 if TYPE_CHECKING:
@@ -17,8 +18,6 @@
     from boragetiller.gateway.peer_reports import PeerReport
     from boragetiller.tables.store_view import StoredItem
 
-MAX_TRANSFER_MS = 1_000  # of a compact configuration of 1 MB on a narrow link
-
 
 class ConfigExchange:
     """Decides for one router from where it gets the configuration."""
@@ -30,11 +29,40 @@
         :param registry: holds the configuration in force, and the settings of the process
         :param clock: monotonic clock
         """
-        self._requests = ConfigRequests(registry.settings.name)
+        settings = registry.settings
+        self.followers = ConfigFollowers(
+            settings.name, settings.config_apply_ms, settings.link_bytes_per_s
+        )
+        self._requests = ConfigRequests(settings.name)
         self._revisions: dict[str, int] = {}  # that the peers know, by name
+        self._follows = True
         self._registry = registry
         self._clock = clock
 
+    def must_follow(self) -> bool:
+        """:return: whether this router watches and polls the configuration in the store"""
+        if self._registry.config is None or self._has_missed_restore():
+            return True
+        view = self._registry.store_entries.view
+        item = view.get_in_force(self._registry.dialect.config_key)
+        self.followers.value_bytes = len(item.value or b"") if item else 0
+        follows = self.followers.must_follow(self._clock.now_ms())
+        if follows != self._follows:
+            self._follows = follows
+            log_event(
+                Event.CONFIG_FOLLOWED,
+                follows=follows,
+                bytes=self.followers.value_bytes,
+                transfer_ms=round(self.followers.estimate_transfer_ms()),
+            )
+        return follows
+
+    def _has_missed_restore(self) -> bool:
+        """:return: whether a peer knows of a restore of the store, after which each router lists"""
+        view = self._registry.store_entries.view
+        era = get_era(view.newest_revision(self._registry.dialect.config_key))
+        return any(get_era(revision) > era for revision in self._revisions.values())
+
     def list_items_newer_than(self, revision: int) -> list[StoredItem]:
         """
         List the entries of the configuration that a peer lacks.
@@ -53,7 +81,7 @@
         :param reaches_store: whether the last call of this router to the store succeeded
         :return: the report with the peer that is asked for the configuration
         """
-        now_ms = self._clock.now_ms()
+        follows, now_ms = self.must_follow(), self._clock.now_ms()
         own_revision = report.config_revision
         newer = [name for name, each in self._revisions.items() if is_newer(each, own_revision)]
         asked_before = self._requests.asked
@@ -61,17 +89,23 @@
             newer,
             own_revision,
             now_ms,
-            follows=reaches_store,
-            transfer_ms=MAX_TRANSFER_MS,
+            follows=follows and reaches_store,
+            transfer_ms=self.followers.estimate_transfer_ms(),
         )
         if asked is not None and asked != asked_before:
             log_event(
                 Event.CONFIG_REQUESTED,
                 peer=asked,
                 revision=get_store_revision(own_revision),
+                bytes=self.followers.value_bytes,
             )
             self._registry.metrics.config_requests.inc()
-        return attrs.evolve(report, config_source=asked or "")
+        return attrs.evolve(
+            report,
+            config_source=asked or "",
+            follows_config=follows and reaches_store,
+            is_config_quick=self.followers.is_quick,
+        )
 
     def apply_report(self, peer: str, report: PeerReport) -> None:
         """
@@ -81,10 +115,17 @@
         :param report: its report
         """
         self._revisions[peer] = report.config_revision
+        self.followers.record_peer(
+            peer,
+            self._clock.now_ms(),
+            follows=report.follows_config,
+            is_quick=report.is_config_quick,
+        )
 
     def remove_peer(self, peer: str) -> None:
         """:param peer: name of a router that no longer sends reports"""
         self._revisions.pop(peer, None)
+        self.followers.remove_peer(peer)
 
 
 __all__ = ["ConfigExchange"]
--- a/src/boragetiller/gateway/peer_reports.py
+++ b/src/boragetiller/gateway/peer_reports.py
@@ -60,6 +60,8 @@
     announcements: tuple[ServerAnnouncement, ...] = ()
     entries_digest: int = 0  # of the store entries that the sender knows; see StoreView
     config_source: str = ""  # name of the router that is asked for the newest configuration
+    follows_config: bool = False  # whether the sender reads the configuration in the store itself
+    is_config_quick: bool = False  # whether the link of the sender takes little time for it
 
     def differs_from(self, last: PeerReport | None) -> bool:
         """
@@ -81,6 +83,8 @@
             self.reaches_store,
             self.watches,
             self.config_source,
+            self.follows_config,
+            self.is_config_quick,
         )
 
 
@@ -172,6 +176,8 @@
         ],
         "entriesDigest": message.entries_digest,
         "configSource": message.config_source,
+        "followsConfig": message.follows_config,
+        "isConfigQuick": message.is_config_quick,
         "storeReads": message.store_reads,
         "reachesStore": message.reaches_store,
         "watches": message.watches,
@@ -236,6 +242,8 @@
         limits=tuple(_read_limit(limit) for limit in report.limits),
         entries_digest=report.entriesDigest,
         config_source=report.configSource,
+        follows_config=report.followsConfig,
+        is_config_quick=report.isConfigQuick,
         store_reads=report.storeReads,
         reaches_store=report.reachesStore,
         watches=report.watches,
--- a/src/boragetiller/gateway/peers.capnp
+++ b/src/boragetiller/gateway/peers.capnp
@@ -43,6 +43,8 @@
   announcements @15 :List(Announcement);
   entriesDigest @16 :UInt64;  # of the known configuration and servers; 0 from older routers
   configSource @17 :Text;  # name of the router that is asked for the newest configuration
+  followsConfig @18 :Bool;  # whether the sender reads the configuration in the store itself
+  isConfigQuick @19 :Bool;  # whether the link of the sender takes little time for it
 }
 
 struct ServerSpeed {
--- a/src/boragetiller/gateway/settings.py
+++ b/src/boragetiller/gateway/settings.py
@@ -36,6 +36,7 @@
     duties: DutySettings | None = None  # None for none
     memory_bytes: int = DEFAULT_MEMORY_BYTES  # of the host
     max_descriptors: int = DEFAULT_MAX_DESCRIPTORS  # that the process may have open
+    link_bytes_per_s: float | None = None  # of the host's link; None if it is not known
 
 
 __all__ = ["Endpoint", "GatewaySettings"]
--- a/src/boragetiller/gateway/store_watcher.py
+++ b/src/boragetiller/gateway/store_watcher.py
@@ -57,6 +57,7 @@
         :param rng: seeded random generator
         """
         self._store_polls = state_sync.store_polls
+        self._config_exchange = state_sync.config
         self._watcher_election = state_sync.watcher_election
         self._watch_interval_ms = settings.drain_ms * WATCH_INTERVAL_SHARE
         self._watch_deadline_ms = min(settings.config_apply_ms, settings.drain_ms)
@@ -94,7 +95,8 @@
         while True:
             try:
                 is_servers = prefix == self._dialect.servers_prefix
-                if is_servers and not self._must_watch():
+                must_watch = self._must_watch if is_servers else self._config_exchange.must_follow
+                if not must_watch():
                     revision = 0  # peers send changes meanwhile
                     await asyncio.sleep(ELECTION_CHECK_MS / 1_000)
                     continue
@@ -133,8 +135,8 @@
             self._store_polls.last_ms = self._clock.now_ms()
             if not self._store_reachable:
                 continue  # the watch detects when the store is back
-            if self._store.is_receiving:
-                continue  # a change arrives, which a second transfer would delay
+            if self._store.is_receiving or not self._config_exchange.must_follow():
+                continue  # a change arrives, or those poll that follow the configuration
             try:
                 for prefix in (self._dialect.config_key, self._dialect.servers_prefix):
                     await self._list_prefix(prefix, "reread")
--- a/tests/gateway/config_transfer/test_requested_configurations.py
+++ b/tests/gateway/config_transfer/test_requested_configurations.py
@@ -23,12 +23,14 @@
 )
 from boragetiller.tables.store_view import StoredItem
 from tests.gateway.config_transfer.test_narrow_links import build_large_config
-from tests.gateway.harness import RouterHarness, wait_until
+from tests.gateway.harness import RouterHarness, build_config, wait_until
 
 if TYPE_CHECKING:
     from boragetiller.gateway.peer_states import InboundPeer, OutboundPeer
 
 SIZE = 300_000
+NARROW = 625_000.0  # bytes per second
+WIDE = 125_000_000.0
 
 
 class RequestedConfigurationTest(unittest.IsolatedAsyncioTestCase):
@@ -39,7 +41,7 @@
         fleet: list[RouterHarness] = []
         for number in range(count):
             seeds = (fleet[0].router.peer_exchange.endpoint,) if fleet else ()
-            changes = last if number == count - 1 else {}
+            changes = last if number == count - 1 else {"link_bytes_per_s": WIDE}
             harness = RouterHarness(name=f"router-{number}", seeds=seeds, **changes)
             await harness.start()
             self.addAsyncCleanup(harness.close)
@@ -71,15 +73,26 @@
 
     async def test_router_that_lacks_a_configuration_gets_it_once(self) -> None:
         # Guards against copies from all peers, which occupied a narrow link for seconds.
-        fleet = await self.start_fleet(6)
+        fleet = await self.start_fleet(6, link_bytes_per_s=WIDE)
         fleet[-1].store.down = True
         self.record_items(fleet[-1])
         await self.put_everywhere_but_last(fleet, 2)
         await asyncio.sleep(0.8)  # two turns of a resend
         self.assertEqual(len(self.received), 1)
 
+    async def test_router_on_a_narrow_link_leaves_the_watch_to_its_peers(self) -> None:
+        fleet = await self.start_fleet(5, link_bytes_per_s=NARROW)
+        narrow = fleet[-1]
+        self.record_items(narrow)
+        await self.put_everywhere_but_last(fleet, 2)
+        await wait_until(lambda: not narrow.router.state_sync.config.must_follow())
+        await asyncio.sleep(0.5)  # the watch that began before ends
+        narrow.store.put("op/config", build_config(90))  # not read
+        await self.put_everywhere_but_last(fleet, 3)
+        self.assertEqual(len(self.received), 2)
+
     async def test_another_peer_is_asked_when_the_first_does_not_answer(self) -> None:
-        fleet = await self.start_fleet(4)
+        fleet = await self.start_fleet(4, link_bytes_per_s=NARROW)
         fleet[-1].store.down = True
         asked: list[str] = []
         send_config = ItemRelay._send_config
@@ -101,7 +114,7 @@
             return encode_frame(message)
 
         with patch("boragetiller.gateway.peer_exchange.encode_frame", say_hello_as_before):
-            fleet = await self.start_fleet(2)
+            fleet = await self.start_fleet(2, link_bytes_per_s=WIDE)
         fleet[-1].store.down = True
         with patch(
             "boragetiller.systems.config_transfer.requests.ConfigRequests.choose_peer",
