--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -14,19 +14,17 @@
 from typing import TYPE_CHECKING
 
 from boragetiller.clock import new_incarnation
-from boragetiller.control.errors import BadFrame
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.backend_connections import enable_keepalive
 from boragetiller.gateway.heard_routers import HeardRouters
+from boragetiller.gateway.inbound_peers import MAX_KNOWN_ROUTERS, InboundPeers
 from boragetiller.gateway.item_relay import ItemRelay, compute_resend_turn_ms
 from boragetiller.gateway.peer_messages import (
     PeerHello,
-    PeerItems,
     PeerReport,
     PeerRouters,
     encode_frame,
 )
-from boragetiller.gateway.peer_reader import HelloReader, read_message
 from boragetiller.gateway.peer_states import InboundPeer, OutboundPeer
 from boragetiller.gateway.settings import Endpoint
 from boragetiller.gateway.supervisor import run_supervised
@@ -50,7 +48,6 @@
 CONNECT_TIMEOUT_MS = 1_000
 RECONNECT_DELAY_MS = 1_000
 MAX_BUFFER_BYTES = 2_000_000  # of unsent data, after which a slow peer is disconnected
-MAX_KNOWN_ROUTERS = 1_024  # more than twice the planned size of the fleet
 MIN_INBOUND_PEERS = 8  # with fewer, seeds stay connected, so that lost peers isolate no router
 REMOVE_AFTER_MS = 30_000  # an unreachable router is removed after this time unless it is a seed
 
@@ -78,14 +75,18 @@
         self._clock = clock
         self._metrics = metrics
         self._incarnation = new_incarnation()
-        self._inbound_peers: dict[str, InboundPeer] = {}
         self._connection_tasks: dict[Endpoint, asyncio.Task[None]] = {}
         self._known_endpoints: set[Endpoint] = set()  # of other routers, connected or not
         self._outbound_peers: dict[Endpoint, OutboundPeer] = {}
         self._report_task: asyncio.Task[None] | None = None
-        self._hello_reader = HelloReader()
         self._item_relay = ItemRelay(settings.name, state_sync, clock)
-        self._inbound_writers: set[asyncio.StreamWriter] = set()
+        self._inbound = InboundPeers(
+            settings.name,
+            state_sync,
+            self._item_relay,
+            on_changed=self._update_peer_counts,
+            on_endpoint=self._add_endpoint,
+        )
         self.heard_routers = HeardRouters(settings.name)
         self._server: asyncio.Server | None = None
         self._seeds: tuple[Endpoint, ...] = ()
@@ -96,7 +97,7 @@
         own = self._settings.peers
         if own is None:
             return
-        self._server = await asyncio.start_server(self._accept, own.address, own.port)
+        self._server = await asyncio.start_server(self._inbound.accept, own.address, own.port)
         port: int = self._server.sockets[0].getsockname()[1]
         self.endpoint = Endpoint(own.address, port)
         self._report_task = asyncio.create_task(
@@ -131,8 +132,7 @@
         """Close all connections."""
         if self._server is not None:
             self._server.close()
-        for writer in self._inbound_writers:
-            writer.transport.abort()
+        self._inbound.abort()
         tasks = list(self._connection_tasks.values())
         if self._report_task is not None:
             tasks.append(self._report_task)
@@ -157,7 +157,7 @@
     def _update_connections(self) -> None:
         """Connect to the peers, and to other seeds while there are too few inbound peers."""
         own, known = str(self.endpoint), len(self._known_endpoints)
-        seeds = set(self._seeds) if len(self._inbound_peers) < MIN_INBOUND_PEERS else set()
+        seeds = set(self._seeds) if len(self._inbound.by_name) < MIN_INBOUND_PEERS else set()
         for endpoint in self._known_endpoints:
             wanted = endpoint in seeds or are_peers(own, str(endpoint), known)
             if wanted and endpoint not in self._connection_tasks:
@@ -168,17 +168,17 @@
                 self._connection_tasks.pop(endpoint).cancel()
 
     def _update_peer_counts(self) -> None:
-        share = compute_reporting_share(len(self._known_endpoints), len(self._inbound_peers))
+        share = compute_reporting_share(len(self._known_endpoints), len(self._inbound.by_name))
         if share < 1.0 <= self._state_sync.reporting_share:
             log_event(Event.PEERS_BOUNDED, known=len(self._known_endpoints), peers=MAX_PEERS)
         self._state_sync.reporting_share = share
         self._update_members()
-        self._metrics.peers.set(len(self._inbound_peers))
+        self._metrics.peers.set(len(self._inbound.by_name))
         self._update_connections()
 
     def _update_members(self) -> None:
         """Update the routers that share limits and duties."""
-        connected = (peer.endpoint for peer in self._inbound_peers.values())
+        connected = self._inbound.list_endpoints()
         known, now_ms = self._known_endpoints, self._clock.now_ms()
         self.heard_routers.update(self.endpoint, connected, known, now_ms)
         self._state_sync.set_members(str(self.endpoint), self.heard_routers.view.known)
@@ -257,7 +257,7 @@
             writer.transport.abort()
             return
         writer.write(frame)
-        inbound = self._find_peer(writer.get_extra_info("peername"))
+        inbound = self._inbound.find(writer.get_extra_info("peername"))
         if inbound is not None:
             self._item_relay.send_missing_items(inbound, peer, self._get_resend_turn_ms(inbound))
         peer.routers = self._send_routers(writer, peer.routers)
@@ -266,7 +266,7 @@
         self, writer: asyncio.StreamWriter, already_sent: set[Endpoint]
     ) -> set[Endpoint]:
         """Send new addresses of inbound peers; return all that the peer has been sent."""
-        current = {peer.endpoint for peer in self._inbound_peers.values()}
+        current = self._inbound.list_endpoints()
         if current - already_sent:
             writer.write(encode_frame(PeerRouters(tuple(sorted(current - already_sent, key=str)))))
         return current
@@ -275,81 +275,9 @@
         return compute_resend_turn_ms(
             str(self.endpoint),
             str(peer.endpoint),
-            len(self._inbound_peers),
+            len(self._inbound.by_name),
             len(self._outbound_peers),
         )
 
-    def _find_peer(self, address: tuple[str, int]) -> InboundPeer | None:
-        name = self._state_sync.peer_names.get(Endpoint(*address[:2]))
-        return self._inbound_peers.get(name) if name else None
-
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._inbound_writers.add(writer)
-        try:
-            enable_keepalive(writer.get_extra_info("socket"))
-            await self._receive(reader)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, BadFrame) as error:
-            peer = writer.get_extra_info("peername")
-            log_event(Event.PEER_LOST, peer=str(peer), reason=repr(error))
-        finally:
-            self._inbound_writers.discard(writer)
-            writer.transport.abort()
-
-    async def _receive(self, reader: asyncio.StreamReader) -> None:
-        hello = await self._hello_reader.read(reader)
-        if not isinstance(hello, PeerHello) or hello.name == self._settings.name:
-            raise BadFrame("first message is not a hello of another router")
-        endpoint = Endpoint(hello.address, hello.port)
-        if len(self._inbound_peers) >= MAX_KNOWN_ROUTERS:
-            raise BadFrame("more peers than routers")
-        if not endpoint.is_valid:
-            raise BadFrame(f"the hello of {hello.name} names the address {endpoint}")
-        if hello.usage_only:
-            await self._handle_usage(reader, hello.name)
-            return
-        self._state_sync.peer_names[endpoint] = hello.name
-        self._inbound_peers[hello.name] = peer = InboundPeer(
-            hello.incarnation, endpoint, asks_for_config=hello.asks_for_config
-        )
-        self._state_sync.remove_peer(hello.name)  # its first report holds all of its loads
-        self._update_peer_counts()
-        log_event(Event.PEER_HEARD, peer=hello.name, incarnation=hello.incarnation)
-        self._add_endpoint(endpoint)
-        try:
-            await self._handle_messages(reader, hello.name, peer)
-        finally:
-            if self._inbound_peers.get(hello.name) is peer:
-                del self._inbound_peers[hello.name]
-                self._state_sync.remove_peer(hello.name)
-            self._update_peer_counts()
-
-    async def _handle_usage(self, reader: asyncio.StreamReader, name: str) -> None:
-        """Handle a connection of a router that may be no peer; see gateway.duties.usage_links."""
-        usage = self._state_sync.usage
-        try:
-            while True:
-                message = await read_message(reader)
-                if isinstance(message, PeerReport) and usage is not None:
-                    usage.apply_entries(name, message.usage)
-        finally:
-            if usage is not None:
-                usage.remove_peer(name)
-
-    async def _handle_messages(
-        self, reader: asyncio.StreamReader, name: str, peer: InboundPeer
-    ) -> None:
-        while True:
-            message = await read_message(reader)
-            if isinstance(message, PeerReport):
-                self._item_relay.record_report(peer, message)
-                self._state_sync.apply_report(name, message)
-                if message.config_source == self._settings.name:
-                    self._state_sync.report_due.set()  # the answer goes with the next report
-            elif isinstance(message, PeerItems):
-                self._state_sync.apply_items(message.items, name)
-            elif isinstance(message, PeerRouters):
-                for endpoint in message.endpoints:
-                    self._add_endpoint(endpoint)
-
 
-__all__ = ["PeerExchange"]
+__all__ = ["MAX_KNOWN_ROUTERS", "PeerExchange"]
