--- a/src/boragetiller/gateway/peer_messages.py
+++ b/src/boragetiller/gateway/peer_messages.py
@@ -12,13 +12,13 @@
 
 from boragetiller.control.capnp_packing import WORD_BYTES, pack_message, unpack_message
 from boragetiller.control.errors import BadFrame
+from boragetiller.gateway.peer_report_reader import read_report
 from boragetiller.gateway.peer_reports import (
     CachedPrompt,
     PeerReport,
     ReportedLoad,
     build_report_fields,
     count_entries,
-    read_report,
 )
 from boragetiller.gateway.settings import Endpoint
 from boragetiller.store_eras import extend_revision, get_era, get_store_revision
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -10,22 +10,19 @@
 from boragetiller.gateway.config_transfer.exchange import ConfigExchange
 from boragetiller.gateway.failure_reports import apply_failures
 from boragetiller.gateway.load_reports import apply_loads, list_changed_loads
-from boragetiller.gateway.peer_messages import CachedPrompt, PeerReport
+from boragetiller.gateway.peer_messages import PeerReport
+from boragetiller.gateway.prompt_reports import PromptReports
 from boragetiller.gateway.report_cursor import ReportCursor
 from boragetiller.gateway.server_speeds import ServerSpeeds
 from boragetiller.gateway.store_revisions import StoreRevisions, is_newer
 from boragetiller.store_eras import get_era
 from boragetiller.systems.failure_history import list_crashes
-from boragetiller.systems.overload.committed_memory import record_peer_parts
-from boragetiller.systems.overload.shared_part_copies import record_use
 from boragetiller.systems.part_quarantine import list_reports
 from boragetiller.systems.peer_loads import record_report, remove_peer
-from boragetiller.systems.prefix_cache import estimate_cache_tokens, record_prefill
 from boragetiller.systems.server_limits import apply_report as apply_limit_report
 from boragetiller.systems.server_limits import list_limits, set_members
 from boragetiller.systems.store_polling import StorePollSchedule
 from boragetiller.systems.watcher_election import WatcherElection
-from boragetiller.tables.recent_items import RecentItems
 
 if TYPE_CHECKING:
     from boragetiller.clock import Clock
@@ -39,8 +36,6 @@
     from boragetiller.tables.servers import BackendServer
     from boragetiller.tables.store_view import StoredItem
 
-MAX_RECENT_PROMPTS = 512  # enough for those sent in the 100 ms between two reports
-
 
 class StateSync:
     """Builds this router's reports and applies the reports and store entries of its peers."""
@@ -67,11 +62,8 @@
         self.config = ConfigExchange(registry, clock)
         self._registry = registry
         self._registry.on_crash_recorded = self.report_due.set
-        self._costs = costs
         self._clock = clock
-        self._recent_prompts: RecentItems[CachedPrompt] = RecentItems.with_capacity(
-            MAX_RECENT_PROMPTS
-        )
+        self._prompts = PromptReports(registry, costs, clock)
 
     def get_revisions(self) -> StoreRevisions:
         """:return: revisions up to which this router knows the store"""
@@ -120,8 +112,7 @@
         :param prompt: the prompt
         :param engine: engine profile of its group
         """
-        self._record_prompt_prefill(server, prompt, engine)
-        self._recent_prompts.add(CachedPrompt(server=server.name, prompt=prompt))
+        self._prompts.record_own(server, prompt, engine)
 
     def record_leaving(self, server: BackendServer) -> None:
         """
@@ -137,7 +128,7 @@
         """:return: cursor of a new connection, which skips earlier prompts and failures"""
         history = self._registry.failure_history
         return ReportCursor(
-            self._recent_prompts.count,
+            self._prompts.recent.count,
             history.recent.count,
             history.part_crashes.recent.count,
             self._registry.server_limits.recent.count,
@@ -177,7 +168,7 @@
             loads=list_changed_loads(
                 self._registry.servers.by_name.values(), cursor.loads, self._clock.now_ms()
             ),
-            prompts=self._recent_prompts.since(cursor.prompts),
+            prompts=self._prompts.recent.since(cursor.prompts),
             failures=failures.since(cursor.failures),
             part_crashes=part_crashes.since(cursor.part_crashes),
             limits=limits.since(cursor.limits),
@@ -194,7 +185,7 @@
         if self.latencies is not None:
             report = attrs.evolve(report, hedges=self.latencies.list_since(cursor.latencies))
             cursor.latencies = self.latencies.published
-        cursor.prompts, cursor.failures = self._recent_prompts.count, failures.count
+        cursor.prompts, cursor.failures = self._prompts.recent.count, failures.count
         cursor.part_crashes, cursor.limits = part_crashes.count, limits.count
         cursor.announcements = announcements.count
         cursor.speeds = self.speeds.count
@@ -227,7 +218,7 @@
         apply_loads(peer_loads, self._registry.servers.by_name, report.loads)
         self.speeds.apply_reports(peer, report.speeds)
         for prompt in report.prompts:
-            self._apply_prompt(prompt)
+            self._prompts.apply(prompt)
         if apply_failures(self._registry.failure_history, report, peer, now_ms):
             self.report_due.set()
         for limit in report.limits:
@@ -283,21 +274,5 @@
         if self.usage is not None:
             self.usage.remove_peer(peer)
 
-    def _apply_prompt(self, prompt: CachedPrompt) -> None:
-        server = self._registry.servers.by_name.get(prompt.server)
-        if server is None or self._registry.config is None:
-            return
-        group = self._registry.config.groups.get(server.record.group)
-        if group is not None and group.engine is not None:
-            self._record_prompt_prefill(server, prompt.prompt, group.engine)
-            record_peer_parts(server.memory, prompt.prompt, self._clock.now_ms())
-
-    def _record_prompt_prefill(
-        self, server: BackendServer, prompt: Prompt, engine: EngineProfile
-    ) -> None:
-        cache_tokens = estimate_cache_tokens(engine)
-        record_use(self._registry.part_uses, prompt, self._clock.now_ms())
-        record_prefill(server, prompt, self._costs, cache_tokens, self._clock.now_ms())
-
 
 __all__ = ["StateSync", "StoreRevisions", "ReportCursor"]
