Peers: a message that takes the link over three seconds is cut off

Change: three seconds without progress.

Evidence: test_long_message_on_a_narrow_link_is_read, 1 MB at 100 kB/s in virtual time, TimeoutError on the code before.

--- a/src/boragetiller/gateway/peer_reader.py
+++ b/src/boragetiller/gateway/peer_reader.py
@@ -12,6 +12,7 @@
     from boragetiller.gateway.peer_messages import PeerMessage
 
 RECEIVE_TIMEOUT_MS = 3_000  # a peer that sends nothing for so long is disconnected
+CHUNK_BYTES = 16_384  # of a long message, each of which is progress
 MAX_HELLO_BYTES = 4_096  # of name, incarnation and address
 MAX_PENDING_HELLOS = 64  # a hello arrives with the first segment of a connection
 
@@ -26,14 +27,21 @@
     :param max_bytes: size limit
     :return: the message
     :raises BadFrame: the message is too large or malformed
-    :raises TimeoutError: it did not arrive in time
+    :raises TimeoutError: nothing arrived for RECEIVE_TIMEOUT_MS
     :raises asyncio.IncompleteReadError: the connection ended
     """
+    size = int.from_bytes(await _read_exactly(reader, LENGTH_BYTES), "big")
+    if size > max_bytes:
+        raise BadFrame(f"frame of {size} bytes exceeds {max_bytes} bytes")
+    chunks = []
+    for start in range(0, size, CHUNK_BYTES):
+        chunks.append(await _read_exactly(reader, min(CHUNK_BYTES, size - start)))
+    return decode_payload(b"".join(chunks))
+
+
+async def _read_exactly(reader: asyncio.StreamReader, size: int) -> bytes:
     async with asyncio.timeout(RECEIVE_TIMEOUT_MS / 1_000):
-        size = int.from_bytes(await reader.readexactly(LENGTH_BYTES), "big")
-        if size > max_bytes:
-            raise BadFrame(f"frame of {size} bytes exceeds {max_bytes} bytes")
-        return decode_payload(await reader.readexactly(size))
+        return await reader.readexactly(size)
 
 
 class HelloReader:
