Peers: what a restored store lacks is sent whole, also to peers that read compact values

After a restore each router sends each other the configuration that the copy lacks. It is deflated now where the peer can read that. The stub of test_lost_servers_are_sent_also_when_they_are_listed_after_the_configuration takes the new argument; it checks what it did.

--- a/src/boragetiller/gateway/item_relay.py
+++ b/src/boragetiller/gateway/item_relay.py
@@ -110,16 +110,18 @@
             self._eras, self._eras_since_ms = eras, now_ms
         return now_ms - self._eras_since_ms >= LOST_ITEMS_DELAY_MS
 
-    def send_lost_items(self, peer: OutboundPeer) -> None:
+    def send_lost_items(self, link: OutboundPeer, peer: InboundPeer | None) -> None:
         """
         Send the entries that a peer which joined after a restore cannot read from the store.
 
-        :param peer: the peer
+        :param link: the connection to the peer
+        :param peer: the peer, None if it has not reported yet
         """
         eras = self._state_sync.get_eras()
-        if peer.lost_items_eras != eras:
-            peer.lost_items_eras = eras
-            self.send_items(peer.writer, self._state_sync.list_items_lost_in_restore())
+        if link.lost_items_eras != eras:
+            link.lost_items_eras = eras
+            items = self._state_sync.list_items_lost_in_restore()
+            self.send_items(link.writer, items, compact=peer is not None and peer.asks_for_config)
 
     def send_items(
         self, writer: asyncio.StreamWriter, items: Iterable[StoredItem], *, compact: bool = False
--- a/src/boragetiller/gateway/peer_exchange.py
+++ b/src/boragetiller/gateway/peer_exchange.py
@@ -217,7 +217,7 @@
         first_report = self._state_sync.build_first_report()
         writer.write(encode_frame(hello) + encode_frame(first_report))
         self._outbound_peers[endpoint] = peer = OutboundPeer(writer)
-        self._item_relay.send_lost_items(peer)
+        self._item_relay.send_lost_items(peer, self._find_inbound(peer))
 
     async def _send_reports(self) -> None:
         """Send reports to all peers; each one is built and encoded once for all of them."""
@@ -239,7 +239,7 @@
                 self._send_report(peer, frame)
                 self._item_relay.send_items(peer.writer, removals)
                 if lost_items_due:
-                    self._item_relay.send_lost_items(peer)
+                    self._item_relay.send_lost_items(peer, self._find_inbound(peer))
 
     async def _wait_for_report_time(self) -> None:
         """Wait for the next interval, or for a state change that peers must know at once."""
@@ -257,11 +257,14 @@
             writer.transport.abort()
             return
         writer.write(frame)
-        inbound = self._inbound.find(writer.get_extra_info("peername"))
+        inbound = self._find_inbound(peer)
         if inbound is not None:
             self._item_relay.send_missing_items(inbound, peer, self._get_resend_turn_ms(inbound))
         peer.routers = self._send_routers(writer, peer.routers)
 
+    def _find_inbound(self, peer: OutboundPeer) -> InboundPeer | None:
+        return self._inbound.find(peer.writer.get_extra_info("peername"))
+
     def _send_routers(
         self, writer: asyncio.StreamWriter, already_sent: set[Endpoint]
     ) -> set[Endpoint]:
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -251,7 +251,11 @@
         config = registry.store_entries.view.items["op/config"]
         sent: list[StoredItem] = []
         exchange = self.first.router.peer_exchange
-        with patch.object(exchange._item_relay, "send_items", lambda _, items: sent.extend(items)):
+
+        def record(_writer: object, items: list[StoredItem], *, compact: bool = False) -> None:
+            sent.extend(items)
+
+        with patch.object(exchange._item_relay, "send_items", record):
             registry.apply_changes([attrs.evolve(config, revision=extend_revision(2, 2))], "test")
             await asyncio.sleep(3 * LOST_ITEMS_DELAY_MS / 1_000)
             revision = extend_revision(2, copied["revision"])
