--- a/src/boragetiller/platform_clients/call_session.py
+++ b/src/boragetiller/platform_clients/call_session.py
@@ -24,7 +24,7 @@
 
     begin_ms: float  # until the head of the response
     progress_ms: float  # without a byte of the body
-    total_ms: float  # for the body, also if bytes trickle in
+    total_ms: float  # for the whole call, also if bytes trickle in
 
 
 @attrs.frozen(kw_only=True)
@@ -104,6 +104,7 @@
         :raises aiohttp.ClientError: the call failed
         """
         loop = asyncio.get_running_loop()
+        end_s = loop.time() + limits.total_ms / 1_000
         chunks: list[bytes] = []
         try:
             async with (
@@ -111,7 +112,6 @@
                 asyncio.timeout(limits.begin_ms / 1_000) as limit,
                 session.request(method, url, timeout=NO_TIMEOUT, **options) as response,
             ):
-                end_s = loop.time() + limits.total_ms / 1_000
                 limit.reschedule(min(end_s, loop.time() + limits.progress_ms / 1_000))
                 with self._count_receiving():
                     async for chunk in response.content.iter_any():
--- a/tests/platform_adapter/test_time_limits.py
+++ b/tests/platform_adapter/test_time_limits.py
@@ -10,7 +10,7 @@
 from boragetiller.errors import StoreUnavailable
 from boragetiller.gateway.settings import Endpoint
 from boragetiller.systems.watch_limits import WATCH_MARGIN_MS
-from kv_store import CALL_TIMEOUT_MS, KvStoreClient
+from kv_store import CALL_TIMEOUT_MS, KvStoreClient, build_write_limits
 from tests.gateway.store_channels import ChannelConnector, ChannelStore, count_failed_calls
 from tests.virtual_time import VirtualClock, run_virtually
 
@@ -71,12 +71,34 @@
     return failed, open_channels
 
 
+async def measure_trickling_write(limit_ms: int) -> int:
+    """:return: time in milliseconds after which a call fails whose response trickles in"""
+    store, clock = ChannelStore(), VirtualClock()
+    store.put("s/a", {"text": "x" * 100_000})
+    store.link_bytes_per_s = 20_000
+    with patch("aiohttp.TCPConnector", lambda **_options: ChannelConnector(store)):
+        client = KvStoreClient(Endpoint("127.0.0.1", 1))
+        limits = build_write_limits(limit_ms)
+        try:
+            query = {"path-prefix": "s/"}
+            await client.call("GET", "/kv-range", limits, lambda *_: None, query=query)
+        except StoreUnavailable:
+            return clock.now_ms()
+        finally:
+            await client.close()
+    raise AssertionError("the call was answered")
+
+
 class TimeLimitTest(unittest.TestCase):
     def test_silent_watch_fails_at_its_time_limit(self) -> None:
         for wait_ms in (1_000, 5_000):
             took_ms = run_virtually(measure_silent_watch(wait_ms))
             self.assertLessEqual(took_ms, wait_ms + WATCH_MARGIN_MS + 1)
 
+    def test_write_fails_at_its_time_limit_though_its_response_makes_progress(self) -> None:
+        # Guards against a renewal of a lease that lasts longer than the lease.
+        self.assertLessEqual(run_virtually(measure_trickling_write(1_500)), 1_501)
+
     def test_cancellation_at_the_time_limit_is_not_lost(self) -> None:
         self.assertTrue(run_virtually(cancel_at_time_limit()))
 
