--- a/src/boragetiller/gateway/config_transfer/exchange.py
+++ b/src/boragetiller/gateway/config_transfer/exchange.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
-
 from boragetiller.events import Event, log_event
 from boragetiller.gateway.store_revisions import is_newer
 from boragetiller.store_eras import get_era, get_store_revision
@@ -41,10 +39,14 @@
 
     def must_follow(self) -> bool:
         """:return: whether this router watches and polls the configuration in the store"""
-        view = self._registry.store_entries.view
-        item = view.get_in_force(self._registry.dialect.config_key)
+        view, key = self._registry.store_entries.view, self._registry.dialect.config_key
+        item, newest = view.get_in_force(key), view.items.get(key)
         self.followers.value_bytes = len(item.value or b"") if item else 0
-        if self._registry.config is None or self._has_missed_restore():
+        if self._registry.config is None or newest is None:
+            return True
+        # After a restore of the store, of which a peer knows, each router lists it.
+        era = get_era(newest.revision)
+        if any(get_era(revision) > era for revision in self._revisions.values()):
             return True
         follows = self.followers.must_follow(self._clock.now_ms())
         if follows != self._follows:
@@ -57,12 +59,6 @@
             )
         return follows
 
-    def _has_missed_restore(self) -> bool:
-        """:return: whether a peer knows of a restore of the store, after which each router lists"""
-        view = self._registry.store_entries.view
-        era = get_era(view.newest_revision(self._registry.dialect.config_key))
-        return any(get_era(revision) > era for revision in self._revisions.values())
-
     def list_items_newer_than(self, revision: int) -> list[StoredItem]:
         """
         List the entries of the configuration that a peer lacks.
@@ -73,23 +69,21 @@
         items = self._registry.store_entries.view.newer_than(self._registry.dialect.config_key, 0)
         return [item for item in items if is_newer(item.revision, revision)]
 
-    def complete_report(self, report: PeerReport, *, reaches_store: bool) -> PeerReport:
+    def choose_source(self, own_revision: int, *, follows: bool) -> str:
         """
-        Add what peers must know of the configuration to a report.
+        Choose the peer that the next report asks for the configuration.
 
-        :param report: the report
-        :param reaches_store: whether the last call of this router to the store succeeded
-        :return: the report with the peer that is asked for the configuration
+        :param own_revision: extended revision of the newest one that this router knows
+        :param follows: whether this router follows the configuration, and reaches the store
+        :return: name of the peer, empty if no one is to be asked now
         """
-        follows, now_ms = self.must_follow(), self._clock.now_ms()
-        own_revision = report.config_revision
         newer = [name for name, each in self._revisions.items() if is_newer(each, own_revision)]
         asked_before = self._requests.asked
         asked = self._requests.choose_peer(
             newer,
             own_revision,
-            now_ms,
-            follows=follows and reaches_store,
+            self._clock.now_ms(),
+            follows=follows,
             transfer_ms=self.followers.estimate_transfer_ms(),
         )
         if asked is not None and asked != asked_before:
@@ -100,12 +94,7 @@
                 bytes=self.followers.value_bytes,
             )
             self._registry.metrics.config_requests.inc()
-        return attrs.evolve(
-            report,
-            config_source=asked or "",
-            follows_config=follows and reaches_store,
-            is_config_quick=self.followers.is_quick,
-        )
+        return asked or ""
 
     def apply_report(self, peer: str, report: PeerReport) -> None:
         """
--- a/src/boragetiller/gateway/state_sync.py
+++ b/src/boragetiller/gateway/state_sync.py
@@ -161,6 +161,8 @@
         part_crashes = self._registry.failure_history.part_crashes.recent
         limits = self._registry.server_limits.recent
         announcements = self._registry.servers.leaving.recent
+        reaches_store = self.watcher_election.own_store_reachable
+        follows_config = self.config.must_follow() and reaches_store
         report = PeerReport(
             config_revision=revisions.config,
             servers_revision=revisions.servers,
@@ -174,13 +176,14 @@
             limits=limits.since(cursor.limits),
             announcements=announcements.since(cursor.announcements),
             store_reads=self.store_polls.own_polls,
-            reaches_store=self.watcher_election.own_store_reachable,
-            watches=self.watcher_election.own_store_reachable
-            and self.watcher_election.is_watcher(self._clock.now_ms()),
+            reaches_store=reaches_store,
+            watches=reaches_store and self.watcher_election.is_watcher(self._clock.now_ms()),
+            config_source=self.config.choose_source(revisions.config, follows=follows_config),
+            follows_config=follows_config,
+            is_config_quick=self.config.followers.is_quick,
             usage=() if self.usage is None else self.usage.build_report_entries(cursor.usage),
             speeds=self.speeds.list_reports(cursor.speeds),
         )
-        report = self.config.complete_report(report, reaches_store=report.reaches_store)
         self.speeds.update_ranks()
         if self.latencies is not None:
             report = attrs.evolve(report, hedges=self.latencies.list_since(cursor.latencies))
--- a/tests/gateway/config_transfer/test_exchange.py
+++ b/tests/gateway/config_transfer/test_exchange.py
@@ -59,8 +59,7 @@
     def ask(self) -> str:
         """:return: the peer that the next report of this router asks"""
         revision = max(item.revision for item in self.exchange.list_items_newer_than(0))
-        report = PeerReport(config_revision=revision, servers_revision=0)
-        return self.exchange.complete_report(report, reaches_store=True).config_source
+        return self.exchange.choose_source(revision, follows=self.exchange.must_follow())
 
     def test_router_that_does_not_follow_asks_a_peer_at_once(self) -> None:
         self.assertFalse(self.exchange.must_follow())
