Soak: large configurations, with some routers on narrow links to the store

The proxy before the store limits the rate of all connections of a router together; the links between routers have no limit.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -20,6 +20,7 @@
 import fire
 
 from bench.soak.callers import Callers
+from bench.soak.config_probes import probe_configs
 from bench.soak.engine import LAST_EVENT
 from bench.soak.fleet import STREAMS, SoakFleet
 from bench.soak.judge import Violation, count_taken_up, judge
@@ -41,10 +42,17 @@
     """
     fleet = SoakFleet(folder, seed)
     try:
-        await fleet.start(scenario.routers, scenario.servers, seeds=scenario.seeds)
+        await fleet.start(
+            scenario.routers,
+            scenario.servers,
+            seeds=scenario.seeds,
+            narrow_links=scenario.narrow_links,
+        )
         until_s = time.monotonic() + length_s
         callers = Callers(fleet.routers, scenario.workload, fleet.ledger, seed)
-        calls = asyncio.create_task(callers.run(until_s))
+        calls = asyncio.gather(
+            callers.run(until_s), probe_configs(fleet.routers, fleet.ledger, until_s)
+        )
         await asyncio.sleep(WARM_UP_S)
         await scenario.play(fleet, Random(seed), until_s)
         await calls
@@ -97,7 +105,9 @@
     print(
         f"scenario {scenario}, seed {seed}: {len(attempts)} requests, statuses "
         f"{dict(sorted(statuses.items()))}, {len(fleet.ledger.arrivals)} arrivals, "
-        f"{completed} of {taken_up} streams that were taken up completed, violations: {rules}"
+        f"{completed} of {taken_up} streams that were taken up completed, "
+        f"{len(fleet.ledger.probes)} probes of {len(fleet.ledger.changes)} configurations, "
+        f"violations: {rules}"
     )
     sys.exit(1 if violations else 0)
 
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -5,15 +5,17 @@
 import asyncio
 import json
 import sys
+import time
 from random import Random
 from typing import TYPE_CHECKING, Any
 
 import attrs
 
-from bench.soak.records import Ledger, read_arrivals
-from bench.soak.routers import ROOT, SoakRouter
+from bench.soak.config_probes import build_probe_route
+from bench.soak.records import ConfigChange, Ledger, read_arrivals
+from bench.soak.routers import DEFAULT_LINK_MBPS, ROOT, SoakRouter
 from bench.soak.store import SoakStore
-from tests.gateway.harness import build_config
+from tests.gateway.config_transfer.large_config import build_large_config
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -22,6 +24,7 @@
 LISTED_TIMEOUT_S = 30.0
 POLL_S = 0.02
 MS_PER_S = 1_000
+NARROW_LINK_MBPS = 5.0
 ROUTE_TIMEOUT_MS = 9_000
 
 
@@ -66,9 +69,15 @@
         self._ended: list[EngineProcess] = []
         self._store_task: asyncio.Task[None] | None = None
         self._config_version = 1
+        self._probe_routes: list[dict[str, Any]] = []
 
     async def start(
-        self, routers: int, servers: dict[tuple[str, str], int], *, seeds: bool
+        self,
+        routers: int,
+        servers: dict[tuple[str, str], int],
+        *,
+        seeds: bool,
+        narrow_links: int = 0,
     ) -> None:
         """
         Start all processes and wait until the routers are ready.
@@ -76,6 +85,7 @@
         :param routers: number of routers
         :param servers: number of servers by service and version
         :param seeds: whether routers know each other
+        :param narrow_links: number of routers, the last ones, whose link to the store is narrow
         """
         self._store_port = (await self.store.start()).port
         self._store_task = asyncio.create_task(self.store.run())
@@ -84,7 +94,11 @@
             for _ in range(count):
                 await self.start_engine(service, version)
         await self.wait_until_registered(*self.engines)
-        self.routers = [SoakRouter(n, self.folder, self.ledger) for n in range(routers)]
+        wide = [DEFAULT_LINK_MBPS] * (routers - narrow_links)
+        self.routers = [
+            SoakRouter(number, self.folder, self.ledger, link_mbps)
+            for number, link_mbps in enumerate([*wide, *([NARROW_LINK_MBPS] * narrow_links)])
+        ]
         for router in self.routers:
             others = [each.control for each in self.routers[:3] if seeds and each is not router]
             await router.start(await self.store.open_port(router.name), others)
@@ -132,13 +146,21 @@
     def _lists(self, names: tuple[str, ...]) -> bool:
         return all(f"servers/{name}" in self.store.items for name in names)
 
-    def change_config(self) -> None:
-        """Write the next version of the configuration, with another time limit of a route."""
-        config = build_config(version=self._config_version)
+    def change_config(self, size: int = 0) -> None:
+        """
+        Write the next version of the configuration, with another time limit and a route more.
+
+        :param size: about that many bytes, 0 for the routes in use
+        """
+        version = self._config_version
+        config = build_large_config(version, size)
         for route in config["routes"]:
-            route["timeout-ms"] = ROUTE_TIMEOUT_MS + self._config_version
+            route["timeout-ms"] = ROUTE_TIMEOUT_MS + version
+        self._probe_routes.append(build_probe_route(version))
+        config["routes"] += self._probe_routes
         self._config_version += self.rng.randint(1, 3)
         self.store.put("op/config", config)
+        self.ledger.changes.append(ConfigChange(version, time.monotonic()))
 
     def list_engines(self, service: str, version: str | None = None) -> list[EngineProcess]:
         """:return: running servers of a service, of one version or all"""
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -13,6 +13,7 @@
 
 PAUSE_SLACK_S = 0.5  # requests that were under way when a server asked for a pause
 MAX_IN_PAUSE = 2
+NOT_FOUND = 404
 PROMISES = frozenset({408, 421, 429, 503})
 NON_IDEMPOTENT = "reserve"
 STREAM = "gauges"
@@ -39,6 +40,7 @@
         *find_ignored_pauses(ledger),
         *find_repeated_runs(ledger),
         *find_mixed_responses(ledger.attempts),
+        *find_late_configs(ledger),
     ]
 
 
@@ -119,6 +121,27 @@
     return violations
 
 
+def find_late_configs(ledger: Ledger) -> list[Violation]:
+    """
+    Find versions of the configuration that a router had not in time (CONFIG).
+
+    A router that was restarted, frozen or cut off since the change is excused.
+    """
+    confirmed_s = {change.version: change.at_s for change in ledger.changes}
+    late = Counter(
+        (probe.router, probe.version)
+        for probe in ledger.probes
+        if probe.status == NOT_FOUND
+        and not _is_impaired(
+            ledger.impairments, probe.router, confirmed_s[probe.version], probe.sent_s
+        )
+    )
+    return [
+        Violation("CONFIG", f"{router} lacked version {version} at {count} requests")
+        for (router, version), count in late.items()
+    ]
+
+
 def count_taken_up(attempts: list[Attempt]) -> tuple[int, int]:
     """:return: number of streams that callers took up again, and how many of them were completed"""
     streams = _group_streams(attempts).values()
@@ -167,6 +190,7 @@
     "count_taken_up",
     "find_ignored_pauses",
     "find_joined_streams",
+    "find_late_configs",
     "find_mixed_responses",
     "find_repeated_runs",
     "judge",
--- a/bench/soak/records.py
+++ b/bench/soak/records.py
@@ -62,6 +62,24 @@
     end_s: float
 
 
+@attrs.frozen
+class ConfigChange:
+    """A version of the configuration, which the store has confirmed."""
+
+    version: int
+    at_s: float
+
+
+@attrs.frozen
+class ConfigProbe:
+    """A request on the route that a version added."""
+
+    router: str
+    version: int
+    sent_s: float
+    status: int  # 0 without a response
+
+
 @attrs.define
 class Ledger:
     """All records of a run."""
@@ -69,6 +87,8 @@
     arrivals: list[Arrival] = attrs.Factory(list)
     attempts: list[Attempt] = attrs.Factory(list)
     impairments: list[Impairment] = attrs.Factory(list)
+    changes: list[ConfigChange] = attrs.Factory(list)
+    probes: list[ConfigProbe] = attrs.Factory(list)
 
 
 def read_arrivals(paths: Iterable[Path]) -> list[Arrival]:
@@ -94,6 +114,8 @@
 __all__ = [
     "Arrival",
     "Attempt",
+    "ConfigChange",
+    "ConfigProbe",
     "Impairment",
     "Ledger",
     "StreamEvent",
--- a/bench/soak/routers.py
+++ b/bench/soak/routers.py
@@ -26,6 +26,8 @@
 GRACE_S = 4
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
+DEFAULT_LINK_MBPS = 1_000.0
+BYTES_PER_S_OF_MBPS = 125_000
 PORT_RANGE = [7_340, 7_355]  # on an address of its own, below the ports that the kernel hands out
 CONTACT_S = 3.0  # after a fault until a router counts as undisturbed again
 PARAMS = {
@@ -42,13 +44,16 @@
 class SoakRouter:
     """Starts, ends, freezes and cuts off a router, and notes when."""
 
-    def __init__(self, number: int, folder: Path, ledger: Ledger) -> None:
+    def __init__(
+        self, number: int, folder: Path, ledger: Ledger, link_mbps: float = DEFAULT_LINK_MBPS
+    ) -> None:
         """
         Create a router, which has an address of its own on the loopback network.
 
         :param number: number of the router
         :param folder: folder for its settings and log
         :param ledger: takes the spans of its faults
+        :param link_mbps: rate of its link to the store
         """
         self.name = f"front-{number}"
         # Another run on the host has other addresses, so that a port stays free between restarts.
@@ -58,6 +63,7 @@
         )
         self._folder = folder
         self._ledger = ledger
+        self._link_mbps = link_mbps
         self._link: FaultProxy | None = None
         self._process: asyncio.subprocess.Process | None = None
         self._log = (folder / f"{self.name}.log").open("ab")
@@ -69,7 +75,9 @@
         :param store_port: port of the store
         :param seeds: addresses of other routers
         """
-        self._link = FaultProxy(store_port)
+        narrow = self._link_mbps < DEFAULT_LINK_MBPS
+        bytes_per_s = BYTES_PER_S_OF_MBPS * self._link_mbps if narrow else None
+        self._link = FaultProxy(store_port, bytes_per_s)
         await self._link.start()
         document = {
             "node-name": self.name,
@@ -78,7 +86,7 @@
             "port-range": PORT_RANGE,
             "seeds": seeds,
             "listen": {"front": self.callers, "ready": self._ready, "control": self.control},
-            "limits": {"memory-mb": 300, "max-fds": 4_100},
+            "limits": {"memory-mb": 300, "max-fds": 4_100, "link-mbps": self._link_mbps},
             "contract-params": PARAMS,
             "platform": {"address": f"127.0.0.1:{self._link.port}"},
         }
--- a/bench/soak/scenarios.py
+++ b/bench/soak/scenarios.py
@@ -15,6 +15,7 @@
 from bench.soak.mix import run_mix
 
 EVENT_BYTES = 500_000
+CONFIG_BYTES = (300_000, 420_000, 650_000)  # up to 1.4 s of a link of 5 Mbit/s
 
 
 @attrs.frozen(kw_only=True)
@@ -24,6 +25,7 @@
     routers: int = 3
     servers: dict[tuple[str, str], int]  # by service and version
     seeds: bool = True  # routers know each other
+    narrow_links: int = 0  # routers whose link to the store is narrow
     workload: Workload
     play: Callable[[SoakFleet, Random, float], Awaitable[None]]  # until a monotonic time
 
@@ -83,6 +85,18 @@
     await cut
 
 
+async def play_narrow_links(fleet: SoakFleet, rng: Random, until_s: float) -> None:
+    """Large configurations change alone and in series, while routers are killed."""
+    while time.monotonic() < until_s:
+        size = rng.choice(CONFIG_BYTES)
+        for _ in range(rng.choice((1, 1, 2, 6))):
+            fleet.change_config(size)
+            await asyncio.sleep(rng.uniform(0.1, 0.4))
+        await asyncio.sleep(rng.uniform(1.0, 4.0))
+        if rng.random() < 0.3:
+            await rng.choice(fleet.routers).end(signal.SIGKILL, rng.uniform(0.1, 0.5))
+
+
 SCENARIOS = {
     "pauses": Scenario(
         servers={(STREAMS, "v1"): 3, (PLAIN, "v1"): 4},
@@ -108,6 +122,13 @@
         ),
         play=play_unseen_join,
     ),
+    "narrow-links": Scenario(
+        routers=5,
+        narrow_links=2,
+        servers={(STREAMS, "v1"): 1, (PLAIN, "v1"): 2},
+        workload=Workload(stream_callers=4, plain_callers=6),
+        play=play_narrow_links,
+    ),
     "mix": Scenario(
         routers=5,
         servers={(STREAMS, "v1"): 2, (STREAMS, "v2"): 2, (PLAIN, "v1"): 3},
--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -1,4 +1,4 @@
-"""A TCP proxy that can reset or stall its connections."""
+"""A TCP proxy that can slow down, reset or stall its connections."""
 
 from __future__ import annotations
 
@@ -6,18 +6,25 @@
 import contextlib
 
 LOOPBACK = "127.0.0.1"
-CHUNK_BYTES = 65_536
+CHUNK_BYTES = 16_384
 
 
 class FaultProxy:
     """Forwards bytes in both directions between a free port and a target port."""
 
-    def __init__(self, target_port: int) -> None:
-        """:param target_port: TCP port to which connections are forwarded"""
+    def __init__(self, target_port: int, bytes_per_s: float | None = None) -> None:
+        """
+        Create the proxy; it is inactive until started.
+
+        :param target_port: TCP port to which connections are forwarded
+        :param bytes_per_s: rate of all connections together in each direction, None for no limit
+        """
         self._target_port = target_port
+        self._bytes_per_s = bytes_per_s
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._forward_tasks: set[asyncio.Task[None]] = set()
+        self._up, self._down = asyncio.Lock(), asyncio.Lock()
         self._forwarding_enabled = asyncio.Event()
         self._forwarding_enabled.set()
 
@@ -62,15 +69,21 @@
             writer.transport.abort()
             return
         self._writers |= {writer, upstream_writer}
-        for source, sink in ((reader, upstream_writer), (upstream_reader, writer)):
-            task = asyncio.create_task(self._forward(source, sink))
+        links = ((reader, upstream_writer, self._up), (upstream_reader, writer, self._down))
+        for source, sink, link in links:
+            task = asyncio.create_task(self._forward(source, sink, link))
             self._forward_tasks.add(task)
             task.add_done_callback(self._forward_tasks.discard)
 
-    async def _forward(self, source: asyncio.StreamReader, sink: asyncio.StreamWriter) -> None:
+    async def _forward(
+        self, source: asyncio.StreamReader, sink: asyncio.StreamWriter, link: asyncio.Lock
+    ) -> None:
         with contextlib.suppress(ConnectionError, OSError):
             while chunk := await source.read(CHUNK_BYTES):
                 await self._forwarding_enabled.wait()
+                if self._bytes_per_s is not None:
+                    async with link:  # all connections share the rate
+                        await asyncio.sleep(len(chunk) / self._bytes_per_s)
                 sink.write(chunk)
                 await sink.drain()
         sink.close()
--- a/tests/gateway/config_transfer/test_exchange.py
+++ b/tests/gateway/config_transfer/test_exchange.py
@@ -15,7 +15,8 @@
 from boragetiller.store_eras import extend_revision
 from boragetiller.tables.store_view import StoredItem
 from dialect import PlatformDialect
-from tests.gateway.config_transfer.test_narrow_links import LINK_BYTES_PER_S, build_large_config
+from tests.gateway.config_transfer.large_config import build_large_config
+from tests.gateway.config_transfer.test_narrow_links import LINK_BYTES_PER_S
 from tests.gateway.harness import build_settings
 
 ERA = 1
--- a/tests/gateway/config_transfer/test_narrow_links.py
+++ b/tests/gateway/config_transfer/test_narrow_links.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import unittest
-from random import Random
-from typing import Any
 from unittest.mock import patch
 
 import tests.platform_path  # noqa: F401
+from tests.gateway.config_transfer.large_config import build_large_config
 from tests.gateway.harness import build_config
 from tests.gateway.store_channels import ChannelConnector, ChannelStore
 from tests.gateway.test_change_delays import SERVER, WatchingRouter, wait_ms
@@ -19,18 +18,6 @@
 GIVE_UP_MS = 30_000
 
 
-def build_large_config(version: int, size: int) -> dict[str, Any]:
-    """:return: a configuration of about that many bytes, with routes that are not used"""
-    rng = Random(version)
-    routes = list(build_config(version)["routes"])
-    while len(routes) * 200 < size:
-        name = f"{rng.getrandbits(40):010x}"
-        fields = {"kind": "idempotent", "timeout-ms": 5_000, "goal-ms": 200, "service": "shop"}
-        fields |= {"host": f"{name}.example", "path-prefix": f"/{name}/", "max-attempts": 2}
-        routes.append({"name": f"r-{name}", "priority": 2, **fields, "public": False})
-    return build_config(version, routes=routes)
-
-
 async def measure_change_ms(size: int, seed: int, change_after_ms: int) -> float:
     """:return: time in milliseconds after which a change of a large configuration is in force"""
     store = ChannelStore()
--- a/tests/gateway/config_transfer/test_requested_configurations.py
+++ b/tests/gateway/config_transfer/test_requested_configurations.py
@@ -22,7 +22,7 @@
     encode_frame,
 )
 from boragetiller.tables.store_view import StoredItem
-from tests.gateway.config_transfer.test_narrow_links import build_large_config
+from tests.gateway.config_transfer.large_config import build_large_config
 from tests.gateway.harness import RouterHarness, build_config, wait_until
 
 if TYPE_CHECKING:
--- a/tests/soak/test_judge.py
+++ b/tests/soak/test_judge.py
@@ -9,10 +9,19 @@
     count_taken_up,
     find_ignored_pauses,
     find_joined_streams,
+    find_late_configs,
     find_mixed_responses,
     find_repeated_runs,
 )
-from bench.soak.records import Arrival, Attempt, Impairment, Ledger, StreamEvent
+from bench.soak.records import (
+    Arrival,
+    Attempt,
+    ConfigChange,
+    ConfigProbe,
+    Impairment,
+    Ledger,
+    StreamEvent,
+)
 
 LAST_EVENT = 4
 
@@ -107,5 +116,27 @@
         self.assertEqual(find_rules(find_mixed_responses([attempt])), ["MIXED"])
 
 
+class ConfigTest(unittest.TestCase):
+    """Versions that a router must have."""
+
+    def test_version_that_a_router_lacks_goes_unnoticed(self) -> None:
+        change = ConfigChange(7, at_s=10.0)
+        for status, impaired, rules in (
+            (404, (), ["CONFIG"]),
+            (200, (), []),
+            (0, (), []),
+            (404, (Impairment("r", "SIGKILL", 9.0, 10.5),), []),
+            (404, (Impairment("r", "SIGKILL", 2.0, 9.5),), ["CONFIG"]),
+            (404, (Impairment("other", "SIGKILL", 9.0, 12.5),), ["CONFIG"]),
+        ):
+            ledger = Ledger(
+                changes=[change],
+                probes=[ConfigProbe("r", 7, 12.1, status)],
+                impairments=list(impaired),
+            )
+            with self.subTest(status=status, impaired=impaired):
+                self.assertEqual(find_rules(find_late_configs(ledger)), rules)
+
+
 if __name__ == "__main__":
     unittest.main()
